--- /dev/null
+++ b/GNUmakefile
@@ -0,0 +1,29 @@
+GO ?= go
+
+all: build
+
+build:
+	$(GO) build -o skylarkdeal .
+
+test:
+	$(GO) test -race ./...
+
+demo: build
+	./skylarkdeal demo
+
+bench:
+	script/bench
+
+capacity:
+	script/capacity
+
+lint:
+	golangci-lint run
+
+generate:
+	script/generate
+
+clean:
+	rm -f skylarkdeal
+
+.PHONY: all build test demo bench capacity lint generate clean
--- /dev/null
+++ b/core/failure/failure.go
@@ -0,0 +1,127 @@
+// Package failure types the errors of the system: every one carries the step
+// and the peer at which it arose, and those that reach a caller carry a
+// SQLSTATE and, when refused, a time after which to come back.
+package failure
+
+import (
+	"errors"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Step is what was being done when an error arose, such as "startup".
+type Step string
+
+// Peer is whom it was done with, such as "instance b" or "host obihiro-2".
+type Peer string
+
+// Code is a SQLSTATE, the five characters that PostgreSQL drivers act on.
+type Code string
+
+// The SQLSTATEs that the proxy itself gives. Codes of class 53 are given only
+// when nothing was run, CodeUnknownOutcome whenever something may have been.
+const (
+	CodeTooManySessions  Code = "53300"
+	CodeOverRate         Code = "53400"
+	CodeOverloaded       Code = "53000"
+	CodeUnknownOutcome   Code = "08007"
+	CodeProtocol         Code = "08P01"
+	CodeUnreachable      Code = "08006"
+	CodeBadKey           Code = "28P01"
+	CodeKeyWithdrawn     Code = "28000"
+	CodeNoService        Code = "3D000"
+	CodeUnsupported      Code = "0A000"
+	CodeInvalidParameter Code = "22023"
+	CodeReadOnly         Code = "25006"
+	CodeInFailedTx       Code = "25P02"
+	CodeShuttingDown     Code = "57P01"
+	CodeNotReady         Code = "57P03"
+	CodeCancelled        Code = "57014"
+	CodeTooLarge         Code = "54000"
+	CodeInternal         Code = "XX000"
+)
+
+// Refusal is an answer to a caller in place of a result.
+type Refusal struct {
+	Code    Code   `json:"code"`
+	Message string `json:"message"`
+	// RetryAfter is how long to wait before asking again; zero gives no hint.
+	RetryAfter time.Duration `json:"retry-after"`
+	Step       Step          `json:"step"`
+	Peer       Peer          `json:"peer"`
+}
+
+// Error returns the message, so that a Refusal can travel as an error.
+func (r *Refusal) Error() string {
+	return string(r.Code) + ": " + r.Message
+}
+
+// AsRefusal returns the Refusal in err's chain, or one with CodeInternal.
+func AsRefusal(err error) *Refusal {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	step, peer := Where(err)
+	return &Refusal{Code: CodeInternal, Message: err.Error(), Step: step, Peer: peer}
+}
+
+var (
+	located = errorx.NewNamespace("skylarkdeal").NewType("located").
+		ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+	stepProperty = errorx.RegisterPrintableProperty("step")
+	peerProperty = errorx.RegisterPrintableProperty("peer")
+)
+
+// Error is an error with the step and the peer at which it arose. It adds to
+// errorx, which has no Unwrap, what errors.Is and errors.As need.
+type Error struct {
+	x *errorx.Error
+}
+
+// Error returns the steps and peers from the outermost inwards, then the cause.
+func (e *Error) Error() string {
+	return e.x.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.x.Cause()
+}
+
+// At returns err with the step and the peer at which it arose, or nil when err
+// is nil. The innermost step and peer stay the ones that Where returns.
+func At(err error, step Step, peer Peer) error {
+	if err == nil {
+		return nil
+	}
+	x := located.Wrap(err, "%s with %s", step, peer).
+		WithProperty(stepProperty, step).
+		WithProperty(peerProperty, peer)
+	return &Error{x: x}
+}
+
+// Where returns the innermost step and peer recorded in err's chain.
+func Where(err error) (Step, Peer) {
+	var step Step
+	var peer Peer
+	var e *Error
+	for errors.As(err, &e) {
+		step, peer = e.at()
+		err = e.Unwrap()
+	}
+	return step, peer
+}
+
+func (e *Error) at() (Step, Peer) {
+	var step Step
+	var peer Peer
+	if v, ok := e.x.Property(stepProperty); ok {
+		step, _ = v.(Step)
+	}
+	if v, ok := e.x.Property(peerProperty); ok {
+		peer, _ = v.(Peer)
+	}
+	return step, peer
+}
