--- /dev/null
+++ b/core/group/group.go
@@ -0,0 +1,143 @@
+// Package group decides what one host holds true of one database group: which
+// instance is the primary, whether a committed write may be acknowledged, how
+// fresh a replica is, whether the primary has failed, and the steps of a
+// promotion. It reads no clock and opens no socket.
+package group
+
+import (
+	"slices"
+	"time"
+
+	"skylarkdeal/core/document"
+	"skylarkdeal/core/fleet"
+)
+
+// Group is the state of one group as one host sees it. One goroutine owns it.
+type Group struct {
+	// Rules are the guards; the zero value but in tests.
+	Rules Rules
+
+	seen    []Seen
+	history History
+	ticked  time.Time
+}
+
+// Table is a copy of a Group at one moment. It is never changed.
+type Table struct {
+	At time.Time `json:"at"`
+	// Primary serves writes in Term; empty while no primary is known.
+	Primary fleet.Instance `json:"primary"`
+	Term    fleet.Term     `json:"term"`
+	// Seen is in the order of the document.
+	Seen    []Seen  `json:"seen"`
+	History History `json:"history"`
+	// Rules are those of the Group.
+	Rules Rules `json:"-"`
+}
+
+// Find returns what is known of an instance.
+func (t Table) Find(n fleet.Instance) (Seen, bool) {
+	for _, s := range t.Seen {
+		if s.Instance.Name == n {
+			return s, true
+		}
+	}
+	return Seen{}, false
+}
+
+// Age returns how old the data of a log that ends at p is at the most.
+func (t Table) Age(p fleet.Point, now time.Time) (time.Duration, bool) {
+	return t.History.Age(p, now)
+}
+
+// Configure takes up the instances of a document and keeps what is known of
+// those that stay.
+func (g *Group) Configure(instances []document.Instance) {
+	seen := make([]Seen, 0, len(instances))
+	for _, i := range instances {
+		s := Seen{Instance: i}
+		if o := g.find(i.Name); o != nil && o.Instance.Address == i.Address {
+			s = *o
+			s.Instance = i
+		}
+		seen = append(seen, s)
+	}
+	g.seen = seen
+}
+
+func (g *Group) find(n fleet.Instance) *Seen {
+	for i := range g.seen {
+		if g.seen[i].Instance.Name == n {
+			return &g.seen[i]
+		}
+	}
+	return nil
+}
+
+// Ask notes that an instance is being asked for its status.
+func (g *Group) Ask(n fleet.Instance, now time.Time) {
+	if s := g.find(n); s != nil {
+		s.ask(now)
+	}
+}
+
+// Answer takes up a status whose question was sent at sent.
+func (g *Group) Answer(n fleet.Instance, sent, now time.Time, st fleet.Status) {
+	s := g.find(n)
+	// A wrongly wired address answers under another name; its terms and
+	// positions would be counted for an instance that never said so.
+	if s == nil || st.Instance != n {
+		return
+	}
+	s.answer(sent, now, st)
+	if p, ok := g.Table(now).Prove(); ok {
+		g.history = g.history.Add(p)
+	}
+}
+
+// Fail notes that a question went unanswered. refused tells that the address
+// refused the connection, so that no process serves there.
+func (g *Group) Fail(n fleet.Instance, refused bool) {
+	if s := g.find(n); s != nil {
+		s.fail(refused)
+	}
+}
+
+// Refuse notes that an instance answered but refused the connection for having
+// too many: it lives, though its status isn't known.
+func (g *Group) Refuse(n fleet.Instance, now time.Time) {
+	if s := g.find(n); s != nil {
+		s.hear(now)
+	}
+}
+
+// pauseLimit is the longest time between two ticks after which the silence of
+// the instances still counts. Ticks come every few tens of milliseconds.
+const pauseLimit = 250 * time.Millisecond
+
+// Tick is called at least every 50 ms or so. After a longer gap the host itself
+// was paused: answers then lie unread and every instance looks silent for the
+// length of the pause, so silence counts anew from now.
+func (g *Group) Tick(now time.Time) (paused bool) {
+	paused = !g.ticked.IsZero() && now.Sub(g.ticked) > pauseLimit
+	g.ticked = now
+	if !paused {
+		return false
+	}
+	for i := range g.seen {
+		if !g.seen[i].Waiting.IsZero() {
+			g.seen[i].Waiting = now
+		}
+	}
+	return true
+}
+
+// Table returns a copy of what is known now.
+func (g *Group) Table(now time.Time) Table {
+	t := Table{At: now, Seen: slices.Clone(g.seen), History: g.history, Rules: g.Rules}
+	if i, ok := leader(g.seen); ok {
+		t.Primary = g.seen[i].Instance.Name
+		t.Term = g.seen[i].Status.Last.Term
+	}
+	return t
+}
--- /dev/null
+++ b/core/group/grouptest/grouptest.go
@@ -0,0 +1,134 @@
+// Package grouptest is a model of database instances in memory: what they
+// promise, keep and copy, without replication of its own accord. Tests of the
+// group's rules and of its runtime are run against it.
+package grouptest
+
+import (
+	"errors"
+	"slices"
+
+	"skylarkdeal/core/fleet"
+)
+
+// Entry is one entry of an instance's log.
+type Entry struct {
+	Term  fleet.Term
+	Value string
+}
+
+// Instance is one database instance. What it promises and its log outlive its
+// process.
+type Instance struct {
+	Name     fleet.Instance
+	Promised fleet.Term
+	Proposer fleet.Host
+	Role     fleet.Role
+	Follows  fleet.Instance
+	Log      []Entry
+}
+
+// The refusals of an instance.
+var (
+	ErrTerm    = errors.New("the term is promised to another or is too low")
+	ErrReplica = errors.New("a replica takes no writes")
+	ErrFenced  = errors.New("the primary is fenced")
+	ErrSource  = errors.New("the source doesn't serve the term that is followed")
+)
+
+// New returns a group of instances, the first of them the primary in term 1.
+func New(names ...fleet.Instance) []*Instance {
+	out := make([]*Instance, 0, len(names))
+	for _, n := range names {
+		out = append(out, &Instance{
+			Name: n, Promised: 1, Role: fleet.RoleReplica, Follows: names[0], Log: []Entry{{Term: 1}},
+		})
+	}
+	out[0].Role, out[0].Follows = fleet.RolePrimary, ""
+	return out
+}
+
+// Last returns the point of the last entry.
+func (i *Instance) Last() fleet.Point {
+	n := len(i.Log)
+	if n == 0 {
+		return fleet.Point{}
+	}
+	return fleet.Point{Term: i.Log[n-1].Term, Position: fleet.Position(n)}
+}
+
+// Status returns what the instance says of itself.
+func (i *Instance) Status() fleet.Status {
+	return fleet.Status{
+		Instance: i.Name, Promised: i.Promised, Role: i.Role, Last: i.Last(), Follows: i.Follows,
+	}
+}
+
+// Fence promises t to one proposer.
+func (i *Instance) Fence(t fleet.Term, proposer fleet.Host) error {
+	if t == i.Promised && proposer == i.Proposer {
+		return nil
+	}
+	if t <= i.Promised {
+		return ErrTerm
+	}
+	i.Promised, i.Proposer = t, proposer
+	return nil
+}
+
+// Promote makes the instance the primary of t, which the proposer was promised.
+func (i *Instance) Promote(t fleet.Term, proposer fleet.Host) error {
+	if t != i.Promised || proposer != i.Proposer {
+		return ErrTerm
+	}
+	if i.Role == fleet.RolePrimary && i.Last().Term == t {
+		return nil
+	}
+	i.Role, i.Follows = fleet.RolePrimary, ""
+	i.Log = append(i.Log, Entry{Term: t})
+	return nil
+}
+
+// Follow makes the instance a replica of primary in term t.
+func (i *Instance) Follow(t fleet.Term, primary fleet.Instance) error {
+	if t < i.Promised {
+		return ErrTerm
+	}
+	if i.Role == fleet.RolePrimary && i.Last().Term == t {
+		return ErrTerm
+	}
+	if t > i.Promised {
+		i.Promised, i.Proposer = t, ""
+	}
+	i.Role, i.Follows = fleet.RoleReplica, primary
+	return nil
+}
+
+// Append adds an entry at the primary and returns its point.
+func (i *Instance) Append(value string) (fleet.Point, error) {
+	if i.Role != fleet.RolePrimary {
+		return fleet.Point{}, ErrReplica
+	}
+	t := i.Last().Term
+	if i.Promised > t {
+		return fleet.Point{}, ErrFenced
+	}
+	i.Log = append(i.Log, Entry{Term: t, Value: value})
+	return i.Last(), nil
+}
+
+// Copy has a replica drop the entries that its primary doesn't have and take up
+// to n that it lacks.
+func (i *Instance) Copy(from *Instance, n int) error {
+	if i.Role != fleet.RoleReplica || i.Follows != from.Name {
+		return ErrSource
+	}
+	if from.Role != fleet.RolePrimary || from.Last().Term != i.Promised {
+		return ErrSource
+	}
+	same := 0
+	for same < min(len(i.Log), len(from.Log)) && i.Log[same].Term == from.Log[same].Term {
+		same++
+	}
+	i.Log = append(slices.Clone(i.Log[:same]), from.Log[same:min(len(from.Log), max(same+n, len(i.Log)))]...)
+	return nil
+}
--- /dev/null
+++ b/core/group/promotion.go
@@ -0,0 +1,216 @@
+package group
+
+import (
+	"maps"
+	"time"
+
+	"skylarkdeal/core/fleet"
+)
+
+// Act is one step that an instance is asked to take.
+type Act string
+
+// The acts of a change of primary.
+const (
+	ActFence   Act = "fence"
+	ActPromote Act = "promote"
+	ActFollow  Act = "follow"
+)
+
+// Order is one step for one instance to take. Primary and Address are set for
+// ActFollow.
+type Order struct {
+	Act      Act            `json:"act"`
+	Instance fleet.Instance `json:"instance"`
+	Term     fleet.Term     `json:"term"`
+	Proposer fleet.Host     `json:"proposer,omitempty"`
+	Primary  fleet.Instance `json:"primary,omitempty"`
+	Address  string         `json:"address,omitempty"`
+}
+
+// Phase is how far a promotion has come.
+type Phase string
+
+// The phases of a promotion.
+const (
+	PhaseFence   Phase = "fence"
+	PhasePromote Phase = "promote"
+	PhaseDone    Phase = "done"
+	PhaseFailed  Phase = "failed"
+)
+
+// grace is how long a promotion waits for more than a majority to be fenced.
+// With acknowledge = primary the further instance may hold writes that the
+// majority lacks; three round trips at 1 ms links leave room for jitter.
+const grace = 20 * time.Millisecond
+
+// attemptLimit ends a promotion whose answers are lost, so that the next one
+// can start in a later term.
+const attemptLimit = 2 * time.Second
+
+// Promotion is one proposer's way through one change of primary: it fences a
+// majority of the instances at a new term, promotes the one of them with the
+// highest last entry, and is then done; Repair points the others at it.
+//
+// A Promotion is abandoned without harm at any step. It never asks two
+// instances to serve in one term: when the answer to ActPromote is lost, the
+// instance may be the primary, and the next Promotion has a later term.
+type Promotion struct {
+	Term     fleet.Term     `json:"term"`
+	Proposer fleet.Host     `json:"proposer"`
+	Phase    Phase          `json:"phase"`
+	Target   fleet.Instance `json:"target"`
+	Reason   string         `json:"reason"`
+
+	rules    Rules
+	started  time.Time
+	members  []fleet.Instance
+	excluded fleet.Set[fleet.Instance]
+	fenced   map[fleet.Instance]fleet.Status
+	refused  fleet.Set[fleet.Instance]
+}
+
+// Promote starts a promotion. proposer has to be unique to this promotion in
+// the whole fleet: an instance promises a term to one proposer, and a host that
+// restarted under the name of its former self would share that promise and
+// could promote a second instance in the same term.
+//
+// Instances in excluded are fenced but not promoted, such as those that leave.
+func Promote(now time.Time, t Table, proposer fleet.Host, excluded fleet.Set[fleet.Instance]) (*Promotion, []Order) {
+	p := &Promotion{
+		Term:     nextTerm(t),
+		Proposer: proposer,
+		Phase:    PhaseFence,
+		rules:    t.Rules,
+		started:  now,
+		excluded: excluded,
+		fenced:   make(map[fleet.Instance]fleet.Status),
+		refused:  fleet.NewSet[fleet.Instance](),
+	}
+	orders := make([]Order, 0, len(t.Seen))
+	for _, s := range t.Seen {
+		p.members = append(p.members, s.Instance.Name)
+		orders = append(orders, p.order(ActFence, s.Instance.Name))
+	}
+	return p, orders
+}
+
+func nextTerm(t Table) fleet.Term {
+	var n fleet.Term
+	for _, s := range t.Seen {
+		n = max(n, s.Status.Promised, s.Status.Last.Term)
+	}
+	return n + 1
+}
+
+func (p *Promotion) order(a Act, n fleet.Instance) Order {
+	return Order{Act: a, Instance: n, Term: p.Term, Proposer: p.Proposer}
+}
+
+// Over reports whether the promotion has come to its end.
+func (p *Promotion) Over() bool {
+	return p.Phase == PhaseDone || p.Phase == PhaseFailed
+}
+
+// Done takes up an instance's answer to an order and returns what to do next.
+// Answers to another promotion's orders are passed over.
+func (p *Promotion) Done(now time.Time, o Order, st fleet.Status, err error) []Order {
+	if p.Over() || o.Term != p.Term || o.Proposer != p.Proposer {
+		return nil
+	}
+	if o.Act == ActPromote {
+		return p.promoted(st, err)
+	}
+	if o.Act != ActFence || p.Phase != PhaseFence {
+		return nil
+	}
+	if err != nil || !p.rules.fenced(st, p.Term) {
+		p.refused.Add(o.Instance)
+	} else {
+		p.fenced[o.Instance] = st
+	}
+	return p.choose(now)
+}
+
+// Tick ends the wait for further instances, and a promotion that hangs.
+func (p *Promotion) Tick(now time.Time) []Order {
+	if p.Over() {
+		return nil
+	}
+	if now.Sub(p.started) > attemptLimit {
+		p.Phase, p.Reason = PhaseFailed, "answers are missing"
+		return nil
+	}
+	return p.choose(now)
+}
+
+func (p *Promotion) choose(now time.Time) []Order {
+	if p.Phase != PhaseFence {
+		return nil
+	}
+	need := p.rules.majority(len(p.members))
+	if len(p.members)-len(p.refused) < need {
+		p.Phase, p.Reason = PhaseFailed, "a majority refused the term or can't be reached"
+		return nil
+	}
+	all := len(p.fenced)+len(p.refused) == len(p.members)
+	if len(p.fenced) < need || !all && now.Sub(p.started) < grace {
+		return nil
+	}
+	from, ok := p.candidates()
+	if !ok {
+		p.Phase, p.Reason = PhaseFailed, "no instance that is fenced may be promoted"
+		return nil
+	}
+	p.Phase, p.Target = PhasePromote, p.rules.highest(from, p.members)
+	return []Order{p.order(ActPromote, p.Target)}
+}
+
+// candidates returns the fenced instances that may be promoted, and whether
+// they are a majority by themselves: only then one of them is sure to have every
+// acknowledged write when others are left out.
+func (p *Promotion) candidates() (map[fleet.Instance]fleet.Status, bool) {
+	out := maps.Clone(p.fenced)
+	for n := range p.excluded {
+		delete(out, n)
+	}
+	return out, len(out) >= p.rules.majority(len(p.members))
+}
+
+func (p *Promotion) promoted(st fleet.Status, err error) []Order {
+	if p.Phase != PhasePromote {
+		return nil
+	}
+	if err != nil || st.Role != fleet.RolePrimary || st.Last.Term != p.Term {
+		p.Phase, p.Reason = PhaseFailed, "the promotion was refused or its answer is missing"
+		return nil
+	}
+	p.Phase = PhaseDone
+	return nil
+}
+
+// Repair returns the orders that make replicas of all instances that don't
+// follow the primary: those that a promotion has left out, and the former
+// primary once it is back. An instance that has promised a later term is left
+// alone, since it would refuse.
+func Repair(t Table) []Order {
+	p, ok := t.Find(t.Primary)
+	if !ok {
+		return nil
+	}
+	var orders []Order
+	for _, s := range t.Seen {
+		if !s.Known() || s.Instance.Name == t.Primary || s.Status.Promised > t.Term {
+			continue
+		}
+		st := s.Status
+		if st.Role == fleet.RoleReplica && st.Follows == t.Primary && st.Promised == t.Term {
+			continue
+		}
+		orders = append(orders, Order{
+			Act: ActFollow, Instance: s.Instance.Name, Term: t.Term,
+			Primary: t.Primary, Address: p.Instance.Address,
+		})
+	}
+	return orders
+}
--- /dev/null
+++ b/core/group/rules.go
@@ -0,0 +1,94 @@
+package group
+
+import (
+	"time"
+
+	"skylarkdeal/core/fleet"
+)
+
+// Rules are the guards on which the safety of a group rests, each of which a
+// test can take out to show that it is needed. The zero Rules are the ones to
+// use.
+type Rules struct {
+	// Majority returns how many of n instances are a majority.
+	Majority func(n int) int
+	// Unfenced is described at the function Unfenced, and so are the others.
+	Unfenced func(s Seen, t fleet.Term, since time.Time) bool
+	Holds    func(s Seen, w fleet.Point) bool
+	Fenced   func(st fleet.Status, t fleet.Term) bool
+	Highest  func(fenced map[fleet.Instance]fleet.Status, members []fleet.Instance) fleet.Instance
+}
+
+// Majority returns how many of n instances are a majority. Any two majorities
+// share an instance.
+func Majority(n int) int {
+	return n/2 + 1
+}
+
+// Unfenced reports whether the instance was asked at or after since and had
+// then promised no term but t.
+func Unfenced(s Seen, t fleet.Term, since time.Time) bool {
+	return s.Known() && !s.Sent.Before(since) && s.Status.Promised == t
+}
+
+// Holds reports whether the instance's log has the entry at w. An entry of a
+// later term in a log doesn't tell that the log has w: it has to be counted for
+// an instance that was Unfenced at w's term in the same status.
+func Holds(s Seen, w fleet.Point) bool {
+	return s.Status.Last.Covers(w)
+}
+
+// Fenced reports whether an instance that answered a fence with st has promised
+// t and nothing later, so that its log can't grow by an entry of an earlier
+// term.
+func Fenced(st fleet.Status, t fleet.Term) bool {
+	return st.Promised == t
+}
+
+// Highest returns the instance whose last entry is the highest of those fenced,
+// which has every write that a majority had. The earlier in members wins a tie.
+func Highest(fenced map[fleet.Instance]fleet.Status, members []fleet.Instance) fleet.Instance {
+	var best fleet.Instance
+	for _, m := range members {
+		st, ok := fenced[m]
+		if ok && (best == "" || st.Last.Compare(fenced[best].Last) > 0) {
+			best = m
+		}
+	}
+	return best
+}
+
+func (r Rules) majority(n int) int {
+	if r.Majority != nil {
+		return r.Majority(n)
+	}
+	return Majority(n)
+}
+
+func (r Rules) unfenced(s Seen, t fleet.Term, since time.Time) bool {
+	if r.Unfenced != nil {
+		return r.Unfenced(s, t, since)
+	}
+	return Unfenced(s, t, since)
+}
+
+func (r Rules) holds(s Seen, w fleet.Point) bool {
+	if r.Holds != nil {
+		return r.Holds(s, w)
+	}
+	return Holds(s, w)
+}
+
+func (r Rules) fenced(st fleet.Status, t fleet.Term) bool {
+	if r.Fenced != nil {
+		return r.Fenced(st, t)
+	}
+	return Fenced(st, t)
+}
+
+func (r Rules) highest(fenced map[fleet.Instance]fleet.Status, members []fleet.Instance) fleet.Instance {
+	if r.Highest != nil {
+		return r.Highest(fenced, members)
+	}
+	return Highest(fenced, members)
+}
--- /dev/null
+++ b/core/group/seen.go
@@ -0,0 +1,101 @@
+package group
+
+import (
+	"time"
+
+	"skylarkdeal/core/document"
+	"skylarkdeal/core/fleet"
+)
+
+// Seen is what one host knows of one instance.
+type Seen struct {
+	Instance document.Instance `json:"instance"`
+	// Status is the answer to the question that was sent last, of those that
+	// have been answered.
+	Status fleet.Status `json:"status"`
+	// Sent is when the question behind Status was sent; zero before the first
+	// answer. What Status tells was true at some time after Sent.
+	Sent time.Time `json:"sent"`
+	// Heard is when the last answer came in.
+	Heard time.Time `json:"heard"`
+	// Waiting is since when the instance has owed an answer; zero while it owes
+	// none. It counts from a question, not from the last answer, so that an
+	// instance that nobody asks isn't taken for dead.
+	Waiting time.Time `json:"waiting"`
+	// Latency is the moving average of the time from question to answer.
+	Latency time.Duration `json:"latency"`
+	// Moved is when the last entry of the log was last seen to change.
+	Moved time.Time `json:"moved"`
+	// Raised is when the promised term was last seen to rise.
+	Raised time.Time `json:"raised"`
+	// Refusing is set while the instance's address refuses connections.
+	Refusing bool `json:"refusing"`
+
+	asked int
+}
+
+// Known reports whether the instance has ever answered.
+func (s Seen) Known() bool {
+	return !s.Sent.IsZero()
+}
+
+// Silent returns how long the instance has owed an answer.
+func (s Seen) Silent(now time.Time) time.Duration {
+	if s.Waiting.IsZero() {
+		return 0
+	}
+	return max(0, now.Sub(s.Waiting))
+}
+
+// Serves reports whether the status is that of a primary that no promotion has
+// fenced: the last entry of a primary is of its own term.
+func (s Seen) Serves() bool {
+	return s.Known() && s.Status.Role == fleet.RolePrimary && s.Status.Promised == s.Status.Last.Term
+}
+
+// latencyWeight is the part of the latest answer in the moving average: about
+// eight answers decide it, under a second at the pace of a busy group.
+const latencyWeight = 8
+
+func (s *Seen) ask(now time.Time) {
+	s.asked++
+	if s.Waiting.IsZero() {
+		s.Waiting = now
+	}
+}
+
+func (s *Seen) hear(now time.Time) {
+	s.asked = max(0, s.asked-1)
+	s.Heard = now
+	s.Refusing = false
+	s.Waiting = time.Time{}
+	if s.asked > 0 {
+		s.Waiting = now
+	}
+}
+
+func (s *Seen) answer(sent, now time.Time, st fleet.Status) {
+	s.hear(now)
+	took := now.Sub(sent)
+	if s.Latency == 0 {
+		s.Latency = took
+	}
+	s.Latency += (took - s.Latency) / latencyWeight
+	// An answer that comes in after that of a later question tells less than
+	// what is known already.
+	if sent.Before(s.Sent) {
+		return
+	}
+	if st.Last != s.Status.Last || s.Moved.IsZero() {
+		s.Moved = now
+	}
+	if st.Promised != s.Status.Promised || s.Raised.IsZero() {
+		s.Raised = now
+	}
+	s.Status, s.Sent = st, sent
+}
+
+func (s *Seen) fail(refused bool) {
+	s.asked = max(0, s.asked-1)
+	s.Refusing = refused
+}
--- /dev/null
+++ b/io/steward/link.go
@@ -0,0 +1,210 @@
+package steward
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"skylarkdeal/core/document"
+	"skylarkdeal/core/failure"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/group"
+	"skylarkdeal/core/ring"
+	"skylarkdeal/io/control"
+)
+
+// link is the way to one instance: two duties that ask for its status, so that
+// one late answer doesn't hold up the next question, and one that has it take
+// the steps of a change of primary.
+type link struct {
+	name    fleet.Instance
+	address string
+	client  control.Client
+	cancel  context.CancelFunc
+	asks    ring.Ring[struct{}]
+	orders  ring.Ring[group.Order]
+
+	// out is how many questions are under way, asked when the last was sent.
+	out   int
+	asked time.Time
+}
+
+const (
+	askers    = 2
+	orderRoom = 4
+	// askTimeout ends a question. It outlasts the slowest answer that a primary
+	// may give without being suspected.
+	askTimeout = time.Second
+	// orderTimeout ends a step of a change of primary.
+	orderTimeout = time.Second
+)
+
+// answer is an instance's answer to a question, or the lack of one.
+type answer struct {
+	link   *link
+	sent   time.Time
+	at     time.Time
+	status fleet.Status
+	err    error
+}
+
+// done is an instance's answer to an order.
+type done struct {
+	order  group.Order
+	status fleet.Status
+	err    error
+}
+
+func (s *Steward) connect(i document.Instance) *link {
+	ctx, cancel := context.WithCancel(s.ctx)
+	l := &link{
+		name:    i.Name,
+		address: i.Address,
+		client:  s.cfg.Dial(i),
+		cancel:  cancel,
+		asks:    ring.New[struct{}](askers),
+		orders:  ring.New[group.Order](orderRoom),
+	}
+	for range askers {
+		s.duties.Go(func() { s.runAsker(ctx, l) })
+	}
+	s.duties.Go(func() { s.runOrders(ctx, l) })
+	return l
+}
+
+func (l *link) close() {
+	l.cancel()
+	if l.client.Close != nil {
+		l.client.Close()
+	}
+}
+
+func (s *Steward) runAsker(ctx context.Context, l *link) {
+	for {
+		select {
+		case <-l.asks.Out():
+		case <-ctx.Done():
+			return
+		}
+		a := s.askOnce(ctx, l)
+		if s.events.Put(ctx, event{answer: &a}) != nil {
+			return
+		}
+	}
+}
+
+func (s *Steward) askOnce(ctx context.Context, l *link) answer {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	a := answer{link: l, sent: s.cfg.Now()}
+	a.status, a.err = l.client.Status(ctx)
+	a.at = s.cfg.Now()
+	return a
+}
+
+func (s *Steward) runOrders(ctx context.Context, l *link) {
+	for {
+		select {
+		case o := <-l.orders.Out():
+			d := s.carryOut(ctx, l, o)
+			if s.events.Put(ctx, event{done: &d}) != nil {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Steward) carryOut(ctx context.Context, l *link, o group.Order) done {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	d := done{order: o}
+	switch o.Act {
+	case group.ActFence:
+		d.status, d.err = l.client.Fence(ctx, o.Term, o.Proposer)
+	case group.ActPromote:
+		d.status, d.err = l.client.Promote(ctx, o.Term, o.Proposer)
+	case group.ActFollow:
+		d.status, d.err = l.client.Follow(ctx, o.Term, o.Primary, o.Address)
+	}
+	return d
+}
+
+func (s *Steward) takeAnswer(a answer) {
+	if s.links[a.link.name] != a.link {
+		return // the instance has been taken out or has moved
+	}
+	a.link.out--
+	switch {
+	case a.err == nil:
+		s.group.Answer(a.link.name, a.sent, a.at, a.status)
+	case full(a.err):
+		s.group.Refuse(a.link.name, a.at)
+	default:
+		s.group.Fail(a.link.name, errors.Is(a.err, syscall.ECONNREFUSED))
+	}
+}
+
+// full reports whether an instance refused the connection because it has too
+// many. It is then overloaded, not dead, and a promotion would add to its load.
+func full(err error) bool {
+	var p *pgconn.PgError
+	if errors.As(err, &p) {
+		return p.Code == string(failure.CodeTooManySessions)
+	}
+	var r *failure.Refusal
+	return errors.As(err, &r) && r.Code == failure.CodeTooManySessions
+}
+
+// The pace of questions that nobody waits for. A status costs some 400 bytes
+// with its headers, and a host of the target size holds about three groups of
+// three instances: the lead asks the primary every quarter of a second and all
+// else is asked once a second, 5 questions a second for each group.
+const (
+	paceBusy  = 50 * time.Millisecond
+	paceLead  = 250 * time.Millisecond
+	paceIdle  = time.Second
+	busyAfter = 2 * time.Second
+)
+
+// leads is how many of the holders watch an idle primary closely: two, since a
+// promotion takes two.
+const leads = 2
+
+func (s *Steward) ask(now time.Time, t group.Table) {
+	pace, rest := s.pace(now, t)
+	for _, i := range t.Seen {
+		l := s.links[i.Instance.Name]
+		every := rest
+		if i.Instance.Name == t.Primary || t.Primary == "" {
+			every = pace
+		}
+		if now.Sub(l.asked) < every && !s.demands(now, l, i) {
+			continue
+		}
+		if l.out >= askers || !l.asks.TryPut(struct{}{}) {
+			continue
+		}
+		l.out++
+		l.asked = now
+		s.metrics.questions.Inc()
+		s.group.Ask(l.name, now)
+	}
+}
+
+// pace returns how often to ask the primary and the others.
+func (s *Steward) pace(now time.Time, t group.Table) (time.Duration, time.Duration) {
+	p, ok := t.Find(t.Primary)
+	troubled := !ok || s.cfg.Policy.Alarmed(p, now) || s.change.promotion != nil
+	if troubled || now.UnixNano() < s.alert.Load() || now.Sub(s.busy) < busyAfter {
+		return paceBusy, paceBusy
+	}
+	if s.rank() < leads {
+		return paceLead, paceIdle
+	}
+	return paceIdle, paceIdle
+}
--- /dev/null
+++ b/io/steward/steward.go
@@ -0,0 +1,273 @@
+// Package steward runs one database group on one of its holders: it asks the
+// instances for their status, proves to waiting requests what they need proven,
+// and changes the primary when it fails. core/group decides all of that.
+package steward
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"skylarkdeal/core/document"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/group"
+	"skylarkdeal/core/journal"
+	"skylarkdeal/core/ring"
+	"skylarkdeal/io/control"
+	"skylarkdeal/io/host/hostpb"
+)
+
+// Config is what a Steward needs. Service, Host, Document and Dial are
+// required.
+type Config struct {
+	Service    fleet.Service
+	Host       fleet.Host
+	DataCentre fleet.DataCentre
+	// Epoch tells this process from others that had the same host name.
+	Epoch uint64
+	// Document returns the service's document in force; nil while there is none.
+	Document func() *document.Document
+	// Dial returns the way to an instance. The Steward closes it.
+	Dial func(i document.Instance) control.Client
+	// Holders returns the hosts that hold the group's connections, this one
+	// among them, the preferred one first.
+	Holders func() []fleet.Member
+	// Views asks another holder how it sees the group.
+	Views func(ctx context.Context, m fleet.Member) (*hostpb.ViewResponse, error)
+	// Policy bounds when the primary counts as failed.
+	Policy group.Policy
+	// Now returns the time with its monotonic part; time.Now if nil.
+	Now        func() time.Time
+	Logger     *zap.Logger
+	Registerer prometheus.Registerer
+	Journal    *journal.Journal
+	// Seed makes the back-off differ between hosts.
+	Seed uint64
+}
+
+// Steward runs one group on one holder. New makes one, Run runs it.
+type Steward struct {
+	cfg     Config
+	log     *zap.Logger
+	metrics metrics
+	events  ring.Ring[event]
+	table   atomic.Pointer[group.Table]
+	state   atomic.Pointer[State]
+	watched atomic.Pointer[func()]
+	// alert is until when, in Unix nanoseconds, another host's suspicion has
+	// this one ask quickly.
+	alert atomic.Int64
+	once  sync.Once
+	ended chan struct{}
+
+	loop
+}
+
+// loop is the part of a Steward that its one goroutine owns.
+type loop struct {
+	ctx     context.Context
+	duties  sync.WaitGroup
+	rand    *rand.Rand
+	doc     *document.Document
+	group   group.Group
+	links   map[fleet.Instance]*link
+	waiting []*waiter
+	views   map[fleet.Host]group.View
+	viewing fleet.Set[fleet.Host]
+	change  change
+	busy    time.Time
+}
+
+// eventRoom is how many events may wait for the loop. Writes that wait for a
+// proof are the most of them, and a holder has far fewer connections than this.
+const eventRoom = 4096
+
+// New returns a Steward that is not yet running.
+func New(cfg Config) *Steward {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = zap.NewNop()
+	}
+	s := &Steward{
+		cfg:     cfg,
+		log:     cfg.Logger.With(zap.String("service", string(cfg.Service))),
+		metrics: newMetrics(cfg.Registerer),
+		events:  ring.New[event](eventRoom),
+		ended:   make(chan struct{}),
+	}
+	s.rand = rand.New(rand.NewPCG(cfg.Seed, cfg.Epoch))
+	s.links = make(map[fleet.Instance]*link)
+	s.views = make(map[fleet.Host]group.View)
+	s.viewing = fleet.NewSet[fleet.Host]()
+	s.table.Store(&group.Table{})
+	s.state.Store(&State{Service: cfg.Service})
+	return s
+}
+
+// Table returns what is known of the group. It doesn't wait.
+func (s *Steward) Table() group.Table {
+	return *s.table.Load()
+}
+
+// OnChange has f called, on the Steward's own goroutine, whenever the primary,
+// the term or the end of an instance's log has changed. f must not block.
+func (s *Steward) OnChange(f func()) {
+	s.watched.Store(&f)
+}
+
+// event is something that the loop has to take up; the field that is set says
+// what.
+type event struct {
+	answer *answer
+	done   *done
+	wait   *waiter
+	view   *viewed
+}
+
+// Run runs the group until ctx ends. It returns when all its goroutines have
+// ended and all that waited has been answered.
+func (s *Steward) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.ctx = ctx
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		select {
+		case e := <-s.events.Out():
+			s.take(e)
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		s.drain()
+		timer.Reset(s.step(s.cfg.Now()))
+	}
+	cancel()
+	s.finish()
+}
+
+// drainLimit bounds how many events are taken up between two steps, so that
+// deadlines are looked at even while events pour in.
+const drainLimit = 256
+
+func (s *Steward) drain() {
+	for range drainLimit {
+		select {
+		case e := <-s.events.Out():
+			s.take(e)
+		default:
+			return
+		}
+	}
+}
+
+func (s *Steward) take(e event) {
+	switch {
+	case e.answer != nil:
+		s.takeAnswer(*e.answer)
+	case e.done != nil:
+		s.takeDone(*e.done)
+	case e.wait != nil:
+		s.waiting = append(s.waiting, e.wait)
+	case e.view != nil:
+		s.takeView(*e.view)
+	}
+}
+
+// step does what is due at now and returns the time until the next step.
+func (s *Steward) step(now time.Time) time.Duration {
+	if s.group.Tick(now) {
+		s.note(now, "wait", "this host was paused; the instances' silence counts anew")
+	}
+	s.adopt(now)
+	t := s.publish(now)
+	s.settle(now, t)
+	s.failOver(now, t)
+	s.ask(now, t)
+	return s.next(now)
+}
+
+// next returns the time until the next step.
+func (s *Steward) next(now time.Time) time.Duration {
+	d := tick
+	for _, w := range s.waiting {
+		d = min(d, w.pause(now), w.deadline.Sub(now))
+	}
+	return max(d, againLeast/2)
+}
+
+// tick is the longest time between two steps. It bounds how late a deadline or
+// a suspicion is noticed, and costs some 100 steps a second for a host with
+// three groups.
+const tick = 25 * time.Millisecond
+
+func (s *Steward) adopt(now time.Time) {
+	d := s.cfg.Document()
+	if d == nil || d == s.doc {
+		return
+	}
+	s.doc = d
+	s.group.Configure(d.Instances)
+	links := make(map[fleet.Instance]*link, len(d.Instances))
+	for _, i := range d.Instances {
+		l := s.links[i.Name]
+		if l != nil && l.address == i.Address {
+			links[i.Name] = l
+			delete(s.links, i.Name)
+			continue
+		}
+		links[i.Name] = s.connect(i)
+	}
+	for _, l := range s.links {
+		l.close()
+	}
+	s.links = links
+	s.note(now, "configure", "a document is in force")
+}
+
+func (s *Steward) publish(now time.Time) group.Table {
+	t := s.group.Table(now)
+	changed := differs(*s.table.Load(), t)
+	s.table.Store(&t)
+	s.state.Store(s.snapshot(t))
+	if f := s.watched.Load(); changed && f != nil {
+		(*f)()
+	}
+	return t
+}
+
+func differs(a, b group.Table) bool {
+	if a.Primary != b.Primary || a.Term != b.Term || len(a.Seen) != len(b.Seen) {
+		return true
+	}
+	for i := range a.Seen {
+		if a.Seen[i].Status != b.Seen[i].Status {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Steward) finish() {
+	s.once.Do(func() { close(s.ended) })
+	for _, l := range s.links {
+		l.close()
+	}
+	s.duties.Wait()
+	s.drainWaiters()
+}
+
+func (s *Steward) note(now time.Time, choice, reason string) {
+	s.cfg.Journal.Add(journal.Decision{
+		At: now, Kind: journal.KindFailover, Subject: "service=" + string(s.cfg.Service),
+		Choice: choice, Reason: reason,
+	})
+	s.log.Info("decide", zap.String("choice", choice), zap.String("reason", reason))
+}
