Point the replicas as soon as a promotion succeeds

The gap of a failover had a quarter of a second in which the new primary had no replica: the proposer left the pointing to the repair, and learnt of its own promotion from the next status. It now takes up the statuses that its orders bring and points the others at once.

--- a/core/group/group.go
+++ b/core/group/group.go
@@ -83,13 +83,23 @@
 
 // Answer takes up a status whose question was sent at sent.
 func (g *Group) Answer(n fleet.Instance, sent, now time.Time, st fleet.Status) {
-	s := g.find(n)
 	// A wrongly wired address answers under another name; its terms and
 	// positions would be counted for an instance that never said so.
-	if s == nil || st.Instance != n {
-		return
+	if s := g.find(n); s != nil && st.Instance == n {
+		s.answer(sent, now, st)
+		g.prove(now)
 	}
-	s.answer(sent, now, st)
+}
+
+// Learn takes up a status that came as the answer to an order sent at sent.
+func (g *Group) Learn(n fleet.Instance, sent, now time.Time, st fleet.Status) {
+	if s := g.find(n); s != nil && st.Instance == n {
+		s.learn(sent, now, st)
+		g.prove(now)
+	}
+}
+
+func (g *Group) prove(now time.Time) {
 	if p, ok := g.Table(now).Prove(); ok {
 		g.history = g.history.Add(p)
 	}
--- a/core/group/model_test.go
+++ b/core/group/model_test.go
@@ -36,9 +36,11 @@
 					w.rule = rule
 					w.start()
 					w.stats = stats
-					seed := rapid.Uint64().Draw(t, "seed")
-					if err := run(w, seed, 2000); err != nil {
-						t.Fatal(err)
+					pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") }
+					for range 2000 {
+						if err := w.step(pick); err != nil {
+							t.Fatal(err)
+						}
 					}
 				})
 				t.Logf("%v", stats)
--- a/core/group/promotion.go
+++ b/core/group/promotion.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"skylarkdeal/core/document"
 	"skylarkdeal/core/fleet"
 )
 
@@ -50,7 +51,7 @@
 
 // Promotion is one proposer's way through one change of primary: it fences a
 // majority of the instances at a new term, promotes the one of them with the
-// highest last entry, and is then done; Repair points the others at it.
+// highest last entry, and points the others at it.
 //
 // A Promotion is abandoned without harm at any step. It never asks two
 // instances to serve in one term: when the answer to ActPromote is lost, the
@@ -64,7 +65,7 @@
 
 	rules    Rules
 	started  time.Time
-	members  []fleet.Instance
+	members  []document.Instance
 	excluded fleet.Set[fleet.Instance]
 	fenced   map[fleet.Instance]fleet.Status
 	refused  fleet.Set[fleet.Instance]
@@ -87,7 +88,7 @@
 	}
 	orders := make([]Order, 0, len(t.Seen))
 	for _, s := range t.Seen {
-		p.members = append(p.members, s.Instance.Name)
+		p.members = append(p.members, s.Instance)
 		orders = append(orders, p.order(ActFence, s.Instance.Name))
 	}
 	return p, orders
@@ -160,7 +161,7 @@
 		p.Phase, p.Reason = PhaseFailed, "no instance that is fenced may be promoted"
 		return nil
 	}
-	p.Phase, p.Target = PhasePromote, p.rules.highest(from, p.members)
+	p.Phase, p.Target = PhasePromote, p.rules.highest(from, p.names())
 	return []Order{p.order(ActPromote, p.Target)}
 }
 
@@ -184,7 +185,35 @@
 		return nil
 	}
 	p.Phase = PhaseDone
-	return nil
+	return p.point()
+}
+
+func (p *Promotion) names() []fleet.Instance {
+	out := make([]fleet.Instance, 0, len(p.members))
+	for _, m := range p.members {
+		out = append(out, m.Name)
+	}
+	return out
+}
+
+// point has all others follow the new primary. Those that don't get the order
+// are left to Repair.
+func (p *Promotion) point() []Order {
+	var orders []Order
+	var address string
+	for _, m := range p.members {
+		if m.Name == p.Target {
+			address = m.Address
+		}
+	}
+	for _, m := range p.members {
+		if m.Name != p.Target {
+			orders = append(orders, Order{
+				Act: ActFollow, Instance: m.Name, Term: p.Term, Primary: p.Target, Address: address,
+			})
+		}
+	}
+	return orders
 }
 
 // Repair returns the orders that make replicas of all instances that don't
--- a/core/group/seen.go
+++ b/core/group/seen.go
@@ -81,6 +81,10 @@
 		s.Latency = took
 	}
 	s.Latency += (took - s.Latency) / latencyWeight
+	s.learn(sent, now, st)
+}
+
+func (s *Seen) learn(sent, now time.Time, st fleet.Status) {
 	// An answer that comes in after that of a later question tells less than
 	// what is known already.
 	if sent.Before(s.Sent) {
--- a/core/group/suspect.go
+++ b/core/group/suspect.go
@@ -84,10 +84,10 @@
 }
 
 // Alarmed reports whether s has been silent for long enough to ask the other
-// hosts, half the time after which it is suspected, so that they look at it too
-// by then.
+// hosts: a quarter of the time after which it is suspected, so that a host which
+// asks an idle group once a second has missed it for RefusedAfter by then.
 func (p Policy) Alarmed(s Seen, now time.Time) bool {
-	return s.Silent(now) >= p.Patience(s)/2
+	return s.Silent(now) >= p.Patience(s)/4
 }
 
 // Cause is why a promotion is due.
--- a/io/steward/change.go
+++ b/io/steward/change.go
@@ -103,7 +103,9 @@
 
 func (s *Steward) takeDone(d done) {
 	now := s.cfg.Now()
-	if d.err != nil {
+	if d.err == nil {
+		s.group.Learn(d.order.Instance, d.sent, d.at, d.status)
+	} else {
 		s.log.Warn("order failed", zap.String("act", string(d.order.Act)),
 			zap.String("instance", string(d.order.Instance)), zap.Error(d.err))
 	}
--- /dev/null
+++ b/io/steward/cluster_test.go
@@ -0,0 +1,283 @@
+package steward_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"skylarkdeal/core/document"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/group"
+	"skylarkdeal/core/group/grouptest"
+	"skylarkdeal/core/journal"
+	"skylarkdeal/io/control"
+	"skylarkdeal/io/host/hostpb"
+	"skylarkdeal/io/steward"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// fault is what has befallen an instance, to one host or to all.
+type fault string
+
+const (
+	healthy fault = ""
+	crashed fault = "crashed"
+	hung    fault = "hung"
+)
+
+// cluster is a group of instances and its holders in one process, with a real
+// clock and links that take a millisecond each way.
+type cluster struct {
+	ctx       context.Context
+	stop      context.CancelFunc
+	wait      sync.WaitGroup
+	doc       document.Document
+	hosts     []fleet.Member
+	stewards  map[fleet.Host]*steward.Steward
+	journals  map[fleet.Host]*journal.Journal
+	link      time.Duration
+	mu        sync.Mutex
+	instances map[fleet.Instance]*grouptest.Instance
+	faults    map[fleet.Instance]fault
+	// cut are the hosts that don't reach an instance, away those that no other
+	// host reaches.
+	cut  map[fleet.Host]map[fleet.Instance]bool
+	away map[fleet.Host]bool
+	slow map[fleet.Instance]time.Duration
+	// acts counts the orders that instances have carried out.
+	acts map[group.Act]int
+}
+
+// newCluster starts a group of three instances in three data centres with a
+// holder in each, whose replicas copy every lag.
+func newCluster(tb testing.TB, lag time.Duration) *cluster {
+	tb.Helper()
+	c := &cluster{
+		link:      time.Millisecond,
+		stewards:  make(map[fleet.Host]*steward.Steward),
+		journals:  make(map[fleet.Host]*journal.Journal),
+		instances: make(map[fleet.Instance]*grouptest.Instance),
+		faults:    make(map[fleet.Instance]fault),
+		cut:       make(map[fleet.Host]map[fleet.Instance]bool),
+		away:      make(map[fleet.Host]bool),
+		slow:      make(map[fleet.Instance]time.Duration),
+		acts:      make(map[group.Act]int),
+	}
+	c.ctx, c.stop = context.WithCancel(context.Background())
+	c.doc.Service = "orders"
+	for n, i := range grouptest.New("a", "b", "c") {
+		c.instances[i.Name] = i
+		dc := fleet.DataCentre(fmt.Sprintf("dc%d", n))
+		c.doc.Instances = append(c.doc.Instances, document.Instance{
+			Name: i.Name, Address: fmt.Sprintf("127.0.0.1:%d", n+1), DataCentre: dc, Slots: 2, Connections: 16,
+		})
+		h := fleet.Host(fmt.Sprintf("h%d", n))
+		c.hosts = append(c.hosts, fleet.Member{Host: h, DataCentre: dc})
+		c.cut[h] = make(map[fleet.Instance]bool)
+	}
+	c.wait.Go(func() { c.replicate(lag) })
+	for n, m := range c.hosts {
+		c.start(m, uint64(n))
+	}
+	tb.Cleanup(func() {
+		c.stop()
+		c.wait.Wait()
+	})
+	return c
+}
+
+func (c *cluster) start(m fleet.Member, seed uint64) {
+	j := new(journal.Journal)
+	s := steward.New(steward.Config{
+		Service: "orders", Host: m.Host, DataCentre: m.DataCentre, Epoch: seed + 1, Seed: seed,
+		Document: func() *document.Document { return &c.doc },
+		Dial:     func(i document.Instance) control.Client { return c.dial(m.Host, i.Name) },
+		Holders:  func() []fleet.Member { return c.hosts },
+		Views:    func(ctx context.Context, o fleet.Member) (*hostpb.ViewResponse, error) { return c.view(ctx, m, o) },
+		Journal:  j,
+	})
+	c.stewards[m.Host], c.journals[m.Host] = s, j
+	c.wait.Go(func() { s.Run(c.ctx) })
+}
+
+func (c *cluster) view(ctx context.Context, from, to fleet.Member) (*hostpb.ViewResponse, error) {
+	c.mu.Lock()
+	gone := c.away[from.Host] || c.away[to.Host]
+	c.mu.Unlock()
+	if gone {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if err := sleep(ctx, 2*c.link); err != nil {
+		return nil, err
+	}
+	return c.stewards[to.Host].HandleView(), nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// call runs f at an instance as a host sees it.
+func (c *cluster) call(
+	ctx context.Context, h fleet.Host, n fleet.Instance, f func(i *grouptest.Instance) error,
+) (fleet.Status, error) {
+	c.mu.Lock()
+	late := c.slow[n]
+	c.mu.Unlock()
+	if err := sleep(ctx, c.link+late); err != nil {
+		return fleet.Status{}, err
+	}
+	st, err := c.serve(h, n, f)
+	if errors.Is(err, errHung) {
+		<-ctx.Done()
+		return st, ctx.Err()
+	}
+	if err := sleep(ctx, c.link); err != nil {
+		return fleet.Status{}, err
+	}
+	return st, err
+}
+
+var errHung = errors.New("no answer")
+
+func (c *cluster) serve(h fleet.Host, n fleet.Instance, f func(i *grouptest.Instance) error) (fleet.Status, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.faults[n] == crashed {
+		return fleet.Status{}, syscall.ECONNREFUSED
+	}
+	if c.faults[n] == hung || c.cut[h][n] {
+		return fleet.Status{}, errHung
+	}
+	i := c.instances[n]
+	err := f(i)
+	return i.Status(), err
+}
+
+func (c *cluster) dial(h fleet.Host, n fleet.Instance) control.Client {
+	act := func(a group.Act, f func(i *grouptest.Instance) error) func(i *grouptest.Instance) error {
+		return func(i *grouptest.Instance) error {
+			c.acts[a]++
+			return f(i)
+		}
+	}
+	return control.Client{
+		Status: func(ctx context.Context) (fleet.Status, error) {
+			return c.call(ctx, h, n, func(*grouptest.Instance) error { return nil })
+		},
+		Fence: func(ctx context.Context, t fleet.Term, p fleet.Host) (fleet.Status, error) {
+			return c.call(ctx, h, n, act(group.ActFence, func(i *grouptest.Instance) error { return i.Fence(t, p) }))
+		},
+		Promote: func(ctx context.Context, t fleet.Term, p fleet.Host) (fleet.Status, error) {
+			return c.call(ctx, h, n, act(group.ActPromote, func(i *grouptest.Instance) error { return i.Promote(t, p) }))
+		},
+		Follow: func(ctx context.Context, t fleet.Term, p fleet.Instance, _ string) (fleet.Status, error) {
+			return c.call(ctx, h, n, act(group.ActFollow, func(i *grouptest.Instance) error { return i.Follow(t, p) }))
+		},
+		Close: func() {},
+	}
+}
+
+// replicate has every replica copy its primary's entries once they are as old
+// as lag.
+func (c *cluster) replicate(lag time.Duration) {
+	type mark struct {
+		at  time.Time
+		len map[fleet.Instance]int
+	}
+	var marks []mark
+	for sleep(c.ctx, time.Millisecond) == nil {
+		c.mu.Lock()
+		now := time.Now()
+		m := mark{at: now, len: make(map[fleet.Instance]int)}
+		for n, i := range c.instances {
+			m.len[n] = len(i.Log)
+		}
+		marks = append(marks, m)
+		for len(marks) > 1 && now.Sub(marks[1].at) >= lag {
+			marks = marks[1:]
+		}
+		for _, i := range c.instances {
+			from := c.instances[i.Follows]
+			if from == nil || c.faults[i.Name] != healthy || c.faults[from.Name] != healthy {
+				continue
+			}
+			if n := marks[0].len[from.Name] - len(i.Log); n > 0 || from.Last().Term > i.Last().Term {
+				_ = i.Copy(from, max(n, 1))
+			}
+		}
+		c.mu.Unlock()
+	}
+}
+
+func (c *cluster) set(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f()
+}
+
+var errNoPrimary = errors.New("no primary is known")
+
+// write has a value written through one host and waits for its acknowledgement.
+func (c *cluster) write(h fleet.Host, rule document.Acknowledge, value string, limit time.Duration) (fleet.Point, error) {
+	s := c.stewards[h]
+	t := s.Table()
+	p, ok := t.Find(t.Primary)
+	if !ok || p.Silent(time.Now()) > 150*time.Millisecond {
+		return fleet.Point{}, errNoPrimary
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, limit)
+	defer cancel()
+	var at fleet.Point
+	_, err := c.call(ctx, h, t.Primary, func(i *grouptest.Instance) error {
+		var err error
+		at, err = i.Append(value)
+		return err
+	})
+	if err != nil {
+		return at, err
+	}
+	out := make(chan error, 1)
+	s.Confirm(at, rule, time.Now().Add(limit), func(err error) { out <- err })
+	return at, <-out
+}
+
+// eventually waits until f holds.
+func eventually(tb testing.TB, f func() bool) {
+	tb.Helper()
+	end := time.Now().Add(20 * time.Second)
+	for !f() {
+		if time.Now().After(end) {
+			tb.Fatal("the condition didn't come about in 20 s")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// ready waits until every holder knows the primary.
+func (c *cluster) ready(tb testing.TB) {
+	tb.Helper()
+	eventually(tb, func() bool {
+		for _, s := range c.stewards {
+			if s.Table().Primary == "" {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/io/steward/link.go
+++ b/io/steward/link.go
@@ -54,6 +54,8 @@
 // done is an instance's answer to an order.
 type done struct {
 	order  group.Order
+	sent   time.Time
+	at     time.Time
 	status fleet.Status
 	err    error
 }
@@ -122,7 +124,7 @@
 func (s *Steward) carryOut(ctx context.Context, l *link, o group.Order) done {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	d := done{order: o}
+	d := done{order: o, sent: s.cfg.Now()}
 	switch o.Act {
 	case group.ActFence:
 		d.status, d.err = l.client.Fence(ctx, o.Term, o.Proposer)
@@ -131,6 +133,7 @@
 	case group.ActFollow:
 		d.status, d.err = l.client.Follow(ctx, o.Term, o.Primary, o.Address)
 	}
+	d.at = s.cfg.Now()
 	return d
 }
 
