--- /dev/null
+++ b/core/group/suspect_test.go
@@ -0,0 +1,208 @@
+package group_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/document"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/group"
+	"skylarkdeal/core/group/grouptest"
+)
+
+var start = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+
+// watcher asks three instances in three data centres every 50 ms, as a busy
+// host does, and hears from each after its latency.
+type watcher struct {
+	group     group.Group
+	now       time.Time
+	instances []*grouptest.Instance
+	latency   map[fleet.Instance]time.Duration
+	dead      map[fleet.Instance]bool
+	answers   []late
+}
+
+type late struct {
+	at, sent time.Time
+	status   fleet.Status
+}
+
+func newWatcher() *watcher {
+	w := &watcher{
+		now:       start,
+		instances: grouptest.New("a", "b", "c"),
+		latency:   make(map[fleet.Instance]time.Duration),
+		dead:      make(map[fleet.Instance]bool),
+	}
+	var d []document.Instance
+	for _, i := range w.instances {
+		w.latency[i.Name] = 2 * time.Millisecond
+		d = append(d, document.Instance{Name: i.Name, DataCentre: fleet.DataCentre("dc-" + i.Name)})
+	}
+	w.group.Configure(d)
+	return w
+}
+
+// watch lets d pass.
+func (w *watcher) watch(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(time.Millisecond) {
+		w.group.Tick(w.now)
+		for _, a := range w.answers {
+			if !a.at.After(w.now) {
+				w.group.Answer(a.status.Instance, a.sent, w.now, a.status)
+			}
+		}
+		w.answers = pending(w.answers, w.now)
+		if w.now.Sub(start)%(50*time.Millisecond) == 0 {
+			w.ask()
+		}
+	}
+}
+
+func pending(a []late, now time.Time) []late {
+	var out []late
+	for _, l := range a {
+		if l.at.After(now) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func (w *watcher) ask() {
+	for _, i := range w.instances {
+		w.group.Ask(i.Name, w.now)
+		if !w.dead[i.Name] {
+			w.answers = append(w.answers, late{at: w.now.Add(w.latency[i.Name]), sent: w.now, status: i.Status()})
+		}
+	}
+}
+
+func (w *watcher) judge(views ...group.View) group.Judgement {
+	me := group.Witness{Host: "h0", DataCentre: "dc-a"}
+	return group.Judge(w.now, group.Policy{}, w.group.Table(w.now), me, views, []fleet.Host{"h0", "h1", "h2"})
+}
+
+// view is what another host of a data centre says of the primary.
+func view(h fleet.Host, dc fleet.DataCentre, silent time.Duration) group.View {
+	return group.View{Host: h, DataCentre: dc, Instances: []group.InstanceView{{
+		Instance: "a", Reachable: silent == 0, Silent: silent, Term: 1,
+		Last: fleet.Point{Term: 1, Position: 1}, Role: fleet.RolePrimary,
+	}}}
+}
+
+func TestJudgeWantsTwoHostsAndTwoDataCentres(t *testing.T) {
+	tests := []struct {
+		name   string
+		silent time.Duration
+		views  []group.View
+		cause  group.Cause
+	}{
+		{name: "healthy"},
+		{name: "one host", silent: 2 * time.Second},
+		{name: "short silence", silent: 400 * time.Millisecond, views: []group.View{view("h1", "dc-b", time.Second)}},
+		{
+			name: "two hosts of two data centres", silent: 700 * time.Millisecond,
+			views: []group.View{view("h1", "dc-b", time.Second)}, cause: group.CauseSilent,
+		},
+		{
+			name: "two hosts of one data centre", silent: 2 * time.Second,
+			views: []group.View{view("h1", "dc-a", time.Second)},
+		},
+		{
+			name: "one bad link", silent: 20 * time.Second,
+			views: []group.View{view("h1", "dc-b", 0)},
+		},
+		{
+			name: "one data centre cut off from the primary", silent: 20 * time.Second,
+			views: []group.View{view("h1", "dc-a", time.Second), view("h2", "dc-b", 0)},
+		},
+		{
+			name: "a second host that has only begun to ask", silent: 2 * time.Second,
+			views: []group.View{view("h1", "dc-b", 100*time.Millisecond)},
+		},
+		{name: "the last host", silent: 6 * time.Second, cause: group.CauseAlone},
+		{
+			name: "hosts of one data centre are left", silent: 6 * time.Second,
+			views: []group.View{view("h1", "dc-a", time.Second)}, cause: group.CauseAlone,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWatcher()
+			w.watch(time.Second)
+			if tt.silent > 0 {
+				w.dead["a"] = true
+				w.watch(tt.silent)
+			}
+			c.Assert(w.judge(tt.views...).Cause, qt.Equals, tt.cause)
+		})
+	}
+}
+
+// An order client sees its writes refused for a second although nothing has
+// failed: the primary's disk was slow, its status came late, and two hosts took
+// it for dead. A primary that gets slow by steps is slow, and one that stalls
+// for half a second comes back.
+func TestSlowPrimaryIsNotSuspected(t *testing.T) {
+	c := qt.New(t)
+	w := newWatcher()
+	for _, l := range []time.Duration{50, 200, 500, 900, 1200} {
+		w.latency["a"] = l * time.Millisecond
+		for range 40 {
+			w.watch(50 * time.Millisecond)
+			j := w.judge(view("h1", "dc-b", time.Second))
+			c.Assert(j.Cause, qt.Equals, group.CauseNone, qt.Commentf("latency %d ms: %s", l, j.Reason))
+		}
+	}
+	w = newWatcher()
+	w.watch(time.Second)
+	w.latency["a"] = 550 * time.Millisecond
+	w.watch(550 * time.Millisecond)
+	c.Assert(w.judge(view("h1", "dc-b", time.Second)).Cause, qt.Equals, group.CauseNone)
+}
+
+// A host is paused for ten seconds. When it wakes, the answers that came in
+// meanwhile lie unread, every instance looks silent for ten seconds, and a
+// second host that was paused with it agrees.
+func TestPausedHostSuspectsNoOne(t *testing.T) {
+	c := qt.New(t)
+	w := newWatcher()
+	w.watch(time.Second)
+	w.ask()
+	w.now = w.now.Add(10 * time.Second)
+	c.Assert(w.group.Tick(w.now), qt.IsTrue)
+	c.Assert(w.judge(view("h1", "dc-b", 10*time.Second)).Cause, qt.Equals, group.CauseNone)
+}
+
+// A host fences a majority and is paused before it promotes. No primary can
+// acknowledge anything then; the others have to notice without being asked.
+func TestAbandonedPromotionIsTakenOver(t *testing.T) {
+	c := qt.New(t)
+	w := newWatcher()
+	w.watch(time.Second)
+	for _, i := range w.instances {
+		c.Assert(i.Fence(2, "h9/1/1"), qt.IsNil)
+	}
+	w.watch(200 * time.Millisecond)
+	c.Assert(w.judge().Cause, qt.Equals, group.CauseNone)
+	w.watch(500 * time.Millisecond)
+	c.Assert(w.judge().Cause, qt.Equals, group.CauseStranded)
+	c.Assert(w.group.Table(w.now).Primary, qt.Equals, fleet.Instance(""))
+}
+
+// A host fences one replica and dies. The primary still has its majority, but
+// the replica takes nothing from it any more and lags without end.
+func TestStrandedReplicaIsFetchedBack(t *testing.T) {
+	c := qt.New(t)
+	w := newWatcher()
+	w.watch(time.Second)
+	c.Assert(w.instances[2].Fence(2, "h9/1/1"), qt.IsNil)
+	w.watch(700 * time.Millisecond)
+	c.Assert(w.judge().Cause, qt.Equals, group.CauseStranded)
+	c.Assert(w.group.Table(w.now).Primary, qt.Equals, fleet.Instance("a"))
+}
