Add the front towards callers

Sessions need an entry that proves keys and cuts messages into exchanges. io/caller does it on gnet event loops: SCRAM with stored verifiers, simple and extended queries, transactions carried by pins, tokens, local settings, drain. Shown by go test -race ./io/caller with pgx against a fake runner.

--- /dev/null
+++ b/io/caller/batch.go
@@ -0,0 +1,290 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+
+	"skylarkdeal/core/exchange"
+	"skylarkdeal/core/failure"
+)
+
+// statement is a prepared statement of a session. The session keeps it under
+// the caller's name and sends it under a name that is the same on all hosts, so
+// that it works over whichever upstream connection serves.
+type statement struct {
+	name  string
+	sql   string
+	types []uint32
+	look  look
+	// confirmed is set once a batch that parsed it has ended without an error.
+	confirmed bool
+}
+
+// statementName names sql with its types. The hash is one for which nobody can
+// make up two texts with one name: upstream connections are shared between
+// accounts, and a weaker one would let an account have its own text run in
+// place of another's.
+func statementName(sql []byte, types []uint32) string {
+	h := sha256.New()
+	var n [4]byte
+	for _, t := range types {
+		binary.BigEndian.PutUint32(n[:], t)
+		h.Write(n[:])
+	}
+	binary.BigEndian.PutUint32(n[:], uint32(len(types)))
+	h.Write(n[:])
+	h.Write(sql)
+	var sum [sha256.Size]byte
+	return "sk_" + hex.EncodeToString(h.Sum(sum[:0])[:nameLen])
+}
+
+// nameLen is how many bytes of the hash a name has, which keeps it under the 63
+// bytes that PostgreSQL allows.
+const nameLen = 16
+
+// op is one message of a batch, for a batch that the entry host answers itself.
+type op struct {
+	msg    byte
+	target byte
+	stmt   *statement
+}
+
+// batch collects the messages of the extended protocol up to Sync, rewritten.
+type batch struct {
+	payload    []byte
+	statements []exchange.Statement
+	ops        []op
+	// parsed are the statements that the payload parses itself.
+	parsed []*statement
+	// executed are the looks of the statements that run, in order.
+	executed []look
+	// local and remote count what the entry host and what the instance answers.
+	local, remote int
+	bound         bool
+	refusal       *failure.Refusal
+}
+
+// nowhere is a portal that never exists. Closing it is answered like any other
+// Close, in its place among the answers of a batch.
+const nowhere = "sk_none"
+
+// refuse has the whole batch answered by r. Nothing of it is run, as none of it
+// would stand in PostgreSQL either: an error rolls back the batch.
+func (b *batch) refuse(r *failure.Refusal) {
+	if b.refusal == nil {
+		b.refusal = r
+	}
+}
+
+func (x *session) current() *batch {
+	if x.batch == nil {
+		x.batch = &batch{}
+	}
+	return x.batch
+}
+
+func (x *session) addParse(body []byte) bool {
+	m, ok := decodeParse(body)
+	if !ok {
+		return false
+	}
+	b := x.current()
+	name := string(m.name)
+	if s, used := x.statements[name]; used && name != "" && s.confirmed {
+		b.refuse(&failure.Refusal{
+			Code: "42P05", Step: "parse", Message: fmt.Sprintf("prepared statement %q already exists", name),
+		})
+		return true
+	}
+	s := &statement{name: statementName(m.sql, m.types), sql: string(m.sql), types: m.types}
+	s.look = lookAt(s.sql)
+	if x.statements == nil {
+		x.statements = make(map[string]*statement)
+	}
+	if len(x.statements) >= maxStatements {
+		b.refuse(errStatements)
+		return true
+	}
+	x.statements[name] = s
+	b.ops = append(b.ops, op{msg: msgParse, stmt: s})
+	b.parsed = append(b.parsed, s)
+	if s.look.local() {
+		b.local++
+		return true
+	}
+	b.remote++
+	b.message(msgParse, []byte(s.name), m.sql, body[len(m.name)+len(m.sql)+2:])
+	return true
+}
+
+// maxStatements bounds the prepared statements of a session, so that a caller
+// which never closes any can't take the memory of the host.
+const maxStatements = 1000
+
+var errStatements = &failure.Refusal{
+	Code: failure.CodeTooLarge, Step: "parse",
+	Message: fmt.Sprintf("a session keeps up to %d prepared statements; close some", maxStatements),
+}
+
+func (x *session) addBind(body []byte) bool {
+	m, ok := decodeBind(body)
+	if !ok {
+		return false
+	}
+	b := x.current()
+	s, ok := x.statements[string(m.statement)]
+	if !ok {
+		b.refuse(noStatement(m.statement))
+		return true
+	}
+	if x.portals == nil {
+		x.portals = make(map[string]*statement, 1)
+	}
+	x.portals[string(m.portal)] = s
+	b.ops = append(b.ops, op{msg: msgBind, stmt: s})
+	b.bound = true
+	if s.look.local() {
+		b.local++
+		return true
+	}
+	b.remote++
+	b.need(s)
+	b.message(msgBind, m.portal, []byte(s.name), m.values)
+	return true
+}
+
+func noStatement(name []byte) *failure.Refusal {
+	return &failure.Refusal{
+		Code: "26000", Step: "bind", Message: fmt.Sprintf("prepared statement %q does not exist", name),
+	}
+}
+
+// need lists s for the connection that will serve, unless the payload parses it.
+func (b *batch) need(s *statement) {
+	for _, p := range b.parsed {
+		if p.name == s.name {
+			return
+		}
+	}
+	for i := range b.statements {
+		if b.statements[i].Name == s.name {
+			return
+		}
+	}
+	b.statements = append(b.statements, exchange.Statement{Name: s.name, SQL: s.sql, Types: s.types})
+}
+
+func (x *session) addDescribe(body []byte) bool {
+	kind, name, ok := decodeTarget(body)
+	if !ok {
+		return false
+	}
+	b := x.current()
+	s, ok := x.target(kind, name)
+	if !ok {
+		b.refuse(noTarget(kind, name))
+		return true
+	}
+	b.ops = append(b.ops, op{msg: msgDescribe, target: kind, stmt: s})
+	if s.look.local() {
+		b.local++
+		return true
+	}
+	b.remote++
+	if kind == targetPortal {
+		b.raw(msgDescribe, body)
+		return true
+	}
+	b.need(s)
+	b.named(msgDescribe, kind, s.name)
+	return true
+}
+
+func (x *session) target(kind byte, name []byte) (*statement, bool) {
+	if kind == targetPortal {
+		s, ok := x.portals[string(name)]
+		return s, ok
+	}
+	s, ok := x.statements[string(name)]
+	return s, ok
+}
+
+func noTarget(kind byte, name []byte) *failure.Refusal {
+	if kind == targetStatement {
+		return noStatement(name)
+	}
+	return &failure.Refusal{
+		Code: "34000", Step: "execute", Message: fmt.Sprintf("portal %q does not exist", name),
+	}
+}
+
+func (x *session) addExecute(body []byte) bool {
+	portal, ok := decodeExecute(body)
+	if !ok {
+		return false
+	}
+	b := x.current()
+	s, ok := x.portals[string(portal)]
+	if !ok {
+		b.refuse(noTarget(targetPortal, portal))
+		return true
+	}
+	b.ops = append(b.ops, op{msg: msgExecute, stmt: s})
+	b.executed = append(b.executed, s.look)
+	b.bound = true
+	if s.look.local() {
+		b.local++
+		return true
+	}
+	b.remote++
+	b.raw(msgExecute, body)
+	return true
+}
+
+// addClose forgets a statement for this session only: the upstream connections
+// keep it for others.
+func (x *session) addClose(body []byte) bool {
+	kind, name, ok := decodeTarget(body)
+	if !ok {
+		return false
+	}
+	b := x.current()
+	b.ops = append(b.ops, op{msg: msgClose})
+	if kind == targetPortal {
+		delete(x.portals, string(name))
+		b.raw(msgClose, body)
+		return true
+	}
+	delete(x.statements, string(name))
+	b.named(msgClose, targetPortal, nowhere)
+	return true
+}
+
+// message appends a message of two zero-terminated strings and a rest.
+func (b *batch) message(typ byte, one, two, rest []byte) {
+	n := 4 + len(one) + 1 + len(two) + 1 + len(rest)
+	b.payload = append(b.payload, typ)
+	b.payload = binary.BigEndian.AppendUint32(b.payload, uint32(n))
+	b.payload = append(append(b.payload, one...), 0)
+	b.payload = append(append(b.payload, two...), 0)
+	b.payload = append(b.payload, rest...)
+}
+
+func (b *batch) named(typ, kind byte, name string) {
+	b.payload = append(b.payload, typ)
+	b.payload = binary.BigEndian.AppendUint32(b.payload, uint32(4+1+len(name)+1))
+	b.payload = append(b.payload, kind)
+	b.payload = append(append(b.payload, name...), 0)
+}
+
+func (b *batch) raw(typ byte, body []byte) {
+	b.payload = append(b.payload, typ)
+	b.payload = binary.BigEndian.AppendUint32(b.payload, uint32(4+len(body)))
+	b.payload = append(b.payload, body...)
+}
+
+func (b *batch) sync() {
+	b.payload = append(b.payload, msgSync, 0, 0, 0, 4)
+}
--- /dev/null
+++ b/io/caller/caller.go
@@ -0,0 +1,233 @@
+// Package caller speaks the PostgreSQL protocol to callers. It proves their
+// keys, cuts what they send into exchanges, hands these to an exchange.Runner
+// and writes the answers back in order.
+//
+// A session is owned by one gnet event loop: all its fields are touched there
+// only. Answers come from other goroutines and cross over in a run.
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"skylarkdeal/core/document"
+	"skylarkdeal/core/exchange"
+	"skylarkdeal/core/failure"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/journal"
+)
+
+// Config is what a Server works with. Zero limits take the defaults.
+type Config struct {
+	// Address is the IP address and port to listen on.
+	Address string
+	Host    fleet.Host
+	Epoch   uint64
+	// MaxSessions bounds the open sessions of the host.
+	MaxSessions int
+	// MaxMessage bounds one message of a caller, and the bytes it may send
+	// ahead while an answer is owed, in bytes.
+	MaxMessage int
+	// StartupTimeout bounds the time from connect to the proof of the key.
+	StartupTimeout time.Duration
+	// StallTimeout ends a session whose caller reads nothing for so long while
+	// an answer waits for it.
+	StallTimeout time.Duration
+	// MaxUnread bounds the bytes of answers that a caller has not read.
+	MaxUnread int
+	// EventLoops is how many event loops serve the sessions; zero takes one for
+	// each processor.
+	EventLoops int
+
+	Runner exchange.Runner
+	// Documents returns the document in force for a service.
+	Documents func(s fleet.Service) (*document.Document, bool)
+	// Admit is asked before an exchange of n requests is run and answers by
+	// done, at once or later, nil to go on. A nil Admit admits all.
+	Admit func(s fleet.Service, a fleet.Account, n int, deadline time.Time, done func(*failure.Refusal))
+
+	Now        func() time.Time
+	Logger     *zap.Logger
+	Registerer prometheus.Registerer
+	Journal    *journal.Journal
+}
+
+// The limits that a zero Config takes.
+const (
+	// DefaultMaxSessions is above the 6,000 sessions that a host has to carry
+	// when its neighbours restart.
+	DefaultMaxSessions = 8192
+	// DefaultMaxMessage keeps one caller from taking the memory of the rest.
+	DefaultMaxMessage = 1 << 20
+	// DefaultStartupTimeout covers three round trips of a slow handheld.
+	DefaultStartupTimeout = 10 * time.Second
+	// DefaultStallTimeout is how long a caller may stop reading: the upstream
+	// connection that serves it is one of very few.
+	DefaultStallTimeout = 5 * time.Second
+	// DefaultMaxUnread keeps a fast instance busy between two looks at a caller
+	// that reads slowly.
+	DefaultMaxUnread = 256 << 10
+	// DefaultStatementTimeout applies when a document states none.
+	DefaultStatementTimeout = 10 * time.Second
+)
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.MaxSessions, DefaultMaxSessions)
+	setDefault(&c.MaxMessage, DefaultMaxMessage)
+	setDefault(&c.MaxUnread, DefaultMaxUnread)
+	setDefault(&c.StartupTimeout, DefaultStartupTimeout)
+	setDefault(&c.StallTimeout, DefaultStallTimeout)
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Logger == nil {
+		c.Logger = zap.NewNop()
+	}
+	if c.Admit == nil {
+		c.Admit = func(_ fleet.Service, _ fleet.Account, _ int, _ time.Time, done func(*failure.Refusal)) {
+			done(nil)
+		}
+	}
+	return c
+}
+
+func setDefault[T int | time.Duration](v *T, d T) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+// Server is the front towards callers of one host.
+type Server struct {
+	cfg     Config
+	mocks   mocks
+	metrics metrics
+	engine  gnet.Engine
+	addr    net.Addr
+	booted  chan struct{}
+	ended   chan struct{}
+	runErr  error
+
+	seq      atomic.Uint64
+	draining atomic.Bool
+
+	mu sync.Mutex
+	// sessions are the open sessions by the process number in their cancel key.
+	sessions map[uint32]*session
+	// waiting are the sessions that end at a time: those that have not proved a
+	// key, and those that linger after a last message.
+	waiting map[*session]time.Time
+	nextID  uint32
+}
+
+// New returns a Server that Start puts to work.
+func New(cfg Config) *Server {
+	s := &Server{
+		cfg:      cfg.withDefaults(),
+		booted:   make(chan struct{}),
+		ended:    make(chan struct{}),
+		sessions: make(map[uint32]*session),
+		waiting:  make(map[*session]time.Time),
+	}
+	_, _ = rand.Read(s.mocks.secret[:])
+	s.metrics = newMetrics(s.cfg.Registerer, s.sessionCount)
+	return s
+}
+
+// Start begins to listen. It returns once callers can connect.
+func (s *Server) Start() error {
+	go s.run()
+	select {
+	case <-s.booted:
+		return nil
+	case <-s.ended:
+		return failure.At(s.runErr, "listen", failure.Peer(s.cfg.Address))
+	}
+}
+
+func (s *Server) run() {
+	defer close(s.ended)
+	opts := []gnet.Option{
+		gnet.WithTicker(true),
+		gnet.WithLogger(s.cfg.Logger.Named("gnet").Sugar()),
+		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithTCPKeepAlive(keepAlive),
+		gnet.WithReadBufferCap(readBuffer),
+		gnet.WithWriteBufferCap(readBuffer),
+	}
+	if s.cfg.EventLoops > 0 {
+		opts = append(opts, gnet.WithNumEventLoop(s.cfg.EventLoops))
+	} else {
+		opts = append(opts, gnet.WithMulticore(true))
+	}
+	s.runErr = gnet.Run(&handler{s: s}, "tcp://"+s.cfg.Address, opts...)
+}
+
+const (
+	// keepAlive finds half-open connections: a handheld that left its radio
+	// cell sends no FIN, and its session would stay for ever.
+	keepAlive = 30 * time.Second
+	// readBuffer is what one event loop reads from a socket at a time.
+	readBuffer = 64 << 10
+)
+
+// listenAddr finds the address that the engine listens on, with the port that
+// the kernel chose.
+func listenAddr(e gnet.Engine) (net.Addr, error) {
+	fd, err := e.Dup()
+	if err != nil {
+		return nil, err
+	}
+	f := os.NewFile(uintptr(fd), "listener")
+	defer f.Close()
+	l, err := net.FileListener(f)
+	if err != nil {
+		return nil, err
+	}
+	defer l.Close()
+	return l.Addr(), nil
+}
+
+// Addr returns the address that callers connect to, after Start.
+func (s *Server) Addr() net.Addr {
+	return s.addr
+}
+
+// Close ends all sessions at once and stops listening.
+func (s *Server) Close() error {
+	select {
+	case <-s.booted:
+	default:
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := s.engine.Stop(ctx); err != nil {
+		return failure.At(err, "stop", failure.Peer(s.cfg.Address))
+	}
+	<-s.ended
+	s.metrics.unregister()
+	return nil
+}
+
+const closeTimeout = 10 * time.Second
+
+func (s *Server) sessionCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sessions)
+}
+
+func peerOf(a fleet.Account) failure.Peer {
+	return failure.Peer(fmt.Sprintf("account %s", a))
+}
--- /dev/null
+++ b/io/caller/state.go
@@ -0,0 +1,92 @@
+package caller
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"skylarkdeal/core/exchange"
+)
+
+// State is what the state dump says of the sessions of a host.
+type State struct {
+	Address  string `json:"address"`
+	Draining bool   `json:"draining"`
+	Sessions int    `json:"sessions"`
+	// Accounts counts the sessions that have proved a key, by "service/account".
+	Accounts map[string]int `json:"accounts"`
+	// Starting counts those that have not, or wait for their caller to close.
+	Starting int `json:"starting"`
+}
+
+// State returns the present state.
+func (s *Server) State() State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := State{
+		Draining: s.draining.Load(), Sessions: len(s.sessions),
+		Starting: len(s.waiting), Accounts: make(map[string]int),
+	}
+	if s.addr != nil {
+		t.Address = s.addr.String()
+	}
+	for _, x := range s.sessions {
+		if x.entered {
+			t.Accounts[string(x.service)+"/"+string(x.account)]++
+		}
+	}
+	return t
+}
+
+type metrics struct {
+	registerer prometheus.Registerer
+	all        []prometheus.Collector
+	ended      *prometheus.CounterVec
+	exchanges  *prometheus.CounterVec
+	badKeys    prometheus.Counter
+	stalled    prometheus.Counter
+}
+
+func newMetrics(r prometheus.Registerer, sessions func() int) metrics {
+	m := metrics{
+		registerer: r,
+		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "skylarkdeal_caller_sessions_ended_total",
+			Help: "Sessions that the host ended, by SQLSTATE.",
+		}, []string{"code"}),
+		exchanges: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "skylarkdeal_caller_exchanges_total",
+			Help: "Exchanges answered, by outcome and intent.",
+		}, []string{"outcome", "intent"}),
+		badKeys: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "skylarkdeal_caller_bad_keys_total",
+			Help: "Start-ups refused because no key was proved.",
+		}),
+		stalled: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "skylarkdeal_caller_stalled_total",
+			Help: "Sessions ended because their caller stopped reading.",
+		}),
+	}
+	open := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "skylarkdeal_caller_sessions",
+		Help: "Open sessions.",
+	}, func() float64 { return float64(sessions()) })
+	m.all = []prometheus.Collector{m.ended, m.exchanges, m.badKeys, m.stalled, open}
+	if r != nil {
+		for _, c := range m.all {
+			r.MustRegister(c)
+		}
+	}
+	return m
+}
+
+func (m metrics) unregister() {
+	if m.registerer == nil {
+		return
+	}
+	for _, c := range m.all {
+		m.registerer.Unregister(c)
+	}
+}
+
+func (m metrics) exchange(r exchange.Result, intent exchange.Intent) {
+	m.exchanges.WithLabelValues(string(r.Outcome), string(intent)).Inc()
+}
