--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -189,12 +189,12 @@
 		return nil, err
 	}
 	f := os.NewFile(uintptr(fd), "listener")
-	defer f.Close()
+	defer func() { _ = f.Close() }()
 	l, err := net.FileListener(f)
 	if err != nil {
 		return nil, err
 	}
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	return l.Addr(), nil
 }
 
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"fmt"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"encoding/base64"
 	qt "github.com/frankban/quicktest"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -28,7 +28,10 @@
 		panic(err)
 	}
 	const rounds = 4096
-	k := cl.GetStoredCredentials(scram.KeyFactors{Salt: salt, Iters: rounds})
+	k, err := cl.GetStoredCredentialsWithError(scram.KeyFactors{Salt: salt, Iters: rounds})
+	if err != nil {
+		panic(err)
+	}
 	b64 := base64.StdEncoding.EncodeToString
 	return fmt.Sprintf("SCRAM-SHA-256$%d:%s$%s:%s", rounds, b64([]byte(salt)), b64(k.StoredKey), b64(k.ServerKey))
 }
@@ -73,7 +76,6 @@
 	requests []exchange.Request
 	released []exchange.Pin
 	canceled []exchange.ID
-	open     map[exchange.Pin]bool
 	next     exchange.Pin
 	point    fleet.Point
 	// answer takes the place of the usual answer when it returns true.
@@ -118,11 +120,11 @@
 	f.mu.Lock()
 	f.point.Position++
 	res := exchange.Result{Outcome: exchange.OutcomeDone, Status: exchange.TxIdle, Point: f.point, Pin: q.Pin}
-	switch {
-	case verb == "begin":
+	switch verb {
+	case "begin":
 		f.next++
 		res.Pin = f.next
-	case verb == "commit" || verb == "rollback":
+	case "commit", "rollback":
 		res.Pin = 0
 	}
 	if res.Pin != 0 {
@@ -141,7 +143,8 @@
 	for _, s := range q.Statements {
 		sqls[s.Name] = s.SQL
 	}
-	row := &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("sql"), DataTypeOID: 25, DataTypeSize: -1}}}
+	field := pgproto3.FieldDescription{Name: []byte("sql"), DataTypeOID: 25, DataTypeSize: -1}
+	row := &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{field}}
 	var last, verb string
 	done := func(sql string) {
 		verb = strings.ToLower(strings.Fields(sql + " x")[0])
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -139,6 +139,7 @@
 		return x.message()
 	case phaseLinger:
 		_, _ = x.conn.Discard(-1)
+	case phaseClosed:
 	}
 	return false
 }
--- /dev/null
+++ b/io/database/pool_test.go
@@ -0,0 +1,74 @@
+package database_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"skylarkdeal/io/database"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// Two hosts believe in shares that together are above the instance's limit. The
+// instance refuses the surplus; the host that is refused makes do with what it
+// got, and fills up once there is room.
+func TestRefusedConnectionShrinksTheShare(t *testing.T) {
+	c := qt.New(t)
+	i := newInstance(t, 3)
+	p := newPool(t, i, func(g *database.Config) { g.Limit = 5 })
+	until(t, "refused", func() bool { return i.count(func() int { return i.refused }) > 0 })
+	until(t, "three open", func() bool { return p.State().Open == 3 && p.State().Opening == 0 })
+	c.Assert(p.State().Trouble, qt.Contains, "53300")
+	i.mu.Lock()
+	i.limit = 5
+	i.mu.Unlock()
+	until(t, "five open", func() bool { return p.State().Open == 5 })
+	c.Assert(p.State().Trouble, qt.Equals, "")
+}
+
+func TestLimitSinksAndRises(t *testing.T) {
+	c := qt.New(t)
+	i := newInstance(t, 10)
+	p := newPool(t, i, func(g *database.Config) { g.Limit = 4 })
+	until(t, "full", func() bool { return p.State().Idle == 4 })
+	a, b := take(t, p), take(t, p)
+	p.SetLimit(1)
+	c.Assert(p.State().Idle, qt.Equals, 0)
+	p.Put(a)
+	c.Assert(a.Broken(), qt.IsTrue)
+	p.Put(b)
+	c.Assert(b.Broken(), qt.IsFalse)
+	until(t, "one left", func() bool { return i.count(func() int { return i.open }) == 1 })
+	p.SetLimit(3)
+	until(t, "three", func() bool { return p.State().Idle == 3 })
+}
+
+// An instance restarts while connections to it are idle. A write sent on one of
+// them would end with an unknown outcome for nothing; so none is handed out.
+func TestClosedIdleConnectionIsNotHandedOut(t *testing.T) {
+	c := qt.New(t)
+	i := newInstance(t, 10)
+	p := newPool(t, i, nil)
+	until(t, "full", func() bool { return p.State().Idle == 2 })
+	i.cut()
+	until(t, "closed at the instance", func() bool { return i.count(func() int { return i.open }) == 0 })
+	conn := take(t, p)
+	got, a := exchangeOn(conn, simple("get a"))
+	c.Assert(a.Err, qt.IsNil)
+	c.Assert(got, qt.Equals, "T D(get a) C")
+}
+
+func TestOnFreeFollowsOpenAndPut(t *testing.T) {
+	free := make(chan struct{}, 100)
+	p := newPool(t, newInstance(t, 10), func(g *database.Config) {
+		g.Limit = 1
+		g.OnFree = func() { free <- struct{}{} }
+	})
+	<-free
+	p.Put(take(t, p))
+	<-free
+}
