--- /dev/null
+++ b/core/document/parse.go
@@ -0,0 +1,213 @@
+package document
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/inifile"
+)
+
+// The defaults of a document.
+const (
+	DefaultHolders          = 3
+	DefaultStatementTimeout = 10 * time.Second
+	DefaultCutOffAfter      = 10 * time.Minute
+	DefaultSlots            = 2
+	DefaultConnections      = 16
+)
+
+// The bounds of a document. They keep a slip of a unit from passing as a
+// choice.
+const (
+	maxHolders     = 64
+	maxConnections = 10000
+	maxRate        = 1e6
+	maxBurst       = 1e6
+	maxSessions    = 1 << 20
+	maxInstances   = 64
+	maxAccounts    = 4096
+	maxKeys        = 16
+)
+
+const (
+	keyPrefix    = "key."
+	rateForm     = "a rate above 0, such as 50/s, 300/m or 0.5/s"
+	sectionsForm = `one of service, instance "<name>", account "<name>"`
+)
+
+// Parse reads the document in text; version is the store's. The error holds all
+// mistakes at once, as inifile.Mistakes, and never what stands at a key.
+func Parse(text []byte, version Version) (*Document, error) {
+	f := inifile.Read("document", text)
+	d := &Document{Version: version}
+	service(f.Section("service"), d)
+	for _, n := range f.Sections() {
+		section(f, n, d)
+	}
+	f.Stray()
+	whole(f, d)
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+func section(f *inifile.File, name string, d *Document) {
+	kind, quoted, _ := strings.Cut(name, " ")
+	switch {
+	case name == "service":
+	case kind == "instance" && isQuotedName(quoted):
+		d.Instances = append(d.Instances, instance(f.Section(name), unquote(quoted)))
+	case kind == "account" && isQuotedName(quoted):
+		d.Accounts = append(d.Accounts, account(f.Section(name), unquote(quoted)))
+	default:
+		f.Wrong(name, "", "an unknown section", sectionsForm+", with "+inifile.NameForm)
+	}
+}
+
+func isQuotedName(s string) bool {
+	n := unquote(s)
+	return s == strconv.Quote(n) && inifile.IsName(n)
+}
+
+func unquote(s string) string {
+	return strings.Trim(s, `"`)
+}
+
+func service(s *inifile.Section, d *Document) {
+	d.Service = fleet.Service(s.Name("name"))
+	d.Acknowledge = Acknowledge(s.OneOf("acknowledge", string(AcknowledgeReplicated),
+		string(AcknowledgeReplicated), string(AcknowledgePrimary)))
+	d.Holders = s.Int("holders", DefaultHolders, 1, maxHolders)
+	d.StatementTimeout = s.Duration("statement-timeout", DefaultStatementTimeout, 10*time.Millisecond, time.Hour)
+	d.CutOff = CutOff(s.OneOf("cut-off", string(CutOffServe), string(CutOffServe), string(CutOffStop)))
+	d.CutOffAfter = s.Duration("cut-off-after", DefaultCutOffAfter, 5*time.Second, 30*24*time.Hour)
+	for _, n := range s.List("data-centres") {
+		c := fleet.DataCentre(n)
+		if !inifile.IsName(n) || slices.Contains(d.DataCentres, c) {
+			s.Wrong("data-centres", strconv.Quote(n), "each data centre once, "+inifile.NameForm)
+			continue
+		}
+		d.DataCentres = append(d.DataCentres, c)
+	}
+	if len(d.DataCentres) == 0 {
+		s.Missing("data-centres", "the data centres that share out the accounts' rates")
+	}
+	s.Unknown()
+}
+
+func instance(s *inifile.Section, name string) Instance {
+	defer s.Unknown()
+	i := Instance{
+		Name:        fleet.Instance(name),
+		Address:     s.Address("address"),
+		DataCentre:  fleet.DataCentre(s.Name("data-centre")),
+		Slots:       s.Int("slots", DefaultSlots, 1, maxConnections),
+		Connections: s.Int("connections", DefaultConnections, 1, maxConnections),
+		Leaving:     s.Bool("leaving", false),
+	}
+	if i.Connections < i.Slots {
+		s.Wrong("connections", strconv.Itoa(i.Connections),
+			fmt.Sprintf("at least one connection for each of %d slots", i.Slots))
+	}
+	return i
+}
+
+func account(s *inifile.Section, name string) Account {
+	a := Account{Name: fleet.Account(name), Rate: rate(s), MaxSessions: s.Int("max-sessions", 0, 0, maxSessions)}
+	a.Burst = float64(s.Int("burst", int(max(1, min(a.Rate, maxBurst))), 1, maxBurst))
+	for _, k := range s.Keys() {
+		n, ok := strings.CutPrefix(k, keyPrefix)
+		if !ok {
+			continue
+		}
+		if !inifile.IsName(n) {
+			s.Wrong(k, "a key without a proper name", keyPrefix+"<name>, with "+inifile.NameForm)
+		}
+		v, _ := s.Value(k)
+		if err := CheckVerifier(v); err != nil {
+			s.Wrong(k, "something else, not shown here", VerifierForm+" ("+err.Error()+")")
+		}
+		a.Keys = append(a.Keys, Key{Name: n, Verifier: v})
+	}
+	if len(a.Keys) > maxKeys {
+		s.Wrong("", fmt.Sprintf("%d keys", len(a.Keys)), fmt.Sprintf("at most %d", maxKeys))
+	}
+	s.Unknown()
+	return a
+}
+
+// rateUnits are the seconds of the units of a rate.
+var rateUnits = map[string]float64{"s": 1, "m": 60, "h": 3600}
+
+func rate(s *inifile.Section) float64 {
+	v := s.Required("rate", rateForm)
+	if v == "" {
+		return 0
+	}
+	n, unit, _ := strings.Cut(v, "/")
+	r, err := strconv.ParseFloat(n, 64)
+	seconds, ok := rateUnits[unit]
+	if err != nil || !ok || !(r > 0) || r/seconds > maxRate {
+		s.Wrong("rate", strconv.Quote(v), rateForm)
+		return 0
+	}
+	return r / seconds
+}
+
+// whole checks what no single section shows.
+func whole(f *inifile.File, d *Document) {
+	if n := len(d.Instances); n == 0 || n > maxInstances {
+		f.Wrong("", "", fmt.Sprintf("%d instances", n), fmt.Sprintf(`1 to %d sections [instance "<name>"]`, maxInstances))
+	}
+	if n := len(d.Accounts); n > maxAccounts {
+		f.Wrong("", "", fmt.Sprintf("%d accounts", n), fmt.Sprintf("at most %d", maxAccounts))
+	}
+	at := map[string]fleet.Instance{}
+	for _, i := range d.Instances {
+		if first, ok := at[i.Address]; ok && i.Address != "" {
+			f.Wrong(fmt.Sprintf("instance %q", i.Name), "address", i.Address,
+				fmt.Sprintf("another address than that of instance %q", first))
+		}
+		at[i.Address] = i.Name
+	}
+}
+
+// Format returns d as text that Parse reads back to an equal document.
+func (d *Document) Format() []byte {
+	var b strings.Builder
+	dc := make([]string, len(d.DataCentres))
+	for n, c := range d.DataCentres {
+		dc[n] = string(c)
+	}
+	fmt.Fprintf(&b, "[service]\nname = %s\nacknowledge = %s\nholders = %d\nstatement-timeout = %s\n",
+		d.Service, d.Acknowledge, d.Holders, d.StatementTimeout)
+	fmt.Fprintf(&b, "cut-off = %s\ncut-off-after = %s\ndata-centres = %s\n",
+		d.CutOff, d.CutOffAfter, strings.Join(dc, ", "))
+	for _, i := range d.Instances {
+		fmt.Fprintf(&b, "\n[instance %q]\naddress = %s\ndata-centre = %s\nslots = %d\nconnections = %d\nleaving = %t\n",
+			i.Name, i.Address, i.DataCentre, i.Slots, i.Connections, i.Leaving)
+	}
+	for _, a := range d.Accounts {
+		fmt.Fprintf(&b, "\n[account %q]\nrate = %s/s\nburst = %s\nmax-sessions = %d\n",
+			a.Name, number(a.Rate), number(a.Burst), a.MaxSessions)
+		for _, k := range a.Keys {
+			fmt.Fprintf(&b, "%s%s = %s\n", keyPrefix, k.Name, k.Verifier)
+		}
+	}
+	return []byte(b.String())
+}
+
+func number(f float64) string {
+	return strconv.FormatFloat(f, 'f', -1, 64)
+}
+
+// Newer reports whether d is a later version than o, which may be nil.
+func (d *Document) Newer(o *Document) bool {
+	return o == nil || cmp.Compare(d.Version, o.Version) > 0
+}
--- /dev/null
+++ b/core/document/verifier.go
@@ -0,0 +1,113 @@
+package document
+
+import (
+	"crypto/hmac"
+	"crypto/pbkdf2"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// VerifierForm is what stands at a key of an account.
+const VerifierForm = "SCRAM-SHA-256$<iterations>:<salt>$<stored key>:<server key>, made by `skylarkdeal key verifier`"
+
+// The bounds of keys and verifiers.
+const (
+	MinKey     = 16
+	maxKey     = 256
+	iterations = 4096
+	saltSize   = 16
+	// maxIterations bounds the work that a verifier asks of each caller.
+	maxIterations = 1_000_000
+	scheme        = "SCRAM-SHA-256"
+)
+
+// ErrKey is a key that no verifier is made of.
+var ErrKey = fmt.Errorf("a key has %d to %d printable ASCII characters", MinKey, maxKey)
+
+// NewKey returns a new random key.
+func NewKey() string {
+	return rand.Text()
+}
+
+// NewVerifier returns the verifier of key with a new random salt.
+//
+// Keys are printable ASCII only: on these SASLprep, which drivers apply in
+// different ways, changes nothing.
+func NewVerifier(key string) (string, error) {
+	salt := make([]byte, saltSize)
+	if _, err := rand.Read(salt); err != nil {
+		return "", err
+	}
+	return VerifierOf(key, salt)
+}
+
+// VerifierOf returns the verifier of key with the given salt.
+func VerifierOf(key string, salt []byte) (string, error) {
+	if len(key) < MinKey || len(key) > maxKey || strings.ContainsFunc(key, notPrintable) {
+		return "", ErrKey
+	}
+	salted, err := pbkdf2.Key(sha256.New, key, salt, iterations, sha256.Size)
+	if err != nil {
+		return "", err
+	}
+	stored := sha256.Sum256(mac(salted, "Client Key"))
+	e := base64.StdEncoding.EncodeToString
+	return fmt.Sprintf("%s$%d:%s$%s:%s", scheme, iterations, e(salt), e(stored[:]), e(mac(salted, "Server Key"))), nil
+}
+
+func notPrintable(r rune) bool {
+	return r <= ' ' || r > '~'
+}
+
+func mac(key []byte, text string) []byte {
+	h := hmac.New(sha256.New, key)
+	h.Write([]byte(text))
+	return h.Sum(nil)
+}
+
+// Verifier is a verifier taken apart, as a server of SCRAM needs it.
+type Verifier struct {
+	Salt       []byte
+	Iterations int
+	StoredKey  []byte
+	ServerKey  []byte
+}
+
+// ParseVerifier takes a verifier apart. Its errors don't hold the verifier.
+func ParseVerifier(s string) (Verifier, error) {
+	parts := strings.Split(s, "$")
+	if len(parts) != 3 || parts[0] != scheme {
+		return Verifier{}, errors.New("not a verifier")
+	}
+	count, salt, _ := strings.Cut(parts[1], ":")
+	n, err := strconv.Atoi(count)
+	if err != nil || n < iterations || n > maxIterations {
+		return Verifier{}, fmt.Errorf("iterations are not from %d to %d", iterations, maxIterations)
+	}
+	stored, server, _ := strings.Cut(parts[2], ":")
+	v := Verifier{Iterations: n}
+	for _, p := range []struct {
+		to   *[]byte
+		text string
+		low  int
+		high int
+	}{{&v.Salt, salt, 8, 64}, {&v.StoredKey, stored, sha256.Size, sha256.Size}, {&v.ServerKey, server, sha256.Size, sha256.Size}} {
+		b, err := base64.StdEncoding.DecodeString(p.text)
+		if err != nil || len(b) < p.low || len(b) > p.high {
+			return Verifier{}, errors.New("a part is not base64 of the right length")
+		}
+		*p.to = b
+	}
+	return v, nil
+}
+
+// CheckVerifier returns why s isn't a verifier, without showing s, or nil.
+func CheckVerifier(s string) error {
+	_, err := ParseVerifier(s)
+	return err
+}
--- /dev/null
+++ b/core/settings/settings.go
@@ -0,0 +1,198 @@
+// Package settings reads the settings of one host.
+package settings
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/inifile"
+)
+
+// Settings are what one host is told at its start. All else stands in the
+// documents.
+type Settings struct {
+	Host     Host
+	Caller   Caller
+	Peer     Peer
+	Operator Operator
+	Store    Store
+	Upstream Upstream
+	Log      Log
+}
+
+// Host says who the host is.
+type Host struct {
+	Name       fleet.Host
+	DataCentre fleet.DataCentre
+}
+
+// Caller is the side of the callers.
+type Caller struct {
+	Address string
+	// MaxSessions bounds the open sessions.
+	MaxSessions int
+	// MaxMessage bounds one message of a caller, in bytes.
+	MaxMessage int
+	// StartupTimeout bounds the time until a caller has shown its key.
+	StartupTimeout time.Duration
+	// MaxUnread bounds the bytes of answers that wait for one caller.
+	MaxUnread int
+}
+
+// Peer is the side of the other hosts.
+type Peer struct {
+	Address string
+	// SecretFile holds what the hosts of one fleet show each other; empty when
+	// their network is closed to all others.
+	SecretFile string
+	// Seeds are addresses of other hosts, asked first at the start.
+	Seeds []string
+}
+
+// Operator is the side of the operators: metrics, state, health.
+type Operator struct {
+	Address string
+	Pprof   bool
+}
+
+// Store is the platform's store.
+type Store struct {
+	Endpoints []string
+	// Prefix starts every key and ends in a slash.
+	Prefix string
+	// Timeout bounds one call.
+	Timeout time.Duration
+	// HostLease is the time to live of the host's lease.
+	HostLease time.Duration
+}
+
+// Upstream is how the host shows itself to the database instances.
+type Upstream struct {
+	User string
+	// PasswordFile is empty when the instances ask for none.
+	PasswordFile string
+}
+
+// Level is the least severe level that is logged.
+type Level string
+
+// The levels.
+const (
+	LevelDebug Level = "debug"
+	LevelInfo  Level = "info"
+	LevelWarn  Level = "warn"
+	LevelError Level = "error"
+)
+
+// Log is what is logged.
+type Log struct {
+	Level Level
+}
+
+// The defaults and the bounds of settings. The bounds keep a slip of a unit
+// from passing as a choice.
+const (
+	DefaultMaxSessions    = 10000
+	DefaultMaxMessage     = 1 << 20
+	DefaultStartupTimeout = 5 * time.Second
+	DefaultMaxUnread      = 256 << 10
+	DefaultPrefix         = "/skylarkdeal/"
+	DefaultStoreTimeout   = time.Second
+	DefaultHostLease      = 10 * time.Second
+	DefaultUser           = "skylarkdeal"
+
+	maxSessions  = 1 << 20
+	smallestSize = 1 << 10
+	largestSize  = 1 << 30
+)
+
+// Parse reads the settings in text; file is what mistakes call it. The error
+// holds all mistakes at once, as inifile.Mistakes.
+func Parse(file string, text []byte) (*Settings, error) {
+	f := inifile.Read(file, text)
+	s := &Settings{
+		Host:     host(f.Section("host")),
+		Caller:   caller(f.Section("caller")),
+		Peer:     peer(f.Section("peer")),
+		Operator: operator(f.Section("operator")),
+		Store:    store(f.Section("store")),
+		Upstream: upstream(f.Section("upstream")),
+		Log:      log(f.Section("log")),
+	}
+	f.Stray()
+	known := []string{"host", "caller", "peer", "operator", "store", "upstream", "log"}
+	for _, n := range f.Sections() {
+		if !slices.Contains(known, n) {
+			f.Wrong(n, "", "an unknown section", "one of host, caller, peer, operator, store, upstream, log")
+		}
+	}
+	return s, f.Err()
+}
+
+func host(s *inifile.Section) Host {
+	defer s.Unknown()
+	return Host{
+		Name:       fleet.Host(s.Name("name")),
+		DataCentre: fleet.DataCentre(s.Name("data-centre")),
+	}
+}
+
+func caller(s *inifile.Section) Caller {
+	defer s.Unknown()
+	return Caller{
+		Address:        s.Address("address"),
+		MaxSessions:    s.Int("max-sessions", DefaultMaxSessions, 1, maxSessions),
+		MaxMessage:     s.Size("max-message", DefaultMaxMessage, smallestSize, largestSize),
+		StartupTimeout: s.Duration("startup-timeout", DefaultStartupTimeout, 100*time.Millisecond, time.Minute),
+		MaxUnread:      s.Size("max-unread", DefaultMaxUnread, smallestSize, largestSize),
+	}
+}
+
+func peer(s *inifile.Section) Peer {
+	defer s.Unknown()
+	return Peer{
+		Address:    s.Address("address"),
+		SecretFile: s.String("secret-file", ""),
+		Seeds:      s.Addresses("seeds"),
+	}
+}
+
+func operator(s *inifile.Section) Operator {
+	defer s.Unknown()
+	return Operator{Address: s.Address("address"), Pprof: s.Bool("pprof", false)}
+}
+
+func store(s *inifile.Section) Store {
+	defer s.Unknown()
+	e := s.Addresses("endpoints")
+	if len(e) == 0 {
+		s.Missing("endpoints", "a list of addresses, each "+inifile.AddressForm)
+	}
+	return Store{
+		Endpoints: e,
+		Prefix:    prefix(s),
+		Timeout:   s.Duration("timeout", DefaultStoreTimeout, 10*time.Millisecond, 30*time.Second),
+		HostLease: s.Duration("host-lease", DefaultHostLease, 2*time.Second, 10*time.Minute),
+	}
+}
+
+func prefix(s *inifile.Section) string {
+	p := s.String("prefix", DefaultPrefix)
+	if len(p) < 2 || p[0] != '/' || p[len(p)-1] != '/' {
+		s.Wrong("prefix", strconv.Quote(p), "a path between slashes, such as "+DefaultPrefix)
+	}
+	return p
+}
+
+func upstream(s *inifile.Section) Upstream {
+	defer s.Unknown()
+	return Upstream{User: s.String("user", DefaultUser), PasswordFile: s.String("password-file", "")}
+}
+
+func log(s *inifile.Section) Log {
+	defer s.Unknown()
+	return Log{Level: Level(s.OneOf("level", string(LevelInfo),
+		string(LevelDebug), string(LevelInfo), string(LevelWarn), string(LevelError)))}
+}
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -2,7 +2,6 @@
 package cmd
 
 import (
-	"errors"
 	"fmt"
 	"io"
 
@@ -18,6 +17,8 @@
 
 // commands lists the subcommands in the order in which the help shows them.
 var commands = []func() *cobra.Command{
+	newDocument,
+	newKey,
 	newVersion,
 }
 
@@ -36,11 +37,7 @@
 		return ExitOK
 	}
 	fmt.Fprintln(errOut, "skylarkdeal:", err)
-	var u usageError
-	if errors.As(err, &u) {
-		return ExitUsage
-	}
-	return ExitFailure
+	return exitCode(err)
 }
 
 func newRoot() *cobra.Command {
--- /dev/null
+++ b/io/platform/follow.go
@@ -0,0 +1,232 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+)
+
+// Follower keeps up with all entries under a prefix, whatever happens to its
+// watch.
+type Follower struct {
+	Store  *Store
+	Prefix string
+	// Check is how often the watch is checked against the store; the zero value
+	// takes DefaultCheck.
+	Check time.Duration
+	// See takes every entry at the start and every change, in order. An entry may
+	// come again.
+	See func([]Change)
+	// Confirmed is told a time up to which See has had everything.
+	Confirmed func(at time.Time)
+	// Floor returns the highest revision known from elsewhere: a store whose own
+	// is lower answers from the past.
+	Floor func() Revision
+	// Problem is told what is wrong; it isn't called again until that changes.
+	Problem func(err error)
+	Now     func() time.Time
+	// Jitter returns a number from 0 up to 1.
+	Jitter func() float64
+
+	seen    atomic.Int64
+	listed  bool
+	problem string
+}
+
+// DefaultCheck is how often a watch is checked. With one watch in each of ten
+// data centres that is five cheap reads a second, and a silent watch is found
+// within two checks.
+const DefaultCheck = 2 * time.Second
+
+const (
+	// pause is the mean wait before a broken watch is opened again.
+	pause = 500 * time.Millisecond
+	// pastChecks is how many checks in a row find the store behind what is known
+	// before its entries are listed anew: one may have met a lagging member.
+	pastChecks = 3
+)
+
+var (
+	errSilent = errors.New("the watch was silent about a change")
+	errPast   = errors.New("the store answers from the past, or was reset")
+)
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	f.listed = false
+	f.problem = ""
+	for ctx.Err() == nil {
+		err := f.once(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		f.report(err)
+		if errors.Is(err, ErrCompacted) || errors.Is(err, errPast) {
+			f.listed = false
+		}
+		f.sleep(ctx, pause)
+	}
+}
+
+// once lists the entries if need be, and then watches until the watch breaks.
+func (f *Follower) once(ctx context.Context) error {
+	if !f.listed {
+		if err := f.list(ctx); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	broken := make(chan error, 1)
+	go func() {
+		broken <- f.Store.Watch(ctx, f.Prefix, Revision(f.seen.Load()), f.take)
+	}()
+	err := f.check(ctx, broken)
+	if err != nil {
+		cancel(err)
+		<-broken
+	}
+	return err
+}
+
+func (f *Follower) list(ctx context.Context) error {
+	sent := f.now()
+	l, at, err := f.Store.List(ctx, f.Prefix)
+	if err != nil {
+		return err
+	}
+	c := make([]Change, len(l))
+	for n, e := range l {
+		c[n] = Change{Entry: e}
+	}
+	f.See(c)
+	f.seen.Store(int64(at))
+	f.listed = true
+	f.confirm(sent, 0, at)
+	return nil
+}
+
+func (f *Follower) take(b Batch) {
+	if len(b.Changes) > 0 {
+		f.See(b.Changes)
+	}
+	if int64(b.At) > f.seen.Load() {
+		f.seen.Store(int64(b.At))
+	}
+}
+
+// check compares what the watch has told with the store until the watch breaks
+// or is found silent.
+//
+// A connection cut without a word, or a store that forgets its watches, shows as
+// a watch that says nothing, which is what a quiet day looks like too. A read of
+// the newest revision doesn't depend on the watch; when one check's revision is
+// still unseen at the next, no delay explains it.
+func (f *Follower) check(ctx context.Context, broken chan error) error {
+	var unseen Revision
+	past := 0
+	for {
+		t := time.NewTimer(f.spread(f.interval()))
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			<-broken
+			return nil
+		case err := <-broken:
+			t.Stop()
+			broken <- nil
+			if err == nil {
+				err = unexpected("the end of the watch")
+			}
+			return err
+		case <-t.C:
+		}
+		sent := f.now()
+		newest, at, err := f.Store.Newest(ctx, f.Prefix)
+		if err != nil {
+			f.report(err)
+			continue
+		}
+		if unseen > 0 && Revision(f.seen.Load()) < unseen {
+			return fmt.Errorf("%w: revision %d", errSilent, unseen)
+		}
+		unseen = 0
+		switch {
+		case newest > Revision(f.seen.Load()):
+			unseen = newest
+		case f.confirm(sent, newest, at):
+			past = 0
+		default:
+			if past++; past == pastChecks {
+				return errPast
+			}
+		}
+	}
+}
+
+// confirm reports a time of confirmation, unless the store is behind what is
+// known: an old answer proves nothing about now.
+func (f *Follower) confirm(sent time.Time, newest, at Revision) bool {
+	known := max(Revision(f.seen.Load()), newest)
+	if f.Floor != nil {
+		known = max(known, f.Floor())
+	}
+	if at < known {
+		f.report(fmt.Errorf("%w: its revision is %d, known is %d", errPast, at, known))
+		return false
+	}
+	f.report(nil)
+	if f.Confirmed != nil {
+		f.Confirmed(sent)
+	}
+	return true
+}
+
+func (f *Follower) report(err error) {
+	s := ""
+	if err != nil {
+		s = err.Error()
+	}
+	if s == f.problem {
+		return
+	}
+	f.problem = s
+	if f.Problem != nil {
+		f.Problem(err)
+	}
+}
+
+func (f *Follower) now() time.Time {
+	if f.Now == nil {
+		return time.Now()
+	}
+	return f.Now()
+}
+
+func (f *Follower) interval() time.Duration {
+	if f.Check == 0 {
+		return DefaultCheck
+	}
+	return f.Check
+}
+
+// spread returns a time from half of d to one and a half.
+func (f *Follower) spread(d time.Duration) time.Duration {
+	j := rand.Float64
+	if f.Jitter != nil {
+		j = f.Jitter
+	}
+	return time.Duration(float64(d) * (0.5 + j()))
+}
+
+func (f *Follower) sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(f.spread(d))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
