--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -2,6 +2,7 @@
 package cmd
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -18,6 +19,7 @@
 
 // commands lists the subcommands in the order in which the help shows them.
 var commands = []func() *cobra.Command{
+	newState,
 	newVersion,
 }
 
@@ -31,7 +33,7 @@
 	root.SetIn(in)
 	root.SetOut(out)
 	root.SetErr(errOut)
-	err := root.Execute()
+	err := root.ExecuteContext(context.Background())
 	if err == nil {
 		return ExitOK
 	}
