Add the decisions on admission, allotment and roles

Queue: start-time fair queueing by slot time. Home and Spender: token batches that never exceed the burst together with the level. Seat: who may grant.

--- /dev/null
+++ b/core/admit/queue.go
@@ -0,0 +1,269 @@
+// Package admit decides at a holder which exchanges wait, which start next and
+// which are refused. A Queue is owned by one goroutine and reads no clock.
+//
+// The order is start-time fair queueing over the client accounts: an account's
+// share of slot time follows its weight, whatever number of exchanges it sends.
+package admit
+
+import (
+	"time"
+
+	"skylarkdeal/core/exchange"
+	"skylarkdeal/core/failure"
+	"skylarkdeal/core/fleet"
+)
+
+// Limits bounds a queue. Zero fields take the defaults.
+type Limits struct {
+	// PerAccount bounds the waiting exchanges of one account.
+	PerAccount int `json:"per-account"`
+	// Total bounds the waiting exchanges of all accounts.
+	Total int `json:"total"`
+	// Slots is how many exchanges the group's instances work on at a time.
+	Slots int `json:"slots"`
+	// WriteSlots is the part of Slots that writes can use: the primary's.
+	WriteSlots int `json:"write-slots"`
+	// LongAfter is the slot time from which an exchange counts as long.
+	LongAfter time.Duration `json:"long-after"`
+}
+
+// The defaults of Limits. They are made for a group of 2-slot instances with
+// statements of about 1 ms: 256 waiting exchanges are a quarter of a second of
+// one account's work, which is about as long as a caller waits gladly, and
+// 2048 leave room for eight accounts at their bound. Beyond that a longer queue
+// only makes answers later. A statement of 50 ms delays one behind it by more
+// than a caller's usual round trips, so it must not take the last slot.
+const (
+	DefaultPerAccount = 256
+	DefaultTotal      = 2048
+	DefaultSlots      = 6
+	DefaultWriteSlots = 2
+	DefaultLongAfter  = 50 * time.Millisecond
+)
+
+// Item is one exchange that asks to be worked on.
+type Item struct {
+	// Key is unique among the exchanges in the queue.
+	Key     uint64
+	Account fleet.Account
+	// Weight is the account's share against the others', usually its rate.
+	Weight   float64
+	Deadline time.Time
+	Intent   exchange.Intent
+	// Kind tells statements of one text from others, as a hash; zero is unknown.
+	Kind uint64
+	// Pinned is set for an exchange of an open transaction.
+	Pinned bool
+	// Long is set by the queue when the slot time is expected to be long, for
+	// the function that looks for a slot: it must leave an instance's last one.
+	Long bool
+}
+
+// Verdict is the answer to an offer: a nil Refusal means that the item waits.
+type Verdict struct {
+	Refusal *failure.Refusal
+}
+
+// Refused is a waiting item that was given up. It has not been run.
+type Refused struct {
+	Item    Item
+	Refusal *failure.Refusal
+}
+
+// waiting is an item with the slot time that it is expected to take.
+type waiting struct {
+	Item
+	since  time.Time
+	expect time.Duration
+}
+
+// started is an item that has a slot.
+type started struct {
+	account *account
+	item    Item
+	expect  time.Duration
+}
+
+// account is the state of one client account.
+type account struct {
+	name   fleet.Account
+	weight float64
+	// lanes holds the waiting items by intent, so that a write that waits for
+	// the primary doesn't hold up the reads behind it.
+	lanes [2][]waiting
+	// tag is the virtual time at which the account's next item starts.
+	tag float64
+	// backlog is the slot time that the waiting items are expected to take.
+	backlog time.Duration
+	running int
+}
+
+const (
+	laneWrite = iota
+	laneRead
+)
+
+func lane(i exchange.Intent) int {
+	if i == exchange.IntentRead {
+		return laneRead
+	}
+	return laneWrite
+}
+
+func (a *account) len() int {
+	return len(a.lanes[laneWrite]) + len(a.lanes[laneRead])
+}
+
+// Queue holds the exchanges that wait for a slot of one group. The zero Queue
+// works with the default limits. It is not safe for concurrent use.
+type Queue struct {
+	Limits Limits
+
+	accounts map[fleet.Account]*account
+	pinned   []waiting
+	running  map[uint64]started
+	history  history
+	// virtual is the tag of the item started last.
+	virtual float64
+	waiting int
+	backlog time.Duration
+	// long counts the running long items: all of them, and the writes.
+	long, longWrites int
+	refused          int
+}
+
+// Offer puts i in the queue or refuses it.
+//
+// The bounds are made for an account that floods and for a group that falls
+// behind. They keep the memory and the wait of a queue small; a refused item
+// leaves no trace, so the caller may come back after the hint. An account with
+// nothing waiting is taken beyond the total, so that many floods at once don't
+// lock out the one that keeps within its share. An exchange of an
+// open transaction is always taken: it holds a connection that others wait for,
+// and a caller has only one of them at a time.
+func (q *Queue) Offer(now time.Time, i Item) Verdict {
+	w := waiting{Item: i, since: now, expect: q.history.expect(i)}
+	if i.Pinned {
+		q.pinned = append(q.pinned, w)
+		q.waiting++
+		q.backlog += w.expect
+		return Verdict{}
+	}
+	a := q.account(i)
+	if r := q.refuse(now, a, w); r != nil {
+		q.refused++
+		q.forget(a)
+		return Verdict{Refusal: r}
+	}
+	if a.len() == 0 {
+		a.tag = max(a.tag, q.virtual)
+	}
+	l := lane(i.Intent)
+	a.lanes[l] = append(a.lanes[l], w)
+	a.backlog += w.expect
+	q.backlog += w.expect
+	q.waiting++
+	return Verdict{}
+}
+
+// refuse returns why w can't wait, or nil.
+func (q *Queue) refuse(now time.Time, a *account, w waiting) *failure.Refusal {
+	wait := q.wait(a)
+	switch {
+	case a.len() >= q.limits().PerAccount:
+		return refusal("the account's queue is full", wait)
+	case q.waiting >= q.limits().Total && a.len() > 0:
+		return refusal("the queue of the service is full", wait)
+	case q.waiting >= q.limits().Total+q.limits().PerAccount:
+		return refusal("the queue of the service is full", wait)
+	case late(now, wait+w.expect, w.Deadline):
+		return refusal("the deadline can't be met", wait+w.expect-w.Deadline.Sub(now))
+	}
+	return nil
+}
+
+// late reports whether work that takes d from now on ends after the deadline.
+func late(now time.Time, d time.Duration, deadline time.Time) bool {
+	return !deadline.IsZero() && now.Add(d).After(deadline)
+}
+
+// minRetryAfter keeps a refused caller from coming back at once.
+const minRetryAfter = 10 * time.Millisecond
+
+func refusal(reason string, after time.Duration) *failure.Refusal {
+	return &failure.Refusal{
+		Code:       failure.CodeOverloaded,
+		Message:    "not run: " + reason,
+		RetryAfter: max(after, minRetryAfter),
+		Step:       "admit",
+	}
+}
+
+// wait returns how long a new item of a is expected to wait for its start: the
+// account's own backlog at its fair share, and no longer than until all of the
+// queue has been worked off.
+func (q *Queue) wait(a *account) time.Duration {
+	slots := time.Duration(q.limits().Slots)
+	all := q.backlog / slots
+	if a.weight <= 0 {
+		return all
+	}
+	weights := a.weight
+	for _, o := range q.accounts {
+		if o != a && o.len() > 0 {
+			weights += o.weight
+		}
+	}
+	own := time.Duration(float64(a.backlog)*weights/a.weight) / slots
+	return min(own, all)
+}
+
+// account returns the state of i's account, with its present weight.
+func (q *Queue) account(i Item) *account {
+	if q.accounts == nil {
+		q.accounts = map[fleet.Account]*account{}
+		q.running = map[uint64]started{}
+	}
+	a := q.accounts[i.Account]
+	if a == nil {
+		a = &account{name: i.Account, tag: q.virtual}
+		q.accounts[i.Account] = a
+	}
+	a.weight = i.Weight
+	if a.weight <= 0 {
+		a.weight = 1
+	}
+	return a
+}
+
+// forget drops an account that has nothing waiting or running and is owed no
+// share, so that the map doesn't grow with every account ever seen. One whose
+// tag is ahead stays, lest it shed what it has used by going away.
+func (q *Queue) forget(a *account) {
+	if a.len() == 0 && a.running == 0 && a.tag <= q.virtual {
+		delete(q.accounts, a.name)
+	}
+}
+
+// limits returns the limits with the defaults filled in.
+func (q *Queue) limits() Limits {
+	l := q.Limits
+	l.PerAccount = either(l.PerAccount, DefaultPerAccount)
+	l.Total = either(l.Total, DefaultTotal)
+	l.Slots = either(l.Slots, DefaultSlots)
+	l.WriteSlots = either(l.WriteSlots, min(DefaultWriteSlots, l.Slots))
+	l.LongAfter = either(l.LongAfter, DefaultLongAfter)
+	return l
+}
+
+func either[T int | time.Duration](v, other T) T {
+	if v > 0 {
+		return v
+	}
+	return other
+}
+
+// Len returns how many items wait.
+func (q *Queue) Len() int {
+	return q.waiting
+}
--- /dev/null
+++ b/core/allot/home.go
@@ -0,0 +1,195 @@
+package allot
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"skylarkdeal/core/document"
+	"skylarkdeal/core/fleet"
+)
+
+// GrantID names a grant of one home; it is unique for one tenure of a home.
+type GrantID uint64
+
+// Report tells a home what has become of one of its grants.
+type Report struct {
+	Grant GrantID
+	// Left is how much of the grant is not spent.
+	Left Tokens
+	// Closed gives the rest back: the spender will never spend it.
+	Closed bool
+}
+
+// Ask is a spender's request for tokens.
+type Ask struct {
+	Spender fleet.Host
+	// Urgent is what exchanges wait for now.
+	Urgent Tokens
+	// Ahead is what is likely to be wanted within half a Lifetime.
+	Ahead   Tokens
+	Reports []Report
+}
+
+// Grant is the answer to an Ask.
+type Grant struct {
+	ID     GrantID
+	Tokens Tokens
+	// RetryAfter is when one token more may be had, if fewer were granted than
+	// are urgent.
+	RetryAfter time.Duration
+}
+
+// outstanding is a grant that may still be spent.
+type outstanding struct {
+	id    GrantID
+	to    fleet.Host
+	left  Tokens
+	until time.Time
+}
+
+// Home grants one data centre's share of one account's rate. The zero Home
+// grants nothing until Start. It is not safe for concurrent use.
+//
+// It is a token bucket with one rule more: the level and the grants that may
+// still be spent never exceed the burst together. All that can be spent in a
+// window [s, e] is outstanding at s, in the bucket at s, or grows until e, hence
+// at most burst + rate·(e-s): the bound holds for every window, although grants
+// are spent later than they are made.
+type Home struct {
+	version document.Version
+	share   Share
+	level   float64
+	// from is the time up to which the level has grown.
+	from    time.Time
+	out     []outstanding
+	lastID  GrantID
+	started bool
+}
+
+// Start begins a tenure at now with the given share. The bucket starts empty,
+// and begins to grow only when the grants of any predecessor have expired: a
+// host that restarts, or takes over, knows nothing of what was spent before. The
+// caller has made sure that no predecessor grants any more (see Seat).
+func (h *Home) Start(now time.Time, v document.Version, s Share, id GrantID) {
+	*h = Home{version: v, share: s, from: now.Add(Overdue), lastID: id, started: true}
+}
+
+// Started reports whether the home's tenure has begun.
+func (h *Home) Started() bool {
+	return h.started
+}
+
+// Change puts the share of a newer version of the document in force. A lower
+// burst takes effect at once on what is not granted yet; a higher one has to
+// grow. An older version changes nothing.
+func (h *Home) Change(now time.Time, v document.Version, s Share) {
+	if v <= h.version {
+		return
+	}
+	h.grow(now)
+	h.version, h.share = v, s
+	h.trim()
+}
+
+// grow adds what has accrued since the last call. A clock that steps back adds
+// nothing. What can't be kept is lost, as in any bucket that is full.
+func (h *Home) grow(now time.Time) {
+	h.expire(now)
+	if d := now.Sub(h.from); d > 0 {
+		h.level += h.share.Rate * d.Seconds()
+		h.from = now
+	}
+	h.trim()
+}
+
+// trim keeps level + outstanding within the burst.
+func (h *Home) trim() {
+	h.level = max(0, min(h.level, h.share.Burst-float64(h.outstanding())))
+}
+
+func (h *Home) expire(now time.Time) {
+	h.out = slices.DeleteFunc(h.out, func(o outstanding) bool { return now.After(o.until) })
+}
+
+// outstanding returns the tokens that may still be spent.
+func (h *Home) outstanding() Tokens {
+	var n Tokens
+	for _, o := range h.out {
+		n += o.left
+	}
+	return n
+}
+
+// Ask answers a spender. Urgent wants are met first come, first served, as a
+// single bucket would; wants ahead only from half of what is left, so that one
+// host's stock doesn't make another one refuse.
+func (h *Home) Ask(now time.Time, a Ask) Grant {
+	if !h.started {
+		return Grant{RetryAfter: Lifetime}
+	}
+	h.grow(now)
+	h.report(a.Reports)
+	have := Tokens(math.Floor(h.level))
+	n := min(max(a.Urgent, 0), have)
+	n += min(max(a.Ahead, 0), (have-n)/2)
+	g := Grant{Tokens: n}
+	if n < a.Urgent {
+		g.RetryAfter = h.next(now, n)
+	}
+	if n == 0 {
+		return g
+	}
+	h.lastID++
+	g.ID = h.lastID
+	h.level -= float64(n)
+	h.out = append(h.out, outstanding{id: g.ID, to: a.Spender, left: n, until: now.Add(Overdue)})
+	return g
+}
+
+// next returns how long it takes until one token more than n is there. A full
+// bucket of outstanding grants grows only when one of them ends.
+func (h *Home) next(now time.Time, n Tokens) time.Duration {
+	if h.share.Rate <= 0 {
+		return time.Second
+	}
+	missing := float64(n) + 1 - h.level
+	d := time.Duration(missing / h.share.Rate * float64(time.Second))
+	if start := h.from.Sub(now); start > 0 {
+		d += start
+	}
+	return max(d, time.Millisecond)
+}
+
+// report takes in what spenders say of their grants. A report can come twice or
+// late, after a newer one: what is left only falls, and a grant closed once is
+// gone, so none is counted back twice.
+func (h *Home) report(reports []Report) {
+	for _, r := range reports {
+		i := slices.IndexFunc(h.out, func(o outstanding) bool { return o.id == r.Grant })
+		if i < 0 {
+			continue
+		}
+		o := &h.out[i]
+		o.left = min(o.left, max(r.Left, 0))
+		if r.Closed {
+			h.level += float64(o.left)
+			h.out = slices.Delete(h.out, i, i+1)
+		}
+	}
+	h.trim()
+}
+
+// HomeState is what a state dump shows of a home.
+type HomeState struct {
+	Version     document.Version `json:"version"`
+	Share       Share            `json:"share"`
+	Level       float64          `json:"level"`
+	Outstanding Tokens           `json:"outstanding"`
+	Grants      GrantID          `json:"grants"`
+}
+
+// State returns the home's state at its last change.
+func (h *Home) State() HomeState {
+	return HomeState{h.version, h.share, h.level, h.outstanding(), h.lastID}
+}
--- /dev/null
+++ b/core/allot/seat.go
@@ -0,0 +1,224 @@
+package allot
+
+import (
+	"time"
+
+	"skylarkdeal/core/fleet"
+)
+
+// SeatName names the right to be the home of one shard in one data centre.
+type SeatName string
+
+// Process is one run of the program on a host. A host that restarts is another
+// process: it has forgotten all that the former one granted or promised.
+type Process struct {
+	Host  fleet.Host `json:"host"`
+	Epoch uint64     `json:"epoch"`
+}
+
+// SeatRecord is what the platform's store says of a seat. It is only changed by
+// compare-and-swap and stays when its holder's lease ends.
+type SeatRecord struct {
+	// Holder has the seat; the zero Process when it was given back.
+	Holder Process `json:"holder"`
+	// Witness consents to the holder's tenure while the store can't be reached;
+	// the zero Process when there is none.
+	Witness Process `json:"witness"`
+	// Tenure counts the changes of the record.
+	Tenure uint64 `json:"tenure"`
+}
+
+const (
+	// ConsentFor is how long a witness's consent lasts, by the holder's clock
+	// from the moment at which it asked. It bounds how long a successor waits.
+	ConsentFor = time.Second
+	// consentOverdue is how long the witness counts it, for clocks that run
+	// apart as in Overdue.
+	consentOverdue = ConsentFor + ConsentFor*3/10
+	// HoldFor bounds a tenure without the store, so that a seat whose holder and
+	// witness are both lost isn't closed for good. It is above the platform's
+	// outages of some ten minutes.
+	HoldFor = 20 * time.Minute
+	// holdOverdue is what a successor waits when the witness is lost too.
+	holdOverdue = HoldFor + HoldFor*3/10
+)
+
+// Seat is a holder's view of its own tenure. The zero Seat is not held.
+//
+// A home must never grant while another one does, nor within Overdue of it. In
+// ordinary times the holder's lease in the store proves that: nobody takes a
+// seat whose holder's lease stands. When the store is down the lease runs out
+// for all, and with it every home would fall silent for the whole outage; then
+// the consent of one other host, the witness named in the record, stands in: a
+// successor must have that consent withdrawn first, and the record names whom to
+// ask. A majority of the data centre's hosts would do as well where there are
+// many, but of two hosts, today's size, a majority is lost with either.
+type Seat struct {
+	record  SeatRecord
+	held    bool
+	leased  time.Time
+	consent time.Time
+	hold    time.Time
+}
+
+// Won notes that the record is in force as the store answered it, with this
+// process as its holder.
+func (s *Seat) Won(r SeatRecord) {
+	*s = Seat{record: r, held: true}
+}
+
+// Lost ends the tenure: the record is another's, or may be.
+func (s *Seat) Lost() {
+	*s = Seat{}
+}
+
+// Leased notes that the process's lease in the store stands until the given
+// time of its own clock, counted from when the renewal was sent.
+func (s *Seat) Leased(until time.Time) {
+	if until.After(s.leased) {
+		s.leased = until
+		s.hold = until.Add(HoldFor)
+	}
+}
+
+// Consented notes that the witness consented to an ask that was sent at sent.
+func (s *Seat) Consented(sent time.Time, by Process, tenure uint64) {
+	if by == s.record.Witness && tenure == s.record.Tenure {
+		s.consent = sent.Add(ConsentFor)
+	}
+}
+
+// May reports whether the holder may grant at now. It is asked anew for each
+// grant, with a clock that has counted any pause, so that a holder that wakes
+// stops before it does anything.
+func (s *Seat) May(now time.Time) bool {
+	if !s.held {
+		return false
+	}
+	return now.Before(s.leased) || now.Before(s.consent) && now.Before(s.hold)
+}
+
+// Held reports whether the process takes itself for the holder.
+func (s *Seat) Held() bool {
+	return s.held
+}
+
+// Record returns the record of the tenure.
+func (s *Seat) Record() SeatRecord {
+	return s.record
+}
+
+// Until returns the end of the lease, from which on consent is needed.
+func (s *Seat) Until() time.Time {
+	return s.leased
+}
+
+// Witness keeps what one process has consented to. The zero Witness works.
+type Witness struct {
+	// Since is when the process started: a former one of the same host may have
+	// consented until shortly before.
+	Since time.Time
+
+	seats map[SeatName]consent
+}
+
+type consent struct {
+	// withdrawn is the highest tenure that gets no consent any more.
+	withdrawn uint64
+	until     time.Time
+}
+
+// Consent answers a holder: whether its tenure may go on for ConsentFor.
+func (w *Witness) Consent(now time.Time, n SeatName, tenure uint64) bool {
+	c := w.seats[n]
+	if tenure <= c.withdrawn {
+		return false
+	}
+	c.until = now.Add(consentOverdue)
+	w.set(n, c)
+	return true
+}
+
+// Withdraw answers a successor, which has seen in the store that the holder's
+// lease is gone. No tenure up to the given one gets consent any more; the answer
+// is how long the last consent may still stand.
+func (w *Witness) Withdraw(now time.Time, n SeatName, tenure uint64) time.Duration {
+	c := w.seats[n]
+	c.withdrawn = max(c.withdrawn, tenure)
+	w.set(n, c)
+	return max(0, c.until.Sub(now), w.Since.Add(consentOverdue).Sub(now))
+}
+
+func (w *Witness) set(n SeatName, c consent) {
+	if w.seats == nil {
+		w.seats = map[SeatName]consent{}
+	}
+	w.seats[n] = c
+}
+
+// Step is what a host that wants a seat does next.
+type Step string
+
+// The steps of a claim.
+const (
+	// StepRest: another host holds the seat.
+	StepRest Step = "rest"
+	// StepAdopt: the record already names this process, so the answer to its
+	// swap was lost.
+	StepAdopt Step = "adopt"
+	// StepWithdraw: ask the witness to withdraw its consent.
+	StepWithdraw Step = "withdraw"
+	// StepWait: a former consent or hold hasn't ended.
+	StepWait Step = "wait"
+	// StepSwap: put the own process into the record.
+	StepSwap Step = "swap"
+)
+
+// Claim is a host's attempt to take a seat. The zero Claim works.
+type Claim struct {
+	record SeatRecord
+	// gone is when the claimant first saw that the holder's lease was gone.
+	gone time.Time
+	// free is when the withdrawn consent has ended; zero before the answer.
+	free time.Time
+}
+
+// Next returns the step to take after the store has shown the record r, and
+// whether the lease of its holder stands.
+func (c *Claim) Next(now time.Time, self Process, r SeatRecord, leased bool) Step {
+	if r.Holder == self {
+		return StepAdopt
+	}
+	if r.Holder == (Process{}) {
+		return StepSwap
+	}
+	if leased {
+		*c = Claim{}
+		return StepRest
+	}
+	if c.record != r || c.gone.IsZero() {
+		*c = Claim{record: r, gone: now}
+	}
+	if r.Witness == (Process{}) || !c.free.IsZero() && !now.Before(c.free) {
+		return StepSwap
+	}
+	if !c.free.IsZero() {
+		return StepWait
+	}
+	if now.Sub(c.gone) > holdOverdue {
+		return StepSwap
+	}
+	return StepWithdraw
+}
+
+// Withdrawn takes in the witness's answer to StepWithdraw for record r.
+func (c *Claim) Withdrawn(now time.Time, r SeatRecord, remains time.Duration) {
+	if c.record == r {
+		c.free = now.Add(remains)
+	}
+}
+
+// Taken returns the record that a claim puts in the place of r.
+func Taken(r SeatRecord, self, witness Process) SeatRecord {
+	return SeatRecord{Holder: self, Witness: witness, Tenure: r.Tenure + 1}
+}
--- /dev/null
+++ b/core/allot/share.go
@@ -0,0 +1,81 @@
+// Package allot decides how much of a client account's rate each host may spend,
+// so that all hosts together never admit more than rate·w + burst in any window
+// w, whoever is cut off, paused, lost or restarted.
+//
+// Each data centre of the document owns a share of the account's rate and burst.
+// One host of the data centre, the home, grants that share in short-lived
+// batches of tokens, to the hosts of its own data centre and of others. A host
+// spends a batch before it expires; the home counts it until later than that.
+package allot
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"skylarkdeal/core/fleet"
+)
+
+// Share is a data centre's part of an account's rate and burst.
+type Share struct {
+	// Rate is in tokens a second.
+	Rate float64 `json:"rate"`
+	// Burst is in tokens.
+	Burst float64 `json:"burst"`
+}
+
+// Tokens is a number of tokens; one token admits one exchange.
+type Tokens int64
+
+// Lifetime is how long a grant may be spent, by the spender's clock from the
+// moment at which it sent its request. The home loses the growth of a full
+// bucket for so long after a grant whose use it hasn't heard of, so it is short
+// against burst/rate; and long against a round trip of some milliseconds.
+const Lifetime = 200 * time.Millisecond
+
+// Overdue is how long the home counts a grant by its own clock. It covers clocks
+// that run apart by up to a tenth: the spender's may be slow by one part in ten
+// and the home's fast by as much.
+const Overdue = Lifetime + Lifetime*3/10
+
+// ShareOf returns the part of rate and burst that belongs to the data centre d
+// out of all, for the account a of service s.
+//
+// Bursts are split in whole tokens, as a part of a token admits nothing, and the
+// rate in the same proportion. The data centres that get a token more differ by
+// account. The parts depend on the document alone, never on which hosts or data
+// centres can be reached, so they add up to rate and burst under any partition.
+func ShareOf(rate, burst float64, s fleet.Service, a fleet.Account, d fleet.DataCentre, all []fleet.DataCentre) Share {
+	whole := math.Floor(burst)
+	if whole < 1 || len(all) == 0 {
+		return Share{}
+	}
+	n := float64(len(all))
+	place := -1
+	rank := 0
+	for i, o := range all {
+		if o == d {
+			place = i
+		}
+	}
+	if place < 0 {
+		return Share{}
+	}
+	mine := rankOf(s, a, d)
+	for i, o := range all {
+		r := rankOf(s, a, o)
+		if r < mine || r == mine && i < place {
+			rank++
+		}
+	}
+	part := math.Floor(whole / n)
+	if float64(rank) < whole-part*n {
+		part++
+	}
+	return Share{Rate: rate * part / whole, Burst: part}
+}
+
+func rankOf(s fleet.Service, a fleet.Account, d fleet.DataCentre) uint64 {
+	return xxhash.Sum64String(string(s) + "\x00" + string(a) + "\x00" + string(d))
+}
--- /dev/null
+++ b/core/allot/spender.go
@@ -0,0 +1,278 @@
+package allot
+
+import (
+	"math"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"skylarkdeal/core/fleet"
+)
+
+// source is what a spender knows of one data centre's home.
+type source struct {
+	// asked is when the request in flight was sent; zero when none is.
+	asked time.Time
+	// not is the time before which the home has nothing to give.
+	not     time.Time
+	reports []Report
+}
+
+// Spender holds the tokens of one account on one host. Take may be called by any
+// goroutine; all else belongs to one.
+type Spender struct {
+	Host fleet.Host
+	// Own is the host's data centre, whose home is asked first.
+	Own fleet.DataCentre
+
+	// current is the stock that Take spends.
+	current atomic.Pointer[stock]
+	stocks  []*stock
+	sources map[fleet.DataCentre]*source
+	demand  demand
+	taken   atomic.Int64
+}
+
+// Wanted is an Ask with the data centre whose home is to be asked.
+type Wanted struct {
+	DataCentre fleet.DataCentre
+	Ask        Ask
+}
+
+// AskTimeout is how long an answer of a home is waited for before another ask.
+const AskTimeout = 100 * time.Millisecond
+
+// Take spends n tokens and reports whether they were at hand.
+func (s *Spender) Take(now time.Time, n Tokens) bool {
+	c := s.current.Load()
+	if c == nil || !c.take(now, n) {
+		return false
+	}
+	s.taken.Add(int64(n))
+	return true
+}
+
+// TakeAny is Take from any of the stocks; it also makes the oldest one with
+// something left the current one.
+func (s *Spender) TakeAny(now time.Time, n Tokens) bool {
+	s.tidy(now)
+	for _, c := range s.stocks {
+		if c.take(now, n) {
+			s.taken.Add(int64(n))
+			s.current.Store(c)
+			return true
+		}
+	}
+	return false
+}
+
+// tidy drops the stocks that are spent or have expired, and notes the report of
+// each for its home.
+func (s *Spender) tidy(now time.Time) {
+	s.stocks = slices.DeleteFunc(s.stocks, func(c *stock) bool {
+		if c.left.Load() > 0 && now.Before(c.until) {
+			return false
+		}
+		s.settle(c)
+		return true
+	})
+}
+
+// settle gives back what is left of c with the next ask of its home. What the
+// home has counted as expired by then it ignores.
+func (s *Spender) settle(c *stock) {
+	o := s.source(c.from)
+	o.reports = append(o.reports, Report{Grant: c.id, Left: c.close(), Closed: true})
+	if n := len(o.reports); n > maxReports {
+		o.reports = slices.Delete(o.reports, 0, n-maxReports)
+	}
+}
+
+// maxReports bounds the reports kept for a home that can't be reached; those
+// lost would have been of grants that expire there anyway.
+const maxReports = 32
+
+func (s *Spender) source(d fleet.DataCentre) *source {
+	if s.sources == nil {
+		s.sources = map[fleet.DataCentre]*source{}
+	}
+	o := s.sources[d]
+	if o == nil {
+		o = &source{}
+		s.sources[d] = o
+	}
+	return o
+}
+
+// Next returns the ask to send now, if any, when waiting tokens are wanted by
+// exchanges that wait.
+//
+// The home of the own data centre comes first, being nearest; another is asked
+// only when those before have said that they have nothing, one at a time, so
+// that a small want doesn't empty several buckets. Stock is laid in for half a
+// Lifetime of recent demand: a busy account costs a host ten messages a second
+// at any rate, an idle one none.
+func (s *Spender) Next(now time.Time, waiting Tokens, all []fleet.DataCentre) (Wanted, bool) {
+	s.tidy(now)
+	s.demand.update(now, s.taken.Load())
+	have := s.Left(now)
+	stockUp := Tokens(math.Ceil(s.demand.perSecond * (Lifetime / 2).Seconds()))
+	if waiting <= 0 && (have >= (stockUp+1)/2 || s.demand.idle(now)) {
+		return Wanted{}, false
+	}
+	for _, d := range s.order(all) {
+		o := s.source(d)
+		if !o.asked.IsZero() && now.Sub(o.asked) < AskTimeout {
+			if waiting > 0 {
+				return Wanted{}, false
+			}
+			continue
+		}
+		if now.Before(o.not) {
+			continue
+		}
+		o.asked = now
+		a := Ask{
+			Spender: s.Host, Urgent: max(0, waiting-have),
+			Ahead: max(0, stockUp-have), Reports: s.reports(d),
+		}
+		return Wanted{DataCentre: d, Ask: a}, true
+	}
+	return Wanted{}, false
+}
+
+// order returns the data centres in the order in which they are asked.
+func (s *Spender) order(all []fleet.DataCentre) []fleet.DataCentre {
+	i := slices.Index(all, s.Own)
+	if i <= 0 {
+		return all
+	}
+	return append(slices.Clone(all[i:]), all[:i]...)
+}
+
+// reports returns what the home of d is to be told: the grants that have ended
+// since, and what is left of the others.
+func (s *Spender) reports(d fleet.DataCentre) []Report {
+	o := s.source(d)
+	out := slices.Clone(o.reports)
+	for _, c := range s.stocks {
+		if c.from == d {
+			out = append(out, Report{Grant: c.id, Left: Tokens(c.left.Load())})
+		}
+	}
+	return out
+}
+
+// Granted takes in the answer of d's home to an ask that was sent at sent. The
+// grant's life counts from then, which was before the home made it.
+func (s *Spender) Granted(now, sent time.Time, d fleet.DataCentre, a Ask, g Grant) {
+	o := s.source(d)
+	o.asked = time.Time{}
+	told := len(a.Reports)
+	o.reports = slices.DeleteFunc(o.reports, func(r Report) bool {
+		return slices.Contains(a.Reports[:told], r)
+	})
+	if g.Tokens < a.Urgent || g.Tokens == 0 {
+		o.not = now.Add(max(g.RetryAfter, minPause))
+	}
+	if g.Tokens <= 0 {
+		return
+	}
+	c := &stock{from: d, id: g.ID, until: sent.Add(Lifetime)}
+	c.left.Store(int64(g.Tokens))
+	s.stocks = append(s.stocks, c)
+	if cur := s.current.Load(); cur == nil || cur.left.Load() == 0 || !now.Before(cur.until) {
+		s.current.Store(c)
+	}
+}
+
+// minPause keeps a spender from asking an empty home again at once.
+const minPause = time.Millisecond
+
+// Failed notes that d's home didn't answer: it isn't asked for a while, so that
+// a cut costs each exchange at most one wait.
+func (s *Spender) Failed(now time.Time, d fleet.DataCentre) {
+	o := s.source(d)
+	o.asked = time.Time{}
+	o.not = now.Add(failedPause)
+}
+
+// failedPause is how long a home that failed is not asked.
+const failedPause = 100 * time.Millisecond
+
+// Earliest returns when a home may have tokens again: now when an answer is
+// awaited or a home can be asked.
+func (s *Spender) Earliest(now time.Time, all []fleet.DataCentre) time.Time {
+	var at time.Time
+	for _, d := range all {
+		o := s.source(d)
+		if !o.asked.IsZero() || !now.Before(o.not) {
+			return now
+		}
+		if at.IsZero() || o.not.Before(at) {
+			at = o.not
+		}
+	}
+	return at
+}
+
+// Left returns the tokens at hand.
+func (s *Spender) Left(now time.Time) Tokens {
+	var n Tokens
+	for _, c := range s.stocks {
+		if now.Before(c.until) {
+			n += Tokens(c.left.Load())
+		}
+	}
+	return n
+}
+
+// Leave ends all stocks and returns, for each home, the ask that gives the
+// unspent tokens back, so that the hosts that stay can use them at once.
+func (s *Spender) Leave() []Wanted {
+	for _, c := range s.stocks {
+		s.settle(c)
+	}
+	s.stocks = nil
+	var out []Wanted
+	for d, o := range s.sources {
+		if len(o.reports) > 0 {
+			out = append(out, Wanted{DataCentre: d, Ask: Ask{Spender: s.Host, Reports: o.reports}})
+			o.reports = nil
+		}
+	}
+	return out
+}
+
+// demand follows how many tokens a second are taken.
+type demand struct {
+	perSecond float64
+	seen      int64
+	at        time.Time
+	last      time.Time
+}
+
+// demandWindow is the time constant of the moving average.
+const demandWindow = 200 * time.Millisecond
+
+func (d *demand) update(now time.Time, taken int64) {
+	if d.at.IsZero() {
+		d.at, d.last = now, now
+	}
+	dt := now.Sub(d.at)
+	if dt < demandWindow/20 {
+		return
+	}
+	n := float64(taken - d.seen)
+	if n > 0 {
+		d.last = now
+	}
+	keep := math.Exp(-dt.Seconds() / demandWindow.Seconds())
+	d.perSecond = d.perSecond*keep + n/dt.Seconds()*(1-keep)
+	d.seen, d.at = taken, now
+}
+
+// idle reports whether nothing was taken for a while.
+func (d *demand) idle(now time.Time) bool {
+	return now.Sub(d.last) > demandWindow
+}
--- /dev/null
+++ b/core/allot/stock.go
@@ -0,0 +1,39 @@
+package allot
+
+import (
+	"sync/atomic"
+	"time"
+
+	"skylarkdeal/core/fleet"
+)
+
+// stock is what is left of one grant at its spender. It is safe for concurrent
+// use, so that exchanges are admitted without a lock.
+type stock struct {
+	from  fleet.DataCentre
+	id    GrantID
+	until time.Time
+	left  atomic.Int64
+}
+
+// take spends n whole tokens and reports whether they were there.
+//
+// It only ever subtracts what is there: had it subtracted first and put back
+// what was too much, a close in between would count those tokens as unspent and
+// the put-back would create them anew.
+func (s *stock) take(now time.Time, n Tokens) bool {
+	for {
+		v := s.left.Load()
+		if v < int64(n) || !now.Before(s.until) {
+			return false
+		}
+		if s.left.CompareAndSwap(v, v-int64(n)) {
+			return true
+		}
+	}
+}
+
+// close ends the stock and returns what was unspent.
+func (s *stock) close() Tokens {
+	return Tokens(s.left.Swap(0))
+}
