--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -2,6 +2,7 @@
 package cmd
 
 import (
+	"context"
 	"fmt"
 	"io"
 
@@ -19,6 +20,7 @@
 var commands = []func() *cobra.Command{
 	newDocument,
 	newKey,
+	newState,
 	newVersion,
 }
 
@@ -32,7 +34,7 @@
 	root.SetIn(in)
 	root.SetOut(out)
 	root.SetErr(errOut)
-	err := root.Execute()
+	err := root.ExecuteContext(context.Background())
 	if err == nil {
 		return ExitOK
 	}
--- a/internal/cmd/cmd_document.go
+++ b/internal/cmd/cmd_document.go
@@ -1,7 +1,6 @@
 package cmd
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -104,9 +103,6 @@
 			return err
 		}
 		defer done()
-		if c.Context() == nil {
-			c.SetContext(context.Background())
-		}
 		return do(c, e, args)
 	}
 }
