--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -21,6 +21,7 @@
 	newDocument,
 	newKey,
 	newState,
+	newStandin,
 	newVersion,
 }
 
