--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -18,6 +18,7 @@
 
 // commands lists the subcommands in the order in which the help shows them.
 var commands = []func() *cobra.Command{
+	newServe,
 	newDocument,
 	newKey,
 	newState,
--- /dev/null
+++ b/internal/serve/peer.go
@@ -0,0 +1,94 @@
+package serve
+
+import (
+	"context"
+	"strings"
+
+	"skylarkdeal/core/failure"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/io/host/hostpb"
+	"skylarkdeal/io/spread"
+)
+
+// address returns where a host's inner protocol is. A seed of the settings is
+// known by its address alone, which stands for its name until it is heard from.
+func (h *Host) address(n fleet.Host) (string, bool) {
+	for _, m := range h.members.Members() {
+		if m.Host == n {
+			return m.Peer, true
+		}
+	}
+	if strings.Contains(string(n), ":") {
+		return string(n), true
+	}
+	return "", false
+}
+
+// hello is the opening of messages that are made outside io/host.
+func (h *Host) hello() *hostpb.Hello {
+	return &hostpb.Hello{Host: string(h.settings.Host.Name), Epoch: h.epoch}
+}
+
+func (h *Host) spreadConfig() spread.Config {
+	s := h.settings
+	return spread.Config{
+		Self:       h.self(),
+		Hello:      h.hello(),
+		Store:      h.store,
+		Prefix:     s.Store.Prefix + documentsDir,
+		Seeds:      s.Peer.Seeds,
+		IsWatcher:  h.members.IsWatcher,
+		Members:    h.members.Members,
+		MembersOut: h.members.Records,
+		MembersIn:  h.members.Merge,
+		Digest: func(ctx context.Context, peer string, q *hostpb.DigestRequest) (*hostpb.DigestResponse, error) {
+			return h.peers.Digest(ctx, fleet.Host(peer), q)
+		},
+		Push: func(ctx context.Context, peer string, q *hostpb.PushRequest) error {
+			_, err := h.peers.Push(ctx, fleet.Host(peer), q)
+			return err
+		},
+		OnChange: h.documentChanged,
+		Log:      h.log,
+		Metrics:  h.registry,
+		Journal:  &h.journal,
+	}
+}
+
+// documentsDir follows the store's prefix in the keys of documents.
+const documentsDir = "documents/"
+
+func (h *Host) digest(_ context.Context, q *hostpb.DigestRequest) (*hostpb.DigestResponse, error) {
+	return h.spread.HandleDigest(q), nil
+}
+
+func (h *Host) push(_ context.Context, q *hostpb.PushRequest) (*hostpb.PushResponse, error) {
+	return h.spread.HandlePush(q), nil
+}
+
+func (h *Host) grant(ctx context.Context, q *hostpb.GrantRequest) (*hostpb.GrantResponse, error) {
+	return h.grants.HandleGrant(ctx, q), nil
+}
+
+func (h *Host) view(_ context.Context, q *hostpb.ViewRequest) (*hostpb.ViewResponse, error) {
+	return h.holder.HandleView(fleet.Service(q.GetService())), nil
+}
+
+func (h *Host) callGrant(ctx context.Context, m fleet.Member, q *hostpb.GrantRequest) (*hostpb.GrantResponse, error) {
+	a, err := h.peers.Grant(ctx, m.Host, q)
+	return a, failure.At(err, "ask for a grant", failure.Peer("host "+string(m.Host)))
+}
+
+// announce tells the other hosts of this host's shutdown by its member record,
+// so that they stop forwarding to it before the next digest.
+func (h *Host) announce(ctx context.Context) {
+	q := &hostpb.PushRequest{Hello: h.hello(), Members: h.members.Records()}
+	for _, m := range h.members.Members() {
+		if m.Host == h.settings.Host.Name {
+			continue
+		}
+		if _, err := h.peers.Push(ctx, m.Host, q); err != nil {
+			h.log.Debug("peer doesn't know of the shutdown yet")
+		}
+	}
+}
--- /dev/null
+++ b/internal/serve/store.go
@@ -0,0 +1,70 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"skylarkdeal/io/grants"
+	"skylarkdeal/io/members"
+	"skylarkdeal/io/platform"
+)
+
+// memberStore keeps the hosts' records in the platform's store.
+func memberStore(s *platform.Store) members.Store {
+	return members.Store{
+		Register: func(ctx context.Context, key string, value []byte, ttl time.Duration) (members.LeaseID, error) {
+			id, err := s.Grant(ctx, ttl)
+			if err != nil {
+				return 0, err
+			}
+			return members.LeaseID(id), s.Put(ctx, key, value, id)
+		},
+		Put: func(ctx context.Context, key string, value []byte, id members.LeaseID) error {
+			return s.Put(ctx, key, value, platform.LeaseID(id))
+		},
+		Renew: func(ctx context.Context, id members.LeaseID) error {
+			_, err := s.KeepAlive(ctx, platform.LeaseID(id))
+			if errors.Is(err, platform.ErrNoLease) {
+				return members.ErrLeaseGone
+			}
+			return err
+		},
+		Revoke: func(ctx context.Context, id members.LeaseID) error {
+			return s.Revoke(ctx, platform.LeaseID(id))
+		},
+		List: func(ctx context.Context, prefix string) ([][]byte, error) {
+			entries, _, err := s.List(ctx, prefix)
+			out := make([][]byte, 0, len(entries))
+			for _, e := range entries {
+				out = append(out, e.Value)
+			}
+			return out, err
+		},
+	}
+}
+
+// seatStore keeps the seats of the accounts' homes in the platform's store.
+func seatStore(s *platform.Store, m *members.Runtime) grants.Store {
+	return grants.Store{
+		List: func(ctx context.Context, prefix string) ([]grants.Entry, error) {
+			entries, _, err := s.List(ctx, prefix)
+			out := make([]grants.Entry, 0, len(entries))
+			for _, e := range entries {
+				out = append(out, grants.Entry{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision)})
+			}
+			return out, err
+		},
+		Swap: func(ctx context.Context, key string, old uint64, value []byte) (uint64, bool, error) {
+			r, err := s.Swap(ctx, platform.Swap{Key: key, Value: value, Expect: platform.Revision(old)})
+			var lost *platform.Conflict
+			if errors.As(err, &lost) {
+				return uint64(lost.Current.Revision), false, nil
+			}
+			return uint64(r), err == nil, err
+		},
+		Standing: m.Standing,
+		Lease:    m.Lease,
+		Epoch:    m.Epoch,
+	}
+}
--- a/io/database/open.go
+++ b/io/database/open.go
@@ -1,6 +1,7 @@
 package database
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -240,7 +241,7 @@
 	cfg.Host, cfg.Port, cfg.Database = host, uint16(n), c.Database
 	cfg.User, cfg.Password = c.User, c.Password
 	cfg.TLSConfig, cfg.Fallbacks = nil, nil
-	cfg.RuntimeParams = map[string]string{"application_name": "skylarkdeal"}
+	cfg.RuntimeParams = map[string]string{"application_name": cmp.Or(string(c.Host), "skylarkdeal")}
 	cfg.ConnectTimeout = c.DialTimeout
 	return cfg, nil
 }
--- a/io/database/pool.go
+++ b/io/database/pool.go
@@ -19,6 +19,8 @@
 type Config struct {
 	Service  fleet.Service
 	Instance fleet.Instance
+	// Host is this host, which the instance gets to see as application_name.
+	Host fleet.Host
 	// Address is an IP address and port.
 	Address string
 	// User and Password are the proxy's own towards the instance; Database is
@@ -133,6 +135,13 @@
 	return failure.Peer("instance " + string(c.Instance))
 }
 
+// Idle returns how many connections TryTake would find.
+func (p *Pool) Idle() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle)
+}
+
 // TryTake returns an idle connection, or false when there is none now. It never
 // waits. The connection is the caller's until Put.
 //
--- /dev/null
+++ b/io/holder/configure.go
@@ -0,0 +1,106 @@
+package holder
+
+import (
+	"context"
+	"slices"
+
+	"skylarkdeal/core/document"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/place"
+	"skylarkdeal/io/control"
+	"skylarkdeal/io/database"
+	"skylarkdeal/io/host/hostpb"
+	"skylarkdeal/io/steward"
+)
+
+func (g *groupRun) stewardConfig() steward.Config {
+	c := g.h.c
+	return steward.Config{
+		Service:    g.service,
+		Host:       c.Host,
+		DataCentre: c.DataCentre,
+		Epoch:      c.Epoch,
+		Document:   g.document.Load,
+		Dial: func(i document.Instance) control.Client {
+			return c.Dial(g.document.Load(), i)
+		},
+		Holders: g.holders,
+		Views: func(ctx context.Context, m fleet.Member) (*hostpb.ViewResponse, error) {
+			return c.View(ctx, m.Host, &hostpb.ViewRequest{Service: string(g.service)})
+		},
+		Now:        c.Now,
+		Logger:     c.Logger,
+		Registerer: c.Registerer,
+		Journal:    c.Journal,
+		Seed:       c.Epoch,
+	}
+}
+
+// holders returns the members that hold the group's connections, the preferred
+// one first.
+func (g *groupRun) holders() []fleet.Member {
+	m := g.h.c.Members()
+	d := g.document.Load()
+	var out []fleet.Member
+	for _, h := range place.Holders(d, m, d.Holders) {
+		i := slices.IndexFunc(m, func(m fleet.Member) bool { return m.Host == h })
+		if i >= 0 {
+			out = append(out, m[i])
+		}
+	}
+	return out
+}
+
+// configure gives each instance the connections and slots that are this host's
+// share of it. A pool whose share is gone lets its transactions end and takes
+// nothing new.
+func (g *groupRun) configure() {
+	d := g.document.Load()
+	hosts := place.Holders(d, g.h.c.Members(), d.Holders)
+	g.holds = slices.Contains(hosts, g.h.c.Host)
+	total := 0
+	for _, i := range d.Instances {
+		s, ok := place.Shares(i, hosts, g.h.c.Host)
+		if !ok {
+			s = place.Share{}
+		}
+		g.slots[i.Name] = s.Slots
+		if i.Leaving {
+			g.slots[i.Name] = 0
+		}
+		total += s.Slots
+		g.pool(d, i).SetLimit(s.Work())
+		g.queue.Limits.WriteSlots = max(1, s.Slots)
+	}
+	g.queue.Limits.Slots = max(1, total)
+	for n, p := range g.pools {
+		if _, ok := d.Instance(n); !ok {
+			p.SetLimit(0)
+			g.slots[n] = 0
+		}
+	}
+}
+
+func (g *groupRun) pool(d *document.Document, i document.Instance) *database.Pool {
+	if p := g.pools[i.Name]; p != nil && g.addresses[i.Name] == i.Address {
+		return p
+	}
+	if p := g.pools[i.Name]; p != nil {
+		p.SetLimit(0)
+	}
+	p := database.NewPool(database.Config{
+		Service:    d.Service,
+		Instance:   i.Name,
+		Address:    i.Address,
+		Host:       g.h.c.Host,
+		User:       g.h.c.User,
+		Password:   g.h.c.Password,
+		Now:        g.h.c.Now,
+		Logger:     g.h.c.Logger,
+		Registerer: g.h.c.Registerer,
+		OnFree:     g.stir,
+	})
+	g.pools[i.Name] = p
+	g.addresses[i.Name] = i.Address
+	return p
+}
--- /dev/null
+++ b/io/holder/group.go
@@ -0,0 +1,439 @@
+package holder
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"skylarkdeal/core/admit"
+	"skylarkdeal/core/document"
+	"skylarkdeal/core/exchange"
+	"skylarkdeal/core/failure"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/group"
+	"skylarkdeal/core/place"
+	"skylarkdeal/core/ring"
+	"skylarkdeal/core/session"
+	"skylarkdeal/io/database"
+	"skylarkdeal/io/steward"
+)
+
+// The bounds of a group's rings and of the exchanges under way.
+const (
+	// maxWorks bounds the exchanges that a group holds in whatever state: those
+	// queued, running, and waiting for a proof. It is above the queue's own
+	// bound by what a slow confirmation may hold up, and bounds the goroutines.
+	maxWorks = 4096
+	// arrivalRing takes what comes in while the dispatcher is at work, some
+	// milliseconds of a flood; beyond that a caller hears at once.
+	arrivalRing = 1024
+	// eventRing has room for one event of each exchange, so it never fills.
+	eventRing  = 2 * maxWorks
+	cancelRing = 256
+)
+
+// sweepEvery is how often waiting exchanges are looked at without any event:
+// for deadlines that can't be kept any more and replicas that have caught up.
+const sweepEvery = 5 * time.Millisecond
+
+// absentPatience is how long an exchange may wait for a primary that no one
+// reaches. A failover is over within it; beyond it nothing speaks for waiting
+// longer, and the caller is told at once when to come back.
+const absentPatience = 3 * time.Second
+
+// absentRetry is when a caller is to come back that found no primary.
+const absentRetry = time.Second
+
+// groupRun serves one group: its dispatcher decides which exchange starts next
+// and where. One goroutine owns all fields but those that are said to be shared.
+type groupRun struct {
+	h       *Holder
+	service fleet.Service
+	// document is shared.
+	document atomic.Pointer[document.Document]
+	steward  *steward.Steward
+	// pins are shared.
+	pins pins
+
+	arrivals ring.Ring[*work]
+	events   ring.Ring[event]
+	cancels  ring.Ring[exchange.ID]
+	// wake tells that something has changed: the table, a connection, the
+	// document or the members.
+	wake chan struct{}
+	// dump asks for the state.
+	dump chan chan GroupState
+
+	queue admit.Queue
+	works map[uint64]*work
+	byID  map[exchange.ID]*work
+	pools map[fleet.Instance]*database.Pool
+	// addresses are those that the pools connect to.
+	addresses map[fleet.Instance]string
+	busy      map[fleet.Instance]int
+	meters    map[fleet.Instance]place.Meter
+	budget    place.Budget
+	holds     bool
+	slots     map[fleet.Instance]int
+	key       uint64
+	absent    time.Time
+	now       time.Time
+	// closing is set once no exchange may start any more.
+	closing bool
+}
+
+func newGroupRun(h *Holder, d *document.Document) *groupRun {
+	g := &groupRun{
+		h:         h,
+		service:   d.Service,
+		arrivals:  ring.New[*work](arrivalRing),
+		events:    ring.New[event](eventRing),
+		cancels:   ring.New[exchange.ID](cancelRing),
+		wake:      make(chan struct{}, 1),
+		dump:      make(chan chan GroupState),
+		works:     map[uint64]*work{},
+		byID:      map[exchange.ID]*work{},
+		pools:     map[fleet.Instance]*database.Pool{},
+		addresses: map[fleet.Instance]string{},
+		busy:      map[fleet.Instance]int{},
+		meters:    map[fleet.Instance]place.Meter{},
+		slots:     map[fleet.Instance]int{},
+	}
+	g.document.Store(d)
+	g.steward = steward.New(g.stewardConfig())
+	g.steward.OnChange(g.stir)
+	return g
+}
+
+// stir has the dispatcher look again. It never blocks.
+func (g *groupRun) stir() {
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run dispatches until ctx ends; then it refuses what waits.
+func (g *groupRun) run(ctx context.Context) {
+	g.now = g.h.c.Now()
+	g.configure()
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		g.step(ctx, t)
+		g.pump()
+	}
+	g.close()
+}
+
+// step waits for one thing to happen and takes it in. The ticker is listened to
+// only while something waits, so that an idle group costs nothing.
+func (g *groupRun) step(ctx context.Context, t *time.Ticker) {
+	var tick <-chan time.Time
+	if g.queue.Len() > 0 {
+		tick = t.C
+	}
+	select {
+	case w := <-g.arrivals.Out():
+		g.now = g.h.c.Now()
+		g.accept(w)
+	case e := <-g.events.Out():
+		g.now = g.h.c.Now()
+		g.handle(e)
+	case id := <-g.cancels.Out():
+		g.now = g.h.c.Now()
+		g.cancelled(id)
+	case c := <-g.dump:
+		c <- g.state()
+	case <-g.wake:
+		g.now = g.h.c.Now()
+		g.configure()
+	case <-tick:
+		g.now = g.h.c.Now()
+	case <-ctx.Done():
+	}
+}
+
+// accept takes a new exchange in, or refuses it.
+func (g *groupRun) accept(w *work) {
+	if len(g.works) >= maxWorks {
+		w.refuse(g.overloaded("too many exchanges are under way"))
+		return
+	}
+	if w.q.Pin == 0 && !g.holds {
+		w.refuse(g.refusal(failure.CodeNotReady, "this host holds no connections to "+string(g.service), 0))
+		return
+	}
+	if w.q.Pin != 0 {
+		w.pin = g.pins.take(w.q.Pin, w.q.Account)
+		if w.pin == nil {
+			w.refuse(g.refusal(failure.CodeUnreachable, "the transaction is gone and was rolled back", 0))
+			return
+		}
+	}
+	g.key++
+	w.key = g.key
+	g.works[w.key] = w
+	g.byID[w.q.ID] = w
+	w.need = session.Needs(w.q, g.now)
+	if w.read() && w.pin == nil {
+		g.budget.Earn()
+	}
+	g.enqueue(w)
+}
+
+// enqueue queues w, after a proof if its read needs one.
+func (g *groupRun) enqueue(w *work) {
+	if g.closing {
+		g.drop(w, g.refusal(failure.CodeShuttingDown, "the host shuts down", 0))
+		return
+	}
+	if w.ctx.Err() != nil {
+		g.drop(w, g.refusal(failure.CodeCancelled, "cancelled before it was run", 0))
+		return
+	}
+	if w.pin == nil && w.read() && w.need.Latest() {
+		g.steward.FreshPoint(w.q.Deadline, func(p group.Proof, err error) {
+			g.events.TryPut(event{proved: w, proof: p, err: err})
+		})
+		return
+	}
+	v := g.queue.Offer(g.now, w.item(g.weight(w.q.Account)))
+	if v.Refusal != nil {
+		g.drop(w, v.Refusal)
+	}
+}
+
+func (g *groupRun) weight(a fleet.Account) float64 {
+	c, _ := g.document.Load().Account(a)
+	return max(c.Rate, 1)
+}
+
+// handle takes in what has happened outside.
+func (g *groupRun) handle(e event) {
+	switch {
+	case e.served != nil:
+		g.finish(e.served)
+	case e.proved != nil && e.err != nil:
+		g.drop(e.proved, failure.AsRefusal(e.err))
+	case e.proved != nil:
+		e.proved.need = e.proved.need.Resolve(e.proof)
+		g.enqueue(e.proved)
+	case e.next == nextAgain:
+		g.enqueue(e.judged)
+	case e.next == nextRetry:
+		g.retry(e.judged)
+	default:
+		g.forget(e.judged)
+	}
+}
+
+// drop refuses an exchange that was taken in, with nothing run.
+func (g *groupRun) drop(w *work, f *failure.Refusal) {
+	g.forget(w)
+	if w.pin != nil {
+		g.pins.put(w.pin)
+	}
+	g.h.note(g.service, w.q.Account, "refuse", f)
+	if w.pin != nil {
+		g.abandon(w.pin)
+	}
+	w.refuse(f)
+}
+
+func (g *groupRun) forget(w *work) {
+	delete(g.works, w.key)
+	delete(g.byID, w.q.ID)
+}
+
+// cancelled ends the exchange named id: at once when it waits, else by asking
+// its instance.
+func (g *groupRun) cancelled(id exchange.ID) {
+	w := g.byID[id]
+	if w == nil {
+		return
+	}
+	if g.queue.Withdraw(w.key) {
+		g.drop(w, g.refusal(failure.CodeCancelled, "cancelled before it was run", 0))
+		return
+	}
+	w.cancel()
+}
+
+// pump starts all that can start now.
+func (g *groupRun) pump() {
+	if g.queue.Len() == 0 {
+		return
+	}
+	for _, r := range g.queue.Expire(g.now) {
+		if w := g.works[r.Item.Key]; w != nil {
+			g.drop(w, r.Refusal)
+		}
+	}
+	t := g.steward.Table()
+	g.refuseAbsent(t)
+	for {
+		i, ok := g.queue.Next(g.now, func(i admit.Item) bool { return g.fits(i, t) })
+		if !ok {
+			return
+		}
+		g.start(g.works[i.Key])
+	}
+}
+
+// refuseAbsent refuses the writes that wait for a primary which no one has
+// reached for absentPatience.
+//
+// The load is a data centre that was cut off with a minority of the instances:
+// every write would wait for its deadline and hold a place in the queue that
+// reads could use. The refusal is true, since nothing waiting has been sent.
+func (g *groupRun) refuseAbsent(t group.Table) {
+	if t.Primary != "" {
+		g.absent = time.Time{}
+		return
+	}
+	if g.absent.IsZero() {
+		g.absent = g.now
+	}
+	if g.now.Sub(g.absent) < absentPatience {
+		return
+	}
+	for _, w := range g.works {
+		if w.read() && !w.need.Latest() && w.pin == nil {
+			continue
+		}
+		if g.queue.Withdraw(w.key) {
+			g.drop(w, g.refusal(failure.CodeNotReady, "no primary can be reached", absentRetry))
+		}
+	}
+}
+
+// fits reports whether an item can start now, and notes where.
+//
+// An exchange of an open transaction always can: it has its connection, and the
+// statement that frees the slots which others wait for may be its COMMIT. Were
+// it to wait for a slot, two statements that wait inside the database for that
+// transaction's locks would hold both slots until their deadlines.
+func (g *groupRun) fits(i admit.Item, t group.Table) bool {
+	w := g.works[i.Key]
+	if w.pin != nil {
+		w.choice = place.Choice{Action: place.ActionRun, Instance: w.pin.instance}
+		return true
+	}
+	w.choice = place.Choose(g.now, w.facts(i.Long), t, g.loads())
+	if w.choice.Action != place.ActionRun {
+		return false
+	}
+	p := g.pools[w.choice.Instance]
+	return p != nil && p.Idle() > 0
+}
+
+func (g *groupRun) loads() place.Loads {
+	l := place.Loads{Instances: make(map[fleet.Instance]place.Load, len(g.pools)), Waiting: g.queue.Len()}
+	for n := range g.pools {
+		l.Instances[n] = place.Load{Busy: g.busy[n], Slots: g.slots[n], Latency: g.meters[n]}
+	}
+	return l
+}
+
+// start gives w its connection and its own goroutine, of which there are no
+// more than connections.
+func (g *groupRun) start(w *work) {
+	n := w.choice.Instance
+	c, p := g.connection(w)
+	if c == nil {
+		g.queue.Finished(g.now, w.key, 0)
+		g.enqueue(w)
+		return
+	}
+	w.attempts++
+	g.busy[n]++
+	g.h.wait.Add(1)
+	go g.serve(w, c, p)
+}
+
+// connection returns the connection for w and its pool, or nil when the idle
+// one that was there has turned out to be closed.
+func (g *groupRun) connection(w *work) (*database.Conn, *database.Pool) {
+	if w.pin != nil {
+		return w.pin.conn, w.pin.pool
+	}
+	p := g.pools[w.choice.Instance]
+	c, ok := p.TryTake()
+	if !ok {
+		return nil, nil
+	}
+	return c, p
+}
+
+// finish takes back the slot of an exchange that its instance has answered.
+func (g *groupRun) finish(s *served) {
+	n := s.w.choice.Instance
+	g.queue.Finished(g.now, s.w.key, s.took)
+	g.busy[n]--
+	if s.answer.Err == nil {
+		g.meters[n] = g.meters[n].Observe(g.now, s.took)
+	}
+}
+
+func (g *groupRun) refusal(c failure.Code, why string, after time.Duration) *failure.Refusal {
+	return &failure.Refusal{
+		Code:       c,
+		Message:    why + "; not run",
+		RetryAfter: after,
+		Step:       "dispatch",
+		Peer:       failure.Peer("host " + string(g.h.c.Host)),
+	}
+}
+
+func (g *groupRun) overloaded(why string) *failure.Refusal {
+	return g.refusal(failure.CodeOverloaded, why, overloadRetry)
+}
+
+// overloadRetry is when a caller is to come back that found a group full: the
+// time in which a full queue of short statements is worked off.
+const overloadRetry = 500 * time.Millisecond
+
+// closeTimeout bounds the wait for exchanges under way when a group closes.
+const closeTimeout = 5 * time.Second
+
+// close refuses all that waits, cancels the rest, and gives up the open
+// transactions.
+func (g *groupRun) close() {
+	g.closing = true
+	for _, w := range g.works {
+		if g.queue.Withdraw(w.key) {
+			g.drop(w, g.refusal(failure.CodeShuttingDown, "the host shuts down", 0))
+			continue
+		}
+		w.cancel()
+	}
+	g.refuseArrivals()
+	late := time.NewTimer(closeTimeout)
+	defer late.Stop()
+	for len(g.works) > 0 {
+		select {
+		case e := <-g.events.Out():
+			g.handle(e)
+		case <-late.C:
+			g.h.c.Logger.Warn("exchanges outlive their group", zap.Int("exchanges", len(g.works)))
+			clear(g.works)
+		}
+	}
+	for _, p := range g.pools {
+		p.Close()
+	}
+}
+
+func (g *groupRun) refuseArrivals() {
+	for {
+		select {
+		case w := <-g.arrivals.Out():
+			w.refuse(g.refusal(failure.CodeShuttingDown, "the host shuts down", 0))
+		default:
+			return
+		}
+	}
+}
