--- a/core/admit/next.go
+++ b/core/admit/next.go
@@ -156,10 +156,11 @@
 // waits for.
 func (q *Queue) Expire(now time.Time) []Refused {
 	gone := q.remove(func(w waiting) bool { return late(now, w.expect, w.Deadline) })
+	q.refused += len(gone)
+	wait := q.backlog / time.Duration(q.limits().Slots)
 	out := make([]Refused, len(gone))
 	for n, w := range gone {
-		q.refused++
-		out[n] = Refused{Item: w.Item, Refusal: refusal("the deadline can't be met", q.backlog/time.Duration(q.limits().Slots))}
+		out[n] = Refused{Item: w.Item, Refusal: refusal("the deadline can't be met", wait)}
 	}
 	return out
 }
--- a/core/allot/seat.go
+++ b/core/allot/seat.go
@@ -21,6 +21,10 @@
 type SeatRecord struct {
 	// Holder has the seat; the zero Process when it was given back.
 	Holder Process `json:"holder"`
+	// Lease names the registration in the store under which the holder took the
+	// seat. A holder whose lease has lapsed registers anew and has to swap the
+	// record for the new one: a claimant that saw the lapse then loses its swap.
+	Lease uint64 `json:"lease"`
 	// Witness consents to the holder's tenure while the store can't be reached;
 	// the zero Process when there is none.
 	Witness Process `json:"witness"`
@@ -62,9 +66,21 @@
 }
 
 // Won notes that the record is in force as the store answered it, with this
-// process as its holder.
-func (s *Seat) Won(r SeatRecord) {
+// process as its holder. It reports whether the process had the seat's former
+// tenure too, so that no other host can have granted in between.
+func (s *Seat) Won(r SeatRecord) (kept bool) {
+	kept = s.held && s.record.Tenure+1 >= r.Tenure
 	*s = Seat{record: r, held: true}
+	return kept
+}
+
+// Swapping notes that the holder is about to swap its own record, for a new
+// lease or another witness. Until Won the store may hold either record, and a
+// successor asks only the witness of the one that it reads; so the consent of
+// the old one counts no more.
+func (s *Seat) Swapping() {
+	s.record.Witness = Process{}
+	s.consent = time.Time{}
 }
 
 // Lost ends the tenure: the record is another's, or may be.
@@ -72,10 +88,11 @@
 	*s = Seat{}
 }
 
-// Leased notes that the process's lease in the store stands until the given
-// time of its own clock, counted from when the renewal was sent.
-func (s *Seat) Leased(until time.Time) {
-	if until.After(s.leased) {
+// Leased notes that the lease of that name stands in the store until the given
+// time of the holder's own clock, counted from when the renewal was sent. A lease
+// other than the record's proves nothing.
+func (s *Seat) Leased(lease uint64, until time.Time) {
+	if lease == s.record.Lease && until.After(s.leased) {
 		s.leased = until
 		s.hold = until.Add(HoldFor)
 	}
@@ -185,11 +202,11 @@
 
 // Next returns the step to take after the store has shown the record r, and
 // whether the lease of its holder stands.
-func (c *Claim) Next(now time.Time, self Process, r SeatRecord, leased bool) Step {
-	if r.Holder == self {
+func (c *Claim) Next(now time.Time, self Process, lease uint64, r SeatRecord, leased bool) Step {
+	if r.Holder == self && r.Lease == lease {
 		return StepAdopt
 	}
-	if r.Holder == (Process{}) {
+	if r.Holder == self || r.Holder == (Process{}) {
 		return StepSwap
 	}
 	if leased {
@@ -219,6 +236,6 @@
 }
 
 // Taken returns the record that a claim puts in the place of r.
-func Taken(r SeatRecord, self, witness Process) SeatRecord {
-	return SeatRecord{Holder: self, Witness: witness, Tenure: r.Tenure + 1}
+func Taken(r SeatRecord, self Process, lease uint64, witness Process) SeatRecord {
+	return SeatRecord{Holder: self, Lease: lease, Witness: witness, Tenure: r.Tenure + 1}
 }
--- a/core/allot/spender.go
+++ b/core/allot/spender.go
@@ -276,3 +276,8 @@
 func (d *demand) idle(now time.Time) bool {
 	return now.Sub(d.last) > demandWindow
 }
+
+// Idle reports whether nothing was taken for d.
+func (s *Spender) Idle(now time.Time, d time.Duration) bool {
+	return now.Sub(s.demand.last) > d
+}
--- /dev/null
+++ b/io/grants/consent.go
@@ -0,0 +1,87 @@
+package grants
+
+import (
+	"context"
+	"errors"
+
+	"skylarkdeal/core/allot"
+	"skylarkdeal/core/failure"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/io/host/hostpb"
+)
+
+// askConsent asks the witnesses of the held seats whose lease is about to end,
+// with one call for each witness. While the store answers it sends nothing.
+func (r *Runtime) askConsent(ctx context.Context) {
+	for w, names := range r.inNeed() {
+		asks := make([]*hostpb.SeatAsk, len(names))
+		for i, n := range names {
+			asks[i] = &hostpb.SeatAsk{Seat: string(n.name), Tenure: n.tenure}
+		}
+		sent := r.clock.late()
+		a, err := r.askWitness(ctx, w, asks)
+		if err != nil {
+			continue
+		}
+		by := allot.Process{Host: w.Host, Epoch: a.GetHello().GetEpoch()}
+		r.mu.Lock()
+		for i, n := range names {
+			if s := r.seats[n.name]; s != nil && a.GetSeats()[i].GetConsented() {
+				s.tenure.Consented(sent, by, n.tenure)
+			}
+		}
+		r.mu.Unlock()
+	}
+}
+
+// tenureOf names a tenure of a seat.
+type tenureOf struct {
+	name   allot.SeatName
+	tenure uint64
+}
+
+// inNeed returns the held seats that need consent, by witness.
+func (r *Runtime) inNeed() map[allot.Process][]tenureOf {
+	out := map[allot.Process][]tenureOf{}
+	now := r.clock.late()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for n, s := range r.seats {
+		rec := s.tenure.Record()
+		if !s.tenure.Held() || rec.Witness.Host == "" || now.Before(s.tenure.Until().Add(-consentBefore)) {
+			continue
+		}
+		out[rec.Witness] = append(out[rec.Witness], tenureOf{n, rec.Tenure})
+	}
+	return out
+}
+
+// askWitness sends asks to w, which may be this host.
+func (r *Runtime) askWitness(
+	ctx context.Context, w allot.Process, asks []*hostpb.SeatAsk,
+) (*hostpb.GrantResponse, error) {
+	q := &hostpb.GrantRequest{Hello: r.hello(), Seats: asks}
+	if w.Host == r.cfg.Host {
+		return r.HandleGrant(ctx, q), nil
+	}
+	m, ok := r.member(w.Host)
+	if !ok {
+		return nil, failure.At(errNoWitness, "ask witness", failure.Peer(w.Host))
+	}
+	ctx, cancel := context.WithTimeout(ctx, allot.AskTimeout)
+	defer cancel()
+	a, err := r.cfg.Call(ctx, m, q)
+	if err == nil && len(a.GetSeats()) != len(asks) {
+		err = errors.New("answers are missing")
+	}
+	return a, failure.At(err, "ask witness", failure.Peer(w.Host))
+}
+
+func (r *Runtime) member(h fleet.Host) (fleet.Member, bool) {
+	for _, m := range r.cfg.Members() {
+		if m.Host == h {
+			return m, true
+		}
+	}
+	return fleet.Member{}, false
+}
--- /dev/null
+++ b/io/grants/entries.go
@@ -0,0 +1,114 @@
+package grants
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"skylarkdeal/core/allot"
+	"skylarkdeal/core/document"
+	"skylarkdeal/core/failure"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/roster"
+)
+
+// name is an account of a service.
+type name struct {
+	service fleet.Service
+	account fleet.Account
+}
+
+// entry is one account as this host spends for it.
+type entry struct {
+	name
+	shard   roster.Shard
+	spender allot.Spender
+	// document is the version in force.
+	document atomic.Pointer[document.Document]
+	// waiting counts the exchanges that wait, so that none overtakes them.
+	waiting           atomic.Int64
+	admitted, refused atomic.Uint64
+
+	// waiters and checked belong to the serving goroutine.
+	waiters []waiter
+	checked time.Time
+}
+
+// waiter is an exchange that waits for n tokens.
+type waiter struct {
+	n     allot.Tokens
+	limit time.Time
+	done  func(*failure.Refusal)
+}
+
+// entries finds the entry of an account without a lock: the maps are replaced,
+// never changed, whenever a document comes.
+type entries struct {
+	mu  sync.Mutex
+	all atomic.Pointer[map[fleet.Service]map[fleet.Account]*entry]
+}
+
+func (e *entries) find(s fleet.Service, a fleet.Account) *entry {
+	m := e.all.Load()
+	if m == nil {
+		return nil
+	}
+	return (*m)[s][a]
+}
+
+// each calls f for every entry.
+func (e *entries) each(f func(*entry)) {
+	m := e.all.Load()
+	if m == nil {
+		return
+	}
+	for _, s := range *m {
+		for _, n := range s {
+			f(n)
+		}
+	}
+}
+
+// DocumentChanged puts d in force, unless a newer version of it is.
+func (r *Runtime) DocumentChanged(d *document.Document) {
+	if r.entries.change(d, r.newEntry) {
+		r.changeHomes(d)
+	}
+}
+
+func (r *Runtime) newEntry(n name) *entry {
+	e := &entry{name: n, shard: roster.ShardOf(n.service, n.account)}
+	e.spender.Host, e.spender.Own = r.cfg.Host, r.cfg.DataCentre
+	return e
+}
+
+// change replaces the maps and reports whether d is newer than what was there.
+// Accounts that d lacks are gone: their open grants expire by themselves.
+func (e *entries) change(d *document.Document, add func(name) *entry) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	services := map[fleet.Service]map[fleet.Account]*entry{}
+	if m := e.all.Load(); m != nil {
+		services = maps.Clone(*m)
+	}
+	former := services[d.Service]
+	for _, n := range former {
+		if n.document.Load().Version >= d.Version {
+			return false
+		}
+		break
+	}
+	accounts := make(map[fleet.Account]*entry, len(d.Accounts))
+	for _, a := range d.Accounts {
+		n := former[a.Name]
+		if n == nil {
+			n = add(name{d.Service, a.Name})
+		}
+		n.document.Store(d)
+		accounts[a.Name] = n
+	}
+	services[d.Service] = accounts
+	e.all.Store(&services)
+	return true
+}
--- /dev/null
+++ b/io/grants/grants.go
@@ -0,0 +1,171 @@
+// Package grants lets exchanges through by their account's rate: it spends the
+// tokens that this host has, asks the homes on other hosts for more, and is
+// itself the home of some accounts.
+//
+// One goroutine owns the waiting exchanges, one the seats, and a few send; rings
+// join them. An exchange whose token is at hand passes without any of them.
+package grants
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"skylarkdeal/core/allot"
+	"skylarkdeal/core/document"
+	"skylarkdeal/core/failure"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/journal"
+	"skylarkdeal/core/ring"
+	"skylarkdeal/io/host/hostpb"
+)
+
+// Config is what a Runtime needs of the rest of the host.
+type Config struct {
+	Host       fleet.Host
+	DataCentre fleet.DataCentre
+	// Epoch is drawn when the process starts.
+	Epoch uint64
+	// Documents returns the document in force.
+	Documents func(fleet.Service) (*document.Document, bool)
+	// Members returns the live and leaving hosts, this one among them.
+	Members func() []fleet.Member
+	// Call sends a request to another host.
+	Call func(ctx context.Context, to fleet.Member, q *hostpb.GrantRequest) (*hostpb.GrantResponse, error)
+	// Store keeps the seats. Without it a host takes itself for the home
+	// wherever it wins by its own roster, which is safe only for a host alone.
+	Store Store
+	// Now reads the clock, with both the wall and the monotonic time.
+	Now        func() time.Time
+	Logger     *zap.Logger
+	Registerer prometheus.Registerer
+	Journal    *journal.Journal
+	// Patience is the longest that an exchange waits for its tokens; zero takes
+	// DefaultPatience.
+	Patience time.Duration
+}
+
+const (
+	// DefaultPatience is made for a short burst, and for a home that is lost:
+	// until an ask to it has timed out and another data centre's home has
+	// answered, no token can come. A caller above its rate is refused at once,
+	// as soon as it is known that its token can't come within that time.
+	DefaultPatience = 250 * time.Millisecond
+	// tick is how often the waiting exchanges and the stocks are looked after.
+	tick = 5 * time.Millisecond
+	// arrivals bounds the exchanges on their way to the waiting ones. More than
+	// that in one tick is far above any host's share of the load.
+	arrivals = 8192
+	// senders is how many requests to other hosts are in flight at a time.
+	senders = 8
+)
+
+// Runtime is the part of a host that keeps accounts to their rate.
+type Runtime struct {
+	cfg     Config
+	clock   clock
+	metrics metrics
+
+	entries  entries
+	arrivals ring.Ring[arrival]
+	jobs     ring.Ring[job]
+	results  ring.Ring[result]
+	// out belongs to the serving goroutine.
+	out outbox
+
+	// mu guards what follows: it is held for map look-ups and sums only.
+	mu      sync.Mutex
+	homes   map[name]*allot.Home
+	seats   map[allot.SeatName]*seat
+	witness allot.Witness
+	lastID  allot.GrantID
+	leaving bool
+}
+
+// New returns a Runtime; Run makes it work.
+func New(cfg Config) *Runtime {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = zap.NewNop()
+	}
+	if cfg.Patience <= 0 {
+		cfg.Patience = DefaultPatience
+	}
+	r := &Runtime{
+		cfg:      cfg,
+		arrivals: ring.New[arrival](arrivals),
+		jobs:     ring.New[job](senders * 4),
+		results:  ring.New[result](senders * 8),
+		homes:    map[name]*allot.Home{},
+		seats:    map[allot.SeatName]*seat{},
+		lastID:   firstID(cfg.Host, cfg.Epoch),
+	}
+	r.clock.start(cfg.Now)
+	r.witness.Since = r.clock.late()
+	r.metrics.init(cfg.Registerer)
+	return r
+}
+
+// firstID makes the ids of a process's grants differ from those that a former
+// home of the same accounts gave out: a report on one of those is then ignored.
+func firstID(h fleet.Host, epoch uint64) allot.GrantID {
+	return allot.GrantID(xxhash.Sum64String(fmt.Sprint(h, epoch)))
+}
+
+// Run works until ctx ends.
+func (r *Runtime) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { r.serve(ctx); return nil })
+	g.Go(func() error { r.keepSeats(ctx); return nil })
+	for range senders {
+		g.Go(func() error { r.send(ctx); return nil })
+	}
+	return g.Wait()
+}
+
+// Admit calls done with nil once n tokens of the account are spent, or with the
+// reason why not; nothing has been run then. done may be called before Admit
+// returns, and must not block. An exchange without a deadline passes a zero one.
+func (r *Runtime) Admit(s fleet.Service, a fleet.Account, n int, deadline time.Time, done func(*failure.Refusal)) {
+	e := r.entries.find(s, a)
+	if e == nil {
+		done(&failure.Refusal{Code: failure.CodeNoService, Message: "not run: no such service or account", Step: "admit"})
+		return
+	}
+	now := r.clock.late()
+	if e.waiting.Load() == 0 && e.spender.Take(now, allot.Tokens(n)) {
+		e.admitted.Add(1)
+		done(nil)
+		return
+	}
+	limit := now.Add(r.cfg.Patience)
+	if !deadline.IsZero() && deadline.Before(limit) {
+		limit = deadline
+	}
+	e.waiting.Add(1)
+	if !r.arrivals.TryPut(arrival{e, waiter{allot.Tokens(n), limit, done}}) {
+		e.waiting.Add(-1)
+		e.refused.Add(1)
+		done(overRate(minRetryAfter))
+	}
+}
+
+// minRetryAfter keeps a refused caller from coming back at once.
+const minRetryAfter = 10 * time.Millisecond
+
+func overRate(after time.Duration) *failure.Refusal {
+	return &failure.Refusal{
+		Code:       failure.CodeOverRate,
+		Message:    "not run: the account is over its rate",
+		RetryAfter: max(after, minRetryAfter),
+		Step:       "admit",
+	}
+}
--- /dev/null
+++ b/io/grants/homes.go
@@ -0,0 +1,141 @@
+package grants
+
+import (
+	"context"
+	"time"
+
+	"skylarkdeal/core/allot"
+	"skylarkdeal/core/document"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/roster"
+	"skylarkdeal/io/host/hostpb"
+)
+
+// HandleGrant answers another host, as a home and as a witness.
+func (r *Runtime) HandleGrant(_ context.Context, q *hostpb.GrantRequest) *hostpb.GrantResponse {
+	out := &hostpb.GrantResponse{Hello: r.hello()}
+	from := fleet.Host(q.GetHello().GetHost())
+	for _, a := range q.GetAsks() {
+		n := name{fleet.Service(a.GetService()), fleet.Account(a.GetAccount())}
+		g, home := r.grant(n, askOf(from, a))
+		out.Answers = append(out.Answers, answerOf(g, home))
+	}
+	for _, s := range q.GetSeats() {
+		out.Seats = append(out.Seats, r.witnessed(s))
+	}
+	return out
+}
+
+func (r *Runtime) hello() *hostpb.Hello {
+	return &hostpb.Hello{Version: 1, Host: string(r.cfg.Host), Epoch: r.cfg.Epoch}
+}
+
+// homeOf says whether this host is the home, and if not, which one may be.
+type homeOf struct {
+	here bool
+	hint fleet.Host
+}
+
+// grant answers an ask of one account from this host's home, if it is one.
+//
+// The right to grant is looked up for each ask with the late clock, before the
+// grant is made. The spender counts a grant's life from before it sent the ask,
+// so a home that is paused after the look-up hands out a grant that has expired.
+func (r *Runtime) grant(n name, a allot.Ask) (allot.Grant, homeOf) {
+	shard := roster.ShardOf(n.service, n.account)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.seats[seatName(r.cfg.DataCentre, shard)]
+	h := r.homes[n]
+	if s == nil || h == nil || !s.tenure.May(r.clock.late()) {
+		return allot.Grant{}, homeOf{hint: r.winner(shard)}
+	}
+	g := h.Ask(r.clock.early(), a)
+	r.metrics.granted.Add(float64(g.Tokens))
+	return g, homeOf{here: true}
+}
+
+// winner returns the host to which the duty of home falls, unless it is this.
+func (r *Runtime) winner(h roster.Shard) fleet.Host {
+	here := roster.In(r.cfg.Members(), r.cfg.DataCentre)
+	w, ok := roster.Winner(here, roster.Home(r.cfg.DataCentre, h))
+	if !ok || w.Host == r.cfg.Host {
+		return ""
+	}
+	return w.Host
+}
+
+// witnessed answers a SeatAsk.
+func (r *Runtime) witnessed(q *hostpb.SeatAsk) *hostpb.SeatAnswer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := allot.SeatName(q.GetSeat())
+	now := r.clock.early()
+	if !q.GetWithdraw() {
+		return &hostpb.SeatAnswer{Consented: r.witness.Consent(now, n, q.GetTenure())}
+	}
+	d := r.witness.Withdraw(now, n, q.GetTenure())
+	return &hostpb.SeatAnswer{RemainsUs: micros(d)}
+}
+
+// changeHomes puts d in force in the homes on this host, and begins those of
+// accounts that are new.
+func (r *Runtime) changeHomes(d *document.Document) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.early()
+	for n := range r.homes {
+		if _, ok := d.Account(n.account); n.service == d.Service && !ok {
+			delete(r.homes, n)
+		}
+	}
+	for _, a := range d.Accounts {
+		n := name{d.Service, a.Name}
+		if h := r.homes[n]; h != nil {
+			h.Change(now, d.Version, r.share(d, a))
+			continue
+		}
+		s := r.seats[seatName(r.cfg.DataCentre, roster.ShardOf(d.Service, a.Name))]
+		if s != nil && s.tenure.Held() {
+			r.startHome(now, n, d, a)
+		}
+	}
+}
+
+// startHomes begins the homes of all accounts of a shard, before anyone asks:
+// they start empty, so the earlier they start the fuller they are.
+func (r *Runtime) startHomes(h roster.Shard) {
+	now := r.clock.early()
+	r.entries.each(func(e *entry) {
+		d := e.document.Load()
+		if a, ok := d.Account(e.account); ok && e.shard == h {
+			r.startHome(now, e.name, d, a)
+		}
+	})
+}
+
+// idsPerHome leaves room for the grants of one home's tenure between two starts.
+const idsPerHome = 1 << 20
+
+func (r *Runtime) startHome(now time.Time, n name, d *document.Document, a document.Account) {
+	r.lastID += idsPerHome
+	h := &allot.Home{}
+	h.Start(now, d.Version, r.share(d, a), r.lastID)
+	r.homes[n] = h
+}
+
+func (r *Runtime) dropHomes(h roster.Shard) {
+	for n := range r.homes {
+		if roster.ShardOf(n.service, n.account) == h {
+			delete(r.homes, n)
+		}
+	}
+}
+
+func (r *Runtime) share(d *document.Document, a document.Account) allot.Share {
+	return allot.ShareOf(a.Rate, a.Burst, d.Service, a.Name, r.cfg.DataCentre, d.DataCentres)
+}
+
+func micros(d time.Duration) uint64 {
+	return uint64(max(0, d.Microseconds()))
+}
--- /dev/null
+++ b/io/grants/seats.go
@@ -0,0 +1,384 @@
+package grants
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"skylarkdeal/core/allot"
+	"skylarkdeal/core/failure"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/journal"
+	"skylarkdeal/core/roster"
+	"skylarkdeal/io/host/hostpb"
+)
+
+// Entry is one key of the store as it was read.
+type Entry struct {
+	Key   string
+	Value []byte
+	// Revision is that of the key's last change; zero when it isn't there.
+	Revision uint64
+}
+
+// Store is what the seats need of the platform's store and of this host's
+// record there. All calls may fail while the store is down.
+type Store struct {
+	// List returns the keys that begin with prefix.
+	List func(ctx context.Context, prefix string) ([]Entry, error)
+	// Swap writes value if the key's revision is still old, zero if it isn't
+	// there, and reports the revision and whether it was.
+	Swap func(ctx context.Context, key string, old uint64, value []byte) (revision uint64, swapped bool, err error)
+	// Standing reports whether the store holds the record that a host wrote
+	// under the lease of that name.
+	Standing func(ctx context.Context, h fleet.Host, lease uint64) (bool, error)
+	// Lease returns the name of this host's lease and the time by its own clock
+	// until which it stands; a zero time when it doesn't.
+	Lease func() (lease uint64, until time.Time)
+	// Epoch returns the process epoch of another host.
+	Epoch func(fleet.Host) uint64
+}
+
+// SeatPrefix is where the seats are kept in the store.
+const SeatPrefix = "/skylarkdeal/homes/"
+
+func seatName(d fleet.DataCentre, h roster.Shard) allot.SeatName {
+	return allot.SeatName(fmt.Sprintf("%s/%02d", d, h))
+}
+
+// seat is this host's view of one seat of its data centre.
+type seat struct {
+	tenure   allot.Seat
+	claim    allot.Claim
+	revision uint64
+	// yield is when this host, the holder, first saw another one win the duty.
+	yield time.Time
+}
+
+const (
+	// seatEvery is how often seats are looked after: half the least time in
+	// which a lost host is noticed, so that it adds little to it.
+	seatEvery = 500 * time.Millisecond
+	// storeTimeout bounds a call of the store.
+	storeTimeout = 2 * time.Second
+	// consentBefore is how long before its lease ends a holder asks for consent:
+	// two rounds of looking after the seats and a failed call in between.
+	consentBefore = 1500 * time.Millisecond
+	// yieldAfter is how long another host has to win the duty of a holder before
+	// that gives its seat up, so that a roster in motion moves nothing.
+	yieldAfter = 3 * time.Second
+)
+
+// keepSeats is the duty of taking, keeping and giving up seats.
+func (r *Runtime) keepSeats(ctx context.Context) {
+	for {
+		r.roundOfSeats(ctx)
+		pause := seatEvery + rand.N(seatEvery/4)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (r *Runtime) roundOfSeats(ctx context.Context) {
+	if r.cfg.Store.List == nil {
+		r.takeUnfenced()
+		return
+	}
+	here := roster.In(r.cfg.Members(), r.cfg.DataCentre)
+	var claims []roster.Shard
+	for h := roster.Shard(0); h < roster.Shards; h++ {
+		w, ok := roster.Winner(here, roster.Home(r.cfg.DataCentre, h))
+		mine := ok && w.Host == r.cfg.Host && !w.Leaving
+		renewed := r.renew(h)
+		r.yield(ctx, h, mine)
+		if mine && !renewed && !r.isLeaving() {
+			claims = append(claims, h)
+		}
+	}
+	if len(claims) > 0 {
+		r.claimAll(ctx, claims)
+	}
+	r.askConsent(ctx)
+}
+
+// takeUnfenced holds every seat that falls to this host by its own roster.
+func (r *Runtime) takeUnfenced() {
+	forever := r.clock.late().Add(time.Hour)
+	here := roster.In(r.cfg.Members(), r.cfg.DataCentre)
+	for h := roster.Shard(0); h < roster.Shards; h++ {
+		w, ok := roster.Winner(here, roster.Home(r.cfg.DataCentre, h))
+		r.mu.Lock()
+		s := r.seat(h)
+		switch {
+		case !ok || w.Host != r.cfg.Host || r.leaving:
+			r.lose(h, s)
+		case s.tenure.Held():
+			s.tenure.Leased(0, forever)
+		default:
+			s.tenure.Won(allot.SeatRecord{Holder: r.process()})
+			s.tenure.Leased(0, forever)
+			r.startHomes(h)
+		}
+		r.mu.Unlock()
+	}
+}
+
+func (r *Runtime) seat(h roster.Shard) *seat {
+	n := seatName(r.cfg.DataCentre, h)
+	s := r.seats[n]
+	if s == nil {
+		s = &seat{}
+		r.seats[n] = s
+	}
+	return s
+}
+
+func (r *Runtime) lose(h roster.Shard, s *seat) {
+	if s.tenure.Held() {
+		s.tenure.Lost()
+		r.dropHomes(h)
+	}
+}
+
+func (r *Runtime) process() allot.Process {
+	return allot.Process{Host: r.cfg.Host, Epoch: r.cfg.Epoch}
+}
+
+func (r *Runtime) isLeaving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving
+}
+
+// renew takes over the state of the host's lease, and reports whether the seat
+// is held under that lease and with a live witness, so that nothing has to be
+// written.
+func (r *Runtime) renew(h roster.Shard) bool {
+	lease, until := r.cfg.Store.Lease()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.seat(h)
+	if !s.tenure.Held() {
+		return false
+	}
+	if lease != s.tenure.Record().Lease && !until.IsZero() {
+		return false
+	}
+	s.tenure.Leased(lease, until)
+	w := s.tenure.Record().Witness
+	stands := r.clock.late().Before(until)
+	return !stands || w == r.pickWitness() || r.isMember(w)
+}
+
+func (r *Runtime) isMember(p allot.Process) bool {
+	m, ok := r.member(p.Host)
+	return ok && !m.Leaving && r.cfg.Store.Epoch(p.Host) == p.Epoch
+}
+
+// yield gives the seat to the host that wins its duty, once that has lasted.
+func (r *Runtime) yield(ctx context.Context, h roster.Shard, mine bool) {
+	r.mu.Lock()
+	s := r.seat(h)
+	now := r.clock.early()
+	if mine {
+		s.yield = time.Time{}
+	} else if s.yield.IsZero() {
+		s.yield = now
+	}
+	due := !mine && s.tenure.Held() && now.Sub(s.yield) >= yieldAfter
+	r.mu.Unlock()
+	if due {
+		r.giveUp(ctx, h)
+	}
+}
+
+// giveUp stops granting, then says so in the store: the successor need not wait
+// for a lease to end.
+func (r *Runtime) giveUp(ctx context.Context, h roster.Shard) {
+	r.mu.Lock()
+	s := r.seat(h)
+	if !s.tenure.Held() {
+		r.mu.Unlock()
+		return
+	}
+	rec, rev := s.tenure.Record(), s.revision
+	r.lose(h, s)
+	s.yield = time.Time{}
+	r.mu.Unlock()
+	if r.cfg.Store.Swap != nil {
+		_, _, _ = r.swap(ctx, h, rev, allot.SeatRecord{Tenure: rec.Tenure + 1})
+	}
+}
+
+// claimAll tries to take the seats of the given shards, with one read for all.
+func (r *Runtime) claimAll(ctx context.Context, shards []roster.Shard) {
+	lease, until := r.cfg.Store.Lease()
+	if !r.clock.late().Before(until) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	list, err := r.cfg.Store.List(ctx, SeatPrefix+string(r.cfg.DataCentre)+"/")
+	if err != nil {
+		r.cfg.Logger.Warn("seats not read", zap.Error(failure.At(err, "list seats", "store")))
+		return
+	}
+	read := map[string]Entry{}
+	for _, e := range list {
+		read[strings.TrimPrefix(e.Key, SeatPrefix)] = e
+	}
+	standing := map[allot.SeatRecord]bool{}
+	for _, h := range shards {
+		e := read[string(seatName(r.cfg.DataCentre, h))]
+		if err := r.claim(ctx, h, e, lease, standing); err != nil {
+			r.cfg.Logger.Warn("seat not taken", zap.Int("shard", int(h)), zap.Error(err))
+		}
+	}
+}
+
+// claim takes one step towards a seat.
+func (r *Runtime) claim(
+	ctx context.Context, h roster.Shard, e Entry, lease uint64, standing map[allot.SeatRecord]bool,
+) error {
+	var rec allot.SeatRecord
+	if len(e.Value) > 0 {
+		if err := json.Unmarshal(e.Value, &rec); err != nil {
+			return failure.At(err, "read seat", "store")
+		}
+	}
+	stands, err := r.stands(ctx, rec, standing)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	s := r.seat(h)
+	step := s.claim.Next(r.clock.early(), r.process(), lease, rec, stands)
+	if step == allot.StepRest && s.tenure.Held() {
+		r.lose(h, s)
+	}
+	r.mu.Unlock()
+	switch step {
+	case allot.StepAdopt:
+		r.won(h, rec, e.Revision, lease)
+	case allot.StepSwap:
+		return r.take(ctx, h, e.Revision, allot.Taken(rec, r.process(), lease, r.pickWitness()))
+	case allot.StepWithdraw:
+		return r.withdraw(ctx, h, rec)
+	case allot.StepRest, allot.StepWait:
+	}
+	return nil
+}
+
+// stands reports whether the lease of a record's holder stands, asking the store
+// once for all seats of one holder.
+func (r *Runtime) stands(ctx context.Context, rec allot.SeatRecord, known map[allot.SeatRecord]bool) (bool, error) {
+	if rec.Holder == (allot.Process{}) || rec.Holder == r.process() {
+		return false, nil
+	}
+	k := allot.SeatRecord{Holder: rec.Holder, Lease: rec.Lease}
+	if v, ok := known[k]; ok {
+		return v, nil
+	}
+	v, err := r.cfg.Store.Standing(ctx, rec.Holder.Host, rec.Lease)
+	if err != nil {
+		return false, failure.At(err, "read lease", "store")
+	}
+	known[k] = v
+	return v, nil
+}
+
+// take swaps the record. After a lost answer the next round reads what has become
+// of it; until then a holder counts on its lease alone (see Seat.Swapping).
+func (r *Runtime) take(ctx context.Context, h roster.Shard, old uint64, rec allot.SeatRecord) error {
+	r.mu.Lock()
+	r.seat(h).tenure.Swapping()
+	r.mu.Unlock()
+	rev, ok, err := r.swap(ctx, h, old, rec)
+	if err != nil {
+		return failure.At(err, "swap seat", "store")
+	}
+	if ok {
+		r.won(h, rec, rev, rec.Lease)
+	}
+	return nil
+}
+
+func (r *Runtime) swap(ctx context.Context, h roster.Shard, old uint64, rec allot.SeatRecord) (uint64, bool, error) {
+	v, err := json.Marshal(rec)
+	if err != nil {
+		return 0, false, err
+	}
+	return r.cfg.Store.Swap(ctx, SeatPrefix+string(seatName(r.cfg.DataCentre, h)), old, v)
+}
+
+func (r *Runtime) won(h roster.Shard, rec allot.SeatRecord, rev, lease uint64) {
+	l, until := r.cfg.Store.Lease()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.seat(h)
+	s.revision, s.claim, s.yield = rev, allot.Claim{}, time.Time{}
+	kept := s.tenure.Won(rec)
+	if l == lease {
+		s.tenure.Leased(lease, until)
+	}
+	if !kept {
+		r.dropHomes(h)
+		r.startHomes(h)
+	}
+	r.cfg.Journal.Add(journal.Decision{
+		At: r.cfg.Now(), Kind: journal.KindAllot, Subject: "seat=" + string(seatName(r.cfg.DataCentre, h)),
+		Choice: "take", Reason: fmt.Sprintf("tenure %d, witness %s", rec.Tenure, rec.Witness.Host),
+	})
+}
+
+// pickWitness returns a live host, rather of the own data centre, so that a data
+// centre cut off from all else can go on.
+func (r *Runtime) pickWitness() allot.Process {
+	m := r.cfg.Members()
+	for _, e := range append(roster.In(m, r.cfg.DataCentre), m...) {
+		if e.Host == r.cfg.Host || e.Leaving {
+			continue
+		}
+		if epoch := r.cfg.Store.Epoch(e.Host); epoch != 0 {
+			return allot.Process{Host: e.Host, Epoch: epoch}
+		}
+	}
+	return allot.Process{}
+}
+
+var errNoWitness = errors.New("the witness is not among the members")
+
+// withdraw asks the witness of rec to consent no more.
+func (r *Runtime) withdraw(ctx context.Context, h roster.Shard, rec allot.SeatRecord) error {
+	n := seatName(r.cfg.DataCentre, h)
+	q := &hostpb.SeatAsk{Seat: string(n), Tenure: rec.Tenure, Withdraw: true}
+	a, err := r.askWitness(ctx, rec.Witness, []*hostpb.SeatAsk{q})
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	remains := time.Duration(a.GetSeats()[0].GetRemainsUs()) * time.Microsecond
+	r.seat(h).claim.Withdrawn(r.clock.early(), rec, remains)
+	return nil
+}
+
+// heldShards returns the shards whose seats this host holds.
+func (r *Runtime) heldShards() []roster.Shard {
+	var out []roster.Shard
+	for h := roster.Shard(0); h < roster.Shards; h++ {
+		if r.seat(h).tenure.Held() {
+			out = append(out, h)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/io/grants/serve.go
@@ -0,0 +1,188 @@
+package grants
+
+import (
+	"context"
+	"time"
+
+	"skylarkdeal/core/allot"
+	"skylarkdeal/core/failure"
+	"skylarkdeal/core/fleet"
+)
+
+// arrival is an exchange on its way to the waiting ones.
+type arrival struct {
+	entry  *entry
+	waiter waiter
+}
+
+// active remembers the entries that are looked after at each tick.
+type active map[*entry]struct{}
+
+// serve is the one duty that owns the waiting exchanges.
+func (r *Runtime) serve(ctx context.Context) {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	busy := active{}
+	for {
+		select {
+		case <-ctx.Done():
+			r.refuseAll(busy)
+			return
+		case a := <-r.arrivals.Out():
+			r.arrive(busy, a)
+		case res := <-r.results.Out():
+			r.answered(busy, res)
+		case <-t.C:
+			r.lookAfter(busy)
+		}
+		r.drain(busy)
+		r.flush()
+	}
+}
+
+// drain takes what has come meanwhile, so that one request to a home carries the
+// wants of many exchanges.
+func (r *Runtime) drain(busy active) {
+	for range arrivals {
+		select {
+		case a := <-r.arrivals.Out():
+			r.arrive(busy, a)
+		case res := <-r.results.Out():
+			r.answered(busy, res)
+		default:
+			return
+		}
+	}
+}
+
+func (r *Runtime) arrive(busy active, a arrival) {
+	busy[a.entry] = struct{}{}
+	e := a.entry
+	now := r.clock.late()
+	if e.hopeless(now, a.waiter) {
+		e.answer(a.waiter, e.refusal(now))
+		return
+	}
+	e.waiters = append(e.waiters, a.waiter)
+	r.step(e, now)
+}
+
+// step lets through the exchanges that can be, refuses those that can't in time,
+// and asks for tokens for the others.
+func (r *Runtime) step(e *entry, now time.Time) {
+	for len(e.waiters) > 0 && e.spender.TakeAny(now, e.waiters[0].n) {
+		w := e.waiters[0]
+		e.waiters = e.waiters[1:]
+		e.admitted.Add(1)
+		e.answer(w, nil)
+	}
+	e.refuseLate(now)
+	w, ok := e.spender.Next(now, e.wanted(), e.dataCentres())
+	if ok {
+		r.queue(e, w, now)
+	}
+}
+
+// wanted returns the tokens that the waiting exchanges need.
+func (e *entry) wanted() allot.Tokens {
+	var n allot.Tokens
+	for _, w := range e.waiters {
+		n += w.n
+	}
+	return n
+}
+
+func (e *entry) dataCentres() []fleet.DataCentre {
+	return e.document.Load().DataCentres
+}
+
+func (e *entry) answer(w waiter, f *failure.Refusal) {
+	e.waiting.Add(-1)
+	if f != nil {
+		e.refused.Add(1)
+	}
+	w.done(f)
+}
+
+// hopeless reports whether w can't get its tokens before its limit, with all
+// that wait before it. It is made for an account that sends many times its rate:
+// what is above the rate is answered at once, and no more wait than the rate
+// serves within their patience, so that the others wait no longer than that.
+func (e *entry) hopeless(now time.Time, w waiter) bool {
+	return now.Add(e.soonest(now, e.wanted()+w.n)).After(w.limit)
+}
+
+// soonest returns the least time until n tokens may have come, if no other host
+// wanted any.
+func (e *entry) soonest(now time.Time, n allot.Tokens) time.Duration {
+	a, ok := e.document.Load().Account(e.account)
+	if !ok || a.Rate <= 0 {
+		return time.Second
+	}
+	wait := e.spender.Earliest(now, e.dataCentres()).Sub(now)
+	more := float64(n-e.spender.Left(now)) - a.Burst
+	if wait > 0 {
+		more = float64(n - e.spender.Left(now) - 1)
+	}
+	return max(0, wait) + time.Duration(max(0, more)/a.Rate*float64(time.Second))
+}
+
+func (e *entry) refusal(now time.Time) *failure.Refusal {
+	return overRate(e.soonest(now, e.wanted()+1))
+}
+
+// refuseLate refuses from the end those that can't be served in time, as they
+// are behind the others, and from the front those whose limit has come.
+func (e *entry) refuseLate(now time.Time) {
+	for n := len(e.waiters); n > 0; n = len(e.waiters) {
+		w := e.waiters[n-1]
+		e.waiters = e.waiters[:n-1]
+		if !e.hopeless(now, w) {
+			e.waiters = append(e.waiters, w)
+			break
+		}
+		e.answer(w, e.refusal(now))
+	}
+	for len(e.waiters) > 0 && !now.Before(e.waiters[0].limit) {
+		w := e.waiters[0]
+		e.waiters = e.waiters[1:]
+		e.answer(w, e.refusal(now))
+	}
+}
+
+const (
+	// restAfter is how long an entry without exchanges is still looked after.
+	restAfter = time.Second
+	// stockEvery is how often the stock of an entry without waiting exchanges is
+	// looked at: a quarter of the time for which stock is laid in.
+	stockEvery = 25 * time.Millisecond
+)
+
+// lookAfter steps the active entries, and lets those rest that have been idle.
+func (r *Runtime) lookAfter(busy active) {
+	now := r.clock.late()
+	for e := range busy {
+		if len(e.waiters) == 0 && now.Sub(e.checked) < stockEvery {
+			continue
+		}
+		e.checked = now
+		r.step(e, now)
+		if len(e.waiters) == 0 && e.spender.Idle(now, restAfter) {
+			delete(busy, e)
+		}
+	}
+}
+
+// refuseAll answers what still waits when the host stops.
+func (r *Runtime) refuseAll(busy active) {
+	r.drain(busy)
+	for e := range busy {
+		for _, w := range e.waiters {
+			e.answer(w, &failure.Refusal{
+				Code: failure.CodeShuttingDown, Message: "not run: the host is shutting down",
+				RetryAfter: minRetryAfter, Step: "admit",
+			})
+		}
+		e.waiters = nil
+	}
+}
