Replace primaries that leave or are cut off from their replicas

A primary that a document marks as leaving hands over once its log stands still and a replica has all of it, or after 1.5 s. One that answers the hosts but that no replica has copied from for 10 s is replaced too, unless acknowledge = primary, where that would lose acknowledged writes.

--- a/core/group/group.go
+++ b/core/group/group.go
@@ -52,7 +52,7 @@
 
 // Configure takes up the instances of a document and keeps what is known of
 // those that stay.
-func (g *Group) Configure(instances []document.Instance) {
+func (g *Group) Configure(now time.Time, instances []document.Instance) {
 	seen := make([]Seen, 0, len(instances))
 	for _, i := range instances {
 		s := Seen{Instance: i}
@@ -60,6 +60,11 @@
 			s = *o
 			s.Instance = i
 		}
+		if !i.Leaving {
+			s.LeavingSince = time.Time{}
+		} else if s.LeavingSince.IsZero() {
+			s.LeavingSince = now
+		}
 		seen = append(seen, s)
 	}
 	g.seen = seen
@@ -87,6 +92,7 @@
 	// positions would be counted for an instance that never said so.
 	if s := g.find(n); s != nil && st.Instance == n {
 		s.answer(sent, now, st)
+		s.lag(g.history)
 		g.prove(now)
 	}
 }
--- a/core/group/history.go
+++ b/core/group/history.go
@@ -61,3 +61,14 @@
 	asOf, ok := h.Since(p)
 	return max(0, now.Sub(asOf)), ok
 }
+
+// Missing returns the earliest moment by which the primary is known to have had
+// more than a log that ends at p, and false when it isn't known to have more.
+func (h History) Missing(p fleet.Point) (time.Time, bool) {
+	for _, o := range h {
+		if !p.Covers(o.Point) {
+			return o.AsOf, true
+		}
+	}
+	return time.Time{}, false
+}
--- a/core/group/promotion.go
+++ b/core/group/promotion.go
@@ -157,6 +157,9 @@
 		return nil
 	}
 	from, ok := p.candidates()
+	if !ok && !all {
+		return nil
+	}
 	if !ok {
 		p.Phase, p.Reason = PhaseFailed, "no instance that is fenced may be promoted"
 		return nil
--- a/core/group/seen.go
+++ b/core/group/seen.go
@@ -28,6 +28,10 @@
 	Moved time.Time `json:"moved"`
 	// Raised is when the promised term was last seen to rise.
 	Raised time.Time `json:"raised"`
+	// LeavingSince is when the document was first seen to mark it as leaving.
+	LeavingSince time.Time `json:"leaving-since"`
+	// Lag is a moving estimate of how long an entry takes to get here.
+	Lag time.Duration `json:"lag"`
 	// Refusing is set while the instance's address refuses connections.
 	Refusing bool `json:"refusing"`
 
@@ -103,3 +107,21 @@
 	s.asked = max(0, s.asked-1)
 	s.Refusing = refused
 }
+
+// lagWeight makes the estimate of the lag follow a fall over some eight answers;
+// it follows a rise at once.
+const lagWeight = 8
+
+// lag takes the age of the first thing that the log is known to miss for the
+// time that an entry takes to get there.
+func (s *Seen) lag(h History) {
+	var l time.Duration
+	if asOf, ok := h.Missing(s.Status.Last); ok {
+		l = max(0, s.Sent.Sub(asOf))
+	}
+	if l > s.Lag {
+		s.Lag = l
+		return
+	}
+	s.Lag -= (s.Lag - l) / lagWeight
+}
--- a/core/group/suspect.go
+++ b/core/group/suspect.go
@@ -45,6 +45,18 @@
 	// StrandedAfter is how long another host has to end the promotion that it
 	// has begun.
 	StrandedAfter time.Duration
+	// StallAfter is how long no replica may have copied anything, while the
+	// primary is ahead of them all, before the primary counts as cut off from
+	// them. It exceeds any lag at which writes could still be acknowledged.
+	StallAfter time.Duration
+	// KeepStalled leaves such a primary in place. It is for acknowledge =
+	// primary, where a promotion would lose what it has acknowledged.
+	KeepStalled bool
+	// LeaveAfter is how long a leaving primary's transactions have to end
+	// before it is replaced nevertheless; LeaveQuiet is how long its log has to
+	// stand still for them to count as ended.
+	LeaveAfter time.Duration
+	LeaveQuiet time.Duration
 }
 
 // The defaults of Policy.
@@ -53,6 +65,9 @@
 	DefaultRefusedAfter  = 300 * time.Millisecond
 	DefaultAloneAfter    = 5 * time.Second
 	DefaultStrandedAfter = 500 * time.Millisecond
+	DefaultStallAfter    = 10 * time.Second
+	DefaultLeaveAfter    = 1500 * time.Millisecond
+	DefaultLeaveQuiet    = 300 * time.Millisecond
 )
 
 // slowFactor is how many times its usual latency a primary may owe an answer:
@@ -99,6 +114,8 @@
 	CauseSilent   Cause = "silent"
 	CauseAlone    Cause = "silent, no second view to be had"
 	CauseStranded Cause = "promotion abandoned"
+	CauseStalled  Cause = "cut off from its replicas"
+	CauseLeaving  Cause = "leaving"
 )
 
 // Judgement is whether a promotion is due, and why or why not.
@@ -107,6 +124,8 @@
 	Reason string
 	// Rank is the place of this host among those that agree; zero goes first.
 	Rank int
+	// Excluded are the instances not to be promoted.
+	Excluded fleet.Set[fleet.Instance]
 }
 
 // Witness is one host's word on a primary.
@@ -130,9 +149,14 @@
 		return j
 	}
 	s, ok := t.Find(t.Primary)
-	if !ok || !p.Suspects(s, now) {
+	if !ok {
 		return Judgement{}
 	}
+	if !p.Suspects(s, now) {
+		j := p.unfit(now, t, s)
+		j.Rank = rank(me.Host, order, nil)
+		return j
+	}
 	agree := []Witness{me}
 	for _, v := range views {
 		switch p.opinion(v, t) {
@@ -226,33 +250,6 @@
 	return false
 }
 
-// stranded finds what an abandoned promotion leaves: no primary that serves in
-// the highest term that is promised, although a majority can be reached. No
-// view of others is needed, since terms are facts whoever reads them.
-func (p Policy) stranded(now time.Time, t Table) Judgement {
-	top := nextTerm(t) - 1
-	var reach int
-	var since time.Time
-	for _, s := range t.Seen {
-		if !s.Known() {
-			continue
-		}
-		if !p.Suspects(s, now) {
-			reach++
-		}
-		if s.Status.Promised == top && s.Raised.After(since) {
-			since = s.Raised
-		}
-	}
-	if reach < Majority(len(t.Seen)) || t.Primary != "" && t.Term == top {
-		return Judgement{}
-	}
-	if now.Sub(since) < orDefault(p.StrandedAfter, DefaultStrandedAfter) {
-		return Judgement{Reason: "another promotion is under way"}
-	}
-	return Judgement{Cause: CauseStranded, Reason: fmt.Sprintf("term %d is promised and has no primary", top)}
-}
-
 // viewFresh is how old an answer may be for a host to say that it reaches an
 // instance. A host that hasn't asked for longer says neither, and asks.
 const viewFresh = 400 * time.Millisecond
--- a/core/group/suspect_test.go
+++ b/core/group/suspect_test.go
@@ -1,6 +1,7 @@
 package group_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -42,7 +43,7 @@
 		w.latency[i.Name] = 2 * time.Millisecond
 		d = append(d, document.Instance{Name: i.Name, DataCentre: fleet.DataCentre("dc-" + i.Name)})
 	}
-	w.group.Configure(d)
+	w.group.Configure(w.now, d)
 	return w
 }
 
@@ -86,6 +87,45 @@
 	return group.Judge(w.now, group.Policy{}, w.group.Table(w.now), me, views, []fleet.Host{"h0", "h1", "h2"})
 }
 
+// leave marks an instance as leaving.
+func (w *watcher) leave(n fleet.Instance) {
+	var d []document.Instance
+	for _, s := range w.group.Table(w.now).Seen {
+		s.Instance.Leaving = s.Instance.Leaving || s.Instance.Name == n
+		d = append(d, s.Instance)
+	}
+	w.group.Configure(w.now, d)
+}
+
+// copy has the replicas catch up.
+func (w *watcher) copy() {
+	for _, i := range w.instances[1:] {
+		_ = i.Copy(w.instances[0], 100)
+	}
+}
+
+// promote runs the promotion that j calls for to its end.
+func (w *watcher) promote(c *qt.C, j group.Judgement) *group.Promotion {
+	p, orders := group.Promote(w.now, w.group.Table(w.now), "h0/1/1", j.Excluded)
+	for len(orders) > 0 {
+		o := orders[0]
+		var err error
+		i := w.instances[slices.IndexFunc(w.instances, func(i *grouptest.Instance) bool { return i.Name == o.Instance })]
+		switch o.Act {
+		case group.ActFence:
+			err = i.Fence(o.Term, o.Proposer)
+		case group.ActPromote:
+			err = i.Promote(o.Term, o.Proposer)
+		case group.ActFollow:
+			err = i.Follow(o.Term, o.Primary)
+		}
+		c.Assert(err, qt.IsNil)
+		orders = append(orders[1:], p.Done(w.now, o, i.Status(), nil)...)
+	}
+	c.Assert(p.Phase, qt.Equals, group.PhaseDone)
+	return p
+}
+
 // view is what another host of a data centre says of the primary.
 func view(h fleet.Host, dc fleet.DataCentre, silent time.Duration) group.View {
 	return group.View{Host: h, DataCentre: dc, Instances: []group.InstanceView{{
@@ -206,3 +246,55 @@
 	c.Assert(w.judge().Cause, qt.Equals, group.CauseStranded)
 	c.Assert(w.group.Table(w.now).Primary, qt.Equals, fleet.Instance("a"))
 }
+
+// A team takes the primary's machine out of service. Callers in the middle of a
+// transaction should end it; no one else should wait for long.
+func TestLeavingPrimaryHandsOverOnceQuiet(t *testing.T) {
+	c := qt.New(t)
+	w := newWatcher()
+	w.watch(time.Second)
+	w.leave("a")
+	for range 10 {
+		_, err := w.instances[0].Append("x")
+		c.Assert(err, qt.IsNil)
+		w.copy()
+		w.watch(100 * time.Millisecond)
+		c.Assert(w.judge().Cause, qt.Equals, group.CauseNone)
+	}
+	w.watch(400 * time.Millisecond)
+	j := w.judge()
+	c.Assert(j.Cause, qt.Equals, group.CauseLeaving)
+	c.Assert(w.promote(c, j).Target, qt.Equals, fleet.Instance("b"))
+}
+
+// The primary's machine leaves while it is the only one that answers. Writes
+// would stop for good if it were fenced, or if writes waited for another.
+func TestLeavingPrimaryStaysWhileItIsAlone(t *testing.T) {
+	c := qt.New(t)
+	w := newWatcher()
+	w.watch(time.Second)
+	w.leave("a")
+	w.dead["b"], w.dead["c"] = true, true
+	w.watch(5 * time.Second)
+	c.Assert(w.judge().Cause, qt.Equals, group.CauseNone)
+	c.Assert(w.group.Table(w.now).CanHandOver(w.now), qt.IsFalse)
+}
+
+// A cut parts the primary from its replicas but from no host. Every write ends
+// as unknown, since no replica ever has it, and all hosts find the primary well.
+func TestPrimaryCutOffFromItsReplicasIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	w := newWatcher()
+	w.watch(time.Second)
+	_, err := w.instances[0].Append("lost to the cut")
+	c.Assert(err, qt.IsNil)
+	w.watch(9 * time.Second)
+	c.Assert(w.judge().Cause, qt.Equals, group.CauseNone)
+	w.watch(2 * time.Second)
+	j := w.judge()
+	c.Assert(j.Cause, qt.Equals, group.CauseStalled)
+	c.Assert(w.promote(c, j).Target, qt.Not(qt.Equals), fleet.Instance("a"))
+	keep := group.Policy{KeepStalled: true}
+	k := group.Judge(w.now, keep, w.group.Table(w.now), group.Witness{Host: "h0"}, nil, nil)
+	c.Assert(k.Cause, qt.Equals, group.CauseNone)
+}
--- /dev/null
+++ b/core/group/unfit.go
@@ -0,0 +1,111 @@
+package group
+
+import (
+	"fmt"
+	"time"
+
+	"skylarkdeal/core/fleet"
+)
+
+// stranded finds what an abandoned promotion leaves: no primary that serves in
+// the highest term that is promised, although a majority can be reached. No
+// view of others is needed, since terms are facts whoever reads them.
+func (p Policy) stranded(now time.Time, t Table) Judgement {
+	top := nextTerm(t) - 1
+	var reach int
+	var since time.Time
+	for _, s := range t.Seen {
+		if !s.Known() {
+			continue
+		}
+		if !p.Suspects(s, now) {
+			reach++
+		}
+		if s.Status.Promised == top && s.Raised.After(since) {
+			since = s.Raised
+		}
+	}
+	if reach < Majority(len(t.Seen)) || t.Primary != "" && t.Term == top {
+		return Judgement{}
+	}
+	if now.Sub(since) < orDefault(p.StrandedAfter, DefaultStrandedAfter) {
+		return Judgement{Reason: "another promotion is under way"}
+	}
+	return Judgement{Cause: CauseStranded, Reason: fmt.Sprintf("term %d is promised and has no primary", top)}
+}
+
+// unfit finds a primary that answers but has to be replaced. What it goes by
+// are documents and logs, which look the same to every host.
+func (p Policy) unfit(now time.Time, t Table, s Seen) Judgement {
+	if s.Instance.Leaving {
+		return p.leaving(now, t, s)
+	}
+	if !p.KeepStalled {
+		return p.stalled(now, t, s)
+	}
+	return Judgement{}
+}
+
+// CanHandOver reports whether the primary can be replaced by an instance that
+// isn't leaving: those have to be a majority that answers.
+func (t Table) CanHandOver(now time.Time) bool {
+	var n int
+	for _, s := range t.Seen {
+		if s.Known() && !s.Instance.Leaving && s.Silent(now) < DefaultRefusedAfter {
+			n++
+		}
+	}
+	return n >= t.Rules.majority(len(t.Seen))
+}
+
+// leaving decides when a primary that is marked as leaving hands over: once a
+// replica has all it has and its log stands still, so that transactions end in
+// peace, or when LeaveAfter is over. A busy transaction then fails as not run,
+// rather than that all others wait for it.
+func (p Policy) leaving(now time.Time, t Table, s Seen) Judgement {
+	if !t.CanHandOver(now) {
+		return Judgement{Reason: "the primary leaves, but too few others answer"}
+	}
+	excluded := fleet.NewSet[fleet.Instance]()
+	var copied bool
+	for _, o := range t.Seen {
+		if o.Instance.Leaving {
+			excluded.Add(o.Instance.Name)
+			continue
+		}
+		copied = copied || o.Known() && o.Status.Last.Covers(s.Status.Last)
+	}
+	quiet := now.Sub(s.Moved) >= orDefault(p.LeaveQuiet, DefaultLeaveQuiet)
+	over := now.Sub(s.LeavingSince) >= orDefault(p.LeaveAfter, DefaultLeaveAfter)
+	if !copied || !quiet && !over {
+		return Judgement{Reason: "the primary leaves; its transactions end first"}
+	}
+	return Judgement{Cause: CauseLeaving, Reason: "the document marks the primary as leaving", Excluded: excluded}
+}
+
+// stalled finds a primary that has been ahead of its replicas for StallAfter
+// without any of them copying anything: it answers the hosts but is cut off
+// from its replicas, shows as writes that all end as unknown, and would stay so
+// for as long as the cut lasts. Its replicas are a majority of their own.
+func (p Policy) stalled(now time.Time, t Table, s Seen) Judgement {
+	after := orDefault(p.StallAfter, DefaultStallAfter)
+	var idle int
+	for _, o := range t.Seen {
+		if o.Instance.Name == s.Instance.Name {
+			continue
+		}
+		asOf, missing := t.History.Missing(o.Status.Last)
+		if !o.Known() || p.Suspects(o, now) || !missing || now.Sub(asOf) < after || now.Sub(o.Moved) < after {
+			continue
+		}
+		idle++
+	}
+	if idle < t.Rules.majority(len(t.Seen)) {
+		return Judgement{}
+	}
+	return Judgement{
+		Cause:    CauseStalled,
+		Reason:   fmt.Sprintf("%d replicas have copied nothing for %v", idle, after),
+		Excluded: fleet.NewSet(s.Instance.Name),
+	}
+}
--- a/core/group/world_test.go
+++ b/core/group/world_test.go
@@ -140,7 +140,7 @@
 	for _, i := range w.instances {
 		d = append(d, document.Instance{Name: i.Name, Address: "127.0.0.1:1"})
 	}
-	h.group.Configure(d)
+	h.group.Configure(w.now, d)
 }
 
 func (w *world) find(n fleet.Instance) *grouptest.Instance {
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -109,6 +109,8 @@
 		return Choice{Action: ActionWait, Reason: "no primary is known"}
 	case s.Silent(now) > suspicious:
 		return Choice{Action: ActionWait, Instance: t.Primary, Reason: "the primary is silent"}
+	case s.Instance.Leaving && t.CanHandOver(now):
+		return Choice{Action: ActionWait, Instance: t.Primary, Reason: "the primary leaves"}
 	case !admits(u, f.Long, l.Waiting):
 		return Choice{Action: ActionWait, Instance: t.Primary, Reason: "the primary's slots are taken"}
 	}
@@ -184,18 +186,17 @@
 // have to be tried again.
 const ageMargin = 10 * time.Millisecond
 
-// catchUp sets how long a replica takes to satisfy the read: about as long as
-// it lags, since that is how old an entry is when the replica gets it.
+// catchUp sets how long a replica takes to satisfy the read: its usual lag, as
+// the entry may have been written just now.
 func (o *option) catchUp(now time.Time, f Facts, t group.Table, s group.Seen) bool {
 	a := session.Answer{Point: s.Status.Last, Role: fleet.RoleReplica}
 	if f.Need.Satisfied(a, now.Add(min(ageMargin, f.Need.MaxAge/2)), t) {
 		return true
 	}
-	age, ok := t.Age(s.Status.Last, now)
-	if !ok || f.Need.MaxAge > 0 {
+	if f.Need.MaxAge > 0 {
 		// Waiting doesn't make a lagging replica's data younger.
 		return false
 	}
-	o.wait, o.reason = max(age, recheck), "the replica has yet to catch up"
+	o.wait, o.reason = max(s.Lag, recheck), "the replica has yet to catch up"
 	return true
 }
--- a/io/steward/bench_test.go
+++ b/io/steward/bench_test.go
@@ -3,102 +3,130 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
 	"skylarkdeal/core/document"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/standin/ledger"
 )
 
 // BenchmarkFailover measures the time from the last good answer of the primary
 // to the next acknowledged write, of a caller that writes on through one host
 // while the primary fails. Run it with -benchtime 30x or more.
 func BenchmarkFailover(b *testing.B) {
-	for _, f := range []string{"crash", "hang", "cut"} {
-		b.Run(f, func(b *testing.B) {
+	for _, kind := range []string{"crash", "hang", "cut"} {
+		b.Run(kind, func(b *testing.B) {
 			var gaps []time.Duration
+			var lost, unknown int
 			for n := range b.N {
-				gaps = append(gaps, failOnce(b, f, n))
+				g, w := failOnce(b, kind, n)
+				gaps = append(gaps, g)
+				lost += w.lost()
+				unknown += w.unknown
+				w.fleet.close()
 			}
 			slices.Sort(gaps)
 			b.ReportMetric(0, "ns/op")
-			b.ReportMetric(float64(gaps[len(gaps)/2].Milliseconds()), "median-ms")
-			b.ReportMetric(float64(gaps[len(gaps)-1].Milliseconds()), "worst-ms")
+			b.ReportMetric(ms(gaps[len(gaps)/2]), "median-ms")
+			b.ReportMetric(ms(gaps[len(gaps)-1]), "worst-ms")
+			b.ReportMetric(float64(lost), "lost")
+			b.ReportMetric(float64(unknown), "unknown")
 		})
 	}
 }
 
+func ms(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
+}
+
 // failOnce runs one failover. The n-th run fails the primary at another phase
-// of the hosts' timers.
-func failOnce(b *testing.B, kind string, n int) time.Duration {
-	c := newCluster(b, time.Millisecond)
-	defer func() {
-		c.stop()
-		c.wait.Wait()
-	}()
-	c.ready(b)
-	h := c.hosts[n%len(c.hosts)].Host
-	if kind == "cut" {
-		// The caller's host is on the side that the primary isn't on.
-		h = c.hosts[1+n%2].Host
+// of the hosts' timers and through another host.
+func failOnce(b *testing.B, kind string, n int) (time.Duration, *writer) {
+	b.Helper()
+	f := newFleet(b, time.Millisecond)
+	w := &writer{
+		fleet: f, host: f.hosts[1+n%2].Host, rule: document.AcknowledgeReplicated,
+		acked: make(map[fleet.Point]string),
 	}
+	defer w.close()
+	w.first(b)
 	fail := time.Now().Add(300*time.Millisecond + time.Duration(n%10)*7*time.Millisecond)
-	failed := false
 	last := time.Now()
-	acked := make(map[fleet.Point]string)
+	failed := false
 	for i := 0; ; i++ {
 		if !failed && time.Now().After(fail) {
 			failed = true
-			c.strike(kind)
+			f.strike(kind)
+		}
+		at, ok := w.write(strconv.Itoa(i), 250*time.Millisecond)
+		if ok && at.Term > 1 {
+			return time.Since(last), w
 		}
-		v := fmt.Sprint(i)
-		at, err := c.write(h, document.AcknowledgeReplicated, v, 250*time.Millisecond)
-		if err != nil {
-			time.Sleep(time.Millisecond)
-			continue
+		if ok {
+			last = time.Now()
 		}
-		acked[at] = v
-		if failed && at.Term > 1 {
-			break
+		if time.Since(last) > 20*time.Second {
+			b.Fatal("no failover in 20 s")
 		}
-		last = time.Now()
 	}
-	gap := time.Since(last)
-	c.keeps(b, acked)
-	return gap
 }
 
 // strike fails instance a, the primary. A cut leaves it with host h0.
-func (c *cluster) strike(kind string) {
-	c.set(func() {
-		switch kind {
-		case "crash":
-			c.faults["a"] = crashed
-		case "hang":
-			c.faults["a"] = hung
-		case "cut":
-			c.away["h0"] = true
-			c.cut["h1"]["a"], c.cut["h2"]["a"] = true, true
-			c.cut["h0"]["b"], c.cut["h0"]["c"] = true, true
+func (f *fleetOf) strike(kind string) {
+	set := func(n fleet.Instance, t ledger.Fault) {
+		if err := f.group.Set(n, t); err != nil {
+			panic(err)
 		}
-	})
+	}
+	switch kind {
+	case "crash":
+		set("a", ledger.Fault{Kind: ledger.FaultDie})
+	case "hang":
+		set("a", ledger.Fault{Kind: ledger.FaultPause})
+	case "cut":
+		set("a", ledger.Fault{Kind: ledger.FaultCut, From: []string{"b", "c", "h1", "h2"}})
+		set("b", ledger.Fault{Kind: ledger.FaultCut, From: []string{"a", "h0"}})
+		set("c", ledger.Fault{Kind: ledger.FaultCut, From: []string{"a", "h0"}})
+		f.mu.Lock()
+		f.away["h0"] = true
+		f.mu.Unlock()
+	}
 }
 
-// keeps checks that the primary of the highest term has all that was
-// acknowledged.
-func (c *cluster) keeps(tb testing.TB, acked map[fleet.Point]string) {
-	tb.Helper()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	top := c.instances["a"]
-	for _, i := range c.instances {
-		if i.Role == fleet.RolePrimary && i.Last().Term > top.Last().Term {
-			top = i
+// BenchmarkWrite measures a write from its sending to its acknowledgement, for
+// both rules of acknowledgement at four replication lags.
+func BenchmarkWrite(b *testing.B) {
+	for _, rule := range []document.Acknowledge{document.AcknowledgeReplicated, document.AcknowledgePrimary} {
+		for _, lag := range []time.Duration{
+			time.Millisecond, 20 * time.Millisecond, 200 * time.Millisecond, 2 * time.Second,
+		} {
+			b.Run(fmt.Sprintf("%s/lag=%v", rule, lag), func(b *testing.B) { writeMany(b, rule, lag) })
 		}
 	}
-	for p, v := range acked {
-		if int(p.Position) > len(top.Log) || top.Log[p.Position-1].Value != v {
-			tb.Fatalf("acknowledged write %v = %s is lost", p, v)
+}
+
+func writeMany(b *testing.B, rule document.Acknowledge, lag time.Duration) {
+	f := newFleet(b, lag)
+	defer f.close()
+	w := &writer{fleet: f, host: "h1", rule: rule, acked: make(map[fleet.Point]string)}
+	defer w.close()
+	eventually(b, func() bool {
+		_, ok := w.write("first", 10*time.Second)
+		return ok
+	})
+	took := make([]time.Duration, 0, b.N)
+	b.ResetTimer()
+	for n := range b.N {
+		from := time.Now()
+		if _, ok := w.write(strconv.Itoa(n), 10*time.Second); !ok {
+			b.Fatal("a write was not acknowledged")
 		}
+		took = append(took, time.Since(from))
 	}
+	slices.Sort(took)
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(ms(took[len(took)/2]), "median-ms")
+	b.ReportMetric(ms(took[len(took)*99/100]), "p99-ms")
 }
--- a/io/steward/change.go
+++ b/io/steward/change.go
@@ -86,7 +86,7 @@
 	c := &s.change
 	c.attempts++
 	proposer := group.Proposer(s.cfg.Host, s.cfg.Epoch, c.attempts)
-	p, orders := group.Promote(now, t, proposer, nil)
+	p, orders := group.Promote(now, t, proposer, j.Excluded)
 	c.promotion = p
 	s.note(now, fmt.Sprintf("promote in term %d", p.Term), string(j.Cause)+": "+j.Reason)
 	s.dispatch(orders)
@@ -161,16 +161,9 @@
 	return group.Witness{Host: s.cfg.Host, DataCentre: s.cfg.DataCentre}
 }
 
-func (s *Steward) holders() []fleet.Member {
-	if s.cfg.Holders == nil {
-		return nil
-	}
-	return s.cfg.Holders()
-}
-
 func (s *Steward) order() []fleet.Host {
 	var out []fleet.Host
-	for _, m := range s.holders() {
+	for _, m := range s.members {
 		out = append(out, m.Host)
 	}
 	return out
@@ -187,7 +180,7 @@
 		return
 	}
 	s.change.asked = now
-	for _, m := range s.holders() {
+	for _, m := range s.members {
 		if m.Host == s.cfg.Host || s.viewing.Has(m.Host) {
 			continue
 		}
--- a/io/steward/cluster_test.go
+++ b/io/steward/cluster_test.go
@@ -13,7 +13,6 @@
 
 	"skylarkdeal/core/document"
 	"skylarkdeal/core/fleet"
-	"skylarkdeal/core/group"
 	"skylarkdeal/core/group/grouptest"
 	"skylarkdeal/core/journal"
 	"skylarkdeal/io/control"
@@ -53,8 +52,10 @@
 	cut  map[fleet.Host]map[fleet.Instance]bool
 	away map[fleet.Host]bool
 	slow map[fleet.Instance]time.Duration
-	// acts counts the orders that instances have carried out.
-	acts map[group.Act]int
+	// alone are the instances that no other reaches.
+	alone map[fleet.Instance]bool
+	// questions counts the status reads of each host.
+	questions map[fleet.Host]int
 }
 
 // newCluster starts a group of three instances in three data centres with a
@@ -70,7 +71,8 @@
 		cut:       make(map[fleet.Host]map[fleet.Instance]bool),
 		away:      make(map[fleet.Host]bool),
 		slow:      make(map[fleet.Instance]time.Duration),
-		acts:      make(map[group.Act]int),
+		alone:     make(map[fleet.Instance]bool),
+		questions: make(map[fleet.Host]int),
 	}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.doc.Service = "orders"
@@ -170,24 +172,19 @@
 }
 
 func (c *cluster) dial(h fleet.Host, n fleet.Instance) control.Client {
-	act := func(a group.Act, f func(i *grouptest.Instance) error) func(i *grouptest.Instance) error {
-		return func(i *grouptest.Instance) error {
-			c.acts[a]++
-			return f(i)
-		}
-	}
 	return control.Client{
 		Status: func(ctx context.Context) (fleet.Status, error) {
+			c.set(func() { c.questions[h]++ })
 			return c.call(ctx, h, n, func(*grouptest.Instance) error { return nil })
 		},
 		Fence: func(ctx context.Context, t fleet.Term, p fleet.Host) (fleet.Status, error) {
-			return c.call(ctx, h, n, act(group.ActFence, func(i *grouptest.Instance) error { return i.Fence(t, p) }))
+			return c.call(ctx, h, n, func(i *grouptest.Instance) error { return i.Fence(t, p) })
 		},
 		Promote: func(ctx context.Context, t fleet.Term, p fleet.Host) (fleet.Status, error) {
-			return c.call(ctx, h, n, act(group.ActPromote, func(i *grouptest.Instance) error { return i.Promote(t, p) }))
+			return c.call(ctx, h, n, func(i *grouptest.Instance) error { return i.Promote(t, p) })
 		},
 		Follow: func(ctx context.Context, t fleet.Term, p fleet.Instance, _ string) (fleet.Status, error) {
-			return c.call(ctx, h, n, act(group.ActFollow, func(i *grouptest.Instance) error { return i.Follow(t, p) }))
+			return c.call(ctx, h, n, func(i *grouptest.Instance) error { return i.Follow(t, p) })
 		},
 		Close: func() {},
 	}
@@ -214,7 +211,8 @@
 		}
 		for _, i := range c.instances {
 			from := c.instances[i.Follows]
-			if from == nil || c.faults[i.Name] != healthy || c.faults[from.Name] != healthy {
+			if from == nil || c.faults[i.Name] != healthy || c.faults[from.Name] != healthy ||
+				c.alone[i.Name] || c.alone[from.Name] {
 				continue
 			}
 			if n := marks[0].len[from.Name] - len(i.Log); n > 0 || from.Last().Term > i.Last().Term {
@@ -231,6 +229,32 @@
 	f()
 }
 
+// asked returns how many questions a host has asked.
+func (c *cluster) asked(h fleet.Host) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.questions[h]
+}
+
+// keeps checks that the primary of the highest term has all that was
+// acknowledged.
+func (c *cluster) keeps(tb testing.TB, acked map[fleet.Point]string) {
+	tb.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	top := c.instances["a"]
+	for _, i := range c.instances {
+		if i.Role == fleet.RolePrimary && i.Last().Term > top.Last().Term {
+			top = i
+		}
+	}
+	for p, v := range acked {
+		if int(p.Position) > len(top.Log) || top.Log[p.Position-1].Value != v {
+			tb.Fatalf("acknowledged write %v = %s is lost", p, v)
+		}
+	}
+}
+
 var errNoPrimary = errors.New("no primary is known")
 
 // write has a value written through one host and waits for its acknowledgement.
--- /dev/null
+++ b/io/steward/ledger_test.go
@@ -0,0 +1,210 @@
+package steward_test
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"skylarkdeal/core/document"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/io/control"
+	"skylarkdeal/io/host/hostpb"
+	"skylarkdeal/io/steward"
+	"skylarkdeal/standin/ledger"
+)
+
+// linkTime is one way between the hosts and the instances.
+const linkTime = time.Millisecond
+
+// fleetOf is a stand-in group with three holders before it, each in a data
+// centre with one of the instances.
+type fleetOf struct {
+	ctx      context.Context
+	stop     context.CancelFunc
+	wait     sync.WaitGroup
+	group    *ledger.Group
+	doc      document.Document
+	hosts    []fleet.Member
+	stewards map[fleet.Host]*steward.Steward
+	mu       sync.Mutex
+	away     map[fleet.Host]bool
+}
+
+func newFleet(tb testing.TB, lag time.Duration) *fleetOf {
+	tb.Helper()
+	f := &fleetOf{stewards: make(map[fleet.Host]*steward.Steward), away: make(map[fleet.Host]bool)}
+	f.ctx, f.stop = context.WithCancel(context.Background())
+	names := []fleet.Instance{"a", "b", "c"}
+	cfg := ledger.Config{Service: "orders", Lag: lag}
+	for _, n := range names {
+		cfg.Instances = append(cfg.Instances, ledger.InstanceConfig{
+			Name: n, Slots: 2, Connections: 16, ConnectDelay: 10 * time.Millisecond, Work: time.Millisecond,
+		})
+	}
+	g, err := ledger.Start(cfg)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	f.group = g
+	f.doc.Service = "orders"
+	for i, n := range names {
+		dc := fleet.DataCentre(fmt.Sprintf("dc%d", i))
+		f.doc.Instances = append(f.doc.Instances, document.Instance{
+			Name: n, Address: g.Address(n), DataCentre: dc, Slots: 2, Connections: 16,
+		})
+		f.hosts = append(f.hosts, fleet.Member{Host: fleet.Host(fmt.Sprintf("h%d", i)), DataCentre: dc})
+	}
+	for i, m := range f.hosts {
+		f.start(m, uint64(i+1))
+	}
+	return f
+}
+
+func (f *fleetOf) close() {
+	f.stop()
+	f.wait.Wait()
+	f.group.Close()
+}
+
+func (f *fleetOf) start(m fleet.Member, seed uint64) {
+	s := steward.New(steward.Config{
+		Service: "orders", Host: m.Host, DataCentre: m.DataCentre, Epoch: seed, Seed: seed,
+		Document: func() *document.Document { return &f.doc },
+		Dial:     func(i document.Instance) control.Client { return f.dial(m.Host, i) },
+		Holders:  func() []fleet.Member { return f.hosts },
+		Views: func(ctx context.Context, o fleet.Member) (*hostpb.ViewResponse, error) {
+			return f.view(ctx, m.Host, o.Host)
+		},
+	})
+	f.stewards[m.Host] = s
+	f.wait.Go(func() { s.Run(f.ctx) })
+}
+
+func (f *fleetOf) view(ctx context.Context, from, to fleet.Host) (*hostpb.ViewResponse, error) {
+	f.mu.Lock()
+	gone := f.away[from] || f.away[to]
+	f.mu.Unlock()
+	if gone {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if err := sleep(ctx, 2*linkTime); err != nil {
+		return nil, err
+	}
+	return f.stewards[to].HandleView(), nil
+}
+
+// dial returns a client whose calls take as long as the links would.
+func (f *fleetOf) dial(h fleet.Host, i document.Instance) control.Client {
+	k := control.Dial(control.Config{
+		Instance: i.Name, Address: i.Address, User: "u", Password: "p", Database: "orders", Host: h,
+	})
+	return control.Client{
+		Status: func(ctx context.Context) (fleet.Status, error) {
+			if err := sleep(ctx, 2*linkTime); err != nil {
+				return fleet.Status{}, err
+			}
+			return k.Status(ctx)
+		},
+		Fence:   k.Fence,
+		Promote: k.Promote,
+		Follow:  k.Follow,
+		Close:   k.Close,
+	}
+}
+
+// writer is a caller of one host that writes on whatever happens.
+type writer struct {
+	fleet *fleetOf
+	host  fleet.Host
+	rule  document.Acknowledge
+	to    fleet.Instance
+	conn  *pgconn.PgConn
+	acked map[fleet.Point]string
+	// lost is how many writes have had an unknown outcome.
+	unknown int
+}
+
+func (w *writer) close() {
+	if w.conn != nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = w.conn.Close(ctx)
+	}
+	w.conn = nil
+}
+
+// connect returns the connection to the primary, or nil while there is none.
+func (w *writer) connect(ctx context.Context) *pgconn.PgConn {
+	t := w.fleet.stewards[w.host].Table()
+	p, ok := t.Find(t.Primary)
+	if !ok || p.Silent(time.Now()) > 150*time.Millisecond {
+		return nil
+	}
+	if w.conn != nil && w.to == t.Primary && !w.conn.IsClosed() {
+		return w.conn
+	}
+	w.close()
+	conn, err := pgconn.Connect(ctx, fmt.Sprintf("postgres://u:p@%s/orders?sslmode=disable&application_name=%s",
+		p.Instance.Address, w.host))
+	if err != nil {
+		return nil
+	}
+	w.conn, w.to = conn, t.Primary
+	return conn
+}
+
+// write has one value written and acknowledged within limit.
+func (w *writer) write(value string, limit time.Duration) (fleet.Point, bool) {
+	ctx, cancel := context.WithTimeout(w.fleet.ctx, limit)
+	defer cancel()
+	conn := w.connect(ctx)
+	if conn == nil {
+		_ = sleep(ctx, time.Millisecond)
+		return fleet.Point{}, false
+	}
+	_ = sleep(ctx, 2*linkTime)
+	if _, err := conn.Exec(ctx, "put k"+value+" "+value).ReadAll(); err != nil {
+		w.close()
+		return fleet.Point{}, false
+	}
+	text, _, _ := strings.Cut(conn.ParameterStatus(ledger.PointParameter), "/")
+	at, err := fleet.ParsePoint(text)
+	if err != nil {
+		return fleet.Point{}, false
+	}
+	out := make(chan error, 1)
+	w.fleet.stewards[w.host].Confirm(at, w.rule, time.Now().Add(limit), func(err error) { out <- err })
+	if <-out != nil {
+		w.unknown++
+		return at, false
+	}
+	w.acked[at] = value
+	return at, true
+}
+
+// lost returns how many acknowledged writes the primary doesn't have.
+func (w *writer) lost() int {
+	var n int
+	top := w.fleet.group.Primary()
+	for _, v := range w.acked {
+		if got, ok := w.fleet.group.Value(top, "k"+v); !ok || got != v {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *writer) first(tb testing.TB) {
+	tb.Helper()
+	eventually(tb, func() bool {
+		_, ok := w.write("first"+strconv.Itoa(len(w.acked)), time.Second)
+		return ok
+	})
+}
--- a/io/steward/link.go
+++ b/io/steward/link.go
@@ -37,7 +37,7 @@
 	orderRoom = 4
 	// askTimeout ends a question. It outlasts the slowest answer that a primary
 	// may give without being suspected.
-	askTimeout = time.Second
+	askTimeout = 2 * time.Second
 	// orderTimeout ends a step of a change of primary.
 	orderTimeout = time.Second
 )
--- a/io/steward/steward.go
+++ b/io/steward/steward.go
@@ -81,6 +81,9 @@
 	viewing fleet.Set[fleet.Host]
 	change  change
 	busy    time.Time
+	// members are the group's holders as of membersAt.
+	members   []fleet.Member
+	membersAt time.Time
 }
 
 // eventRoom is how many events may wait for the loop. Writes that wait for a
@@ -187,6 +190,7 @@
 		s.note(now, "wait", "this host was paused; the instances' silence counts anew")
 	}
 	s.adopt(now)
+	s.recall(now)
 	t := s.publish(now)
 	s.settle(now, t)
 	s.failOver(now, t)
@@ -214,7 +218,8 @@
 		return
 	}
 	s.doc = d
-	s.group.Configure(d.Instances)
+	s.group.Configure(now, d.Instances)
+	s.cfg.Policy.KeepStalled = d.Acknowledge == document.AcknowledgePrimary
 	links := make(map[fleet.Instance]*link, len(d.Instances))
 	for _, i := range d.Instances {
 		l := s.links[i.Name]
@@ -232,6 +237,17 @@
 	s.note(now, "configure", "a document is in force")
 }
 
+// memberLife is how long the holders are remembered: to rank hundreds of hosts
+// at each step would cost more than all else a step does.
+const memberLife = 100 * time.Millisecond
+
+func (s *Steward) recall(now time.Time) {
+	if s.cfg.Holders == nil || now.Sub(s.membersAt) < memberLife {
+		return
+	}
+	s.members, s.membersAt = s.cfg.Holders(), now
+}
+
 func (s *Steward) publish(now time.Time) group.Table {
 	t := s.group.Table(now)
 	changed := differs(*s.table.Load(), t)
--- /dev/null
+++ b/io/steward/steward_test.go
@@ -0,0 +1,176 @@
+package steward_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/document"
+	"skylarkdeal/core/failure"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/group"
+)
+
+// writeUntil writes through h until f accepts an acknowledged point, and
+// returns all that was acknowledged.
+func (c *cluster) writeUntil(tb testing.TB, h fleet.Host, f func(p fleet.Point) bool) map[fleet.Point]string {
+	tb.Helper()
+	acked := make(map[fleet.Point]string)
+	n := 0
+	eventually(tb, func() bool {
+		n++
+		v := fmt.Sprintf("%s-%d", h, n)
+		p, err := c.write(h, document.AcknowledgeReplicated, v, 300*time.Millisecond)
+		if err != nil {
+			return false
+		}
+		acked[p] = v
+		return f(p)
+	})
+	return acked
+}
+
+func anyPoint(fleet.Point) bool { return true }
+
+func laterTerm(p fleet.Point) bool { return p.Term > 1 }
+
+// The primary dies while an order client writes. Nobody orders a promotion; the
+// next order is confirmed by a new primary that has all the earlier ones. When
+// the dead one comes back, it follows.
+func TestDeadPrimaryIsReplacedAndComesBackAsReplica(t *testing.T) {
+	for _, f := range []fault{crashed, hung} {
+		t.Run(string(f), func(t *testing.T) {
+			c := newCluster(t, time.Millisecond)
+			c.ready(t)
+			before := c.writeUntil(t, "h1", anyPoint)
+			c.set(func() { c.faults["a"] = f })
+			after := c.writeUntil(t, "h1", laterTerm)
+			c.keeps(t, before)
+			c.keeps(t, after)
+			c.set(func() { c.faults["a"] = healthy })
+			eventually(t, func() bool {
+				a, _ := c.stewards["h2"].Table().Find("a")
+				return a.Status.Role == fleet.RoleReplica && a.Status.Last.Term > 1
+			})
+		})
+	}
+}
+
+// The primary is cut off with one host, and that host's callers go on writing.
+// They get no confirmation, only an unknown outcome, while the other side goes
+// on with a new primary; once the cut heals, all agree on it.
+func TestCutOffPrimaryConfirmsNothing(t *testing.T) {
+	q := qt.New(t)
+	c := newCluster(t, time.Millisecond)
+	c.ready(t)
+	c.writeUntil(t, "h0", anyPoint)
+	c.set(func() {
+		c.away["h0"] = true
+		c.cut["h1"]["a"], c.cut["h2"]["a"] = true, true
+		c.cut["h0"]["b"], c.cut["h0"]["c"] = true, true
+	})
+	// The instances' own links are cut too: nothing is copied any more.
+	c.set(func() { c.alone["a"] = true })
+	_, err := c.write("h0", document.AcknowledgeReplicated, "far side", 300*time.Millisecond)
+	var r *failure.Refusal
+	q.Assert(errors.As(err, &r), qt.IsTrue, qt.Commentf("%v", err))
+	q.Assert(r.Code, qt.Equals, failure.CodeUnknownOutcome)
+	_, err = c.write("h0", document.AcknowledgePrimary, "far side", 300*time.Millisecond)
+	q.Assert(errors.As(err, &r), qt.IsTrue, qt.Commentf("%v", err))
+	q.Assert(r.Code, qt.Equals, failure.CodeUnknownOutcome)
+	acked := c.writeUntil(t, "h1", laterTerm)
+	c.set(func() {
+		clear(c.away)
+		clear(c.alone)
+		for _, m := range c.hosts {
+			clear(c.cut[m.Host])
+		}
+	})
+	eventually(t, func() bool {
+		return c.stewards["h0"].Table().Term > 1
+	})
+	c.keeps(t, acked)
+}
+
+// One instance doesn't answer. Writes must not wait for it: the others are a
+// majority.
+func TestSilentReplicaDelaysNoWrite(t *testing.T) {
+	c := newCluster(t, time.Millisecond)
+	c.ready(t)
+	c.set(func() { c.faults["c"] = hung })
+	for range 20 {
+		c.writeUntil(t, "h0", anyPoint)
+	}
+	c.set(func() { c.faults["b"] = hung })
+	_, err := c.write("h0", document.AcknowledgePrimary, "minority", 300*time.Millisecond)
+	qt.New(t).Assert(err, qt.IsNotNil)
+}
+
+// Writes that wait together are served by one round: a hundred of them ask each
+// instance far fewer than a hundred times.
+func TestOneRoundServesAllWaiting(t *testing.T) {
+	q := qt.New(t)
+	c := newCluster(t, time.Millisecond)
+	c.ready(t)
+	p := c.stewards["h0"].Table()
+	at := fleet.Point{Term: p.Term, Position: 1}
+	out := make(chan error, 100)
+	before := c.asked("h0")
+	for range 100 {
+		c.stewards["h0"].Confirm(at, document.AcknowledgeReplicated, time.Now().Add(10*time.Second),
+			func(err error) { out <- err })
+	}
+	for range 100 {
+		q.Assert(<-out, qt.IsNil)
+	}
+	q.Assert(c.asked("h0")-before < 50, qt.IsTrue)
+}
+
+// A caller without a token reads: the point has to be obtained after the call,
+// from a primary that a majority stands by, or not at all.
+func TestFreshPointCoversWhatWasAcknowledged(t *testing.T) {
+	q := qt.New(t)
+	c := newCluster(t, time.Millisecond)
+	c.ready(t)
+	for p := range c.writeUntil(t, "h0", anyPoint) {
+		proof, err := c.fresh("h2", 10*time.Second)
+		q.Assert(err, qt.IsNil)
+		q.Assert(proof.Point.Covers(p), qt.IsTrue)
+	}
+	c.set(func() { c.faults["b"], c.faults["c"] = hung, hung })
+	_, err := c.fresh("h2", 200*time.Millisecond)
+	var r *failure.Refusal
+	q.Assert(errors.As(err, &r), qt.IsTrue)
+	q.Assert(r.Code, qt.Equals, failure.CodeNotReady)
+}
+
+func (c *cluster) fresh(h fleet.Host, limit time.Duration) (group.Proof, error) {
+	type result struct {
+		proof group.Proof
+		err   error
+	}
+	out := make(chan result, 1)
+	c.stewards[h].FreshPoint(time.Now().Add(limit), func(p group.Proof, err error) { out <- result{p, err} })
+	r := <-out
+	return r.proof, r.err
+}
+
+// A host stops while a write waits for its proof. The caller must hear that the
+// outcome is unknown instead of waiting for ever.
+func TestStoppingAnswersAllThatWait(t *testing.T) {
+	q := qt.New(t)
+	c := newCluster(t, time.Millisecond)
+	c.ready(t)
+	out := make(chan error, 1)
+	far := fleet.Point{Term: 1, Position: 1000}
+	c.stewards["h0"].Confirm(far, document.AcknowledgeReplicated, time.Now().Add(time.Hour),
+		func(err error) { out <- err })
+	c.stop()
+	q.Assert(<-out, qt.ErrorMatches, "08007: .*")
+	c.stewards["h0"].Confirm(far, document.AcknowledgeReplicated, time.Now().Add(time.Hour),
+		func(err error) { out <- err })
+	q.Assert(<-out, qt.ErrorMatches, "08007: .*")
+}
