--- /dev/null
+++ b/core/place/sim_test.go
@@ -0,0 +1,222 @@
+package place_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"skylarkdeal/core/document"
+	"skylarkdeal/core/exchange"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/group"
+	"skylarkdeal/core/place"
+	"skylarkdeal/core/session"
+)
+
+// load is a mix of requests for one holder of a group.
+type load struct {
+	// rate is in requests a second.
+	rate float64
+	// write, token, aged and blind are the parts of writes and of reads that
+	// show a token just got by a write, that accept an age, that show nothing.
+	write, token, aged, blind float64
+	// long is the part of the reads that take longWork.
+	long float64
+	// age is what aged reads accept.
+	age time.Duration
+}
+
+const longWork = 200 * time.Millisecond
+
+// sim runs a load against three instances in virtual time: each request waits
+// in one queue until Choose finds it an instance.
+type sim struct {
+	load  load
+	lag   time.Duration
+	work  map[fleet.Instance]time.Duration
+	slots int
+	leave map[fleet.Instance]bool
+
+	rand    *rand.Rand
+	now     time.Time
+	group   group.Group
+	log     []time.Time
+	busy    map[fleet.Instance]int
+	meters  map[fleet.Instance]place.Meter
+	queue   []*request
+	running []*request
+	ended   []*request
+}
+
+type request struct {
+	facts   place.Facts
+	arrived time.Time
+	until   time.Time
+	started time.Time
+	ends    time.Time
+	choice  place.Choice
+	reads   fleet.Point
+	class   string
+}
+
+func newSim(l load) *sim {
+	s := &sim{
+		load: l, lag: time.Millisecond, slots: 2,
+		work:   map[fleet.Instance]time.Duration{"a": 2 * time.Millisecond, "b": 2 * time.Millisecond, "c": 2 * time.Millisecond},
+		leave:  make(map[fleet.Instance]bool),
+		rand:   rand.New(rand.NewPCG(1, 2)),
+		now:    time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC),
+		busy:   make(map[fleet.Instance]int),
+		meters: make(map[fleet.Instance]place.Meter),
+	}
+	s.log = append(s.log, s.now.Add(-time.Minute))
+	return s
+}
+
+var names = []fleet.Instance{"a", "b", "c"}
+
+func (s *sim) configure() {
+	var d []document.Instance
+	for _, n := range names {
+		d = append(d, document.Instance{Name: n, Slots: s.slots, Leaving: s.leave[n]})
+	}
+	s.group.Configure(s.now, d)
+}
+
+// last is the end of an instance's log; a is the primary.
+func (s *sim) last(n fleet.Instance) fleet.Point {
+	p := len(s.log)
+	if n != "a" {
+		p, _ = slices.BinarySearchFunc(s.log, s.now.Add(-s.lag), time.Time.Compare)
+	}
+	return fleet.Point{Term: 1, Position: fleet.Position(p)}
+}
+
+const tick = 500 * time.Microsecond
+
+func (s *sim) run(d time.Duration) {
+	s.configure()
+	next := s.now
+	for n, end := 0, s.now.Add(d); s.now.Before(end); n++ {
+		if n%4 == 0 {
+			s.ask()
+		}
+		for !next.After(s.now) {
+			s.arrive()
+			next = next.Add(time.Duration(s.rand.ExpFloat64() / s.load.rate * float64(time.Second)))
+		}
+		s.finish()
+		s.start()
+		s.now = s.now.Add(tick)
+	}
+}
+
+func (s *sim) ask() {
+	for _, n := range names {
+		st := fleet.Status{Instance: n, Promised: 1, Role: fleet.RoleReplica, Last: s.last(n), Follows: "a"}
+		if n == "a" {
+			st.Role, st.Follows = fleet.RolePrimary, ""
+		}
+		s.group.Ask(n, s.now)
+		s.group.Answer(n, s.now, s.now, st)
+	}
+}
+
+func (s *sim) arrive() {
+	r := &request{arrived: s.now, class: "write"}
+	q := &exchange.Request{Intent: exchange.IntentRead}
+	switch p := s.rand.Float64() * (s.load.write + s.load.token + s.load.aged + s.load.blind); {
+	case p < s.load.write:
+		q.Intent = exchange.IntentWrite
+	case p < s.load.write+s.load.token:
+		r.class = "token"
+		q.After = fleet.Some(s.last("a"))
+	case p < s.load.write+s.load.token+s.load.aged:
+		r.class = "aged"
+		q.MaxAge = s.load.age
+	default:
+		r.class = "blind"
+	}
+	r.facts = place.Facts{Intent: q.Intent, Need: session.Needs(q, s.now)}
+	if q.Intent == exchange.IntentRead && s.rand.Float64() < s.load.long {
+		r.facts.Long, r.class = true, "long"
+	}
+	s.queue = append(s.queue, r)
+}
+
+func (s *sim) finish() {
+	var left []*request
+	for _, r := range s.running {
+		if r.ends.After(s.now) {
+			left = append(left, r)
+			continue
+		}
+		n := r.choice.Instance
+		s.busy[n]--
+		s.meters[n] = s.meters[n].Observe(s.now, s.now.Sub(r.started))
+		if r.facts.Intent == exchange.IntentWrite {
+			s.log = append(s.log, s.now)
+		}
+		s.ended = append(s.ended, r)
+	}
+	s.running = left
+}
+
+func (s *sim) loads() place.Loads {
+	l := place.Loads{Instances: make(map[fleet.Instance]place.Load), Waiting: len(s.queue)}
+	for _, n := range names {
+		l.Instances[n] = place.Load{Busy: s.busy[n], Slots: s.slots, Latency: s.meters[n]}
+	}
+	return l
+}
+
+func (s *sim) start() {
+	t := s.group.Table(s.now)
+	proof, _ := t.Prove()
+	var left []*request
+	for _, r := range s.queue {
+		r.facts.Need = r.facts.Need.Resolve(proof)
+		r.choice = place.Choose(s.now, r.facts, t, s.loads())
+		if r.choice.Action != place.ActionRun {
+			left = append(left, r)
+			continue
+		}
+		n := r.choice.Instance
+		work := s.work[n]
+		if r.facts.Long {
+			work = longWork
+		}
+		r.started, r.ends, r.reads = s.now, s.now.Add(work), s.last(n)
+		s.busy[n]++
+		s.running = append(s.running, r)
+	}
+	s.queue = left
+}
+
+// outcome is what callers of a class got.
+type outcome struct {
+	ended    int
+	replicas float64
+	p50, p99 time.Duration
+}
+
+func (s *sim) outcome(class string) outcome {
+	var o outcome
+	var took []time.Duration
+	for _, r := range s.ended {
+		if class != "" && r.class != class {
+			continue
+		}
+		took = append(took, r.ends.Sub(r.arrived))
+		if r.choice.Role == fleet.RoleReplica {
+			o.replicas++
+		}
+	}
+	if o.ended = len(took); o.ended == 0 {
+		return o
+	}
+	slices.Sort(took)
+	o.replicas /= float64(len(took))
+	o.p50, o.p99 = took[len(took)/2], took[len(took)*99/100]
+	return o
+}
