--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -143,7 +143,7 @@
 // patience is by how much a read is expected to end sooner at the primary for
 // it to go there. It lets reads wait for a replica that lags by a few
 // milliseconds, which people don't notice, and leaves the primary to the writes.
-const patience = 10 * time.Millisecond
+const patience = 25 * time.Millisecond
 
 func best(now time.Time, f Facts, t group.Table, l Loads) (option, bool) {
 	var out option
