--- a/core/group/model_test.go
+++ b/core/group/model_test.go
@@ -19,6 +19,7 @@
 	// The same verdict each run; the command line may still set another seed.
 	_ = flag.Set("rapid.seed", "1202")
 	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.shrinktime", "5s")
 	os.Exit(m.Run())
 }
 
--- a/core/group/suspect_test.go
+++ b/core/group/suspect_test.go
@@ -87,6 +87,16 @@
 	return group.Judge(w.now, group.Policy{}, w.group.Table(w.now), me, views, []fleet.Host{"h0", "h1", "h2"})
 }
 
+// near puts all instances into one data centre.
+func (w *watcher) near() {
+	var d []document.Instance
+	for _, s := range w.group.Table(w.now).Seen {
+		s.Instance.DataCentre = "dc-a"
+		d = append(d, s.Instance)
+	}
+	w.group.Configure(w.now, d)
+}
+
 // leave marks an instance as leaving.
 func (w *watcher) leave(n fleet.Instance) {
 	var d []document.Instance
@@ -137,12 +147,18 @@
 func TestJudgeWantsTwoHostsAndTwoDataCentres(t *testing.T) {
 	tests := []struct {
 		name   string
+		near   bool
 		silent time.Duration
 		views  []group.View
 		cause  group.Cause
 	}{
 		{name: "healthy"},
 		{name: "one host", silent: 2 * time.Second},
+		{name: "one host, one data centre", near: true, silent: 2 * time.Second},
+		{
+			name: "two hosts, one data centre", near: true, silent: 700 * time.Millisecond,
+			views: []group.View{view("h1", "dc-a", time.Second)}, cause: group.CauseSilent,
+		},
 		{name: "short silence", silent: 400 * time.Millisecond, views: []group.View{view("h1", "dc-b", time.Second)}},
 		{
 			name: "two hosts of two data centres", silent: 700 * time.Millisecond,
@@ -174,6 +190,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			c := qt.New(t)
 			w := newWatcher()
+			if tt.near {
+				w.near()
+			}
 			w.watch(time.Second)
 			if tt.silent > 0 {
 				w.dead["a"] = true
@@ -191,7 +210,7 @@
 func TestSlowPrimaryIsNotSuspected(t *testing.T) {
 	c := qt.New(t)
 	w := newWatcher()
-	for _, l := range []time.Duration{50, 200, 500, 900, 1200} {
+	for _, l := range []time.Duration{50, 500, 1300, 1400} {
 		w.latency["a"] = l * time.Millisecond
 		for range 40 {
 			w.watch(50 * time.Millisecond)
--- /dev/null
+++ b/core/place/guard_test.go
@@ -0,0 +1,108 @@
+package place_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/exchange"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/place"
+	"skylarkdeal/core/session"
+)
+
+// settled returns a simulation whose instances have all been asked.
+func settled() *sim {
+	s := newSim(browsing)
+	s.configure()
+	s.ask()
+	return s
+}
+
+func (s *sim) choose(f place.Facts) place.Choice {
+	return place.Choose(s.now, f, s.group.Table(s.now), s.loads())
+}
+
+var aged = place.Facts{Intent: exchange.IntentRead, Need: session.Need{MaxAge: time.Minute}}
+
+func TestChooseLeavesOutWhoFailedTheRead(t *testing.T) {
+	c := qt.New(t)
+	s := settled()
+	f := aged
+	f.Tried = fleet.NewSet[fleet.Instance]("b", "c")
+	c.Assert(s.choose(f).Instance, qt.Equals, fleet.Instance("a"))
+}
+
+// An instance has died. Until that is certain, what is sent to it waits for a
+// timeout; a write would end as unknown.
+func TestChooseLeavesOutSilentInstances(t *testing.T) {
+	c := qt.New(t)
+	s := settled()
+	for _, n := range names {
+		s.group.Ask(n, s.now)
+	}
+	s.now = s.now.Add(200 * time.Millisecond)
+	c.Assert(s.choose(aged).Action, qt.Equals, place.ActionWait)
+	c.Assert(s.choose(place.Facts{Intent: exchange.IntentWrite}).Action, qt.Equals, place.ActionWait)
+	s.group.Answer("b", s.now, s.now, fleet.Status{
+		Instance: "b", Promised: 1, Role: fleet.RoleReplica, Last: s.last("b"), Follows: "a",
+	})
+	c.Assert(s.choose(aged).Instance, qt.Equals, fleet.Instance("b"))
+}
+
+func TestWritesWaitForTheSuccessorOfALeavingPrimary(t *testing.T) {
+	c := qt.New(t)
+	s := settled()
+	write := place.Facts{Intent: exchange.IntentWrite}
+	c.Assert(s.choose(write).Action, qt.Equals, place.ActionRun)
+	s.leave["a"] = true
+	s.configure()
+	c.Assert(s.choose(write).Action, qt.Equals, place.ActionWait)
+	// Without a majority of others no successor will come, and writes go on.
+	s.leave["b"] = true
+	s.configure()
+	c.Assert(s.choose(write).Action, qt.Equals, place.ActionRun)
+}
+
+// A holder whose share is one slot would never run a report if the last slot
+// were kept free, and would block everyone if it weren't.
+func TestLongWorkTakesASingleSlotOnlyWhenNothingWaits(t *testing.T) {
+	c := qt.New(t)
+	s := settled()
+	s.slots = 1
+	long := place.Facts{Intent: exchange.IntentWrite, Long: true}
+	c.Assert(s.choose(long).Action, qt.Equals, place.ActionRun)
+	s.queue = append(s.queue, &request{})
+	c.Assert(s.choose(long).Action, qt.Equals, place.ActionWait)
+}
+
+// A replica lags by more than the age that the read accepts. Waiting for it
+// would never end.
+func TestAgedReadDoesNotWaitForALaggingReplica(t *testing.T) {
+	c := qt.New(t)
+	s := settled()
+	s.lag = time.Hour
+	s.log = append(s.log, s.now)
+	s.now = s.now.Add(time.Millisecond)
+	s.ask()
+	s.busy["a"] = 2
+	f := place.Facts{Intent: exchange.IntentRead, Need: session.Need{MaxAge: time.Millisecond}}
+	c.Assert(s.choose(f).Instance, qt.Equals, fleet.Instance("a"))
+}
+
+func TestMeterFadesWhileNothingIsMeasured(t *testing.T) {
+	c := qt.New(t)
+	now := settled().now
+	m := place.Meter{}.Observe(now, 80*time.Millisecond)
+	c.Assert(m.Read(now), qt.Equals, 80*time.Millisecond)
+	c.Assert(m.Read(now.Add(5*time.Second)), qt.Equals, 40*time.Millisecond)
+	c.Assert(m.Observe(now, 180*time.Millisecond).Read(now), qt.Equals, 100*time.Millisecond)
+}
+
+func TestShareKeepsAConnectionForControl(t *testing.T) {
+	c := qt.New(t)
+	s, _ := place.Shares(orders(2).Instances[0], []fleet.Host{"h0", "h1"}, "h1")
+	c.Assert(s, qt.Equals, place.Share{Connections: 8, Slots: 1})
+	c.Assert(s.Work(), qt.Equals, 7)
+}
