--- a/internal/serve/peer.go
+++ b/internal/serve/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 
+	"skylarkdeal/core/document"
 	"skylarkdeal/core/failure"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/io/host/hostpb"
@@ -35,7 +36,7 @@
 		Self:       h.self(),
 		Hello:      h.hello(),
 		Store:      h.store,
-		Prefix:     s.Store.Prefix + documentsDir,
+		Prefix:     document.StorePrefix(s.Store.Prefix),
 		Seeds:      s.Peer.Seeds,
 		IsWatcher:  h.members.IsWatcher,
 		Members:    h.members.Members,
@@ -55,9 +56,6 @@
 	}
 }
 
-// documentsDir follows the store's prefix in the keys of documents.
-const documentsDir = "documents/"
-
 func (h *Host) digest(_ context.Context, q *hostpb.DigestRequest) (*hostpb.DigestResponse, error) {
 	return h.spread.HandleDigest(q), nil
 }
