--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/base64"
 	"fmt"
 	"strings"
 	"sync"
@@ -12,7 +11,6 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/xdg-go/scram"
 
 	"skylarkdeal/core/document"
 	"skylarkdeal/core/exchange"
@@ -23,20 +21,18 @@
 
 // verifier makes PostgreSQL's form of a SCRAM-SHA-256 secret.
 func verifier(key, salt string) string {
-	cl, err := scram.SHA256.NewClient("", key, "")
+	v, err := document.VerifierOf(key, []byte(salt))
 	if err != nil {
 		panic(err)
 	}
-	const rounds = 4096
-	k, err := cl.GetStoredCredentialsWithError(scram.KeyFactors{Salt: salt, Iters: rounds})
-	if err != nil {
-		panic(err)
-	}
-	b64 := base64.StdEncoding.EncodeToString
-	return fmt.Sprintf("SCRAM-SHA-256$%d:%s$%s:%s", rounds, b64([]byte(salt)), b64(k.StoredKey), b64(k.ServerKey))
+	return v
 }
 
-const salt = "0123456789abcdef"
+const (
+	salt = "0123456789abcdef"
+	keyA = "cultured-butter-0001"
+	keyB = "fresh-cream-00000002"
+)
 
 // documents is a document that a test can change.
 type documents struct {
@@ -46,7 +42,7 @@
 
 func newDocuments(keys ...document.Key) *documents {
 	if keys == nil {
-		keys = []document.Key{{Name: "a", Verifier: verifier("butter", salt)}}
+		keys = []document.Key{{Name: "a", Verifier: verifier(keyA, salt)}}
 	}
 	return &documents{d: &document.Document{
 		Service: "orders", Version: 1,
@@ -239,7 +235,7 @@
 func TestSimplePreparedAndTransaction(t *testing.T) {
 	c := qt.New(t)
 	f := start(t, nil)
-	conn := connect(t, f.url("hotel", "butter", ""))
+	conn := connect(t, f.url("hotel", keyA, ""))
 	ctx := limit(t)
 	var got string
 	for range 2 {
@@ -270,7 +266,7 @@
 			done(&failure.Refusal{Code: failure.CodeOverRate, Message: "over rate", RetryAfter: 1500 * time.Microsecond})
 		}
 	})
-	conn := connect(t, f.url("hotel", "butter", ""))
+	conn := connect(t, f.url("hotel", keyA, ""))
 	_, err := conn.Exec(limit(t), "put a 1")
 	c.Assert(err, qt.ErrorMatches, ".*over rate.*53400.*")
 	e := pgError(err)
--- a/io/caller/local.go
+++ b/io/caller/local.go
@@ -130,7 +130,9 @@
 func (x *session) runLocal(b []byte, l look) ([]byte, *failure.Refusal) {
 	switch l.verb {
 	case verbSet:
-		return x.runSet(b, l)
+		return x.runSet(b, l, "SET")
+	case verbReset:
+		return x.runSet(b, l, "RESET")
 	case verbShow:
 		v := x.settings.show(x, l.name, parameters[l.name].value)
 		b = appendMessage(b, &pgproto3.DataRow{Values: [][]byte{[]byte(v)}})
@@ -153,15 +155,15 @@
 	}
 }
 
-func (x *session) runSet(b []byte, l look) ([]byte, *failure.Refusal) {
-	if l.name == "all" {
+func (x *session) runSet(b []byte, l look, tag string) ([]byte, *failure.Refusal) {
+	if l.verb == verbReset && l.name == "all" {
 		x.settings = settings{}
-		return appendComplete(b, "RESET"), nil
+		return appendComplete(b, tag), nil
 	}
 	if r := x.settings.set(x, l.name, l.value); r != nil {
 		return b, r
 	}
-	b = appendComplete(b, "SET")
+	b = appendComplete(b, tag)
 	switch l.name {
 	case settingApplication, settingReadOnly:
 		b = appendParameter(b, l.name, x.settings.show(x, l.name, ""))
--- a/io/caller/look.go
+++ b/io/caller/look.go
@@ -16,6 +16,7 @@
 	verbRollback verb = "rollback"
 	// The statements below are answered by the entry host.
 	verbSet         verb = "set"
+	verbReset       verb = "reset"
 	verbShow        verb = "show"
 	verbDiscard     verb = "discard"
 	verbDeallocate  verb = "deallocate"
@@ -38,7 +39,7 @@
 // local reports whether the entry host answers the statement by itself.
 func (l look) local() bool {
 	switch l.verb {
-	case verbSet, verbShow, verbDiscard, verbDeallocate, verbUnsupported:
+	case verbSet, verbReset, verbShow, verbDiscard, verbDeallocate, verbUnsupported:
 		return true
 	default:
 		return false
@@ -60,13 +61,13 @@
 	case "begin", "start":
 		l.verb, l.readOnly = verbBegin, modeIn(rest)
 	case "commit", "end":
-		l.verb = verbCommit
+		l.verb = endVerb(verbCommit, rest)
 	case "rollback", "abort":
-		l.verb = rollbackVerb(rest)
+		l.verb = endVerb(verbRollback, rest)
 	case "set":
 		l.set(rest)
 	case "reset":
-		l.verb, l.name, l.value = verbSet, unquote(rest), settingDefault
+		l.verb, l.name, l.value = verbReset, settingName(rest), settingDefault
 	case "show":
 		l.show(rest)
 	case "discard":
@@ -79,15 +80,15 @@
 	return l
 }
 
-// rollbackVerb leaves ROLLBACK TO a savepoint, which ends no transaction, to
-// the instance; so it does with what belongs to prepared transactions.
-func rollbackVerb(rest string) verb {
-	for _, w := range strings.Fields(strings.ToLower(rest)) {
-		if w == "to" || w == "prepared" {
-			return verbOther
-		}
+// endVerb returns v for a statement that can do nothing but end a transaction.
+// ROLLBACK TO a savepoint, AND CHAIN and what belongs to prepared transactions
+// are left to the instance.
+func endVerb(v verb, rest string) verb {
+	switch strings.ToLower(rest) {
+	case "", "work", "transaction":
+		return v
 	}
-	return verbRollback
+	return verbOther
 }
 
 // unsupported marks statements whose effect would stay behind on an upstream
--- a/io/caller/scram.go
+++ b/io/caller/scram.go
@@ -5,9 +5,7 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/base64"
-	"errors"
 	"fmt"
-	"strconv"
 	"strings"
 
 	"github.com/xdg-go/scram"
@@ -45,35 +43,19 @@
 	}
 }
 
-// parseVerifier reads PostgreSQL's form of a SCRAM-SHA-256 secret,
-// "SCRAM-SHA-256$iterations:salt$StoredKey:ServerKey".
-func parseVerifier(v string) (scram.StoredCredentials, error) {
-	var c scram.StoredCredentials
-	f := strings.FieldsFunc(v, func(r rune) bool { return r == '$' || r == ':' })
-	if len(f) != 5 || f[0] != mechanism {
-		return c, errVerifier
+// credentials reads a verifier for the scram library.
+func credentials(verifier string) (scram.StoredCredentials, error) {
+	v, err := document.ParseVerifier(verifier)
+	if err != nil {
+		return scram.StoredCredentials{}, err
 	}
-	n, err := strconv.Atoi(f[1])
-	if err != nil || n < 1 {
-		return c, errVerifier
-	}
-	var raw [3][]byte
-	for i := range raw {
-		if raw[i], err = base64.StdEncoding.DecodeString(f[2+i]); err != nil {
-			return c, errVerifier
-		}
-	}
-	if len(raw[1]) != sha256.Size || len(raw[2]) != sha256.Size {
-		return c, errVerifier
-	}
-	c.KeyFactors = scram.KeyFactors{Salt: string(raw[0]), Iters: n}
-	c.StoredKey, c.ServerKey = raw[1], raw[2]
-	return c, nil
+	return scram.StoredCredentials{
+		KeyFactors: scram.KeyFactors{Salt: string(v.Salt), Iters: v.Iterations},
+		StoredKey:  v.StoredKey,
+		ServerKey:  v.ServerKey,
+	}, nil
 }
 
-// errVerifier doesn't show the verifier.
-var errVerifier = errors.New("not a SCRAM-SHA-256 verifier")
-
 // candidate is one verifier that a proof may hold for. Its verifier is empty
 // when it was made up.
 type candidate struct {
@@ -105,7 +87,7 @@
 	nonce := newNonce()
 	var factors scram.KeyFactors
 	for _, k := range keys {
-		c, err := parseVerifier(k.Verifier)
+		c, err := credentials(k.Verifier)
 		if err != nil || (key != "" && k.Name != key) {
 			continue
 		}
