--- a/io/caller/batch.go
+++ b/io/caller/batch.go
@@ -15,6 +15,7 @@
 // that it works over whichever upstream connection serves.
 type statement struct {
 	name  string
+	wire  []byte
 	sql   string
 	types []uint32
 	look  look
@@ -58,14 +59,22 @@
 	ops        []op
 	// parsed are the statements that the payload parses itself.
 	parsed []*statement
-	// executed are the looks of the statements that run, in order.
-	executed []look
+	// executed are the statements that run, in order.
+	executed []*statement
 	// local and remote count what the entry host and what the instance answers.
 	local, remote int
 	bound         bool
 	refusal       *failure.Refusal
+
+	// The room of a usual batch, so that it takes one allocation.
+	opsRoom      [4]op
+	executedRoom [2]*statement
+	needRoom     [1]exchange.Statement
 }
 
+// payloadRoom holds the messages of a usual statement.
+const payloadRoom = 256
+
 // nowhere is a portal that never exists. Closing it is answered like any other
 // Close, in its place among the answers of a batch.
 const nowhere = "sk_none"
@@ -80,7 +89,9 @@
 
 func (x *session) current() *batch {
 	if x.batch == nil {
-		x.batch = &batch{}
+		b := &batch{payload: make([]byte, 0, payloadRoom)}
+		b.ops, b.executed, b.statements = b.opsRoom[:0], b.executedRoom[:0], b.needRoom[:0]
+		x.batch = b
 	}
 	return x.batch
 }
@@ -99,7 +110,7 @@
 		return true
 	}
 	s := &statement{name: statementName(m.sql, m.types), sql: string(m.sql), types: m.types}
-	s.look = lookAt(s.sql)
+	s.look, s.wire = lookAt(s.sql), []byte(s.name)
 	if x.statements == nil {
 		x.statements = make(map[string]*statement)
 	}
@@ -115,7 +126,7 @@
 		return true
 	}
 	b.remote++
-	b.message(msgParse, []byte(s.name), m.sql, body[len(m.name)+len(m.sql)+2:])
+	b.message(msgParse, s.wire, m.sql, body[len(m.name)+len(m.sql)+2:])
 	return true
 }
 
@@ -139,10 +150,7 @@
 		b.refuse(noStatement(m.statement))
 		return true
 	}
-	if x.portals == nil {
-		x.portals = make(map[string]*statement, 1)
-	}
-	x.portals[string(m.portal)] = s
+	x.setPortal(m.portal, s)
 	b.ops = append(b.ops, op{msg: msgBind, stmt: s})
 	b.bound = true
 	if s.look.local() {
@@ -151,7 +159,7 @@
 	}
 	b.remote++
 	b.need(s)
-	b.message(msgBind, m.portal, []byte(s.name), m.values)
+	b.message(msgBind, m.portal, s.wire, m.values)
 	return true
 }
 
@@ -204,13 +212,45 @@
 
 func (x *session) target(kind byte, name []byte) (*statement, bool) {
 	if kind == targetPortal {
-		s, ok := x.portals[string(name)]
-		return s, ok
+		return x.portal(name)
 	}
 	s, ok := x.statements[string(name)]
 	return s, ok
 }
 
+// portal returns the statement that a portal runs.
+func (x *session) portal(name []byte) (*statement, bool) {
+	if len(name) == 0 {
+		return x.unnamed, x.unnamed != nil
+	}
+	s, ok := x.portals[string(name)]
+	return s, ok
+}
+
+func (x *session) setPortal(name []byte, s *statement) {
+	if len(name) == 0 {
+		x.unnamed = s
+		return
+	}
+	if x.portals == nil {
+		x.portals = make(map[string]*statement)
+	}
+	x.portals[string(name)] = s
+}
+
+func (x *session) closePortal(name []byte) {
+	if len(name) == 0 {
+		x.unnamed = nil
+		return
+	}
+	delete(x.portals, string(name))
+}
+
+// forgetPortals does what the end of a transaction does to portals.
+func (x *session) forgetPortals() {
+	x.unnamed, x.portals = nil, nil
+}
+
 func noTarget(kind byte, name []byte) *failure.Refusal {
 	if kind == targetStatement {
 		return noStatement(name)
@@ -226,13 +266,13 @@
 		return false
 	}
 	b := x.current()
-	s, ok := x.portals[string(portal)]
+	s, ok := x.portal(portal)
 	if !ok {
 		b.refuse(noTarget(targetPortal, portal))
 		return true
 	}
 	b.ops = append(b.ops, op{msg: msgExecute, stmt: s})
-	b.executed = append(b.executed, s.look)
+	b.executed = append(b.executed, s)
 	b.bound = true
 	if s.look.local() {
 		b.local++
@@ -253,7 +293,7 @@
 	b := x.current()
 	b.ops = append(b.ops, op{msg: msgClose})
 	if kind == targetPortal {
-		delete(x.portals, string(name))
+		x.closePortal(name)
 		b.raw(msgClose, body)
 		return true
 	}
--- a/io/caller/local.go
+++ b/io/caller/local.go
@@ -62,7 +62,7 @@
 // accepted, and is a rollback.
 func (x *session) answerLost(b *batch, extended bool) {
 	for _, l := range b.executed {
-		if !l.endsTx() {
+		if !l.look.endsTx() {
 			x.write(x.appendReady(appendError(nil, severityError, errFailedTx)))
 			return
 		}
@@ -96,7 +96,7 @@
 		}
 	}
 	if extended && x.tx.status == exchange.TxIdle {
-		x.portals = nil
+		x.forgetPortals()
 	}
 	x.confirm(b, true)
 	x.write(x.appendReady(out))
--- a/io/caller/message.go
+++ b/io/caller/message.go
@@ -113,14 +113,15 @@
 	}
 	b := x.current()
 	l := lookAt(string(sql))
-	b.executed = append(b.executed, l)
+	s := &statement{look: l}
+	b.executed = append(b.executed, s)
 	if !l.local() {
 		b.remote++
 		b.raw(msgQuery, body)
 		return true
 	}
 	b.local++
-	b.ops = append(b.ops, op{msg: msgQuery, stmt: &statement{look: l}})
+	b.ops = append(b.ops, op{msg: msgQuery, stmt: s})
 	if !l.single {
 		b.refuse(&failure.Refusal{
 			Code: failure.CodeUnsupported, Step: "set",
@@ -203,7 +204,7 @@
 		// Parse and Describe change nothing.
 		return true
 	}
-	if l := b.executed[0]; len(b.executed) == 1 && l.verb == verbBegin {
+	if l := b.executed[0].look; len(b.executed) == 1 && l.verb == verbBegin {
 		return l.single && (l.readOnly == "on" || (l.readOnly == "" && x.settings.readOnly))
 	}
 	return x.settings.readOnly && b.plain()
@@ -212,11 +213,11 @@
 // plain reports whether nothing in the batch can begin a transaction, or can
 // end one and go on.
 func (b *batch) plain() bool {
-	if len(b.executed) == 1 && b.executed[0].endsTx() {
+	if len(b.executed) == 1 && b.executed[0].look.endsTx() {
 		return true
 	}
-	for _, l := range b.executed {
-		if !l.single || l.verb != verbOther {
+	for _, s := range b.executed {
+		if l := s.look; !l.single || l.verb != verbOther {
 			return false
 		}
 	}
@@ -229,8 +230,8 @@
 // free too, so that a driver which prepares first is not charged twice.
 func (x *session) charge(b *batch) int {
 	n := 0
-	for _, l := range b.executed {
-		if x.tx.status == exchange.TxIdle || !l.endsTx() {
+	for _, s := range b.executed {
+		if x.tx.status == exchange.TxIdle || !s.look.endsTx() {
 			n++
 		}
 	}
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -322,7 +322,7 @@
 	x.run = nil
 	x.settle(r, res)
 	if x.tx.status == exchange.TxIdle {
-		x.portals = nil
+		x.forgetPortals()
 	}
 	if !r.flushed {
 		out = x.appendReady(out)
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -57,6 +57,7 @@
 	token, told fleet.Point
 
 	statements map[string]*statement
+	unnamed    *statement
 	portals    map[string]*statement
 	batch      *batch
 	// skipping drops messages up to Sync, after an error answered to a Flush;
@@ -194,7 +195,8 @@
 	x.abandon()
 	x.phase = phaseClosed
 	x.srv.unregister(x)
-	x.statements, x.portals, x.batch, x.proof = nil, nil, nil, nil
+	x.statements, x.batch, x.proof = nil, nil, nil
+	x.forgetPortals()
 }
 
 // abandon gives up what runs for the session. An open transaction is released,
--- a/io/database/answer.go
+++ b/io/database/answer.go
@@ -172,7 +172,7 @@
 		return
 	}
 	value, _, _ := bytes.Cut(rest, []byte{0})
-	c.notePoint(string(value))
+	c.notePoint(value)
 }
 
 // errorFields reads the code, the message and whether the severity closes the
--- a/io/database/conn.go
+++ b/io/database/conn.go
@@ -41,6 +41,15 @@
 	readOnly bool
 	point    fleet.Point
 	role     fleet.Role
+	// told is the text that point and role were read from.
+	told string
+
+	// onCancel and look are methods kept as values, which spares an allocation
+	// for each exchange; cancelDone and open are their results.
+	onCancel   func()
+	cancelDone chan error
+	look       func(fd uintptr) bool
+	open       bool
 
 	broken atomic.Bool
 }
@@ -51,11 +60,14 @@
 		status:   exchange.TxStatus(h.TxStatus),
 		prepared: newCache(p.cfg.MaxStatements),
 		in:       reader{src: h.Conn},
+
+		cancelDone: make(chan error, 1),
 	}
+	c.onCancel, c.look = c.canceled, c.peek
 	if s, ok := h.Conn.(syscall.Conn); ok {
 		c.raw, _ = s.SyscallConn()
 	}
-	c.notePoint(h.ParameterStatuses[pointParameter])
+	c.notePoint([]byte(h.ParameterStatuses[pointParameter]))
 	return c
 }
 
@@ -113,22 +125,27 @@
 	if c.raw == nil {
 		return true
 	}
-	alive := false
-	err := c.raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		alive = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && alive
+	return c.raw.Read(c.look) == nil && c.open
+}
+
+// peek notes whether the socket is open with nothing to read.
+func (c *Conn) peek(fd uintptr) bool {
+	var b [1]byte
+	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	c.open = errors.Is(err, syscall.EAGAIN)
+	return true
 }
 
 // pointParameter is the parameter in which an instance tells its point and role.
 const pointParameter = "skylark_point"
 
 // notePoint reads "term.position/role".
-func (c *Conn) notePoint(v string) {
-	p, role, ok := strings.Cut(v, "/")
+func (c *Conn) notePoint(v []byte) {
+	if string(v) == c.told {
+		return
+	}
+	c.told = string(v)
+	p, role, ok := strings.Cut(c.told, "/")
 	if !ok {
 		return
 	}
--- a/io/database/exchange.go
+++ b/io/database/exchange.go
@@ -42,9 +42,9 @@
 	if err := c.compose(q); err != nil {
 		return c.fail("compose", err, false)
 	}
-	release := c.watch(ctx)
+	stop := c.watch(ctx)
 	err := c.transfer(send)
-	if w := release(); w != nil && err == nil {
+	if w := c.unwatch(stop); w != nil && err == nil {
 		// The answer came, but a cancel request may still be on its way to the
 		// instance and would hit the next exchange.
 		c.breakUp(w.Error())
@@ -72,25 +72,29 @@
 	}
 }
 
-// watch has the exchange canceled when ctx ends. The function returned ends the
-// watch and tells whether a cancel request went astray.
-func (c *Conn) watch(ctx context.Context) func() error {
+// watch has the exchange canceled when ctx ends, until unwatch.
+func (c *Conn) watch(ctx context.Context) (stop func() bool) {
 	if ctx.Done() == nil {
-		return func() error { return nil }
+		return func() bool { return true }
 	}
-	ended := make(chan error, 1)
-	stop := context.AfterFunc(ctx, func() {
-		_ = c.net.SetDeadline(time.Now().Add(c.pool.cfg.CancelGrace))
-		ended <- c.cancelRequest()
-	})
-	return func() error {
-		if stop() {
-			return nil
-		}
-		err := <-ended
-		_ = c.net.SetDeadline(time.Time{})
-		return err
+	return context.AfterFunc(ctx, c.onCancel)
+}
+
+// canceled asks the instance to cancel, on a goroutine of its own.
+func (c *Conn) canceled() {
+	_ = c.net.SetDeadline(time.Now().Add(c.pool.cfg.CancelGrace))
+	c.cancelDone <- c.cancelRequest()
+}
+
+// unwatch ends a watch. When a cancel was asked for, it waits for the request to
+// have been taken.
+func (c *Conn) unwatch(stop func() bool) error {
+	if stop() {
+		return nil
 	}
+	err := <-c.cancelDone
+	_ = c.net.SetDeadline(time.Time{})
+	return err
 }
 
 // inlineWrite is how much is written before the answer is read. More could
