Bound what a session can make the host keep

Statements, portals, batches of statements that the host answers itself, and answers that nobody reads had no bound. Each has one now, and long pipelines give way to the other sessions of their event loop. Shown by go test -race ./io/caller.

--- a/io/caller/batch.go
+++ b/io/caller/batch.go
@@ -1,50 +1,13 @@
 package caller
 
 import (
-	"crypto/sha256"
 	"encoding/binary"
-	"encoding/hex"
 	"fmt"
 
 	"skylarkdeal/core/exchange"
 	"skylarkdeal/core/failure"
 )
 
-// statement is a prepared statement of a session. The session keeps it under
-// the caller's name and sends it under a name that is the same on all hosts, so
-// that it works over whichever upstream connection serves.
-type statement struct {
-	name  string
-	wire  []byte
-	sql   string
-	types []uint32
-	look  look
-	// confirmed is set once a batch that parsed it has ended without an error.
-	confirmed bool
-}
-
-// statementName names sql with its types. The hash is one for which nobody can
-// make up two texts with one name: upstream connections are shared between
-// accounts, and a weaker one would let an account have its own text run in
-// place of another's.
-func statementName(sql []byte, types []uint32) string {
-	h := sha256.New()
-	var n [4]byte
-	for _, t := range types {
-		binary.BigEndian.PutUint32(n[:], t)
-		h.Write(n[:])
-	}
-	binary.BigEndian.PutUint32(n[:], uint32(len(types)))
-	h.Write(n[:])
-	h.Write(sql)
-	var sum [sha256.Size]byte
-	return "sk_" + hex.EncodeToString(h.Sum(sum[:0])[:nameLen])
-}
-
-// nameLen is how many bytes of the hash a name has, which keeps it under the 63
-// bytes that PostgreSQL allows.
-const nameLen = 16
-
 // op is one message of a batch, for a batch that the entry host answers itself.
 type op struct {
 	msg    byte
@@ -102,23 +65,17 @@
 		return false
 	}
 	b := x.current()
-	name := string(m.name)
-	if s, used := x.statements[name]; used && name != "" && s.confirmed {
+	if old, used := x.statements.get(m.name); used && len(m.name) > 0 && old.confirmed {
 		b.refuse(&failure.Refusal{
-			Code: "42P05", Step: "parse", Message: fmt.Sprintf("prepared statement %q already exists", name),
+			Code: "42P05", Step: "parse", Message: fmt.Sprintf("prepared statement %q already exists", m.name),
 		})
 		return true
 	}
-	s := &statement{name: statementName(m.sql, m.types), sql: string(m.sql), types: m.types}
-	s.look, s.wire = lookAt(s.sql), []byte(s.name)
-	if x.statements == nil {
-		x.statements = make(map[string]*statement)
-	}
-	if len(x.statements) >= maxStatements {
-		b.refuse(errStatements)
+	s := newStatement(m.sql, m.types)
+	if r := x.statements.put(m.name, s); r != nil {
+		b.refuse(r)
 		return true
 	}
-	x.statements[name] = s
 	b.ops = append(b.ops, op{msg: msgParse, stmt: s})
 	b.parsed = append(b.parsed, s)
 	if s.look.local() {
@@ -130,27 +87,21 @@
 	return true
 }
 
-// maxStatements bounds the prepared statements of a session, so that a caller
-// which never closes any can't take the memory of the host.
-const maxStatements = 1000
-
-var errStatements = &failure.Refusal{
-	Code: failure.CodeTooLarge, Step: "parse",
-	Message: fmt.Sprintf("a session keeps up to %d prepared statements; close some", maxStatements),
-}
-
 func (x *session) addBind(body []byte) bool {
 	m, ok := decodeBind(body)
 	if !ok {
 		return false
 	}
 	b := x.current()
-	s, ok := x.statements[string(m.statement)]
+	s, ok := x.statements.get(m.statement)
 	if !ok {
 		b.refuse(noStatement(m.statement))
 		return true
 	}
-	x.setPortal(m.portal, s)
+	if r := x.portals.put(m.portal, s); r != nil {
+		b.refuse(r)
+		return true
+	}
 	b.ops = append(b.ops, op{msg: msgBind, stmt: s})
 	b.bound = true
 	if s.look.local() {
@@ -212,43 +163,9 @@
 
 func (x *session) target(kind byte, name []byte) (*statement, bool) {
 	if kind == targetPortal {
-		return x.portal(name)
+		return x.portals.get(name)
 	}
-	s, ok := x.statements[string(name)]
-	return s, ok
-}
-
-// portal returns the statement that a portal runs.
-func (x *session) portal(name []byte) (*statement, bool) {
-	if len(name) == 0 {
-		return x.unnamed, x.unnamed != nil
-	}
-	s, ok := x.portals[string(name)]
-	return s, ok
-}
-
-func (x *session) setPortal(name []byte, s *statement) {
-	if len(name) == 0 {
-		x.unnamed = s
-		return
-	}
-	if x.portals == nil {
-		x.portals = make(map[string]*statement)
-	}
-	x.portals[string(name)] = s
-}
-
-func (x *session) closePortal(name []byte) {
-	if len(name) == 0 {
-		x.unnamed = nil
-		return
-	}
-	delete(x.portals, string(name))
-}
-
-// forgetPortals does what the end of a transaction does to portals.
-func (x *session) forgetPortals() {
-	x.unnamed, x.portals = nil, nil
+	return x.statements.get(name)
 }
 
 func noTarget(kind byte, name []byte) *failure.Refusal {
@@ -266,7 +183,7 @@
 		return false
 	}
 	b := x.current()
-	s, ok := x.portal(portal)
+	s, ok := x.portals.get(portal)
 	if !ok {
 		b.refuse(noTarget(targetPortal, portal))
 		return true
@@ -293,11 +210,11 @@
 	b := x.current()
 	b.ops = append(b.ops, op{msg: msgClose})
 	if kind == targetPortal {
-		x.closePortal(name)
+		x.portals.remove(name)
 		b.raw(msgClose, body)
 		return true
 	}
-	delete(x.statements, string(name))
+	x.statements.remove(string(name))
 	b.named(msgClose, targetPortal, nowhere)
 	return true
 }
--- a/io/caller/drain.go
+++ b/io/caller/drain.go
@@ -11,7 +11,7 @@
 
 var errReconnect = &failure.Refusal{
 	Code: failure.CodeShuttingDown, Step: "drain",
-	Message: "this host is shutting down and nothing was cut; connect again",
+	Message: "this host is shutting down; nothing more was run; connect again",
 }
 
 var errCutOff = &failure.Refusal{
--- a/io/caller/local.go
+++ b/io/caller/local.go
@@ -96,7 +96,7 @@
 		}
 	}
 	if extended && x.tx.status == exchange.TxIdle {
-		x.forgetPortals()
+		x.portals = portals{}
 	}
 	x.confirm(b, true)
 	x.write(x.appendReady(out))
@@ -129,6 +129,8 @@
 
 func (x *session) runLocal(b []byte, l look) ([]byte, *failure.Refusal) {
 	switch l.verb {
+	case verbEmpty:
+		return appendMessage(b, &pgproto3.EmptyQueryResponse{}), nil
 	case verbSet:
 		return x.runSet(b, l, "SET")
 	case verbReset:
@@ -138,14 +140,14 @@
 		b = appendMessage(b, &pgproto3.DataRow{Values: [][]byte{[]byte(v)}})
 		return appendComplete(b, "SHOW"), nil
 	case verbDiscard:
-		x.statements, x.settings = nil, settings{}
+		x.statements, x.settings = statements{}, settings{}
 		return appendComplete(b, "DISCARD ALL"), nil
 	case verbDeallocate:
 		if strings.EqualFold(l.name, "all") {
-			x.statements = nil
+			x.statements = statements{}
 			return appendComplete(b, "DEALLOCATE ALL"), nil
 		}
-		delete(x.statements, l.name)
+		x.statements.remove(l.name)
 		return appendComplete(b, "DEALLOCATE"), nil
 	default:
 		return b, &failure.Refusal{
--- a/io/caller/look.go
+++ b/io/caller/look.go
@@ -15,6 +15,7 @@
 	verbCommit   verb = "commit"
 	verbRollback verb = "rollback"
 	// The statements below are answered by the entry host.
+	verbEmpty       verb = "empty"
 	verbSet         verb = "set"
 	verbReset       verb = "reset"
 	verbShow        verb = "show"
@@ -39,7 +40,7 @@
 // local reports whether the entry host answers the statement by itself.
 func (l look) local() bool {
 	switch l.verb {
-	case verbSet, verbReset, verbShow, verbDiscard, verbDeallocate, verbUnsupported:
+	case verbEmpty, verbSet, verbReset, verbShow, verbDiscard, verbDeallocate, verbUnsupported:
 		return true
 	default:
 		return false
@@ -58,6 +59,8 @@
 	l := look{verb: verbOther, single: strings.IndexByte(body, ';') < 0}
 	first, rest := cutWord(body)
 	switch strings.ToLower(first) {
+	case "":
+		l.verb = verbEmpty
 	case "begin", "start":
 		l.verb, l.readOnly = verbBegin, modeIn(rest)
 	case "commit", "end":
--- a/io/caller/message.go
+++ b/io/caller/message.go
@@ -33,10 +33,14 @@
 		return false
 	}
 	x.dropFrame(body)
-	if x.batch != nil && len(x.batch.payload) > limit {
+	if x.batch != nil && (len(x.batch.payload) > limit || len(x.batch.ops) > maxOps) {
 		x.end(errBatch)
 		return false
 	}
+	if x.conn.OutboundBuffered() > unreadFactor*x.srv.cfg.MaxUnread {
+		x.stalled()
+		return false
+	}
 	if typ == msgQuery || typ == msgSync || typ == msgFlush || typ == msgFunctionCall {
 		x.submit(typ)
 	}
@@ -64,6 +68,10 @@
 	}
 )
 
+// unreadFactor times MaxUnread ends a session that asks on without reading: the
+// answers that the host gives itself wait for no runner that could be held up.
+const unreadFactor = 4
+
 // boundAhead ends a session that sends more ahead than the host will hold. Made
 // for callers that pipeline without reading: gnet goes on reading, so the bound
 // has to be kept here. Twice the limit of a message lets one whole batch and
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -56,7 +56,7 @@
 	if t := x.settings.timeout; t > 0 && t < timeout {
 		timeout = t
 	}
-	r := &run{x: x, b: b, flushed: flushed}
+	r := &run{x: x, b: b, flushed: flushed, buffered: x.conn.OutboundBuffered()}
 	r.q = exchange.Request{
 		ID:      exchange.ID{Host: s.cfg.Host, Epoch: s.cfg.Epoch, Seq: s.seq.Add(1)},
 		Service: x.service, Account: x.account, Session: exchange.SessionID(x.id),
@@ -315,6 +315,9 @@
 // ahead.
 func (x *session) finish(r *run, out []byte, res *exchange.Result) {
 	x.see(res.Point)
+	if res.Outcome != exchange.OutcomeDone && res.Refusal == nil {
+		res.Refusal = unexplained(res.Outcome)
+	}
 	x.confirm(r.b, !r.failed && res.Refusal == nil)
 	if res.Refusal != nil {
 		out = x.appendRefusal(out, res)
@@ -322,7 +325,7 @@
 	x.run = nil
 	x.settle(r, res)
 	if x.tx.status == exchange.TxIdle {
-		x.forgetPortals()
+		x.portals = portals{}
 	}
 	if !r.flushed {
 		out = x.appendReady(out)
@@ -348,6 +351,17 @@
 	return appendError(out, severityError, &f)
 }
 
+// unexplained is the error for an outcome that came without one.
+func unexplained(o exchange.Outcome) *failure.Refusal {
+	if o == exchange.OutcomeNotRun {
+		return &failure.Refusal{Code: failure.CodeInternal, Message: "not run", Step: "run"}
+	}
+	return &failure.Refusal{
+		Code: failure.CodeUnknownOutcome, Step: "run",
+		Message: "the outcome is unknown: the statement may have run, or may still run",
+	}
+}
+
 // settle takes over the state of the transaction after an exchange.
 func (x *session) settle(r *run, res *exchange.Result) {
 	before := x.tx
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -56,9 +56,8 @@
 	// token is the greatest point seen, told the one that the caller knows.
 	token, told fleet.Point
 
-	statements map[string]*statement
-	unnamed    *statement
-	portals    map[string]*statement
+	statements statements
+	portals    portals
 	batch      *batch
 	// skipping drops messages up to Sync, after an error answered to a Flush;
 	// flushing is set while a Flush waits for Sync.
@@ -124,12 +123,21 @@
 
 // process works on buffered input until an answer is owed or a message is
 // incomplete.
+//
+// The bound on steps is made for callers that pipeline what the host answers
+// itself: the other sessions of the event loop get their turn in between.
 func (x *session) process() {
-	for x.step() {
-		continue
+	for range maxSteps {
+		if !x.step() {
+			return
+		}
 	}
+	x.post((*session).process)
 }
 
+// maxSteps is about a millisecond of work.
+const maxSteps = 512
+
 func (x *session) step() bool {
 	switch x.phase {
 	case phaseStartup:
@@ -195,8 +203,7 @@
 	x.abandon()
 	x.phase = phaseClosed
 	x.srv.unregister(x)
-	x.statements, x.batch, x.proof = nil, nil, nil
-	x.forgetPortals()
+	x.statements, x.portals, x.batch, x.proof = statements{}, portals{}, nil, nil
 }
 
 // abandon gives up what runs for the session. An open transaction is released,
--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -1,6 +1,8 @@
 package caller_test
 
 import (
+	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -220,6 +222,42 @@
 	ping(t, other)
 }
 
+// A caller pipelines statements that the host answers itself and never reads.
+// No runner is held up by that, so only the session's own bound keeps the
+// answers out of the host's memory.
+func TestCallerThatPipelinesWithoutReading(t *testing.T) {
+	f := start(t, func(cfg *caller.Config) { cfg.EventLoops, cfg.MaxUnread = 1, 16<<10 })
+	other := connect(t, f.url("hotel", keyA, ""))
+	w := wireConn(t, f, "")
+	batch := bytes.Repeat(must((&pgproto3.Query{String: "SHOW server_version"}).Encode(nil)), 1000)
+	ended := func() bool {
+		_, err := w.Write(batch)
+		ping(t, other)
+		return err != nil
+	}
+	until(t, "ended", ended)
+	until(t, "gone", func() bool { return f.State().Sessions == 1 })
+}
+
+// A caller prepares a statement for each call and closes none.
+func TestStatementsOfASessionAreBounded(t *testing.T) {
+	c := qt.New(t)
+	f := start(t, nil)
+	w := wireConn(t, f, "")
+	big := strings.Repeat("x", 900_000)
+	prepare := func(n int) string {
+		w.send(&pgproto3.Parse{Name: fmt.Sprint("s", n), Query: big}, &pgproto3.Sync{})
+		return strings.ReplaceAll(w.read(1), "S Z", "Z")
+	}
+	for n := range 4 {
+		c.Assert(prepare(n), qt.Equals, "1 Z(I)")
+	}
+	c.Assert(prepare(4), qt.Equals, "ERROR(54000) Z(I)")
+	w.send(&pgproto3.Close{ObjectType: 'S', Name: "s0"}, &pgproto3.Sync{})
+	c.Assert(w.read(1), qt.Equals, "3 Z(I)")
+	c.Assert(prepare(4), qt.Equals, "1 Z(I)")
+}
+
 func must(b []byte, err error) []byte {
 	if err != nil {
 		panic(err)
