Hold answers until their outcome is known

A read at the primary is fenced after the instance has answered, and its rows had been passed on by then: a caller could see those of a replaced primary before the error. Answers up to 64 KB now wait for the outcome, longer ones stream. It also saves one of two writes to the caller's socket.

--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -24,8 +24,10 @@
 	// out are the bytes that the event loop has not taken yet, spare the
 	// buffer that it has written before.
 	out, spare []byte
-	// tail is the part of a write's answer that waits for the outcome.
+	// tail is the part of the answer that waits for the outcome.
 	tail []byte
+	// streaming is set once the answer has been longer than that may be.
+	streaming bool
 	// buffered is what gnet held back for the caller when it last looked.
 	buffered int
 	// posted is set while a call of Run waits in the event loop.
@@ -158,7 +160,7 @@
 	r.x.srv.cfg.Runner.Release(h, p)
 }
 
-// hold bounds how much of a write's answer waits for its outcome.
+// hold bounds how much of an answer waits for its outcome.
 const hold = 64 << 10
 
 // send takes whole messages of the answer. It waits while the caller has too
@@ -166,8 +168,10 @@
 // it keeps the rest of the answer on the upstream connection instead of in the
 // memory of the host.
 //
-// A write's answer is held back from its first CommandComplete on, as some
-// callers take that for the acknowledgement, and the fence comes after it.
+// An answer waits here for its outcome, so that what a fence rejects is never
+// seen, neither rows of a replaced primary nor its CommandComplete, which some
+// callers take for the acknowledgement. One longer than hold is passed on as it
+// comes; but from a write's CommandComplete on it waits again.
 func (r *run) send(b []byte) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -178,10 +182,12 @@
 		return errGone
 	}
 	r.scan(b)
-	if r.q.Intent == exchange.IntentWrite && r.complete && len(r.tail)+len(b) <= hold {
+	holds := !r.streaming || (r.complete && r.q.Intent == exchange.IntentWrite)
+	if holds && len(r.tail)+len(b) <= hold {
 		r.tail = append(r.tail, b...)
 		return nil
 	}
+	r.streaming = true
 	r.out = append(append(r.out, r.tail...), b...)
 	r.tail = nil
 	r.post()
@@ -298,7 +304,7 @@
 		return nil
 	}
 	if res != nil {
-		x.finish(r, append(out, r.tail...), res)
+		x.finish(r, out, res)
 		return nil
 	}
 	x.write(out)
@@ -320,7 +326,9 @@
 	}
 	x.confirm(r.b, !r.failed && res.Refusal == nil)
 	if res.Refusal != nil {
-		out = x.appendRefusal(out, res)
+		out = appendRefusal(out, res)
+	} else {
+		out = append(out, r.tail...)
 	}
 	x.run = nil
 	x.settle(r, res)
@@ -339,14 +347,13 @@
 	x.process()
 }
 
-// appendRefusal appends the error that a refused exchange ends with. What the
-// instance answered before the outcome became unknown is dropped when it has
-// not been sent yet: an error must not follow an acknowledgement.
-func (x *session) appendRefusal(out []byte, res *exchange.Result) []byte {
+// appendRefusal appends the error that a refused exchange ends with, in place
+// of what the instance answered and the outcome has not confirmed.
+func appendRefusal(out []byte, res *exchange.Result) []byte {
 	f := *res.Refusal
-	if res.Outcome == exchange.OutcomeUnknown {
+	if res.Outcome != exchange.OutcomeNotRun {
+		// The hint says "not run".
 		f.RetryAfter = 0
-		out = out[:0]
 	}
 	return appendError(out, severityError, &f)
 }
