Test more guards of callers and upstream connections

A key withdrawn during start-up, a stranger's cancel request, a caller that sends ahead, a cancel that may come late, a batch larger than the sockets, and a refused pool that asks again only when its time has come. Shown by go test -race ./io/caller ./io/database.

--- a/io/caller/privacy_test.go
+++ b/io/caller/privacy_test.go
@@ -44,10 +44,8 @@
 	for _, l := range logs.All() {
 		seen += fmt.Sprintln(l.ContextMap())
 	}
-	secrets := append(strings.FieldsFunc(old.Accounts[0].Keys[0].Verifier, func(r rune) bool {
-		return r == '$' || r == ':'
-	})[2:], keyA, keyB)
-	for _, s := range secrets {
+	parts := strings.FieldsFunc(old.Accounts[0].Keys[0].Verifier, func(r rune) bool { return r == '$' || r == ':' })
+	for _, s := range append([]string{keyA, keyB}, parts[2:]...) {
 		c.Check(strings.Contains(seen, s), qt.IsFalse, qt.Commentf("%s", s))
 	}
 }
--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -239,6 +239,21 @@
 	until(t, "gone", func() bool { return f.State().Sessions == 1 })
 }
 
+// A caller goes on sending while an answer is owed.
+func TestCallerThatSendsAhead(t *testing.T) {
+	c := qt.New(t)
+	f := start(t, func(cfg *caller.Config) { cfg.MaxMessage = 64 << 10 })
+	running, finish := make(chan struct{}), make(chan struct{})
+	defer close(finish)
+	f.fake.answerBy(holdUntil(running, finish))
+	w := wireConn(t, f, "")
+	w.send(&pgproto3.Query{String: "get a"})
+	<-running
+	_, _ = w.Write(bytes.Repeat(must((&pgproto3.Query{String: "get b"}).Encode(nil)), 20_000))
+	c.Assert(w.read(1), qt.Equals, "FATAL(54000) end")
+	c.Assert(f.fake.count(), qt.Equals, 1)
+}
+
 // A caller prepares a statement for each call and closes none.
 func TestStatementsOfASessionAreBounded(t *testing.T) {
 	c := qt.New(t)
@@ -282,7 +297,15 @@
 		failed <- err
 	}()
 	<-running
-	c.Assert(conn.PgConn().CancelRequest(limit(t)), qt.IsNil)
+	// Without the session's secret a cancel does nothing.
+	p := conn.PgConn()
+	stranger := rawConn(t, f)
+	stranger.send(&pgproto3.CancelRequest{ProcessID: p.PID(), SecretKey: []byte{0, 0, 0, 0}})
+	c.Assert(stranger.read(1), qt.Equals, "end")
+	f.fake.mu.Lock()
+	c.Assert(f.fake.canceled, qt.HasLen, 0)
+	f.fake.mu.Unlock()
+	c.Assert(p.CancelRequest(limit(t)), qt.IsNil)
 	until(t, "canceled", func() bool { f.fake.mu.Lock(); defer f.fake.mu.Unlock(); return len(f.fake.canceled) == 1 })
 	close(canceled)
 	c.Assert(pgError(<-failed).Code, qt.Equals, "57014")
--- a/io/caller/startup_test.go
+++ b/io/caller/startup_test.go
@@ -14,6 +14,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"skylarkdeal/core/document"
+	"skylarkdeal/core/fleet"
 	"skylarkdeal/io/caller"
 )
 
@@ -114,6 +115,25 @@
 	c.Assert(f.fake.count(), qt.Equals, 0)
 }
 
+// A key is withdrawn while a session is opened with it: after the proof was
+// held against the old document, and before the session is among those that a
+// change of the document ends.
+func TestKeyWithdrawnDuringStartup(t *testing.T) {
+	c := qt.New(t)
+	var asked atomic.Int64
+	docs := newDocuments()
+	f := start(t, func(cfg *caller.Config) {
+		cfg.Documents = func(s fleet.Service) (*document.Document, bool) {
+			if asked.Add(1) == 3 {
+				docs.setKeys()
+			}
+			return docs.get(s)
+		}
+	})
+	w := wireConn(t, f, "")
+	c.Assert(w.read(1), qt.Equals, "FATAL(28000) end")
+}
+
 // A host is asked to shut down with one session idle, one in a transaction and
 // one waiting for an answer. No request is cut: each session ends when it has
 // nothing in progress, and newcomers are sent elsewhere.
--- a/io/database/database_test.go
+++ b/io/database/database_test.go
@@ -200,6 +200,45 @@
 	c.Assert(conn.Broken(), qt.IsTrue)
 }
 
+// A cancel request is sent and nobody knows whether the instance took it, while
+// the answer comes whole. Taken late, it would end the next caller's statement.
+func TestCancelThatMayComeLateBreaksTheConnection(t *testing.T) {
+	c := qt.New(t)
+	i := newInstance(t, 10)
+	conn := take(t, newPool(t, i, nil))
+	_ = i.l.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	a := conn.Exchange(ctx, simple("get a"), func([]byte) error {
+		cancel()
+		until(t, "cancel under way", func() bool { return conn.Canceling() })
+		return nil
+	})
+	c.Assert(a.Err, qt.IsNil)
+	c.Assert(conn.Broken(), qt.IsTrue)
+}
+
+// A batch and its answers are both larger than the sockets hold. The instance
+// waits for its answers to be read, and must not be waited for meanwhile.
+func TestLargeBatchDoesNotBlock(t *testing.T) {
+	c := qt.New(t)
+	conn := take(t, newPool(t, newInstance(t, 10), nil))
+	msgs := []pgproto3.FrontendMessage{&pgproto3.Parse{Name: "x", Query: "rows 1 100000"}}
+	for range 160 {
+		msgs = append(msgs, &pgproto3.Bind{PreparedStatement: "x", Parameters: [][]byte{make([]byte, 100_000)}},
+			&pgproto3.Execute{})
+	}
+	q := &exchange.Request{Intent: exchange.IntentWrite, Payload: payload(append(msgs, &pgproto3.Sync{})...)}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	rows := 0
+	a := conn.Exchange(ctx, q, func(b []byte) error {
+		rows += strings.Count(shape(b), "D(")
+		return nil
+	})
+	c.Assert(a.Err, qt.IsNil)
+	c.Assert(rows, qt.Equals, 160)
+}
+
 // An exchange that never got to the instance says so, and can be run elsewhere.
 func TestNotSent(t *testing.T) {
 	c := qt.New(t)
--- a/io/database/export_test.go
+++ b/io/database/export_test.go
@@ -28,6 +28,10 @@
 	return newConn(p, &pgconn.HijackedConn{Conn: script{says: bytes.NewReader(b)}, TxStatus: 'I'})
 }
 
+// Canceling reports whether the outcome of a cancel request is known and not
+// yet taken note of.
+func (c *Conn) Canceling() bool { return len(c.cancelDone) > 0 }
+
 // NoPool returns a pool that opens nothing.
 func NoPool() *Pool {
 	p := NewPool(Config{Address: "127.0.0.1:1", CancelGrace: time.Millisecond})
--- a/io/database/pool_test.go
+++ b/io/database/pool_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"flag"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
@@ -24,13 +26,27 @@
 func TestRefusedConnectionShrinksTheShare(t *testing.T) {
 	c := qt.New(t)
 	i := newInstance(t, 3)
-	p := newPool(t, i, func(g *database.Config) { g.Limit = 5 })
+	var clock atomic.Int64
+	p := newPool(t, i, func(g *database.Config) {
+		g.Limit = 5
+		g.Now = func() time.Time { return time.Unix(clock.Load(), 0) }
+	})
 	until(t, "refused", func() bool { return i.count(func() int { return i.refused }) > 0 })
 	until(t, "three open", func() bool { return p.State().Open == 3 && p.State().Opening == 0 })
 	c.Assert(p.State().Trouble, qt.Contains, "53300")
+	c.Assert(p.State().Allowed, qt.Equals, 3)
+	// While the clock stands still nothing is asked again, whatever goes on.
+	asked := i.count(func() int { return i.refused })
+	for range 100 {
+		p.Put(take(t, p))
+		p.SetLimit(5)
+	}
+	c.Assert(p.State().Opening, qt.Equals, 0)
+	c.Assert(i.count(func() int { return i.refused }), qt.Equals, asked)
 	i.mu.Lock()
 	i.limit = 5
 	i.mu.Unlock()
+	clock.Add(60)
 	until(t, "five open", func() bool { return p.State().Open == 5 })
 	c.Assert(p.State().Trouble, qt.Equals, "")
 }
