--- a/io/caller/batch.go
+++ b/io/caller/batch.go
@@ -1,49 +1,13 @@
 package caller
 
 import (
-	"crypto/sha256"
 	"encoding/binary"
-	"encoding/hex"
 	"fmt"
 
 	"skylarkdeal/core/exchange"
 	"skylarkdeal/core/failure"
 )
 
-// statement is a prepared statement of a session. The session keeps it under
-// the caller's name and sends it under a name that is the same on all hosts, so
-// that it works over whichever upstream connection serves.
-type statement struct {
-	name  string
-	sql   string
-	types []uint32
-	look  look
-	// confirmed is set once a batch that parsed it has ended without an error.
-	confirmed bool
-}
-
-// statementName names sql with its types. The hash is one for which nobody can
-// make up two texts with one name: upstream connections are shared between
-// accounts, and a weaker one would let an account have its own text run in
-// place of another's.
-func statementName(sql []byte, types []uint32) string {
-	h := sha256.New()
-	var n [4]byte
-	for _, t := range types {
-		binary.BigEndian.PutUint32(n[:], t)
-		h.Write(n[:])
-	}
-	binary.BigEndian.PutUint32(n[:], uint32(len(types)))
-	h.Write(n[:])
-	h.Write(sql)
-	var sum [sha256.Size]byte
-	return "sk_" + hex.EncodeToString(h.Sum(sum[:0])[:nameLen])
-}
-
-// nameLen is how many bytes of the hash a name has, which keeps it under the 63
-// bytes that PostgreSQL allows.
-const nameLen = 16
-
 // op is one message of a batch, for a batch that the entry host answers itself.
 type op struct {
 	msg    byte
@@ -58,14 +22,22 @@
 	ops        []op
 	// parsed are the statements that the payload parses itself.
 	parsed []*statement
-	// executed are the looks of the statements that run, in order.
-	executed []look
+	// executed are the statements that run, in order.
+	executed []*statement
 	// local and remote count what the entry host and what the instance answers.
 	local, remote int
 	bound         bool
 	refusal       *failure.Refusal
+
+	// The room of a usual batch, so that it takes one allocation.
+	opsRoom      [4]op
+	executedRoom [2]*statement
+	needRoom     [1]exchange.Statement
 }
 
+// payloadRoom holds the messages of a usual statement.
+const payloadRoom = 256
+
 // nowhere is a portal that never exists. Closing it is answered like any other
 // Close, in its place among the answers of a batch.
 const nowhere = "sk_none"
@@ -80,7 +52,9 @@
 
 func (x *session) current() *batch {
 	if x.batch == nil {
-		x.batch = &batch{}
+		b := &batch{payload: make([]byte, 0, payloadRoom)}
+		b.ops, b.executed, b.statements = b.opsRoom[:0], b.executedRoom[:0], b.needRoom[:0]
+		x.batch = b
 	}
 	return x.batch
 }
@@ -91,23 +65,17 @@
 		return false
 	}
 	b := x.current()
-	name := string(m.name)
-	if s, used := x.statements[name]; used && name != "" && s.confirmed {
+	if old, used := x.statements.get(m.name); used && len(m.name) > 0 && old.confirmed {
 		b.refuse(&failure.Refusal{
-			Code: "42P05", Step: "parse", Message: fmt.Sprintf("prepared statement %q already exists", name),
+			Code: "42P05", Step: "parse", Message: fmt.Sprintf("prepared statement %q already exists", m.name),
 		})
 		return true
 	}
-	s := &statement{name: statementName(m.sql, m.types), sql: string(m.sql), types: m.types}
-	s.look = lookAt(s.sql)
-	if x.statements == nil {
-		x.statements = make(map[string]*statement)
-	}
-	if len(x.statements) >= maxStatements {
-		b.refuse(errStatements)
+	s := newStatement(m.sql, m.types)
+	if r := x.statements.put(m.name, s); r != nil {
+		b.refuse(r)
 		return true
 	}
-	x.statements[name] = s
 	b.ops = append(b.ops, op{msg: msgParse, stmt: s})
 	b.parsed = append(b.parsed, s)
 	if s.look.local() {
@@ -115,34 +83,25 @@
 		return true
 	}
 	b.remote++
-	b.message(msgParse, []byte(s.name), m.sql, body[len(m.name)+len(m.sql)+2:])
+	b.message(msgParse, s.wire, m.sql, body[len(m.name)+len(m.sql)+2:])
 	return true
 }
 
-// maxStatements bounds the prepared statements of a session, so that a caller
-// which never closes any can't take the memory of the host.
-const maxStatements = 1000
-
-var errStatements = &failure.Refusal{
-	Code: failure.CodeTooLarge, Step: "parse",
-	Message: fmt.Sprintf("a session keeps up to %d prepared statements; close some", maxStatements),
-}
-
 func (x *session) addBind(body []byte) bool {
 	m, ok := decodeBind(body)
 	if !ok {
 		return false
 	}
 	b := x.current()
-	s, ok := x.statements[string(m.statement)]
+	s, ok := x.statements.get(m.statement)
 	if !ok {
 		b.refuse(noStatement(m.statement))
 		return true
 	}
-	if x.portals == nil {
-		x.portals = make(map[string]*statement, 1)
+	if r := x.portals.put(m.portal, s); r != nil {
+		b.refuse(r)
+		return true
 	}
-	x.portals[string(m.portal)] = s
 	b.ops = append(b.ops, op{msg: msgBind, stmt: s})
 	b.bound = true
 	if s.look.local() {
@@ -151,7 +110,7 @@
 	}
 	b.remote++
 	b.need(s)
-	b.message(msgBind, m.portal, []byte(s.name), m.values)
+	b.message(msgBind, m.portal, s.wire, m.values)
 	return true
 }
 
@@ -204,11 +163,9 @@
 
 func (x *session) target(kind byte, name []byte) (*statement, bool) {
 	if kind == targetPortal {
-		s, ok := x.portals[string(name)]
-		return s, ok
+		return x.portals.get(name)
 	}
-	s, ok := x.statements[string(name)]
-	return s, ok
+	return x.statements.get(name)
 }
 
 func noTarget(kind byte, name []byte) *failure.Refusal {
@@ -226,13 +183,13 @@
 		return false
 	}
 	b := x.current()
-	s, ok := x.portals[string(portal)]
+	s, ok := x.portals.get(portal)
 	if !ok {
 		b.refuse(noTarget(targetPortal, portal))
 		return true
 	}
 	b.ops = append(b.ops, op{msg: msgExecute, stmt: s})
-	b.executed = append(b.executed, s.look)
+	b.executed = append(b.executed, s)
 	b.bound = true
 	if s.look.local() {
 		b.local++
@@ -253,11 +210,11 @@
 	b := x.current()
 	b.ops = append(b.ops, op{msg: msgClose})
 	if kind == targetPortal {
-		delete(x.portals, string(name))
+		x.portals.remove(name)
 		b.raw(msgClose, body)
 		return true
 	}
-	delete(x.statements, string(name))
+	x.statements.remove(string(name))
 	b.named(msgClose, targetPortal, nowhere)
 	return true
 }
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -19,13 +19,16 @@
 	b       *batch
 	q       exchange.Request
 	flushed bool
+	began   time.Time
 
 	mu sync.Mutex
 	// out are the bytes that the event loop has not taken yet, spare the
 	// buffer that it has written before.
 	out, spare []byte
-	// tail is the part of a write's answer that waits for the outcome.
+	// tail is the part of the answer that waits for the outcome.
 	tail []byte
+	// streaming is set once the answer has been longer than that may be.
+	streaming bool
 	// buffered is what gnet held back for the caller when it last looked.
 	buffered int
 	// posted is set while a call of Run waits in the event loop.
@@ -56,12 +59,12 @@
 	if t := x.settings.timeout; t > 0 && t < timeout {
 		timeout = t
 	}
-	r := &run{x: x, b: b, flushed: flushed}
+	r := &run{x: x, b: b, flushed: flushed, began: s.cfg.Now(), buffered: x.conn.OutboundBuffered()}
 	r.q = exchange.Request{
 		ID:      exchange.ID{Host: s.cfg.Host, Epoch: s.cfg.Epoch, Seq: s.seq.Add(1)},
 		Service: x.service, Account: x.account, Session: exchange.SessionID(x.id),
 		Intent: x.intent(b), MaxAge: x.settings.maxAge,
-		Deadline: s.cfg.Now().Add(timeout),
+		Deadline: r.began.Add(timeout),
 		Pin:      x.tx.pin, Holder: x.tx.holder,
 		Statements: b.statements, Payload: b.payload,
 	}
@@ -158,7 +161,7 @@
 	r.x.srv.cfg.Runner.Release(h, p)
 }
 
-// hold bounds how much of a write's answer waits for its outcome.
+// hold bounds how much of an answer waits for its outcome.
 const hold = 64 << 10
 
 // send takes whole messages of the answer. It waits while the caller has too
@@ -166,8 +169,10 @@
 // it keeps the rest of the answer on the upstream connection instead of in the
 // memory of the host.
 //
-// A write's answer is held back from its first CommandComplete on, as some
-// callers take that for the acknowledgement, and the fence comes after it.
+// An answer waits here for its outcome, so that what a fence rejects is never
+// seen, neither rows of a replaced primary nor its CommandComplete, which some
+// callers take for the acknowledgement. One longer than hold is passed on as it
+// comes; but from a write's CommandComplete on it waits again.
 func (r *run) send(b []byte) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -178,10 +183,12 @@
 		return errGone
 	}
 	r.scan(b)
-	if r.q.Intent == exchange.IntentWrite && r.complete && len(r.tail)+len(b) <= hold {
+	holds := !r.streaming || (r.complete && r.q.Intent == exchange.IntentWrite)
+	if holds && len(r.tail)+len(b) <= hold {
 		r.tail = append(r.tail, b...)
 		return nil
 	}
+	r.streaming = true
 	r.out = append(append(r.out, r.tail...), b...)
 	r.tail = nil
 	r.post()
@@ -261,7 +268,8 @@
 		r.post()
 	}
 	r.mu.Unlock()
-	r.x.srv.metrics.exchange(res, r.q.Intent)
+	s := r.x.srv
+	s.metrics.exchange(res, r.q.Intent, s.cfg.Now().Sub(r.began))
 	if abandoned {
 		r.releaseAfter(res)
 	}
@@ -298,7 +306,7 @@
 		return nil
 	}
 	if res != nil {
-		x.finish(r, append(out, r.tail...), res)
+		x.finish(r, out, res)
 		return nil
 	}
 	x.write(out)
@@ -315,14 +323,19 @@
 // ahead.
 func (x *session) finish(r *run, out []byte, res *exchange.Result) {
 	x.see(res.Point)
+	if res.Outcome != exchange.OutcomeDone && res.Refusal == nil {
+		res.Refusal = unexplained(res.Outcome)
+	}
 	x.confirm(r.b, !r.failed && res.Refusal == nil)
 	if res.Refusal != nil {
-		out = x.appendRefusal(out, res)
+		out = appendRefusal(out, res)
+	} else {
+		out = append(out, r.tail...)
 	}
 	x.run = nil
 	x.settle(r, res)
 	if x.tx.status == exchange.TxIdle {
-		x.portals = nil
+		x.portals = portals{}
 	}
 	if !r.flushed {
 		out = x.appendReady(out)
@@ -336,18 +349,28 @@
 	x.process()
 }
 
-// appendRefusal appends the error that a refused exchange ends with. What the
-// instance answered before the outcome became unknown is dropped when it has
-// not been sent yet: an error must not follow an acknowledgement.
-func (x *session) appendRefusal(out []byte, res *exchange.Result) []byte {
+// appendRefusal appends the error that a refused exchange ends with, in place
+// of what the instance answered and the outcome has not confirmed.
+func appendRefusal(out []byte, res *exchange.Result) []byte {
 	f := *res.Refusal
-	if res.Outcome == exchange.OutcomeUnknown {
+	if res.Outcome != exchange.OutcomeNotRun {
+		// The hint says "not run".
 		f.RetryAfter = 0
-		out = out[:0]
 	}
 	return appendError(out, severityError, &f)
 }
 
+// unexplained is the error for an outcome that came without one.
+func unexplained(o exchange.Outcome) *failure.Refusal {
+	if o == exchange.OutcomeNotRun {
+		return &failure.Refusal{Code: failure.CodeInternal, Message: "not run", Step: "run"}
+	}
+	return &failure.Refusal{
+		Code: failure.CodeUnknownOutcome, Step: "run",
+		Message: "the outcome is unknown: the statement may have run, or may still run",
+	}
+}
+
 // settle takes over the state of the transaction after an exchange.
 func (x *session) settle(r *run, res *exchange.Result) {
 	before := x.tx
