--- a/core/document/verifier.go
+++ b/core/document/verifier.go
@@ -21,6 +21,8 @@
 	maxKey     = 256
 	iterations = 4096
 	saltSize   = 16
+	minSalt    = 8
+	maxSalt    = 64
 	// maxIterations bounds the work that a verifier asks of each caller.
 	maxIterations = 1_000_000
 	scheme        = "SCRAM-SHA-256"
@@ -96,7 +98,11 @@
 		text string
 		low  int
 		high int
-	}{{&v.Salt, salt, 8, 64}, {&v.StoredKey, stored, sha256.Size, sha256.Size}, {&v.ServerKey, server, sha256.Size, sha256.Size}} {
+	}{
+		{&v.Salt, salt, minSalt, maxSalt},
+		{&v.StoredKey, stored, sha256.Size, sha256.Size},
+		{&v.ServerKey, server, sha256.Size, sha256.Size},
+	} {
 		b, err := base64.StdEncoding.DecodeString(p.text)
 		if err != nil || len(b) < p.low || len(b) > p.high {
 			return Verifier{}, errors.New("a part is not base64 of the right length")
--- a/core/inifile/inifile.go
+++ b/core/inifile/inifile.go
@@ -182,12 +182,30 @@
 	f.Wrong(section, key, "nothing", expected)
 }
 
+// add records a mistake. The name of a key is left out where it doesn't look like
+// one: on a line without its key, a secret that holds = would pass for a name.
 func (f *File) add(line int, section, key, found, expected string) {
+	if !isKey(key) {
+		key = ""
+	}
 	f.mistakes = append(f.mistakes, Mistake{
 		File: f.name, Line: line, Section: section, Key: key, Found: found, Expected: expected,
 	})
 }
 
+// longestKey is longer than any key's name and shorter than a secret ought to
+// be.
+const longestKey = 32
+
+func isKey(key string) bool {
+	for p := range strings.SplitSeq(key, ".") {
+		if !IsName(strings.ToLower(p)) {
+			return false
+		}
+	}
+	return len(key) <= longestKey
+}
+
 // Stray records the keys that stand before the first section.
 func (f *File) Stray() {
 	for _, k := range f.ini.Section(ini.DefaultSection).Keys() {
--- a/internal/cmd/cmd_document_edit.go
+++ b/internal/cmd/cmd_document_edit.go
@@ -76,7 +76,7 @@
 	if name == "" {
 		name = defaultEditor
 	}
-	x := exec.CommandContext(c.Context(), "sh", "-c", name+` "$1"`, "sh", file) // #nosec G204 -- the operator's editor
+	x := exec.CommandContext(c.Context(), "sh", "-c", name+` "$1"`, "sh", file) // #nosec -- the operator's own
 	x.Stdin, x.Stdout, x.Stderr = c.InOrStdin(), c.OutOrStdout(), c.ErrOrStderr()
 	if err := x.Run(); err != nil {
 		return nil, fmt.Errorf("editor %s: %w", name, err)
--- a/internal/edit/edit.go
+++ b/internal/edit/edit.go
@@ -99,7 +99,8 @@
 
 // Error names the edit, by which the history tells later.
 func (u *Unknown) Error() string {
-	return fmt.Sprintf("the outcome of edit %s is unknown: %v; see if `skylarkdeal document history` shows it", u.Edit, u.Err)
+	return fmt.Sprintf("the outcome of edit %s is unknown: %v; see if `skylarkdeal document history` shows it",
+		u.Edit, u.Err)
 }
 
 // Unwrap returns the cause.
--- a/io/platform/dial.go
+++ b/io/platform/dial.go
@@ -140,7 +140,9 @@
 }
 
 // call makes one bounded call and tells the gate how it went.
-func call[T any](ctx context.Context, c *client, k Kind, do func(ctx context.Context, e endpoint) (T, error)) (T, error) {
+func call[T any](
+	ctx context.Context, c *client, k Kind, do func(ctx context.Context, e endpoint) (T, error),
+) (T, error) {
 	var none T
 	e, err := c.endpoint()
 	if err != nil {
--- a/io/platform/follow.go
+++ b/io/platform/follow.go
@@ -87,7 +87,7 @@
 	err := f.check(ctx, broken)
 	if err != nil {
 		cancel(err)
-		<-broken
+		_ = <-broken
 	}
 	return err
 }
@@ -133,7 +133,7 @@
 		select {
 		case <-ctx.Done():
 			t.Stop()
-			<-broken
+			_ = <-broken
 			return nil
 		case err := <-broken:
 			t.Stop()
--- a/io/platform/kv.go
+++ b/io/platform/kv.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"connectrpc.com/connect"
 
@@ -67,7 +68,7 @@
 		if !a.More || len(a.Kvs) == 0 {
 			return l, Revision(r.Revision), nil
 		}
-		r.Key = append(a.Kvs[len(a.Kvs)-1].Key, 0)
+		r.Key = append(slices.Clone(a.Kvs[len(a.Kvs)-1].Key), 0)
 	}
 }
 
--- a/standin/store/data.go
+++ b/standin/store/data.go
@@ -29,8 +29,10 @@
 }
 
 var (
-	errFuture    = connect.NewError(connect.CodeOutOfRange, errors.New("etcdserver: mvcc: required revision is a future revision"))
-	errCompacted = connect.NewError(connect.CodeOutOfRange, errors.New("etcdserver: mvcc: required revision has been compacted"))
+	errFuture = connect.NewError(connect.CodeOutOfRange,
+		errors.New("etcdserver: mvcc: required revision is a future revision"))
+	errCompacted = connect.NewError(connect.CodeOutOfRange,
+		errors.New("etcdserver: mvcc: required revision has been compacted"))
 	errNoLease   = connect.NewError(connect.CodeNotFound, errors.New("etcdserver: requested lease not found"))
 )
 
--- a/standin/store/kv.go
+++ b/standin/store/kv.go
@@ -134,7 +134,7 @@
 
 func sortKeys(l []*etcdpb.KeyValue, r *etcdpb.RangeRequest) {
 	slices.SortStableFunc(l, func(a, b *etcdpb.KeyValue) int {
-		c := 0
+		var c int
 		switch r.SortTarget {
 		case etcdpb.RangeRequest_VERSION:
 			c = cmp.Compare(a.Version, b.Version)
@@ -155,6 +155,9 @@
 }
 
 func (d *data) txn(r *etcdpb.TxnRequest) (*etcdpb.TxnResponse, error) {
+	if err := d.runnable(slices.Concat(r.Success, r.Failure)); err != nil {
+		return nil, err
+	}
 	a := &etcdpb.TxnResponse{Succeeded: true}
 	for _, c := range r.Compare {
 		a.Succeeded = a.Succeeded && d.holds(c)
@@ -177,6 +180,19 @@
 	return a, err
 }
 
+// runnable refuses a transaction before any part of it has run.
+func (d *data) runnable(ops []*etcdpb.RequestOp) error {
+	for _, o := range ops {
+		if p := o.GetRequestPut(); p.GetLease() != 0 && d.leases[p.GetLease()] == nil {
+			return errNoLease
+		}
+		if o.GetRequestTxn() != nil {
+			return errNested
+		}
+	}
+	return nil
+}
+
 // holds reports whether a comparison of a transaction holds.
 func (d *data) holds(c *etcdpb.Compare) bool {
 	kv := d.at(string(c.Key), d.revision)
