--- a/io/steward/change.go
+++ b/io/steward/change.go
@@ -85,7 +85,7 @@
 func (s *Steward) promote(now time.Time, t group.Table, j group.Judgement) {
 	c := &s.change
 	c.attempts++
-	proposer := fleet.Host(fmt.Sprintf("%s/%x/%d", s.cfg.Host, s.cfg.Epoch, c.attempts))
+	proposer := group.Proposer(s.cfg.Host, s.cfg.Epoch, c.attempts)
 	p, orders := group.Promote(now, t, proposer, nil)
 	c.promotion = p
 	s.note(now, fmt.Sprintf("promote in term %d", p.Term), string(j.Cause)+": "+j.Reason)
@@ -103,7 +103,9 @@
 
 func (s *Steward) takeDone(d done) {
 	now := s.cfg.Now()
-	if d.err != nil {
+	if d.err == nil {
+		s.group.Learn(d.order.Instance, d.sent, d.at, d.status)
+	} else {
 		s.log.Warn("order failed", zap.String("act", string(d.order.Act)),
 			zap.String("instance", string(d.order.Instance)), zap.Error(d.err))
 	}
