--- a/core/allot/spender.go
+++ b/core/allot/spender.go
@@ -39,6 +39,11 @@
 	Ask        Ask
 }
 
+// hedgeAfter is how long an answer is waited for before another home is asked as
+// well: some round trips between data centres. A home that has just died then
+// costs an exchange that much, and not its patience.
+const hedgeAfter = 15 * time.Millisecond
+
 // AskTimeout is how long an answer of a home is waited for before another ask.
 const AskTimeout = 100 * time.Millisecond
 
@@ -122,8 +127,8 @@
 	}
 	for _, d := range s.order(all) {
 		o := s.source(d)
-		if !o.asked.IsZero() && now.Sub(o.asked) < AskTimeout {
-			if waiting > 0 {
+		if flight := now.Sub(o.asked); !o.asked.IsZero() && flight < AskTimeout {
+			if flight < hedgeAfter {
 				return Wanted{}, false
 			}
 			continue
@@ -281,3 +286,18 @@
 func (s *Spender) Idle(now time.Time, d time.Duration) bool {
 	return now.Sub(s.demand.last) > d
 }
+
+// Soonest returns the least time until n tokens may be at hand, if no other host
+// wanted any: whole is the account's whole rate and burst. An exchange that has
+// so many before it and itself to wait for can't be let through any earlier.
+func (s *Spender) Soonest(now time.Time, whole Share, n Tokens, all []fleet.DataCentre) time.Duration {
+	if whole.Rate <= 0 {
+		return time.Second
+	}
+	wait := max(0, s.Earliest(now, all).Sub(now))
+	more := float64(n - s.Left(now) - 1)
+	if wait == 0 {
+		more = float64(n-s.Left(now)) - whole.Burst
+	}
+	return wait + time.Duration(max(0, more)/whole.Rate*float64(time.Second))
+}
--- a/io/grants/serve.go
+++ b/io/grants/serve.go
@@ -116,15 +116,10 @@
 // wanted any.
 func (e *entry) soonest(now time.Time, n allot.Tokens) time.Duration {
 	a, ok := e.document.Load().Account(e.account)
-	if !ok || a.Rate <= 0 {
+	if !ok {
 		return time.Second
 	}
-	wait := e.spender.Earliest(now, e.dataCentres()).Sub(now)
-	more := float64(n-e.spender.Left(now)) - a.Burst
-	if wait > 0 {
-		more = float64(n - e.spender.Left(now) - 1)
-	}
-	return max(0, wait) + time.Duration(max(0, more)/a.Rate*float64(time.Second))
+	return e.spender.Soonest(now, allot.Share{Rate: a.Rate, Burst: a.Burst}, n, e.dataCentres())
 }
 
 func (e *entry) refusal(now time.Time) *failure.Refusal {
