Split the rate evenly, so that two documents never add up to more

Now each part only rises or falls with the account's own figures. An account whose burst is below the number of data centres loses some rate.

--- /dev/null
+++ b/core/allot/guard_test.go
@@ -0,0 +1,180 @@
+package allot_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/allot"
+)
+
+const dc = "obihiro"
+
+// filled returns a home whose bucket has had time to fill.
+func filled(s allot.Share) (*allot.Home, time.Time) {
+	h := &allot.Home{}
+	h.Start(epoch, 1, s, 0)
+	return h, epoch.Add(allot.Overdue + time.Hour)
+}
+
+// A host is replaced in the middle of a rush. The new home knows nothing of what
+// the old one granted a moment ago; had it begun with a full bucket, or before
+// those grants expired, the customer would get its burst twice.
+func TestNewHomeStartsEmptyAndLate(t *testing.T) {
+	c := qt.New(t)
+	h := &allot.Home{}
+	h.Start(epoch, 1, allot.Share{Rate: 10, Burst: 50}, 0)
+	c.Assert(h.Ask(epoch.Add(allot.Overdue), allot.Ask{Urgent: 1}).Tokens, qt.Equals, allot.Tokens(0))
+	c.Assert(h.Ask(epoch.Add(allot.Overdue+150*time.Millisecond), allot.Ask{Urgent: 5}).Tokens, qt.Equals, allot.Tokens(1))
+}
+
+// A spender's clock is slow. By its own count a grant has some time left when
+// the home's clock says that it has expired, so the home counts it for longer.
+func TestHomeCountsGrantsOfSlowClocks(t *testing.T) {
+	c := qt.New(t)
+	h, now := filled(allot.Share{Rate: 1000, Burst: 10})
+	c.Assert(h.Ask(now, allot.Ask{Urgent: 10}).Tokens, qt.Equals, allot.Tokens(10))
+	slow := now.Add(allot.Lifetime + allot.Lifetime/5)
+	c.Assert(h.Ask(slow, allot.Ask{Urgent: 10}).Tokens, qt.Equals, allot.Tokens(0))
+	c.Assert(h.Ask(now.Add(2*allot.Overdue), allot.Ask{Urgent: 10}).Tokens, qt.Equals, allot.Tokens(10))
+}
+
+// A host is paused with tokens in hand and wakes when the home has long granted
+// them to others. They must be gone before the first exchange is let through.
+func TestPausedSpenderWakesEmpty(t *testing.T) {
+	c := qt.New(t)
+	s := allot.Spender{Own: dc}
+	a := allot.Ask{Urgent: 5}
+	answered := epoch.Add(50 * time.Millisecond)
+	s.Granted(answered, epoch, dc, a, allot.Grant{ID: 1, Tokens: 5})
+	c.Assert(s.Take(epoch.Add(allot.Lifetime-1), 1), qt.IsTrue)
+	c.Assert(s.Take(epoch.Add(allot.Lifetime), 1), qt.IsFalse)
+	c.Assert(s.TakeAny(epoch.Add(allot.Lifetime), 1), qt.IsFalse)
+}
+
+// Two reports of one grant overtake each other on the way.
+func TestOldReportRaisesNothing(t *testing.T) {
+	c := qt.New(t)
+	h, now := filled(allot.Share{Rate: 0.001, Burst: 10})
+	g := h.Ask(now, allot.Ask{Urgent: 10})
+	h.Ask(now, allot.Ask{Reports: []allot.Report{{Grant: g.ID, Left: 3}}})
+	h.Ask(now, allot.Ask{Reports: []allot.Report{{Grant: g.ID, Left: 8}}})
+	c.Assert(h.State().Outstanding, qt.Equals, allot.Tokens(3))
+	h.Ask(now, allot.Ask{Reports: []allot.Report{{Grant: g.ID, Left: 9, Closed: true}}})
+	c.Assert(h.Ask(now, allot.Ask{Urgent: 10}).Tokens, qt.Equals, allot.Tokens(3))
+}
+
+func TestOlderDocumentChangesNothing(t *testing.T) {
+	h, now := filled(allot.Share{Rate: 10, Burst: 10})
+	h.Change(now, 3, allot.Share{Rate: 1, Burst: 2})
+	h.Change(now, 2, allot.Share{Rate: 10, Burst: 10})
+	qt.Assert(t, h.Ask(now, allot.Ask{Urgent: 10}).Tokens, qt.Equals, allot.Tokens(2))
+}
+
+var (
+	holder  = allot.Process{Host: "o1", Epoch: 1}
+	witness = allot.Process{Host: "o2", Epoch: 7}
+	next    = allot.Process{Host: "o3", Epoch: 1}
+	record  = allot.SeatRecord{Holder: holder, Lease: 11, Witness: witness, Tenure: 4}
+)
+
+// held returns a seat whose lease ends a second after epoch.
+func held() *allot.Seat {
+	s := &allot.Seat{}
+	s.Won(record)
+	s.Leased(11, epoch.Add(time.Second))
+	return s
+}
+
+// A home is paused, loses its lease and its seat, and wakes believing in both.
+func TestHolderStopsWithItsLease(t *testing.T) {
+	c := qt.New(t)
+	s := held()
+	c.Assert(s.May(epoch), qt.IsTrue)
+	c.Assert(s.May(epoch.Add(time.Second)), qt.IsFalse)
+	s.Leased(12, epoch.Add(time.Hour))
+	c.Assert(s.May(epoch.Add(time.Second)), qt.IsFalse, qt.Commentf("a later lease doesn't renew the seat"))
+}
+
+// The store is down, so the lease has ended; the witness's consent keeps the home
+// granting, for as long as the consent lasts, and never without end.
+func TestConsentStandsInForTheLease(t *testing.T) {
+	c := qt.New(t)
+	s := held()
+	at := epoch.Add(time.Minute)
+	s.Consented(at, witness, 4)
+	c.Assert(s.May(at.Add(allot.ConsentFor-1)), qt.IsTrue)
+	c.Assert(s.May(at.Add(allot.ConsentFor)), qt.IsFalse)
+	end := epoch.Add(time.Second + allot.HoldFor)
+	s.Consented(end, witness, 4)
+	c.Assert(s.May(end), qt.IsFalse)
+}
+
+// A witness restarts, and has forgotten that it promised a successor to consent
+// no more. What the new process says counts for nothing.
+func TestOnlyTheRecordedWitnessCounts(t *testing.T) {
+	c := qt.New(t)
+	at := epoch.Add(time.Minute)
+	s := held()
+	s.Consented(at, allot.Process{Host: "o2", Epoch: 8}, 4)
+	c.Assert(s.May(at), qt.IsFalse)
+	s.Consented(at, witness, 3)
+	c.Assert(s.May(at), qt.IsFalse)
+	s.Swapping()
+	s.Consented(at, witness, 4)
+	c.Assert(s.May(at), qt.IsFalse, qt.Commentf("the store may name another witness by now"))
+}
+
+// A holder lives on in a store outage by the consent of its witness. When the
+// store is back, a successor may take the seat only once that consent has been
+// withdrawn and has ended.
+func TestSuccessorWaitsForConsentToEnd(t *testing.T) {
+	c := qt.New(t)
+	w := allot.Witness{Since: epoch.Add(-time.Hour)}
+	c.Assert(w.Consent(epoch, dc, 4), qt.IsTrue)
+	var n allot.Claim
+	c.Assert(n.Next(epoch, next, 21, record, true), qt.Equals, allot.StepRest)
+	c.Assert(n.Next(epoch, next, 21, record, false), qt.Equals, allot.StepWithdraw)
+	d := w.Withdraw(epoch, dc, 4)
+	c.Assert(d > allot.ConsentFor, qt.IsTrue)
+	c.Assert(w.Consent(epoch, dc, 4), qt.IsFalse)
+	n.Withdrawn(epoch, record, d)
+	c.Assert(n.Next(epoch.Add(d-1), next, 21, record, false), qt.Equals, allot.StepWait)
+	c.Assert(n.Next(epoch.Add(d), next, 21, record, false), qt.Equals, allot.StepSwap)
+	c.Assert(w.Consent(epoch.Add(d), dc, 5), qt.IsTrue, qt.Commentf("the next tenure has its own"))
+}
+
+// A witness that has just restarted may have consented shortly before.
+func TestRestartedWitnessCountsItsFormerConsent(t *testing.T) {
+	w := allot.Witness{Since: epoch}
+	qt.Assert(t, w.Withdraw(epoch.Add(100*time.Millisecond), dc, 4) > allot.ConsentFor, qt.IsTrue)
+}
+
+// Holder and witness are lost together, with the rack that both stood in.
+func TestSeatIsFreeAfterTheLongestHold(t *testing.T) {
+	c := qt.New(t)
+	var n allot.Claim
+	c.Assert(n.Next(epoch, next, 21, record, false), qt.Equals, allot.StepWithdraw)
+	c.Assert(n.Next(epoch.Add(allot.HoldFor), next, 21, record, false), qt.Equals, allot.StepWithdraw)
+	c.Assert(n.Next(epoch.Add(2*allot.HoldFor), next, 21, record, false), qt.Equals, allot.StepSwap)
+}
+
+// A holder's lease lapses, a successor sees it, and the holder registers anew
+// before the successor's swap. Only a swap of its own makes the holder safe.
+func TestHolderSwapsForItsNewLease(t *testing.T) {
+	c := qt.New(t)
+	var n allot.Claim
+	c.Assert(n.Next(epoch, holder, 12, record, false), qt.Equals, allot.StepSwap)
+	c.Assert(n.Next(epoch, holder, 11, record, false), qt.Equals, allot.StepAdopt)
+}
+
+// Another host had the seat between two tenures of this one. What it granted is
+// unknown here, so the homes must start anew.
+func TestTenureBetweenIsNoticed(t *testing.T) {
+	c := qt.New(t)
+	s := held()
+	own := allot.Taken(record, holder, 12, witness)
+	c.Assert(s.Won(own), qt.IsTrue)
+	c.Assert(s.Won(allot.Taken(allot.Taken(own, next, 21, witness), holder, 13, witness)), qt.IsFalse)
+}
--- a/core/allot/share.go
+++ b/core/allot/share.go
@@ -10,6 +10,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,38 +43,31 @@
 // ShareOf returns the part of rate and burst that belongs to the data centre d
 // out of all, for the account a of service s.
 //
-// Bursts are split in whole tokens, as a part of a token admits nothing, and the
-// rate in the same proportion. The data centres that get a token more differ by
-// account. The parts depend on the document alone, never on which hosts or data
-// centres can be reached, so they add up to rate and burst under any partition.
+// The parts depend on the document alone, never on which hosts or data centres
+// can be reached, so they add up to rate and burst under any partition. And no
+// part falls when rate or burst rises: while hosts go over from one document to
+// another, the parts in force add up to no more than those of the greater one.
+// Bursts are split in whole tokens, as a part of a token admits nothing; which
+// data centres get one more differs by account. With a burst below the number of
+// data centres some get none, and their part of the rate goes unused.
 func ShareOf(rate, burst float64, s fleet.Service, a fleet.Account, d fleet.DataCentre, all []fleet.DataCentre) Share {
-	whole := math.Floor(burst)
-	if whole < 1 || len(all) == 0 {
-		return Share{}
-	}
-	n := float64(len(all))
-	place := -1
-	rank := 0
-	for i, o := range all {
-		if o == d {
-			place = i
-		}
-	}
-	if place < 0 {
+	if !slices.Contains(all, d) {
 		return Share{}
 	}
 	mine := rankOf(s, a, d)
-	for i, o := range all {
-		r := rankOf(s, a, o)
-		if r < mine || r == mine && i < place {
-			rank++
+	before := 0
+	for _, o := range all {
+		if rankOf(s, a, o) < mine {
+			before++
 		}
 	}
+	n := float64(len(all))
+	whole := math.Floor(burst)
 	part := math.Floor(whole / n)
-	if float64(rank) < whole-part*n {
+	if float64(before) < whole-part*n {
 		part++
 	}
-	return Share{Rate: rate * part / whole, Burst: part}
+	return Share{Rate: rate / n, Burst: part}
 }
 
 func rankOf(s fleet.Service, a fleet.Account, d fleet.DataCentre) uint64 {
