--- a/core/allot/spender.go
+++ b/core/allot/spender.go
@@ -31,6 +31,8 @@
 	sources map[fleet.DataCentre]*source
 	demand  demand
 	taken   atomic.Int64
+	// stocked is when stock was last asked for with nothing waiting.
+	stocked time.Time
 }
 
 // Wanted is an Ask with the data centre whose home is to be asked.
@@ -39,6 +41,14 @@
 	Ask        Ask
 }
 
+// stockEvery is the least time between two asks for stock alone.
+const stockEvery = Lifetime / 4
+
+// hedgeAfter is how long an answer is waited for before another home is asked as
+// well: some round trips between data centres. A home that has just died then
+// costs an exchange that much, and not its patience.
+const hedgeAfter = 15 * time.Millisecond
+
 // AskTimeout is how long an answer of a home is waited for before another ask.
 const AskTimeout = 100 * time.Millisecond
 
@@ -110,20 +120,25 @@
 // The home of the own data centre comes first, being nearest; another is asked
 // only when those before have said that they have nothing, one at a time, so
 // that a small want doesn't empty several buckets. Stock is laid in for half a
-// Lifetime of recent demand: a busy account costs a host ten messages a second
-// at any rate, an idle one none.
+// Lifetime of recent demand, from the own data centre only: a busy account costs
+// a host twenty messages a second at any rate, an idle one none.
 func (s *Spender) Next(now time.Time, waiting Tokens, all []fleet.DataCentre) (Wanted, bool) {
 	s.tidy(now)
 	s.demand.update(now, s.taken.Load())
 	have := s.Left(now)
 	stockUp := Tokens(math.Ceil(s.demand.perSecond * (Lifetime / 2).Seconds()))
-	if waiting <= 0 && (have >= (stockUp+1)/2 || s.demand.idle(now)) {
-		return Wanted{}, false
+	order := s.order(all)
+	if waiting <= have {
+		if have >= (stockUp+1)/2 || s.demand.idle(now) || now.Sub(s.stocked) < stockEvery {
+			return Wanted{}, false
+		}
+		s.stocked = now
+		order = order[:min(1, len(order))]
 	}
-	for _, d := range s.order(all) {
+	for _, d := range order {
 		o := s.source(d)
-		if !o.asked.IsZero() && now.Sub(o.asked) < AskTimeout {
-			if waiting > 0 {
+		if flight := now.Sub(o.asked); !o.asked.IsZero() && flight < AskTimeout {
+			if flight < hedgeAfter {
 				return Wanted{}, false
 			}
 			continue
@@ -281,3 +296,18 @@
 func (s *Spender) Idle(now time.Time, d time.Duration) bool {
 	return now.Sub(s.demand.last) > d
 }
+
+// Soonest returns the least time until n tokens may be at hand, if no other host
+// wanted any: whole is the account's whole rate and burst. An exchange that has
+// so many before it and itself to wait for can't be let through any earlier.
+func (s *Spender) Soonest(now time.Time, whole Share, n Tokens, all []fleet.DataCentre) time.Duration {
+	if whole.Rate <= 0 {
+		return time.Second
+	}
+	wait := max(0, s.Earliest(now, all).Sub(now))
+	more := float64(n - s.Left(now) - 1)
+	if wait == 0 {
+		more = float64(n-s.Left(now)) - whole.Burst
+	}
+	return wait + time.Duration(max(0, more)/whole.Rate*float64(time.Second))
+}
