Batch the frames that wait for one stream

The cost of a message between hosts is mostly that of its system calls. Frames that wait at the same time now go in one message of up to 64 frames or 64 KB, when the peer speaks version 2.

--- a/io/host/host.go
+++ b/io/host/host.go
@@ -22,8 +22,9 @@
 	Version uint32 = 2
 	// minVersion is the lowest that it still understands.
 	minVersion uint32 = 1
-	// versionTail is the first in which Done carries the tail of the answer.
-	versionTail uint32 = 2
+	// versionBatch is the first in which Done carries the tail of the answer and
+	// frames go in batches.
+	versionBatch uint32 = 2
 )
 
 // DefaultMessageLimit is the most bytes of one message between hosts. It must
@@ -35,6 +36,14 @@
 // costs its entry host no more than the window and one message.
 const window = 256 << 10
 
+// The bounds of a batch. Frames that wait at the same time go in one message,
+// for the cost of a message is mostly that of its system calls; the bounds keep
+// a burst from making the first of its frames wait for the last.
+const (
+	batchFrames = 64
+	batchBytes  = 64 << 10
+)
+
 // Self is what a host says of itself in each opening message.
 type Self struct {
 	Host fleet.Host
--- a/io/host/inbound.go
+++ b/io/host/inbound.go
@@ -80,7 +80,7 @@
 	}
 	s.enter(i)
 	var writer sync.WaitGroup
-	writer.Go(func() { i.out.write(ctx, b.Send); cancel() })
+	writer.Go(func() { i.out.write(ctx, v >= versionBatch, b.Send); cancel() })
 	err = i.read(b)
 	cancel()
 	writer.Wait()
@@ -99,20 +99,28 @@
 		if err != nil {
 			return err
 		}
-		switch k := m.GetKind().(type) {
-		case *hostpb.ForwardRequest_Exchange:
-			i.start(k.Exchange)
-		case *hostpb.ForwardRequest_Credit:
-			i.credit(k.Credit.GetSeq(), int64(k.Credit.GetBytes()))
-		case *hostpb.ForwardRequest_Cancel:
-			i.cancel(k.Cancel.GetSeq())
-		case *hostpb.ForwardRequest_Release:
-			i.release(exchange.Pin(k.Release.GetPin()))
-		default: // of a later version
+		i.take(m)
+		for _, f := range m.GetBatch().GetFrames() {
+			i.take(f)
 		}
 	}
 }
 
+// take acts on one frame; one of a later version is skipped.
+func (i *inbound) take(m *hostpb.ForwardRequest) {
+	switch k := m.GetKind().(type) {
+	case *hostpb.ForwardRequest_Exchange:
+		i.start(k.Exchange)
+	case *hostpb.ForwardRequest_Credit:
+		i.credit(k.Credit.GetSeq(), int64(k.Credit.GetBytes()))
+	case *hostpb.ForwardRequest_Cancel:
+		i.cancel(k.Cancel.GetSeq())
+	case *hostpb.ForwardRequest_Release:
+		i.release(exchange.Pin(k.Release.GetPin()))
+	default:
+	}
+}
+
 // start hands one exchange to the local Runner.
 func (i *inbound) start(x *hostpb.Exchange) {
 	q := toRequest(x, i.from, i.server.Self.Host, i.server.now())
--- a/io/host/outbox.go
+++ b/io/host/outbox.go
@@ -53,8 +53,8 @@
 }
 
 // write sends the frames in their order until ctx ends or send fails.
-func (o *outbox) write(ctx context.Context, send func(*hostpb.ForwardResponse) error) {
-	var batch []*hostpb.ForwardResponse
+func (o *outbox) write(ctx context.Context, batched bool, send func(*hostpb.ForwardResponse) error) {
+	var all []*hostpb.ForwardResponse
 	for {
 		select {
 		case <-ctx.Done():
@@ -62,16 +62,47 @@
 		case <-o.wake:
 		}
 		o.mu.Lock()
-		batch, o.frames = o.frames, batch[:0]
+		all, o.frames = o.frames, all[:0]
 		o.mu.Unlock()
-		for n, m := range batch {
-			if send(m) != nil {
-				return
+		for rest := all; len(rest) > 0; {
+			n := 1
+			if batched {
+				n = batchLength(rest)
 			}
-			if m.GetRows() != nil {
-				<-o.room
+			if send(batch(rest[:n])) != nil {
+				return
 			}
-			batch[n] = nil
+			o.free(rest[:n])
+			rest = rest[n:]
+		}
+	}
+}
+
+// batchLength returns how many of the first frames go in one message.
+func batchLength(frames []*hostpb.ForwardResponse) int {
+	size := 0
+	for n, m := range frames {
+		size += len(m.GetRows().GetData()) + len(m.GetDone().GetData())
+		if n > 0 && (n == batchFrames || size > batchBytes) {
+			return n
+		}
+	}
+	return len(frames)
+}
+
+func batch(frames []*hostpb.ForwardResponse) *hostpb.ForwardResponse {
+	if len(frames) == 1 {
+		return frames[0]
+	}
+	return &hostpb.ForwardResponse{Kind: &hostpb.ForwardResponse_Batch{Batch: &hostpb.AnswerBatch{Frames: frames}}}
+}
+
+// free makes room for as many rows as frames held, and forgets the frames.
+func (o *outbox) free(frames []*hostpb.ForwardResponse) {
+	for _, m := range frames {
+		if m.GetRows() != nil {
+			<-o.room
 		}
 	}
+	clear(frames)
 }
--- a/io/host/run.go
+++ b/io/host/run.go
@@ -86,7 +86,7 @@
 		return
 	}
 	d := fromResult(result, r.id.Seq)
-	if i.version >= versionTail {
+	if i.version >= versionBatch {
 		d.Data = r.tail
 	} else if len(r.tail) > 0 {
 		_ = i.out.rows(i.ctx, r.gone, &hostpb.Rows{Seq: r.id.Seq, Data: r.tail})
--- a/io/host/stream.go
+++ b/io/host/stream.go
@@ -87,42 +87,71 @@
 	return nil
 }
 
+// write sends first and all that follows, in batches where the peer knows them.
 func (o *outbound) write(ctx context.Context, s *forwardStream, first *flight) error {
-	if err := o.launch(s, first); err != nil {
-		return err
-	}
+	frames := o.launch(nil, first)
 	for {
+		frames = o.gather(frames)
+		if err := o.send(s, frames); err != nil {
+			return err
+		}
+		clear(frames)
+		frames = frames[:0]
 		select {
 		case <-ctx.Done():
 			return errDown
 		case <-o.wake:
 		case f := <-o.out.Out():
-			if err := o.launch(s, f); err != nil {
-				return err
-			}
-		}
-		if err := o.writeUrgent(s); err != nil {
-			return err
+			frames = o.launch(frames, f)
 		}
 	}
 }
 
-func (o *outbound) writeUrgent(s *forwardStream) error {
+// gather adds what waits to frames, up to one batch of exchanges.
+func (o *outbound) gather(frames []*hostpb.ForwardRequest) []*hostpb.ForwardRequest {
+	size := 0
+	for _, f := range frames {
+		size += len(f.GetExchange().GetPayload())
+	}
+	for len(frames) < batchFrames && size < batchBytes {
+		select {
+		case f := <-o.out.Out():
+			frames = o.launch(frames, f)
+			size += len(f.q.Payload)
+			continue
+		default:
+		}
+		break
+	}
 	o.mu.Lock()
-	all := o.urgent
+	defer o.mu.Unlock()
+	frames = append(frames, o.urgent...)
 	o.urgent = nil
-	o.mu.Unlock()
-	for _, m := range all {
-		if err := s.Send(m); err != nil {
+	return frames
+}
+
+func (o *outbound) send(s *forwardStream, frames []*hostpb.ForwardRequest) error {
+	if len(frames) > 1 && o.batches() {
+		return s.Send(&hostpb.ForwardRequest{Kind: &hostpb.ForwardRequest_Batch{
+			Batch: &hostpb.ForwardBatch{Frames: frames}}})
+	}
+	for _, f := range frames {
+		if err := s.Send(f); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// launch sends one exchange. It counts as sent from before the first byte: an
-// error of Send doesn't tell how much of it has left.
-func (o *outbound) launch(s *forwardStream, f *flight) error {
+func (o *outbound) batches() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.version >= versionBatch
+}
+
+// launch adds the frame of one exchange to frames. It counts as sent from before
+// the first byte: an error of Send doesn't tell how much of it has left.
+func (o *outbound) launch(frames []*hostpb.ForwardRequest, f *flight) []*hostpb.ForwardRequest {
 	now := o.peers.now()
 	o.mu.Lock()
 	live := o.flights[f.seq] == f
@@ -130,13 +159,13 @@
 	f.sent = live && !expired
 	o.mu.Unlock()
 	if !live {
-		return nil
+		return frames
 	}
 	if expired {
 		o.finish(f, errTimeout)
-		return nil
+		return frames
 	}
-	return s.Send(&hostpb.ForwardRequest{Kind: &hostpb.ForwardRequest_Exchange{
+	return append(frames, &hostpb.ForwardRequest{Kind: &hostpb.ForwardRequest_Exchange{
 		Exchange: fromRequest(f.q, f.seq, now)}})
 }
 
@@ -148,16 +177,24 @@
 		if err != nil {
 			return err
 		}
-		switch k := m.GetKind().(type) {
-		case *hostpb.ForwardResponse_Rows:
-			o.rows(k.Rows)
-		case *hostpb.ForwardResponse_Done:
-			o.done(k.Done)
-		default: // of a later version
+		o.take(m)
+		for _, f := range m.GetBatch().GetFrames() {
+			o.take(f)
 		}
 	}
 }
 
+// take acts on one frame; one of a later version is skipped.
+func (o *outbound) take(m *hostpb.ForwardResponse) {
+	switch k := m.GetKind().(type) {
+	case *hostpb.ForwardResponse_Rows:
+		o.rows(k.Rows)
+	case *hostpb.ForwardResponse_Done:
+		o.done(k.Done)
+	default:
+	}
+}
+
 // rows passes on part of an answer. That of an exchange which is over here, or
 // never was, is dropped: its number is never used again.
 func (o *outbound) rows(m *hostpb.Rows) {
