--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -2,7 +2,7 @@
 package cmd
 
 import (
-	"errors"
+	"context"
 	"fmt"
 	"io"
 
@@ -18,6 +18,10 @@
 
 // commands lists the subcommands in the order in which the help shows them.
 var commands = []func() *cobra.Command{
+	newServe,
+	newDocument,
+	newKey,
+	newState,
 	newStandin,
 	newVersion,
 }
@@ -32,16 +36,12 @@
 	root.SetIn(in)
 	root.SetOut(out)
 	root.SetErr(errOut)
-	err := root.Execute()
+	err := root.ExecuteContext(context.Background())
 	if err == nil {
 		return ExitOK
 	}
 	fmt.Fprintln(errOut, "skylarkdeal:", err)
-	var u usageError
-	if errors.As(err, &u) {
-		return ExitUsage
-	}
-	return ExitFailure
+	return exitCode(err)
 }
 
 func newRoot() *cobra.Command {
