Count arrivals that no session got to, and judge refusals by what was admitted

Trial on a fleet of 6 hosts, fault plan with a cut, a dead and a paused primary: sessions worked off their backlog for 22 s after the end of the run, and an account at four times its rate showed wrongful refusals when its hosts admitted as much as one bucket would, at other moments. Report the slowest operations.

--- a/internal/load/act.go
+++ b/internal/load/act.go
@@ -149,7 +149,7 @@
 	}
 }
 
-// tick counts up. Its Number is how many ticks were acknowledged.
+// tick counts up.
 func (s *session) tick(ctx context.Context, o *check.Op) error {
 	o.Kind = check.KindTick
 	l, err := s.link(ctx, useWrite)
@@ -157,10 +157,7 @@
 		o.Outcome = check.OutcomeUnsent
 		return err
 	}
-	if _, err = s.statement(ctx, o, l, "once $1 $2 $3", s.nextID(), tickKey+"-"+s.run.name, "1"); err == nil {
-		s.number++
-		o.Number = s.number
-	}
+	_, err = s.statement(ctx, o, l, "once $1 $2 $3", s.nextID(), tickKey+"-"+s.run.name, "1")
 	s.note(o, l)
 	return err
 }
--- a/internal/load/check/check.go
+++ b/internal/load/check/check.go
@@ -133,32 +133,27 @@
 	return all
 }
 
-// ages compares aged reads with the ticks acknowledged before their age.
+// ages compares aged reads with the ticks acknowledged before their age. Every
+// tick adds one, so that a read that shows fewer is older.
 func ages(ops []Op) []Breach {
-	ticks := map[fleet.Service][]Op{}
+	ticks := map[fleet.Service][]time.Duration{}
 	for _, o := range ops {
 		if o.Kind == KindTick && o.Outcome == OutcomeOK {
-			ticks[o.Service] = append(ticks[o.Service], o)
+			ticks[o.Service] = append(ticks[o.Service], o.Answered)
 		}
 	}
 	for _, t := range ticks {
-		slices.SortFunc(t, func(a, b Op) int { return cmp.Compare(a.Answered, b.Answered) })
-		for n := 1; n < len(t); n++ {
-			t[n].Number = max(t[n].Number, t[n-1].Number)
-		}
+		slices.Sort(t)
 	}
 	var all []Breach
 	for _, o := range ops {
 		if o.Kind != KindAged || o.Outcome != OutcomeOK {
 			continue
 		}
-		t := ticks[o.Service]
-		n, _ := slices.BinarySearchFunc(t, o.Sent-o.MaxAge, func(a Op, at time.Duration) int {
-			return cmp.Compare(a.Answered, at)
-		})
-		if n > 0 && t[n-1].Number > o.Number {
-			all = append(all, breach(WithinAge, o, "read tick %d; tick %d was acknowledged %s before, age %s",
-				o.Number, t[n-1].Number, o.Sent-t[n-1].Answered, o.MaxAge))
+		n, _ := slices.BinarySearch(ticks[o.Service], o.Sent-o.MaxAge)
+		if o.Number < uint64(n) {
+			all = append(all, breach(WithinAge, o, "read %d ticks; %d were acknowledged more than %s before",
+				o.Number, n, o.MaxAge))
 		}
 	}
 	return all
--- a/internal/load/check/measure.go
+++ b/internal/load/check/measure.go
@@ -18,8 +18,8 @@
 	Reads        int     `json:"reads"`
 	Writes       int     `json:"writes"`
 	Unknown      int     `json:"unknown"`
-	// WrongfulRefusals counts statements that were refused although one perfect
-	// bucket for the whole fleet would have admitted them, by SQLSTATE.
+	// WrongfulRefusals counts, by SQLSTATE, statements that were refused although
+	// the account had not had its rate and burst over the whole fleet.
 	WrongfulRefusals map[string]int `json:"wrongful-refusals"`
 	// RightfulRefusals counts the others.
 	RightfulRefusals int       `json:"rightful-refusals"`
@@ -144,26 +144,36 @@
 	})
 }
 
-// bucket runs the statements, in the order in which they were sent, through one
-// perfect bucket that begins full.
+// bucket runs the statements, in the order in which they were sent, through two
+// buckets that begin full.
+//
+// The perfect one admits by itself, and tells how much of the demand was within
+// the limit. The other one is charged with what was in fact admitted: a refusal
+// while it holds a token is wrongful, and takes that token. Were refusals judged
+// by the perfect one, an account that asks for several times its rate would show
+// wrongful ones whenever the hosts admit the same number at other moments.
 func (m *Measures) bucket(a *Account, all []Statement, l Limit) {
 	slices.SortFunc(all, func(a, b Statement) int { return cmp.Compare(a.Sent, b.Sent) })
-	level, last := l.Burst, time.Duration(0)
+	perfect, actual, last := l.Burst, l.Burst, time.Duration(0)
 	for _, s := range all {
-		level = min(l.Burst, level+l.Rate*(s.Sent-last).Seconds())
-		last = s.Sent
-		admits := l.Rate == 0 || level >= 1
-		if admits {
-			level--
+		grown := l.Rate * (s.Sent - last).Seconds()
+		perfect, actual, last = min(l.Burst, perfect+grown), min(l.Burst, actual+grown), s.Sent
+		a.Demanded++
+		if perfect >= 1 {
+			perfect--
 			a.Within++
 		}
-		a.Demanded++
 		switch {
-		case s.Code == "" && !s.Unknown:
-			a.Served++
-		case s.Code != "" && admits:
+		case s.Unsent:
+		case s.Code == "":
+			actual--
+			if !s.Unknown {
+				a.Served++
+			}
+		case actual >= 1:
+			actual--
 			m.WrongfulRefusals[s.Code]++
-		case s.Code != "":
+		default:
 			m.RightfulRefusals++
 		}
 	}
--- a/internal/load/check/rate.go
+++ b/internal/load/check/rate.go
@@ -16,7 +16,7 @@
 	admitted := map[AccountID][]Statement{}
 	for _, o := range ops {
 		for _, s := range o.Statements {
-			if s.Code == "" && !s.Unknown {
+			if s.Code == "" && !s.Unknown && !s.Unsent {
 				admitted[o.account()] = append(admitted[o.account()], s)
 			}
 		}
--- a/internal/load/check/record.go
+++ b/internal/load/check/record.go
@@ -59,6 +59,8 @@
 	Code string
 	// Unknown is set when no answer tells whether it was admitted.
 	Unknown bool
+	// Unsent is set when it was due and never sent.
+	Unsent bool
 }
 
 // Op is one operation of one session.
@@ -81,7 +83,8 @@
 	// Key is the session's own key, which changes after an unknown outcome, as
 	// a write that comes late may then overwrite a newer one.
 	Key string
-	// Number is what was written, or read, under Key or by the ticker.
+	// Number is what was written, or read, under Key, or the ticks that a
+	// KindAged read.
 	Number uint64
 	// Want and Got are the nonce, key or count of rows of the answer.
 	Want string
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -23,13 +24,43 @@
 	Breaches []check.Breach  `json:"breaches"`
 	Faults   []FaultResult   `json:"faults"`
 	Checked  []fleet.Service `json:"checked-against-log"`
+	// Slowest are the operations that took longest from the time they were due.
+	Slowest []Slow `json:"slowest"`
+}
+
+// Slow is one operation that took long.
+type Slow struct {
+	Service fleet.Service `json:"service"`
+	Account fleet.Account `json:"account"`
+	Kind    check.Kind    `json:"kind"`
+	Host    string        `json:"host"`
+	// Due, Sent and Answered count from the start of the run.
+	Due      time.Duration `json:"due"`
+	Sent     time.Duration `json:"sent"`
+	Answered time.Duration `json:"answered"`
+	Outcome  check.Outcome `json:"outcome"`
+	Code     string        `json:"code,omitempty"`
+}
+
+// shownSlowest is how many of the slowest operations a report lists.
+const shownSlowest = 5
+
+func slowest(ops []check.Op) []Slow {
+	ops = slices.Clone(ops)
+	slices.SortFunc(ops, func(a, b check.Op) int { return cmp.Compare(b.Answered-b.Intended, a.Answered-a.Intended) })
+	all := []Slow{}
+	for _, o := range ops[:min(shownSlowest, len(ops))] {
+		all = append(all, Slow{Service: o.Service, Account: o.Account, Kind: o.Kind, Host: o.Host, Due: o.Intended,
+			Sent: o.Sent, Answered: o.Answered, Outcome: o.Outcome, Code: o.Code})
+	}
+	return all
 }
 
 func newReport(cfg Config, took time.Duration, rec check.Record, faults []FaultResult) *Report {
 	r := &Report{
 		Profile: cfg.Profile.Name, Seed: cfg.Seed, Hosts: cfg.Hosts, Took: took,
 		Measures: check.Measure(rec), Breaches: check.Check(rec), Faults: faults,
-		Outcomes: map[string]int{}, Checked: []fleet.Service{},
+		Outcomes: map[string]int{}, Checked: []fleet.Service{}, Slowest: slowest(rec.Ops),
 	}
 	if r.Breaches == nil {
 		r.Breaches = []check.Breach{}
@@ -96,6 +127,11 @@
 			a.Served, 100*a.Share, round(a.P50), round(a.P99))
 	}
 	fmt.Fprintln(t)
+	for _, o := range r.Slowest {
+		fmt.Fprintf(t, "slowest\t%s/%s %s at %s: due %s, sent %s, %s %s at %s\n", o.Service, o.Account, o.Kind, o.Host,
+			round(o.Due), round(o.Sent), o.Outcome, o.Code, round(o.Answered))
+	}
+	fmt.Fprintln(t)
 	r.writeInvariants(t)
 	return t.Flush()
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -97,6 +97,7 @@
 		return nil, err
 	}
 	faults := r.drive(ctx, sessions)
+	r.leftOver()
 	record := check.Record{Ops: r.ops, Limits: cfg.Profile.Limits()}
 	var err error
 	record.Applied, err = applied(ctx, cfg.Records)
@@ -110,11 +111,8 @@
 		for _, a := range s.Accounts {
 			q := ring.New[time.Duration](backlog)
 			r.queues = append(r.queues, q)
-			n := 1
-			if a.Name != Ticker {
-				peak := max(a.arrivals(0), a.arrivals(a.SurgeEvery-1))
-				n = min(mostSessions, max(leastSessions, int(math.Ceil(peak*sessionLatency))))
-			}
+			peak := max(a.arrivals(0), a.arrivals(a.SurgeEvery-1))
+			n := min(mostSessions, max(leastSessions, int(math.Ceil(peak*sessionLatency))))
 			for range n {
 				all = append(all, newSession(r, s, a, q, check.Session(len(all)+1)))
 			}
@@ -178,9 +176,29 @@
 		case <-t.C:
 		}
 		if !q.TryPut(at) {
-			now := r.since()
-			r.add(check.Op{Service: s.Name, Account: a.Name, Intended: at, Sent: now, Answered: now,
-				Outcome: check.OutcomeUnsent, Code: "backlog"})
+			r.unsent(s, a, at)
+		}
+	}
+}
+
+// unsent records an arrival for which no session was free.
+func (r *runner) unsent(s Service, a Account, due time.Duration) {
+	now := r.since()
+	r.add(check.Op{Service: s.Name, Account: a.Name, Intended: due, Sent: now, Answered: now,
+		Outcome: check.OutcomeUnsent, Code: "backlog",
+		Statements: []check.Statement{{Sent: due, Answered: now, Unsent: true}}})
+}
+
+// leftOver records the arrivals that no session got to: left out, the worst of
+// the demand would count as never made.
+func (r *runner) leftOver() {
+	n := 0
+	for _, s := range r.cfg.Profile.Services {
+		for _, a := range s.Accounts {
+			for q := r.queues[n]; q.Len() > 0; {
+				r.unsent(s, a, <-q.Out())
+			}
+			n++
 		}
 	}
 }
--- a/internal/load/session.go
+++ b/internal/load/session.go
@@ -85,7 +85,7 @@
 // serve does what is due until ctx ends. An operation that has begun is let go
 // to its end.
 func (s *session) serve(ctx context.Context) {
-	for {
+	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return
