--- a/io/host/outbound.go
+++ b/io/host/outbound.go
@@ -21,8 +21,6 @@
 	// outboundRing is how many exchanges wait for the writer of one stream. It
 	// is filled only when the peer takes nothing, and then more would time out.
 	outboundRing = 1024
-	// connectTimeout bounds the opening of a stream, Hello included.
-	connectTimeout = time.Second
 	// The pause between two attempts grows from firstPause to lastPause, so
 	// that many hosts that lost one peer don't all come back to it at once.
 	firstPause = 20 * time.Millisecond
--- a/io/host/peers.go
+++ b/io/host/peers.go
@@ -21,6 +21,9 @@
 // DefaultCallTimeout bounds a call whose context has no deadline.
 const DefaultCallTimeout = time.Second
 
+// DefaultConnectTimeout bounds the opening of a stream, Hello included.
+const DefaultConnectTimeout = time.Second
+
 const stepForward failure.Step = "forward"
 
 // Peers is the way from this host to the others of the fleet. Its exported
@@ -32,6 +35,9 @@
 	MessageLimit int
 	// Address returns the IP address and port of a host's inner protocol.
 	Address func(h fleet.Host) (string, bool)
+	// ConnectTimeout bounds the opening of a stream, DefaultConnectTimeout when
+	// zero.
+	ConnectTimeout time.Duration
 	// Now is time.Now when nil.
 	Now func() time.Time
 	Log *zap.Logger
--- a/io/host/server.go
+++ b/io/host/server.go
@@ -61,7 +61,8 @@
 	p.SetUnencryptedHTTP2(true)
 	h := &http.Server{
 		Handler: s.Handler(), Protocols: p, ReadHeaderTimeout: headerTimeout,
-		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		ErrorLog: zap.NewStdLog(s.log()),
+		HTTP2:    &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
 	s.mu.Lock()
 	if s.closed {
--- a/io/host/stream.go
+++ b/io/host/stream.go
@@ -52,7 +52,11 @@
 	if err != nil {
 		return nil, err
 	}
-	t := time.AfterFunc(connectTimeout, cancel)
+	d := o.peers.ConnectTimeout
+	if d == 0 {
+		d = DefaultConnectTimeout
+	}
+	t := time.AfterFunc(d, cancel)
 	defer t.Stop()
 	s := c.Forward(ctx)
 	err = s.Send(&hostpb.ForwardRequest{Kind: &hostpb.ForwardRequest_Hello{Hello: o.peers.Self.hello()}})
