--- a/io/host/flight.go
+++ b/io/host/flight.go
@@ -67,6 +67,7 @@
 		}
 	}
 	if e.done {
+		f.out.peers.metrics.done(e.result.Outcome)
 		f.reply.Done(e.result)
 		return
 	}
--- a/io/host/outbound.go
+++ b/io/host/outbound.go
@@ -244,6 +244,7 @@
 	for _, f := range all {
 		o.finish(f, err)
 	}
+	o.peers.metrics.ended.Inc()
 	o.peers.log().Info("stream to peer ended", zap.String("host", string(o.host)),
 		zap.Int("exchanges", len(all)), zap.Error(err))
 }
--- a/io/host/peers.go
+++ b/io/host/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"skylarkdeal/core/exchange"
@@ -41,8 +42,11 @@
 	// Now is time.Now when nil.
 	Now func() time.Time
 	Log *zap.Logger
+	// Metrics takes the metrics in, when it is set.
+	Metrics prometheus.Registerer
 
-	seq atomic.Uint64
+	metrics outboundMetrics
+	seq     atomic.Uint64
 
 	mu        sync.Mutex
 	transport *http.Transport
@@ -95,6 +99,8 @@
 		defer cancel()
 	}
 	a, err := f(c, ctx, connect.NewRequest(q))
+	p.metrics.register(p.Metrics)
+	p.metrics.called(string(step), err)
 	if err != nil {
 		return nil, failure.At(err, step, peerName(h))
 	}
@@ -176,6 +182,7 @@
 	if p.peers == nil {
 		p.peers = map[fleet.Host]*outbound{}
 	}
+	p.metrics.register(p.Metrics)
 	o := newOutbound(p, h)
 	p.peers[h] = o
 	p.tasks.Go(o.serve)
--- a/io/host/stream.go
+++ b/io/host/stream.go
@@ -87,6 +87,7 @@
 	o.mu.Lock()
 	o.connected, o.version, o.lastError = true, v, ""
 	o.mu.Unlock()
+	o.peers.metrics.opened.Inc()
 	o.peers.log().Info("stream to peer opened", zap.String("host", string(o.host)), zap.Uint32("version", v))
 	return nil
 }
