--- a/io/host/host.go
+++ b/io/host/host.go
@@ -27,10 +27,13 @@
 	versionBatch uint32 = 2
 )
 
-// DefaultMessageLimit is the most bytes of one message between hosts. It must
-// be above the callers' own limit on a message.
+// DefaultMessageLimit is the most bytes of one exchange, or of one part of an
+// answer. It must be above the callers' own limit on a message.
 const DefaultMessageLimit = 64 << 20
 
+// messageSlack is what else may go in one message with an exchange of the limit.
+const messageSlack = 1 << 20
+
 // window is how many bytes of one answer a holder sends before it waits for
 // credit. A caller that stops reading so holds up its own answer only, and
 // costs its entry host no more than the window and one message.
@@ -105,6 +108,12 @@
 	return n
 }
 
+// readLimit is what a receiver takes. A message above it ends the stream and all
+// that is on it, so senders keep to limit and refuse the one exchange instead.
+func readLimit(n int) int {
+	return limit(n) + messageSlack
+}
+
 func refuseHello(err error) error {
 	return connect.NewError(connect.CodeFailedPrecondition, err)
 }
--- a/io/host/outbound.go
+++ b/io/host/outbound.go
@@ -73,6 +73,11 @@
 
 // run queues one exchange for the stream.
 func (o *outbound) run(q *exchange.Request, reply exchange.Reply) {
+	if size(q) > limit(o.peers.MessageLimit) {
+		reply.Refuse(&failure.Refusal{Code: failure.CodeTooLarge, Message: "not run: too large to be forwarded",
+			Step: stepForward, Peer: peerName(o.host)})
+		return
+	}
 	f := &flight{out: o, seq: o.peers.seq.Add(1), q: q, reply: reply}
 	if err := o.enter(f); err != nil {
 		reply.Refuse(notRun(o.host, err))
@@ -83,6 +88,15 @@
 	}
 }
 
+// size is about what q takes in a message.
+func size(q *exchange.Request) int {
+	n := len(q.Payload)
+	for _, s := range q.Statements {
+		n += len(s.Name) + len(s.SQL) + 5*len(s.Types)
+	}
+	return n
+}
+
 func (o *outbound) enter(f *flight) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/io/host/peers.go
+++ b/io/host/peers.go
@@ -80,7 +80,7 @@
 		p.clients = map[string]hostpbconnect.PeerClient{}
 	}
 	c := hostpbconnect.NewPeerClient(&http.Client{Transport: p.transport}, "http://"+address,
-		connect.WithReadMaxBytes(limit(p.MessageLimit)), connect.WithInterceptors(secret(p.Secret)),
+		connect.WithReadMaxBytes(readLimit(p.MessageLimit)), connect.WithInterceptors(secret(p.Secret)),
 		connect.WithAcceptCompression("gzip", nil, nil))
 	p.clients[address] = c
 	return c, nil
--- a/io/host/run.go
+++ b/io/host/run.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"errors"
 	"time"
 
 	"skylarkdeal/core/exchange"
@@ -11,8 +12,13 @@
 // frame. A database itself holds back as much before it flushes.
 const tailLimit = 8 << 10
 
+var errTooLarge = errors.New("part of an answer is too large to be passed on between hosts")
+
 // send passes on part of the answer, once there is credit.
 func (r *run) send(b []byte) error {
+	if len(b) > limit(r.in.server.MessageLimit) {
+		return errTooLarge
+	}
 	if len(r.tail)+len(b) <= tailLimit {
 		r.tail = append(r.tail, b...)
 		return nil
--- a/io/host/server.go
+++ b/io/host/server.go
@@ -51,7 +51,7 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(hostpbconnect.NewPeerHandler(handler{s},
-		connect.WithReadMaxBytes(limit(s.MessageLimit)), connect.WithInterceptors(secret(s.Secret))))
+		connect.WithReadMaxBytes(readLimit(s.MessageLimit)), connect.WithInterceptors(secret(s.Secret))))
 	return mux
 }
 
--- a/io/host/stream_test.go
+++ b/io/host/stream_test.go
@@ -161,3 +161,26 @@
 	await(c, "committed", commit.result)
 	c.Check(await(c, "drained", drained), qt.IsNil)
 }
+
+func TestTooLargeHarmsNoOther(t *testing.T) {
+	// One caller sends, or asks for, more than one message between hosts holds.
+	// It alone gets an error; the others on the stream notice nothing.
+	c := qt.New(t)
+	r, runs, _, _ := recorder()
+	h := serve(t, &host.Server{Runner: r, MessageLimit: 100 << 10})
+	p := dial(t, h, &host.Peers{MessageLimit: 100 << 10})
+	to := p.Runner("holder")
+	other := run(to, &exchange.Request{ID: id(1)})
+	open := await(c, "other exchange", runs)
+	sent := run(to, &exchange.Request{ID: id(2), Payload: make([]byte, 101<<10)})
+	got := await(c, "refusal", sent.result)
+	c.Check(got.Outcome, qt.Equals, exchange.OutcomeNotRun)
+	c.Check(got.Refusal.Code, qt.Equals, failure.CodeTooLarge)
+	asked := run(to, &exchange.Request{ID: id(3), Payload: make([]byte, 99<<10)})
+	large := await(c, "large exchange", runs)
+	c.Check(large.reply.Send(make([]byte, 101<<10)), qt.IsNotNil)
+	large.reply.Done(exchange.Result{Outcome: exchange.OutcomeUnknown})
+	await(c, "large result", asked.result)
+	open.reply.Done(exchange.Result{Outcome: exchange.OutcomeDone})
+	c.Check(await(c, "other result", other.result).Outcome, qt.Equals, exchange.OutcomeDone)
+}
