--- a/io/host/server.go
+++ b/io/host/server.go
@@ -51,7 +51,7 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(hostpbconnect.NewPeerHandler(handler{s},
-		connect.WithReadMaxBytes(limit(s.MessageLimit)), connect.WithInterceptors(secret(s.Secret))))
+		connect.WithReadMaxBytes(readLimit(s.MessageLimit)), connect.WithInterceptors(secret(s.Secret))))
 	return mux
 }
 
@@ -61,7 +61,8 @@
 	p.SetUnencryptedHTTP2(true)
 	h := &http.Server{
 		Handler: s.Handler(), Protocols: p, ReadHeaderTimeout: headerTimeout,
-		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		ErrorLog: zap.NewStdLog(s.log()),
+		HTTP2:    &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
 	s.mu.Lock()
 	if s.closed {
