Add the demonstration

One process runs the stand-in store, three groups of the first user's sizes and six hosts; it orders on one host, reads on another, kills a primary, withdraws a key.

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -19,6 +19,7 @@
 // commands lists the subcommands in the order in which the help shows them.
 var commands = []func() *cobra.Command{
 	newServe,
+	newDemo,
 	newDocument,
 	newKey,
 	newLoad,
--- a/internal/localfleet/localfleet.go
+++ b/internal/localfleet/localfleet.go
@@ -226,3 +226,18 @@
 	}
 	return errors.Join(errs...)
 }
+
+// Edit changes the document of a service in the store, as an operator would.
+func (f *Fleet) Edit(ctx context.Context, s fleet.Service, change func(*document.Document)) error {
+	now, err := f.editor.Get(ctx, s)
+	if err != nil {
+		return err
+	}
+	d, err := document.Parse(now.Text, now.Version)
+	if err != nil {
+		return err
+	}
+	change(d)
+	_, err = f.editor.Put(ctx, d.Format(), now.Version)
+	return err
+}
