Give tokens back on leaving, replace a lost witness, answer when stopped

A share that gains from a changed list of data centres waits for 30 s. Consent lasts 2 s, so that two lost answers stop no home in an outage.

--- a/core/allot/home.go
+++ b/core/allot/home.go
@@ -65,6 +65,9 @@
 	out     []outstanding
 	lastID  GrantID
 	started bool
+	// later is the share that takes the place of share at listed.
+	later  Share
+	listed time.Time
 }
 
 // Start begins a tenure at now with the given share. The bucket starts empty,
@@ -72,7 +75,7 @@
 // host that restarts, or takes over, knows nothing of what was spent before. The
 // caller has made sure that no predecessor grants any more (see Seat).
 func (h *Home) Start(now time.Time, v document.Version, s Share, id GrantID) {
-	*h = Home{version: v, share: s, from: now.Add(Overdue), lastID: id, started: true}
+	*h = Home{version: v, share: s, later: s, from: now.Add(Overdue), lastID: id, started: true}
 }
 
 // Started reports whether the home's tenure has begun.
@@ -80,18 +83,37 @@
 	return h.started
 }
 
+// ListHold is how long a share that has grown because the list of data centres
+// has changed isn't used yet: a document takes some seconds to all hosts that can
+// be reached, and until then another data centre may go by its old, larger share.
+const ListHold = 30 * time.Second
+
 // Change puts the share of a newer version of the document in force. A lower
 // burst takes effect at once on what is not granted yet; a higher one has to
-// grow. An older version changes nothing.
-func (h *Home) Change(now time.Time, v document.Version, s Share) {
+// grow. An older version changes nothing. If the list of data centres is not the
+// same, what the share gains waits for ListHold.
+func (h *Home) Change(now time.Time, v document.Version, s Share, sameList bool) {
 	if v <= h.version {
 		return
 	}
 	h.grow(now)
-	h.version, h.share = v, s
+	h.version, h.later = v, s
+	if !sameList {
+		h.listed = now.Add(ListHold)
+	}
+	h.settle(now)
 	h.trim()
 }
 
+// settle puts the later share in force, or of it what isn't more than before.
+func (h *Home) settle(now time.Time) {
+	if now.Before(h.listed) {
+		h.share = Share{Rate: min(h.share.Rate, h.later.Rate), Burst: min(h.share.Burst, h.later.Burst)}
+		return
+	}
+	h.share = h.later
+}
+
 // grow adds what has accrued since the last call. A clock that steps back adds
 // nothing. What can't be kept is lost, as in any bucket that is full.
 func (h *Home) grow(now time.Time) {
@@ -100,6 +122,7 @@
 		h.level += h.share.Rate * d.Seconds()
 		h.from = now
 	}
+	h.settle(now)
 	h.trim()
 }
 
--- a/core/allot/seat.go
+++ b/core/allot/seat.go
@@ -34,8 +34,9 @@
 
 const (
 	// ConsentFor is how long a witness's consent lasts, by the holder's clock
-	// from the moment at which it asked. It bounds how long a successor waits.
-	ConsentFor = time.Second
+	// from the moment at which it asked: three rounds of looking after the seats,
+	// so that two lost answers stop nothing. It bounds how long a successor waits.
+	ConsentFor = 2 * time.Second
 	// consentOverdue is how long the witness counts it, for clocks that run
 	// apart as in Overdue.
 	consentOverdue = ConsentFor + ConsentFor*3/10
--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,171 @@
+package roster_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/roster"
+)
+
+// TestMain fixes the seed, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "7")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func member(n int) fleet.Member {
+	return fleet.Member{Host: fleet.Host(fmt.Sprintf("h%d", n)), DataCentre: "riga-1"}
+}
+
+func record(n int, epoch, beat uint64) roster.Record {
+	return roster.Record{Member: member(n), Epoch: epoch, Beat: beat}
+}
+
+func ExampleWinner() {
+	members := []fleet.Member{member(1), member(2), member(3)}
+	before, _ := roster.Winner(members, roster.Steward("cellar"))
+	members[0].Leaving = before.Host == "h1"
+	members[1].Leaving = before.Host == "h2"
+	members[2].Leaving = before.Host == "h3"
+	after, _ := roster.Winner(members, roster.Steward("cellar"))
+	fmt.Println(before.Host != after.Host)
+	// Output: true
+}
+
+// Two hosts whose rosters differ by one host must agree on nearly every duty,
+// or each change of the roster would move all homes at once.
+func TestDutiesMoveOnlyWithTheirHost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 12).Draw(t, "hosts")
+		gone := rapid.IntRange(0, n-1).Draw(t, "gone")
+		var all, rest []fleet.Member
+		for i := range n {
+			all = append(all, member(i))
+			if i != gone {
+				rest = append(rest, member(i))
+			}
+		}
+		turned := append(append([]fleet.Member{}, all[1:]...), all[0])
+		for s := range roster.Shards {
+			d := roster.Home("riga-1", roster.Shard(s))
+			was, _ := roster.Winner(all, d)
+			now, _ := roster.Winner(rest, d)
+			if w, _ := roster.Winner(turned, d); w != was {
+				t.Fatalf("the order of the members matters: %v, %v", w, was)
+			}
+			if was != member(gone) && now != was {
+				t.Fatalf("duty moved from %v to %v as %v went", was, now, member(gone))
+			}
+			ranked := roster.Ranked(all, d)
+			if ranked[0] != was || was == member(gone) && ranked[1] != now {
+				t.Fatalf("ranked %v", ranked)
+			}
+		}
+	})
+}
+
+func TestHomesSpreadEvenly(t *testing.T) {
+	var m []fleet.Member
+	count := map[fleet.Host]int{}
+	for i := range 4 {
+		m = append(m, member(i))
+	}
+	for s := range 100 * roster.Shards {
+		w, _ := roster.Winner(m, roster.Home("riga-1", roster.Shard(s)))
+		count[w.Host]++
+	}
+	for h, n := range count {
+		qt.Check(t, n > 600 && n < 1000, qt.IsTrue, qt.Commentf("%s has %d of 3200", h, n))
+	}
+}
+
+// The store is down for ten minutes. Hosts that peers hear of stay members, and
+// one that dies meanwhile is noticed by its silence.
+func TestStoreOutageThrowsNoOneOut(t *testing.T) {
+	c := qt.New(t)
+	r := roster.Roster{Self: "h1"}
+	r.Stored(epoch, []roster.Record{record(1, 1, 1), record(2, 1, 1), record(3, 1, 1)})
+	now := epoch
+	for beat := uint64(2); beat < 600; beat++ {
+		now = now.Add(time.Second)
+		heard := []roster.Record{record(1, 1, beat), record(2, 1, beat)}
+		if beat < 300 {
+			heard = append(heard, record(3, 1, beat))
+		}
+		r.Merge(now, heard)
+		if beat == 299 {
+			c.Assert(r.Members(now), qt.DeepEquals, []fleet.Member{member(1), member(2), member(3)})
+		}
+	}
+	c.Assert(r.Members(now), qt.DeepEquals, []fleet.Member{member(1), member(2)})
+	c.Assert(r.Silent(now), qt.DeepEquals, []fleet.Member{member(3)})
+}
+
+// A cut parts this host from another one, which the store still lists.
+func TestListedHostStaysThroughACut(t *testing.T) {
+	c := qt.New(t)
+	r := roster.Roster{Self: "h1"}
+	now := epoch
+	for range 100 {
+		now = now.Add(time.Second)
+		r.Stored(now, []roster.Record{record(1, 1, 1), record(2, 1, 1)})
+	}
+	c.Assert(r.Members(now), qt.DeepEquals, []fleet.Member{member(1), member(2)})
+	r.Stored(now, []roster.Record{record(1, 1, 1)})
+	c.Assert(r.Members(now), qt.DeepEquals, []fleet.Member{member(1)}, qt.Commentf("its lease has ended"))
+}
+
+// A host has died, and digests still pass its last record round. Only a beat that
+// rises is news, else the dead would be kept alive by hearsay.
+func TestHearsayKeepsNoOneAlive(t *testing.T) {
+	c := qt.New(t)
+	r := roster.Roster{Self: "h1"}
+	now := epoch
+	r.Merge(now, []roster.Record{record(1, 1, 1), record(2, 1, 50)})
+	for beat := uint64(2); beat < 20; beat++ {
+		now = now.Add(time.Second)
+		r.Merge(now, []roster.Record{record(1, 1, beat), record(2, 1, 50), record(2, 1, 49)})
+	}
+	c.Assert(r.Members(now), qt.DeepEquals, []fleet.Member{member(1)})
+	r.Merge(now, []roster.Record{record(2, 2, 1)})
+	c.Assert(r.Members(now), qt.DeepEquals, []fleet.Member{member(1), member(2)}, qt.Commentf("it has restarted"))
+}
+
+// The platform's list lags: it still names a host that is long gone, and marks
+// one as leaving whose successor has started.
+func TestPlatformListLags(t *testing.T) {
+	c := qt.New(t)
+	r := roster.Roster{Self: "h1"}
+	leaving := member(2)
+	leaving.Leaving = true
+	r.Merge(epoch, []roster.Record{record(1, 1, 1), record(2, 1, 1)})
+	r.Platform([]roster.Listed{{Member: leaving}, {Member: member(9)}})
+	c.Assert(r.Members(epoch), qt.DeepEquals, []fleet.Member{member(1), leaving})
+	c.Assert(r.Silent(epoch), qt.DeepEquals, []fleet.Member{member(9)}, qt.Commentf("may be asked, isn't live"))
+	r.Merge(epoch, []roster.Record{record(2, 2, 1)})
+	c.Assert(r.Members(epoch), qt.DeepEquals, []fleet.Member{member(1), member(2)})
+}
+
+// A host is paused for longer than its lease and wakes. It must see that the lease
+// has ended before it acts, and by a renewal counted from when it was sent.
+func TestLeaseEndsByTheHostsOwnClock(t *testing.T) {
+	c := qt.New(t)
+	var l roster.Lease
+	c.Assert(l.Stands(epoch), qt.IsFalse)
+	l.Renewed(epoch)
+	c.Assert(l.Stands(epoch.Add(roster.LeaseFor*8/10)), qt.IsTrue)
+	c.Assert(l.Stands(epoch.Add(roster.LeaseFor*9/10)), qt.IsFalse, qt.Commentf("the margin for a slow clock"))
+	l.Renewed(epoch.Add(-time.Second))
+	c.Assert(l.Stands(epoch.Add(roster.LeaseFor*8/10)), qt.IsTrue, qt.Commentf("a late answer takes nothing away"))
+}
--- a/io/grants/entries.go
+++ b/io/grants/entries.go
@@ -72,8 +72,9 @@
 
 // DocumentChanged puts d in force, unless a newer version of it is.
 func (r *Runtime) DocumentChanged(d *document.Document) {
-	if r.entries.change(d, r.newEntry) {
-		r.changeHomes(d)
+	old, newer := r.entries.change(d, r.newEntry)
+	if newer {
+		r.changeHomes(d, old)
 	}
 }
 
@@ -83,9 +84,10 @@
 	return e
 }
 
-// change replaces the maps and reports whether d is newer than what was there.
-// Accounts that d lacks are gone: their open grants expire by themselves.
-func (e *entries) change(d *document.Document, add func(name) *entry) bool {
+// change replaces the maps, and returns the document that was in force and
+// whether d is newer. Accounts that d lacks are gone: their open grants expire by
+// themselves.
+func (e *entries) change(d *document.Document, add func(name) *entry) (old *document.Document, newer bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	services := map[fleet.Service]map[fleet.Account]*entry{}
@@ -94,11 +96,12 @@
 	}
 	former := services[d.Service]
 	for _, n := range former {
-		if n.document.Load().Version >= d.Version {
-			return false
-		}
+		old = n.document.Load()
 		break
 	}
+	if old != nil && old.Version >= d.Version {
+		return old, false
+	}
 	accounts := make(map[fleet.Account]*entry, len(d.Accounts))
 	for _, a := range d.Accounts {
 		n := former[a.Name]
@@ -110,5 +113,5 @@
 	}
 	services[d.Service] = accounts
 	e.all.Store(&services)
-	return true
+	return old, true
 }
--- a/io/grants/grants.go
+++ b/io/grants/grants.go
@@ -10,6 +10,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -76,6 +77,9 @@
 	arrivals ring.Ring[arrival]
 	jobs     ring.Ring[job]
 	results  ring.Ring[result]
+	leaves   ring.Ring[chan struct{}]
+	// stopped is set when nobody serves the arrivals any more.
+	stopped atomic.Bool
 	// out belongs to the serving goroutine.
 	out outbox
 
@@ -104,6 +108,7 @@
 		arrivals: ring.New[arrival](arrivals),
 		jobs:     ring.New[job](senders * 4),
 		results:  ring.New[result](senders * 8),
+		leaves:   ring.New[chan struct{}](1),
 		homes:    map[name]*allot.Home{},
 		seats:    map[allot.SeatName]*seat{},
 		lastID:   firstID(cfg.Host, cfg.Epoch),
@@ -155,6 +160,29 @@
 		e.waiting.Add(-1)
 		e.refused.Add(1)
 		done(overRate(minRetryAfter))
+		return
+	}
+	if r.stopped.Load() {
+		r.refuseArrivals()
+	}
+}
+
+// refuseArrivals answers what has come to a runtime that no longer serves.
+func (r *Runtime) refuseArrivals() {
+	for {
+		select {
+		case a := <-r.arrivals.Out():
+			a.entry.answer(a.waiter, stopping())
+		default:
+			return
+		}
+	}
+}
+
+func stopping() *failure.Refusal {
+	return &failure.Refusal{
+		Code: failure.CodeShuttingDown, Message: "not run: the host is shutting down",
+		RetryAfter: minRetryAfter, Step: "admit",
 	}
 }
 
--- a/io/grants/homes.go
+++ b/io/grants/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"skylarkdeal/core/allot"
@@ -80,10 +81,11 @@
 
 // changeHomes puts d in force in the homes on this host, and begins those of
 // accounts that are new.
-func (r *Runtime) changeHomes(d *document.Document) {
+func (r *Runtime) changeHomes(d, old *document.Document) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.early()
+	sameList := old == nil || slices.Equal(old.DataCentres, d.DataCentres)
 	for n := range r.homes {
 		if _, ok := d.Account(n.account); n.service == d.Service && !ok {
 			delete(r.homes, n)
@@ -92,7 +94,7 @@
 	for _, a := range d.Accounts {
 		n := name{d.Service, a.Name}
 		if h := r.homes[n]; h != nil {
-			h.Change(now, d.Version, r.share(d, a))
+			h.Change(now, d.Version, r.share(d, a), sameList)
 			continue
 		}
 		s := r.seats[seatName(r.cfg.DataCentre, roster.ShardOf(d.Service, a.Name))]
--- a/io/grants/seats.go
+++ b/io/grants/seats.go
@@ -174,12 +174,15 @@
 		return false
 	}
 	s.tenure.Leased(lease, until)
-	w := s.tenure.Record().Witness
-	stands := r.clock.late().Before(until)
-	return !stands || w == r.pickWitness() || r.isMember(w)
+	return !r.clock.late().Before(until) || r.witnessServes(s.tenure.Record().Witness)
 }
 
-func (r *Runtime) isMember(p allot.Process) bool {
+// witnessServes reports whether the witness is a live member of the epoch that
+// the record names, or there is none to be had.
+func (r *Runtime) witnessServes(p allot.Process) bool {
+	if p == (allot.Process{}) {
+		return r.pickWitness() == p
+	}
 	m, ok := r.member(p.Host)
 	return ok && !m.Leaving && r.cfg.Store.Epoch(p.Host) == p.Epoch
 }
@@ -268,6 +271,9 @@
 	r.mu.Unlock()
 	switch step {
 	case allot.StepAdopt:
+		if !r.witnessServes(rec.Witness) {
+			return r.take(ctx, h, e.Revision, allot.Taken(rec, r.process(), lease, r.pickWitness()))
+		}
 		r.won(h, rec, e.Revision, lease)
 	case allot.StepSwap:
 		return r.take(ctx, h, e.Revision, allot.Taken(rec, r.process(), lease, r.pickWitness()))
--- a/io/grants/serve.go
+++ b/io/grants/serve.go
@@ -34,6 +34,9 @@
 			r.answered(busy, res)
 		case <-t.C:
 			r.lookAfter(busy)
+		case returned := <-r.leaves.Out():
+			r.giveBack()
+			close(returned)
 		}
 		r.drain(busy)
 		r.flush()
@@ -170,13 +173,11 @@
 
 // refuseAll answers what still waits when the host stops.
 func (r *Runtime) refuseAll(busy active) {
-	r.drain(busy)
+	r.stopped.Store(true)
+	r.refuseArrivals()
 	for e := range busy {
 		for _, w := range e.waiters {
-			e.answer(w, &failure.Refusal{
-				Code: failure.CodeShuttingDown, Message: "not run: the host is shutting down",
-				RetryAfter: minRetryAfter, Step: "admit",
-			})
+			e.answer(w, stopping())
 		}
 		e.waiters = nil
 	}
--- a/io/grants/state.go
+++ b/io/grants/state.go
@@ -81,15 +81,32 @@
 	return s
 }
 
-// Leave gives up the seats, so that successors need not wait for a lease to end.
-// It is called when the host takes no more sessions; exchanges in progress may
-// still be admitted by other homes.
+// Leave gives up the seats and gives back the tokens at hand, so that the other
+// hosts wait for no lease or grant to end. It is called when the host takes no
+// more sessions; exchanges in progress still get their tokens from other homes.
 func (r *Runtime) Leave(ctx context.Context) {
 	r.mu.Lock()
 	r.leaving = true
 	held := r.heldShards()
 	r.mu.Unlock()
+	returned := make(chan struct{})
+	if r.leaves.Put(ctx, returned) == nil {
+		select {
+		case <-returned:
+		case <-ctx.Done():
+		}
+	}
 	for _, h := range held {
 		r.giveUp(ctx, h)
 	}
 }
+
+// giveBack sends all unspent tokens to their homes.
+func (r *Runtime) giveBack() {
+	now := r.clock.late()
+	r.entries.each(func(e *entry) {
+		for _, w := range e.spender.Leave() {
+			r.queue(e, w, now)
+		}
+	})
+}
--- a/io/members/members.go
+++ b/io/members/members.go
@@ -123,7 +123,7 @@
 	}
 	var g sync.WaitGroup
 	g.Go(func() { r.every(ctx, beatEvery, func(context.Context) error { r.tick(); return nil }) })
-	g.Go(func() { r.every(ctx, roster.RenewEvery, r.renew) })
+	g.Go(func() { r.every(ctx, roster.RenewEvery, r.Renew) })
 	g.Go(func() { r.every(ctx, watcherListEvery, r.list()) })
 	if r.cfg.Platform != nil {
 		g.Go(func() { r.every(ctx, platformEvery, r.readPlatform) })
@@ -200,12 +200,12 @@
 	}
 }
 
-// renew keeps the record in the store.
+// Renew keeps the record in the store; Run calls it by itself.
 //
 // A lease that the store has lost is not replaced before it has ended by this
 // host's own clock: whoever sees the new registration takes it that the duties
 // of the old one are free.
-func (r *Runtime) renew(ctx context.Context) error {
+func (r *Runtime) Renew(ctx context.Context) error {
 	r.mu.Lock()
 	sent := r.cfg.Now()
 	id, closed, stands := r.id, r.closed, r.lease.Stands(sent)
