--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -323,6 +323,9 @@
 // ahead.
 func (x *session) finish(r *run, out []byte, res *exchange.Result) {
 	x.see(res.Point)
+	if res.Instance != "" {
+		x.served = server{instance: res.Instance, role: res.Role}
+	}
 	if res.Outcome != exchange.OutcomeDone && res.Refusal == nil {
 		res.Refusal = unexplained(res.Outcome)
 	}
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -55,6 +55,8 @@
 	settings settings
 	// token is the greatest point seen, told the one that the caller knows.
 	token, told fleet.Point
+	// served is what gave the last answer, servedTold what the caller knows.
+	served, servedTold server
 
 	statements statements
 	portals    portals
--- a/io/caller/settings.go
+++ b/io/caller/settings.go
@@ -13,6 +13,7 @@
 // The settings that the entry host keeps for a session.
 const (
 	settingToken       = "skylarkdeal.token"
+	settingServedBy    = "skylarkdeal.served-by"
 	settingMaxAge      = "skylarkdeal.max-age"
 	settingReadOnly    = "default_transaction_read_only"
 	settingTimeout     = "statement_timeout"
--- a/io/caller/wire.go
+++ b/io/caller/wire.go
@@ -119,13 +119,23 @@
 	return appendMessage(b, &pgproto3.CommandComplete{CommandTag: []byte(tag)})
 }
 
-// appendReady appends ReadyForQuery, and before it the token when the caller
-// doesn't know it yet.
+// server is the instance that gave an answer, and its role then.
+type server struct {
+	instance fleet.Instance
+	role     fleet.Role
+}
+
+// appendReady appends ReadyForQuery, and before it the token and what served
+// the caller when it doesn't know them yet.
 func (x *session) appendReady(b []byte) []byte {
 	if x.told != x.token {
 		b = appendParameter(b, settingToken, x.token.String())
 		x.told = x.token
 	}
+	if x.servedTold != x.served {
+		b = appendParameter(b, settingServedBy, string(x.served.instance)+"/"+string(x.served.role))
+		x.servedTold = x.served
+	}
 	return append(b, 'Z', 0, 0, 0, 5, byte(x.tx.status))
 }
 
