--- a/io/host/stream_test.go
+++ b/io/host/stream_test.go
@@ -122,16 +122,34 @@
 	got := await(c, "result", a.result)
 	c.Check(got.Outcome, qt.Equals, exchange.OutcomeUnknown)
 	await(c, "cancel", cancels)
-	late.reply.Done(exchange.Result{Outcome: exchange.OutcomeDone, Pin: 4})
-	c.Check(await(c, "release of the late transaction", releases), qt.Equals, exchange.Pin(4))
 	again := run(to, &exchange.Request{ID: id(1)})
 	retried := await(c, "retry", runs)
+	c.Assert(late.reply.Send([]byte("stale")), qt.IsNil)
+	late.reply.Done(exchange.Result{Outcome: exchange.OutcomeDone, Pin: 4})
+	c.Check(await(c, "release of the late transaction", releases), qt.Equals, exchange.Pin(4))
 	c.Assert(retried.reply.Send([]byte("own")), qt.IsNil)
 	retried.reply.Done(exchange.Result{Outcome: exchange.OutcomeDone})
 	await(c, "retry's result", again.result)
 	c.Check(again.data.String(), qt.Equals, "own")
 }
 
+func TestOverdueStatementEndsItsTransaction(t *testing.T) {
+	// A statement inside a transaction hangs past its deadline. The entry host
+	// no longer knows what the transaction holds, so it must not stay open.
+	c := qt.New(t)
+	r, runs, _, releases := recorder()
+	h := serve(t, &host.Server{Runner: r})
+	p := dial(t, h, &host.Peers{})
+	to := p.Runner("holder")
+	begin := run(to, &exchange.Request{ID: id(1)})
+	await(c, "begin", runs).reply.Done(exchange.Result{Outcome: exchange.OutcomeDone, Pin: 5})
+	await(c, "begun", begin.result)
+	hung := run(to, &exchange.Request{ID: id(2), Pin: 5, Deadline: time.Now().Add(30 * time.Millisecond)})
+	await(c, "statement", runs)
+	c.Check(await(c, "result", hung.result).Outcome, qt.Equals, exchange.OutcomeUnknown)
+	c.Check(await(c, "release", releases), qt.Equals, exchange.Pin(5))
+}
+
 func TestDrainWaitsForTransactions(t *testing.T) {
 	c := qt.New(t)
 	r, runs, _, _ := recorder()
--- a/standin/ledger/ledger_test.go
+++ b/standin/ledger/ledger_test.go
@@ -171,6 +171,33 @@
 	c.Check(code(err), qt.Equals, "25006")
 }
 
+func TestFenceStopsTransactionsAndReplication(t *testing.T) {
+	// A host fences the primary while a caller's order stands before COMMIT, and
+	// a replica while an order is on its way to it. Neither order may count: the
+	// majority that has promised the new term has not seen them.
+	c := qt.New(t)
+	g := start(c, ledger.Config{})
+	ctx := timeout(c)
+	until(c, "all have the first entry", func() bool {
+		return g.Status("b").Last.Position == 1 && g.Status("c").Last.Position == 1
+	})
+	open, conn := connect(c, g, "a", "h1"), connect(c, g, "a", "h1")
+	_, err := open.Exec(ctx, "BEGIN; put k 1")
+	c.Assert(err, qt.IsNil)
+	_, err = dial(c, g, "c").Fence(ctx, 2, "h1")
+	c.Assert(err, qt.IsNil)
+	_, err = conn.Exec(ctx, "put other 1")
+	c.Assert(err, qt.IsNil)
+	until(c, "b has the order", func() bool { return g.Status("b").Last.Position == 2 })
+	c.Check(g.Status("c").Last.Position, qt.Equals, fleet.Position(1))
+	_, err = dial(c, g, "a").Fence(ctx, 2, "h1")
+	c.Assert(err, qt.IsNil)
+	_, err = open.Exec(ctx, "COMMIT")
+	c.Check(code(err), qt.Equals, "57P04")
+	_, ok := g.Value("a", "k")
+	c.Check(ok, qt.IsFalse)
+}
+
 func TestConnectionsAndSlotsAreBounded(t *testing.T) {
 	c := qt.New(t)
 	g := start(c, ledger.Config{Instances: []ledger.InstanceConfig{{Name: "a", Slots: 1, Connections: 2}}})
