--- a/internal/cmd/cmd_demo.go
+++ b/internal/cmd/cmd_demo.go
@@ -69,7 +69,7 @@
 		return err
 	}
 	d.fleet = f
-	defer f.Close()
+	defer func() { _ = f.Close() }() // all that the demonstration shows has been shown
 	d.say("started   %d hosts, %d groups of %d instances, 1 store in %v",
 		len(f.Hosts), len(f.Groups), len(d.service.Instances), time.Since(start).Round(time.Millisecond))
 	for _, step := range []func(context.Context) error{d.ownWork, d.failover, d.withdrawKey} {
--- a/internal/cmd/cmd_standin.go
+++ b/internal/cmd/cmd_standin.go
@@ -22,6 +22,7 @@
 // standins lists the subcommands of standin.
 var standins = []func() *cobra.Command{
 	newStandinGroup,
+	newStandinStore,
 }
 
 func newStandin() *cobra.Command {
