Test the store's client and the spreading of documents under faults

Found and mended on the way, each by the test named: - net/http doesn't see the end of a context while a request's body is open, so a cancelled watch waited for ever (TestFollowerSeesAll...). - Two push trees of one change part the hosts differently; handing on only news left hosts out (TestChangeIsInForceEverywhere/pushes). - A store reset to lower revisions that catches up before the watch reopens hid its changes; a broken watch now lists first (TestResetStoreRevertsNothing). - Listing a lagging store anew made its old revision pass for a confirmation (TestFollowerTakesNoConfirmationFromThePast).

--- a/io/platform/follow.go
+++ b/io/platform/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -31,7 +32,11 @@
 	// Jitter returns a number from 0 up to 1.
 	Jitter func() float64
 
+	// seen is where the watch has got to. It goes back when the entries are
+	// listed anew; known doesn't, so that a store's old answers are told from new
+	// ones.
 	seen    atomic.Int64
+	known   atomic.Int64
 	listed  bool
 	problem string
 }
@@ -55,6 +60,13 @@
 )
 
 // Run follows until ctx ends.
+//
+// A watch that broke is opened again only after all entries are listed anew. A
+// store that was reset to lower revisions ends its watches too, and may have come
+// back to the revision that was seen last by the time of the next look: a watch
+// from there would pass over what was written in between, and nothing would show
+// it. A silent watch goes on from its last revision, for the store has answered
+// all along.
 func (f *Follower) Run(ctx context.Context) {
 	f.listed = false
 	f.problem = ""
@@ -64,9 +76,7 @@
 			return
 		}
 		f.report(err)
-		if errors.Is(err, ErrCompacted) || errors.Is(err, errPast) {
-			f.listed = false
-		}
+		f.listed = errors.Is(err, errSilent)
 		f.sleep(ctx, pause)
 	}
 }
@@ -78,17 +88,15 @@
 			return err
 		}
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	ctx, cancel := context.WithCancel(ctx)
 	broken := make(chan error, 1)
-	go func() {
+	var duty sync.WaitGroup
+	duty.Go(func() {
 		broken <- f.Store.Watch(ctx, f.Prefix, Revision(f.seen.Load()), f.take)
-	}()
+	})
 	err := f.check(ctx, broken)
-	if err != nil {
-		cancel(err)
-		_ = <-broken
-	}
+	cancel()
+	duty.Wait()
 	return err
 }
 
@@ -104,6 +112,7 @@
 	}
 	f.See(c)
 	f.seen.Store(int64(at))
+	f.learn(at)
 	f.listed = true
 	f.confirm(sent, 0, at)
 	return nil
@@ -116,6 +125,16 @@
 	if int64(b.At) > f.seen.Load() {
 		f.seen.Store(int64(b.At))
 	}
+	f.learn(b.At)
+}
+
+func (f *Follower) learn(r Revision) {
+	for {
+		k := f.known.Load()
+		if int64(r) <= k || f.known.CompareAndSwap(k, int64(r)) {
+			return
+		}
+	}
 }
 
 // check compares what the watch has told with the store until the watch breaks
@@ -125,7 +144,7 @@
 // a watch that says nothing, which is what a quiet day looks like too. A read of
 // the newest revision doesn't depend on the watch; when one check's revision is
 // still unseen at the next, no delay explains it.
-func (f *Follower) check(ctx context.Context, broken chan error) error {
+func (f *Follower) check(ctx context.Context, broken <-chan error) error {
 	var unseen Revision
 	past := 0
 	for {
@@ -133,11 +152,9 @@
 		select {
 		case <-ctx.Done():
 			t.Stop()
-			_ = <-broken
 			return nil
 		case err := <-broken:
 			t.Stop()
-			broken <- nil
 			if err == nil {
 				err = unexpected("the end of the watch")
 			}
@@ -170,7 +187,7 @@
 // confirm reports a time of confirmation, unless the store is behind what is
 // known: an old answer proves nothing about now.
 func (f *Follower) confirm(sent time.Time, newest, at Revision) bool {
-	known := max(Revision(f.seen.Load()), newest)
+	known := max(Revision(f.known.Load()), newest)
 	if f.Floor != nil {
 		known = max(known, f.Floor())
 	}
--- a/io/platform/lease.go
+++ b/io/platform/lease.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"time"
 
 	"connectrpc.com/connect"
@@ -39,8 +41,9 @@
 	a, err := call(ctx, c, KindKeepAlive, func(ctx context.Context, e endpoint) (*etcdpb.LeaseKeepAliveResponse, error) {
 		s := e.lease.LeaseKeepAlive(ctx)
 		defer func() { _ = s.CloseResponse() }()
-		defer func() { _ = s.CloseRequest() }()
-		if err := s.Send(&etcdpb.LeaseKeepAliveRequest{ID: int64(id)}); err != nil {
+		err := s.Send(&etcdpb.LeaseKeepAliveRequest{ID: int64(id)})
+		// While the request is open, net/http doesn't see that ctx has ended.
+		if err = errors.Join(err, s.CloseRequest()); err != nil && !errors.Is(err, io.EOF) {
 			return nil, err
 		}
 		return s.Receive()
--- /dev/null
+++ b/io/platform/platform_test.go
@@ -0,0 +1,219 @@
+package platform_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"skylarkdeal/io/platform"
+	"skylarkdeal/standin/store"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// clock is a clock that a test moves.
+type clock struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+func newClock() *clock {
+	return &clock{at: time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)}
+}
+
+func (c *clock) now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at
+}
+
+func (c *clock) move(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.at = c.at.Add(d)
+}
+
+func start(c *qt.C, cfg store.Config) *store.Server {
+	s, err := store.Start(cfg)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(s.Close)
+	return s
+}
+
+func dial(c *qt.C, cfg platform.Config) *platform.Store {
+	if cfg.Rate == 0 {
+		cfg.Rate, cfg.Burst = 10000, 10000
+	}
+	s := platform.Dial(cfg)
+	c.Cleanup(s.Close)
+	return s
+}
+
+func open(c *qt.C) (*store.Server, *platform.Store) {
+	s := start(c, store.Config{})
+	return s, dial(c, platform.Config{Endpoints: []string{s.Addr()}, Patient: true})
+}
+
+// eventually waits until the condition holds, with a generous bound.
+func eventually(c *qt.C, what string, ok func() bool) {
+	c.Helper()
+	for end := time.Now().Add(20 * time.Second); !ok(); {
+		if time.Now().After(end) {
+			c.Fatalf("still not so after 20 s: %s", what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func TestEntries(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	_, s := open(c)
+	e, err := s.Get(ctx, "/a/1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(e.Revision, qt.Equals, platform.Revision(0))
+	c.Assert(s.Put(ctx, "/a/1", []byte("x"), 0), qt.IsNil)
+	for n := range 250 {
+		c.Assert(s.Put(ctx, fmt.Sprintf("/b/%03d", n), []byte("y"), 0), qt.IsNil)
+	}
+	e, err = s.Get(ctx, "/a/1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(e, qt.DeepEquals, platform.Entry{Key: "/a/1", Value: []byte("x"), Revision: 2})
+
+	l, at, err := s.List(ctx, "/b/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(at, qt.Equals, platform.Revision(252))
+	c.Assert(l, qt.HasLen, 250)
+	c.Assert(l[249].Key, qt.Equals, "/b/249")
+	newest, at, err := s.Newest(ctx, "/a/")
+	c.Assert(err, qt.IsNil)
+	c.Assert([]platform.Revision{newest, at}, qt.DeepEquals, []platform.Revision{2, 252})
+	c.Assert(s.Delete(ctx, "/a/1"), qt.IsNil)
+	e, err = s.Get(ctx, "/a/1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(e.Revision, qt.Equals, platform.Revision(0))
+}
+
+func TestSwapTellsWhoWon(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	_, s := open(c)
+	r, err := s.Swap(ctx, platform.Swap{
+		Key: "/k", Value: []byte("a"), Also: []platform.Pair{{Key: "/h", Value: []byte("a")}},
+	})
+	c.Assert(err, qt.IsNil)
+	_, err = s.Swap(ctx, platform.Swap{
+		Key: "/k", Value: []byte("b"), Expect: r + 1, Also: []platform.Pair{{Key: "/h", Value: []byte("b")}},
+	})
+	var conflict *platform.Conflict
+	c.Assert(err, qt.ErrorAs, &conflict)
+	c.Assert(conflict.Current, qt.DeepEquals, platform.Entry{Key: "/k", Value: []byte("a"), Revision: r})
+	h, err := s.Get(ctx, "/h")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(h.Value), qt.Equals, "a")
+}
+
+// An operator's put is answered with an error although the store has taken it.
+// The error must not read as "nothing was written": it is Unknown.
+func TestSwapWithLostAnswerIsUnknown(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	server, s := open(c)
+	server.Set(func(f *store.Faults) { f.LoseAnswers = 1 })
+	_, err := s.Swap(ctx, platform.Swap{Key: "/k", Value: []byte("a")})
+	var unknown *platform.Unknown
+	c.Assert(err, qt.ErrorAs, &unknown)
+	e, err := s.Get(ctx, "/k")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(e.Value), qt.Equals, "a")
+}
+
+func TestLeaseEndsItsKeys(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	k := newClock()
+	server := start(c, store.Config{Now: k.now})
+	s := dial(c, platform.Config{Endpoints: []string{server.Addr()}})
+	id, err := s.Grant(ctx, 10*time.Second)
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Put(ctx, "/hosts/a", []byte("x"), id), qt.IsNil)
+	k.move(9 * time.Second)
+	ttl, err := s.KeepAlive(ctx, id)
+	c.Assert(err, qt.IsNil)
+	c.Assert(ttl, qt.Equals, 10*time.Second)
+	k.move(9 * time.Second)
+	e, err := s.Get(ctx, "/hosts/a")
+	c.Assert(err, qt.IsNil)
+	c.Assert(e.Lease, qt.Equals, id)
+	k.move(2 * time.Second)
+	e, err = s.Get(ctx, "/hosts/a")
+	c.Assert(err, qt.IsNil)
+	c.Assert(e.Revision, qt.Equals, platform.Revision(0))
+	_, err = s.KeepAlive(ctx, id)
+	c.Assert(err, qt.ErrorIs, platform.ErrNoLease)
+	c.Assert(s.Put(ctx, "/hosts/a", nil, id), qt.ErrorIs, platform.ErrNoLease)
+	c.Assert(s.Revoke(ctx, id), qt.ErrorIs, platform.ErrNoLease)
+	c.Assert(server.Calls()[store.KindLeaseKeepAlive], qt.Equals, 2)
+}
+
+func TestNextEndpointTakesOver(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	a, b := start(c, store.Config{}), start(c, store.Config{})
+	s := dial(c, platform.Config{Endpoints: []string{a.Addr(), b.Addr()}, Patient: true})
+	a.Set(func(f *store.Faults) { f.Down = true })
+	c.Assert(s.Put(ctx, "/k", nil, 0), qt.IsNotNil)
+	c.Assert(s.Put(ctx, "/k", nil, 0), qt.IsNil)
+	c.Assert(s.State().Endpoint, qt.Equals, b.Addr())
+}
+
+func TestCallsAreBoundedInTime(t *testing.T) {
+	c := qt.New(t)
+	server := start(c, store.Config{})
+	s := dial(c, platform.Config{Endpoints: []string{server.Addr()}, Timeout: 20 * time.Millisecond})
+	server.Set(func(f *store.Faults) { f.Pause = true })
+	_, err := s.Get(context.Background(), "/k")
+	c.Assert(err, qt.ErrorMatches, `.*get with store 127.*deadline_exceeded.*`)
+}
+
+// The store is down for a while and hundreds of hosts have calls to make. If all
+// were sent, and sent again at its return, they would end it once more. So while
+// it is down a host makes one try for each back-off interval, and the calls that
+// it saved up meanwhile don't come as a burst.
+func TestCallsAreHeldBackWhileDown(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	k := newClock()
+	server := start(c, store.Config{})
+	s := dial(c, platform.Config{
+		Endpoints: []string{server.Addr()}, Now: k.now, Rate: 2, Burst: 20, Jitter: func() float64 { return 0.5 },
+	})
+	server.Set(func(f *store.Faults) { f.Down = true })
+	for range 600 {
+		_, _ = s.Get(ctx, "/k")
+		k.move(100 * time.Millisecond)
+	}
+	// Intervals of 0.2, 0.4, ... 6.4 and then 10 s fit nine times into a minute.
+	c.Assert(server.Calls()[store.KindRange], qt.Equals, 11)
+	c.Assert(s.State().Down, qt.IsTrue)
+
+	server.Set(func(f *store.Faults) { f.Down = false })
+	k.move(10 * time.Second)
+	_, err := s.Get(ctx, "/k")
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.State().Down, qt.IsFalse)
+	_, err = s.Get(ctx, "/k")
+	c.Assert(err, qt.IsNil)
+	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancel()
+	_, err = s.Get(short, "/k")
+	c.Assert(err, qt.ErrorIs, context.DeadlineExceeded)
+	c.Assert(server.Calls()[store.KindRange], qt.Equals, 13)
+}
--- a/io/platform/watch.go
+++ b/io/platform/watch.go
@@ -34,8 +34,9 @@
 
 func (c *client) follow(ctx context.Context, e endpoint, prefix string, after Revision, see func(Batch)) error {
 	s := e.watch.Watch(ctx)
-	defer func() { _ = s.CloseResponse() }()
-	defer func() { _ = s.CloseRequest() }()
+	// While the request is open, net/http waits for more of it and doesn't see
+	// that ctx has ended; a receive would wait for ever.
+	context.AfterFunc(ctx, func() { _ = s.CloseRequest() })
 	err := s.Send(&etcdpb.WatchRequest{RequestUnion: &etcdpb.WatchRequest_CreateRequest{
 		CreateRequest: &etcdpb.WatchCreateRequest{
 			Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: int64(after) + 1,
--- a/io/spread/digest.go
+++ b/io/spread/digest.go
@@ -98,7 +98,7 @@
 			return err
 		}
 		s.cfg.MembersIn(a.GetMembers())
-		news := s.offer(fromWire(a.GetDocuments(), a.GetHello().GetHost()))
+		news, _ := s.offer(fromWire(a.GetDocuments(), a.GetHello().GetHost()))
 		if len(news) > 0 {
 			continue
 		}
--- a/io/spread/push.go
+++ b/io/spread/push.go
@@ -122,16 +122,21 @@
 	return err
 }
 
-// HandlePush takes a push of another host. Only what is news here goes further,
-// so a push that meets another on its way ends.
+// HandlePush takes a push of another host and hands it on as that asks.
+//
+// The hosts to relay to are served whether or not the document was known here:
+// two trees of one change, from two watchers, part the hosts differently, and a
+// host left out by both would wait for a digest. The lists end by themselves.
+// The data centre's own tree starts only at what is news, so one starts there
+// for each change, besides its own watcher's.
 func (s *Spread) HandlePush(r *hostpb.PushRequest) *hostpb.PushResponse {
 	s.cfg.MembersIn(r.GetMembers())
-	news := s.offer(fromWire(r.GetDocuments(), r.GetHello().GetHost()))
-	if len(news) > 0 {
-		s.relay(r.GetRelay(), news)
-		if r.GetDataCentre() {
-			s.spreadHere(news)
-		}
+	news, current := s.offer(fromWire(r.GetDocuments(), r.GetHello().GetHost()))
+	if len(current) > 0 {
+		s.relay(r.GetRelay(), current)
+	}
+	if len(news) > 0 && r.GetDataCentre() {
+		s.spreadHere(news)
 	}
 	return &hostpb.PushResponse{Hello: s.cfg.Hello}
 }
--- a/io/spread/spread.go
+++ b/io/spread/spread.go
@@ -182,16 +182,19 @@
 	duties.Wait()
 }
 
-// offer decides on versions that have come and returns those that were news,
-// adopted or not.
-func (s *Spread) offer(offers []document.Offer) []document.Offer {
+// offer decides on versions that have come. It returns those that were news,
+// adopted or not, and all that are no older than what is known.
+func (s *Spread) offer(offers []document.Offer) (news, current []document.Offer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var news []document.Offer
 	for _, o := range offers {
 		v, err := s.table.Offer(o, s.cfg.Now())
-		if v == document.VerdictAdopted || v == document.VerdictInvalid {
-			news = append(news, o)
+		switch v {
+		case document.VerdictAdopted, document.VerdictInvalid:
+			news, current = append(news, o), append(current, o)
+		case document.VerdictKnown:
+			current = append(current, o)
+		case document.VerdictStale, document.VerdictConflict:
 		}
 		s.tell(o, v, err)
 		if v == document.VerdictAdopted {
@@ -201,7 +204,7 @@
 	if len(news) > 0 {
 		s.sum = s.table.Sum()
 	}
-	return news
+	return news, current
 }
 
 // publish puts a document in force for readers. The map is copied, so that they
--- /dev/null
+++ b/io/spread/spread_test.go
@@ -0,0 +1,191 @@
+package spread_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"skylarkdeal/core/document"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/io/host/hostpb"
+	"skylarkdeal/standin/store"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// quick makes repairs come soon, so that tests are short.
+var quick = options{
+	dataCentres: 3, storeRate: 1000, digestEvery: 20 * time.Millisecond, checkEvery: 20 * time.Millisecond,
+}
+
+func with(o options, change func(o *options)) options {
+	change(&o)
+	return o
+}
+
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	for name, o := range map[string]options{
+		"both":    quick,
+		"pushes":  with(quick, func(o *options) { o.noDigest = true }),
+		"digests": with(quick, func(o *options) { o.noPush = true }),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			_, s, hosts := start(t, 30, o)
+			inForce(c, hosts, "a", put(c, s, "a", 1))
+			inForce(c, hosts, "a", put(c, s, "a", 2))
+			c.Assert(s.Calls()[store.KindWatch], qt.Equals, 3)
+		})
+	}
+}
+
+// A data centre is cut from the store, but not from the others. Its hosts learn
+// of a withdrawn key from their peers, and a host that starts there meanwhile
+// gets all documents although it never reaches the store.
+func TestDataCentreCutFromTheStoreLearnsFromPeers(t *testing.T) {
+	c := qt.New(t)
+	n, s, hosts := start(t, 6, quick)
+	inForce(c, hosts, "a", put(c, s, "a", 1))
+	lonely, err := store.Start(store.Config{})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(lonely.Close)
+	lonely.Set(func(f *store.Faults) { f.Down = true })
+	var cut []*host
+	for _, h := range hosts {
+		if h.self.DataCentre == "dc0" {
+			h.stop()
+		}
+	}
+	for _, p := range []int{0, 3} {
+		cut = append(cut, n.add(t, lonely, p, quick))
+	}
+	inForce(c, cut, "a", 2)
+	inForce(c, cut, "a", put(c, s, "a", 3))
+	c.Assert(cut[0].State().StoreProblem, qt.Not(qt.Equals), "")
+	for _, h := range cut {
+		eventually(c, "confirmed over peers", func() bool { return !h.State().Confirmed.IsZero() })
+		c.Assert(string(h.State().Documents[0].From), qt.Matches, "host h.*")
+	}
+}
+
+// The owners of a service withdraw a key while one host is cut from everything.
+// They chose cut-off = stop with a minute, so the host stops serving them then,
+// and takes up again with the new version once it is reached.
+func TestCutOffHostStops(t *testing.T) {
+	c := qt.New(t)
+	var mu sync.Mutex
+	now := time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+	move := func(d time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		now = now.Add(d)
+	}
+	o := with(quick, func(o *options) {
+		o.now = func() time.Time {
+			mu.Lock()
+			defer mu.Unlock()
+			return now
+		}
+	})
+	n, s, hosts := start(t, 4, o)
+	v := put(c, s, "a", 1)
+	inForce(c, hosts, "a", v)
+	last := hosts[3]
+	eventually(c, "confirmed", func() bool { return !last.Stopped("a") })
+	n.setCut(func(from, to fleet.Member) bool { return (from.Host == "h3") != (to.Host == "h3") })
+	move(59 * time.Second)
+	c.Assert(last.Stopped("a"), qt.IsFalse)
+	v = put(c, s, "a", 2)
+	inForce(c, hosts[:3], "a", v)
+	move(2 * time.Second)
+	c.Assert(last.Stopped("a"), qt.IsTrue)
+	c.Assert(last.State().Documents[0].Stopped, qt.IsTrue)
+	eventually(c, "the others go on", func() bool { return !hosts[0].Stopped("a") && !hosts[1].Stopped("a") })
+	n.setCut(nil)
+	eventually(c, "it serves again", func() bool { return !last.Stopped("a") })
+	c.Assert(last.version("a"), qt.Equals, v)
+}
+
+// An invalid document gets past the commands into the store. Callers notice
+// nothing; each host reports it, goes on with the last good one, and takes the
+// next valid one. A host that starts in between gets the last good one too.
+func TestInvalidDocumentChangesNothing(t *testing.T) {
+	c := qt.New(t)
+	n, s, hosts := start(t, 6, quick)
+	good := put(c, s, "a", 1)
+	inForce(c, hosts, "a", good)
+	bad := put(c, s, "a", 0)
+	for _, h := range hosts {
+		eventually(c, "reported", func() bool {
+			l := h.State().Invalid
+			return len(l) == 1 && l[0].Version == bad && l[0].Error != ""
+		})
+		c.Assert(h.version("a"), qt.Equals, good)
+	}
+	late := n.add(t, s, 9, quick)
+	inForce(c, []*host{late}, "a", good)
+	eventually(c, "reported by the new host", func() bool { return len(late.State().Invalid) == 1 })
+	hosts = append(hosts, late)
+	inForce(c, hosts, "a", put(c, s, "a", 2))
+	for _, h := range hosts {
+		c.Assert(h.State().Invalid, qt.HasLen, 0)
+	}
+}
+
+// The store is restored from a backup, and its revisions begin again below those
+// in force. No host goes back; an edit above the version in force is taken.
+func TestResetStoreRevertsNothing(t *testing.T) {
+	c := qt.New(t)
+	_, s, hosts := start(t, 4, quick)
+	put(c, s, "a", 1)
+	put(c, s, "a", 2)
+	v := put(c, s, "a", 3)
+	inForce(c, hosts, "a", v)
+	s.Rewind(2)
+	put(c, s, "a", 9)
+	eventually(c, "the reset is reported", func() bool { return hosts[0].State().StoreProblem != "" })
+	for _, h := range hosts {
+		c.Assert(h.version("a"), qt.Equals, v)
+	}
+	sealed := document.Seal(document.Stamp{Base: uint64(v)}, text("a", 7))
+	putText(c, s, "a", sealed)
+	inForce(c, hosts, "a", document.VersionAt(sealed, uint64(s.Revision())))
+	d, _ := hosts[3].Get("a")
+	c.Assert(d.Holders, qt.Equals, 7)
+}
+
+// A peer that was paused for an hour wakes up and pushes what it had. Nobody
+// goes back, and it is told what it lacks.
+func TestStalePushChangesNothing(t *testing.T) {
+	c := qt.New(t)
+	_, s, hosts := start(t, 3, quick)
+	old := put(c, s, "a", 1)
+	v := put(c, s, "a", 2)
+	inForce(c, hosts, "a", v)
+	hosts[1].HandlePush(&hostpb.PushRequest{Documents: []*hostpb.Document{
+		{Service: "a", Version: uint64(old), Text: text("a", 1)},
+		{Service: "a", Version: uint64(v), Text: text("a", 5)},
+	}})
+	d, _ := hosts[1].Get("a")
+	c.Assert(d.Version, qt.Equals, v)
+	c.Assert(d.Holders, qt.Equals, 2)
+}
+
+// The hosts that hold the watches die, and others become watchers; the change
+// made in between isn't lost.
+func TestWatcherDies(t *testing.T) {
+	c := qt.New(t)
+	n, s, hosts := start(t, 6, quick)
+	inForce(c, hosts, "a", put(c, s, "a", 1))
+	for _, h := range hosts[:3] {
+		h.stop()
+	}
+	v := put(c, s, "a", 2)
+	next := n.add(t, s, 0, quick)
+	inForce(c, append(hosts[3:], next), "a", v)
+}
--- a/io/spread/watch.go
+++ b/io/spread/watch.go
@@ -80,7 +80,7 @@
 			Service: n, Version: document.VersionAt(c.Value, uint64(c.Revision)), Text: c.Value, From: "store",
 		})
 	}
-	if news := s.offer(offers); len(news) > 0 {
+	if news, _ := s.offer(offers); len(news) > 0 {
 		s.spread(news)
 	}
 }
--- a/standin/store/data.go
+++ b/standin/store/data.go
@@ -33,7 +33,7 @@
 		errors.New("etcdserver: mvcc: required revision is a future revision"))
 	errCompacted = connect.NewError(connect.CodeOutOfRange,
 		errors.New("etcdserver: mvcc: required revision has been compacted"))
-	errNoLease   = connect.NewError(connect.CodeNotFound, errors.New("etcdserver: requested lease not found"))
+	errNoLease = connect.NewError(connect.CodeNotFound, errors.New("etcdserver: requested lease not found"))
 )
 
 func (d *data) init() {
--- a/standin/store/fault.go
+++ b/standin/store/fault.go
@@ -34,6 +34,16 @@
 	mu      sync.Mutex
 	now     Faults
 	changed chan struct{}
+	// silenced counts the changes that left SilentWatch on.
+	silenced int
+}
+
+// silence returns a number that tells a watch whether it has been silenced since
+// it last asked.
+func (f *faults) silence() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.silenced
 }
 
 func (f *faults) init() {
@@ -100,6 +110,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	change(&f.now)
+	if f.now.SilentWatch {
+		f.silenced++
+	}
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
--- a/standin/store/watch.go
+++ b/standin/store/watch.go
@@ -19,7 +19,9 @@
 	// next is the first revision not yet sent.
 	next    int64
 	rewound int
-	silent  bool
+	// silence is faults.silence at the start; another number makes the watch
+	// silent.
+	silence int
 }
 
 type watchStream = connect.BidiStream[etcdpb.WatchRequest, etcdpb.WatchResponse]
@@ -58,6 +60,10 @@
 func (w watchService) run(ctx context.Context, stream *watchStream, c *etcdpb.WatchCreateRequest) error {
 	d := &w.s.data
 	v, header, compacted := d.newWatch(c)
+	v.silence = w.s.faults.silence()
+	if w.s.faults.get().SilentWatch {
+		v.silence--
+	}
 	if err := stream.Send(&etcdpb.WatchResponse{Header: header, Created: true}); err != nil {
 		return err
 	}
@@ -66,7 +72,6 @@
 	}
 	for {
 		f, faultsChanged := w.s.faults.watch()
-		v.silent = v.silent || f.SilentWatch
 		if f.Down {
 			return errDown
 		}
@@ -74,7 +79,8 @@
 		if err != nil {
 			return err
 		}
-		if a != nil && !v.silent && !f.Pause {
+		silent := w.s.faults.silence() != v.silence
+		if a != nil && !silent && !f.Pause {
 			if f.Slow > 0 && !sleep(ctx, f.Slow) {
 				return nil
 			}
