--- a/core/allot/guard_test.go
+++ b/core/allot/guard_test.go
@@ -191,6 +191,17 @@
 	c.Assert(s.Won(allot.Taken(allot.Taken(own, next, 21, witness), holder, 13, witness)), qt.IsFalse)
 }
 
+// A virtual machine is suspended for a minute. Its monotonic clock stood still, so
+// the tokens in hand look fresh; the wall clock tells. It is put back later, which
+// must not make anything fresh again.
+func TestSuspendedHostCountsTheSuspension(t *testing.T) {
+	c := qt.New(t)
+	var k allot.Clock
+	c.Assert(k.Late(time.Second, time.Second), qt.Equals, time.Second)
+	c.Assert(k.Late(62*time.Second, 2*time.Second), qt.Equals, 62*time.Second)
+	c.Assert(k.Late(3*time.Second, 3*time.Second), qt.Equals, 63*time.Second)
+}
+
 func BenchmarkTake(b *testing.B) {
 	s := allot.Spender{Own: dc}
 	s.Granted(epoch, epoch, dc, allot.Ask{}, allot.Grant{ID: 1, Tokens: 1 << 60})
