Guard seats and registrations against changes that land late

Cause: a swap of a seat whose answer was lost may come into effect seconds later, after its holder has gone on by the old record; the next host would then ask the wrong witness. A swap that may be under way is now always followed by another, which fails it. In the same way a late put of an old registration could replace the new one's key; each registration has a key of its own. Work that wasn't started after all teaches the queue nothing about slot times.

--- a/core/admit/next.go
+++ b/core/admit/next.go
@@ -127,7 +127,8 @@
 	}
 }
 
-// Finished frees the slot of the item named key, which held it for took. The
+// Finished frees the slot of the item named key, which held it for took; zero
+// tells that it wasn't worked on after all, and nothing is learnt from it. The
 // account's tag is corrected from the expected to the real slot time: an account
 // whose statements turn out long pays for them, not for their number.
 func (q *Queue) Finished(_ time.Time, key uint64, took time.Duration) {
@@ -143,7 +144,9 @@
 	if s.item.Long {
 		q.countLong(s.item, -1)
 	}
-	q.history.add(s.item, took)
+	if took > 0 {
+		q.history.add(s.item, took)
+	}
 	q.forget(s.account)
 }
 
--- a/core/allot/guard_test.go
+++ b/core/allot/guard_test.go
@@ -181,6 +181,18 @@
 	c.Assert(n.Next(epoch, holder, 11, record, false), qt.Equals, allot.StepAdopt)
 }
 
+// A holder gives its seat up, or names another witness, and the answer is lost: the
+// store is slow, and the change comes into effect seconds later. Had the holder
+// gone on by the old record, the next one would grant at the same time.
+func TestSwapUnderWayIsSwappedAgain(t *testing.T) {
+	c := qt.New(t)
+	var n allot.Claim
+	n.Tried(record)
+	c.Assert(n.Next(epoch, holder, 11, record, true), qt.Equals, allot.StepSwap)
+	landed := allot.Taken(record, holder, 11, next)
+	c.Assert(n.Next(epoch, holder, 11, landed, true), qt.Equals, allot.StepAdopt)
+}
+
 // Another host had the seat between two tenures of this one. What it granted is
 // unknown here, so the homes must start anew.
 func TestTenureBetweenIsNoticed(t *testing.T) {
--- a/core/allot/seat.go
+++ b/core/allot/seat.go
@@ -199,23 +199,26 @@
 	gone time.Time
 	// free is when the withdrawn consent has ended; zero before the answer.
 	free time.Time
+	// tried is one more than the tenure of the record that a swap of this
+	// process may yet replace, as its answer hasn't come.
+	tried uint64
 }
 
 // Next returns the step to take after the store has shown the record r, and
 // whether the lease of its holder stands.
 func (c *Claim) Next(now time.Time, self Process, lease uint64, r SeatRecord, leased bool) Step {
 	if r.Holder == self && r.Lease == lease {
-		return StepAdopt
+		return c.own(r)
 	}
 	if r.Holder == self || r.Holder == (Process{}) {
 		return StepSwap
 	}
 	if leased {
-		*c = Claim{}
+		*c = Claim{tried: c.tried}
 		return StepRest
 	}
 	if c.record != r || c.gone.IsZero() {
-		*c = Claim{record: r, gone: now}
+		*c = Claim{record: r, gone: now, tried: c.tried}
 	}
 	if r.Witness == (Process{}) || !c.free.IsZero() && !now.Before(c.free) {
 		return StepSwap
@@ -229,6 +232,23 @@
 	return StepWithdraw
 }
 
+// Tried notes that a swap of the record r has been sent, be it for another
+// witness, another lease, or to give the seat up.
+func (c *Claim) Tried(r SeatRecord) {
+	c.tried = r.Tenure + 1
+}
+
+// own returns the step for a record that names this process. As long as a swap
+// of it may be under way, the record may be replaced at any moment by one with
+// another witness or none; only a later swap, which that one then fails after,
+// makes sure.
+func (c *Claim) own(r SeatRecord) Step {
+	if c.tried == r.Tenure+1 {
+		return StepSwap
+	}
+	return StepAdopt
+}
+
 // Withdrawn takes in the witness's answer to StepWithdraw for record r.
 func (c *Claim) Withdrawn(now time.Time, r SeatRecord, remains time.Duration) {
 	if c.record == r {
--- a/io/grants/seats.go
+++ b/io/grants/seats.go
@@ -65,8 +65,8 @@
 	// seatEvery is how often seats are looked after: half the least time in
 	// which a lost host is noticed, so that it adds little to it.
 	seatEvery = 500 * time.Millisecond
-	// storeTimeout bounds a call of the store.
-	storeTimeout = 2 * time.Second
+	// storeTimeout bounds a call of the store: twice its slowest answers.
+	storeTimeout = 4 * time.Second
 	// consentBefore is how long before its lease ends a holder asks for consent:
 	// two rounds of looking after the seats and a failed call in between.
 	consentBefore = 1500 * time.Millisecond
@@ -214,6 +214,7 @@
 		return
 	}
 	rec, rev := s.tenure.Record(), s.revision
+	s.claim.Tried(rec)
 	r.lose(h, s)
 	s.yield = time.Time{}
 	r.mu.Unlock()
@@ -306,7 +307,9 @@
 // of it; until then a holder counts on its lease alone (see Seat.Swapping).
 func (r *Runtime) take(ctx context.Context, h roster.Shard, old uint64, rec allot.SeatRecord) error {
 	r.mu.Lock()
-	r.seat(h).tenure.Swapping()
+	s := r.seat(h)
+	s.tenure.Swapping()
+	s.claim.Tried(allot.SeatRecord{Tenure: rec.Tenure - 1})
 	r.mu.Unlock()
 	rev, ok, err := r.swap(ctx, h, old, rec)
 	if err != nil {
--- a/io/members/members.go
+++ b/io/members/members.go
@@ -9,6 +9,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,7 +46,10 @@
 	List func(ctx context.Context, prefix string) ([][]byte, error)
 }
 
-// Prefix is where the hosts' records are kept in the store.
+// Prefix is where the hosts' records are kept in the store, each registration
+// under a key of its own. Had a host but one key, a put whose answer was lost
+// could come into effect after the next registration and replace it, and others
+// would take the host's lease for gone.
 const Prefix = "/skylarkdeal/hosts/"
 
 // Config is what a Runtime needs of the rest of the host.
@@ -66,7 +70,8 @@
 }
 
 const (
-	storeTimeout = 2 * time.Second
+	// storeTimeout bounds a call of the store: twice its slowest answers.
+	storeTimeout = 4 * time.Second
 	// beatEvery is how often the own beat rises: once per round of digests.
 	beatEvery = time.Second
 	// listEvery is how often a host that is no watcher reads the whole list, in
@@ -245,7 +250,7 @@
 		return err
 	}
 	r.calls.WithLabelValues("register").Inc()
-	id, err := r.cfg.Store.Register(ctx, Prefix+string(r.cfg.Self.Host), v, roster.LeaseFor)
+	id, err := r.cfg.Store.Register(ctx, key(r.cfg.Self.Host, rec.Lease), v, roster.LeaseFor)
 	if err != nil {
 		return failure.At(err, "register", "store")
 	}
@@ -256,6 +261,11 @@
 	return nil
 }
 
+// key returns the key of a host's registration.
+func key(h fleet.Host, lease uint64) string {
+	return Prefix + string(h) + "/" + strconv.FormatUint(lease, 16)
+}
+
 // list returns the duty of reading the store's list: often at the watcher of
 // the data centre, seldom elsewhere.
 func (r *Runtime) list() func(context.Context) error {
@@ -337,7 +347,7 @@
 	v, err := json.Marshal(rec)
 	if err == nil {
 		r.calls.WithLabelValues("put").Inc()
-		err = r.cfg.Store.Put(ctx, Prefix+string(r.cfg.Self.Host), v, id)
+		err = r.cfg.Store.Put(ctx, key(r.cfg.Self.Host, rec.Lease), v, id)
 	}
 	if err != nil {
 		r.cfg.Logger.Warn("leaving not written", zap.Error(failure.At(err, "put host", "store")))
--- a/io/members/view.go
+++ b/io/members/view.go
@@ -65,7 +65,7 @@
 // Standing reports whether the store has the record that h wrote under the lease
 // of that name. It reads the store.
 func (r *Runtime) Standing(ctx context.Context, h fleet.Host, lease uint64) (bool, error) {
-	records, err := r.read(ctx, Prefix+string(h))
+	records, err := r.read(ctx, key(h, lease))
 	if err != nil {
 		return false, err
 	}
