Cover the guards that taking out left green

The checks of a Bind's values and of a taken name had no test and have one now; the check for a failed batch in skipDropped could not be reached and is gone.

--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -90,6 +90,23 @@
 	})
 }
 
+// A name of a statement is taken until it is closed, unless its Parse failed.
+func TestNameOfAStatementIsTaken(t *testing.T) {
+	c := qt.New(t)
+	f := start(t, nil)
+	w := wireConn(t, f, "")
+	parse := func(sql string) string {
+		w.send(&pgproto3.Parse{Name: "s", Query: sql}, &pgproto3.Sync{})
+		return strings.ReplaceAll(w.read(1), "S Z", "Z")
+	}
+	f.fake.answerBy(refuseWith(exchange.OutcomeNotRun, &failure.Refusal{Code: failure.CodeOverloaded}))
+	c.Assert(parse("get a"), qt.Equals, "ERROR(53000) Z(I)")
+	c.Assert(parse("get b"), qt.Equals, "1 Z(I)")
+	c.Assert(parse("get c"), qt.Equals, "ERROR(42P05) Z(I)")
+	w.send(&pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Execute{}, &pgproto3.Sync{})
+	c.Assert(strings.ReplaceAll(w.read(1), "S Z", "Z"), qt.Equals, "2 D(get b) C(GET) Z(I)")
+}
+
 // A driver prepares with Flush and waits for the answer before it goes on.
 func TestFlushAnswersAPrepare(t *testing.T) {
 	c := qt.New(t)
--- a/io/caller/startup_test.go
+++ b/io/caller/startup_test.go
@@ -208,6 +208,8 @@
 		"two queries":       {msg('Q', 8, "a\x00b\x00"), "08P01"},
 		"bind too short":    {msg('B', 6, "\x00\x00"), "08P01"},
 		"bind bad value":    {msg('B', 16, "\x00\x00\x00\x00\x00\x01\x00\x00\x00\x09xx"), "08P01"},
+		"bind bad length":   {msg('B', 16, "\x00\x00\x00\x00\x00\x01\xff\xff\xff\xfe\x00\x00"), "08P01"},
+		"bind too long":     {msg('B', 13, "\x00\x00\x00\x00\x00\x00\x00\x00x"), "08P01"},
 		"parse bad count":   {msg('P', 8, "\x00\x00\x00\x05"), "08P01"},
 		"close bad kind":    {msg('C', 6, "X\x00"), "08P01"},
 		"sync with a body":  {msg('S', 5, "x"), "08P01"},
--- a/io/database/answer.go
+++ b/io/database/answer.go
@@ -112,7 +112,7 @@
 // skipDropped answers the Parse messages that were not sent, as the connection
 // has their statements, in their place.
 func (a *answer) skipDropped() error {
-	for s := a.step(); s != nil && s.kind == stepDropped && !a.failed; s = a.step() {
+	for s := a.step(); s != nil && s.kind == stepDropped; s = a.step() {
 		if err := a.forward(parseComplete); err != nil {
 			return err
 		}
