--- /dev/null
+++ b/core/allot/allot_test.go
@@ -0,0 +1,203 @@
+package allot_test
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"skylarkdeal/core/allot"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/naive"
+)
+
+// TestMain fixes the seed, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "7")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var threeDCs = []fleet.DataCentre{"asahikawa", "obihiro", "sapporo"}
+
+func ExampleShareOf() {
+	for _, d := range threeDCs {
+		fmt.Println(d, allot.ShareOf(90, 8, "orders", "hotel", d, threeDCs))
+	}
+	// Output:
+	// asahikawa {30 3}
+	// obihiro {30 2}
+	// sapporo {30 3}
+}
+
+// While a document spreads, some data centres go by the old rate and burst and
+// some by the new one. Their parts must not add up to more than either.
+func TestSharesOfTwoDocumentsAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(n string) (float64, float64) {
+			return rapid.Float64Range(0.1, 1e5).Draw(t, n), float64(rapid.IntRange(0, 100).Draw(t, n+" burst"))
+		}
+		r1, b1 := draw("old")
+		r2, b2 := draw("new")
+		a := fleet.Account(rapid.String().Draw(t, "account"))
+		var sum allot.Share
+		for _, d := range threeDCs {
+			s1 := allot.ShareOf(r1, b1, "orders", a, d, threeDCs)
+			s2 := allot.ShareOf(r2, b2, "orders", a, d, threeDCs)
+			sum.Rate += max(s1.Rate, s2.Rate)
+			sum.Burst += max(s1.Burst, s2.Burst)
+		}
+		if r := max(r1, r2); math.Abs(sum.Rate-r) > r*1e-9 || sum.Burst != max(b1, b2) {
+			t.Fatalf("shares add up to %v", sum)
+		}
+	})
+}
+
+// fault draws something that goes wrong in the world at its present time.
+func fault(t *rapid.T, w *world) {
+	h := rapid.SampledFrom(w.hosts).Draw(t, "host")
+	d := time.Duration(rapid.IntRange(50, 12_000).Draw(t, "ms")) * time.Millisecond
+	switch rapid.SampledFrom([]string{"pause", "suspend", "restart", "cut", "store down", "nothing"}).Draw(t, "fault") {
+	case "pause":
+		h.paused = max(h.paused, w.now+d)
+	case "suspend":
+		h.paused = max(h.paused, w.now+d)
+		h.lag += d
+	case "restart":
+		h.dead = w.now
+		w.at(d, func() {
+			if h.dead > 0 {
+				h.boot()
+			}
+		})
+	case "cut":
+		w.cut[h.dc] = max(w.cut[h.dc], w.now+d)
+	case "store down":
+		w.storeDown = max(w.storeDown, w.now+d)
+	}
+}
+
+// A chain has sold its customers twice the orders that the owner of the database
+// agreed to: callers come to every host as fast as they can, while hosts are
+// paused, suspended, killed and restarted, data centres are cut off, the store
+// is down, messages are late or lost, and every host claims to be the home. At
+// no time and over no window may more than rate·w + burst get through.
+func TestNeverMoreThanRateAndBurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := float64(rapid.SampledFrom([]int{20, 100, 400}).Draw(t, "rate"))
+		burst := float64(rapid.IntRange(1, 60).Draw(t, "burst"))
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), 2, threeDCs, rate, burst)
+		w.chaos = true
+		for _, h := range w.hosts {
+			h.drift = rapid.Float64Range(-0.04, 0.04).Draw(t, "drift")
+		}
+		flood(w, allot.Share{Rate: rate, Burst: burst})
+		for range rapid.IntRange(3, 12).Draw(t, "faults") {
+			w.run(w.now + time.Duration(rapid.IntRange(100, 6000).Draw(t, "wait"))*time.Millisecond)
+			fault(t, w)
+		}
+		w.run(w.now + 10*time.Second)
+		// The homes' clocks may be fast by the drift, and so may what they grant.
+		if i := naive.Exceeds(w.admitted, rate*1.04, burst); i >= 0 {
+			t.Fatalf("admission %d at %v is too many", i, w.admitted[i].Sub(epoch))
+		}
+	})
+}
+
+// flood lets exchanges come to every host for a while, then none until the burst
+// has grown anew, and so on: only a burst that has just been spent leaves no
+// slack in the bound.
+func flood(w *world, a allot.Share) {
+	every := 2 * time.Second / time.Duration(a.Rate)
+	rest := time.Duration(a.Burst/a.Rate*float64(time.Second)) + time.Second
+	var again func()
+	left := 0
+	again = func() {
+		if left--; left < 0 {
+			left = int(2 * time.Second / every)
+			w.at(rest, again)
+			return
+		}
+		for _, h := range w.hosts {
+			h.arrive(func(bool) {})
+		}
+		w.at(every, again)
+	}
+	w.at(rest, again)
+}
+
+// An owner halves, or raises, an account's rate while callers use all of it.
+// Hosts take the new document up at different times, some with grants of the old
+// one in hand. Until the last has it the greater rate may be used; from then on
+// only the new one.
+func TestChangedRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(n string) (float64, float64) {
+			return float64(rapid.IntRange(20, 400).Draw(t, n+" rate")), float64(rapid.IntRange(1, 80).Draw(t, n+" burst"))
+		}
+		r1, b1 := draw("old")
+		r2, b2 := draw("new")
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), 2, threeDCs, r1, b1)
+		flood(w, allot.Share{Rate: r1, Burst: b1})
+		w.run(time.Duration(rapid.IntRange(8_000, 15_000).Draw(t, "start")) * time.Millisecond)
+		d := newDoc(2, threeDCs, r2, b2)
+		w.doc = d
+		last := time.Duration(0)
+		for _, h := range w.hosts {
+			after := time.Duration(rapid.IntRange(0, 3000).Draw(t, "adopt")) * time.Millisecond
+			last = max(last, after)
+			w.at(after, func() { h.adopt(d) })
+		}
+		changed, settled := w.now, w.now+last+allot.Overdue
+		w.run(settled + 15*time.Second)
+		checkChange(t, w, allot.Share{Rate: r1, Burst: b1}, allot.Share{Rate: r2, Burst: b2}, changed, settled)
+	})
+}
+
+func checkChange(t *rapid.T, w *world, old, next allot.Share, changed, settled time.Duration) {
+	b := naive.Bucket{Rate: old.Rate, Burst: max(old.Burst, next.Burst)}
+	var after []time.Time
+	for i, at := range w.admitted {
+		since := at.Sub(epoch)
+		if since > changed {
+			b.Set(at, max(old.Rate, next.Rate), b.Burst)
+		}
+		if since > settled {
+			b.Set(at, next.Rate, b.Burst)
+			after = append(after, at)
+		}
+		if !b.Admit(at) {
+			t.Fatalf("admission %d at %v is too many", i, since)
+		}
+	}
+	if i := naive.Exceeds(after, next.Rate, next.Burst); i >= 0 {
+		t.Fatalf("admission %d after the change is too many", i)
+	}
+}
+
+// A message of a spender comes twice, and an old one after a newer one. Neither
+// may give a home tokens back that were spent.
+func TestReportsCountOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h allot.Home
+		now := epoch
+		h.Start(now, 1, allot.Share{Rate: 10, Burst: 20}, 100)
+		now = now.Add(10 * time.Second)
+		g := h.Ask(now, allot.Ask{Urgent: 10})
+		old := allot.Report{Grant: g.ID, Left: 8}
+		closed := allot.Report{Grant: g.ID, Left: 3, Closed: true}
+		reports := rapid.SliceOfN(rapid.SampledFrom([]allot.Report{old, closed}), 1, 6).Draw(t, "reports")
+		for _, r := range reports {
+			h.Ask(now, allot.Ask{Reports: []allot.Report{r}})
+		}
+		s := h.State()
+		if s.Level > 10+3 || s.Level+float64(s.Outstanding) > 20 {
+			t.Fatalf("%+v after %v", s, reports)
+		}
+	})
+}
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -22,19 +22,31 @@
 	Version uint32 = 2
 	// minVersion is the lowest that it still understands.
 	minVersion uint32 = 1
-	// versionTail is the first in which Done carries the tail of the answer.
-	versionTail uint32 = 2
+	// versionBatch is the first in which Done carries the tail of the answer and
+	// frames go in batches.
+	versionBatch uint32 = 2
 )
 
-// DefaultMessageLimit is the most bytes of one message between hosts. It must
-// be above the callers' own limit on a message.
+// DefaultMessageLimit is the most bytes of one exchange, or of one part of an
+// answer. It must be above the callers' own limit on a message.
 const DefaultMessageLimit = 64 << 20
 
+// messageSlack is what else may go in one message with an exchange of the limit.
+const messageSlack = 1 << 20
+
 // window is how many bytes of one answer a holder sends before it waits for
 // credit. A caller that stops reading so holds up its own answer only, and
 // costs its entry host no more than the window and one message.
 const window = 256 << 10
 
+// The bounds of a batch. Frames that wait at the same time go in one message,
+// for the cost of a message is mostly that of its system calls; the bounds keep
+// a burst from making the first of its frames wait for the last.
+const (
+	batchFrames = 64
+	batchBytes  = 64 << 10
+)
+
 // Self is what a host says of itself in each opening message.
 type Self struct {
 	Host fleet.Host
@@ -96,6 +108,12 @@
 	return n
 }
 
+// readLimit is what a receiver takes. A message above it ends the stream and all
+// that is on it, so senders keep to limit and refuse the one exchange instead.
+func readLimit(n int) int {
+	return limit(n) + messageSlack
+}
+
 func refuseHello(err error) error {
 	return connect.NewError(connect.CodeFailedPrecondition, err)
 }
--- a/io/host/peers.go
+++ b/io/host/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"skylarkdeal/core/exchange"
@@ -21,6 +22,9 @@
 // DefaultCallTimeout bounds a call whose context has no deadline.
 const DefaultCallTimeout = time.Second
 
+// DefaultConnectTimeout bounds the opening of a stream, Hello included.
+const DefaultConnectTimeout = time.Second
+
 const stepForward failure.Step = "forward"
 
 // Peers is the way from this host to the others of the fleet. Its exported
@@ -32,11 +36,17 @@
 	MessageLimit int
 	// Address returns the IP address and port of a host's inner protocol.
 	Address func(h fleet.Host) (string, bool)
+	// ConnectTimeout bounds the opening of a stream, DefaultConnectTimeout when
+	// zero.
+	ConnectTimeout time.Duration
 	// Now is time.Now when nil.
 	Now func() time.Time
 	Log *zap.Logger
+	// Metrics takes the metrics in, when it is set.
+	Metrics prometheus.Registerer
 
-	seq atomic.Uint64
+	metrics outboundMetrics
+	seq     atomic.Uint64
 
 	mu        sync.Mutex
 	transport *http.Transport
@@ -70,7 +80,8 @@
 		p.clients = map[string]hostpbconnect.PeerClient{}
 	}
 	c := hostpbconnect.NewPeerClient(&http.Client{Transport: p.transport}, "http://"+address,
-		connect.WithReadMaxBytes(limit(p.MessageLimit)), connect.WithInterceptors(secret(p.Secret)))
+		connect.WithReadMaxBytes(readLimit(p.MessageLimit)), connect.WithInterceptors(secret(p.Secret)),
+		connect.WithAcceptCompression("gzip", nil, nil))
 	p.clients[address] = c
 	return c, nil
 }
@@ -88,6 +99,8 @@
 		defer cancel()
 	}
 	a, err := f(c, ctx, connect.NewRequest(q))
+	p.metrics.register(p.Metrics)
+	p.metrics.called(string(step), err)
 	if err != nil {
 		return nil, failure.At(err, step, peerName(h))
 	}
@@ -169,6 +182,7 @@
 	if p.peers == nil {
 		p.peers = map[fleet.Host]*outbound{}
 	}
+	p.metrics.register(p.Metrics)
 	o := newOutbound(p, h)
 	p.peers[h] = o
 	p.tasks.Go(o.serve)
