--- a/core/allot/fleet_test.go
+++ b/core/allot/fleet_test.go
@@ -93,6 +93,8 @@
 	lease   roster.Lease
 	target  map[fleet.DataCentre]int
 	waiters []waiter
+	// ticking is set while steps follow one another because exchanges wait.
+	ticking bool
 }
 
 var epoch = time.Unix(1_700_000_000, 0)
@@ -151,7 +153,8 @@
 	h.spender = allot.Spender{Host: h.name, Own: h.dc}
 	h.lease, h.waiters, h.dead = roster.Lease{}, nil, 0
 	h.target = map[fleet.DataCentre]int{}
-	h.every(5*time.Millisecond, h.step)
+	h.ticking = false
+	h.every(25*time.Millisecond, h.step)
 	h.every(500*time.Millisecond, h.keepSeat)
 	h.every(roster.RenewEvery, h.renew)
 }
@@ -308,7 +311,8 @@
 		if now.After(h.seat.Until().Add(-1500 * time.Millisecond)) {
 			h.askConsent()
 		}
-		if h.lease.Name == h.seat.Record().Lease || !h.lease.Stands(now) {
+		another := h.w.chaos && h.w.random.IntN(5) == 0
+		if !another && h.lease.Name == h.seat.Record().Lease || !h.lease.Stands(now) {
 			return
 		}
 	}
@@ -360,6 +364,10 @@
 		case allot.StepRest:
 			h.lose()
 		case allot.StepAdopt:
+			if h.w.chaos && h.w.random.IntN(2) > 0 {
+				h.swap(v.r, allot.Taken(v.r, h.process, l, h.pickWitness()))
+				return
+			}
 			h.won(v.r)
 		case allot.StepSwap:
 			h.swap(v.r, allot.Taken(v.r, h.process, l, h.pickWitness()))
@@ -385,6 +393,7 @@
 
 func (h *host) swap(old, next allot.SeatRecord) {
 	h.seat.Swapping()
+	h.claim.Tried(old)
 	storeCall(h, func() bool {
 		if h.w.seats[h.seatName()] != old {
 			return false
@@ -496,6 +505,13 @@
 	if w, ok := h.spender.Next(now, allot.Tokens(len(h.waiters)), h.dcs()); ok {
 		h.ask(w, now)
 	}
+	if len(h.waiters) > 0 && !h.ticking {
+		h.ticking = true
+		h.later(5*time.Millisecond, func() {
+			h.ticking = false
+			h.step()
+		})
+	}
 }
 
 func (h *host) rate() allot.Share {
