--- a/core/allot/guard_test.go
+++ b/core/allot/guard_test.go
@@ -181,6 +181,18 @@
 	c.Assert(n.Next(epoch, holder, 11, record, false), qt.Equals, allot.StepAdopt)
 }
 
+// A holder gives its seat up, or names another witness, and the answer is lost: the
+// store is slow, and the change comes into effect seconds later. Had the holder
+// gone on by the old record, the next one would grant at the same time.
+func TestSwapUnderWayIsSwappedAgain(t *testing.T) {
+	c := qt.New(t)
+	var n allot.Claim
+	n.Tried(record)
+	c.Assert(n.Next(epoch, holder, 11, record, true), qt.Equals, allot.StepSwap)
+	landed := allot.Taken(record, holder, 11, next)
+	c.Assert(n.Next(epoch, holder, 11, landed, true), qt.Equals, allot.StepAdopt)
+}
+
 // Another host had the seat between two tenures of this one. What it granted is
 // unknown here, so the homes must start anew.
 func TestTenureBetweenIsNoticed(t *testing.T) {
@@ -191,6 +203,17 @@
 	c.Assert(s.Won(allot.Taken(allot.Taken(own, next, 21, witness), holder, 13, witness)), qt.IsFalse)
 }
 
+// A virtual machine is suspended for a minute. Its monotonic clock stood still, so
+// the tokens in hand look fresh; the wall clock tells. It is put back later, which
+// must not make anything fresh again.
+func TestSuspendedHostCountsTheSuspension(t *testing.T) {
+	c := qt.New(t)
+	var k allot.Clock
+	c.Assert(k.Late(time.Second, time.Second), qt.Equals, time.Second)
+	c.Assert(k.Late(62*time.Second, 2*time.Second), qt.Equals, 62*time.Second)
+	c.Assert(k.Late(3*time.Second, 3*time.Second), qt.Equals, 63*time.Second)
+}
+
 func BenchmarkTake(b *testing.B) {
 	s := allot.Spender{Own: dc}
 	s.Granted(epoch, epoch, dc, allot.Ask{}, allot.Grant{ID: 1, Tokens: 1 << 60})
