Answer at once what a failover has decided; let once-long work start again

Long work with one slot per holder counted itself as waiting and never started again (found as a ticker account that stayed refused after a failover). gnet couldn't listen on a port that still had connections of a former process.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -118,13 +118,14 @@
 }
 
 // admits reports whether another statement may start. Long work leaves a slot
-// free; where there is but one, it starts only while nothing waits.
+// free; where there is but one, it starts only while nothing else waits than the
+// request itself.
 func admits(u Load, long bool, waiting int) bool {
 	switch {
 	case !long:
 		return u.Free() > 0
 	case u.Slots <= 1:
-		return u.Free() > 0 && waiting == 0
+		return u.Free() > 0 && waiting <= 1
 	}
 	return u.Free() > 1
 }
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -176,6 +176,9 @@
 	defer close(s.ended)
 	opts := []gnet.Option{
 		gnet.WithTicker(true),
+		// A host that restarts finds its port still held by connections of its former
+		// self that the kernel winds up; without the option it could not listen.
+		gnet.WithReuseAddr(true),
 		gnet.WithLogger(s.cfg.Logger.Named("gnet").Sugar()),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 		gnet.WithTCPKeepAlive(keepAlive),
--- a/io/holder/group.go
+++ b/io/holder/group.go
@@ -80,6 +80,8 @@
 	key       uint64
 	absent    time.Time
 	now       time.Time
+	// looked is when the attempts under way were last looked at.
+	looked time.Time
 	// closing is set once no exchange may start any more.
 	closing bool
 }
@@ -123,16 +125,17 @@
 	defer t.Stop()
 	for ctx.Err() == nil {
 		g.step(ctx, t)
+		g.stopLost()
 		g.pump()
 	}
 	g.close()
 }
 
 // step waits for one thing to happen and takes it in. The ticker is listened to
-// only while something waits, so that an idle group costs nothing.
+// only while something is under way, so that an idle group costs nothing.
 func (g *groupRun) step(ctx context.Context, t *time.Ticker) {
 	var tick <-chan time.Time
-	if g.queue.Len() > 0 {
+	if len(g.works) > 0 {
 		tick = t.C
 	}
 	select {
@@ -200,6 +203,7 @@
 		})
 		return
 	}
+	w.queued = g.now
 	v := g.queue.Offer(g.now, w.item(g.weight(w.q.Account)))
 	if v.Refusal != nil {
 		g.drop(w, v.Refusal)
@@ -262,115 +266,10 @@
 	w.cancel()
 }
 
-// pump starts all that can start now.
-func (g *groupRun) pump() {
-	if g.queue.Len() == 0 {
-		return
-	}
-	for _, r := range g.queue.Expire(g.now) {
-		if w := g.works[r.Item.Key]; w != nil {
-			g.drop(w, r.Refusal)
-		}
-	}
-	t := g.steward.Table()
-	g.refuseAbsent(t)
-	for {
-		i, ok := g.queue.Next(g.now, func(i admit.Item) bool { return g.fits(i, t) })
-		if !ok {
-			return
-		}
-		g.start(g.works[i.Key])
-	}
-}
-
-// refuseAbsent refuses the writes that wait for a primary which no one has
-// reached for absentPatience.
-//
-// The load is a data centre that was cut off with a minority of the instances:
-// every write would wait for its deadline and hold a place in the queue that
-// reads could use. The refusal is true, since nothing waiting has been sent.
-func (g *groupRun) refuseAbsent(t group.Table) {
-	if t.Primary != "" {
-		g.absent = time.Time{}
-		return
-	}
-	if g.absent.IsZero() {
-		g.absent = g.now
-	}
-	if g.now.Sub(g.absent) < absentPatience {
-		return
-	}
-	for _, w := range g.works {
-		if w.read() && !w.need.Latest() && w.pin == nil {
-			continue
-		}
-		if g.queue.Withdraw(w.key) {
-			g.drop(w, g.refusal(failure.CodeNotReady, "no primary can be reached", absentRetry))
-		}
-	}
-}
-
-// fits reports whether an item can start now, and notes where.
-//
-// An exchange of an open transaction always can: it has its connection, and the
-// statement that frees the slots which others wait for may be its COMMIT. Were
-// it to wait for a slot, two statements that wait inside the database for that
-// transaction's locks would hold both slots until their deadlines.
-func (g *groupRun) fits(i admit.Item, t group.Table) bool {
-	w := g.works[i.Key]
-	if w.pin != nil {
-		w.choice = place.Choice{Action: place.ActionRun, Instance: w.pin.instance}
-		return true
-	}
-	w.choice = place.Choose(g.now, w.facts(i.Long), t, g.loads())
-	if w.choice.Action != place.ActionRun {
-		return false
-	}
-	p := g.pools[w.choice.Instance]
-	return p != nil && p.Idle() > 0
-}
-
-func (g *groupRun) loads() place.Loads {
-	l := place.Loads{Instances: make(map[fleet.Instance]place.Load, len(g.pools)), Waiting: g.queue.Len()}
-	for n := range g.pools {
-		l.Instances[n] = place.Load{Busy: g.busy[n], Slots: g.slots[n], Latency: g.meters[n]}
-	}
-	return l
-}
-
-// start gives w its connection and its own goroutine, of which there are no
-// more than connections.
-func (g *groupRun) start(w *work) {
-	n := w.choice.Instance
-	c, p := g.connection(w)
-	if c == nil {
-		g.queue.Finished(g.now, w.key, 0)
-		g.enqueue(w)
-		return
-	}
-	w.attempts++
-	g.busy[n]++
-	g.h.wait.Add(1)
-	go g.serve(w, c, p)
-}
-
-// connection returns the connection for w and its pool, or nil when the idle
-// one that was there has turned out to be closed.
-func (g *groupRun) connection(w *work) (*database.Conn, *database.Pool) {
-	if w.pin != nil {
-		return w.pin.conn, w.pin.pool
-	}
-	p := g.pools[w.choice.Instance]
-	c, ok := p.TryTake()
-	if !ok {
-		return nil, nil
-	}
-	return c, p
-}
-
 // finish takes back the slot of an exchange that its instance has answered.
 func (g *groupRun) finish(s *served) {
 	n := s.w.choice.Instance
+	s.w.stop()
 	g.queue.Finished(g.now, s.w.key, s.took)
 	g.busy[n]--
 	if s.answer.Err == nil {
--- a/io/holder/pins.go
+++ b/io/holder/pins.go
@@ -14,6 +14,7 @@
 	conn     *database.Conn
 	pool     *database.Pool
 	instance fleet.Instance
+	role     fleet.Role
 	account  fleet.Account
 	intent   exchange.Intent
 	// busy is set while an exchange of the transaction is under way.
--- a/io/holder/serve.go
+++ b/io/holder/serve.go
@@ -25,11 +25,11 @@
 
 // serve runs w on its connection and answers. The connection and its slot are
 // free before the answer is proven, so that a slow proof holds up no other work.
-func (g *groupRun) serve(w *work, c *database.Conn, p *database.Pool) {
+func (g *groupRun) serve(ctx context.Context, w *work, c *database.Conn, p *database.Pool) {
 	defer g.h.wait.Done()
 	k := &collector{send: w.reply.Send, prove: func() error { return g.proveEarly(w) }}
 	start := g.h.c.Now()
-	a := c.Exchange(w.ctx, w.q, k.add)
+	a := c.Exchange(ctx, w.q, k.add)
 	took := g.h.c.Now().Sub(start)
 	n := g.settle(w, c, p, a)
 	g.events.TryPut(event{served: &served{w: w, conn: c, answer: a, took: took}})
@@ -58,6 +58,7 @@
 			conn:     c,
 			pool:     p,
 			instance: w.choice.Instance,
+			role:     w.choice.Role,
 			account:  w.q.Account,
 			intent:   w.q.Intent,
 			busy:     true,
--- a/io/holder/work.go
+++ b/io/holder/work.go
@@ -31,6 +31,13 @@
 	pin *pin
 	// choice is what the dispatcher last decided.
 	choice place.Choice
+	// queued is when the exchange began to wait for its slot.
+	queued time.Time
+	// stop ends the attempt under way, term is the group's when it started.
+	stop context.CancelFunc
+	term fleet.Term
+	// stopped is set once the dispatcher has ended the attempt.
+	stopped bool
 }
 
 // maxAttempts bounds how often one exchange is started. Each further start has
