--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -44,6 +44,9 @@
 	// StallTimeout ends a session whose caller reads nothing for so long while
 	// an answer waits for it.
 	StallTimeout time.Duration
+	// IdleInTransaction ends a session whose caller says nothing for so long
+	// with a transaction open.
+	IdleInTransaction time.Duration
 	// MaxUnread bounds the bytes of answers that a caller has not read.
 	MaxUnread int
 	// EventLoops is how many event loops serve the sessions; zero takes a
@@ -91,6 +94,7 @@
 	setDefault(&c.MaxUnread, DefaultMaxUnread)
 	setDefault(&c.StartupTimeout, DefaultStartupTimeout)
 	setDefault(&c.StallTimeout, DefaultStallTimeout)
+	setDefault(&c.IdleInTransaction, DefaultIdleInTransaction)
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/io/caller/local.go
+++ b/io/caller/local.go
@@ -69,6 +69,7 @@
 	}
 	if len(b.executed) > 0 {
 		x.tx = transaction{status: exchange.TxIdle}
+		x.watchIdle()
 	}
 	var out []byte
 	if !extended {
--- a/io/caller/message.go
+++ b/io/caller/message.go
@@ -152,8 +152,9 @@
 	b := x.batch
 	x.batch = nil
 	if x.flushing {
-		x.flushing = false
+		x.flushing, x.idleWatched = false, false
 		x.srv.waitUntil(x, zeroTime)
+		x.watchIdle()
 	}
 	if !x.checkKey() {
 		return
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -349,6 +349,7 @@
 	if x.phase != phaseReady || x.checkEnding() {
 		return
 	}
+	x.watchIdle()
 	x.process()
 }
 
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -66,6 +66,10 @@
 	skipping, flushing bool
 
 	tx transaction
+	// idleSince is when the last answer within a transaction was given,
+	// idleWatched whether that is looked after.
+	idleSince   time.Time
+	idleWatched bool
 	// run is the exchange in progress; no other begins before its answer has
 	// been written.
 	run *run
@@ -197,6 +201,10 @@
 	}
 	if x.flushing {
 		x.end(errFlush)
+		return
+	}
+	if x.idleWatched {
+		x.idleTooLong()
 	}
 }
 
--- a/io/caller/startup_test.go
+++ b/io/caller/startup_test.go
@@ -14,6 +14,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"skylarkdeal/core/document"
+	"skylarkdeal/core/exchange"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/io/caller"
 )
@@ -190,6 +191,30 @@
 	c.Assert(open.ask("get a"), qt.Equals, "T D(get a) C(GET) Z(I)")
 }
 
+// A handheld opens a transaction and says no more. Its connection is taken back
+// after a while by the host's clock; a session without a transaction may stay.
+func TestIdleInTransaction(t *testing.T) {
+	c := qt.New(t)
+	var skew atomic.Int64
+	f := start(t, func(cfg *caller.Config) {
+		cfg.Now = func() time.Time { return time.Now().Add(time.Duration(skew.Load())) }
+		cfg.IdleInTransaction = time.Hour
+	})
+	idle, inTx, ended := wireConn(t, f, ""), wireConn(t, f, ""), wireConn(t, f, "")
+	inTx.ask("begin")
+	ended.ask("begin")
+	ended.ask("commit")
+	skew.Store(int64(40 * time.Minute))
+	c.Assert(inTx.ask("get a"), qt.Equals, "T D(get a) C(GET) Z(T)")
+	skew.Store(int64(80 * time.Minute))
+	c.Assert(inTx.ask("get a"), qt.Equals, "T D(get a) C(GET) Z(T)")
+	skew.Store(int64(200 * time.Minute))
+	c.Assert(inTx.read(1), qt.Equals, "FATAL(25P03) end")
+	c.Assert(f.fake.releasedPins(), qt.DeepEquals, []exchange.Pin{1})
+	c.Assert(idle.ask("get a"), qt.Equals, "T D(get a) C(GET) Z(I)")
+	c.Assert(ended.ask("get a"), qt.Equals, "T D(get a) C(GET) Z(I)")
+}
+
 func TestMalformedMessagesEndTheirSession(t *testing.T) {
 	f := start(t, func(cfg *caller.Config) { cfg.MaxMessage = 1000 })
 	other := wireConn(t, f, "")
