--- a/io/platform/follow_test.go
+++ b/io/platform/follow_test.go
@@ -117,6 +117,31 @@
 	c.Assert(server.Calls()[store.KindWatch], qt.Equals, 2)
 }
 
+// A change of many documents takes longer to arrive than two checks are apart.
+// Were the watch opened anew each time, the change would never be seen.
+func TestFollowerGivesASlowWatchTime(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	server, s := open(c)
+	var slow platform.Store = *s
+	slow.Watch = func(ctx context.Context, prefix string, after platform.Revision, see func(platform.Batch)) error {
+		return s.Watch(ctx, prefix, after, func(b platform.Batch) {
+			if len(b.Changes) > 0 {
+				select {
+				case <-time.After(200 * time.Millisecond):
+				case <-ctx.Done():
+					return
+				}
+			}
+			see(b)
+		})
+	}
+	f := follow(c, &slow)
+	eventually(c, "the watch stands", func() bool { return server.Calls()[store.KindWatch] == 1 })
+	c.Assert(s.Put(ctx, "/d/a", []byte("1"), 0), qt.IsNil)
+	eventually(c, "the change is seen", func() bool { return f.has("/d/a", "1") })
+}
+
 // The store forgets changes that a host has not yet seen, because its watch was
 // silent for long. A watch can't make up for them: the entries are listed anew.
 func TestFollowerListsAgainAfterCompaction(t *testing.T) {
--- /dev/null
+++ b/io/spread/bench_test.go
@@ -0,0 +1,183 @@
+package spread_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/document"
+	"skylarkdeal/io/platform"
+	"skylarkdeal/standin/store"
+)
+
+// sizes are the fleets that the slopes are taken from.
+var sizes = []int{8, 16, 32, 64}
+
+// BenchmarkPutToInForce measures the time from the start of a put to the last
+// host that has it in force, and what that costs the store and the hosts. Hosts
+// are in one process in three data centres and call each other directly, so the
+// figures hold the store's and the decisions' time, not the network's.
+//
+//	go test -run '^$' -bench 'PutToInForce$' -benchtime 100x ./io/spread
+func BenchmarkPutToInForce(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) { putToInForce(b, n, options{dataCentres: 3}) })
+	}
+}
+
+// BenchmarkPutToInForceWithoutPush measures the same with digests alone.
+//
+//	go test -run '^$' -bench PutToInForceWithoutPush -benchtime 10x ./io/spread
+func BenchmarkPutToInForceWithoutPush(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			putToInForce(b, n, options{dataCentres: 3, noPush: true})
+		})
+	}
+}
+
+func putToInForce(b *testing.B, hosts int, o options) {
+	c := qt.New(b)
+	net, s, l := start(b, hosts, o)
+	inForce(c, l, "a", put(c, s, "a", 1))
+	p := platform.Dial(platform.Config{Endpoints: []string{s.Addr()}, Patient: true, Rate: 1000, Burst: 1000})
+	defer p.Close()
+	calls, messages, bytes := total(s), net.calls.Load(), net.bytes.Load()
+	var took []time.Duration
+	b.ResetTimer()
+	for i := range b.N {
+		sent := time.Now()
+		c.Assert(p.Put(context.Background(), document.StoreKey(root, "a"), text("a", 1+i%60), 0), qt.IsNil)
+		v := document.Version(s.Revision())
+		inForce(c, l, "a", v)
+		last := sent
+		for _, h := range l {
+			if at, ok := h.startOf(v); ok && at.After(last) {
+				last = at
+			}
+		}
+		took = append(took, last.Sub(sent))
+	}
+	b.StopTimer()
+	slices.Sort(took)
+	b.ReportMetric(ms(took[len(took)/2]), "p50-ms")
+	b.ReportMetric(ms(took[len(took)*99/100]), "p99-ms")
+	b.ReportMetric(float64(total(s)-calls)/float64(b.N), "store-calls/change")
+	b.ReportMetric(float64(net.calls.Load()-messages)/float64(b.N)/float64(hosts), "messages/change/host")
+	b.ReportMetric(float64(net.bytes.Load()-bytes)/float64(b.N)/float64(hosts), "B/change/host")
+}
+
+// BenchmarkQuietFleet measures what hosts cost the store and each other when no
+// document changes, over one second each round.
+//
+//	go test -run '^$' -bench QuietFleet -benchtime 10x ./io/spread
+func BenchmarkQuietFleet(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			c := qt.New(b)
+			net, s, l := start(b, n, options{dataCentres: 3})
+			inForce(c, l, "a", put(c, s, "a", 1))
+			time.Sleep(2 * time.Second)
+			calls, messages, bytes := total(s), net.calls.Load(), net.bytes.Load()
+			began := time.Now()
+			for range b.N {
+				time.Sleep(time.Second)
+			}
+			seconds := time.Since(began).Seconds()
+			b.ReportMetric(float64(total(s)-calls)/seconds, "store-calls/s")
+			b.ReportMetric(float64(net.calls.Load()-messages)/seconds/float64(n), "messages/s/host")
+			b.ReportMetric(float64(net.bytes.Load()-bytes)/seconds/float64(n), "B/s/host")
+		})
+	}
+}
+
+// BenchmarkStoreReturn measures the calls of hosts that each renew a lease every
+// second: before an outage of the store, during it, and in the seconds after its
+// return.
+//
+//	go test -run '^$' -bench StoreReturn -benchtime 1x ./io/spread
+func BenchmarkStoreReturn(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			for range b.N {
+				storeReturn(b, n)
+			}
+		})
+	}
+}
+
+const (
+	normalTime = 5 * time.Second
+	outageTime = 20 * time.Second
+	returnTime = 12 * time.Second
+)
+
+func storeReturn(b *testing.B, hosts int) {
+	_, s, l := start(b, hosts, options{dataCentres: 3})
+	ctx, cancel := context.WithCancel(context.Background())
+	var renewals sync.WaitGroup
+	for _, h := range l {
+		renewals.Go(func() { renew(ctx, h) })
+	}
+	time.Sleep(2 * time.Second)
+	normal := rate(s, normalTime)
+	s.Set(func(f *store.Faults) { f.Down = true })
+	time.Sleep(outageTime / 2)
+	during := rate(s, outageTime/2)
+	s.Set(func(f *store.Faults) { f.Down = false })
+	most := 0.0
+	for range int(returnTime / time.Second) {
+		most = max(most, rate(s, time.Second))
+	}
+	after := rate(s, normalTime)
+	cancel()
+	renewals.Wait()
+	b.ReportMetric(normal, "normal-calls/s")
+	b.ReportMetric(during, "outage-calls/s")
+	b.ReportMetric(most, "return-max-calls/s")
+	b.ReportMetric(after, "after-calls/s")
+}
+
+// renew keeps a lease as a host's membership does.
+func renew(ctx context.Context, h *host) {
+	var id platform.LeaseID
+	for ctx.Err() == nil {
+		var err error
+		if id == 0 {
+			id, err = h.store.Grant(ctx, 30*time.Second)
+		} else {
+			_, err = h.store.KeepAlive(ctx, id)
+		}
+		if errors.Is(err, platform.ErrNoLease) {
+			id = 0
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+func rate(s *store.Server, d time.Duration) float64 {
+	before := total(s)
+	time.Sleep(d)
+	return float64(total(s)-before) / d.Seconds()
+}
+
+func total(s *store.Server) int {
+	n := 0
+	for _, k := range s.Calls() {
+		n += k
+	}
+	return n
+}
+
+func ms(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
+}
--- a/io/spread/spread_test.go
+++ b/io/spread/spread_test.go
@@ -1,6 +1,9 @@
 package spread_test
 
 import (
+	"bytes"
+	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +14,7 @@
 	"skylarkdeal/core/document"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/io/host/hostpb"
+	"skylarkdeal/io/spread"
 	"skylarkdeal/standin/store"
 )
 
@@ -189,3 +193,66 @@
 	next := n.add(t, s, 0, quick)
 	inForce(c, append(hosts[3:], next), "a", v)
 }
+
+// Half of a data centre's hosts die with the same rack, and the list of hosts
+// doesn't know yet. The hosts that a push would have reached over the dead ones
+// still get it at once, not only by the next digest.
+func TestPushPassesDeadHosts(t *testing.T) {
+	c := qt.New(t)
+	o := with(quick, func(o *options) { o.noDigest, o.dataCentres = true, 1 })
+	n, s, hosts := start(t, 40, o)
+	inForce(c, hosts, "a", put(c, s, "a", 1))
+	dead := fleet.NewSet[fleet.Host]()
+	var living []*host
+	for p, h := range hosts {
+		if p%2 == 1 {
+			dead.Add(h.self.Host)
+			continue
+		}
+		living = append(living, h)
+	}
+	n.setCut(func(from, to fleet.Member) bool { return dead.Has(from.Host) || dead.Has(to.Host) })
+	inForce(c, living, "a", put(c, s, "a", 2))
+}
+
+// A host is paused in the middle of a question to a peer and wakes a minute
+// later with the answer in its buffer. The peer's confirmation is a minute old
+// by then; taken for fresh it would keep a withdrawn key alive.
+func TestConfirmationCountsFromTheQuestion(t *testing.T) {
+	c := qt.New(t)
+	now := time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+	age := uint64(time.Second / time.Microsecond)
+	asked := make(chan time.Time, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	s := spread.New(spread.Config{
+		Seeds: []string{"10.0.0.1:1"}, Now: func() time.Time { return now },
+		IsWatcher: func() bool { return false }, DigestEvery: time.Hour,
+		Digest: func(context.Context, string, *hostpb.DigestRequest) (*hostpb.DigestResponse, error) {
+			asked <- now
+			now = now.Add(time.Minute)
+			cancel()
+			return &hostpb.DigestResponse{ConfirmedAgeUs: &age}, nil
+		},
+	})
+	s.Run(ctx)
+	c.Assert(s.State().Confirmed, qt.Equals, (<-asked).Add(-time.Second))
+}
+
+// A new host starts while the store is down. It has all documents from its
+// peers, however many messages that takes, and costs the store no call.
+func TestNewHostAsksPeersFirst(t *testing.T) {
+	c := qt.New(t)
+	n, s, hosts := start(t, 3, quick)
+	for i := range 5 {
+		big := append(text(fleet.Service(fmt.Sprintf("s%d", i)), 1), bytes.Repeat([]byte("# filled up\n"), 40000)...)
+		putText(c, s, fleet.Service(fmt.Sprintf("s%d", i)), big)
+	}
+	for i := range 5 {
+		inForce(c, hosts, fleet.Service(fmt.Sprintf("s%d", i)), 1)
+	}
+	s.Set(func(f *store.Faults) { f.Down = true })
+	late := n.add(t, s, 5, quick)
+	eventually(c, "all five are in force", func() bool { return len(late.All()) == 5 })
+	eventually(c, "it is ready", late.Ready)
+	c.Assert(late.store.State().Calls, qt.HasLen, 0)
+}
