--- a/core/admit/next.go
+++ b/core/admit/next.go
@@ -25,7 +25,7 @@
 	}
 	w := a.lanes[l][0]
 	a.lanes[l] = a.lanes[l][1:]
-	a.backlog -= w.expect
+	a.backlog[l] -= w.expect
 	q.virtual = max(q.virtual, a.tag)
 	a.tag += w.expect.Seconds() / a.weight
 	return q.start(a, w), true
@@ -109,8 +109,10 @@
 // start counts w as running.
 func (q *Queue) start(a *account, w waiting) Item {
 	q.waiting--
-	q.backlog -= w.expect
+	q.backlog[lane(w.Intent)] -= w.expect
 	a.running++
+	q.busy[lane(w.Intent)]++
+	q.occupied[lane(w.Intent)] += w.expect
 	if w.Long {
 		q.countLong(w.Item, 1)
 	}
@@ -125,7 +127,8 @@
 	}
 }
 
-// Finished frees the slot of the item named key, which held it for took. The
+// Finished frees the slot of the item named key, which held it for took; zero
+// tells that it wasn't worked on after all, and nothing is learnt from it. The
 // account's tag is corrected from the expected to the real slot time: an account
 // whose statements turn out long pays for them, not for their number.
 func (q *Queue) Finished(_ time.Time, key uint64, took time.Duration) {
@@ -135,11 +138,15 @@
 	}
 	delete(q.running, key)
 	s.account.running--
+	q.busy[lane(s.item.Intent)]--
+	q.occupied[lane(s.item.Intent)] -= s.expect
 	s.account.tag += (took - s.expect).Seconds() / s.account.weight
 	if s.item.Long {
 		q.countLong(s.item, -1)
 	}
-	q.history.add(s.item, took)
+	if took > 0 {
+		q.history.add(s.item, took)
+	}
 	q.forget(s.account)
 }
 
@@ -155,11 +162,13 @@
 // time that is left to ask again, and no slot works for an answer that nobody
 // waits for.
 func (q *Queue) Expire(now time.Time) []Refused {
-	gone := q.remove(func(w waiting) bool { return late(now, w.expect, w.Deadline) })
+	gone := q.remove(func(w waiting) bool { return late(now, w.need, w.Deadline) })
+	q.refused += len(gone)
 	out := make([]Refused, len(gone))
 	for n, w := range gone {
-		q.refused++
-		out[n] = Refused{Item: w.Item, Refusal: refusal("the deadline can't be met", q.backlog/time.Duration(q.limits().Slots))}
+		l := lane(w.Intent)
+		after := q.backlog[l] / time.Duration(q.slots(l))
+		out[n] = Refused{Item: w.Item, Refusal: refusal("the deadline can't be met", after)}
 	}
 	return out
 }
@@ -179,12 +188,12 @@
 			a.lanes[l], gone = split(a.lanes[l], match, gone)
 		}
 		for _, w := range gone[before:] {
-			a.backlog -= w.expect
+			a.backlog[lane(w.Intent)] -= w.expect
 		}
 		q.forget(a)
 	}
 	for _, w := range gone {
-		q.backlog -= w.expect
+		q.backlog[lane(w.Intent)] -= w.expect
 	}
 	q.waiting -= len(gone)
 	slices.SortFunc(gone, func(a, b waiting) int { return a.since.Compare(b.since) })
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -8,11 +8,9 @@
 	"testing"
 	"time"
 
-	"encoding/base64"
 	qt "github.com/frankban/quicktest"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/xdg-go/scram"
 
 	"skylarkdeal/core/document"
 	"skylarkdeal/core/exchange"
@@ -23,17 +21,18 @@
 
 // verifier makes PostgreSQL's form of a SCRAM-SHA-256 secret.
 func verifier(key, salt string) string {
-	cl, err := scram.SHA256.NewClient("", key, "")
+	v, err := document.VerifierOf(key, []byte(salt))
 	if err != nil {
 		panic(err)
 	}
-	const rounds = 4096
-	k := cl.GetStoredCredentials(scram.KeyFactors{Salt: salt, Iters: rounds})
-	b64 := base64.StdEncoding.EncodeToString
-	return fmt.Sprintf("SCRAM-SHA-256$%d:%s$%s:%s", rounds, b64([]byte(salt)), b64(k.StoredKey), b64(k.ServerKey))
+	return v
 }
 
-const salt = "0123456789abcdef"
+const (
+	salt = "0123456789abcdef"
+	keyA = "cultured-butter-0001"
+	keyB = "fresh-cream-00000002"
+)
 
 // documents is a document that a test can change.
 type documents struct {
@@ -43,7 +42,7 @@
 
 func newDocuments(keys ...document.Key) *documents {
 	if keys == nil {
-		keys = []document.Key{{Name: "a", Verifier: verifier("butter", salt)}}
+		keys = []document.Key{{Name: "a", Verifier: verifier(keyA, salt)}}
 	}
 	return &documents{d: &document.Document{
 		Service: "orders", Version: 1,
@@ -73,7 +72,6 @@
 	requests []exchange.Request
 	released []exchange.Pin
 	canceled []exchange.ID
-	open     map[exchange.Pin]bool
 	next     exchange.Pin
 	point    fleet.Point
 	// answer takes the place of the usual answer when it returns true.
@@ -118,11 +116,11 @@
 	f.mu.Lock()
 	f.point.Position++
 	res := exchange.Result{Outcome: exchange.OutcomeDone, Status: exchange.TxIdle, Point: f.point, Pin: q.Pin}
-	switch {
-	case verb == "begin":
+	switch verb {
+	case "begin":
 		f.next++
 		res.Pin = f.next
-	case verb == "commit" || verb == "rollback":
+	case "commit", "rollback":
 		res.Pin = 0
 	}
 	if res.Pin != 0 {
@@ -141,7 +139,8 @@
 	for _, s := range q.Statements {
 		sqls[s.Name] = s.SQL
 	}
-	row := &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("sql"), DataTypeOID: 25, DataTypeSize: -1}}}
+	field := pgproto3.FieldDescription{Name: []byte("sql"), DataTypeOID: 25, DataTypeSize: -1}
+	row := &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{field}}
 	var last, verb string
 	done := func(sql string) {
 		verb = strings.ToLower(strings.Fields(sql + " x")[0])
@@ -236,7 +235,7 @@
 func TestSimplePreparedAndTransaction(t *testing.T) {
 	c := qt.New(t)
 	f := start(t, nil)
-	conn := connect(t, f.url("hotel", "butter", ""))
+	conn := connect(t, f.url("hotel", keyA, ""))
 	ctx := limit(t)
 	var got string
 	for range 2 {
@@ -267,10 +266,14 @@
 			done(&failure.Refusal{Code: failure.CodeOverRate, Message: "over rate", RetryAfter: 1500 * time.Microsecond})
 		}
 	})
-	conn := connect(t, f.url("hotel", "butter", ""))
+	conn := connect(t, f.url("hotel", keyA, ""))
 	_, err := conn.Exec(limit(t), "put a 1")
 	c.Assert(err, qt.ErrorMatches, ".*over rate.*53400.*")
 	e := pgError(err)
 	c.Assert(e.Hint, qt.Equals, "not run; retry after 2 ms")
-	c.Assert(conn.Ping(limit(t)), qt.IsNotNil)
+	c.Assert(f.fake.count(), qt.Equals, 0)
+	// An empty query asks nothing of an instance and counts as no request.
+	ping(t, conn)
+	_, err = conn.Exec(limit(t), "get a")
+	c.Assert(pgError(err).Code, qt.Equals, "53400")
 }
--- a/io/caller/local.go
+++ b/io/caller/local.go
@@ -62,7 +62,7 @@
 // accepted, and is a rollback.
 func (x *session) answerLost(b *batch, extended bool) {
 	for _, l := range b.executed {
-		if !l.endsTx() {
+		if !l.look.endsTx() {
 			x.write(x.appendReady(appendError(nil, severityError, errFailedTx)))
 			return
 		}
@@ -96,7 +96,7 @@
 		}
 	}
 	if extended && x.tx.status == exchange.TxIdle {
-		x.portals = nil
+		x.portals = portals{}
 	}
 	x.confirm(b, true)
 	x.write(x.appendReady(out))
@@ -129,21 +129,25 @@
 
 func (x *session) runLocal(b []byte, l look) ([]byte, *failure.Refusal) {
 	switch l.verb {
+	case verbEmpty:
+		return appendMessage(b, &pgproto3.EmptyQueryResponse{}), nil
 	case verbSet:
-		return x.runSet(b, l)
+		return x.runSet(b, l, "SET")
+	case verbReset:
+		return x.runSet(b, l, "RESET")
 	case verbShow:
 		v := x.settings.show(x, l.name, parameters[l.name].value)
 		b = appendMessage(b, &pgproto3.DataRow{Values: [][]byte{[]byte(v)}})
 		return appendComplete(b, "SHOW"), nil
 	case verbDiscard:
-		x.statements, x.settings = nil, settings{}
+		x.statements, x.settings = statements{}, settings{}
 		return appendComplete(b, "DISCARD ALL"), nil
 	case verbDeallocate:
 		if strings.EqualFold(l.name, "all") {
-			x.statements = nil
+			x.statements = statements{}
 			return appendComplete(b, "DEALLOCATE ALL"), nil
 		}
-		delete(x.statements, l.name)
+		x.statements.remove(l.name)
 		return appendComplete(b, "DEALLOCATE"), nil
 	default:
 		return b, &failure.Refusal{
@@ -153,15 +157,15 @@
 	}
 }
 
-func (x *session) runSet(b []byte, l look) ([]byte, *failure.Refusal) {
-	if l.name == "all" {
+func (x *session) runSet(b []byte, l look, tag string) ([]byte, *failure.Refusal) {
+	if l.verb == verbReset && l.name == "all" {
 		x.settings = settings{}
-		return appendComplete(b, "RESET"), nil
+		return appendComplete(b, tag), nil
 	}
 	if r := x.settings.set(x, l.name, l.value); r != nil {
 		return b, r
 	}
-	b = appendComplete(b, "SET")
+	b = appendComplete(b, tag)
 	switch l.name {
 	case settingApplication, settingReadOnly:
 		b = appendParameter(b, l.name, x.settings.show(x, l.name, ""))
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -55,9 +55,11 @@
 	settings settings
 	// token is the greatest point seen, told the one that the caller knows.
 	token, told fleet.Point
+	// served is what gave the last answer, servedTold what the caller knows.
+	served, servedTold server
 
-	statements map[string]*statement
-	portals    map[string]*statement
+	statements statements
+	portals    portals
 	batch      *batch
 	// skipping drops messages up to Sync, after an error answered to a Flush;
 	// flushing is set while a Flush waits for Sync.
@@ -123,12 +125,21 @@
 
 // process works on buffered input until an answer is owed or a message is
 // incomplete.
+//
+// The bound on steps is made for callers that pipeline what the host answers
+// itself: the other sessions of the event loop get their turn in between.
 func (x *session) process() {
-	for x.step() {
-		continue
+	for range maxSteps {
+		if !x.step() {
+			return
+		}
 	}
+	x.post((*session).process)
 }
 
+// maxSteps is about a millisecond of work.
+const maxSteps = 512
+
 func (x *session) step() bool {
 	switch x.phase {
 	case phaseStartup:
@@ -139,6 +150,7 @@
 		return x.message()
 	case phaseLinger:
 		_, _ = x.conn.Discard(-1)
+	case phaseClosed:
 	}
 	return false
 }
@@ -193,7 +205,7 @@
 	x.abandon()
 	x.phase = phaseClosed
 	x.srv.unregister(x)
-	x.statements, x.portals, x.batch, x.proof = nil, nil, nil, nil
+	x.statements, x.portals, x.batch, x.proof = statements{}, portals{}, nil, nil
 }
 
 // abandon gives up what runs for the session. An open transaction is released,
--- /dev/null
+++ b/io/grants/clock.go
@@ -0,0 +1,31 @@
+package grants
+
+import (
+	"time"
+
+	"skylarkdeal/core/allot"
+)
+
+// clock gives two readings of one host's time. Whatever this host has to end
+// goes by late, and whatever another host has to end first goes by early.
+type clock struct {
+	now   func() time.Time
+	first time.Time
+	clock allot.Clock
+}
+
+func (c *clock) start(now func() time.Time) {
+	c.now, c.first = now, now()
+}
+
+// early returns the monotonic time.
+func (c *clock) early() time.Time {
+	return c.now()
+}
+
+// late returns the time as allot.Clock has it.
+func (c *clock) late() time.Time {
+	t := c.now()
+	wall := t.Round(0).Sub(c.first.Round(0))
+	return c.first.Add(c.clock.Late(wall, t.Sub(c.first)))
+}
