--- a/internal/edit/edit_test.go
+++ b/internal/edit/edit_test.go
@@ -203,6 +203,25 @@
 	c.Assert(string(h.Text), qt.Equals, string(text(3)))
 }
 
+// The answer of a put is lost after the effect, and nobody else edits. The put is
+// sent again, is refused as the document has changed, and has to see that the
+// change is its own.
+func TestLostAnswerOfOwnEdit(t *testing.T) {
+	c := qt.New(t)
+	m := newMemory()
+	m.fault = func() fault { return faultAnswer }
+	e := &edit.Editor{Store: m.store(), Root: "/"}
+	e.Sleep = func(context.Context, time.Duration) bool {
+		m.fault = func() fault { return faultNone }
+		return true
+	}
+	got, err := e.Put(context.Background(), text(1), 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Version, qt.Equals, document.Version(2))
+	c.Assert(got.ReplacedBy, qt.Equals, document.Version(0))
+	c.Assert(m.took, qt.HasLen, 1)
+}
+
 func TestUnknownOutcomeSaysSo(t *testing.T) {
 	c := qt.New(t)
 	m := newMemory()
--- a/io/platform/dial.go
+++ b/io/platform/dial.go
@@ -139,7 +139,8 @@
 	}
 }
 
-// call makes one bounded call and tells the gate how it went.
+// call makes one bounded call and tells the gate how it went. A call that its
+// caller gave up says nothing about the store.
 func call[T any](
 	ctx context.Context, c *client, k Kind, do func(ctx context.Context, e endpoint) (T, error),
 ) (T, error) {
@@ -153,11 +154,13 @@
 		c.counts.held(k)
 		return none, failure.At(err, failure.Step(k), peer)
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	bounded, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
 	c.counts.made(k)
-	a, err := do(ctx, e)
-	c.settle(e, k, err)
+	a, err := do(bounded, e)
+	if ctx.Err() == nil {
+		c.settle(e, k, err)
+	}
 	return a, failure.At(err, failure.Step(k), peer)
 }
 
--- a/io/platform/platform_test.go
+++ b/io/platform/platform_test.go
@@ -183,6 +183,22 @@
 	c.Assert(err, qt.ErrorMatches, `.*get with store 127.*deadline_exceeded.*`)
 }
 
+func TestCancelledCallsDontHoldOthersBack(t *testing.T) {
+	c := qt.New(t)
+	server := start(c, store.Config{})
+	s := dial(c, platform.Config{Endpoints: []string{server.Addr()}})
+	server.Set(func(f *store.Faults) { f.Pause = true })
+	ctx, cancel := context.WithCancel(context.Background())
+	var duty sync.WaitGroup
+	duty.Go(func() { _, _ = s.Get(ctx, "/k") })
+	eventually(c, "the call waits", func() bool { return server.Calls()[store.KindRange] == 1 })
+	cancel()
+	duty.Wait()
+	server.Set(func(f *store.Faults) { f.Pause = false })
+	_, err := s.Get(context.Background(), "/k")
+	c.Assert(err, qt.IsNil)
+}
+
 // The store is down for a while and hundreds of hosts have calls to make. If all
 // were sent, and sent again at its return, they would end it once more. So while
 // it is down a host makes one try for each back-off interval, and the calls that
