--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -205,6 +205,27 @@
 	c.Assert(i.Key, qt.Equals, uint64(1000))
 }
 
+// An account's first statement was expected to be quick and held its slot for a
+// hundred times as long. It has had its share, so the others' go first now.
+func TestUnexpectedlyLongStatementIsPaidFor(t *testing.T) {
+	c := qt.New(t)
+	var q admit.Queue
+	anywhere := func(admit.Item) bool { return true }
+	for k := range uint64(2) {
+		q.Offer(epoch, admit.Item{Key: k, Account: "a", Weight: 1})
+	}
+	for k := range uint64(20) {
+		q.Offer(epoch, admit.Item{Key: 100 + k, Account: "b", Weight: 1})
+	}
+	i, _ := q.Next(epoch, anywhere)
+	c.Assert(i.Account, qt.Equals, fleet.Account("a"))
+	q.Finished(epoch, i.Key, 100*time.Millisecond)
+	for range 20 {
+		i, _ = q.Next(epoch, anywhere)
+		c.Assert(i.Account, qt.Equals, fleet.Account("b"))
+	}
+}
+
 // TestNothingIsLostOrRunTwice drives a queue at random and accounts for each item.
 func TestNothingIsLostOrRunTwice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/core/allot/guard_test.go
+++ b/core/allot/guard_test.go
@@ -69,6 +69,7 @@
 	h, now := filled(allot.Share{Rate: 10, Burst: 10})
 	h.Change(now, 3, allot.Share{Rate: 1, Burst: 2}, true)
 	h.Change(now, 2, allot.Share{Rate: 10, Burst: 10}, true)
+	now = now.Add(time.Minute)
 	qt.Assert(t, h.Ask(now, allot.Ask{Urgent: 10}).Tokens, qt.Equals, allot.Tokens(2))
 }
 
@@ -224,3 +225,15 @@
 		}
 	}
 }
+
+func BenchmarkAskAndGrant(b *testing.B) {
+	h, now := filled(allot.Share{Rate: 1e9, Burst: 1e9})
+	s := allot.Spender{Own: dc}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(10 * time.Millisecond)
+		w, _ := s.Next(now, 1, threeDCs[1:2])
+		s.Granted(now, now, dc, w.Ask, h.Ask(now, w.Ask))
+		s.TakeAny(now, 1)
+	}
+}
