--- a/io/grants/grants.go
+++ b/io/grants/grants.go
@@ -115,7 +115,7 @@
 	}
 	r.clock.start(cfg.Now)
 	r.witness.Since = r.clock.late()
-	r.metrics.init(cfg.Registerer)
+	r.initMetrics()
 	return r
 }
 
--- a/io/grants/seats.go
+++ b/io/grants/seats.go
@@ -146,6 +146,7 @@
 	if s.tenure.Held() {
 		s.tenure.Lost()
 		r.dropHomes(h)
+		r.note(h, "lose", "another host holds it, or it was given up")
 	}
 }
 
@@ -343,10 +344,16 @@
 		r.dropHomes(h)
 		r.startHomes(h)
 	}
+	r.note(h, "take", fmt.Sprintf("tenure %d, witness %s", rec.Tenure, rec.Witness.Host))
+}
+
+// note records a decision on a seat in the journal and the log.
+func (r *Runtime) note(h roster.Shard, choice, reason string) {
+	n := string(seatName(r.cfg.DataCentre, h))
 	r.cfg.Journal.Add(journal.Decision{
-		At: r.cfg.Now(), Kind: journal.KindAllot, Subject: "seat=" + string(seatName(r.cfg.DataCentre, h)),
-		Choice: "take", Reason: fmt.Sprintf("tenure %d, witness %s", rec.Tenure, rec.Witness.Host),
+		At: r.cfg.Now(), Kind: journal.KindAllot, Subject: "seat=" + n, Choice: choice, Reason: reason,
 	})
+	r.cfg.Logger.Info("seat", zap.String("seat", n), zap.String("choice", choice), zap.String("reason", reason))
 }
 
 // pickWitness returns a live host, rather of the own data centre, so that a data
--- a/io/grants/state.go
+++ b/io/grants/state.go
@@ -16,19 +16,48 @@
 	granted, calls, failed prometheus.Counter
 }
 
-func (m *metrics) init(reg prometheus.Registerer) {
+func (r *Runtime) initMetrics() {
 	counter := func(n, help string) prometheus.Counter {
-		c := prometheus.NewCounter(prometheus.CounterOpts{
+		return prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: "skylarkdeal", Subsystem: "grants", Name: n, Help: help,
 		})
-		if reg != nil {
-			reg.MustRegister(c)
-		}
-		return c
 	}
-	m.granted = counter("granted_tokens_total", "Tokens granted as a home.")
-	m.calls = counter("calls_total", "Requests for tokens sent to other hosts.")
-	m.failed = counter("failed_calls_total", "Requests for tokens that were not answered.")
+	r.metrics.granted = counter("granted_tokens_total", "Tokens granted as a home.")
+	r.metrics.calls = counter("calls_total", "Requests for tokens sent to other hosts.")
+	r.metrics.failed = counter("failed_calls_total", "Requests for tokens that were not answered.")
+	if r.cfg.Registerer != nil {
+		r.cfg.Registerer.MustRegister(r.metrics.granted, r.metrics.calls, r.metrics.failed, collector{r})
+	}
+}
+
+// collector reports each account's exchanges when the metrics are read, so that
+// letting one through costs no look-up of a metric.
+type collector struct {
+	r *Runtime
+}
+
+var (
+	admittedDesc = prometheus.NewDesc("skylarkdeal_grants_admitted_total",
+		"Exchanges let through by their account's rate.", []string{"service", "account"}, nil)
+	refusedDesc = prometheus.NewDesc("skylarkdeal_grants_refused_total",
+		"Exchanges refused by their account's rate.", []string{"service", "account"}, nil)
+)
+
+// Describe sends the descriptions of the metrics.
+func (collector) Describe(c chan<- *prometheus.Desc) {
+	c <- admittedDesc
+	c <- refusedDesc
+}
+
+// Collect sends the metrics.
+func (l collector) Collect(c chan<- prometheus.Metric) {
+	send := func(d *prometheus.Desc, n uint64, e *entry) {
+		c <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(n), string(e.service), string(e.account))
+	}
+	l.r.entries.each(func(e *entry) {
+		send(admittedDesc, e.admitted.Load(), e)
+		send(refusedDesc, e.refused.Load(), e)
+	})
 }
 
 // State is what a state dump shows of the grants.
