--- a/io/caller/message.go
+++ b/io/caller/message.go
@@ -33,10 +33,14 @@
 		return false
 	}
 	x.dropFrame(body)
-	if x.batch != nil && len(x.batch.payload) > limit {
+	if x.batch != nil && (len(x.batch.payload) > limit || len(x.batch.ops) > maxOps) {
 		x.end(errBatch)
 		return false
 	}
+	if x.conn.OutboundBuffered() > unreadFactor*x.srv.cfg.MaxUnread {
+		x.stalled()
+		return false
+	}
 	if typ == msgQuery || typ == msgSync || typ == msgFlush || typ == msgFunctionCall {
 		x.submit(typ)
 	}
@@ -64,6 +68,10 @@
 	}
 )
 
+// unreadFactor times MaxUnread ends a session that asks on without reading: the
+// answers that the host gives itself wait for no runner that could be held up.
+const unreadFactor = 4
+
 // boundAhead ends a session that sends more ahead than the host will hold. Made
 // for callers that pipeline without reading: gnet goes on reading, so the bound
 // has to be kept here. Twice the limit of a message lets one whole batch and
@@ -113,14 +121,15 @@
 	}
 	b := x.current()
 	l := lookAt(string(sql))
-	b.executed = append(b.executed, l)
+	s := &statement{look: l}
+	b.executed = append(b.executed, s)
 	if !l.local() {
 		b.remote++
 		b.raw(msgQuery, body)
 		return true
 	}
 	b.local++
-	b.ops = append(b.ops, op{msg: msgQuery, stmt: &statement{look: l}})
+	b.ops = append(b.ops, op{msg: msgQuery, stmt: s})
 	if !l.single {
 		b.refuse(&failure.Refusal{
 			Code: failure.CodeUnsupported, Step: "set",
@@ -143,8 +152,9 @@
 	b := x.batch
 	x.batch = nil
 	if x.flushing {
-		x.flushing = false
+		x.flushing, x.idleWatched = false, false
 		x.srv.waitUntil(x, zeroTime)
+		x.watchIdle()
 	}
 	if !x.checkKey() {
 		return
@@ -203,7 +213,7 @@
 		// Parse and Describe change nothing.
 		return true
 	}
-	if l := b.executed[0]; len(b.executed) == 1 && l.verb == verbBegin {
+	if l := b.executed[0].look; len(b.executed) == 1 && l.verb == verbBegin {
 		return l.single && (l.readOnly == "on" || (l.readOnly == "" && x.settings.readOnly))
 	}
 	return x.settings.readOnly && b.plain()
@@ -212,11 +222,11 @@
 // plain reports whether nothing in the batch can begin a transaction, or can
 // end one and go on.
 func (b *batch) plain() bool {
-	if len(b.executed) == 1 && b.executed[0].endsTx() {
+	if len(b.executed) == 1 && b.executed[0].look.endsTx() {
 		return true
 	}
-	for _, l := range b.executed {
-		if !l.single || l.verb != verbOther {
+	for _, s := range b.executed {
+		if l := s.look; !l.single || l.verb != verbOther {
 			return false
 		}
 	}
@@ -229,8 +239,8 @@
 // free too, so that a driver which prepares first is not charged twice.
 func (x *session) charge(b *batch) int {
 	n := 0
-	for _, l := range b.executed {
-		if x.tx.status == exchange.TxIdle || !l.endsTx() {
+	for _, s := range b.executed {
+		if x.tx.status == exchange.TxIdle || !s.look.endsTx() {
 			n++
 		}
 	}
--- a/io/grants/serve.go
+++ b/io/grants/serve.go
@@ -34,6 +34,9 @@
 			r.answered(busy, res)
 		case <-t.C:
 			r.lookAfter(busy)
+		case returned := <-r.leaves.Out():
+			r.giveBack()
+			close(returned)
 		}
 		r.drain(busy)
 		r.flush()
@@ -116,15 +119,10 @@
 // wanted any.
 func (e *entry) soonest(now time.Time, n allot.Tokens) time.Duration {
 	a, ok := e.document.Load().Account(e.account)
-	if !ok || a.Rate <= 0 {
+	if !ok {
 		return time.Second
 	}
-	wait := e.spender.Earliest(now, e.dataCentres()).Sub(now)
-	more := float64(n-e.spender.Left(now)) - a.Burst
-	if wait > 0 {
-		more = float64(n - e.spender.Left(now) - 1)
-	}
-	return max(0, wait) + time.Duration(max(0, more)/a.Rate*float64(time.Second))
+	return e.spender.Soonest(now, allot.Share{Rate: a.Rate, Burst: a.Burst}, n, e.dataCentres())
 }
 
 func (e *entry) refusal(now time.Time) *failure.Refusal {
@@ -175,13 +173,11 @@
 
 // refuseAll answers what still waits when the host stops.
 func (r *Runtime) refuseAll(busy active) {
-	r.drain(busy)
+	r.stopped.Store(true)
+	r.refuseArrivals()
 	for e := range busy {
 		for _, w := range e.waiters {
-			e.answer(w, &failure.Refusal{
-				Code: failure.CodeShuttingDown, Message: "not run: the host is shutting down",
-				RetryAfter: minRetryAfter, Step: "admit",
-			})
+			e.answer(w, stopping())
 		}
 		e.waiters = nil
 	}
--- a/io/host/outbound.go
+++ b/io/host/outbound.go
@@ -21,8 +21,6 @@
 	// outboundRing is how many exchanges wait for the writer of one stream. It
 	// is filled only when the peer takes nothing, and then more would time out.
 	outboundRing = 1024
-	// connectTimeout bounds the opening of a stream, Hello included.
-	connectTimeout = time.Second
 	// The pause between two attempts grows from firstPause to lastPause, so
 	// that many hosts that lost one peer don't all come back to it at once.
 	firstPause = 20 * time.Millisecond
@@ -75,6 +73,11 @@
 
 // run queues one exchange for the stream.
 func (o *outbound) run(q *exchange.Request, reply exchange.Reply) {
+	if size(q) > limit(o.peers.MessageLimit) {
+		reply.Refuse(&failure.Refusal{Code: failure.CodeTooLarge, Message: "not run: too large to be forwarded",
+			Step: stepForward, Peer: peerName(o.host)})
+		return
+	}
 	f := &flight{out: o, seq: o.peers.seq.Add(1), q: q, reply: reply}
 	if err := o.enter(f); err != nil {
 		reply.Refuse(notRun(o.host, err))
@@ -85,6 +88,15 @@
 	}
 }
 
+// size is about what q takes in a message.
+func size(q *exchange.Request) int {
+	n := len(q.Payload)
+	for _, s := range q.Statements {
+		n += len(s.Name) + len(s.SQL) + 5*len(s.Types)
+	}
+	return n
+}
+
 func (o *outbound) enter(f *flight) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -246,6 +258,7 @@
 	for _, f := range all {
 		o.finish(f, err)
 	}
+	o.peers.metrics.ended.Inc()
 	o.peers.log().Info("stream to peer ended", zap.String("host", string(o.host)),
 		zap.Int("exchanges", len(all)), zap.Error(err))
 }
--- a/io/platform/follow.go
+++ b/io/platform/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -31,9 +32,15 @@
 	// Jitter returns a number from 0 up to 1.
 	Jitter func() float64
 
-	seen    atomic.Int64
-	listed  bool
-	problem string
+	// seen is where the watch has got to. It goes back when the entries are
+	// listed anew; known doesn't, so that a store's old answers are told from new
+	// ones.
+	seen  atomic.Int64
+	known atomic.Int64
+	// patience is how many checks in a row a change may stay unseen.
+	patience atomic.Int64
+	listed   bool
+	problem  string
 }
 
 // DefaultCheck is how often a watch is checked. With one watch in each of ten
@@ -47,6 +54,9 @@
 	// pastChecks is how many checks in a row find the store behind what is known
 	// before its entries are listed anew: one may have met a lagging member.
 	pastChecks = 3
+	// maxPatience bounds the checks that a slow watch is given: with those 2 s
+	// apart, two minutes.
+	maxPatience = 64
 )
 
 var (
@@ -55,18 +65,24 @@
 )
 
 // Run follows until ctx ends.
+//
+// A watch that broke is opened again only after all entries are listed anew. A
+// store that was reset to lower revisions ends its watches too, and may have come
+// back to the revision that was seen last by the time of the next look: a watch
+// from there would pass over what was written in between, and nothing would show
+// it. A silent watch goes on from its last revision, for the store has answered
+// all along.
 func (f *Follower) Run(ctx context.Context) {
 	f.listed = false
 	f.problem = ""
+	f.patience.Store(1)
 	for ctx.Err() == nil {
 		err := f.once(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		f.report(err)
-		if errors.Is(err, ErrCompacted) || errors.Is(err, errPast) {
-			f.listed = false
-		}
+		f.listed = errors.Is(err, errSilent)
 		f.sleep(ctx, pause)
 	}
 }
@@ -78,17 +94,15 @@
 			return err
 		}
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	ctx, cancel := context.WithCancel(ctx)
 	broken := make(chan error, 1)
-	go func() {
+	var duty sync.WaitGroup
+	duty.Go(func() {
 		broken <- f.Store.Watch(ctx, f.Prefix, Revision(f.seen.Load()), f.take)
-	}()
+	})
 	err := f.check(ctx, broken)
-	if err != nil {
-		cancel(err)
-		<-broken
-	}
+	cancel()
+	duty.Wait()
 	return err
 }
 
@@ -104,6 +118,7 @@
 	}
 	f.See(c)
 	f.seen.Store(int64(at))
+	f.learn(at)
 	f.listed = true
 	f.confirm(sent, 0, at)
 	return nil
@@ -112,10 +127,21 @@
 func (f *Follower) take(b Batch) {
 	if len(b.Changes) > 0 {
 		f.See(b.Changes)
+		f.patience.Store(1)
 	}
 	if int64(b.At) > f.seen.Load() {
 		f.seen.Store(int64(b.At))
 	}
+	f.learn(b.At)
+}
+
+func (f *Follower) learn(r Revision) {
+	for {
+		k := f.known.Load()
+		if int64(r) <= k || f.known.CompareAndSwap(k, int64(r)) {
+			return
+		}
+	}
 }
 
 // check compares what the watch has told with the store until the watch breaks
@@ -124,20 +150,20 @@
 // A connection cut without a word, or a store that forgets its watches, shows as
 // a watch that says nothing, which is what a quiet day looks like too. A read of
 // the newest revision doesn't depend on the watch; when one check's revision is
-// still unseen at the next, no delay explains it.
-func (f *Follower) check(ctx context.Context, broken chan error) error {
-	var unseen Revision
+// still unseen at the next, the watch is opened anew. A watch that is merely slow
+// would be cut off again and again before it has told anything, so each time
+// that happens the next is given twice as long.
+func (f *Follower) check(ctx context.Context, broken <-chan error) error {
+	var s suspicion
 	past := 0
 	for {
 		t := time.NewTimer(f.spread(f.interval()))
 		select {
 		case <-ctx.Done():
 			t.Stop()
-			<-broken
 			return nil
 		case err := <-broken:
 			t.Stop()
-			broken <- nil
 			if err == nil {
 				err = unexpected("the end of the watch")
 			}
@@ -150,13 +176,10 @@
 			f.report(err)
 			continue
 		}
-		if unseen > 0 && Revision(f.seen.Load()) < unseen {
-			return fmt.Errorf("%w: revision %d", errSilent, unseen)
-		}
-		unseen = 0
 		switch {
-		case newest > Revision(f.seen.Load()):
-			unseen = newest
+		case f.silent(newest, &s):
+			return fmt.Errorf("%w: revision %d", errSilent, s.unseen)
+		case s.unseen > 0:
 		case f.confirm(sent, newest, at):
 			past = 0
 		default:
@@ -167,10 +190,34 @@
 	}
 }
 
+// suspicion is a revision that the watch hasn't told of, for so many checks.
+type suspicion struct {
+	unseen Revision
+	checks int64
+}
+
+// silent reports whether the watch is to be given up.
+func (f *Follower) silent(newest Revision, s *suspicion) bool {
+	seen := Revision(f.seen.Load())
+	if s.unseen > seen {
+		s.checks++
+		if s.checks < f.patience.Load() {
+			return false
+		}
+		f.patience.Store(min(2*s.checks, maxPatience))
+		return true
+	}
+	*s = suspicion{}
+	if newest > seen {
+		s.unseen = newest
+	}
+	return false
+}
+
 // confirm reports a time of confirmation, unless the store is behind what is
 // known: an old answer proves nothing about now.
 func (f *Follower) confirm(sent time.Time, newest, at Revision) bool {
-	known := max(Revision(f.seen.Load()), newest)
+	known := max(Revision(f.known.Load()), newest)
 	if f.Floor != nil {
 		known = max(known, f.Floor())
 	}
--- a/standin/store/data.go
+++ b/standin/store/data.go
@@ -29,9 +29,11 @@
 }
 
 var (
-	errFuture    = connect.NewError(connect.CodeOutOfRange, errors.New("etcdserver: mvcc: required revision is a future revision"))
-	errCompacted = connect.NewError(connect.CodeOutOfRange, errors.New("etcdserver: mvcc: required revision has been compacted"))
-	errNoLease   = connect.NewError(connect.CodeNotFound, errors.New("etcdserver: requested lease not found"))
+	errFuture = connect.NewError(connect.CodeOutOfRange,
+		errors.New("etcdserver: mvcc: required revision is a future revision"))
+	errCompacted = connect.NewError(connect.CodeOutOfRange,
+		errors.New("etcdserver: mvcc: required revision has been compacted"))
+	errNoLease = connect.NewError(connect.CodeNotFound, errors.New("etcdserver: requested lease not found"))
 )
 
 func (d *data) init() {
