Date a proof by the clock of the moment; count the chosen request as waiting

A host paused within a step went on with the step's time, and an old proof of a primary looked young. The check reads the clock anew.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -38,7 +38,7 @@
 // Loads is the use of the instances, and of the group's queue.
 type Loads struct {
 	Instances map[fleet.Instance]Load
-	// Waiting is how many requests the queue holds.
+	// Waiting is how many requests the queue holds, with the one chosen for.
 	Waiting int
 }
 
--- a/core/place/guard_test.go
+++ b/core/place/guard_test.go
@@ -72,6 +72,8 @@
 	s := settled()
 	s.slots = 1
 	long := place.Facts{Intent: exchange.IntentWrite, Long: true}
+	// The queue holds the request that is chosen for, and then another.
+	s.queue = append(s.queue, &request{})
 	c.Assert(s.choose(long).Action, qt.Equals, place.ActionRun)
 	s.queue = append(s.queue, &request{})
 	c.Assert(s.choose(long).Action, qt.Equals, place.ActionWait)
--- a/io/steward/bench_test.go
+++ b/io/steward/bench_test.go
@@ -75,20 +75,15 @@
 
 // strike fails instance a, the primary. A cut leaves it with host h0.
 func (f *fleetOf) strike(kind string) {
-	set := func(n fleet.Instance, t ledger.Fault) {
-		if err := f.group.Set(n, t); err != nil {
-			panic(err)
-		}
-	}
 	switch kind {
 	case "crash":
-		set("a", ledger.Fault{Kind: ledger.FaultDie})
+		f.set("a", ledger.Fault{Kind: ledger.FaultDie})
 	case "hang":
-		set("a", ledger.Fault{Kind: ledger.FaultPause})
+		f.set("a", ledger.Fault{Kind: ledger.FaultPause})
 	case "cut":
-		set("a", ledger.Fault{Kind: ledger.FaultCut, From: []string{"b", "c", "h1", "h2"}})
-		set("b", ledger.Fault{Kind: ledger.FaultCut, From: []string{"a", "h0"}})
-		set("c", ledger.Fault{Kind: ledger.FaultCut, From: []string{"a", "h0"}})
+		f.set("a", ledger.Fault{Kind: ledger.FaultCut, From: []string{"b", "c", "h1", "h2"}})
+		f.set("b", ledger.Fault{Kind: ledger.FaultCut, From: []string{"a", "h0"}})
+		f.set("c", ledger.Fault{Kind: ledger.FaultCut, From: []string{"a", "h0"}})
 		f.mu.Lock()
 		f.away["h0"] = true
 		f.mu.Unlock()
@@ -130,3 +125,42 @@
 	b.ReportMetric(ms(took[len(took)/2]), "median-ms")
 	b.ReportMetric(ms(took[len(took)*99/100]), "p99-ms")
 }
+
+// BenchmarkCalm counts promotions, of which none is due, in runs of 4 s with one
+// fault each: one host's link to the primary is cut, the primary's answers take
+// 400 ms, or the preferred holder is paused for 2 s.
+func BenchmarkCalm(b *testing.B) {
+	faults := map[string]func(f *fleetOf){
+		"bad-link": func(f *fleetOf) {
+			f.set("a", ledger.Fault{Kind: ledger.FaultCut, From: []string{"h1"}})
+		},
+		"slow-primary": func(f *fleetOf) { f.slow.Store(int64(400 * time.Millisecond)) },
+		"paused-host":  func(f *fleetOf) { f.pause.Store(int64(2 * time.Second)) },
+	}
+	for name, strike := range faults {
+		b.Run(name, func(b *testing.B) {
+			var promotions int
+			for range b.N {
+				promotions += int(calmOnce(b, strike))
+			}
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(float64(promotions), "promotions")
+		})
+	}
+}
+
+func calmOnce(b *testing.B, strike func(f *fleetOf)) fleet.Term {
+	b.Helper()
+	f := newFleet(b, time.Millisecond)
+	defer f.close()
+	w := &writer{fleet: f, host: "h0", rule: document.AcknowledgeReplicated, acked: make(map[fleet.Point]string)}
+	defer w.close()
+	w.first(b)
+	strike(f)
+	end := time.Now().Add(4 * time.Second)
+	for n := 0; time.Now().Before(end); n++ {
+		_, _ = w.write("calm"+strconv.Itoa(n), time.Second)
+		_ = sleep(f.ctx, 10*time.Millisecond)
+	}
+	return f.group.Status(f.group.Primary()).Promised - 1
+}
--- a/io/steward/cluster_test.go
+++ b/io/steward/cluster_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/goleak"
 
 	"skylarkdeal/core/document"
+	"skylarkdeal/core/failure"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/group/grouptest"
 	"skylarkdeal/core/journal"
@@ -31,6 +32,7 @@
 	healthy fault = ""
 	crashed fault = "crashed"
 	hung    fault = "hung"
+	full    fault = "full"
 )
 
 // cluster is a group of instances and its holders in one process, with a real
@@ -163,6 +165,9 @@
 	if c.faults[n] == crashed {
 		return fleet.Status{}, syscall.ECONNREFUSED
 	}
+	if c.faults[n] == full {
+		return fleet.Status{}, &failure.Refusal{Code: failure.CodeTooManySessions}
+	}
 	if c.faults[n] == hung || c.cut[h][n] {
 		return fleet.Status{}, errHung
 	}
--- a/io/steward/ledger_test.go
+++ b/io/steward/ledger_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +35,15 @@
 	stewards map[fleet.Host]*steward.Steward
 	mu       sync.Mutex
 	away     map[fleet.Host]bool
+	// slow delays the answers of instance a, pause the next step of host h0.
+	slow  atomic.Int64
+	pause atomic.Int64
+}
+
+func (f *fleetOf) set(n fleet.Instance, t ledger.Fault) {
+	if err := f.group.Set(n, t); err != nil {
+		panic(err)
+	}
 }
 
 func newFleet(tb testing.TB, lag time.Duration) *fleetOf {
@@ -83,6 +93,9 @@
 		},
 	})
 	f.stewards[m.Host] = s
+	if m.Host == "h0" {
+		s.OnChange(func() { _ = sleep(f.ctx, time.Duration(f.pause.Swap(0))) })
+	}
 	f.wait.Go(func() { s.Run(f.ctx) })
 }
 
@@ -107,7 +120,11 @@
 	})
 	return control.Client{
 		Status: func(ctx context.Context) (fleet.Status, error) {
-			if err := sleep(ctx, 2*linkTime); err != nil {
+			late := 2 * linkTime
+			if i.Name == "a" {
+				late += time.Duration(f.slow.Load())
+			}
+			if err := sleep(ctx, late); err != nil {
 				return fleet.Status{}, err
 			}
 			return k.Status(ctx)
--- a/io/steward/steward_test.go
+++ b/io/steward/steward_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -174,3 +175,39 @@
 		func(err error) { out <- err })
 	q.Assert(<-out, qt.ErrorMatches, "08007: .*")
 }
+
+// With acknowledge = primary a host learns that the primary is still the
+// primary, is paused, and wakes after a promotion that has lost the write. It
+// must not say then that the write is safe.
+func TestPausedHostDoesNotConfirmByAnOldProof(t *testing.T) {
+	q := qt.New(t)
+	c := newCluster(t, time.Millisecond)
+	c.ready(t)
+	c.writeUntil(t, "h0", anyPoint)
+	var armed atomic.Bool
+	c.stewards["h0"].OnChange(func() {
+		if armed.Swap(false) {
+			c.set(func() { c.faults["b"], c.faults["c"] = hung, hung })
+			_ = sleep(c.ctx, time.Second)
+		}
+	})
+	armed.Store(true)
+	_, err := c.write("h0", document.AcknowledgePrimary, "slept through", 1500*time.Millisecond)
+	q.Assert(err, qt.ErrorMatches, "08007: .*")
+	q.Assert(armed.Load(), qt.IsFalse)
+}
+
+// The primary has all its connections in use and refuses another one to ask for
+// its status. A promotion would add to the load, and is not due.
+func TestPrimaryWithoutFreeConnectionsIsNotReplaced(t *testing.T) {
+	q := qt.New(t)
+	c := newCluster(t, time.Millisecond)
+	c.ready(t)
+	c.set(func() { c.faults["a"] = full })
+	from := c.asked("h0")
+	// At the slowest pace this takes longer than any silence that is borne.
+	eventually(t, func() bool { return c.asked("h0")-from > 40 })
+	q.Assert(c.stewards["h0"].Table().Term, qt.Equals, fleet.Term(1))
+	c.set(func() { c.faults["a"] = healthy })
+	c.writeUntil(t, "h0", func(p fleet.Point) bool { return p.Term == 1 })
+}
--- a/io/steward/wait.go
+++ b/io/steward/wait.go
@@ -117,7 +117,9 @@
 func (s *Steward) settleWrite(now time.Time, t group.Table, w *waiter) bool {
 	since := w.since
 	if w.rule == document.AcknowledgePrimary {
-		since = later(since, now.Add(-proofLife))
+		// The time of the step may be long past, since the host may be paused
+		// anywhere.
+		since = later(since, s.cfg.Now().Add(-proofLife))
 	}
 	switch t.Acknowledge(w.rule, w.point, since) {
 	case group.VerdictAcknowledge:
