Refuse what a cut-off data centre can't prove, and let minorities rest

Hosts left with the old primary went on sending it writes, which ran and ended as unknown, and a minority would have fenced its replica again and again, which forces a promotion once the cut heals. Writes and reads that need a majority now wait unsent while none answers, and a minority proposes nothing.

--- a/core/group/suspect.go
+++ b/core/group/suspect.go
@@ -141,8 +141,12 @@
 // It guards against promoting because of one bad link, one paused host or one
 // data centre's cut: such a fault shows as a primary that is silent to one host
 // or data centre only. Any host that reaches the primary stops the promotion,
-// and two hosts have to miss it, in two data centres where the group or its
-// hosts have several. When no other can be asked, AloneAfter has to pass.
+// and two hosts have to miss it, in two data centres where the instances have
+// several. When no other can be asked, AloneAfter has to pass.
+//
+// A host that doesn't reach a majority of the instances proposes nothing. It
+// would fence the few that it reaches again and again; once the cut heals, they
+// would refuse the primary that the others have, and force it out.
 func Judge(now time.Time, p Policy, t Table, me Witness, views []View, order []fleet.Host) Judgement {
 	if j := p.stranded(now, t); j.Cause != CauseNone {
 		j.Rank = rank(me.Host, order, nil)
@@ -157,6 +161,9 @@
 		j.Rank = rank(me.Host, order, nil)
 		return j
 	}
+	if !t.Quorate(now) {
+		return Judgement{Reason: "a majority of the instances is silent"}
+	}
 	agree := []Witness{me}
 	for _, v := range views {
 		switch p.opinion(v, t) {
--- a/core/group/suspect_test.go
+++ b/core/group/suspect_test.go
@@ -317,3 +317,21 @@
 	k := group.Judge(w.now, keep, w.group.Table(w.now), group.Witness{Host: "h0"}, nil, nil)
 	c.Assert(k.Cause, qt.Equals, group.CauseNone)
 }
+
+// A host is cut off with one replica and another host. Fencing what it reaches
+// would have that replica refuse the group's primary after the cut.
+func TestMinorityProposesNothing(t *testing.T) {
+	c := qt.New(t)
+	w := newWatcher()
+	w.watch(time.Second)
+	w.dead["a"], w.dead["b"] = true, true
+	w.watch(10 * time.Second)
+	c.Assert(w.judge(view("h1", "dc-b", 10*time.Second)).Cause, qt.Equals, group.CauseNone)
+	// The replica that it reaches has been fenced by someone: still nothing.
+	c.Assert(w.instances[2].Fence(2, "h9/1/1"), qt.IsNil)
+	w.watch(time.Second)
+	c.Assert(w.judge().Cause, qt.Equals, group.CauseNone)
+	w.dead["b"] = false
+	w.watch(time.Second)
+	c.Assert(w.judge(view("h1", "dc-b", 10*time.Second)).Cause, qt.Not(qt.Equals), group.CauseNone)
+}
--- a/core/group/unfit.go
+++ b/core/group/unfit.go
@@ -12,20 +12,13 @@
 // view of others is needed, since terms are facts whoever reads them.
 func (p Policy) stranded(now time.Time, t Table) Judgement {
 	top := nextTerm(t) - 1
-	var reach int
 	var since time.Time
 	for _, s := range t.Seen {
-		if !s.Known() {
-			continue
-		}
-		if !p.Suspects(s, now) {
-			reach++
-		}
 		if s.Status.Promised == top && s.Raised.After(since) {
 			since = s.Raised
 		}
 	}
-	if reach < Majority(len(t.Seen)) || t.Primary != "" && t.Term == top {
+	if !t.Quorate(now) || t.Primary != "" && t.Term == top {
 		return Judgement{}
 	}
 	if now.Sub(since) < orDefault(p.StrandedAfter, DefaultStrandedAfter) {
@@ -49,9 +42,23 @@
 // CanHandOver reports whether the primary can be replaced by an instance that
 // isn't leaving: those have to be a majority that answers.
 func (t Table) CanHandOver(now time.Time) bool {
+	return t.answering(now, func(s Seen) bool { return !s.Instance.Leaving })
+}
+
+// Quorate reports whether a majority of the instances answers this host. With
+// fewer no write could be confirmed and no promotion could succeed.
+func (t Table) Quorate(now time.Time) bool {
+	return t.answering(now, func(Seen) bool { return true })
+}
+
+// answerLimit is how long an instance may owe an answer and still count as
+// answering.
+const answerLimit = DefaultRefusedAfter
+
+func (t Table) answering(now time.Time, counts func(s Seen) bool) bool {
 	var n int
 	for _, s := range t.Seen {
-		if s.Known() && !s.Instance.Leaving && s.Silent(now) < DefaultRefusedAfter {
+		if s.Known() && counts(s) && s.Silent(now) < answerLimit {
 			n++
 		}
 	}
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -109,6 +109,10 @@
 		return Choice{Action: ActionWait, Reason: "no primary is known"}
 	case s.Silent(now) > suspicious:
 		return Choice{Action: ActionWait, Instance: t.Primary, Reason: "the primary is silent"}
+	case !t.Quorate(now):
+		// A data centre that is cut off with the old primary: the write would run
+		// and end as unknown. Unsent, it can be refused as not run.
+		return Choice{Action: ActionWait, Instance: t.Primary, Reason: "no majority of the instances answers"}
 	case s.Instance.Leaving && t.CanHandOver(now):
 		return Choice{Action: ActionWait, Instance: t.Primary, Reason: "the primary leaves"}
 	case !admits(u, f.Long, l.Waiting):
@@ -166,6 +170,9 @@
 	u := l.Instances[n]
 	each := max(u.Latency.Read(now), latencyFloor)
 	if n == t.Primary {
+		if !primaryServes(now, f, t, s) {
+			return option{}, false
+		}
 		o.role = fleet.RolePrimary
 		o.expect = patience + each*time.Duration(l.Waiting)/time.Duration(max(1, u.Slots))
 	} else if s.Status.Role != fleet.RoleReplica || !o.catchUp(now, f, t, s) {
@@ -178,6 +185,19 @@
 	return o, true
 }
 
+// primaryServes reports whether an answer of the primary will satisfy the read:
+// it does by what is known already, or the statuses to come will prove it, for
+// which a majority has to answer. A primary that has been replaced on the other
+// side of a cut never covers a token of a later term.
+func primaryServes(now time.Time, f Facts, t group.Table, s group.Seen) bool {
+	a := session.Answer{Point: s.Status.Last, Role: fleet.RolePrimary}
+	if f.Need.Satisfied(a, now, t) {
+		return true
+	}
+	after, ok := f.Need.After.Get()
+	return t.Quorate(now) && (!ok || after.Term <= t.Term)
+}
+
 // latencyFloor keeps an instance that nothing is measured of from looking free
 // of cost, so that its use still counts.
 const latencyFloor = time.Millisecond
--- a/core/place/guard_test.go
+++ b/core/place/guard_test.go
@@ -51,6 +51,21 @@
 	c.Assert(s.choose(aged).Instance, qt.Equals, fleet.Instance("b"))
 }
 
+// A data centre is cut off with the old primary. Its callers are better told that
+// their orders were not run than that nobody knows.
+func TestWritesWaitWhileNoMajorityAnswers(t *testing.T) {
+	c := qt.New(t)
+	s := settled()
+	s.group.Ask("b", s.now)
+	s.group.Ask("c", s.now)
+	s.now = s.now.Add(400 * time.Millisecond)
+	c.Assert(s.choose(place.Facts{Intent: exchange.IntentWrite}).Action, qt.Equals, place.ActionWait)
+	s.group.Answer("b", s.now, s.now, fleet.Status{
+		Instance: "b", Promised: 1, Role: fleet.RoleReplica, Last: s.last("b"), Follows: "a",
+	})
+	c.Assert(s.choose(place.Facts{Intent: exchange.IntentWrite}).Action, qt.Equals, place.ActionRun)
+}
+
 func TestWritesWaitForTheSuccessorOfALeavingPrimary(t *testing.T) {
 	c := qt.New(t)
 	s := settled()
