Bound the time of unfinished input, gather a session's deadlines

A session could keep a megabyte of a message or batch without end for as long as its socket lived. The five times after which a session ends stand in one place, deadlines.go, in place of flags here and there; the statements of a transaction no longer move its entry among all sessions.

--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -128,12 +128,12 @@
 
 	seq      atomic.Uint64
 	draining atomic.Bool
+	running  atomic.Int64
 
 	mu sync.Mutex
 	// sessions are the open sessions by the process number in their cancel key.
 	sessions map[uint32]*session
-	// waiting are the sessions that end at a time: those that have not proved a
-	// key, and those that linger after a last message.
+	// waiting are the sessions that have a deadline, with the time to look at it.
 	waiting map[*session]time.Time
 	nextID  uint32
 }
--- a/io/caller/drain.go
+++ b/io/caller/drain.go
@@ -57,8 +57,6 @@
 	return out
 }
 
-var zeroTime time.Time
-
 func versionOf(d *document.Document, ok bool) string {
 	if !ok {
 		return "none"
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -50,7 +50,7 @@
 		return gnet.Close
 	}
 	x.process()
-	return x.action()
+	return gnet.None
 }
 
 // OnClose ends the session of a connection that is gone.
@@ -61,7 +61,7 @@
 	return gnet.None
 }
 
-// OnTick closes the sessions whose time is up.
+// OnTick looks after the sessions of which a deadline may have come.
 func (h *handler) OnTick() (time.Duration, gnet.Action) {
 	for _, x := range h.s.due(h.s.cfg.Now()) {
 		x.post((*session).timeUp)
@@ -70,7 +70,7 @@
 }
 
 func (s *Server) register(c gnet.Conn) (*session, bool) {
-	now := s.cfg.Now()
+	until := s.cfg.Now().Add(s.cfg.StartupTimeout)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.sessions) >= s.cfg.MaxSessions+connectionSlack {
@@ -79,7 +79,8 @@
 	x := newSession(s, c)
 	x.id = s.freeID()
 	s.sessions[x.id] = x
-	s.waiting[x] = now.Add(s.cfg.StartupTimeout)
+	s.waiting[x] = until
+	x.deadlines.startup, x.deadlines.armed = until, until
 	return x, true
 }
 
@@ -100,7 +101,7 @@
 	delete(s.waiting, x)
 }
 
-// waitUntil has the session closed at t; the zero time takes that back.
+// waitUntil has the session's deadlines looked at when t comes; the zero time takes that back.
 func (s *Server) waitUntil(x *session, t time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -134,9 +135,6 @@
 		Code: failure.CodeTooManySessions, Message: "too many sessions on this host",
 		Step: "startup", RetryAfter: time.Second,
 	}
-	errStartupTimeout = &failure.Refusal{
-		Code: failure.CodeProtocol, Message: "start-up took too long", Step: "startup",
-	}
 	errDraining = &failure.Refusal{
 		Code: failure.CodeNotReady, Message: "this host is shutting down; connect again", Step: "startup",
 	}
--- a/io/caller/message.go
+++ b/io/caller/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"skylarkdeal/core/exchange"
 	"skylarkdeal/core/failure"
@@ -152,9 +153,9 @@
 	b := x.batch
 	x.batch = nil
 	if x.flushing {
-		x.flushing, x.idleWatched = false, false
-		x.srv.waitUntil(x, zeroTime)
-		x.watchIdle()
+		x.flushing = false
+		x.deadlines.flush = time.Time{}
+		x.arm()
 	}
 	if !x.checkKey() {
 		return
@@ -179,7 +180,8 @@
 	}
 	if b.bound || b.local > 0 || b.refusal != nil || x.tx.lost {
 		x.flushing = true
-		x.srv.waitUntil(x, x.srv.cfg.Now().Add(x.srv.cfg.StartupTimeout))
+		x.deadlines.flush = x.srv.cfg.Now().Add(x.srv.cfg.StartupTimeout)
+		x.arm()
 		return
 	}
 	x.batch = nil
@@ -190,11 +192,6 @@
 	x.start(b, true)
 }
 
-var errFlush = &failure.Refusal{
-	Code: failure.CodeUnsupported, Step: "flush",
-	Message: "Flush after Bind or Execute is answered at Sync, which did not come",
-}
-
 // intent returns what the caller has declared the batch to be. A declaration
 // that might not hold for all of it counts for none: what is taken for a read
 // may be run twice.
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -72,6 +72,7 @@
 		r.q.After = fleet.Some(x.token)
 	}
 	x.run = r
+	s.running.Add(1)
 	if n := x.charge(b); n > 0 {
 		r.admit(n)
 		return
@@ -117,6 +118,7 @@
 	r.mu.Lock()
 	if r.abandoned {
 		r.mu.Unlock()
+		r.x.srv.running.Add(-1)
 		r.releasePin(r.q.Pin)
 		return
 	}
@@ -263,6 +265,7 @@
 func (r *run) done(res exchange.Result) {
 	r.mu.Lock()
 	r.result = &res
+	r.x.srv.running.Add(-1)
 	abandoned := r.abandoned
 	if !abandoned {
 		r.post()
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"syscall"
-	"time"
 
 	"github.com/panjf2000/gnet/v2"
 	"go.uber.org/zap"
@@ -28,11 +27,6 @@
 	phaseClosed phase = "closed"
 )
 
-// lingerFor is how long a session with its last message sent waits for the
-// caller to close. A close with unread bytes resets the connection, and the
-// caller would lose the message that says why.
-const lingerFor = time.Second
-
 // session is one caller's connection. Its event loop owns it.
 type session struct {
 	srv   *Server
@@ -65,11 +59,8 @@
 	// flushing is set while a Flush waits for Sync.
 	skipping, flushing bool
 
-	tx transaction
-	// idleSince is when the last answer within a transaction was given,
-	// idleWatched whether that is looked after.
-	idleSince   time.Time
-	idleWatched bool
+	tx        transaction
+	deadlines deadlines
 	// run is the exchange in progress; no other begins before its answer has
 	// been written.
 	run *run
@@ -122,11 +113,6 @@
 	_ = x.loop.Execute(context.Background(), task{x, f})
 }
 
-// action is what gnet is to do after an event: sessions close themselves.
-func (x *session) action() gnet.Action {
-	return gnet.None
-}
-
 // process works on buffered input until an answer is owed or a message is
 // incomplete.
 //
@@ -135,6 +121,7 @@
 func (x *session) process() {
 	for range maxSteps {
 		if !x.step() {
+			x.watchInput()
 			return
 		}
 	}
@@ -183,31 +170,13 @@
 	}
 	x.phase = phaseLinger
 	_, _ = x.conn.Discard(-1)
-	x.srv.waitUntil(x, x.srv.cfg.Now().Add(lingerFor))
+	x.deadlines = deadlines{linger: x.srv.cfg.Now().Add(lingerFor)}
+	x.arm()
 	if x.conn.OutboundBuffered() == 0 {
 		_ = syscall.Shutdown(x.conn.Fd(), syscall.SHUT_WR)
 	}
 }
 
-// timeUp ends a session that waited too long.
-func (x *session) timeUp() {
-	if x.phase == phaseLinger {
-		_ = x.loop.Close(x.conn)
-		return
-	}
-	if x.phase != phaseReady {
-		x.end(errStartupTimeout)
-		return
-	}
-	if x.flushing {
-		x.end(errFlush)
-		return
-	}
-	if x.idleWatched {
-		x.idleTooLong()
-	}
-}
-
 // gone cleans up after the connection has closed.
 func (x *session) gone() {
 	x.abandon()
--- a/io/caller/startup.go
+++ b/io/caller/startup.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"go.uber.org/zap"
@@ -216,7 +217,8 @@
 	x.version = d.Version
 	a, _ := d.Account(x.account)
 	x.phase = phaseReady
-	s.waitUntil(x, zeroTime)
+	x.deadlines.startup = time.Time{}
+	x.arm()
 	if !s.enter(x, a.MaxSessions) {
 		x.end(&failure.Refusal{
 			Code: failure.CodeTooManySessions, Step: "startup", Peer: peerOf(x.account),
--- a/io/caller/state.go
+++ b/io/caller/state.go
@@ -15,8 +15,11 @@
 	Sessions int    `json:"sessions"`
 	// Accounts counts the sessions that have proved a key, by "service/account".
 	Accounts map[string]int `json:"accounts"`
-	// Starting counts those that have not, or wait for their caller to close.
-	Starting int `json:"starting"`
+	// Running counts the exchanges in progress.
+	Running int `json:"running"`
+	// Timed counts the sessions with a deadline: those that have not proved a
+	// key, have a transaction open, or wait for their caller to close.
+	Timed int `json:"timed"`
 }
 
 // State returns the present state.
@@ -25,7 +28,7 @@
 	defer s.mu.Unlock()
 	t := State{
 		Draining: s.draining.Load(), Sessions: len(s.sessions),
-		Starting: len(s.waiting), Accounts: make(map[string]int),
+		Running: int(s.running.Load()), Timed: len(s.waiting), Accounts: make(map[string]int),
 	}
 	if s.addr != nil {
 		t.Address = s.addr.String()
