--- a/core/document/parse.go
+++ b/core/document/parse.go
@@ -32,6 +32,10 @@
 	maxInstances   = 64
 	maxAccounts    = 4096
 	maxKeys        = 16
+	// minCutOffAfter is above the age that confirmations have by the time they
+	// have come from a watcher over several peers to the last host.
+	minCutOffAfter = 30 * time.Second
+	maxCutOffAfter = 30 * 24 * time.Hour
 )
 
 const (
@@ -86,7 +90,7 @@
 	d.Holders = s.Int("holders", DefaultHolders, 1, maxHolders)
 	d.StatementTimeout = s.Duration("statement-timeout", DefaultStatementTimeout, 10*time.Millisecond, time.Hour)
 	d.CutOff = CutOff(s.OneOf("cut-off", string(CutOffServe), string(CutOffServe), string(CutOffStop)))
-	d.CutOffAfter = s.Duration("cut-off-after", DefaultCutOffAfter, 5*time.Second, 30*24*time.Hour)
+	d.CutOffAfter = s.Duration("cut-off-after", DefaultCutOffAfter, minCutOffAfter, maxCutOffAfter)
 	for _, n := range s.List("data-centres") {
 		c := fleet.DataCentre(n)
 		if !inifile.IsName(n) || slices.Contains(d.DataCentres, c) {
--- a/io/spread/bench_test.go
+++ b/io/spread/bench_test.go
@@ -86,13 +86,18 @@
 			time.Sleep(2 * time.Second)
 			calls, messages, bytes := total(s), net.calls.Load(), net.bytes.Load()
 			began := time.Now()
+			oldest := time.Duration(0)
 			for range b.N {
 				time.Sleep(time.Second)
+				for _, h := range l {
+					oldest = max(oldest, time.Since(h.State().Confirmed))
+				}
 			}
 			seconds := time.Since(began).Seconds()
 			b.ReportMetric(float64(total(s)-calls)/seconds, "store-calls/s")
 			b.ReportMetric(float64(net.calls.Load()-messages)/seconds/float64(n), "messages/s/host")
 			b.ReportMetric(float64(net.bytes.Load()-bytes)/seconds/float64(n), "B/s/host")
+			b.ReportMetric(oldest.Seconds(), "oldest-confirmation-s")
 		})
 	}
 }
--- a/io/spread/spread.go
+++ b/io/spread/spread.go
@@ -84,9 +84,9 @@
 	metrics metrics
 	pushes  ring.Ring[job]
 	inForce atomic.Pointer[map[fleet.Service]*document.Document]
-	// confirmed is when what is held was last known to be the newest, in
-	// nanoseconds since 1970; zero for never.
-	confirmed atomic.Int64
+	// confirmed is when what is held was last known to be the newest. A pointer to
+	// time.Time keeps the monotonic clock: a step of the wall clock stops nothing.
+	confirmed atomic.Pointer[time.Time]
 	ready     atomic.Bool
 	watching  atomic.Bool
 
@@ -135,6 +135,7 @@
 		conflict: map[fleet.Service]bool{},
 	}
 	s.inForce.Store(&map[fleet.Service]*document.Document{})
+	s.confirmed.Store(&time.Time{})
 	return s
 }
 
@@ -161,7 +162,7 @@
 	if !ok || d.CutOff != document.CutOffStop {
 		return false
 	}
-	return d.Stopped(time.Unix(0, s.confirmed.Load()), s.cfg.Now())
+	return d.Stopped(*s.confirmed.Load(), s.cfg.Now())
 }
 
 // Ready reports whether peers or the store have told what they have since the
@@ -229,7 +230,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.Confirm(at)
-	s.confirmed.Store(s.table.Confirmed().UnixNano())
+	at = s.table.Confirmed()
+	s.confirmed.Store(&at)
 }
 
 // sleep waits from half of d to one and a half and reports whether ctx goes on.
