--- a/io/platform/follow_test.go
+++ b/io/platform/follow_test.go
@@ -123,7 +123,7 @@
 	c := qt.New(t)
 	ctx := context.Background()
 	server, s := open(c)
-	var slow platform.Store = *s
+	slow := *s
 	slow.Watch = func(ctx context.Context, prefix string, after platform.Revision, see func(platform.Batch)) error {
 		return s.Watch(ctx, prefix, after, func(b platform.Batch) {
 			if len(b.Changes) > 0 {
