--- a/core/settings/settings_test.go
+++ b/core/settings/settings_test.go
@@ -6,7 +6,6 @@
 	"path/filepath"
 	"strings"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 
