--- a/io/platform/follow.go
+++ b/io/platform/follow.go
@@ -44,9 +44,10 @@
 }
 
 // DefaultCheck is how often a watch is checked. With one watch in each of ten
-// data centres that is five cheap reads a second, and a silent watch is found
-// within two checks.
-const DefaultCheck = 2 * time.Second
+// data centres that is ten cheap reads a second, and a silent watch is found
+// within two checks, three seconds with their jitter: a change is still in force
+// within five.
+const DefaultCheck = time.Second
 
 const (
 	// pause is the mean wait before a broken watch is opened again.
@@ -54,8 +55,8 @@
 	// pastChecks is how many checks in a row find the store behind what is known
 	// before its entries are listed anew: one may have met a lagging member.
 	pastChecks = 3
-	// maxPatience bounds the checks that a slow watch is given: with those 2 s
-	// apart, two minutes.
+	// maxPatience bounds the checks that a slow watch is given: with those 1 s
+	// apart, a minute.
 	maxPatience = 64
 )
 
