--- a/io/spread/bench_test.go
+++ b/io/spread/bench_test.go
@@ -198,21 +198,11 @@
 //
 //	go test -run '^$' -bench 'Digest$' ./io/spread
 func BenchmarkDigest(b *testing.B) {
-	const documents = 960
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	s := spread.New(spread.Config{Hello: &hostpb.Hello{Host: "h"}})
-	all := &hostpb.PushRequest{}
-	known := &hostpb.DigestRequest{Full: true}
-	for n := range documents {
-		service := fleet.Service(fmt.Sprintf("service-%d", n))
-		filled := append(text(service, 1), bytes.Repeat([]byte("# accounts and verifiers, 40 bytes a line\n"), 70)...)
-		all.Documents = append(all.Documents, &hostpb.Document{Service: string(service), Version: 9, Text: filled})
-		known.Documents = append(known.Documents, &hostpb.DocumentVersion{Service: string(service), Version: 9, Seen: 9})
-	}
-	s.HandlePush(all)
-	all = nil
+	known := fill(s, 960)
 	runtime.GC()
 	runtime.ReadMemStats(&after)
 	b.Run("same", func(b *testing.B) {
@@ -228,3 +218,18 @@
 		}
 	})
 }
+
+// fill puts documents in force and returns the question of a peer that has them
+// too.
+func fill(s *spread.Spread, documents int) *hostpb.DigestRequest {
+	all := &hostpb.PushRequest{}
+	known := &hostpb.DigestRequest{Full: true}
+	for n := range documents {
+		service := fleet.Service(fmt.Sprintf("service-%d", n))
+		filled := append(text(service, 1), bytes.Repeat([]byte("# accounts and verifiers, 40 bytes a line\n"), 70)...)
+		all.Documents = append(all.Documents, &hostpb.Document{Service: string(service), Version: 9, Text: filled})
+		known.Documents = append(known.Documents, &hostpb.DocumentVersion{Service: string(service), Version: 9, Seen: 9})
+	}
+	s.HandlePush(all)
+	return known
+}
