Hand the tokens left over to the next home, and start the first one full

A holder that gives its seat up writes what is left into the record, and the swap that takes the seat removes it. The first tenure of a seat starts full, as nobody can have granted before.

--- a/core/allot/home.go
+++ b/core/allot/home.go
@@ -70,12 +70,15 @@
 	listed time.Time
 }
 
-// Start begins a tenure at now with the given share. The bucket starts empty,
-// and begins to grow only when the grants of any predecessor have expired: a
-// host that restarts, or takes over, knows nothing of what was spent before. The
-// caller has made sure that no predecessor grants any more (see Seat).
-func (h *Home) Start(now time.Time, v document.Version, s Share, id GrantID) {
+// Start begins a tenure at now with the given share. The bucket begins to grow
+// only when the grants of any predecessor have expired, and starts with level:
+// none, unless more is known, as a host that restarts or takes over knows nothing
+// of what was spent before; what a predecessor had left when it gave the seat up;
+// or the whole burst where nobody can have granted before. The caller has made
+// sure that no predecessor grants any more (see Seat), and uses a level once.
+func (h *Home) Start(now time.Time, v document.Version, s Share, id GrantID, level float64) {
 	*h = Home{version: v, share: s, later: s, from: now.Add(Overdue), lastID: id, started: true}
+	h.level = max(0, min(level, s.Burst))
 }
 
 // Started reports whether the home's tenure has begun.
--- a/core/roster/roles.go
+++ b/core/roster/roles.go
@@ -34,7 +34,9 @@
 
 // Shards is how many shards there are. It is four times the hosts of a data
 // centre of today's size, so that homes spread evenly; a data centre of 92 hosts
-// has homes on half of them, each for a thirty-second of the accounts.
+// has homes on half of them, each for a thirty-second of the accounts. Hosts of
+// two versions with another number would both be homes of one account: it can't
+// be changed in a rolling restart.
 const Shards = 32
 
 // ShardOf returns the shard of the account a of service s.
--- a/io/grants/claims.go
+++ b/io/grants/claims.go
@@ -12,11 +12,26 @@
 
 	"skylarkdeal/core/allot"
 	"skylarkdeal/core/failure"
+	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/journal"
 	"skylarkdeal/core/roster"
 	"skylarkdeal/io/host/hostpb"
 )
 
+// storedSeat is a seat as the store has it.
+type storedSeat struct {
+	allot.SeatRecord
+	// Left is what the homes had when the last holder gave the seat up.
+	Left []leftover `json:"left,omitempty"`
+}
+
+// leftover is the tokens of one account that a home had left.
+type leftover struct {
+	Service fleet.Service `json:"service"`
+	Account fleet.Account `json:"account"`
+	Tokens  float64       `json:"tokens"`
+}
+
 // claimAll tries to take the seats of the given shards, with one read for all.
 func (r *Runtime) claimAll(ctx context.Context, shards []roster.Shard) {
 	lease, until := r.cfg.Store.Lease()
@@ -47,12 +62,13 @@
 func (r *Runtime) claim(
 	ctx context.Context, h roster.Shard, e Entry, lease uint64, standing map[allot.SeatRecord]bool,
 ) error {
-	var rec allot.SeatRecord
+	var read storedSeat
 	if len(e.Value) > 0 {
-		if err := json.Unmarshal(e.Value, &rec); err != nil {
+		if err := json.Unmarshal(e.Value, &read); err != nil {
 			return failure.At(err, "read seat", "store")
 		}
 	}
+	rec := read.SeatRecord
 	stands, err := r.stands(ctx, rec, standing)
 	if err != nil {
 		return err
@@ -67,11 +83,11 @@
 	switch step {
 	case allot.StepAdopt:
 		if !r.witnessServes(rec.Witness) {
-			return r.take(ctx, h, e.Revision, allot.Taken(rec, r.process(), lease, r.pickWitness()))
+			return r.take(ctx, h, e.Revision, allot.Taken(rec, r.process(), lease, r.pickWitness()), nil)
 		}
-		r.won(h, rec, e.Revision, lease)
+		r.won(h, rec, e.Revision, lease, nil)
 	case allot.StepSwap:
-		return r.take(ctx, h, e.Revision, allot.Taken(rec, r.process(), lease, r.pickWitness()))
+		return r.take(ctx, h, e.Revision, allot.Taken(rec, r.process(), lease, r.pickWitness()), read.Left)
 	case allot.StepWithdraw:
 		return r.withdraw(ctx, h, rec)
 	case allot.StepRest, allot.StepWait:
@@ -99,23 +115,28 @@
 
 // take swaps the record. After a lost answer the next round reads what has become
 // of it; until then a holder counts on its lease alone (see Seat.Swapping).
-func (r *Runtime) take(ctx context.Context, h roster.Shard, old uint64, rec allot.SeatRecord) error {
+//
+// The tokens that a predecessor left are used by the one whose swap of that very
+// record is known to have gone through, and the swap removes them: so never twice.
+func (r *Runtime) take(
+	ctx context.Context, h roster.Shard, old uint64, rec allot.SeatRecord, left []leftover,
+) error {
 	r.mu.Lock()
 	s := r.seat(h)
 	s.tenure.Swapping()
 	s.claim.Tried(allot.SeatRecord{Tenure: rec.Tenure - 1})
 	r.mu.Unlock()
-	rev, ok, err := r.swap(ctx, h, old, rec)
+	rev, ok, err := r.swap(ctx, h, old, storedSeat{SeatRecord: rec})
 	if err != nil {
 		return failure.At(err, "swap seat", "store")
 	}
 	if ok {
-		r.won(h, rec, rev, rec.Lease)
+		r.won(h, rec, rev, rec.Lease, left)
 	}
 	return nil
 }
 
-func (r *Runtime) swap(ctx context.Context, h roster.Shard, old uint64, rec allot.SeatRecord) (uint64, bool, error) {
+func (r *Runtime) swap(ctx context.Context, h roster.Shard, old uint64, rec storedSeat) (uint64, bool, error) {
 	v, err := json.Marshal(rec)
 	if err != nil {
 		return 0, false, err
@@ -123,7 +144,7 @@
 	return r.cfg.Store.Swap(ctx, SeatPrefix+string(seatName(r.cfg.DataCentre, h)), old, v)
 }
 
-func (r *Runtime) won(h roster.Shard, rec allot.SeatRecord, rev, lease uint64) {
+func (r *Runtime) won(h roster.Shard, rec allot.SeatRecord, rev, lease uint64, left []leftover) {
 	l, until := r.cfg.Store.Lease()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -135,7 +156,7 @@
 	}
 	if !kept {
 		r.dropHomes(h)
-		r.startHomes(h)
+		r.startHomes(h, left)
 	}
 	r.note(h, "take", fmt.Sprintf("tenure %d, witness %s", rec.Tenure, rec.Witness.Host))
 }
--- a/io/grants/grants.go
+++ b/io/grants/grants.go
@@ -84,8 +84,10 @@
 	out outbox
 
 	// mu guards what follows: it is held for map look-ups and sums only.
-	mu      sync.Mutex
-	homes   map[name]*allot.Home
+	mu    sync.Mutex
+	homes map[name]*allot.Home
+	// granted holds the accounts that ever had a home in this process.
+	granted map[name]bool
 	seats   map[allot.SeatName]*seat
 	witness allot.Witness
 	lastID  allot.GrantID
@@ -110,6 +112,7 @@
 		results:  ring.New[result](senders * 8),
 		leaves:   ring.New[chan struct{}](1),
 		homes:    map[name]*allot.Home{},
+		granted:  map[name]bool{},
 		seats:    map[allot.SeatName]*seat{},
 		lastID:   firstID(cfg.Host, cfg.Epoch),
 	}
--- a/io/grants/homes.go
+++ b/io/grants/homes.go
@@ -99,19 +99,23 @@
 		}
 		s := r.seats[seatName(r.cfg.DataCentre, roster.ShardOf(d.Service, a.Name))]
 		if s != nil && s.tenure.Held() {
-			r.startHome(now, n, d, a)
+			r.startHome(now, n, d, a, 0)
 		}
 	}
 }
 
-// startHomes begins the homes of all accounts of a shard, before anyone asks:
-// they start empty, so the earlier they start the fuller they are.
-func (r *Runtime) startHomes(h roster.Shard) {
+// startHomes begins the homes of all accounts of a shard with what is left of
+// each, before anyone asks: the earlier they start the fuller they are.
+func (r *Runtime) startHomes(h roster.Shard, left []leftover) {
 	now := r.clock.early()
+	tokens := make(map[name]float64, len(left))
+	for _, l := range left {
+		tokens[name{l.Service, l.Account}] = l.Tokens
+	}
 	r.entries.each(func(e *entry) {
 		d := e.document.Load()
 		if a, ok := d.Account(e.account); ok && e.shard == h {
-			r.startHome(now, e.name, d, a)
+			r.startHome(now, e.name, d, a, tokens[e.name])
 		}
 	})
 }
@@ -119,13 +123,35 @@
 // idsPerHome leaves room for the grants of one home's tenure between two starts.
 const idsPerHome = 1 << 20
 
-func (r *Runtime) startHome(now time.Time, n name, d *document.Document, a document.Account) {
+// startHome begins one home. In the first tenure that the seat ever had, the
+// first home of an account starts full: nobody can have granted from it before.
+func (r *Runtime) startHome(now time.Time, n name, d *document.Document, a document.Account, left float64) {
+	shard := roster.ShardOf(n.service, n.account)
+	share := r.share(d, a)
+	if r.seat(shard).tenure.Record().Tenure == firstTenure && !r.granted[n] {
+		left = share.Burst
+	}
+	r.granted[n] = true
 	r.lastID += idsPerHome
 	h := &allot.Home{}
-	h.Start(now, d.Version, r.share(d, a), r.lastID)
+	h.Start(now, d.Version, share, r.lastID, left)
 	r.homes[n] = h
 }
 
+// firstTenure is the tenure of a record that was put where there was none.
+const firstTenure = 1
+
+// leftovers returns what the homes of a shard have left.
+func (r *Runtime) leftovers(h roster.Shard) []leftover {
+	var out []leftover
+	for n, e := range r.homes {
+		if l := e.State().Level; roster.ShardOf(n.service, n.account) == h && l >= 1 {
+			out = append(out, leftover{n.service, n.account, l})
+		}
+	}
+	return out
+}
+
 func (r *Runtime) dropHomes(h roster.Shard) {
 	for n := range r.homes {
 		if roster.ShardOf(n.service, n.account) == h {
--- a/io/grants/seats.go
+++ b/io/grants/seats.go
@@ -118,7 +118,7 @@
 		default:
 			s.tenure.Won(allot.SeatRecord{Holder: r.process()})
 			s.tenure.Leased(0, forever)
-			r.startHomes(h)
+			r.startHomes(h, nil)
 		}
 		r.mu.Unlock()
 	}
@@ -197,8 +197,8 @@
 	}
 }
 
-// giveUp stops granting, then says so in the store: the successor need not wait
-// for a lease to end.
+// giveUp stops granting, then says so in the store, with what the homes have
+// left: the successor need not wait for a lease to end, nor start empty.
 func (r *Runtime) giveUp(ctx context.Context, h roster.Shard) {
 	r.mu.Lock()
 	s := r.seat(h)
@@ -207,12 +207,13 @@
 		return
 	}
 	rec, rev := s.tenure.Record(), s.revision
+	left := r.leftovers(h)
 	s.claim.Tried(rec)
 	r.lose(h, s)
 	s.yield = time.Time{}
 	r.mu.Unlock()
 	if r.cfg.Store.Swap != nil {
-		_, _, _ = r.swap(ctx, h, rev, allot.SeatRecord{Tenure: rec.Tenure + 1})
+		_, _, _ = r.swap(ctx, h, rev, storedSeat{allot.SeatRecord{Tenure: rec.Tenure + 1}, left})
 	}
 }
 
