--- a/core/group/world_test.go
+++ b/core/group/world_test.go
@@ -353,4 +353,3 @@
 		w.stats["copied"]++
 	}
 }
-
--- a/core/place/cutoff_test.go
+++ b/core/place/cutoff_test.go
@@ -53,7 +53,10 @@
 	}{
 		{name: "with the old primary", reached: []fleet.Instance{"a"}, own: "a", old: "a"},
 		{name: "with one replica", reached: []fleet.Instance{"b"}, own: "b", old: "b"},
-		{name: "with the primary and a replica", reached: []fleet.Instance{"a", "b"}, write: "a", own: "b", young: "b", old: "b"},
+		{
+			name: "with the primary and a replica", reached: []fleet.Instance{"a", "b"},
+			write: "a", own: "b", young: "b", old: "b",
+		},
 		{name: "with two replicas", reached: []fleet.Instance{"b", "c"}, own: "b", old: "b"},
 		{name: "with none"},
 	}
--- a/core/place/sim_test.go
+++ b/core/place/sim_test.go
@@ -51,7 +51,6 @@
 type request struct {
 	facts   place.Facts
 	arrived time.Time
-	until   time.Time
 	started time.Time
 	ends    time.Time
 	choice  place.Choice
@@ -62,13 +61,16 @@
 func newSim(l load) *sim {
 	s := &sim{
 		load: l, lag: time.Millisecond, slots: 2,
-		work:   map[fleet.Instance]time.Duration{"a": 2 * time.Millisecond, "b": 2 * time.Millisecond, "c": 2 * time.Millisecond},
+		work:   make(map[fleet.Instance]time.Duration),
 		leave:  make(map[fleet.Instance]bool),
 		rand:   rand.New(rand.NewPCG(1, 2)),
 		now:    time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC),
 		busy:   make(map[fleet.Instance]int),
 		meters: make(map[fleet.Instance]place.Meter),
 	}
+	for _, n := range names {
+		s.work[n] = 2 * time.Millisecond
+	}
 	s.log = append(s.log, s.now.Add(-time.Minute))
 	return s
 }
--- a/io/steward/bench_test.go
+++ b/io/steward/bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
@@ -164,3 +165,53 @@
 	}
 	return f.group.Status(f.group.Primary()).Promised - 1
 }
+
+// BenchmarkIdle reports what three holders spend on groups without traffic, for
+// one to thirty-two groups: questions and processor time a second and a holder.
+// The instances of the stand-in run in the same process and are part of it.
+func BenchmarkIdle(b *testing.B) {
+	for _, groups := range []int{1, 8, 32} {
+		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
+			for range b.N {
+				idleOnce(b, groups)
+			}
+		})
+	}
+}
+
+func idleOnce(b *testing.B, groups int) {
+	b.Helper()
+	var fleets []*fleetOf
+	for range groups {
+		f := newFleet(b, time.Millisecond)
+		defer f.close()
+		fleets = append(fleets, f)
+	}
+	for _, f := range fleets {
+		eventually(b, func() bool { return f.stewards["h0"].Table().Primary != "" })
+	}
+	// Start-up is over once the alert of the first seconds has ended.
+	time.Sleep(3 * time.Second)
+	var asked int64
+	for _, f := range fleets {
+		asked -= f.asked.Load()
+	}
+	from, cpu := time.Now(), processorTime(b)
+	time.Sleep(5 * time.Second)
+	for _, f := range fleets {
+		asked += f.asked.Load()
+	}
+	took := time.Since(from).Seconds() * float64(len(fleets[0].hosts))
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(float64(asked)/took, "questions/s")
+	b.ReportMetric((processorTime(b)-cpu).Seconds()*1000/took, "cpu-ms/s")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/io/steward/cluster_test.go
+++ b/io/steward/cluster_test.go
@@ -263,7 +263,9 @@
 var errNoPrimary = errors.New("no primary is known")
 
 // write has a value written through one host and waits for its acknowledgement.
-func (c *cluster) write(h fleet.Host, rule document.Acknowledge, value string, limit time.Duration) (fleet.Point, error) {
+func (c *cluster) write(
+	h fleet.Host, rule document.Acknowledge, value string, limit time.Duration,
+) (fleet.Point, error) {
 	s := c.stewards[h]
 	t := s.Table()
 	p, ok := t.Find(t.Primary)
--- a/io/steward/ledger_test.go
+++ b/io/steward/ledger_test.go
@@ -38,6 +38,8 @@
 	// slow delays the answers of instance a, pause the next step of host h0.
 	slow  atomic.Int64
 	pause atomic.Int64
+	// asked counts the questions of all hosts.
+	asked atomic.Int64
 }
 
 func (f *fleetOf) set(n fleet.Instance, t ledger.Fault) {
@@ -120,6 +122,7 @@
 	})
 	return control.Client{
 		Status: func(ctx context.Context) (fleet.Status, error) {
+			f.asked.Add(1)
 			late := 2 * linkTime
 			if i.Name == "a" {
 				late += time.Duration(f.slow.Load())
