Outvote a host that alone reaches the primary; rest when not a holder

A cut can leave the primary with one host that reaches all others. Its view stopped every promotion, and the writes sent there could never be confirmed, so that the group had no primary until the cut healed. Most of the group's hosts now outvote it after 2 s.

A host that held a group once kept its connections to every instance of it. It now closes them 2 s after it has no more use for them.

--- a/core/group/model_test.go
+++ b/core/group/model_test.go
@@ -31,6 +31,7 @@
 	for _, n := range []int{3, 5} {
 		for _, rule := range []document.Acknowledge{document.AcknowledgeReplicated, document.AcknowledgePrimary} {
 			t.Run(fmt.Sprintf("%d instances %s", n, rule), func(t *testing.T) {
+				t.Parallel()
 				stats := make(map[string]int)
 				rapid.Check(t, func(t *rapid.T) {
 					w := newWorld(n, 3)
@@ -110,6 +111,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.guard, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(400) {
 				w := newWorld(3, 3)
 				w.rules = tt.rules
--- a/core/group/suspect.go
+++ b/core/group/suspect.go
@@ -7,27 +7,6 @@
 	"skylarkdeal/core/fleet"
 )
 
-// View is how a host sees the instances of a group.
-type View struct {
-	Host       fleet.Host       `json:"host"`
-	DataCentre fleet.DataCentre `json:"data-centre"`
-	// At is when the host was asked.
-	At        time.Time      `json:"at"`
-	Instances []InstanceView `json:"instances"`
-}
-
-// InstanceView is how a host sees one instance.
-type InstanceView struct {
-	Instance fleet.Instance `json:"instance"`
-	// Reachable is set when the instance owes no answer for long.
-	Reachable bool `json:"reachable"`
-	// Silent is how long it has owed an answer.
-	Silent time.Duration `json:"silent"`
-	Term   fleet.Term    `json:"term"`
-	Last   fleet.Point   `json:"last"`
-	Role   fleet.Role    `json:"role"`
-}
-
 // Policy bounds when a primary counts as failed. The zero Policy has the
 // defaults.
 type Policy struct {
@@ -42,6 +21,9 @@
 	// AloneAfter is how long the primary has to be silent when no second host
 	// or data centre can be asked: long enough for a short cut to heal first.
 	AloneAfter time.Duration
+	// OutvoteAfter is how long the primary has to be silent to most of the
+	// group's hosts to be replaced although another host reaches it.
+	OutvoteAfter time.Duration
 	// StrandedAfter is how long another host has to end the promotion that it
 	// has begun.
 	StrandedAfter time.Duration
@@ -64,6 +46,7 @@
 	DefaultSuspectAfter  = 600 * time.Millisecond
 	DefaultRefusedAfter  = 300 * time.Millisecond
 	DefaultAloneAfter    = 5 * time.Second
+	DefaultOutvoteAfter  = 2 * time.Second
 	DefaultStrandedAfter = 500 * time.Millisecond
 	DefaultStallAfter    = 10 * time.Second
 	DefaultLeaveAfter    = 1500 * time.Millisecond
@@ -112,6 +95,7 @@
 const (
 	CauseNone     Cause = ""
 	CauseSilent   Cause = "silent"
+	CauseOutvoted Cause = "silent to most hosts"
 	CauseAlone    Cause = "silent, no second view to be had"
 	CauseStranded Cause = "promotion abandoned"
 	CauseStalled  Cause = "cut off from its replicas"
@@ -164,30 +148,53 @@
 	if !t.Quorate(now) {
 		return Judgement{Reason: "a majority of the instances is silent"}
 	}
-	agree := []Witness{me}
-	for _, v := range views {
-		switch p.opinion(v, t) {
+	v, newer := p.count(me, views, t)
+	if newer != "" {
+		return Judgement{Reason: fmt.Sprintf("host %s knows a later term", newer)}
+	}
+	j := p.silent(s.Silent(now), v, t, len(order))
+	j.Rank = rank(me.Host, order, v.miss)
+	return j
+}
+
+// votes are the hosts that miss the primary and those that reach it.
+type votes struct {
+	miss    []Witness
+	reaches []fleet.Host
+}
+
+// count sorts the views, and returns the host that knows a later primary.
+func (p Policy) count(me Witness, views []View, t Table) (votes, fleet.Host) {
+	v := votes{miss: []Witness{me}}
+	for _, w := range views {
+		switch p.opinion(w, t) {
 		case opinionReaches:
-			return Judgement{Reason: fmt.Sprintf("host %s reaches the primary", v.Host)}
+			v.reaches = append(v.reaches, w.Host)
 		case opinionNewer:
-			return Judgement{Reason: fmt.Sprintf("host %s knows a later term", v.Host)}
+			return v, w.Host
 		case opinionMisses:
-			agree = append(agree, Witness{Host: v.Host, DataCentre: v.DataCentre})
+			v.miss = append(v.miss, Witness{Host: w.Host, DataCentre: w.DataCentre})
 		case opinionNone:
 		}
 	}
-	j := Judgement{Rank: rank(me.Host, order, agree)}
-	if len(agree) > 1 && (centres(agree) > 1 || !spread(t)) {
+	return v, ""
+}
+
+// silent decides about a primary that is silent to this host, of so many that
+// hold the group.
+func (p Policy) silent(d time.Duration, v votes, t Table, hosts int) Judgement {
+	both := len(v.miss) > 1 && (centres(v.miss) > 1 || !spread(t))
+	j := Judgement{Reason: fmt.Sprintf("silent for %v, to %d of %d hosts", d.Round(time.Millisecond), len(v.miss), hosts)}
+	switch {
+	case both && len(v.reaches) == 0:
 		j.Cause = CauseSilent
-		j.Reason = fmt.Sprintf("silent for %v to %d hosts", s.Silent(now).Round(time.Millisecond), len(agree))
-		return j
-	}
-	if s.Silent(now) >= orDefault(p.AloneAfter, DefaultAloneAfter) {
+	case len(v.reaches) > 0 && both && 2*len(v.miss) > hosts && d >= orDefault(p.OutvoteAfter, DefaultOutvoteAfter):
+		j.Cause = CauseOutvoted
+	case len(v.reaches) > 0:
+		j.Reason = fmt.Sprintf("host %s reaches the primary", v.reaches[0])
+	case d >= orDefault(p.AloneAfter, DefaultAloneAfter):
 		j.Cause = CauseAlone
-		j.Reason = fmt.Sprintf("silent for %v, no other view to be had", s.Silent(now).Round(time.Millisecond))
-		return j
 	}
-	j.Reason = "waits for a second host or data centre to miss the primary"
 	return j
 }
 
@@ -256,23 +263,3 @@
 	}
 	return false
 }
-
-// viewFresh is how old an answer may be for a host to say that it reaches an
-// instance. A host that hasn't asked for longer says neither, and asks.
-const viewFresh = 400 * time.Millisecond
-
-// Views returns how this host sees the instances, for another that asks.
-func (p Policy) Views(t Table, now time.Time) []InstanceView {
-	out := make([]InstanceView, 0, len(t.Seen))
-	for _, s := range t.Seen {
-		out = append(out, InstanceView{
-			Instance:  s.Instance.Name,
-			Reachable: s.Known() && now.Sub(s.Sent) < viewFresh && !p.Alarmed(s, now),
-			Silent:    s.Silent(now),
-			Term:      s.Status.Promised,
-			Last:      s.Status.Last,
-			Role:      s.Status.Role,
-		})
-	}
-	return out
-}
--- a/core/group/suspect_test.go
+++ b/core/group/suspect_test.go
@@ -176,6 +176,15 @@
 			name: "one data centre cut off from the primary", silent: 20 * time.Second,
 			views: []group.View{view("h1", "dc-a", time.Second), view("h2", "dc-b", 0)},
 		},
+		{
+			// The cut leaves h1 in reach of everyone, with the primary.
+			name: "most hosts miss it, for a moment", silent: time.Second,
+			views: []group.View{view("h1", "dc-b", 0), view("h2", "dc-c", time.Second)},
+		},
+		{
+			name: "most hosts miss it", silent: 3 * time.Second,
+			views: []group.View{view("h1", "dc-b", 0), view("h2", "dc-c", time.Second)}, cause: group.CauseOutvoted,
+		},
 		{
 			name: "a second host that has only begun to ask", silent: 2 * time.Second,
 			views: []group.View{view("h1", "dc-b", 100*time.Millisecond)},
--- a/io/steward/cluster_test.go
+++ b/io/steward/cluster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -38,10 +39,12 @@
 // cluster is a group of instances and its holders in one process, with a real
 // clock and links that take a millisecond each way.
 type cluster struct {
-	ctx       context.Context
-	stop      context.CancelFunc
-	wait      sync.WaitGroup
-	doc       document.Document
+	ctx  context.Context
+	stop context.CancelFunc
+	wait sync.WaitGroup
+	doc  document.Document
+	// moved takes the place of doc once it is set.
+	moved     atomic.Pointer[document.Document]
 	hosts     []fleet.Member
 	stewards  map[fleet.Host]*steward.Steward
 	journals  map[fleet.Host]*journal.Journal
@@ -58,6 +61,8 @@
 	alone map[fleet.Instance]bool
 	// questions counts the status reads of each host.
 	questions map[fleet.Host]int
+	// closed counts the connections that each host has closed.
+	closed map[fleet.Host]int
 }
 
 // newCluster starts a group of three instances in three data centres with a
@@ -75,6 +80,7 @@
 		slow:      make(map[fleet.Instance]time.Duration),
 		alone:     make(map[fleet.Instance]bool),
 		questions: make(map[fleet.Host]int),
+		closed:    make(map[fleet.Host]int),
 	}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.doc.Service = "orders"
@@ -103,9 +109,9 @@
 	j := new(journal.Journal)
 	s := steward.New(steward.Config{
 		Service: "orders", Host: m.Host, DataCentre: m.DataCentre, Epoch: seed + 1, Seed: seed,
-		Document: func() *document.Document { return &c.doc },
+		Document: c.document,
 		Dial:     func(i document.Instance) control.Client { return c.dial(m.Host, i.Name) },
-		Holders:  func() []fleet.Member { return c.hosts },
+		Holders:  c.holders,
 		Views:    func(ctx context.Context, o fleet.Member) (*hostpb.ViewResponse, error) { return c.view(ctx, m, o) },
 		Journal:  j,
 	})
@@ -113,6 +119,19 @@
 	c.wait.Go(func() { s.Run(c.ctx) })
 }
 
+func (c *cluster) document() *document.Document {
+	if d := c.moved.Load(); d != nil {
+		return d
+	}
+	return &c.doc
+}
+
+func (c *cluster) holders() []fleet.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hosts
+}
+
 func (c *cluster) view(ctx context.Context, from, to fleet.Member) (*hostpb.ViewResponse, error) {
 	c.mu.Lock()
 	gone := c.away[from.Host] || c.away[to.Host]
@@ -191,7 +210,7 @@
 		Follow: func(ctx context.Context, t fleet.Term, p fleet.Instance, _ string) (fleet.Status, error) {
 			return c.call(ctx, h, n, func(i *grouptest.Instance) error { return i.Follow(t, p) })
 		},
-		Close: func() {},
+		Close: func() { c.set(func() { c.closed[h]++ }) },
 	}
 }
 
--- a/io/steward/steward.go
+++ b/io/steward/steward.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,6 +85,8 @@
 	// members are the group's holders as of membersAt.
 	members   []fleet.Member
 	membersAt time.Time
+	// needed is when this host last was a holder or had requests waiting.
+	needed time.Time
 }
 
 // eventRoom is how many events may wait for the loop. Writes that wait for a
@@ -189,8 +192,12 @@
 	if s.group.Tick(now) {
 		s.note(now, "wait", "this host was paused; the instances' silence counts anew")
 	}
-	s.adopt(now)
 	s.recall(now)
+	if s.resting(now) {
+		s.rest(now)
+	} else {
+		s.adopt(now)
+	}
 	t := s.publish(now)
 	s.settle(now, t)
 	s.failOver(now, t)
@@ -248,6 +255,36 @@
 	s.members, s.membersAt = s.cfg.Holders(), now
 }
 
+// restAfter is how long a host that holds the group no more keeps its
+// connections: its last transactions may still have a commit to confirm.
+const restAfter = 2 * time.Second
+
+// resting reports whether the host has no more use for the instances. In a fleet
+// whose hosts come and go, every host would else end up with a connection to
+// every instance, and the holders would find none left.
+func (s *Steward) resting(now time.Time) bool {
+	holds := s.cfg.Holders == nil || slices.ContainsFunc(s.members, func(m fleet.Member) bool {
+		return m.Host == s.cfg.Host
+	})
+	if holds || len(s.waiting) > 0 || s.change.promotion != nil {
+		s.needed = now
+	}
+	return now.Sub(s.needed) > restAfter
+}
+
+func (s *Steward) rest(now time.Time) {
+	if s.doc == nil {
+		return
+	}
+	for _, l := range s.links {
+		l.close()
+	}
+	clear(s.links)
+	s.doc = nil
+	s.group.Configure(now, nil)
+	s.note(now, "rest", "this host no longer holds the group")
+}
+
 func (s *Steward) publish(now time.Time) group.Table {
 	t := s.group.Table(now)
 	changed := differs(*s.table.Load(), t)
--- a/io/steward/steward_test.go
+++ b/io/steward/steward_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -96,6 +97,22 @@
 	c.keeps(t, acked)
 }
 
+// The primary is cut off from its replicas and from two of the three hosts. The
+// third reaches everyone and finds the primary well, but no write that is sent
+// there can be confirmed.
+func TestPrimaryLeftWithOneHostIsReplaced(t *testing.T) {
+	c := newCluster(t, time.Millisecond)
+	c.ready(t)
+	acked := c.writeUntil(t, "h0", anyPoint)
+	c.set(func() {
+		c.alone["a"] = true
+		c.cut["h1"]["a"], c.cut["h2"]["a"] = true, true
+	})
+	c.writeUntil(t, "h1", laterTerm)
+	c.writeUntil(t, "h0", laterTerm)
+	c.keeps(t, acked)
+}
+
 // One instance doesn't answer. Writes must not wait for it: the others are a
 // majority.
 func TestSilentReplicaDelaysNoWrite(t *testing.T) {
@@ -211,3 +228,41 @@
 	c.set(func() { c.faults["a"] = healthy })
 	c.writeUntil(t, "h0", func(p fleet.Point) bool { return p.Term == 1 })
 }
+
+// Hosts come and go, and others become holders. One that isn't a holder any more
+// must not keep its connections, or the new ones find none; a transaction that it
+// still has can be confirmed, and it may become a holder again.
+func TestFormerHolderGivesUpItsConnections(t *testing.T) {
+	q := qt.New(t)
+	c := newCluster(t, time.Millisecond)
+	c.ready(t)
+	all := c.hosts
+	c.set(func() { c.hosts = all[:2] })
+	eventually(t, func() bool { return len(c.stewards["h2"].Table().Seen) == 0 })
+	c.set(func() { q.Check(c.closed["h2"], qt.Equals, 3) })
+	_, err := c.fresh("h2", 10*time.Second)
+	q.Assert(err, qt.IsNil)
+	c.set(func() { c.hosts = all })
+	c.writeUntil(t, "h2", anyPoint)
+}
+
+// An instance moves to another address, where nothing answers yet. What the old
+// address said must not count for what will stand at the new one.
+func TestMovedInstanceIsAskedAnew(t *testing.T) {
+	c := newCluster(t, time.Millisecond)
+	c.ready(t)
+	d := c.doc
+	d.Instances = slices.Clone(d.Instances)
+	d.Instances[1].Address = "127.0.0.1:99"
+	c.set(func() { c.faults["b"] = hung })
+	c.moved.Store(&d)
+	eventually(t, func() bool {
+		b, _ := c.stewards["h0"].Table().Find("b")
+		return b.Instance.Address == "127.0.0.1:99" && !b.Known()
+	})
+	c.set(func() { c.faults["b"] = healthy })
+	eventually(t, func() bool {
+		b, _ := c.stewards["h0"].Table().Find("b")
+		return b.Known()
+	})
+}
