Give back what waits when a host no longer holds a group

Change: they go back as not run, and the entry host asks the present holders; the group closes once it is idle.

--- a/io/holder/configure.go
+++ b/io/holder/configure.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"skylarkdeal/core/document"
+	"skylarkdeal/core/failure"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/place"
 	"skylarkdeal/io/control"
@@ -58,6 +60,11 @@
 	d := g.document.Load()
 	hosts := place.Holders(d, g.h.c.Members(), d.Holders)
 	g.holds = slices.Contains(hosts, g.h.c.Host)
+	if g.holds {
+		g.lostAt = time.Time{}
+	} else {
+		g.yield()
+	}
 	total := 0
 	for _, i := range d.Instances {
 		s, ok := place.Shares(i, hosts, g.h.c.Host)
@@ -81,6 +88,35 @@
 	}
 }
 
+// retireAfter is how long a host keeps watching a group that it no longer holds:
+// a roster that is still settling may give it back, and open transactions end.
+const retireAfter = 2 * time.Second
+
+// yield sends what waits back to its entry hosts, which ask the group's present
+// holders. It guards against exchanges that wait for connections which this host
+// has given up, and would be refused only at their deadlines. Once nothing is
+// left the group is closed, whose administrative connections count too.
+func (g *groupRun) yield() {
+	for _, w := range g.works {
+		if w.pin == nil && g.queue.Withdraw(w.key) {
+			g.drop(w, g.refusal(failure.CodeNotReady, "this host no longer holds connections to the group", 0))
+		}
+	}
+	if g.lostAt.IsZero() {
+		g.lostAt = g.now
+		time.AfterFunc(retireAfter, g.stir)
+		return
+	}
+	if g.now.Sub(g.lostAt) < retireAfter {
+		return
+	}
+	if len(g.works) > 0 || g.pins.len() > 0 {
+		time.AfterFunc(retireAfter, g.stir)
+		return
+	}
+	g.end()
+}
+
 func (g *groupRun) pool(d *document.Document, i document.Instance) *database.Pool {
 	if p := g.pools[i.Name]; p != nil && g.addresses[i.Name] == i.Address {
 		return p
--- a/io/holder/group.go
+++ b/io/holder/group.go
@@ -63,6 +63,8 @@
 	// wake tells that something has changed: the table, a connection, the
 	// document or the members.
 	wake chan struct{}
+	// end closes the group.
+	end context.CancelFunc
 	// dump asks for the state.
 	dump chan chan GroupState
 
@@ -79,7 +81,9 @@
 	slots     map[fleet.Instance]int
 	key       uint64
 	absent    time.Time
-	now       time.Time
+	// lostAt is when this host ceased to be a holder, zero while it is one.
+	lostAt time.Time
+	now    time.Time
 	// looked is when the attempts under way were last looked at.
 	looked time.Time
 	// closing is set once no exchange may start any more.
@@ -302,6 +306,7 @@
 // transactions.
 func (g *groupRun) close() {
 	g.closing = true
+	g.h.forget(g)
 	for _, w := range g.works {
 		if g.queue.Withdraw(w.key) {
 			g.drop(w, g.refusal(failure.CodeShuttingDown, "the host shuts down", 0))
--- a/io/holder/holder.go
+++ b/io/holder/holder.go
@@ -113,17 +113,29 @@
 	}
 	g = newGroupRun(h, d)
 	h.groups[d.Service] = g
+	ctx, cancel := context.WithCancel(h.ctx)
+	g.end = cancel
 	h.wait.Add(2)
 	go func() {
 		defer h.wait.Done()
-		g.steward.Run(h.ctx)
+		g.steward.Run(ctx)
 	}()
 	go func() {
 		defer h.wait.Done()
-		g.run(h.ctx)
+		g.run(ctx)
 	}()
 }
 
+// forget has nothing more arrive at a group that closes. Every exchange that was
+// put into its ring before is then refused by the group, none is left unanswered.
+func (h *Holder) forget(g *groupRun) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.groups[g.service] == g {
+		delete(h.groups, g.service)
+	}
+}
+
 // MembersChanged looks again at which groups this host holds.
 func (h *Holder) MembersChanged(documents []*document.Document) {
 	for _, d := range documents {
@@ -153,21 +165,32 @@
 }
 
 func (h *Holder) runLocal(q *exchange.Request, reply exchange.Reply) {
-	g := h.group(q.Service)
+	ctx, cancel := context.WithDeadline(context.Background(), q.Deadline)
+	w := &work{q: q, reply: reply, ctx: ctx, cancel: cancel}
+	// The refusal is given without the lock: an entry host that hears it tries the
+	// next holder from here.
+	if f := h.offer(w); f != nil {
+		w.refuse(f)
+	}
+}
+
+// offer hands w to its group, or returns why it can't be.
+func (h *Holder) offer(w *work) *failure.Refusal {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	g := h.groups[w.q.Service]
 	if g == nil {
-		reply.Refuse(&failure.Refusal{
+		return &failure.Refusal{
 			Code:    failure.CodeNotReady,
-			Message: "this host holds no connections to " + string(q.Service) + "; not run",
+			Message: "this host holds no connections to " + string(w.q.Service) + "; not run",
 			Step:    "dispatch",
 			Peer:    failure.Peer("host " + string(h.c.Host)),
-		})
-		return
+		}
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), q.Deadline)
-	w := &work{q: q, reply: reply, ctx: ctx, cancel: cancel}
 	if !g.arrivals.TryPut(w) {
-		w.refuse(g.overloaded("too many exchanges arrive"))
+		return g.overloaded("too many exchanges arrive")
 	}
+	return nil
 }
 
 func (h *Holder) cancelLocal(id exchange.ID) {
--- a/io/holder/state.go
+++ b/io/holder/state.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -35,11 +37,12 @@
 // State returns the state of all groups on this host.
 func (h *Holder) State() []GroupState {
 	h.mu.RLock()
-	defer h.mu.RUnlock()
+	groups := slices.Collect(maps.Values(h.groups))
+	h.mu.RUnlock()
 	ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
 	defer cancel()
-	out := make([]GroupState, 0, len(h.groups))
-	for _, g := range h.groups {
+	out := make([]GroupState, 0, len(groups))
+	for _, g := range groups {
 		if s, ok := g.ask(ctx); ok {
 			out = append(out, s)
 		}
