Count idle time from before the answer is written

Cause: the loop noted the time after it had written the answer, so a caller (here, a test that moves the clock) could act in between and the deadline came out later than it should.

--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -348,11 +348,11 @@
 	} else if r.failed || res.Refusal != nil {
 		x.skipping = true
 	}
+	x.watchIdle()
 	x.write(out)
 	if x.phase != phaseReady || x.checkEnding() {
 		return
 	}
-	x.watchIdle()
 	x.process()
 }
 
