--- a/core/allot/guard_test.go
+++ b/core/allot/guard_test.go
@@ -14,7 +14,7 @@
 // filled returns a home whose bucket has had time to fill.
 func filled(s allot.Share) (*allot.Home, time.Time) {
 	h := &allot.Home{}
-	h.Start(epoch, 1, s, 0)
+	h.Start(epoch, 1, s, 0, 0)
 	return h, epoch.Add(allot.Overdue + time.Hour)
 }
 
@@ -24,7 +24,7 @@
 func TestNewHomeStartsEmptyAndLate(t *testing.T) {
 	c := qt.New(t)
 	h := &allot.Home{}
-	h.Start(epoch, 1, allot.Share{Rate: 10, Burst: 50}, 0)
+	h.Start(epoch, 1, allot.Share{Rate: 10, Burst: 50}, 0, 0)
 	c.Assert(h.Ask(epoch.Add(allot.Overdue), allot.Ask{Urgent: 1}).Tokens, qt.Equals, allot.Tokens(0))
 	c.Assert(h.Ask(epoch.Add(allot.Overdue+150*time.Millisecond), allot.Ask{Urgent: 5}).Tokens, qt.Equals, allot.Tokens(1))
 }
@@ -69,6 +69,7 @@
 	h, now := filled(allot.Share{Rate: 10, Burst: 10})
 	h.Change(now, 3, allot.Share{Rate: 1, Burst: 2}, true)
 	h.Change(now, 2, allot.Share{Rate: 10, Burst: 10}, true)
+	now = now.Add(time.Minute)
 	qt.Assert(t, h.Ask(now, allot.Ask{Urgent: 10}).Tokens, qt.Equals, allot.Tokens(2))
 }
 
@@ -224,3 +225,15 @@
 		}
 	}
 }
+
+func BenchmarkAskAndGrant(b *testing.B) {
+	h, now := filled(allot.Share{Rate: 1e9, Burst: 1e9})
+	s := allot.Spender{Own: dc}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(10 * time.Millisecond)
+		w, _ := s.Next(now, 1, threeDCs[1:2])
+		s.Granted(now, now, dc, w.Ask, h.Ask(now, w.Ask))
+		s.TakeAny(now, 1)
+	}
+}
