--- a/io/platform/platform_test.go
+++ b/io/platform/platform_test.go
@@ -212,8 +212,10 @@
 		Endpoints: []string{server.Addr()}, Now: k.now, Rate: 2, Burst: 20, Jitter: func() float64 { return 0.5 },
 	})
 	server.Set(func(f *store.Faults) { f.Down = true })
+	bounded, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
 	for range 600 {
-		_, _ = s.Get(ctx, "/k")
+		_, _ = s.Get(bounded, "/k")
 		k.move(100 * time.Millisecond)
 	}
 	// Intervals of 0.2, 0.4, ... 6.4 and then 10 s fit nine times into a minute.
@@ -227,8 +229,8 @@
 	c.Assert(s.State().Down, qt.IsFalse)
 	_, err = s.Get(ctx, "/k")
 	c.Assert(err, qt.IsNil)
-	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
-	defer cancel()
+	short, stop := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer stop()
 	_, err = s.Get(short, "/k")
 	c.Assert(err, qt.ErrorIs, context.DeadlineExceeded)
 	c.Assert(server.Calls()[store.KindRange], qt.Equals, 13)
