Share the store's calls out by the size of the fleet

Cause: every host kept to the two calls a second that 920 hosts may make, so six hosts took over 18 s to claim their seats; an account whose home had no seat in one data centre lost a third of its rate there. Change: the hosts together may make 400 calls a second, each its part by the roster, at least one.

--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -125,6 +125,7 @@
 	h.store = platform.Dial(platform.Config{
 		Endpoints: s.Store.Endpoints,
 		Timeout:   s.Store.Timeout,
+		Hosts:     func() int { return len(h.members.Members()) },
 		Metrics:   h.registry,
 	})
 	h.members = members.New(members.Config{
@@ -136,7 +137,7 @@
 		Journal:    &h.journal,
 	})
 	me := host.Self{Host: s.Host.Name, Epoch: h.epoch}
-	h.peers = &host.Peers{Self: me, Secret: h.secret, Address: h.address, Log: h.log}
+	h.peers = &host.Peers{Self: me, Secret: h.secret, Address: h.address, Log: h.log, Metrics: h.registry}
 	h.spread = spread.New(h.spreadConfig())
 	h.grants = grants.New(h.grantsConfig())
 	h.holder = holder.New(h.holderConfig())
--- a/io/platform/dial.go
+++ b/io/platform/dial.go
@@ -25,6 +25,9 @@
 	// Rate and Burst bound the calls of this process, in calls a second.
 	Rate  float64
 	Burst int
+	// Hosts returns how many hosts share the store, which sets the rate in place
+	// of Rate when it is given.
+	Hosts func() int
 	// Patient is set for the operators' commands, which ask a store in trouble
 	// again at once; hosts are held back.
 	Patient bool
@@ -43,6 +46,11 @@
 const (
 	DefaultTimeout = 3 * time.Second
 	DefaultRate    = 2
+	// FleetRate is what the hosts together may call, in calls a second: the
+	// store takes several hundred writes, and a start's calls are mostly writes.
+	// LeastRate keeps a host of a large fleet able to renew its lease.
+	FleetRate = 400
+	LeastRate = 1
 	DefaultBurst   = 20
 
 	dialTimeout = 500 * time.Millisecond
--- a/io/platform/gate.go
+++ b/io/platform/gate.go
@@ -24,6 +24,7 @@
 	jitter  func() float64
 
 	rate   float64
+	hosts  func() int
 	burst  float64
 	tokens float64
 	filled time.Time
@@ -54,7 +55,7 @@
 	b.Reset()
 	g := gate{
 		mu: new(sync.Mutex), now: cfg.Now, patient: cfg.Patient, backoff: b, jitter: cfg.Jitter,
-		rate: cfg.Rate, burst: float64(cfg.Burst), filled: cfg.Now(), since: cfg.Now(),
+		rate: cfg.Rate, hosts: cfg.Hosts, burst: float64(cfg.Burst), filled: cfg.Now(), since: cfg.Now(),
 	}
 	if g.rate == 0 {
 		g.rate = DefaultRate
@@ -98,15 +99,24 @@
 		g.until = now.Add(g.interval())
 		return 0, nil
 	}
-	g.tokens = min(g.burst, g.tokens+g.rate*now.Sub(g.filled).Seconds())
+	g.tokens = min(g.burst, g.tokens+g.perSecond()*now.Sub(g.filled).Seconds())
 	g.filled = now
 	if g.tokens < 1 {
-		return time.Duration((1 - g.tokens) / g.rate * float64(time.Second)), nil
+		return time.Duration((1 - g.tokens) / g.perSecond() * float64(time.Second)), nil
 	}
 	g.tokens--
 	return 0, nil
 }
 
+// perSecond is this process's part of what the fleet may call: two hosts that
+// start alone need not crawl for the sake of a fleet of hundreds.
+func (g *gate) perSecond() float64 {
+	if g.hosts == nil {
+		return g.rate
+	}
+	return max(LeastRate, FleetRate/float64(max(1, g.hosts())))
+}
+
 // interval returns the next interval, spread evenly over half of it to either
 // side.
 func (g *gate) interval() time.Duration {
