--- a/io/platform/dial.go
+++ b/io/platform/dial.go
@@ -49,9 +49,9 @@
 	// FleetRate is what the hosts together may call, in calls a second: the
 	// store takes several hundred writes, and a start's calls are mostly writes.
 	// LeastRate keeps a host of a large fleet able to renew its lease.
-	FleetRate = 400
-	LeastRate = 1
-	DefaultBurst   = 20
+	FleetRate    = 400
+	LeastRate    = 1
+	DefaultBurst = 20
 
 	dialTimeout = 500 * time.Millisecond
 	// pingAfter finds a connection that is cut without a word.
