Keep a data centre's seats in one record of the store

Cause: a host that started took 32 seats by 32 swaps, but may make 2 calls a second of the store; the last were taken after 10 s, leases were renewed late meanwhile, and each seat that changed hands cost the accounts their level. Now one read and one swap change any number of seats, hosts whose claims rest look every 2 s, and a holder that is a member is not looked up.

--- a/io/grants/claims.go
+++ b/io/grants/claims.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"strings"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,6 +18,13 @@
 	"skylarkdeal/io/host/hostpb"
 )
 
+// storedSeats is the record of a data centre's seats. They stand in one record,
+// so that a host that starts or leaves takes or gives up all of its seats with
+// one read and one swap, however many there are; 32 swaps would use up the calls
+// that a host may make in ten seconds. Hosts that change the record at once lose
+// a round.
+type storedSeats map[string]storedSeat
+
 // storedSeat is a seat as the store has it.
 type storedSeat struct {
 	allot.SeatRecord
@@ -32,124 +39,175 @@
 	Tokens  float64       `json:"tokens"`
 }
 
-// claimAll tries to take the seats of the given shards, with one read for all.
-func (r *Runtime) claimAll(ctx context.Context, shards []roster.Shard) {
-	lease, until := r.cfg.Store.Lease()
-	if !r.clock.late().Before(until) {
-		return
-	}
+// change is a change of the record in the making.
+type change struct {
+	seats storedSeats
+	// old is the revision of the record that was read.
+	old   uint64
+	lease uint64
+	// won holds the seats that the change takes, with what is left of each.
+	won   map[roster.Shard][]leftover
+	given []roster.Shard
+	// dirty is set when there is something to write, waits when a claim goes on
+	// without it.
+	dirty, waits bool
+	// standing remembers which holders' leases stand.
+	standing map[allot.SeatRecord]bool
+	// withdraw holds the seats whose consent is to be withdrawn, by witness.
+	withdraw map[allot.Process][]roster.Shard
+}
+
+// changeSeats claims and gives up seats with one read and one swap, and reports
+// whether anything is under way, so that the next round shouldn't wait.
+//
+// One change is made at a time: were the answer to one taken in after a later one
+// has given the seat up, its homes would start again with the same tokens.
+func (r *Runtime) changeSeats(ctx context.Context, claims []roster.Shard) (moving bool, err error) {
+	r.changing.Lock()
+	defer r.changing.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	list, err := r.cfg.Store.List(ctx, SeatPrefix+string(r.cfg.DataCentre)+"/")
+	c, err := r.readSeats(ctx)
 	if err != nil {
-		r.cfg.Logger.Warn("seats not read", zap.Error(failure.At(err, "list seats", "store")))
-		return
+		return false, failure.At(err, "read seats", "store")
 	}
-	read := map[string]Entry{}
-	for _, e := range list {
-		read[strings.TrimPrefix(e.Key, SeatPrefix)] = e
+	r.planGiveUps(c)
+	if _, until := r.cfg.Store.Lease(); r.clock.late().Before(until) {
+		for _, h := range claims {
+			if err := r.planClaim(ctx, c, h); err != nil {
+				return false, err
+			}
+		}
+	}
+	for w, shards := range c.withdraw {
+		r.withdraw(ctx, w, shards, c)
+	}
+	if !c.dirty {
+		return c.waits, nil
 	}
-	standing := map[allot.SeatRecord]bool{}
-	for _, h := range shards {
-		e := read[string(seatName(r.cfg.DataCentre, h))]
-		if err := r.claim(ctx, h, e, lease, standing); err != nil {
-			r.cfg.Logger.Warn("seat not taken", zap.Int("shard", int(h)), zap.Error(err))
+	return true, failure.At(r.write(ctx, c), "swap seats", "store")
+}
+
+func (r *Runtime) seatsKey() string {
+	return SeatPrefix + string(r.cfg.DataCentre)
+}
+
+func shardKey(h roster.Shard) string {
+	return strconv.Itoa(int(h))
+}
+
+func (r *Runtime) readSeats(ctx context.Context) (*change, error) {
+	lease, _ := r.cfg.Store.Lease()
+	c := &change{
+		seats: storedSeats{}, lease: lease, won: map[roster.Shard][]leftover{},
+		standing: map[allot.SeatRecord]bool{}, withdraw: map[allot.Process][]roster.Shard{},
+	}
+	list, err := r.cfg.Store.List(ctx, r.seatsKey())
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range list {
+		if e.Key == r.seatsKey() {
+			c.old = e.Revision
+			return c, json.Unmarshal(e.Value, &c.seats)
 		}
 	}
+	return c, nil
 }
 
-// claim takes one step towards a seat.
-func (r *Runtime) claim(
-	ctx context.Context, h roster.Shard, e Entry, lease uint64, standing map[allot.SeatRecord]bool,
-) error {
-	var read storedSeat
-	if len(e.Value) > 0 {
-		if err := json.Unmarshal(e.Value, &read); err != nil {
-			return failure.At(err, "read seat", "store")
+// planGiveUps puts the seats that this host has given up into the change, until
+// the record no longer names this host. If a swap of its own has landed since, the
+// record is of a later tenure; nobody has granted in that one.
+func (r *Runtime) planGiveUps(c *change) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for h, g := range r.given {
+		now := c.seats[shardKey(h)]
+		if now.Holder != r.process() {
+			delete(r.given, h)
+			continue
+		}
+		if now.Tenure != g.tenure {
+			g.left = nil
 		}
+		c.seats[shardKey(h)] = storedSeat{allot.SeatRecord{Tenure: now.Tenure + 1}, g.left}
+		c.given = append(c.given, h)
+		c.dirty = true
 	}
-	rec := read.SeatRecord
-	stands, err := r.stands(ctx, rec, standing)
+}
+
+// planClaim takes one step towards a seat.
+func (r *Runtime) planClaim(ctx context.Context, c *change, h roster.Shard) error {
+	read := c.seats[shardKey(h)]
+	stands, err := r.stands(ctx, read.SeatRecord, c.standing)
 	if err != nil {
 		return err
 	}
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	s := r.seat(h)
-	step := s.claim.Next(r.clock.early(), r.process(), lease, rec, stands)
-	if step == allot.StepRest && s.tenure.Held() {
-		r.lose(h, s)
-	}
-	r.mu.Unlock()
-	switch step {
+	switch s.claim.Next(r.clock.early(), r.process(), c.lease, read.SeatRecord, stands) {
 	case allot.StepAdopt:
-		if !r.witnessServes(rec.Witness) {
-			return r.take(ctx, h, e.Revision, allot.Taken(rec, r.process(), lease, r.pickWitness()), nil)
+		if !r.witnessServes(read.Witness) {
+			r.planSwap(c, h, read, nil)
+			return nil
 		}
-		r.won(h, rec, e.Revision, lease, nil)
+		r.won(h, read.SeatRecord, c.lease, nil)
 	case allot.StepSwap:
-		return r.take(ctx, h, e.Revision, allot.Taken(rec, r.process(), lease, r.pickWitness()), read.Left)
+		r.planSwap(c, h, read, read.Left)
 	case allot.StepWithdraw:
-		return r.withdraw(ctx, h, rec)
-	case allot.StepRest, allot.StepWait:
+		c.withdraw[read.Witness] = append(c.withdraw[read.Witness], h)
+		c.waits = true
+	case allot.StepRest:
+		r.lose(h, s)
+	case allot.StepWait:
+		c.waits = true
 	}
 	return nil
 }
 
-// stands reports whether the lease of a record's holder stands, asking the store
-// once for all seats of one holder.
-func (r *Runtime) stands(ctx context.Context, rec allot.SeatRecord, known map[allot.SeatRecord]bool) (bool, error) {
-	if rec.Holder == (allot.Process{}) || rec.Holder == r.process() {
-		return false, nil
-	}
-	k := allot.SeatRecord{Holder: rec.Holder, Lease: rec.Lease}
-	if v, ok := known[k]; ok {
-		return v, nil
-	}
-	v, err := r.cfg.Store.Standing(ctx, rec.Holder.Host, rec.Lease)
-	if err != nil {
-		return false, failure.At(err, "read lease", "store")
-	}
-	known[k] = v
-	return v, nil
-}
-
-// take swaps the record. After a lost answer the next round reads what has become
-// of it; until then a holder counts on its lease alone (see Seat.Swapping).
+// planSwap puts this host into the record of a seat. Until the answer a holder
+// counts on its lease alone (see Seat.Swapping).
 //
 // The tokens that a predecessor left are used by the one whose swap of that very
 // record is known to have gone through, and the swap removes them: so never twice.
-func (r *Runtime) take(
-	ctx context.Context, h roster.Shard, old uint64, rec allot.SeatRecord, left []leftover,
-) error {
-	r.mu.Lock()
+func (r *Runtime) planSwap(c *change, h roster.Shard, read storedSeat, left []leftover) {
 	s := r.seat(h)
 	s.tenure.Swapping()
-	s.claim.Tried(allot.SeatRecord{Tenure: rec.Tenure - 1})
-	r.mu.Unlock()
-	rev, ok, err := r.swap(ctx, h, old, storedSeat{SeatRecord: rec})
-	if err != nil {
-		return failure.At(err, "swap seat", "store")
+	s.claim.Tried(read.SeatRecord)
+	c.seats[shardKey(h)] = storedSeat{
+		SeatRecord: allot.Taken(read.SeatRecord, r.process(), c.lease, r.pickWitness()),
 	}
-	if ok {
-		r.won(h, rec, rev, rec.Lease, left)
-	}
-	return nil
+	c.won[h], c.dirty = left, true
 }
 
-func (r *Runtime) swap(ctx context.Context, h roster.Shard, old uint64, rec storedSeat) (uint64, bool, error) {
-	v, err := json.Marshal(rec)
+// write swaps the record. When another host was first, or the answer is lost, the
+// next round reads what has become of it.
+func (r *Runtime) write(ctx context.Context, c *change) error {
+	v, err := json.Marshal(c.seats)
 	if err != nil {
-		return 0, false, err
+		return err
+	}
+	_, ok, err := r.cfg.Store.Swap(ctx, r.seatsKey(), c.old, v)
+	if err != nil || !ok {
+		return err
 	}
-	return r.cfg.Store.Swap(ctx, SeatPrefix+string(seatName(r.cfg.DataCentre, h)), old, v)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, h := range c.given {
+		delete(r.given, h)
+	}
+	for h, left := range c.won {
+		r.won(h, c.seats[shardKey(h)].SeatRecord, c.lease, left)
+	}
+	return nil
 }
 
-func (r *Runtime) won(h roster.Shard, rec allot.SeatRecord, rev, lease uint64, left []leftover) {
+// won takes in that the record names this host; r.mu is held.
+func (r *Runtime) won(h roster.Shard, rec allot.SeatRecord, lease uint64, left []leftover) {
 	l, until := r.cfg.Store.Lease()
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	s := r.seat(h)
-	s.revision, s.claim, s.yield = rev, allot.Claim{}, time.Time{}
+	s.claim, s.yield = allot.Claim{}, time.Time{}
 	kept := s.tenure.Won(rec)
 	if l == lease {
 		s.tenure.Leased(lease, until)
@@ -159,6 +217,32 @@
 		r.startHomes(h, left)
 	}
 	r.note(h, "take", fmt.Sprintf("tenure %d, witness %s", rec.Tenure, rec.Witness.Host))
+	delete(r.given, h)
+	if r.leaving {
+		r.giveUp(h)
+	}
+}
+
+// stands reports whether the lease of a record's holder stands, asking the store
+// once for all seats of one holder. A holder that is a member is taken to have
+// its lease without asking: to rest is always safe, and it costs no call.
+func (r *Runtime) stands(ctx context.Context, rec allot.SeatRecord, known map[allot.SeatRecord]bool) (bool, error) {
+	if rec.Holder == (allot.Process{}) || rec.Holder == r.process() {
+		return false, nil
+	}
+	if m, ok := r.member(rec.Holder.Host); ok && !m.Leaving && r.cfg.Store.Epoch(m.Host) == rec.Holder.Epoch {
+		return true, nil
+	}
+	k := allot.SeatRecord{Holder: rec.Holder, Lease: rec.Lease}
+	if v, ok := known[k]; ok {
+		return v, nil
+	}
+	v, err := r.cfg.Store.Standing(ctx, rec.Holder.Host, rec.Lease)
+	if err != nil {
+		return false, failure.At(err, "read lease", "store")
+	}
+	known[k] = v
+	return v, nil
 }
 
 // note records a decision on a seat in the journal and the log.
@@ -187,17 +271,24 @@
 
 var errNoWitness = errors.New("the witness is not among the members")
 
-// withdraw asks the witness of rec to consent no more.
-func (r *Runtime) withdraw(ctx context.Context, h roster.Shard, rec allot.SeatRecord) error {
-	n := seatName(r.cfg.DataCentre, h)
-	q := &hostpb.SeatAsk{Seat: string(n), Tenure: rec.Tenure, Withdraw: true}
-	a, err := r.askWitness(ctx, rec.Witness, []*hostpb.SeatAsk{q})
+// withdraw asks a witness to consent no more to the tenures of some seats. While
+// it doesn't answer they stay as they are.
+func (r *Runtime) withdraw(ctx context.Context, w allot.Process, shards []roster.Shard, c *change) {
+	asks := make([]*hostpb.SeatAsk, len(shards))
+	for i, h := range shards {
+		asks[i] = &hostpb.SeatAsk{
+			Seat: string(seatName(r.cfg.DataCentre, h)), Tenure: c.seats[shardKey(h)].Tenure, Withdraw: true,
+		}
+	}
+	a, err := r.askWitness(ctx, w, asks)
 	if err != nil {
-		return err
+		r.cfg.Logger.Warn("consent not withdrawn", zap.Error(err))
+		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	remains := time.Duration(a.GetSeats()[0].GetRemainsUs()) * time.Microsecond
-	r.seat(h).claim.Withdrawn(r.clock.early(), rec, remains)
-	return nil
+	for i, h := range shards {
+		remains := time.Duration(a.GetSeats()[i].GetRemainsUs()) * time.Microsecond
+		r.seat(h).claim.Withdrawn(r.clock.early(), c.seats[shardKey(h)].SeatRecord, remains)
+	}
 }
--- a/io/grants/grants.go
+++ b/io/grants/grants.go
@@ -24,6 +24,7 @@
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/journal"
 	"skylarkdeal/core/ring"
+	"skylarkdeal/core/roster"
 	"skylarkdeal/io/host/hostpb"
 )
 
@@ -80,6 +81,10 @@
 	leaves   ring.Ring[chan struct{}]
 	// stopped is set when nobody serves the arrivals any more.
 	stopped atomic.Bool
+	// changing is held while the record of the seats is read and swapped.
+	changing sync.Mutex
+	// rest belongs to the goroutine that keeps the seats.
+	rest time.Time
 	// out belongs to the serving goroutine.
 	out outbox
 
@@ -89,6 +94,7 @@
 	// granted holds the accounts that ever had a home in this process.
 	granted map[name]bool
 	seats   map[allot.SeatName]*seat
+	given   map[roster.Shard]given
 	witness allot.Witness
 	lastID  allot.GrantID
 	leaving bool
@@ -114,6 +120,7 @@
 		homes:    map[name]*allot.Home{},
 		granted:  map[name]bool{},
 		seats:    map[allot.SeatName]*seat{},
+		given:    map[roster.Shard]given{},
 		lastID:   firstID(cfg.Host, cfg.Epoch),
 	}
 	r.clock.start(cfg.Now)
--- a/io/grants/grants_test.go
+++ b/io/grants/grants_test.go
@@ -34,11 +34,13 @@
 	keys   map[string]grants.Entry
 	leases map[fleet.Host]uint64
 	rev    uint64
+	calls  int
 }
 
 func (s *store) list(_ context.Context, prefix string) ([]grants.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	if s.down {
 		return nil, errDown
 	}
@@ -54,6 +56,7 @@
 func (s *store) swap(_ context.Context, key string, old uint64, value []byte) (uint64, bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	if s.down {
 		return 0, false, errDown
 	}
@@ -262,8 +265,11 @@
 	eventually(t, "seats taken", func() bool { return b.level() == 900 })
 	n, _ := b.admit("o1", 100)
 	c.Assert(n, qt.Equals, 100)
-	left := slices.Clone(hosts)
+	b.store.mu.Lock()
+	c.Check(b.store.calls <= 40, qt.IsTrue, qt.Commentf("%d calls of the store for 96 seats", b.store.calls))
+	b.store.mu.Unlock()
 	for _, h := range []fleet.Host{"o1", "o2"} {
+		left := slices.Clone(hosts)
 		for i := range left {
 			left[i].Leaving = left[i].Host == h
 		}
--- a/io/grants/seats.go
+++ b/io/grants/seats.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"go.uber.org/zap"
+
 	"skylarkdeal/core/allot"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/roster"
@@ -37,7 +39,7 @@
 	Epoch func(fleet.Host) uint64
 }
 
-// SeatPrefix is where the seats are kept in the store.
+// SeatPrefix is where the seats are kept in the store, a key for each data centre.
 const SeatPrefix = "/skylarkdeal/homes/"
 
 func seatName(d fleet.DataCentre, h roster.Shard) allot.SeatName {
@@ -46,14 +48,16 @@
 
 // seat is this host's view of one seat of its data centre.
 type seat struct {
-	tenure   allot.Seat
-	claim    allot.Claim
-	revision uint64
+	tenure allot.Seat
+	claim  allot.Claim
 	// yield is when this host, the holder, first saw another one win the duty.
 	yield time.Time
 }
 
 const (
+	// restEvery is how often a host looks whether seats that another one holds
+	// have been given up: few of the calls that it may make of the store.
+	restEvery = 2 * time.Second
 	// seatEvery is how often seats are looked after: half the least time in
 	// which a lost host is noticed, so that it adds little to it.
 	seatEvery = 500 * time.Millisecond
@@ -91,17 +95,35 @@
 		w, ok := roster.Winner(here, roster.Home(r.cfg.DataCentre, h))
 		mine := ok && w.Host == r.cfg.Host && !w.Leaving
 		renewed := r.renew(h)
-		r.yield(ctx, h, mine)
+		r.yield(h, mine)
 		if mine && !renewed && !r.isLeaving() {
 			claims = append(claims, h)
 		}
 	}
-	if len(claims) > 0 {
-		r.claimAll(ctx, claims)
-	}
+	r.changeIfDue(ctx, claims)
 	r.askConsent(ctx)
 }
 
+// changeIfDue changes the record of the seats where there is something to do. A
+// host whose claims rest, because another one still holds the seats, looks only
+// every restEvery.
+func (r *Runtime) changeIfDue(ctx context.Context, claims []roster.Shard) {
+	r.mu.Lock()
+	giving := len(r.given) > 0
+	r.mu.Unlock()
+	now := r.clock.early()
+	if !giving && (len(claims) == 0 || now.Before(r.rest)) {
+		return
+	}
+	moving, err := r.changeSeats(ctx, claims)
+	if err != nil {
+		r.cfg.Logger.Warn("seats not changed", zap.Error(err))
+	}
+	if !moving {
+		r.rest = now.Add(restEvery)
+	}
+}
+
 // takeUnfenced holds every seat that falls to this host by its own roster.
 func (r *Runtime) takeUnfenced() {
 	forever := r.clock.late().Add(time.Hour)
@@ -181,8 +203,9 @@
 }
 
 // yield gives the seat to the host that wins its duty, once that has lasted.
-func (r *Runtime) yield(ctx context.Context, h roster.Shard, mine bool) {
+func (r *Runtime) yield(h roster.Shard, mine bool) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	s := r.seat(h)
 	now := r.clock.early()
 	if mine {
@@ -190,31 +213,30 @@
 	} else if s.yield.IsZero() {
 		s.yield = now
 	}
-	due := !mine && s.tenure.Held() && now.Sub(s.yield) >= yieldAfter
-	r.mu.Unlock()
-	if due {
-		r.giveUp(ctx, h)
+	if !mine && s.tenure.Held() && now.Sub(s.yield) >= yieldAfter {
+		r.giveUp(h)
 	}
 }
 
-// giveUp stops granting, then says so in the store, with what the homes have
-// left: the successor need not wait for a lease to end, nor start empty.
-func (r *Runtime) giveUp(ctx context.Context, h roster.Shard) {
-	r.mu.Lock()
+// given is a seat that this host has given up, while the store may not know it.
+type given struct {
+	tenure uint64
+	left   []leftover
+}
+
+// giveUp stops granting; the next change of the record says so in the store, with
+// what the homes have left: the successor need not wait for a lease to end, nor
+// start empty. r.mu is held.
+func (r *Runtime) giveUp(h roster.Shard) {
 	s := r.seat(h)
 	if !s.tenure.Held() {
-		r.mu.Unlock()
 		return
 	}
-	rec, rev := s.tenure.Record(), s.revision
-	left := r.leftovers(h)
+	rec := s.tenure.Record()
+	r.given[h] = given{rec.Tenure, r.leftovers(h)}
 	s.claim.Tried(rec)
-	r.lose(h, s)
 	s.yield = time.Time{}
-	r.mu.Unlock()
-	if r.cfg.Store.Swap != nil {
-		_, _, _ = r.swap(ctx, h, rev, storedSeat{allot.SeatRecord{Tenure: rec.Tenure + 1}, left})
-	}
+	r.lose(h, s)
 }
 
 // heldShards returns the shards whose seats this host holds.
--- a/io/grants/state.go
+++ b/io/grants/state.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
 
 	"skylarkdeal/core/allot"
 	"skylarkdeal/core/fleet"
@@ -116,7 +117,9 @@
 func (r *Runtime) Leave(ctx context.Context) {
 	r.mu.Lock()
 	r.leaving = true
-	held := r.heldShards()
+	for _, h := range r.heldShards() {
+		r.giveUp(h)
+	}
 	r.mu.Unlock()
 	returned := make(chan struct{})
 	if r.leaves.Put(ctx, returned) == nil {
@@ -125,11 +128,29 @@
 		case <-ctx.Done():
 		}
 	}
-	for _, h := range held {
-		r.giveUp(ctx, h)
+	r.writeGiven(ctx)
+}
+
+// writeGiven writes the seats that were given up, or leaves it to the end of the
+// lease when the store can't be reached.
+func (r *Runtime) writeGiven(ctx context.Context) {
+	for range leaveTries {
+		r.mu.Lock()
+		done := len(r.given) == 0
+		r.mu.Unlock()
+		if done || r.cfg.Store.List == nil {
+			return
+		}
+		if _, err := r.changeSeats(ctx, nil); err != nil {
+			r.cfg.Logger.Warn("seats not given up", zap.Error(err))
+		}
 	}
 }
 
+// leaveTries bounds the tries: one more may be needed for each host of the data
+// centre that changes the record at the same time.
+const leaveTries = 3
+
 // giveBack sends all unspent tokens to their homes.
 func (r *Runtime) giveBack() {
 	now := r.clock.late()
