Compare a roaming session with the naive ledger

The session writes and reads through any host while links are cut and primaries change, and has to see all that was confirmed to it, once and in order.

--- a/core/group/world_test.go
+++ b/core/group/world_test.go
@@ -30,6 +30,8 @@
 	cut       map[link]bool
 	net       []message
 	written   int
+	// session is the only caller if it is set.
+	session *roamer
 
 	acked     []*acked
 	primaries map[fleet.Term]fleet.Instance
@@ -166,10 +168,8 @@
 		w.replicate(i, 1+pick(8))
 	case 9, 10, 11, 12:
 		w.askAll(h)
-	case 13, 14:
-		w.write(h)
-	case 15, 16:
-		w.startRead(h, pick)
+	case 13, 14, 15, 16:
+		w.work(h, pick)
 	case 17:
 		w.promote(h, pick(6) == 0)
 		w.repair(h)
@@ -219,6 +219,18 @@
 	}
 }
 
+// work has a caller write or read.
+func (w *world) work(h *host, pick func(n int) int) {
+	switch {
+	case w.session != nil:
+		w.session.act(w, h, pick)
+	case pick(2) == 0:
+		w.write(h)
+	default:
+		w.startRead(h, pick)
+	}
+}
+
 func (w *world) write(h *host) {
 	if p := h.group.Table(w.now).Primary; p != "" {
 		w.written++
