Tell readers soon that no majority answers; keep the policy to its goroutine

A read without a token in a cut-off data centre waited for its deadline; it now hears after 3 s that it was not run. The loop changed the policy that HandleView reads on other goroutines.

--- a/io/steward/change.go
+++ b/io/steward/change.go
@@ -65,7 +65,7 @@
 	}
 	s.askViews(now, t)
 	s.repair(now, t)
-	j := group.Judge(now, s.cfg.Policy, t, s.witness(), s.freshViews(now), s.order())
+	j := group.Judge(now, s.policy, t, s.witness(), s.freshViews(now), s.order())
 	c.why = j.Reason
 	if j.Cause != c.cause {
 		c.cause = j.Cause
@@ -176,7 +176,7 @@
 // askViews asks the other holders while the primary is silent.
 func (s *Steward) askViews(now time.Time, t group.Table) {
 	p, ok := t.Find(t.Primary)
-	if s.cfg.Views == nil || !ok || !s.cfg.Policy.Alarmed(p, now) || now.Sub(s.change.asked) < viewPace {
+	if s.cfg.Views == nil || !ok || !s.policy.Alarmed(p, now) || now.Sub(s.change.asked) < viewPace {
 		return
 	}
 	s.change.asked = now
--- a/io/steward/steward.go
+++ b/io/steward/steward.go
@@ -82,6 +82,10 @@
 	viewing fleet.Set[fleet.Host]
 	change  change
 	busy    time.Time
+	// policy is the Config's, as the document has it.
+	policy group.Policy
+	// quorate is when a majority of the instances last answered.
+	quorate time.Time
 	// members are the group's holders as of membersAt.
 	members   []fleet.Member
 	membersAt time.Time
@@ -108,6 +112,7 @@
 		events:  ring.New[event](eventRoom),
 		ended:   make(chan struct{}),
 	}
+	s.policy = cfg.Policy
 	s.rand = rand.New(rand.NewPCG(cfg.Seed, cfg.Epoch))
 	s.links = make(map[fleet.Instance]*link)
 	s.views = make(map[fleet.Host]group.View)
@@ -199,6 +204,9 @@
 		s.adopt(now)
 	}
 	t := s.publish(now)
+	if t.Quorate(now) || s.quorate.IsZero() {
+		s.quorate = now
+	}
 	s.settle(now, t)
 	s.failOver(now, t)
 	s.ask(now, t)
@@ -226,7 +234,7 @@
 	}
 	s.doc = d
 	s.group.Configure(now, d.Instances)
-	s.cfg.Policy.KeepStalled = d.Acknowledge == document.AcknowledgePrimary
+	s.policy.KeepStalled = d.Acknowledge == document.AcknowledgePrimary
 	links := make(map[fleet.Instance]*link, len(d.Instances))
 	for _, i := range d.Instances {
 		l := s.links[i.Name]
--- a/io/steward/steward_test.go
+++ b/io/steward/steward_test.go
@@ -160,9 +160,9 @@
 	}
 	c.set(func() { c.faults["b"], c.faults["c"] = hung, hung })
 	_, err := c.fresh("h2", 200*time.Millisecond)
-	var r *failure.Refusal
-	q.Assert(errors.As(err, &r), qt.IsTrue)
-	q.Assert(r.Code, qt.Equals, failure.CodeNotReady)
+	q.Assert(err, qt.ErrorMatches, "57P03: not run: no proof by the deadline")
+	_, err = c.fresh("h2", time.Hour)
+	q.Assert(err, qt.ErrorMatches, "57P03: not run: no majority of the instances answers")
 }
 
 func (c *cluster) fresh(h fleet.Host, limit time.Duration) (group.Proof, error) {
--- a/io/steward/wait.go
+++ b/io/steward/wait.go
@@ -78,6 +78,12 @@
 // retryHint is about the length of a failover.
 const retryHint = time.Second
 
+// quoratePatience is how long a read waits for a majority that doesn't answer. A
+// failover is over by then; in a data centre that is cut off, a caller should
+// hear soon that its read was not run. A write isn't given up: it was sent, and
+// its proof may still come.
+const quoratePatience = 3 * time.Second
+
 // proofLife is how old the questions that confirm a write with acknowledge =
 // primary may be when it is acknowledged. It is shorter than the least silence
 // before a promotion: a host that was paused in between may have slept through
@@ -107,6 +113,10 @@
 	if w.confirm != nil && s.settleWrite(now, t, w) {
 		return true
 	}
+	if w.fresh != nil && now.Sub(s.quorate) > quoratePatience {
+		w.fail("no majority of the instances answers")
+		return true
+	}
 	if now.Before(w.deadline) {
 		return false
 	}
