Let open transactions go before an account's new work

Cause: an account above its rate had its transactions refused half-way, after they had taken a connection and tokens. Change: an exchange of an open transaction waits for its token in front of the account's new work, for up to 2 s.

--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -162,6 +162,7 @@
 		Runner:         h.holder.Runner(),
 		Documents:      h.serving,
 		Admit:          h.grants.Admit,
+		AdmitOpen:      h.grants.AdmitOpen,
 		Logger:         h.log,
 		Registerer:     h.registry,
 		Journal:        &h.journal,
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -59,6 +59,9 @@
 	// Admit is asked before an exchange of n requests is run and answers by
 	// done, at once or later, nil to go on. A nil Admit admits all.
 	Admit func(s fleet.Service, a fleet.Account, n int, deadline time.Time, done func(*failure.Refusal))
+	// AdmitOpen is asked in its place for an exchange of an open transaction; a
+	// nil AdmitOpen leaves these to Admit.
+	AdmitOpen func(s fleet.Service, a fleet.Account, n int, deadline time.Time, done func(*failure.Refusal))
 
 	Now        func() time.Time
 	Logger     *zap.Logger
@@ -106,6 +109,9 @@
 			done(nil)
 		}
 	}
+	if c.AdmitOpen == nil {
+		c.AdmitOpen = c.Admit
+	}
 	return c
 }
 
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -84,7 +84,11 @@
 // the call is taken up here, a later one on the goroutine that gives it.
 func (r *run) admit(n int) {
 	r.admitting = true
-	r.x.srv.cfg.Admit(r.q.Service, r.q.Account, n, r.q.Deadline, r.admitted)
+	ask := r.x.srv.cfg.Admit
+	if r.q.Pin != 0 {
+		ask = r.x.srv.cfg.AdmitOpen
+	}
+	ask(r.q.Service, r.q.Account, n, r.q.Deadline, r.admitted)
 	r.mu.Lock()
 	r.admitting = false
 	answered, f := r.answered, r.verdict
--- a/io/grants/entries.go
+++ b/io/grants/entries.go
@@ -40,6 +40,8 @@
 	n     allot.Tokens
 	limit time.Time
 	done  func(*failure.Refusal)
+	// open is set for an exchange of an open transaction.
+	open bool
 }
 
 // entries finds the entry of an account without a lock: the maps are replaced,
--- a/io/grants/grants.go
+++ b/io/grants/grants.go
@@ -150,26 +150,45 @@
 // reason why not; nothing has been run then. done may be called before Admit
 // returns, and must not block. An exchange without a deadline passes a zero one.
 func (r *Runtime) Admit(s fleet.Service, a fleet.Account, n int, deadline time.Time, done func(*failure.Refusal)) {
+	r.admit(s, a, waiter{n: allot.Tokens(n), limit: deadline, done: done}, r.cfg.Patience)
+}
+
+// openPatience is how long an exchange of an open transaction waits. No more of
+// an account's transactions are open than it has connections, and these go before
+// its new work, so a token comes for each within a few times 1/rate.
+const openPatience = 2 * time.Second
+
+// AdmitOpen is Admit for an exchange of an open transaction, which goes before
+// the account's new work and isn't refused for want of patience.
+//
+// The load is an account above its rate whose transactions were refused half-way:
+// they held their connections and were charged for nothing, and had to be run
+// again from the start. The bound of rate and burst holds as before, since such an
+// exchange waits for its token too.
+func (r *Runtime) AdmitOpen(s fleet.Service, a fleet.Account, n int, deadline time.Time, done func(*failure.Refusal)) {
+	r.admit(s, a, waiter{n: allot.Tokens(n), limit: deadline, done: done, open: true}, max(openPatience, r.cfg.Patience))
+}
+
+func (r *Runtime) admit(s fleet.Service, a fleet.Account, w waiter, patience time.Duration) {
 	e := r.entries.find(s, a)
 	if e == nil {
-		done(&failure.Refusal{Code: failure.CodeNoService, Message: "not run: no such service or account", Step: "admit"})
+		w.done(&failure.Refusal{Code: failure.CodeNoService, Message: "not run: no such service or account", Step: "admit"})
 		return
 	}
 	now := r.clock.late()
-	if e.waiting.Load() == 0 && e.spender.Take(now, allot.Tokens(n)) {
+	if e.waiting.Load() == 0 && e.spender.Take(now, w.n) {
 		e.admitted.Add(1)
-		done(nil)
+		w.done(nil)
 		return
 	}
-	limit := now.Add(r.cfg.Patience)
-	if !deadline.IsZero() && deadline.Before(limit) {
-		limit = deadline
+	if late := now.Add(patience); w.limit.IsZero() || late.Before(w.limit) {
+		w.limit = late
 	}
 	e.waiting.Add(1)
-	if !r.arrivals.TryPut(arrival{e, waiter{allot.Tokens(n), limit, done}}) {
+	if !r.arrivals.TryPut(arrival{e, w}) {
 		e.waiting.Add(-1)
 		e.refused.Add(1)
-		done(overRate(minRetryAfter))
+		w.done(overRate(minRetryAfter))
 		return
 	}
 	if r.stopped.Load() {
--- a/io/grants/serve.go
+++ b/io/grants/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"skylarkdeal/core/allot"
@@ -62,6 +63,11 @@
 	busy[a.entry] = struct{}{}
 	e := a.entry
 	now := r.clock.late()
+	if a.waiter.open {
+		e.waiters = slices.Insert(e.waiters, e.open(), a.waiter)
+		r.step(e, now)
+		return
+	}
 	if e.hopeless(now, a.waiter) {
 		e.answer(a.waiter, e.refusal(now))
 		return
@@ -86,6 +92,16 @@
 	}
 }
 
+// open returns how many of the waiting exchanges, which stand in front, belong to
+// open transactions.
+func (e *entry) open() int {
+	n := slices.IndexFunc(e.waiters, func(w waiter) bool { return !w.open })
+	if n < 0 {
+		return len(e.waiters)
+	}
+	return n
+}
+
 // wanted returns the tokens that the waiting exchanges need.
 func (e *entry) wanted() allot.Tokens {
 	var n allot.Tokens
@@ -135,7 +151,7 @@
 	for n := len(e.waiters); n > 0; n = len(e.waiters) {
 		w := e.waiters[n-1]
 		e.waiters = e.waiters[:n-1]
-		if !e.hopeless(now, w) {
+		if w.open || !e.hopeless(now, w) {
 			e.waiters = append(e.waiters, w)
 			break
 		}
