Keep a primary that one host has never reached

A primary counts as absent only if every instance has answered since the term was promised; else the one that hasn't is waited for, or the other hosts are heard. Repairs are no longer sent to silent instances.

--- a/core/group/suspect.go
+++ b/core/group/suspect.go
@@ -124,30 +124,28 @@
 //
 // It guards against promoting because of one bad link, one paused host or one
 // data centre's cut: such a fault shows as a primary that is silent to one host
-// or data centre only. Any host that reaches the primary stops the promotion,
-// and two hosts have to miss it, in two data centres where the instances have
-// several. When no other can be asked, AloneAfter has to pass.
+// or data centre only. Two hosts have to miss it, in two data centres where the
+// instances have several, and any host that reaches it stops the promotion,
+// unless most of the group's hosts miss it for OutvoteAfter: a cut may leave the
+// primary with one host that reaches all others, and its word would keep the
+// group without a primary. When no other can be asked, AloneAfter has to pass.
 //
 // A host that doesn't reach a majority of the instances proposes nothing. It
 // would fence the few that it reaches again and again; once the cut heals, they
 // would refuse the primary that the others have, and force it out.
 func Judge(now time.Time, p Policy, t Table, me Witness, views []View, order []fleet.Host) Judgement {
-	if j := p.stranded(now, t); j.Cause != CauseNone {
-		j.Rank = rank(me.Host, order, nil)
-		return j
+	if !t.Quorate(now) {
+		return Judgement{Reason: "a majority of the instances is silent"}
 	}
-	s, ok := t.Find(t.Primary)
-	if !ok {
-		return Judgement{}
+	if t.Headless() {
+		return p.headless(now, t, me, views, order)
 	}
+	s, _ := t.Find(t.Primary)
 	if !p.Suspects(s, now) {
 		j := p.unfit(now, t, s)
 		j.Rank = rank(me.Host, order, nil)
 		return j
 	}
-	if !t.Quorate(now) {
-		return Judgement{Reason: "a majority of the instances is silent"}
-	}
 	v, newer := p.count(me, views, t)
 	if newer != "" {
 		return Judgement{Reason: fmt.Sprintf("host %s knows a later term", newer)}
--- a/core/group/suspect_test.go
+++ b/core/group/suspect_test.go
@@ -144,6 +144,16 @@
 	}}}
 }
 
+// informed is what a host says that misses the primary and reaches the replicas.
+func informed(silent time.Duration) group.View {
+	v := view("h1", "dc-b", silent)
+	for _, n := range []fleet.Instance{"b", "c"} {
+		i := group.InstanceView{Instance: n, Reachable: true, Term: 1, Role: fleet.RoleReplica}
+		v.Instances = append(v.Instances, i)
+	}
+	return v
+}
+
 func TestJudgeWantsTwoHostsAndTwoDataCentres(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -342,5 +352,35 @@
 	c.Assert(w.judge().Cause, qt.Equals, group.CauseNone)
 	w.dead["b"] = false
 	w.watch(time.Second)
-	c.Assert(w.judge(view("h1", "dc-b", 10*time.Second)).Cause, qt.Not(qt.Equals), group.CauseNone)
+	c.Assert(w.judge(informed(10*time.Second)).Cause, qt.Equals, group.CauseSilent)
+}
+
+// A host starts while the primary has no connection left and refuses it. It sees
+// two replicas and no primary, and must not take that for an abandoned promotion.
+func TestPrimaryThatIsFullFromTheStartIsNotReplaced(t *testing.T) {
+	c := qt.New(t)
+	w := newWatcher()
+	w.dead["a"] = true
+	for range 100 {
+		w.watch(100 * time.Millisecond)
+		w.group.Refuse("a", w.now)
+		c.Assert(w.judge().Cause, qt.Equals, group.CauseNone)
+	}
+}
+
+// A host starts while the primary is silent to it, and asks the others.
+func TestUnknownPrimaryTakesViewsOfOthers(t *testing.T) {
+	c := qt.New(t)
+	w := newWatcher()
+	w.dead["a"] = true
+	w.watch(2 * time.Second)
+	reaches := view("h1", "dc-b", 0)
+	misses := informed(2 * time.Second)
+	c.Assert(w.judge().Cause, qt.Equals, group.CauseNone)
+	c.Assert(w.judge(reaches).Cause, qt.Equals, group.CauseNone)
+	c.Assert(w.judge(view("h1", "dc-b", 2*time.Second)).Cause, qt.Equals, group.CauseNone)
+	c.Assert(w.judge(misses).Cause, qt.Equals, group.CauseSilent)
+	w.watch(4 * time.Second)
+	c.Assert(w.judge(reaches).Cause, qt.Equals, group.CauseNone)
+	c.Assert(w.judge().Cause, qt.Equals, group.CauseAlone)
 }
--- a/core/group/unfit.go
+++ b/core/group/unfit.go
@@ -7,26 +7,6 @@
 	"skylarkdeal/core/fleet"
 )
 
-// stranded finds what an abandoned promotion leaves: no primary that serves in
-// the highest term that is promised, although a majority can be reached. No
-// view of others is needed, since terms are facts whoever reads them.
-func (p Policy) stranded(now time.Time, t Table) Judgement {
-	top := nextTerm(t) - 1
-	var since time.Time
-	for _, s := range t.Seen {
-		if s.Status.Promised == top && s.Raised.After(since) {
-			since = s.Raised
-		}
-	}
-	if !t.Quorate(now) || t.Primary != "" && t.Term == top {
-		return Judgement{}
-	}
-	if now.Sub(since) < orDefault(p.StrandedAfter, DefaultStrandedAfter) {
-		return Judgement{Reason: "another promotion is under way"}
-	}
-	return Judgement{Cause: CauseStranded, Reason: fmt.Sprintf("term %d is promised and has no primary", top)}
-}
-
 // unfit finds a primary that answers but has to be replaced. What it goes by
 // are documents and logs, which look the same to every host.
 func (p Policy) unfit(now time.Time, t Table, s Seen) Judgement {
--- a/io/steward/change.go
+++ b/io/steward/change.go
@@ -142,7 +142,10 @@
 // once and the others later, since one suffices and the order is idempotent.
 func (s *Steward) repair(now time.Time, t group.Table) {
 	c := &s.change
-	orders := group.Repair(t)
+	orders := slices.DeleteFunc(group.Repair(t), func(o group.Order) bool {
+		i, _ := t.Find(o.Instance)
+		return s.policy.Alarmed(i, now)
+	})
 	if len(orders) == 0 {
 		c.fixed = time.Time{}
 		return
@@ -175,8 +178,7 @@
 
 // askViews asks the other holders while the primary is silent.
 func (s *Steward) askViews(now time.Time, t group.Table) {
-	p, ok := t.Find(t.Primary)
-	if s.cfg.Views == nil || !ok || !s.policy.Alarmed(p, now) || now.Sub(s.change.asked) < viewPace {
+	if s.cfg.Views == nil || !s.policy.Troubled(t, now) || now.Sub(s.change.asked) < viewPace {
 		return
 	}
 	s.change.asked = now
--- a/io/steward/cluster_test.go
+++ b/io/steward/cluster_test.go
@@ -96,7 +96,11 @@
 	}
 	c.wait.Go(func() { c.replicate(lag) })
 	for n, m := range c.hosts {
-		c.start(m, uint64(n))
+		c.prepare(m, uint64(n))
+	}
+	// They ask each other from the start on.
+	for _, s := range c.stewards {
+		c.wait.Go(func() { s.Run(c.ctx) })
 	}
 	tb.Cleanup(func() {
 		c.stop()
@@ -105,7 +109,7 @@
 	return c
 }
 
-func (c *cluster) start(m fleet.Member, seed uint64) {
+func (c *cluster) prepare(m fleet.Member, seed uint64) {
 	j := new(journal.Journal)
 	s := steward.New(steward.Config{
 		Service: "orders", Host: m.Host, DataCentre: m.DataCentre, Epoch: seed + 1, Seed: seed,
@@ -116,7 +120,6 @@
 		Journal:  j,
 	})
 	c.stewards[m.Host], c.journals[m.Host] = s, j
-	c.wait.Go(func() { s.Run(c.ctx) })
 }
 
 func (c *cluster) document() *document.Document {
--- a/io/steward/ledger_test.go
+++ b/io/steward/ledger_test.go
@@ -73,7 +73,11 @@
 		f.hosts = append(f.hosts, fleet.Member{Host: fleet.Host(fmt.Sprintf("h%d", i)), DataCentre: dc})
 	}
 	for i, m := range f.hosts {
-		f.start(m, uint64(i+1))
+		f.prepare(m, uint64(i+1))
+	}
+	// They ask each other from the start on.
+	for _, s := range f.stewards {
+		f.wait.Go(func() { s.Run(f.ctx) })
 	}
 	return f
 }
@@ -84,7 +88,7 @@
 	f.group.Close()
 }
 
-func (f *fleetOf) start(m fleet.Member, seed uint64) {
+func (f *fleetOf) prepare(m fleet.Member, seed uint64) {
 	s := steward.New(steward.Config{
 		Service: "orders", Host: m.Host, DataCentre: m.DataCentre, Epoch: seed, Seed: seed,
 		Document: func() *document.Document { return &f.doc },
@@ -98,7 +102,6 @@
 	if m.Host == "h0" {
 		s.OnChange(func() { _ = sleep(f.ctx, time.Duration(f.pause.Swap(0))) })
 	}
-	f.wait.Go(func() { s.Run(f.ctx) })
 }
 
 func (f *fleetOf) view(ctx context.Context, from, to fleet.Host) (*hostpb.ViewResponse, error) {
--- a/io/steward/link.go
+++ b/io/steward/link.go
@@ -201,8 +201,7 @@
 
 // pace returns how often to ask the primary and the others.
 func (s *Steward) pace(now time.Time, t group.Table) (time.Duration, time.Duration) {
-	p, ok := t.Find(t.Primary)
-	troubled := !ok || s.policy.Alarmed(p, now) || s.change.promotion != nil
+	troubled := s.policy.Troubled(t, now) || s.change.promotion != nil
 	if troubled || now.UnixNano() < s.alert.Load() || now.Sub(s.busy) < busyAfter {
 		return paceBusy, paceBusy
 	}
--- a/io/steward/steward_test.go
+++ b/io/steward/steward_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -35,6 +36,18 @@
 	return acked
 }
 
+// explained reports whether a host's journal tells who was promoted, and why.
+func (c *cluster) explained() bool {
+	var who, why bool
+	for _, j := range c.journals {
+		for _, d := range j.All() {
+			who = who || strings.HasPrefix(d.Choice, "promoted ")
+			why = why || strings.HasPrefix(d.Choice, "promote in term") && strings.Contains(d.Reason, "silent for")
+		}
+	}
+	return who && why
+}
+
 func anyPoint(fleet.Point) bool { return true }
 
 func laterTerm(p fleet.Point) bool { return p.Term > 1 }
@@ -52,6 +65,7 @@
 			after := c.writeUntil(t, "h1", laterTerm)
 			c.keeps(t, before)
 			c.keeps(t, after)
+			qt.New(t).Check(c.explained(), qt.IsTrue, qt.Commentf("no host tells who was promoted and why"))
 			c.set(func() { c.faults["a"] = healthy })
 			eventually(t, func() bool {
 				a, _ := c.stewards["h2"].Table().Find("a")
