--- a/io/grants/open_test.go
+++ b/io/grants/open_test.go
@@ -16,28 +16,52 @@
 // connection and its tokens spent: it waits in front instead.
 func TestOpenTransactionGoesBeforeNewWork(t *testing.T) {
 	c := qt.New(t)
-	b := newBench(threeHosts, document.Account{Name: "hotel", Rate: 20, Burst: 30})
+	b := newBench(threeHosts, document.Account{Name: "hotel", Rate: 200, Burst: 300})
 	b.run(t)
 	eventually(t, "homes filled", func() bool {
 		b.ask("o1")
-		return b.level() >= 28
+		return b.level() >= 280
+	})
+	b.admit("o1", 1000)
+	eventually(t, "tokens come again", func() bool {
+		n, _ := b.admit("o1", 1)
+		return n == 1
 	})
-	b.admit("o1", 100)
 
-	var plain []chan *failure.Refusal
-	for range 50 {
-		a := make(chan *failure.Refusal, 1)
-		plain = append(plain, a)
-		b.hosts["o1"].Admit(service, "hotel", 1, time.Time{}, func(f *failure.Refusal) { a <- f })
+	// Answers come from one goroutine, in the order in which tokens are given out.
+	const waiting = 400
+	type answer struct {
+		open    bool
+		refused bool
+	}
+	answers := make(chan answer, waiting+1)
+	for range waiting {
+		b.hosts["o1"].Admit(service, "hotel", 1, time.Time{}, func(f *failure.Refusal) {
+			answers <- answer{refused: f != nil}
+		})
 	}
-	open := make(chan *failure.Refusal, 1)
-	b.hosts["o1"].AdmitOpen(service, "hotel", 1, time.Time{}, func(f *failure.Refusal) { open <- f })
-	f := <-open
-	c.Assert(f == nil, qt.IsTrue, qt.Commentf("%v", f))
-	refused := 0
-	for _, a := range plain {
-		if <-a != nil {
+	// A refusal shows that as many wait as the rate serves within their patience.
+	eventually(t, "a full queue", func() bool {
+		n, _ := b.admit("o1", 1)
+		return n == 0
+	})
+	before := len(answers)
+	b.hosts["o1"].AdmitOpen(service, "hotel", 1, time.Time{}, func(f *failure.Refusal) {
+		answers <- answer{open: true, refused: f != nil}
+	})
+	overtook, refused := 0, 0
+	for n := range waiting + 1 {
+		x := <-answers
+		if x.open {
+			c.Assert(x.refused, qt.IsFalse)
+			c.Assert(overtook <= 10, qt.IsTrue, qt.Commentf("%d new exchanges went first", overtook))
+			overtook = -2 * waiting
+			continue
+		}
+		if x.refused {
 			refused++
+		} else if n >= before {
+			overtook++
 		}
 	}
 	c.Assert(refused > 0, qt.IsTrue)
