--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -328,6 +329,39 @@
 	c.Assert(pgError(<-failed).Code, qt.Equals, "57014")
 }
 
+// A statement waits for its account's rate, in a transaction, when its caller
+// cancels it. It is answered at once and never run, also when its turn comes,
+// and the transaction's connection comes back.
+func TestCancelWhileWaitingForTheRate(t *testing.T) {
+	c := qt.New(t)
+	waiting := make(chan func(*failure.Refusal), 1)
+	var wait atomic.Bool
+	f := start(t, func(cfg *caller.Config) {
+		cfg.Admit = func(_ fleet.Service, _ fleet.Account, _ int, _ time.Time, done func(*failure.Refusal)) {
+			if wait.Load() {
+				waiting <- done
+				return
+			}
+			done(nil)
+		}
+	})
+	conn := connect(t, f.url("hotel", keyA, ""))
+	_, err := conn.Exec(limit(t), "begin")
+	c.Assert(err, qt.IsNil)
+	wait.Store(true)
+	failed := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(limit(t), "put a 1")
+		failed <- err
+	}()
+	admit := <-waiting
+	c.Assert(conn.PgConn().CancelRequest(limit(t)), qt.IsNil)
+	c.Assert(pgError(<-failed).Code, qt.Equals, "57014")
+	admit(nil)
+	c.Assert(f.fake.count(), qt.Equals, 1)
+	c.Assert(f.fake.releasedPins(), qt.DeepEquals, []exchange.Pin{1})
+}
+
 // One batch counts as its executions; the end of a transaction is free, since
 // refusing it would keep the connection taken.
 func TestCharge(t *testing.T) {
