Make up the same salts on all hosts, test the last bounds

A stranger who asked two hosts for one name could tell from different salts that the account doesn't exist. With Config.Secret set the salts are those of the fleet.

--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"fmt"
 	"net"
 	"os"
@@ -53,6 +52,10 @@
 	// quarter of the processors, and two at least.
 	EventLoops int
 
+	// Secret is the same on all hosts of the fleet. The salts shown for accounts
+	// that don't exist come from it; they differ between hosts when it is empty.
+	Secret []byte
+
 	Runner exchange.Runner
 	// Documents returns the document in force for a service.
 	Documents func(s fleet.Service) (*document.Document, bool)
@@ -147,7 +150,7 @@
 		sessions: make(map[uint32]*session),
 		waiting:  make(map[*session]time.Time),
 	}
-	_, _ = rand.Read(s.mocks.secret[:])
+	s.mocks = newMocks(cfg.Secret)
 	s.metrics = newMetrics(s.cfg.Registerer, s.sessionCount)
 	return s
 }
--- a/io/caller/scram.go
+++ b/io/caller/scram.go
@@ -27,11 +27,23 @@
 )
 
 // mocks makes up verifiers for accounts that don't exist. The salt of a name
-// stays the same while the process lives, as that of an account would.
+// stays the same, as that of an account would, on all hosts with one secret.
 type mocks struct {
 	secret [sha256.Size]byte
 }
 
+func newMocks(secret []byte) mocks {
+	var m mocks
+	if len(secret) == 0 {
+		_, _ = rand.Read(m.secret[:])
+		return m
+	}
+	h := hmac.New(sha256.New, secret)
+	h.Write([]byte("verifiers of accounts that don't exist"))
+	h.Sum(m.secret[:0])
+	return m
+}
+
 func (m *mocks) credentials(service fleet.Service, user string) scram.StoredCredentials {
 	h := hmac.New(sha256.New, m.secret[:])
 	fmt.Fprintf(h, "%s\x00%s", service, user)
--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -289,6 +289,19 @@
 	w.send(&pgproto3.Close{ObjectType: 'S', Name: "s0"}, &pgproto3.Sync{})
 	c.Assert(w.read(1), qt.Equals, "3 Z(I)")
 	c.Assert(prepare(4), qt.Equals, "1 Z(I)")
+
+	w = wireConn(t, f, "")
+	var msgs []pgproto3.FrontendMessage
+	for n := range 1001 {
+		msgs = append(msgs, &pgproto3.Bind{DestinationPortal: fmt.Sprint("p", n)})
+	}
+	w.send(append([]pgproto3.FrontendMessage{&pgproto3.Parse{Query: "get a"}}, append(msgs, &pgproto3.Sync{})...)...)
+	c.Assert(w.read(1), qt.Equals, "ERROR(54000) Z(I)")
+
+	// These add nothing to what is sent on, and so are counted.
+	set := must((&pgproto3.Parse{Query: "SET x = 1"}).Encode(nil))
+	_, _ = w.Write(bytes.Repeat(set, 20_001))
+	c.Assert(w.read(1), qt.Equals, "FATAL(54000) end")
 }
 
 func must(b []byte, err error) []byte {
--- a/io/caller/startup_test.go
+++ b/io/caller/startup_test.go
@@ -44,11 +44,12 @@
 }
 
 // A stranger tries names of accounts and services. What it is told, and in
-// which messages, is the same whether they exist or not.
+// which messages, is the same whether they exist or not, and on each host.
 func TestStrangerLearnsNoNames(t *testing.T) {
 	c := qt.New(t)
-	f := start(t, nil)
-	try := func(user, service string) (string, string) {
+	secret := func(cfg *caller.Config) { cfg.Secret = []byte("fleet") }
+	f, g := start(t, secret), start(t, secret)
+	try := func(f *front, user, service string) (string, string) {
 		w := rawConn(t, f)
 		w.send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30,
 			Parameters: map[string]string{"user": user, "database": service}})
@@ -68,12 +69,12 @@
 		e := m.(*pgproto3.ErrorResponse)
 		return e.Severity + e.Code + e.Detail + e.Hint, rest
 	}
-	known, shape := try("hotel", "orders")
+	known, shape := try(f, "hotel", "orders")
 	for _, n := range [][2]string{{"nobody", "orders"}, {"hotel", "nowhere"}, {"nobody", "nowhere"}} {
-		got, s := try(n[0], n[1])
+		got, s := try(f, n[0], n[1])
 		c.Assert(got, qt.Equals, known)
 		c.Assert(len(s), qt.Equals, len(shape))
-		_, again := try(n[0], n[1])
+		_, again := try(g, n[0], n[1])
 		c.Assert(again, qt.Equals, s)
 	}
 }
