--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -288,6 +289,19 @@
 	w.send(&pgproto3.Close{ObjectType: 'S', Name: "s0"}, &pgproto3.Sync{})
 	c.Assert(w.read(1), qt.Equals, "3 Z(I)")
 	c.Assert(prepare(4), qt.Equals, "1 Z(I)")
+
+	w = wireConn(t, f, "")
+	var msgs []pgproto3.FrontendMessage
+	for n := range 1001 {
+		msgs = append(msgs, &pgproto3.Bind{DestinationPortal: fmt.Sprint("p", n)})
+	}
+	w.send(append([]pgproto3.FrontendMessage{&pgproto3.Parse{Query: "get a"}}, append(msgs, &pgproto3.Sync{})...)...)
+	c.Assert(w.read(1), qt.Equals, "ERROR(54000) Z(I)")
+
+	// These add nothing to what is sent on, and so are counted.
+	set := must((&pgproto3.Parse{Query: "SET x = 1"}).Encode(nil))
+	_, _ = w.Write(bytes.Repeat(set, 20_001))
+	c.Assert(w.read(1), qt.Equals, "FATAL(54000) end")
 }
 
 func must(b []byte, err error) []byte {
@@ -328,6 +342,39 @@
 	c.Assert(pgError(<-failed).Code, qt.Equals, "57014")
 }
 
+// A statement waits for its account's rate, in a transaction, when its caller
+// cancels it. It is answered at once and never run, also when its turn comes,
+// and the transaction's connection comes back.
+func TestCancelWhileWaitingForTheRate(t *testing.T) {
+	c := qt.New(t)
+	waiting := make(chan func(*failure.Refusal), 1)
+	var wait atomic.Bool
+	f := start(t, func(cfg *caller.Config) {
+		cfg.Admit = func(_ fleet.Service, _ fleet.Account, _ int, _ time.Time, done func(*failure.Refusal)) {
+			if wait.Load() {
+				waiting <- done
+				return
+			}
+			done(nil)
+		}
+	})
+	conn := connect(t, f.url("hotel", keyA, ""))
+	_, err := conn.Exec(limit(t), "begin")
+	c.Assert(err, qt.IsNil)
+	wait.Store(true)
+	failed := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(limit(t), "put a 1")
+		failed <- err
+	}()
+	admit := <-waiting
+	c.Assert(conn.PgConn().CancelRequest(limit(t)), qt.IsNil)
+	c.Assert(pgError(<-failed).Code, qt.Equals, "57014")
+	admit(nil)
+	c.Assert(f.fake.count(), qt.Equals, 1)
+	c.Assert(f.fake.releasedPins(), qt.DeepEquals, []exchange.Pin{1})
+}
+
 // One batch counts as its executions; the end of a transaction is free, since
 // refusing it would keep the connection taken.
 func TestCharge(t *testing.T) {
