Bound the size of a push

A watcher that listed many documents anew pushed them all in one message, 2.4 MB of them in TestNewHostAsksPeersFirst; messages now hold up to 1 MB of texts, as the answers to digests do. Tests for handing on a known change and for digests across data centres, whose guards could be taken out unnoticed.

--- a/io/spread/digest.go
+++ b/io/spread/digest.go
@@ -14,7 +14,7 @@
 
 // The limits of a digest.
 const (
-	// answerSize bounds the texts of one answer, so that a new host doesn't make
+	// answerSize bounds the texts of one message, so that a new host doesn't make
 	// a peer build one of hundreds of megabytes; it asks again for the rest.
 	answerSize = 1 << 20
 	// rounds bounds how often a host asks one peer in a row.
--- a/io/spread/fleet_test.go
+++ b/io/spread/fleet_test.go
@@ -31,6 +31,8 @@
 
 	calls atomic.Int64
 	bytes atomic.Int64
+	// largest is the size of the largest message.
+	largest atomic.Int64
 }
 
 // host is one host of a test.
@@ -63,8 +65,15 @@
 }
 
 func (n *network) count(m proto.Message) {
+	size := int64(proto.Size(m))
 	n.calls.Add(1)
-	n.bytes.Add(int64(proto.Size(m)))
+	n.bytes.Add(size)
+	for {
+		l := n.largest.Load()
+		if size <= l || n.largest.CompareAndSwap(l, size) {
+			return
+		}
+	}
 }
 
 func (n *network) members() []fleet.Member {
--- a/io/spread/spread_test.go
+++ b/io/spread/spread_test.go
@@ -52,8 +52,17 @@
 // of a withdrawn key from their peers, and a host that starts there meanwhile
 // gets all documents although it never reaches the store.
 func TestDataCentreCutFromTheStoreLearnsFromPeers(t *testing.T) {
+	for name, o := range map[string]options{
+		"both":    quick,
+		"digests": with(quick, func(o *options) { o.noPush = true }),
+	} {
+		t.Run(name, func(t *testing.T) { learnFromPeers(t, o) })
+	}
+}
+
+func learnFromPeers(t *testing.T, o options) {
 	c := qt.New(t)
-	n, s, hosts := start(t, 6, quick)
+	n, s, hosts := start(t, 6, o)
 	inForce(c, hosts, "a", put(c, s, "a", 1))
 	lonely, err := store.Start(store.Config{})
 	c.Assert(err, qt.IsNil)
@@ -66,7 +75,7 @@
 		}
 	}
 	for _, p := range []int{0, 3} {
-		cut = append(cut, n.add(t, lonely, p, quick))
+		cut = append(cut, n.add(t, lonely, p, o))
 	}
 	inForce(c, cut, "a", 2)
 	inForce(c, cut, "a", put(c, s, "a", 3))
@@ -194,6 +203,37 @@
 	inForce(c, append(hosts[3:], next), "a", v)
 }
 
+// Two watchers push one change by two trees, which part the hosts differently. A
+// host that knows the change from the first tree still hands it on to those whom
+// the second one leaves to it; the first may have left them to a host that knew.
+func TestKnownChangeIsHandedOn(t *testing.T) {
+	c := qt.New(t)
+	pushed := make(chan string, 4)
+	s := spread.New(spread.Config{
+		Push: func(_ context.Context, peer string, _ *hostpb.PushRequest) error {
+			pushed <- peer
+			return nil
+		},
+		IsWatcher: func() bool { return false },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var duty sync.WaitGroup
+	duty.Go(func() { s.Run(ctx) })
+	r := &hostpb.PushRequest{Documents: []*hostpb.Document{{Service: "a", Version: 3, Text: text("a", 1)}}}
+	s.HandlePush(r)
+	r.Relay = []string{"10.0.0.2:1"}
+	s.HandlePush(r)
+	c.Assert(<-pushed, qt.Equals, "10.0.0.2:1")
+	// What is older than the document in force isn't handed on.
+	r.Documents[0].Version = 2
+	r.Relay = []string{"10.0.0.3:1"}
+	s.HandlePush(r)
+	c.Assert(s.State().PushesQueued, qt.Equals, 0)
+	cancel()
+	duty.Wait()
+	c.Assert(pushed, qt.HasLen, 0)
+}
+
 // Half of a data centre's hosts die with the same rack, and the list of hosts
 // doesn't know yet. The hosts that a push would have reached over the dead ones
 // still get it at once, not only by the next digest.
@@ -255,4 +295,5 @@
 	eventually(c, "all five are in force", func() bool { return len(late.All()) == 5 })
 	eventually(c, "it is ready", late.Ready)
 	c.Assert(late.store.State().Calls, qt.HasLen, 0)
+	c.Assert(n.largest.Load() < 3<<19, qt.IsTrue, qt.Commentf("a message of %d bytes", n.largest.Load()))
 }
--- a/io/spread/watch.go
+++ b/io/spread/watch.go
@@ -80,7 +80,10 @@
 			Service: n, Version: document.VersionAt(c.Value, uint64(c.Revision)), Text: c.Value, From: "store",
 		})
 	}
-	if news, _ := s.offer(offers); len(news) > 0 {
-		s.spread(news)
+	news, _ := s.offer(offers)
+	for len(news) > 0 {
+		n := fit(news)
+		s.spread(news[:n])
+		news = news[n:]
 	}
 }
