--- a/io/platform/calls.go
+++ b/io/platform/calls.go
@@ -42,6 +42,22 @@
 	return counts{mu: new(sync.Mutex), n: map[Kind]int{}, vec: v}
 }
 
+// registerDown registers whether calls are held back.
+func (c *client) registerDown(r prometheus.Registerer) {
+	if r == nil {
+		return
+	}
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "skylarkdeal_store_down",
+		Help: "1 while calls to the platform's store are held back after failures.",
+	}, func() float64 {
+		if c.gate.state().Down {
+			return 1
+		}
+		return 0
+	}))
+}
+
 func (c *counts) made(k Kind) {
 	c.mu.Lock()
 	c.n[k]++
--- a/io/platform/dial.go
+++ b/io/platform/dial.go
@@ -54,6 +54,7 @@
 // Dial returns a Store; it connects when first called.
 func Dial(cfg Config) *Store {
 	c := newClient(cfg)
+	c.registerDown(cfg.Metrics)
 	return &Store{
 		Get:       c.get,
 		List:      c.list,
--- a/io/spread/spread.go
+++ b/io/spread/spread.go
@@ -143,6 +143,7 @@
 	}
 	s.inForce.Store(&map[fleet.Service]*document.Document{})
 	s.confirmed.Store(&time.Time{})
+	s.registerAge(cfg.Metrics)
 	return s
 }
 
--- a/io/spread/spread_test.go
+++ b/io/spread/spread_test.go
@@ -14,6 +14,7 @@
 	"skylarkdeal/core/document"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/io/host/hostpb"
+	"skylarkdeal/io/platform"
 	"skylarkdeal/io/spread"
 	"skylarkdeal/standin/store"
 )
@@ -172,6 +173,22 @@
 	c.Assert(d.Holders, qt.Equals, 7)
 }
 
+// Somebody deletes a key in the store by mistake. The service goes on.
+func TestDeletedDocumentStaysInForce(t *testing.T) {
+	c := qt.New(t)
+	_, s, hosts := start(t, 4, quick)
+	v := put(c, s, "a", 1)
+	inForce(c, hosts, "a", v)
+	p := platform.Dial(platform.Config{Endpoints: []string{s.Addr()}, Patient: true})
+	defer p.Close()
+	c.Assert(p.Delete(context.Background(), document.StoreKey(root, "a")), qt.IsNil)
+	inForce(c, hosts, "b", put(c, s, "b", 1))
+	for _, h := range hosts {
+		c.Assert(h.version("a"), qt.Equals, v)
+		c.Assert(h.State().Invalid, qt.HasLen, 0)
+	}
+}
+
 // A peer that was paused for an hour wakes up and pushes what it had. Nobody
 // goes back, and it is told what it lacks.
 func TestStalePushChangesNothing(t *testing.T) {
@@ -210,8 +227,8 @@
 	c := qt.New(t)
 	pushed := make(chan string, 4)
 	s := spread.New(spread.Config{
-		Push: func(_ context.Context, peer string, _ *hostpb.PushRequest) error {
-			pushed <- peer
+		Push: func(_ context.Context, peer string, r *hostpb.PushRequest) error {
+			pushed <- fmt.Sprintf("%d document to %s", len(r.GetDocuments()), peer)
 			return nil
 		},
 		IsWatcher: func() bool { return false },
@@ -223,7 +240,7 @@
 	s.HandlePush(r)
 	r.Relay = []string{"10.0.0.2:1"}
 	s.HandlePush(r)
-	c.Assert(<-pushed, qt.Equals, "10.0.0.2:1")
+	c.Assert(<-pushed, qt.Equals, "1 document to 10.0.0.2:1")
 	// What is older than the document in force isn't handed on.
 	r.Documents[0].Version = 2
 	r.Relay = []string{"10.0.0.3:1"}
--- a/io/spread/state.go
+++ b/io/spread/state.go
@@ -104,6 +104,23 @@
 	return m
 }
 
+// registerAge registers how long ago the documents were last confirmed.
+func (s *Spread) registerAge(r prometheus.Registerer) {
+	if r == nil {
+		return
+	}
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "skylarkdeal_documents_confirmed_age_seconds",
+		Help: "Time since the documents were last known to be the store's newest; -1 for never.",
+	}, func() float64 {
+		at := *s.confirmed.Load()
+		if at.IsZero() {
+			return -1
+		}
+		return s.cfg.Now().Sub(at).Seconds()
+	}))
+}
+
 // tell reports a verdict wherever an operator looks.
 func (s *Spread) tell(o document.Offer, v document.Verdict, err error) {
 	s.metrics.verdicts.WithLabelValues(string(v)).Inc()
