--- a/core/allot/fleet_test.go
+++ b/core/allot/fleet_test.go
@@ -50,7 +50,10 @@
 	lend bool
 	doc  *document.Document
 
-	seats     map[allot.SeatName]allot.SeatRecord
+	seats map[allot.SeatName]allot.SeatRecord
+	// left is what homes that gave their seat up had, as io/grants writes it
+	// into the record.
+	left      map[allot.SeatName]float64
 	leases    map[fleet.Host]lease
 	cut       map[fleet.DataCentre]time.Duration
 	storeDown time.Duration
@@ -93,6 +96,10 @@
 	lease   roster.Lease
 	target  map[fleet.DataCentre]int
 	waiters []waiter
+	// round counts the rounds of seats. One ends with its last answer or after
+	// the store's timeout; answers that come later are nobody's.
+	round     int
+	roundEnds time.Duration
 	// ticking is set while steps follow one another because exchanges wait.
 	ticking bool
 }
@@ -104,7 +111,7 @@
 func newWorld(seed uint64, perDC int, dcs []fleet.DataCentre, rate, burst float64) *world {
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 1)), lend: true, dcs: dcs,
-		seats: map[allot.SeatName]allot.SeatRecord{}, leases: map[fleet.Host]lease{},
+		seats: map[allot.SeatName]allot.SeatRecord{}, left: map[allot.SeatName]float64{}, leases: map[fleet.Host]lease{},
 		cut: map[fleet.DataCentre]time.Duration{}, doc: newDoc(1, dcs, rate, burst),
 	}
 	for _, d := range dcs {
@@ -153,6 +160,7 @@
 	h.spender = allot.Spender{Host: h.name, Own: h.dc}
 	h.lease, h.waiters, h.dead = roster.Lease{}, nil, 0
 	h.target = map[fleet.DataCentre]int{}
+	h.roundEnds = 0
 	h.ticking = false
 	h.every(25*time.Millisecond, h.step)
 	h.every(500*time.Millisecond, h.keepSeat)
@@ -237,6 +245,17 @@
 	})
 }
 
+// seatCall is storeCall in a round of seats.
+func seatCall[T any](h *host, ask func() T, back func(T)) {
+	round := h.round
+	storeCall(h, ask, func(v T) {
+		if h.round == round {
+			h.roundEnds = 0
+			back(v)
+		}
+	})
+}
+
 // storeCall is call for the store.
 func storeCall[T any](h *host, ask func() T, back func(T)) {
 	d, ok := h.w.delay(true)
@@ -306,11 +325,19 @@
 // keepSeat is the round of io/grants for one seat.
 func (h *host) keepSeat() {
 	now := h.late()
+	if h.w.now < h.roundEnds {
+		return
+	}
+	h.round++
 	if h.seat.Held() {
 		h.seat.Leased(h.lease.Name, h.lease.Until())
 		if now.After(h.seat.Until().Add(-1500 * time.Millisecond)) {
 			h.askConsent()
 		}
+		if h.w.chaos && h.w.random.IntN(20) == 0 {
+			h.yield()
+			return
+		}
 		another := h.w.chaos && h.w.random.IntN(5) == 0
 		if !another && h.lease.Name == h.seat.Record().Lease || !h.lease.Stands(now) {
 			return
@@ -353,11 +380,13 @@
 	type read struct {
 		r      allot.SeatRecord
 		stands bool
+		left   float64
 	}
-	storeCall(h, func() read {
+	h.roundEnds = h.w.now + 4*time.Second
+	seatCall(h, func() read {
 		r := h.w.seats[h.seatName()]
 		l := h.w.leases[r.Holder.Host]
-		return read{r, l.name == r.Lease && l.until >= h.w.now}
+		return read{r, l.name == r.Lease && l.until >= h.w.now, h.w.left[h.seatName()]}
 	}, func(v read) {
 		l := h.lease.Name
 		switch h.claim.Next(h.early(), h.process, l, v.r, v.stands) {
@@ -365,12 +394,12 @@
 			h.lose()
 		case allot.StepAdopt:
 			if h.w.chaos && h.w.random.IntN(2) > 0 {
-				h.swap(v.r, allot.Taken(v.r, h.process, l, h.pickWitness()))
+				h.swap(v.r, allot.Taken(v.r, h.process, l, h.pickWitness()), v.left)
 				return
 			}
-			h.won(v.r)
+			h.won(v.r, 0)
 		case allot.StepSwap:
-			h.swap(v.r, allot.Taken(v.r, h.process, l, h.pickWitness()))
+			h.swap(v.r, allot.Taken(v.r, h.process, l, h.pickWitness()), v.left)
 		case allot.StepWithdraw:
 			h.withdraw(v.r)
 		case allot.StepWait:
@@ -391,18 +420,20 @@
 	return there[h.w.random.IntN(len(there))].process
 }
 
-func (h *host) swap(old, next allot.SeatRecord) {
+func (h *host) swap(old, next allot.SeatRecord, left float64) {
 	h.seat.Swapping()
 	h.claim.Tried(old)
-	storeCall(h, func() bool {
+	h.roundEnds = h.w.now + 4*time.Second
+	seatCall(h, func() bool {
 		if h.w.seats[h.seatName()] != old {
 			return false
 		}
 		h.w.seats[h.seatName()] = next
+		delete(h.w.left, h.seatName())
 		return true
 	}, func(ok bool) {
 		if ok {
-			h.won(next)
+			h.won(next, left)
 		}
 	})
 }
@@ -417,14 +448,40 @@
 	}, func(d time.Duration) { h.claim.Withdrawn(h.early(), r, d) })
 }
 
-func (h *host) won(r allot.SeatRecord) {
+func (h *host) won(r allot.SeatRecord, left float64) {
 	h.claim = allot.Claim{}
 	if !h.seat.Won(r) {
-		h.home.Start(h.early(), h.doc.Version, h.share(), allot.GrantID(h.w.random.Uint64()))
+		h.home.Start(h.early(), h.doc.Version, h.share(), allot.GrantID(h.w.random.Uint64()), h.first(r, left))
 	}
 	h.seat.Leased(h.lease.Name, h.lease.Until())
 }
 
+// first returns the level that a home starts with.
+func (h *host) first(r allot.SeatRecord, left float64) float64 {
+	if r.Tenure == 1 {
+		return h.share().Burst
+	}
+	return left
+}
+
+// yield gives the seat up, and leaves the level to the successor.
+func (h *host) yield() {
+	r := h.seat.Record()
+	left := h.home.State().Level
+	h.claim.Tried(r)
+	h.lose()
+	h.roundEnds = h.w.now + 4*time.Second
+	seatCall(h, func() bool {
+		now := h.w.seats[h.seatName()]
+		if now.Holder != r.Holder || now.Tenure != r.Tenure {
+			return false
+		}
+		h.w.seats[h.seatName()] = allot.SeatRecord{Tenure: r.Tenure + 1}
+		h.w.left[h.seatName()] = left
+		return true
+	}, func(bool) {})
+}
+
 func (h *host) lose() {
 	h.seat.Lost()
 	h.home = allot.Home{}
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -59,6 +59,9 @@
 	// Admit is asked before an exchange of n requests is run and answers by
 	// done, at once or later, nil to go on. A nil Admit admits all.
 	Admit func(s fleet.Service, a fleet.Account, n int, deadline time.Time, done func(*failure.Refusal))
+	// AdmitOpen is asked in its place for an exchange of an open transaction; a
+	// nil AdmitOpen leaves these to Admit.
+	AdmitOpen func(s fleet.Service, a fleet.Account, n int, deadline time.Time, done func(*failure.Refusal))
 
 	Now        func() time.Time
 	Logger     *zap.Logger
@@ -106,6 +109,9 @@
 			done(nil)
 		}
 	}
+	if c.AdmitOpen == nil {
+		c.AdmitOpen = c.Admit
+	}
 	return c
 }
 
@@ -128,12 +134,12 @@
 
 	seq      atomic.Uint64
 	draining atomic.Bool
+	running  atomic.Int64
 
 	mu sync.Mutex
 	// sessions are the open sessions by the process number in their cancel key.
 	sessions map[uint32]*session
-	// waiting are the sessions that end at a time: those that have not proved a
-	// key, and those that linger after a last message.
+	// waiting are the sessions that have a deadline, with the time to look at it.
 	waiting map[*session]time.Time
 	nextID  uint32
 }
