Refuse early while nothing of a lane can start

Cause: with no connection to be had, as in a failover, slot times foretell no wait, and callers waited for their whole 10 s before they were told. The wait is now at least as long as the standstill has lasted.

--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -226,6 +226,22 @@
 	}
 }
 
+// A group has lost its primary, and no statement can start. Callers that come when
+// others have waited for most of their time are told so at once.
+func TestStandstillRefusesEarly(t *testing.T) {
+	c := qt.New(t)
+	var q admit.Queue
+	offer := func(key uint64, at time.Duration) bool {
+		now := epoch.Add(at)
+		return q.Offer(now, admit.Item{Key: key, Account: "a", Deadline: now.Add(second)}).Refusal == nil
+	}
+	c.Assert(offer(1, 0), qt.IsTrue)
+	c.Assert(offer(2, second/2), qt.IsTrue)
+	c.Assert(offer(3, second*9/10), qt.IsFalse)
+	q.Next(epoch.Add(second*9/10), func(admit.Item) bool { return true })
+	c.Assert(offer(4, second*9/10), qt.IsTrue, qt.Commentf("it goes on"))
+}
+
 // TestNothingIsLostOrRunTwice drives a queue at random and accounts for each item.
 func TestNothingIsLostOrRunTwice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/core/admit/next.go
+++ b/core/admit/next.go
@@ -28,6 +28,7 @@
 	a.backlog[l] -= w.expect
 	q.virtual = max(q.virtual, a.tag)
 	a.tag += w.expect.Seconds() / a.weight
+	q.moved[l] = now
 	return q.start(a, w), true
 }
 
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -130,6 +130,8 @@
 	virtual float64
 	waiting int
 	backlog [2]time.Duration
+	// moved is when something of a lane last started, or came to an empty lane.
+	moved [2]time.Time
 	// busy counts the running items of a lane, occupied adds up their expected
 	// slot times.
 	busy     [2]int
@@ -167,6 +169,9 @@
 		a.tag = max(a.tag, q.virtual)
 	}
 	l := lane(i.Intent)
+	if q.backlog[l] == 0 {
+		q.moved[l] = now
+	}
 	a.lanes[l] = append(a.lanes[l], w)
 	a.backlog[l] += w.expect
 	q.backlog[l] += w.expect
@@ -176,7 +181,7 @@
 
 // refuse returns why w can't wait, or nil.
 func (q *Queue) refuse(now time.Time, a *account, w waiting) *failure.Refusal {
-	wait := q.wait(a, lane(w.Intent))
+	wait := max(q.wait(a, lane(w.Intent)), q.standstill(now, lane(w.Intent)))
 	switch {
 	case a.len() >= q.limits().PerAccount:
 		return refusal("the account's queue is full", wait)
@@ -190,20 +195,6 @@
 	return nil
 }
 
-// needPart bounds what an expected slot time counts against a deadline.
-const needPart = 2
-
-// need returns the slot time that is held against w's deadline: the expected one,
-// but no more than half of the time there is. An item that needn't wait is
-// so always taken. Otherwise a group that had been slow for a while would be
-// given no work any more, and nobody would find out that it is quick again.
-func need(now time.Time, w waiting) time.Duration {
-	if w.Deadline.IsZero() {
-		return w.expect
-	}
-	return max(0, min(w.expect, w.Deadline.Sub(now)/needPart))
-}
-
 // late reports whether work that takes d from now on ends after the deadline.
 func late(now time.Time, d time.Duration, deadline time.Time) bool {
 	return !deadline.IsZero() && now.Add(d).After(deadline)
@@ -221,45 +212,6 @@
 	}
 }
 
-// waitMargin adds a quarter to the expected wait, and the slot time counts twice,
-// when a deadline is checked. Slot times vary: at saturation the queue is as long
-// as deadlines allow, and without a margin a quarter of the answers come late,
-// after slots have worked on them for nothing.
-const waitMargin = 4
-
-// wait returns how long a new item of a is expected to wait for its start: the
-// account's own backlog in its lane at its fair share, and no longer than until
-// all of the lane has been worked off.
-func (q *Queue) wait(a *account, l int) time.Duration {
-	slots := time.Duration(q.slots(l))
-	weights := 0.0
-	for _, o := range q.accounts {
-		if o == a || len(o.lanes[l]) > 0 {
-			weights += o.weight
-		}
-	}
-	own := time.Duration(float64(a.backlog[l])*weights/a.weight) / slots
-	return min(own, q.backlog[l]/slots) + q.untilFree(l)
-}
-
-// untilFree returns how long it takes until a slot of the lane is free: if all
-// are taken, half of the running work is taken to be still ahead.
-func (q *Queue) untilFree(l int) time.Duration {
-	slots := q.slots(l)
-	if q.busy[l] < slots {
-		return 0
-	}
-	return q.occupied[l] / 2 / time.Duration(slots)
-}
-
-// slots returns how many items of a lane can be worked on at a time.
-func (q *Queue) slots(l int) int {
-	if l == laneWrite {
-		return q.limits().WriteSlots
-	}
-	return q.limits().Slots
-}
-
 // account returns the state of i's account, with its present weight.
 func (q *Queue) account(i Item) *account {
 	if q.accounts == nil {
