Listen for callers again right after a restart

A host that had ended sessions could not be started again on its own address for a minute: connections that it had closed first are in TIME_WAIT, gnet listens without SO_REUSEADDR, and its message hides the refused bind ("setsockopt: bad file descriptor", as it goes on with the closed socket). Set the option; a second listener on the address is still refused.

--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -176,6 +176,10 @@
 	defer close(s.ended)
 	opts := []gnet.Option{
 		gnet.WithTicker(true),
+		// Without it a host that has ended sessions can't listen on its own address
+		// again for a minute, while those connections are in TIME_WAIT: a restart in
+		// place fails. On Linux a second listener is refused all the same.
+		gnet.WithReuseAddr(true),
 		gnet.WithLogger(s.cfg.Logger.Named("gnet").Sugar()),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 		gnet.WithTCPKeepAlive(keepAlive),
