--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -44,6 +44,9 @@
 	// StallTimeout ends a session whose caller reads nothing for so long while
 	// an answer waits for it.
 	StallTimeout time.Duration
+	// IdleInTransaction ends a session whose caller says nothing for so long
+	// with a transaction open.
+	IdleInTransaction time.Duration
 	// MaxUnread bounds the bytes of answers that a caller has not read.
 	MaxUnread int
 	// EventLoops is how many event loops serve the sessions; zero takes a
@@ -91,6 +94,7 @@
 	setDefault(&c.MaxUnread, DefaultMaxUnread)
 	setDefault(&c.StartupTimeout, DefaultStartupTimeout)
 	setDefault(&c.StallTimeout, DefaultStallTimeout)
+	setDefault(&c.IdleInTransaction, DefaultIdleInTransaction)
 	if c.Now == nil {
 		c.Now = time.Now
 	}
@@ -176,9 +180,8 @@
 	defer close(s.ended)
 	opts := []gnet.Option{
 		gnet.WithTicker(true),
-		// Without it a host that has ended sessions can't listen on its own address
-		// again for a minute, while those connections are in TIME_WAIT: a restart in
-		// place fails. On Linux a second listener is refused all the same.
+		// A host that restarts finds its port still held by connections of its former
+		// self that the kernel winds up; without the option it could not listen.
 		gnet.WithReuseAddr(true),
 		gnet.WithLogger(s.cfg.Logger.Named("gnet").Sugar()),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
