--- a/test/caller_test.go
+++ b/test/caller_test.go
@@ -12,6 +12,7 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 
+	"skylarkdeal/core/failure"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/internal/localfleet"
 	"skylarkdeal/standin/ledger"
@@ -216,3 +217,12 @@
 	r := g.record(t, "")
 	return r.Status.Instance, r.Status.Last.Term
 }
+
+// codeOf returns the SQLSTATE of err, if it has one.
+func codeOf(err error) failure.Code {
+	var e *pgconn.PgError
+	if errors.As(err, &e) {
+		return failure.Code(e.Code)
+	}
+	return ""
+}
