--- /dev/null
+++ b/test/death_test.go
@@ -0,0 +1,160 @@
+package test_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jackc/pgx/v5"
+
+	"skylarkdeal/core/fleet"
+)
+
+// heldState is what a scenario reads of a host's view of a group.
+type heldState struct {
+	Service fleet.Service `json:"service"`
+	Holds   bool          `json:"holds"`
+	Pins    int           `json:"pins"`
+}
+
+func (g *group) heldBy(t testing.TB, h *host) heldState {
+	t.Helper()
+	var s struct {
+		Groups []heldState `json:"groups"`
+	}
+	qt.Assert(t, json.Unmarshal([]byte(h.dump(t)), &s), qt.IsNil)
+	for _, x := range s.Groups {
+		if x.Service == g.Name {
+			return x
+		}
+	}
+	return heldState{}
+}
+
+// holderAndEntry returns a host that holds connections to the group and one that
+// forwards to it.
+func (g *group) holderAndEntry(t testing.TB) (holder, entry *host) {
+	t.Helper()
+	eventually(t, func() error {
+		holder, entry = nil, nil
+		for _, h := range g.fleet.hosts {
+			if g.heldBy(t, h).Holds {
+				holder = h
+			} else {
+				entry = h
+			}
+		}
+		if holder == nil || entry == nil {
+			return fmt.Errorf("no host holds %s, or all do", g.Name)
+		}
+		return nil
+	})
+	return holder, entry
+}
+
+// others returns the hosts without h.
+func (f *runningFleet) others(h *host) []*host {
+	return slices.DeleteFunc(slices.Clone(f.hosts), func(o *host) bool { return o == h })
+}
+
+// openWithdrawal begins a transaction that has written, over h.
+func openWithdrawal(t testing.TB, g *group, h *host, key string) *pgx.Conn {
+	t.Helper()
+	ctx := testContext(t)
+	c, err := g.connect(ctx, h, "")
+	qt.Assert(t, err, qt.IsNil)
+	for _, q := range []string{"begin", "put " + key + " withdrawn"} {
+		_, err = c.Exec(ctx, q)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", q))
+	}
+	return c
+}
+
+// A host dies between a withdrawal and its COMMIT. It was the entry host, and its
+// holder keeps a connection with the open transaction: the holder has to roll it
+// back and use the connection no more, or the next caller's statements would
+// join the withdrawal. All others go on, each write as before.
+func TestDeathOfTheEntryHostRollsItsTransactionBack(t *testing.T) {
+	f := startFleet(t, 4)
+	g := f.addHeldGroup(t, "entry-dies", 1)
+	holder, entry := g.holderAndEntry(t)
+	openWithdrawal(t, g, entry, "bottle")
+	qt.Assert(t, g.heldBy(t, holder).Pins, qt.Equals, 1)
+	w := g.write(f.others(entry), 3)
+	w.more(t, 20)
+	entry.kill()
+	eventually(t, func() error {
+		if n := g.heldBy(t, holder).Pins; n != 0 {
+			return fmt.Errorf("%d transactions are open at the holder", n)
+		}
+		return nil
+	})
+	w.more(t, 20)
+	all := w.end()
+	t.Log(w.summary())
+	judge(t, g.record(t, ""), all)
+	g.assertNever(t, "bottle")
+}
+
+// assertNever checks that no entry of the log has changed key.
+func (g *group) assertNever(t testing.TB, key string) {
+	t.Helper()
+	for _, e := range g.record(t, "").Entries {
+		for _, o := range e.Ops {
+			if o.Key == key {
+				t.Errorf("entry %s has %v", e.Point, o)
+			}
+		}
+	}
+}
+
+// The one holder of a group dies with a withdrawal open whose caller is connected
+// to another host. The caller's COMMIT must not be acknowledged, and nothing of
+// the withdrawal stays. Another host becomes the holder, and the group goes on.
+func TestDeathOfTheHolderRollsItsTransactionBack(t *testing.T) {
+	f := startFleet(t, 4)
+	g := f.addHeldGroup(t, "holder-dies", 1)
+	holder, entry := g.holderAndEntry(t)
+	c := openWithdrawal(t, g, entry, "bottle")
+	w := g.write(f.others(holder), 3)
+	w.more(t, 20)
+	holder.kill()
+	tag, err := c.Exec(testContext(t), "commit")
+	if err == nil && tag.String() == "COMMIT" {
+		t.Error("COMMIT was acknowledged without its holder")
+	}
+	closeSession(c)
+	w.more(t, 20)
+	all := w.end()
+	t.Log(w.summary())
+	judge(t, g.record(t, ""), all)
+	g.assertNever(t, "bottle")
+}
+
+// pauseTime is how long a host is stopped: longer than suspicion needs.
+const pauseTime = 2 * time.Second
+
+// The one holder of a group is stopped for 2 s in the middle of answers and then
+// wakes, as a host of an overcommitted machine does. Others may have taken its
+// duties over, or promoted an instance. What it answers on waking must be true
+// all the same: an acknowledged order is in the log, once.
+func TestPausedHostAcknowledgesNothingThatIsLost(t *testing.T) {
+	f := startFleet(t, 4)
+	g := f.addHeldGroup(t, "pause", 1)
+	holder, _ := g.holderAndEntry(t)
+	w := g.write(f.hosts, 4)
+	w.more(t, 20)
+	_, before := g.primary(t)
+	holder.signal(syscall.SIGSTOP)
+	time.Sleep(pauseTime) // the fault's own duration
+	holder.signal(syscall.SIGCONT)
+	w.more(t, 40)
+	all := w.end()
+	_, after := g.primary(t)
+	t.Logf("term %d before, %d after; %s", before, after, w.summary())
+	judge(t, g.record(t, ""), all)
+}
