--- a/standin/ledger/extended.go
+++ b/standin/ledger/extended.go
@@ -14,6 +14,10 @@
 	if c.session.skip {
 		return nil
 	}
+	if !c.session.begun {
+		c.begin()
+		c.session.begun = true
+	}
 	err := c.step(m)
 	if err != nil && !isAnswer(err) {
 		return err
@@ -44,7 +48,6 @@
 }
 
 func (c *conn) parse(m *pgproto3.Parse) error {
-	c.begin()
 	all, err := split(m.Query)
 	if err != nil {
 		return err
@@ -67,7 +70,6 @@
 }
 
 func (c *conn) bind(m *pgproto3.Bind) error {
-	c.begin()
 	p, ok := c.session.prepared[m.PreparedStatement]
 	if !ok {
 		return &failure.Refusal{Code: codeNoStatement,
--- a/standin/ledger/session.go
+++ b/standin/ledger/session.go
@@ -21,6 +21,9 @@
 	tx       tx
 	// point is what the answer in progress reflects.
 	point fleet.Point
+	// begun is set from the first message of a series up to its Sync, whichever
+	// message that is: also a lone Describe tells where the log stands.
+	begun bool
 	// skip drops the messages up to Sync after an error.
 	skip bool
 }
@@ -159,7 +162,7 @@
 			c.fail(err)
 		}
 	}
-	c.session.skip = false
+	c.session.skip, c.session.begun = false, false
 	clear(c.session.portals)
 	return c.ready()
 }
