--- a/test/caller_test.go
+++ b/test/caller_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -81,18 +82,22 @@
 type writers struct {
 	group *group
 	hosts []*host
-	stop  context.CancelFunc
-	ended sync.WaitGroup
+	// series tells the ids of these writers from those of others.
+	series int64
+	stop   context.CancelFunc
+	ended  sync.WaitGroup
 
 	mu    sync.Mutex
 	all   []sent
 	count map[outcome]int
 }
 
+var series atomic.Int64
+
 // write starts n callers, who go on until end.
 func (g *group) write(hosts []*host, n int) *writers {
 	ctx, stop := context.WithCancel(context.Background())
-	w := &writers{group: g, hosts: hosts, stop: stop, count: map[outcome]int{}}
+	w := &writers{group: g, hosts: hosts, series: series.Add(1), stop: stop, count: map[outcome]int{}}
 	for k := range n {
 		w.ended.Go(func() { w.caller(ctx, k) })
 	}
@@ -115,7 +120,7 @@
 			c, err = w.group.connect(one, h, "")
 		}
 		if err == nil {
-			id := fmt.Sprintf("w%d-%d", k, n)
+			id := fmt.Sprintf("%d-%d-%d", w.series, k, n)
 			_, err = c.Exec(one, "once $1 $2 $3", id, "stock", "1")
 			w.note(sent{id: id, outcome: outcomeOf(err), err: err, host: h.name})
 		}
