--- a/test/documents_test.go
+++ b/test/documents_test.go
@@ -92,7 +92,7 @@
 	told := map[*host]bool{}
 	eventually(t, func() error {
 		for _, h := range f.hosts {
-			if reportsInvalid(ctx, t, h, g.Name) {
+			if reportsInvalid(t, h, g.Name) {
 				told[h] = true
 			}
 		}
@@ -129,7 +129,7 @@
 
 // reportsInvalid reports whether h's state dump names the service among those
 // whose newest document is invalid, with the place of the mistake.
-func reportsInvalid(_ context.Context, t testing.TB, h *host, s fleet.Service) bool {
+func reportsInvalid(t testing.TB, h *host, s fleet.Service) bool {
 	t.Helper()
 	var a struct {
 		Documents struct {
@@ -150,6 +150,17 @@
 
 // metric returns the value of a metric without labels.
 func metric(ctx context.Context, t testing.TB, h *host, name string) string {
+	t.Helper()
+	for line := range strings.Lines(metrics(ctx, t, h)) {
+		if v, ok := strings.CutPrefix(line, name+" "); ok {
+			return strings.TrimSpace(v)
+		}
+	}
+	return ""
+}
+
+// metrics returns all metrics of h, as text.
+func metrics(ctx context.Context, t testing.TB, h *host) string {
 	t.Helper()
 	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.operator+"/metrics", nil)
 	qt.Assert(t, err, qt.IsNil)
@@ -158,10 +169,5 @@
 	defer r.Body.Close()
 	b, err := io.ReadAll(r.Body)
 	qt.Assert(t, err, qt.IsNil)
-	for line := range strings.Lines(string(b)) {
-		if v, ok := strings.CutPrefix(line, name+" "); ok {
-			return strings.TrimSpace(v)
-		}
-	}
-	return ""
+	return string(b)
 }
