--- a/io/steward/cluster_test.go
+++ b/io/steward/cluster_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/goleak"
 
 	"skylarkdeal/core/document"
+	"skylarkdeal/core/failure"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/group/grouptest"
 	"skylarkdeal/core/journal"
@@ -31,6 +32,7 @@
 	healthy fault = ""
 	crashed fault = "crashed"
 	hung    fault = "hung"
+	full    fault = "full"
 )
 
 // cluster is a group of instances and its holders in one process, with a real
@@ -163,6 +165,9 @@
 	if c.faults[n] == crashed {
 		return fleet.Status{}, syscall.ECONNREFUSED
 	}
+	if c.faults[n] == full {
+		return fleet.Status{}, &failure.Refusal{Code: failure.CodeTooManySessions}
+	}
 	if c.faults[n] == hung || c.cut[h][n] {
 		return fleet.Status{}, errHung
 	}
@@ -258,7 +263,9 @@
 var errNoPrimary = errors.New("no primary is known")
 
 // write has a value written through one host and waits for its acknowledgement.
-func (c *cluster) write(h fleet.Host, rule document.Acknowledge, value string, limit time.Duration) (fleet.Point, error) {
+func (c *cluster) write(
+	h fleet.Host, rule document.Acknowledge, value string, limit time.Duration,
+) (fleet.Point, error) {
 	s := c.stewards[h]
 	t := s.Table()
 	p, ok := t.Find(t.Primary)
