--- a/test/process_test.go
+++ b/test/process_test.go
@@ -27,7 +27,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	defer os.RemoveAll(dir)
+	defer func() { _ = os.RemoveAll(dir) }()
 	program = filepath.Join(dir, "skylarkdeal")
 	if out, err := exec.Command("go", "build", "-o", program, "skylarkdeal").CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer out.Close()
+	defer func() { _ = out.Close() }()
 	p.cmd = exec.Command(program, args...)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	if err := p.cmd.Start(); err != nil {
