--- a/internal/slopes/fleet.go
+++ b/internal/slopes/fleet.go
@@ -42,12 +42,13 @@
 	return measureIdle(ctx, hosts, fleetOf(hosts, 0, 0))
 }
 
-// groupHosts is how many hosts hold the groups whose number varies.
-const groupHosts = 8
+// groupHosts is how many hosts hold the groups whose number varies, each of them
+// all groups.
+const groupHosts = 3
 
-// measureGroups measures fleets of eight hosts; a group is held by three.
+// measureGroups measures fleets of three hosts that hold every group.
 func measureGroups(ctx context.Context, groups int) (row, error) {
-	return measureIdle(ctx, groups, fleetOf(groupHosts, groups, 3))
+	return measureIdle(ctx, groups, fleetOf(groupHosts, groups, groupHosts))
 }
 
 func fleetOf(hosts, groups, holders int) localfleet.Config {
@@ -62,7 +63,7 @@
 		}
 		for k := range centres {
 			s.Instances = append(s.Instances, ledger.InstanceConfig{
-				Name: fleet.Instance(string(rune('a' + k))), Slots: 2, Connections: 32,
+				Name: fleet.Instance(string(rune('a' + k))), Slots: 2, Connections: 16,
 			})
 		}
 		c.Services = append(c.Services, s)
--- a/internal/slopes/usage.go
+++ b/internal/slopes/usage.go
@@ -53,8 +53,8 @@
 	return float64(m.HeapInuse + m.StackInuse)
 }
 
-// counters sums the counters of all hosts, by metric and labels, and adds the
-// calls of the store by kind.
+// counters sums the counters of all hosts, by metric and, but for those of one
+// service, by labels, and adds the calls of the store by kind.
 func counters(ctx context.Context, f *localfleet.Fleet) (map[string]float64, error) {
 	sum := map[string]float64{}
 	for _, h := range f.Hosts {
@@ -91,6 +91,9 @@
 			continue
 		}
 		if v, err := strconv.ParseFloat(value, 64); err == nil {
+			if family, _, _ := strings.Cut(name, "{"); strings.Contains(name, "service=") {
+				name = family
+			}
 			sum[strings.TrimPrefix(name, "skylarkdeal_")] += v
 		}
 	}
