--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -59,5 +59,18 @@
 	for _, c := range commands {
 		root.AddCommand(c())
 	}
+	refuseUnknown(root)
 	return root
 }
+
+// refuseUnknown makes an unknown subcommand of c, or of one of its subcommands,
+// wrong usage.
+func refuseUnknown(c *cobra.Command) {
+	for _, s := range c.Commands() {
+		refuseUnknown(s)
+	}
+	if c.HasSubCommands() {
+		c.Args = usageArgs(cobra.NoArgs)
+		c.RunE = func(c *cobra.Command, _ []string) error { return c.Help() }
+	}
+}
--- a/internal/cmd/cmd_demo.go
+++ b/internal/cmd/cmd_demo.go
@@ -32,7 +32,7 @@
 places orders on one host, reads them on another, kills a primary, changes a
 document, and says what came of it.`,
 		Example: "  skylarkdeal demo\n  skylarkdeal demo --log-level info",
-		Args:    cobra.NoArgs,
+		Args:    usageArgs(cobra.NoArgs),
 		RunE: func(c *cobra.Command, _ []string) error {
 			log, err := eventlog.New(c.ErrOrStderr(), level)
 			if err != nil {
--- a/internal/cmd/cmd_load.go
+++ b/internal/cmd/cmd_load.go
@@ -58,7 +58,7 @@
     --instance orders-obihiro/a=127.0.0.1:7101/obihiro
   skylarkdeal load --profile tokachi --hosts 127.0.0.1:6001,127.0.0.1:6002 --duration 30s \
     --record orders-obihiro=http://127.0.0.1:7100/ledger --fault-plan cut.ini`,
-		Args: cobra.NoArgs,
+		Args: usageArgs(cobra.NoArgs),
 		RunE: func(c *cobra.Command, _ []string) error {
 			if f.documents != "" {
 				return f.writeDocuments(c.OutOrStdout())
--- a/internal/cmd/cmd_serve.go
+++ b/internal/cmd/cmd_serve.go
@@ -32,7 +32,7 @@
 lets requests and transactions in progress end, and gives back what it holds.`,
 		Example: `  skylarkdeal serve --settings host.ini --check
   skylarkdeal serve --settings host.ini`,
-		Args: cobra.NoArgs,
+		Args: usageArgs(cobra.NoArgs),
 		RunE: func(c *cobra.Command, _ []string) error {
 			s, err := readSettings(file)
 			if err != nil {
--- a/internal/cmd/cmd_standin.go
+++ b/internal/cmd/cmd_standin.go
@@ -27,8 +27,9 @@
 
 func newStandin() *cobra.Command {
 	c := &cobra.Command{
-		Use:   "standin",
-		Short: "Run a small stand-in for a database group or the platform's store",
+		Use:     "standin",
+		Short:   "Run a small stand-in for a database group or the platform's store",
+		Example: "  skylarkdeal standin store --address 127.0.0.1:2379",
 	}
 	for _, s := range standins {
 		c.AddCommand(s())
@@ -58,7 +59,7 @@
 		Example: `  skylarkdeal standin group --service orders --lag 20ms --admin 127.0.0.1:7100 \
     --instance a=127.0.0.1:7101 --instance b=127.0.0.1:7102 --instance c=127.0.0.1:7103
   curl -X POST '127.0.0.1:7100/fault?instance=primary&kind=pause&for=5s'`,
-		Args: cobra.NoArgs,
+		Args: usageArgs(cobra.NoArgs),
 		RunE: func(c *cobra.Command, _ []string) error {
 			ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
--- a/internal/cmd/cmd_standin_store.go
+++ b/internal/cmd/cmd_standin_store.go
@@ -21,7 +21,7 @@
 switches and /calls tells how many calls of each kind have come.`,
 		Example: `  skylarkdeal standin store --address 127.0.0.1:2379
   curl -X POST '127.0.0.1:2379/fault?slow=2s&lose-answers=3'`,
-		Args: cobra.NoArgs,
+		Args: usageArgs(cobra.NoArgs),
 		RunE: func(c *cobra.Command, _ []string) error {
 			ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
--- a/internal/cmd/cmd_version.go
+++ b/internal/cmd/cmd_version.go
@@ -15,7 +15,7 @@
 		Use:     "version",
 		Short:   "Print the version",
 		Example: "  skylarkdeal version",
-		Args:    cobra.NoArgs,
+		Args:    usageArgs(cobra.NoArgs),
 		Run: func(c *cobra.Command, _ []string) {
 			fmt.Fprintf(c.OutOrStdout(), "skylarkdeal %s %s\n", Version, runtime.Version())
 		},
