Let every host that answers count for the order of proposers

Two hosts that noticed a dead primary at the same time both took themselves for the first, as neither had yet the other's agreement, and fenced each other out.

--- a/core/group/headless.go
+++ b/core/group/headless.go
@@ -59,7 +59,7 @@
 	}
 	if hidden == 0 {
 		return Judgement{
-			Cause: CauseStranded, Rank: rank(me.Host, order, nil),
+			Cause: CauseStranded, Rank: rank(me.Host, order, views),
 			Reason: fmt.Sprintf("term %d is promised and has no primary", top),
 		}
 	}
@@ -73,7 +73,7 @@
 		}
 	}
 	j := p.silent(d, v, t, len(order))
-	j.Rank = rank(me.Host, order, v.miss)
+	j.Rank = rank(me.Host, order, views)
 	return j
 }
 
--- a/core/group/suspect.go
+++ b/core/group/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"skylarkdeal/core/fleet"
@@ -106,7 +107,7 @@
 type Judgement struct {
 	Cause  Cause
 	Reason string
-	// Rank is the place of this host among those that agree; zero goes first.
+	// Rank is the place of this host among those that answer; zero goes first.
 	Rank int
 	// Excluded are the instances not to be promoted.
 	Excluded fleet.Set[fleet.Instance]
@@ -143,7 +144,8 @@
 	s, _ := t.Find(t.Primary)
 	if !p.Suspects(s, now) {
 		j := p.unfit(now, t, s)
-		j.Rank = rank(me.Host, order, nil)
+		// No view is asked for while the primary answers.
+		j.Rank = max(0, slices.Index(order, me.Host))
 		return j
 	}
 	v, newer := p.count(me, views, t)
@@ -151,7 +153,7 @@
 		return Judgement{Reason: fmt.Sprintf("host %s knows a later term", newer)}
 	}
 	j := p.silent(s.Silent(now), v, t, len(order))
-	j.Rank = rank(me.Host, order, v.miss)
+	j.Rank = rank(me.Host, order, views)
 	return j
 }
 
@@ -239,25 +241,18 @@
 	return len(s) > 1
 }
 
-// rank counts the hosts ahead of me in order, of those in agree if it is given.
-func rank(me fleet.Host, order []fleet.Host, agree []Witness) int {
+// rank counts the hosts ahead of me in order that have given a view. Whether
+// they agree yet doesn't matter: they will a moment later, and two hosts that
+// both took themselves for the first would fence each other out.
+func rank(me fleet.Host, order []fleet.Host, views []View) int {
 	var n int
 	for _, h := range order {
 		if h == me {
-			return n
+			break
 		}
-		if agree == nil || has(agree, h) {
+		if slices.ContainsFunc(views, func(v View) bool { return v.Host == h }) {
 			n++
 		}
 	}
 	return n
 }
-
-func has(w []Witness, h fleet.Host) bool {
-	for _, e := range w {
-		if e.Host == h {
-			return true
-		}
-	}
-	return false
-}
--- a/core/group/suspect_test.go
+++ b/core/group/suspect_test.go
@@ -384,3 +384,27 @@
 	c.Assert(w.judge(reaches).Cause, qt.Equals, group.CauseNone)
 	c.Assert(w.judge().Cause, qt.Equals, group.CauseAlone)
 }
+
+// Two hosts notice a dead primary at the same time, each before the other is
+// sure. If both take themselves for the first they fence each other out.
+func TestPreferredHostGoesFirst(t *testing.T) {
+	c := qt.New(t)
+	w := newWatcher()
+	w.watch(time.Second)
+	rank := func(me fleet.Host, views ...group.View) int {
+		self := group.Witness{Host: me, DataCentre: "dc-a"}
+		return group.Judge(w.now, group.Policy{}, w.group.Table(w.now), self, views, []fleet.Host{"h0", "h1", "h2"}).Rank
+	}
+	w.leave("a")
+	w.copy()
+	w.watch(time.Second)
+	c.Assert(rank("h2"), qt.Equals, 2)
+	w.dead["a"] = true
+	w.watch(time.Second)
+	unsure := view("h0", "dc-c", 100*time.Millisecond)
+	sure := view("h2", "dc-b", time.Second)
+	c.Assert(rank("h1", unsure, sure), qt.Equals, 1)
+	c.Assert(rank("h0", sure), qt.Equals, 0)
+	// h0 has died with the primary.
+	c.Assert(rank("h1", sure), qt.Equals, 0)
+}
--- a/io/steward/bench_test.go
+++ b/io/steward/bench_test.go
@@ -42,6 +42,10 @@
 	return float64(d.Microseconds()) / 1000
 }
 
+// settleTime is when the quick questions of a start are over, which would make
+// the other hosts notice the failure sooner than they do later on.
+const settleTime = 3500 * time.Millisecond
+
 // failOnce runs one failover. The n-th run fails the primary at another phase
 // of the hosts' timers and through another host.
 func failOnce(b *testing.B, kind string, n int) (time.Duration, *writer) {
@@ -53,7 +57,7 @@
 	}
 	defer w.close()
 	w.first(b)
-	fail := time.Now().Add(300*time.Millisecond + time.Duration(n%10)*7*time.Millisecond)
+	fail := time.Now().Add(settleTime + time.Duration(n%10)*7*time.Millisecond)
 	last := time.Now()
 	failed := false
 	for i := 0; ; i++ {
@@ -190,8 +194,7 @@
 	for _, f := range fleets {
 		eventually(b, func() bool { return f.stewards["h0"].Table().Primary != "" })
 	}
-	// Start-up is over once the alert of the first seconds has ended.
-	time.Sleep(3 * time.Second)
+	time.Sleep(settleTime)
 	var asked int64
 	for _, f := range fleets {
 		asked -= f.asked.Load()
