Judge a primary cut off from its replicas by their usual lag

Cause: such a primary was replaced after ten seconds, whatever the lag, since a replica that is always far behind looks the same at first. Change: a replica's usual lag is taken when entries arrive; four times it, at least 2 s and at most 10 s, without any copying counts as cut off; unknown lag keeps the 10 s.

--- a/core/group/group.go
+++ b/core/group/group.go
@@ -91,7 +91,9 @@
 	// A wrongly wired address answers under another name; its terms and
 	// positions would be counted for an instance that never said so.
 	if s := g.find(n); s != nil && st.Instance == n {
+		last := s.Status.Last
 		s.answer(sent, now, st)
+		s.copied(last, g.history)
 		s.lag(g.history)
 		g.prove(now)
 	}
--- a/core/group/seen.go
+++ b/core/group/seen.go
@@ -32,6 +32,9 @@
 	LeavingSince time.Time `json:"leaving-since"`
 	// Lag is a moving estimate of how long an entry takes to get here.
 	Lag time.Duration `json:"lag"`
+	// Usual is what entries took to get here of late, taken when they had; zero
+	// while none has been seen to. A cut doesn't raise it, as it does Lag.
+	Usual time.Duration `json:"usual-lag"`
 	// Refusing is set while the instance's address refuses connections.
 	Refusing bool `json:"refusing"`
 
@@ -112,6 +115,24 @@
 // it follows a rise at once.
 const lagWeight = 8
 
+// copied takes what the entries that have just got here took: a log that ended at
+// last was known to miss something since then.
+func (s *Seen) copied(last fleet.Point, h History) {
+	if s.Status.Last == last {
+		return
+	}
+	asOf, ok := h.Missing(last)
+	if !ok {
+		return
+	}
+	took := max(finest, s.Heard.Sub(asOf))
+	if took > s.Usual {
+		s.Usual = took
+		return
+	}
+	s.Usual -= (s.Usual - took) / lagWeight
+}
+
 // lag takes the age of the first thing that the log is known to miss for the
 // time that an entry takes to get there.
 func (s *Seen) lag(h History) {
--- a/core/group/suspect_test.go
+++ b/core/group/suspect_test.go
@@ -327,6 +327,36 @@
 	c.Assert(k.Cause, qt.Equals, group.CauseNone)
 }
 
+// The same cut, after replication has been seen to take 100 ms: nobody has to wait
+// ten seconds for the first order after it. A group whose replicas are always two
+// seconds behind is no cut, and keeps its primary for as long as it is so.
+func TestCutFromReplicasIsJudgedByTheirUsualLag(t *testing.T) {
+	for _, x := range []struct {
+		usual time.Duration
+		cause group.Cause
+	}{
+		{usual: 100 * time.Millisecond, cause: group.CauseStalled},
+		{usual: 2 * time.Second, cause: group.CauseNone},
+	} {
+		c := qt.New(t)
+		w := newWatcher()
+		w.watch(time.Second)
+		for range 3 {
+			_, err := w.instances[0].Append("copied")
+			c.Assert(err, qt.IsNil)
+			w.watch(x.usual)
+			w.copy()
+			w.watch(100 * time.Millisecond)
+		}
+		_, err := w.instances[0].Append("lost to the cut")
+		c.Assert(err, qt.IsNil)
+		w.watch(1900 * time.Millisecond)
+		c.Assert(w.judge().Cause, qt.Equals, group.CauseNone)
+		w.watch(600 * time.Millisecond)
+		c.Assert(w.judge().Cause, qt.Equals, x.cause, qt.Commentf("usual lag %v", x.usual))
+	}
+}
+
 // A host is cut off with one replica and another host. Fencing what it reaches
 // would have that replica refuse the group's primary after the cut.
 func TestMinorityProposesNothing(t *testing.T) {
--- a/core/group/unfit.go
+++ b/core/group/unfit.go
@@ -90,29 +90,51 @@
 	return Judgement{Cause: CauseLeaving, Reason: "the document marks the primary as leaving", Excluded: excluded}
 }
 
-// stalled finds a primary that has been ahead of its replicas for StallAfter
+// stalled finds a primary that has been ahead of its replicas for a while
 // without any of them copying anything: it answers the hosts but is cut off
 // from its replicas, shows as writes that all end as unknown, and would stay so
 // for as long as the cut lasts. Its replicas are a majority of their own.
 func (p Policy) stalled(now time.Time, t Table, s Seen) Judgement {
-	after := orDefault(p.StallAfter, DefaultStallAfter)
 	var idle int
+	var longest time.Duration
 	for _, o := range t.Seen {
 		if o.Instance.Name == s.Instance.Name {
 			continue
 		}
+		after := p.stallAfter(o)
 		asOf, missing := t.History.Missing(o.Status.Last)
 		if !o.Known() || p.Suspects(o, now) || !missing || now.Sub(asOf) < after || now.Sub(o.Moved) < after {
 			continue
 		}
 		idle++
+		longest = max(longest, after)
 	}
 	if idle < t.Rules.majority(len(t.Seen)) {
 		return Judgement{}
 	}
 	return Judgement{
 		Cause:    CauseStalled,
-		Reason:   fmt.Sprintf("%d replicas have copied nothing for %v", idle, after),
+		Reason:   fmt.Sprintf("%d replicas have copied nothing for %v", idle, longest),
 		Excluded: fleet.NewSet(s.Instance.Name),
 	}
 }
+
+// A replica counts as cut off from its primary once it has copied nothing for
+// stallFactor times what copying usually takes it, and for stallLeast: shorter
+// stalls are those of a busy disk or a full link, and end by themselves sooner
+// than a promotion's effects do.
+const (
+	stallFactor = 4
+	stallLeast  = 2 * time.Second
+)
+
+// stallAfter returns how long a replica may miss entries and copy none. One whose
+// usual lag isn't known yet gets the most there is, since it may be a replica that
+// is always far behind.
+func (p Policy) stallAfter(o Seen) time.Duration {
+	most := orDefault(p.StallAfter, DefaultStallAfter)
+	if o.Usual == 0 {
+		return most
+	}
+	return min(most, max(stallLeast, stallFactor*o.Usual))
+}
