--- a/core/group/seen.go
+++ b/core/group/seen.go
@@ -118,7 +118,8 @@
 // copied takes what the entries that have just got here took: a log that ended at
 // last was known to miss something since then.
 func (s *Seen) copied(last fleet.Point, h History) {
-	if s.Status.Last == last {
+	// What a change of primary took is no lag of the replica.
+	if s.Status.Last == last || s.Status.Last.Term != last.Term {
 		return
 	}
 	asOf, ok := h.Missing(last)
