--- a/io/spread/spread_test.go
+++ b/io/spread/spread_test.go
@@ -280,7 +280,8 @@
 	now := time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
 	age := uint64(time.Second / time.Microsecond)
 	asked := make(chan time.Time, 1)
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
 	s := spread.New(spread.Config{
 		Seeds: []string{"10.0.0.1:1"}, Now: func() time.Time { return now },
 		IsWatcher: func() bool { return false }, DigestEvery: time.Hour,
@@ -292,6 +293,7 @@
 		},
 	})
 	s.Run(ctx)
+	c.Assert(asked, qt.HasLen, 1)
 	c.Assert(s.State().Confirmed, qt.Equals, (<-asked).Add(-time.Second))
 }
 
