--- a/core/group/suspect_test.go
+++ b/core/group/suspect_test.go
@@ -87,6 +87,16 @@
 	return group.Judge(w.now, group.Policy{}, w.group.Table(w.now), me, views, []fleet.Host{"h0", "h1", "h2"})
 }
 
+// near puts all instances into one data centre.
+func (w *watcher) near() {
+	var d []document.Instance
+	for _, s := range w.group.Table(w.now).Seen {
+		s.Instance.DataCentre = "dc-a"
+		d = append(d, s.Instance)
+	}
+	w.group.Configure(w.now, d)
+}
+
 // leave marks an instance as leaving.
 func (w *watcher) leave(n fleet.Instance) {
 	var d []document.Instance
@@ -137,12 +147,18 @@
 func TestJudgeWantsTwoHostsAndTwoDataCentres(t *testing.T) {
 	tests := []struct {
 		name   string
+		near   bool
 		silent time.Duration
 		views  []group.View
 		cause  group.Cause
 	}{
 		{name: "healthy"},
 		{name: "one host", silent: 2 * time.Second},
+		{name: "one host, one data centre", near: true, silent: 2 * time.Second},
+		{
+			name: "two hosts, one data centre", near: true, silent: 700 * time.Millisecond,
+			views: []group.View{view("h1", "dc-a", time.Second)}, cause: group.CauseSilent,
+		},
 		{name: "short silence", silent: 400 * time.Millisecond, views: []group.View{view("h1", "dc-b", time.Second)}},
 		{
 			name: "two hosts of two data centres", silent: 700 * time.Millisecond,
@@ -160,6 +176,15 @@
 			name: "one data centre cut off from the primary", silent: 20 * time.Second,
 			views: []group.View{view("h1", "dc-a", time.Second), view("h2", "dc-b", 0)},
 		},
+		{
+			// The cut leaves h1 in reach of everyone, with the primary.
+			name: "most hosts miss it, for a moment", silent: time.Second,
+			views: []group.View{view("h1", "dc-b", 0), view("h2", "dc-c", time.Second)},
+		},
+		{
+			name: "most hosts miss it", silent: 3 * time.Second,
+			views: []group.View{view("h1", "dc-b", 0), view("h2", "dc-c", time.Second)}, cause: group.CauseOutvoted,
+		},
 		{
 			name: "a second host that has only begun to ask", silent: 2 * time.Second,
 			views: []group.View{view("h1", "dc-b", 100*time.Millisecond)},
@@ -174,6 +199,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			c := qt.New(t)
 			w := newWatcher()
+			if tt.near {
+				w.near()
+			}
 			w.watch(time.Second)
 			if tt.silent > 0 {
 				w.dead["a"] = true
@@ -191,7 +219,7 @@
 func TestSlowPrimaryIsNotSuspected(t *testing.T) {
 	c := qt.New(t)
 	w := newWatcher()
-	for _, l := range []time.Duration{50, 200, 500, 900, 1200} {
+	for _, l := range []time.Duration{50, 500, 1300, 1400} {
 		w.latency["a"] = l * time.Millisecond
 		for range 40 {
 			w.watch(50 * time.Millisecond)
@@ -298,3 +326,51 @@
 	k := group.Judge(w.now, keep, w.group.Table(w.now), group.Witness{Host: "h0"}, nil, nil)
 	c.Assert(k.Cause, qt.Equals, group.CauseNone)
 }
+
+// The same cut, after replication has been seen to take 100 ms: nobody has to wait
+// ten seconds for the first order after it. A group whose replicas are always two
+// seconds behind is no cut, and keeps its primary for as long as it is so.
+func TestCutFromReplicasIsJudgedByTheirUsualLag(t *testing.T) {
+	for _, x := range []struct {
+		usual time.Duration
+		cause group.Cause
+	}{
+		{usual: 100 * time.Millisecond, cause: group.CauseStalled},
+		{usual: 2 * time.Second, cause: group.CauseNone},
+	} {
+		c := qt.New(t)
+		w := newWatcher()
+		w.watch(time.Second)
+		for range 3 {
+			_, err := w.instances[0].Append("copied")
+			c.Assert(err, qt.IsNil)
+			w.watch(x.usual)
+			w.copy()
+			w.watch(100 * time.Millisecond)
+		}
+		_, err := w.instances[0].Append("lost to the cut")
+		c.Assert(err, qt.IsNil)
+		w.watch(1900 * time.Millisecond)
+		c.Assert(w.judge().Cause, qt.Equals, group.CauseNone)
+		w.watch(600 * time.Millisecond)
+		c.Assert(w.judge().Cause, qt.Equals, x.cause, qt.Commentf("usual lag %v", x.usual))
+	}
+}
+
+// A host is cut off with one replica and another host. Fencing what it reaches
+// would have that replica refuse the group's primary after the cut.
+func TestMinorityProposesNothing(t *testing.T) {
+	c := qt.New(t)
+	w := newWatcher()
+	w.watch(time.Second)
+	w.dead["a"], w.dead["b"] = true, true
+	w.watch(10 * time.Second)
+	c.Assert(w.judge(view("h1", "dc-b", 10*time.Second)).Cause, qt.Equals, group.CauseNone)
+	// The replica that it reaches has been fenced by someone: still nothing.
+	c.Assert(w.instances[2].Fence(2, "h9/1/1"), qt.IsNil)
+	w.watch(time.Second)
+	c.Assert(w.judge().Cause, qt.Equals, group.CauseNone)
+	w.dead["b"] = false
+	w.watch(time.Second)
+	c.Assert(w.judge(view("h1", "dc-b", 10*time.Second)).Cause, qt.Not(qt.Equals), group.CauseNone)
+}
--- a/core/group/unfit.go
+++ b/core/group/unfit.go
@@ -12,20 +12,13 @@
 // view of others is needed, since terms are facts whoever reads them.
 func (p Policy) stranded(now time.Time, t Table) Judgement {
 	top := nextTerm(t) - 1
-	var reach int
 	var since time.Time
 	for _, s := range t.Seen {
-		if !s.Known() {
-			continue
-		}
-		if !p.Suspects(s, now) {
-			reach++
-		}
 		if s.Status.Promised == top && s.Raised.After(since) {
 			since = s.Raised
 		}
 	}
-	if reach < Majority(len(t.Seen)) || t.Primary != "" && t.Term == top {
+	if !t.Quorate(now) || t.Primary != "" && t.Term == top {
 		return Judgement{}
 	}
 	if now.Sub(since) < orDefault(p.StrandedAfter, DefaultStrandedAfter) {
@@ -49,9 +42,23 @@
 // CanHandOver reports whether the primary can be replaced by an instance that
 // isn't leaving: those have to be a majority that answers.
 func (t Table) CanHandOver(now time.Time) bool {
+	return t.answering(now, func(s Seen) bool { return !s.Instance.Leaving })
+}
+
+// Quorate reports whether a majority of the instances answers this host. With
+// fewer no write could be confirmed and no promotion could succeed.
+func (t Table) Quorate(now time.Time) bool {
+	return t.answering(now, func(Seen) bool { return true })
+}
+
+// answerLimit is how long an instance may owe an answer and still count as
+// answering.
+const answerLimit = DefaultRefusedAfter
+
+func (t Table) answering(now time.Time, counts func(s Seen) bool) bool {
 	var n int
 	for _, s := range t.Seen {
-		if s.Known() && !s.Instance.Leaving && s.Silent(now) < DefaultRefusedAfter {
+		if s.Known() && counts(s) && s.Silent(now) < answerLimit {
 			n++
 		}
 	}
@@ -83,29 +90,51 @@
 	return Judgement{Cause: CauseLeaving, Reason: "the document marks the primary as leaving", Excluded: excluded}
 }
 
-// stalled finds a primary that has been ahead of its replicas for StallAfter
+// stalled finds a primary that has been ahead of its replicas for a while
 // without any of them copying anything: it answers the hosts but is cut off
 // from its replicas, shows as writes that all end as unknown, and would stay so
 // for as long as the cut lasts. Its replicas are a majority of their own.
 func (p Policy) stalled(now time.Time, t Table, s Seen) Judgement {
-	after := orDefault(p.StallAfter, DefaultStallAfter)
 	var idle int
+	var longest time.Duration
 	for _, o := range t.Seen {
 		if o.Instance.Name == s.Instance.Name {
 			continue
 		}
+		after := p.stallAfter(o)
 		asOf, missing := t.History.Missing(o.Status.Last)
 		if !o.Known() || p.Suspects(o, now) || !missing || now.Sub(asOf) < after || now.Sub(o.Moved) < after {
 			continue
 		}
 		idle++
+		longest = max(longest, after)
 	}
 	if idle < t.Rules.majority(len(t.Seen)) {
 		return Judgement{}
 	}
 	return Judgement{
 		Cause:    CauseStalled,
-		Reason:   fmt.Sprintf("%d replicas have copied nothing for %v", idle, after),
+		Reason:   fmt.Sprintf("%d replicas have copied nothing for %v", idle, longest),
 		Excluded: fleet.NewSet(s.Instance.Name),
 	}
 }
+
+// A replica counts as cut off from its primary once it has copied nothing for
+// stallFactor times what copying usually takes it, and for stallLeast: shorter
+// stalls are those of a busy disk or a full link, and end by themselves sooner
+// than a promotion's effects do.
+const (
+	stallFactor = 4
+	stallLeast  = 2 * time.Second
+)
+
+// stallAfter returns how long a replica may miss entries and copy none. One whose
+// usual lag isn't known yet gets the most there is, since it may be a replica that
+// is always far behind.
+func (p Policy) stallAfter(o Seen) time.Duration {
+	most := orDefault(p.StallAfter, DefaultStallAfter)
+	if o.Usual == 0 {
+		return most
+	}
+	return min(most, max(stallLeast, stallFactor*o.Usual))
+}
--- a/core/settings/settings_test.go
+++ b/core/settings/settings_test.go
@@ -6,7 +6,6 @@
 	"path/filepath"
 	"strings"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -27,7 +26,7 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(s.Host, qt.Equals, settings.Host{Name: "obihiro-1", DataCentre: fleet.DataCentre("obihiro")})
 	c.Assert(s.Peer.Seeds, qt.DeepEquals, []string{"10.1.0.12:6433", "10.2.0.11:6433", "10.3.0.11:6433"})
-	c.Assert(s.Store.Timeout, qt.Equals, time.Second)
+	c.Assert(s.Store.Timeout, qt.Equals, settings.DefaultStoreTimeout)
 }
 
 // The sample shows every default on a line that is commented out by "; ".
@@ -100,3 +99,14 @@
 		`host.ini:4: \[caller\] address: found "here", expected an IP address.*`+
 		`host.ini:5: \[caller\] max: found an unknown key, expected one of address, .*`)
 }
+
+func FuzzParse(f *testing.F) {
+	f.Add(sample(qt.New(f)))
+	f.Add("[host]\nname = a\n[store]\nendpoints = ,")
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := settings.Parse("f", []byte(text))
+		if err == nil && (s.Host.Name == "" || len(s.Store.Endpoints) == 0) {
+			t.Fatalf("accepted without a name or a store: %+v", s)
+		}
+	})
+}
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"fmt"
 	"net"
 	"os"
@@ -44,18 +43,28 @@
 	// StallTimeout ends a session whose caller reads nothing for so long while
 	// an answer waits for it.
 	StallTimeout time.Duration
+	// IdleInTransaction ends a session whose caller says nothing for so long
+	// with a transaction open.
+	IdleInTransaction time.Duration
 	// MaxUnread bounds the bytes of answers that a caller has not read.
 	MaxUnread int
 	// EventLoops is how many event loops serve the sessions; zero takes a
 	// quarter of the processors, and two at least.
 	EventLoops int
 
+	// Secret is the same on all hosts of the fleet. The salts shown for accounts
+	// that don't exist come from it; they differ between hosts when it is empty.
+	Secret []byte
+
 	Runner exchange.Runner
 	// Documents returns the document in force for a service.
 	Documents func(s fleet.Service) (*document.Document, bool)
 	// Admit is asked before an exchange of n requests is run and answers by
 	// done, at once or later, nil to go on. A nil Admit admits all.
 	Admit func(s fleet.Service, a fleet.Account, n int, deadline time.Time, done func(*failure.Refusal))
+	// AdmitOpen is asked in its place for an exchange of an open transaction; a
+	// nil AdmitOpen leaves these to Admit.
+	AdmitOpen func(s fleet.Service, a fleet.Account, n int, deadline time.Time, done func(*failure.Refusal))
 
 	Now        func() time.Time
 	Logger     *zap.Logger
@@ -91,6 +100,7 @@
 	setDefault(&c.MaxUnread, DefaultMaxUnread)
 	setDefault(&c.StartupTimeout, DefaultStartupTimeout)
 	setDefault(&c.StallTimeout, DefaultStallTimeout)
+	setDefault(&c.IdleInTransaction, DefaultIdleInTransaction)
 	if c.Now == nil {
 		c.Now = time.Now
 	}
@@ -102,6 +112,9 @@
 			done(nil)
 		}
 	}
+	if c.AdmitOpen == nil {
+		c.AdmitOpen = c.Admit
+	}
 	return c
 }
 
@@ -124,12 +137,12 @@
 
 	seq      atomic.Uint64
 	draining atomic.Bool
+	running  atomic.Int64
 
 	mu sync.Mutex
 	// sessions are the open sessions by the process number in their cancel key.
 	sessions map[uint32]*session
-	// waiting are the sessions that end at a time: those that have not proved a
-	// key, and those that linger after a last message.
+	// waiting are the sessions that have a deadline, with the time to look at it.
 	waiting map[*session]time.Time
 	nextID  uint32
 }
@@ -143,7 +156,7 @@
 		sessions: make(map[uint32]*session),
 		waiting:  make(map[*session]time.Time),
 	}
-	_, _ = rand.Read(s.mocks.secret[:])
+	s.mocks = newMocks(cfg.Secret)
 	s.metrics = newMetrics(s.cfg.Registerer, s.sessionCount)
 	return s
 }
@@ -176,6 +189,9 @@
 	defer close(s.ended)
 	opts := []gnet.Option{
 		gnet.WithTicker(true),
+		// A host that restarts finds its port still held by connections of its former
+		// self that the kernel winds up; without the option it could not listen.
+		gnet.WithReuseAddr(true),
 		gnet.WithLogger(s.cfg.Logger.Named("gnet").Sugar()),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 		gnet.WithTCPKeepAlive(keepAlive),
--- a/io/caller/startup_test.go
+++ b/io/caller/startup_test.go
@@ -14,6 +14,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"skylarkdeal/core/document"
+	"skylarkdeal/core/exchange"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/io/caller"
 )
@@ -43,11 +44,12 @@
 }
 
 // A stranger tries names of accounts and services. What it is told, and in
-// which messages, is the same whether they exist or not.
+// which messages, is the same whether they exist or not, and on each host.
 func TestStrangerLearnsNoNames(t *testing.T) {
 	c := qt.New(t)
-	f := start(t, nil)
-	try := func(user, service string) (string, string) {
+	secret := func(cfg *caller.Config) { cfg.Secret = []byte("fleet") }
+	f, g := start(t, secret), start(t, secret)
+	try := func(f *front, user, service string) (string, string) {
 		w := rawConn(t, f)
 		w.send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30,
 			Parameters: map[string]string{"user": user, "database": service}})
@@ -67,12 +69,12 @@
 		e := m.(*pgproto3.ErrorResponse)
 		return e.Severity + e.Code + e.Detail + e.Hint, rest
 	}
-	known, shape := try("hotel", "orders")
+	known, shape := try(f, "hotel", "orders")
 	for _, n := range [][2]string{{"nobody", "orders"}, {"hotel", "nowhere"}, {"nobody", "nowhere"}} {
-		got, s := try(n[0], n[1])
+		got, s := try(f, n[0], n[1])
 		c.Assert(got, qt.Equals, known)
 		c.Assert(len(s), qt.Equals, len(shape))
-		_, again := try(n[0], n[1])
+		_, again := try(g, n[0], n[1])
 		c.Assert(again, qt.Equals, s)
 	}
 }
@@ -190,6 +192,74 @@
 	c.Assert(open.ask("get a"), qt.Equals, "T D(get a) C(GET) Z(I)")
 }
 
+// A handheld opens a transaction and says no more. Its connection is taken back
+// after a while by the host's clock; a session without a transaction may stay.
+func TestIdleInTransaction(t *testing.T) {
+	c := qt.New(t)
+	var skew atomic.Int64
+	f := start(t, func(cfg *caller.Config) {
+		cfg.Now = func() time.Time { return time.Now().Add(time.Duration(skew.Load())) }
+		cfg.IdleInTransaction = time.Hour
+	})
+	idle, inTx, ended := wireConn(t, f, ""), wireConn(t, f, ""), wireConn(t, f, "")
+	inTx.ask("begin")
+	ended.ask("begin")
+	ended.ask("commit")
+	skew.Store(int64(40 * time.Minute))
+	c.Assert(inTx.ask("get a"), qt.Equals, "T D(get a) C(GET) Z(T)")
+	skew.Store(int64(80 * time.Minute))
+	c.Assert(inTx.ask("get a"), qt.Equals, "T D(get a) C(GET) Z(T)")
+	skew.Store(int64(200 * time.Minute))
+	c.Assert(inTx.read(1), qt.Equals, "FATAL(25P03) end")
+	c.Assert(f.fake.releasedPins(), qt.DeepEquals, []exchange.Pin{1})
+	c.Assert(idle.ask("get a"), qt.Equals, "T D(get a) C(GET) Z(I)")
+	c.Assert(ended.ask("get a"), qt.Equals, "T D(get a) C(GET) Z(I)")
+}
+
+// A caller sends a large message but for its end, and a large batch without
+// Sync, and leaves it there. On many sessions that would be the host's memory.
+// A short rest of a message costs little, and its session stays.
+func TestInputWithoutEnd(t *testing.T) {
+	c := qt.New(t)
+	var skew atomic.Int64
+	f := start(t, func(cfg *caller.Config) {
+		cfg.Now = func() time.Time { return time.Now().Add(time.Duration(skew.Load())) }
+	})
+	long := strings.Repeat("x", 100_000)
+	message, batch, short := wireConn(t, f, ""), wireConn(t, f, ""), wireConn(t, f, "")
+	b := must((&pgproto3.Query{String: long}).Encode(nil))
+	_, _ = message.Write(b[:len(b)-1])
+	batch.send(&pgproto3.Parse{Query: long})
+	q := must((&pgproto3.Query{String: "get a"}).Encode(nil))
+	_, _ = short.Write(q[:len(q)-1])
+	until(t, "two are timed", func() bool { return f.State().Timed == 2 })
+	skew.Store(int64(time.Minute))
+	c.Assert(message.read(1), qt.Equals, "FATAL(08P01) end")
+	c.Assert(batch.read(1), qt.Equals, "FATAL(08P01) end")
+	_, _ = short.Write(q[len(q)-1:])
+	c.Assert(short.read(1), qt.Equals, "T D(get a) C(GET) S Z(I)")
+}
+
+// A driver sends Bind, Execute and Flush and waits. The answer would need a
+// Sync, which ends the transaction, so none comes; the caller is told why.
+func TestFlushThatIsNotAnswered(t *testing.T) {
+	c := qt.New(t)
+	var skew atomic.Int64
+	f := start(t, func(cfg *caller.Config) {
+		cfg.Now = func() time.Time { return time.Now().Add(time.Duration(skew.Load())) }
+		cfg.StartupTimeout = time.Hour
+	})
+	w := wireConn(t, f, "")
+	bind := []pgproto3.FrontendMessage{&pgproto3.Parse{Query: "get a"}, &pgproto3.Bind{}, &pgproto3.Execute{}}
+	w.send(append(bind, &pgproto3.Flush{}, &pgproto3.Sync{})...)
+	c.Assert(w.read(1), qt.Equals, "1 2 D(get a) C(GET) S Z(I)")
+	w.send(append(bind, &pgproto3.Flush{})...)
+	until(t, "timed", func() bool { return f.State().Timed == 1 })
+	skew.Store(int64(2 * time.Hour))
+	c.Assert(w.read(1), qt.Equals, "FATAL(0A000) end")
+	c.Assert(f.fake.count(), qt.Equals, 1)
+}
+
 func TestMalformedMessagesEndTheirSession(t *testing.T) {
 	f := start(t, func(cfg *caller.Config) { cfg.MaxMessage = 1000 })
 	other := wireConn(t, f, "")
--- a/io/platform/dial.go
+++ b/io/platform/dial.go
@@ -25,6 +25,9 @@
 	// Rate and Burst bound the calls of this process, in calls a second.
 	Rate  float64
 	Burst int
+	// Hosts returns how many hosts share the store, which sets the rate in place
+	// of Rate when it is given.
+	Hosts func() int
 	// Patient is set for the operators' commands, which ask a store in trouble
 	// again at once; hosts are held back.
 	Patient bool
@@ -41,9 +44,14 @@
 // thousand reads a second, so two a second for each host stays within it; the
 // burst lets a host's start pass, which is 3 to 20 calls.
 const (
-	DefaultTimeout = time.Second
+	DefaultTimeout = 3 * time.Second
 	DefaultRate    = 2
-	DefaultBurst   = 20
+	// FleetRate is what the hosts together may call, in calls a second: the
+	// store takes several hundred writes, and a start's calls are mostly writes.
+	// LeastRate keeps a host of a large fleet able to renew its lease.
+	FleetRate    = 400
+	LeastRate    = 1
+	DefaultBurst = 20
 
 	dialTimeout = 500 * time.Millisecond
 	// pingAfter finds a connection that is cut without a word.
@@ -54,6 +62,7 @@
 // Dial returns a Store; it connects when first called.
 func Dial(cfg Config) *Store {
 	c := newClient(cfg)
+	c.registerDown(cfg.Metrics)
 	return &Store{
 		Get:       c.get,
 		List:      c.list,
@@ -139,7 +148,8 @@
 	}
 }
 
-// call makes one bounded call and tells the gate how it went.
+// call makes one bounded call and tells the gate how it went. A call that its
+// caller gave up says nothing about the store.
 func call[T any](
 	ctx context.Context, c *client, k Kind, do func(ctx context.Context, e endpoint) (T, error),
 ) (T, error) {
@@ -153,11 +163,13 @@
 		c.counts.held(k)
 		return none, failure.At(err, failure.Step(k), peer)
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	bounded, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
 	c.counts.made(k)
-	a, err := do(ctx, e)
-	c.settle(e, k, err)
+	a, err := do(bounded, e)
+	if ctx.Err() == nil {
+		c.settle(e, k, err)
+	}
 	return a, failure.At(err, failure.Step(k), peer)
 }
 
--- a/io/platform/platform_test.go
+++ b/io/platform/platform_test.go
@@ -183,6 +183,22 @@
 	c.Assert(err, qt.ErrorMatches, `.*get with store 127.*deadline_exceeded.*`)
 }
 
+func TestCancelledCallsDontHoldOthersBack(t *testing.T) {
+	c := qt.New(t)
+	server := start(c, store.Config{})
+	s := dial(c, platform.Config{Endpoints: []string{server.Addr()}})
+	server.Set(func(f *store.Faults) { f.Pause = true })
+	ctx, cancel := context.WithCancel(context.Background())
+	var duty sync.WaitGroup
+	duty.Go(func() { _, _ = s.Get(ctx, "/k") })
+	eventually(c, "the call waits", func() bool { return server.Calls()[store.KindRange] == 1 })
+	cancel()
+	duty.Wait()
+	server.Set(func(f *store.Faults) { f.Pause = false })
+	_, err := s.Get(context.Background(), "/k")
+	c.Assert(err, qt.IsNil)
+}
+
 // The store is down for a while and hundreds of hosts have calls to make. If all
 // were sent, and sent again at its return, they would end it once more. So while
 // it is down a host makes one try for each back-off interval, and the calls that
@@ -196,8 +212,10 @@
 		Endpoints: []string{server.Addr()}, Now: k.now, Rate: 2, Burst: 20, Jitter: func() float64 { return 0.5 },
 	})
 	server.Set(func(f *store.Faults) { f.Down = true })
+	bounded, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
 	for range 600 {
-		_, _ = s.Get(ctx, "/k")
+		_, _ = s.Get(bounded, "/k")
 		k.move(100 * time.Millisecond)
 	}
 	// Intervals of 0.2, 0.4, ... 6.4 and then 10 s fit nine times into a minute.
@@ -211,8 +229,8 @@
 	c.Assert(s.State().Down, qt.IsFalse)
 	_, err = s.Get(ctx, "/k")
 	c.Assert(err, qt.IsNil)
-	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
-	defer cancel()
+	short, stop := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer stop()
 	_, err = s.Get(short, "/k")
 	c.Assert(err, qt.ErrorIs, context.DeadlineExceeded)
 	c.Assert(server.Calls()[store.KindRange], qt.Equals, 13)
--- a/io/steward/cluster_test.go
+++ b/io/steward/cluster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"go.uber.org/goleak"
 
 	"skylarkdeal/core/document"
+	"skylarkdeal/core/failure"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/group/grouptest"
 	"skylarkdeal/core/journal"
@@ -31,15 +33,18 @@
 	healthy fault = ""
 	crashed fault = "crashed"
 	hung    fault = "hung"
+	full    fault = "full"
 )
 
 // cluster is a group of instances and its holders in one process, with a real
 // clock and links that take a millisecond each way.
 type cluster struct {
-	ctx       context.Context
-	stop      context.CancelFunc
-	wait      sync.WaitGroup
-	doc       document.Document
+	ctx  context.Context
+	stop context.CancelFunc
+	wait sync.WaitGroup
+	doc  document.Document
+	// moved takes the place of doc once it is set.
+	moved     atomic.Pointer[document.Document]
 	hosts     []fleet.Member
 	stewards  map[fleet.Host]*steward.Steward
 	journals  map[fleet.Host]*journal.Journal
@@ -56,6 +61,8 @@
 	alone map[fleet.Instance]bool
 	// questions counts the status reads of each host.
 	questions map[fleet.Host]int
+	// closed counts the connections that each host has closed.
+	closed map[fleet.Host]int
 }
 
 // newCluster starts a group of three instances in three data centres with a
@@ -73,6 +80,7 @@
 		slow:      make(map[fleet.Instance]time.Duration),
 		alone:     make(map[fleet.Instance]bool),
 		questions: make(map[fleet.Host]int),
+		closed:    make(map[fleet.Host]int),
 	}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.doc.Service = "orders"
@@ -101,9 +109,9 @@
 	j := new(journal.Journal)
 	s := steward.New(steward.Config{
 		Service: "orders", Host: m.Host, DataCentre: m.DataCentre, Epoch: seed + 1, Seed: seed,
-		Document: func() *document.Document { return &c.doc },
+		Document: c.document,
 		Dial:     func(i document.Instance) control.Client { return c.dial(m.Host, i.Name) },
-		Holders:  func() []fleet.Member { return c.hosts },
+		Holders:  c.holders,
 		Views:    func(ctx context.Context, o fleet.Member) (*hostpb.ViewResponse, error) { return c.view(ctx, m, o) },
 		Journal:  j,
 	})
@@ -111,6 +119,19 @@
 	c.wait.Go(func() { s.Run(c.ctx) })
 }
 
+func (c *cluster) document() *document.Document {
+	if d := c.moved.Load(); d != nil {
+		return d
+	}
+	return &c.doc
+}
+
+func (c *cluster) holders() []fleet.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hosts
+}
+
 func (c *cluster) view(ctx context.Context, from, to fleet.Member) (*hostpb.ViewResponse, error) {
 	c.mu.Lock()
 	gone := c.away[from.Host] || c.away[to.Host]
@@ -163,6 +184,9 @@
 	if c.faults[n] == crashed {
 		return fleet.Status{}, syscall.ECONNREFUSED
 	}
+	if c.faults[n] == full {
+		return fleet.Status{}, &failure.Refusal{Code: failure.CodeTooManySessions}
+	}
 	if c.faults[n] == hung || c.cut[h][n] {
 		return fleet.Status{}, errHung
 	}
@@ -186,7 +210,7 @@
 		Follow: func(ctx context.Context, t fleet.Term, p fleet.Instance, _ string) (fleet.Status, error) {
 			return c.call(ctx, h, n, func(i *grouptest.Instance) error { return i.Follow(t, p) })
 		},
-		Close: func() {},
+		Close: func() { c.set(func() { c.closed[h]++ }) },
 	}
 }
 
@@ -258,7 +282,9 @@
 var errNoPrimary = errors.New("no primary is known")
 
 // write has a value written through one host and waits for its acknowledgement.
-func (c *cluster) write(h fleet.Host, rule document.Acknowledge, value string, limit time.Duration) (fleet.Point, error) {
+func (c *cluster) write(
+	h fleet.Host, rule document.Acknowledge, value string, limit time.Duration,
+) (fleet.Point, error) {
 	s := c.stewards[h]
 	t := s.Table()
 	p, ok := t.Find(t.Primary)
