--- a/internal/slopes/main.go
+++ b/internal/slopes/main.go
@@ -9,9 +9,11 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"os"
 	"strconv"
+	"testing"
 	"time"
 )
 
@@ -30,8 +32,16 @@
 // measureTimeout bounds a measurement at one size.
 const measureTimeout = 2 * time.Minute
 
+// benchTime is how long each operation of the measurement roster is repeated.
+const benchTime = "300ms"
+
 func main() {
-	if err := run(os.Args[1:]); err != nil {
+	testing.Init()
+	err := flag.Set("test.benchtime", benchTime)
+	if err == nil {
+		err = run(os.Args[1:])
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "slopes:", err)
 		os.Exit(1)
 	}
