--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"fmt"
 	"net"
 	"os"
@@ -53,12 +52,19 @@
 	// quarter of the processors, and two at least.
 	EventLoops int
 
+	// Secret is the same on all hosts of the fleet. The salts shown for accounts
+	// that don't exist come from it; they differ between hosts when it is empty.
+	Secret []byte
+
 	Runner exchange.Runner
 	// Documents returns the document in force for a service.
 	Documents func(s fleet.Service) (*document.Document, bool)
 	// Admit is asked before an exchange of n requests is run and answers by
 	// done, at once or later, nil to go on. A nil Admit admits all.
 	Admit func(s fleet.Service, a fleet.Account, n int, deadline time.Time, done func(*failure.Refusal))
+	// AdmitOpen is asked in its place for an exchange of an open transaction; a
+	// nil AdmitOpen leaves these to Admit.
+	AdmitOpen func(s fleet.Service, a fleet.Account, n int, deadline time.Time, done func(*failure.Refusal))
 
 	Now        func() time.Time
 	Logger     *zap.Logger
@@ -106,6 +112,9 @@
 			done(nil)
 		}
 	}
+	if c.AdmitOpen == nil {
+		c.AdmitOpen = c.Admit
+	}
 	return c
 }
 
@@ -147,7 +156,7 @@
 		sessions: make(map[uint32]*session),
 		waiting:  make(map[*session]time.Time),
 	}
-	_, _ = rand.Read(s.mocks.secret[:])
+	s.mocks = newMocks(cfg.Secret)
 	s.metrics = newMetrics(s.cfg.Registerer, s.sessionCount)
 	return s
 }
--- a/io/steward/steward.go
+++ b/io/steward/steward.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -81,9 +82,15 @@
 	viewing fleet.Set[fleet.Host]
 	change  change
 	busy    time.Time
+	// policy is the Config's, as the document has it.
+	policy group.Policy
+	// quorate is when a majority of the instances last answered.
+	quorate time.Time
 	// members are the group's holders as of membersAt.
 	members   []fleet.Member
 	membersAt time.Time
+	// needed is when this host last was a holder or had requests waiting.
+	needed time.Time
 }
 
 // eventRoom is how many events may wait for the loop. Writes that wait for a
@@ -105,6 +112,7 @@
 		events:  ring.New[event](eventRoom),
 		ended:   make(chan struct{}),
 	}
+	s.policy = cfg.Policy
 	s.rand = rand.New(rand.NewPCG(cfg.Seed, cfg.Epoch))
 	s.links = make(map[fleet.Instance]*link)
 	s.views = make(map[fleet.Host]group.View)
@@ -189,9 +197,16 @@
 	if s.group.Tick(now) {
 		s.note(now, "wait", "this host was paused; the instances' silence counts anew")
 	}
-	s.adopt(now)
 	s.recall(now)
+	if s.resting(now) {
+		s.rest(now)
+	} else {
+		s.adopt(now)
+	}
 	t := s.publish(now)
+	if t.Quorate(now) || s.quorate.IsZero() {
+		s.quorate = now
+	}
 	s.settle(now, t)
 	s.failOver(now, t)
 	s.ask(now, t)
@@ -219,7 +234,7 @@
 	}
 	s.doc = d
 	s.group.Configure(now, d.Instances)
-	s.cfg.Policy.KeepStalled = d.Acknowledge == document.AcknowledgePrimary
+	s.policy.KeepStalled = d.Acknowledge == document.AcknowledgePrimary
 	links := make(map[fleet.Instance]*link, len(d.Instances))
 	for _, i := range d.Instances {
 		l := s.links[i.Name]
@@ -248,6 +263,36 @@
 	s.members, s.membersAt = s.cfg.Holders(), now
 }
 
+// restAfter is how long a host that holds the group no more keeps its
+// connections: its last transactions may still have a commit to confirm.
+const restAfter = 2 * time.Second
+
+// resting reports whether the host has no more use for the instances. In a fleet
+// whose hosts come and go, every host would else end up with a connection to
+// every instance, and the holders would find none left.
+func (s *Steward) resting(now time.Time) bool {
+	holds := s.cfg.Holders == nil || slices.ContainsFunc(s.members, func(m fleet.Member) bool {
+		return m.Host == s.cfg.Host
+	})
+	if holds || len(s.waiting) > 0 || s.change.promotion != nil {
+		s.needed = now
+	}
+	return now.Sub(s.needed) > restAfter
+}
+
+func (s *Steward) rest(now time.Time) {
+	if s.doc == nil {
+		return
+	}
+	for _, l := range s.links {
+		l.close()
+	}
+	clear(s.links)
+	s.doc = nil
+	s.group.Configure(now, nil)
+	s.note(now, "rest", "this host no longer holds the group")
+}
+
 func (s *Steward) publish(now time.Time) group.Table {
 	t := s.group.Table(now)
 	changed := differs(*s.table.Load(), t)
