--- a/internal/slopes/main.go
+++ b/internal/slopes/main.go
@@ -26,6 +26,7 @@
 	"groups":    {append([]string{"groups"}, idleColumns...), measureGroups},
 	"sessions":  {sessionColumns, measureSessions},
 	"documents": {documentColumns, measureDocuments},
+	"accounts":  {accountColumns, measureAccounts},
 	"roster":    {rosterColumns, measureRoster},
 }
 
@@ -49,7 +50,7 @@
 
 func run(args []string) error {
 	if len(args) < 2 {
-		return fmt.Errorf("want a measurement (hosts, groups, sessions, documents or roster) and its sizes")
+		return fmt.Errorf("want a measurement (hosts, groups, sessions, documents, accounts or roster) and its sizes")
 	}
 	m, ok := measurements[args[0]]
 	if !ok {
