--- /dev/null
+++ b/core/allot/seats_test.go
@@ -0,0 +1,223 @@
+package allot_test
+
+import (
+	"time"
+
+	"skylarkdeal/core/allot"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/roster"
+)
+
+func (h *host) seatName() allot.SeatName { return allot.SeatName(h.dc) }
+
+// renew keeps the lease, as io/members does.
+func (h *host) renew() {
+	if !h.lease.Stands(h.late()) {
+		h.register()
+		return
+	}
+	name, sent := h.lease.Name, h.late()
+	storeCall(h, func() bool {
+		l := h.w.leases[h.name]
+		if l.name != name || l.until < h.w.now {
+			return false
+		}
+		h.w.leases[h.name] = lease{name, h.w.now + roster.LeaseFor}
+		return true
+	}, func(ok bool) {
+		if ok && h.lease.Name == name {
+			h.lease.Renewed(sent)
+		}
+	})
+}
+
+func (h *host) register() {
+	name, sent := h.w.random.Uint64(), h.late()
+	h.lease.Lapsed(name)
+	storeCall(h, func() bool {
+		h.w.leases[h.name] = lease{name, h.w.now + roster.LeaseFor}
+		return true
+	}, func(bool) {
+		if h.lease.Name == name {
+			h.lease.Renewed(sent)
+		}
+	})
+}
+
+// wants reports whether the host takes itself for the one to hold the seat.
+func (h *host) wants() bool {
+	if h.w.chaos {
+		return h.w.random.IntN(3) > 0
+	}
+	for _, o := range h.w.hosts {
+		if o.dc == h.dc && (o.dead == 0 || h.w.now-o.dead <= 4*time.Second) {
+			return o == h
+		}
+	}
+	return false
+}
+
+// keepSeat is the round of io/grants for one seat.
+func (h *host) keepSeat() {
+	now := h.late()
+	if h.w.now < h.roundEnds {
+		return
+	}
+	h.round++
+	if h.seat.Held() {
+		h.seat.Leased(h.lease.Name, h.lease.Until())
+		if now.After(h.seat.Until().Add(-1500 * time.Millisecond)) {
+			h.askConsent()
+		}
+		if h.w.chaos && h.w.random.IntN(20) == 0 {
+			h.yield()
+			return
+		}
+		another := h.w.chaos && h.w.random.IntN(5) == 0
+		if !another && h.lease.Name == h.seat.Record().Lease || !h.lease.Stands(now) {
+			return
+		}
+	}
+	if h.lease.Stands(now) && (h.seat.Held() || h.wants()) {
+		h.tryClaim()
+	}
+}
+
+func (h *host) askConsent() {
+	r, sent := h.seat.Record(), h.late()
+	to := h.w.find(r.Witness.Host)
+	if to == nil {
+		return
+	}
+	type answer struct {
+		by allot.Process
+		ok bool
+	}
+	call(h, to, func() answer {
+		return answer{to.process, to.witness.Consent(to.early(), h.seatName(), r.Tenure)}
+	}, func(a answer) {
+		if a.ok {
+			h.seat.Consented(sent, a.by, r.Tenure)
+		}
+	})
+}
+
+func (w *world) find(n fleet.Host) *host {
+	for _, h := range w.hosts {
+		if h.name == n {
+			return h
+		}
+	}
+	return nil
+}
+
+func (h *host) tryClaim() {
+	type read struct {
+		r      allot.SeatRecord
+		stands bool
+		left   float64
+	}
+	h.roundEnds = h.w.now + 4*time.Second
+	seatCall(h, func() read {
+		r := h.w.seats[h.seatName()]
+		l := h.w.leases[r.Holder.Host]
+		return read{r, l.name == r.Lease && l.until >= h.w.now, h.w.left[h.seatName()]}
+	}, func(v read) {
+		l := h.lease.Name
+		switch h.claim.Next(h.early(), h.process, l, v.r, v.stands) {
+		case allot.StepRest:
+			h.lose()
+		case allot.StepAdopt:
+			if h.w.chaos && h.w.random.IntN(2) > 0 {
+				h.swap(v.r, allot.Taken(v.r, h.process, l, h.pickWitness()), v.left)
+				return
+			}
+			h.won(v.r, 0)
+		case allot.StepSwap:
+			h.swap(v.r, allot.Taken(v.r, h.process, l, h.pickWitness()), v.left)
+		case allot.StepWithdraw:
+			h.withdraw(v.r)
+		case allot.StepWait:
+		}
+	})
+}
+
+func (h *host) pickWitness() allot.Process {
+	var there []*host
+	for _, o := range h.w.hosts {
+		if o != h && o.dc == h.dc && o.dead == 0 {
+			there = append(there, o)
+		}
+	}
+	if len(there) == 0 {
+		return allot.Process{}
+	}
+	return there[h.w.random.IntN(len(there))].process
+}
+
+func (h *host) swap(old, next allot.SeatRecord, left float64) {
+	h.seat.Swapping()
+	h.claim.Tried(old)
+	h.roundEnds = h.w.now + 4*time.Second
+	seatCall(h, func() bool {
+		if h.w.seats[h.seatName()] != old {
+			return false
+		}
+		h.w.seats[h.seatName()] = next
+		delete(h.w.left, h.seatName())
+		return true
+	}, func(ok bool) {
+		if ok {
+			h.won(next, left)
+		}
+	})
+}
+
+func (h *host) withdraw(r allot.SeatRecord) {
+	to := h.w.find(r.Witness.Host)
+	if to == nil {
+		return
+	}
+	call(h, to, func() time.Duration {
+		return to.witness.Withdraw(to.early(), h.seatName(), r.Tenure)
+	}, func(d time.Duration) { h.claim.Withdrawn(h.early(), r, d) })
+}
+
+func (h *host) won(r allot.SeatRecord, left float64) {
+	h.claim = allot.Claim{}
+	if !h.seat.Won(r) {
+		h.home.Start(h.early(), h.doc.Version, h.share(), allot.GrantID(h.w.random.Uint64()), h.first(r, left))
+	}
+	h.seat.Leased(h.lease.Name, h.lease.Until())
+}
+
+// first returns the level that a home starts with.
+func (h *host) first(r allot.SeatRecord, left float64) float64 {
+	if r.Tenure == 1 {
+		return h.share().Burst
+	}
+	return left
+}
+
+// yield gives the seat up, and leaves the level to the successor.
+func (h *host) yield() {
+	r := h.seat.Record()
+	left := h.home.State().Level
+	h.claim.Tried(r)
+	h.lose()
+	h.roundEnds = h.w.now + 4*time.Second
+	seatCall(h, func() bool {
+		now := h.w.seats[h.seatName()]
+		if now.Holder != r.Holder || now.Tenure != r.Tenure {
+			return false
+		}
+		h.w.seats[h.seatName()] = allot.SeatRecord{Tenure: r.Tenure + 1}
+		h.w.left[h.seatName()] = left
+		return true
+	}, func(bool) {})
+}
+
+func (h *host) lose() {
+	h.seat.Lost()
+	h.home = allot.Home{}
+}
