--- a/internal/cmd/cmd_serve.go
+++ b/internal/cmd/cmd_serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -51,6 +52,8 @@
 	return c
 }
 
+var errNoCallers = errors.New("the callers' address no longer serves")
+
 func readSettings(file string) (*settings.Settings, error) {
 	b, err := os.ReadFile(file) //nolint:gosec // the operator names the file
 	if err != nil {
@@ -74,7 +77,12 @@
 	if err != nil {
 		return err
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-h.Ended():
+		// Without callers a host is of no use; the platform starts another.
+		return errors.Join(errNoCallers, h.Close())
+	}
 	stop()
 	end, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -155,6 +155,7 @@
 		Address:        s.Caller.Address,
 		Host:           s.Host.Name,
 		Epoch:          h.epoch,
+		Secret:         []byte(h.secret),
 		MaxSessions:    s.Caller.MaxSessions,
 		MaxMessage:     s.Caller.MaxMessage,
 		StartupTimeout: s.Caller.StartupTimeout,
@@ -280,6 +281,10 @@
 	return nil
 }
 
+// Ended is closed when the host no longer takes callers, by its end or by a
+// failure of its listener.
+func (h *Host) Ended() <-chan struct{} { return h.callers.Ended() }
+
 // CallerAddr returns the address that callers connect to.
 func (h *Host) CallerAddr() string { return h.callers.Addr().String() }
 
