Give the keys of an account one salt, and refuse documents with two

Cause: SCRAM names one salt before the caller has shown anything, so of two keys with salts of their own callers of one were locked out while both stood.

--- a/core/document/document_test.go
+++ b/core/document/document_test.go
@@ -248,3 +248,26 @@
 		}
 	})
 }
+
+// A bakery's key is replaced by a second one with a salt of its own. A login offers
+// one salt, so callers with one of the two would be locked out for as long as both
+// stand: the document is refused, with the way to a fitting verifier.
+func TestKeysOfAnAccountShareTheirSalt(t *testing.T) {
+	c := qt.New(t)
+	text := "[service]\nname = orders\ndata-centres = obihiro\n" +
+		"[instance \"a\"]\naddress = 10.0.0.1:5432\ndata-centre = obihiro\n" +
+		"[account \"bakery\"]\nrate = 5/s\nkey.spring = %s\nkey.autumn = %s\n"
+	salt := document.AccountSalt("orders", "bakery")
+	spring, err := document.VerifierOf("sample-spring-key", salt)
+	c.Assert(err, qt.IsNil)
+	autumn, err := document.VerifierOf("sample-autumn-key", salt)
+	c.Assert(err, qt.IsNil)
+	_, err = document.Parse([]byte(fmt.Sprintf(text, spring, autumn)), 1)
+	c.Assert(err, qt.IsNil)
+
+	alone, err := document.NewVerifier("sample-autumn-key")
+	c.Assert(err, qt.IsNil)
+	_, err = document.Parse([]byte(fmt.Sprintf(text, spring, alone)), 1)
+	c.Assert(err, qt.ErrorMatches, `(?s).*:10: \[account "bakery"\] key.autumn: found a salt other than that of key.spring.*`)
+	c.Assert(err.Error(), qt.Not(qt.Contains), alone)
+}
--- a/core/document/parse.go
+++ b/core/document/parse.go
@@ -1,6 +1,7 @@
 package document
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
 	"slices"
@@ -122,6 +123,14 @@
 	return i
 }
 
+// sameSalt reports whether two verifiers share their salt and iterations; what
+// isn't a verifier is another mistake.
+func sameSalt(a, b string) bool {
+	x, errX := ParseVerifier(a)
+	y, errY := ParseVerifier(b)
+	return errX != nil || errY != nil || x.Iterations == y.Iterations && bytes.Equal(x.Salt, y.Salt)
+}
+
 func account(s *inifile.Section, name string) Account {
 	a := Account{Name: fleet.Account(name), Rate: rate(s), MaxSessions: s.Int("max-sessions", 0, 0, maxSessions)}
 	a.Burst = float64(s.Int("burst", int(max(1, min(a.Rate, maxBurst))), 1, maxBurst))
@@ -136,6 +145,9 @@
 		v, _ := s.Value(k)
 		if err := CheckVerifier(v); err != nil {
 			s.Wrong(k, "something else, not shown here", VerifierForm+" ("+err.Error()+")")
+		} else if len(a.Keys) > 0 && !sameSalt(a.Keys[0].Verifier, v) {
+			s.Wrong(k, "a salt other than that of "+keyPrefix+a.Keys[0].Name,
+				"one salt for all keys of an account, as `skylarkdeal key verifier --account` gives them")
 		}
 		a.Keys = append(a.Keys, Key{Name: n, Verifier: v})
 	}
--- a/core/document/verifier.go
+++ b/core/document/verifier.go
@@ -10,6 +10,8 @@
 	"fmt"
 	"strconv"
 	"strings"
+
+	"skylarkdeal/core/fleet"
 )
 
 // VerifierForm is what stands at a key of an account.
@@ -48,6 +50,17 @@
 	return VerifierOf(key, salt)
 }
 
+// AccountSalt returns the salt that all keys of an account share.
+//
+// A login offers one salt before the caller has proved anything, so of two keys
+// with salts of their own one would be refused while the other is being replaced
+// by it. The salt is made from the names: it differs between accounts, and a
+// second key needs nothing of the first.
+func AccountSalt(s fleet.Service, a fleet.Account) []byte {
+	sum := sha256.Sum256([]byte("skylarkdeal salt\x00" + string(s) + "/" + string(a)))
+	return sum[:saltSize]
+}
+
 // VerifierOf returns the verifier of key with the given salt.
 func VerifierOf(key string, salt []byte) (string, error) {
 	if len(key) < MinKey || len(key) > maxKey || strings.ContainsFunc(key, notPrintable) {
--- a/internal/cmd/cmd_document_test.go
+++ b/internal/cmd/cmd_document_test.go
@@ -147,3 +147,20 @@
 	code, _, _ = run("", "key", "verifier", "Not A Name")
 	c.Assert(code, qt.Equals, cmd.ExitUsage)
 }
+
+// An owner replaces a key whose verifier has a random salt: the new one has to get
+// that salt, or no caller could use either while both stand.
+func TestSecondKeyTakesTheSaltOfTheFirst(t *testing.T) {
+	c := qt.New(t)
+	key := func(in string, flags ...string) string {
+		code, out, errOut := run(in, append([]string{"key", "verifier", "one"}, flags...)...)
+		c.Assert(code, qt.Equals, cmd.ExitOK, qt.Commentf("%s", errOut))
+		return strings.TrimSpace(strings.TrimPrefix(out, "key.one = "))
+	}
+	salt := func(v string) string { return strings.Split(v, "$")[1] }
+	first := key("a-key-long-enough\n")
+	c.Assert(salt(key("another-long-key\n", "--like", first)), qt.Equals, salt(first))
+	a := key("a-key-long-enough\n", "--account", "orders/hotel")
+	c.Assert(salt(key("another-long-key\n", "--account", "orders/hotel")), qt.Equals, salt(a))
+	c.Assert(salt(key("another-long-key\n", "--account", "orders/bakery")), qt.Not(qt.Equals), salt(a))
+}
