--- a/io/spread/spread_test.go
+++ b/io/spread/spread_test.go
@@ -44,6 +44,7 @@
 			_, s, hosts := start(t, 30, o)
 			inForce(c, hosts, "a", put(c, s, "a", 1))
 			inForce(c, hosts, "a", put(c, s, "a", 2))
+			eventually(c, "all three watch", func() bool { return s.Calls()[store.KindWatch] >= 3 })
 			c.Assert(s.Calls()[store.KindWatch], qt.Equals, 3)
 		})
 	}
@@ -80,13 +81,34 @@
 	}
 	inForce(c, cut, "a", 2)
 	inForce(c, cut, "a", put(c, s, "a", 3))
-	c.Assert(cut[0].State().StoreProblem, qt.Not(qt.Equals), "")
+	eventually(c, "the trouble is reported", func() bool { return cut[0].State().StoreProblem != "" })
 	for _, h := range cut {
 		eventually(c, "confirmed over peers", func() bool { return !h.State().Confirmed.IsZero() })
 		c.Assert(string(h.State().Documents[0].From), qt.Matches, "host h.*")
 	}
 }
 
+// In the same case the change doesn't wait for a digest: a watcher elsewhere
+// pushes it to one host, and that one to the others of the data centre.
+func TestDataCentreCutFromTheStoreIsPushedTo(t *testing.T) {
+	c := qt.New(t)
+	o := with(quick, func(o *options) { o.noDigest = true })
+	n, s, _ := start(t, 0, o)
+	lonely, err := store.Start(store.Config{})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(lonely.Close)
+	lonely.Set(func(f *store.Faults) { f.Down = true })
+	var hosts []*host
+	for p := range 12 {
+		from := s
+		if p%3 == 0 {
+			from = lonely
+		}
+		hosts = append(hosts, n.add(t, from, p, o))
+	}
+	inForce(c, hosts, "a", put(c, s, "a", 1))
+}
+
 // The owners of a service withdraw a key while one host is cut from everything.
 // They chose cut-off = stop with a minute, so the host stops serving them then,
 // and takes up again with the new version once it is reached.
