Replace a far witness by a near one

Cause: the first host of a data centre names a witness elsewhere, which stayed for good; with the data centre cut off from store and witness its homes would stop.

--- a/io/grants/grants_test.go
+++ b/io/grants/grants_test.go
@@ -348,6 +348,31 @@
 	})
 }
 
+// A data centre's first host started alone, with a witness elsewhere. Once it has a
+// neighbour, that one has to be the witness: the two may be cut off together.
+func TestWitnessIsNear(t *testing.T) {
+	hosts := []fleet.Member{
+		{Host: "o1", DataCentre: "obihiro"}, {Host: "s1", DataCentre: "sapporo"}, {Host: "o2", DataCentre: "obihiro"},
+	}
+	b := newBench(hosts, document.Account{Name: "hotel", Rate: 100, Burst: 90})
+	b.setMembers(hosts[:2])
+	b.run(t)
+	witnessed := func(by fleet.Host) func() bool {
+		return func() bool {
+			seats := b.hosts["o1"].State().Seats
+			for _, s := range seats {
+				if s.Witness.Host != by {
+					return false
+				}
+			}
+			return len(seats) > 0
+		}
+	}
+	eventually(t, "a witness elsewhere", witnessed("s1"))
+	b.setMembers(hosts)
+	eventually(t, "a witness near by", witnessed("o2"))
+}
+
 func TestUnknownAccountIsRefusedAtOnce(t *testing.T) {
 	b := newBench(threeHosts, document.Account{Name: "hotel", Rate: 20, Burst: 30})
 	b.run(t)
--- a/io/grants/seats.go
+++ b/io/grants/seats.go
@@ -193,13 +193,18 @@
 }
 
 // witnessServes reports whether the witness is a live member of the epoch that
-// the record names, or there is none to be had.
+// the record names, and as near as any, or there is none to be had. A witness in
+// another data centre is of no use when this one is cut off.
 func (r *Runtime) witnessServes(p allot.Process) bool {
 	if p == (allot.Process{}) {
 		return r.pickWitness() == p
 	}
 	m, ok := r.member(p.Host)
-	return ok && !m.Leaving && r.cfg.Store.Epoch(p.Host) == p.Epoch
+	if !ok || m.Leaving || r.cfg.Store.Epoch(p.Host) != p.Epoch {
+		return false
+	}
+	best, _ := r.member(r.pickWitness().Host)
+	return m.DataCentre == r.cfg.DataCentre || best.DataCentre != r.cfg.DataCentre
 }
 
 // yield gives the seat to the host that wins its duty, once that has lasted.
