--- a/internal/slopes/main.go
+++ b/internal/slopes/main.go
@@ -9,9 +9,11 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"os"
 	"strconv"
+	"testing"
 	"time"
 )
 
@@ -24,14 +26,23 @@
 	"groups":    {append([]string{"groups"}, idleColumns...), measureGroups},
 	"sessions":  {sessionColumns, measureSessions},
 	"documents": {documentColumns, measureDocuments},
+	"accounts":  {accountColumns, measureAccounts},
 	"roster":    {rosterColumns, measureRoster},
 }
 
 // measureTimeout bounds a measurement at one size.
 const measureTimeout = 2 * time.Minute
 
+// benchTime is how long each operation of the measurement roster is repeated.
+const benchTime = "300ms"
+
 func main() {
-	if err := run(os.Args[1:]); err != nil {
+	testing.Init()
+	err := flag.Set("test.benchtime", benchTime)
+	if err == nil {
+		err = run(os.Args[1:])
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "slopes:", err)
 		os.Exit(1)
 	}
@@ -39,7 +50,7 @@
 
 func run(args []string) error {
 	if len(args) < 2 {
-		return fmt.Errorf("want a measurement (hosts, groups, sessions, documents or roster) and its sizes")
+		return fmt.Errorf("want a measurement (hosts, groups, sessions, documents, accounts or roster) and its sizes")
 	}
 	m, ok := measurements[args[0]]
 	if !ok {
