--- a/test/process_test.go
+++ b/test/process_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"syscall"
 	"testing"
@@ -45,6 +46,33 @@
 	done chan struct{}
 }
 
+// starter starts all processes. The kernel ends them when the thread that has
+// started them ends, so that a panic or a timeout of the tests leaves none
+// behind; for that the thread has to live as long as the tests.
+var starter = threadStarter{commands: make(chan *exec.Cmd), started: make(chan error)}
+
+type threadStarter struct {
+	once     sync.Once
+	mu       sync.Mutex
+	commands chan *exec.Cmd
+	started  chan error
+}
+
+func (s *threadStarter) start(c *exec.Cmd) error {
+	s.once.Do(func() {
+		go func() {
+			runtime.LockOSThread()
+			for c := range s.commands {
+				s.started <- c.Start()
+			}
+		}()
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commands <- c
+	return <-s.started
+}
+
 func startProcess(dir, name string, args ...string) (*process, error) {
 	p := &process{name: name, file: filepath.Join(dir, name+".log"), done: make(chan struct{})}
 	out, err := os.OpenFile(p.file, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -54,7 +82,8 @@
 	defer func() { _ = out.Close() }()
 	p.cmd = exec.Command(program, args...)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
-	if err := p.cmd.Start(); err != nil {
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := starter.start(p.cmd); err != nil {
 		return nil, err
 	}
 	go func() {
