--- a/core/group/suspect_test.go
+++ b/core/group/suspect_test.go
@@ -144,6 +144,16 @@
 	}}}
 }
 
+// informed is what a host says that misses the primary and reaches the replicas.
+func informed(silent time.Duration) group.View {
+	v := view("h1", "dc-b", silent)
+	for _, n := range []fleet.Instance{"b", "c"} {
+		i := group.InstanceView{Instance: n, Reachable: true, Term: 1, Role: fleet.RoleReplica}
+		v.Instances = append(v.Instances, i)
+	}
+	return v
+}
+
 func TestJudgeWantsTwoHostsAndTwoDataCentres(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -327,6 +337,36 @@
 	c.Assert(k.Cause, qt.Equals, group.CauseNone)
 }
 
+// The same cut, after replication has been seen to take 100 ms: nobody has to wait
+// ten seconds for the first order after it. A group whose replicas are always two
+// seconds behind is no cut, and keeps its primary for as long as it is so.
+func TestCutFromReplicasIsJudgedByTheirUsualLag(t *testing.T) {
+	for _, x := range []struct {
+		usual time.Duration
+		cause group.Cause
+	}{
+		{usual: 100 * time.Millisecond, cause: group.CauseStalled},
+		{usual: 2 * time.Second, cause: group.CauseNone},
+	} {
+		c := qt.New(t)
+		w := newWatcher()
+		w.watch(time.Second)
+		for range 3 {
+			_, err := w.instances[0].Append("copied")
+			c.Assert(err, qt.IsNil)
+			w.watch(x.usual)
+			w.copy()
+			w.watch(100 * time.Millisecond)
+		}
+		_, err := w.instances[0].Append("lost to the cut")
+		c.Assert(err, qt.IsNil)
+		w.watch(1900 * time.Millisecond)
+		c.Assert(w.judge().Cause, qt.Equals, group.CauseNone)
+		w.watch(600 * time.Millisecond)
+		c.Assert(w.judge().Cause, qt.Equals, x.cause, qt.Commentf("usual lag %v", x.usual))
+	}
+}
+
 // A host is cut off with one replica and another host. Fencing what it reaches
 // would have that replica refuse the group's primary after the cut.
 func TestMinorityProposesNothing(t *testing.T) {
@@ -342,5 +382,35 @@
 	c.Assert(w.judge().Cause, qt.Equals, group.CauseNone)
 	w.dead["b"] = false
 	w.watch(time.Second)
-	c.Assert(w.judge(view("h1", "dc-b", 10*time.Second)).Cause, qt.Not(qt.Equals), group.CauseNone)
+	c.Assert(w.judge(informed(10*time.Second)).Cause, qt.Equals, group.CauseSilent)
+}
+
+// A host starts while the primary has no connection left and refuses it. It sees
+// two replicas and no primary, and must not take that for an abandoned promotion.
+func TestPrimaryThatIsFullFromTheStartIsNotReplaced(t *testing.T) {
+	c := qt.New(t)
+	w := newWatcher()
+	w.dead["a"] = true
+	for range 100 {
+		w.watch(100 * time.Millisecond)
+		w.group.Refuse("a", w.now)
+		c.Assert(w.judge().Cause, qt.Equals, group.CauseNone)
+	}
+}
+
+// A host starts while the primary is silent to it, and asks the others.
+func TestUnknownPrimaryTakesViewsOfOthers(t *testing.T) {
+	c := qt.New(t)
+	w := newWatcher()
+	w.dead["a"] = true
+	w.watch(2 * time.Second)
+	reaches := view("h1", "dc-b", 0)
+	misses := informed(2 * time.Second)
+	c.Assert(w.judge().Cause, qt.Equals, group.CauseNone)
+	c.Assert(w.judge(reaches).Cause, qt.Equals, group.CauseNone)
+	c.Assert(w.judge(view("h1", "dc-b", 2*time.Second)).Cause, qt.Equals, group.CauseNone)
+	c.Assert(w.judge(misses).Cause, qt.Equals, group.CauseSilent)
+	w.watch(4 * time.Second)
+	c.Assert(w.judge(reaches).Cause, qt.Equals, group.CauseNone)
+	c.Assert(w.judge().Cause, qt.Equals, group.CauseAlone)
 }
--- a/core/group/unfit.go
+++ b/core/group/unfit.go
@@ -2,53 +2,11 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"skylarkdeal/core/fleet"
 )
 
-// stranded finds what an abandoned promotion leaves: no primary that serves in
-// the highest term that is promised, although a majority can be reached. Terms
-// are facts whoever reads them, so that no second host has to agree.
-//
-// It guards against replacing a primary that this host has not met: one that has
-// just started, and that an instance refuses for want of connections, knows the
-// others' term and no primary of it. Another host that reaches that primary
-// stops the promotion; with none to be asked, AloneAfter has to pass.
-func (p Policy) stranded(now time.Time, t Table, views []View) Judgement {
-	top := nextTerm(t) - 1
-	var since time.Time
-	for _, s := range t.Seen {
-		if s.Status.Promised == top && s.Raised.After(since) {
-			since = s.Raised
-		}
-	}
-	if !t.Quorate(now) || t.Primary != "" && t.Term == top {
-		return Judgement{}
-	}
-	for _, v := range views {
-		if v.serves(top) {
-			return Judgement{Reason: fmt.Sprintf("host %s reaches the primary of term %d", v.Host, top)}
-		}
-	}
-	after := orDefault(p.StrandedAfter, DefaultStrandedAfter)
-	if slices.ContainsFunc(t.Seen, func(s Seen) bool { return !s.Known() }) {
-		after = max(after, orDefault(p.AloneAfter, DefaultAloneAfter))
-	}
-	if now.Sub(since) < after {
-		return Judgement{Reason: "another promotion is under way"}
-	}
-	return Judgement{Cause: CauseStranded, Reason: fmt.Sprintf("term %d is promised and has no primary", top)}
-}
-
-// serves reports whether the host reaches a primary of term least or later.
-func (v View) serves(least fleet.Term) bool {
-	return slices.ContainsFunc(v.Instances, func(i InstanceView) bool {
-		return i.Reachable && i.Role == fleet.RolePrimary && i.Term >= least && i.Last.Term == i.Term
-	})
-}
-
 // unfit finds a primary that answers but has to be replaced. What it goes by
 // are documents and logs, which look the same to every host.
 func (p Policy) unfit(now time.Time, t Table, s Seen) Judgement {
@@ -112,29 +70,51 @@
 	return Judgement{Cause: CauseLeaving, Reason: "the document marks the primary as leaving", Excluded: excluded}
 }
 
-// stalled finds a primary that has been ahead of its replicas for StallAfter
+// stalled finds a primary that has been ahead of its replicas for a while
 // without any of them copying anything: it answers the hosts but is cut off
 // from its replicas, shows as writes that all end as unknown, and would stay so
 // for as long as the cut lasts. Its replicas are a majority of their own.
 func (p Policy) stalled(now time.Time, t Table, s Seen) Judgement {
-	after := orDefault(p.StallAfter, DefaultStallAfter)
 	var idle int
+	var longest time.Duration
 	for _, o := range t.Seen {
 		if o.Instance.Name == s.Instance.Name {
 			continue
 		}
+		after := p.stallAfter(o)
 		asOf, missing := t.History.Missing(o.Status.Last)
 		if !o.Known() || p.Suspects(o, now) || !missing || now.Sub(asOf) < after || now.Sub(o.Moved) < after {
 			continue
 		}
 		idle++
+		longest = max(longest, after)
 	}
 	if idle < t.Rules.majority(len(t.Seen)) {
 		return Judgement{}
 	}
 	return Judgement{
 		Cause:    CauseStalled,
-		Reason:   fmt.Sprintf("%d replicas have copied nothing for %v", idle, after),
+		Reason:   fmt.Sprintf("%d replicas have copied nothing for %v", idle, longest),
 		Excluded: fleet.NewSet(s.Instance.Name),
 	}
 }
+
+// A replica counts as cut off from its primary once it has copied nothing for
+// stallFactor times what copying usually takes it, and for stallLeast: shorter
+// stalls are those of a busy disk or a full link, and end by themselves sooner
+// than a promotion's effects do.
+const (
+	stallFactor = 4
+	stallLeast  = 2 * time.Second
+)
+
+// stallAfter returns how long a replica may miss entries and copy none. One whose
+// usual lag isn't known yet gets the most there is, since it may be a replica that
+// is always far behind.
+func (p Policy) stallAfter(o Seen) time.Duration {
+	most := orDefault(p.StallAfter, DefaultStallAfter)
+	if o.Usual == 0 {
+		return most
+	}
+	return min(most, max(stallLeast, stallFactor*o.Usual))
+}
