--- a/core/document/document_test.go
+++ b/core/document/document_test.go
@@ -268,6 +268,7 @@
 	alone, err := document.NewVerifier("sample-autumn-key")
 	c.Assert(err, qt.IsNil)
 	_, err = document.Parse([]byte(fmt.Sprintf(text, spring, alone)), 1)
-	c.Assert(err, qt.ErrorMatches, `(?s).*:10: \[account "bakery"\] key.autumn: found a salt other than that of key.spring.*`)
+	want := `(?s).*:10: \[account "bakery"\] key.autumn: found a salt other than that of key.spring.*`
+	c.Assert(err, qt.ErrorMatches, want)
 	c.Assert(err.Error(), qt.Not(qt.Contains), alone)
 }
