Make the failover measurement a command

skylarkdeal experiment failover takes the place of the benchmark, so that whoever runs the program can repeat the figures; the exit code is 1 when an acknowledged write is lost or doubled.

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -20,6 +20,7 @@
 var commands = []func() *cobra.Command{
 	newServe,
 	newDemo,
+	newExperiment,
 	newDocument,
 	newKey,
 	newLoad,
