Give reads of own work at the primary without a probe; prove long answers by the term they began in

A read whose token the primary's answer covers needs no proof that the primary still is one, so that a cut-off primary goes on serving own work as docs/design/cut-off.md says. Rows of a long answer were proven by the present term, which could vouch for a primary replaced while they came. A leaving primary that nobody can take over from keeps its slots.

--- a/io/holder/configure.go
+++ b/io/holder/configure.go
@@ -62,10 +62,9 @@
 		if !ok {
 			s = place.Share{}
 		}
+		// An instance that leaves gets nothing new by the choice of instances, but for
+		// a primary that nobody can take over from.
 		g.slots[i.Name] = s.Slots
-		if i.Leaving {
-			g.slots[i.Name] = 0
-		}
 		total += s.Slots
 		g.pool(d, i).SetLimit(s.Work())
 		g.queue.Limits.WriteSlots = max(1, s.Slots)
--- a/io/holder/dispatch.go
+++ b/io/holder/dispatch.go
@@ -71,14 +71,14 @@
 	return ok && w.read() && w.pin == nil && s.Silent(g.now) > silentRead
 }
 
-// refuseAbsent refuses the writes that wait for a primary which no one has
-// reached for absentPatience.
+// refuseAbsent refuses the writes that wait for a primary which can't be reached,
+// or with too few instances to prove anything of, for absentPatience.
 //
 // The load is a data centre that was cut off with a minority of the instances:
 // every write would wait for its deadline and hold a place in the queue that
 // reads could use. The refusal is true, since nothing waiting has been sent.
 func (g *groupRun) refuseAbsent(t group.Table) {
-	if t.Primary != "" {
+	if t.Primary != "" && t.Quorate(g.now) {
 		g.absent = time.Time{}
 		return
 	}
@@ -150,6 +150,9 @@
 	}
 	w.attempts++
 	w.term = g.steward.Table().Term
+	if w.pin != nil {
+		w.term = w.pin.term
+	}
 	w.stopped = false
 	var ctx context.Context
 	ctx, w.stop = context.WithCancel(w.ctx)
--- a/io/holder/pins.go
+++ b/io/holder/pins.go
@@ -15,8 +15,10 @@
 	pool     *database.Pool
 	instance fleet.Instance
 	role     fleet.Role
-	account  fleet.Account
-	intent   exchange.Intent
+	// term is the group's when the transaction began.
+	term    fleet.Term
+	account fleet.Account
+	intent  exchange.Intent
 	// busy is set while an exchange of the transaction is under way.
 	busy bool
 	// dropped is set when the transaction was released while busy.
--- a/io/holder/serve.go
+++ b/io/holder/serve.go
@@ -59,6 +59,7 @@
 			pool:     p,
 			instance: w.choice.Instance,
 			role:     w.choice.Role,
+			term:     w.term,
 			account:  w.q.Account,
 			intent:   w.q.Intent,
 			busy:     true,
@@ -183,11 +184,13 @@
 // a write acknowledged by a replaced primary, and a read that reflects less than
 // the session's token. See core/group and core/session for why the proofs hold.
 func (g *groupRun) prove(w *work, k *collector, a database.Answer, n *pin) error {
-	if a.Role == fleet.RoleReplica {
+	if a.Role == fleet.RoleReplica || w.read() {
 		at := session.Answer{Point: a.Point, Role: a.Role}
 		if w.need.Satisfied(at, g.h.c.Now(), g.steward.Table()) {
 			return nil
 		}
+	}
+	if a.Role == fleet.RoleReplica {
 		return errBehind
 	}
 	// What a transaction has not committed yet needs no proof; what it has read
@@ -219,8 +222,9 @@
 	if w.choice.Role == fleet.RoleReplica {
 		return nil
 	}
-	t := g.steward.Table()
-	if err := g.confirm(fleet.Point{Term: t.Term}, document.AcknowledgePrimary, w.q.Deadline); err != nil {
+	// The term is that of the start: a later one would vouch for the rows of a
+	// primary that has been replaced while they came.
+	if err := g.confirm(fleet.Point{Term: w.term}, document.AcknowledgePrimary, w.q.Deadline); err != nil {
 		return errUnproven
 	}
 	return nil
