--- a/core/group/suspect.go
+++ b/core/group/suspect.go
@@ -164,12 +164,19 @@
 }
 
 // count sorts the views, and returns the host that knows a later primary.
+//
+// The word of a host that reaches the primary but no majority counts for neither
+// side: it can confirm nothing of that primary, and were it heard, half a cut, with
+// the primary and one host on one side and the majority on the other, would stop all
+// writes for as long as it lasts.
 func (p Policy) count(me Witness, views []View, t Table) (votes, fleet.Host) {
 	v := votes{miss: []Witness{me}}
 	for _, w := range views {
 		switch p.opinion(w, t) {
 		case opinionReaches:
-			v.reaches = append(v.reaches, w.Host)
+			if w.informed() {
+				v.reaches = append(v.reaches, w.Host)
+			}
 		case opinionNewer:
 			return v, w.Host
 		case opinionMisses:
--- a/core/group/suspect_test.go
+++ b/core/group/suspect_test.go
@@ -67,6 +67,15 @@
 			name: "a second host that has only begun to ask", silent: 2 * time.Second,
 			views: []group.View{view("h1", "dc-b", 100*time.Millisecond)},
 		},
+		{
+			// h1 is cut off together with the primary, and reaches nothing else.
+			name: "half a cut, for a moment", silent: 2 * time.Second,
+			views: []group.View{view("h2", "dc-a", time.Second), alone("h1", "dc-b")},
+		},
+		{
+			name: "half a cut", silent: 6 * time.Second,
+			views: []group.View{view("h2", "dc-a", time.Second), alone("h1", "dc-b")}, cause: group.CauseAlone,
+		},
 		{name: "the last host", silent: 6 * time.Second, cause: group.CauseAlone},
 		{
 			name: "hosts of one data centre are left", silent: 6 * time.Second,
--- a/core/group/watcher_test.go
+++ b/core/group/watcher_test.go
@@ -140,3 +140,12 @@
 		Last: fleet.Point{Term: 1, Position: 1}, Role: fleet.RolePrimary,
 	}}}
 }
+
+// alone is the view of a host that reaches the primary and no other instance.
+func alone(h fleet.Host, dc fleet.DataCentre) group.View {
+	v := view(h, dc, 0)
+	for _, n := range []fleet.Instance{"b", "c"} {
+		v.Instances = append(v.Instances, group.InstanceView{Instance: n, Silent: time.Minute})
+	}
+	return v
+}
