--- a/internal/experiment/failover.go
+++ b/internal/experiment/failover.go
@@ -20,26 +20,29 @@
 // Fault names one way in which a primary fails.
 type Fault string
 
-// The faults. A cut parts the primary from its replicas only, or from all; the
+// The faults. A cut parts the primary from its replicas only, or from all; half a
+// cut leaves it the hosts of its data centre, which lose the other instances. The
 // last two come while the store is down.
 const (
 	FaultCrash          Fault = "crash"
 	FaultHang           Fault = "hang"
 	FaultCut            Fault = "cut"
 	FaultCutReplicas    Fault = "cut-from-replicas"
+	FaultHalfCut        Fault = "half-cut"
 	FaultCrashStoreDown Fault = "crash-store-down"
 	FaultCutStoreDown   Fault = "cut-store-down"
 )
 
 // Faults lists all of them.
 var Faults = []Fault{
-	FaultCrash, FaultHang, FaultCut, FaultCutReplicas, FaultCrashStoreDown, FaultCutStoreDown,
+	FaultCrash, FaultHang, FaultCut, FaultCutReplicas, FaultHalfCut, FaultCrashStoreDown, FaultCutStoreDown,
 }
 
 // spec is what a fault does.
 type spec struct {
 	fault     ledger.Fault
 	storeDown bool
+	half      bool
 }
 
 var everyone = []string{"*"}
@@ -49,6 +52,7 @@
 	FaultHang:           {fault: ledger.Fault{Kind: ledger.FaultPause}},
 	FaultCut:            {fault: ledger.Fault{Kind: ledger.FaultCut, From: everyone}},
 	FaultCutReplicas:    {fault: ledger.Fault{Kind: ledger.FaultCut, From: []string{"a", "b", "c"}}},
+	FaultHalfCut:        {fault: ledger.Fault{Kind: ledger.FaultCut}, half: true},
 	FaultCrashStoreDown: {fault: ledger.Fault{Kind: ledger.FaultDie}, storeDown: true},
 	FaultCutStoreDown:   {fault: ledger.Fault{Kind: ledger.FaultCut, From: everyone}, storeDown: true},
 }
@@ -127,9 +131,7 @@
 	down := func(on bool) { w.fleet.Store.Set(func(f *store.Faults) { f.Down = on && s.storeDown }) }
 	down(true)
 	defer down(false)
-	fault := s.fault
-	fault.From = slices.DeleteFunc(slices.Clone(fault.From), func(n string) bool { return n == string(p) })
-	if err := g.Set(p, fault); err != nil {
+	if err := w.inject(p, s); err != nil {
 		return 0, err
 	}
 	err := errors.Join(
@@ -137,7 +139,9 @@
 		await(ctx, "a write on the new primary", func() bool { return w.since() < resumed }),
 	)
 	time.Sleep(settle)
-	err = errors.Join(err, g.Clear(p, fault.Kind))
+	for _, n := range g.Names() {
+		err = errors.Join(err, g.Clear(n, s.fault.Kind))
+	}
 	down(false)
 	err = errors.Join(err, await(ctx, "the former primary's return", func() bool {
 		n, t := primary(g)
@@ -146,6 +150,36 @@
 	return w.longest(), err
 }
 
+// inject puts the fault on the primary p, and for half a cut on the others too.
+func (w *writers) inject(p fleet.Instance, s spec) error {
+	g := w.group()
+	f := s.fault
+	f.From = slices.DeleteFunc(slices.Clone(f.From), func(n string) bool { return n == string(p) })
+	if !s.half {
+		return g.Set(p, f)
+	}
+	at := slices.Index(g.Names(), p)
+	near, far := w.fleet.HostsIn(w.service.DataCentres[at%len(w.service.DataCentres)])
+	var errs []error
+	for _, n := range g.Names() {
+		if n == p {
+			continue
+		}
+		f.From = append(f.From, string(n))
+		errs = append(errs, g.Set(n, ledger.Fault{Kind: f.Kind, From: names(near)}))
+	}
+	f.From = append(f.From, names(far)...)
+	return errors.Join(append(errs, g.Set(p, f))...)
+}
+
+func names(hosts []fleet.Host) []string {
+	out := make([]string, 0, len(hosts))
+	for _, h := range hosts {
+		out = append(out, string(h))
+	}
+	return out
+}
+
 // primary returns the instance that serves in the highest term.
 func primary(g *ledger.Group) (fleet.Instance, fleet.Term) {
 	var best fleet.Status
--- a/internal/localfleet/localfleet.go
+++ b/internal/localfleet/localfleet.go
@@ -138,14 +138,31 @@
 	return b.String(), nil
 }
 
+// name is what host n is called.
+func (f *Fleet) name(n int) fleet.Host {
+	return fleet.Host(fmt.Sprintf("%s-%d", f.c.Hosts[n], n))
+}
+
+// HostsIn returns the names of the hosts in a data centre, and of all others.
+func (f *Fleet) HostsIn(d fleet.DataCentre) (inside, outside []fleet.Host) {
+	for n, c := range f.c.Hosts {
+		if c == d {
+			inside = append(inside, f.name(n))
+			continue
+		}
+		outside = append(outside, f.name(n))
+	}
+	return inside, outside
+}
+
 const anyPort = "127.0.0.1:0"
 
 // StartHost starts host n, a new one or one that was stopped.
 func (f *Fleet) StartHost(n int) error {
 	d := f.c.Hosts[n]
-	text := fmt.Sprintf("[host]\nname = %s-%d\ndata-centre = %s\n"+
+	text := fmt.Sprintf("[host]\nname = %s\ndata-centre = %s\n"+
 		"[caller]\naddress = 127.0.0.1:1\n[peer]\naddress = 127.0.0.1:2\n[operator]\naddress = 127.0.0.1:3\n"+
-		"[store]\nendpoints = %s\n", d, n, d, f.Store.Addr())
+		"[store]\nendpoints = %s\n", f.name(n), d, f.Store.Addr())
 	s, err := settings.Parse("local", []byte(text))
 	if err != nil {
 		return err
