--- a/test/caller_test.go
+++ b/test/caller_test.go
@@ -75,7 +75,7 @@
 	outcome outcome
 	err     error
 	host    string
-	// cut is set when a transaction ended between its BEGIN and its COMMIT.
+	// cut is set when a transaction that may have begun ended before its COMMIT.
 	cut bool
 }
 
@@ -155,6 +155,7 @@
 	s.outcome = notRun
 	x, err := c.Begin(ctx)
 	if s.err = err; err != nil {
+		s.cut = outcomeOf(err) == unknown
 		return
 	}
 	if _, s.err = x.Exec(ctx, onceStatement, s.id); s.err != nil {
