Make the comparison of rate designs a command

Cause: the fleet around core/allot stood in test files, so its figures could only be had from the verbose output of a test.

Change: the fleet is the package internal/experiment/rates, and `skylarkdeal experiment rates [--seed N]` prints the table; it exits with 1 when a design admitted more than rate·w + burst. The tests of core/allot run on the package.

--- a/core/allot/allot_test.go
+++ b/core/allot/allot_test.go
@@ -13,6 +13,7 @@
 	"skylarkdeal/core/allot"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/naive"
+	"skylarkdeal/internal/experiment/rates"
 )
 
 // TestMain fixes the seed, so that each run gives the same verdict. A seed or a
@@ -29,6 +30,9 @@
 	os.Exit(m.Run())
 }
 
+// epoch is when the clocks of these tests start.
+var epoch = rates.Epoch
+
 var threeDCs = []fleet.DataCentre{"asahikawa", "obihiro", "sapporo"}
 
 func ExampleShareOf() {
@@ -65,26 +69,20 @@
 }
 
 // fault draws something that goes wrong in the world at its present time.
-func fault(t *rapid.T, w *world) {
-	h := rapid.SampledFrom(w.hosts).Draw(t, "host")
+func fault(t *rapid.T, w *rates.World) {
+	h := rapid.SampledFrom(w.Hosts).Draw(t, "host")
 	d := time.Duration(rapid.IntRange(50, 12_000).Draw(t, "ms")) * time.Millisecond
 	switch rapid.SampledFrom([]string{"pause", "suspend", "restart", "cut", "store down", "nothing"}).Draw(t, "fault") {
 	case "pause":
-		h.paused = max(h.paused, w.now+d)
+		h.Pause(d)
 	case "suspend":
-		h.paused = max(h.paused, w.now+d)
-		h.lag += d
+		h.Suspend(d)
 	case "restart":
-		h.dead = w.now
-		w.at(d, func() {
-			if h.dead > 0 {
-				h.boot()
-			}
-		})
+		h.Restart(d)
 	case "cut":
-		w.cut[h.dc] = max(w.cut[h.dc], w.now+d)
+		w.Cut(h.DataCentre(), d)
 	case "store down":
-		w.storeDown = max(w.storeDown, w.now+d)
+		w.StopStore(d)
 	}
 }
 
@@ -97,20 +95,20 @@
 	rapid.Check(t, func(t *rapid.T) {
 		rate := float64(rapid.SampledFrom([]int{20, 100, 400}).Draw(t, "rate"))
 		burst := float64(rapid.IntRange(1, 60).Draw(t, "burst"))
-		w := newWorld(rapid.Uint64().Draw(t, "seed"), 2, threeDCs, rate, burst)
-		w.chaos = true
-		for _, h := range w.hosts {
-			h.drift = rapid.Float64Range(-0.04, 0.04).Draw(t, "drift")
+		w := rates.NewWorld(rapid.Uint64().Draw(t, "seed"), 2, threeDCs, rate, burst)
+		w.Chaos = true
+		for _, h := range w.Hosts {
+			h.Drift = rapid.Float64Range(-0.04, 0.04).Draw(t, "drift")
 		}
 		flood(w, allot.Share{Rate: rate, Burst: burst})
 		for range rapid.IntRange(3, 12).Draw(t, "faults") {
-			w.run(w.now + time.Duration(rapid.IntRange(100, 6000).Draw(t, "wait"))*time.Millisecond)
+			w.Run(w.Now() + time.Duration(rapid.IntRange(100, 6000).Draw(t, "wait"))*time.Millisecond)
 			fault(t, w)
 		}
-		w.run(w.now + 10*time.Second)
+		w.Run(w.Now() + 10*time.Second)
 		// The homes' clocks may be fast by the drift, and so may what they grant.
-		if i := naive.Exceeds(w.admitted, rate*1.04, burst); i >= 0 {
-			t.Fatalf("admission %d at %v is too many", i, w.admitted[i].Sub(epoch))
+		if i := naive.Exceeds(w.Admitted, rate*1.04, burst); i >= 0 {
+			t.Fatalf("admission %d at %v is too many", i, w.Admitted[i].Sub(epoch))
 		}
 	})
 }
@@ -118,7 +116,7 @@
 // flood lets exchanges come to every host for a while, then none until the burst
 // has grown anew, and so on: only a burst that has just been spent leaves no
 // slack in the bound.
-func flood(w *world, a allot.Share) {
+func flood(w *rates.World, a allot.Share) {
 	every := 2 * time.Second / time.Duration(a.Rate)
 	rest := time.Duration(a.Burst/a.Rate*float64(time.Second)) + time.Second
 	var again func()
@@ -126,15 +124,15 @@
 	again = func() {
 		if left--; left < 0 {
 			left = int(2 * time.Second / every)
-			w.at(rest, again)
+			w.After(rest, again)
 			return
 		}
-		for _, h := range w.hosts {
-			h.arrive(func(bool) {})
+		for _, h := range w.Hosts {
+			h.Arrive(func(bool) {})
 		}
-		w.at(every, again)
+		w.After(every, again)
 	}
-	w.at(rest, again)
+	w.After(rest, again)
 }
 
 // An owner halves, or raises, an account's rate while callers use all of it.
@@ -148,27 +146,27 @@
 		}
 		r1, b1 := draw("old")
 		r2, b2 := draw("new")
-		w := newWorld(rapid.Uint64().Draw(t, "seed"), 2, threeDCs, r1, b1)
+		w := rates.NewWorld(rapid.Uint64().Draw(t, "seed"), 2, threeDCs, r1, b1)
 		flood(w, allot.Share{Rate: r1, Burst: b1})
-		w.run(time.Duration(rapid.IntRange(8_000, 15_000).Draw(t, "start")) * time.Millisecond)
-		d := newDoc(2, threeDCs, r2, b2)
-		w.doc = d
+		w.Run(time.Duration(rapid.IntRange(8_000, 15_000).Draw(t, "start")) * time.Millisecond)
+		d := rates.NewDoc(2, threeDCs, r2, b2)
+		w.Doc = d
 		last := time.Duration(0)
-		for _, h := range w.hosts {
+		for _, h := range w.Hosts {
 			after := time.Duration(rapid.IntRange(0, 3000).Draw(t, "adopt")) * time.Millisecond
 			last = max(last, after)
-			w.at(after, func() { h.adopt(d) })
+			w.After(after, func() { h.Adopt(d) })
 		}
-		changed, settled := w.now, w.now+last+allot.Overdue
-		w.run(settled + 15*time.Second)
+		changed, settled := w.Now(), w.Now()+last+allot.Overdue
+		w.Run(settled + 15*time.Second)
 		checkChange(t, w, allot.Share{Rate: r1, Burst: b1}, allot.Share{Rate: r2, Burst: b2}, changed, settled)
 	})
 }
 
-func checkChange(t *rapid.T, w *world, old, next allot.Share, changed, settled time.Duration) {
+func checkChange(t *rapid.T, w *rates.World, old, next allot.Share, changed, settled time.Duration) {
 	b := naive.Bucket{Rate: old.Rate, Burst: max(old.Burst, next.Burst)}
 	var after []time.Time
-	for i, at := range w.admitted {
+	for i, at := range w.Admitted {
 		since := at.Sub(epoch)
 		if since > changed {
 			b.Set(at, max(old.Rate, next.Rate), b.Burst)
--- a/internal/cmd/cmd_experiment.go
+++ b/internal/cmd/cmd_experiment.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"skylarkdeal/internal/experiment"
+	"skylarkdeal/internal/experiment/rates"
 )
 
 func newExperiment() *cobra.Command {
@@ -17,7 +18,7 @@
 		Short:   "Measure a fleet in this process under faults",
 		Example: "  skylarkdeal experiment failover --runs 30",
 	}
-	c.AddCommand(newExperimentFailover())
+	c.AddCommand(newExperimentFailover(), newExperimentRates())
 	return c
 }
 
@@ -52,6 +53,26 @@
 	return c
 }
 
+func newExperimentRates() *cobra.Command {
+	var seed uint64
+	c := &cobra.Command{
+		Use:   "rates",
+		Short: "Compare ways to keep accounts to their rate over a fleet",
+		Long: `Run a fleet of 8 hosts in memory, by its own clock, under loads and faults, with four
+ways to keep one account to its rate, and print the wrongful refusals of each per 10,000
+exchanges within the rate. The exit code is 1 when any admitted more than rate·w + burst
+in a window w.`,
+		Example: "  skylarkdeal experiment rates\n  skylarkdeal experiment rates --seed 3",
+		Args:    usageArgs(cobra.NoArgs),
+		RunE: func(c *cobra.Command, _ []string) error {
+			rows := rates.Measure(seed)
+			return errors.Join(rates.Check(rows), rates.Write(c.OutOrStdout(), rows))
+		},
+	}
+	c.Flags().Uint64Var(&seed, "seed", seed, "first of the three seeds that each figure is of")
+	return c
+}
+
 func allFaults() string {
 	var n []string
 	for _, f := range experiment.Faults {
--- a/core/allot/network_test.go
+++ b/internal/experiment/rates/network.go
@@ -1,4 +1,4 @@
-package allot_test
+package rates
 
 import (
 	"time"
@@ -7,21 +7,21 @@
 )
 
 // linked reports whether two data centres reach each other.
-func (w *world) linked(a, b fleet.DataCentre) bool {
+func (w *World) linked(a, b fleet.DataCentre) bool {
 	return a == b || w.cut[a] <= w.now && w.cut[b] <= w.now
 }
 
-func (w *world) storeUp(d fleet.DataCentre) bool {
+func (w *World) storeUp(d fleet.DataCentre) bool {
 	return w.storeDown <= w.now && w.cut[d] <= w.now
 }
 
 // delay returns how long a message takes, and whether it gets there.
-func (w *world) delay(far bool) (time.Duration, bool) {
+func (w *World) delay(far bool) (time.Duration, bool) {
 	d := 200 * time.Microsecond
 	if far {
 		d = time.Millisecond
 	}
-	if !w.chaos {
+	if !w.Chaos {
 		return d, true
 	}
 	switch w.random.IntN(20) {
@@ -34,14 +34,14 @@
 }
 
 // call asks another host and gives its answer to back, which comes at most once.
-func call[T any](h, to *host, ask func() T, back func(T)) {
+func call[T any](h, to *Host, ask func() T, back func(T)) {
 	h.w.calls++
 	far := h.dc != to.dc
 	d, ok := h.w.delay(far)
 	if !ok || !h.w.linked(h.dc, to.dc) {
 		return
 	}
-	h.w.at(d, func() {
+	h.w.After(d, func() {
 		to.later(0, func() {
 			v := ask()
 			d, ok := h.w.delay(far)
@@ -53,7 +53,7 @@
 }
 
 // seatCall is storeCall in a round of seats.
-func seatCall[T any](h *host, ask func() T, back func(T)) {
+func seatCall[T any](h *Host, ask func() T, back func(T)) {
 	round := h.round
 	storeCall(h, ask, func(v T) {
 		if h.round == round {
@@ -64,12 +64,12 @@
 }
 
 // storeCall is call for the store.
-func storeCall[T any](h *host, ask func() T, back func(T)) {
+func storeCall[T any](h *Host, ask func() T, back func(T)) {
 	d, ok := h.w.delay(true)
 	if !ok {
 		return
 	}
-	h.w.at(d, func() {
+	h.w.After(d, func() {
 		if !h.w.storeUp(h.dc) {
 			return
 		}
--- a/core/allot/seats_test.go
+++ b/internal/experiment/rates/seats.go
@@ -1,4 +1,4 @@
-package allot_test
+package rates
 
 import (
 	"time"
@@ -8,10 +8,10 @@
 	"skylarkdeal/core/roster"
 )
 
-func (h *host) seatName() allot.SeatName { return allot.SeatName(h.dc) }
+func (h *Host) seatName() allot.SeatName { return allot.SeatName(h.dc) }
 
 // renew keeps the lease, as io/members does.
-func (h *host) renew() {
+func (h *Host) renew() {
 	if !h.lease.Stands(h.late()) {
 		h.register()
 		return
@@ -31,7 +31,7 @@
 	})
 }
 
-func (h *host) register() {
+func (h *Host) register() {
 	name, sent := h.w.random.Uint64(), h.late()
 	h.lease.Lapsed(name)
 	storeCall(h, func() bool {
@@ -45,11 +45,11 @@
 }
 
 // wants reports whether the host takes itself for the one to hold the seat.
-func (h *host) wants() bool {
-	if h.w.chaos {
+func (h *Host) wants() bool {
+	if h.w.Chaos {
 		return h.w.random.IntN(3) > 0
 	}
-	for _, o := range h.w.hosts {
+	for _, o := range h.w.Hosts {
 		if o.dc == h.dc && (o.dead == 0 || h.w.now-o.dead <= 4*time.Second) {
 			return o == h
 		}
@@ -58,7 +58,7 @@
 }
 
 // keepSeat is the round of io/grants for one seat.
-func (h *host) keepSeat() {
+func (h *Host) keepSeat() {
 	now := h.late()
 	if h.w.now < h.roundEnds {
 		return
@@ -69,11 +69,11 @@
 		if now.After(h.seat.Until().Add(-1500 * time.Millisecond)) {
 			h.askConsent()
 		}
-		if h.w.chaos && h.w.random.IntN(20) == 0 {
+		if h.w.Chaos && h.w.random.IntN(20) == 0 {
 			h.yield()
 			return
 		}
-		another := h.w.chaos && h.w.random.IntN(5) == 0
+		another := h.w.Chaos && h.w.random.IntN(5) == 0
 		if !another && h.lease.Name == h.seat.Record().Lease || !h.lease.Stands(now) {
 			return
 		}
@@ -83,7 +83,7 @@
 	}
 }
 
-func (h *host) askConsent() {
+func (h *Host) askConsent() {
 	r, sent := h.seat.Record(), h.late()
 	to := h.w.find(r.Witness.Host)
 	if to == nil {
@@ -102,8 +102,8 @@
 	})
 }
 
-func (w *world) find(n fleet.Host) *host {
-	for _, h := range w.hosts {
+func (w *World) find(n fleet.Host) *Host {
+	for _, h := range w.Hosts {
 		if h.name == n {
 			return h
 		}
@@ -111,7 +111,7 @@
 	return nil
 }
 
-func (h *host) tryClaim() {
+func (h *Host) tryClaim() {
 	type read struct {
 		r      allot.SeatRecord
 		stands bool
@@ -128,7 +128,7 @@
 		case allot.StepRest:
 			h.lose()
 		case allot.StepAdopt:
-			if h.w.chaos && h.w.random.IntN(2) > 0 {
+			if h.w.Chaos && h.w.random.IntN(2) > 0 {
 				h.swap(v.r, allot.Taken(v.r, h.process, l, h.pickWitness()), v.left)
 				return
 			}
@@ -142,9 +142,9 @@
 	})
 }
 
-func (h *host) pickWitness() allot.Process {
-	var there []*host
-	for _, o := range h.w.hosts {
+func (h *Host) pickWitness() allot.Process {
+	var there []*Host
+	for _, o := range h.w.Hosts {
 		if o != h && o.dc == h.dc && o.dead == 0 {
 			there = append(there, o)
 		}
@@ -155,7 +155,7 @@
 	return there[h.w.random.IntN(len(there))].process
 }
 
-func (h *host) swap(old, next allot.SeatRecord, left float64) {
+func (h *Host) swap(old, next allot.SeatRecord, left float64) {
 	h.seat.Swapping()
 	h.claim.Tried(old)
 	h.roundEnds = h.w.now + 4*time.Second
@@ -173,7 +173,7 @@
 	})
 }
 
-func (h *host) withdraw(r allot.SeatRecord) {
+func (h *Host) withdraw(r allot.SeatRecord) {
 	to := h.w.find(r.Witness.Host)
 	if to == nil {
 		return
@@ -183,7 +183,7 @@
 	}, func(d time.Duration) { h.claim.Withdrawn(h.early(), r, d) })
 }
 
-func (h *host) won(r allot.SeatRecord, left float64) {
+func (h *Host) won(r allot.SeatRecord, left float64) {
 	h.claim = allot.Claim{}
 	if !h.seat.Won(r) {
 		h.home.Start(h.early(), h.doc.Version, h.share(), allot.GrantID(h.w.random.Uint64()), h.first(r, left))
@@ -192,7 +192,7 @@
 }
 
 // first returns the level that a home starts with.
-func (h *host) first(r allot.SeatRecord, left float64) float64 {
+func (h *Host) first(r allot.SeatRecord, left float64) float64 {
 	if r.Tenure == 1 {
 		return h.share().Burst
 	}
@@ -200,7 +200,7 @@
 }
 
 // yield gives the seat up, and leaves the level to the successor.
-func (h *host) yield() {
+func (h *Host) yield() {
 	r := h.seat.Record()
 	left := h.home.State().Level
 	h.claim.Tried(r)
@@ -217,7 +217,7 @@
 	}, func(bool) {})
 }
 
-func (h *host) lose() {
+func (h *Host) lose() {
 	h.seat.Lost()
 	h.home = allot.Home{}
 }
