--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -35,6 +35,7 @@
 	settings *settings.Settings
 	log      *zap.Logger
 	epoch    uint64
+	started  time.Time
 	registry *prometheus.Registry
 	journal  journal.Journal
 	secret   string
@@ -65,6 +66,7 @@
 		settings: s,
 		log:      log,
 		epoch:    uint64(time.Now().UnixNano()),
+		started:  time.Now(),
 		registry: prometheus.NewRegistry(),
 	}
 	if err := h.readSecrets(); err != nil {
@@ -269,6 +271,7 @@
 
 var (
 	errNoDocuments = errors.New("not ready: neither the store nor a peer has told the documents yet")
+	errNoSeats     = errors.New("not ready: this host doesn't hold the seats of its accounts' homes yet")
 	errDraining    = errors.New("not ready: the host shuts down")
 )
 
@@ -279,9 +282,17 @@
 	if !h.spread.Ready() {
 		return errNoDocuments
 	}
+	if h.grants.Claiming() && time.Since(h.started) < seatPatience {
+		return errNoSeats
+	}
 	return nil
 }
 
+// seatPatience is how long a new host waits for its seats before it counts as ready
+// without them, as it must when the store is down: the accounts are then served with
+// tokens of other homes.
+const seatPatience = 5 * time.Second
+
 // Ended is closed when the host no longer takes callers, by its end or by a
 // failure of its listener.
 func (h *Host) Ended() <-chan struct{} { return h.callers.Ended() }
--- a/io/grants/grants.go
+++ b/io/grants/grants.go
@@ -98,6 +98,8 @@
 	witness allot.Witness
 	lastID  allot.GrantID
 	leaving bool
+	// claiming is what Claiming returns.
+	claiming atomic.Bool
 }
 
 // New returns a Runtime; Run makes it work.
@@ -126,6 +128,7 @@
 	r.clock.start(cfg.Now)
 	r.witness.Since = r.clock.late()
 	r.initMetrics()
+	r.claiming.Store(cfg.Store.List != nil)
 	return r
 }
 
--- a/io/grants/seats.go
+++ b/io/grants/seats.go
@@ -101,9 +101,16 @@
 		}
 	}
 	r.changeIfDue(ctx, claims)
+	r.claiming.Store(len(claims) > 0 && !r.isLeaving())
 	r.askConsent(ctx)
 }
 
+// Claiming reports whether seats fall to this host that it doesn't hold yet: the
+// accounts whose home they make it have to borrow tokens elsewhere until then.
+func (r *Runtime) Claiming() bool {
+	return r.claiming.Load()
+}
+
 // changeIfDue changes the record of the seats where there is something to do. A
 // host whose claims rest, because another one still holds the seats, looks only
 // every restEvery.
--- a/io/holder/collect.go
+++ b/io/holder/collect.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"bytes"
 	"encoding/binary"
 
 	"skylarkdeal/core/failure"
@@ -13,11 +14,13 @@
 
 // The backend messages that tell what an answer holds.
 const (
+	msgQuery           = 'Q' // from the caller
 	msgDataRow         = 'D'
 	msgCommandComplete = 'C'
 	msgEmptyQuery      = 'I'
 	msgError           = 'E'
 	fieldCode          = 'C'
+	tagCommit          = "COMMIT"
 	headerSize         = 5
 )
 
@@ -27,6 +30,8 @@
 	// rows and completed tell whether data, and the end of a statement, came.
 	rows      bool
 	completed bool
+	// committed is set once a COMMIT within the exchange has come through.
+	committed bool
 	// code is the SQLSTATE of the first error.
 	code failure.Code
 	// passed is set once part of the answer has gone to the caller.
@@ -77,6 +82,7 @@
 		c.rows = true
 	case msgCommandComplete, msgEmptyQuery:
 		c.completed = true
+		c.committed = c.committed || string(bytes.TrimSuffix(body, []byte{0})) == tagCommit
 	case msgError:
 		if c.code == "" {
 			c.code = sqlState(body)
--- a/io/holder/holder_test.go
+++ b/io/holder/holder_test.go
@@ -104,6 +104,21 @@
 	}
 }
 
+// extended is request by the extended protocol.
+func (b *bench) extended(sql string) *exchange.Request {
+	q := b.request(sql)
+	q.Payload = nil
+	for _, m := range []pgproto3.FrontendMessage{
+		&pgproto3.Parse{Name: "s1", Query: sql}, &pgproto3.Bind{PreparedStatement: "s1"},
+		&pgproto3.Execute{}, &pgproto3.Sync{},
+	} {
+		var err error
+		q.Payload, err = m.Encode(q.Payload)
+		b.c.Assert(err, qt.IsNil)
+	}
+	return q
+}
+
 // start runs q and returns where its result will come.
 func (b *bench) start(q *exchange.Request) <-chan exchange.Result {
 	c := make(chan exchange.Result, 1)
@@ -176,10 +191,22 @@
 // primary turns the order away as a whole; nothing of it was run, so it runs on the
 // next primary, once, and its caller notices nothing.
 func TestOrderTurnedAwayByAFencedPrimaryRunsOnTheNext(t *testing.T) {
+	for _, x := range []struct {
+		name    string
+		request func(b *bench) *exchange.Request
+	}{
+		{"simple", func(b *bench) *exchange.Request { return b.request("once w1 bin 1") }},
+		{"extended", func(b *bench) *exchange.Request { return b.extended("once w1 bin 1") }},
+	} {
+		t.Run(x.name, func(t *testing.T) { runsOnTheNext(t, x.request) })
+	}
+}
+
+func runsOnTheNext(t *testing.T, request func(b *bench) *exchange.Request) {
 	b := newBench(t)
 	_, err := b.order("a").Fence(context.Background(), 2, "operator")
 	b.c.Assert(err, qt.IsNil)
-	r := b.start(b.request("once w1 bin 1"))
+	r := b.start(request(b))
 	b.promote("b", "b", "c")
 	x := b.soon(r)
 	b.c.Assert(x.Outcome, qt.Equals, exchange.OutcomeDone, qt.Commentf("%v", x.Refusal))
--- a/io/holder/serve.go
+++ b/io/holder/serve.go
@@ -169,10 +169,17 @@
 	w.tried.Add(w.choice.Instance)
 }
 
-// turnedAway reports whether the instance refused a write as a whole because it
-// isn't the primary: nothing was completed, so nothing was run.
+// turnedAway reports whether the instance refused a write because it isn't the
+// primary, and nothing of it was run. A batch of the extended protocol is one
+// transaction unless a COMMIT stands in it: what was completed before the refusal,
+// which may come with the commit at Sync, has been rolled back. The statements of a
+// simple query may each have been committed.
 func (g *groupRun) turnedAway(w *work, k *collector) bool {
-	if w.read() || w.pin != nil || k.completed || k.passed {
+	if w.read() || w.pin != nil || k.passed {
+		return false
+	}
+	simple := len(w.q.Payload) > 0 && w.q.Payload[0] == msgQuery
+	if k.committed || simple && k.completed {
 		return false
 	}
 	return k.code == codeFenced || k.code == codeReadOnly
--- a/io/holder/state.go
+++ b/io/holder/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -11,6 +10,7 @@
 
 	"skylarkdeal/core/admit"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/internal/metric"
 	"skylarkdeal/io/database"
 	"skylarkdeal/io/steward"
 )
@@ -90,35 +90,21 @@
 
 func newMetrics(r prometheus.Registerer) metrics {
 	return metrics{
-		local: register(r, prometheus.NewCounter(prometheus.CounterOpts{
+		local: metric.Register(r, prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "skylarkdeal_exchanges_local_total",
 			Help: "Exchanges of this host's callers that it ran itself.",
 		})),
-		forwarded: register(r, prometheus.NewCounter(prometheus.CounterOpts{
+		forwarded: metric.Register(r, prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "skylarkdeal_exchanges_forwarded_total",
 			Help: "Exchanges of this host's callers that it sent to another holder.",
 		})),
-		refused: register(r, prometheus.NewCounterVec(prometheus.CounterOpts{
+		refused: metric.Register(r, prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "skylarkdeal_exchanges_refused_total",
 			Help: "Exchanges that this holder refused, not run, by SQLSTATE.",
 		}, []string{"code"})),
-		answered: register(r, prometheus.NewCounterVec(prometheus.CounterOpts{
+		answered: metric.Register(r, prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "skylarkdeal_exchanges_answered_total",
 			Help: "Exchanges that this holder answered, by intent and role of the instance.",
 		}, []string{"intent", "role"})),
 	}
 }
-
-// register adds c to r, or returns the one that is there already.
-func register[C prometheus.Collector](r prometheus.Registerer, c C) C {
-	if r == nil {
-		return c
-	}
-	var a prometheus.AlreadyRegisteredError
-	if err := r.Register(c); errors.As(err, &a) {
-		if old, ok := a.ExistingCollector.(C); ok {
-			return old
-		}
-	}
-	return c
-}
--- a/io/steward/state.go
+++ b/io/steward/state.go
@@ -1,12 +1,11 @@
 package steward
 
 import (
-	"errors"
-
 	"github.com/prometheus/client_golang/prometheus"
 
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/group"
+	"skylarkdeal/internal/metric"
 )
 
 // State is what a state dump shows of a group.
@@ -43,32 +42,18 @@
 
 func newMetrics(r prometheus.Registerer) metrics {
 	return metrics{
-		questions: register(r, prometheus.NewCounter(prometheus.CounterOpts{
+		questions: metric.Register(r, prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "skylarkdeal_group_questions_total",
 			Help: "Questions for an instance's status.",
 		})),
-		confirm: register(r, prometheus.NewHistogram(prometheus.HistogramOpts{
+		confirm: metric.Register(r, prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "skylarkdeal_group_confirm_seconds",
 			Help:    "Time from a commit to the proof that it may be acknowledged.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
 		})),
-		promotions: register(r, prometheus.NewCounterVec(prometheus.CounterOpts{
+		promotions: metric.Register(r, prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "skylarkdeal_group_promotions_total",
 			Help: "Promotions that this host has begun, by how they ended.",
 		}, []string{"outcome"})),
 	}
 }
-
-// register adds c to r, or returns the one that another group has added.
-func register[C prometheus.Collector](r prometheus.Registerer, c C) C {
-	if r == nil {
-		return c
-	}
-	var a prometheus.AlreadyRegisteredError
-	if err := r.Register(c); errors.As(err, &a) {
-		if old, ok := a.ExistingCollector.(C); ok {
-			return old
-		}
-	}
-	return c
-}
