--- a/core/allot/home.go
+++ b/core/allot/home.go
@@ -91,7 +91,7 @@
 // be reached, and until then another data centre may go by its old, larger share.
 const ListHold = 30 * time.Second
 
-// Change puts the share of a newer version of the document in force. A lower
+// Change puts the share of a newer version of the document in effect. A lower
 // burst takes effect at once on what is not granted yet; a higher one has to
 // grow. An older version changes nothing. If the list of data centres is not the
 // same, what the share gains waits for ListHold.
@@ -108,7 +108,7 @@
 	h.trim()
 }
 
-// settle puts the later share in force, or of it what isn't more than before.
+// settle puts the later share in effect, or of it what isn't more than before.
 func (h *Home) settle(now time.Time) {
 	if now.Before(h.listed) {
 		h.share = Share{Rate: min(h.share.Rate, h.later.Rate), Burst: min(h.share.Burst, h.later.Burst)}
--- a/core/allot/seat.go
+++ b/core/allot/seat.go
@@ -66,7 +66,7 @@
 	hold    time.Time
 }
 
-// Won notes that the record is in force as the store answered it, with this
+// Won notes that the record is in effect as the store answered it, with this
 // process as its holder. It reports whether the process had the seat's former
 // tenure too, so that no other host can have granted in between.
 func (s *Seat) Won(r SeatRecord) (kept bool) {
--- a/core/allot/share.go
+++ b/core/allot/share.go
@@ -46,7 +46,7 @@
 // The parts depend on the document alone, never on which hosts or data centres
 // can be reached, so they add up to rate and burst under any partition. And no
 // part falls when rate or burst rises: while hosts go over from one document to
-// another, the parts in force add up to no more than those of the greater one.
+// another, the parts in effect add up to no more than those of the greater one.
 // Bursts are split in whole tokens, as a part of a token admits nothing; which
 // data centres get one more differs by account. With a burst below the number of
 // data centres some get none, and their part of the rate goes unused.
--- a/core/document/table.go
+++ b/core/document/table.go
@@ -25,7 +25,7 @@
 	From    Source
 }
 
-// Held is a document in force.
+// Held is a document in effect.
 type Held struct {
 	Document *Document
 	Text     []byte
@@ -33,7 +33,7 @@
 	From     Source
 }
 
-// Rejected is a newer version that isn't in force because it is invalid.
+// Rejected is a newer version that isn't in effect because it is invalid.
 type Rejected struct {
 	Offer
 	At  time.Time
@@ -45,20 +45,20 @@
 
 // The verdicts.
 const (
-	// VerdictAdopted puts the version in force.
+	// VerdictAdopted puts the version in effect.
 	VerdictAdopted Verdict = "adopted"
-	// VerdictKnown is for a version that is in force, or rejected, already.
+	// VerdictKnown is for a version that is in effect, or rejected, already.
 	VerdictKnown Verdict = "known"
-	// VerdictStale is for a version older than the one in force.
+	// VerdictStale is for a version older than the one in effect.
 	VerdictStale Verdict = "stale"
 	// VerdictInvalid is for a newer version with mistakes.
 	VerdictInvalid Verdict = "invalid"
-	// VerdictConflict is for another text under the version in force.
+	// VerdictConflict is for another text under the version in effect.
 	VerdictConflict Verdict = "conflict"
 )
 
-// Table holds the documents in force on one host and decides which versions
-// come into force. The zero Table is empty.
+// Table holds the documents in effect on one host and decides which versions
+// come into effect. The zero Table is empty.
 //
 // A version replaces only a lower one, so no order in which versions arrive,
 // from a stale peer, a store that answers from the past or one that was reset,
@@ -81,7 +81,7 @@
 		if bytes.Equal(o.Text, h.Text) {
 			return VerdictKnown, nil
 		}
-		return VerdictConflict, fmt.Errorf("service %s: version %d from %s differs from the one in force, from %s",
+		return VerdictConflict, fmt.Errorf("service %s: version %d from %s differs from the one in effect, from %s",
 			o.Service, o.Version, o.From, h.From)
 	}
 	if r, ok := t.rejected[o.Service]; ok && o.Version == r.Version && bytes.Equal(o.Text, r.Text) {
@@ -119,13 +119,13 @@
 	}
 }
 
-// Get returns the document of a service that is in force.
+// Get returns the document of a service that is in effect.
 func (t *Table) Get(s fleet.Service) (Held, bool) {
 	h, ok := t.held[s]
 	return h, ok
 }
 
-// All returns the documents in force, by service.
+// All returns the documents in effect, by service.
 func (t *Table) All() []Held {
 	return slices.SortedFunc(maps.Values(t.held), func(a, b Held) int {
 		return cmp.Compare(a.Document.Service, b.Document.Service)
@@ -153,7 +153,7 @@
 
 // Known is how far a host's knowledge of one document reaches.
 type Known struct {
-	// Version is in force, zero if none is.
+	// Version is in effect, zero if none is.
 	Version Version
 	// Seen is the newest that has come, valid or not.
 	Seen Version
@@ -241,9 +241,9 @@
 // Stopped reports whether d is no longer to be served, having last been
 // confirmed at that time.
 //
-// A host that is cut off can't learn that a key was withdrawn. Whether it goes
+// A host that is cut off can't learn that a key was revoked. Whether it goes
 // on with what it has, or stops after a while, is for the owners of the service
-// to weigh: lost work against a withdrawn key that still opens the door.
+// to weigh: lost work against a revoked key that still opens the door.
 func (d *Document) Stopped(confirmed, now time.Time) bool {
 	return d.CutOff == CutOffStop && now.Sub(confirmed) > d.CutOffAfter
 }
--- a/core/document/table_test.go
+++ b/core/document/table_test.go
@@ -25,10 +25,10 @@
 	c := qt.New(t)
 	var table document.Table
 	for _, t := range []struct {
-		version document.Version
-		text    []byte
-		want    document.Verdict
-		inForce document.Version
+		version  document.Version
+		text     []byte
+		want     document.Verdict
+		inEffect document.Version
 	}{
 		{5, text("a", 1), document.VerdictAdopted, 5},
 		{5, text("a", 1), document.VerdictKnown, 5},
@@ -45,12 +45,12 @@
 		bad := t.want == document.VerdictInvalid || t.want == document.VerdictConflict
 		c.Check(err != nil, qt.Equals, bad)
 		h, _ := table.Get("a")
-		c.Check(h.Document.Version, qt.Equals, t.inForce)
+		c.Check(h.Document.Version, qt.Equals, t.inEffect)
 	}
 	c.Assert(table.Rejected(), qt.HasLen, 0)
 }
 
-// A key was withdrawn in version 9 while this host was cut off. Its owners chose
+// A key was revoked in version 9 while this host was cut off. Its owners chose
 // cut-off = stop with 10 minutes, so that the key opens nothing here any longer
 // than that; with serve the host goes on.
 func TestStoppedWhenCutOff(t *testing.T) {
@@ -69,7 +69,7 @@
 	// versions are what the store has ever held, one service each line.
 	versions []document.Offer
 	hosts    []*document.Table
-	// reached is the highest version that each host has had in force.
+	// reached is the highest version that each host has had in effect.
 	reached []map[fleet.Service]document.Version
 }
 
@@ -93,12 +93,12 @@
 		t.Fatalf("host %d reverted service %s from %d to %d", host, s, w.reached[host][s], h.Document.Version)
 	}
 	if _, err := document.Parse(h.Text, h.Document.Version); err != nil {
-		t.Fatalf("host %d has an invalid document in force: %v", host, err)
+		t.Fatalf("host %d has an invalid document in effect: %v", host, err)
 	}
 	w.reached[host][s] = h.Document.Version
 }
 
-// A user sees a withdrawn key work again on one host only: it had taken the
+// A user sees a revoked key work again on one host only: it had taken the
 // change, then took an older version from a peer that was just back from a
 // pause, or from a lagging member of the store.
 func TestAdoptionNeverReverts(t *testing.T) {
--- a/core/failure/failure.go
+++ b/core/failure/failure.go
@@ -29,7 +29,7 @@
 	CodeProtocol         Code = "08P01"
 	CodeUnreachable      Code = "08006"
 	CodeBadKey           Code = "28P01"
-	CodeKeyWithdrawn     Code = "28000"
+	CodeKeyRevoked       Code = "28000"
 	CodeNoService        Code = "3D000"
 	CodeUnsupported      Code = "0A000"
 	CodeInvalidParameter Code = "22023"
--- a/internal/cmd/cmd_demo.go
+++ b/internal/cmd/cmd_demo.go
@@ -72,7 +72,7 @@
 	defer func() { _ = f.Close() }() // all that the demonstration shows has been shown
 	d.say("started   %d hosts, %d groups of %d instances, 1 store in %v",
 		len(f.Hosts), len(f.Groups), len(d.service.Instances), time.Since(start).Round(time.Millisecond))
-	for _, step := range []func(context.Context) error{d.ownWork, d.failover, d.withdrawKey} {
+	for _, step := range []func(context.Context) error{d.ownWork, d.failover, d.revokeKey} {
 		if err := step(ctx); err != nil {
 			return err
 		}
@@ -188,9 +188,9 @@
 	return fmt.Errorf("no instance of %s was promoted", d.service.Name)
 }
 
-// withdrawKey takes the key of an account out of the document and waits until
+// revokeKey takes the key of an account out of the document and waits until
 // the session that was opened with it ends.
-func (d *demo) withdrawKey(ctx context.Context) error {
+func (d *demo) revokeKey(ctx context.Context) error {
 	a := d.service.Accounts[1]
 	c, err := localfleet.Connect(ctx, d.fleet.Hosts[demoHosts-1], d.service.Name, a, "")
 	if err != nil {
@@ -210,7 +210,7 @@
 	for err == nil {
 		_, err = c.Exec(ctx, "get stock")
 	}
-	d.say("withdrew  the key of %s: its open session ended after %v (%v)",
+	d.say("revoked   the key of %s: its open session ended after %v (%v)",
 		a.Name, time.Since(start).Round(time.Millisecond), err)
 	return ctx.Err()
 }
--- a/internal/cmd/cmd_document.go
+++ b/internal/cmd/cmd_document.go
@@ -92,7 +92,7 @@
 	}
 	c.Flags().Uint64Var(&version, "version", 0, "the version that is expected, in place of the file's")
 	c.Flags().Uint64Var(&above, "above", 0,
-		"after a reset of the store: make a version above this one, which hosts have in force")
+		"after a reset of the store: make a version above this one, which hosts have in effect")
 	c.RunE = withEditor(f, func(c *cobra.Command, e *edit.Editor, args []string) error {
 		b, err := readInput(c, args[0])
 		if err != nil {
--- a/internal/edit/edit.go
+++ b/internal/edit/edit.go
@@ -153,7 +153,7 @@
 }
 
 // PutAbove is Put with a version above another: after a reset of the store, the
-// one that the hosts still have in force.
+// one that the hosts still have in effect.
 func (e *Editor) PutAbove(ctx context.Context, text []byte, stated, above document.Version) (Edited, error) {
 	return e.put(ctx, text, stated, above)
 }
--- a/internal/edit/edit_test.go
+++ b/internal/edit/edit_test.go
@@ -258,7 +258,7 @@
 }
 
 // The store was restored from a backup. A new version has to stand above the one
-// that the hosts have in force, or no host takes it.
+// that the hosts have in effect, or no host takes it.
 func TestPutAboveAfterReset(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
--- a/internal/experiment/rates/host.go
+++ b/internal/experiment/rates/host.go
@@ -122,7 +122,7 @@
 	return allot.ShareOf(a.Rate, a.Burst, h.doc.Service, account, h.dc, h.doc.DataCentres)
 }
 
-// Adopt puts a newer document in force on the host.
+// Adopt puts a newer document in effect on the host.
 func (h *Host) Adopt(d *document.Document) {
 	same := slices.Equal(h.doc.DataCentres, d.DataCentres)
 	h.doc = d
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -217,7 +217,7 @@
 	})
 }
 
-// serving returns the document by which callers are served: the one in force,
+// serving returns the document by which callers are served: the one in effect,
 // unless it says that this host has to stop, having been cut off for too long.
 func (h *Host) serving(s fleet.Service) (*document.Document, bool) {
 	if h.spread.Stopped(s) {
@@ -226,7 +226,7 @@
 	return h.spread.Get(s)
 }
 
-// documentChanged puts a document in force on this host.
+// documentChanged puts a document in effect on this host.
 func (h *Host) documentChanged(d *document.Document) {
 	h.grants.DocumentChanged(d)
 	h.holder.DocumentChanged(d)
--- a/internal/slopes/fleet.go
+++ b/internal/slopes/fleet.go
@@ -141,7 +141,7 @@
 type changed struct {
 	// calls of the store but for the renewals of leases, which go on meanwhile.
 	calls float64
-	// spread is the time until the last host had the document in force.
+	// spread is the time until the last host had the document in effect.
 	spread time.Duration
 }
 
@@ -174,7 +174,7 @@
 	return sum, nil
 }
 
-// awaitVersion returns once every host has that version in force.
+// awaitVersion returns once every host has that version in effect.
 func awaitVersion(ctx context.Context, f *localfleet.Fleet, v document.Version) error {
 	for _, h := range f.Hosts {
 		for {
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -57,7 +57,7 @@
 	Secret []byte
 
 	Runner exchange.Runner
-	// Documents returns the document in force for a service.
+	// Documents returns the document in effect for a service.
 	Documents func(s fleet.Service) (*document.Document, bool)
 	// Admit is asked before an exchange of n requests is run and answers by
 	// done, at once or later, nil to go on. A nil Admit admits all.
--- a/io/caller/keys.go
+++ b/io/caller/keys.go
@@ -5,8 +5,8 @@
 	"skylarkdeal/core/fleet"
 )
 
-var errWithdrawn = &failure.Refusal{
-	Code: failure.CodeKeyWithdrawn, Message: "the key of this session is no longer valid", Step: "check key",
+var errRevoked = &failure.Refusal{
+	Code: failure.CodeKeyRevoked, Message: "the key of this session is no longer valid", Step: "check key",
 }
 
 // enter counts x among its account's sessions and reports whether the account
@@ -27,7 +27,7 @@
 }
 
 // DocumentChanged ends the sessions of a service whose key is not in the
-// document that is now in force: at once when no answer is owed, also in a
+// document that is now in effect: at once when no answer is owed, also in a
 // transaction, which is rolled back; else after that answer.
 func (s *Server) DocumentChanged(service fleet.Service) {
 	s.mu.Lock()
@@ -43,7 +43,7 @@
 	}
 }
 
-// checkKey ends the session when its key is no longer in force, and reports
+// checkKey ends the session when its key is no longer in effect, and reports
 // whether it is. It runs at each change of the document and again before each
 // exchange, so that a change which has no notice reach the session still stops
 // its next statement.
@@ -52,13 +52,13 @@
 	if ok && d.Version == x.version {
 		return true
 	}
-	if ok && keyInForce(d, x.account, x.verifier) {
+	if ok && keyInEffect(d, x.account, x.verifier) {
 		x.version = d.Version
 		return true
 	}
-	if x.ending == nil || x.ending.refusal != errWithdrawn {
+	if x.ending == nil || x.ending.refusal != errRevoked {
 		x.journal("end session", "key not in document version "+versionOf(d, ok))
 	}
-	x.endWhenAllowed(&ending{refusal: errWithdrawn})
+	x.endWhenAllowed(&ending{refusal: errRevoked})
 	return false
 }
--- a/io/caller/privacy_test.go
+++ b/io/caller/privacy_test.go
@@ -17,7 +17,7 @@
 	"skylarkdeal/io/caller"
 )
 
-// Keys are proved, refused and withdrawn, and nothing that an operator can read
+// Keys are proved, refused and revoked, and nothing that an operator can read
 // holds a key or a part of a verifier.
 func TestNoKeyInLogsStateOrErrors(t *testing.T) {
 	c := qt.New(t)
--- a/io/caller/startup.go
+++ b/io/caller/startup.go
@@ -210,8 +210,8 @@
 func (x *session) open(answer string) bool {
 	s := x.srv
 	d, ok := s.cfg.Documents(x.service)
-	if !ok || !keyInForce(d, x.account, x.verifier) {
-		x.end(errWithdrawn)
+	if !ok || !keyInEffect(d, x.account, x.verifier) {
+		x.end(errRevoked)
 		return false
 	}
 	x.version = d.Version
@@ -250,7 +250,7 @@
 	return x.appendReady(b)
 }
 
-func keyInForce(d *document.Document, a fleet.Account, verifier string) bool {
+func keyInEffect(d *document.Document, a fleet.Account, verifier string) bool {
 	acc, ok := d.Account(a)
 	if !ok {
 		return false
--- a/io/caller/startup_test.go
+++ b/io/caller/startup_test.go
@@ -79,10 +79,10 @@
 	}
 }
 
-// An operator withdraws a key while callers are connected with it: one idle, one
+// An operator revokes a key while callers are connected with it: one idle, one
 // in a transaction, one waiting for an answer. The first two end at once, the
 // third after its answer, and a caller with another key goes on.
-func TestWithdrawnKeyEndsItsSessions(t *testing.T) {
+func TestRevokedKeyEndsItsSessions(t *testing.T) {
 	c := qt.New(t)
 	f := start(t, nil)
 	a := document.Key{Name: "a", Verifier: verifier(keyA, salt)}
@@ -107,8 +107,8 @@
 }
 
 // The notice of a changed document is late. The next statement of a session with
-// a withdrawn key must still not run.
-func TestWithdrawnKeyStopsTheNextStatement(t *testing.T) {
+// a revoked key must still not run.
+func TestRevokedKeyStopsTheNextStatement(t *testing.T) {
 	c := qt.New(t)
 	f := start(t, nil)
 	w := wireConn(t, f, "")
@@ -117,10 +117,10 @@
 	c.Assert(f.fake.count(), qt.Equals, 0)
 }
 
-// A key is withdrawn while a session is opened with it: after the proof was
+// A key is revoked while a session is opened with it: after the proof was
 // held against the old document, and before the session is among those that a
 // change of the document ends.
-func TestKeyWithdrawnDuringStartup(t *testing.T) {
+func TestKeyRevokedDuringStartup(t *testing.T) {
 	c := qt.New(t)
 	var asked atomic.Int64
 	docs := newDocuments()
--- a/io/grants/entries.go
+++ b/io/grants/entries.go
@@ -24,7 +24,7 @@
 	name
 	shard   roster.Shard
 	spender allot.Spender
-	// document is the version in force.
+	// document is the version in effect.
 	document atomic.Pointer[document.Document]
 	// waiting counts the exchanges that wait, so that none overtakes them.
 	waiting           atomic.Int64
@@ -72,7 +72,7 @@
 	}
 }
 
-// DocumentChanged puts d in force, unless a newer version of it is.
+// DocumentChanged puts d in effect, unless a newer version of it is.
 func (r *Runtime) DocumentChanged(d *document.Document) {
 	old, newer := r.entries.change(d, r.newEntry)
 	if newer {
@@ -86,7 +86,7 @@
 	return e
 }
 
-// change replaces the maps, and returns the document that was in force and
+// change replaces the maps, and returns the document that was in effect and
 // whether d is newer. Accounts that d lacks are gone: their open grants expire by
 // themselves.
 func (e *entries) change(d *document.Document, add func(name) *entry) (old *document.Document, newer bool) {
--- a/io/grants/grants.go
+++ b/io/grants/grants.go
@@ -34,7 +34,7 @@
 	DataCentre fleet.DataCentre
 	// Epoch is drawn when the process starts.
 	Epoch uint64
-	// Documents returns the document in force.
+	// Documents returns the document in effect.
 	Documents func(fleet.Service) (*document.Document, bool)
 	// Members returns the live and leaving hosts, this one among them.
 	Members func() []fleet.Member
--- a/io/grants/homes.go
+++ b/io/grants/homes.go
@@ -79,7 +79,7 @@
 	return &hostpb.SeatAnswer{RemainsUs: micros(d)}
 }
 
-// changeHomes puts d in force in the homes on this host, and begins those of
+// changeHomes puts d in effect in the homes on this host, and begins those of
 // accounts that are new.
 func (r *Runtime) changeHomes(d, old *document.Document) {
 	r.mu.Lock()
--- a/io/holder/holder.go
+++ b/io/holder/holder.go
@@ -32,7 +32,7 @@
 	Epoch      uint64
 	// User and Password are the proxy's own towards the instances.
 	User, Password string
-	// Document returns the document in force of a service.
+	// Document returns the document in effect of a service.
 	Document func(s fleet.Service) (*document.Document, bool)
 	// Members returns the live and leaving hosts, this one among them.
 	Members func() []fleet.Member
--- a/io/platform/follow.go
+++ b/io/platform/follow.go
@@ -45,7 +45,7 @@
 
 // DefaultCheck is how often a watch is checked. With one watch in each of ten
 // data centres that is ten cheap reads a second, and a silent watch is found
-// within two checks, three seconds with their jitter: a change is still in force
+// within two checks, three seconds with their jitter: a change is still in effect
 // within five.
 const DefaultCheck = time.Second
 
--- a/io/platform/follow_test.go
+++ b/io/platform/follow_test.go
@@ -95,7 +95,7 @@
 	eventually(c, "the change after the outage is seen", func() bool { return f.has("/d/a", "3") })
 }
 
-// A key is withdrawn and goes on working for hours in one data centre: the
+// A key is revoked and goes on working for hours in one data centre: the
 // connection of its watch was cut without a word, so the watch waited on, and
 // nothing distinguished it from a quiet day.
 func TestFollowerFindsASilentWatch(t *testing.T) {
--- a/io/spread/bench_test.go
+++ b/io/spread/bench_test.go
@@ -25,33 +25,33 @@
 // sizes are the fleets that the slopes are taken from.
 var sizes = []int{8, 16, 32, 64}
 
-// BenchmarkPutToInForce measures the time from the start of a put to the last
-// host that has it in force, and what that costs the store and the hosts. Hosts
+// BenchmarkPutToInEffect measures the time from the start of a put to the last
+// host that has it in effect, and what that costs the store and the hosts. Hosts
 // are in one process in three data centres and call each other directly, so the
 // figures hold the store's and the decisions' time, not the network's.
 //
-//	go test -run '^$' -bench 'PutToInForce$' -benchtime 100x ./io/spread
-func BenchmarkPutToInForce(b *testing.B) {
+//	go test -run '^$' -bench 'PutToInEffect$' -benchtime 100x ./io/spread
+func BenchmarkPutToInEffect(b *testing.B) {
 	for _, n := range sizes {
-		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) { putToInForce(b, n, options{dataCentres: 3}) })
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) { putToInEffect(b, n, options{dataCentres: 3}) })
 	}
 }
 
-// BenchmarkPutToInForceWithoutPush measures the same with digests alone.
+// BenchmarkPutToInEffectWithoutPush measures the same with digests alone.
 //
-//	go test -run '^$' -bench PutToInForceWithoutPush -benchtime 10x ./io/spread
-func BenchmarkPutToInForceWithoutPush(b *testing.B) {
+//	go test -run '^$' -bench PutToInEffectWithoutPush -benchtime 10x ./io/spread
+func BenchmarkPutToInEffectWithoutPush(b *testing.B) {
 	for _, n := range sizes {
 		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
-			putToInForce(b, n, options{dataCentres: 3, noPush: true})
+			putToInEffect(b, n, options{dataCentres: 3, noPush: true})
 		})
 	}
 }
 
-func putToInForce(b *testing.B, hosts int, o options) {
+func putToInEffect(b *testing.B, hosts int, o options) {
 	c := qt.New(b)
 	net, s, l := start(b, hosts, o)
-	inForce(c, l, "a", put(c, s, "a", 1))
+	inEffect(c, l, "a", put(c, s, "a", 1))
 	p := platform.Dial(platform.Config{Endpoints: []string{s.Addr()}, Patient: true, Rate: 1000, Burst: 1000})
 	defer p.Close()
 	calls, messages, bytes := total(s), net.calls.Load(), net.bytes.Load()
@@ -61,7 +61,7 @@
 		sent := time.Now()
 		c.Assert(p.Put(context.Background(), document.StoreKey(root, "a"), text("a", 1+i%60), 0), qt.IsNil)
 		v := document.Version(s.Revision())
-		inForce(c, l, "a", v)
+		inEffect(c, l, "a", v)
 		last := sent
 		for _, h := range l {
 			if at, ok := h.startOf(v); ok && at.After(last) {
@@ -88,7 +88,7 @@
 		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
 			c := qt.New(b)
 			net, s, l := start(b, n, options{dataCentres: 3})
-			inForce(c, l, "a", put(c, s, "a", 1))
+			inEffect(c, l, "a", put(c, s, "a", 1))
 			time.Sleep(2 * time.Second)
 			calls, messages, bytes := total(s), net.calls.Load(), net.bytes.Load()
 			began := time.Now()
@@ -219,7 +219,7 @@
 	})
 }
 
-// fill puts documents in force and returns the question of a peer that has them
+// fill puts documents in effect and returns the question of a peer that has them
 // too.
 func fill(s *spread.Spread, documents int) *hostpb.DigestRequest {
 	all := &hostpb.PushRequest{}
--- a/io/spread/digest.go
+++ b/io/spread/digest.go
@@ -28,7 +28,7 @@
 // restarts cost the store nothing and a host that can't reach it has documents.
 //
 // The host is ready only when it has asked them all. One of them may have been
-// paused or cut off, or have just started itself; a key that was withdrawn would
+// paused or cut off, or have just started itself; a key that was revoked would
 // open the new host until a digest repairs that.
 func (s *Spread) askPeers(ctx context.Context) {
 	var l []string
--- a/io/spread/fleet_test.go
+++ b/io/spread/fleet_test.go
@@ -218,8 +218,8 @@
 	}
 }
 
-// inForce waits until all hosts have at least that version in force.
-func inForce(c *qt.C, hosts []*host, s fleet.Service, v document.Version) {
+// inEffect waits until all hosts have at least that version in effect.
+func inEffect(c *qt.C, hosts []*host, s fleet.Service, v document.Version) {
 	c.Helper()
 	for _, h := range hosts {
 		eventually(c, fmt.Sprintf("%s has version %d", h.self.Host, v), func() bool { return h.version(s) >= v })
--- a/io/spread/spread.go
+++ b/io/spread/spread.go
@@ -1,4 +1,4 @@
-// Package spread keeps the documents in force on one host: it asks peers at the
+// Package spread keeps the documents in effect on one host: it asks peers at the
 // start, follows the store where this host is its data centre's watcher, hands
 // changes on to other hosts, and compares with random peers to repair what was
 // lost on the way.
@@ -47,7 +47,7 @@
 	// Digest and Push call the host at an inner address.
 	Digest func(ctx context.Context, peer string, r *hostpb.DigestRequest) (*hostpb.DigestResponse, error)
 	Push   func(ctx context.Context, peer string, r *hostpb.PushRequest) error
-	// OnChange takes each document that comes into force, in order. It must
+	// OnChange takes each document that comes into effect, in order. It must
 	// return at once and not call back.
 	OnChange func(d *document.Document)
 
@@ -83,11 +83,11 @@
 // Spread is the runtime. Run makes it work; all other methods are safe for
 // concurrent use at any time.
 type Spread struct {
-	cfg     Config
-	log     *zap.Logger
-	metrics metrics
-	pushes  ring.Ring[job]
-	inForce atomic.Pointer[map[fleet.Service]*document.Document]
+	cfg      Config
+	log      *zap.Logger
+	metrics  metrics
+	pushes   ring.Ring[job]
+	inEffect atomic.Pointer[map[fleet.Service]*document.Document]
 	// confirmed is when what is held was last known to be the newest. A pointer to
 	// time.Time keeps the monotonic clock: a step of the wall clock stops nothing.
 	confirmed atomic.Pointer[time.Time]
@@ -141,21 +141,21 @@
 		cfg: cfg, log: cfg.Log, metrics: newMetrics(cfg.Metrics), pushes: ring.New[job](pushRing),
 		conflict: map[fleet.Service]bool{},
 	}
-	s.inForce.Store(&map[fleet.Service]*document.Document{})
+	s.inEffect.Store(&map[fleet.Service]*document.Document{})
 	s.confirmed.Store(&time.Time{})
 	s.registerAge(cfg.Metrics)
 	return s
 }
 
-// Get returns the document of a service that is in force.
+// Get returns the document of a service that is in effect.
 func (s *Spread) Get(n fleet.Service) (*document.Document, bool) {
-	d, ok := (*s.inForce.Load())[n]
+	d, ok := (*s.inEffect.Load())[n]
 	return d, ok
 }
 
-// All returns the documents in force, by service.
+// All returns the documents in effect, by service.
 func (s *Spread) All() []*document.Document {
-	m := *s.inForce.Load()
+	m := *s.inEffect.Load()
 	l := make([]*document.Document, 0, len(m))
 	for _, n := range sortedKeys(m) {
 		l = append(l, m[n])
@@ -216,18 +216,18 @@
 	return news, current
 }
 
-// publish puts a document in force for readers. The map is copied, so that they
+// publish puts a document in effect for readers. The map is copied, so that they
 // need no lock.
 func (s *Spread) publish(n fleet.Service) {
 	h, _ := s.table.Get(n)
-	old := *s.inForce.Load()
+	old := *s.inEffect.Load()
 	m := make(map[fleet.Service]*document.Document, len(old)+1)
 	for k, d := range old {
 		m[k] = d
 	}
 	m[n] = h.Document
-	s.inForce.Store(&m)
-	s.metrics.inForce.Set(float64(len(m)))
+	s.inEffect.Store(&m)
+	s.metrics.inEffect.Set(float64(len(m)))
 	if s.cfg.OnChange != nil {
 		s.cfg.OnChange(h.Document)
 	}
--- a/io/spread/spread_test.go
+++ b/io/spread/spread_test.go
@@ -33,7 +33,7 @@
 	return o
 }
 
-func TestChangeIsInForceEverywhere(t *testing.T) {
+func TestChangeIsInEffectEverywhere(t *testing.T) {
 	for name, o := range map[string]options{
 		"both":    quick,
 		"pushes":  with(quick, func(o *options) { o.noDigest = true }),
@@ -42,8 +42,8 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			_, s, hosts := start(t, 30, o)
-			inForce(c, hosts, "a", put(c, s, "a", 1))
-			inForce(c, hosts, "a", put(c, s, "a", 2))
+			inEffect(c, hosts, "a", put(c, s, "a", 1))
+			inEffect(c, hosts, "a", put(c, s, "a", 2))
 			eventually(c, "all three watch", func() bool { return s.Calls()[store.KindWatch] >= 3 })
 			c.Assert(s.Calls()[store.KindWatch], qt.Equals, 3)
 		})
@@ -51,7 +51,7 @@
 }
 
 // A data centre is cut from the store, but not from the others. Its hosts learn
-// of a withdrawn key from their peers, and a host that starts there meanwhile
+// of a revoked key from their peers, and a host that starts there meanwhile
 // gets all documents although it never reaches the store.
 func TestDataCentreCutFromTheStoreLearnsFromPeers(t *testing.T) {
 	for name, o := range map[string]options{
@@ -65,7 +65,7 @@
 func learnFromPeers(t *testing.T, o options) {
 	c := qt.New(t)
 	n, s, hosts := start(t, 6, o)
-	inForce(c, hosts, "a", put(c, s, "a", 1))
+	inEffect(c, hosts, "a", put(c, s, "a", 1))
 	lonely, err := store.Start(store.Config{})
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(lonely.Close)
@@ -79,8 +79,8 @@
 	for _, p := range []int{0, 3} {
 		cut = append(cut, n.add(t, lonely, p, o))
 	}
-	inForce(c, cut, "a", 2)
-	inForce(c, cut, "a", put(c, s, "a", 3))
+	inEffect(c, cut, "a", 2)
+	inEffect(c, cut, "a", put(c, s, "a", 3))
 	eventually(c, "the trouble is reported", func() bool { return cut[0].State().StoreProblem != "" })
 	for _, h := range cut {
 		eventually(c, "confirmed over peers", func() bool { return !h.State().Confirmed.IsZero() })
@@ -106,10 +106,10 @@
 		}
 		hosts = append(hosts, n.add(t, from, p, o))
 	}
-	inForce(c, hosts, "a", put(c, s, "a", 1))
+	inEffect(c, hosts, "a", put(c, s, "a", 1))
 }
 
-// The owners of a service withdraw a key while one host is cut from everything.
+// The owners of a service revoke a key while one host is cut from everything.
 // They chose cut-off = stop with a minute, so the host stops serving them then,
 // and takes up again with the new version once it is reached.
 func TestCutOffHostStops(t *testing.T) {
@@ -130,14 +130,14 @@
 	})
 	n, s, hosts := start(t, 4, o)
 	v := put(c, s, "a", 1)
-	inForce(c, hosts, "a", v)
+	inEffect(c, hosts, "a", v)
 	last := hosts[3]
 	eventually(c, "confirmed", func() bool { return !last.Stopped("a") })
 	n.setCut(func(from, to fleet.Member) bool { return (from.Host == "h3") != (to.Host == "h3") })
 	move(59 * time.Second)
 	c.Assert(last.Stopped("a"), qt.IsFalse)
 	v = put(c, s, "a", 2)
-	inForce(c, hosts[:3], "a", v)
+	inEffect(c, hosts[:3], "a", v)
 	move(2 * time.Second)
 	c.Assert(last.Stopped("a"), qt.IsTrue)
 	c.Assert(last.State().Documents[0].Stopped, qt.IsTrue)
@@ -154,7 +154,7 @@
 	c := qt.New(t)
 	n, s, hosts := start(t, 6, quick)
 	good := put(c, s, "a", 1)
-	inForce(c, hosts, "a", good)
+	inEffect(c, hosts, "a", good)
 	bad := put(c, s, "a", 0)
 	for _, h := range hosts {
 		eventually(c, "reported", func() bool {
@@ -164,24 +164,24 @@
 		c.Assert(h.version("a"), qt.Equals, good)
 	}
 	late := n.add(t, s, 9, quick)
-	inForce(c, []*host{late}, "a", good)
+	inEffect(c, []*host{late}, "a", good)
 	eventually(c, "reported by the new host", func() bool { return len(late.State().Invalid) == 1 })
 	hosts = append(hosts, late)
-	inForce(c, hosts, "a", put(c, s, "a", 2))
+	inEffect(c, hosts, "a", put(c, s, "a", 2))
 	for _, h := range hosts {
 		c.Assert(h.State().Invalid, qt.HasLen, 0)
 	}
 }
 
 // The store is restored from a backup, and its revisions begin again below those
-// in force. No host goes back; an edit above the version in force is taken.
+// in effect. No host goes back; an edit above the version in effect is taken.
 func TestResetStoreRevertsNothing(t *testing.T) {
 	c := qt.New(t)
 	_, s, hosts := start(t, 4, quick)
 	put(c, s, "a", 1)
 	put(c, s, "a", 2)
 	v := put(c, s, "a", 3)
-	inForce(c, hosts, "a", v)
+	inEffect(c, hosts, "a", v)
 	s.Rewind(2)
 	put(c, s, "a", 9)
 	eventually(c, "the reset is reported", func() bool { return hosts[0].State().StoreProblem != "" })
@@ -190,21 +190,21 @@
 	}
 	sealed := document.Seal(document.Stamp{Base: uint64(v)}, text("a", 7))
 	putText(c, s, "a", sealed)
-	inForce(c, hosts, "a", document.VersionAt(sealed, uint64(s.Revision())))
+	inEffect(c, hosts, "a", document.VersionAt(sealed, uint64(s.Revision())))
 	d, _ := hosts[3].Get("a")
 	c.Assert(d.Holders, qt.Equals, 7)
 }
 
 // Somebody deletes a key in the store by mistake. The service goes on.
-func TestDeletedDocumentStaysInForce(t *testing.T) {
+func TestDeletedDocumentStaysInEffect(t *testing.T) {
 	c := qt.New(t)
 	_, s, hosts := start(t, 4, quick)
 	v := put(c, s, "a", 1)
-	inForce(c, hosts, "a", v)
+	inEffect(c, hosts, "a", v)
 	p := platform.Dial(platform.Config{Endpoints: []string{s.Addr()}, Patient: true})
 	defer p.Close()
 	c.Assert(p.Delete(context.Background(), document.StoreKey(root, "a")), qt.IsNil)
-	inForce(c, hosts, "b", put(c, s, "b", 1))
+	inEffect(c, hosts, "b", put(c, s, "b", 1))
 	for _, h := range hosts {
 		c.Assert(h.version("a"), qt.Equals, v)
 		c.Assert(h.State().Invalid, qt.HasLen, 0)
@@ -218,7 +218,7 @@
 	_, s, hosts := start(t, 3, quick)
 	old := put(c, s, "a", 1)
 	v := put(c, s, "a", 2)
-	inForce(c, hosts, "a", v)
+	inEffect(c, hosts, "a", v)
 	hosts[1].HandlePush(&hostpb.PushRequest{Documents: []*hostpb.Document{
 		{Service: "a", Version: uint64(old), Text: text("a", 1)},
 		{Service: "a", Version: uint64(v), Text: text("a", 5)},
@@ -233,13 +233,13 @@
 func TestWatcherDies(t *testing.T) {
 	c := qt.New(t)
 	n, s, hosts := start(t, 6, quick)
-	inForce(c, hosts, "a", put(c, s, "a", 1))
+	inEffect(c, hosts, "a", put(c, s, "a", 1))
 	for _, h := range hosts[:3] {
 		h.stop()
 	}
 	v := put(c, s, "a", 2)
 	next := n.add(t, s, 0, quick)
-	inForce(c, append(hosts[3:], next), "a", v)
+	inEffect(c, append(hosts[3:], next), "a", v)
 }
 
 // Two watchers push one change by two trees, which part the hosts differently. A
@@ -263,7 +263,7 @@
 	r.Relay = []string{"10.0.0.2:1"}
 	s.HandlePush(r)
 	c.Assert(<-pushed, qt.Equals, "1 document to 10.0.0.2:1")
-	// What is older than the document in force isn't handed on.
+	// What is older than the document in effect isn't handed on.
 	r.Documents[0].Version = 2
 	r.Relay = []string{"10.0.0.3:1"}
 	s.HandlePush(r)
@@ -280,7 +280,7 @@
 	c := qt.New(t)
 	o := with(quick, func(o *options) { o.noDigest, o.dataCentres = true, 1 })
 	n, s, hosts := start(t, 40, o)
-	inForce(c, hosts, "a", put(c, s, "a", 1))
+	inEffect(c, hosts, "a", put(c, s, "a", 1))
 	dead := fleet.NewSet[fleet.Host]()
 	var living []*host
 	for p, h := range hosts {
@@ -291,12 +291,12 @@
 		living = append(living, h)
 	}
 	n.setCut(func(from, to fleet.Member) bool { return dead.Has(from.Host) || dead.Has(to.Host) })
-	inForce(c, living, "a", put(c, s, "a", 2))
+	inEffect(c, living, "a", put(c, s, "a", 2))
 }
 
 // A host is paused in the middle of a question to a peer and wakes a minute
 // later with the answer in its buffer. The peer's confirmation is a minute old
-// by then; taken for fresh it would keep a withdrawn key alive.
+// by then; taken for fresh it would keep a revoked key alive.
 func TestConfirmationCountsFromTheQuestion(t *testing.T) {
 	c := qt.New(t)
 	now := time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
@@ -329,11 +329,11 @@
 		putText(c, s, fleet.Service(fmt.Sprintf("s%d", i)), big)
 	}
 	for i := range 5 {
-		inForce(c, hosts, fleet.Service(fmt.Sprintf("s%d", i)), 1)
+		inEffect(c, hosts, fleet.Service(fmt.Sprintf("s%d", i)), 1)
 	}
 	s.Set(func(f *store.Faults) { f.Down = true })
 	late := n.add(t, s, 5, quick)
-	eventually(c, "all five are in force", func() bool { return len(late.All()) == 5 })
+	eventually(c, "all five are in effect", func() bool { return len(late.All()) == 5 })
 	eventually(c, "it is ready", late.Ready)
 	c.Assert(late.store.State().Calls, qt.HasLen, 0)
 	c.Assert(n.largest.Load() < 3<<19, qt.IsTrue, qt.Commentf("a message of %d bytes", n.largest.Load()))
--- a/io/spread/start_test.go
+++ b/io/spread/start_test.go
@@ -32,7 +32,7 @@
 	return m, seeds
 }
 
-// startOne starts a host and returns the version that it has in force when it
+// startOne starts a host and returns the version that it has in effect when it
 // becomes ready.
 func startOne(seeds []string, ask int, answer func(peer string) *spread.Spread) document.Version {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -61,9 +61,9 @@
 	return atReady
 }
 
-// A key is withdrawn, and one host was cut off at the time. A host that starts
+// A key is revoked, and one host was cut off at the time. A host that starts
 // and happens to ask that one first must not be ready with what it heard there:
-// the withdrawn key would open it.
+// the revoked key would open it.
 func TestReadyOnlyAfterSeveralPeers(t *testing.T) {
 	c := qt.New(t)
 	m, seeds := peers(map[string]bool{"10.0.0.1:1": true})
--- a/io/spread/state.go
+++ b/io/spread/state.go
@@ -25,7 +25,7 @@
 	PushesQueued int    `json:"pushes-queued"`
 }
 
-// DocumentState is one document in force.
+// DocumentState is one document in effect.
 type DocumentState struct {
 	Service fleet.Service    `json:"service"`
 	Version document.Version `json:"version"`
@@ -35,7 +35,7 @@
 	Stopped bool `json:"stopped"`
 }
 
-// InvalidState is one newer version that isn't in force.
+// InvalidState is one newer version that isn't in effect.
 type InvalidState struct {
 	Service fleet.Service    `json:"service"`
 	Version document.Version `json:"version"`
@@ -44,7 +44,7 @@
 	Error   string           `json:"error"`
 }
 
-// State returns the documents in force and what stands against newer ones.
+// State returns the documents in effect and what stands against newer ones.
 func (s *Spread) State() State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -69,7 +69,7 @@
 }
 
 type metrics struct {
-	inForce  prometheus.Gauge
+	inEffect prometheus.Gauge
 	invalid  prometheus.Gauge
 	problems prometheus.Counter
 	verdicts *prometheus.CounterVec
@@ -79,11 +79,11 @@
 
 func newMetrics(r prometheus.Registerer) metrics {
 	m := metrics{
-		inForce: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "skylarkdeal_documents_in_force", Help: "Documents in force on this host.",
+		inEffect: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "skylarkdeal_documents_in_force", Help: "Documents in effect on this host.",
 		}),
 		invalid: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "skylarkdeal_documents_invalid", Help: "Services whose newest document is invalid and not in force.",
+			Name: "skylarkdeal_documents_invalid", Help: "Services whose newest document is invalid and not in effect.",
 		}),
 		problems: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "skylarkdeal_store_watch_problems_total", Help: "Troubles that the watcher has met with the store.",
@@ -99,7 +99,7 @@
 		}, []string{"outcome"}),
 	}
 	if r != nil {
-		r.MustRegister(m.inForce, m.invalid, m.problems, m.verdicts, m.pushes, m.digests)
+		r.MustRegister(m.inEffect, m.invalid, m.problems, m.verdicts, m.pushes, m.digests)
 	}
 	return m
 }
@@ -131,17 +131,17 @@
 	}
 	switch v {
 	case document.VerdictAdopted:
-		s.log.Info("document in force", fields...)
-		s.journal(o, "adopt", "valid and newer than the one in force")
+		s.log.Info("document in effect", fields...)
+		s.journal(o, "adopt", "valid and newer than the one in effect")
 	case document.VerdictInvalid:
-		s.log.Error("document invalid, the one in force stays", fields...)
+		s.log.Error("document invalid, the one in effect stays", fields...)
 		s.journal(o, "reject", err.Error())
 	case document.VerdictConflict:
 		if s.conflict[o.Service] {
 			return
 		}
 		s.conflict[o.Service] = true
-		s.log.Error("document conflicts, the one in force stays", fields...)
+		s.log.Error("document conflicts, the one in effect stays", fields...)
 		s.journal(o, "reject", err.Error())
 	case document.VerdictStale, document.VerdictKnown:
 	}
--- a/io/spread/watch.go
+++ b/io/spread/watch.go
@@ -73,7 +73,7 @@
 		n := fleet.Service(strings.TrimPrefix(c.Key, s.cfg.Prefix))
 		if c.Deleted {
 			// A document that went missing by mistake must not end a service.
-			s.log.Warn("document deleted in the store, stays in force", zap.String("service", string(n)))
+			s.log.Warn("document deleted in the store, stays in effect", zap.String("service", string(n)))
 			continue
 		}
 		offers = append(offers, document.Offer{
--- a/io/steward/steward.go
+++ b/io/steward/steward.go
@@ -31,7 +31,7 @@
 	DataCentre fleet.DataCentre
 	// Epoch tells this process from others that had the same host name.
 	Epoch uint64
-	// Document returns the service's document in force; nil while there is none.
+	// Document returns the service's document in effect; nil while there is none.
 	Document func() *document.Document
 	// Dial returns the way to an instance. The Steward closes it.
 	Dial func(i document.Instance) control.Client
@@ -249,7 +249,7 @@
 		l.close()
 	}
 	s.links = links
-	s.note(now, "configure", "a document is in force")
+	s.note(now, "configure", "a document is in effect")
 }
 
 // memberLife is how long the holders are remembered: to rank hundreds of hosts
--- a/standin/store/data.go
+++ b/standin/store/data.go
@@ -53,7 +53,7 @@
 	d.changed = make(chan struct{})
 }
 
-// at returns the version of key in force at a revision, or nil.
+// at returns the version of key in effect at a revision, or nil.
 func (d *data) at(key string, revision int64) *etcdpb.KeyValue {
 	l := d.versions[key]
 	for n := len(l) - 1; n >= 0; n-- {
--- a/test/death_test.go
+++ b/test/death_test.go
@@ -67,7 +67,7 @@
 	ctx := testContext(t)
 	c, err := g.connect(ctx, h, "")
 	qt.Assert(t, err, qt.IsNil)
-	for _, q := range []string{"begin", "put " + key + " withdrawn"} {
+	for _, q := range []string{"begin", "put " + key + " revoked"} {
 		_, err = c.Exec(ctx, q)
 		qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", q))
 	}
--- a/test/documents_test.go
+++ b/test/documents_test.go
@@ -20,7 +20,7 @@
 
 // Two operators get one version of a document, change the same rate and put it
 // at the same moment. One wins; the other is told so, sees by which lines the
-// two differ and sees no verifier. The winner's text is in force on every host.
+// two differ and sees no verifier. The winner's text is in effect on every host.
 func TestOneOfTwoOperatorsLosesAndSeesTheDifference(t *testing.T) {
 	f := sharedFleet(t)
 	g := f.addGroup(t, "race")
@@ -74,13 +74,13 @@
 }
 
 // Another tool writes a document with mistakes into the store. Every host keeps
-// the last good one in force and serves by it; the state dump and a metric of
-// the hosts that met the bad one tell of it. A good one that follows is in force
+// the last good one in effect and serves by it; the state dump and a metric of
+// the hosts that met the bad one tell of it. A good one that follows is in effect
 // everywhere, and the metric goes back.
 func TestInvalidDocumentInTheStoreChangesNothing(t *testing.T) {
 	f := sharedFleet(t)
 	g := f.addGroup(t, "invalid")
-	good, err := g.inForce(f.hosts[0])
+	good, err := g.inEffect(f.hosts[0])
 	qt.Assert(t, err, qt.IsNil)
 	_, text, _ := f.document(t, "", "get", string(g.Name))
 	_, text, _ = strings.Cut(text, "\n")
--- a/test/keys_test.go
+++ b/test/keys_test.go
@@ -34,8 +34,8 @@
 	}
 }
 
-// inForce returns the version of the group's document that h has in force.
-func (g *group) inForce(h *host) (document.Version, error) {
+// inEffect returns the version of the group's document that h has in effect.
+func (g *group) inEffect(h *host) (document.Version, error) {
 	var s struct {
 		Documents struct {
 			Documents []struct {
@@ -55,17 +55,17 @@
 	return 0, nil
 }
 
-// everywhere waits until all hosts have that version in force.
+// everywhere waits until all hosts have that version in effect.
 func (g *group) everywhere(t testing.TB, v document.Version) {
 	t.Helper()
 	eventually(t, func() error {
 		for _, h := range g.fleet.hosts {
-			got, err := g.inForce(h)
+			got, err := g.inEffect(h)
 			if err != nil {
 				return err
 			}
 			if got != v {
-				return fmt.Errorf("%s has version %d in force, want %d", h.name, got, v)
+				return fmt.Errorf("%s has version %d in effect, want %d", h.name, got, v)
 			}
 		}
 		return nil
@@ -90,7 +90,7 @@
 	return all
 }
 
-// assertEnded waits until each session is told that its key is withdrawn, or
+// assertEnded waits until each session is told that its key is revoked, or
 // finds its connection closed after that.
 func assertEnded(ctx context.Context, t testing.TB, all []*pgx.Conn) {
 	t.Helper()
@@ -99,8 +99,8 @@
 			_, err := c.Exec(ctx, "get stock")
 			switch {
 			case err == nil:
-				return fmt.Errorf("a session with a withdrawn key is served")
-			case codeOf(err) == failure.CodeKeyWithdrawn, c.IsClosed():
+				return fmt.Errorf("a session with a revoked key is served")
+			case codeOf(err) == failure.CodeKeyRevoked, c.IsClosed():
 				return nil
 			}
 			return err
@@ -120,7 +120,7 @@
 				return nil
 			case err == nil:
 				closeSession(c)
-				return fmt.Errorf("%s accepts a withdrawn key", h.name)
+				return fmt.Errorf("%s accepts a revoked key", h.name)
 			case !accepted && codeOf(err) == failure.CodeBadKey:
 				return nil
 			}
@@ -159,11 +159,11 @@
 	}
 }
 
-// A key is withdrawn because it has leaked, and as soon as one host has the edit
+// A key is revoked because it has leaked, and as soon as one host has the edit
 // the store goes down. The others learn from their peers: the sessions that were
 // opened with the key end on every host, none is opened with it any more, and
 // the other account's sessions go on.
-func TestKeyIsWithdrawnWhileTheStoreIsDown(t *testing.T) {
+func TestKeyIsRevokedWhileTheStoreIsDown(t *testing.T) {
 	f := startFleet(t, 4)
 	g := f.addGroup(t, "withdrawn")
 	ctx := testContext(t)
@@ -173,7 +173,7 @@
 	v := g.edit(t, func(d *document.Document) { setKeys(t, d, leaked.Name, "a-key-that-has-not-leaked") })
 	eventually(t, func() error {
 		for _, h := range f.hosts {
-			if got, err := g.inForce(h); err == nil && got == v {
+			if got, err := g.inEffect(h); err == nil && got == v {
 				return nil
 			}
 		}
--- a/test/settings_test.go
+++ b/test/settings_test.go
@@ -128,7 +128,7 @@
 	for _, h := range f.hosts {
 		b, err := os.ReadFile(h.file)
 		qt.Assert(t, err, qt.IsNil)
-		for _, want := range []string{"level=debug", "session opened", "document in force"} {
+		for _, want := range []string{"level=debug", "session opened", "document in effect"} {
 			qt.Assert(t, string(b), qt.Contains, want)
 		}
 		all[h.name+".log"] = string(b)
