Keep all keys under the settings' prefix; drop a setting that did nothing

Seats and hosts' records stood under the default prefix whatever the settings said, so two fleets in one store would have shared them. [store] host-lease was read and never used: the lease's length is part of the proof of the rate's bound. The limit on messages between hosts follows that on callers' messages.

--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -64,8 +64,6 @@
 	Prefix string
 	// Timeout bounds one call.
 	Timeout time.Duration
-	// HostLease is the time to live of the host's lease.
-	HostLease time.Duration
 }
 
 // Upstream is how the host shows itself to the database instances.
@@ -93,8 +91,8 @@
 
 // The defaults and the bounds of settings. The bounds keep a slip of a unit
 // from passing as a choice. DefaultStoreTimeout lets calls to a store that is
-// slow by two seconds succeed, and one that fails leaves time for others before
-// a lease of DefaultHostLease lapses.
+// slow by two seconds succeed, and one that fails leaves time for another before
+// the host's lease lapses.
 const (
 	DefaultMaxSessions    = 10000
 	DefaultMaxMessage     = 1 << 20
@@ -102,7 +100,6 @@
 	DefaultMaxUnread      = 256 << 10
 	DefaultPrefix         = "/skylarkdeal/"
 	DefaultStoreTimeout   = 3 * time.Second
-	DefaultHostLease      = 10 * time.Second
 	DefaultUser           = "skylarkdeal"
 
 	maxSessions  = 1 << 20
@@ -176,7 +173,6 @@
 		Endpoints: e,
 		Prefix:    prefix(s),
 		Timeout:   s.Duration("timeout", DefaultStoreTimeout, 10*time.Millisecond, 30*time.Second),
-		HostLease: s.Duration("host-lease", DefaultHostLease, 2*time.Second, 10*time.Minute),
 	}
 }
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -133,25 +133,35 @@
 	h.members = members.New(members.Config{
 		Self:       h.self(),
 		Epoch:      h.epoch,
-		Store:      memberStore(h.store),
+		Store:      memberStore(h.store, keys{s.Store.Prefix}),
 		Logger:     h.log,
 		Registerer: h.registry,
 		Journal:    &h.journal,
 	})
 	me := host.Self{Host: s.Host.Name, Epoch: h.epoch}
-	h.peers = &host.Peers{Self: me, Secret: h.secret, Address: h.address, Log: h.log, Metrics: h.registry}
+	// An exchange holds one message of a caller and what comes with it.
+	limit := max(host.DefaultMessageLimit, 2*s.Caller.MaxMessage)
+	h.peers = &host.Peers{
+		Self:         me,
+		Secret:       h.secret,
+		MessageLimit: limit,
+		Address:      h.address,
+		Log:          h.log,
+		Metrics:      h.registry,
+	}
 	h.spread = spread.New(h.spreadConfig())
 	h.grants = grants.New(h.grantsConfig())
 	h.holder = holder.New(h.holderConfig())
 	h.server = &host.Server{
-		Self:   me,
-		Secret: h.secret,
-		Runner: h.holder.Local(),
-		Digest: h.digest,
-		Push:   h.push,
-		Grant:  h.grant,
-		View:   h.view,
-		Log:    h.log,
+		Self:         me,
+		Secret:       h.secret,
+		MessageLimit: limit,
+		Runner:       h.holder.Local(),
+		Digest:       h.digest,
+		Push:         h.push,
+		Grant:        h.grant,
+		View:         h.view,
+		Log:          h.log,
 	}
 	h.callers = caller.New(caller.Config{
 		Address:        s.Caller.Address,
@@ -181,7 +191,7 @@
 		Documents:  h.spread.Get,
 		Members:    h.members.Members,
 		Call:       h.callGrant,
-		Store:      seatStore(h.store, h.members),
+		Store:      seatStore(h.store, h.members, keys{h.settings.Store.Prefix}),
 		Logger:     h.log,
 		Registerer: h.registry,
 		Journal:    &h.journal,
--- a/internal/serve/store.go
+++ b/internal/serve/store.go
@@ -3,25 +3,39 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
+	"skylarkdeal/core/settings"
 	"skylarkdeal/io/grants"
 	"skylarkdeal/io/members"
 	"skylarkdeal/io/platform"
 )
 
+// keys puts the keys of membership and seats, which stand under the default prefix
+// in their packages, under the prefix of the settings: two fleets may share a store.
+type keys struct{ prefix string }
+
+func (k keys) out(key string) string {
+	return k.prefix + strings.TrimPrefix(key, settings.DefaultPrefix)
+}
+
+func (k keys) in(key string) string {
+	return settings.DefaultPrefix + strings.TrimPrefix(key, k.prefix)
+}
+
 // memberStore keeps the hosts' records in the platform's store.
-func memberStore(s *platform.Store) members.Store {
+func memberStore(s *platform.Store, k keys) members.Store {
 	return members.Store{
 		Register: func(ctx context.Context, key string, value []byte, ttl time.Duration) (members.LeaseID, error) {
 			id, err := s.Grant(ctx, ttl)
 			if err != nil {
 				return 0, err
 			}
-			return members.LeaseID(id), s.Put(ctx, key, value, id)
+			return members.LeaseID(id), s.Put(ctx, k.out(key), value, id)
 		},
 		Put: func(ctx context.Context, key string, value []byte, id members.LeaseID) error {
-			return s.Put(ctx, key, value, platform.LeaseID(id))
+			return s.Put(ctx, k.out(key), value, platform.LeaseID(id))
 		},
 		Renew: func(ctx context.Context, id members.LeaseID) error {
 			_, err := s.KeepAlive(ctx, platform.LeaseID(id))
@@ -34,7 +48,7 @@
 			return s.Revoke(ctx, platform.LeaseID(id))
 		},
 		List: func(ctx context.Context, prefix string) ([][]byte, error) {
-			entries, _, err := s.List(ctx, prefix)
+			entries, _, err := s.List(ctx, k.out(prefix))
 			out := make([][]byte, 0, len(entries))
 			for _, e := range entries {
 				out = append(out, e.Value)
@@ -45,18 +59,18 @@
 }
 
 // seatStore keeps the seats of the accounts' homes in the platform's store.
-func seatStore(s *platform.Store, m *members.Runtime) grants.Store {
+func seatStore(s *platform.Store, m *members.Runtime, k keys) grants.Store {
 	return grants.Store{
 		List: func(ctx context.Context, prefix string) ([]grants.Entry, error) {
-			entries, _, err := s.List(ctx, prefix)
+			entries, _, err := s.List(ctx, k.out(prefix))
 			out := make([]grants.Entry, 0, len(entries))
 			for _, e := range entries {
-				out = append(out, grants.Entry{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision)})
+				out = append(out, grants.Entry{Key: k.in(e.Key), Value: e.Value, Revision: uint64(e.Revision)})
 			}
 			return out, err
 		},
 		Swap: func(ctx context.Context, key string, old uint64, value []byte) (uint64, bool, error) {
-			r, err := s.Swap(ctx, platform.Swap{Key: key, Value: value, Expect: platform.Revision(old)})
+			r, err := s.Swap(ctx, platform.Swap{Key: k.out(key), Value: value, Expect: platform.Revision(old)})
 			var lost *platform.Conflict
 			if errors.As(err, &lost) {
 				return uint64(lost.Current.Revision), false, nil
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -129,7 +129,7 @@
 	h.settings = filepath.Join(f.dir, h.name+".ini")
 	text := fmt.Sprintf("[host]\nname = %s\ndata-centre = %s\n[caller]\naddress = %s\n"+
 		"[peer]\naddress = %s\nseeds = %s\nsecret-file = %s\n[operator]\naddress = %s\n"+
-		"[store]\nendpoints = %s\nhost-lease = 3s\n[upstream]\npassword-file = %s\n[log]\nlevel = debug\n",
+		"[store]\nendpoints = %s\n[upstream]\npassword-file = %s\n[log]\nlevel = debug\n",
 		h.name, d, h.caller, h.peer, seeds, filepath.Join(f.dir, "secret"), h.operator,
 		f.store, filepath.Join(f.dir, "password"))
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
