--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -62,6 +62,9 @@
 // Start brings a host up. It returns once callers, peers and operators can
 // connect; whether the host is ready tells its operators' address.
 func Start(s *settings.Settings, log *zap.Logger) (*Host, error) {
+	if log == nil {
+		log = zap.NewNop()
+	}
 	h := &Host{
 		settings: s,
 		log:      log,
