--- a/internal/experiment/failover.go
+++ b/internal/experiment/failover.go
@@ -101,6 +101,10 @@
 	w := newWriters(l, cfg.Services[0])
 	stop := w.start(ctx, 0, 4)
 	out := Gaps{Fault: f}
+	if err := await(ctx, "a group at work", func() bool { return w.acknowledged() >= warmUp }); err != nil {
+		stop()
+		return out, err
+	}
 	for range runs {
 		d, err := w.gap(ctx, specs[f])
 		if err != nil {
@@ -115,6 +119,10 @@
 	return out, nil
 }
 
+// warmUp is how many writes come before the first failure: a group fresh from its
+// start has no usual lag yet by which to judge its replicas.
+const warmUp = 200
+
 // settle is how long writes go on between a failover and the return of the
 // former primary.
 const settle = 200 * time.Millisecond
--- a/internal/experiment/writers.go
+++ b/internal/experiment/writers.go
@@ -97,6 +97,12 @@
 	return w.most
 }
 
+func (w *writers) acknowledged() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.acked)
+}
+
 func (w *writers) since() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/serve/peer.go
+++ b/internal/serve/peer.go
@@ -4,6 +4,9 @@
 	"context"
 	"strings"
 
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
 	"skylarkdeal/core/document"
 	"skylarkdeal/core/failure"
 	"skylarkdeal/core/fleet"
@@ -77,16 +80,39 @@
 	return a, failure.At(err, "ask for a grant", failure.Peer("host "+string(m.Host)))
 }
 
-// announce tells the other hosts of this host's shutdown by its member record,
-// so that they stop forwarding to it before the next digest.
+// announcing bounds the hosts that are told of a shutdown at a time: a rack that has
+// gone with its hosts would else hold up the rest for a second each.
+const announcing = 32
+
+// announce tells the other hosts of this host's shutdown, so that they stop
+// forwarding to it before the next digest.
 func (h *Host) announce(ctx context.Context) {
-	q := &hostpb.PushRequest{Hello: h.hello(), Members: h.members.Records()}
+	var g errgroup.Group
+	g.SetLimit(announcing)
 	for _, m := range h.members.Members() {
 		if m.Host == h.settings.Host.Name {
 			continue
 		}
-		if _, err := h.peers.Push(ctx, m.Host, q); err != nil {
-			h.log.Debug("peer doesn't know of the shutdown yet")
+		g.Go(func() error {
+			_, err := h.peers.Leave(ctx, m.Host)
+			if err != nil {
+				h.log.Debug("peer doesn't know of the shutdown yet",
+					zap.String("host", string(m.Host)), zap.Error(err))
+			}
+			return nil
+		})
+	}
+	_ = g.Wait() // none of them fails
+}
+
+// leave takes in that the sender shuts down.
+func (h *Host) leave(_ context.Context, q *hostpb.LeaveRequest) (*hostpb.LeaveResponse, error) {
+	for _, m := range h.members.Records() {
+		if m.GetHost() == q.GetHello().GetHost() && m.GetEpoch() == q.GetHello().GetEpoch() {
+			m.Leaving = true
+			m.Beat++
+			h.members.Merge([]*hostpb.Member{m})
 		}
 	}
+	return &hostpb.LeaveResponse{}, nil
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -164,6 +164,7 @@
 		Push:         h.push,
 		Grant:        h.grant,
 		View:         h.view,
+		Leave:        h.leave,
 		Log:          h.log,
 	}
 	h.callers = caller.New(caller.Config{
