--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -64,6 +64,9 @@
 	Prefix string
 	// Timeout bounds one call.
 	Timeout time.Duration
+	// HostList is the key of the platform's own list of hosts, empty when there is
+	// none.
+	HostList string
 }
 
 // Upstream is how the host shows itself to the database instances.
@@ -172,6 +175,7 @@
 	return Store{
 		Endpoints: e,
 		Prefix:    prefix(s),
+		HostList:  hostList(s),
 		Timeout:   s.Duration("timeout", DefaultStoreTimeout, 10*time.Millisecond, 30*time.Second),
 	}
 }
@@ -184,6 +188,14 @@
 	return p
 }
 
+func hostList(s *inifile.Section) string {
+	k := s.String("host-list", "")
+	if k != "" && k[0] != '/' {
+		s.Wrong("host-list", strconv.Quote(k), "a key of the store, such as /platform/hosts")
+	}
+	return k
+}
+
 func upstream(s *inifile.Section) Upstream {
 	defer s.Unknown()
 	return Upstream{User: s.String("user", DefaultUser), PasswordFile: s.String("password-file", "")}
--- a/core/settings/settings_test.go
+++ b/core/settings/settings_test.go
@@ -38,7 +38,7 @@
 	shown, err := settings.Parse("host.ini", []byte(strings.ReplaceAll(text, "\n; ", "\n")))
 	c.Assert(err, qt.IsNil)
 	c.Assert(shown, qt.DeepEquals, plain)
-	c.Assert(strings.Count(text, "\n; "), qt.Equals, 9)
+	c.Assert(strings.Count(text, "\n; "), qt.Equals, 10)
 }
 
 func TestMistakesCarryTheirPlace(t *testing.T) {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -137,6 +137,7 @@
 		Self:       h.self(),
 		Epoch:      h.epoch,
 		Store:      memberStore(h.store, keys{s.Store.Prefix}),
+		Platform:   platformHosts(h.store, s.Store.HostList),
 		Logger:     h.log,
 		Registerer: h.registry,
 		Journal:    &h.journal,
--- a/internal/serve/store.go
+++ b/internal/serve/store.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"strings"
 	"time"
 
+	"skylarkdeal/core/failure"
+	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/settings"
 	"skylarkdeal/io/grants"
 	"skylarkdeal/io/members"
@@ -82,3 +85,22 @@
 		Epoch:    m.Epoch,
 	}
 }
+
+// platformHosts reads the platform's own list of hosts, which lags. It returns nil
+// when the settings name none.
+func platformHosts(s *platform.Store, key string) func(ctx context.Context) ([]fleet.Member, error) {
+	if key == "" {
+		return nil
+	}
+	return func(ctx context.Context) ([]fleet.Member, error) {
+		e, err := s.Get(ctx, key)
+		if err != nil || e.Revision == 0 {
+			return nil, err
+		}
+		var m []fleet.Member
+		if err := json.Unmarshal(e.Value, &m); err != nil {
+			return nil, failure.At(err, "read list of hosts", failure.Peer("store key "+key))
+		}
+		return m, nil
+	}
+}
