--- a/core/admit/service_test.go
+++ b/core/admit/service_test.go
@@ -1,7 +1,7 @@
 package admit_test
 
 import (
-	"container/heap"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -10,6 +10,7 @@
 	"skylarkdeal/core/exchange"
 	"skylarkdeal/core/failure"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/internal/agenda"
 )
 
 // load is what one account's callers send.
@@ -58,7 +59,7 @@
 	random    *rand.Rand
 	instances []instance
 	timeout   time.Duration
-	events    events
+	events    agenda.Agenda
 	seq       uint64
 	waiting   map[uint64]request
 	got       map[fleet.Account]*got
@@ -70,26 +71,6 @@
 	at   time.Duration
 }
 
-type event struct {
-	at  time.Duration
-	seq uint64
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(v any)   { *e = append(*e, v.(event)) }
-func (e *events) Pop() any {
-	v := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return v
-}
-
 var epoch = time.Unix(1_700_000_000, 0)
 
 // newService returns a group of three instances with two slots each.
@@ -103,8 +84,7 @@
 }
 
 func (s *service) after(d time.Duration, f func()) {
-	s.seq++
-	heap.Push(&s.events, event{s.now + d, s.seq, f})
+	s.events.Add(s.now+d, f)
 }
 
 func (s *service) clock() time.Time { return epoch.Add(s.now) }
@@ -121,10 +101,13 @@
 			s.repeat(l, d)
 		}
 	}
-	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(event)
-		s.now = e.at
-		e.do()
+	for {
+		at, do, ok := s.events.Next(math.MaxInt64)
+		if !ok {
+			return
+		}
+		s.now = at
+		do()
 	}
 }
 
--- a/internal/experiment/rates/designs.go
+++ b/internal/experiment/rates/designs.go
@@ -95,7 +95,7 @@
 // not mint its burst anew, so it begins empty.
 func static(seed uint64) (*World, func(*Host, func(bool))) {
 	w := NewWorld(seed, 2, fourDCs, measuredRate, measuredBurst)
-	w.queue = nil
+	w.agenda.Clear()
 	share := func() *naive.Bucket { return &naive.Bucket{Rate: measuredRate / 8, Burst: measuredBurst / 8} }
 	buckets := map[*Host]*naive.Bucket{}
 	booted := map[*Host]uint64{}
--- a/internal/experiment/rates/world.go
+++ b/internal/experiment/rates/world.go
@@ -5,7 +5,6 @@
 package rates
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -13,35 +12,14 @@
 	"skylarkdeal/core/allot"
 	"skylarkdeal/core/document"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/internal/agenda"
 )
 
-// event is something that happens at a time of the true clock.
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(v any)   { *e = append(*e, v.(event)) }
-func (e *events) Pop() any {
-	v := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return v
-}
-
 // World is a fleet around the decisions of core/allot: hosts with clocks of
 // their own, a store, and a network between them that can be cut.
 type World struct {
 	now    time.Duration
-	queue  events
-	seq    int
+	agenda agenda.Agenda
 	random *rand.Rand
 	// Hosts stand in the order of their data centres.
 	Hosts []*Host
@@ -113,16 +91,18 @@
 
 // After does f once d has passed.
 func (w *World) After(d time.Duration, f func()) {
-	w.seq++
-	heap.Push(&w.queue, event{w.now + d, w.seq, f})
+	w.agenda.Add(w.now+d, f)
 }
 
 // Run lets the world go on until the true time t.
 func (w *World) Run(t time.Duration) {
-	for len(w.queue) > 0 && w.queue[0].at <= t {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
+	for {
+		at, do, ok := w.agenda.Next(t)
+		if !ok {
+			break
+		}
+		w.now = at
+		do()
 	}
 	w.now = t
 }
