Ask no proof for an exchange that ran no statement

Cause: a prepare waited for the confirmation of a majority like a write, and on a lagging replica used up the retry budget; with both replicas hanging it ended as unknown at its deadline. Nothing was read or written.

--- a/io/holder/collect.go
+++ b/io/holder/collect.go
@@ -41,6 +41,12 @@
 	send  func(b []byte) error
 }
 
+// executed reports whether any statement was run, as far as the answer tells: an
+// error may be that of one.
+func (c *collector) executed() bool {
+	return c.rows || c.completed || c.code != ""
+}
+
 // add takes in whole backend messages.
 func (c *collector) add(b []byte) error {
 	c.scan(b)
--- a/io/holder/serve.go
+++ b/io/holder/serve.go
@@ -187,10 +187,16 @@
 
 // prove waits until the answer may be given.
 //
+// An exchange that only prepared or described has neither read nor written: a driver
+// that prepares while replicas lag need not wait, nor use up the retry budget.
+//
 // It guards against two things that a caller would see as lost or missing work:
 // a write acknowledged by a replaced primary, and a read that reflects less than
 // the session's token. See core/group and core/session for why the proofs hold.
 func (g *groupRun) prove(w *work, k *collector, a database.Answer, n *pin) error {
+	if !k.executed() {
+		return nil
+	}
 	if a.Role == fleet.RoleReplica || w.read() {
 		at := session.Answer{Point: a.Point, Role: a.Role}
 		if w.need.Satisfied(at, g.h.c.Now(), g.steward.Table()) {
