--- a/internal/edit/edit.go
+++ b/internal/edit/edit.go
@@ -13,6 +13,7 @@
 
 	"skylarkdeal/core/document"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/internal/pause"
 	"skylarkdeal/io/platform"
 )
 
@@ -204,12 +205,5 @@
 	if e.Sleep != nil {
 		return e.Sleep(ctx, d)
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, d)
 }
--- a/io/holder/configure.go
+++ b/io/holder/configure.go
@@ -44,19 +44,29 @@
 	return g.h.ranking(g.document.Load()).members
 }
 
+// lookAgain takes up a change of the document or the roster, and sees to a group that
+// this host no longer holds. It runs whenever a connection is free, where as a rule
+// neither has changed.
+func (g *groupRun) lookAgain() {
+	if !g.holds || g.h.ranking(g.document.Load()) != g.ranked {
+		g.configure()
+	}
+}
+
 // configure gives each instance the connections and slots that are this host's
 // share of it. A pool whose share is gone lets its transactions end and takes
 // nothing new.
 func (g *groupRun) configure() {
 	d := g.document.Load()
-	hosts := g.h.ranking(d).hosts
+	g.ranked = g.h.ranking(d)
+	hosts := g.ranked.hosts
 	g.holds = slices.Contains(hosts, g.h.c.Host)
 	if g.holds {
 		g.lostAt = time.Time{}
 	} else {
 		g.yield()
 	}
-	total := 0
+	total, most := 0, 1
 	for _, i := range d.Instances {
 		s, ok := place.Shares(i, hosts, g.h.c.Host)
 		if !ok {
@@ -67,8 +77,10 @@
 		g.slots[i.Name] = s.Slots
 		total += s.Slots
 		g.pool(d, i).SetLimit(s.Work())
-		g.queue.Limits.WriteSlots = max(1, s.Slots)
+		most = max(most, s.Slots)
 	}
+	// Any instance may come to be the primary.
+	g.queue.Limits.WriteSlots = most
 	g.queue.Limits.Slots = max(1, total)
 	for n, p := range g.pools {
 		if _, ok := d.Instance(n); !ok {
@@ -113,6 +125,7 @@
 	}
 	if p := g.pools[i.Name]; p != nil {
 		p.SetLimit(0)
+		g.replaced = append(g.replaced, p)
 	}
 	p := database.NewPool(database.Config{
 		Service:    d.Service,
--- a/io/holder/dispatch.go
+++ b/io/holder/dispatch.go
@@ -25,7 +25,8 @@
 	t := g.steward.Table()
 	g.refuseAbsent(t)
 	for {
-		i, ok := g.queue.Next(g.now, func(i admit.Item) bool { return g.fits(i, t) })
+		l := g.loads()
+		i, ok := g.queue.Next(g.now, func(i admit.Item) bool { return g.fits(i, t, l) })
 		if !ok {
 			return
 		}
@@ -110,14 +111,14 @@
 // statement that frees the slots which others wait for may be its COMMIT. Were
 // it to wait for a slot, two statements that wait inside the database for that
 // transaction's locks would hold both slots until their deadlines.
-func (g *groupRun) fits(i admit.Item, t group.Table) bool {
+func (g *groupRun) fits(i admit.Item, t group.Table, l place.Loads) bool {
 	w := g.works[i.Key]
 	if w.pin != nil {
 		w.choice = place.Choice{Action: place.ActionRun, Instance: w.pin.instance, Role: w.pin.role}
 		return true
 	}
 	long := i.Long && g.now.Sub(w.queued) < longPatience
-	w.choice = place.Choose(g.now, w.facts(long), t, g.loads())
+	w.choice = place.Choose(g.now, w.facts(long), t, l)
 	if w.choice.Action != place.ActionRun {
 		return false
 	}
--- a/io/holder/group.go
+++ b/io/holder/group.go
@@ -72,15 +72,19 @@
 	works map[uint64]*work
 	byID  map[exchange.ID]*work
 	pools map[fleet.Instance]*database.Pool
-	// addresses are those that the pools connect to.
+	// addresses are those that the pools connect to, replaced the pools of former
+	// addresses, whose transactions may still be open.
 	addresses map[fleet.Instance]string
-	busy      map[fleet.Instance]int
-	meters    map[fleet.Instance]place.Meter
-	budget    place.Budget
-	holds     bool
-	slots     map[fleet.Instance]int
-	key       uint64
-	absent    time.Time
+	replaced  []*database.Pool
+	// ranked is what the pools were configured by.
+	ranked *ranking
+	busy   map[fleet.Instance]int
+	meters map[fleet.Instance]place.Meter
+	budget place.Budget
+	holds  bool
+	slots  map[fleet.Instance]int
+	key    uint64
+	absent time.Time
 	// lostAt is when this host ceased to be a holder, zero while it is one.
 	lostAt time.Time
 	now    time.Time
@@ -156,7 +160,7 @@
 		c <- g.state()
 	case <-g.wake:
 		g.now = g.h.c.Now()
-		g.configure()
+		g.lookAgain()
 	case <-tick:
 		g.now = g.h.c.Now()
 	case <-ctx.Done():
@@ -329,6 +333,9 @@
 	for _, p := range g.pools {
 		p.Close()
 	}
+	for _, p := range g.replaced {
+		p.Close()
+	}
 }
 
 func (g *groupRun) refuseArrivals() {
--- a/io/holder/pins.go
+++ b/io/holder/pins.go
@@ -18,7 +18,6 @@
 	// term is the group's when the transaction began.
 	term    fleet.Term
 	account fleet.Account
-	intent  exchange.Intent
 	// busy is set while an exchange of the transaction is under way.
 	busy bool
 	// dropped is set when the transaction was released while busy.
--- a/io/holder/route.go
+++ b/io/holder/route.go
@@ -140,15 +140,18 @@
 		}
 		done(r)
 	}
+	if n == h.c.Host {
+		h.metrics.local.Inc()
+	} else {
+		h.metrics.forwarded.Inc()
+	}
 	h.runner(n).Run(q, reply)
 }
 
 func (h *Holder) runner(n fleet.Host) exchange.Runner {
 	if n == h.c.Host {
-		h.metrics.local.Inc()
 		return h.Local()
 	}
-	h.metrics.forwarded.Inc()
 	return h.c.Peer(n)
 }
 
--- a/io/holder/serve.go
+++ b/io/holder/serve.go
@@ -32,7 +32,7 @@
 	a := c.Exchange(ctx, w.q, k.add)
 	took := g.h.c.Now().Sub(start)
 	n := g.settle(w, c, p, a)
-	g.events.TryPut(event{served: &served{w: w, conn: c, answer: a, took: took}})
+	g.events.TryPut(event{served: &served{w: w, answer: a, took: took}})
 	g.events.TryPut(event{judged: w, next: g.judge(w, k, a, n)})
 }
 
@@ -61,7 +61,6 @@
 			role:     w.choice.Role,
 			term:     w.term,
 			account:  w.q.Account,
-			intent:   w.q.Intent,
 			busy:     true,
 		}
 		g.pins.add(n)
--- a/io/holder/work.go
+++ b/io/holder/work.go
@@ -102,7 +102,6 @@
 // served is what the goroutine that served an exchange hands back.
 type served struct {
 	w      *work
-	conn   *database.Conn
 	answer database.Answer
 	took   time.Duration
 }
--- a/io/platform/follow.go
+++ b/io/platform/follow.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"skylarkdeal/internal/pause"
 )
 
 // Follower keeps up with all entries under a prefix, whatever happens to its
@@ -50,8 +52,8 @@
 const DefaultCheck = time.Second
 
 const (
-	// pause is the mean wait before a broken watch is opened again.
-	pause = 500 * time.Millisecond
+	// retryPause is the mean wait before a broken watch is opened again.
+	retryPause = 500 * time.Millisecond
 	// pastChecks is how many checks in a row find the store behind what is known
 	// before its entries are listed anew: one may have met a lagging member.
 	pastChecks = 3
@@ -84,7 +86,7 @@
 		}
 		f.report(err)
 		f.listed = errors.Is(err, errSilent)
-		f.sleep(ctx, pause)
+		f.sleep(ctx, retryPause)
 	}
 }
 
@@ -271,10 +273,5 @@
 }
 
 func (f *Follower) sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(f.spread(d))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	_ = pause.For(ctx, f.spread(d)) // whoever calls looks at ctx
 }
--- a/standin/store/fault.go
+++ b/standin/store/fault.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"skylarkdeal/internal/pause"
 )
 
 // Faults are the switches. The zero Faults is a store that works.
@@ -76,7 +78,7 @@
 // before holds a call back, or refuses it, as the switches say.
 func (f *faults) before(ctx context.Context) error {
 	now, changed := f.watch()
-	if now.Slow > 0 && !sleep(ctx, now.Slow) {
+	if now.Slow > 0 && !pause.For(ctx, now.Slow) {
 		return ctx.Err()
 	}
 	for now.Pause {
@@ -93,17 +95,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Set changes the switches.
 func (s *Server) Set(change func(f *Faults)) {
 	f := &s.faults
--- a/standin/store/watch.go
+++ b/standin/store/watch.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"skylarkdeal/internal/pause"
 	"skylarkdeal/io/platform/etcdpb"
 )
 
@@ -81,7 +82,7 @@
 		}
 		silent := w.s.faults.silence() != v.silence
 		if a != nil && !silent && !f.Pause {
-			if f.Slow > 0 && !sleep(ctx, f.Slow) {
+			if f.Slow > 0 && !pause.For(ctx, f.Slow) {
 				return nil
 			}
 			if err := stream.Send(a); err != nil {
