--- /dev/null
+++ b/core/catalog/catalog.go
@@ -0,0 +1,115 @@
+// Package catalog holds what the operators have laid down for the whole fleet: the
+// databases that callers name, the services behind them and the client accounts.
+package catalog
+
+import (
+	"time"
+
+	"skylarkdeal/core/fleet"
+)
+
+// Version orders catalogs; a later one replaces an earlier one as a whole.
+type Version uint64
+
+// Database is the name by which callers reach a service, with the consistency that
+// they get.
+type Database string
+
+// Key is what a caller shows to prove its account.
+type Key string
+
+// Consistency says which commits a read has to show.
+type Consistency string
+
+// The kinds of consistency.
+const (
+	// ConsistencyPrimary shows every acknowledged commit.
+	ConsistencyPrimary Consistency = "primary"
+	// ConsistencyBounded shows every commit acknowledged MaxAge before.
+	ConsistencyBounded Consistency = "bounded"
+	// ConsistencySession shows in addition every commit of the same session.
+	ConsistencySession Consistency = "session"
+)
+
+// Route says how the statements to one database are served. It is compared by value.
+type Route struct {
+	Database    Database
+	Service     fleet.Service
+	Consistency Consistency
+	// MaxAge is how old a read may be, unless Consistency is primary.
+	MaxAge time.Duration
+	// Timeout bounds one statement.
+	Timeout time.Duration
+	// Target is the time within which an operation is worth most to its caller.
+	Target time.Duration
+	// Priority orders routes by urgency, 0 before all others.
+	Priority int
+	// Public lets callers in who show no key.
+	Public bool
+}
+
+// Service is one group of instances.
+type Service struct {
+	Name fleet.Service
+	// Connections is the most that one instance accepts, from all hosts together.
+	Connections int
+	// SyncReplicas is how many replicas have received a commit when it is
+	// acknowledged.
+	SyncReplicas int
+}
+
+// Account is one client account.
+type Account struct {
+	Name fleet.Account
+	// Rate is in operations a second, Burst in operations, over the whole fleet.
+	// Zero sets no limit.
+	Rate, Burst float64
+	Keys        []Key
+}
+
+// Catalog is one version of it all. It isn't changed once it is in use.
+type Catalog struct {
+	Version  Version
+	Routes   map[Database]Route
+	Services map[fleet.Service]Service
+	Accounts map[fleet.Account]Account
+	// TxIdle is how long a transaction may rest before the host ends it.
+	TxIdle time.Duration
+
+	owners map[Key]fleet.Account
+}
+
+// Owner returns the account that a key belongs to.
+func (c *Catalog) Owner(k Key) (fleet.Account, bool) {
+	if c.owners == nil {
+		c.index()
+	}
+	a, ok := c.owners[k]
+	return a, ok
+}
+
+func (c *Catalog) index() {
+	c.owners = make(map[Key]fleet.Account)
+	for _, a := range c.Accounts {
+		for _, k := range a.Keys {
+			c.owners[k] = a.Name
+		}
+	}
+}
+
+// Instance is one database instance as it announces itself.
+type Instance struct {
+	Name fleet.Instance
+	// Service is whose group it belongs to.
+	Service    fleet.Service
+	Address    string
+	DataCentre fleet.DataCentre
+	// Slots is how many statements it works on at a time.
+	Slots int
+	// Leaving is set when it is to get no new work.
+	Leaving bool
+	// Role is how the instance sees itself.
+	Role fleet.Role
+	// Started tells two lives of one instance apart.
+	Started int64
+}
--- /dev/null
+++ b/core/leader/proof.go
@@ -0,0 +1,152 @@
+package leader
+
+import (
+	"slices"
+	"time"
+
+	"skylarkdeal/core/fleet"
+)
+
+// Verdict says whether an answer of an instance came from the group's primary.
+type Verdict string
+
+// The verdicts on an answer.
+const (
+	// VerdictProved lets the answer go to its caller.
+	VerdictProved Verdict = "proved"
+	// VerdictAsk holds it until other instances have said that they lead no later term.
+	VerdictAsk Verdict = "ask"
+	// VerdictRefuted means that another primary may have been at work already.
+	VerdictRefuted Verdict = "refuted"
+)
+
+// Judge says what an answer of i in term t, that has just come, needs before it may be
+// given. certain tells that no order can have taken effect that this host has no
+// record of.
+//
+// The guard is against a primary that was replaced and doesn't know it, on the far side
+// of a cut or before the order reaches it: its writes are lost and its reads are old.
+// With certain records only the instance that the last record names can lead beside
+// the one that answered. Without them any other instance may, so each has to be asked;
+// a majority isn't enough, as a promotion needs no majority.
+func (b *Belief) Judge(i fleet.Instance, t fleet.Term, certain bool, others []fleet.Instance) (Verdict, []fleet.Instance) {
+	if i == b.primary && b.settled && t < b.term {
+		return VerdictRefuted, nil
+	}
+	if !certain {
+		return VerdictAsk, others
+	}
+	if i == b.primary && b.settled && t == b.term {
+		return VerdictProved, nil
+	}
+	if i == b.former && t == b.formerTerm {
+		return VerdictAsk, []fleet.Instance{b.primary}
+	}
+	return VerdictAsk, others
+}
+
+// Claim is an answer that waits for its proof.
+type Claim struct {
+	// Key names the answer to whoever holds it.
+	Key      uint64
+	Instance fleet.Instance
+	Term     fleet.Term
+	// At is when the answer came, Deadline how long its proof may take.
+	At, Deadline time.Time
+
+	missing []fleet.Instance
+}
+
+// Proofs are the claims that wait. The zero Proofs holds none.
+type Proofs struct {
+	waiting []Claim
+}
+
+// Add has c wait for an answer of each of others that was asked for after c.At.
+func (p *Proofs) Add(c Claim, others []fleet.Instance) {
+	c.missing = slices.Clone(others)
+	p.waiting = append(p.waiting, c)
+}
+
+// Evidence takes in that i, asked at some moment, has answered in term t. It returns
+// the claims that are proved by it and those that are refuted.
+func (p *Proofs) Evidence(i fleet.Instance, asked time.Time, t fleet.Term) (proved, refuted []Claim) {
+	kept := p.waiting[:0]
+	for _, c := range p.waiting {
+		n := slices.Index(c.missing, i)
+		switch {
+		case n < 0 || asked.Before(c.At):
+			kept = append(kept, c)
+		case t > c.Term:
+			refuted = append(refuted, c)
+		default:
+			c.missing = slices.Delete(c.missing, n, n+1)
+			if len(c.missing) == 0 {
+				proved = append(proved, c)
+				continue
+			}
+			kept = append(kept, c)
+		}
+	}
+	p.waiting = kept
+	return proved, refuted
+}
+
+// Expire returns the claims whose deadline has passed.
+func (p *Proofs) Expire(now time.Time) []Claim {
+	var out []Claim
+	p.waiting = slices.DeleteFunc(p.waiting, func(c Claim) bool {
+		late := now.After(c.Deadline)
+		if late {
+			out = append(out, c)
+		}
+		return late
+	})
+	return out
+}
+
+// Asked returns the instances whose answers are missing, each with the moment after
+// which it has to be asked.
+func (p *Proofs) Asked() map[fleet.Instance]time.Time {
+	if len(p.waiting) == 0 {
+		return nil
+	}
+	out := map[fleet.Instance]time.Time{}
+	for _, c := range p.waiting {
+		for _, i := range c.missing {
+			if c.At.After(out[i]) {
+				out[i] = c.At
+			}
+		}
+	}
+	return out
+}
+
+// Len returns how many claims wait.
+func (p *Proofs) Len() int { return len(p.waiting) }
+
+// Lease is what a host knows of its registration in the platform's store. Whoever gives
+// an order ends the registrations of all other hosts first, so that a renewal which
+// has succeeded proves that no order was given before it was sent.
+type Lease struct {
+	// Validity is for how long a renewal proves that no order has taken effect: less
+	// than the platform takes to carry one out.
+	Validity time.Duration
+
+	sent time.Time
+}
+
+// Renewed takes in a renewal that was sent at some moment and has succeeded.
+func (l *Lease) Renewed(sent time.Time) {
+	if sent.After(l.sent) {
+		l.sent = sent
+	}
+}
+
+// Lost takes in that the registration has ended.
+func (l *Lease) Lost() { l.sent = time.Time{} }
+
+// Certain reports whether no order that the host doesn't know of can have taken effect.
+func (l *Lease) Certain(now time.Time) bool {
+	return !l.sent.IsZero() && now.Before(l.sent.Add(l.Validity))
+}
--- /dev/null
+++ b/core/relay/drain.go
@@ -0,0 +1,63 @@
+package relay
+
+import (
+	"time"
+
+	"skylarkdeal/core/statement"
+)
+
+// drain is how far the shutdown of the host has come.
+type drain struct {
+	on bool
+	// closing is set once no session may go on.
+	closing bool
+	begun   time.Time
+	grace   time.Duration
+}
+
+// drainNotice is how long a host that shuts down still takes sessions: the balancer
+// asks once a second and takes a host out after two answers that it isn't ready.
+const drainNotice = 2200 * time.Millisecond
+
+// Drain begins the shutdown: the host is no longer ready, and after a notice it closes
+// the sessions that rest. An open transaction gets half of the grace.
+func (r *Relay) Drain(grace time.Duration) {
+	if r.drain.on {
+		return
+	}
+	r.drain = drain{on: true, begun: r.now(), grace: grace}
+}
+
+// Drained reports whether no session is left.
+func (r *Relay) Drained() bool {
+	return r.drain.closing && len(r.sessions) == 0
+}
+
+func (r *Relay) tickDrain(now time.Time) {
+	if !r.drain.on {
+		return
+	}
+	age := now.Sub(r.drain.begun)
+	if age < min(drainNotice, r.drain.grace/2) {
+		return
+	}
+	r.drain.closing = true
+	for s := range r.sessions {
+		r.drainSession(s, age)
+	}
+}
+
+func (r *Relay) drainSession(s *Session, age time.Duration) {
+	if s.op != nil {
+		s.closing = &ending{statement.CodeBusy, "the host shuts down"}
+		return
+	}
+	switch {
+	case !s.tx.open:
+		s.link.Close()
+		s.Gone()
+	case age >= r.drain.grace/2:
+		s.tx.failed = true
+		s.reject(statement.CodeAborted, "the host shuts down; the transaction was rolled back")
+	}
+}
--- /dev/null
+++ b/core/relay/event.go
@@ -0,0 +1,58 @@
+package relay
+
+import (
+	"time"
+
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/statement"
+)
+
+// EventKind is the matter that an event belongs to.
+type EventKind string
+
+// The kinds of events.
+const (
+	// EventSession is about who is let in and who is sent away.
+	EventSession EventKind = "session"
+	// EventRefuse is an operation that was not run.
+	EventRefuse EventKind = "refuse"
+	// EventPlace is where a statement runs.
+	EventPlace EventKind = "place"
+	// EventRetry is a statement that is run again elsewhere.
+	EventRetry EventKind = "retry"
+	// EventAnswer is how a statement has ended.
+	EventAnswer EventKind = "answer"
+	// EventInstance is what the host believes of an instance.
+	EventInstance EventKind = "instance"
+	// EventLeader is what the host believes of a primary.
+	EventLeader EventKind = "leader"
+)
+
+// Event is one decision with what decided it. Fields that don't apply are zero.
+type Event struct {
+	Kind     EventKind
+	ID       statement.ID
+	Database catalog.Database
+	Service  fleet.Service
+	Account  fleet.Account
+	Instance fleet.Instance
+	Choice   string
+	Reason   string
+	Code     statement.Code
+	Term     fleet.Term
+	// Need is the point that a read had to cover, Age the age of what decided.
+	Need fleet.Point
+	Age  time.Duration
+	// Took is the time from the caller's statement to this event.
+	Took time.Duration
+	// Slow marks an event that explains a failed or late statement: it is never left
+	// out of the log.
+	Slow bool
+}
+
+func (r *Relay) note(e Event) {
+	if r.cfg.Note != nil {
+		r.cfg.Note(e)
+	}
+}
--- /dev/null
+++ b/core/relay/group.go
@@ -0,0 +1,470 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"skylarkdeal/core/admit"
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/fresh"
+	"skylarkdeal/core/leader"
+	"skylarkdeal/core/statement"
+)
+
+// group is one service's instances with what waits for them and runs on them.
+type group struct {
+	r         *Relay
+	name      fleet.Service
+	service   catalog.Service
+	instances map[fleet.Instance]*instance
+	belief    leader.Belief
+	proofs    leader.Proofs
+	samples   fresh.Samples
+
+	queue   admit.Queue
+	waiting map[uint64]*operation
+	running map[uint64]*operation
+	// unproven are the answers that wait for their proof.
+	unproven map[uint64]*operation
+	// pumping keeps pump from calling itself.
+	pumping bool
+	// changedAt is when the last order became known, aliveAt when the primary last
+	// answered.
+	changedAt, aliveAt time.Time
+	// verifiedAt is when the primary was last asked whether it is one.
+	verifiedAt time.Time
+	// readAt is when a read was last looked for a replica.
+	readAt time.Time
+}
+
+func newGroup(r *Relay, s fleet.Service) *group {
+	return &group{
+		r: r, name: s, instances: map[fleet.Instance]*instance{},
+		queue:   admit.Queue{Limits: queueLimits},
+		waiting: map[uint64]*operation{}, running: map[uint64]*operation{},
+		unproven: map[uint64]*operation{},
+	}
+}
+
+// missingFor is how long an instance may be off the list before it counts as gone: the
+// store drops those that couldn't reach it for a while, and they are back within 2 s.
+const missingFor = 2500 * time.Millisecond
+
+// listed takes in the instances of the group as the list has them.
+func (g *group) listed(is []catalog.Instance) {
+	now := g.r.now()
+	for _, in := range is {
+		i := g.instances[in.Name]
+		if i == nil || i.info.Address != in.Address {
+			if i != nil {
+				g.drop(i, "it has another address now")
+			}
+			i = &instance{g: g, info: in, lastHeard: now}
+			g.instances[in.Name] = i
+			g.noteInstance(i, "use", "it is on the list")
+		}
+		if in.Leaving && !i.info.Leaving {
+			g.noteInstance(i, "no new work", "it is leaving")
+		}
+		i.info, i.missing, i.gone = in, time.Time{}, false
+	}
+	for _, i := range g.instances {
+		if slices.ContainsFunc(is, func(in catalog.Instance) bool { return in.Name == i.info.Name }) {
+			continue
+		}
+		if i.missing.IsZero() {
+			i.missing = now
+		}
+		if now.Sub(i.missing) >= missingFor {
+			g.drop(i, "it is off the list")
+		}
+	}
+	g.belief.Listed(is)
+	g.pump()
+}
+
+func (g *group) noteInstance(i *instance, choice, why string) {
+	g.r.note(Event{
+		Kind: EventInstance, Service: g.name, Instance: i.info.Name, Choice: choice, Reason: why,
+	})
+}
+
+// drop gives up an instance; what runs on it may end.
+func (g *group) drop(i *instance, why string) {
+	if i.gone {
+		return
+	}
+	i.gone = true
+	g.noteInstance(i, "give up", why)
+	if len(i.conns) == 0 {
+		g.forget(i)
+	}
+}
+
+func (g *group) forget(i *instance) {
+	if g.instances[i.info.Name] == i {
+		delete(g.instances, i.info.Name)
+	}
+}
+
+// leads reports whether the group's answers of an instance are a primary's.
+func (g *group) leads(n fleet.Instance) bool {
+	if p, _, ok := g.belief.Primary(); ok && p == n {
+		return true
+	}
+	f, _, ok := g.belief.Former()
+	return ok && f == n
+}
+
+// primary returns the instance that takes writes now. While an order is on its way the
+// former primary goes on, as long as it does.
+func (g *group) primary() *instance {
+	if p, _, ok := g.belief.Primary(); ok {
+		return g.instances[p]
+	}
+	if f, _, ok := g.belief.Former(); ok {
+		return g.instances[f]
+	}
+	return nil
+}
+
+// needs returns the point that a read has to cover on a replica, and whether it is
+// known.
+func (g *group) needs(o *operation) (fleet.Point, bool) {
+	s, ok := g.samples.Oldest(o.age)
+	if !ok {
+		return fleet.Point{}, false
+	}
+	p := s.Point
+	if o.route.Consistency == catalog.ConsistencySession && !p.Covers(o.s.written) {
+		p = o.s.written
+	}
+	return p, true
+}
+
+// pump starts what can be started.
+func (g *group) pump() {
+	if g.pumping {
+		return
+	}
+	g.pumping = true
+	defer func() { g.pumping = false }()
+	now := g.r.now()
+	for len(g.waiting) > 0 {
+		found := map[uint64]*Conn{}
+		item, ok := g.queue.Next(now, func(i admit.Item) bool {
+			c := g.place(now, g.waiting[i.Key])
+			found[i.Key] = c
+			return c != nil
+		})
+		if !ok {
+			return
+		}
+		g.waiting[item.Key].run(found[item.Key])
+	}
+}
+
+// Places are compared by how long they make a caller wait, in time.
+const (
+	// stepCost is what each statement of the proxy's own costs ahead of a caller's:
+	// its time on the way, and the price of a question.
+	stepCost = 2 * time.Millisecond
+	// connectCost is what a new connection takes.
+	connectCost = 15 * time.Millisecond
+	// farCost is a round trip to another data centre, and its bytes.
+	farCost = 3 * time.Millisecond
+	// leadCost keeps reads away from the primary, which alone can take writes.
+	leadCost = 8 * time.Millisecond
+	// usualWork stands for an instance that has not worked yet.
+	usualWork = 8 * time.Millisecond
+	// freshWork is how long a measured time counts: an instance that was slow is tried
+	// again after it.
+	freshWork = 2 * time.Second
+	// lagPause is how long an instance that lacked a point is passed over.
+	lagPause = 80 * time.Millisecond
+)
+
+// place returns the connection on which an operation is to run now, or nil. It begins
+// to connect where that is better than what there is.
+//
+// The load it is made for: few slots on each instance, one of them slow or far behind,
+// accounts that each need connections of their own. Callers would wait behind one
+// slow instance while the others rest, so the expected wait decides.
+func (g *group) place(now time.Time, o *operation) *Conn {
+	if o == nil {
+		return nil
+	}
+	if o.dial != nil && o.dial.state == connIdle && o.dial.inst.usable() && g.serves(now, o.dial.inst, o) {
+		return o.dial
+	}
+	var best *Conn
+	var dial *instance
+	var least, leastDial time.Duration
+	for _, i := range g.instances {
+		if !g.serves(now, i, o) {
+			continue
+		}
+		cost := g.cost(now, i, o)
+		if c, steps := i.idle(o.s.account, o.s, o.prep); c != nil {
+			cost += time.Duration(steps) * stepCost
+			if best == nil || cost < least {
+				best, least = c, cost
+			}
+			continue
+		}
+		if cost += connectCost; dial == nil || cost < leastDial {
+			dial, leastDial = i, cost
+		}
+	}
+	if best != nil && (dial == nil || least <= leastDial) {
+		return best
+	}
+	if dial != nil && (o.dial == nil || o.dial.state == connClosed) {
+		o.dial = dial.connect(now, o)
+	}
+	if best != nil && o.dial == nil {
+		return best
+	}
+	return nil
+}
+
+// serves reports whether an instance may run an operation now.
+func (g *group) serves(now time.Time, i *instance, o *operation) bool {
+	if o.avoid.Has(i.info.Name) || i.gone {
+		return false
+	}
+	leads := g.leads(i.info.Name)
+	if leads && g.primary() == i {
+		return true
+	}
+	if o.lead || leads || !i.usable() || i.info.Name == g.belief.Named() {
+		return false
+	}
+	g.readAt = now
+	p, ok := g.needs(o)
+	return ok && (i.point.Covers(p) || now.Sub(i.lagged) > lagPause)
+}
+
+func (g *group) cost(now time.Time, i *instance, o *operation) time.Duration {
+	work := i.work
+	if work == 0 || now.Sub(i.workAt) > freshWork {
+		work = usualWork
+	}
+	slots := max(i.info.Slots, 1)
+	cost := work * time.Duration(1+i.busy()) / time.Duration(slots)
+	if !i.local() {
+		cost += farCost
+	}
+	if !o.lead && g.leads(i.info.Name) {
+		cost += leadCost
+	}
+	if !i.reachable() {
+		cost += backoffMax
+	}
+	return cost
+}
+
+// refusedBy takes in what a refusal tells of an instance.
+func (g *group) refusedBy(c *Conn, code statement.Code, o *operation) {
+	switch code {
+	case statement.CodeLagging:
+		c.inst.lagged = g.r.now()
+	case statement.CodeReadOnly:
+		if g.leads(c.Instance) {
+			g.r.note(Event{
+				Kind: EventLeader, Service: g.name, Instance: c.Instance, ID: o.q.ID,
+				Choice: "not the primary any more", Reason: "it refuses to write", Code: code,
+			})
+		}
+		g.belief.Deposed(c.Instance)
+		g.r.cfg.Refresh()
+	default:
+	}
+}
+
+// evidence takes in what every answer tells: where the instance's log stands.
+func (g *group) evidence(c *Conn, asked time.Time, a statement.Answer) {
+	p, ok := a.Point.Get()
+	if !ok {
+		return
+	}
+	now := g.r.now()
+	if p.Term < c.inst.point.Term || !c.inst.point.Covers(p) {
+		c.inst.point = p
+	}
+	g.belief.Seen(c.Instance, p.Term)
+	if n, t, ok := g.belief.Primary(); ok && n == c.Instance && t == p.Term {
+		g.aliveAt = now
+		if g.r.lease.Certain(now) {
+			g.samples.Add(fresh.Sample{Point: p, Asked: asked})
+		}
+	}
+	proved, refuted := g.proofs.Evidence(c.Instance, asked, p.Term)
+	for _, cl := range proved {
+		g.proved(cl)
+	}
+	for _, cl := range refuted {
+		g.unproved(cl, "another instance leads a later term")
+	}
+}
+
+// told takes in what an instance has said of itself.
+func (g *group) told(c *Conn, a statement.Answer) {
+	s, ok := g.r.cfg.ParseStatus(a)
+	if !ok {
+		return
+	}
+	if g.belief.Answered(c.Instance, s) {
+		g.aliveAt = g.r.now()
+		g.r.note(Event{
+			Kind: EventLeader, Service: g.name, Instance: c.Instance, Term: s.Term,
+			Choice: "use as the primary", Reason: "it says that it leads", Age: g.r.now().Sub(g.changedAt),
+		})
+	}
+}
+
+// judge gives an answer to its caller, or has it wait for the proof that it came from
+// the primary. Reads on replicas were proved by the point they had to cover.
+func (g *group) judge(o *operation, c *Conn, a statement.Answer) {
+	if !o.lead && !g.leads(c.Instance) {
+		if _, ok := o.after.Get(); ok {
+			o.finish(a)
+			return
+		}
+	}
+	p, ok := point(a)
+	if !ok {
+		o.finish(a)
+		return
+	}
+	now := g.r.now()
+	v, ask := g.belief.Judge(c.Instance, p.Term, g.r.lease.Certain(now), g.others(c.Instance))
+	switch {
+	case v == leader.VerdictProved || v == leader.VerdictAsk && len(ask) == 0:
+		g.confirmed(o, a)
+	case v == leader.VerdictRefuted:
+		o.answer = &a
+		g.unprovedOp(o, "the primary has been replaced")
+	default:
+		o.answer = &a
+		g.unproven[o.key] = o
+		g.proofs.Add(leader.Claim{
+			Key: o.key, Instance: c.Instance, Term: p.Term, At: now, Deadline: now.Add(proofPatience),
+		}, ask)
+		g.askFor(now)
+	}
+}
+
+// proofPatience bounds the wait for a proof. It is some round trips with a new
+// connection; what is not proved by then depends on an instance that can't be reached.
+const proofPatience = 250 * time.Millisecond
+
+func (g *group) others(n fleet.Instance) []fleet.Instance {
+	var out []fleet.Instance
+	for _, i := range g.instances {
+		if i.info.Name != n && !i.gone {
+			out = append(out, i.info.Name)
+		}
+	}
+	return out
+}
+
+// confirmed gives a proved answer.
+func (g *group) confirmed(o *operation, a statement.Answer) {
+	if p, ok := point(a); ok && o.writes && !o.s.written.Covers(p) {
+		o.s.written = p
+	}
+	o.finish(a)
+}
+
+func (g *group) proved(c leader.Claim) {
+	o := g.unproven[c.Key]
+	delete(g.unproven, c.Key)
+	if o == nil || o.over {
+		return
+	}
+	if p, ok := point(*o.answer); ok {
+		g.samples.Add(fresh.Sample{Point: p, Asked: o.sentAt})
+	}
+	g.confirmed(o, *o.answer)
+}
+
+func (g *group) unproved(c leader.Claim, why string) {
+	o := g.unproven[c.Key]
+	delete(g.unproven, c.Key)
+	if o == nil || o.over {
+		return
+	}
+	g.unprovedOp(o, why)
+}
+
+// unprovedOp handles an answer of what may no longer be the primary. A write may be
+// lost; a read is run elsewhere, or its caller told to come back, as nothing is kept
+// of it.
+func (g *group) unprovedOp(o *operation, why string) {
+	commit := o.q.Kind == statement.KindCommit
+	switch {
+	case commit && o.s.tx.writes || o.writes && !commit && !o.s.tx.open:
+		o.inDoubt(why)
+	case o.s.tx.open:
+		o.s.tx.failed = true
+		o.s.release()
+		if commit {
+			o.s.tx = transaction{}
+		}
+		o.give(statement.Answer{Code: statement.CodeAborted, Detail: "rolled back: " + why, RetryAfter: retrySoon})
+	default:
+		o.again(statement.CodeBusy)
+	}
+}
+
+// hopeless says why an operation can't be served in time, and when to come back.
+func (g *group) hopeless(now time.Time, o *operation) (string, time.Duration) {
+	if !o.lead || g.primary() != nil {
+		return "", 0
+	}
+	wait := g.untilPrimary(now)
+	if wait <= worthWaiting && now.Add(wait).Before(o.deadline) {
+		return "", 0
+	}
+	return "the group has no primary now", wait
+}
+
+const (
+	// worthWaiting is how long a caller is held for a primary that is to come; beyond it
+	// the caller is told when to come back.
+	worthWaiting = 400 * time.Millisecond
+	// changeTime is what the platform takes to carry out an order, with the questions
+	// that settle it, and noticeTime what a host takes to see that one is needed.
+	changeTime = 1100 * time.Millisecond
+	noticeTime = 400 * time.Millisecond
+)
+
+// untilPrimary guesses when the group will have a primary.
+func (g *group) untilPrimary(now time.Time) time.Duration {
+	if g.belief.Named() == "" {
+		return noticeTime
+	}
+	if g.belief.Record().Revision == 0 {
+		return retrySoon
+	}
+	if left := changeTime - now.Sub(g.changedAt); left > 0 {
+		return left
+	}
+	return retrySoon
+}
+
+// anyAccount returns an account under which the host may connect.
+func (g *group) anyAccount() (fleet.Account, bool) {
+	for _, o := range g.waiting {
+		return o.s.account, true
+	}
+	if g.r.catalog == nil {
+		return "", false
+	}
+	for a := range g.r.catalog.Accounts {
+		return a, true
+	}
+	return "", false
+}
--- /dev/null
+++ b/core/relay/instance.go
@@ -0,0 +1,234 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/statement"
+)
+
+// instance is what the host knows of one database instance.
+type instance struct {
+	g    *group
+	info catalog.Instance
+	// conns are all connections to it that aren't closed.
+	conns []*Conn
+	// point is the farthest that its log is known to have reached.
+	point fleet.Point
+	// lastHeard is when anything came from it.
+	lastHeard time.Time
+	// failures counts failed connections in a row; the next is tried at next.
+	failures int
+	next     time.Time
+	// full is when it last refused a connection for want of room, and room how many
+	// were open then.
+	full time.Time
+	room int
+	// work is how long its statements take, as a moving average.
+	work   time.Duration
+	workAt time.Time
+	// lagged is when it last said that its log lacks a point.
+	lagged time.Time
+	// missing is since when it isn't on the list any more.
+	missing time.Time
+	gone    bool
+	// askedAt is when it was last asked what it is.
+	askedAt time.Time
+}
+
+const (
+	// borrowed is how many connections a host may have beyond its even share of an
+	// instance, while the instance has room: callers are spread unevenly over hosts.
+	borrowed = 2
+	// sharePart is the part of an instance's connections that the even shares add up
+	// to, in percent; the rest is for hosts that come while those of dead ones stand.
+	sharePart = 90
+	// fullFor is how long a host makes do with what it has after an instance had no
+	// room for more.
+	fullFor = 3 * time.Second
+	// restFor closes a borrowed connection that rests, so that others can have it.
+	restFor = 2 * time.Second
+	// backoffMin and backoffMax bound the pause before the next try to connect to an
+	// instance that couldn't be reached. The first is about the time that a connection
+	// takes; the last bounds how late a returned instance is found.
+	backoffMin = 50 * time.Millisecond
+	backoffMax = 800 * time.Millisecond
+)
+
+// cap returns how many connections the host may have to the instance.
+func (i *instance) cap(now time.Time) int {
+	total := i.g.service.Connections
+	if total <= 0 {
+		total = defaultConnections
+	}
+	share := max(1, total*sharePart/100/i.g.r.hosts)
+	if !i.full.IsZero() && now.Sub(i.full) < fullFor {
+		return max(1, min(i.room, share+borrowed))
+	}
+	return min(share+borrowed, total)
+}
+
+// defaultConnections stands for the limit of a service that isn't known yet.
+const defaultConnections = 8
+
+// share is the part of cap that is kept open.
+func (i *instance) share() int {
+	return max(1, i.g.service.Connections*sharePart/100/i.g.r.hosts)
+}
+
+func (i *instance) heard(now time.Time) {
+	i.lastHeard = now
+	i.failures = 0
+}
+
+func (i *instance) worked(now time.Time, took time.Duration) {
+	if i.work == 0 {
+		i.work = took
+	}
+	i.work += (took - i.work) / 8
+	i.workAt = now
+}
+
+// failed takes in that a connection couldn't be made or broke while it owed an answer.
+func (i *instance) failed(now time.Time, why string) {
+	if i.failures == 0 {
+		i.g.r.note(Event{
+			Kind: EventInstance, Service: i.g.name, Instance: i.info.Name,
+			Choice: "unreachable", Reason: why, Age: now.Sub(i.lastHeard),
+		})
+	}
+	i.failures++
+	pause := backoffMin << min(i.failures-1, 10)
+	i.next = now.Add(min(pause, backoffMax))
+}
+
+// turned takes in that the instance has refused a connection.
+func (i *instance) turned(now time.Time, c statement.Code) {
+	switch c {
+	case statement.CodeTooMany:
+		i.heard(now)
+		i.full, i.room = now, len(i.conns)-1
+	case statement.CodeMisrouted:
+		// Another instance has the address now: this one has gone.
+		i.gone = true
+	default:
+		i.failed(now, "refused: "+string(c))
+	}
+}
+
+func (i *instance) remove(c *Conn) {
+	i.conns = slices.DeleteFunc(i.conns, func(o *Conn) bool { return o == c })
+	if i.gone && len(i.conns) == 0 {
+		i.g.forget(i)
+	}
+}
+
+// usable reports whether new work may go to the instance.
+func (i *instance) usable() bool { return !i.gone && !i.info.Leaving }
+
+// reachable reports whether the instance has answered since it last failed.
+func (i *instance) reachable() bool { return i.failures == 0 }
+
+// local reports whether it is in this host's data centre.
+func (i *instance) local() bool { return i.info.DataCentre == i.g.r.cfg.DataCentre }
+
+// idle returns the resting connection of an account that needs the fewest statements
+// to serve s, and how many.
+func (i *instance) idle(a fleet.Account, s *Session, p *prepared) (*Conn, int) {
+	var best *Conn
+	least := 0
+	for _, c := range i.conns {
+		if c.state != connIdle || c.Account != a {
+			continue
+		}
+		if n := len(c.setup(s, p)); best == nil || n < least {
+			best, least = c, n
+		}
+	}
+	return best, least
+}
+
+// resting returns the connection that has rested longest, of whatever account.
+func (i *instance) resting() *Conn {
+	var best *Conn
+	for _, c := range i.conns {
+		if c.state == connIdle && (best == nil || c.since.Before(best.since)) {
+			best = c
+		}
+	}
+	return best
+}
+
+// busy counts the connections that are at work.
+func (i *instance) busy() int {
+	n := 0
+	for _, c := range i.conns {
+		if c.state == connBusy && c.op != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// working returns for how long the instance has worked on its oldest statement.
+func (i *instance) working(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, c := range i.conns {
+		if len(c.owed) > 0 {
+			oldest = max(oldest, now.Sub(c.owed[0].asked))
+		}
+	}
+	return oldest
+}
+
+// dial has a connection made for an account.
+func (i *instance) dial(a fleet.Account) *Conn {
+	c := &Conn{
+		Service: i.g.name, Instance: i.info.Name, Address: i.info.Address, Account: a,
+		g: i.g, inst: i, values: map[string]string{}, prepared: map[string]bool{},
+	}
+	c.setState(connDialling)
+	i.conns = append(i.conns, c)
+	i.g.r.counts.Connects++
+	i.g.r.cfg.Dial(c)
+	return c
+}
+
+// swapAfter is how long a connection of another account has to have rested, or an
+// operation to have waited, before the one gives way to the other: a new connection
+// takes 12 ms of the instance's time, which is not to be spent on every statement of
+// accounts that alternate.
+const swapAfter = 5 * time.Millisecond
+
+// connect makes a connection for an operation, if there is room.
+func (i *instance) connect(now time.Time, o *operation) *Conn {
+	if now.Before(i.next) {
+		return nil
+	}
+	if len(i.conns) < i.cap(now) {
+		return i.dial(o.s.account)
+	}
+	c := i.resting()
+	if c == nil || c.Account == o.s.account {
+		return nil
+	}
+	if now.Sub(c.since) < swapAfter && now.Sub(o.asked) < 2*swapAfter {
+		return nil
+	}
+	c.retire()
+	return i.dial(o.s.account)
+}
+
+// sweep closes borrowed connections that rest and those to an instance that has gone.
+func (i *instance) sweep(now time.Time) {
+	for _, c := range slices.Clone(i.conns) {
+		if c.state != connIdle {
+			continue
+		}
+		if i.gone || len(i.conns) > i.share() && now.Sub(c.since) > restFor {
+			c.retire()
+		}
+	}
+}
--- /dev/null
+++ b/core/relay/operation.go
@@ -0,0 +1,457 @@
+package relay
+
+import (
+	"time"
+
+	"skylarkdeal/core/admit"
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/exchange"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/statement"
+)
+
+// operation is one statement on its way to an instance and back.
+type operation struct {
+	s     *Session
+	g     *group
+	q     statement.Statement
+	prep  *prepared
+	route catalog.Route
+	key   uint64
+	// writes is set for what may change data, and is sent at most once.
+	writes bool
+	// lead is set for what only the primary can answer.
+	lead bool
+	// opens is set for the first statement of a transaction.
+	opens bool
+
+	asked, deadline time.Time
+	// age is from when on commits have to be shown, for a read on a replica.
+	age   time.Time
+	tries int
+	avoid fleet.Set[fleet.Instance]
+
+	// conn runs the operation, dial is being made for it.
+	conn, dial *Conn
+	// sent is set once the statement itself has been handed to the instance, at sentAt.
+	sent   bool
+	sentAt time.Time
+	// after is the point that the read was sent with.
+	after fleet.Option[fleet.Point]
+	// answer waits for its proof.
+	answer *statement.Answer
+	// over is set once the caller has its answer.
+	over bool
+}
+
+// maxTries bounds how often one statement is sent off. Three instances and one more
+// try after a change of primary are all there is to try.
+const maxTries = 6
+
+func newOperation(s *Session, q statement.Statement, p *prepared) *operation {
+	now := s.r.now()
+	o := &operation{
+		s: s, q: q, prep: p, route: s.route, key: s.r.nextKey(), asked: now,
+		g: s.r.group(s.route.Service), avoid: fleet.NewSet[fleet.Instance](),
+	}
+	o.deadline = now.Add(s.route.Timeout)
+	o.writes = q.Kind == statement.KindWrite || q.Kind == statement.KindCommit ||
+		p != nil && p.shape.Writes
+	o.opens = s.tx.open && s.tx.conn == nil
+	reads := !o.writes
+	began := now
+	if s.tx.open {
+		reads, began = s.tx.read, s.tx.asked
+	}
+	o.lead = !reads || s.route.Consistency == catalog.ConsistencyPrimary
+	if !o.lead {
+		o.age = began.Add(-s.route.MaxAge)
+	}
+	if p != nil {
+		o.q.Name = p.name
+	}
+	return o
+}
+
+// start sends the operation off, or has it wait for a connection.
+func (o *operation) start() {
+	o.s.op = o
+	if c := o.s.tx.conn; o.s.tx.open && c != nil {
+		o.conn = c
+		c.op = o
+		o.g.running[o.key] = o
+		o.execute()
+		return
+	}
+	o.wait()
+}
+
+// wait queues the operation.
+func (o *operation) wait() {
+	now := o.g.r.now()
+	if why, after := o.g.hopeless(now, o); why != "" {
+		o.refuse(statement.CodeBusy, why, after)
+		return
+	}
+	o.sent, o.conn, o.dial = false, nil, nil
+	v := o.g.queue.Offer(now, admit.Item{
+		Key: o.key, Account: o.s.account, Weight: o.weight(), Deadline: o.deadline,
+		Intent: o.intent(),
+	})
+	if v.Refusal != nil {
+		o.refuse(statement.CodeBusy, v.Refusal.Message, v.Refusal.RetryAfter)
+		return
+	}
+	o.g.waiting[o.key] = o
+	o.g.pump()
+}
+
+func (o *operation) intent() exchange.Intent {
+	if o.lead {
+		return exchange.IntentWrite
+	}
+	return exchange.IntentRead
+}
+
+// weight is the account's share of a queue against the others': its rate.
+func (o *operation) weight() float64 {
+	if c := o.g.r.catalog; c != nil {
+		return max(c.Accounts[o.s.account].Rate, 1)
+	}
+	return 1
+}
+
+// run takes the connection that was found.
+func (o *operation) run(c *Conn) {
+	delete(o.g.waiting, o.key)
+	o.g.running[o.key] = o
+	o.conn = c
+	o.tries++
+	c.setState(connBusy)
+	c.op = o
+	if o.s.tx.open {
+		c.session = o.s
+	}
+	o.execute()
+}
+
+// execute gives the connection the session's values and then sends the statement.
+//
+// A statement must not run where setting a value or beginning a transaction has failed:
+// it would show other rows, or commit on its own. So it is sent once these are answered.
+// What is only to be prepared goes ahead of it at once, as an instance that lacks the
+// prepared statement refuses to run it.
+func (o *operation) execute() {
+	c := o.conn
+	qs := c.setup(o.s, o.prep)
+	c.applied(o.s, o.prep, qs)
+	o.after = o.need()
+	if o.opens {
+		qs = append(qs, o.beginning())
+	}
+	if !needsAnswer(qs) {
+		o.main(qs)
+		return
+	}
+	failed := statement.CodeNone
+	each := func(a statement.Answer) {
+		if a.Code != statement.CodeNone && failed == statement.CodeNone {
+			failed = a.Code
+		}
+	}
+	c.send(qs, each, func(a statement.Answer) {
+		each(a)
+		if c.op != o {
+			return
+		}
+		if failed != statement.CodeNone {
+			o.unready(failed)
+			return
+		}
+		o.main(nil)
+	})
+}
+
+func needsAnswer(qs []statement.Statement) bool {
+	for _, q := range qs {
+		if q.Kind != statement.KindPrepare {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *operation) beginning() statement.Statement {
+	b := statement.Statement{ID: o.s.tx.begin, Kind: statement.KindBegin, After: o.after}
+	if o.s.tx.read {
+		b.Kind = statement.KindBeginRead
+	}
+	return b
+}
+
+// need is the point that the instance's log has to cover, for a read on a replica.
+func (o *operation) need() fleet.Option[fleet.Point] {
+	if o.lead || o.g.leads(o.conn.Instance) {
+		return fleet.Option[fleet.Point]{}
+	}
+	p, _ := o.g.needs(o)
+	return fleet.Some(p)
+}
+
+// main sends the statement itself, behind ahead.
+func (o *operation) main(ahead []statement.Statement) {
+	q := o.q
+	if !o.s.tx.open {
+		q.After = o.after
+	}
+	o.sent, o.sentAt = true, o.g.r.now()
+	if o.s.tx.open {
+		o.s.tx.conn = o.conn
+		o.s.tx.writes = o.s.tx.writes || o.writes && q.Kind != statement.KindCommit
+	}
+	o.conn.send(append(ahead, q), nil, o.answered)
+}
+
+// unready handles a connection that could not be made ready: nothing was run.
+func (o *operation) unready(code statement.Code) {
+	c := o.conn
+	o.g.refusedBy(c, code, o)
+	c.op, c.session = nil, nil
+	c.retireUnless(code == statement.CodeLagging || code == statement.CodeReadOnly || code == statement.CodeBusy)
+	o.again(code)
+}
+
+// retireUnless frees a connection whose last answer tells that all is well with it, and
+// closes any other.
+func (c *Conn) retireUnless(well bool) {
+	if well {
+		c.free()
+		return
+	}
+	c.retire()
+}
+
+// answered takes the instance's answer.
+func (o *operation) answered(a statement.Answer) {
+	c := o.conn
+	if c.op != o {
+		return
+	}
+	now := o.g.r.now()
+	delete(o.g.running, o.key)
+	o.g.queue.Finished(now, o.key, now.Sub(o.sentAt))
+	c.op = nil
+	if a.Code == statement.CodeNone {
+		c.inst.worked(now, now.Sub(o.sentAt))
+		o.succeeded(a)
+		return
+	}
+	o.g.refusedBy(c, a.Code, o)
+	if o.s.tx.open {
+		o.failedInTx(a)
+		return
+	}
+	c.settle(a)
+	if a.Code.NotRun() || !o.writes && (a.Code == statement.CodeFailed || a.Code == statement.CodeTimeout) {
+		o.again(a.Code)
+		return
+	}
+	o.finish(a)
+}
+
+// settle frees a connection after a statement outside a transaction, or closes one that
+// is in a state which it should not be in.
+func (c *Conn) settle(a statement.Answer) {
+	c.retireUnless(a.State == statement.TxNone)
+}
+
+func (o *operation) succeeded(a statement.Answer) {
+	c := o.conn
+	commit := o.q.Kind == statement.KindCommit
+	switch {
+	case !o.s.tx.open:
+		c.settle(a)
+	case commit:
+		o.s.tx.conn = nil
+		c.session = nil
+		c.settle(a)
+	}
+	o.g.judge(o, c, a)
+}
+
+// failedInTx answers a failure in a transaction, which is rolled back.
+func (o *operation) failedInTx(a statement.Answer) {
+	o.s.tx.failed = true
+	o.s.release()
+	if o.q.Kind == statement.KindCommit {
+		o.s.tx = transaction{}
+	}
+	o.finish(a)
+}
+
+// again sends the operation off once more, as nothing of it was run, or tells the
+// caller so.
+func (o *operation) again(code statement.Code) {
+	now := o.g.r.now()
+	delete(o.g.running, o.key)
+	o.g.queue.Finished(now, o.key, 0)
+	if o.over {
+		return
+	}
+	if o.conn != nil && code != statement.CodeReadOnly && code != statement.CodeNotPrepared {
+		o.avoid.Add(o.conn.Instance)
+	}
+	if o.tries >= maxTries || !now.Before(o.deadline) {
+		o.refuse(code, "no instance could run it", retrySoon)
+		return
+	}
+	o.g.r.counts.Retried++
+	o.note(EventRetry, "run it elsewhere", "it was not run", code)
+	o.wait()
+}
+
+// retrySoon is when to come back after a trouble that passes by itself, such as a change
+// of primary that is about to end.
+const retrySoon = 100 * time.Millisecond
+
+// cut handles the loss of the connection that ran the operation.
+//
+// What was not sent was not run. A transaction that was not told to commit is rolled
+// back with its connection. Only a write or a commit of writes that was sent may have
+// been run or not: it is never sent again, and its caller is told so at once.
+func (o *operation) cut(why string) {
+	if o.over {
+		return
+	}
+	delete(o.g.running, o.key)
+	o.g.queue.Finished(o.g.r.now(), o.key, 0)
+	commit := o.q.Kind == statement.KindCommit
+	switch {
+	case !o.sent:
+		o.again(statement.CodeBusy)
+	case o.s.tx.open && (!commit || !o.s.tx.writes):
+		o.s.tx.failed = !commit
+		if commit {
+			o.s.tx = transaction{}
+		}
+		o.give(statement.Answer{Code: statement.CodeAborted, Detail: "rolled back: " + why, RetryAfter: retrySoon})
+	case commit || o.writes:
+		o.inDoubt(why)
+	default:
+		o.again(statement.CodeFailed)
+	}
+}
+
+// inDoubt tells the caller that its write may have been run or not.
+func (o *operation) inDoubt(why string) {
+	if o.q.Kind == statement.KindCommit {
+		o.s.tx = transaction{}
+	}
+	o.g.r.counts.InDoubt++
+	o.give(statement.Answer{Code: statement.CodeInDoubt, Detail: "sent, but not known to be kept: " + why})
+}
+
+// late gives up a statement that has reached its deadline at the instance.
+func (o *operation) late() {
+	c := o.conn
+	c.op = nil
+	o.note(EventAnswer, "give up", "the statement has reached its time limit", statement.CodeTimeout)
+	c.lost("a statement reached its time limit")
+	if o.s.tx.conn == c {
+		o.s.tx.conn = nil
+	}
+	if o.sent && !o.writes && !o.s.tx.open {
+		delete(o.g.running, o.key)
+		o.g.queue.Finished(o.g.r.now(), o.key, 0)
+		o.give(statement.Answer{Code: statement.CodeTimeout, Detail: "the statement has reached its time limit"})
+		return
+	}
+	o.cut("the statement has reached its time limit")
+}
+
+// refuse answers that nothing was run.
+func (o *operation) refuse(code statement.Code, why string, after time.Duration) {
+	if o.s.tx.open {
+		// The transaction never began on an instance, or was rolled back.
+		o.s.fail()
+		if o.q.Kind == statement.KindCommit {
+			o.s.tx = transaction{}
+		}
+	}
+	if code == statement.CodeFailed || code == statement.CodeTimeout || code == statement.CodeNotPrepared {
+		// Of a read nothing is kept, so that the caller may be told to come again.
+		code = statement.CodeBusy
+	}
+	o.g.r.counts.Refused++
+	o.note(EventRefuse, "refuse", why, code)
+	o.give(statement.Answer{Code: code, Detail: why, RetryAfter: after})
+}
+
+// finish gives the instance's answer.
+func (o *operation) finish(a statement.Answer) {
+	if a.Code == statement.CodeNone {
+		o.g.r.counts.Answered++
+	}
+	if o.q.Kind == statement.KindCommit {
+		o.s.tx = transaction{}
+	}
+	o.give(a)
+}
+
+// give ends the operation with an answer to its caller.
+func (o *operation) give(a statement.Answer) {
+	if o.over {
+		return
+	}
+	o.over = true
+	s := o.s
+	s.op = nil
+	if s.gone {
+		return
+	}
+	s.tx.rest = o.g.r.now()
+	a.State = s.state()
+	took := s.tx.rest.Sub(o.asked)
+	if a.Code != statement.CodeNone || took > o.route.Target && o.route.Target > 0 {
+		o.note(EventAnswer, "answer", a.Detail, a.Code)
+	}
+	s.link.Answer(a)
+	s.rest()
+}
+
+// abandon ends the operation of a caller that has gone.
+func (o *operation) abandon() {
+	if o.over {
+		return
+	}
+	o.over = true
+	if _, ok := o.g.waiting[o.key]; ok {
+		o.g.queue.Withdraw(o.key)
+		delete(o.g.waiting, o.key)
+		return
+	}
+	delete(o.g.running, o.key)
+	o.g.queue.Finished(o.g.r.now(), o.key, 0)
+	if c := o.conn; c != nil && c.op == o {
+		c.op, c.session = nil, nil
+		if o.s.tx.conn == c {
+			o.s.tx.conn = nil
+		}
+		c.lost("the caller has gone")
+	}
+}
+
+func (o *operation) note(k EventKind, choice, why string, code statement.Code) {
+	e := Event{
+		Kind: k, ID: o.q.ID, Database: o.route.Database, Service: o.g.name, Account: o.s.account,
+		Choice: choice, Reason: why, Code: code, Took: o.g.r.now().Sub(o.asked),
+	}
+	if o.conn != nil {
+		e.Instance = o.conn.Instance
+	}
+	if p, ok := o.after.Get(); ok {
+		e.Need = p
+	}
+	e.Slow = code != statement.CodeNone || e.Took > o.route.Target
+	o.g.r.note(e)
+}
--- /dev/null
+++ b/core/relay/relay.go
@@ -0,0 +1,173 @@
+// Package relay is the middle of a host: it takes the statements of callers' sessions,
+// runs them on connections to instances, and gives back answers that hold. It decides
+// without sockets, clocks or goroutines: whoever owns a Relay calls it from one
+// goroutine with what has happened, and it calls back by function fields.
+package relay
+
+import (
+	"time"
+
+	"skylarkdeal/core/admit"
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/leader"
+	"skylarkdeal/core/statement"
+)
+
+// Config is what a Relay works with.
+type Config struct {
+	DataCentre fleet.DataCentre
+	Now        func() time.Time
+	// Dial has a connection made; Connected, Turned or Lost tells how it went.
+	Dial func(c *Conn)
+	// Admit takes one operation from an account's rate, or says when to come back.
+	Admit func(a catalog.Account) (wait time.Duration, ok bool)
+	// ParseStatus reads the answer to a status.
+	ParseStatus func(a statement.Answer) (statement.Status, bool)
+	// Refresh asks for the records of orders to be read anew.
+	Refresh func()
+	// Note takes in each decision that a reader of the logs may ask for. It may be nil.
+	Note func(e Event)
+}
+
+// Relay is one host's middle.
+type Relay struct {
+	cfg      Config
+	catalog  *catalog.Catalog
+	sessions map[*Session]struct{}
+	groups   map[fleet.Service]*group
+	lease    leader.Lease
+	hosts    int
+	key      uint64
+	counts   Counts
+	drain    drain
+}
+
+// Counts are running totals, for metrics.
+type Counts struct {
+	Statements, Answered, Refused, Retried, InDoubt uint64
+	Connects, OwnStatements, Asked                  uint64
+}
+
+// New returns a Relay without a catalog, which lets nobody in yet.
+func New(cfg Config) *Relay {
+	return &Relay{
+		cfg:      cfg,
+		sessions: map[*Session]struct{}{},
+		groups:   map[fleet.Service]*group{},
+		lease:    leader.Lease{Validity: leaseValidity},
+		hosts:    1,
+	}
+}
+
+// leaseValidity is how long a renewed registration proves that no order has taken
+// effect. The platform takes 1 s to carry one out; the rest is for a host that
+// is slow between looking at its clock and writing the answer.
+const leaseValidity = 700 * time.Millisecond
+
+func (r *Relay) now() time.Time { return r.cfg.Now() }
+
+// Counts returns the totals so far.
+func (r *Relay) Counts() Counts { return r.counts }
+
+// Sessions returns how many sessions are open.
+func (r *Relay) Sessions() int { return len(r.sessions) }
+
+// SetHosts tells how many hosts share the instances' connections.
+func (r *Relay) SetHosts(n int) { r.hosts = max(n, 1) }
+
+// LeaseRenewed takes in a renewal of this host's registration that was sent at some
+// moment and has succeeded.
+func (r *Relay) LeaseRenewed(sent time.Time) { r.lease.Renewed(sent) }
+
+// LeaseLost takes in that the registration has ended: an order may have been given.
+func (r *Relay) LeaseLost() { r.lease.Lost() }
+
+// Recorded takes in the record of an order.
+func (r *Relay) Recorded(rec leader.Record) {
+	g := r.group(rec.Service)
+	if !g.belief.Recorded(rec) {
+		return
+	}
+	r.note(Event{
+		Kind: EventLeader, Service: g.name, Instance: rec.Primary,
+		Choice: "follow the order", Reason: "host " + string(rec.By) + " has ordered a change of primary",
+		Term: rec.Term,
+	})
+	g.changedAt = r.now()
+	g.pump()
+}
+
+// Listed takes in all instances as they announce themselves.
+func (r *Relay) Listed(is []catalog.Instance) {
+	by := map[fleet.Service][]catalog.Instance{}
+	for _, i := range is {
+		by[i.Service] = append(by[i.Service], i)
+	}
+	for s := range by {
+		r.group(s)
+	}
+	for s, g := range r.groups {
+		g.listed(by[s])
+	}
+}
+
+// Adopt puts a catalog in force. An older one than that in force is ignored.
+func (r *Relay) Adopt(c *catalog.Catalog) bool {
+	if r.catalog != nil && c.Version <= r.catalog.Version {
+		return false
+	}
+	r.catalog = c
+	for _, s := range c.Services {
+		r.group(s.Name).service = s
+	}
+	for s := range r.sessions {
+		s.review()
+	}
+	return true
+}
+
+// Ready reports whether the host can serve: it knows a catalog and, for each service,
+// an instance.
+func (r *Relay) Ready() bool {
+	if r.catalog == nil || r.drain.on {
+		return false
+	}
+	for _, s := range r.catalog.Services {
+		if len(r.group(s.Name).instances) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Relay) group(s fleet.Service) *group {
+	g := r.groups[s]
+	if g == nil {
+		g = newGroup(r, s)
+		r.groups[s] = g
+	}
+	return g
+}
+
+// Tick looks at all that depends on the time. It is to be called every few ms.
+func (r *Relay) Tick() {
+	now := r.now()
+	for _, g := range r.groups {
+		g.tick(now)
+	}
+	r.tickSessions(now)
+}
+
+func (r *Relay) nextKey() uint64 {
+	r.key++
+	return r.key
+}
+
+// queueLimits are those of the operations of one group that wait on this host.
+//
+// They are made for many callers who come at once: what waits longer than a caller's
+// patience is worked off for nothing. The two slots of an instance work off about 200
+// statements of 9 ms a second, so 64 of one account and 256 in all are about as many
+// as end within a second on the instances of a group.
+var queueLimits = admit.Limits{PerAccount: 64, Total: 256, Slots: 6, WriteSlots: 2, LongAfter: time.Hour}
--- /dev/null
+++ b/core/relay/session.go
@@ -0,0 +1,391 @@
+package relay
+
+import (
+	"time"
+
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/statement"
+)
+
+// Link is the way to one caller.
+type Link struct {
+	// Started lets the caller in.
+	Started func()
+	// Answer gives the answer to the statement in progress.
+	Answer func(a statement.Answer)
+	// Reject sends a last message and closes.
+	Reject func(c statement.Code, detail string)
+	// Close closes without a word.
+	Close func()
+}
+
+// Session is one caller's connection.
+type Session struct {
+	r       *Relay
+	link    Link
+	started bool
+	gone    bool
+
+	database catalog.Database
+	key      catalog.Key
+	account  fleet.Account
+	// route is the one in force since the last operation began.
+	route catalog.Route
+
+	values   []value
+	prepared map[string]*prepared
+	tx       transaction
+	// op is the statement in progress.
+	op *operation
+	// written is the session's last commit, which its reads have to show.
+	written fleet.Point
+	// closing, when set, ends the session at its next rest.
+	closing *ending
+}
+
+// ending is what a session is told at its end.
+type ending struct {
+	code   statement.Code
+	detail string
+}
+
+// value is a session value that its caller has set.
+type value struct {
+	name, value string
+	// id is the caller's statement; it is forwarded as such once, and repeated on other
+	// connections as the proxy's own.
+	id statement.ID
+}
+
+// prepared is a statement that the caller has prepared.
+type prepared struct {
+	shape statement.Shape
+	name  string
+	id    statement.ID
+}
+
+// transaction is what a session knows of its open transaction.
+type transaction struct {
+	open, failed bool
+	read         bool
+	begin        statement.ID
+	// asked is when it began, at rest is when its last statement ended.
+	asked, rest time.Time
+	// conn runs it, from its first statement on.
+	conn *Conn
+	// writes is set once a write of it may have been run.
+	writes bool
+}
+
+// maxNames bounds the values and the prepared statements of one session, so that a
+// caller can't fill the memory of the host.
+const maxNames = 256
+
+// Open takes in a new caller.
+func (r *Relay) Open(l Link) *Session {
+	s := &Session{r: r, link: l, prepared: map[string]*prepared{}}
+	r.sessions[s] = struct{}{}
+	return s
+}
+
+// Busy reports whether a statement of the session is in progress.
+func (s *Session) Busy() bool { return s.op != nil }
+
+// Start lets the caller in by the database and the key that it names, or not.
+func (s *Session) Start(d catalog.Database, k catalog.Key) {
+	if s.started {
+		s.reject(statement.CodeMalformed, "the session has started already")
+		return
+	}
+	s.database, s.key = d, k
+	if code, why := s.admitted(); code != statement.CodeNone {
+		s.reject(code, why)
+		return
+	}
+	s.started = true
+	s.link.Started()
+}
+
+// admitted looks the caller up in the catalog in force.
+func (s *Session) admitted() (statement.Code, string) {
+	c := s.r.catalog
+	if c == nil || s.r.drain.closing {
+		return statement.CodeBusy, "this host takes no sessions now; come back to another"
+	}
+	route, ok := c.Routes[s.database]
+	if !ok {
+		return statement.CodeNoDatabase, "no such database"
+	}
+	account, known := c.Owner(s.key)
+	if !known && !route.Public {
+		return statement.CodeNoAccount, "no account has this key"
+	}
+	if s.tx.open {
+		return statement.CodeNone, ""
+	}
+	s.route, s.account = route, account
+	return statement.CodeNone, ""
+}
+
+// review looks at an open session after a change of the catalog. A withdrawn key ends
+// it at its next rest; a changed route holds from the next operation on.
+func (s *Session) review() {
+	if !s.started || s.closing != nil {
+		return
+	}
+	c := s.r.catalog
+	if a, ok := c.Owner(s.key); ok && a == s.account {
+		return
+	}
+	if s.account == "" && s.route.Public {
+		return
+	}
+	s.closing = &ending{statement.CodeNoAccount, "the key was withdrawn"}
+	s.rest()
+}
+
+// rest ends a session that is to end, if it is not at work.
+func (s *Session) rest() {
+	if s.closing == nil || s.op != nil || s.gone {
+		return
+	}
+	if s.tx.open && s.closing.code == statement.CodeBusy {
+		return
+	}
+	s.reject(s.closing.code, s.closing.detail)
+}
+
+func (s *Session) reject(c statement.Code, why string) {
+	if s.gone {
+		return
+	}
+	s.r.note(Event{
+		Kind: EventSession, Database: s.database, Account: s.account,
+		Choice: "reject", Reason: why, Code: c,
+	})
+	s.link.Reject(c, why)
+	s.Gone()
+}
+
+// Gone takes in that the caller's connection has ended.
+func (s *Session) Gone() {
+	if s.gone {
+		return
+	}
+	s.gone = true
+	delete(s.r.sessions, s)
+	if s.op != nil {
+		s.op.abandon()
+		s.op = nil
+	}
+	s.release()
+}
+
+// release gives up the connection of an open transaction, rolling it back.
+func (s *Session) release() {
+	c := s.tx.conn
+	s.tx.conn = nil
+	if c != nil {
+		c.rollback()
+	}
+}
+
+// Unreadable answers a line that isn't one of the protocol's.
+func (s *Session) Unreadable(id statement.ID) {
+	if !s.started || id == "" {
+		s.reject(statement.CodeMalformed, "not a message of the protocol")
+		return
+	}
+	s.refuse(statement.CodeMalformed, "not a statement of the protocol", 0)
+}
+
+// state is that of the session's transaction.
+func (s *Session) state() statement.TxState {
+	switch {
+	case s.tx.failed:
+		return statement.TxFailed
+	case s.tx.open:
+		return statement.TxOpen
+	default:
+		return statement.TxNone
+	}
+}
+
+// done answers a statement that needs no instance.
+func (s *Session) done() {
+	s.link.Answer(statement.Answer{State: s.state()})
+}
+
+// refuse answers that a statement was not run, and when to come back. In a transaction
+// that fails it.
+func (s *Session) refuse(c statement.Code, why string, after time.Duration) {
+	if s.tx.open {
+		s.fail()
+	}
+	s.r.counts.Refused++
+	s.link.Answer(statement.Answer{Code: c, Detail: why, RetryAfter: after, State: s.state()})
+}
+
+// fail marks the open transaction as failed and rolls it back.
+func (s *Session) fail() {
+	s.tx.failed = true
+	s.release()
+}
+
+// Query takes the caller's next statement. Whoever calls it keeps the one after it
+// until this one is answered.
+func (s *Session) Query(q statement.Statement) {
+	if !s.started {
+		s.reject(statement.CodeMalformed, "a statement before the start of the session")
+		return
+	}
+	s.r.counts.Statements++
+	if s.tx.failed && q.Kind != statement.KindCommit && q.Kind != statement.KindRollback {
+		s.link.Answer(statement.Answer{
+			Code: statement.CodeMalformed, Detail: "the transaction has failed", State: statement.TxFailed,
+		})
+		return
+	}
+	switch q.Kind {
+	case statement.KindSet:
+		s.set(q)
+	case statement.KindPrepare:
+		s.prepare(q)
+	case statement.KindDeallocate:
+		delete(s.prepared, q.Name)
+		s.done()
+	case statement.KindBegin, statement.KindBeginRead:
+		s.begin(q)
+	case statement.KindRollback:
+		s.rollback()
+	default:
+		s.run(q)
+	}
+}
+
+func (s *Session) set(q statement.Statement) {
+	v := value{name: q.Name, value: q.Value, id: q.ID}
+	for n := range s.values {
+		if s.values[n].name == q.Name {
+			s.values[n] = v
+			s.done()
+			return
+		}
+	}
+	if len(s.values) >= maxNames {
+		s.refuse(statement.CodeTooMany, "too many values in one session", 0)
+		return
+	}
+	s.values = append(s.values, v)
+	s.done()
+}
+
+func (s *Session) prepare(q statement.Statement) {
+	if _, ok := s.prepared[q.Name]; !ok && len(s.prepared) >= maxNames {
+		s.refuse(statement.CodeTooMany, "too many prepared statements in one session", 0)
+		return
+	}
+	s.prepared[q.Name] = &prepared{shape: q.Shape, name: sharedName(q.Shape), id: q.ID}
+	s.done()
+}
+
+// begin opens a transaction. No instance hears of it before its first statement, which
+// then finds the connection, so that a caller who pauses here holds none.
+func (s *Session) begin(q statement.Statement) {
+	if s.tx.open {
+		s.refuse(statement.CodeMalformed, "a transaction is open already", 0)
+		return
+	}
+	if !s.enter() {
+		return
+	}
+	now := s.r.now()
+	s.tx = transaction{
+		open: true, read: q.Kind == statement.KindBeginRead, begin: q.ID, asked: now, rest: now,
+	}
+	s.done()
+}
+
+// enter begins an operation: by the route, the key and the rate that are in force now.
+func (s *Session) enter() bool {
+	if code, why := s.admitted(); code != statement.CodeNone {
+		s.reject(code, why)
+		return false
+	}
+	a, ok := s.r.catalog.Accounts[s.account]
+	if !ok || s.r.cfg.Admit == nil {
+		return true
+	}
+	wait, ok := s.r.cfg.Admit(a)
+	if ok {
+		return true
+	}
+	s.r.note(Event{
+		Kind: EventRefuse, Database: s.database, Account: s.account,
+		Choice: "refuse", Reason: "the account is over its rate", Code: statement.CodeBusy,
+	})
+	s.refuse(statement.CodeBusy, "the account is over its rate", wait)
+	return false
+}
+
+func (s *Session) rollback() {
+	s.release()
+	s.tx = transaction{}
+	s.done()
+	s.rest()
+}
+
+// run has an instance run a read, a write or a commit.
+func (s *Session) run(q statement.Statement) {
+	var p *prepared
+	if q.Kind == statement.KindExecute {
+		if p = s.prepared[q.Name]; p == nil {
+			s.refuse(statement.CodeNotPrepared, "no such prepared statement: "+q.Name, 0)
+			return
+		}
+	}
+	if q.Kind == statement.KindCommit && !s.commits() {
+		return
+	}
+	if !s.tx.open && !s.enter() {
+		return
+	}
+	newOperation(s, q, p).start()
+}
+
+// commits reports whether a commit is to be run, and else answers it.
+func (s *Session) commits() bool {
+	switch {
+	case !s.tx.open:
+		s.refuse(statement.CodeMalformed, "no transaction is open", 0)
+		return false
+	case s.tx.failed:
+		s.tx = transaction{}
+		s.link.Answer(statement.Answer{
+			Code: statement.CodeAborted, Detail: "the transaction had failed and was rolled back",
+			State: statement.TxNone,
+		})
+		s.rest()
+		return false
+	}
+	return true
+}
+
+// tickSessions ends transactions that have rested for too long, and sessions of a host
+// that shuts down.
+func (r *Relay) tickSessions(now time.Time) {
+	r.tickDrain(now)
+	if r.catalog == nil || r.catalog.TxIdle <= 0 {
+		return
+	}
+	for s := range r.sessions {
+		if s.tx.conn != nil && s.op == nil && now.Sub(s.tx.rest) > r.catalog.TxIdle {
+			r.note(Event{
+				Kind: EventSession, Database: s.database, Account: s.account, Service: s.route.Service,
+				Choice: "end the transaction", Reason: "it has rested for too long", Age: now.Sub(s.tx.rest),
+			})
+			s.fail()
+		}
+	}
+}
--- /dev/null
+++ b/core/relay/tick.go
@@ -0,0 +1,185 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"skylarkdeal/core/statement"
+)
+
+const (
+	// dialPatience is how long a connection may take: five times what it does on a
+	// busy instance.
+	dialPatience = 400 * time.Millisecond
+	// settleEvery is how often an instance is asked whether it leads, while nobody does.
+	settleEvery = 50 * time.Millisecond
+	// sampleAge is the age from which on the newest point of the primary is asked for
+	// anew while reads come: the strictest callers accept 1.5 s.
+	sampleAge = 700 * time.Millisecond
+	// sampleFor is how long after the last read that goes on.
+	sampleFor = 2 * time.Second
+	// quietFor is how long a question that takes no slot may go unanswered before the
+	// connection counts as dead.
+	quietFor = 300 * time.Millisecond
+)
+
+// tick looks at all that depends on the time.
+func (g *group) tick(now time.Time) {
+	g.expire(now)
+	for _, c := range g.proofs.Expire(now) {
+		g.unproved(c, "no proof in time that the primary has not been replaced")
+	}
+	g.overdue(now)
+	g.watch(now)
+	for _, i := range g.instances {
+		i.sweep(now)
+	}
+	g.askFor(now)
+	g.settle(now)
+	g.sample(now)
+	if len(g.waiting) > 0 {
+		g.pump()
+	}
+}
+
+// expire refuses what waits and can't be served in time any more.
+func (g *group) expire(now time.Time) {
+	for _, x := range g.queue.Expire(now) {
+		o := g.waiting[x.Item.Key]
+		delete(g.waiting, x.Item.Key)
+		if o != nil {
+			o.refuse(statement.CodeBusy, x.Refusal.Message, x.Refusal.RetryAfter)
+		}
+	}
+	if g.primary() != nil {
+		return
+	}
+	for _, o := range g.waitingInOrder() {
+		if why, after := g.hopeless(now, o); why != "" && g.queue.Withdraw(o.key) {
+			delete(g.waiting, o.key)
+			o.refuse(statement.CodeBusy, why, after)
+		}
+	}
+}
+
+func (g *group) waitingInOrder() []*operation {
+	out := make([]*operation, 0, len(g.waiting))
+	for _, o := range g.waiting {
+		out = append(out, o)
+	}
+	slices.SortFunc(out, func(a, b *operation) int { return a.asked.Compare(b.asked) })
+	return out
+}
+
+// overdue closes connections that took too long to make, or whose statement has reached
+// its time limit, or that owe an answer which takes the instance no time.
+func (g *group) overdue(now time.Time) {
+	for _, i := range g.instances {
+		for _, c := range slices.Clone(i.conns) {
+			switch {
+			case c.state == connDialling && now.Sub(c.since) > dialPatience:
+				i.failed(now, "no answer to a new connection")
+				c.lost("no answer to a new connection")
+			case c.state == connBusy && len(c.owed) > 0 && quick(c.owed[0].kind) && now.Sub(c.owed[0].asked) > quietFor:
+				i.failed(now, "no answer to a question")
+				c.lost("no answer to a question")
+			}
+		}
+	}
+	for _, o := range g.running {
+		if o.sent && now.After(o.deadline) {
+			o.late()
+		}
+	}
+}
+
+const (
+	// wonderAfter is how long an instance may be silent, with work on it, before it is
+	// asked whether it is there: most statements take less.
+	wonderAfter = 120 * time.Millisecond
+	// silentFor is how long an instance that was asked may stay silent before all its
+	// connections count as dead. A round trip takes 2 ms, and a question no slot.
+	silentFor = 400 * time.Millisecond
+)
+
+// watch looks after instances that have work and stay silent: one that has lost power,
+// or its network, resets no connection.
+func (g *group) watch(now time.Time) {
+	for _, i := range g.instances {
+		if i.busy() == 0 {
+			continue
+		}
+		quiet := now.Sub(i.lastHeard)
+		if quiet > wonderAfter && now.Sub(i.askedAt) > wonderAfter && i.working(now) > wonderAfter {
+			g.question(now, i)
+		}
+		if i.failures > 0 && quiet > silentFor {
+			for _, c := range slices.Clone(i.conns) {
+				c.lost("the instance is silent")
+			}
+		}
+	}
+}
+
+// quick reports whether an instance answers a statement without working for it.
+func quick(k statement.Kind) bool {
+	switch k {
+	case statement.KindRead, statement.KindWrite, statement.KindCommit, statement.KindExecute, statement.KindStatus:
+		return false
+	default:
+		return true
+	}
+}
+
+// askFor asks the instances whose word is missing for a proof.
+func (g *group) askFor(now time.Time) {
+	for n, after := range g.proofs.Asked() {
+		i := g.instances[n]
+		if i == nil || !i.askedAt.Before(after) {
+			continue
+		}
+		g.question(now, i)
+	}
+}
+
+// question asks an instance what it is, over a connection that rests or a new one.
+func (g *group) question(now time.Time, i *instance) {
+	if c := i.resting(); c != nil {
+		i.askedAt = now
+		c.ask()
+		return
+	}
+	if now.Before(i.next) || slices.ContainsFunc(i.conns, func(c *Conn) bool { return c.state == connDialling }) {
+		return
+	}
+	if a, ok := g.anyAccount(); ok && len(i.conns) < i.cap(now) {
+		i.dial(a)
+	}
+}
+
+// settle asks the instance that is to lead whether it does.
+func (g *group) settle(now time.Time) {
+	if _, _, ok := g.belief.Primary(); ok || now.Sub(g.verifiedAt) < settleEvery {
+		return
+	}
+	i := g.instances[g.belief.Named()]
+	if i == nil || g.belief.Record().Revision != 0 && now.Sub(g.changedAt) < changeTime-4*settleEvery {
+		return
+	}
+	g.verifiedAt = now
+	g.question(now, i)
+}
+
+// sample asks the primary for its point while reads come and nothing else tells it.
+func (g *group) sample(now time.Time) {
+	if now.Sub(g.readAt) > sampleFor {
+		return
+	}
+	if s, ok := g.samples.Newest(); ok && now.Sub(s.Asked) < sampleAge {
+		return
+	}
+	n, _, ok := g.belief.Primary()
+	if i := g.instances[n]; ok && i != nil && now.Sub(i.askedAt) > settleEvery {
+		g.question(now, i)
+	}
+}
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -19,6 +19,7 @@
 	Operator Operator
 	Store    Store
 	Upstream Upstream
+	Adapter  Adapter
 	Log      Log
 }
 
@@ -76,6 +77,35 @@
 	PasswordFile string
 }
 
+// AdapterKind says in which way the host speaks to all around it.
+type AdapterKind string
+
+// The kinds of adapters.
+const (
+	// AdapterNone is the product's own interface: callers and instances speak PostgreSQL,
+	// the store etcd v3.
+	AdapterNone AdapterKind = "none"
+	// AdapterPlatform is for the prepared machines.
+	AdapterPlatform AdapterKind = "platform"
+)
+
+// Adapter is what a host needs to know of the machines that it was prepared for.
+type Adapter struct {
+	Kind AdapterKind
+	// Balancer is where the balancer asks whether the host is ready.
+	Balancer string
+	// Promotions is where changes of primary are ordered.
+	Promotions string
+	// Grace is the time between the request to end and the end.
+	Grace time.Duration
+	// RateWindow is the span over which an account's rate and burst are counted.
+	RateWindow time.Duration
+	// PromotionDelay is the least time in which the platform carries out an order.
+	PromotionDelay time.Duration
+	// Memory is the most that the process may take, in bytes.
+	Memory int
+}
+
 // Level is the least severe level that is logged.
 type Level string
 
@@ -121,13 +151,14 @@
 		Operator: operator(f.Section("operator")),
 		Store:    store(f.Section("store")),
 		Upstream: upstream(f.Section("upstream")),
+		Adapter:  adapter(f.Section("adapter")),
 		Log:      log(f.Section("log")),
 	}
 	f.Stray()
-	known := []string{"host", "caller", "peer", "operator", "store", "upstream", "log"}
+	known := []string{"host", "caller", "peer", "operator", "store", "upstream", "adapter", "log"}
 	for _, n := range f.Sections() {
 		if !slices.Contains(known, n) {
-			f.Wrong(n, "", "an unknown section", "one of host, caller, peer, operator, store, upstream, log")
+			f.Wrong(n, "", "an unknown section", "one of host, caller, peer, operator, store, upstream, adapter, log")
 		}
 	}
 	return s, f.Err()
@@ -201,6 +232,34 @@
 	return Upstream{User: s.String("user", DefaultUser), PasswordFile: s.String("password-file", "")}
 }
 
+// The bounds of an adapter's settings. DefaultPromotionDelay takes nothing for granted:
+// hosts are then asked about each answer while a primary changes.
+const (
+	DefaultGrace          = 6 * time.Second
+	DefaultRateWindow     = 5 * time.Second
+	DefaultPromotionDelay = 0 * time.Second
+	DefaultMemory         = 256 << 20
+
+	smallestMemory = 32 << 20
+	largestMemory  = 1 << 40
+)
+
+func adapter(s *inifile.Section) Adapter {
+	defer s.Unknown()
+	a := Adapter{Kind: AdapterKind(s.OneOf("kind", string(AdapterNone), string(AdapterNone), string(AdapterPlatform)))}
+	a.Grace = s.Duration("grace", DefaultGrace, time.Second, time.Hour)
+	a.RateWindow = s.Duration("rate-window", DefaultRateWindow, time.Second, time.Hour)
+	a.PromotionDelay = s.Duration("promotion-delay", DefaultPromotionDelay, 0, time.Minute)
+	a.Memory = s.Size("memory", DefaultMemory, smallestMemory, largestMemory)
+	if a.Kind == AdapterPlatform || s.Has("balancer") {
+		a.Balancer = s.Address("balancer")
+	}
+	if a.Kind == AdapterPlatform || s.Has("promotions") {
+		a.Promotions = s.Address("promotions")
+	}
+	return a
+}
+
 func log(s *inifile.Section) Log {
 	defer s.Unknown()
 	return Log{Level: Level(s.OneOf("level", string(LevelInfo),
--- a/internal/cmd/cmd_serve.go
+++ b/internal/cmd/cmd_serve.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"skylarkdeal/core/settings"
+	"skylarkdeal/internal/entry"
 	"skylarkdeal/internal/eventlog"
 	"skylarkdeal/internal/serve"
 )
@@ -43,6 +44,9 @@
 				fmt.Fprintln(c.OutOrStdout(), file+": ok")
 				return nil
 			}
+			if s.Adapter.Kind == settings.AdapterPlatform {
+				return runEntry(c, s)
+			}
 			return runHost(c, s, grace)
 		},
 	}
@@ -88,3 +92,31 @@
 	defer cancel()
 	return h.Shutdown(end)
 }
+
+// runEntry runs a host on the prepared machines until it is told to end. A changed
+// settings file takes effect at the next start; the signal for it is only logged.
+func runEntry(c *cobra.Command, s *settings.Settings) error {
+	log, err := eventlog.New(c.OutOrStdout(), string(s.Log.Level))
+	if err != nil {
+		return usageError{err}
+	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	h, err := entry.Start(s, log)
+	if err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-reload:
+			log.Info("settings reloaded")
+			continue
+		case <-ctx.Done():
+			return h.Shutdown()
+		case <-h.Ended():
+			return errors.Join(errNoCallers, h.Close())
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,200 @@
+// Package entry puts together one host on the prepared machines: the relay on its event
+// loop, the adapter's wires, and the duties towards the platform's store.
+package entry
+
+import (
+	"context"
+	"errors"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/relay"
+	"skylarkdeal/core/settings"
+	"skylarkdeal/internal/clock"
+	"skylarkdeal/io/loop"
+	"skylarkdeal/io/operator"
+	"skylarkdeal/io/registry"
+	"skylarkdeal/platform"
+)
+
+const (
+	// tickEvery is how finely time limits are kept: a hundredth of a second is a tenth of
+	// the strictest caller's patience, and costs less than 1% of a small host's core.
+	tickEvery = 10 * time.Millisecond
+	// memoryPart is the part of the host's memory, in percent, from which on the garbage
+	// collector works harder.
+	memoryPart = 70
+	// drainedEvery is how often an ending host looks whether its sessions have ended.
+	drainedEvery = 20 * time.Millisecond
+	// lastMoment is kept of the grace for ending by itself.
+	lastMoment = 300 * time.Millisecond
+	// maxUnread bounds what waits for a peer that doesn't read.
+	maxUnread = 4 << 20
+)
+
+// Host is one running host.
+type Host struct {
+	settings *settings.Settings
+	log      *zap.Logger
+	loop     *loop.Loop
+	relay    *relay.Relay
+	registry *registry.Registry
+	metrics  *prometheus.Registry
+	events   events
+	balancer *operator.Server
+	operator *operator.Server
+	// ready is what the balancer is told; the loop writes it.
+	ready atomic.Bool
+
+	stop   context.CancelFunc
+	duties sync.WaitGroup
+}
+
+// Start brings a host up and returns once callers can connect.
+func Start(s *settings.Settings, log *zap.Logger) (*Host, error) {
+	debug.SetMemoryLimit(int64(s.Adapter.Memory) * memoryPart / 100)
+	h := &Host{settings: s, log: log, metrics: prometheus.NewRegistry(), events: events{log: log}}
+	h.registry = registry.New(h.registryConfig())
+	h.relay = relay.New(relay.Config{
+		DataCentre:  s.Host.DataCentre,
+		Now:         clock.Now,
+		Dial:        h.dial,
+		ParseStatus: platform.ParseStatus,
+		Refresh:     h.registry.Refresh,
+		Note:        h.events.note,
+	})
+	if err := h.listen(); err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	h.stop = stop
+	h.duties.Go(func() { h.registry.Run(ctx) })
+	log.Info("host started", zap.String("host", string(s.Host.Name)),
+		zap.String("data-centre", string(s.Host.DataCentre)), zap.String("callers", s.Caller.Address))
+	return h, nil
+}
+
+func (h *Host) listen() error {
+	l, err := loop.Start(loop.Config{
+		Address: h.settings.Caller.Address, Accept: h.accept, Tick: h.tick, Every: tickEvery,
+		MaxUnread: maxUnread, Logger: h.log,
+	})
+	if err != nil {
+		return err
+	}
+	h.loop = l
+	h.balancer, err = operator.Start(operator.Config{
+		Address: h.settings.Adapter.Balancer, Ready: h.readiness, Logger: h.log,
+	})
+	if err == nil {
+		h.operator, err = operator.Start(operator.Config{
+			Address: h.settings.Operator.Address, Gatherer: h.metrics, Ready: h.readiness,
+			Pprof: h.settings.Operator.Pprof, Logger: h.log,
+		})
+	}
+	if err != nil {
+		return errors.Join(err, l.Stop())
+	}
+	return nil
+}
+
+func (h *Host) registryConfig() registry.Config {
+	s := h.settings
+	return registry.Config{
+		Store: platform.NewStore(s.Store.Endpoints[0]).Functions(),
+		Self: registry.Host{
+			Name: s.Host.Name, DataCentre: s.Host.DataCentre, Address: s.Peer.Address,
+		},
+		Prefix:         s.Store.Prefix[1:],
+		CatalogKey:     platform.CatalogKey,
+		InstancePrefix: platform.InstancePrefix,
+		ParseCatalog:   platform.ParseCatalog,
+		ParseInstance:  platform.ParseInstance,
+		Now:            clock.Now,
+		Post:           func(f func()) { h.loop.Do(f) },
+		Catalog:        h.adopt,
+		Instances:      func(is []catalog.Instance) { h.relay.Listed(is) },
+		Hosts:          func(hs []registry.Host) { h.relay.SetHosts(len(hs)) },
+		Record:         func(r record) { h.relay.Recorded(r) },
+		Renewed:        func(sent time.Time) { h.relay.LeaseRenewed(sent) },
+		Lost:           func() { h.relay.LeaseLost() },
+		Logger:         h.log,
+	}
+}
+
+func (h *Host) adopt(c *catalog.Catalog) {
+	if h.relay.Adopt(c) {
+		h.log.Info("catalog in force", zap.Uint64("version", uint64(c.Version)),
+			zap.Int("databases", len(c.Routes)), zap.Int("accounts", len(c.Accounts)))
+	}
+}
+
+func (h *Host) tick() {
+	h.relay.Tick()
+	if r := h.relay.Ready(); r != h.ready.Load() {
+		h.ready.Store(r)
+		h.log.Info("readiness", zap.Bool("ready", r))
+	}
+}
+
+var errNotReady = errors.New("not ready: the host knows no catalog or no instances yet, or shuts down")
+
+func (h *Host) readiness() error {
+	if h.ready.Load() {
+		return nil
+	}
+	return errNotReady
+}
+
+// Ended is closed once the host no longer takes callers.
+func (h *Host) Ended() <-chan struct{} { return h.loop.Ended() }
+
+// Shutdown ends the host without cutting a statement: sessions end as they come to
+// rest, within the grace.
+func (h *Host) Shutdown() error {
+	grace := h.settings.Adapter.Grace - lastMoment
+	h.log.Info("host shuts down", zap.Duration("grace", grace))
+	drained := make(chan struct{})
+	h.loop.Do(func() { h.relay.Drain(h.settings.Adapter.Grace) })
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	go h.awaitDrained(ctx, drained)
+	select {
+	case <-drained:
+	case <-ctx.Done():
+	}
+	return h.Close()
+}
+
+func (h *Host) awaitDrained(ctx context.Context, drained chan<- struct{}) {
+	t := time.NewTicker(drainedEvery)
+	defer t.Stop()
+	var once sync.Once
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		h.loop.Do(func() {
+			if h.relay.Drained() {
+				once.Do(func() { close(drained) })
+			}
+		})
+	}
+}
+
+// Close ends the host at once.
+func (h *Host) Close() error {
+	h.stop()
+	h.duties.Wait()
+	err := h.loop.Stop()
+	h.log.Info("host stopped")
+	return errors.Join(err, h.log.Sync())
+}
--- /dev/null
+++ b/internal/entry/wires.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"skylarkdeal/core/leader"
+	"skylarkdeal/core/relay"
+	"skylarkdeal/core/statement"
+	"skylarkdeal/io/loop"
+	"skylarkdeal/platform"
+)
+
+type record = leader.Record
+
+// dialTimeout bounds a TCP connection to an instance; the relay gives up earlier.
+const dialTimeout = time.Second
+
+// accept joins a caller's connection and a session of the relay.
+func (h *Host) accept(c *loop.Conn) {
+	var s *relay.Session
+	var out []byte
+	write := func(b []byte) {
+		out = b[:0]
+		c.Write(b)
+	}
+	s = h.relay.Open(relay.Link{
+		Started: func() { write(platform.AppendStarted(out)) },
+		Answer: func(a statement.Answer) {
+			write(platform.AppendAnswer(out, a))
+			c.Resume()
+		},
+		Reject: func(code statement.Code, detail string) {
+			write(platform.AppendRejected(out, code, detail))
+			c.Close()
+		},
+		Close: c.Close,
+	})
+	in := platform.Caller{
+		Start: s.Start,
+		Query: func(q statement.Statement) {
+			s.Query(q)
+			if s.Busy() {
+				c.Pause()
+			}
+		},
+		Unreadable: s.Unreadable,
+		Bye:        c.Close,
+	}
+	c.Data = func(b []byte) int {
+		n, err := in.Take(b)
+		if err != nil {
+			h.log.Warn("caller cut off", zap.Error(err))
+			c.Close()
+			return len(b)
+		}
+		return n
+	}
+	c.Closed = func(error) { s.Gone() }
+}
+
+// dial joins a connection to an instance and the relay's view of it.
+func (h *Host) dial(c *relay.Conn) {
+	l := &loop.Conn{}
+	var out []byte
+	standing := false
+	in := platform.Reply{
+		Answer: func(a statement.Answer) {
+			if !standing {
+				standing = true
+				h.relay.Connected(c, a)
+				return
+			}
+			h.relay.Answered(c, a)
+		},
+		Turned: func(code statement.Code, detail string) { h.relay.Turned(c, code, detail) },
+	}
+	c.Send = func(qs []statement.Statement) {
+		out = platform.AppendStatements(out[:0], qs)
+		l.Write(out)
+	}
+	c.Close = l.Close
+	l.Opened = func() { l.Write(platform.AppendConnect(nil, c.Service, c.Account, c.Instance)) }
+	l.Data = func(b []byte) int {
+		n, err := in.Take(b)
+		if err != nil {
+			h.log.Warn("instance cut off", zap.String("instance", string(c.Instance)), zap.Error(err))
+			h.relay.Lost(c, err)
+			return len(b)
+		}
+		return n
+	}
+	l.Closed = func(err error) { h.relay.Lost(c, err) }
+	h.loop.Dial(l, c.Address, dialTimeout)
+}
--- /dev/null
+++ b/io/registry/registry.go
@@ -0,0 +1,405 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/leader"
+	"skylarkdeal/internal/pause"
+)
+
+// Host is one host as it registers itself.
+type Host struct {
+	Name       fleet.Host       `json:"name"`
+	DataCentre fleet.DataCentre `json:"data-centre"`
+	// Address is where it hears the other hosts.
+	Address string `json:"address"`
+	// Lease is that of its registration.
+	Lease Lease `json:"lease"`
+}
+
+// Config is what a Registry works with. The functions from Catalog on are called by
+// Post, one at a time.
+type Config struct {
+	Store Store
+	Self  Host
+	// Prefix starts all keys that the hosts write.
+	Prefix string
+	// CatalogKey and InstancePrefix are where operators and instances write.
+	CatalogKey, InstancePrefix string
+	ParseCatalog               func(b []byte) (*catalog.Catalog, error)
+	ParseInstance              func(e Entry) (catalog.Instance, bool)
+	Now                        func() time.Time
+	// Post has f called where the host takes decisions.
+	Post func(f func())
+
+	Catalog   func(c *catalog.Catalog)
+	Instances func(is []catalog.Instance)
+	Hosts     func(hs []Host)
+	Record    func(r leader.Record)
+	// Renewed tells of a renewal, sent at a moment, that has succeeded; Lost that the
+	// registration has ended.
+	Renewed func(sent time.Time)
+	Lost    func()
+
+	Logger *zap.Logger
+}
+
+// The intervals and bounds of the duties. Calls to the store have their price, so that
+// each is made as seldom as its purpose allows.
+const (
+	// registrationTTL is how long a dead host stays registered.
+	registrationTTL = 2 * time.Second
+	// renewEvery renews often enough that one lost answer leaves a proof valid.
+	renewEvery = 300 * time.Millisecond
+	// watchFor is how long a watch waits; a silent one is noticed after that.
+	watchFor = 2 * time.Second
+	// instancesEvery bounds how late a leaving instance is noticed; it has 7 s.
+	instancesEvery = 1500 * time.Millisecond
+	// hostsEvery bounds how late the share of a dead host is used.
+	hostsEvery = 5 * time.Second
+	// callTimeout bounds one call: a slow store answers within 0.3 s.
+	callTimeout = 1500 * time.Millisecond
+	// pauseAfterError spaces the calls to a store that fails.
+	pauseAfterError = 100 * time.Millisecond
+	// maxRenewals bounds the renewals on their way at once.
+	maxRenewals = 6
+)
+
+// Registry runs the duties towards the store.
+type Registry struct {
+	cfg   Config
+	lease atomic.Uint64
+	// relist is signalled when the records are to be read anew.
+	relist chan struct{}
+	// reload is signalled when the catalog is to be read anew.
+	reload chan struct{}
+	up     dependency
+	wait   sync.WaitGroup
+}
+
+// New returns a Registry that Run puts to work.
+func New(cfg Config) *Registry {
+	if cfg.Logger == nil {
+		cfg.Logger = zap.NewNop()
+	}
+	return &Registry{
+		cfg: cfg, relist: make(chan struct{}, 1), reload: make(chan struct{}, 1),
+		up: dependency{name: "store", log: cfg.Logger},
+	}
+}
+
+func (r *Registry) hostsPrefix() string   { return r.cfg.Prefix + "hosts/" }
+func (r *Registry) recordsPrefix() string { return r.cfg.Prefix + "primaries/" }
+
+// Run carries out the duties until ctx ends, then ends the registration.
+func (r *Registry) Run(ctx context.Context) {
+	for _, duty := range []func(context.Context){r.register, r.watchCatalog, r.listInstances, r.listHosts, r.readRecords} {
+		r.wait.Go(func() { duty(ctx) })
+	}
+	r.wait.Wait()
+	if l := Lease(r.lease.Load()); l != 0 {
+		c, cancel := context.WithTimeout(context.Background(), pauseAfterError)
+		defer cancel()
+		// The lease runs out by itself where this call fails.
+		if err := r.cfg.Store.End(c, l); err != nil {
+			r.cfg.Logger.Debug("registration not ended", zap.Error(err))
+		}
+	}
+}
+
+// Refresh has the records read anew.
+func (r *Registry) Refresh() { signal(r.relist) }
+
+// Reload has the catalog read anew.
+func (r *Registry) Reload() { signal(r.reload) }
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// register keeps the host registered: a lease, a key under it, and renewals.
+func (r *Registry) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := r.enter(ctx); err != nil {
+			r.up.failed(err)
+			pause.For(ctx, pauseAfterError)
+			continue
+		}
+		r.renew(ctx)
+		if ctx.Err() == nil {
+			r.cfg.Post(r.cfg.Lost)
+		}
+	}
+}
+
+// enter registers the host and then reads the records, in this order: whoever writes a
+// record afterwards finds the registration and ends it.
+func (r *Registry) enter(ctx context.Context) error {
+	c, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	l, err := r.cfg.Store.Grant(c, registrationTTL)
+	if err != nil {
+		return err
+	}
+	self := r.cfg.Self
+	self.Lease = l
+	b, err := json.Marshal(self)
+	if err != nil {
+		return err
+	}
+	put := Put{Key: r.hostsPrefix() + string(self.Name), Value: b}
+	if _, err := r.cfg.Store.Commit(c, Txn{Put: []Put{put}, Lease: l}); err != nil {
+		return err
+	}
+	sent := r.cfg.Now()
+	records, err := r.records(c)
+	if err != nil {
+		return err
+	}
+	r.lease.Store(uint64(l))
+	r.up.answered()
+	r.cfg.Post(func() {
+		for _, rec := range records {
+			r.cfg.Record(rec)
+		}
+		r.cfg.Renewed(sent)
+	})
+	return nil
+}
+
+// renew renews the lease until it has ended. A renewal whose answer is late must not
+// hold up the next one: connections go silent without a sign.
+func (r *Registry) renew(ctx context.Context) {
+	l := Lease(r.lease.Load())
+	ended := make(chan struct{})
+	var once sync.Once
+	slots := make(chan struct{}, maxRenewals)
+	t := time.NewTicker(renewEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ended:
+			return
+		case <-t.C:
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			continue
+		}
+		go func() {
+			defer func() { <-slots }()
+			if r.renewOnce(ctx, l) {
+				once.Do(func() { close(ended) })
+			}
+		}()
+	}
+}
+
+// renewOnce renews the lease and reports whether it has ended.
+func (r *Registry) renewOnce(ctx context.Context, l Lease) bool {
+	c, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := r.cfg.Now()
+	err := r.cfg.Store.Renew(c, l)
+	switch {
+	case err == nil:
+		r.up.answered()
+		r.cfg.Post(func() { r.cfg.Renewed(sent) })
+	case errors.Is(err, ErrNotFound):
+		return true
+	case ctx.Err() == nil:
+		r.up.failed(err)
+	}
+	return false
+}
+
+func (r *Registry) records(ctx context.Context) ([]leader.Record, error) {
+	es, _, err := r.cfg.Store.List(ctx, r.recordsPrefix())
+	if err != nil {
+		return nil, err
+	}
+	out := make([]leader.Record, 0, len(es))
+	for _, e := range es {
+		rec, err := parseRecord(e)
+		if err != nil {
+			r.cfg.Logger.Error("unreadable record of a change of primary", zap.String("key", e.Key), zap.Error(err))
+			continue
+		}
+		out = append(out, rec)
+	}
+	return out, nil
+}
+
+func parseRecord(e Entry) (leader.Record, error) {
+	var rec leader.Record
+	err := json.Unmarshal(e.Value, &rec)
+	rec.Revision = uint64(e.Revision)
+	return rec, err
+}
+
+// readRecords reads the records whenever that is asked for.
+func (r *Registry) readRecords(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.relist:
+		}
+		c, cancel := context.WithTimeout(ctx, callTimeout)
+		records, err := r.records(c)
+		cancel()
+		if err != nil {
+			r.up.failed(err)
+			pause.For(ctx, pauseAfterError)
+			continue
+		}
+		r.cfg.Post(func() {
+			for _, rec := range records {
+				r.cfg.Record(rec)
+			}
+		})
+		pause.For(ctx, pauseAfterError)
+	}
+}
+
+// watchCatalog reads the catalog and then watches it.
+func (r *Registry) watchCatalog(ctx context.Context) {
+	var after Revision
+	for ctx.Err() == nil {
+		var err error
+		if after == 0 {
+			after, err = r.readCatalog(ctx)
+		} else {
+			after, err = r.waitForCatalog(ctx, after)
+		}
+		if err != nil && ctx.Err() == nil {
+			r.up.failed(err)
+			after = 0
+			pause.For(ctx, pauseAfterError)
+		}
+	}
+}
+
+func (r *Registry) readCatalog(ctx context.Context) (Revision, error) {
+	c, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	es, at, err := r.cfg.Store.List(c, r.cfg.CatalogKey)
+	if err != nil {
+		return 0, err
+	}
+	r.up.answered()
+	r.takeCatalog(es)
+	return at, nil
+}
+
+func (r *Registry) waitForCatalog(ctx context.Context, after Revision) (Revision, error) {
+	c, cancel := context.WithTimeout(ctx, watchFor+callTimeout/3)
+	defer cancel()
+	go func() {
+		select {
+		case <-r.reload:
+			cancel()
+		case <-c.Done():
+		}
+	}()
+	es, at, err := r.cfg.Store.Watch(c, r.cfg.CatalogKey, after, watchFor)
+	if err != nil {
+		return 0, err
+	}
+	r.takeCatalog(es)
+	return max(at, after), nil
+}
+
+func (r *Registry) takeCatalog(es []Entry) {
+	for _, e := range es {
+		if e.Key != r.cfg.CatalogKey || e.Deleted {
+			continue
+		}
+		c, err := r.cfg.ParseCatalog(e.Value)
+		if err != nil {
+			r.cfg.Logger.Error("catalog refused", zap.Uint64("revision", uint64(e.Revision)), zap.Error(err))
+			continue
+		}
+		r.cfg.Post(func() { r.cfg.Catalog(c) })
+	}
+}
+
+// listInstances reads the list of instances time and again. It isn't watched: each
+// instance writes every second, and each of these writes would be a call.
+func (r *Registry) listInstances(ctx context.Context) {
+	wait := time.Duration(0)
+	for ctx.Err() == nil {
+		pause.For(ctx, wait)
+		c, cancel := context.WithTimeout(ctx, callTimeout)
+		es, _, err := r.cfg.Store.List(c, r.cfg.InstancePrefix)
+		cancel()
+		if err != nil {
+			wait = pauseAfterError
+			continue
+		}
+		is := make([]catalog.Instance, 0, len(es))
+		for _, e := range es {
+			if i, ok := r.cfg.ParseInstance(e); ok {
+				is = append(is, i)
+			}
+		}
+		r.cfg.Post(func() { r.cfg.Instances(is) })
+		wait = instancesEvery
+		if len(is) == 0 {
+			wait = pauseAfterError
+		}
+	}
+}
+
+// listHosts reads the registered hosts time and again.
+func (r *Registry) listHosts(ctx context.Context) {
+	wait := time.Duration(0)
+	for ctx.Err() == nil {
+		pause.For(ctx, wait)
+		c, cancel := context.WithTimeout(ctx, callTimeout)
+		hs, err := r.hosts(c)
+		cancel()
+		if err != nil {
+			wait = pauseAfterError
+			continue
+		}
+		r.cfg.Post(func() { r.cfg.Hosts(hs) })
+		wait = hostsEvery
+		if len(hs) < 2 {
+			// All hosts start at once, and the others are about to register.
+			wait = 5 * pauseAfterError
+		}
+	}
+}
+
+func (r *Registry) hosts(ctx context.Context) ([]Host, error) {
+	es, _, err := r.cfg.Store.List(ctx, r.hostsPrefix())
+	if err != nil {
+		return nil, err
+	}
+	out := make([]Host, 0, len(es))
+	for _, e := range es {
+		var h Host
+		if err := json.Unmarshal(e.Value, &h); err != nil {
+			r.cfg.Logger.Error("unreadable registration", zap.String("key", e.Key), zap.Error(err))
+			continue
+		}
+		out = append(out, h)
+	}
+	return out, nil
+}
