Order changes of primary under the duty's lease; share rates by gossip

The host that holds the store's key for the duty writes a record, ends the other hosts' registrations and orders the platform; the others prove answers by their registration or by asking the replicas.

--- /dev/null
+++ b/core/leader/decide.go
@@ -0,0 +1,134 @@
+package leader
+
+import (
+	"time"
+
+	"skylarkdeal/core/fleet"
+)
+
+// Member is what the host that gives orders knows of one instance of a group.
+type Member struct {
+	Name fleet.Instance
+	// Leaving is set when the instance is to end soon, Gone when it has.
+	Leaving, Gone bool
+	// Reachable is set when this host has heard it lately.
+	Reachable bool
+	// Doubters is how many hosts can't reach it, this one included.
+	Doubters int
+	// Received is the end of its log, as it was last heard.
+	Received fleet.Point
+}
+
+// Situation is what a decision on a group's primary goes by.
+type Situation struct {
+	Now     time.Time
+	Members []Member
+	// Hosts is how many hosts have told lately what they can reach, this one included.
+	Hosts int
+	// Since is when the last order became known or, without one, since when no primary
+	// is settled.
+	Since time.Time
+}
+
+// Reason says why a primary is to be replaced.
+type Reason string
+
+// The reasons for an order.
+const (
+	ReasonLeaving  Reason = "the primary is leaving"
+	ReasonGone     Reason = "the primary has gone"
+	ReasonLost     Reason = "most hosts can't reach the primary"
+	ReasonHeadless Reason = "no instance leads"
+)
+
+// Order is a change of primary that is to be made.
+type Order struct {
+	Service fleet.Service
+	Primary fleet.Instance
+	Former  fleet.Instance
+	// Term is the lowest that the order can lead to.
+	Term   fleet.Term
+	Reason Reason
+	// Based is the revision of the record that the decision went by: if it has changed,
+	// another host has decided meanwhile.
+	Based uint64
+}
+
+const (
+	// orderPatience is how long an order may take to show effect before another is
+	// given: twice what the platform takes. Two orders on their way at once make two
+	// primaries one after the other.
+	orderPatience = 2500 * time.Millisecond
+	// headlessPatience is how long a group may be without a settled primary, with no
+	// order given: at the start the instances are being found.
+	headlessPatience = 3 * time.Second
+)
+
+// Decide returns the order that a group needs now, if any.
+//
+// It is made for a primary that has died or is cut off, which nobody announces, and for
+// one that leaves. The harm of waiting is a group without writes; the harm of a hasty
+// order is a change that costs callers a tenth of a second and, with replicas behind,
+// the last writes. So half of the hosts have to agree that it can't be reached: one bad
+// link replaces no primary.
+func (b *Belief) Decide(s Situation) (Order, bool) {
+	reason, ok := b.reason(s)
+	if !ok {
+		return Order{}, false
+	}
+	o := Order{Former: b.primary, Reason: reason, Term: b.LastTerm() + 1, Based: b.record.Revision}
+	if !b.settled && b.former != "" {
+		o.Former = b.former
+	}
+	best, ok := candidate(s, o.Former, b.primary, b.settled)
+	if !ok {
+		return Order{}, false
+	}
+	o.Primary = best.Name
+	o.Term = max(o.Term, best.Received.Term+1)
+	return o, true
+}
+
+func (b *Belief) reason(s Situation) (Reason, bool) {
+	if !b.settled {
+		patience := headlessPatience
+		if b.record.Revision != 0 {
+			patience = orderPatience
+		}
+		return ReasonHeadless, s.Now.Sub(s.Since) > patience
+	}
+	for _, m := range s.Members {
+		if m.Name != b.primary {
+			continue
+		}
+		switch {
+		case m.Gone:
+			return ReasonGone, true
+		case m.Leaving:
+			return ReasonLeaving, true
+		case m.Doubters > 0 && 2*m.Doubters >= s.Hosts:
+			return ReasonLost, true
+		}
+		return "", false
+	}
+	return ReasonGone, true
+}
+
+// candidate returns the instance to be promoted: the one whose log reaches farthest, as
+// what it lacks is lost.
+func candidate(s Situation, former, primary fleet.Instance, settled bool) (Member, bool) {
+	var best Member
+	for _, m := range s.Members {
+		if m.Gone || m.Leaving || !m.Reachable || settled && m.Name == primary {
+			continue
+		}
+		if 2*m.Doubters >= s.Hosts && m.Doubters > 0 {
+			continue
+		}
+		c := m.Received.Compare(best.Received)
+		if best.Name == "" || c > 0 || c == 0 && (best.Name == former || m.Name < best.Name && m.Name != former) {
+			best = m
+		}
+	}
+	return best, best.Name != ""
+}
--- a/core/leader/proof.go
+++ b/core/leader/proof.go
@@ -125,14 +125,15 @@
 // Len returns how many claims wait.
 func (p *Proofs) Len() int { return len(p.waiting) }
 
+// LeaseValidity is how long a renewed registration proves that no order has taken
+// effect. The platform takes 1 s to carry one out; the rest is for a host that is slow
+// between looking at its clock and writing the answer.
+const LeaseValidity = 700 * time.Millisecond
+
 // Lease is what a host knows of its registration in the platform's store. Whoever gives
 // an order ends the registrations of all other hosts first, so that a renewal which
 // has succeeded proves that no order was given before it was sent.
 type Lease struct {
-	// Validity is for how long a renewal proves that no order has taken effect: less
-	// than the platform takes to carry one out.
-	Validity time.Duration
-
 	sent time.Time
 }
 
@@ -148,5 +149,5 @@
 
 // Certain reports whether no order that the host doesn't know of can have taken effect.
 func (l *Lease) Certain(now time.Time) bool {
-	return !l.sent.IsZero() && now.Before(l.sent.Add(l.Validity))
+	return !l.sent.IsZero() && now.Before(l.sent.Add(LeaseValidity))
 }
--- /dev/null
+++ b/core/relay/duty.go
@@ -0,0 +1,195 @@
+package relay
+
+import (
+	"time"
+
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/leader"
+	"skylarkdeal/core/statement"
+)
+
+// duty is this host's part in changes of primary.
+type duty struct {
+	// holds is set while this host is the one that gives orders.
+	holds bool
+	// doubts are what the other hosts can't reach, with when they said so.
+	doubts map[fleet.Host]doubt
+}
+
+type doubt struct {
+	at        time.Time
+	instances fleet.Set[fleet.Instance]
+}
+
+const (
+	// doubtAfter is how long an instance has to be silent, with a failed try to reach it,
+	// before this host counts as unable to reach it.
+	doubtAfter = 300 * time.Millisecond
+	// reportFor is how long what a host has told of its doubts counts.
+	reportFor = time.Second
+	// surveyFor is how long the replicas get to tell their positions before an order: some
+	// round trips across data centres.
+	surveyFor = 30 * time.Millisecond
+)
+
+// HoldDuty tells whether this host is the one that gives orders.
+func (r *Relay) HoldDuty(holds bool) {
+	if holds == r.duty.holds {
+		return
+	}
+	r.duty.holds = holds
+	choice := "give up the duty"
+	if holds {
+		choice = "take the duty"
+	}
+	r.note(Event{Kind: EventLeader, Choice: choice, Reason: "the store's key for changes of primary"})
+}
+
+// Doubts returns the instances that this host can't reach now, with for how long.
+func (r *Relay) Doubts() map[fleet.Instance]time.Duration {
+	now := r.now()
+	out := map[fleet.Instance]time.Duration{}
+	for _, g := range r.groups {
+		for _, i := range g.instances {
+			if i.doubtful(now) {
+				out[i.info.Name] = now.Sub(i.lastHeard)
+			}
+		}
+	}
+	return out
+}
+
+// Doubted takes in what another host can't reach. Who hears of a doubt looks for itself.
+func (r *Relay) Doubted(from fleet.Host, is []fleet.Instance) {
+	now := r.now()
+	if r.duty.doubts == nil {
+		r.duty.doubts = map[fleet.Host]doubt{}
+	}
+	r.duty.doubts[from] = doubt{at: now, instances: fleet.NewSet(is...)}
+	for _, n := range is {
+		for _, g := range r.groups {
+			if i := g.instances[n]; i != nil && now.Sub(i.lastHeard) > wonderAfter && now.Sub(i.askedAt) > wonderAfter {
+				g.question(now, i)
+			}
+		}
+	}
+}
+
+func (i *instance) doubtful(now time.Time) bool {
+	return i.failures > 0 && now.Sub(i.lastHeard) > doubtAfter && now.Sub(i.failing) > doubtAfter/4
+}
+
+// Record returns the revision of the newest record of an order that the host knows of.
+func (r *Relay) Record() uint64 {
+	var last uint64
+	for _, g := range r.groups {
+		last = max(last, g.belief.Record().Revision)
+	}
+	return last
+}
+
+// decide gives an order for the group if it needs one and this host has the duty.
+//
+// The replicas are asked for their positions first: what the chosen one lacks is lost,
+// and what was heard of them last may be old.
+func (g *group) decide(now time.Time) {
+	if !g.r.duty.holds || !g.r.lease.Certain(now) || now.Before(g.ordering) {
+		g.surveyed = time.Time{}
+		return
+	}
+	o, ok := g.belief.Decide(g.situation(now))
+	if !ok {
+		g.surveyed = time.Time{}
+		return
+	}
+	if g.surveyed.IsZero() {
+		g.surveyed = now
+		for _, i := range g.instances {
+			if i.usable() && i.info.Name != o.Former {
+				g.question(now, i)
+			}
+		}
+		return
+	}
+	if now.Sub(g.surveyed) < surveyFor {
+		return
+	}
+	g.surveyed = time.Time{}
+	g.ordering = now.Add(orderPause)
+	o.Service = g.name
+	g.r.note(Event{
+		Kind: EventLeader, Service: g.name, Instance: o.Primary, Term: o.Term,
+		Choice: "order a change of primary", Reason: string(o.Reason), Need: g.instances[o.Primary].received,
+	})
+	g.r.cfg.Order(o)
+}
+
+// orderPause keeps a host from giving a second order before the first one's record, or
+// its failure, has come back.
+const orderPause = time.Second
+
+func (g *group) situation(now time.Time) leader.Situation {
+	s := leader.Situation{Now: now, Hosts: 1, Since: g.unsettled}
+	if g.belief.Record().Revision != 0 && g.changedAt.After(s.Since) {
+		s.Since = g.changedAt
+	}
+	for _, d := range g.r.duty.doubts {
+		if now.Sub(d.at) < reportFor {
+			s.Hosts++
+		}
+	}
+	for _, i := range g.instances {
+		m := leader.Member{
+			Name: i.info.Name, Leaving: i.info.Leaving, Gone: i.gone,
+			Reachable: i.failures == 0, Received: i.received,
+		}
+		if i.doubtful(now) {
+			m.Doubters++
+		}
+		for _, d := range g.r.duty.doubts {
+			if now.Sub(d.at) < reportFor && d.instances.Has(i.info.Name) {
+				m.Doubters++
+			}
+		}
+		s.Members = append(s.Members, m)
+	}
+	return s
+}
+
+// Ordered takes in how an order has gone; refused tells that the instance isn't running.
+func (r *Relay) Ordered(o leader.Order, refused bool) {
+	g := r.group(o.Service)
+	if i := g.instances[o.Primary]; refused && i != nil {
+		i.failed(r.now(), "the platform says that it isn't running")
+	}
+	if refused {
+		g.ordering = time.Time{}
+		g.changedAt = time.Time{}
+		g.unsettled = time.Time{}
+	}
+}
+
+// StepDown has the former primary of an order stop, shortly before the new one leads:
+// what it would still accept would be lost, as the new one has no time to receive it.
+func (r *Relay) StepDown(o leader.Order) {
+	g := r.group(o.Service)
+	i := g.instances[o.Former]
+	if i == nil || g.belief.Record().Primary != o.Primary {
+		return
+	}
+	c := i.resting()
+	if c == nil {
+		return
+	}
+	g.r.note(Event{
+		Kind: EventLeader, Service: g.name, Instance: o.Former, Term: o.Term,
+		Choice: "step down", Reason: "its successor is about to lead",
+	})
+	c.setState(connBusy)
+	c.send([]statement.Statement{{Kind: statement.KindStepDown, Term: o.Term}}, nil, func(a statement.Answer) {
+		g.told(c, a)
+		if c.state == connBusy {
+			c.free()
+		}
+	})
+}
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -34,6 +34,11 @@
 	changedAt, aliveAt time.Time
 	// verifiedAt is when the primary was last asked whether it is one.
 	verifiedAt time.Time
+	// unsettled is since when no primary is settled.
+	unsettled time.Time
+	// surveyed is when the replicas were asked for an order, ordering until when another
+	// one has to wait.
+	surveyed, ordering time.Time
 	// readAt is when a read was last looked for a replica.
 	readAt time.Time
 }
@@ -43,7 +48,7 @@
 		r: r, name: s, instances: map[fleet.Instance]*instance{},
 		queue:   admit.Queue{Limits: queueLimits},
 		waiting: map[uint64]*operation{}, running: map[uint64]*operation{},
-		unproven: map[uint64]*operation{},
+		unproven: map[uint64]*operation{}, unsettled: r.now(),
 	}
 }
 
@@ -315,6 +320,7 @@
 	if !ok {
 		return
 	}
+	c.inst.received = s.Received
 	if g.belief.Answered(c.Instance, s) {
 		g.aliveAt = g.r.now()
 		g.r.note(Event{
--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -17,11 +17,15 @@
 	conns []*Conn
 	// point is the farthest that its log is known to have reached.
 	point fleet.Point
+	// received is the end of its log, as it last told when it was asked.
+	received fleet.Point
 	// lastHeard is when anything came from it.
 	lastHeard time.Time
 	// failures counts failed connections in a row; the next is tried at next.
 	failures int
 	next     time.Time
+	// failing is since when they do.
+	failing time.Time
 	// full is when it last refused a connection for want of room, and room how many
 	// were open then.
 	full time.Time
@@ -94,6 +98,7 @@
 // failed takes in that a connection couldn't be made or broke while it owed an answer.
 func (i *instance) failed(now time.Time, why string) {
 	if i.failures == 0 {
+		i.failing = now
 		i.g.r.note(Event{
 			Kind: EventInstance, Service: i.g.name, Instance: i.info.Name,
 			Choice: "unreachable", Reason: why, Age: now.Sub(i.lastHeard),
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -26,6 +26,8 @@
 	ParseStatus func(a statement.Answer) (statement.Status, bool)
 	// Refresh asks for the records of orders to be read anew.
 	Refresh func()
+	// Order has a change of primary made.
+	Order func(o leader.Order)
 	// Note takes in each decision that a reader of the logs may ask for. It may be nil.
 	Note func(e Event)
 }
@@ -41,6 +43,10 @@
 	key      uint64
 	counts   Counts
 	drain    drain
+	duty     duty
+	// ticked is when the last tick was, awake until when time limits rest after a pause
+	// of the process itself.
+	ticked, awake time.Time
 }
 
 // Counts are running totals, for metrics.
@@ -55,16 +61,10 @@
 		cfg:      cfg,
 		sessions: map[*Session]struct{}{},
 		groups:   map[fleet.Service]*group{},
-		lease:    leader.Lease{Validity: leaseValidity},
 		hosts:    1,
 	}
 }
 
-// leaseValidity is how long a renewed registration proves that no order has taken
-// effect. The platform takes 1 s to carry one out; the rest is for a host that
-// is slow between looking at its clock and writing the answer.
-const leaseValidity = 700 * time.Millisecond
-
 func (r *Relay) now() time.Time { return r.cfg.Now() }
 
 // Counts returns the totals so far.
@@ -153,12 +153,20 @@
 // Tick looks at all that depends on the time. It is to be called every few ms.
 func (r *Relay) Tick() {
 	now := r.now()
+	if gap := now.Sub(r.ticked); gap > pausedAfter && !r.ticked.IsZero() {
+		r.awake = now.Add(min(gap, pausedAfter))
+	}
+	r.ticked = now
 	for _, g := range r.groups {
 		g.tick(now)
 	}
 	r.tickSessions(now)
 }
 
+// pausedAfter is the time between two ticks from which on the process itself was held up.
+// The answers that came meanwhile are still unread then, and would look late.
+const pausedAfter = 60 * time.Millisecond
+
 func (r *Relay) nextKey() uint64 {
 	r.key++
 	return r.key
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -20,17 +20,23 @@
 	sampleFor = 2 * time.Second
 	// quietFor is how long a question that takes no slot may go unanswered before the
 	// connection counts as dead.
-	quietFor = 300 * time.Millisecond
+	quietFor = 200 * time.Millisecond
 )
 
 // tick looks at all that depends on the time.
 func (g *group) tick(now time.Time) {
+	if _, _, ok := g.belief.Primary(); ok {
+		g.unsettled = now
+	}
 	g.expire(now)
 	for _, c := range g.proofs.Expire(now) {
 		g.unproved(c, "no proof in time that the primary has not been replaced")
 	}
-	g.overdue(now)
-	g.watch(now)
+	if !now.Before(g.r.awake) {
+		g.overdue(now)
+		g.watch(now)
+	}
+	g.decide(now)
 	for _, i := range g.instances {
 		i.sweep(now)
 	}
@@ -106,6 +112,9 @@
 // or its network, resets no connection.
 func (g *group) watch(now time.Time) {
 	for _, i := range g.instances {
+		if i.failures > 0 && i.info.Name == g.belief.Named() && !now.Before(i.next) {
+			g.question(now, i)
+		}
 		if i.busy() == 0 {
 			continue
 		}
--- /dev/null
+++ b/core/share/share.go
@@ -0,0 +1,215 @@
+// Package share keeps each client account within its rate and burst over the whole
+// fleet, without a call for each operation: hosts tell each other several times a
+// second what they have admitted and how much is asked for.
+//
+// Each host keeps two buckets of tokens for an account. One is its picture of the whole
+// fleet's: what it admits is taken at once, what others admit when they tell of it. The
+// other is its own share of the rate, by what is asked for on each host. While plenty is
+// left in the first, whoever is asked admits: callers are spread unevenly, and none is
+// to be refused on one host while another has tokens to spare. When little is left, or
+// some host can't be heard, the shares bind, which add up to the whole.
+package share
+
+import (
+	"math"
+	"time"
+
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+)
+
+const (
+	// plenty is the part of the burst above which the shares don't bind. The other half
+	// is for what the others have admitted but not told of yet: a quarter of a second of
+	// an account that sends eight times its usual.
+	plenty = 0.5
+	// freshFor is how old the report of a host may be for the picture to count as whole:
+	// three reports in a row were lost otherwise.
+	freshFor = 700 * time.Millisecond
+	// forgetAfter is when a host that isn't heard, nor on the list, is left out.
+	forgetAfter = 3 * time.Second
+	// floorPart is the demand, as a part of the rate, that each host is taken to have at
+	// least, so that the first callers on a host find some tokens.
+	floorPart = 0.02
+	// demandOver is the time over which demand is averaged.
+	demandOver = time.Second
+	// firstPart is the part of the burst that a process begins with: all hosts may start
+	// at once, after others have spent the burst.
+	firstPart = 0.3
+	// minWait keeps a refused caller from coming back at once, maxWait from staying away
+	// once others have gone.
+	minWait = 50 * time.Millisecond
+	maxWait = time.Second
+)
+
+// Usage is what one host tells of one account.
+type Usage struct {
+	Account fleet.Account
+	// Admitted counts operations since the host's process began, Demand those asked for,
+	// a second.
+	Admitted uint64
+	Demand   float64
+}
+
+// Fleet keeps the accounts' rates on one host. The zero Fleet works.
+type Fleet struct {
+	accounts map[fleet.Account]*account
+	hosts    map[fleet.Host]*host
+	members  fleet.Set[fleet.Host]
+	began    time.Time
+}
+
+type host struct {
+	epoch uint64
+	seq   uint64
+	heard time.Time
+	usage map[fleet.Account]Usage
+}
+
+type account struct {
+	rate, burst float64
+	// pool is the picture of the fleet's bucket, own the host's share of it.
+	pool, own float64
+	at        time.Time
+	admitted  uint64
+	// demand is the moving average of what is asked for, as of demandAt.
+	demand   float64
+	demandAt time.Time
+}
+
+// Members tells which other hosts there are.
+func (f *Fleet) Members(now time.Time, hs []fleet.Host) {
+	f.start(now)
+	f.members = fleet.NewSet(hs...)
+	for n, h := range f.hosts {
+		if !f.members.Has(n) && now.Sub(h.heard) > forgetAfter {
+			delete(f.hosts, n)
+		}
+	}
+}
+
+func (f *Fleet) start(now time.Time) {
+	if f.accounts == nil {
+		f.accounts = map[fleet.Account]*account{}
+		f.hosts = map[fleet.Host]*host{}
+		f.began = now
+	}
+}
+
+// Heard takes in another host's report. Reports of one process that are late or doubled
+// change nothing.
+func (f *Fleet) Heard(now time.Time, from fleet.Host, epoch, seq uint64, us []Usage) {
+	f.start(now)
+	h := f.hosts[from]
+	known := h != nil
+	if known && h.epoch == epoch && seq <= h.seq {
+		return
+	}
+	if !known || h.epoch != epoch {
+		h = &host{epoch: epoch, usage: map[fleet.Account]Usage{}}
+		f.hosts[from] = h
+	}
+	// What hosts have admitted before this process began is none of its matter; a host
+	// that comes later is counted from its start.
+	baseline := !known && now.Sub(f.began) < demandOver
+	h.seq, h.heard = seq, now
+	for _, u := range us {
+		before := h.usage[u.Account].Admitted
+		if a := f.accounts[u.Account]; a != nil && !baseline && u.Admitted > before {
+			a.pool -= float64(u.Admitted - before)
+		}
+		h.usage[u.Account] = u
+	}
+}
+
+// Admit takes one operation from an account's rate, or says when to come back.
+func (f *Fleet) Admit(now time.Time, c catalog.Account) (time.Duration, bool) {
+	if c.Rate <= 0 {
+		return 0, true
+	}
+	f.start(now)
+	a := f.account(now, c)
+	a.ask(now)
+	s := f.share(now, a, c.Name)
+	a.refill(now, c, s)
+	free := a.pool >= a.burst*plenty && f.whole(now)
+	if a.pool < 1 || !free && a.own < 1 {
+		missing := max(1-a.pool, (1-a.own)*min(1, s))
+		return min(max(time.Duration(missing/(a.rate*s)*float64(time.Second)), minWait), maxWait), false
+	}
+	a.pool--
+	a.own = max(a.own-1, -a.burst*s)
+	a.admitted++
+	return 0, true
+}
+
+func (f *Fleet) account(now time.Time, c catalog.Account) *account {
+	a := f.accounts[c.Name]
+	if a == nil {
+		a = &account{at: now, demandAt: now, pool: c.Burst * firstPart}
+		a.own = a.pool / float64(1+len(f.members))
+		f.accounts[c.Name] = a
+	}
+	a.rate, a.burst = c.Rate, max(c.Burst, 1)
+	return a
+}
+
+// whole reports whether all other hosts have told lately what they admit.
+func (f *Fleet) whole(now time.Time) bool {
+	for n := range f.members {
+		if h := f.hosts[n]; h == nil || now.Sub(h.heard) > freshFor {
+			return false
+		}
+	}
+	return true
+}
+
+// share returns this host's part of the rate: its part of the demand.
+func (f *Fleet) share(now time.Time, a *account, n fleet.Account) float64 {
+	floor := a.rate * floorPart
+	mine := a.demand + floor
+	sum := mine
+	for name, h := range f.hosts {
+		if !f.members.Has(name) && now.Sub(h.heard) > forgetAfter {
+			continue
+		}
+		sum += h.usage[n].Demand + floor
+	}
+	for name := range f.members {
+		if f.hosts[name] == nil {
+			// A host that was never heard is taken to be asked for as much as this one.
+			sum += mine
+		}
+	}
+	return mine / sum
+}
+
+func (a *account) refill(now time.Time, c catalog.Account, s float64) {
+	d := now.Sub(a.at).Seconds()
+	a.at = now
+	a.pool = min(a.burst, a.pool+c.Rate*d)
+	a.own = min(a.burst*s, a.own+c.Rate*s*d)
+}
+
+// ask counts one operation into the demand.
+func (a *account) ask(now time.Time) {
+	a.decay(now)
+	a.demand += 1 / demandOver.Seconds()
+}
+
+// decay lets the demand fall by the time that has passed.
+func (a *account) decay(now time.Time) {
+	d := now.Sub(a.demandAt).Seconds() / demandOver.Seconds()
+	a.demandAt = now
+	a.demand *= math.Exp(-d)
+}
+
+// Usage returns what this host has to tell of its accounts.
+func (f *Fleet) Usage(now time.Time) []Usage {
+	out := make([]Usage, 0, len(f.accounts))
+	for n, a := range f.accounts {
+		a.decay(now)
+		out = append(out, Usage{Account: n, Admitted: a.admitted, Demand: a.demand})
+	}
+	return out
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,9 +14,12 @@
 	"go.uber.org/zap"
 
 	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/leader"
 	"skylarkdeal/core/relay"
 	"skylarkdeal/core/settings"
+	"skylarkdeal/core/share"
 	"skylarkdeal/internal/clock"
+	"skylarkdeal/io/gossip"
 	"skylarkdeal/io/loop"
 	"skylarkdeal/io/operator"
 	"skylarkdeal/io/registry"
@@ -47,6 +50,9 @@
 	registry *registry.Registry
 	metrics  *prometheus.Registry
 	events   events
+	gossip   *gossip.Gossip
+	peers    peers
+	rates    share.Fleet
 	balancer *operator.Server
 	operator *operator.Server
 	// ready is what the balancer is told; the loop writes it.
@@ -60,6 +66,7 @@
 func Start(s *settings.Settings, log *zap.Logger) (*Host, error) {
 	debug.SetMemoryLimit(int64(s.Adapter.Memory) * memoryPart / 100)
 	h := &Host{settings: s, log: log, metrics: prometheus.NewRegistry(), events: events{log: log}}
+	h.peers.epoch = uint64(clock.Now().UnixNano()) //nolint:gosec // never negative
 	h.registry = registry.New(h.registryConfig())
 	h.relay = relay.New(relay.Config{
 		DataCentre:  s.Host.DataCentre,
@@ -67,7 +74,11 @@
 		Dial:        h.dial,
 		ParseStatus: platform.ParseStatus,
 		Refresh:     h.registry.Refresh,
-		Note:        h.events.note,
+		Admit: func(a catalog.Account) (time.Duration, bool) {
+			return h.rates.Admit(clock.Now(), a)
+		},
+		Order: h.registry.Order,
+		Note:  h.events.note,
 	})
 	if err := h.listen(); err != nil {
 		return nil, err
@@ -75,6 +86,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop = stop
 	h.duties.Go(func() { h.registry.Run(ctx) })
+	h.duties.Go(func() { h.gossips(ctx) })
 	log.Info("host started", zap.String("host", string(s.Host.Name)),
 		zap.String("data-centre", string(s.Host.DataCentre)), zap.String("callers", s.Caller.Address))
 	return h, nil
@@ -89,6 +101,12 @@
 		return err
 	}
 	h.loop = l
+	h.gossip, err = gossip.Start(gossip.Config{
+		Address: h.settings.Peer.Address, Heard: h.heard, Logger: h.log,
+	})
+	if err != nil {
+		return errors.Join(err, l.Stop())
+	}
 	h.balancer, err = operator.Start(operator.Config{
 		Address: h.settings.Adapter.Balancer, Ready: h.readiness, Logger: h.log,
 	})
@@ -120,16 +138,22 @@
 		Post:           func(f func()) { h.loop.Do(f) },
 		Catalog:        h.adopt,
 		Instances:      func(is []catalog.Instance) { h.relay.Listed(is) },
-		Hosts:          func(hs []registry.Host) { h.relay.SetHosts(len(hs)) },
-		Record:         func(r record) { h.relay.Recorded(r) },
+		Hosts:          h.registered,
+		Record:         func(r leader.Record) { h.relay.Recorded(r) },
 		Renewed:        func(sent time.Time) { h.relay.LeaseRenewed(sent) },
 		Lost:           func() { h.relay.LeaseLost() },
+		Holds:          func(holds bool) { h.relay.HoldDuty(holds) },
+		Ordered:        func(o leader.Order, refused bool) { h.relay.Ordered(o, refused) },
+		StepDown:       func(o leader.Order) { h.relay.StepDown(o) },
+		Promote:        platform.NewPromotions(s.Adapter.Promotions).Promote,
+		PromotionDelay: s.Adapter.PromotionDelay,
 		Logger:         h.log,
 	}
 }
 
 func (h *Host) adopt(c *catalog.Catalog) {
 	if h.relay.Adopt(c) {
+		h.peers.catalog = uint64(c.Version)
 		h.log.Info("catalog in force", zap.Uint64("version", uint64(c.Version)),
 			zap.Int("databases", len(c.Routes)), zap.Int("accounts", len(c.Accounts)))
 	}
@@ -194,7 +218,7 @@
 func (h *Host) Close() error {
 	h.stop()
 	h.duties.Wait()
-	err := h.loop.Stop()
+	err := errors.Join(h.gossip.Close(), h.loop.Stop())
 	h.log.Info("host stopped")
 	return errors.Join(err, h.log.Sync())
 }
--- a/internal/entry/wires.go
+++ b/internal/entry/wires.go
@@ -5,15 +5,12 @@
 
 	"go.uber.org/zap"
 
-	"skylarkdeal/core/leader"
 	"skylarkdeal/core/relay"
 	"skylarkdeal/core/statement"
 	"skylarkdeal/io/loop"
 	"skylarkdeal/platform"
 )
 
-type record = leader.Record
-
 // dialTimeout bounds a TCP connection to an instance; the relay gives up earlier.
 const dialTimeout = time.Second
 
--- /dev/null
+++ b/io/gossip/gossip.go
@@ -0,0 +1,170 @@
+// Package gossip carries the datagrams that the hosts of a fleet send each other several
+// times a second. Any of them may be lost: each tells everything anew.
+package gossip
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"skylarkdeal/core/failure"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/share"
+	"skylarkdeal/io/gossip/gossippb"
+)
+
+// Doubt is an instance that a host can't reach.
+type Doubt struct {
+	Instance fleet.Instance
+	Silent   time.Duration
+}
+
+// Report is what one host tells of itself and of what it sees.
+type Report struct {
+	Host fleet.Host
+	// Epoch tells the processes of one host apart, Seq orders the reports of one.
+	Epoch, Seq uint64
+	Leaving    bool
+	Usages     []share.Usage
+	Doubts     []Doubt
+	// Catalog is the version in force, Record the revision of the newest record of a
+	// change of primary that the host knows of.
+	Catalog, Record uint64
+}
+
+// Config is what a Gossip works with.
+type Config struct {
+	// Address is where the host hears the others.
+	Address string
+	// Heard takes in another host's report; it is called on a goroutine of its own.
+	Heard  func(r Report)
+	Logger *zap.Logger
+}
+
+// Gossip sends and hears reports.
+type Gossip struct {
+	cfg  Config
+	conn *net.UDPConn
+	done chan struct{}
+}
+
+// maxDatagram bounds a report; what is longer could not be sent in one datagram.
+const maxDatagram = 60 << 10
+
+// Start begins to hear.
+func Start(cfg Config) (*Gossip, error) {
+	at, err := net.ResolveUDPAddr("udp4", cfg.Address)
+	if err != nil {
+		return nil, failure.At(err, "read address", failure.Peer(cfg.Address))
+	}
+	c, err := net.ListenUDP("udp4", at)
+	if err != nil {
+		return nil, failure.At(err, "listen for hosts", failure.Peer(cfg.Address))
+	}
+	g := &Gossip{cfg: cfg, conn: c, done: make(chan struct{})}
+	go g.hear()
+	return g, nil
+}
+
+// Close ends the hearing.
+func (g *Gossip) Close() error {
+	err := g.conn.Close()
+	<-g.done
+	return err
+}
+
+func (g *Gossip) hear() {
+	defer close(g.done)
+	b := make([]byte, maxDatagram)
+	for {
+		n, _, err := g.conn.ReadFromUDP(b)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// An unreachable host shows as an error of the socket now and then.
+			continue
+		}
+		r, err := decode(b[:n])
+		if err != nil {
+			g.cfg.Logger.Warn("datagram dropped", zap.Error(err))
+			continue
+		}
+		g.cfg.Heard(r)
+	}
+}
+
+// Send tells others of r. It doesn't wait: a datagram that finds no room is lost.
+func (g *Gossip) Send(r Report, to []*net.UDPAddr) {
+	b, err := encode(r)
+	if err != nil {
+		g.cfg.Logger.Error("report not sent", zap.Error(err))
+		return
+	}
+	for _, a := range to {
+		_, _ = g.conn.WriteToUDP(b, a)
+	}
+}
+
+func encode(r Report) ([]byte, error) {
+	m := &gossippb.Report{
+		Host: string(r.Host), Epoch: r.Epoch, Seq: r.Seq, Leaving: r.Leaving,
+		Catalog: r.Catalog, Record: r.Record,
+	}
+	for _, u := range r.Usages {
+		m.Usages = append(m.Usages, &gossippb.Usage{
+			Account: string(u.Account), Admitted: u.Admitted, Demand: float32(u.Demand),
+		})
+	}
+	for _, d := range r.Doubts {
+		m.Doubts = append(m.Doubts, &gossippb.Doubt{
+			Instance: string(d.Instance), SilentMs: uint32(d.Silent.Milliseconds()),
+		})
+	}
+	return proto.Marshal(m)
+}
+
+var errNameless = errors.New("a report without a host")
+
+func decode(b []byte) (Report, error) {
+	var m gossippb.Report
+	if err := proto.Unmarshal(b, &m); err != nil {
+		return Report{}, err
+	}
+	if m.GetHost() == "" {
+		return Report{}, errNameless
+	}
+	r := Report{
+		Host: fleet.Host(m.GetHost()), Epoch: m.GetEpoch(), Seq: m.GetSeq(), Leaving: m.GetLeaving(),
+		Catalog: m.GetCatalog(), Record: m.GetRecord(),
+	}
+	for _, u := range m.GetUsages() {
+		r.Usages = append(r.Usages, share.Usage{
+			Account: fleet.Account(u.GetAccount()), Admitted: u.GetAdmitted(), Demand: float64(u.GetDemand()),
+		})
+	}
+	for _, d := range m.GetDoubts() {
+		r.Doubts = append(r.Doubts, Doubt{
+			Instance: fleet.Instance(d.GetInstance()), Silent: time.Duration(d.GetSilentMs()) * time.Millisecond,
+		})
+	}
+	return r, nil
+}
+
+// Every runs f every d until ctx ends.
+func Every(ctx context.Context, d time.Duration, f func()) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			f()
+		}
+	}
+}
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -13,6 +13,7 @@
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/leader"
+	"skylarkdeal/core/ring"
 	"skylarkdeal/internal/pause"
 )
 
@@ -49,6 +50,17 @@
 	// registration has ended.
 	Renewed func(sent time.Time)
 	Lost    func()
+	// Holds tells whether this host has the duty to order changes of primary.
+	Holds func(holds bool)
+	// Ordered tells how an order has gone; refused that its instance isn't running.
+	Ordered func(o leader.Order, refused bool)
+	// StepDown is called shortly before an order for a leaving primary takes effect.
+	StepDown func(o leader.Order)
+
+	// Promote gives an order to the platform. It is called on a goroutine of its own.
+	Promote func(ctx context.Context, p Promotion) error
+	// PromotionDelay is the least time that the platform takes to carry one out.
+	PromotionDelay time.Duration
 
 	Logger *zap.Logger
 }
@@ -80,6 +92,11 @@
 	lease atomic.Uint64
 	// relist is signalled when the records are to be read anew.
 	relist chan struct{}
+	// renewed is when the renewal was sent that has last succeeded, as a time.Time.
+	renewed atomic.Value
+	// fence is the number under which this host holds the duty, zero when it doesn't.
+	fence  atomic.Uint64
+	orders ring.Ring[leader.Order]
 	// reload is signalled when the catalog is to be read anew.
 	reload chan struct{}
 	up     dependency
@@ -93,7 +110,7 @@
 	}
 	return &Registry{
 		cfg: cfg, relist: make(chan struct{}, 1), reload: make(chan struct{}, 1),
-		up: dependency{name: "store", log: cfg.Logger},
+		up: dependency{name: "store", log: cfg.Logger}, orders: ring.New[leader.Order](maxOrders),
 	}
 }
 
@@ -102,7 +119,7 @@
 
 // Run carries out the duties until ctx ends, then ends the registration.
 func (r *Registry) Run(ctx context.Context) {
-	for _, duty := range []func(context.Context){r.register, r.watchCatalog, r.listInstances, r.listHosts, r.readRecords} {
+	for _, duty := range []func(context.Context){r.register, r.watchCatalog, r.listInstances, r.listHosts, r.readRecords, r.holdDuty, r.giveOrders} {
 		r.wait.Go(func() { duty(ctx) })
 	}
 	r.wait.Wait()
@@ -169,6 +186,7 @@
 		return err
 	}
 	r.lease.Store(uint64(l))
+	r.renewed.Store(sent)
 	r.up.answered()
 	r.cfg.Post(func() {
 		for _, rec := range records {
@@ -219,6 +237,7 @@
 	switch {
 	case err == nil:
 		r.up.answered()
+		r.renewed.Store(sent)
 		r.cfg.Post(func() { r.cfg.Renewed(sent) })
 	case errors.Is(err, ErrNotFound):
 		return true
--- a/io/registry/store.go
+++ b/io/registry/store.go
@@ -25,7 +25,9 @@
 	Value []byte
 	// Revision is that of the last change, Created that of the creation.
 	Revision, Created Revision
-	Deleted           bool
+	// Lease is the one that ends the key, zero for none.
+	Lease   Lease
+	Deleted bool
 }
 
 // Condition holds while a key has a revision; zero means that there is no such key.
