Prove answers by the term that instances state, not by positions

Orders are now based on a survey, calls that were given up are reset, a full instance is given a pause.

--- a/core/leader/belief.go
+++ b/core/leader/belief.go
@@ -113,13 +113,14 @@
 	}
 }
 
-// Seen takes in the term that an answer of an instance bears: a primary in another
-// term than it was settled in may have become a replica meanwhile.
+// Seen takes in the term of the last entry in an instance's log. One of a later term than
+// that in which a primary was settled shows that another has led since. An earlier one
+// shows nothing: a promotion writes no entry.
 func (b *Belief) Seen(i fleet.Instance, t fleet.Term) {
-	if i == b.primary && b.settled && t != b.term {
+	if i == b.primary && b.settled && t > b.term {
 		b.settled = false
 	}
-	if i == b.former && t != b.formerTerm {
+	if i == b.former && t > b.formerTerm {
 		b.former = ""
 	}
 }
--- a/core/leader/decide.go
+++ b/core/leader/decide.go
@@ -11,8 +11,11 @@
 	Name fleet.Instance
 	// Leaving is set when the instance is to end soon, Gone when it has.
 	Leaving, Gone bool
-	// Reachable is set when this host has heard it lately.
+	// Reachable is set when it has answered this host's last question.
 	Reachable bool
+	// Leads is set when it has said lately that it is a primary, in Term.
+	Leads bool
+	Term  fleet.Term
 	// Doubters is how many hosts can't reach it, this one included.
 	Doubters int
 	// Received is the end of its log, as it was last heard.
@@ -80,15 +83,28 @@
 	if !b.settled && b.former != "" {
 		o.Former = b.former
 	}
-	best, ok := candidate(s, o.Former, b.primary, b.settled)
+	best, ok := candidate(s, b.primary, b.settled)
 	if !ok {
 		return Order{}, false
 	}
 	o.Primary = best.Name
-	o.Term = max(o.Term, best.Received.Term+1)
+	if best.Leads {
+		// It goes on in its term, as the platform changes nothing for a primary.
+		o.Term = best.Term
+		return o, true
+	}
+	for _, m := range s.Members {
+		o.Term = max(o.Term, m.Term+1)
+	}
 	return o, true
 }
 
+// Needed reports whether the group needs another primary, whichever.
+func (b *Belief) Needed(s Situation) bool {
+	_, ok := b.reason(s)
+	return ok
+}
+
 func (b *Belief) reason(s Situation) (Reason, bool) {
 	if !b.settled {
 		patience := headlessPatience
@@ -106,7 +122,7 @@
 			return ReasonGone, true
 		case m.Leaving:
 			return ReasonLeaving, true
-		case m.Doubters > 0 && 2*m.Doubters >= s.Hosts:
+		case m.lost(s):
 			return ReasonLost, true
 		}
 		return "", false
@@ -114,21 +130,34 @@
 	return ReasonGone, true
 }
 
+// lost reports whether half of the hosts can't reach the instance.
+func (m Member) lost(s Situation) bool {
+	return m.Doubters > 0 && 2*m.Doubters >= s.Hosts
+}
+
 // candidate returns the instance to be promoted: the one whose log reaches farthest, as
-// what it lacks is lost.
-func candidate(s Situation, former, primary fleet.Instance, settled bool) (Member, bool) {
+// what it lacks is lost. One that leads without an order that says so is the last
+// choice: an order for another may be late and still take effect, and with a new order
+// every host knows which of them counts.
+func candidate(s Situation, primary fleet.Instance, settled bool) (Member, bool) {
 	var best Member
 	for _, m := range s.Members {
-		if m.Gone || m.Leaving || !m.Reachable || settled && m.Name == primary {
+		if m.Gone || m.Leaving || !m.Reachable || m.lost(s) || settled && m.Name == primary {
 			continue
 		}
-		if 2*m.Doubters >= s.Hosts && m.Doubters > 0 {
-			continue
-		}
-		c := m.Received.Compare(best.Received)
-		if best.Name == "" || c > 0 || c == 0 && (best.Name == former || m.Name < best.Name && m.Name != former) {
+		if best.Name == "" || m.before(best) {
 			best = m
 		}
 	}
 	return best, best.Name != ""
 }
+
+func (m Member) before(o Member) bool {
+	if m.Leads != o.Leads {
+		return o.Leads
+	}
+	if c := m.Received.Compare(o.Received); c != 0 {
+		return c > 0
+	}
+	return m.Name < o.Name
+}
--- a/core/leader/proof.go
+++ b/core/leader/proof.go
@@ -20,29 +20,34 @@
 	VerdictRefuted Verdict = "refuted"
 )
 
-// Judge says what an answer of i in term t, that has just come, needs before it may be
-// given. certain tells that no order can have taken effect that this host has no
-// record of.
+// Judge says what an answer of i, that has just come, needs before it may be given, and
+// the term that i led in. certain tells that no order can have taken effect that this
+// host has no record of.
 //
 // The guard is against a primary that was replaced and doesn't know it, on the far side
 // of a cut or before the order reaches it: its writes are lost and its reads are old.
 // With certain records only the instance that the last record names can lead beside
 // the one that answered. Without them any other instance may, so each has to be asked;
-// a majority isn't enough, as a promotion needs no majority.
-func (b *Belief) Judge(i fleet.Instance, t fleet.Term, certain bool, others []fleet.Instance) (Verdict, []fleet.Instance) {
-	if i == b.primary && b.settled && t < b.term {
-		return VerdictRefuted, nil
+// a majority isn't enough, as a promotion needs no majority. Nor is the position that
+// comes with every answer: a promotion writes no entry.
+func (b *Belief) Judge(i fleet.Instance, certain bool, others []fleet.Instance) (Verdict, fleet.Term, []fleet.Instance) {
+	if i == b.primary && b.settled {
+		if certain {
+			return VerdictProved, b.term, nil
+		}
+		return VerdictAsk, b.term, others
 	}
-	if !certain {
-		return VerdictAsk, others
+	if i != b.former || b.settled {
+		return VerdictRefuted, 0, nil
 	}
-	if i == b.primary && b.settled && t == b.term {
-		return VerdictProved, nil
+	if certain {
+		return VerdictAsk, b.formerTerm, []fleet.Instance{b.primary}
 	}
-	if i == b.former && t == b.formerTerm {
-		return VerdictAsk, []fleet.Instance{b.primary}
+	if !slices.Contains(others, b.primary) {
+		// The one that the last order named may lead although it is off the list.
+		others = append(others, b.primary)
 	}
-	return VerdictAsk, others
+	return VerdictAsk, b.formerTerm, others
 }
 
 // Claim is an answer that waits for its proof.
@@ -68,7 +73,7 @@
 	p.waiting = append(p.waiting, c)
 }
 
-// Evidence takes in that i, asked at some moment, has answered in term t. It returns
+// Evidence takes in that i, asked at some moment, has said to be in term t. It returns
 // the claims that are proved by it and those that are refuted.
 func (p *Proofs) Evidence(i fleet.Instance, asked time.Time, t fleet.Term) (proved, refuted []Claim) {
 	kept := p.waiting[:0]
--- a/core/relay/conn.go
+++ b/core/relay/conn.go
@@ -149,6 +149,7 @@
 	dialled := c.since
 	c.setState(connIdle)
 	c.inst.heard(r.now())
+	c.inst.crowded = 0
 	c.g.evidence(c, dialled, a)
 	c.g.pump()
 }
@@ -268,8 +269,9 @@
 func (c *Conn) ask() {
 	c.g.r.counts.Asked++
 	c.setState(connBusy)
+	asked := c.since
 	c.send([]statement.Statement{{Kind: statement.KindStepDown}}, nil, func(a statement.Answer) {
-		c.g.told(c, a)
+		c.g.told(c, asked, a)
 		if c.state == connBusy {
 			c.free()
 		}
--- a/core/relay/duty.go
+++ b/core/relay/duty.go
@@ -30,6 +30,8 @@
 	// surveyFor is how long the replicas get to tell their positions before an order: some
 	// round trips across data centres.
 	surveyFor = 30 * time.Millisecond
+	// surveyLimit is when the question is put again, if none has answered.
+	surveyLimit = 400 * time.Millisecond
 )
 
 // HoldDuty tells whether this host is the one that gives orders.
@@ -97,15 +99,14 @@
 		g.surveyed = time.Time{}
 		return
 	}
-	o, ok := g.belief.Decide(g.situation(now))
-	if !ok {
+	if !g.belief.Needed(g.situation(now)) {
 		g.surveyed = time.Time{}
 		return
 	}
-	if g.surveyed.IsZero() {
+	if g.surveyed.IsZero() || now.Sub(g.surveyed) > surveyLimit {
 		g.surveyed = now
 		for _, i := range g.instances {
-			if i.usable() && i.info.Name != o.Former {
+			if i.usable() {
 				g.question(now, i)
 			}
 		}
@@ -114,6 +115,10 @@
 	if now.Sub(g.surveyed) < surveyFor {
 		return
 	}
+	o, ok := g.belief.Decide(g.situation(now))
+	if !ok {
+		return
+	}
 	g.surveyed = time.Time{}
 	g.ordering = now.Add(orderPause)
 	o.Service = g.name
@@ -141,7 +146,8 @@
 	for _, i := range g.instances {
 		m := leader.Member{
 			Name: i.info.Name, Leaving: i.info.Leaving, Gone: i.gone,
-			Reachable: i.failures == 0, Received: i.received,
+			Reachable: i.failures == 0 && !i.lastHeard.Before(g.surveyed), Received: i.received,
+			Leads: i.leads, Term: i.term,
 		}
 		if i.doubtful(now) {
 			m.Doubters++
@@ -186,8 +192,9 @@
 		Choice: "step down", Reason: "its successor is about to lead",
 	})
 	c.setState(connBusy)
+	asked := c.since
 	c.send([]statement.Statement{{Kind: statement.KindStepDown, Term: o.Term}}, nil, func(a statement.Answer) {
-		g.told(c, a)
+		g.told(c, asked, a)
 		if c.state == connBusy {
 			c.free()
 		}
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -39,6 +39,8 @@
 	// surveyed is when the replicas were asked for an order, ordering until when another
 	// one has to wait.
 	surveyed, ordering time.Time
+	// listedAt is when the list of instances was last read.
+	listedAt time.Time
 	// readAt is when a read was last looked for a replica.
 	readAt time.Time
 }
@@ -59,6 +61,8 @@
 // listed takes in the instances of the group as the list has them.
 func (g *group) listed(is []catalog.Instance) {
 	now := g.r.now()
+	g.listedAt = now
+	g.forget(now)
 	for _, in := range is {
 		i := g.instances[in.Name]
 		if i == nil || i.info.Address != in.Address {
@@ -102,15 +106,25 @@
 	}
 	i.gone = true
 	g.noteInstance(i, "give up", why)
-	if len(i.conns) == 0 {
-		g.forget(i)
+}
+
+// forget drops what has been gone for long.
+func (g *group) forget(now time.Time) {
+	for n, i := range g.instances {
+		if i.gone && len(i.conns) == 0 && now.Sub(i.missing) > keepGone {
+			delete(g.instances, n)
+		}
 	}
 }
 
-func (g *group) forget(i *instance) {
-	if g.instances[i.info.Name] == i {
-		delete(g.instances, i.info.Name)
+// served reports whether any instance can be used.
+func (g *group) served() bool {
+	for _, i := range g.instances {
+		if i.usable() {
+			return true
+		}
 	}
+	return false
 }
 
 // leads reports whether the group's answers of an instance are a primary's.
@@ -295,32 +309,23 @@
 		return
 	}
 	now := g.r.now()
-	if p.Term < c.inst.point.Term || !c.inst.point.Covers(p) {
-		c.inst.point = p
-	}
+	c.inst.point = p
 	g.belief.Seen(c.Instance, p.Term)
-	if n, t, ok := g.belief.Primary(); ok && n == c.Instance && t == p.Term {
+	if n, _, ok := g.belief.Primary(); ok && n == c.Instance {
 		g.aliveAt = now
 		if g.r.lease.Certain(now) {
 			g.samples.Add(fresh.Sample{Point: p, Asked: asked})
 		}
 	}
-	proved, refuted := g.proofs.Evidence(c.Instance, asked, p.Term)
-	for _, cl := range proved {
-		g.proved(cl)
-	}
-	for _, cl := range refuted {
-		g.unproved(cl, "another instance leads a later term")
-	}
 }
 
-// told takes in what an instance has said of itself.
-func (g *group) told(c *Conn, a statement.Answer) {
+// told takes in what an instance, asked at some moment, has said of itself.
+func (g *group) told(c *Conn, asked time.Time, a statement.Answer) {
 	s, ok := g.r.cfg.ParseStatus(a)
 	if !ok {
 		return
 	}
-	c.inst.received = s.Received
+	c.inst.received, c.inst.leads, c.inst.term = s.Received, s.Role == fleet.RolePrimary, s.Term
 	if g.belief.Answered(c.Instance, s) {
 		g.aliveAt = g.r.now()
 		g.r.note(Event{
@@ -328,6 +333,13 @@
 			Choice: "use as the primary", Reason: "it says that it leads", Age: g.r.now().Sub(g.changedAt),
 		})
 	}
+	proved, refuted := g.proofs.Evidence(c.Instance, asked, s.Term)
+	for _, cl := range proved {
+		g.proved(cl)
+	}
+	for _, cl := range refuted {
+		g.unproved(cl, "another instance leads a later term")
+	}
 }
 
 // judge gives an answer to its caller, or has it wait for the proof that it came from
@@ -339,13 +351,8 @@
 			return
 		}
 	}
-	p, ok := point(a)
-	if !ok {
-		o.finish(a)
-		return
-	}
 	now := g.r.now()
-	v, ask := g.belief.Judge(c.Instance, p.Term, g.r.lease.Certain(now), g.others(c.Instance))
+	v, term, ask := g.belief.Judge(c.Instance, g.r.lease.Certain(now), g.others(c.Instance))
 	switch {
 	case v == leader.VerdictProved || v == leader.VerdictAsk && len(ask) == 0:
 		g.confirmed(o, a)
@@ -356,7 +363,7 @@
 		o.answer = &a
 		g.unproven[o.key] = o
 		g.proofs.Add(leader.Claim{
-			Key: o.key, Instance: c.Instance, Term: p.Term, At: now, Deadline: now.Add(proofPatience),
+			Key: o.key, Instance: c.Instance, Term: term, At: now, Deadline: now.Add(proofPatience),
 		}, ask)
 		g.askFor(now)
 	}
@@ -366,16 +373,30 @@
 // connection; what is not proved by then depends on an instance that can't be reached.
 const proofPatience = 250 * time.Millisecond
 
+// others returns the instances besides n that may lead. One that is off the list may
+// still run, and be promoted by a host that finds it on the list again; this host
+// leaves it out only while it reads the list and has not found it there for long.
 func (g *group) others(n fleet.Instance) []fleet.Instance {
+	now := g.r.now()
 	var out []fleet.Instance
 	for _, i := range g.instances {
-		if i.info.Name != n && !i.gone {
+		left := i.gone && now.Sub(i.missing) > leftAfter && now.Sub(g.listedAt) < listFresh
+		if i.info.Name != n && !left {
 			out = append(out, i.info.Name)
 		}
 	}
 	return out
 }
 
+const (
+	// leftAfter is how long an instance has to be off the list to be left out of proofs,
+	// keepGone how long it is remembered.
+	leftAfter = 10 * time.Second
+	keepGone  = 5 * time.Minute
+	// listFresh is how old the list may be for that.
+	listFresh = 4 * time.Second
+)
+
 // confirmed gives a proved answer.
 func (g *group) confirmed(o *operation, a statement.Answer) {
 	if p, ok := point(a); ok && o.writes && !o.s.written.Covers(p) {
--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -19,6 +19,9 @@
 	point fleet.Point
 	// received is the end of its log, as it last told when it was asked.
 	received fleet.Point
+	// leads is whether it last said that it is a primary, term the term that it said.
+	leads bool
+	term  fleet.Term
 	// lastHeard is when anything came from it.
 	lastHeard time.Time
 	// failures counts failed connections in a row; the next is tried at next.
@@ -30,6 +33,8 @@
 	// were open then.
 	full time.Time
 	room int
+	// crowded counts refusals for want of room in a row.
+	crowded int
 	// work is how long its statements take, as a moving average.
 	work   time.Duration
 	workAt time.Time
@@ -52,6 +57,9 @@
 	// fullFor is how long a host makes do with what it has after an instance had no
 	// room for more.
 	fullFor = 3 * time.Second
+	// crowdPause is the first pause after an instance had no room: some statements' time,
+	// in which another host may give a connection back.
+	crowdPause = 30 * time.Millisecond
 	// restFor closes a borrowed connection that rests, so that others can have it.
 	restFor = 2 * time.Second
 	// backoffMin and backoffMax bound the pause before the next try to connect to an
@@ -114,7 +122,9 @@
 	switch c {
 	case statement.CodeTooMany:
 		i.heard(now)
-		i.full, i.room = now, len(i.conns)-1
+		i.full, i.room = now, i.standing()
+		i.next = now.Add(min(crowdPause<<min(i.crowded, 10), backoffMax))
+		i.crowded++
 	case statement.CodeMisrouted:
 		// Another instance has the address now: this one has gone.
 		i.gone = true
@@ -123,11 +133,19 @@
 	}
 }
 
+// standing counts the connections that are made.
+func (i *instance) standing() int {
+	n := 0
+	for _, c := range i.conns {
+		if c.state != connDialling {
+			n++
+		}
+	}
+	return n
+}
+
 func (i *instance) remove(c *Conn) {
 	i.conns = slices.DeleteFunc(i.conns, func(o *Conn) bool { return o == c })
-	if i.gone && len(i.conns) == 0 {
-		i.g.forget(i)
-	}
 }
 
 // usable reports whether new work may go to the instance.
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -134,7 +134,7 @@
 		return false
 	}
 	for _, s := range r.catalog.Services {
-		if len(r.group(s.Name).instances) == 0 {
+		if !r.group(s.Name).served() {
 			return false
 		}
 	}
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -92,7 +92,7 @@
 	lease atomic.Uint64
 	// relist is signalled when the records are to be read anew.
 	relist chan struct{}
-	// renewed is when the renewal was sent that has last succeeded, as a time.Time.
+	// renewed is when the latest renewal was sent that has succeeded, as a time.Time.
 	renewed atomic.Value
 	// fence is the number under which this host holds the duty, zero when it doesn't.
 	fence  atomic.Uint64
@@ -186,7 +186,7 @@
 		return err
 	}
 	r.lease.Store(uint64(l))
-	r.renewed.Store(sent)
+	r.renewedAt(sent)
 	r.up.answered()
 	r.cfg.Post(func() {
 		for _, rec := range records {
@@ -237,7 +237,7 @@
 	switch {
 	case err == nil:
 		r.up.answered()
-		r.renewed.Store(sent)
+		r.renewedAt(sent)
 		r.cfg.Post(func() { r.cfg.Renewed(sent) })
 	case errors.Is(err, ErrNotFound):
 		return true
@@ -247,6 +247,19 @@
 	return false
 }
 
+// renewedAt notes a renewal. Answers may come in another order than their calls were sent.
+func (r *Registry) renewedAt(sent time.Time) {
+	for {
+		old, _ := r.renewed.Load().(time.Time)
+		if !sent.After(old) {
+			return
+		}
+		if old.IsZero() && r.renewed.CompareAndSwap(nil, sent) || r.renewed.CompareAndSwap(old, sent) {
+			return
+		}
+	}
+}
+
 func (r *Registry) records(ctx context.Context) ([]leader.Record, error) {
 	es, _, err := r.cfg.Store.List(ctx, r.recordsPrefix())
 	if err != nil {
