--- a/core/leader/decide.go
+++ b/core/leader/decide.go
@@ -42,6 +42,8 @@
 	ReasonGone     Reason = "the primary has gone"
 	ReasonLost     Reason = "most hosts can't reach the primary"
 	ReasonHeadless Reason = "no instance leads"
+	// ReasonAffirmed changes the record only: the platform is given no order.
+	ReasonAffirmed Reason = "the instance led already"
 )
 
 // Order is a change of primary that is to be made.
@@ -62,6 +64,9 @@
 	// given: twice what the platform takes. Two orders on their way at once make two
 	// primaries one after the other.
 	orderPatience = 2500 * time.Millisecond
+	// affirmAfter is how long after an order its instance has to be in its old term to
+	// have been the platform's primary all along: more than the platform takes.
+	affirmAfter = 1600 * time.Millisecond
 	// headlessPatience is how long a group may be without a settled primary, with no
 	// order given: at the start the instances are being found.
 	headlessPatience = 3 * time.Second
@@ -83,16 +88,11 @@
 	if !b.settled && b.former != "" {
 		o.Former = b.former
 	}
-	best, ok := candidate(s, b.primary, b.settled)
+	best, ok := b.candidate(s)
 	if !ok {
 		return Order{}, false
 	}
 	o.Primary = best.Name
-	if best.Leads {
-		// It goes on in its term, as the platform changes nothing for a primary.
-		o.Term = best.Term
-		return o, true
-	}
 	for _, m := range s.Members {
 		o.Term = max(o.Term, m.Term+1)
 	}
@@ -136,13 +136,17 @@
 }
 
 // candidate returns the instance to be promoted: the one whose log reaches farthest, as
-// what it lacks is lost. One that leads without an order that says so is the last
-// choice: an order for another may be late and still take effect, and with a new order
-// every host knows which of them counts.
-func candidate(s Situation, primary fleet.Instance, settled bool) (Member, bool) {
+// what it lacks is lost.
+//
+// An instance that leads an earlier term than one that was settled has been replaced and
+// doesn't know it: its log has gone another way, and promoting it would undo what its
+// successor has acknowledged. One that leads where nothing was settled is the last
+// choice: the order for another may be late and still take effect.
+func (b *Belief) candidate(s Situation) (Member, bool) {
 	var best Member
 	for _, m := range s.Members {
-		if m.Gone || m.Leaving || !m.Reachable || m.lost(s) || settled && m.Name == primary {
+		replaced := m.Leads && m.Term < b.term
+		if m.Gone || m.Leaving || !m.Reachable || m.lost(s) || replaced || b.settled && m.Name == b.primary {
 			continue
 		}
 		if best.Name == "" || m.before(best) {
@@ -152,6 +156,17 @@
 	return best, best.Name != ""
 }
 
+// Affirmed returns the record by which a group goes on under a primary that an order has
+// named although it led already: the platform then changes nothing, and the term that
+// the order was to lead to never comes. given is when the order was answered with
+// success, now a moment at which the instance still leads in term t.
+func (b *Belief) Affirmed(i fleet.Instance, t fleet.Term, given, now time.Time) (Order, bool) {
+	if b.settled || i != b.primary || t >= b.record.Term || given.IsZero() || now.Sub(given) < affirmAfter {
+		return Order{}, false
+	}
+	return Order{Primary: i, Former: i, Term: t, Reason: ReasonAffirmed, Based: b.record.Revision}, true
+}
+
 func (m Member) before(o Member) bool {
 	if m.Leads != o.Leads {
 		return o.Leads
--- a/core/relay/duty.go
+++ b/core/relay/duty.go
@@ -99,6 +99,12 @@
 		g.surveyed = time.Time{}
 		return
 	}
+	if i := g.instances[g.belief.Named()]; i != nil && i.leads {
+		if o, ok := g.belief.Affirmed(i.info.Name, i.term, g.given, now); ok {
+			g.order(now, o)
+			return
+		}
+	}
 	if !g.belief.Needed(g.situation(now)) {
 		g.surveyed = time.Time{}
 		return
@@ -120,6 +126,11 @@
 		return
 	}
 	g.surveyed = time.Time{}
+	g.order(now, o)
+}
+
+func (g *group) order(now time.Time, o leader.Order) {
+	g.given = time.Time{}
 	g.ordering = now.Add(orderPause)
 	o.Service = g.name
 	g.r.note(Event{
@@ -162,9 +173,13 @@
 	return s
 }
 
-// Ordered takes in how an order has gone; refused tells that the instance isn't running.
-func (r *Relay) Ordered(o leader.Order, refused bool) {
+// Ordered takes in how an order has gone: given with success, or refused because the
+// instance isn't running.
+func (r *Relay) Ordered(o leader.Order, given, refused bool) {
 	g := r.group(o.Service)
+	if given {
+		g.given = r.now()
+	}
 	if i := g.instances[o.Primary]; refused && i != nil {
 		i.failed(r.now(), "the platform says that it isn't running")
 	}
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -39,6 +39,8 @@
 	// surveyed is when the replicas were asked for an order, ordering until when another
 	// one has to wait.
 	surveyed, ordering time.Time
+	// given is when the last order of this host was answered with success.
+	given time.Time
 	// listedAt is when the list of instances was last read.
 	listedAt time.Time
 	// readAt is when a read was last looked for a replica.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -143,7 +143,7 @@
 		Renewed:        func(sent time.Time) { h.relay.LeaseRenewed(sent) },
 		Lost:           func() { h.relay.LeaseLost() },
 		Holds:          func(holds bool) { h.relay.HoldDuty(holds) },
-		Ordered:        func(o leader.Order, refused bool) { h.relay.Ordered(o, refused) },
+		Ordered:        func(o leader.Order, given, refused bool) { h.relay.Ordered(o, given, refused) },
 		StepDown:       func(o leader.Order) { h.relay.StepDown(o) },
 		Promote:        platform.NewPromotions(s.Adapter.Promotions).Promote,
 		PromotionDelay: s.Adapter.PromotionDelay,
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -34,7 +34,6 @@
 
 // registered takes in the hosts that are registered.
 func (h *Host) registered(hs []registry.Host) {
-	h.relay.SetHosts(len(hs))
 	names := make([]fleet.Host, 0, len(hs))
 	at := make(map[fleet.Host]*net.UDPAddr, len(hs))
 	for _, p := range hs {
@@ -46,10 +45,13 @@
 			h.log.Warn("host without an address", zap.String("host", string(p.Name)), zap.Error(err))
 			continue
 		}
-		names = append(names, p.Name)
+		if at[p.Name] == nil {
+			names = append(names, p.Name)
+		}
 		at[p.Name] = a
 	}
 	h.peers.addresses = at
+	h.relay.SetHosts(1 + len(at))
 	h.rates.Members(clock.Now(), names)
 }
 
--- a/io/registry/duty.go
+++ b/io/registry/duty.go
@@ -173,7 +173,7 @@
 	} else {
 		r.cfg.Logger.Info("order given", f...)
 	}
-	r.cfg.Post(func() { r.cfg.Ordered(o, refused) })
+	r.cfg.Post(func() { r.cfg.Ordered(o, err == nil, refused) })
 }
 
 // order writes the record, ends the other hosts' registrations and only then gives the
@@ -197,6 +197,9 @@
 	}
 	rec.Revision = uint64(rev)
 	r.cfg.Post(func() { r.cfg.Record(rec) })
+	if o.Reason == leader.ReasonAffirmed {
+		return nil
+	}
 	if err := r.endOthers(ctx); err != nil {
 		return err
 	}
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -52,8 +52,9 @@
 	Lost    func()
 	// Holds tells whether this host has the duty to order changes of primary.
 	Holds func(holds bool)
-	// Ordered tells how an order has gone; refused that its instance isn't running.
-	Ordered func(o leader.Order, refused bool)
+	// Ordered tells how an order has gone: given with success, or refused because its
+	// instance isn't running.
+	Ordered func(o leader.Order, given, refused bool)
 	// StepDown is called shortly before an order for a leaving primary takes effect.
 	StepDown func(o leader.Order)
 
@@ -176,7 +177,10 @@
 	if err != nil {
 		return err
 	}
-	put := Put{Key: r.hostsPrefix() + string(self.Name), Value: b}
+	// Each registration has a key of its own. One whose answer was lost may be carried out
+	// seconds later; under a common key it would take the place of the one that is
+	// renewed, and who ends that would end the wrong lease.
+	put := Put{Key: r.hostsPrefix() + string(self.Name) + "/" + l.String(), Value: b}
 	if _, err := r.cfg.Store.Commit(c, Txn{Put: []Put{put}, Lease: l}); err != nil {
 		return err
 	}
