--- a/core/relay/duty.go
+++ b/core/relay/duty.go
@@ -16,11 +16,20 @@
 	doubts map[fleet.Host]doubt
 }
 
+// doubt is what another host has told last. since is when it began to be heard: what it
+// told after a silence is old.
 type doubt struct {
-	at        time.Time
+	at, since time.Time
 	instances fleet.Set[fleet.Instance]
 }
 
+// counts reports whether the host's word is to be heard on who can be reached. One that
+// was cut off finds its way back to the instances only after it is heard again, and its
+// doubts would replace a primary that all others reach.
+func (d doubt) counts(now time.Time) bool {
+	return now.Sub(d.at) < reportFor && now.Sub(d.since) >= reportFor
+}
+
 const (
 	// doubtAfter is how long an instance has to be silent, with a failed try to reach it,
 	// before this host counts as unable to reach it.
@@ -67,7 +76,12 @@
 	if r.duty.doubts == nil {
 		r.duty.doubts = map[fleet.Host]doubt{}
 	}
-	r.duty.doubts[from] = doubt{at: now, instances: fleet.NewSet(is...)}
+	d := r.duty.doubts[from]
+	if now.Sub(d.at) >= reportFor {
+		d.since = now
+	}
+	d.at, d.instances = now, fleet.NewSet(is...)
+	r.duty.doubts[from] = d
 	for _, n := range is {
 		for _, g := range r.groups {
 			if i := g.instances[n]; i != nil && now.Sub(i.lastHeard) > wonderAfter && now.Sub(i.askedAt) > wonderAfter {
@@ -150,7 +164,7 @@
 		s.Since = g.changedAt
 	}
 	for _, d := range g.r.duty.doubts {
-		if now.Sub(d.at) < reportFor {
+		if d.counts(now) {
 			s.Hosts++
 		}
 	}
@@ -164,7 +178,7 @@
 			m.Doubters++
 		}
 		for _, d := range g.r.duty.doubts {
-			if now.Sub(d.at) < reportFor && d.instances.Has(i.info.Name) {
+			if d.counts(now) && d.instances.Has(i.info.Name) {
 				m.Doubters++
 			}
 		}
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -34,6 +34,8 @@
 	changedAt, aliveAt time.Time
 	// verifiedAt is when the primary was last asked whether it is one.
 	verifiedAt time.Time
+	// ableAt is when the primary could last answer.
+	ableAt time.Time
 	// unsettled is since when no primary is settled.
 	unsettled time.Time
 	// surveyed is when the replicas were asked for an order, ordering until when another
@@ -448,16 +450,54 @@
 	}
 }
 
-// hopeless says why an operation can't be served in time, and when to come back.
+// able says why the group's primary can't answer now; nothing if it can. An answer that
+// can't be proved is of no use to a caller: a write would be left in doubt, where one that
+// isn't sent can be refused truly and run elsewhere.
+func (g *group) able(now time.Time) string {
+	p := g.primary()
+	switch {
+	case p == nil:
+		return "the group has no primary now"
+	case p.doubtful(now):
+		return "the primary can't be reached"
+	case g.r.lease.Certain(now):
+		return ""
+	}
+	for _, n := range g.others(p.info.Name) {
+		if i := g.instances[n]; i != nil && i.doubtful(now) {
+			return "neither the store nor all instances can be asked whether the primary still leads"
+		}
+	}
+	return ""
+}
+
+// hopeless says why an operation can't be served in time, and when to come back. Whoever
+// is told at once can come back in time, or to a host that can.
 func (g *group) hopeless(now time.Time, o *operation) (string, time.Duration) {
-	if !o.lead || g.primary() != nil {
+	why := g.able(now)
+	if why == "" {
 		return "", 0
 	}
+	if !o.lead {
+		if _, ok := g.needs(o); ok && g.readable(now, o) {
+			return "", 0
+		}
+	}
 	wait := g.untilPrimary(now)
 	if wait <= worthWaiting && now.Add(wait).Before(o.deadline) {
 		return "", 0
 	}
-	return "the group has no primary now", wait
+	return why, wait
+}
+
+// readable reports whether any instance but the primary can be reached for a read.
+func (g *group) readable(now time.Time, o *operation) bool {
+	for _, i := range g.instances {
+		if i.usable() && !g.leads(i.info.Name) && !i.doubtful(now) && !o.avoid.Has(i.info.Name) {
+			return true
+		}
+	}
+	return false
 }
 
 const (
@@ -465,18 +505,15 @@
 	// the caller is told when to come back.
 	worthWaiting = 400 * time.Millisecond
 	// changeTime is what the platform takes to carry out an order, with the questions
-	// that settle it, and noticeTime what a host takes to see that one is needed.
+	// that settle it, and noticeTime what the hosts take to see that one is needed.
 	changeTime = 1100 * time.Millisecond
 	noticeTime = 400 * time.Millisecond
 )
 
-// untilPrimary guesses when the group will have a primary.
+// untilPrimary guesses when the group will have a primary that can answer.
 func (g *group) untilPrimary(now time.Time) time.Duration {
-	if g.belief.Named() == "" {
-		return noticeTime
-	}
-	if g.belief.Record().Revision == 0 {
-		return retrySoon
+	if _, _, settled := g.belief.Primary(); settled {
+		return noticeTime + changeTime
 	}
 	if left := changeTime - now.Sub(g.changedAt); left > 0 {
 		return left
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -47,6 +47,8 @@
 	// ticked is when the last tick was, awake until when time limits rest after a pause
 	// of the process itself.
 	ticked, awake time.Time
+	// cut is since when the host is cut off, zero while it isn't.
+	cut time.Time
 }
 
 // Counts are running totals, for metrics.
@@ -130,7 +132,7 @@
 // Ready reports whether the host can serve: it knows a catalog and, for each service,
 // an instance.
 func (r *Relay) Ready() bool {
-	if r.catalog == nil || r.drain.on {
+	if r.catalog == nil || r.drain.on || r.CutOff() {
 		return false
 	}
 	for _, s := range r.catalog.Services {
@@ -141,6 +143,33 @@
 	return true
 }
 
+const (
+	// cutOffAfter is how long a host can't answer for half of its services, nor reach the
+	// store, before it counts as cut off: a change of primary alone doesn't last longer
+	// with the store at hand.
+	cutOffAfter = 600 * time.Millisecond
+	// cutOffNotice is how long the sessions of a host that is cut off stay open: the
+	// balancer needs two answers, a second apart, to send them elsewhere.
+	cutOffNotice = 2200 * time.Millisecond
+)
+
+// CutOff reports whether this host can do little for its callers while others may: it
+// reaches neither the store nor enough of the instances. The balancer then sends new
+// sessions to other hosts, and to other data centres if all hosts here are cut off.
+func (r *Relay) CutOff() bool {
+	now := r.now()
+	if r.lease.Certain(now) || len(r.groups) == 0 {
+		return false
+	}
+	unable := 0
+	for _, g := range r.groups {
+		if now.Sub(g.ableAt) > cutOffAfter {
+			unable++
+		}
+	}
+	return 2*unable >= len(r.groups)
+}
+
 func (r *Relay) group(s fleet.Service) *group {
 	g := r.groups[s]
 	if g == nil {
@@ -160,9 +189,35 @@
 	for _, g := range r.groups {
 		g.tick(now)
 	}
+	r.tickCutOff(now)
 	r.tickSessions(now)
 }
 
+// tickCutOff closes the sessions that rest on a host that is cut off, once the balancer
+// sends them elsewhere.
+func (r *Relay) tickCutOff(now time.Time) {
+	if !r.CutOff() {
+		r.cut = time.Time{}
+		return
+	}
+	if r.cut.IsZero() {
+		r.cut = now
+		r.note(Event{
+			Kind: EventSession, Choice: "not ready",
+			Reason: "neither the store nor the primaries of half of the services can be reached",
+		})
+	}
+	if now.Sub(r.cut) < cutOffNotice {
+		return
+	}
+	for s := range r.sessions {
+		if s.started && s.op == nil && !s.tx.open {
+			s.link.Close()
+			s.Gone()
+		}
+	}
+}
+
 // pausedAfter is the time between two ticks from which on the process itself was held up.
 // The answers that came meanwhile are still unread then, and would look late.
 const pausedAfter = 60 * time.Millisecond
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -57,7 +57,8 @@
 			o.refuse(statement.CodeBusy, x.Refusal.Message, x.Refusal.RetryAfter)
 		}
 	}
-	if g.primary() != nil {
+	if g.able(now) == "" {
+		g.ableAt = now
 		return
 	}
 	for _, o := range g.waitingInOrder() {
@@ -112,7 +113,7 @@
 // or its network, resets no connection.
 func (g *group) watch(now time.Time) {
 	for _, i := range g.instances {
-		if i.failures > 0 && i.info.Name == g.belief.Named() && !now.Before(i.next) {
+		if i.failures > 0 && !i.gone && !now.Before(i.next) {
 			g.question(now, i)
 		}
 		if i.busy() == 0 {
@@ -172,7 +173,7 @@
 		return
 	}
 	i := g.instances[g.belief.Named()]
-	if i == nil || g.belief.Record().Revision != 0 && now.Sub(g.changedAt) < changeTime-4*settleEvery {
+	if i == nil {
 		return
 	}
 	g.verifiedAt = now
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -33,9 +33,11 @@
 	floorPart = 0.02
 	// demandOver is the time over which demand is averaged.
 	demandOver = time.Second
+	// unknownHosts stands for the number of hosts until the list of them is known.
+	unknownHosts = 8
 	// firstPart is the part of the burst that a process begins with: all hosts may start
 	// at once, after others have spent the burst.
-	firstPart = 0.3
+	firstPart = 0.7
 	// minWait keeps a refused caller from coming back at once, maxWait from staying away
 	// once others have gone.
 	minWait = 50 * time.Millisecond
@@ -147,7 +149,7 @@
 	a := f.accounts[c.Name]
 	if a == nil {
 		a = &account{at: now, demandAt: now, pool: c.Burst * firstPart}
-		a.own = a.pool / float64(1+len(f.members))
+		a.own = a.pool * f.share(now, a, c.Name)
 		f.accounts[c.Name] = a
 	}
 	a.rate, a.burst = c.Rate, max(c.Burst, 1)
@@ -156,6 +158,9 @@
 
 // whole reports whether all other hosts have told lately what they admit.
 func (f *Fleet) whole(now time.Time) bool {
+	if f.members == nil {
+		return false
+	}
 	for n := range f.members {
 		if h := f.hosts[n]; h == nil || now.Sub(h.heard) > freshFor {
 			return false
@@ -166,6 +171,9 @@
 
 // share returns this host's part of the rate: its part of the demand.
 func (f *Fleet) share(now time.Time, a *account, n fleet.Account) float64 {
+	if f.members == nil {
+		return 1.0 / unknownHosts
+	}
 	floor := a.rate * floorPart
 	mine := a.demand + floor
 	sum := mine
--- a/io/registry/dependency.go
+++ b/io/registry/dependency.go
@@ -1,10 +1,13 @@
 package registry
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
+
+	"skylarkdeal/internal/pause"
 )
 
 // dependency logs when what the host depends on is lost and regained, once each.
@@ -15,6 +18,8 @@
 	mu   sync.Mutex
 	down bool
 	at   time.Time
+	// back is closed when it is regained; nil while it isn't lost.
+	back chan struct{}
 }
 
 func (d *dependency) failed(err error) {
@@ -23,10 +28,27 @@
 	if d.down {
 		return
 	}
-	d.down, d.at = true, time.Now()
+	d.down, d.at, d.back = true, time.Now(), make(chan struct{})
 	d.log.Warn("dependency lost", zap.String("dependency", d.name), zap.Error(err))
 }
 
+// wait pauses, and while the dependency is lost until it is regained: one duty tries it,
+// and the others spare it their calls.
+func (d *dependency) wait(ctx context.Context, least time.Duration) {
+	pause.For(ctx, least)
+	d.mu.Lock()
+	back := d.back
+	down := d.down
+	d.mu.Unlock()
+	if !down {
+		return
+	}
+	select {
+	case <-back:
+	case <-ctx.Done():
+	}
+}
+
 func (d *dependency) answered() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -34,5 +56,6 @@
 		return
 	}
 	d.down = false
+	close(d.back)
 	d.log.Info("dependency regained", zap.String("dependency", d.name), zap.Duration("after", time.Since(d.at)))
 }
--- a/io/registry/duty.go
+++ b/io/registry/duty.go
@@ -70,7 +70,7 @@
 		}
 		if err != nil && ctx.Err() == nil {
 			after = 0
-			pause.For(ctx, pauseAfterError)
+			r.up.wait(ctx, pauseAfterError)
 		}
 	}
 }
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -69,8 +69,9 @@
 // The intervals and bounds of the duties. Calls to the store have their price, so that
 // each is made as seldom as its purpose allows.
 const (
-	// registrationTTL is how long a dead host stays registered.
-	registrationTTL = 2 * time.Second
+	// registrationTTL is how long a dead host stays registered, and its duty untaken. A
+	// renewal takes 0.3 s of a store that is slow.
+	registrationTTL = 1500 * time.Millisecond
 	// renewEvery renews often enough that one lost answer leaves a proof valid.
 	renewEvery = 300 * time.Millisecond
 	// watchFor is how long a watch waits; a silent one is noticed after that.
@@ -83,6 +84,8 @@
 	callTimeout = 1500 * time.Millisecond
 	// pauseAfterError spaces the calls to a store that fails.
 	pauseAfterError = 100 * time.Millisecond
+	// probeEvery is how often a store that is lost is tried, by one duty for all.
+	probeEvery = 250 * time.Millisecond
 	// maxRenewals bounds the renewals on their way at once.
 	maxRenewals = 6
 )
@@ -152,7 +155,7 @@
 	for ctx.Err() == nil {
 		if err := r.enter(ctx); err != nil {
 			r.up.failed(err)
-			pause.For(ctx, pauseAfterError)
+			pause.For(ctx, probeEvery)
 			continue
 		}
 		r.renew(ctx)
@@ -326,7 +329,7 @@
 		if err != nil && ctx.Err() == nil {
 			r.up.failed(err)
 			after = 0
-			pause.For(ctx, pauseAfterError)
+			r.up.wait(ctx, pauseAfterError)
 		}
 	}
 }
@@ -385,7 +388,8 @@
 		es, _, err := r.cfg.Store.List(c, r.cfg.InstancePrefix)
 		cancel()
 		if err != nil {
-			wait = pauseAfterError
+			r.up.wait(ctx, pauseAfterError)
+			wait = 0
 			continue
 		}
 		is := make([]catalog.Instance, 0, len(es))
@@ -411,7 +415,8 @@
 		hs, err := r.hosts(c)
 		cancel()
 		if err != nil {
-			wait = pauseAfterError
+			r.up.wait(ctx, pauseAfterError)
+			wait = 0
 			continue
 		}
 		r.cfg.Post(func() { r.cfg.Hosts(hs) })
