--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -41,11 +41,13 @@
 	sessions map[*Session]struct{}
 	groups   map[fleet.Service]*group
 	lease    leader.Lease
-	hosts    int
-	key      uint64
-	counts   Counts
-	drain    drain
-	duty     duty
+	// hosts is the most hosts that there were lately, at hostsAt.
+	hosts   int
+	hostsAt time.Time
+	key     uint64
+	counts  Counts
+	drain   drain
+	duty    duty
 	// ticked is when the last tick was, awake until when time limits rest after a pause
 	// of the process itself.
 	ticked, awake time.Time
@@ -65,7 +67,7 @@
 		cfg:      cfg,
 		sessions: map[*Session]struct{}{},
 		groups:   map[fleet.Service]*group{},
-		hosts:    1,
+		hosts:    unknownHosts,
 	}
 }
 
@@ -77,8 +79,20 @@
 // Sessions returns how many sessions are open.
 func (r *Relay) Sessions() int { return len(r.sessions) }
 
-// SetHosts tells how many hosts share the instances' connections.
-func (r *Relay) SetHosts(n int) { r.hosts = max(n, 1) }
+// unknownHosts stands for the number of hosts until it is known.
+const unknownHosts = 8
+
+// hostsFor is how long a host that has gone still counts: it may be cut off, or on its
+// way back, and finds no room on the instances where others have taken its part.
+const hostsFor = 20 * time.Second
+
+// SetHosts tells how many hosts there are, which share the instances' connections.
+func (r *Relay) SetHosts(n int) {
+	now := r.now()
+	if r.hostsAt.IsZero() || n >= r.hosts || now.Sub(r.hostsAt) > hostsFor {
+		r.hosts, r.hostsAt = max(n, 1), now
+	}
+}
 
 // LeaseRenewed takes in a renewal of this host's registration that was sent at some
 // moment and has succeeded.
