--- a/core/share/share.go
+++ b/core/share/share.go
@@ -33,6 +33,11 @@
 	floorPart = 0.02
 	// demandOver is the time over which demand is averaged.
 	demandOver = time.Second
+	// leastOwn is the least that a share holds, in operations.
+	leastOwn = 1.5
+	// overdraft is how far, as a part of the burst, the picture of the whole may fall below
+	// nothing before shares that are out of step are stopped.
+	overdraft = 0.2
 	// unknownHosts stands for the number of hosts until the list of them is known.
 	unknownHosts = 8
 	// firstPart is the part of the burst that a process begins with: all hosts may start
@@ -135,12 +140,12 @@
 	s := f.share(now, a, c.Name)
 	a.refill(now, c, s)
 	free := a.pool >= a.burst*plenty && f.whole(now)
-	if a.pool < 1 || !free && a.own < 1 {
-		missing := max(1-a.pool, (1-a.own)*min(1, s))
-		return min(max(time.Duration(missing/(a.rate*s)*float64(time.Second)), minWait), maxWait), false
+	if !free && a.own < 1 || a.pool < -max(a.burst*overdraft, leastOwn) {
+		missing := max(1-a.own, leastOwn/2) / (a.rate * s)
+		return min(max(time.Duration(missing*float64(time.Second)), minWait), maxWait), false
 	}
 	a.pool--
-	a.own = max(a.own-1, -a.burst*s)
+	a.own = max(a.own-1, -a.ownCap(s))
 	a.admitted++
 	return 0, true
 }
@@ -208,7 +213,13 @@
 	d := now.Sub(a.at).Seconds()
 	a.at = now
 	a.pool = min(a.burst, a.pool+c.Rate*d)
-	a.own = min(a.burst*s, a.own+c.Rate*s*d)
+	a.own = min(a.ownCap(s), a.own+c.Rate*s*d)
+}
+
+// ownCap is what the host's share of the bucket holds: its part of the half that is not
+// admitted freely, and no less than it takes to admit one operation now and then.
+func (a *account) ownCap(s float64) float64 {
+	return max(a.burst*(1-plenty)*s, leastOwn)
 }
 
 // ask counts one operation into the demand.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -19,17 +19,20 @@
 	reportEvery = 200 * time.Millisecond
 	// doubtsEvery is how often doubts are looked at: a new one is told at once.
 	doubtsEvery = 50 * time.Millisecond
+	// catalogFresh is how old another host's reading of the catalog may be to count.
+	catalogFresh = time.Second
 )
 
 // peers is what the host knows of the others.
 type peers struct {
 	epoch, seq uint64
 	addresses  map[fleet.Host]*net.UDPAddr
+	names      []fleet.Host
 	// reported is when the last report was sent, doubted how many doubts it had.
 	reported time.Time
 	doubted  int
-	// catalog is the version in force here.
-	catalog uint64
+	// catalog is the version in force here, told the one that the others know of.
+	catalog, told uint64
 }
 
 // registered takes in the hosts that are registered.
@@ -50,7 +53,7 @@
 		}
 		at[p.Name] = a
 	}
-	h.peers.addresses = at
+	h.peers.addresses, h.peers.names = at, names
 	h.relay.SetHosts(1 + len(at))
 	h.rates.Members(clock.Now(), names)
 }
@@ -59,14 +62,16 @@
 func (h *Host) report() {
 	now := clock.Now()
 	doubts := h.relay.Doubts()
-	if now.Sub(h.peers.reported) < reportEvery && len(doubts) <= h.peers.doubted {
+	news := len(doubts) > h.peers.doubted || h.peers.catalog != h.peers.told
+	if now.Sub(h.peers.reported) < reportEvery && !news {
 		return
 	}
-	h.peers.reported, h.peers.doubted = now, len(doubts)
+	h.peers.reported, h.peers.doubted, h.peers.told = now, len(doubts), h.peers.catalog
 	h.peers.seq++
 	r := gossip.Report{
-		Host: h.settings.Host.Name, Epoch: h.peers.epoch, Seq: h.peers.seq,
+		Host: h.settings.Host.Name, Address: h.settings.Peer.Address, Epoch: h.peers.epoch, Seq: h.peers.seq,
 		Usages: h.rates.Usage(now), Catalog: h.peers.catalog, Record: h.relay.Record(),
+		CatalogAge: now.Sub(h.registry.Confirmed()),
 	}
 	for i, d := range doubts {
 		r.Doubts = append(r.Doubts, gossip.Doubt{Instance: i, Silent: d})
@@ -81,6 +86,7 @@
 // heard takes in another host's report.
 func (h *Host) heard(r gossip.Report) {
 	h.loop.Do(func() {
+		h.meet(r)
 		h.rates.Heard(clock.Now(), r.Host, r.Epoch, r.Seq, r.Usages)
 		is := make([]fleet.Instance, 0, len(r.Doubts))
 		for _, d := range r.Doubts {
@@ -90,12 +96,40 @@
 		if r.Record > h.relay.Record() {
 			h.registry.Refresh()
 		}
-		if r.Catalog > h.peers.catalog {
-			h.registry.Reload()
-		}
+		h.compareCatalog(r)
 	})
 }
 
+// compareCatalog has the catalog read anew if another host has a newer one. One that has
+// the same may have read it later.
+//
+// The age doesn't count the datagram's way, which is short: none is sent twice, and what
+// a cut holds up is lost. A wrong age would only have the catalog read a little later.
+func (h *Host) compareCatalog(r gossip.Report) {
+	switch {
+	case r.Catalog > h.peers.catalog:
+		h.registry.Reload()
+	case r.Catalog == h.peers.catalog && r.CatalogAge < catalogFresh:
+		h.registry.CatalogConfirmed(clock.Now().Add(-r.CatalogAge))
+	}
+}
+
+// meet takes in a host that isn't on the list yet.
+func (h *Host) meet(r gossip.Report) {
+	if h.peers.addresses == nil || h.peers.addresses[r.Host] != nil || r.Host == h.settings.Host.Name {
+		return
+	}
+	a, err := net.ResolveUDPAddr("udp4", r.Address)
+	if err != nil {
+		h.log.Warn("host without an address", zap.String("host", string(r.Host)), zap.Error(err))
+		return
+	}
+	h.peers.addresses[r.Host] = a
+	h.peers.names = append(h.peers.names, r.Host)
+	h.rates.Members(clock.Now(), h.peers.names)
+	h.relay.SetHosts(1 + len(h.peers.addresses))
+}
+
 // gossips tells the others of this host until ctx ends.
 func (h *Host) gossips(ctx context.Context) {
 	gossip.Every(ctx, doubtsEvery, func() { h.loop.Do(h.report) })
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"time"
 
@@ -26,6 +27,8 @@
 // Report is what one host tells of itself and of what it sees.
 type Report struct {
 	Host fleet.Host
+	// Address is where the host hears the others.
+	Address string
 	// Epoch tells the processes of one host apart, Seq orders the reports of one.
 	Epoch, Seq uint64
 	Leaving    bool
@@ -34,6 +37,8 @@
 	// Catalog is the version in force, Record the revision of the newest record of a
 	// change of primary that the host knows of.
 	Catalog, Record uint64
+	// CatalogAge is how long ago Catalog was last known to be the newest.
+	CatalogAge time.Duration
 }
 
 // Config is what a Gossip works with.
@@ -113,7 +118,8 @@
 func encode(r Report) ([]byte, error) {
 	m := &gossippb.Report{
 		Host: string(r.Host), Epoch: r.Epoch, Seq: r.Seq, Leaving: r.Leaving,
-		Catalog: r.Catalog, Record: r.Record,
+		Catalog: r.Catalog, Record: r.Record, Address: r.Address,
+		CatalogAgeMs: uint32(min(r.CatalogAge.Milliseconds(), math.MaxUint32)),
 	}
 	for _, u := range r.Usages {
 		m.Usages = append(m.Usages, &gossippb.Usage{
@@ -140,7 +146,8 @@
 	}
 	r := Report{
 		Host: fleet.Host(m.GetHost()), Epoch: m.GetEpoch(), Seq: m.GetSeq(), Leaving: m.GetLeaving(),
-		Catalog: m.GetCatalog(), Record: m.GetRecord(),
+		Catalog: m.GetCatalog(), Record: m.GetRecord(), Address: m.GetAddress(),
+		CatalogAge: time.Duration(m.GetCatalogAgeMs()) * time.Millisecond,
 	}
 	for _, u := range m.GetUsages() {
 		r.Usages = append(r.Usages, share.Usage{
--- a/io/registry/duty.go
+++ b/io/registry/duty.go
@@ -30,9 +30,6 @@
 const (
 	// maxOrders bounds the orders that wait.
 	maxOrders = 16
-	// dutyWatch is how long a watch on the key of the duty waits; a silent one is noticed
-	// after that.
-	dutyWatch = 5 * time.Second
 	// certainFor is how long after sending a renewal a host still acts on its duty: half
 	// of the time after which another may take it over.
 	certainFor = registrationTTL / 2
@@ -123,9 +120,9 @@
 }
 
 func (r *Registry) waitForDuty(ctx context.Context, after Revision) (Revision, error) {
-	c, cancel := context.WithTimeout(ctx, dutyWatch+callTimeout/3)
+	c, cancel := context.WithTimeout(ctx, watchFor+callTimeout)
 	defer cancel()
-	es, at, err := r.cfg.Store.Watch(c, r.dutyKey(), after, dutyWatch)
+	es, at, err := r.cfg.Store.Watch(c, r.dutyKey(), after, watchFor)
 	if err != nil {
 		return 0, err
 	}
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,18 +75,26 @@
 	registrationTTL = time.Second
 	// renewEvery renews often enough that one lost answer leaves a proof valid.
 	renewEvery = 300 * time.Millisecond
-	// watchFor is how long a watch waits; a silent one is noticed after that.
-	watchFor = 2 * time.Second
-	// instancesEvery bounds how late a leaving instance is noticed; it has 7 s.
-	instancesEvery = 1500 * time.Millisecond
-	// hostsEvery bounds how late the share of a dead host is used.
-	hostsEvery = 5 * time.Second
+	// watchFor is how long a watch waits. The connection below it is to be kept alive, so
+	// that a silent one ends sooner.
+	watchFor = 20 * time.Second
+	// instancesEvery bounds how late a leaving instance is noticed: it has 7 s, of which a
+	// change of primary takes less than two.
+	instancesEvery = 3 * time.Second
+	// hostsEvery bounds how late the share of a dead host is used; new hosts make
+	// themselves known.
+	hostsEvery = 15 * time.Second
 	// callTimeout bounds one call: a slow store answers within 0.3 s.
 	callTimeout = 1500 * time.Millisecond
 	// pauseAfterError spaces the calls to a store that fails.
 	pauseAfterError = 100 * time.Millisecond
 	// probeEvery is how often a store that is lost is tried, by one duty for all.
 	probeEvery = 250 * time.Millisecond
+	// confirmEvery is how old the last reading of the catalog by any host may get, and
+	// confirmSpread by how much hosts wait for another to read it first. A watch can miss
+	// a change, when the store drops its history; a catalog has to be in force in 3 s.
+	confirmEvery  = time.Second
+	confirmSpread = 600 * time.Millisecond
 	// maxRenewals bounds the renewals on their way at once.
 	maxRenewals = 6
 )
@@ -103,8 +112,10 @@
 	orders ring.Ring[leader.Order]
 	// reload is signalled when the catalog is to be read anew.
 	reload chan struct{}
-	up     dependency
-	wait   sync.WaitGroup
+	// confirmed is when the catalog in force here was last read, by this host or another.
+	confirmed atomic.Value
+	up        dependency
+	wait      sync.WaitGroup
 }
 
 // New returns a Registry that Run puts to work.
@@ -123,7 +134,7 @@
 
 // Run carries out the duties until ctx ends, then ends the registration.
 func (r *Registry) Run(ctx context.Context) {
-	for _, duty := range []func(context.Context){r.register, r.watchCatalog, r.listInstances, r.listHosts, r.readRecords, r.holdDuty, r.giveOrders} {
+	for _, duty := range []func(context.Context){r.register, r.watchCatalog, r.listInstances, r.listHosts, r.readRecords, r.holdDuty, r.giveOrders, r.confirmCatalog} {
 		r.wait.Go(func() { duty(ctx) })
 	}
 	r.wait.Wait()
@@ -193,7 +204,7 @@
 		return err
 	}
 	r.lease.Store(uint64(l))
-	r.renewedAt(sent)
+	latest(&r.renewed, sent)
 	r.up.answered()
 	r.cfg.Post(func() {
 		for _, rec := range records {
@@ -244,7 +255,7 @@
 	switch {
 	case err == nil:
 		r.up.answered()
-		r.renewedAt(sent)
+		latest(&r.renewed, sent)
 		r.cfg.Post(func() { r.cfg.Renewed(sent) })
 	case errors.Is(err, ErrNotFound):
 		return true
@@ -254,14 +265,12 @@
 	return false
 }
 
-// renewedAt notes a renewal. Answers may come in another order than their calls were sent.
-func (r *Registry) renewedAt(sent time.Time) {
+// latest keeps the later of two moments in v: answers may come in another order than
+// their calls were sent.
+func latest(v *atomic.Value, at time.Time) {
 	for {
-		old, _ := r.renewed.Load().(time.Time)
-		if !sent.After(old) {
-			return
-		}
-		if old.IsZero() && r.renewed.CompareAndSwap(nil, sent) || r.renewed.CompareAndSwap(old, sent) {
+		old, ok := v.Load().(time.Time)
+		if ok && !at.After(old) || ok && v.CompareAndSwap(old, at) || !ok && v.CompareAndSwap(nil, at) {
 			return
 		}
 	}
@@ -337,17 +346,19 @@
 func (r *Registry) readCatalog(ctx context.Context) (Revision, error) {
 	c, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sent := r.cfg.Now()
 	es, at, err := r.cfg.Store.List(c, r.cfg.CatalogKey)
 	if err != nil {
 		return 0, err
 	}
 	r.up.answered()
 	r.takeCatalog(es)
+	r.CatalogConfirmed(sent)
 	return at, nil
 }
 
 func (r *Registry) waitForCatalog(ctx context.Context, after Revision) (Revision, error) {
-	c, cancel := context.WithTimeout(ctx, watchFor+callTimeout/3)
+	c, cancel := context.WithTimeout(ctx, watchFor+callTimeout)
 	defer cancel()
 	go func() {
 		select {
@@ -364,6 +375,30 @@
 	return max(at, after), nil
 }
 
+// CatalogConfirmed takes in that the catalog in force here was the store's at a moment.
+func (r *Registry) CatalogConfirmed(at time.Time) { latest(&r.confirmed, at) }
+
+// Confirmed returns when the catalog in force here was last known to be the store's.
+func (r *Registry) Confirmed() time.Time {
+	at, _ := r.confirmed.Load().(time.Time)
+	return at
+}
+
+// confirmCatalog reads the catalog when no host has done so for a while. Whoever is first
+// tells the others, so that the calls don't grow with the fleet.
+func (r *Registry) confirmCatalog(ctx context.Context) {
+	for ctx.Err() == nil {
+		due := r.Confirmed().Add(confirmEvery + time.Duration(rand.Int64N(int64(confirmSpread))))
+		if wait := due.Sub(r.cfg.Now()); wait > 0 {
+			pause.For(ctx, wait)
+			continue
+		}
+		if _, err := r.readCatalog(ctx); err != nil {
+			r.up.wait(ctx, pauseAfterError)
+		}
+	}
+}
+
 func (r *Registry) takeCatalog(es []Entry) {
 	for _, e := range es {
 		if e.Key != r.cfg.CatalogKey || e.Deleted {
