--- a/core/relay/conn.go
+++ b/core/relay/conn.go
@@ -45,6 +45,11 @@
 	session *Session
 	// since is when the state began.
 	since time.Time
+	// via is the other host that a connection runs over, empty for one of this host's own.
+	// stream names it there, and once tells that it ends with the next answer.
+	via    fleet.Host
+	stream uint64
+	once   bool
 }
 
 // owed is one answer that a connection owes.
@@ -128,6 +133,12 @@
 // the answers to those before.
 func (c *Conn) send(qs []statement.Statement, each, done func(a statement.Answer)) {
 	now := c.g.r.now()
+	if c.via != "" {
+		// The other host answers the last one only.
+		c.owed = append(c.owed, owed{kind: qs[len(qs)-1].Kind, asked: now, done: done})
+		c.Send(qs)
+		return
+	}
 	for n, q := range qs {
 		o := owed{kind: q.Kind, own: q.ID == "", asked: now, done: each}
 		if n == len(qs)-1 {
@@ -208,6 +219,10 @@
 	}
 	c.setState(connClosed)
 	c.inst.remove(c)
+	if c.via != "" {
+		delete(c.g.r.forwarding.virtual, c.stream)
+		c.inst.lent--
+	}
 	if c.Close != nil {
 		c.Close()
 	}
@@ -236,7 +251,7 @@
 	if c.state == connClosed {
 		return
 	}
-	if c.inst.gone {
+	if c.inst.gone || c.via != "" {
 		c.retire()
 		return
 	}
@@ -249,6 +264,11 @@
 	if c.state == connClosed {
 		return
 	}
+	if c.via != "" {
+		c.op = nil
+		c.lost("given up in a transaction")
+		return
+	}
 	if len(c.owed) > 0 {
 		// A statement is still at work; the instance rolls back when the connection ends.
 		c.op = nil
--- a/core/relay/drain.go
+++ b/core/relay/drain.go
@@ -28,9 +28,12 @@
 	r.drain = drain{on: true, begun: r.now(), grace: grace}
 }
 
+// Draining reports whether the host shuts down.
+func (r *Relay) Draining() bool { return r.drain.on }
+
 // Drained reports whether no session is left.
 func (r *Relay) Drained() bool {
-	return r.drain.closing && len(r.sessions) == 0
+	return r.drain.closing && len(r.sessions) == 0 && len(r.forwarding.guests) == 0
 }
 
 func (r *Relay) tickDrain(now time.Time) {
--- a/core/relay/event.go
+++ b/core/relay/event.go
@@ -37,13 +37,16 @@
 	Service  fleet.Service
 	Account  fleet.Account
 	Instance fleet.Instance
-	Choice   string
-	Reason   string
-	Code     statement.Code
-	Term     fleet.Term
-	// Need is the point that a read had to cover, Age the age of what decided.
-	Need fleet.Point
-	Age  time.Duration
+	// Host is the other host over which it ran.
+	Host   fleet.Host
+	Choice string
+	Reason string
+	Code   statement.Code
+	Term   fleet.Term
+	// Need is the point that a read had to cover, Has where the instance's log stood.
+	Need, Has fleet.Point
+	// Age is that of what decided.
+	Age time.Duration
 	// Took is the time from the caller's statement to this event.
 	Took time.Duration
 	// Slow marks an event that explains a failed or late statement: it is never left
--- /dev/null
+++ b/core/relay/forward.go
@@ -0,0 +1,212 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/statement"
+)
+
+// Forward has another host run statements on an instance, on a stream that stands for a
+// connection of its own. Only the last statement is answered.
+type Forward struct {
+	Stream     uint64
+	Service    fleet.Service
+	Instance   fleet.Instance
+	Account    fleet.Account
+	Statements []statement.Statement
+	// Left is how long the last statement may take.
+	Left time.Duration
+	// Close ends the stream, after the answer if there are statements.
+	Close bool
+}
+
+// Peer is another host, as this one can use it.
+type Peer struct {
+	Host       fleet.Host
+	DataCentre fleet.DataCentre
+	// Send hands it a request.
+	Send func(f Forward)
+}
+
+// stream names a stream of another host.
+type stream struct {
+	host fleet.Host
+	id   uint64
+}
+
+// forwarding is what a relay needs for running statements by and for other hosts.
+type forwarding struct {
+	peers []Peer
+	// virtual are the connections over other hosts, guests the sessions run for them.
+	virtual map[uint64]*Conn
+	guests  map[stream]*Session
+}
+
+// directShare is how many connections to each instance a host has to have for itself
+// when all are shared evenly, for callers not to wait for one too long. Below it, one
+// host holds the connections to an instance and runs the statements of all: a connection
+// belongs to one account, and each change of account takes 12 ms of the instance's time.
+const directShare = 3
+
+// SetPeers tells which other hosts can be used now.
+func (r *Relay) SetPeers(ps []Peer) {
+	r.forwarding.peers = ps
+}
+
+// holder returns the host that holds the connections to an instance, false for this one.
+//
+// The hosts of the instance's data centre go before all others, as its statements cross
+// the network once either way; among them the highest hash decides, so that all hosts
+// that see the same peers choose alike. One that sees others chooses another holder: the
+// instance then has two, with fewer connections each, and no harm done.
+func (r *Relay) holder(i *instance) (Peer, bool) {
+	if i.share() >= directShare || len(r.forwarding.peers) == 0 {
+		return Peer{}, false
+	}
+	local := i.info.DataCentre
+	best := Peer{Host: r.cfg.Host, DataCentre: r.cfg.DataCentre}
+	for _, p := range r.forwarding.peers {
+		if near, was := p.DataCentre == local, best.DataCentre == local; near != was {
+			if near {
+				best = p
+			}
+			continue
+		}
+		if weight(p.Host, i.info.Name) > weight(best.Host, i.info.Name) {
+			best = p
+		}
+	}
+	return best, best.Host != r.cfg.Host
+}
+
+func weight(h fleet.Host, i fleet.Instance) uint64 {
+	return xxhash.Sum64String(string(h) + "/" + string(i))
+}
+
+// over returns a connection to the instance over another host. It costs nothing to make:
+// the other host finds the real one.
+func (i *instance) over(p Peer, a fleet.Account) *Conn {
+	c := &Conn{
+		Service: i.g.name, Instance: i.info.Name, Address: i.info.Address, Account: a,
+		g: i.g, inst: i, values: map[string]string{}, prepared: map[string]bool{},
+		via: p.Host, stream: i.g.r.nextKey(),
+	}
+	c.Send = func(qs []statement.Statement) {
+		f := Forward{
+			Stream: c.stream, Service: c.Service, Instance: c.Instance, Account: c.Account, Statements: qs,
+		}
+		if c.op != nil {
+			f.Left = c.op.deadline.Sub(i.g.r.now())
+			f.Close = !c.op.s.tx.open
+			c.once = f.Close
+		}
+		p.Send(f)
+	}
+	c.Close = func() {
+		if !c.once {
+			p.Send(Forward{Stream: c.stream, Service: c.Service, Instance: c.Instance, Close: true})
+		}
+	}
+	c.setState(connIdle)
+	i.g.r.forwarding.virtual[c.stream] = c
+	i.lent++
+	return c
+}
+
+// ForwardAnswered takes in the answer of another host.
+func (r *Relay) ForwardAnswered(from fleet.Host, id uint64, a statement.Answer) {
+	c := r.forwarding.virtual[id]
+	if c == nil || c.via != from {
+		return
+	}
+	r.Answered(c, a)
+}
+
+// PeerLost takes in that the link to another host has ended: what it ran for this one has
+// an unknown outcome.
+func (r *Relay) PeerLost(h fleet.Host) {
+	for _, c := range r.forwarding.virtual {
+		if c.via == h {
+			c.lost("the host that held the connection can't be reached")
+		}
+	}
+}
+
+// GuestsGone takes in that the link from another host has ended: what this one runs for it
+// is rolled back.
+func (r *Relay) GuestsGone(h fleet.Host) {
+	for k, s := range r.forwarding.guests {
+		if k.host == h {
+			delete(r.forwarding.guests, k)
+			s.Gone()
+		}
+	}
+}
+
+// Forwarded runs what another host asks for, and answers it by reply. The other host has
+// admitted the operation, chosen the instance and proves the answer; this one queues it
+// among its own, by account, and finds the connection.
+func (r *Relay) Forwarded(from fleet.Host, f Forward, reply func(a statement.Answer)) {
+	k := stream{from, f.Stream}
+	s := r.forwarding.guests[k]
+	if s == nil {
+		if len(f.Statements) == 0 {
+			return
+		}
+		s = r.guest(f)
+		r.forwarding.guests[k] = s
+	}
+	if len(f.Statements) == 0 {
+		delete(r.forwarding.guests, k)
+		s.Gone()
+		return
+	}
+	last := false
+	s.link.Answer = func(a statement.Answer) {
+		if !last && a.Code == statement.CodeNone {
+			return
+		}
+		if f.Close {
+			delete(r.forwarding.guests, k)
+			defer s.Gone()
+		}
+		reply(a)
+	}
+	s.route.Timeout = f.Left
+	for n, q := range f.Statements {
+		last = n == len(f.Statements)-1
+		s.Query(q)
+	}
+}
+
+// guest opens a session for another host, bound to one instance.
+func (r *Relay) guest(f Forward) *Session {
+	s := &Session{
+		r: r, started: true, prepared: map[string]*prepared{}, account: f.Account, instance: f.Instance,
+		route: catalog.Route{Service: f.Service},
+	}
+	s.link = Link{
+		Started: func() {}, Close: func() {},
+		Reject: func(code statement.Code, detail string) {
+			s.link.Answer(statement.Answer{Code: code, Detail: detail, State: s.state()})
+		},
+	}
+	return s
+}
+
+// Leads returns the services whose primary this host can use now, for the state dump.
+func (r *Relay) Leads() []fleet.Service {
+	var out []fleet.Service
+	for n, g := range r.groups {
+		if g.able(r.now()) == "" {
+			out = append(out, n)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -204,8 +204,10 @@
 	// freshWork is how long a measured time counts: an instance that was slow is tried
 	// again after it.
 	freshWork = 2 * time.Second
-	// lagPause is how long an instance that lacked a point is passed over.
-	lagPause = 80 * time.Millisecond
+	// lagPause is how long an instance that lacked a point is passed over, at first; it is
+	// about how far replicas usually are behind. lagPauseMax bounds it.
+	lagPause    = 60 * time.Millisecond
+	lagPauseMax = time.Second
 )
 
 // place returns the connection on which an operation is to run now, or nil. It begins
@@ -221,39 +223,64 @@
 	if o.dial != nil && o.dial.state == connIdle && o.dial.inst.usable() && g.serves(now, o.dial.inst, o) {
 		return o.dial
 	}
-	var best *Conn
-	var dial *instance
-	var least, leastDial time.Duration
+	var ready, dial way
 	for _, i := range g.instances {
 		if !g.serves(now, i, o) {
 			continue
 		}
-		cost := g.cost(now, i, o)
-		if c, steps := i.idle(o.s.account, o.s, o.prep); c != nil {
-			cost += time.Duration(steps) * stepCost
-			if best == nil || cost < least {
-				best, least = c, cost
-			}
-			continue
+		w := g.way(now, i, o)
+		to := &ready
+		if w.conn == nil && w.peer.Host == "" {
+			to = &dial
+		}
+		if to.inst == nil || w.cost < to.cost {
+			*to = w
+		}
+	}
+	if dial.inst != nil && (ready.inst == nil || dial.cost < ready.cost) {
+		if o.dial == nil || o.dial.state == connClosed {
+			o.dial = dial.inst.connect(now, o)
 		}
-		if cost += connectCost; dial == nil || cost < leastDial {
-			dial, leastDial = i, cost
+		if o.dial != nil {
+			return nil
 		}
 	}
-	if best != nil && (dial == nil || least <= leastDial) {
-		return best
+	if ready.inst == nil || ready.conn != nil {
+		return ready.conn
 	}
-	if dial != nil && (o.dial == nil || o.dial.state == connClosed) {
-		o.dial = dial.connect(now, o)
+	return ready.inst.over(ready.peer, o.s.account)
+}
+
+// way is how an operation can reach an instance: by a connection that rests, over another
+// host, or by a connection that is to be made.
+type way struct {
+	inst *instance
+	conn *Conn
+	peer Peer
+	cost time.Duration
+}
+
+func (g *group) way(now time.Time, i *instance, o *operation) way {
+	w := way{inst: i, cost: g.cost(now, i, o)}
+	if p, ok := g.r.holder(i); ok && o.s.instance == "" {
+		w.peer = p
+		return w
 	}
-	if best != nil && o.dial == nil {
-		return best
+	c, steps := i.idle(o.s.account, o.s, o.prep)
+	if c == nil {
+		w.cost += connectCost
+		return w
 	}
-	return nil
+	w.conn = c
+	w.cost += time.Duration(steps) * stepCost
+	return w
 }
 
 // serves reports whether an instance may run an operation now.
 func (g *group) serves(now time.Time, i *instance, o *operation) bool {
+	if o.s.instance != "" {
+		return i.info.Name == o.s.instance && !i.gone
+	}
 	if o.avoid.Has(i.info.Name) || i.gone {
 		return false
 	}
@@ -266,7 +293,7 @@
 	}
 	g.readAt = now
 	p, ok := g.needs(o)
-	return ok && (i.point.Covers(p) || now.Sub(i.lagged) > lagPause)
+	return ok && (i.point.Covers(p) || !now.Before(i.behind))
 }
 
 func (g *group) cost(now time.Time, i *instance, o *operation) time.Duration {
@@ -292,7 +319,7 @@
 func (g *group) refusedBy(c *Conn, code statement.Code, o *operation) {
 	switch code {
 	case statement.CodeLagging:
-		c.inst.lagged = g.r.now()
+		c.inst.lacked(g.r.now())
 	case statement.CodeReadOnly:
 		if g.leads(c.Instance) {
 			g.r.note(Event{
@@ -349,6 +376,10 @@
 // judge gives an answer to its caller, or has it wait for the proof that it came from
 // the primary. Reads on replicas were proved by the point they had to cover.
 func (g *group) judge(o *operation, c *Conn, a statement.Answer) {
+	if o.s.instance != "" {
+		o.finish(a)
+		return
+	}
 	if !o.lead && !g.leads(c.Instance) {
 		if _, ok := o.after.Get(); ok {
 			o.finish(a)
@@ -474,6 +505,12 @@
 // hopeless says why an operation can't be served in time, and when to come back. Whoever
 // is told at once can come back in time, or to a host that can.
 func (g *group) hopeless(now time.Time, o *operation) (string, time.Duration) {
+	if n := o.s.instance; n != "" {
+		if i := g.instances[n]; i == nil || i.gone || i.doubtful(now) {
+			return "this host can't reach the instance", retrySoon
+		}
+		return "", 0
+	}
 	why := g.able(now)
 	if why == "" {
 		return "", 0
--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -15,6 +15,8 @@
 	info catalog.Instance
 	// conns are all connections to it that aren't closed.
 	conns []*Conn
+	// lent counts the connections over other hosts.
+	lent int
 	// point is the farthest that its log is known to have reached.
 	point fleet.Point
 	// received is the end of its log, as it last told when it was asked.
@@ -38,8 +40,10 @@
 	// work is how long its statements take, as a moving average.
 	work   time.Duration
 	workAt time.Time
-	// lagged is when it last said that its log lacks a point.
-	lagged time.Time
+	// behind is until when it is passed over for reads, as its log lacked a point, and
+	// lags how often in a row that was so.
+	behind time.Time
+	lags   int
 	// missing is since when it isn't on the list any more.
 	missing time.Time
 	gone    bool
@@ -51,6 +55,9 @@
 	// leastCap is how many connections a host may have to an instance at least: one for a
 	// transaction whose caller pauses, and one beside it.
 	leastCap = 2
+	// holderPart is the part of an instance's connections that its holder may have at
+	// least: a half.
+	holderPart = 2
 	// fullFor is how long a host makes do with what it has after an instance had no
 	// room for more.
 	fullFor = 3 * time.Second
@@ -75,6 +82,11 @@
 // in place of 0.01, and no less on quiet days.
 func (i *instance) cap(now time.Time) int {
 	n := max(leastCap, i.share())
+	if _, ok := i.g.r.holder(i); !ok && i.share() < directShare {
+		// This host holds the connections for all, but for one that each of the others may
+		// need for a question.
+		n = max(leastCap, i.total()-2*i.g.r.hosts, i.total()/holderPart)
+	}
 	if !i.full.IsZero() && now.Sub(i.full) < fullFor {
 		return max(1, min(i.room, n))
 	}
@@ -86,11 +98,15 @@
 
 // share is the part of cap that is kept open.
 func (i *instance) share() int {
-	total := i.g.service.Connections
-	if total <= 0 {
-		total = defaultConnections
+	return max(1, (i.total()-i.g.r.hosts)/i.g.r.hosts)
+}
+
+// total is how many connections the instance takes from all hosts.
+func (i *instance) total() int {
+	if n := i.g.service.Connections; n > 0 {
+		return n
 	}
-	return max(1, (total-i.g.r.hosts)/i.g.r.hosts)
+	return defaultConnections
 }
 
 func (i *instance) heard(now time.Time) {
@@ -136,6 +152,13 @@
 	}
 }
 
+// lacked takes in that the log lacks a point that a read needs. A replica that is far
+// behind would else be asked in vain by every read, while its caller waits.
+func (i *instance) lacked(now time.Time) {
+	i.behind = now.Add(min(lagPause<<min(i.lags, 10), lagPauseMax))
+	i.lags++
+}
+
 // standing counts the connections that are made.
 func (i *instance) standing() int {
 	n := 0
@@ -189,7 +212,7 @@
 
 // busy counts the connections that are at work.
 func (i *instance) busy() int {
-	n := 0
+	n := i.lent
 	for _, c := range i.conns {
 		if c.state == connBusy && c.op != nil {
 			n++
@@ -222,10 +245,10 @@
 	return c
 }
 
-// swapAfter is how long a connection of another account has to have rested, or an
-// operation to have waited, before the one gives way to the other: a new connection
-// takes 12 ms of the instance's time, which is not to be spent on every statement of
-// accounts that alternate.
+// swapAfter is how long a connection of another account has to have rested, or half of
+// what an operation has to have waited, for the one to give way to the other: a new
+// connection takes 12 ms of the instance's time, which is not to be spent on every
+// statement of accounts that alternate.
 const swapAfter = 5 * time.Millisecond
 
 // connect makes a connection for an operation, if there is room.
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -65,13 +65,19 @@
 	if s.tx.open {
 		reads, began = s.tx.read, s.tx.asked
 	}
-	o.lead = !reads || s.route.Consistency == catalog.ConsistencyPrimary
+	o.lead = s.instance != "" || !reads || s.route.Consistency == catalog.ConsistencyPrimary
 	if !o.lead {
 		o.age = began.Add(-s.route.MaxAge)
 	}
 	if p != nil {
 		o.q.Name = p.name
 	}
+	if s.instance != "" {
+		o.after = q.After
+		if s.tx.open {
+			o.after = s.tx.after
+		}
+	}
 	return o
 }
 
@@ -147,11 +153,14 @@
 	c := o.conn
 	qs := c.setup(o.s, o.prep)
 	c.applied(o.s, o.prep, qs)
-	o.after = o.need()
+	if o.s.instance == "" {
+		o.after = o.need()
+	}
 	if o.opens {
 		qs = append(qs, o.beginning())
 	}
-	if !needsAnswer(qs) {
+	if !needsAnswer(qs) || c.via != "" {
+		// Another host sees to the order itself.
 		o.main(qs)
 		return
 	}
@@ -246,15 +255,27 @@
 	c.op = nil
 	if a.Code == statement.CodeNone {
 		c.inst.worked(now, now.Sub(o.sentAt))
+		c.inst.lags = 0
 		o.succeeded(a)
 		return
 	}
 	o.g.refusedBy(c, a.Code, o)
+	if o.opens && c.via != "" && a.Code.NotRun() {
+		// The other host has not begun the transaction, or has rolled it back.
+		o.s.tx.conn, c.session = nil, nil
+		c.retire()
+		o.again(a.Code)
+		return
+	}
 	if o.s.tx.open {
 		o.failedInTx(a)
 		return
 	}
 	c.settle(a)
+	if o.s.instance != "" {
+		o.finish(a)
+		return
+	}
 	if a.Code.NotRun() || !o.writes && (a.Code == statement.CodeFailed || a.Code == statement.CodeTimeout) {
 		o.again(a.Code)
 		return
@@ -301,7 +322,11 @@
 	if o.over {
 		return
 	}
-	if o.conn != nil && code != statement.CodeReadOnly && code != statement.CodeNotPrepared {
+	if o.s.instance != "" && code == statement.CodeFailed {
+		o.give(statement.Answer{Code: code, Detail: "the connection to the instance was lost"})
+		return
+	}
+	if o.conn != nil && o.s.instance == "" && code != statement.CodeReadOnly && code != statement.CodeNotPrepared {
 		o.avoid.Add(o.conn.Instance)
 	}
 	if o.tries >= maxTries || !now.Before(o.deadline) {
@@ -374,7 +399,7 @@
 
 // refuse answers that nothing was run.
 func (o *operation) refuse(code statement.Code, why string, after time.Duration) {
-	if !o.ran && (!o.s.tx.open || !o.s.tx.ran) && o.g.r.cfg.Return != nil {
+	if !o.ran && (!o.s.tx.open || !o.s.tx.ran) && o.g.r.cfg.Return != nil && o.s.instance == "" {
 		o.g.r.cfg.Return(o.s.account)
 	}
 	if o.s.tx.open {
@@ -453,11 +478,14 @@
 		Choice: choice, Reason: why, Code: code, Took: o.g.r.now().Sub(o.asked),
 	}
 	if o.conn != nil {
-		e.Instance = o.conn.Instance
+		e.Instance, e.Has = o.conn.Instance, o.conn.inst.point
 	}
 	if p, ok := o.after.Get(); ok {
 		e.Need = p
 	}
+	if o.conn != nil {
+		e.Host = o.conn.via
+	}
 	e.Slow = code != statement.CodeNone || e.Took > o.route.Target
 	o.g.r.note(e)
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -16,6 +16,7 @@
 
 // Config is what a Relay works with.
 type Config struct {
+	Host       fleet.Host
 	DataCentre fleet.DataCentre
 	Now        func() time.Time
 	// Dial has a connection made; Connected, Turned or Lost tells how it went.
@@ -42,12 +43,13 @@
 	groups   map[fleet.Service]*group
 	lease    leader.Lease
 	// hosts is the most hosts that there were lately, at hostsAt.
-	hosts   int
-	hostsAt time.Time
-	key     uint64
-	counts  Counts
-	drain   drain
-	duty    duty
+	hosts      int
+	hostsAt    time.Time
+	key        uint64
+	counts     Counts
+	drain      drain
+	duty       duty
+	forwarding forwarding
 	// ticked is when the last tick was, awake until when time limits rest after a pause
 	// of the process itself.
 	ticked, awake time.Time
@@ -68,6 +70,9 @@
 		sessions: map[*Session]struct{}{},
 		groups:   map[fleet.Service]*group{},
 		hosts:    unknownHosts,
+		forwarding: forwarding{
+			virtual: map[uint64]*Conn{}, guests: map[stream]*Session{},
+		},
 	}
 }
 
--- a/core/relay/session.go
+++ b/core/relay/session.go
@@ -33,6 +33,10 @@
 	// route is the one in force since the last operation began.
 	route catalog.Route
 
+	// instance is set for a session that is run for another host: all that it runs goes
+	// there.
+	instance fleet.Instance
+
 	values   []value
 	prepared map[string]*prepared
 	tx       transaction
@@ -70,6 +74,8 @@
 	open, failed bool
 	read         bool
 	begin        statement.ID
+	// after is the point that the instance's log has to cover, if another host says so.
+	after fleet.Option[fleet.Point]
 	// asked is when it began, at rest is when its last statement ended.
 	asked, rest time.Time
 	// conn runs it, from its first statement on.
@@ -304,13 +310,16 @@
 	}
 	now := s.r.now()
 	s.tx = transaction{
-		open: true, read: q.Kind == statement.KindBeginRead, begin: q.ID, asked: now, rest: now,
+		open: true, read: q.Kind == statement.KindBeginRead, begin: q.ID, after: q.After, asked: now, rest: now,
 	}
 	s.done()
 }
 
 // enter begins an operation: by the route, the key and the rate that are in force now.
 func (s *Session) enter() bool {
+	if s.instance != "" {
+		return true
+	}
 	if code, why := s.admitted(); code != statement.CodeNone {
 		s.reject(code, why)
 		return false
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -54,6 +54,8 @@
 	gossip   *gossip.Gossip
 	peers    peers
 	rates    share.Fleet
+	// links are to the hosts that were heard.
+	links    map[fleet.Host]*link
 	balancer *operator.Server
 	operator *operator.Server
 	// ready is what the balancer is told; the loop writes it.
@@ -67,9 +69,12 @@
 func Start(s *settings.Settings, log *zap.Logger) (*Host, error) {
 	debug.SetMemoryLimit(int64(s.Adapter.Memory) * memoryPart / 100)
 	h := &Host{settings: s, log: log, metrics: prometheus.NewRegistry(), events: events{log: log}}
+	h.links = map[fleet.Host]*link{}
+	h.peers.known = map[fleet.Host]*peer{}
 	h.peers.epoch = uint64(clock.Now().UnixNano()) //nolint:gosec // never negative
 	h.registry = registry.New(h.registryConfig())
 	h.relay = relay.New(relay.Config{
+		Host:        s.Host.Name,
 		DataCentre:  s.Host.DataCentre,
 		Now:         clock.Now,
 		Dial:        h.dial,
@@ -97,6 +102,7 @@
 func (h *Host) listen() error {
 	l, err := loop.Start(loop.Config{
 		Address: h.settings.Caller.Address, Accept: h.accept, Tick: h.tick, Every: tickEvery,
+		Peers: h.settings.Peer.Address, AcceptPeer: h.acceptPeer,
 		MaxUnread: maxUnread, Logger: h.log,
 	})
 	if err != nil {
@@ -162,6 +168,7 @@
 }
 
 func (h *Host) tick() {
+	h.tendLinks()
 	h.relay.Tick()
 	if r := h.relay.Ready(); r != h.ready.Load() {
 		h.ready.Store(r)
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -23,6 +23,7 @@
 	add("service", string(n.Service))
 	add("account", string(n.Account))
 	add("instance", string(n.Instance))
+	add("over", string(n.Host))
 	add("choice", n.Choice)
 	add("reason", n.Reason)
 	add("code", string(n.Code))
@@ -32,6 +33,9 @@
 	if !n.Need.IsZero() {
 		f = append(f, zap.String("need", n.Need.String()))
 	}
+	if !n.Has.IsZero() {
+		f = append(f, zap.String("has", n.Has.String()))
+	}
 	if n.Age != 0 {
 		f = append(f, zap.Duration("age", n.Age))
 	}
--- /dev/null
+++ b/internal/entry/links.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/relay"
+	"skylarkdeal/core/statement"
+	"skylarkdeal/internal/clock"
+	"skylarkdeal/io/forward"
+	"skylarkdeal/io/loop"
+)
+
+const (
+	// linkAlive is how old the last report of a host may be for it to be sent work: three
+	// reports in a row were lost otherwise, or it stands still.
+	linkAlive = 650 * time.Millisecond
+	// linkTimeout bounds a connection to another host, linkPause the time to the next try.
+	linkTimeout = 500 * time.Millisecond
+	linkPause   = 300 * time.Millisecond
+)
+
+// link is the connection to another host by which this one has statements run there.
+type link struct {
+	host fleet.Host
+	conn *loop.Conn
+	// up is set once it stands, tried when it was last tried.
+	up    bool
+	tried time.Time
+	out   []byte
+}
+
+// tendLinks keeps a link to each host that is heard, and tells the relay which can be
+// used.
+//
+// The guard is against a host that has died or stands still: its link resets nothing, and
+// every statement sent there would wait for its time limit. A host that is alive reports
+// several times a second, so that silence shows.
+func (h *Host) tendLinks() {
+	now := clock.Now()
+	var usable []relay.Peer
+	for name, p := range h.peers.known {
+		l := h.links[name]
+		if l == nil {
+			l = &link{host: name}
+			h.links[name] = l
+		}
+		alive := now.Sub(p.heard) < linkAlive
+		switch {
+		case !alive && l.conn != nil:
+			h.log.Info("dependency lost", zap.String("dependency", "host "+string(name)),
+				zap.Duration("silent", now.Sub(p.heard)))
+			l.conn.Close()
+			h.dropLink(l)
+		case alive && l.conn == nil && now.Sub(l.tried) > linkPause:
+			h.openLink(l, p.address)
+		case alive && l.up && !p.leaving:
+			usable = append(usable, relay.Peer{Host: name, DataCentre: p.dataCentre, Send: l.send})
+		}
+	}
+	h.relay.SetPeers(usable)
+}
+
+func (l *link) send(f relay.Forward) {
+	if l.conn == nil {
+		return
+	}
+	l.out = forward.AppendRequest(l.out[:0], f)
+	l.conn.Write(l.out)
+}
+
+func (h *Host) dropLink(l *link) {
+	l.conn, l.up = nil, false
+	h.relay.PeerLost(l.host)
+}
+
+func (h *Host) openLink(l *link, address string) {
+	l.tried = clock.Now()
+	c := &loop.Conn{}
+	l.conn = c
+	in := forward.Reader{
+		Hello:   func(fleet.Host) {},
+		Request: func(relay.Forward) {},
+		Reply:   func(id uint64, a statement.Answer) { h.relay.ForwardAnswered(l.host, id, a) },
+	}
+	c.Opened = func() {
+		l.up = true
+		c.Write(forward.AppendHello(nil, h.settings.Host.Name))
+	}
+	c.Data = h.reader(c, &in)
+	c.Closed = func(error) {
+		if l.conn == c {
+			h.dropLink(l)
+		}
+	}
+	h.loop.Dial(c, address, linkTimeout)
+}
+
+func (h *Host) reader(c *loop.Conn, in *forward.Reader) func(b []byte) int {
+	return func(b []byte) int {
+		n, err := in.Take(b)
+		if err != nil {
+			h.log.Warn("link to a host cut off", zap.Error(err))
+			c.Close()
+			return len(b)
+		}
+		return n
+	}
+}
+
+// acceptPeer takes the link of a host that has statements run here.
+func (h *Host) acceptPeer(c *loop.Conn) {
+	var from fleet.Host
+	var out []byte
+	in := forward.Reader{
+		Hello: func(n fleet.Host) { from = n },
+		Request: func(f relay.Forward) {
+			if from == "" {
+				return
+			}
+			h.relay.Forwarded(from, f, func(a statement.Answer) {
+				out = forward.AppendReply(out[:0], f.Stream, a)
+				c.Write(out)
+			})
+		},
+		Reply: func(uint64, statement.Answer) {},
+	}
+	c.Data = h.reader(c, &in)
+	c.Closed = func(error) {
+		if from != "" {
+			h.relay.GuestsGone(from)
+		}
+	}
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -28,6 +28,8 @@
 	epoch, seq uint64
 	addresses  map[fleet.Host]*net.UDPAddr
 	names      []fleet.Host
+	// known are the hosts that were heard.
+	known map[fleet.Host]*peer
 	// reported is when the last report was sent, doubted how many doubts it had.
 	reported time.Time
 	doubted  int
@@ -35,6 +37,14 @@
 	catalog, told uint64
 }
 
+// peer is another host as it was last heard.
+type peer struct {
+	address    string
+	dataCentre fleet.DataCentre
+	heard      time.Time
+	leaving    bool
+}
+
 // registered takes in the hosts that are registered.
 func (h *Host) registered(hs []registry.Host) {
 	names := make([]fleet.Host, 0, len(hs))
@@ -69,7 +79,8 @@
 	h.peers.reported, h.peers.doubted, h.peers.told = now, len(doubts), h.peers.catalog
 	h.peers.seq++
 	r := gossip.Report{
-		Host: h.settings.Host.Name, Address: h.settings.Peer.Address, Epoch: h.peers.epoch, Seq: h.peers.seq,
+		Host: h.settings.Host.Name, Address: h.settings.Peer.Address,
+		DataCentre: h.settings.Host.DataCentre, Leaving: h.relay.Draining(), Epoch: h.peers.epoch, Seq: h.peers.seq,
 		Usages: h.rates.Usage(now), Catalog: h.peers.catalog, Record: h.relay.Record(),
 		CatalogAge: now.Sub(h.registry.Confirmed()),
 	}
@@ -87,6 +98,9 @@
 func (h *Host) heard(r gossip.Report) {
 	h.loop.Do(func() {
 		h.meet(r)
+		h.peers.known[r.Host] = &peer{
+			address: r.Address, dataCentre: r.DataCentre, heard: clock.Now(), leaving: r.Leaving,
+		}
 		h.rates.Heard(clock.Now(), r.Host, r.Epoch, r.Seq, r.Usages)
 		is := make([]fleet.Instance, 0, len(r.Doubts))
 		for _, d := range r.Doubts {
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -28,7 +28,8 @@
 type Report struct {
 	Host fleet.Host
 	// Address is where the host hears the others.
-	Address string
+	Address    string
+	DataCentre fleet.DataCentre
 	// Epoch tells the processes of one host apart, Seq orders the reports of one.
 	Epoch, Seq uint64
 	Leaving    bool
@@ -119,6 +120,7 @@
 	m := &gossippb.Report{
 		Host: string(r.Host), Epoch: r.Epoch, Seq: r.Seq, Leaving: r.Leaving,
 		Catalog: r.Catalog, Record: r.Record, Address: r.Address,
+		DataCentre:   string(r.DataCentre),
 		CatalogAgeMs: uint32(min(r.CatalogAge.Milliseconds(), math.MaxUint32)),
 	}
 	for _, u := range r.Usages {
@@ -147,6 +149,7 @@
 	r := Report{
 		Host: fleet.Host(m.GetHost()), Epoch: m.GetEpoch(), Seq: m.GetSeq(), Leaving: m.GetLeaving(),
 		Catalog: m.GetCatalog(), Record: m.GetRecord(), Address: m.GetAddress(),
+		DataCentre: fleet.DataCentre(m.GetDataCentre()),
 		CatalogAge: time.Duration(m.GetCatalogAgeMs()) * time.Millisecond,
 	}
 	for _, u := range m.GetUsages() {
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -35,6 +35,9 @@
 	Address string
 	// Accept is called with a new caller's connection, whose callbacks it sets.
 	Accept func(c *Conn)
+	// Peers is where other hosts connect, AcceptPeer what takes their connections.
+	Peers      string
+	AcceptPeer func(c *Conn)
 	// Tick is called every Every.
 	Tick  func()
 	Every time.Duration
@@ -102,7 +105,11 @@
 
 func (l *Loop) run() {
 	defer close(l.ended)
-	l.err = gnet.Run(l, "tcp://"+l.cfg.Address,
+	addresses := []string{"tcp://" + l.cfg.Address}
+	if l.cfg.Peers != "" {
+		addresses = append(addresses, "tcp://"+l.cfg.Peers)
+	}
+	l.err = gnet.Rotate(l, addresses,
 		gnet.WithNumEventLoop(1),
 		gnet.WithReuseAddr(true),
 		gnet.WithLogger(l.cfg.Logger.Named("gnet").Sugar()),
@@ -238,7 +245,11 @@
 	}
 	c := &Conn{loop: l, c: g}
 	g.SetContext(c)
-	l.cfg.Accept(c)
+	if g.LocalAddr().String() == l.cfg.Peers {
+		l.cfg.AcceptPeer(c)
+	} else {
+		l.cfg.Accept(c)
+	}
 	return nil, gnet.None
 }
 
