--- a/core/relay/conn.go
+++ b/core/relay/conn.go
@@ -47,9 +47,9 @@
 	since time.Time
 	// via is the other host that a connection runs over, empty for one of this host's own.
 	// stream names it there, and once tells that it ends with the next answer.
-	via    fleet.Host
-	stream uint64
-	once   bool
+	via          fleet.Host
+	stream       uint64
+	opened, once bool
 }
 
 // owed is one answer that a connection owes.
@@ -286,7 +286,10 @@
 
 // ask has the instance say what it is. It takes no slot: an order to step down below
 // term 1 changes nothing and is answered with the status.
-func (c *Conn) ask() {
+func (c *Conn) ask() { c.askFor(nil) }
+
+// askFor asks and hands the answer on to reply, if that is set.
+func (c *Conn) askFor(reply func(a statement.Answer)) {
 	c.g.r.counts.Asked++
 	c.setState(connBusy)
 	asked := c.since
@@ -295,6 +298,9 @@
 		if c.state == connBusy {
 			c.free()
 		}
+		if reply != nil {
+			reply(a)
+		}
 	})
 }
 
--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -21,10 +21,17 @@
 	Statements []statement.Statement
 	// Left is how long the last statement may take.
 	Left time.Duration
+	// Open begins the stream. A stream that is not open is not begun by anything else: what
+	// belongs to a transaction must not run outside of it when the stream has ended.
+	Open bool
 	// Close ends the stream, after the answer if there are statements.
 	Close bool
 }
 
+// LinkID names a connection from another host. A host that was cut off may open a new one
+// before the end of the old one shows.
+type LinkID uint64
+
 // Peer is another host, as this one can use it.
 type Peer struct {
 	Host       fleet.Host
@@ -35,7 +42,7 @@
 
 // stream names a stream of another host.
 type stream struct {
-	host fleet.Host
+	link LinkID
 	id   uint64
 }
 
@@ -65,6 +72,9 @@
 // that see the same peers choose alike. One that sees others chooses another holder: the
 // instance then has two, with fewer connections each, and no harm done.
 func (r *Relay) holder(i *instance) (Peer, bool) {
+	if r.alone(i) {
+		return Peer{}, false
+	}
 	if i.share() >= directShare || len(r.forwarding.peers) == 0 {
 		return Peer{}, false
 	}
@@ -84,6 +94,12 @@
 	return best, best.Host != r.cfg.Host
 }
 
+// alone reports whether this host serves an instance for itself, although others may hold
+// its connections: it has not heard of them yet.
+func (r *Relay) alone(i *instance) bool {
+	return i.share() < directShare && len(r.forwarding.peers) == 0
+}
+
 func weight(h fleet.Host, i fleet.Instance) uint64 {
 	return xxhash.Sum64String(string(h) + "/" + string(i))
 }
@@ -100,6 +116,11 @@
 		f := Forward{
 			Stream: c.stream, Service: c.Service, Instance: c.Instance, Account: c.Account, Statements: qs,
 		}
+		f.Open = !c.opened
+		c.opened = true
+		if qs[0].Kind == statement.KindStepDown {
+			c.once = true
+		}
 		if c.op != nil {
 			f.Left = c.op.deadline.Sub(i.g.r.now())
 			f.Close = !c.op.s.tx.open
@@ -137,11 +158,11 @@
 	}
 }
 
-// GuestsGone takes in that the link from another host has ended: what this one runs for it
+// GuestsGone takes in that a link from another host has ended: what this one runs for it
 // is rolled back.
-func (r *Relay) GuestsGone(h fleet.Host) {
+func (r *Relay) GuestsGone(l LinkID) {
 	for k, s := range r.forwarding.guests {
-		if k.host == h {
+		if k.link == l {
 			delete(r.forwarding.guests, k)
 			s.Gone()
 		}
@@ -151,16 +172,23 @@
 // Forwarded runs what another host asks for, and answers it by reply. The other host has
 // admitted the operation, chosen the instance and proves the answer; this one queues it
 // among its own, by account, and finds the connection.
-func (r *Relay) Forwarded(from fleet.Host, f Forward, reply func(a statement.Answer)) {
+func (r *Relay) Forwarded(from LinkID, f Forward, reply func(a statement.Answer)) {
+	if len(f.Statements) == 1 && f.Statements[0].Kind == statement.KindStepDown {
+		r.group(f.Service).inquire(f.Instance, reply)
+		return
+	}
 	k := stream{from, f.Stream}
 	s := r.forwarding.guests[k]
-	if s == nil {
-		if len(f.Statements) == 0 {
-			return
-		}
+	if s == nil && f.Open {
 		s = r.guest(f)
 		r.forwarding.guests[k] = s
 	}
+	if s == nil {
+		if len(f.Statements) > 0 {
+			reply(statement.Answer{Code: statement.CodeAborted, Detail: "the stream has ended", State: statement.TxFailed})
+		}
+		return
+	}
 	if len(f.Statements) == 0 {
 		delete(r.forwarding.guests, k)
 		s.Gone()
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -27,6 +27,8 @@
 	running map[uint64]*operation
 	// unproven are the answers that wait for their proof.
 	unproven map[uint64]*operation
+	// inquiries are other hosts' questions that wait for a connection.
+	inquiries []inquiry
 	// pumping keeps pump from calling itself.
 	pumping bool
 	// changedAt is when the last order became known, aliveAt when the primary last
@@ -174,6 +176,9 @@
 	g.pumping = true
 	defer func() { g.pumping = false }()
 	now := g.r.now()
+	if len(g.inquiries) > 0 {
+		g.answerInquiries(now)
+	}
 	for len(g.waiting) > 0 {
 		found := map[uint64]*Conn{}
 		item, ok := g.queue.Next(now, func(i admit.Item) bool {
--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -55,6 +55,11 @@
 	// leastCap is how many connections a host may have to an instance at least: one for a
 	// transaction whose caller pauses, and one beside it.
 	leastCap = 2
+	// acquaintance is how long after its start a host waits to hear of the others before it
+	// takes more than one connection to instances that they may hold.
+	acquaintance = 800 * time.Millisecond
+	// strayFor is how long a connection rests to an instance that another host holds.
+	strayFor = 200 * time.Millisecond
 	// holderPart is the part of an instance's connections that its holder may have at
 	// least: a half.
 	holderPart = 2
@@ -82,10 +87,12 @@
 // in place of 0.01, and no less on quiet days.
 func (i *instance) cap(now time.Time) int {
 	n := max(leastCap, i.share())
-	if _, ok := i.g.r.holder(i); !ok && i.share() < directShare {
-		// This host holds the connections for all, but for one that each of the others may
-		// need for a question.
-		n = max(leastCap, i.total()-2*i.g.r.hosts, i.total()/holderPart)
+	switch _, held := i.g.r.holder(i); {
+	case i.share() >= directShare:
+	case i.g.r.alone(i) && now.Sub(i.g.r.began) < acquaintance:
+		n = 1
+	case !held:
+		n = max(leastCap, i.total()-i.g.r.hosts, i.total()/holderPart)
 	}
 	if !i.full.IsZero() && now.Sub(i.full) < fullFor {
 		return max(1, min(i.room, n))
@@ -272,11 +279,14 @@
 
 // sweep closes borrowed connections that rest and those to an instance that has gone.
 func (i *instance) sweep(now time.Time) {
+	keep, rest := i.share(), restFor
+	if _, ok := i.g.r.holder(i); ok {
+		keep, rest = 0, strayFor
+	} else if keep < directShare && !i.g.r.alone(i) {
+		keep = i.cap(now)
+	}
 	for _, c := range slices.Clone(i.conns) {
-		if c.state != connIdle {
-			continue
-		}
-		if i.gone || len(i.conns) > i.share() && now.Sub(c.since) > restFor {
+		if c.state == connIdle && (i.gone || len(i.conns) > keep && now.Sub(c.since) > rest) {
 			c.retire()
 		}
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -42,6 +42,8 @@
 	sessions map[*Session]struct{}
 	groups   map[fleet.Service]*group
 	lease    leader.Lease
+	// began is when the relay was made.
+	began time.Time
 	// hosts is the most hosts that there were lately, at hostsAt.
 	hosts      int
 	hostsAt    time.Time
@@ -66,6 +68,7 @@
 // New returns a Relay without a catalog, which lets nobody in yet.
 func New(cfg Config) *Relay {
 	return &Relay{
+		began:    cfg.Now(),
 		cfg:      cfg,
 		sessions: map[*Session]struct{}{},
 		groups:   map[fleet.Service]*group{},
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/statement"
 )
 
@@ -41,6 +42,7 @@
 		i.sweep(now)
 	}
 	g.askFor(now)
+	g.answerInquiries(now)
 	g.settle(now)
 	g.sample(now)
 	if len(g.waiting) > 0 {
@@ -152,13 +154,29 @@
 	}
 }
 
-// question asks an instance what it is, over a connection that rests or a new one.
+// question asks an instance what it is: over its holder, a connection that rests, or a
+// new one.
 func (g *group) question(now time.Time, i *instance) {
+	if p, ok := g.r.holder(i); ok {
+		if a, ok := g.anyAccount(); ok && now.Sub(i.askedAt) > askAgain {
+			i.askedAt = now
+			i.over(p, a).ask()
+		}
+		return
+	}
 	if c := i.resting(); c != nil {
 		i.askedAt = now
 		c.ask()
 		return
 	}
+	g.reach(now, i)
+}
+
+// askAgain spaces the questions over another host.
+const askAgain = 20 * time.Millisecond
+
+// reach makes a connection to an instance, if none is being made and there is room.
+func (g *group) reach(now time.Time, i *instance) {
 	if now.Before(i.next) || slices.ContainsFunc(i.conns, func(c *Conn) bool { return c.state == connDialling }) {
 		return
 	}
@@ -167,6 +185,46 @@
 	}
 }
 
+// inquiry is another host's question that waits for a connection.
+type inquiry struct {
+	i     *instance
+	until time.Time
+	reply func(a statement.Answer)
+}
+
+// inquiryPatience bounds that wait; whoever asks needs the answer within a proof's time.
+const inquiryPatience = 150 * time.Millisecond
+
+// inquire asks an instance for another host.
+func (g *group) inquire(n fleet.Instance, reply func(a statement.Answer)) {
+	now := g.r.now()
+	i := g.instances[n]
+	if i == nil || i.gone || i.doubtful(now) {
+		reply(statement.Answer{Code: statement.CodeBusy, Detail: "this host can't reach the instance", State: statement.TxNone})
+		return
+	}
+	g.inquiries = append(g.inquiries, inquiry{i: i, until: now.Add(inquiryPatience), reply: reply})
+	g.answerInquiries(now)
+}
+
+// answerInquiries puts the questions that wait to instances with a connection at rest.
+func (g *group) answerInquiries(now time.Time) {
+	g.inquiries = slices.DeleteFunc(g.inquiries, func(q inquiry) bool {
+		if c := q.i.resting(); c != nil {
+			c.askFor(q.reply)
+			return true
+		}
+		if now.After(q.until) {
+			q.reply(statement.Answer{
+				Code: statement.CodeBusy, Detail: "no connection was free in time", State: statement.TxNone,
+			})
+			return true
+		}
+		g.reach(now, q.i)
+		return false
+	})
+}
+
 // settle asks the instance that is to lead whether it does.
 func (g *group) settle(now time.Time) {
 	if _, _, ok := g.belief.Primary(); ok || now.Sub(g.verifiedAt) < settleEvery {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -55,7 +55,9 @@
 	peers    peers
 	rates    share.Fleet
 	// links are to the hosts that were heard.
-	links    map[fleet.Host]*link
+	links map[fleet.Host]*link
+	// accepted counts the links from other hosts.
+	accepted relay.LinkID
 	balancer *operator.Server
 	operator *operator.Server
 	// ready is what the balancer is told; the loop writes it.
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -114,13 +114,15 @@
 func (h *Host) acceptPeer(c *loop.Conn) {
 	var from fleet.Host
 	var out []byte
+	h.accepted++
+	id := h.accepted
 	in := forward.Reader{
 		Hello: func(n fleet.Host) { from = n },
 		Request: func(f relay.Forward) {
 			if from == "" {
 				return
 			}
-			h.relay.Forwarded(from, f, func(a statement.Answer) {
+			h.relay.Forwarded(id, f, func(a statement.Answer) {
 				out = forward.AppendReply(out[:0], f.Stream, a)
 				c.Write(out)
 			})
@@ -128,9 +130,5 @@
 		Reply: func(uint64, statement.Answer) {},
 	}
 	c.Data = h.reader(c, &in)
-	c.Closed = func(error) {
-		if from != "" {
-			h.relay.GuestsGone(from)
-		}
-	}
+	c.Closed = func(error) { h.relay.GuestsGone(id) }
 }
