Test the relay before instances that crash, go dark, lag and are replaced

A survey before an order now waits for what the instances say of themselves: a new connection tells no position, and the first name was promoted. A silent instance gets a shorter time for a new connection.

--- a/core/relay/duty.go
+++ b/core/relay/duty.go
@@ -125,12 +125,11 @@
 	}
 	if g.surveyed.IsZero() || now.Sub(g.surveyed) > surveyLimit {
 		g.surveyed = now
-		for _, i := range g.instances {
-			if i.usable() {
-				g.question(now, i)
-			}
+	}
+	for _, i := range g.instances {
+		if i.usable() && i.toldAt.Before(g.surveyed) && now.Sub(i.askedAt) >= askAgain {
+			g.question(now, i)
 		}
-		return
 	}
 	if now.Sub(g.surveyed) < surveyFor {
 		return
@@ -171,7 +170,7 @@
 	for _, i := range g.instances {
 		m := leader.Member{
 			Name: i.info.Name, Leaving: i.info.Leaving, Gone: i.gone,
-			Reachable: i.failures == 0 && !i.lastHeard.Before(g.surveyed), Received: i.received,
+			Reachable: i.failures == 0 && !i.toldAt.Before(g.surveyed), Received: i.received,
 			Leads: i.leads, Term: i.term,
 		}
 		if i.doubtful(now) {
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -362,6 +362,7 @@
 		return
 	}
 	c.inst.received, c.inst.leads, c.inst.term = s.Received, s.Role == fleet.RolePrimary, s.Term
+	c.inst.toldAt = g.r.now()
 	if g.belief.Answered(c.Instance, s) {
 		g.aliveAt = g.r.now()
 		g.r.note(Event{
@@ -571,8 +572,11 @@
 	if g.r.catalog == nil {
 		return "", false
 	}
+	var first fleet.Account
 	for a := range g.r.catalog.Accounts {
-		return a, true
+		if first == "" || a < first {
+			first = a
+		}
 	}
-	return "", false
+	return first, first != ""
 }
--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -21,9 +21,11 @@
 	point fleet.Point
 	// received is the end of its log, as it last told when it was asked.
 	received fleet.Point
-	// leads is whether it last said that it is a primary, term the term that it said.
-	leads bool
-	term  fleet.Term
+	// leads is whether it last said that it is a primary, term the term that it said, and
+	// toldAt when that was.
+	leads  bool
+	term   fleet.Term
+	toldAt time.Time
 	// lastHeard is when anything came from it.
 	lastHeard time.Time
 	// failures counts failed connections in a row; the next is tried at next.
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -10,7 +10,7 @@
 
 const (
 	// dialPatience is how long a connection may take: five times what it does on a
-	// busy instance.
+	// busy instance. To one that is silent otherwise too it may take quietFor.
 	dialPatience = 400 * time.Millisecond
 	// settleEvery is how often an instance is asked whether it leads, while nobody does.
 	settleEvery = 50 * time.Millisecond
@@ -86,7 +86,7 @@
 	for _, i := range g.instances {
 		for _, c := range slices.Clone(i.conns) {
 			switch {
-			case c.state == connDialling && now.Sub(c.since) > dialPatience:
+			case c.state == connDialling && now.Sub(c.since) > i.dialPatience(now):
 				i.failed(now, "no answer to a new connection")
 				c.lost("no answer to a new connection")
 			case c.state == connBusy && len(c.owed) > 0 && quick(c.owed[0].kind) && now.Sub(c.owed[0].asked) > quietFor:
@@ -133,6 +133,13 @@
 	}
 }
 
+func (i *instance) dialPatience(now time.Time) time.Duration {
+	if now.Sub(i.lastHeard) > wonderAfter+quietFor {
+		return quietFor
+	}
+	return dialPatience
+}
+
 // quick reports whether an instance answers a statement without working for it.
 func quick(k statement.Kind) bool {
 	switch k {
--- /dev/null
+++ b/core/relay/world_test.go
@@ -0,0 +1,376 @@
+package relay_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/leader"
+	"skylarkdeal/core/relay"
+	"skylarkdeal/core/statement"
+)
+
+const service fleet.Service = "orders"
+
+// world is one relay before instances that a test answers for by hand, or that answer by
+// themselves as a healthy group does.
+type world struct {
+	c     *qt.C
+	now   time.Time
+	relay *relay.Relay
+	// instances by name, in the order of their making.
+	instances map[fleet.Instance]*node
+	orders    []leader.Order
+	events    []relay.Event
+	refreshed int
+	returned  int
+	over      func(a catalog.Account) (time.Duration, bool)
+	forwarded []relay.Forward
+}
+
+// node is one instance.
+type node struct {
+	name   fleet.Instance
+	role   fleet.Role
+	term   fleet.Term
+	point  fleet.Point
+	conns  []*link
+	ran    []string
+	silent bool
+	// hold keeps answers back until release is called.
+	hold    bool
+	pending []func()
+	// fail answers the next statements that would run with a code.
+	fail []statement.Code
+	// refuse answers new connections with a code.
+	refuse statement.Code
+	away   bool
+}
+
+// link is one connection to a node, as the node sees it.
+type link struct {
+	node   *node
+	conn   *relay.Conn
+	state  statement.TxState
+	values map[string]string
+	names  map[string]statement.Shape
+	closed bool
+}
+
+func newWorld(c *qt.C) *world {
+	w := &world{c: c, now: time.Unix(1000, 0), instances: map[fleet.Instance]*node{}}
+	w.relay = relay.New(relay.Config{
+		Host: "h1", DataCentre: "obihiro",
+		Now: func() time.Time { return w.now },
+		Dial: func(c *relay.Conn) {
+			w.dial(c)
+		},
+		Admit: func(a catalog.Account) (time.Duration, bool) {
+			if w.over != nil {
+				return w.over(a)
+			}
+			return 0, true
+		},
+		Return:      func(fleet.Account) { w.returned++ },
+		ParseStatus: parseStatus,
+		Refresh:     func() { w.refreshed++ },
+		Order:       func(o leader.Order) { w.orders = append(w.orders, o) },
+		Note:        func(e relay.Event) { w.events = append(w.events, e) },
+	})
+	for n, name := range []fleet.Instance{"a", "b", "c"} {
+		i := &node{name: name, role: fleet.RoleReplica, term: 1, point: fleet.Point{Term: 1, Position: 5}}
+		if n == 0 {
+			i.role = fleet.RolePrimary
+		}
+		w.instances[name] = i
+	}
+	w.relay.Adopt(w.catalog(1))
+	w.relay.SetHosts(1)
+	w.list()
+	w.renew()
+	return w
+}
+
+func (w *world) catalog(v catalog.Version) *catalog.Catalog {
+	r := catalog.Route{Service: service, Timeout: 800 * time.Millisecond, Target: 200 * time.Millisecond}
+	route := func(d catalog.Database, k catalog.Consistency, age time.Duration) catalog.Route {
+		r := r
+		r.Database, r.Consistency, r.MaxAge = d, k, age
+		return r
+	}
+	return &catalog.Catalog{
+		Version: v, TxIdle: 3 * time.Second,
+		Routes: map[catalog.Database]catalog.Route{
+			"rush":     route("rush", catalog.ConsistencyPrimary, 0),
+			"stock":    route("stock", catalog.ConsistencyBounded, 1500*time.Millisecond),
+			"standing": route("standing", catalog.ConsistencySession, 2500*time.Millisecond),
+		},
+		Services: map[fleet.Service]catalog.Service{service: {Name: service, Connections: 16}},
+		Accounts: map[fleet.Account]catalog.Account{
+			"hotel":  {Name: "hotel", Rate: 100, Burst: 100, Keys: []catalog.Key{"key-1", "key-2"}},
+			"bakery": {Name: "bakery", Rate: 100, Burst: 100, Keys: []catalog.Key{"key-3"}},
+		},
+	}
+}
+
+// list tells the relay of the instances as they stand.
+func (w *world) list(leaving ...fleet.Instance) {
+	var is []catalog.Instance
+	for _, name := range []fleet.Instance{"a", "b", "c"} {
+		n := w.instances[name]
+		if n.away {
+			continue
+		}
+		is = append(is, catalog.Instance{
+			Name: name, Service: service, Address: "10.0.0.1:" + string(name), DataCentre: "obihiro",
+			Slots: 2, Role: n.role, Leaving: slices.Contains(leaving, name),
+		})
+	}
+	w.relay.Listed(is)
+}
+
+func (w *world) renew() { w.relay.LeaseRenewed(w.now) }
+
+// pass lets time go by in ticks, with the registration renewed if renewed is set.
+func (w *world) pass(d time.Duration, renewed bool) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(10 * time.Millisecond)
+		if renewed {
+			w.renew()
+		}
+		w.relay.Tick()
+		w.deliver()
+	}
+}
+
+// deliver has all answers come that are ready.
+func (w *world) deliver() {
+	for busy := true; busy; {
+		busy = false
+		for _, name := range []fleet.Instance{"a", "b", "c"} {
+			n := w.instances[name]
+			busy = busy || len(n.pending) > 0 && !n.hold
+			w.flush(n)
+		}
+	}
+}
+
+// settled lets the relay find the primary.
+func (w *world) settled() *world {
+	w.pass(100*time.Millisecond, true)
+	return w
+}
+
+func (w *world) dial(c *relay.Conn) {
+	n := w.instances[c.Instance]
+	l := &link{node: n, conn: c, state: statement.TxNone, values: map[string]string{}, names: map[string]statement.Shape{}}
+	c.Send = func(qs []statement.Statement) {
+		for _, q := range qs {
+			w.receive(l, q)
+		}
+	}
+	c.Close = func() { l.closed = true }
+	if n.silent {
+		return
+	}
+	if n.refuse != "" {
+		code := n.refuse
+		n.pending = append(n.pending, func() { w.relay.Turned(c, code, "") })
+		return
+	}
+	n.conns = append(n.conns, l)
+	n.pending = append(n.pending, func() { w.relay.Connected(c, n.answer(l, statement.Answer{})) })
+}
+
+// flush delivers answers, later ones of the same moment too.
+func (w *world) flush(n *node) {
+	if n.hold {
+		return
+	}
+	for len(n.pending) > 0 {
+		f := n.pending[0]
+		n.pending = n.pending[1:]
+		f()
+	}
+}
+
+func (n *node) answer(l *link, a statement.Answer) statement.Answer {
+	a.State = l.state
+	a.Point = fleet.Some(n.point)
+	return a
+}
+
+func (w *world) receive(l *link, q statement.Statement) {
+	n := l.node
+	if n.silent || l.closed {
+		return
+	}
+	a := n.run(l, q)
+	n.pending = append(n.pending, func() {
+		if !l.closed {
+			w.relay.Answered(l.conn, a)
+		}
+	})
+}
+
+// run does what an instance does with a statement.
+func (n *node) run(l *link, q statement.Statement) statement.Answer {
+	var a statement.Answer
+	if p, ok := q.After.Get(); ok && !n.point.Covers(p) {
+		return n.answer(l, statement.Answer{Code: statement.CodeLagging})
+	}
+	if q.ID != "" && len(n.fail) > 0 && runs(q.Kind) {
+		a.Code, n.fail = n.fail[0], n.fail[1:]
+		if l.state == statement.TxOpen {
+			l.state = statement.TxFailed
+		}
+		return n.answer(l, a)
+	}
+	switch q.Kind {
+	case statement.KindDiscard:
+		clear(l.values)
+		clear(l.names)
+	case statement.KindSet:
+		l.values[q.Name] = q.Value
+	case statement.KindPrepare:
+		l.names[q.Name] = q.Shape
+	case statement.KindBegin, statement.KindBeginRead:
+		if q.Kind == statement.KindBegin && n.role != fleet.RolePrimary {
+			return n.answer(l, statement.Answer{Code: statement.CodeReadOnly})
+		}
+		l.state = statement.TxOpen
+		n.ran = append(n.ran, "begin "+string(q.ID))
+	case statement.KindRollback:
+		l.state = statement.TxNone
+		n.ran = append(n.ran, "rollback")
+	case statement.KindStepDown:
+		if q.Term > n.term {
+			n.role, n.term = fleet.RoleReplica, q.Term
+		}
+		a.Rows = []string{fmt.Sprintf("%s %d %d %d", n.role, n.term, n.point.Term, n.point.Position)}
+	default:
+		return n.work(l, q)
+	}
+	return n.answer(l, a)
+}
+
+func runs(k statement.Kind) bool {
+	switch k {
+	case statement.KindRead, statement.KindWrite, statement.KindExecute, statement.KindCommit:
+		return true
+	default:
+		return false
+	}
+}
+
+func (n *node) work(l *link, q statement.Statement) statement.Answer {
+	writes := q.Kind == statement.KindWrite
+	if q.Kind == statement.KindExecute {
+		s, ok := l.names[q.Name]
+		if !ok {
+			return n.answer(l, statement.Answer{Code: statement.CodeNotPrepared})
+		}
+		writes = s.Writes
+	}
+	if writes && n.role != fleet.RolePrimary {
+		return n.answer(l, statement.Answer{Code: statement.CodeReadOnly})
+	}
+	values := make([]string, 0, len(l.values))
+	for k, v := range l.values {
+		values = append(values, k+"="+v)
+	}
+	slices.Sort(values)
+	n.ran = append(n.ran, strings.TrimSpace(fmt.Sprintf("%s %s %s", q.Kind, q.ID, strings.Join(values, " "))))
+	if q.Kind == statement.KindCommit {
+		l.state = statement.TxNone
+	}
+	if writes && l.state == statement.TxNone || q.Kind == statement.KindCommit {
+		n.point = fleet.Point{Term: n.term, Position: n.point.Position + 1}
+	}
+	return n.answer(l, statement.Answer{Rows: []string{"row"}, Digest: "d-" + string(n.name)})
+}
+
+// parseStatus reads the row that run makes.
+func parseStatus(a statement.Answer) (statement.Status, bool) {
+	var s statement.Status
+	if len(a.Rows) != 1 {
+		return s, false
+	}
+	_, err := fmt.Sscanf(a.Rows[0], "%s %d %d %d", &s.Role, &s.Term, &s.Received.Term, &s.Received.Position)
+	return s, err == nil
+}
+
+// caller is one session.
+type caller struct {
+	w       *world
+	s       *relay.Session
+	answers []statement.Answer
+	started bool
+	closed  bool
+	code    statement.Code
+	n       int
+}
+
+func (w *world) open(d catalog.Database, k catalog.Key) *caller {
+	c := &caller{w: w}
+	c.s = w.relay.Open(relay.Link{
+		Started: func() { c.started = true },
+		Answer:  func(a statement.Answer) { c.answers = append(c.answers, a) },
+		Reject:  func(code statement.Code, _ string) { c.code, c.closed = code, true },
+		Close:   func() { c.closed = true },
+	})
+	c.s.Start(d, k)
+	return c
+}
+
+// do sends a statement and returns its id.
+func (c *caller) do(k statement.Kind, name, text string) statement.ID {
+	c.n++
+	id := statement.ID(fmt.Sprintf("q%d", c.n))
+	q := statement.Statement{ID: id, Kind: k, Name: name, Text: text, Value: text}
+	if k == statement.KindPrepare {
+		q.Value, q.Text = "", ""
+		q.Shape = statement.Shape{Writes: strings.HasPrefix(text, "w"), Text: text}
+	}
+	c.s.Query(q)
+	c.w.deliver()
+	return id
+}
+
+// last returns the last answer.
+func (c *caller) last() statement.Answer {
+	if len(c.answers) == 0 {
+		return statement.Answer{Code: "no answer"}
+	}
+	return c.answers[len(c.answers)-1]
+}
+
+// count returns how often nodes have run what holds text.
+func (w *world) count(text string) int {
+	n := 0
+	for _, i := range w.instances {
+		for _, r := range i.ran {
+			if strings.Contains(r, text) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// cut ends all connections to a node, as a crash does.
+func (w *world) cut(n *node) {
+	n.pending = nil
+	for _, l := range slices.Clone(n.conns) {
+		if !l.closed {
+			l.closed = true
+			w.relay.Lost(l.conn, errReset)
+		}
+	}
+	n.conns = nil
+}
