--- /dev/null
+++ b/core/fresh/fresh_test.go
@@ -0,0 +1,57 @@
+package fresh_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/fresh"
+)
+
+func ExampleSamples() {
+	var s fresh.Samples
+	now := time.Unix(1000, 0)
+	s.Add(fresh.Sample{Point: fleet.Point{Term: 1, Position: 7}, Asked: now.Add(-2 * time.Second)})
+	s.Add(fresh.Sample{Point: fleet.Point{Term: 1, Position: 9}, Asked: now.Add(-time.Second)})
+	n, ok := s.Oldest(now.Add(-1500 * time.Millisecond))
+	fmt.Println(n.Point, ok)
+	// Output: 1.9 true
+}
+
+// Whatever samples come, in whatever order: the one that is returned was asked for no
+// earlier than the read allows, and covers what was known at its moment.
+func TestOldestIsWithinTheAge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s fresh.Samples
+		base := time.Unix(1000, 0)
+		for _, ms := range rapid.SliceOfN(rapid.IntRange(0, 10_000), 0, 300).Draw(t, "asked") {
+			// The log at a moment is as long as the moment is late.
+			s.Add(fresh.Sample{
+				Point: fleet.Point{Term: 1, Position: fleet.Position(ms)}, Asked: base.Add(time.Duration(ms) * time.Millisecond),
+			})
+		}
+		since := rapid.IntRange(0, 10_000).Draw(t, "since")
+		n, ok := s.Oldest(base.Add(time.Duration(since) * time.Millisecond))
+		if ok && int(n.Point.Position) < since {
+			t.Fatalf("sample %d for a read since %d", n.Point.Position, since)
+		}
+	})
+}
+
+func TestNewest(t *testing.T) {
+	c := qt.New(t)
+	var s fresh.Samples
+	_, ok := s.Newest()
+	c.Assert(ok, qt.IsFalse)
+	at := time.Unix(1000, 0)
+	for n := range 500 {
+		s.Add(fresh.Sample{Point: fleet.Point{Term: 1, Position: fleet.Position(n)}, Asked: at.Add(time.Duration(n) * time.Second)})
+	}
+	last, ok := s.Newest()
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(last.Point.Position, qt.Equals, fleet.Position(499))
+}
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -139,7 +139,7 @@
 	a.ask(now)
 	s := f.share(now, a, c.Name)
 	a.refill(now, c, s)
-	free := a.pool >= a.burst*plenty && f.whole(now)
+	free := a.pool-f.untold(now, a, c.Name) >= a.burst*plenty && f.whole(now)
 	if !free && a.own < 1 || a.pool < -max(a.burst*overdraft, leastOwn) {
 		missing := max(1-a.own, leastOwn/2) / (a.rate * s)
 		return min(max(time.Duration(missing*float64(time.Second)), minWait), maxWait), false
@@ -165,7 +165,7 @@
 func (f *Fleet) account(now time.Time, c catalog.Account) *account {
 	a := f.accounts[c.Name]
 	if a == nil {
-		a = &account{at: now, demandAt: now, pool: c.Burst * firstPart}
+		a = &account{at: now, demandAt: now, rate: c.Rate, pool: c.Burst * firstPart}
 		a.own = a.pool * f.share(now, a, c.Name)
 		f.accounts[c.Name] = a
 	}
@@ -173,6 +173,19 @@
 	return a
 }
 
+// untold guesses what the other hosts have admitted since their last reports: what is
+// asked of them, for as long. Without it a cut fleet gives away what each side believes
+// to be left, before the silence shows.
+func (f *Fleet) untold(now time.Time, a *account, n fleet.Account) float64 {
+	sum := 0.0
+	for name, h := range f.hosts {
+		if f.members.Has(name) {
+			sum += min(h.usage[n].Demand, a.rate) * now.Sub(h.heard).Seconds()
+		}
+	}
+	return sum
+}
+
 // whole reports whether all other hosts have told lately what they admit.
 func (f *Fleet) whole(now time.Time) bool {
 	if f.members == nil {
