--- /dev/null
+++ b/io/registry/registry_test.go
@@ -0,0 +1,407 @@
+package registry_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/leader"
+	"skylarkdeal/io/registry"
+)
+
+// shelf is a small store in memory, with faults that a test sets.
+type shelf struct {
+	mu       sync.Mutex
+	revision registry.Revision
+	entries  map[string]registry.Entry
+	leases   map[registry.Lease]time.Time
+	next     registry.Lease
+	calls    map[string]int
+	changed  chan struct{}
+	// down refuses all calls; deaf has watches hear nothing.
+	down, deaf bool
+	// lose runs the next commits and answers with an error, late keeps them back.
+	lose int
+	late []func()
+}
+
+var errDown = errors.New("no answer")
+
+func newShelf() *shelf {
+	return &shelf{
+		revision: 10, entries: map[string]registry.Entry{}, leases: map[registry.Lease]time.Time{},
+		calls: map[string]int{}, changed: make(chan struct{}),
+	}
+}
+
+func (s *shelf) enter(name string) error {
+	s.calls[name]++
+	for l, end := range s.leases {
+		if time.Now().After(end) {
+			s.end(l)
+		}
+	}
+	if s.down {
+		return errDown
+	}
+	return nil
+}
+
+func (s *shelf) end(l registry.Lease) {
+	delete(s.leases, l)
+	for k, e := range s.entries {
+		if e.Lease == l {
+			delete(s.entries, k)
+			s.stir()
+		}
+	}
+}
+
+func (s *shelf) stir() {
+	s.revision++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *shelf) list(_ context.Context, prefix string) ([]registry.Entry, registry.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter("list " + prefix); err != nil {
+		return nil, 0, err
+	}
+	var out []registry.Entry
+	for k, e := range s.entries {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, e)
+		}
+	}
+	slices.SortFunc(out, func(a, b registry.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return out, s.revision, nil
+}
+
+func (s *shelf) watch(
+	ctx context.Context, prefix string, after registry.Revision, wait time.Duration,
+) ([]registry.Entry, registry.Revision, error) {
+	end := time.After(wait)
+	for {
+		s.mu.Lock()
+		if err := s.enter("watch"); err != nil {
+			s.mu.Unlock()
+			return nil, 0, err
+		}
+		var out []registry.Entry
+		for k, e := range s.entries {
+			if strings.HasPrefix(k, prefix) && e.Revision > after && !s.deaf {
+				out = append(out, e)
+			}
+		}
+		changed, at := s.changed, s.revision
+		s.mu.Unlock()
+		if len(out) > 0 {
+			return out, at, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return nil, at, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (s *shelf) commit(_ context.Context, t registry.Txn) (registry.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter("commit"); err != nil {
+		return 0, err
+	}
+	for _, c := range t.If {
+		if s.entries[c.Key].Revision != c.Revision {
+			return 0, registry.ErrConflict
+		}
+	}
+	if _, ok := s.leases[t.Lease]; t.Lease != 0 && !ok {
+		return 0, registry.ErrNotFound
+	}
+	s.stir()
+	for _, p := range t.Put {
+		created := s.entries[p.Key].Created
+		if created == 0 {
+			created = s.revision
+		}
+		s.entries[p.Key] = registry.Entry{Key: p.Key, Value: p.Value, Revision: s.revision, Created: created, Lease: t.Lease}
+	}
+	if s.lose > 0 {
+		s.lose--
+		return 0, errDown
+	}
+	return s.revision, nil
+}
+
+func (s *shelf) grant(_ context.Context, ttl time.Duration) (registry.Lease, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter("grant"); err != nil {
+		return 0, err
+	}
+	s.next++
+	s.leases[s.next] = time.Now().Add(ttl)
+	return s.next, nil
+}
+
+func (s *shelf) renew(_ context.Context, l registry.Lease) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter("renew"); err != nil {
+		return err
+	}
+	if _, ok := s.leases[l]; !ok {
+		return registry.ErrNotFound
+	}
+	s.leases[l] = time.Now().Add(time.Second)
+	return nil
+}
+
+func (s *shelf) endLease(_ context.Context, l registry.Lease) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter("end"); err != nil {
+		return err
+	}
+	s.end(l)
+	return nil
+}
+
+func (s *shelf) store() registry.Store {
+	return registry.Store{
+		List: s.list, Watch: s.watch, Commit: s.commit, Grant: s.grant, Renew: s.renew, End: s.endLease,
+	}
+}
+
+func (s *shelf) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stir()
+	s.entries[key] = registry.Entry{Key: key, Value: []byte(value), Revision: s.revision, Created: s.revision}
+}
+
+func (s *shelf) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// seen is what one registry has told.
+type seen struct {
+	mu        sync.Mutex
+	versions  []catalog.Version
+	records   []leader.Record
+	hosts     []registry.Host
+	holds     []bool
+	renewed   int
+	lost      int
+	promoted  []registry.Promotion
+	ordered   []string
+	steps     []string
+	instances int
+}
+
+func (s *seen) get(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// join starts a registry before the shelf.
+func join(c *qt.C, s *shelf) (*registry.Registry, *seen) {
+	t := &seen{}
+	r := registry.New(registry.Config{
+		Store: s.store(), Self: registry.Host{Name: "h-x", DataCentre: "obihiro", Address: "127.0.0.1:1"},
+		Prefix: "our/", CatalogKey: "catalog", InstancePrefix: "instances/",
+		ParseCatalog: func(b []byte) (*catalog.Catalog, error) {
+			var v uint64
+			_, err := fmt.Sscan(string(b), &v)
+			return &catalog.Catalog{Version: catalog.Version(v)}, err
+		},
+		ParseInstance: func(e registry.Entry) (catalog.Instance, bool) { return catalog.Instance{}, len(e.Value) > 0 },
+		Now:           time.Now,
+		Post:          func(f func()) { t.get(f) },
+		Catalog:       func(d *catalog.Catalog) { t.versions = append(t.versions, d.Version) },
+		Instances:     func(is []catalog.Instance) { t.instances = len(is) },
+		Hosts:         func(hs []registry.Host) { t.hosts = hs },
+		Record:        func(r leader.Record) { t.records = append(t.records, r) },
+		Renewed:       func(time.Time) { t.renewed++ },
+		Lost:          func() { t.lost++ },
+		Holds:         func(h bool) { t.holds = append(t.holds, h) },
+		Ordered: func(o leader.Order, given, refused bool) {
+			t.ordered = append(t.ordered, fmt.Sprintf("%s %t %t", o.Service, given, refused))
+		},
+		StepDown: func(leader.Order) { t.steps = append(t.steps, "step down") },
+		Promote: func(_ context.Context, p registry.Promotion) error {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.promoted = append(t.promoted, p)
+			return nil
+		},
+		PromotionDelay: time.Second,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { r.Run(ctx); close(done) }()
+	c.Cleanup(func() { cancel(); <-done })
+	return r, t
+}
+
+// until waits for something to come true.
+func until(c *qt.C, t *seen, what string, ok func() bool) {
+	c.Helper()
+	for range 600 {
+		var now bool
+		t.get(func() { now = ok() })
+		if now {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Fatalf("never: %s", what)
+}
+
+func TestHostRegistersAndHears(t *testing.T) {
+	c := qt.New(t)
+	s := newShelf()
+	s.put("catalog", "3")
+	s.put("instances/a", "x")
+	_, t1 := join(c, s)
+	until(c, t1, "a catalog", func() bool { return len(t1.versions) > 0 && t1.versions[0] == 3 })
+	until(c, t1, "an instance", func() bool { return t1.instances == 1 })
+	until(c, t1, "renewals", func() bool { return t1.renewed > 2 })
+	until(c, t1, "the duty", func() bool { return len(t1.holds) == 1 && t1.holds[0] })
+	until(c, t1, "itself", func() bool { return len(t1.hosts) == 1 && t1.hosts[0].Name == "h-x" })
+	s.put("catalog", "4")
+	until(c, t1, "the next catalog", func() bool { return slices.Contains(t1.versions, 4) })
+	s.put("catalog", "rubbish")
+	s.put("catalog", "5")
+	until(c, t1, "the one after a broken one", func() bool { return slices.Contains(t1.versions, 5) })
+}
+
+// The store drops its history, and watches hear nothing of the changes in the gap. A key
+// that was withdrawn then went on working for as long as the watch waited.
+func TestChangeThatAWatchMissedIsReadAllTheSame(t *testing.T) {
+	c := qt.New(t)
+	s := newShelf()
+	s.put("catalog", "3")
+	s.set(func() { s.deaf = true })
+	_, t1 := join(c, s)
+	until(c, t1, "a catalog", func() bool { return len(t1.versions) > 0 })
+	s.put("catalog", "4")
+	began := time.Now()
+	until(c, t1, "the next catalog", func() bool { return slices.Contains(t1.versions, 4) })
+	c.Assert(time.Since(began) < 2500*time.Millisecond, qt.IsTrue)
+}
+
+// Another host tells that it has just read the same catalog. This one spares the call.
+func TestCatalogReadByAnotherHostIsNotReadAgain(t *testing.T) {
+	c := qt.New(t)
+	s := newShelf()
+	s.put("catalog", "3")
+	r, t1 := join(c, s)
+	until(c, t1, "a catalog", func() bool { return len(t1.versions) > 0 })
+	count := func() (n int) { s.set(func() { n = s.calls["list catalog"] }); return n }
+	before := count()
+	for range 25 {
+		r.CatalogConfirmed(time.Now())
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.Assert(count(), qt.Equals, before)
+}
+
+// An order is given: first its record, then the end of the other hosts' registrations, and
+// only then the order itself, under a number that the store has never given before.
+func TestOrderEndsRegistrationsFirst(t *testing.T) {
+	c := qt.New(t)
+	s := newShelf()
+	r, t1 := join(c, s)
+	until(c, t1, "the duty", func() bool { return len(t1.holds) == 1 })
+	other, err := s.grant(context.Background(), time.Minute)
+	c.Assert(err, qt.IsNil)
+	b, err := json.Marshal(registry.Host{Name: "other", Lease: other})
+	c.Assert(err, qt.IsNil)
+	_, err = s.commit(context.Background(), registry.Txn{
+		Put: []registry.Put{{Key: "our/hosts/other/1", Value: b}}, Lease: other,
+	})
+	c.Assert(err, qt.IsNil)
+	r.Order(leader.Order{Service: "orders", Primary: "b", Former: "a", Term: 2, Reason: leader.ReasonLeaving})
+	until(c, t1, "the order", func() bool { return len(t1.promoted) == 1 })
+	c.Assert(s.renew(context.Background(), other), qt.ErrorIs, registry.ErrNotFound)
+	t1.get(func() {
+		c.Assert(t1.records, qt.HasLen, 1)
+		c.Assert(t1.records[0].Primary, qt.Equals, t1.promoted[0].Instance)
+		c.Assert(t1.promoted[0].Fence > 10, qt.IsTrue)
+		c.Assert(t1.lost, qt.Equals, 0)
+	})
+	until(c, t1, "the end of the former primary", func() bool { return len(t1.steps) == 1 })
+}
+
+// The answer to the record is lost after it was written. Giving up would leave the group
+// with a record and no order; writing it again would fail on its own condition.
+func TestRecordWhoseAnswerWasLostIsReadBack(t *testing.T) {
+	c := qt.New(t)
+	s := newShelf()
+	r, t1 := join(c, s)
+	until(c, t1, "the duty", func() bool { return len(t1.holds) == 1 })
+	s.set(func() { s.lose = 1 })
+	r.Order(leader.Order{Service: "orders", Primary: "b", Term: 2, Reason: leader.ReasonLost})
+	until(c, t1, "the order", func() bool { return len(t1.promoted) == 1 })
+}
+
+// Two hosts decide at once, by what each knows. The one whose knowledge is older must not
+// give its order: two on their way make two primaries.
+func TestOrderByOldKnowledgeIsNotGiven(t *testing.T) {
+	c := qt.New(t)
+	s := newShelf()
+	r, t1 := join(c, s)
+	until(c, t1, "the duty", func() bool { return len(t1.holds) == 1 })
+	s.put("our/primaries/orders", `{"service":"orders","term":2,"primary":"c"}`)
+	r.Order(leader.Order{Service: "orders", Primary: "b", Term: 2, Reason: leader.ReasonLost})
+	until(c, t1, "the outcome", func() bool { return len(t1.ordered) == 1 })
+	t1.get(func() {
+		c.Assert(t1.ordered, qt.DeepEquals, []string{"orders false false"})
+		c.Assert(t1.promoted, qt.HasLen, 0)
+	})
+}
+
+// The store goes away and comes back. Meanwhile one duty tries it for all: a dozen calls a
+// second from each host would keep it down.
+func TestLostStoreIsTriedSparingly(t *testing.T) {
+	c := qt.New(t)
+	s := newShelf()
+	s.put("catalog", "3")
+	_, t1 := join(c, s)
+	until(c, t1, "a catalog", func() bool { return len(t1.versions) > 0 })
+	s.set(func() { s.down = true })
+	time.Sleep(1500 * time.Millisecond)
+	total := func() (n int) {
+		s.set(func() {
+			for _, k := range s.calls {
+				n += k
+			}
+		})
+		return n
+	}
+	before := total()
+	time.Sleep(2 * time.Second)
+	c.Assert(total()-before <= 20, qt.IsTrue, qt.Commentf("%d calls in 2 s", total()-before))
+	s.set(func() { s.down = false })
+	s.put("catalog", "4")
+	until(c, t1, "the next catalog", func() bool { return slices.Contains(t1.versions, 4) })
+}
