--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -8,7 +8,7 @@
 	"skylarkdeal/core/fleet"
 )
 
-// Version orders catalogs; a later one replaces an earlier one as a whole.
+// Version orders the versions of the catalog; a later one replaces an earlier one whole.
 type Version uint64
 
 // Database is the name by which callers reach a service, with the consistency that
--- a/core/fresh/fresh_test.go
+++ b/core/fresh/fresh_test.go
@@ -49,7 +49,9 @@
 	c.Assert(ok, qt.IsFalse)
 	at := time.Unix(1000, 0)
 	for n := range 500 {
-		s.Add(fresh.Sample{Point: fleet.Point{Term: 1, Position: fleet.Position(n)}, Asked: at.Add(time.Duration(n) * time.Second)})
+		s.Add(fresh.Sample{
+			Point: fleet.Point{Term: 1, Position: fleet.Position(n)}, Asked: at.Add(time.Duration(n) * time.Second),
+		})
 	}
 	last, ok := s.Newest()
 	c.Assert(ok, qt.IsTrue)
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -154,7 +154,9 @@
 	}{
 		{"all is well", func(map[fleet.Instance]*leader.Member) {}, 6, "", ""},
 		{"two hosts of six miss it", func(m map[fleet.Instance]*leader.Member) { m["a"].Doubters = 2 }, 6, "", ""},
-		{"half of the hosts miss it", func(m map[fleet.Instance]*leader.Member) { m["a"].Doubters = 3 }, 6, leader.ReasonLost, "b"},
+		{"half of the hosts miss it", func(m map[fleet.Instance]*leader.Member) {
+			m["a"].Doubters = 3
+		}, 6, leader.ReasonLost, "b"},
 		{"it leaves", func(m map[fleet.Instance]*leader.Member) { m["a"].Leaving = true }, 6, leader.ReasonLeaving, "b"},
 		{"it has gone", func(m map[fleet.Instance]*leader.Member) { m["a"].Gone = true }, 6, leader.ReasonGone, "b"},
 		{"the farthest log is promoted", func(m map[fleet.Instance]*leader.Member) {
--- a/core/leader/proof.go
+++ b/core/leader/proof.go
@@ -30,7 +30,9 @@
 // the one that answered. Without them any other instance may, so each has to be asked;
 // a majority isn't enough, as a promotion needs no majority. Nor is the position that
 // comes with every answer: a promotion writes no entry.
-func (b *Belief) Judge(i fleet.Instance, certain bool, others []fleet.Instance) (Verdict, fleet.Term, []fleet.Instance) {
+func (b *Belief) Judge(
+	i fleet.Instance, certain bool, others []fleet.Instance,
+) (Verdict, fleet.Term, []fleet.Instance) {
 	if i == b.primary && b.settled {
 		if certain {
 			return VerdictProved, b.term, nil
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -207,13 +207,17 @@
 	now := g.r.now()
 	i := g.instances[n]
 	if i == nil || i.gone || i.doubtful(now) {
-		reply(statement.Answer{Code: statement.CodeBusy, Detail: "this host can't reach the instance", State: statement.TxNone})
+		reply(unasked("this host can't reach the instance"))
 		return
 	}
 	g.inquiries = append(g.inquiries, inquiry{i: i, until: now.Add(inquiryPatience), reply: reply})
 	g.answerInquiries(now)
 }
 
+func unasked(why string) statement.Answer {
+	return statement.Answer{Code: statement.CodeBusy, Detail: why, State: statement.TxNone}
+}
+
 // answerInquiries puts the questions that wait to instances with a connection at rest.
 func (g *group) answerInquiries(now time.Time) {
 	g.inquiries = slices.DeleteFunc(g.inquiries, func(q inquiry) bool {
@@ -222,9 +226,7 @@
 			return true
 		}
 		if now.After(q.until) {
-			q.reply(statement.Answer{
-				Code: statement.CodeBusy, Detail: "no connection was free in time", State: statement.TxNone,
-			})
+			q.reply(unasked("no connection was free in time"))
 			return true
 		}
 		g.reach(now, q.i)
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -30,7 +30,6 @@
 	refreshed int
 	returned  int
 	over      func(a catalog.Account) (time.Duration, bool)
-	forwarded []relay.Forward
 }
 
 // node is one instance.
--- a/io/registry/dependency.go
+++ b/io/registry/dependency.go
@@ -34,8 +34,8 @@
 
 // wait pauses, and while the dependency is lost until it is regained: one duty tries it,
 // and the others spare it their calls.
-func (d *dependency) wait(ctx context.Context, least time.Duration) {
-	pause.For(ctx, least)
+func (d *dependency) wait(ctx context.Context) {
+	pause.For(ctx, pauseAfterError)
 	d.mu.Lock()
 	back := d.back
 	down := d.down
--- a/io/registry/duty.go
+++ b/io/registry/duty.go
@@ -67,7 +67,7 @@
 		}
 		if err != nil && ctx.Err() == nil {
 			after = 0
-			r.up.wait(ctx, pauseAfterError)
+			r.up.wait(ctx)
 		}
 	}
 }
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -134,7 +134,11 @@
 
 // Run carries out the duties until ctx ends, then ends the registration.
 func (r *Registry) Run(ctx context.Context) {
-	for _, duty := range []func(context.Context){r.register, r.watchCatalog, r.listInstances, r.listHosts, r.readRecords, r.holdDuty, r.giveOrders, r.confirmCatalog} {
+	duties := []func(context.Context){
+		r.register, r.watchCatalog, r.confirmCatalog, r.listInstances, r.listHosts, r.readRecords,
+		r.holdDuty, r.giveOrders,
+	}
+	for _, duty := range duties {
 		r.wait.Go(func() { duty(ctx) })
 	}
 	r.wait.Wait()
@@ -338,7 +342,7 @@
 		if err != nil && ctx.Err() == nil {
 			r.up.failed(err)
 			after = 0
-			r.up.wait(ctx, pauseAfterError)
+			r.up.wait(ctx)
 		}
 	}
 }
@@ -394,7 +398,7 @@
 			continue
 		}
 		if _, err := r.readCatalog(ctx); err != nil {
-			r.up.wait(ctx, pauseAfterError)
+			r.up.wait(ctx)
 		}
 	}
 }
@@ -423,7 +427,7 @@
 		es, _, err := r.cfg.Store.List(c, r.cfg.InstancePrefix)
 		cancel()
 		if err != nil {
-			r.up.wait(ctx, pauseAfterError)
+			r.up.wait(ctx)
 			wait = 0
 			continue
 		}
@@ -450,7 +454,7 @@
 		hs, err := r.hosts(c)
 		cancel()
 		if err != nil {
-			r.up.wait(ctx, pauseAfterError)
+			r.up.wait(ctx)
 			wait = 0
 			continue
 		}
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -29,9 +29,8 @@
 	changed  chan struct{}
 	// down refuses all calls; deaf has watches hear nothing.
 	down, deaf bool
-	// lose runs the next commits and answers with an error, late keeps them back.
+	// lose runs the next commits and answers with an error.
 	lose int
-	late []func()
 }
 
 var errDown = errors.New("no answer")
