--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -407,6 +407,7 @@
 			Key: o.key, Instance: c.Instance, Term: term, At: now, Deadline: now.Add(proofPatience),
 		}, ask)
 		g.askFor(now)
+		g.r.hurry()
 	}
 }
 
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -112,6 +112,9 @@
 	}
 	o.g.waiting[o.key] = o
 	o.g.pump()
+	if !o.over && o.conn == nil {
+		o.g.r.hurry()
+	}
 }
 
 func (o *operation) intent() exchange.Intent {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -31,6 +31,8 @@
 	Refresh func()
 	// Order has a change of primary made.
 	Order func(o leader.Order)
+	// Hurry asks for the next tick soon, as something has begun to wait for it.
+	Hurry func()
 	// Note takes in each decision that a reader of the logs may ask for. It may be nil.
 	Note func(e Event)
 }
@@ -246,6 +248,12 @@
 // The answers that came meanwhile are still unread then, and would look late.
 const pausedAfter = 120 * time.Millisecond
 
+func (r *Relay) hurry() {
+	if r.cfg.Hurry != nil {
+		r.cfg.Hurry()
+	}
+}
+
 // Waiting reports whether anything waits that a tick may decide on.
 func (r *Relay) Waiting() bool {
 	for _, g := range r.groups {
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -212,6 +212,7 @@
 	}
 	g.inquiries = append(g.inquiries, inquiry{i: i, until: now.Add(inquiryPatience), reply: reply})
 	g.answerInquiries(now)
+	g.r.hurry()
 }
 
 func unasked(why string) statement.Answer {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -92,6 +92,7 @@
 		},
 		Return: func(n fleet.Account) { h.rates.Return(n) },
 		Order:  h.registry.Order,
+		Hurry:  h.hurry,
 		Note:   h.events.note,
 	})
 	if err := h.listen(); err != nil {
@@ -182,6 +183,13 @@
 	return tickIdle
 }
 
+// hurry shortens the time to the next tick, if it is long.
+func (h *Host) hurry() {
+	if !h.busy.Swap(true) {
+		h.loop.Hurry()
+	}
+}
+
 func (h *Host) tick() {
 	h.busy.Store(h.relay.Waiting())
 	h.tendLinks()
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -59,6 +59,8 @@
 	// home is the event loop; it is set once settled is closed.
 	home    gnet.EventLoop
 	settled chan struct{}
+	// hurry tells that Every may return less now.
+	hurry chan struct{}
 	// ticking is set while a tick waits for the loop, so that a busy loop isn't given
 	// ticks faster than it takes them.
 	ticking atomic.Bool
@@ -87,7 +89,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
-	l := &Loop{cfg: cfg, booted: make(chan struct{}), ended: make(chan struct{}), settled: make(chan struct{})}
+	l := &Loop{cfg: cfg, booted: make(chan struct{}), ended: make(chan struct{}), settled: make(chan struct{}), hurry: make(chan struct{}, 1)}
 	go l.run()
 	select {
 	case <-l.booted:
@@ -145,10 +147,13 @@
 	for {
 		select {
 		case <-t.C:
+		case <-l.hurry:
 			t.Reset(l.cfg.Every())
+			continue
 		case <-l.ended:
 			return
 		}
+		t.Reset(l.cfg.Every())
 		if l.ticking.Swap(true) {
 			continue
 		}
@@ -159,6 +164,14 @@
 	}
 }
 
+// Hurry has Every asked again before the next tick.
+func (l *Loop) Hurry() {
+	select {
+	case l.hurry <- struct{}{}:
+	default:
+	}
+}
+
 // runnable adapts a function to gnet.
 type runnable func()
 
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -121,7 +121,7 @@
 	// listing is the list of instances as it was last read here.
 	listing listing
 	up      dependency
-	wait      sync.WaitGroup
+	wait    sync.WaitGroup
 }
 
 // New returns a Registry that Run puts to work.
