--- a/core/leader/decide.go
+++ b/core/leader/decide.go
@@ -16,8 +16,10 @@
 	// Leads is set when it has said lately that it is a primary, in Term.
 	Leads bool
 	Term  fleet.Term
-	// Doubters is how many hosts can't reach it, this one included.
-	Doubters int
+	// Doubters is how many hosts can't reach it, this one included, and Vouchers how many
+	// have heard it although others can't. Doubted is for how long anyone has doubted it.
+	Doubters, Vouchers int
+	Doubted            time.Duration
 	// Received is the end of its log, as it was last heard.
 	Received fleet.Point
 }
@@ -26,8 +28,6 @@
 type Situation struct {
 	Now     time.Time
 	Members []Member
-	// Hosts is how many hosts have told lately what they can reach, this one included.
-	Hosts int
 	// Since is when the last order became known or, without one, since when no primary
 	// is settled.
 	Since time.Time
@@ -40,7 +40,7 @@
 const (
 	ReasonLeaving  Reason = "the primary is leaving"
 	ReasonGone     Reason = "the primary has gone"
-	ReasonLost     Reason = "most hosts can't reach the primary"
+	ReasonLost     Reason = "too few hosts can reach the primary"
 	ReasonHeadless Reason = "no instance leads"
 	// ReasonAffirmed changes the record only: the platform is given no order.
 	ReasonAffirmed Reason = "the instance led already"
@@ -64,6 +64,9 @@
 	// given: twice what the platform takes. Two orders on their way at once make two
 	// primaries one after the other.
 	orderPatience = 2500 * time.Millisecond
+	// vouchTime is how long hosts that hear of a doubt get to see for themselves: a new
+	// connection and a report.
+	vouchTime = 150 * time.Millisecond
 	// affirmAfter is how long after an order its instance has to be in its old term to
 	// have been the platform's primary all along: more than the platform takes.
 	affirmAfter = 1600 * time.Millisecond
@@ -77,8 +80,8 @@
 // It is made for a primary that has died or is cut off, which nobody announces, and for
 // one that leaves. The harm of waiting is a group without writes; the harm of a hasty
 // order is a change that costs callers a tenth of a second and, with replicas behind,
-// the last writes. So half of the hosts have to agree that it can't be reached: one bad
-// link replaces no primary.
+// the last writes. So at least half of the hosts that know have to agree that it can't be
+// reached, and all get the time to see for themselves: one bad link replaces no primary.
 func (b *Belief) Decide(s Situation) (Order, bool) {
 	reason, ok := b.reason(s)
 	if !ok {
@@ -122,7 +125,7 @@
 			return ReasonGone, true
 		case m.Leaving:
 			return ReasonLeaving, true
-		case m.lost(s):
+		case m.lost():
 			return ReasonLost, true
 		}
 		return "", false
@@ -130,9 +133,9 @@
 	return ReasonGone, true
 }
 
-// lost reports whether half of the hosts can't reach the instance.
-func (m Member) lost(s Situation) bool {
-	return m.Doubters > 0 && 2*m.Doubters >= s.Hosts
+// lost reports whether half of the hosts that know can't reach the instance.
+func (m Member) lost() bool {
+	return m.Doubters > 0 && m.Doubters >= m.Vouchers && m.Doubted > vouchTime
 }
 
 // candidate returns the instance to be promoted: the one whose log reaches farthest, as
@@ -146,7 +149,7 @@
 	var best Member
 	for _, m := range s.Members {
 		replaced := m.Leads && m.Term < b.term
-		if m.Gone || m.Leaving || !m.Reachable || m.lost(s) || replaced || b.settled && m.Name == b.primary {
+		if m.Gone || m.Leaving || !m.Reachable || m.lost() || replaced || b.settled && m.Name == b.primary {
 			continue
 		}
 		if best.Name == "" || m.before(best) {
--- a/core/relay/conn.go
+++ b/core/relay/conn.go
@@ -176,7 +176,9 @@
 	}
 	o := c.owed[0]
 	c.owed = c.owed[1:]
-	c.inst.heard(r.now())
+	if c.via == "" {
+		c.inst.heard(r.now())
+	}
 	c.g.evidence(c, o.asked, a)
 	if o.done != nil {
 		o.done(a)
@@ -295,6 +297,9 @@
 	asked := c.since
 	c.send([]statement.Statement{{Kind: statement.KindStepDown}}, nil, func(a statement.Answer) {
 		c.g.told(c, asked, a)
+		if a.Code == statement.CodeUnreachable && c.via != "" {
+			c.inst.block(c.via)
+		}
 		if c.state == connBusy {
 			c.free()
 		}
--- a/core/relay/duty.go
+++ b/core/relay/duty.go
@@ -20,7 +20,9 @@
 // told after a silence is old.
 type doubt struct {
 	at, since time.Time
-	instances fleet.Set[fleet.Instance]
+	// instances are those that it can't reach, reached those that it can although another
+	// host can't.
+	instances, reached fleet.Set[fleet.Instance]
 }
 
 // counts reports whether the host's word is to be heard on who can be reached. One that
@@ -34,6 +36,9 @@
 	// doubtAfter is how long an instance has to be silent, with a failed try to reach it,
 	// before this host counts as unable to reach it.
 	doubtAfter = 300 * time.Millisecond
+	// reachedFor is how old the last word of an instance may be for this host to say that it
+	// reaches it.
+	reachedFor = 400 * time.Millisecond
 	// reportFor is how long what a host has told of its doubts counts.
 	reportFor = time.Second
 	// surveyFor is how long the replicas get to tell their positions before an order: some
@@ -70,8 +75,33 @@
 	return out
 }
 
-// Doubted takes in what another host can't reach. Who hears of a doubt looks for itself.
-func (r *Relay) Doubted(from fleet.Host, is []fleet.Instance) {
+// Reached returns the instances that another host doubts and this one has heard lately, by
+// connections of its own.
+func (r *Relay) Reached() []fleet.Instance {
+	now := r.now()
+	var out []fleet.Instance
+	for _, g := range r.groups {
+		for _, i := range g.instances {
+			if now.Sub(i.lastHeard) < reachedFor && r.doubtedElsewhere(now, i.info.Name) {
+				out = append(out, i.info.Name)
+			}
+		}
+	}
+	return out
+}
+
+func (r *Relay) doubtedElsewhere(now time.Time, n fleet.Instance) bool {
+	for _, d := range r.duty.doubts {
+		if now.Sub(d.at) < reportFor && d.instances.Has(n) {
+			return true
+		}
+	}
+	return false
+}
+
+// Doubted takes in what another host can't reach, and what it can although others can't.
+// Who hears of a doubt looks for itself.
+func (r *Relay) Doubted(from fleet.Host, is, reached []fleet.Instance) {
 	now := r.now()
 	if r.duty.doubts == nil {
 		r.duty.doubts = map[fleet.Host]doubt{}
@@ -80,12 +110,12 @@
 	if now.Sub(d.at) >= reportFor {
 		d.since = now
 	}
-	d.at, d.instances = now, fleet.NewSet(is...)
+	d.at, d.instances, d.reached = now, fleet.NewSet(is...), fleet.NewSet(reached...)
 	r.duty.doubts[from] = d
 	for _, n := range is {
 		for _, g := range r.groups {
 			if i := g.instances[n]; i != nil && now.Sub(i.lastHeard) > wonderAfter && now.Sub(i.askedAt) > wonderAfter {
-				g.question(now, i)
+				g.probe(now, i)
 			}
 		}
 	}
@@ -158,29 +188,33 @@
 const orderPause = time.Second
 
 func (g *group) situation(now time.Time) leader.Situation {
-	s := leader.Situation{Now: now, Hosts: 1, Since: g.unsettled}
+	s := leader.Situation{Now: now, Since: g.unsettled}
 	if g.belief.Record().Revision != 0 && g.changedAt.After(s.Since) {
 		s.Since = g.changedAt
 	}
-	for _, d := range g.r.duty.doubts {
-		if d.counts(now) {
-			s.Hosts++
-		}
-	}
 	for _, i := range g.instances {
 		m := leader.Member{
 			Name: i.info.Name, Leaving: i.info.Leaving, Gone: i.gone,
 			Reachable: i.failures == 0 && !i.toldAt.Before(g.surveyed), Received: i.received,
-			Leads: i.leads, Term: i.term,
+			Leads: i.leads, Term: i.term, Doubted: now.Sub(i.doubted),
 		}
-		if i.doubtful(now) {
+		switch {
+		case i.doubtful(now):
 			m.Doubters++
+		case now.Sub(i.lastHeard) < reachedFor:
+			m.Vouchers++
 		}
 		for _, d := range g.r.duty.doubts {
 			if d.counts(now) && d.instances.Has(i.info.Name) {
 				m.Doubters++
+			} else if d.counts(now) && d.reached.Has(i.info.Name) {
+				m.Vouchers++
 			}
 		}
+		if m.Doubters == 0 {
+			i.doubted = now
+			m.Doubted = 0
+		}
 		s.Members = append(s.Members, m)
 	}
 	return s
--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -65,35 +65,65 @@
 	r.forwarding.peers = ps
 }
 
-// holder returns the host that holds the connections to an instance, false for this one.
+// holder returns the host over which an instance is used, false for this one.
 //
-// The hosts of the instance's data centre go before all others, as its statements cross
-// the network once either way; among them the highest hash decides, so that all hosts
-// that see the same peers choose alike. One that sees others chooses another holder: the
-// instance then has two, with fewer connections each, and no harm done.
+// Where connections suffice each host uses its own, unless it can't reach the instance
+// and another says that it can. Else one host holds them for all. The hosts of the
+// instance's data centre go before all others, as its statements cross the network once
+// either way; among them the highest hash decides, so that all hosts that see the same
+// peers choose alike. One that sees others chooses another holder: the instance then has
+// two, with fewer connections each, and no harm done.
 func (r *Relay) holder(i *instance) (Peer, bool) {
-	if r.alone(i) {
+	now := r.now()
+	here := !i.doubtful(now)
+	if len(r.forwarding.peers) == 0 || here && i.share() >= directShare {
 		return Peer{}, false
 	}
-	if i.share() >= directShare || len(r.forwarding.peers) == 0 {
-		return Peer{}, false
-	}
-	local := i.info.DataCentre
 	best := Peer{Host: r.cfg.Host, DataCentre: r.cfg.DataCentre}
+	found := here
 	for _, p := range r.forwarding.peers {
-		if near, was := p.DataCentre == local, best.DataCentre == local; near != was {
-			if near {
-				best = p
-			}
+		if !r.mayReach(now, p.Host, i) {
 			continue
 		}
-		if weight(p.Host, i.info.Name) > weight(best.Host, i.info.Name) {
-			best = p
+		if !found || i.prefers(p, best) {
+			best, found = p, true
 		}
 	}
 	return best, best.Host != r.cfg.Host
 }
 
+// prefers reports whether p is a better holder of the instance than o.
+func (i *instance) prefers(p, o Peer) bool {
+	if near, was := p.DataCentre == i.info.DataCentre, o.DataCentre == i.info.DataCentre; near != was {
+		return near
+	}
+	return weight(p.Host, i.info.Name) > weight(o.Host, i.info.Name)
+}
+
+// mayReach reports whether another host may be able to reach an instance: it hasn't said
+// that it can't. Where each host uses its own connections it has to have said that it can.
+func (r *Relay) mayReach(now time.Time, h fleet.Host, i *instance) bool {
+	if now.Before(i.blocked[h]) {
+		return false
+	}
+	d := r.duty.doubts[h]
+	told := now.Sub(d.at) < reportFor
+	if told && d.instances.Has(i.info.Name) {
+		return false
+	}
+	return i.share() < directShare || told && d.reached.Has(i.info.Name)
+}
+
+// reaches reports whether the instance can be used, by this host's own connections or
+// over another.
+func (r *Relay) reaches(now time.Time, i *instance) bool {
+	if !i.doubtful(now) {
+		return true
+	}
+	_, over := r.holder(i)
+	return over
+}
+
 // alone reports whether this host serves an instance for itself, although others may hold
 // its connections: it has not heard of them yet.
 func (r *Relay) alone(i *instance) bool {
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -75,7 +75,7 @@
 			if i != nil {
 				g.drop(i, "it has another address now")
 			}
-			i = &instance{g: g, info: in, lastHeard: now}
+			i = &instance{g: g, info: in, lastHeard: now, doubted: now}
 			g.instances[in.Name] = i
 			g.noteInstance(i, "use", "it is on the list")
 		}
@@ -314,7 +314,7 @@
 	if !o.lead && g.leads(i.info.Name) {
 		cost += leadCost
 	}
-	if !i.reachable() {
+	if !g.r.reaches(now, i) {
 		cost += backoffMax
 	}
 	return cost
@@ -323,6 +323,10 @@
 // refusedBy takes in what a refusal tells of an instance.
 func (g *group) refusedBy(c *Conn, code statement.Code, o *operation) {
 	switch code {
+	case statement.CodeUnreachable:
+		if c.via != "" {
+			c.inst.block(c.via)
+		}
 	case statement.CodeLagging:
 		c.inst.lacked(g.r.now())
 	case statement.CodeReadOnly:
@@ -496,13 +500,13 @@
 	switch {
 	case p == nil:
 		return "the group has no primary now"
-	case p.doubtful(now):
+	case !g.r.reaches(now, p):
 		return "the primary can't be reached"
 	case g.r.lease.Certain(now):
 		return ""
 	}
 	for _, n := range g.others(p.info.Name) {
-		if i := g.instances[n]; i != nil && i.doubtful(now) {
+		if i := g.instances[n]; i != nil && !g.r.reaches(now, i) {
 			return "neither the store nor all instances can be asked whether the primary still leads"
 		}
 	}
@@ -537,7 +541,7 @@
 // readable reports whether any instance but the primary can be reached for a read.
 func (g *group) readable(now time.Time, o *operation) bool {
 	for _, i := range g.instances {
-		if i.usable() && !g.leads(i.info.Name) && !i.doubtful(now) && !o.avoid.Has(i.info.Name) {
+		if i.usable() && !g.leads(i.info.Name) && g.r.reaches(now, i) && !o.avoid.Has(i.info.Name) {
 			return true
 		}
 	}
--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -31,6 +31,8 @@
 	// failures counts failed connections in a row; the next is tried at next.
 	failures int
 	next     time.Time
+	// doubted is when nobody last doubted it, as far as this host hears.
+	doubted time.Time
 	// failing is since when they do.
 	failing time.Time
 	// full is when it last refused a connection for want of room, and room how many
@@ -46,6 +48,8 @@
 	// lags how often in a row that was so.
 	behind time.Time
 	lags   int
+	// blocked are the hosts that couldn't reach it, with until when they aren't asked again.
+	blocked map[fleet.Host]time.Time
 	// missing is since when it isn't on the list any more.
 	missing time.Time
 	gone    bool
@@ -168,6 +172,22 @@
 	i.lags++
 }
 
+// blockedFor is how long a host that can't reach an instance isn't asked again.
+const blockedFor = 500 * time.Millisecond
+
+// block takes in that another host can't reach the instance, and sees whether this one
+// can.
+func (i *instance) block(h fleet.Host) {
+	now := i.g.r.now()
+	if i.blocked == nil {
+		i.blocked = map[fleet.Host]time.Time{}
+	}
+	i.blocked[h] = now.Add(blockedFor)
+	if now.Sub(i.lastHeard) > wonderAfter {
+		i.g.probe(now, i)
+	}
+}
+
 // standing counts the connections that are made.
 func (i *instance) standing() int {
 	n := 0
@@ -186,9 +206,6 @@
 // usable reports whether new work may go to the instance.
 func (i *instance) usable() bool { return !i.gone && !i.info.Leaving }
 
-// reachable reports whether the instance has answered since it last failed.
-func (i *instance) reachable() bool { return i.failures == 0 }
-
 // local reports whether it is in this host's data centre.
 func (i *instance) local() bool { return i.info.DataCentre == i.g.r.cfg.DataCentre }
 
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -98,7 +98,11 @@
 func (o *operation) wait() {
 	now := o.g.r.now()
 	if why, after := o.g.hopeless(now, o); why != "" {
-		o.refuse(statement.CodeBusy, why, after)
+		code := statement.CodeBusy
+		if o.s.instance != "" {
+			code = statement.CodeUnreachable
+		}
+		o.refuse(code, why, after)
 		return
 	}
 	o.sent, o.conn, o.dial = false, nil, nil
@@ -329,7 +333,8 @@
 		o.give(statement.Answer{Code: code, Detail: "the connection to the instance was lost"})
 		return
 	}
-	if o.conn != nil && o.s.instance == "" && code != statement.CodeReadOnly && code != statement.CodeNotPrepared {
+	stays := code == statement.CodeReadOnly || code == statement.CodeNotPrepared || code == statement.CodeUnreachable
+	if o.conn != nil && o.s.instance == "" && !stays {
 		o.avoid.Add(o.conn.Instance)
 	}
 	if o.tries >= maxTries || !now.Before(o.deadline) {
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -116,14 +116,14 @@
 func (g *group) watch(now time.Time) {
 	for _, i := range g.instances {
 		if i.failures > 0 && !i.gone && !now.Before(i.next) {
-			g.question(now, i)
+			g.probe(now, i)
 		}
-		if i.busy() == 0 {
+		if i.busy() == i.lent {
 			continue
 		}
 		quiet := now.Sub(i.lastHeard)
 		if quiet > wonderAfter && now.Sub(i.askedAt) > wonderAfter && i.working(now) > wonderAfter {
-			g.question(now, i)
+			g.probe(now, i)
 		}
 		if i.failures > 0 && quiet > silentFor {
 			for _, c := range slices.Clone(i.conns) {
@@ -171,6 +171,12 @@
 		}
 		return
 	}
+	g.probe(now, i)
+}
+
+// probe asks an instance by a connection of this host's own, whoever holds it else: to
+// learn whether this host can reach it.
+func (g *group) probe(now time.Time, i *instance) {
 	if c := i.resting(); c != nil {
 		i.askedAt = now
 		c.ask()
@@ -216,7 +222,7 @@
 }
 
 func unasked(why string) statement.Answer {
-	return statement.Answer{Code: statement.CodeBusy, Detail: why, State: statement.TxNone}
+	return statement.Answer{Code: statement.CodeUnreachable, Detail: why, State: statement.TxNone}
 }
 
 // answerInquiries puts the questions that wait to instances with a connection at rest.
--- a/core/statement/statement.go
+++ b/core/statement/statement.go
@@ -81,6 +81,8 @@
 	CodeMalformed   Code = "malformed"
 	CodeNoDatabase  Code = "no-database"
 	CodeNoAccount   Code = "no-account"
+	// CodeUnreachable is another host's word that it can't reach an instance.
+	CodeUnreachable Code = "unreachable"
 	// CodeOther stands for one that the wire doesn't know.
 	CodeOther Code = "other"
 )
@@ -89,7 +91,7 @@
 // statement, so that it may be sent again, to this instance or another.
 func (c Code) NotRun() bool {
 	switch c {
-	case CodeBusy, CodeLagging, CodeReadOnly, CodeMisrouted, CodeTooMany, CodeNotPrepared:
+	case CodeBusy, CodeLagging, CodeReadOnly, CodeMisrouted, CodeTooMany, CodeNotPrepared, CodeUnreachable:
 		return true
 	default:
 		return false
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -33,9 +33,10 @@
 	names      []fleet.Host
 	// known are the hosts that were heard.
 	known map[fleet.Host]*peer
-	// reported is when the last report was sent, doubted how many doubts it had.
-	reported time.Time
-	doubted  int
+	// reported is when the last report was sent, doubted how many doubts it had, reached how
+	// many instances that others doubt.
+	reported         time.Time
+	doubted, reached int
 	// catalog is the version in force here, told the one that the others know of.
 	catalog, told uint64
 	// behind is since when other hosts have a newer one.
@@ -77,11 +78,13 @@
 func (h *Host) report() {
 	now := clock.Now()
 	doubts := h.relay.Doubts()
-	news := len(doubts) > h.peers.doubted || h.peers.catalog != h.peers.told
+	reached := h.relay.Reached()
+	news := len(doubts) > h.peers.doubted || len(reached) > h.peers.reached || h.peers.catalog != h.peers.told
 	if now.Sub(h.peers.reported) < reportEvery && !news {
 		return
 	}
-	h.peers.reported, h.peers.doubted, h.peers.told = now, len(doubts), h.peers.catalog
+	h.peers.reported, h.peers.told = now, h.peers.catalog
+	h.peers.doubted, h.peers.reached = len(doubts), len(reached)
 	h.peers.seq++
 	r := gossip.Report{
 		Host: h.settings.Host.Name, Address: h.settings.Peer.Address,
@@ -89,6 +92,7 @@
 		Usages: h.rates.Usage(now), Catalog: h.peers.catalog, Record: h.relay.Record(),
 		CatalogAge: now.Sub(h.registry.Confirmed()),
 	}
+	r.Reached = reached
 	digest, at := h.registry.Listing()
 	r.Instances, r.InstancesAge = digest, now.Sub(at)
 	for i, d := range doubts {
@@ -113,7 +117,7 @@
 		for _, d := range r.Doubts {
 			is = append(is, d.Instance)
 		}
-		h.relay.Doubted(r.Host, is)
+		h.relay.Doubted(r.Host, is, r.Reached)
 		if r.Record > h.relay.Record() {
 			h.registry.Refresh()
 		}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -35,6 +35,8 @@
 	Leaving    bool
 	Usages     []share.Usage
 	Doubts     []Doubt
+	// Reached are the instances that the host can reach although another can't.
+	Reached []fleet.Instance
 	// Catalog is the version in force, Record the revision of the newest record of a
 	// change of primary that the host knows of.
 	Catalog, Record uint64
@@ -132,6 +134,9 @@
 			Account: string(u.Account), Admitted: u.Admitted, Demand: float32(u.Demand),
 		})
 	}
+	for _, i := range r.Reached {
+		m.Reached = append(m.Reached, string(i))
+	}
 	for _, d := range r.Doubts {
 		m.Doubts = append(m.Doubts, &gossippb.Doubt{
 			Instance: string(d.Instance), SilentMs: uint32(d.Silent.Milliseconds()),
@@ -166,6 +171,9 @@
 			Account: fleet.Account(u.GetAccount()), Admitted: u.GetAdmitted(), Demand: float64(u.GetDemand()),
 		})
 	}
+	for _, i := range m.GetReached() {
+		r.Reached = append(r.Reached, fleet.Instance(i))
+	}
 	for _, d := range m.GetDoubts() {
 		r.Doubts = append(r.Doubts, Doubt{
 			Instance: fleet.Instance(d.GetInstance()), Silent: time.Duration(d.GetSilentMs()) * time.Millisecond,
