Serve metrics and the state dump of a relay host; bound the log and never wait for it

Each kind of line has its own bound, and what is left out is counted; a reader of the log that stops holds up nobody. Statement latency by consistency and code, calls to the store by step.

--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -256,15 +255,3 @@
 	}
 	return s
 }
-
-// Leads returns the services whose primary this host can use now, for the state dump.
-func (r *Relay) Leads() []fleet.Service {
-	var out []fleet.Service
-	for n, g := range r.groups {
-		if g.able(r.now()) == "" {
-			out = append(out, n)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -451,6 +451,9 @@
 	s.tx.rest = o.g.r.now()
 	a.State = s.state()
 	took := s.tx.rest.Sub(o.asked)
+	if o.g.r.cfg.Observe != nil && s.instance == "" {
+		o.g.r.cfg.Observe(o.route.Consistency, a.Code, took)
+	}
 	if a.Code != statement.CodeNone || took > o.route.Target && o.route.Target > 0 {
 		o.note(EventAnswer, "answer", a.Detail, a.Code)
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -31,6 +31,8 @@
 	Refresh func()
 	// Order has a change of primary made.
 	Order func(o leader.Order)
+	// Observe takes in the time that a statement took, with how it ended. It may be nil.
+	Observe func(k catalog.Consistency, code statement.Code, took time.Duration)
 	// Hurry asks for the next tick soon, as something has begun to wait for it.
 	Hurry func()
 	// Note takes in each decision that a reader of the logs may ask for. It may be nil.
@@ -63,8 +65,14 @@
 
 // Counts are running totals, for metrics.
 type Counts struct {
-	Statements, Answered, Refused, Retried, InDoubt uint64
-	Connects, OwnStatements, Asked                  uint64
+	Statements    uint64 `json:"statements"`
+	Answered      uint64 `json:"answered"`
+	Refused       uint64 `json:"refused"`
+	Retried       uint64 `json:"retried"`
+	InDoubt       uint64 `json:"in-doubt"`
+	Connects      uint64 `json:"connects"`
+	OwnStatements uint64 `json:"own-statements"`
+	Asked         uint64 `json:"asked"`
 }
 
 // New returns a Relay without a catalog, which lets nobody in yet.
@@ -83,12 +91,6 @@
 
 func (r *Relay) now() time.Time { return r.cfg.Now() }
 
-// Counts returns the totals so far.
-func (r *Relay) Counts() Counts { return r.counts }
-
-// Sessions returns how many sessions are open.
-func (r *Relay) Sessions() int { return len(r.sessions) }
-
 // unknownHosts stands for the number of hosts until it is known.
 const unknownHosts = 8
 
--- a/internal/cmd/cmd_serve.go
+++ b/internal/cmd/cmd_serve.go
@@ -96,7 +96,9 @@
 // runEntry runs a host on the prepared machines until it is told to end. A changed
 // settings file takes effect at the next start; the signal for it is only logged.
 func runEntry(c *cobra.Command, s *settings.Settings) error {
-	log, err := eventlog.New(c.OutOrStdout(), string(s.Log.Level))
+	out := eventlog.NewAsync(c.OutOrStdout())
+	defer out.Close()
+	log, err := eventlog.New(out, string(s.Log.Level))
 	if err != nil {
 		return usageError{err}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -53,6 +53,7 @@
 	relay    *relay.Relay
 	registry *registry.Registry
 	metrics  *prometheus.Registry
+	counted  metrics
 	events   events
 	gossip   *gossip.Gossip
 	peers    peers
@@ -75,7 +76,8 @@
 // Start brings a host up and returns once callers can connect.
 func Start(s *settings.Settings, log *zap.Logger) (*Host, error) {
 	debug.SetMemoryLimit(int64(s.Adapter.Memory) * memoryPart / 100)
-	h := &Host{settings: s, log: log, metrics: prometheus.NewRegistry(), events: events{log: log}}
+	h := &Host{settings: s, log: log, metrics: prometheus.NewRegistry(), events: events{log: log, counts: map[relay.EventKind]int{}}}
+	h.newMetrics()
 	h.links = map[fleet.Host]*link{}
 	h.peers.known = map[fleet.Host]*peer{}
 	h.peers.epoch = uint64(clock.Now().UnixNano()) //nolint:gosec // never negative
@@ -90,10 +92,11 @@
 		Admit: func(a catalog.Account) (time.Duration, bool) {
 			return h.rates.Admit(clock.Now(), a)
 		},
-		Return: func(n fleet.Account) { h.rates.Return(n) },
-		Order:  h.registry.Order,
-		Hurry:  h.hurry,
-		Note:   h.events.note,
+		Return:  func(n fleet.Account) { h.rates.Return(n) },
+		Order:   h.registry.Order,
+		Hurry:   h.hurry,
+		Observe: h.observe,
+		Note:    h.events.note,
 	})
 	if err := h.listen(); err != nil {
 		return nil, err
@@ -129,7 +132,8 @@
 	if err == nil {
 		h.operator, err = operator.Start(operator.Config{
 			Address: h.settings.Operator.Address, Gatherer: h.metrics, Ready: h.readiness,
-			Pprof: h.settings.Operator.Pprof, Logger: h.log,
+			Sections: []operator.Section{{Name: "relay", Read: func() any { return h.snapshot() }}},
+			Pprof:    h.settings.Operator.Pprof, Logger: h.log,
 		})
 	}
 	if err != nil {
@@ -141,7 +145,7 @@
 func (h *Host) registryConfig() registry.Config {
 	s := h.settings
 	return registry.Config{
-		Store: platform.NewStore(s.Store.Endpoints[0]).Functions(),
+		Store: platform.NewStore(s.Store.Endpoints[0], h.countCall).Functions(),
 		Self: registry.Host{
 			Name: s.Host.Name, DataCentre: s.Host.DataCentre, Address: s.Peer.Address,
 		},
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -1,18 +1,57 @@
 package entry
 
 import (
+	"sync"
+	"time"
+
 	"go.uber.org/zap"
 
 	"skylarkdeal/core/relay"
+	"skylarkdeal/internal/clock"
 )
 
-// events writes the relay's decisions to the log.
+// events writes the relay's decisions to the log, a bounded number of each kind.
 type events struct {
 	log *zap.Logger
+
+	mu     sync.Mutex
+	second time.Time
+	counts map[relay.EventKind]int
+}
+
+// perSecond bounds the lines of each kind, so that a flood of one hides no other. The
+// kinds that explain a request have room for what a host answers in a second on a bad
+// day; those that tell what the host believes come seldom. What is left out is counted.
+var perSecond = map[relay.EventKind]int{
+	relay.EventAnswer:   100,
+	relay.EventRefuse:   60,
+	relay.EventRetry:    40,
+	relay.EventSession:  30,
+	relay.EventInstance: 30,
+	relay.EventLeader:   60,
+}
+
+// admit counts a line and reports whether it is to be written.
+func (e *events) admit(k relay.EventKind) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now := clock.Now(); now.Sub(e.second) >= time.Second {
+		for k, n := range e.counts {
+			if left := n - perSecond[k]; left > 0 {
+				e.log.Warn("lines left out", zap.String("kind", string(k)), zap.Int("count", left))
+			}
+		}
+		e.second, e.counts = now, map[relay.EventKind]int{}
+	}
+	e.counts[k]++
+	return e.counts[k] <= perSecond[k]
 }
 
 func (e *events) note(n relay.Event) {
-	f := make([]zap.Field, 0, 12)
+	if !e.admit(n.Kind) {
+		return
+	}
+	f := make([]zap.Field, 0, 16)
 	add := func(name, v string) {
 		if v != "" {
 			f = append(f, zap.String(name, v))
@@ -36,7 +75,7 @@
 	if !n.Has.IsZero() {
 		f = append(f, zap.String("has", n.Has.String()))
 	}
-	if n.Age != 0 {
+	if n.Age > 0 && n.Age < maxAge {
 		f = append(f, zap.Duration("age", n.Age))
 	}
 	if n.Took != 0 {
@@ -44,3 +83,6 @@
 	}
 	e.log.Info(string(n.Kind), f...)
 }
+
+// maxAge is that of what has an age at all: what never happened has none.
+const maxAge = 24 * time.Hour
