--- a/internal/cmd/cmd_document_store.go
+++ b/internal/cmd/cmd_document_store.go
@@ -13,7 +13,7 @@
 	"skylarkdeal/core/inifile"
 	"skylarkdeal/core/settings"
 	"skylarkdeal/internal/edit"
-	"skylarkdeal/io/platform"
+	"skylarkdeal/io/etcd"
 )
 
 // storeFlags say where the platform's store is.
@@ -47,7 +47,7 @@
 			return nil, nil, usageError{fmt.Errorf("store %q: expected %s", a, inifile.AddressForm)}
 		}
 	}
-	s := platform.Dial(platform.Config{Endpoints: ends, Timeout: f.timeout, Patient: true})
+	s := etcd.Dial(etcd.Config{Endpoints: ends, Timeout: f.timeout, Patient: true})
 	return &edit.Editor{Store: s, Root: prefix, By: userName()}, s.Close, nil
 }
 
--- a/internal/edit/edit.go
+++ b/internal/edit/edit.go
@@ -14,7 +14,7 @@
 	"skylarkdeal/core/document"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/internal/pause"
-	"skylarkdeal/io/platform"
+	"skylarkdeal/io/etcd"
 )
 
 // HistoryLength is how many versions of a document the store keeps besides the
@@ -30,7 +30,7 @@
 
 // Editor reads and changes documents. Store has to be set.
 type Editor struct {
-	Store *platform.Store
+	Store *etcd.Store
 	// Root starts all keys.
 	Root string
 	// By names the operator in the history.
@@ -48,7 +48,7 @@
 type Stored struct {
 	Service  fleet.Service
 	Version  document.Version
-	Revision platform.Revision
+	Revision etcd.Revision
 	Stamp    document.Stamp
 	Text     []byte
 }
@@ -121,7 +121,7 @@
 	return stored(s, v), nil
 }
 
-func stored(s fleet.Service, v platform.Entry) Stored {
+func stored(s fleet.Service, v etcd.Entry) Stored {
 	if v.Revision == 0 {
 		return Stored{Service: s}
 	}
--- a/internal/edit/edit_test.go
+++ b/internal/edit/edit_test.go
@@ -14,18 +14,18 @@
 	"skylarkdeal/core/document"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/internal/edit"
-	"skylarkdeal/io/platform"
+	"skylarkdeal/io/etcd"
 )
 
 // memory is a store in memory whose writes can lose their answers, be lost
 // themselves, or take effect only after the answer was given up on.
 type memory struct {
-	revision platform.Revision
-	entries  map[string]platform.Entry
+	revision etcd.Revision
+	entries  map[string]etcd.Entry
 	// fault is asked before each write.
 	fault func() fault
 	// late are writes still on their way.
-	late []platform.Swap
+	late []etcd.Swap
 	// took lists the edits that took effect, in order.
 	took []string
 }
@@ -42,21 +42,21 @@
 var errLost = errors.New("lost")
 
 func newMemory() *memory {
-	return &memory{revision: 1, entries: map[string]platform.Entry{}, fault: func() fault { return faultNone }}
+	return &memory{revision: 1, entries: map[string]etcd.Entry{}, fault: func() fault { return faultNone }}
 }
 
-func (m *memory) store() *platform.Store {
-	return &platform.Store{Get: m.get, List: m.list, Swap: m.swap}
+func (m *memory) store() *etcd.Store {
+	return &etcd.Store{Get: m.get, List: m.list, Swap: m.swap}
 }
 
-func (m *memory) get(_ context.Context, key string) (platform.Entry, error) {
+func (m *memory) get(_ context.Context, key string) (etcd.Entry, error) {
 	e := m.entries[key]
 	e.Key = key
 	return e, nil
 }
 
-func (m *memory) list(_ context.Context, prefix string) ([]platform.Entry, platform.Revision, error) {
-	var l []platform.Entry
+func (m *memory) list(_ context.Context, prefix string) ([]etcd.Entry, etcd.Revision, error) {
+	var l []etcd.Entry
 	for k, e := range m.entries {
 		if strings.HasPrefix(k, prefix) {
 			l = append(l, e)
@@ -65,30 +65,30 @@
 	return l, m.revision, nil
 }
 
-func (m *memory) swap(_ context.Context, s platform.Swap) (platform.Revision, error) {
+func (m *memory) swap(_ context.Context, s etcd.Swap) (etcd.Revision, error) {
 	switch m.fault() {
 	case faultLost:
-		return 0, &platform.Unknown{Err: errLost}
+		return 0, &etcd.Unknown{Err: errLost}
 	case faultLate:
 		m.late = append(m.late, s)
-		return 0, &platform.Unknown{Err: errLost}
+		return 0, &etcd.Unknown{Err: errLost}
 	case faultAnswer:
 		_, _ = m.apply(s)
-		return 0, &platform.Unknown{Err: errLost}
+		return 0, &etcd.Unknown{Err: errLost}
 	default:
 		return m.apply(s)
 	}
 }
 
-func (m *memory) apply(s platform.Swap) (platform.Revision, error) {
+func (m *memory) apply(s etcd.Swap) (etcd.Revision, error) {
 	if e := m.entries[s.Key]; e.Revision != s.Expect {
 		e.Key = s.Key
-		return 0, &platform.Conflict{Current: e}
+		return 0, &etcd.Conflict{Current: e}
 	}
 	m.revision++
-	m.entries[s.Key] = platform.Entry{Key: s.Key, Value: s.Value, Revision: m.revision}
+	m.entries[s.Key] = etcd.Entry{Key: s.Key, Value: s.Value, Revision: m.revision}
 	for _, p := range s.Also {
-		m.entries[p.Key] = platform.Entry{Key: p.Key, Value: p.Value, Revision: m.revision}
+		m.entries[p.Key] = etcd.Entry{Key: p.Key, Value: p.Value, Revision: m.revision}
 	}
 	stamp, _ := document.Unseal(s.Value)
 	m.took = append(m.took, stamp.Edit)
--- a/internal/edit/write.go
+++ b/internal/edit/write.go
@@ -7,7 +7,7 @@
 
 	"skylarkdeal/core/document"
 	"skylarkdeal/core/fleet"
-	"skylarkdeal/io/platform"
+	"skylarkdeal/io/etcd"
 )
 
 // writing is one edit on its way into the store.
@@ -17,14 +17,14 @@
 	text    []byte
 	stated  document.Version
 	stamp   document.Stamp
-	swap    platform.Swap
+	swap    etcd.Swap
 }
 
-func (w *writing) swapAt(expect platform.Revision) platform.Swap {
+func (w *writing) swapAt(expect etcd.Revision) etcd.Swap {
 	v := document.Seal(w.stamp, w.text)
-	return platform.Swap{
+	return etcd.Swap{
 		Key: document.StoreKey(w.e.Root, w.service), Value: v, Expect: expect,
-		Also: []platform.Pair{{Key: historyKey(w.e.Root, w.service, w.stamp.Seq), Value: v}},
+		Also: []etcd.Pair{{Key: historyKey(w.e.Root, w.service, w.stamp.Seq), Value: v}},
 	}
 }
 
@@ -40,8 +40,8 @@
 	defer cancel()
 	for {
 		r, err := w.e.Store.Swap(ctx, w.swap)
-		var c *platform.Conflict
-		var u *platform.Unknown
+		var c *etcd.Conflict
+		var u *etcd.Unknown
 		switch {
 		case err == nil:
 			return Edited{Version: document.Version(w.stamp.Base + uint64(r)), Edit: w.stamp.Edit}, nil
@@ -57,7 +57,7 @@
 }
 
 // lost tells an edit that was refused from one that had taken effect before.
-func (w *writing) lost(ctx context.Context, current platform.Entry) (Edited, error) {
+func (w *writing) lost(ctx context.Context, current etcd.Entry) (Edited, error) {
 	now := stored(w.service, current)
 	if now.Stamp.Edit == w.stamp.Edit {
 		return Edited{Version: now.Version, Edit: w.stamp.Edit}, nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -76,7 +76,10 @@
 // Start brings a host up and returns once callers can connect.
 func Start(s *settings.Settings, log *zap.Logger) (*Host, error) {
 	debug.SetMemoryLimit(int64(s.Adapter.Memory) * memoryPart / 100)
-	h := &Host{settings: s, log: log, metrics: prometheus.NewRegistry(), events: events{log: log, counts: map[relay.EventKind]int{}}}
+	h := &Host{
+		settings: s, log: log, metrics: prometheus.NewRegistry(),
+		events: events{log: log, counts: map[relay.EventKind]int{}},
+	}
 	h.newMetrics()
 	h.links = map[fleet.Host]*link{}
 	h.peers.known = map[fleet.Host]*peer{}
--- a/internal/localfleet/localfleet.go
+++ b/internal/localfleet/localfleet.go
@@ -17,7 +17,7 @@
 	"skylarkdeal/core/settings"
 	"skylarkdeal/internal/edit"
 	"skylarkdeal/internal/serve"
-	"skylarkdeal/io/platform"
+	"skylarkdeal/io/etcd"
 	"skylarkdeal/standin/ledger"
 	"skylarkdeal/standin/store"
 )
@@ -57,7 +57,7 @@
 	Hosts  []*serve.Host
 
 	c      Config
-	client *platform.Store
+	client *etcd.Store
 	editor *edit.Editor
 }
 
@@ -79,7 +79,7 @@
 	if f.Store, err = store.Start(store.Config{}); err != nil {
 		return err
 	}
-	f.client = platform.Dial(platform.Config{Endpoints: []string{f.Store.Addr()}, Patient: true})
+	f.client = etcd.Dial(etcd.Config{Endpoints: []string{f.Store.Addr()}, Patient: true})
 	f.editor = &edit.Editor{Store: f.client, Root: settings.DefaultPrefix, By: "localfleet"}
 	for _, s := range f.c.Services {
 		if err := f.startService(ctx, s); err != nil {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -21,12 +21,12 @@
 	"skylarkdeal/core/settings"
 	"skylarkdeal/io/caller"
 	"skylarkdeal/io/control"
+	"skylarkdeal/io/etcd"
 	"skylarkdeal/io/grants"
 	"skylarkdeal/io/holder"
 	"skylarkdeal/io/host"
 	"skylarkdeal/io/members"
 	"skylarkdeal/io/operator"
-	"skylarkdeal/io/platform"
 	"skylarkdeal/io/spread"
 )
 
@@ -42,7 +42,7 @@
 	password string
 
 	listener net.Listener
-	store    *platform.Store
+	store    *etcd.Store
 	peers    *host.Peers
 	server   *host.Server
 	members  *members.Runtime
@@ -127,7 +127,7 @@
 
 func (h *Host) assemble() {
 	s := h.settings
-	h.store = platform.Dial(platform.Config{
+	h.store = etcd.Dial(etcd.Config{
 		Endpoints: s.Store.Endpoints,
 		Timeout:   s.Store.Timeout,
 		Hosts:     func() int { return len(h.members.Members()) },
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -13,12 +13,12 @@
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/settings"
 	"skylarkdeal/internal/serve"
-	"skylarkdeal/io/platform"
+	"skylarkdeal/io/etcd"
 	"skylarkdeal/standin/store"
 )
 
 // start runs a host before a store of its own; lines are of the [store] section.
-func start(c *qt.C, lines ...string) (*serve.Host, *platform.Store) {
+func start(c *qt.C, lines ...string) (*serve.Host, *etcd.Store) {
 	s, err := store.Start(store.Config{})
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(s.Close)
@@ -33,7 +33,7 @@
 	h, err := serve.Start(cfg, nil)
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { c.Check(h.Close(), qt.IsNil) })
-	client := platform.Dial(platform.Config{Endpoints: []string{s.Addr()}, Patient: true})
+	client := etcd.Dial(etcd.Config{Endpoints: []string{s.Addr()}, Patient: true})
 	c.Cleanup(client.Close)
 	return h, client
 }
--- a/internal/serve/store.go
+++ b/internal/serve/store.go
@@ -10,9 +10,9 @@
 	"skylarkdeal/core/failure"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/settings"
+	"skylarkdeal/io/etcd"
 	"skylarkdeal/io/grants"
 	"skylarkdeal/io/members"
-	"skylarkdeal/io/platform"
 )
 
 // keys puts the keys of membership and seats, which stand under the default prefix
@@ -28,7 +28,7 @@
 }
 
 // memberStore keeps the hosts' records in the platform's store.
-func memberStore(s *platform.Store, k keys) members.Store {
+func memberStore(s *etcd.Store, k keys) members.Store {
 	return members.Store{
 		Register: func(ctx context.Context, key string, value []byte, ttl time.Duration) (members.LeaseID, error) {
 			id, err := s.Grant(ctx, ttl)
@@ -38,17 +38,17 @@
 			return members.LeaseID(id), s.Put(ctx, k.out(key), value, id)
 		},
 		Put: func(ctx context.Context, key string, value []byte, id members.LeaseID) error {
-			return s.Put(ctx, k.out(key), value, platform.LeaseID(id))
+			return s.Put(ctx, k.out(key), value, etcd.LeaseID(id))
 		},
 		Renew: func(ctx context.Context, id members.LeaseID) error {
-			_, err := s.KeepAlive(ctx, platform.LeaseID(id))
-			if errors.Is(err, platform.ErrNoLease) {
+			_, err := s.KeepAlive(ctx, etcd.LeaseID(id))
+			if errors.Is(err, etcd.ErrNoLease) {
 				return members.ErrLeaseGone
 			}
 			return err
 		},
 		Revoke: func(ctx context.Context, id members.LeaseID) error {
-			return s.Revoke(ctx, platform.LeaseID(id))
+			return s.Revoke(ctx, etcd.LeaseID(id))
 		},
 		List: func(ctx context.Context, prefix string) ([][]byte, error) {
 			entries, _, err := s.List(ctx, k.out(prefix))
@@ -62,7 +62,7 @@
 }
 
 // seatStore keeps the seats of the accounts' homes in the platform's store.
-func seatStore(s *platform.Store, m *members.Runtime, k keys) grants.Store {
+func seatStore(s *etcd.Store, m *members.Runtime, k keys) grants.Store {
 	return grants.Store{
 		List: func(ctx context.Context, prefix string) ([]grants.Entry, error) {
 			entries, _, err := s.List(ctx, k.out(prefix))
@@ -73,8 +73,8 @@
 			return out, err
 		},
 		Swap: func(ctx context.Context, key string, old uint64, value []byte) (uint64, bool, error) {
-			r, err := s.Swap(ctx, platform.Swap{Key: k.out(key), Value: value, Expect: platform.Revision(old)})
-			var lost *platform.Conflict
+			r, err := s.Swap(ctx, etcd.Swap{Key: k.out(key), Value: value, Expect: etcd.Revision(old)})
+			var lost *etcd.Conflict
 			if errors.As(err, &lost) {
 				return uint64(lost.Current.Revision), false, nil
 			}
@@ -88,7 +88,7 @@
 
 // platformHosts reads the platform's own list of hosts, which lags. It returns nil
 // when the settings name none.
-func platformHosts(s *platform.Store, key string) func(ctx context.Context) ([]fleet.Member, error) {
+func platformHosts(s *etcd.Store, key string) func(ctx context.Context) ([]fleet.Member, error) {
 	if key == "" {
 		return nil
 	}
--- a/internal/slopes/fleet.go
+++ b/internal/slopes/fleet.go
@@ -14,7 +14,7 @@
 	"skylarkdeal/core/settings"
 	"skylarkdeal/internal/edit"
 	"skylarkdeal/internal/localfleet"
-	"skylarkdeal/io/platform"
+	"skylarkdeal/io/etcd"
 	"skylarkdeal/io/spread"
 	"skylarkdeal/standin/ledger"
 	"skylarkdeal/standin/store"
@@ -148,7 +148,7 @@
 // measureChanges puts a document a few times, of a service whose instances don't
 // answer, and returns the mean of each figure.
 func measureChanges(ctx context.Context, f *localfleet.Fleet) (changed, error) {
-	s := platform.Dial(platform.Config{Endpoints: []string{f.Store.Addr()}, Patient: true})
+	s := etcd.Dial(etcd.Config{Endpoints: []string{f.Store.Addr()}, Patient: true})
 	defer s.Close()
 	e := &edit.Editor{Store: s, Root: settings.DefaultPrefix, By: "slopes"}
 	var sum changed
--- a/io/platform/calls.go
+++ b/io/etcd/calls.go
@@ -1,4 +1,4 @@
-package platform
+package etcd
 
 import (
 	"maps"
--- a/io/platform/dial.go
+++ b/io/etcd/dial.go
@@ -1,4 +1,4 @@
-package platform
+package etcd
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"skylarkdeal/core/failure"
-	"skylarkdeal/io/platform/etcdpb/etcdpbconnect"
+	"skylarkdeal/io/etcd/etcdpb/etcdpbconnect"
 )
 
 // Config is how the store is reached.
--- a/io/platform/platform.go
+++ b/io/etcd/etcd.go
@@ -1,7 +1,7 @@
-// Package platform speaks to the platform's store, a small key-value service
+// Package etcd speaks to the platform's store, a small key-value service
 // with compare-and-swap, leases and watches, by the etcd v3 gRPC API. It is the
 // one place that knows that API.
-package platform
+package etcd
 
 import (
 	"context"
--- a/io/platform/platform_test.go
+++ b/io/etcd/etcd_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package etcd_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
 
-	"skylarkdeal/io/platform"
+	"skylarkdeal/io/etcd"
 	"skylarkdeal/standin/store"
 )
 
@@ -47,18 +47,18 @@
 	return s
 }
 
-func dial(c *qt.C, cfg platform.Config) *platform.Store {
+func dial(c *qt.C, cfg etcd.Config) *etcd.Store {
 	if cfg.Rate == 0 {
 		cfg.Rate, cfg.Burst = 10000, 10000
 	}
-	s := platform.Dial(cfg)
+	s := etcd.Dial(cfg)
 	c.Cleanup(s.Close)
 	return s
 }
 
-func open(c *qt.C) (*store.Server, *platform.Store) {
+func open(c *qt.C) (*store.Server, *etcd.Store) {
 	s := start(c, store.Config{})
-	return s, dial(c, platform.Config{Endpoints: []string{s.Addr()}, Patient: true})
+	return s, dial(c, etcd.Config{Endpoints: []string{s.Addr()}, Patient: true})
 }
 
 // eventually waits until the condition holds, with a generous bound.
@@ -78,43 +78,43 @@
 	_, s := open(c)
 	e, err := s.Get(ctx, "/a/1")
 	c.Assert(err, qt.IsNil)
-	c.Assert(e.Revision, qt.Equals, platform.Revision(0))
+	c.Assert(e.Revision, qt.Equals, etcd.Revision(0))
 	c.Assert(s.Put(ctx, "/a/1", []byte("x"), 0), qt.IsNil)
 	for n := range 250 {
 		c.Assert(s.Put(ctx, fmt.Sprintf("/b/%03d", n), []byte("y"), 0), qt.IsNil)
 	}
 	e, err = s.Get(ctx, "/a/1")
 	c.Assert(err, qt.IsNil)
-	c.Assert(e, qt.DeepEquals, platform.Entry{Key: "/a/1", Value: []byte("x"), Revision: 2})
+	c.Assert(e, qt.DeepEquals, etcd.Entry{Key: "/a/1", Value: []byte("x"), Revision: 2})
 
 	l, at, err := s.List(ctx, "/b/")
 	c.Assert(err, qt.IsNil)
-	c.Assert(at, qt.Equals, platform.Revision(252))
+	c.Assert(at, qt.Equals, etcd.Revision(252))
 	c.Assert(l, qt.HasLen, 250)
 	c.Assert(l[249].Key, qt.Equals, "/b/249")
 	newest, at, err := s.Newest(ctx, "/a/")
 	c.Assert(err, qt.IsNil)
-	c.Assert([]platform.Revision{newest, at}, qt.DeepEquals, []platform.Revision{2, 252})
+	c.Assert([]etcd.Revision{newest, at}, qt.DeepEquals, []etcd.Revision{2, 252})
 	c.Assert(s.Delete(ctx, "/a/1"), qt.IsNil)
 	e, err = s.Get(ctx, "/a/1")
 	c.Assert(err, qt.IsNil)
-	c.Assert(e.Revision, qt.Equals, platform.Revision(0))
+	c.Assert(e.Revision, qt.Equals, etcd.Revision(0))
 }
 
 func TestSwapTellsWhoWon(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
 	_, s := open(c)
-	r, err := s.Swap(ctx, platform.Swap{
-		Key: "/k", Value: []byte("a"), Also: []platform.Pair{{Key: "/h", Value: []byte("a")}},
+	r, err := s.Swap(ctx, etcd.Swap{
+		Key: "/k", Value: []byte("a"), Also: []etcd.Pair{{Key: "/h", Value: []byte("a")}},
 	})
 	c.Assert(err, qt.IsNil)
-	_, err = s.Swap(ctx, platform.Swap{
-		Key: "/k", Value: []byte("b"), Expect: r + 1, Also: []platform.Pair{{Key: "/h", Value: []byte("b")}},
+	_, err = s.Swap(ctx, etcd.Swap{
+		Key: "/k", Value: []byte("b"), Expect: r + 1, Also: []etcd.Pair{{Key: "/h", Value: []byte("b")}},
 	})
-	var conflict *platform.Conflict
+	var conflict *etcd.Conflict
 	c.Assert(err, qt.ErrorAs, &conflict)
-	c.Assert(conflict.Current, qt.DeepEquals, platform.Entry{Key: "/k", Value: []byte("a"), Revision: r})
+	c.Assert(conflict.Current, qt.DeepEquals, etcd.Entry{Key: "/k", Value: []byte("a"), Revision: r})
 	h, err := s.Get(ctx, "/h")
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(h.Value), qt.Equals, "a")
@@ -127,8 +127,8 @@
 	ctx := context.Background()
 	server, s := open(c)
 	server.Set(func(f *store.Faults) { f.LoseAnswers = 1 })
-	_, err := s.Swap(ctx, platform.Swap{Key: "/k", Value: []byte("a")})
-	var unknown *platform.Unknown
+	_, err := s.Swap(ctx, etcd.Swap{Key: "/k", Value: []byte("a")})
+	var unknown *etcd.Unknown
 	c.Assert(err, qt.ErrorAs, &unknown)
 	e, err := s.Get(ctx, "/k")
 	c.Assert(err, qt.IsNil)
@@ -140,7 +140,7 @@
 	ctx := context.Background()
 	k := newClock()
 	server := start(c, store.Config{Now: k.now})
-	s := dial(c, platform.Config{Endpoints: []string{server.Addr()}})
+	s := dial(c, etcd.Config{Endpoints: []string{server.Addr()}})
 	id, err := s.Grant(ctx, 10*time.Second)
 	c.Assert(err, qt.IsNil)
 	c.Assert(s.Put(ctx, "/hosts/a", []byte("x"), id), qt.IsNil)
@@ -155,11 +155,11 @@
 	k.move(2 * time.Second)
 	e, err = s.Get(ctx, "/hosts/a")
 	c.Assert(err, qt.IsNil)
-	c.Assert(e.Revision, qt.Equals, platform.Revision(0))
+	c.Assert(e.Revision, qt.Equals, etcd.Revision(0))
 	_, err = s.KeepAlive(ctx, id)
-	c.Assert(err, qt.ErrorIs, platform.ErrNoLease)
-	c.Assert(s.Put(ctx, "/hosts/a", nil, id), qt.ErrorIs, platform.ErrNoLease)
-	c.Assert(s.Revoke(ctx, id), qt.ErrorIs, platform.ErrNoLease)
+	c.Assert(err, qt.ErrorIs, etcd.ErrNoLease)
+	c.Assert(s.Put(ctx, "/hosts/a", nil, id), qt.ErrorIs, etcd.ErrNoLease)
+	c.Assert(s.Revoke(ctx, id), qt.ErrorIs, etcd.ErrNoLease)
 	c.Assert(server.Calls()[store.KindLeaseKeepAlive], qt.Equals, 2)
 }
 
@@ -167,7 +167,7 @@
 	c := qt.New(t)
 	ctx := context.Background()
 	a, b := start(c, store.Config{}), start(c, store.Config{})
-	s := dial(c, platform.Config{Endpoints: []string{a.Addr(), b.Addr()}, Patient: true})
+	s := dial(c, etcd.Config{Endpoints: []string{a.Addr(), b.Addr()}, Patient: true})
 	a.Set(func(f *store.Faults) { f.Down = true })
 	c.Assert(s.Put(ctx, "/k", nil, 0), qt.IsNotNil)
 	c.Assert(s.Put(ctx, "/k", nil, 0), qt.IsNil)
@@ -177,7 +177,7 @@
 func TestCallsAreBoundedInTime(t *testing.T) {
 	c := qt.New(t)
 	server := start(c, store.Config{})
-	s := dial(c, platform.Config{Endpoints: []string{server.Addr()}, Timeout: 20 * time.Millisecond})
+	s := dial(c, etcd.Config{Endpoints: []string{server.Addr()}, Timeout: 20 * time.Millisecond})
 	server.Set(func(f *store.Faults) { f.Pause = true })
 	_, err := s.Get(context.Background(), "/k")
 	c.Assert(err, qt.ErrorMatches, `.*get with store 127.*deadline_exceeded.*`)
@@ -186,7 +186,7 @@
 func TestCancelledCallsDontHoldOthersBack(t *testing.T) {
 	c := qt.New(t)
 	server := start(c, store.Config{})
-	s := dial(c, platform.Config{Endpoints: []string{server.Addr()}})
+	s := dial(c, etcd.Config{Endpoints: []string{server.Addr()}})
 	server.Set(func(f *store.Faults) { f.Pause = true })
 	ctx, cancel := context.WithCancel(context.Background())
 	var duty sync.WaitGroup
@@ -208,7 +208,7 @@
 	ctx := context.Background()
 	k := newClock()
 	server := start(c, store.Config{})
-	s := dial(c, platform.Config{
+	s := dial(c, etcd.Config{
 		Endpoints: []string{server.Addr()}, Now: k.now, Rate: 2, Burst: 20, Jitter: func() float64 { return 0.5 },
 	})
 	server.Set(func(f *store.Faults) { f.Down = true })
--- a/io/platform/follow_test.go
+++ b/io/etcd/follow_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package etcd_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"skylarkdeal/io/platform"
+	"skylarkdeal/io/etcd"
 	"skylarkdeal/standin/store"
 )
 
@@ -22,13 +22,13 @@
 	problems  []string
 }
 
-func follow(c *qt.C, s *platform.Store, floor platform.Revision) *follower {
+func follow(c *qt.C, s *etcd.Store, floor etcd.Revision) *follower {
 	f := &follower{values: map[string]string{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	var duty sync.WaitGroup
-	r := &platform.Follower{
+	r := &etcd.Follower{
 		Store: s, Prefix: "/d/", Check: 10 * time.Millisecond,
-		See: func(l []platform.Change) {
+		See: func(l []etcd.Change) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			for _, e := range l {
@@ -40,7 +40,7 @@
 			defer f.mu.Unlock()
 			f.confirmed++
 		},
-		Floor: func() platform.Revision { return floor },
+		Floor: func() etcd.Revision { return floor },
 		Problem: func(err error) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -119,8 +119,8 @@
 	ctx := context.Background()
 	server, s := open(c)
 	slow := *s
-	slow.Watch = func(ctx context.Context, prefix string, after platform.Revision, see func(platform.Batch)) error {
-		return s.Watch(ctx, prefix, after, func(b platform.Batch) {
+	slow.Watch = func(ctx context.Context, prefix string, after etcd.Revision, see func(etcd.Batch)) error {
+		return s.Watch(ctx, prefix, after, func(b etcd.Batch) {
 			if len(b.Changes) > 0 {
 				select {
 				case <-time.After(200 * time.Millisecond):
--- a/io/platform/kv.go
+++ b/io/etcd/kv.go
@@ -1,4 +1,4 @@
-package platform
+package etcd
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 
 	"connectrpc.com/connect"
 
-	"skylarkdeal/io/platform/etcdpb"
+	"skylarkdeal/io/etcd/etcdpb"
 )
 
 // pageSize is how many entries one answer of a list holds; documents of a few
--- a/io/platform/lease.go
+++ b/io/etcd/lease.go
@@ -1,4 +1,4 @@
-package platform
+package etcd
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 
 	"connectrpc.com/connect"
 
-	"skylarkdeal/io/platform/etcdpb"
+	"skylarkdeal/io/etcd/etcdpb"
 )
 
 // leaseError adds ErrNoLease to an answer that says so.
--- a/io/platform/watch.go
+++ b/io/etcd/watch.go
@@ -1,4 +1,4 @@
-package platform
+package etcd
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"connectrpc.com/connect"
 
 	"skylarkdeal/core/failure"
-	"skylarkdeal/io/platform/etcdpb"
+	"skylarkdeal/io/etcd/etcdpb"
 )
 
 func (c *client) watch(ctx context.Context, prefix string, after Revision, see func(Batch)) error {
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -89,7 +89,10 @@
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
-	l := &Loop{cfg: cfg, booted: make(chan struct{}), ended: make(chan struct{}), settled: make(chan struct{}), hurry: make(chan struct{}, 1)}
+	l := &Loop{
+		cfg: cfg, booted: make(chan struct{}), ended: make(chan struct{}), settled: make(chan struct{}),
+		hurry: make(chan struct{}, 1),
+	}
 	go l.run()
 	select {
 	case <-l.booted:
--- a/io/spread/bench_test.go
+++ b/io/spread/bench_test.go
@@ -16,8 +16,8 @@
 
 	"skylarkdeal/core/document"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/io/etcd"
 	"skylarkdeal/io/host/hostpb"
-	"skylarkdeal/io/platform"
 	"skylarkdeal/io/spread"
 	"skylarkdeal/standin/store"
 )
@@ -52,7 +52,7 @@
 	c := qt.New(b)
 	net, s, l := start(b, hosts, o)
 	inEffect(c, l, "a", put(c, s, "a", 1))
-	p := platform.Dial(platform.Config{Endpoints: []string{s.Addr()}, Patient: true, Rate: 1000, Burst: 1000})
+	p := etcd.Dial(etcd.Config{Endpoints: []string{s.Addr()}, Patient: true, Rate: 1000, Burst: 1000})
 	defer p.Close()
 	calls, messages, bytes := total(s), net.calls.Load(), net.bytes.Load()
 	var took []time.Duration
@@ -157,7 +157,7 @@
 
 // renew keeps a lease as a host's membership does.
 func renew(ctx context.Context, h *host) {
-	var id platform.LeaseID
+	var id etcd.LeaseID
 	for ctx.Err() == nil {
 		var err error
 		if id == 0 {
@@ -165,7 +165,7 @@
 		} else {
 			_, err = h.store.KeepAlive(ctx, id)
 		}
-		if errors.Is(err, platform.ErrNoLease) {
+		if errors.Is(err, etcd.ErrNoLease) {
 			id = 0
 		}
 		select {
--- a/io/spread/fleet_test.go
+++ b/io/spread/fleet_test.go
@@ -14,8 +14,8 @@
 
 	"skylarkdeal/core/document"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/io/etcd"
 	"skylarkdeal/io/host/hostpb"
-	"skylarkdeal/io/platform"
 	"skylarkdeal/io/spread"
 	"skylarkdeal/standin/store"
 )
@@ -40,7 +40,7 @@
 	*spread.Spread
 	self   fleet.Member
 	stop   func()
-	store  *platform.Store
+	store  *etcd.Store
 	mu     sync.Mutex
 	starts map[document.Version]time.Time
 	now    func() time.Time
@@ -111,7 +111,7 @@
 	if o.now != nil {
 		h.now = o.now
 	}
-	h.store = platform.Dial(platform.Config{
+	h.store = etcd.Dial(etcd.Config{
 		Endpoints: []string{s.Addr()}, Rate: o.storeRate, Burst: 100, Timeout: time.Second,
 	})
 	h.Spread = spread.New(n.config(h, place, o))
@@ -227,7 +227,7 @@
 }
 
 func putText(c *qt.C, s *store.Server, service fleet.Service, b []byte) {
-	p := platform.Dial(platform.Config{Endpoints: []string{s.Addr()}, Patient: true})
+	p := etcd.Dial(etcd.Config{Endpoints: []string{s.Addr()}, Patient: true})
 	defer p.Close()
 	c.Assert(p.Put(context.Background(), document.StoreKey(root, service), b, 0), qt.IsNil)
 }
--- a/io/spread/spread.go
+++ b/io/spread/spread.go
@@ -21,15 +21,15 @@
 	"skylarkdeal/core/journal"
 	"skylarkdeal/core/ring"
 	"skylarkdeal/internal/pause"
+	"skylarkdeal/io/etcd"
 	"skylarkdeal/io/host/hostpb"
-	"skylarkdeal/io/platform"
 )
 
 // Config is what a Spread works with.
 type Config struct {
 	Self  fleet.Member
 	Hello *hostpb.Hello
-	Store *platform.Store
+	Store *etcd.Store
 	// Prefix starts the keys of the documents; the rest of a key is the service.
 	Prefix string
 	// Seeds are inner addresses of hosts to ask at the start, while Members is
--- a/io/spread/spread_test.go
+++ b/io/spread/spread_test.go
@@ -13,8 +13,8 @@
 
 	"skylarkdeal/core/document"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/io/etcd"
 	"skylarkdeal/io/host/hostpb"
-	"skylarkdeal/io/platform"
 	"skylarkdeal/io/spread"
 	"skylarkdeal/standin/store"
 )
@@ -201,7 +201,7 @@
 	_, s, hosts := start(t, 4, quick)
 	v := put(c, s, "a", 1)
 	inEffect(c, hosts, "a", v)
-	p := platform.Dial(platform.Config{Endpoints: []string{s.Addr()}, Patient: true})
+	p := etcd.Dial(etcd.Config{Endpoints: []string{s.Addr()}, Patient: true})
 	defer p.Close()
 	c.Assert(p.Delete(context.Background(), document.StoreKey(root, "a")), qt.IsNil)
 	inEffect(c, hosts, "b", put(c, s, "b", 1))
--- a/io/spread/watch.go
+++ b/io/spread/watch.go
@@ -10,7 +10,7 @@
 
 	"skylarkdeal/core/document"
 	"skylarkdeal/core/fleet"
-	"skylarkdeal/io/platform"
+	"skylarkdeal/io/etcd"
 )
 
 // watch follows the store while this host is the watcher.
@@ -26,7 +26,7 @@
 func (s *Spread) follow(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	f := platform.Follower{
+	f := etcd.Follower{
 		Store: s.cfg.Store, Prefix: s.cfg.Prefix, Check: s.cfg.CheckEvery, Now: s.cfg.Now,
 		See: s.see,
 		Confirmed: func(at time.Time) {
@@ -47,10 +47,10 @@
 	duty.Wait()
 }
 
-func (s *Spread) floor() platform.Revision {
+func (s *Spread) floor() etcd.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return platform.Revision(s.table.Revision())
+	return etcd.Revision(s.table.Revision())
 }
 
 func (s *Spread) storeProblem(err error) {
@@ -67,7 +67,7 @@
 }
 
 // see takes what the store holds and hands on what is new.
-func (s *Spread) see(changes []platform.Change) {
+func (s *Spread) see(changes []etcd.Change) {
 	var offers []document.Offer
 	for _, c := range changes {
 		n := fleet.Service(strings.TrimPrefix(c.Key, s.cfg.Prefix))
--- a/standin/store/calls.go
+++ b/standin/store/calls.go
@@ -7,7 +7,7 @@
 
 	"connectrpc.com/connect"
 
-	"skylarkdeal/io/platform/etcdpb/etcdpbconnect"
+	"skylarkdeal/io/etcd/etcdpb/etcdpbconnect"
 )
 
 // Kind is a kind of call.
--- a/standin/store/data.go
+++ b/standin/store/data.go
@@ -9,7 +9,7 @@
 
 	"connectrpc.com/connect"
 
-	"skylarkdeal/io/platform/etcdpb"
+	"skylarkdeal/io/etcd/etcdpb"
 )
 
 // data is what the store holds: every version of every key since the last
--- a/standin/store/kv.go
+++ b/standin/store/kv.go
@@ -8,7 +8,7 @@
 
 	"connectrpc.com/connect"
 
-	"skylarkdeal/io/platform/etcdpb"
+	"skylarkdeal/io/etcd/etcdpb"
 )
 
 // kvService serves the KV calls.
--- a/standin/store/lease.go
+++ b/standin/store/lease.go
@@ -8,7 +8,7 @@
 
 	"connectrpc.com/connect"
 
-	"skylarkdeal/io/platform/etcdpb"
+	"skylarkdeal/io/etcd/etcdpb"
 )
 
 var errNested = connect.NewError(connect.CodeUnimplemented, errors.New("transactions within transactions"))
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -13,7 +13,7 @@
 
 	"connectrpc.com/connect"
 
-	"skylarkdeal/io/platform/etcdpb/etcdpbconnect"
+	"skylarkdeal/io/etcd/etcdpb/etcdpbconnect"
 )
 
 // Config is how a Server is started. The zero Config listens on a free port of
--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -11,9 +11,9 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
 
-	"skylarkdeal/io/platform"
-	"skylarkdeal/io/platform/etcdpb"
-	"skylarkdeal/io/platform/etcdpb/etcdpbconnect"
+	"skylarkdeal/io/etcd"
+	"skylarkdeal/io/etcd/etcdpb"
+	"skylarkdeal/io/etcd/etcdpb/etcdpbconnect"
 	"skylarkdeal/standin/store"
 )
 
@@ -21,11 +21,11 @@
 	goleak.VerifyTestMain(m)
 }
 
-func start(c *qt.C) (*store.Server, *platform.Store) {
+func start(c *qt.C) (*store.Server, *etcd.Store) {
 	s, err := store.Start(store.Config{})
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(s.Close)
-	p := platform.Dial(platform.Config{Endpoints: []string{s.Addr()}, Patient: true, Rate: 1000, Burst: 1000})
+	p := etcd.Dial(etcd.Config{Endpoints: []string{s.Addr()}, Patient: true, Rate: 1000, Burst: 1000})
 	c.Cleanup(p.Close)
 	return s, p
 }
@@ -91,7 +91,7 @@
 	c.Assert(connect.CodeOf(err), qt.Equals, connect.CodeNotFound)
 	a, err := p.Get(ctx, "/a")
 	c.Assert(err, qt.IsNil)
-	c.Assert(a.Revision, qt.Equals, platform.Revision(0))
+	c.Assert(a.Revision, qt.Equals, etcd.Revision(0))
 
 	r, err := kv.Txn(ctx, connect.NewRequest(&etcdpb.TxnRequest{
 		Success: []*etcdpb.RequestOp{put("/a", 0), put("/b", 0)},
--- a/standin/store/watch.go
+++ b/standin/store/watch.go
@@ -8,7 +8,7 @@
 	"connectrpc.com/connect"
 
 	"skylarkdeal/internal/pause"
-	"skylarkdeal/io/platform/etcdpb"
+	"skylarkdeal/io/etcd/etcdpb"
 )
 
 // watchService serves the Watch call: one watch for each stream.
--- a/test/documents_test.go
+++ b/test/documents_test.go
@@ -15,7 +15,7 @@
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/settings"
 	"skylarkdeal/internal/cmd"
-	"skylarkdeal/io/platform"
+	"skylarkdeal/io/etcd"
 )
 
 // Two operators get one version of a document, change the same rate and put it
@@ -85,7 +85,7 @@
 	_, text, _ := f.document(t, "", "get", string(g.Name))
 	_, text, _ = strings.Cut(text, "\n")
 	bad := strings.Replace(text, "slots = 2", "slots = none", 1)
-	s := platform.Dial(platform.Config{Endpoints: []string{f.store}})
+	s := etcd.Dial(etcd.Config{Endpoints: []string{f.store}})
 	defer s.Close()
 	ctx := testContext(t)
 	qt.Assert(t, s.Put(ctx, document.StoreKey(settings.DefaultPrefix, g.Name), []byte(bad), 0), qt.IsNil)
--- a/test/settings_test.go
+++ b/test/settings_test.go
@@ -13,7 +13,7 @@
 	"skylarkdeal/core/document"
 	"skylarkdeal/core/settings"
 	"skylarkdeal/internal/cmd"
-	"skylarkdeal/io/platform"
+	"skylarkdeal/io/etcd"
 )
 
 // An operator has made many slips in one settings file. The check tells all at
@@ -83,7 +83,7 @@
 	_, text, _ = strings.Cut(text, "\n")
 	at := strings.Index(text, "SCRAM-SHA-256")
 	bad := text[:at] + clearKey + " " + text[at:]
-	s := platform.Dial(platform.Config{Endpoints: []string{g.fleet.store}})
+	s := etcd.Dial(etcd.Config{Endpoints: []string{g.fleet.store}})
 	defer s.Close()
 	qt.Assert(t, s.Put(ctx, document.StoreKey(settings.DefaultPrefix, g.Name), []byte(bad), 0), qt.IsNil)
 	eventually(t, func() error {
