--- a/core/document/parse.go
+++ b/core/document/parse.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -222,8 +221,3 @@
 func number(f float64) string {
 	return strconv.FormatFloat(f, 'f', -1, 64)
 }
-
-// Newer reports whether d is a later version than o, which may be nil.
-func (d *Document) Newer(o *Document) bool {
-	return o == nil || cmp.Compare(d.Version, o.Version) > 0
-}
--- a/core/roster/roles.go
+++ b/core/roster/roles.go
@@ -23,11 +23,6 @@
 	return Duty("watcher\x00" + string(d))
 }
 
-// Steward is the duty of looking after the group of s.
-func Steward(s fleet.Service) Duty {
-	return Duty("steward\x00" + string(s))
-}
-
 // Shard is a part of the client accounts of all services. The accounts of one
 // shard have their home in a data centre on the same host.
 type Shard int
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -34,11 +34,11 @@
 
 func ExampleWinner() {
 	members := []fleet.Member{member(1), member(2), member(3)}
-	before, _ := roster.Winner(members, roster.Steward("cellar"))
+	before, _ := roster.Winner(members, roster.Watcher("cellar"))
 	members[0].Leaving = before.Host == "h1"
 	members[1].Leaving = before.Host == "h2"
 	members[2].Leaving = before.Host == "h3"
-	after, _ := roster.Winner(members, roster.Steward("cellar"))
+	after, _ := roster.Winner(members, roster.Watcher("cellar"))
 	fmt.Println(before.Host != after.Host)
 	// Output: true
 }
--- a/io/members/view.go
+++ b/io/members/view.go
@@ -42,11 +42,6 @@
 	return roster.Winner(roster.In(r.Members(), d), roster.Home(d, roster.ShardOf(s, a)))
 }
 
-// Steward returns the host that is to look after the group of s.
-func (r *Runtime) Steward(s fleet.Service) (fleet.Member, bool) {
-	return roster.Winner(r.Members(), roster.Steward(s))
-}
-
 // OnChange calls f with the members whenever they change.
 func (r *Runtime) OnChange(f func([]fleet.Member)) {
 	r.mu.Lock()
