--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -48,6 +48,8 @@
 // forwarding is what a relay needs for running statements by and for other hosts.
 type forwarding struct {
 	peers []Peer
+	// missing counts the hosts that ought to be there and aren't heard.
+	missing int
 	// virtual are the connections over other hosts, guests the sessions run for them.
 	virtual map[uint64]*Conn
 	guests  map[stream]*Session
@@ -59,9 +61,10 @@
 // belongs to one account, and each change of account takes 12 ms of the instance's time.
 const directShare = 3
 
-// SetPeers tells which other hosts can be used now.
-func (r *Relay) SetPeers(ps []Peer) {
-	r.forwarding.peers = ps
+// SetPeers tells which other hosts can be used now, and how many are missing: those that
+// are registered and not heard.
+func (r *Relay) SetPeers(ps []Peer, missing int) {
+	r.forwarding.peers, r.forwarding.missing = ps, missing
 }
 
 // holder returns the host over which an instance is used, false for this one.
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -181,9 +181,11 @@
 	cutOffNotice = 2200 * time.Millisecond
 )
 
-// CutOff reports whether this host can do little for its callers while others may: it
-// reaches neither the store nor enough of the instances. The balancer then sends new
-// sessions to other hosts, and to other data centres if all hosts here are cut off.
+// CutOff reports whether this host can do less for its callers than others may: it reaches
+// neither the store nor the primaries of half of its services; of any, if hosts are
+// missing, which may be on the better side of a cut. The balancer then sends new sessions
+// to other hosts, and to other data centres if all hosts here are cut off. With the store
+// down for all and one primary dead nobody is better off, and no host is missing.
 func (r *Relay) CutOff() bool {
 	now := r.now()
 	if r.lease.Certain(now) || len(r.groups) == 0 {
@@ -195,7 +197,7 @@
 			unable++
 		}
 	}
-	return 2*unable >= len(r.groups)
+	return 2*unable >= len(r.groups) || unable > 0 && r.forwarding.missing > 0
 }
 
 func (r *Relay) group(s fleet.Service) *group {
@@ -232,7 +234,7 @@
 		r.cut = now
 		r.note(Event{
 			Kind: EventSession, Choice: "not ready",
-			Reason: "neither the store nor the primaries of half of the services can be reached",
+			Reason: "neither the store nor the primaries can be reached, and other hosts may reach them",
 		})
 	}
 	if now.Sub(r.cut) < cutOffNotice {
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -336,6 +336,32 @@
 	c.Assert(x.last().State, qt.Equals, statement.TxNone)
 }
 
+// A cut leaves this host with the replaced primary and without the store; others, which it
+// doesn't hear, are on the better side. It leaves the rotation, and closes its sessions
+// once the balancer knows, so that callers come back elsewhere. When the store is down for
+// all, nobody is better off: nothing is closed.
+func TestHostOnTheWorseSideOfACutLeavesTheRotation(t *testing.T) {
+	c := qt.New(t)
+	for missing, want := range []bool{false, true} {
+		w := newWorld(c)
+		w.relay.Listed(append(w.instancesOf("other", "x"), w.instancesOf("third", "y")...))
+		w.list()
+		w.settled()
+		rest := w.open("rush", "key-1")
+		w.instances["a"].silent = true
+		w.cut(w.instances["a"])
+		x := w.open("rush", "key-1")
+		x.do(statement.KindWrite, "", "item data")
+		w.relay.SetPeers(nil, missing)
+		w.pass(2*time.Second, false)
+		c.Assert(w.relay.CutOff(), qt.Equals, want, qt.Commentf("%d missing", missing))
+		w.pass(3*time.Second, false)
+		c.Assert(rest.closed, qt.Equals, want)
+		w.renew()
+		c.Assert(w.relay.CutOff(), qt.IsFalse)
+	}
+}
+
 // A caller begins, writes and goes away without a sign. Its connection, of which there are
 // few, is given back, and what it wrote is rolled back.
 func TestRestingTransactionIsEnded(t *testing.T) {
@@ -491,7 +517,7 @@
 	var sent []relay.Forward
 	w.relay.SetPeers([]relay.Peer{
 		{Host: "h2", DataCentre: "obihiro", Send: func(f relay.Forward) { sent = append(sent, f) }},
-	})
+	}, 0)
 	x := w.open("rush", "key-1")
 	x.do(statement.KindRead, "", "item")
 	c.Assert(sent, qt.HasLen, 0)
@@ -581,7 +607,7 @@
 			sent, over = append(sent, f), name
 		}})
 	}
-	w.relay.SetPeers(peers)
+	w.relay.SetPeers(peers, 0)
 	x := w.open("rush", "key-1")
 	x.do(statement.KindRead, "", "item")
 	c.Assert(sent, qt.HasLen, 1)
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -29,7 +30,9 @@
 	events    []relay.Event
 	refreshed int
 	returned  int
-	over      func(a catalog.Account) (time.Duration, bool)
+	// extra are the instances of other services.
+	extra []catalog.Instance
+	over  func(a catalog.Account) (time.Duration, bool)
 }
 
 // node is one instance.
@@ -119,7 +122,7 @@
 
 // list tells the relay of the instances as they stand.
 func (w *world) list(leaving ...fleet.Instance) {
-	var is []catalog.Instance
+	is := slices.Clone(w.extra)
 	for _, name := range []fleet.Instance{"a", "b", "c"} {
 		n := w.instances[name]
 		if n.away {
@@ -133,6 +136,16 @@
 	w.relay.Listed(is)
 }
 
+// instancesOf makes one instance of another service, which answers as the primary.
+func (w *world) instancesOf(s fleet.Service, name fleet.Instance) []catalog.Instance {
+	w.instances[name] = &node{name: name, role: fleet.RolePrimary, term: 1, point: fleet.Point{Term: 1, Position: 5}}
+	w.extra = append(w.extra, catalog.Instance{
+		Name: name, Service: s, Address: "10.0.0.1:" + string(name), DataCentre: "obihiro", Slots: 2,
+		Role: fleet.RolePrimary,
+	})
+	return w.extra
+}
+
 func (w *world) renew() { w.relay.LeaseRenewed(w.now) }
 
 // pass lets time go by in ticks, with the registration renewed if renewed is set.
@@ -151,7 +164,7 @@
 func (w *world) deliver() {
 	for busy := true; busy; {
 		busy = false
-		for _, name := range []fleet.Instance{"a", "b", "c"} {
+		for _, name := range slices.Sorted(maps.Keys(w.instances)) {
 			n := w.instances[name]
 			busy = busy || len(n.pending) > 0 && !n.hold
 			w.flush(n)
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -17,6 +17,10 @@
 	// linkAlive is how old the last report of a host may be for it to be sent work: three
 	// reports in a row were lost otherwise, or it stands still.
 	linkAlive = 650 * time.Millisecond
+	// missingAfter is from when on a host that isn't heard counts as missing, missingFor
+	// until when: it may have gone for good.
+	missingAfter = time.Second
+	missingFor   = 30 * time.Second
 	// linkTimeout bounds a connection to another host, linkPause the time to the next try.
 	linkTimeout = 500 * time.Millisecond
 	linkPause   = 300 * time.Millisecond
@@ -60,7 +64,13 @@
 			usable = append(usable, relay.Peer{Host: name, DataCentre: p.dataCentre, Send: l.send})
 		}
 	}
-	h.relay.SetPeers(usable)
+	missing := 0
+	for name := range h.peers.addresses {
+		if p := h.peers.known[name]; p != nil && now.Sub(p.heard) > missingAfter && now.Sub(p.heard) < missingFor {
+			missing++
+		}
+	}
+	h.relay.SetPeers(usable, missing)
 }
 
 func (l *link) send(f relay.Forward) {
