--- a/core/relay/conn.go
+++ b/core/relay/conn.go
@@ -288,14 +288,16 @@
 
 // ask has the instance say what it is. It takes no slot: an order to step down below
 // term 1 changes nothing and is answered with the status.
-func (c *Conn) ask() { c.askFor(nil) }
+func (c *Conn) ask() { c.stepDown(0, nil) }
 
-// askFor asks and hands the answer on to reply, if that is set.
-func (c *Conn) askFor(reply func(a statement.Answer)) {
+// stepDown has a primary of a term below t step down, and tells what the instance says of
+// itself then; reply, which may be nil, takes its answer.
+func (c *Conn) stepDown(t fleet.Term, reply func(a statement.Answer)) {
 	c.g.r.counts.Asked++
 	c.setState(connBusy)
 	asked := c.since
-	c.send([]statement.Statement{{Kind: statement.KindStepDown}}, nil, func(a statement.Answer) {
+	q := statement.Statement{Kind: statement.KindStepDown, Term: t}
+	c.send([]statement.Statement{q}, nil, func(a statement.Answer) {
 		c.g.told(c, asked, a)
 		if a.Code == statement.CodeUnreachable && c.via != "" {
 			c.inst.block(c.via)
--- a/core/relay/duty.go
+++ b/core/relay/duty.go
@@ -67,7 +67,7 @@
 	out := map[fleet.Instance]time.Duration{}
 	for _, g := range r.groups {
 		for _, i := range g.instances {
-			if i.doubtful(now) {
+			if i.doubtful(now) && !i.gone {
 				out[i.info.Name] = now.Sub(i.lastHeard)
 			}
 		}
@@ -114,7 +114,8 @@
 	r.duty.doubts[from] = d
 	for _, n := range is {
 		for _, g := range r.groups {
-			if i := g.instances[n]; i != nil && now.Sub(i.lastHeard) > wonderAfter && now.Sub(i.askedAt) > wonderAfter {
+			i := g.instances[n]
+			if i != nil && !i.gone && now.Sub(i.lastHeard) > wonderAfter && now.Sub(i.askedAt) > wonderAfter {
 				g.probe(now, i)
 			}
 		}
@@ -245,20 +246,14 @@
 	if i == nil || g.belief.Record().Primary != o.Primary {
 		return
 	}
-	c := i.resting()
-	if c == nil {
-		return
-	}
 	g.r.note(Event{
 		Kind: EventLeader, Service: g.name, Instance: o.Former, Term: o.Term,
 		Choice: "step down", Reason: "its successor is about to lead",
 	})
-	c.setState(connBusy)
-	asked := c.since
-	c.send([]statement.Statement{{Kind: statement.KindStepDown, Term: o.Term}}, nil, func(a statement.Answer) {
-		g.told(c, asked, a)
-		if c.state == connBusy {
-			c.free()
-		}
-	})
+	a, ok := g.anyAccount()
+	if p, over := r.holder(i); over && ok {
+		i.over(p, a).stepDown(o.Term, nil)
+		return
+	}
+	g.inquire(o.Former, o.Term, func(statement.Answer) {})
 }
--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -207,7 +207,7 @@
 // among its own, by account, and finds the connection.
 func (r *Relay) Forwarded(from LinkID, f Forward, reply func(a statement.Answer)) {
 	if len(f.Statements) == 1 && f.Statements[0].Kind == statement.KindStepDown {
-		r.group(f.Service).inquire(f.Instance, reply)
+		r.group(f.Service).inquire(f.Instance, f.Statements[0].Term, reply)
 		return
 	}
 	k := stream{from, f.Stream}
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -71,9 +71,9 @@
 	g.forget(now)
 	for _, in := range is {
 		i := g.instances[in.Name]
-		if i == nil || i.info.Address != in.Address {
+		if i == nil || i.info.Address != in.Address || i.info.Started != in.Started {
 			if i != nil {
-				g.drop(i, "it has another address now")
+				g.drop(i, "it has another address now, or has started anew")
 			}
 			i = &instance{g: g, info: in, lastHeard: now, doubted: now}
 			g.instances[in.Name] = i
@@ -82,7 +82,7 @@
 		if in.Leaving && !i.info.Leaving {
 			g.noteInstance(i, "no new work", "it is leaving")
 		}
-		i.info, i.missing, i.gone = in, time.Time{}, false
+		i.info, i.missing, i.gone = in, time.Time{}, i.moved
 	}
 	for _, i := range g.instances {
 		if slices.ContainsFunc(is, func(in catalog.Instance) bool { return in.Name == i.info.Name }) {
--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -53,6 +53,8 @@
 	// missing is since when it isn't on the list any more.
 	missing time.Time
 	gone    bool
+	// moved is set once another instance has answered at its address.
+	moved bool
 	// askedAt is when it was last asked what it is.
 	askedAt time.Time
 }
@@ -158,8 +160,9 @@
 		i.next = now.Add(min(crowdPause<<min(i.crowded, 10), backoffMax))
 		i.crowded++
 	case statement.CodeMisrouted:
-		// Another instance has the address now: this one has gone.
-		i.gone = true
+		// Another instance has the address now: this one has gone, whatever the list says.
+		i.moved, i.gone = true, true
+		i.next = now.Add(backoffMax)
 	default:
 		i.failed(now, "refused: "+string(c))
 	}
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -194,6 +194,24 @@
 	c.Assert(x.last().RetryAfter > 0, qt.IsTrue)
 }
 
+// An instance has gone, and another has its address. Its entry is on the list for some more
+// seconds; hosts doubted it, told each other so, and each tried it twenty times a second.
+func TestInstanceWhoseAddressAnotherHasIsLeftAlone(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	w.cut(w.instances["c"])
+	w.instances["c"].refuse = statement.CodeMisrouted
+	w.relay.Doubted("h2", []fleet.Instance{"c"}, nil)
+	w.pass(50*time.Millisecond, true)
+	for range 20 {
+		w.list()
+		w.relay.Doubted("h2", []fleet.Instance{"c"}, nil)
+		w.pass(100*time.Millisecond, true)
+	}
+	c.Assert(w.instances["c"].dialled <= 1, qt.IsTrue, qt.Commentf("tried %d times", w.instances["c"].dialled))
+	c.Assert(w.relay.Doubts(), qt.HasLen, 0)
+}
+
 // A host loses the store, and a primary is replaced without its knowing. The old primary
 // still accepts writes on this side of a cut; they will be lost. The host must not
 // acknowledge before it has asked the others, and here one leads a later term.
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -201,6 +201,7 @@
 // inquiry is another host's question that waits for a connection.
 type inquiry struct {
 	i     *instance
+	term  fleet.Term
 	until time.Time
 	reply func(a statement.Answer)
 }
@@ -208,15 +209,15 @@
 // inquiryPatience bounds that wait; whoever asks needs the answer within a proof's time.
 const inquiryPatience = 150 * time.Millisecond
 
-// inquire asks an instance for another host.
-func (g *group) inquire(n fleet.Instance, reply func(a statement.Answer)) {
+// inquire asks an instance for another host, or has it step down below a term.
+func (g *group) inquire(n fleet.Instance, t fleet.Term, reply func(a statement.Answer)) {
 	now := g.r.now()
 	i := g.instances[n]
 	if i == nil || i.gone || i.doubtful(now) {
 		reply(unasked("this host can't reach the instance"))
 		return
 	}
-	g.inquiries = append(g.inquiries, inquiry{i: i, until: now.Add(inquiryPatience), reply: reply})
+	g.inquiries = append(g.inquiries, inquiry{i: i, term: t, until: now.Add(inquiryPatience), reply: reply})
 	g.answerInquiries(now)
 	g.r.hurry()
 }
@@ -229,7 +230,7 @@
 func (g *group) answerInquiries(now time.Time) {
 	g.inquiries = slices.DeleteFunc(g.inquiries, func(q inquiry) bool {
 		if c := q.i.resting(); c != nil {
-			c.askFor(q.reply)
+			c.stepDown(q.term, q.reply)
 			return true
 		}
 		if now.After(q.until) {
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -52,6 +52,8 @@
 	// refuse answers new connections with a code.
 	refuse statement.Code
 	away   bool
+	// dialled counts the tries to connect.
+	dialled int
 }
 
 // link is one connection to a node, as the node sees it.
@@ -180,6 +182,7 @@
 
 func (w *world) dial(c *relay.Conn) {
 	n := w.instances[c.Instance]
+	n.dialled++
 	l := &link{node: n, conn: c, state: statement.TxNone, values: map[string]string{}, names: map[string]statement.Shape{}}
 	c.Send = func(qs []statement.Statement) {
 		for _, q := range qs {
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -96,6 +96,7 @@
 		m.Statements = append(m.Statements, &forwardpb.Statement{
 			Id: string(q.ID), Kind: string(q.Kind), Name: q.Name, Value: q.Value,
 			Writes: q.Shape.Writes, Shape: q.Shape.Text, Text: q.Text, After: toPoint(q.After),
+			Term: uint64(q.Term),
 		})
 	}
 	return appendFrame(b, &forwardpb.Frame{Kind: &forwardpb.Frame_Request{Request: m}})
@@ -112,7 +113,7 @@
 		f.Statements = append(f.Statements, statement.Statement{
 			ID: statement.ID(q.GetId()), Kind: statement.Kind(q.GetKind()), Name: q.GetName(), Value: q.GetValue(),
 			Shape: statement.Shape{Writes: q.GetWrites(), Text: q.GetShape()}, Text: q.GetText(),
-			After: fromPoint(q.GetAfter()),
+			After: fromPoint(q.GetAfter()), Term: fleet.Term(q.GetTerm()),
 		})
 	}
 	return f
