--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -117,7 +117,7 @@
 // forget drops what has been gone for long.
 func (g *group) forget(now time.Time) {
 	for n, i := range g.instances {
-		if i.gone && len(i.conns) == 0 && now.Sub(i.missing) > keepGone {
+		if i.gone && len(i.conns) == 0 && !i.missing.IsZero() && now.Sub(i.missing) > keepGone {
 			delete(g.instances, n)
 		}
 	}
