--- a/core/relay/session.go
+++ b/core/relay/session.go
@@ -305,7 +305,7 @@
 		s.refuse(statement.CodeMalformed, "a transaction is open already", 0)
 		return
 	}
-	if !s.enter() {
+	if !s.enter(q.ID) {
 		return
 	}
 	now := s.r.now()
@@ -316,7 +316,7 @@
 }
 
 // enter begins an operation: by the route, the key and the rate that are in force now.
-func (s *Session) enter() bool {
+func (s *Session) enter(id statement.ID) bool {
 	if s.instance != "" {
 		return true
 	}
@@ -333,8 +333,8 @@
 		return true
 	}
 	s.r.note(Event{
-		Kind: EventRefuse, Database: s.database, Account: s.account,
-		Choice: "refuse", Reason: "the account is over its rate", Code: statement.CodeBusy,
+		Kind: EventRefuse, ID: id, Database: s.database, Service: s.route.Service, Account: s.account,
+		Choice: "refuse", Reason: "the account is over its rate", Code: statement.CodeBusy, Age: wait,
 	})
 	s.refuse(statement.CodeBusy, "the account is over its rate", wait)
 	return false
@@ -359,7 +359,7 @@
 	if q.Kind == statement.KindCommit && !s.commits() {
 		return
 	}
-	if !s.tx.open && !s.enter() {
+	if !s.tx.open && !s.enter(q.ID) {
 		return
 	}
 	newOperation(s, q, p).start()
