--- /dev/null
+++ b/io/forward/forward_test.go
@@ -0,0 +1,106 @@
+package forward_test
+
+import (
+	"encoding/binary"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/relay"
+	"skylarkdeal/core/statement"
+	"skylarkdeal/io/forward"
+)
+
+// got is what a reader has told of.
+type got struct {
+	hosts    []fleet.Host
+	requests []relay.Forward
+	streams  []uint64
+	answers  []statement.Answer
+}
+
+func reader() (*forward.Reader, *got) {
+	g := &got{}
+	return &forward.Reader{
+		Hello:   func(h fleet.Host) { g.hosts = append(g.hosts, h) },
+		Request: func(f relay.Forward) { g.requests = append(g.requests, f) },
+		Reply: func(s uint64, a statement.Answer) {
+			g.streams, g.answers = append(g.streams, s), append(g.answers, a)
+		},
+	}, g
+}
+
+func request() relay.Forward {
+	return relay.Forward{
+		Stream: 7, Service: "orders", Instance: "i-1", Account: "hotel", Open: true, Close: true,
+		Left: 800 * time.Millisecond, Wait: 200 * time.Millisecond,
+		Statements: []statement.Statement{
+			{ID: "a", Kind: statement.KindSet, Name: "v0", Value: "x y"},
+			{Kind: statement.KindPrepare, Name: "p", Shape: statement.Shape{Writes: true, Text: "q2c"}},
+			{
+				ID: "b", Kind: statement.KindExecute, Name: "p", Text: "1a4 data",
+				After: fleet.Some(fleet.Point{Term: 3, Position: 9}),
+			},
+			{Kind: statement.KindStepDown, Term: 4},
+		},
+	}
+}
+
+func TestFramesComeAsTheyWereSent(t *testing.T) {
+	c := qt.New(t)
+	a := statement.Answer{
+		Rows: []string{"one", ""}, Digest: "d", Code: statement.CodeBusy, Detail: "why", RetryAfter: 300 * time.Millisecond,
+		State: statement.TxOpen, Point: fleet.Some(fleet.Point{Term: 1}),
+	}
+	b := forward.AppendHello(nil, "h1")
+	b = forward.AppendRequest(b, request())
+	b = forward.AppendReply(b, 7, a)
+	rapid.Check(t, func(t *rapid.T) {
+		// However the bytes are cut, the messages are the same.
+		in, g := reader()
+		var waiting []byte
+		for rest := b; len(rest) > 0; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "part")
+			waiting, rest = append(waiting, rest[:n]...), rest[n:]
+			for {
+				used, err := in.Take(waiting)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if used == 0 {
+					break
+				}
+				waiting = waiting[used:]
+			}
+		}
+		if len(g.hosts) != 1 || len(g.requests) != 1 || len(g.answers) != 1 {
+			t.Fatalf("%+v", g)
+		}
+		c.Assert(g.requests[0], qt.CmpEquals(cmp.AllowUnexported(fleet.Option[fleet.Point]{})), request())
+		c.Assert(g.answers[0], qt.CmpEquals(cmp.AllowUnexported(fleet.Option[fleet.Point]{})), a)
+		c.Assert(g.streams[0], qt.Equals, uint64(7))
+	})
+}
+
+// A peer sends a length that no frame has. The host must not wait for it all to come.
+func TestLongFrameIsRefused(t *testing.T) {
+	c := qt.New(t)
+	in, _ := reader()
+	_, err := in.Take(binary.BigEndian.AppendUint32(nil, 1<<30))
+	c.Assert(err, qt.ErrorMatches, "a frame is longer than 8 MiB")
+	_, err = in.Take([]byte{0, 0, 0, 0})
+	c.Assert(err, qt.ErrorMatches, "a frame without a message")
+}
+
+func FuzzReader(f *testing.F) {
+	f.Add(forward.AppendRequest(nil, request()))
+	f.Add([]byte{0, 0, 0, 2, 1, 1})
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		in, _ := reader()
+		_, _ = in.Take(b)
+	})
+}
