--- a/core/share/share.go
+++ b/core/share/share.go
@@ -37,12 +37,12 @@
 	leastOwn = 1.5
 	// overdraft is how far, as a part of the burst, the picture of the whole may fall below
 	// nothing before shares that are out of step are stopped.
-	overdraft = 0.2
+	overdraft = 0.05
 	// unknownHosts stands for the number of hosts until the list of them is known.
 	unknownHosts = 8
 	// firstPart is the part of the burst that a process begins with: all hosts may start
 	// at once, after others have spent the burst.
-	firstPart = 0.7
+	firstPart = 0.55
 	// minWait keeps a refused caller from coming back at once, maxWait from staying away
 	// once others have gone.
 	minWait = 50 * time.Millisecond
@@ -82,6 +82,8 @@
 	// demand is the moving average of what is asked for, as of demandAt.
 	demand   float64
 	demandAt time.Time
+	// kept is the share when all hosts were last heard.
+	kept float64
 }
 
 // Members tells which other hosts there are.
@@ -139,8 +141,9 @@
 	a.ask(now)
 	s := f.share(now, a, c.Name)
 	a.refill(now, c, s)
-	free := a.pool-f.untold(now, a, c.Name) >= a.burst*plenty && f.whole(now)
-	if !free && a.own < 1 || a.pool < -max(a.burst*overdraft, leastOwn) {
+	pool := a.pool - f.untold(now, a, c.Name)
+	free := pool >= a.burst*plenty && f.whole(now)
+	if !free && a.own < 1 || pool < -max(a.burst*overdraft, leastOwn) {
 		missing := max(1-a.own, leastOwn/2) / (a.rate * s)
 		return min(max(time.Duration(missing*float64(time.Second)), minWait), maxWait), false
 	}
@@ -174,13 +177,13 @@
 }
 
 // untold guesses what the other hosts have admitted since their last reports: what is
-// asked of them, for as long. Without it a cut fleet gives away what each side believes
-// to be left, before the silence shows.
+// asked of them, for as long, but no longer than it takes for the shares to bind. Without
+// it each host gives away, in a sudden flood, what all believe to be left.
 func (f *Fleet) untold(now time.Time, a *account, n fleet.Account) float64 {
 	sum := 0.0
 	for name, h := range f.hosts {
 		if f.members.Has(name) {
-			sum += min(h.usage[n].Demand, a.rate) * now.Sub(h.heard).Seconds()
+			sum += min(h.usage[n].Demand, a.rate) * min(now.Sub(h.heard), freshFor).Seconds()
 		}
 	}
 	return sum
@@ -200,10 +203,26 @@
 }
 
 // share returns this host's part of the rate: its part of the demand.
+//
+// While a host isn't heard no share grows: the other side of a cut sees its own demand
+// grow as well, and the shares of both would add up to twice the rate.
 func (f *Fleet) share(now time.Time, a *account, n fleet.Account) float64 {
 	if f.members == nil {
 		return 1.0 / unknownHosts
 	}
+	s := f.demanded(now, a, n)
+	if f.whole(now) {
+		a.kept = s
+		return s
+	}
+	if a.kept == 0 {
+		a.kept = 1 / float64(1+len(f.members))
+	}
+	return min(s, a.kept)
+}
+
+// demanded returns the part of an account's demand that is asked of this host.
+func (f *Fleet) demanded(now time.Time, a *account, n fleet.Account) float64 {
 	floor := a.rate * floorPart
 	mine := a.demand + floor
 	sum := mine
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -19,6 +19,7 @@
 	now      time.Time
 	hosts    []*share.Fleet
 	seq      uint64
+	epochs   map[int]uint64
 	admitted []time.Time
 	refused  int
 	// cut tells whether a report from one host reaches another.
@@ -26,7 +27,7 @@
 }
 
 func newFleet(n int) *fleetOf {
-	f := &fleetOf{now: time.Unix(1000, 0), cut: func(int, int) bool { return false }}
+	f := &fleetOf{now: time.Unix(1000, 0), epochs: map[int]uint64{}, cut: func(int, int) bool { return false }}
 	for i := range n {
 		h := &share.Fleet{}
 		var others []fleet.Host
@@ -41,6 +42,20 @@
 	return f
 }
 
+// restart replaces the process of one host.
+func (f *fleetOf) restart(n int) {
+	h := &share.Fleet{}
+	var others []fleet.Host
+	for o := range f.hosts {
+		if o != n {
+			others = append(others, name(o))
+		}
+	}
+	h.Members(f.now, others)
+	f.hosts[n] = h
+	f.epochs[n]++
+}
+
 func name(n int) fleet.Host { return fleet.Host(fmt.Sprintf("h%d", n)) }
 
 // run plays a load for some time: perSecond is what each host is asked for.
@@ -72,7 +87,7 @@
 	for i, h := range f.hosts {
 		for o := range f.hosts {
 			if o != i && !f.cut(i, o) {
-				f.hosts[o].Heard(f.now, name(i), 1, f.seq, h.Usage(f.now))
+				f.hosts[o].Heard(f.now, name(i), f.epochs[i], f.seq, h.Usage(f.now))
 			}
 		}
 	}
@@ -113,6 +128,55 @@
 	c.Assert(float64(served) >= 0.9*hotel.Rate*10, qt.IsTrue, qt.Commentf("%d in the last 10 s", served))
 }
 
+// A large account turns hot after a rest, with its burst untouched: on eight hosts at once,
+// several times its rate. What they admit before they hear of each other comes on top of
+// the burst.
+func TestSuddenFloodStaysWithinTheBurst(t *testing.T) {
+	c := qt.New(t)
+	chain := catalog.Account{Name: "chain", Rate: 175, Burst: 175}
+	for _, hot := range []float64{440, 900, 1400} {
+		f := newFleet(8)
+		usual := make([]float64, 8)
+		flood := make([]float64, 8)
+		for n := range usual {
+			usual[n], flood[n] = 5, hot/8
+		}
+		f.run(10*time.Second, chain, usual)
+		f.run(10*time.Second, chain, flood)
+		base := chain.Rate*window.Seconds() + chain.Burst
+		c.Check(float64(f.most(window)) <= base*1.07, qt.IsTrue, qt.Commentf("hot %g: %d of %g", hot, f.most(window), base))
+		served := 0
+		for _, t := range f.admitted {
+			if f.now.Sub(t) < 4*time.Second {
+				served++
+			}
+		}
+		c.Check(float64(served) >= 0.9*chain.Rate*4, qt.IsTrue, qt.Commentf("hot %g: %d in the last 4 s", hot, served))
+	}
+}
+
+// Half of the hosts are killed while an account is hot, and start again: they don't know
+// what the others have admitted, and each had most of a burst to give. 1,178 operations
+// were run in 5 s where 1,175 were allowed.
+func TestHostsThatStartDoNotGiveTheBurstAgain(t *testing.T) {
+	c := qt.New(t)
+	chain := catalog.Account{Name: "chain", Rate: 175, Burst: 175}
+	f := newFleet(8)
+	flood := make([]float64, 8)
+	for n := range flood {
+		flood[n] = 80
+	}
+	f.run(10*time.Second, chain, flood)
+	f.admitted = nil
+	f.run(2*time.Second, chain, flood)
+	for n := range 5 {
+		f.restart(n)
+	}
+	f.run(10*time.Second, chain, flood)
+	base := chain.Rate*window.Seconds() + chain.Burst*0.2
+	c.Assert(float64(f.most(window)) <= base, qt.IsTrue, qt.Commentf("%d of %g", f.most(window), base))
+}
+
 // Callers come to one host out of six, and then to another. Within the account's rate none
 // is refused.
 func TestSkewWithinTheRateIsServed(t *testing.T) {
@@ -136,6 +200,22 @@
 	c.Assert(f.most(window) <= limit(hotel), qt.IsTrue, qt.Commentf("%d of %d", f.most(window), limit(hotel)))
 }
 
+// The network splits, and an account turns hot afterwards. Each side sees the demand grow on
+// its own hosts only, and gave them nearly all of the rate.
+func TestFloodAfterACutStaysWithinTheRate(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(8)
+	usual, flood := make([]float64, 8), make([]float64, 8)
+	for n := range usual {
+		usual[n], flood[n] = 5, 40
+	}
+	f.run(10*time.Second, hotel, usual)
+	f.cut = func(from, to int) bool { return (from < 4) != (to < 4) }
+	f.run(3*time.Second, hotel, usual)
+	f.run(10*time.Second, hotel, flood)
+	c.Assert(f.most(window) <= limit(hotel), qt.IsTrue, qt.Commentf("%d of %d", f.most(window), limit(hotel)))
+}
+
 // All hosts start at once and don't know each other yet. They must not each give the whole
 // burst away.
 func TestStartOfAllHostsGivesOneBurst(t *testing.T) {
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -21,6 +21,8 @@
 	// until when: it may have gone for good.
 	missingAfter = time.Second
 	missingFor   = 30 * time.Second
+	// lookEvery spaces the readings of the list of hosts while some are missing.
+	lookEvery = 3 * time.Second
 	// linkTimeout bounds a connection to another host, linkPause the time to the next try.
 	linkTimeout = 500 * time.Millisecond
 	linkPause   = 300 * time.Millisecond
@@ -71,6 +73,11 @@
 		}
 	}
 	h.relay.SetPeers(usable, missing)
+	if missing > 0 && now.Sub(h.peers.looked) > lookEvery {
+		// One that has died is off the list by now, and its share of rates is free again.
+		h.peers.looked = now
+		h.registry.ListHosts()
+	}
 }
 
 func (l *link) send(f relay.Forward) {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -39,6 +39,8 @@
 	doubted, reached int
 	// catalog is the version in force here, told the one that the others know of.
 	catalog, told uint64
+	// looked is when the hosts were last listed because some are missing.
+	looked time.Time
 	// behind is since when other hosts have a newer one.
 	behind time.Time
 }
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -114,6 +114,8 @@
 	// fence is the number under which this host holds the duty, zero when it doesn't.
 	fence  atomic.Uint64
 	orders ring.Ring[leader.Order]
+	// rehost is signalled when the hosts are to be listed anew.
+	rehost chan struct{}
 	// reload is signalled when the catalog is to be read anew.
 	reload chan struct{}
 	// confirmed is when the catalog in force here was last read, by this host or another.
@@ -130,7 +132,7 @@
 		cfg.Logger = zap.NewNop()
 	}
 	return &Registry{
-		cfg: cfg, relist: make(chan struct{}, 1), reload: make(chan struct{}, 1),
+		cfg: cfg, relist: make(chan struct{}, 1), rehost: make(chan struct{}, 1), reload: make(chan struct{}, 1),
 		up: dependency{name: "store", log: cfg.Logger}, orders: ring.New[leader.Order](maxOrders),
 	}
 }
@@ -161,6 +163,9 @@
 // Refresh has the records read anew.
 func (r *Registry) Refresh() { signal(r.relist) }
 
+// ListHosts has the registered hosts listed anew.
+func (r *Registry) ListHosts() { signal(r.rehost) }
+
 // Reload has the catalog read anew.
 func (r *Registry) Reload() { signal(r.reload) }
 
@@ -497,7 +502,7 @@
 func (r *Registry) listHosts(ctx context.Context) {
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		pause.For(ctx, wait)
+		r.awaitHosts(ctx, wait)
 		c, cancel := context.WithTimeout(ctx, callTimeout)
 		hs, err := r.hosts(c)
 		cancel()
@@ -515,6 +520,17 @@
 	}
 }
 
+// awaitHosts waits for some time, less if the hosts are to be listed before.
+func (r *Registry) awaitHosts(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-r.rehost:
+	case <-ctx.Done():
+	}
+}
+
 func (r *Registry) hosts(ctx context.Context) ([]Host, error) {
 	es, _, err := r.cfg.Store.List(ctx, r.hostsPrefix())
 	if err != nil {
