--- a/core/share/share.go
+++ b/core/share/share.go
@@ -168,7 +168,7 @@
 func (f *Fleet) account(now time.Time, c catalog.Account) *account {
 	a := f.accounts[c.Name]
 	if a == nil {
-		a = &account{at: now, demandAt: now, rate: c.Rate, pool: c.Burst * firstPart}
+		a = &account{at: now, demandAt: now, rate: c.Rate, pool: f.firstPool(now, c)}
 		a.own = a.pool * f.share(now, a, c.Name)
 		f.accounts[c.Name] = a
 	}
@@ -176,6 +176,16 @@
 	return a
 }
 
+// firstPool guesses what the fleet's bucket holds of an account that is asked for here for
+// the first time: little when the process begins, and what others have left since.
+func (f *Fleet) firstPool(now time.Time, c catalog.Account) float64 {
+	left := c.Rate
+	for _, h := range f.hosts {
+		left -= h.usage[c.Name].Demand
+	}
+	return min(c.Burst, c.Burst*firstPart+max(left, 0)*now.Sub(f.began).Seconds())
+}
+
 // untold guesses what the other hosts have admitted since their last reports: what is
 // asked of them, for as long, but no longer than it takes for the shares to bind. Without
 // it each host gives away, in a sudden flood, what all believe to be left.
