--- /dev/null
+++ b/core/relay/outlook.go
@@ -0,0 +1,103 @@
+package relay
+
+import "time"
+
+// able says why the group's primary can't answer now; nothing if it can. An answer that
+// can't be proved is of no use to a caller: a write would be left in doubt, where one that
+// isn't sent can be refused truly and run elsewhere.
+func (g *group) able(now time.Time) string {
+	p := g.primary()
+	switch {
+	case p == nil:
+		return "the group has no primary now"
+	case !g.r.reaches(now, p):
+		return "the primary can't be reached"
+	case g.r.lease.Certain(now):
+		return ""
+	}
+	for _, n := range g.others(p.info.Name) {
+		if i := g.instances[n]; i != nil && !g.r.reaches(now, i) {
+			return "neither the store nor all instances can be asked whether the primary still leads"
+		}
+	}
+	return ""
+}
+
+// hopeless says why an operation can't be served in time, and when to come back. Whoever
+// is told at once can come back in time, or to a host that can.
+func (g *group) hopeless(now time.Time, o *operation) (string, time.Duration) {
+	if n := o.s.instance; n != "" {
+		if i := g.instances[n]; i == nil || i.gone || i.doubtful(now) {
+			return "this host can't reach the instance", retrySoon
+		}
+		return "", 0
+	}
+	if g.exhausted(o) {
+		return "every instance that could run it has turned it away", retrySoon
+	}
+	why := g.able(now)
+	if why == "" {
+		return "", 0
+	}
+	if !o.lead {
+		if _, ok := g.needs(o); ok && g.readable(now, o) {
+			return "", 0
+		}
+	}
+	wait := g.untilPrimary(now)
+	if wait <= worthWaiting && now.Add(wait).Before(o.deadline) {
+		return "", 0
+	}
+	return why, wait
+}
+
+// exhausted reports whether an operation has been turned away by all that can run it. To
+// wait would then be in vain: it is tried on each only once.
+func (g *group) exhausted(o *operation) bool {
+	if len(o.avoid) == 0 {
+		return false
+	}
+	if p := g.primary(); p != nil && !o.avoid.Has(p.info.Name) {
+		return false
+	}
+	if o.lead {
+		return g.primary() != nil
+	}
+	for _, i := range g.instances {
+		if i.usable() && !o.avoid.Has(i.info.Name) {
+			return false
+		}
+	}
+	return true
+}
+
+// readable reports whether any instance but the primary can be reached for a read.
+func (g *group) readable(now time.Time, o *operation) bool {
+	for _, i := range g.instances {
+		if i.usable() && !g.leads(i.info.Name) && g.r.reaches(now, i) && !o.avoid.Has(i.info.Name) {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// worthWaiting is how long a caller is held for a primary that is to come; beyond it
+	// the caller is told when to come back.
+	worthWaiting = 400 * time.Millisecond
+	// changeTime is what the platform takes to carry out an order, with the questions
+	// that settle it, and noticeTime what the hosts take to see that one is needed.
+	changeTime = 1100 * time.Millisecond
+	noticeTime = 400 * time.Millisecond
+)
+
+// untilPrimary guesses when the group will have a primary that can answer.
+func (g *group) untilPrimary(now time.Time) time.Duration {
+	if _, _, settled := g.belief.Primary(); settled {
+		return noticeTime + changeTime
+	}
+	if left := changeTime - now.Sub(g.changedAt); left > 0 {
+		return left
+	}
+	return retrySoon
+}
--- /dev/null
+++ b/core/relay/place.go
@@ -0,0 +1,159 @@
+package relay
+
+import (
+	"time"
+
+	"skylarkdeal/core/admit"
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+)
+
+// needs returns the point that a read has to cover on a replica, and whether it is
+// known.
+func (g *group) needs(o *operation) (fleet.Point, bool) {
+	s, ok := g.samples.Oldest(o.age)
+	if !ok {
+		return fleet.Point{}, false
+	}
+	p := s.Point
+	if o.route.Consistency == catalog.ConsistencySession && !p.Covers(o.s.written) {
+		p = o.s.written
+	}
+	return p, true
+}
+
+// pump starts what can be started.
+func (g *group) pump() {
+	if g.pumping {
+		return
+	}
+	g.pumping = true
+	defer func() { g.pumping = false }()
+	now := g.r.now()
+	if len(g.inquiries) > 0 {
+		g.answerInquiries(now)
+	}
+	for len(g.waiting) > 0 {
+		found := map[uint64]*Conn{}
+		item, ok := g.queue.Next(now, func(i admit.Item) bool {
+			c := g.place(now, g.waiting[i.Key])
+			found[i.Key] = c
+			return c != nil
+		})
+		if !ok {
+			return
+		}
+		g.waiting[item.Key].run(found[item.Key])
+	}
+}
+
+// Places are compared by how long they make a caller wait, in time.
+const (
+	// stepCost is what each statement of the proxy's own costs ahead of a caller's:
+	// its time on the way, and the price of a question.
+	stepCost = 2 * time.Millisecond
+	// connectCost is what a new connection takes.
+	connectCost = 15 * time.Millisecond
+	// farCost is a round trip to another data centre, and its bytes.
+	farCost = 3 * time.Millisecond
+	// leadCost keeps reads away from the primary, which alone can take writes.
+	leadCost = 8 * time.Millisecond
+	// usualWork stands for an instance that has not worked yet.
+	usualWork = 8 * time.Millisecond
+	// freshWork is how long a measured time counts: an instance that was slow is tried
+	// again after it.
+	freshWork = 2 * time.Second
+	// lagPause is how long an instance that lacked a point is passed over, at first; it is
+	// about how far replicas usually are behind. lagPauseMax bounds it.
+	lagPause    = 60 * time.Millisecond
+	lagPauseMax = time.Second
+)
+
+// place returns the connection on which an operation is to run now, or nil. It begins
+// to connect where that is better than what there is.
+//
+// The load it is made for: few slots on each instance, one of them slow or far behind,
+// accounts that each need connections of their own. Callers would wait behind one
+// slow instance while the others rest, so the expected wait decides.
+func (g *group) place(now time.Time, o *operation) *Conn {
+	if o == nil {
+		return nil
+	}
+	if o.dial != nil && o.dial.state == connIdle && o.dial.inst.usable() && g.serves(now, o.dial.inst, o) {
+		return o.dial
+	}
+	var ready, dial way
+	for _, i := range g.instances {
+		if !g.serves(now, i, o) {
+			continue
+		}
+		w := g.way(now, i, o)
+		to := &ready
+		if w.conn == nil && w.peer.Host == "" {
+			to = &dial
+		}
+		if to.inst == nil || w.cost < to.cost {
+			*to = w
+		}
+	}
+	if dial.inst != nil && (ready.inst == nil || dial.cost < ready.cost) {
+		if o.dial == nil || o.dial.state == connClosed {
+			o.dial = dial.inst.connect(now, o)
+		}
+		if o.dial != nil {
+			return nil
+		}
+	}
+	if ready.inst == nil || ready.conn != nil {
+		return ready.conn
+	}
+	return ready.inst.over(ready.peer, o.s.account)
+}
+
+// way is how an operation can reach an instance: by a connection that rests, over another
+// host, or by a connection that is to be made.
+type way struct {
+	inst *instance
+	conn *Conn
+	peer Peer
+	cost time.Duration
+}
+
+// serves reports whether an instance may run an operation now.
+func (g *group) serves(now time.Time, i *instance, o *operation) bool {
+	if o.s.instance != "" {
+		return i.info.Name == o.s.instance && !i.gone
+	}
+	if o.avoid.Has(i.info.Name) || i.gone {
+		return false
+	}
+	leads := g.leads(i.info.Name)
+	if leads && g.primary() == i {
+		return true
+	}
+	if o.lead || leads || !i.usable() || i.info.Name == g.belief.Named() {
+		return false
+	}
+	g.readAt = now
+	p, ok := g.needs(o)
+	return ok && (i.point.Covers(p) || !now.Before(i.behind))
+}
+
+func (g *group) cost(now time.Time, i *instance, o *operation) time.Duration {
+	work := i.work
+	if work == 0 || now.Sub(i.workAt) > freshWork {
+		work = usualWork
+	}
+	slots := max(i.info.Slots, 1)
+	cost := work * time.Duration(1+i.busy()) / time.Duration(slots)
+	if !i.local() {
+		cost += farCost
+	}
+	if !o.lead && g.leads(i.info.Name) {
+		cost += leadCost
+	}
+	if !g.r.reaches(now, i) {
+		cost += backoffMax
+	}
+	return cost
+}
--- /dev/null
+++ b/core/relay/prove.go
@@ -0,0 +1,160 @@
+package relay
+
+import (
+	"time"
+
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/fresh"
+	"skylarkdeal/core/leader"
+	"skylarkdeal/core/statement"
+)
+
+// evidence takes in what every answer tells: where the instance's log stands.
+func (g *group) evidence(c *Conn, asked time.Time, a statement.Answer) {
+	p, ok := a.Point.Get()
+	if !ok {
+		return
+	}
+	now := g.r.now()
+	c.inst.point = p
+	g.belief.Seen(c.Instance, p.Term)
+	if n, _, ok := g.belief.Primary(); ok && n == c.Instance {
+		g.aliveAt = now
+		if g.r.lease.Certain(now) {
+			g.samples.Add(fresh.Sample{Point: p, Asked: asked})
+		}
+	}
+}
+
+// told takes in what an instance, asked at some moment, has said of itself.
+func (g *group) told(c *Conn, asked time.Time, a statement.Answer) {
+	s, ok := g.r.cfg.ParseStatus(a)
+	if !ok {
+		return
+	}
+	c.inst.received, c.inst.leads, c.inst.term = s.Received, s.Role == fleet.RolePrimary, s.Term
+	c.inst.toldAt = g.r.now()
+	if g.belief.Answered(c.Instance, s) {
+		g.aliveAt = g.r.now()
+		g.r.note(Event{
+			Kind: EventLeader, Service: g.name, Instance: c.Instance, Term: s.Term,
+			Choice: "use as the primary", Reason: "it says that it leads", Age: g.r.now().Sub(g.changedAt),
+		})
+	}
+	proved, refuted := g.proofs.Evidence(c.Instance, asked, s.Term)
+	for _, cl := range proved {
+		g.proved(cl)
+	}
+	for _, cl := range refuted {
+		g.unproved(cl, "another instance leads a later term")
+	}
+}
+
+// judge gives an answer to its caller, or has it wait for the proof that it came from
+// the primary. Reads on replicas were proved by the point they had to cover.
+func (g *group) judge(o *operation, c *Conn, a statement.Answer) {
+	if o.s.instance != "" {
+		o.finish(a)
+		return
+	}
+	if !o.lead && !g.leads(c.Instance) {
+		if _, ok := o.after.Get(); ok {
+			o.finish(a)
+			return
+		}
+	}
+	now := g.r.now()
+	v, term, ask := g.belief.Judge(c.Instance, g.r.lease.Certain(now), g.others(c.Instance))
+	switch {
+	case v == leader.VerdictProved || v == leader.VerdictAsk && len(ask) == 0:
+		g.confirmed(o, a)
+	case v == leader.VerdictRefuted:
+		o.answer = &a
+		g.unprovedOp(o, "the primary has been replaced")
+	default:
+		o.answer = &a
+		g.unproven[o.key] = o
+		g.proofs.Add(leader.Claim{
+			Key: o.key, Instance: c.Instance, Term: term, At: now, Deadline: now.Add(proofPatience),
+		}, ask)
+		g.askFor(now)
+		g.r.hurry()
+	}
+}
+
+// proofPatience bounds the wait for a proof. It is some round trips with a new
+// connection; what is not proved by then depends on an instance that can't be reached.
+const proofPatience = 250 * time.Millisecond
+
+// others returns the instances besides n that may lead. One that is off the list may
+// still run, and be promoted by a host that finds it on the list again; this host
+// leaves it out only while it reads the list and has not found it there for long.
+func (g *group) others(n fleet.Instance) []fleet.Instance {
+	now := g.r.now()
+	var out []fleet.Instance
+	for _, i := range g.instances {
+		left := i.gone && now.Sub(i.missing) > leftAfter && now.Sub(g.listedAt) < listFresh
+		if i.info.Name != n && !left {
+			out = append(out, i.info.Name)
+		}
+	}
+	return out
+}
+
+const (
+	// leftAfter is how long an instance has to be off the list to be left out of proofs,
+	// keepGone how long it is remembered.
+	leftAfter = 10 * time.Second
+	keepGone  = 5 * time.Minute
+	// listFresh is how old the list may be for that.
+	listFresh = 4 * time.Second
+)
+
+// confirmed gives a proved answer.
+func (g *group) confirmed(o *operation, a statement.Answer) {
+	if p, ok := point(a); ok && o.writes && !o.s.written.Covers(p) {
+		o.s.written = p
+	}
+	o.finish(a)
+}
+
+func (g *group) proved(c leader.Claim) {
+	o := g.unproven[c.Key]
+	delete(g.unproven, c.Key)
+	if o == nil || o.over {
+		return
+	}
+	if p, ok := point(*o.answer); ok {
+		g.samples.Add(fresh.Sample{Point: p, Asked: o.sentAt})
+	}
+	g.confirmed(o, *o.answer)
+}
+
+func (g *group) unproved(c leader.Claim, why string) {
+	o := g.unproven[c.Key]
+	delete(g.unproven, c.Key)
+	if o == nil || o.over {
+		return
+	}
+	g.unprovedOp(o, why)
+}
+
+// unprovedOp handles an answer of what may no longer be the primary. A write may be
+// lost; a read is run elsewhere, or its caller told to come back, as nothing is kept
+// of it.
+func (g *group) unprovedOp(o *operation, why string) {
+	commit := o.q.Kind == statement.KindCommit
+	switch {
+	case commit && o.s.tx.writes || o.writes && !commit && !o.s.tx.open:
+		o.inDoubt(why)
+	case o.s.tx.open:
+		o.s.tx.failed = true
+		o.s.release()
+		if commit {
+			o.s.tx = transaction{}
+		}
+		o.give(statement.Answer{Code: statement.CodeAborted, Detail: "rolled back: " + why, RetryAfter: retrySoon})
+	default:
+		o.again(statement.CodeBusy)
+	}
+}
--- /dev/null
+++ b/io/registry/catalog.go
@@ -0,0 +1,99 @@
+package registry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"skylarkdeal/internal/pause"
+)
+
+// watchCatalog reads the catalog and then watches it.
+func (r *Registry) watchCatalog(ctx context.Context) {
+	var after Revision
+	for ctx.Err() == nil {
+		var err error
+		if after == 0 {
+			after, err = r.readCatalog(ctx)
+		} else {
+			after, err = r.waitForCatalog(ctx, after)
+		}
+		if err != nil && ctx.Err() == nil {
+			r.up.failed(err)
+			after = 0
+			r.up.wait(ctx)
+		}
+	}
+}
+
+func (r *Registry) readCatalog(ctx context.Context) (Revision, error) {
+	c, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := r.cfg.Now()
+	es, at, err := r.cfg.Store.List(c, r.cfg.CatalogKey)
+	if err != nil {
+		return 0, err
+	}
+	r.up.answered()
+	r.takeCatalog(es)
+	r.CatalogConfirmed(sent)
+	return at, nil
+}
+
+func (r *Registry) waitForCatalog(ctx context.Context, after Revision) (Revision, error) {
+	c, cancel := context.WithTimeout(ctx, watchFor+callTimeout)
+	defer cancel()
+	go func() {
+		select {
+		case <-r.reload:
+			cancel()
+		case <-c.Done():
+		}
+	}()
+	es, at, err := r.cfg.Store.Watch(c, r.cfg.CatalogKey, after, watchFor)
+	if err != nil {
+		return 0, err
+	}
+	r.takeCatalog(es)
+	return max(at, after), nil
+}
+
+// CatalogConfirmed takes in that the catalog in force here was the store's at a moment.
+func (r *Registry) CatalogConfirmed(at time.Time) { latest(&r.confirmed, at) }
+
+// Confirmed returns when the catalog in force here was last known to be the store's.
+func (r *Registry) Confirmed() time.Time {
+	at, _ := r.confirmed.Load().(time.Time)
+	return at
+}
+
+// confirmCatalog reads the catalog when no host has done so for a while. Whoever is first
+// tells the others, so that the calls don't grow with the fleet.
+func (r *Registry) confirmCatalog(ctx context.Context) {
+	for ctx.Err() == nil {
+		due := r.Confirmed().Add(confirmEvery + time.Duration(rand.Int64N(int64(confirmSpread))))
+		if wait := due.Sub(r.cfg.Now()); wait > 0 {
+			pause.For(ctx, wait)
+			continue
+		}
+		if _, err := r.readCatalog(ctx); err != nil {
+			r.up.wait(ctx)
+		}
+	}
+}
+
+func (r *Registry) takeCatalog(es []Entry) {
+	for _, e := range es {
+		if e.Key != r.cfg.CatalogKey || e.Deleted {
+			continue
+		}
+		c, err := r.cfg.ParseCatalog(e.Value)
+		if err != nil {
+			r.cfg.Logger.Error("catalog refused", zap.Uint64("revision", uint64(e.Revision)), zap.Error(err))
+			continue
+		}
+		r.cfg.Post(func() { r.cfg.Catalog(c) })
+	}
+}
--- /dev/null
+++ b/io/registry/lists.go
@@ -0,0 +1,136 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/internal/pause"
+)
+
+// listing is a reading of the list of instances: what tells it from others, and when it
+// was last known to be the store's, by this host or another.
+type listing struct {
+	mu        sync.Mutex
+	digest    uint64
+	confirmed time.Time
+}
+
+// Listing returns the digest of the list of instances that is in use here, and when it was
+// last known to be the store's.
+func (r *Registry) Listing() (uint64, time.Time) {
+	r.listing.mu.Lock()
+	defer r.listing.mu.Unlock()
+	return r.listing.digest, r.listing.confirmed
+}
+
+// ListingConfirmed takes in that a list with the digest was the store's at a moment.
+func (r *Registry) ListingConfirmed(digest uint64, at time.Time) {
+	r.listing.mu.Lock()
+	defer r.listing.mu.Unlock()
+	if digest == r.listing.digest && at.After(r.listing.confirmed) {
+		r.listing.confirmed = at
+	}
+}
+
+// listInstances reads the list of instances when no host has found it unchanged for a
+// while. It isn't watched: each instance writes every second, and each of these writes
+// would be a call.
+func (r *Registry) listInstances(ctx context.Context) {
+	for ctx.Err() == nil {
+		_, at := r.Listing()
+		due := at.Add(instancesEvery + time.Duration(rand.Int64N(int64(instancesSpread))))
+		if wait := due.Sub(r.cfg.Now()); wait > 0 {
+			pause.For(ctx, wait)
+			continue
+		}
+		if err := r.readInstances(ctx); err != nil {
+			r.up.wait(ctx)
+		}
+	}
+}
+
+func (r *Registry) readInstances(ctx context.Context) error {
+	c, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := r.cfg.Now()
+	es, _, err := r.cfg.Store.List(c, r.cfg.InstancePrefix)
+	if err != nil {
+		return err
+	}
+	is := make([]catalog.Instance, 0, len(es))
+	digest := xxhash.New()
+	for _, e := range es {
+		if i, ok := r.cfg.ParseInstance(e); ok {
+			is = append(is, i)
+			fmt.Fprintf(digest, "%+v\n", i)
+		}
+	}
+	r.cfg.Post(func() { r.cfg.Instances(is) })
+	if len(is) == 0 {
+		// They are still to come; no other host can know more.
+		pause.For(ctx, pauseAfterError)
+		return nil
+	}
+	r.listing.mu.Lock()
+	defer r.listing.mu.Unlock()
+	r.listing.digest, r.listing.confirmed = digest.Sum64(), sent
+	return nil
+}
+
+// listHosts reads the registered hosts time and again.
+func (r *Registry) listHosts(ctx context.Context) {
+	wait := time.Duration(0)
+	for ctx.Err() == nil {
+		r.awaitHosts(ctx, wait)
+		c, cancel := context.WithTimeout(ctx, callTimeout)
+		hs, err := r.hosts(c)
+		cancel()
+		if err != nil {
+			r.up.wait(ctx)
+			wait = 0
+			continue
+		}
+		r.cfg.Post(func() { r.cfg.Hosts(hs) })
+		wait = hostsEvery
+		if len(hs) < 2 {
+			// All hosts start at once, and the others are about to register.
+			wait = 5 * pauseAfterError
+		}
+	}
+}
+
+// awaitHosts waits for some time, less if the hosts are to be listed before.
+func (r *Registry) awaitHosts(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-r.rehost:
+	case <-ctx.Done():
+	}
+}
+
+func (r *Registry) hosts(ctx context.Context) ([]Host, error) {
+	es, _, err := r.cfg.Store.List(ctx, r.hostsPrefix())
+	if err != nil {
+		return nil, err
+	}
+	out := make([]Host, 0, len(es))
+	for _, e := range es {
+		var h Host
+		if err := json.Unmarshal(e.Value, &h); err != nil {
+			r.cfg.Logger.Error("unreadable registration", zap.String("key", e.Key), zap.Error(err))
+			continue
+		}
+		out = append(out, h)
+	}
+	return out, nil
+}
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -4,13 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"skylarkdeal/core/catalog"
@@ -137,7 +134,8 @@
 	}
 }
 
-func (r *Registry) hostsPrefix() string   { return r.cfg.Prefix + "hosts/" }
+func (r *Registry) hostsPrefix() string { return r.cfg.Prefix + "hosts/" }
+
 func (r *Registry) recordsPrefix() string { return r.cfg.Prefix + "primaries/" }
 
 // Run carries out the duties until ctx ends, then ends the registration.
@@ -339,211 +337,3 @@
 		pause.For(ctx, pauseAfterError)
 	}
 }
-
-// watchCatalog reads the catalog and then watches it.
-func (r *Registry) watchCatalog(ctx context.Context) {
-	var after Revision
-	for ctx.Err() == nil {
-		var err error
-		if after == 0 {
-			after, err = r.readCatalog(ctx)
-		} else {
-			after, err = r.waitForCatalog(ctx, after)
-		}
-		if err != nil && ctx.Err() == nil {
-			r.up.failed(err)
-			after = 0
-			r.up.wait(ctx)
-		}
-	}
-}
-
-func (r *Registry) readCatalog(ctx context.Context) (Revision, error) {
-	c, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	sent := r.cfg.Now()
-	es, at, err := r.cfg.Store.List(c, r.cfg.CatalogKey)
-	if err != nil {
-		return 0, err
-	}
-	r.up.answered()
-	r.takeCatalog(es)
-	r.CatalogConfirmed(sent)
-	return at, nil
-}
-
-func (r *Registry) waitForCatalog(ctx context.Context, after Revision) (Revision, error) {
-	c, cancel := context.WithTimeout(ctx, watchFor+callTimeout)
-	defer cancel()
-	go func() {
-		select {
-		case <-r.reload:
-			cancel()
-		case <-c.Done():
-		}
-	}()
-	es, at, err := r.cfg.Store.Watch(c, r.cfg.CatalogKey, after, watchFor)
-	if err != nil {
-		return 0, err
-	}
-	r.takeCatalog(es)
-	return max(at, after), nil
-}
-
-// CatalogConfirmed takes in that the catalog in force here was the store's at a moment.
-func (r *Registry) CatalogConfirmed(at time.Time) { latest(&r.confirmed, at) }
-
-// Confirmed returns when the catalog in force here was last known to be the store's.
-func (r *Registry) Confirmed() time.Time {
-	at, _ := r.confirmed.Load().(time.Time)
-	return at
-}
-
-// confirmCatalog reads the catalog when no host has done so for a while. Whoever is first
-// tells the others, so that the calls don't grow with the fleet.
-func (r *Registry) confirmCatalog(ctx context.Context) {
-	for ctx.Err() == nil {
-		due := r.Confirmed().Add(confirmEvery + time.Duration(rand.Int64N(int64(confirmSpread))))
-		if wait := due.Sub(r.cfg.Now()); wait > 0 {
-			pause.For(ctx, wait)
-			continue
-		}
-		if _, err := r.readCatalog(ctx); err != nil {
-			r.up.wait(ctx)
-		}
-	}
-}
-
-func (r *Registry) takeCatalog(es []Entry) {
-	for _, e := range es {
-		if e.Key != r.cfg.CatalogKey || e.Deleted {
-			continue
-		}
-		c, err := r.cfg.ParseCatalog(e.Value)
-		if err != nil {
-			r.cfg.Logger.Error("catalog refused", zap.Uint64("revision", uint64(e.Revision)), zap.Error(err))
-			continue
-		}
-		r.cfg.Post(func() { r.cfg.Catalog(c) })
-	}
-}
-
-// listing is a reading of the list of instances: what tells it from others, and when it
-// was last known to be the store's, by this host or another.
-type listing struct {
-	mu        sync.Mutex
-	digest    uint64
-	confirmed time.Time
-}
-
-// Listing returns the digest of the list of instances that is in use here, and when it was
-// last known to be the store's.
-func (r *Registry) Listing() (uint64, time.Time) {
-	r.listing.mu.Lock()
-	defer r.listing.mu.Unlock()
-	return r.listing.digest, r.listing.confirmed
-}
-
-// ListingConfirmed takes in that a list with the digest was the store's at a moment.
-func (r *Registry) ListingConfirmed(digest uint64, at time.Time) {
-	r.listing.mu.Lock()
-	defer r.listing.mu.Unlock()
-	if digest == r.listing.digest && at.After(r.listing.confirmed) {
-		r.listing.confirmed = at
-	}
-}
-
-// listInstances reads the list of instances when no host has found it unchanged for a
-// while. It isn't watched: each instance writes every second, and each of these writes
-// would be a call.
-func (r *Registry) listInstances(ctx context.Context) {
-	for ctx.Err() == nil {
-		_, at := r.Listing()
-		due := at.Add(instancesEvery + time.Duration(rand.Int64N(int64(instancesSpread))))
-		if wait := due.Sub(r.cfg.Now()); wait > 0 {
-			pause.For(ctx, wait)
-			continue
-		}
-		if err := r.readInstances(ctx); err != nil {
-			r.up.wait(ctx)
-		}
-	}
-}
-
-func (r *Registry) readInstances(ctx context.Context) error {
-	c, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	sent := r.cfg.Now()
-	es, _, err := r.cfg.Store.List(c, r.cfg.InstancePrefix)
-	if err != nil {
-		return err
-	}
-	is := make([]catalog.Instance, 0, len(es))
-	digest := xxhash.New()
-	for _, e := range es {
-		if i, ok := r.cfg.ParseInstance(e); ok {
-			is = append(is, i)
-			fmt.Fprintf(digest, "%+v\n", i)
-		}
-	}
-	r.cfg.Post(func() { r.cfg.Instances(is) })
-	if len(is) == 0 {
-		// They are still to come; no other host can know more.
-		pause.For(ctx, pauseAfterError)
-		return nil
-	}
-	r.listing.mu.Lock()
-	defer r.listing.mu.Unlock()
-	r.listing.digest, r.listing.confirmed = digest.Sum64(), sent
-	return nil
-}
-
-// listHosts reads the registered hosts time and again.
-func (r *Registry) listHosts(ctx context.Context) {
-	wait := time.Duration(0)
-	for ctx.Err() == nil {
-		r.awaitHosts(ctx, wait)
-		c, cancel := context.WithTimeout(ctx, callTimeout)
-		hs, err := r.hosts(c)
-		cancel()
-		if err != nil {
-			r.up.wait(ctx)
-			wait = 0
-			continue
-		}
-		r.cfg.Post(func() { r.cfg.Hosts(hs) })
-		wait = hostsEvery
-		if len(hs) < 2 {
-			// All hosts start at once, and the others are about to register.
-			wait = 5 * pauseAfterError
-		}
-	}
-}
-
-// awaitHosts waits for some time, less if the hosts are to be listed before.
-func (r *Registry) awaitHosts(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-r.rehost:
-	case <-ctx.Done():
-	}
-}
-
-func (r *Registry) hosts(ctx context.Context) ([]Host, error) {
-	es, _, err := r.cfg.Store.List(ctx, r.hostsPrefix())
-	if err != nil {
-		return nil, err
-	}
-	out := make([]Host, 0, len(es))
-	for _, e := range es {
-		var h Host
-		if err := json.Unmarshal(e.Value, &h); err != nil {
-			r.cfg.Logger.Error("unreadable registration", zap.String("key", e.Key), zap.Error(err))
-			continue
-		}
-		out = append(out, h)
-	}
-	return out, nil
-}
