--- /dev/null
+++ b/io/loop/loop_test.go
@@ -0,0 +1,167 @@
+package loop_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/io/loop"
+)
+
+func free(c *qt.C) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func start(c *qt.C, cfg loop.Config) (*loop.Loop, string) {
+	cfg.Address = free(c)
+	l, err := loop.Start(cfg)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { c.Check(l.Stop(), qt.IsNil) })
+	return l, cfg.Address
+}
+
+// lines calls f with each line that comes on c.
+func lines(c *loop.Conn, f func(line string)) {
+	c.Data = func(b []byte) int {
+		for n := range b {
+			if b[n] == '\n' {
+				f(string(b[:n]))
+				return n + 1
+			}
+		}
+		return 0
+	}
+}
+
+// A caller sends its next statements before the answer to the first. They have to wait for
+// it, in their order, whatever parts they come in.
+func TestPausedConnectionKeepsWhatComes(t *testing.T) {
+	c := qt.New(t)
+	started := make(chan *loop.Loop, 1)
+	l, at := start(c, loop.Config{Accept: func(k *loop.Conn) {
+		lines(k, func(line string) {
+			k.Pause()
+			time.AfterFunc(10*time.Millisecond, func() {
+				l := <-started
+				started <- l
+				l.Do(func() {
+					k.Write([]byte("answer to " + line + "\n"))
+					k.Resume()
+				})
+			})
+		})
+	}})
+	started <- l
+	x, err := net.Dial("tcp4", at)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = x.Close() }()
+	_, err = io.WriteString(x, "one\ntwo\nth")
+	c.Assert(err, qt.IsNil)
+	time.Sleep(5 * time.Millisecond)
+	_, err = io.WriteString(x, "ree\n")
+	c.Assert(err, qt.IsNil)
+	in := bufio.NewScanner(x)
+	for _, want := range []string{"one", "two", "three"} {
+		c.Assert(in.Scan(), qt.IsTrue)
+		c.Assert(in.Text(), qt.Equals, "answer to "+want)
+	}
+}
+
+func TestDialledConnection(t *testing.T) {
+	c := qt.New(t)
+	l, at := start(c, loop.Config{Accept: func(k *loop.Conn) {
+		lines(k, func(line string) { k.Write([]byte(line + "\n")) })
+	}})
+	got := make(chan string, 4)
+	k := &loop.Conn{Closed: func(error) { got <- "closed" }}
+	k.Opened = func() { k.Write([]byte("hello\n")) }
+	lines(k, func(line string) {
+		got <- line
+		k.Close()
+	})
+	l.Dial(k, at, time.Second)
+	c.Assert(<-got, qt.Equals, "hello")
+	c.Assert(<-got, qt.Equals, "closed")
+}
+
+// An instance is gone: the connection is refused. And one that is given up before it stands
+// must not come to life afterwards.
+func TestConnectionsThatNeverStand(t *testing.T) {
+	c := qt.New(t)
+	l, at := start(c, loop.Config{Accept: func(*loop.Conn) {}})
+	failed := make(chan error, 1)
+	l.Dial(&loop.Conn{Closed: func(err error) { failed <- err }}, free(c), time.Second)
+	c.Assert(<-failed, qt.ErrorMatches, "connect with .*refused")
+
+	k := &loop.Conn{Opened: func() { c.Error("a connection that was given up has opened") }}
+	closed := make(chan struct{})
+	k.Closed = func(error) { close(closed) }
+	l.Do(func() {
+		l.Dial(k, at, time.Second)
+		k.Close()
+	})
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		c.Fatal("it was never closed")
+	}
+}
+
+// A peer reads nothing. What is written to it must not fill the memory of the host.
+func TestPeerThatDoesNotReadIsCutOff(t *testing.T) {
+	c := qt.New(t)
+	closed := make(chan struct{})
+	_, at := start(c, loop.Config{MaxUnread: 1 << 20, Accept: func(k *loop.Conn) {
+		lines(k, func(string) {
+			k.Closed = func(error) { close(closed) }
+			for range 64 {
+				k.Write(make([]byte, 1<<20))
+			}
+		})
+	}})
+	x, err := net.Dial("tcp4", at)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = x.Close() }()
+	_, err = fmt.Fprintln(x, "go")
+	c.Assert(err, qt.IsNil)
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		c.Fatal("it was never cut off")
+	}
+}
+
+func TestTicksFollowTheSpanThatIsAskedFor(t *testing.T) {
+	c := qt.New(t)
+	slow := make(chan struct{})
+	ticks := make(chan time.Time, 100)
+	l, _ := start(c, loop.Config{
+		Accept: func(*loop.Conn) {},
+		Tick:   func() { ticks <- time.Now() },
+		Every: func() time.Duration {
+			select {
+			case <-slow:
+				return 5 * time.Millisecond
+			default:
+				return time.Hour
+			}
+		},
+	})
+	close(slow)
+	l.Hurry()
+	for range 3 {
+		select {
+		case <-ticks:
+		case <-time.After(5 * time.Second):
+			c.Fatal("no tick")
+		}
+	}
+}
