--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -370,7 +370,8 @@
 // A cut leaves this host with the replaced primary and without the store; others, which it
 // doesn't hear, are on the better side. It leaves the rotation, and closes its sessions
 // once the balancer knows, so that callers come back elsewhere. When the store is down for
-// all, nobody is better off: nothing is closed.
+// all, nobody is better off: nothing is closed. When all hosts believe that others are
+// better off, callers come back; they were closed again and again, and nobody was served.
 func TestHostOnTheWorseSideOfACutLeavesTheRotation(t *testing.T) {
 	c := qt.New(t)
 	for missing, want := range []bool{false, true} {
@@ -388,6 +389,10 @@
 		c.Assert(w.relay.CutOff(), qt.Equals, want, qt.Commentf("%d missing", missing))
 		w.pass(3*time.Second, false)
 		c.Assert(rest.closed, qt.Equals, want)
+		// Who is sent here all the same has nowhere else to go, and stays.
+		next := w.open("rush", "key-1")
+		w.pass(time.Second, false)
+		c.Assert(next.closed, qt.IsFalse)
 		w.renew()
 		c.Assert(w.relay.CutOff(), qt.IsFalse)
 	}
--- a/core/relay/session.go
+++ b/core/relay/session.go
@@ -26,6 +26,8 @@
 	link    Link
 	started bool
 	gone    bool
+	// opened is when the caller connected.
+	opened time.Time
 
 	database catalog.Database
 	key      catalog.Key
@@ -92,7 +94,7 @@
 
 // Open takes in a new caller.
 func (r *Relay) Open(l Link) *Session {
-	s := &Session{r: r, link: l, prepared: map[string]*prepared{}}
+	s := &Session{r: r, link: l, prepared: map[string]*prepared{}, opened: r.now()}
 	r.sessions[s] = struct{}{}
 	return s
 }
