--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -83,7 +83,7 @@
 
 // start sends the operation off, or has it wait for a connection.
 func (o *operation) start() {
-	o.s.op = o
+	o.s.op, o.s.turned = o, false
 	if c := o.s.tx.conn; o.s.tx.open && c != nil {
 		o.conn = c
 		c.op = o
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -178,6 +178,7 @@
 		code = statement.CodeBusy
 	}
 	o.g.r.counts.Refused++
+	o.s.turned = true
 	o.note(EventRefuse, "refuse", why, code)
 	o.give(statement.Answer{Code: code, Detail: why, RetryAfter: after})
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -224,8 +224,9 @@
 }
 
 // tickCutOff closes the sessions that rest on a host that is cut off, once the balancer
-// sends them elsewhere. Those that come afterwards stay: the balancer has no other host
-// for them, as when all hosts believe that others are better off.
+// sends them elsewhere. Those that come afterwards stay as long as they are served: the
+// balancer has no other host for them, as when all hosts believe that others are better
+// off.
 func (r *Relay) tickCutOff(now time.Time) {
 	if !r.CutOff() {
 		r.cut = time.Time{}
@@ -242,7 +243,7 @@
 		return
 	}
 	for s := range r.sessions {
-		if s.started && s.op == nil && !s.tx.open && s.opened.Before(r.cut.Add(cutOffNotice)) {
+		if s.started && s.op == nil && !s.tx.open && (s.turned || s.opened.Before(r.cut.Add(cutOffNotice))) {
 			s.link.Close()
 			s.Gone()
 		}
--- a/core/relay/session.go
+++ b/core/relay/session.go
@@ -26,8 +26,9 @@
 	link    Link
 	started bool
 	gone    bool
-	// opened is when the caller connected.
+	// opened is when the caller connected, turned whether its last operation was refused.
 	opened time.Time
+	turned bool
 
 	database catalog.Database
 	key      catalog.Key
