--- a/internal/cmd/cmd_serve.go
+++ b/internal/cmd/cmd_serve.go
@@ -113,7 +113,7 @@
 	for {
 		select {
 		case <-reload:
-			log.Info("settings reloaded")
+			log.Info("settings may have changed; they take effect at the next start")
 			continue
 		case <-ctx.Done():
 			return h.Shutdown()
