--- /dev/null
+++ b/core/relay/forward_test.go
@@ -0,0 +1,95 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/relay"
+	"skylarkdeal/core/statement"
+)
+
+// This host is cut off from the primary alone, and another says that it reaches it. Its
+// callers are served over that one.
+func TestUnreachablePrimaryIsUsedOverAHostThatReachesIt(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	var sent []relay.Forward
+	w.relay.SetPeers([]relay.Peer{
+		{Host: "h2", DataCentre: "obihiro", Send: func(f relay.Forward) { sent = append(sent, f) }},
+	}, 0)
+	x := w.open("rush", "key-1")
+	x.do(statement.KindRead, "", "item")
+	c.Assert(sent, qt.HasLen, 0)
+	w.lose("a")
+	for range 7 {
+		w.relay.Doubted("h2", nil, []fleet.Instance{"a"})
+		w.pass(100*time.Millisecond, true)
+	}
+	sent = nil
+	x.do(statement.KindWrite, "", "item data")
+	c.Assert(len(sent) > 0, qt.IsTrue)
+	f := sent[len(sent)-1]
+	w.relay.ForwardAnswered("h2", f.Stream, statement.Answer{Digest: "d-over", State: statement.TxNone})
+	w.pass(50*time.Millisecond, true)
+	c.Assert(x.last().Digest, qt.Equals, "d-over")
+}
+
+// The host forwards nothing here, but runs statements for others: of two streams each has
+// its own transaction, and one that has ended is not begun by what belongs to it. A host
+// had reopened its link, its streams were ended with the old one, and a write of a
+// transaction ran outside of it.
+func TestStreamThatEndedRunsNothing(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	var got []statement.Answer
+	reply := func(a statement.Answer) { got = append(got, a) }
+	f := relay.Forward{
+		Stream: 1, Service: service, Instance: "a", Account: "hotel", Left: time.Second, Open: true,
+		Statements: []statement.Statement{
+			{ID: "b", Kind: statement.KindBegin}, {ID: "w1", Kind: statement.KindWrite, Text: "1 a"},
+		},
+	}
+	w.relay.Forwarded(1, f, reply)
+	w.pass(20*time.Millisecond, true)
+	c.Assert(got, qt.HasLen, 1)
+	c.Assert(got[0].State, qt.Equals, statement.TxOpen)
+	w.relay.GuestsGone(1)
+	c.Assert(w.count("rollback"), qt.Equals, 1)
+	f.Open, f.Statements = false, []statement.Statement{{ID: "w2", Kind: statement.KindWrite, Text: "2 b"}}
+	w.relay.Forwarded(2, f, reply)
+	w.pass(20*time.Millisecond, true)
+	c.Assert(got[1].Code, qt.Equals, statement.CodeAborted)
+	c.Assert(w.count("write w2"), qt.Equals, 0)
+}
+
+// Twelve hosts before 16 connections would have one each, and accounts would have to take
+// turns on it. One host of the instance's data centre holds them, and the others forward.
+func TestScarceConnectionsAreHeldByOneHost(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	w.relay.SetHosts(12)
+	var sent []relay.Forward
+	var over fleet.Host
+	peers := []relay.Peer{{
+		Host: "far", DataCentre: "sapporo", Send: func(relay.Forward) { c.Error("not the nearest host") },
+	}}
+	for n := range 9 {
+		name := fleet.Host("near-" + string(rune('a'+n)))
+		peers = append(peers, relay.Peer{Host: name, DataCentre: "obihiro", Send: func(f relay.Forward) {
+			sent, over = append(sent, f), name
+		}})
+	}
+	w.relay.SetPeers(peers, 0)
+	x := w.open("rush", "key-1")
+	x.do(statement.KindRead, "", "item")
+	c.Assert(sent, qt.HasLen, 1)
+	c.Assert(sent[0].Open, qt.IsTrue)
+	c.Assert(sent[0].Close, qt.IsTrue)
+	w.relay.ForwardAnswered(over, sent[0].Stream, statement.Answer{Digest: "d-over", State: statement.TxNone})
+	c.Assert(x.last().Digest, qt.Equals, "d-over")
+	w.relay.ForwardAnswered(over, sent[0].Stream, statement.Answer{Digest: "twice", State: statement.TxNone})
+	c.Assert(x.answers, qt.HasLen, 1)
+}
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -389,3 +389,11 @@
 	}
 	n.conns = nil
 }
+
+// lose has the primary go dark for this host and lets it notice.
+func (w *world) lose(n fleet.Instance) {
+	w.instances[n].silent = true
+	w.cut(w.instances[n])
+	x := w.open("rush", "key-1")
+	x.do(statement.KindWrite, "", "item data")
+}
