Roll a transaction back whose next statement can't be sent

Found by reading: a value set within a transaction goes to the instance ahead of the next statement. When that was refused (a primary that has lost the lead refuses all of a transaction) or the connection broke meanwhile, the statement was sent off again, and ran by itself at the successor: kept, without the rest of its transaction. The connection was given back with the transaction open. Two tests, failing before: the write ran once in place of not at all, and the second was told to come back in a transaction that was gone. Now such a statement is answered as aborted, and the transaction rolled back; also a connection whose transaction was begun in spite of a refused value is closed.

--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -204,7 +204,7 @@
 			return
 		}
 		if failed != statement.CodeNone {
-			o.unready(failed)
+			o.unready(failed, a.State)
 			return
 		}
 		o.main(nil)
@@ -252,15 +252,23 @@
 	o.conn.send(append(ahead, q), nil, o.answered)
 }
 
-// unready handles a connection that could not be made ready: nothing was run.
-func (o *operation) unready(code statement.Code) {
+// unready handles a connection that could not be made ready: nothing was run. One on
+// which a transaction had begun is left to it.
+func (o *operation) unready(code statement.Code, state statement.TxState) {
 	c := o.conn
 	o.g.refusedBy(c, code, o)
-	c.op, c.session = nil, nil
-	c.retireUnless(code == statement.CodeLagging || code == statement.CodeReadOnly || code == statement.CodeBusy)
+	c.op = nil
+	if !o.begun() {
+		c.session = nil
+		well := code == statement.CodeLagging || code == statement.CodeReadOnly || code == statement.CodeBusy
+		c.retireUnless(well && state == statement.TxNone)
+	}
 	o.again(code)
 }
 
+// begun reports whether an instance has run any of the operation's transaction before it.
+func (o *operation) begun() bool { return o.s.tx.open && !o.opens }
+
 // retireUnless frees a connection whose last answer tells that all is well with it, and
 // closes any other.
 func (c *Conn) retireUnless(well bool) {
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -78,6 +78,10 @@
 
 // again sends the operation off once more, as nothing of it was run, or tells the
 // caller so.
+//
+// The guard is for an operation of a transaction that had begun, whose value was refused or
+// whose connection broke before it was sent: elsewhere it would run by itself, and be kept
+// while the rest of its transaction is not.
 func (o *operation) again(code statement.Code) {
 	now := o.g.r.now()
 	delete(o.g.running, o.key)
@@ -85,6 +89,12 @@
 	if o.over {
 		return
 	}
+	if o.begun() {
+		o.failedInTx(statement.Answer{
+			Code: statement.CodeAborted, Detail: "rolled back: its connection could not be made ready", RetryAfter: retrySoon,
+		})
+		return
+	}
 	if o.s.instance != "" && code == statement.CodeFailed {
 		o.give(statement.Answer{Code: code, Detail: "the connection to the instance was lost"})
 		return
--- a/core/relay/transaction_test.go
+++ b/core/relay/transaction_test.go
@@ -7,6 +7,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/leader"
 	"skylarkdeal/core/statement"
 )
 
@@ -123,3 +125,48 @@
 	c.Assert(tx.closed, qt.IsTrue)
 	c.Assert(w.relay.Drained(), qt.IsTrue)
 }
+
+// A transaction has written, and its caller sets a value. The primary is replaced, and
+// refuses the value as it refuses all of the transaction. What the caller writes next must
+// not run by itself at the successor: half of the transaction would be kept.
+func TestTransactionWhoseValueIsRefusedIsRolledBack(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	x := w.open("rush", "key-1")
+	x.do(statement.KindBegin, "", "")
+	x.do(statement.KindWrite, "", "item data")
+	x.do(statement.KindSet, "zone", "north")
+	w.instances["a"].role = fleet.RoleReplica
+	w.instances["b"].role, w.instances["b"].term = fleet.RolePrimary, 2
+	w.relay.Recorded(leader.Record{Service: service, Term: 2, Primary: "b", Former: "a", Revision: 7})
+	w.pass(200*time.Millisecond, true)
+	id := x.do(statement.KindWrite, "", "item data")
+	w.pass(200*time.Millisecond, true)
+	c.Assert(w.count(string(id)), qt.Equals, 0)
+	c.Assert(x.last().Code, qt.Equals, statement.CodeAborted)
+	c.Assert(x.last().State, qt.Equals, statement.TxFailed)
+	x.do(statement.KindCommit, "", "")
+	c.Assert(x.last().Code, qt.Equals, statement.CodeAborted)
+	c.Assert(x.last().State, qt.Equals, statement.TxNone)
+	c.Assert(w.count("rollback"), qt.Equals, 1)
+}
+
+// The same, but the connection breaks while the value is being set.
+func TestTransactionCutWhileItsValueIsSetIsRolledBack(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	x := w.open("rush", "key-1")
+	x.do(statement.KindBegin, "", "")
+	x.do(statement.KindWrite, "", "item data")
+	x.do(statement.KindSet, "zone", "north")
+	w.instances["a"].hold = true
+	id := x.do(statement.KindWrite, "", "item data")
+	w.instances["a"].hold = false
+	w.cut(w.instances["a"])
+	w.pass(200*time.Millisecond, true)
+	c.Assert(w.count(string(id)), qt.Equals, 0)
+	c.Assert(x.last().Code, qt.Equals, statement.CodeAborted)
+	c.Assert(x.last().State, qt.Equals, statement.TxFailed)
+	x.do(statement.KindCommit, "", "")
+	c.Assert(x.last().State, qt.Equals, statement.TxNone)
+}
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -58,9 +58,11 @@
 
 // link is one connection to a node, as the node sees it.
 type link struct {
-	node   *node
-	conn   *relay.Conn
-	state  statement.TxState
+	node  *node
+	conn  *relay.Conn
+	state statement.TxState
+	// writes is set in a transaction that only a primary takes.
+	writes bool
 	values map[string]string
 	names  map[string]statement.Shape
 	closed bool
@@ -239,6 +241,10 @@
 	if p, ok := q.After.Get(); ok && !n.point.Covers(p) {
 		return n.answer(l, statement.Answer{Code: statement.CodeLagging})
 	}
+	if l.writes && n.role != fleet.RolePrimary && q.Kind != statement.KindRollback {
+		l.state = statement.TxFailed
+		return n.answer(l, statement.Answer{Code: statement.CodeReadOnly})
+	}
 	if q.ID != "" && len(n.fail) > 0 && runs(q.Kind) {
 		a.Code, n.fail = n.fail[0], n.fail[1:]
 		if l.state == statement.TxOpen {
@@ -258,10 +264,10 @@
 		if q.Kind == statement.KindBegin && n.role != fleet.RolePrimary {
 			return n.answer(l, statement.Answer{Code: statement.CodeReadOnly})
 		}
-		l.state = statement.TxOpen
+		l.state, l.writes = statement.TxOpen, q.Kind == statement.KindBegin
 		n.ran = append(n.ran, "begin "+string(q.ID))
 	case statement.KindRollback:
-		l.state = statement.TxNone
+		l.state, l.writes = statement.TxNone, false
 		n.ran = append(n.ran, "rollback")
 	case statement.KindStepDown:
 		if q.Term > n.term {
@@ -302,7 +308,7 @@
 	slices.Sort(values)
 	n.ran = append(n.ran, strings.TrimSpace(fmt.Sprintf("%s %s %s", q.Kind, q.ID, strings.Join(values, " "))))
 	if q.Kind == statement.KindCommit {
-		l.state = statement.TxNone
+		l.state, l.writes = statement.TxNone, false
 	}
 	if writes && l.state == statement.TxNone || q.Kind == statement.KindCommit {
 		n.point = fleet.Point{Term: n.term, Position: n.point.Position + 1}
