--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -128,7 +128,7 @@
 	}
 	h.settings = filepath.Join(f.dir, h.name+".ini")
 	text := fmt.Sprintf("[host]\nname = %s\ndata-centre = %s\n[caller]\naddress = %s\n"+
-		"[peer]\naddress = %s\nseeds = %s\nsecret-file = %s\n[operator]\naddress = %s\n"+
+		"[peer]\naddress = %s\nseeds = %s\nsecret-file = %s\n[operator]\npprof = true\naddress = %s\n"+
 		"[store]\nendpoints = %s\n[upstream]\npassword-file = %s\n[log]\nlevel = debug\n",
 		h.name, d, h.caller, h.peer, seeds, filepath.Join(f.dir, "secret"), h.operator,
 		f.store, filepath.Join(f.dir, "password"))
@@ -297,20 +297,25 @@
 
 // httpGet reads url into v, which may be nil.
 func httpGet(url string, v any) error {
+	b, err := httpText(url)
+	if err != nil || v == nil {
+		return err
+	}
+	return json.Unmarshal(b, v)
+}
+
+func httpText(url string) ([]byte, error) {
 	c := http.Client{Timeout: 5 * time.Second}
 	r, err := c.Get(url)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer r.Body.Close()
 	b, err := io.ReadAll(r.Body)
 	if err == nil && r.StatusCode != http.StatusOK {
 		err = errors.New(strings.TrimSpace(string(b)))
 	}
-	if err != nil || v == nil {
-		return err
-	}
-	return json.Unmarshal(b, v)
+	return b, err
 }
 
 // waitFor tries until check returns nil or the bound is over.
@@ -333,7 +338,7 @@
 }
 
 // end stops every process of the fleet by its id. Of a failed test it shows the
-// states and the logs.
+// states, the goroutines and the logs.
 func (f *runningFleet) end(t testing.TB) {
 	if t != nil && t.Failed() {
 		f.explain(t)
@@ -363,6 +368,9 @@
 		if code == 0 {
 			_ = os.WriteFile(filepath.Join(f.dir, h.name+"-state.log"), []byte(out), 0o600)
 		}
+		if b, err := httpText("http://" + h.operator + "/debug/pprof/goroutine?debug=1"); err == nil {
+			_ = os.WriteFile(filepath.Join(f.dir, h.name+"-goroutines.log"), b, 0o600)
+		}
 	}
 	files, _ := filepath.Glob(filepath.Join(f.dir, "*.log"))
 	for _, n := range files {
