--- a/core/relay/conn.go
+++ b/core/relay/conn.go
@@ -266,13 +266,9 @@
 	if c.state == connClosed {
 		return
 	}
-	if c.via != "" {
-		c.op = nil
-		c.lost("given up in a transaction")
-		return
-	}
-	if len(c.owed) > 0 {
-		// A statement is still at work; the instance rolls back when the connection ends.
+	if c.via != "" || len(c.owed) > 0 {
+		// The other host rolls back when the stream ends, and the instance, which may still
+		// work on a statement, when the connection does.
 		c.op = nil
 		c.lost("given up in a transaction")
 		return
@@ -314,6 +310,3 @@
 func (c *Conn) setState(s connState) {
 	c.state, c.since = s, c.g.r.now()
 }
-
-// point returns where the instance's log stood at an answer.
-func point(a statement.Answer) (fleet.Point, bool) { return a.Point.Get() }
--- a/core/relay/drain.go
+++ b/core/relay/drain.go
@@ -15,9 +15,9 @@
 	grace   time.Duration
 }
 
-// drainNotice is how long a host that shuts down still takes sessions: the balancer
-// asks once a second and takes a host out after two answers that it isn't ready.
-const drainNotice = 2200 * time.Millisecond
+// balancerNotice is how long a host that isn't ready any more keeps the sessions that it
+// has: the balancer asks once a second, and sends new ones elsewhere after two answers.
+const balancerNotice = 2200 * time.Millisecond
 
 // Drain begins the shutdown: the host is no longer ready, and after a notice it closes
 // the sessions that rest. An open transaction gets half of the grace.
@@ -41,7 +41,7 @@
 		return
 	}
 	age := now.Sub(r.drain.begun)
-	if age < min(drainNotice, r.drain.grace/2) {
+	if age < min(balancerNotice, r.drain.grace/2) {
 		return
 	}
 	r.drain.closing = true
@@ -57,8 +57,7 @@
 	}
 	switch {
 	case !s.tx.open:
-		s.link.Close()
-		s.Gone()
+		s.end()
 	case age >= r.drain.grace/2:
 		s.tx.failed = true
 		s.reject(statement.CodeAborted, "the host shuts down; the transaction was rolled back")
--- a/core/relay/duty.go
+++ b/core/relay/duty.go
@@ -25,11 +25,14 @@
 	instances, reached fleet.Set[fleet.Instance]
 }
 
+// told reports whether the host has told its doubts lately.
+func (d doubt) told(now time.Time) bool { return now.Sub(d.at) < reportFor }
+
 // counts reports whether the host's word is to be heard on who can be reached. One that
 // was cut off finds its way back to the instances only after it is heard again, and its
 // doubts would replace a primary that all others reach.
 func (d doubt) counts(now time.Time) bool {
-	return now.Sub(d.at) < reportFor && now.Sub(d.since) >= reportFor
+	return d.told(now) && now.Sub(d.since) >= reportFor
 }
 
 const (
@@ -92,7 +95,7 @@
 
 func (r *Relay) doubtedElsewhere(now time.Time, n fleet.Instance) bool {
 	for _, d := range r.duty.doubts {
-		if now.Sub(d.at) < reportFor && d.instances.Has(n) {
+		if d.told(now) && d.instances.Has(n) {
 			return true
 		}
 	}
@@ -107,7 +110,7 @@
 		r.duty.doubts = map[fleet.Host]doubt{}
 	}
 	d := r.duty.doubts[from]
-	if now.Sub(d.at) >= reportFor {
+	if !d.told(now) {
 		d.since = now
 	}
 	d.at, d.instances, d.reached = now, fleet.NewSet(is...), fleet.NewSet(reached...)
--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -109,7 +109,7 @@
 		return false
 	}
 	d := r.duty.doubts[h]
-	told := now.Sub(d.at) < reportFor
+	told := d.told(now)
 	if told && d.instances.Has(i.info.Name) {
 		return false
 	}
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -13,11 +13,11 @@
 		return
 	}
 	now := o.g.r.now()
-	delete(o.g.running, o.key)
-	o.g.queue.Finished(now, o.key, now.Sub(o.sentAt))
+	took := now.Sub(o.sentAt)
+	o.leave(now, took)
 	c.op = nil
 	if a.Code == statement.CodeNone {
-		c.inst.worked(now, now.Sub(o.sentAt))
+		c.inst.worked(now, took)
 		c.inst.lags = 0
 		o.succeeded(a)
 		return
@@ -68,11 +68,7 @@
 
 // failedInTx answers a failure in a transaction, which is rolled back.
 func (o *operation) failedInTx(a statement.Answer) {
-	o.s.tx.failed = true
-	o.s.release()
-	if o.q.Kind == statement.KindCommit {
-		o.s.tx = transaction{}
-	}
+	o.s.fail()
 	o.finish(a)
 }
 
@@ -84,8 +80,7 @@
 // while the rest of its transaction is not.
 func (o *operation) again(code statement.Code) {
 	now := o.g.r.now()
-	delete(o.g.running, o.key)
-	o.g.queue.Finished(now, o.key, 0)
+	o.leave(now, 0)
 	if o.over {
 		return
 	}
@@ -125,17 +120,13 @@
 	if o.over {
 		return
 	}
-	delete(o.g.running, o.key)
-	o.g.queue.Finished(o.g.r.now(), o.key, 0)
+	o.leave(o.g.r.now(), 0)
 	commit := o.q.Kind == statement.KindCommit
 	switch {
 	case !o.sent:
 		o.again(statement.CodeBusy)
 	case o.s.tx.open && (!commit || !o.s.tx.writes):
-		o.s.tx.failed = !commit
-		if commit {
-			o.s.tx = transaction{}
-		}
+		o.s.tx.failed = true
 		o.give(statement.Answer{Code: statement.CodeAborted, Detail: "rolled back: " + why, RetryAfter: retrySoon})
 	case commit || o.writes:
 		o.inDoubt(why)
@@ -146,9 +137,6 @@
 
 // inDoubt tells the caller that its write may have been run or not.
 func (o *operation) inDoubt(why string) {
-	if o.q.Kind == statement.KindCommit {
-		o.s.tx = transaction{}
-	}
 	o.g.r.counts.InDoubt++
 	o.give(statement.Answer{Code: statement.CodeInDoubt, Detail: "sent, but not known to be kept: " + why})
 }
@@ -163,8 +151,7 @@
 		o.s.tx.conn = nil
 	}
 	if o.sent && !o.writes && !o.s.tx.open {
-		delete(o.g.running, o.key)
-		o.g.queue.Finished(o.g.r.now(), o.key, 0)
+		o.leave(o.g.r.now(), 0)
 		o.give(statement.Answer{Code: statement.CodeTimeout, Detail: "the statement has reached its time limit"})
 		return
 	}
@@ -179,9 +166,6 @@
 	if o.s.tx.open {
 		// The transaction never began on an instance, or was rolled back.
 		o.s.fail()
-		if o.q.Kind == statement.KindCommit {
-			o.s.tx = transaction{}
-		}
 	}
 	if code == statement.CodeFailed || code == statement.CodeTimeout || code == statement.CodeNotPrepared {
 		// Of a read nothing is kept, so that the caller may be told to come again.
@@ -198,13 +182,18 @@
 	if a.Code == statement.CodeNone {
 		o.g.r.counts.Answered++
 	}
-	if o.q.Kind == statement.KindCommit {
-		o.s.tx = transaction{}
-	}
 	o.give(a)
 }
 
-// give ends the operation with an answer to its caller.
+// leave gives back the operation's place at an instance, which it held for took; zero
+// tells that nothing is to be learnt from it.
+func (o *operation) leave(now time.Time, took time.Duration) {
+	delete(o.g.running, o.key)
+	o.g.queue.Finished(now, o.key, took)
+}
+
+// give ends the operation with an answer to its caller. A commit ends its transaction,
+// however it went.
 func (o *operation) give(a statement.Answer) {
 	if o.over {
 		return
@@ -212,6 +201,9 @@
 	o.over = true
 	s := o.s
 	s.op = nil
+	if o.q.Kind == statement.KindCommit {
+		s.tx = transaction{}
+	}
 	if s.gone {
 		return
 	}
@@ -239,8 +231,7 @@
 		delete(o.g.waiting, o.key)
 		return
 	}
-	delete(o.g.running, o.key)
-	o.g.queue.Finished(o.g.r.now(), o.key, 0)
+	o.leave(o.g.r.now(), 0)
 	if c := o.conn; c != nil && c.op == o {
 		c.op, c.session = nil, nil
 		if o.s.tx.conn == c {
--- a/core/relay/prove.go
+++ b/core/relay/prove.go
@@ -112,7 +112,7 @@
 
 // confirmed gives a proved answer.
 func (g *group) confirmed(o *operation, a statement.Answer) {
-	if p, ok := point(a); ok && o.writes && !o.s.written.Covers(p) {
+	if p, ok := a.Point.Get(); ok && o.writes && !o.s.written.Covers(p) {
 		o.s.written = p
 	}
 	o.finish(a)
@@ -124,7 +124,7 @@
 	if o == nil || o.over {
 		return
 	}
-	if p, ok := point(*o.answer); ok {
+	if p, ok := o.answer.Point.Get(); ok {
 		g.samples.Add(fresh.Sample{Point: p, Asked: o.sentAt})
 	}
 	g.confirmed(o, *o.answer)
@@ -148,11 +148,7 @@
 	case commit && o.s.tx.writes || o.writes && !commit && !o.s.tx.open:
 		o.inDoubt(why)
 	case o.s.tx.open:
-		o.s.tx.failed = true
-		o.s.release()
-		if commit {
-			o.s.tx = transaction{}
-		}
+		o.s.fail()
 		o.give(statement.Answer{Code: statement.CodeAborted, Detail: "rolled back: " + why, RetryAfter: retrySoon})
 	default:
 		o.again(statement.CodeBusy)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -171,15 +171,10 @@
 	return true
 }
 
-const (
-	// cutOffAfter is how long a host can't answer for half of its services, nor reach the
-	// store, before it counts as cut off. A false alarm costs nothing as long as it ends
-	// before the balancer asks twice.
-	cutOffAfter = 300 * time.Millisecond
-	// cutOffNotice is how long the sessions of a host that is cut off stay open: the
-	// balancer needs two answers, a second apart, to send them elsewhere.
-	cutOffNotice = 2200 * time.Millisecond
-)
+// cutOffAfter is how long a host can't answer for half of its services, nor reach the
+// store, before it counts as cut off. A false alarm costs nothing as long as it ends
+// before the balancer asks twice.
+const cutOffAfter = 300 * time.Millisecond
 
 // CutOff reports whether this host can do less for its callers than others may: it reaches
 // neither the store nor the primaries of half of its services; of any, if hosts are
@@ -239,13 +234,12 @@
 			Reason: "neither the store nor the primaries can be reached, and other hosts may reach them",
 		})
 	}
-	if now.Sub(r.cut) < cutOffNotice {
+	if now.Sub(r.cut) < balancerNotice {
 		return
 	}
 	for s := range r.sessions {
-		if s.started && s.op == nil && !s.tx.open && (s.turned || s.opened.Before(r.cut.Add(cutOffNotice))) {
-			s.link.Close()
-			s.Gone()
+		if s.started && s.op == nil && !s.tx.open && (s.turned || s.opened.Before(r.cut.Add(balancerNotice))) {
+			s.end()
 		}
 	}
 }
--- a/core/relay/session.go
+++ b/core/relay/session.go
@@ -179,6 +179,12 @@
 	s.Gone()
 }
 
+// end closes the connection of a caller that has nothing in progress.
+func (s *Session) end() {
+	s.link.Close()
+	s.Gone()
+}
+
 // Gone takes in that the caller's connection has ended.
 func (s *Session) Gone() {
 	if s.gone {
