--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"skylarkdeal/core/settings"
 	"skylarkdeal/core/share"
 	"skylarkdeal/internal/clock"
+	"skylarkdeal/internal/pause"
 	"skylarkdeal/io/gossip"
 	"skylarkdeal/io/loop"
 	"skylarkdeal/io/operator"
@@ -224,34 +225,17 @@
 func (h *Host) Shutdown() error {
 	grace := h.settings.Adapter.Grace - lastMoment
 	h.log.Info("host shuts down", zap.Duration("grace", grace))
-	drained := make(chan struct{})
 	h.loop.Do(func() { h.relay.Drain(h.settings.Adapter.Grace) })
-	ctx, cancel := context.WithTimeout(context.Background(), grace)
-	defer cancel()
-	go h.awaitDrained(ctx, drained)
-	select {
-	case <-drained:
-	case <-ctx.Done():
-	}
-	return h.Close()
-}
-
-func (h *Host) awaitDrained(ctx context.Context, drained chan<- struct{}) {
-	t := time.NewTicker(drainedEvery)
-	defer t.Stop()
-	var once sync.Once
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	ctx, drained := context.WithTimeout(context.Background(), grace)
+	defer drained()
+	pause.Every(ctx, drainedEvery, func() {
 		h.loop.Do(func() {
 			if h.relay.Drained() {
-				once.Do(func() { close(drained) })
+				drained()
 			}
 		})
-	}
+	})
+	return h.Close()
 }
 
 // Close ends the host at once.
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -106,7 +106,7 @@
 		l.up = true
 		c.Write(forward.AppendHello(nil, h.settings.Host.Name))
 	}
-	c.Data = h.reader(c, &in)
+	c.Data = h.reader("host "+string(l.host), in.Take, func(error) { c.Close() })
 	c.Closed = func(error) {
 		if l.conn == c {
 			h.dropLink(l)
@@ -115,18 +115,6 @@
 	h.loop.Dial(c, address, linkTimeout)
 }
 
-func (h *Host) reader(c *loop.Conn, in *forward.Reader) func(b []byte) int {
-	return func(b []byte) int {
-		n, err := in.Take(b)
-		if err != nil {
-			h.log.Warn("link to a host cut off", zap.Error(err))
-			c.Close()
-			return len(b)
-		}
-		return n
-	}
-}
-
 // acceptPeer takes the link of a host that has statements run here.
 func (h *Host) acceptPeer(c *loop.Conn) {
 	var from fleet.Host
@@ -146,6 +134,6 @@
 		},
 		Reply: func(uint64, statement.Answer) {},
 	}
-	c.Data = h.reader(c, &in)
+	c.Data = h.reader("another host", in.Take, func(error) { c.Close() })
 	c.Closed = func(error) { h.relay.GuestsGone(id) }
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -32,35 +32,64 @@
 		}, []string{"step"}),
 	}
 	h.metrics.MustRegister(h.counted.latency, h.counted.calls)
-	gauge := func(name, help string, read func() float64) {
-		h.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
-	}
-	counter := func(name, help string, read func(c relay.Counts) uint64) {
-		h.metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 {
-			return float64(read(h.snapshot().Counts))
-		}))
-	}
-	gauge("skylarkdeal_sessions", "Open sessions.", func() float64 { return float64(h.snapshot().Sessions) })
-	gauge("skylarkdeal_ready", "1 while the host is ready.", func() float64 {
+	h.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "skylarkdeal_ready", Help: "1 while the host is ready.",
+	}, func() float64 {
 		if h.ready.Load() {
 			return 1
 		}
 		return 0
-	})
-	counter("skylarkdeal_statements_total", "Statements of callers.",
-		func(c relay.Counts) uint64 { return c.Statements })
-	counter("skylarkdeal_refused_total", "Statements refused, not run.",
-		func(c relay.Counts) uint64 { return c.Refused })
-	counter("skylarkdeal_retried_total", "Statements sent off again, as they had not run.",
-		func(c relay.Counts) uint64 { return c.Retried })
-	counter("skylarkdeal_in_doubt_total", "Writes whose outcome is unknown.",
-		func(c relay.Counts) uint64 { return c.InDoubt })
-	counter("skylarkdeal_connects_total", "Connections made to instances.",
-		func(c relay.Counts) uint64 { return c.Connects })
-	counter("skylarkdeal_own_statements_total", "Statements of the proxy's own.",
-		func(c relay.Counts) uint64 { return c.OwnStatements })
-	counter("skylarkdeal_questions_total", "Questions to instances what they are.",
-		func(c relay.Counts) uint64 { return c.Asked })
+	}))
+	h.metrics.MustRegister(collector{read: h.snapshot})
+}
+
+// collector reads the relay once for all that it tells: each reading takes its loop's time.
+type collector struct {
+	read func() relay.State
+}
+
+var sessionsDesc = prometheus.NewDesc("skylarkdeal_sessions", "Open sessions.", nil, nil)
+
+// counters are the relay's running totals.
+var counters = []struct {
+	desc *prometheus.Desc
+	read func(c relay.Counts) uint64
+}{
+	{counter("statements", "Statements of callers."),
+		func(c relay.Counts) uint64 { return c.Statements }},
+	{counter("refused", "Statements refused, not run."),
+		func(c relay.Counts) uint64 { return c.Refused }},
+	{counter("retried", "Statements sent off again, as they had not run."),
+		func(c relay.Counts) uint64 { return c.Retried }},
+	{counter("in_doubt", "Writes whose outcome is unknown."),
+		func(c relay.Counts) uint64 { return c.InDoubt }},
+	{counter("connects", "Connections made to instances."),
+		func(c relay.Counts) uint64 { return c.Connects }},
+	{counter("own_statements", "Statements of the proxy's own."),
+		func(c relay.Counts) uint64 { return c.OwnStatements }},
+	{counter("questions", "Questions to instances what they are."),
+		func(c relay.Counts) uint64 { return c.Asked }},
+}
+
+func counter(name, help string) *prometheus.Desc {
+	return prometheus.NewDesc("skylarkdeal_"+name+"_total", help, nil, nil)
+}
+
+// Describe is called once, when the collector is registered.
+func (c collector) Describe(out chan<- *prometheus.Desc) {
+	out <- sessionsDesc
+	for _, m := range counters {
+		out <- m.desc
+	}
+}
+
+// Collect is called when the metrics are read.
+func (c collector) Collect(out chan<- prometheus.Metric) {
+	s := c.read()
+	out <- prometheus.MustNewConstMetric(sessionsDesc, prometheus.GaugeValue, float64(s.Sessions))
+	for _, m := range counters {
+		out <- prometheus.MustNewConstMetric(m.desc, prometheus.CounterValue, float64(m.read(s.Counts)))
+	}
 }
 
 func (h *Host) observe(k catalog.Consistency, c statement.Code, took time.Duration) {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/internal/clock"
+	"skylarkdeal/internal/pause"
 	"skylarkdeal/io/gossip"
 	"skylarkdeal/io/registry"
 )
@@ -30,7 +33,6 @@
 type peers struct {
 	epoch, seq uint64
 	addresses  map[fleet.Host]*net.UDPAddr
-	names      []fleet.Host
 	// known are the hosts that were heard.
 	known map[fleet.Host]*peer
 	// reported is when the last report was sent, doubted how many doubts it had, reached how
@@ -55,7 +57,6 @@
 
 // registered takes in the hosts that are registered.
 func (h *Host) registered(hs []registry.Host) {
-	names := make([]fleet.Host, 0, len(hs))
 	at := make(map[fleet.Host]*net.UDPAddr, len(hs))
 	for _, p := range hs {
 		if p.Name == h.settings.Host.Name {
@@ -66,14 +67,16 @@
 			h.log.Warn("host without an address", zap.String("host", string(p.Name)), zap.Error(err))
 			continue
 		}
-		if at[p.Name] == nil {
-			names = append(names, p.Name)
-		}
 		at[p.Name] = a
 	}
-	h.peers.addresses, h.peers.names = at, names
-	h.relay.SetHosts(1 + len(at))
-	h.rates.Members(clock.Now(), names)
+	h.peers.addresses = at
+	h.hostsChanged()
+}
+
+// hostsChanged tells how many hosts there are, and which.
+func (h *Host) hostsChanged() {
+	h.relay.SetHosts(1 + len(h.peers.addresses))
+	h.rates.Members(clock.Now(), slices.Collect(maps.Keys(h.peers.addresses)))
 }
 
 // report tells the others, every reportEvery and at once when there is a new doubt.
@@ -88,15 +91,14 @@
 	h.peers.reported, h.peers.told = now, h.peers.catalog
 	h.peers.doubted, h.peers.reached = len(doubts), len(reached)
 	h.peers.seq++
+	digest, at := h.registry.Listing()
 	r := gossip.Report{
 		Host: h.settings.Host.Name, Address: h.settings.Peer.Address,
 		DataCentre: h.settings.Host.DataCentre, Leaving: h.relay.Draining(), Epoch: h.peers.epoch, Seq: h.peers.seq,
 		Usages: h.rates.Usage(now), Catalog: h.peers.catalog, Record: h.relay.Record(),
-		CatalogAge: now.Sub(h.registry.Confirmed()),
+		CatalogAge: now.Sub(h.registry.Confirmed()), Reached: reached,
+		Instances: digest, InstancesAge: now.Sub(at),
 	}
-	r.Reached = reached
-	digest, at := h.registry.Listing()
-	r.Instances, r.InstancesAge = digest, now.Sub(at)
 	for i, d := range doubts {
 		r.Doubts = append(r.Doubts, gossip.Doubt{Instance: i, Silent: d})
 	}
@@ -163,12 +165,10 @@
 		return
 	}
 	h.peers.addresses[r.Host] = a
-	h.peers.names = append(h.peers.names, r.Host)
-	h.rates.Members(clock.Now(), h.peers.names)
-	h.relay.SetHosts(1 + len(h.peers.addresses))
+	h.hostsChanged()
 }
 
 // gossips tells the others of this host until ctx ends.
 func (h *Host) gossips(ctx context.Context) {
-	gossip.Every(ctx, doubtsEvery, func() { h.loop.Do(h.report) })
+	pause.Every(ctx, doubtsEvery, func() { h.loop.Do(h.report) })
 }
--- a/internal/entry/wires.go
+++ b/internal/entry/wires.go
@@ -14,6 +14,20 @@
 // dialTimeout bounds a TCP connection to an instance; the relay gives up earlier.
 const dialTimeout = time.Second
 
+// reader hands what comes from a peer to a decoder, and has it cut off once its bytes can't
+// be read on.
+func (h *Host) reader(peer string, take func(b []byte) (int, error), cut func(err error)) func(b []byte) int {
+	return func(b []byte) int {
+		n, err := take(b)
+		if err != nil {
+			h.log.Warn("peer cut off", zap.String("peer", peer), zap.Error(err))
+			cut(err)
+			return len(b)
+		}
+		return n
+	}
+}
+
 // accept joins a caller's connection and a session of the relay.
 func (h *Host) accept(c *loop.Conn) {
 	var s *relay.Session
@@ -45,15 +59,7 @@
 		Unreadable: s.Unreadable,
 		Bye:        c.Close,
 	}
-	c.Data = func(b []byte) int {
-		n, err := in.Take(b)
-		if err != nil {
-			h.log.Warn("caller cut off", zap.Error(err))
-			c.Close()
-			return len(b)
-		}
-		return n
-	}
+	c.Data = h.reader("caller", in.Take, func(error) { c.Close() })
 	c.Closed = func(error) { s.Gone() }
 }
 
@@ -79,15 +85,8 @@
 	}
 	c.Close = l.Close
 	l.Opened = func() { l.Write(platform.AppendConnect(nil, c.Service, c.Account, c.Instance)) }
-	l.Data = func(b []byte) int {
-		n, err := in.Take(b)
-		if err != nil {
-			h.log.Warn("instance cut off", zap.String("instance", string(c.Instance)), zap.Error(err))
-			h.relay.Lost(c, err)
-			return len(b)
-		}
-		return n
-	}
-	l.Closed = func(err error) { h.relay.Lost(c, err) }
+	lost := func(err error) { h.relay.Lost(c, err) }
+	l.Data = h.reader("instance "+string(c.Instance), in.Take, lost)
+	l.Closed = lost
 	h.loop.Dial(l, c.Address, dialTimeout)
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -15,6 +15,7 @@
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/ring"
 	"skylarkdeal/internal/load/check"
+	"skylarkdeal/internal/pause"
 )
 
 // Config says what to run.
@@ -225,14 +226,7 @@
 const progressEvery = time.Second
 
 func (r *runner) report(ctx context.Context) {
-	t := time.NewTicker(progressEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	pause.Every(ctx, progressEvery, func() {
 		r.mu.Lock()
 		p := r.progress
 		r.mu.Unlock()
@@ -241,5 +235,5 @@
 			p.Waiting += q.Len()
 		}
 		r.cfg.Progress(p)
-	}
+	})
 }
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -1,4 +1,4 @@
-// Package pause waits for a time or for the end of a context.
+// Package pause waits for a time, once or again and again, or for the end of a context.
 package pause
 
 import (
@@ -17,3 +17,17 @@
 		return false
 	}
 }
+
+// Every calls f each time d has passed, until ctx ends.
+func Every(ctx context.Context, d time.Duration, f func()) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			f()
+		}
+	}
+}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -3,7 +3,6 @@
 package gossip
 
 import (
-	"context"
 	"errors"
 	"math"
 	"net"
@@ -181,17 +180,3 @@
 	}
 	return r, nil
 }
-
-// Every runs f every d until ctx ends.
-func Every(ctx context.Context, d time.Duration, f func()) {
-	t := time.NewTicker(d)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			f()
-		}
-	}
-}
--- a/io/host/outbound.go
+++ b/io/host/outbound.go
@@ -13,6 +13,7 @@
 	"skylarkdeal/core/failure"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/ring"
+	"skylarkdeal/internal/pause"
 	"skylarkdeal/io/host/hostpb"
 )
 
@@ -265,18 +266,11 @@
 
 // expire ends the flights whose answer is overdue, and tells the holder.
 func (o *outbound) expire() {
-	t := time.NewTicker(expireEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-o.ctx.Done():
-			return
-		case <-t.C:
-		}
+	pause.Every(o.ctx, expireEvery, func() {
 		for _, f := range o.overdue(o.peers.now().Add(-expireGrace)) {
 			o.finish(f, errTimeout)
 		}
-	}
+	})
 }
 
 func (o *outbound) overdue(now time.Time) []*flight {
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -232,31 +232,22 @@
 // hold up the next one: connections go silent without a sign.
 func (r *Registry) renew(ctx context.Context) {
 	l := Lease(r.lease.Load())
-	ended := make(chan struct{})
-	var once sync.Once
+	running, ended := context.WithCancel(ctx)
+	defer ended()
 	slots := make(chan struct{}, maxRenewals)
-	t := time.NewTicker(renewEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ended:
-			return
-		case <-t.C:
-		}
+	pause.Every(running, renewEvery, func() {
 		select {
 		case slots <- struct{}{}:
 		default:
-			continue
+			return
 		}
 		go func() {
 			defer func() { <-slots }()
 			if r.renewOnce(ctx, l) {
-				once.Do(func() { close(ended) })
+				ended()
 			}
 		}()
-	}
+	})
 }
 
 // renewOnce renews the lease and reports whether it has ended.
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -13,6 +13,7 @@
 
 	"connectrpc.com/connect"
 
+	"skylarkdeal/internal/pause"
 	"skylarkdeal/io/etcd/etcdpb/etcdpbconnect"
 )
 
@@ -106,16 +107,7 @@
 }
 
 func (s *Server) expire(ctx context.Context) {
-	t := time.NewTicker(expiryInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			s.data.expire(s.clock())
-		}
-	}
+	pause.Every(ctx, expiryInterval, func() { s.data.expire(s.clock()) })
 }
 
 var errDown = connect.NewError(connect.CodeUnavailable, errors.New("etcdserver: no leader"))
