Take a connection from the library only once nothing else reads on it

After the start-up's last answer it can be left waiting. Whoever looked whether the connection lives stood behind it, with the pool's lock held, the dispatcher among them. The library asks for SyncConn before a connection is taken over. Ruled out: the holder's ranking, the rings, the steward's loop.

--- a/internal/slopes/sessions.go
+++ b/internal/slopes/sessions.go
@@ -60,6 +60,9 @@
 	if _, err := p.Prepare(ctx, "s", "get $1"); err != nil {
 		return nil, err
 	}
+	if err := p.PgConn().SyncConn(ctx); err != nil {
+		return nil, err
+	}
 	h, err := p.PgConn().Hijack()
 	if err != nil {
 		return nil, err
--- a/io/caller/bench_test.go
+++ b/io/caller/bench_test.go
@@ -136,6 +136,9 @@
 	if _, err := c.Prepare(context.Background(), "s", "get $1", nil); err != nil {
 		b.Fatal(err)
 	}
+	if err := c.SyncConn(context.Background()); err != nil {
+		b.Fatal(err)
+	}
 	h, err := c.Hijack()
 	if err != nil {
 		b.Fatal(err)
@@ -283,6 +286,9 @@
 	if _, err := c.Prepare(context.Background(), "s", "get $1", nil); err != nil {
 		b.Fatal(err)
 	}
+	if err := c.SyncConn(context.Background()); err != nil {
+		b.Fatal(err)
+	}
 	h, err := c.Hijack()
 	if err != nil {
 		b.Fatal(err)
--- a/io/database/open.go
+++ b/io/database/open.go
@@ -216,7 +216,7 @@
 	if err != nil {
 		return nil, failure.At(err, "dial", p.cfg.peer())
 	}
-	h, err := g.Hijack()
+	h, err := takeOver(ctx, g)
 	if err != nil {
 		return nil, failure.At(err, "dial", p.cfg.peer())
 	}
@@ -225,6 +225,20 @@
 
 // pgconn returns the settings for pgconn, none of which comes from the
 // environment.
+// takeOver takes a connection from the library that opened it.
+//
+// The guard is against a host that was out of processor time meanwhile: the library takes
+// a write that returns late for one that the instance doesn't read, and begins to read on
+// a goroutine of its own, which may still wait for bytes. It would take the first of the
+// next answer; and whoever looks whether the connection lives, the group's dispatcher among
+// them, would wait behind it for as long as the connection stands.
+func takeOver(ctx context.Context, g *pgconn.PgConn) (*pgconn.HijackedConn, error) {
+	if err := g.SyncConn(ctx); err != nil {
+		return nil, errors.Join(err, g.Close(ctx))
+	}
+	return g.Hijack()
+}
+
 func (c Config) pgconn() (*pgconn.Config, error) {
 	host, port, err := net.SplitHostPort(c.Address)
 	if err != nil {
@@ -243,6 +257,9 @@
 	cfg.TLSConfig, cfg.Fallbacks = nil, nil
 	cfg.RuntimeParams = map[string]string{"application_name": cmp.Or(string(c.Host), "skylarkdeal")}
 	cfg.ConnectTimeout = c.DialTimeout
+	if c.Dial != nil {
+		cfg.DialFunc = c.Dial
+	}
 	return cfg, nil
 }
 
--- a/io/database/pool.go
+++ b/io/database/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -35,6 +36,8 @@
 	CancelGrace time.Duration
 	// MaxStatements bounds the prepared statements of one connection.
 	MaxStatements int
+	// Dial opens the network connection; it may be nil.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnFree is called, on a goroutine of the pool or of Put's caller, when a
 	// connection has become available.
 	OnFree func()
--- a/io/database/pool_test.go
+++ b/io/database/pool_test.go
@@ -1,7 +1,10 @@
 package database_test
 
 import (
+	"context"
 	"flag"
+	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -51,6 +54,52 @@
 	c.Assert(p.State().Trouble, qt.Equals, "")
 }
 
+// stalled is a connection whose first write returns late, as on a host that is out of
+// processor time: the instance's answer is there before.
+type stalled struct {
+	*net.TCPConn
+	once *sync.Once
+}
+
+func (s stalled) Write(b []byte) (int, error) {
+	n, err := s.TCPConn.Write(b)
+	s.once.Do(func() { time.Sleep(60 * time.Millisecond) })
+	return n, err
+}
+
+// A host is out of processor time while it opens a connection. The library then begins to
+// read on a goroutine of its own; left at that, it would take the first bytes of the next
+// answer, and whoever looks whether the connection lives would wait for them.
+func TestConnectionOpenedWhileTheHostStallsIsUsable(t *testing.T) {
+	c := qt.New(t)
+	i := newInstance(t, 2)
+	p := newPool(t, i, func(g *database.Config) {
+		g.Limit = 1
+		g.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			n, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			tcp, _ := n.(*net.TCPConn)
+			return stalled{tcp, &sync.Once{}}, nil
+		}
+	})
+	until(t, "a connection", func() bool { return p.State().Open == 1 })
+	done := make(chan database.Answer, 1)
+	go func() {
+		if conn, ok := p.TryTake(); ok {
+			done <- conn.Exchange(context.Background(), simple("rows 1"), func([]byte) error { return nil })
+		}
+	}()
+	select {
+	case a := <-done:
+		c.Assert(a.Err, qt.IsNil)
+	case <-time.After(5 * time.Second):
+		c.Error("no answer: somebody else reads on the connection")
+		i.cut()
+	}
+}
+
 func TestLimitSinksAndRises(t *testing.T) {
 	c := qt.New(t)
 	i := newInstance(t, 10)
