--- a/io/database/open.go
+++ b/io/database/open.go
@@ -191,9 +191,12 @@
 	p.metrics.failures.Inc()
 	p.retry.trouble = err.Error()
 	p.retry.shrunk = isRefused(err)
-	d := p.retry.next()
-	p.retry.at = p.cfg.Now().Add(d)
-	p.cfg.Logger.Warn("connection not opened", zap.Error(err), zap.Duration("retry-after", d),
+	now := p.cfg.Now()
+	if !now.Before(p.retry.at) {
+		// The tries of one round fail together, and are one failure.
+		p.retry.at = now.Add(p.retry.next())
+	}
+	p.cfg.Logger.Warn("connection not opened", zap.Error(err), zap.Duration("retry-after", p.retry.at.Sub(now)),
 		zap.Int("open", p.open), zap.Int("limit", p.limit))
 }
 
--- a/io/database/pool_test.go
+++ b/io/database/pool_test.go
@@ -54,6 +54,27 @@
 	c.Assert(p.State().Trouble, qt.Equals, "")
 }
 
+// Four connections are being opened when the instance turns out to be full, and all four
+// are refused. That is one refusal by what the host learns: the next try comes after the
+// first pause, not after four of growing length.
+func TestRefusalsOfOneRoundCountOnce(t *testing.T) {
+	c := qt.New(t)
+	i := newInstance(t, 0)
+	at := time.Unix(1000, 0)
+	i.mu.Lock()
+	admit := sync.OnceFunc(i.mu.Unlock)
+	defer admit()
+	p := newPool(t, i, func(g *database.Config) {
+		g.Limit = 4
+		g.Now = func() time.Time { return at }
+	})
+	until(t, "four tries", func() bool { return p.State().Opening == 4 })
+	admit()
+	until(t, "four refusals", func() bool { return p.State().Opening == 0 })
+	c.Assert(i.count(func() int { return i.refused }), qt.Equals, 4)
+	c.Assert(p.State().RetryAt.Sub(at) < 400*time.Millisecond, qt.IsTrue, qt.Commentf("%v", p.State().RetryAt.Sub(at)))
+}
+
 // stalled is a connection whose first write returns late, as on a host that is out of
 // processor time: the instance's answer is there before.
 type stalled struct {
