Keep the counts of a host that comes back after a cut

Cause: when hosts were heard again after a cut, all that they had admitted meanwhile, or since they started when they had been off the list, was taken from the picture of the bucket at once.

Change: counts of a host off the list are kept for a minute, the first report of a process counts for a second of demand at most, and what came into the full picture while hosts weren't heard covers their late news.

The two tests of the cut's end fail without it (28 and 63 refused).

--- a/core/share/share.go
+++ b/core/share/share.go
@@ -26,8 +26,10 @@
 	// freshFor is how old the report of a host may be for the picture to count as whole:
 	// three reports in a row were lost otherwise.
 	freshFor = 700 * time.Millisecond
-	// forgetAfter is when a host that isn't heard, nor on the list, is left out.
+	// forgetAfter is when a host that isn't heard, nor on the list, is left out, rememberFor
+	// how long its counts are kept: it may be cut off, and come back with the same ones.
 	forgetAfter = 3 * time.Second
+	rememberFor = time.Minute
 	// floorPart is the demand, as a part of the rate, that each host is taken to have at
 	// least, so that the first callers on a host find some tokens.
 	floorPart = 0.02
@@ -84,6 +86,8 @@
 	demandAt time.Time
 	// kept is the share when all hosts were last heard.
 	kept float64
+	// spilled is what has come into the full pool since then.
+	spilled float64
 }
 
 // Members tells which other hosts there are.
@@ -91,7 +95,7 @@
 	f.start(now)
 	f.members = fleet.NewSet(hs...)
 	for n, h := range f.hosts {
-		if !f.members.Has(n) && now.Sub(h.heard) > forgetAfter {
+		if !f.members.Has(n) && now.Sub(h.heard) > rememberFor {
 			delete(f.hosts, n)
 		}
 	}
@@ -118,19 +122,43 @@
 		h = &host{epoch: epoch, usage: map[fleet.Account]Usage{}}
 		f.hosts[from] = h
 	}
-	// What hosts have admitted before this process began is none of its matter; a host
-	// that comes later is counted from its start.
+	// What hosts have admitted before this process began is none of its matter.
 	baseline := !known && now.Sub(f.began) < demandOver
+	late := now.Sub(h.heard) > freshFor
 	h.seq, h.heard = seq, now
 	for _, u := range us {
-		before := h.usage[u.Account].Admitted
-		if a := f.accounts[u.Account]; a != nil && !baseline {
-			a.pool -= float64(u.Admitted) - float64(before)
-		}
+		before, met := h.usage[u.Account]
 		h.usage[u.Account] = u
+		a := f.accounts[u.Account]
+		if a == nil || baseline {
+			continue
+		}
+		news := float64(u.Admitted) - float64(before.Admitted)
+		if !met {
+			// The first word of a process may count from long ago: no more than the last of
+			// it is still to be made up for.
+			news = min(news, u.Demand*demandOver.Seconds())
+		}
+		a.told(news, late)
 	}
 }
 
+// told takes from the picture of the bucket what another host has admitted. late tells that
+// the host wasn't heard for a while.
+//
+// The guard is for the end of a cut. The picture was refilled meanwhile as if the other side
+// had stood still, and was full most of the time; to take all that the other side has
+// admitted from it at once had callers within their rate refused on all hosts, for a second
+// and more. What came when the picture was full was lost to it, and covers the late news.
+func (a *account) told(news float64, late bool) {
+	if late {
+		covered := max(min(news, a.spilled), 0)
+		a.spilled -= covered
+		news -= covered
+	}
+	a.pool -= news
+}
+
 // Admit takes one operation from an account's rate, or says when to come back.
 func (f *Fleet) Admit(now time.Time, c catalog.Account) (time.Duration, bool) {
 	if c.Rate <= 0 {
@@ -180,8 +208,10 @@
 // the first time: little when the process begins, and what others have left since.
 func (f *Fleet) firstPool(now time.Time, c catalog.Account) float64 {
 	left := c.Rate
-	for _, h := range f.hosts {
-		left -= h.usage[c.Name].Demand
+	for name, h := range f.hosts {
+		if f.counts(now, name, h) {
+			left -= h.usage[c.Name].Demand
+		}
 	}
 	return min(c.Burst, c.Burst*firstPart+max(left, 0)*now.Sub(f.began).Seconds())
 }
@@ -222,7 +252,7 @@
 	}
 	s := f.demanded(now, a, n)
 	if f.whole(now) {
-		a.kept = s
+		a.kept, a.spilled = s, 0
 		return s
 	}
 	if a.kept == 0 {
@@ -231,16 +261,21 @@
 	return min(s, a.kept)
 }
 
+// counts reports whether a host has a share of the rates: it is on the list, or was heard
+// lately.
+func (f *Fleet) counts(now time.Time, n fleet.Host, h *host) bool {
+	return f.members.Has(n) || now.Sub(h.heard) <= forgetAfter
+}
+
 // demanded returns the part of an account's demand that is asked of this host.
 func (f *Fleet) demanded(now time.Time, a *account, n fleet.Account) float64 {
 	floor := a.rate * floorPart
 	mine := a.demand + floor
 	sum := mine
 	for name, h := range f.hosts {
-		if !f.members.Has(name) && now.Sub(h.heard) > forgetAfter {
-			continue
+		if f.counts(now, name, h) {
+			sum += h.usage[n].Demand + floor
 		}
-		sum += h.usage[n].Demand + floor
 	}
 	for name := range f.members {
 		if f.hosts[name] == nil {
@@ -254,7 +289,9 @@
 func (a *account) refill(now time.Time, c catalog.Account, s float64) {
 	d := now.Sub(a.at).Seconds()
 	a.at = now
-	a.pool = min(a.burst, a.pool+c.Rate*d)
+	a.pool += c.Rate * d
+	a.spilled += max(0, a.pool-a.burst)
+	a.pool = min(a.burst, a.pool)
 	a.own = min(a.ownCap(s), a.own+c.Rate*s*d)
 }
 
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -216,6 +216,74 @@
 	c.Assert(f.most(window) <= limit(hotel), qt.IsTrue, qt.Commentf("%d of %d", f.most(window), limit(hotel)))
 }
 
+// Two of eight hosts are cut off for six seconds and come back, with all accounts well
+// within their rate. Callers on all hosts were refused for a second after the end of the
+// cut: what the two had admitted meanwhile was taken from the picture of the bucket at
+// once, which had been refilled as if nobody else had used it and was full.
+func TestEndOfACutRefusesNobodyWithinTheRate(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(8)
+	usual := make([]float64, 8)
+	for n := range usual {
+		usual[n] = 5.5
+	}
+	f.run(10*time.Second, hotel, usual)
+	f.cut = func(from, to int) bool { return (from < 2) != (to < 2) }
+	f.run(6*time.Second, hotel, usual)
+	f.cut = func(int, int) bool { return false }
+	f.refused = 0
+	f.run(4*time.Second, hotel, usual)
+	c.Assert(f.refused <= 2, qt.IsTrue, qt.Commentf("%d refused", f.refused))
+}
+
+// The same cut lasts for longer, and the two hosts are off the list of hosts when they come
+// back: what they had admitted since they started was taken from the bucket once more.
+func TestHostThatWasForgottenComesBack(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(8)
+	usual := make([]float64, 8)
+	for n := range usual {
+		usual[n] = 5.5
+	}
+	f.run(10*time.Second, hotel, usual)
+	f.cut = func(from, to int) bool { return (from < 2) != (to < 2) }
+	f.run(4*time.Second, hotel, usual)
+	for n, h := range f.hosts[2:] {
+		var others []fleet.Host
+		for o := 2; o < 8; o++ {
+			if o != n+2 {
+				others = append(others, name(o))
+			}
+		}
+		h.Members(f.now, others)
+	}
+	f.run(2*time.Second, hotel, usual)
+	f.cut = func(int, int) bool { return false }
+	f.refused = 0
+	f.run(4*time.Second, hotel, usual)
+	c.Assert(f.refused <= 2, qt.IsTrue, qt.Commentf("%d refused", f.refused))
+}
+
+// The network splits, an account floods both sides, and the split heals while the flood goes
+// on: what either side has admitted beyond what was expected of it still counts.
+func TestEndOfACutInAFloodStaysWithinTheRate(t *testing.T) {
+	c := qt.New(t)
+	for _, part := range []int{1, 2, 4} {
+		f := newFleet(8)
+		usual, flood := make([]float64, 8), make([]float64, 8)
+		for n := range usual {
+			usual[n], flood[n] = 5, 40
+		}
+		f.run(10*time.Second, hotel, usual)
+		f.cut = func(from, to int) bool { return (from < part) != (to < part) }
+		f.run(2*time.Second, hotel, usual)
+		f.run(4*time.Second, hotel, flood)
+		f.cut = func(int, int) bool { return false }
+		f.run(6*time.Second, hotel, flood)
+		c.Check(f.most(window) <= limit(hotel), qt.IsTrue, qt.Commentf("%d cut off: %d of %d", part, f.most(window), limit(hotel)))
+	}
+}
+
 // All hosts start at once and don't know each other yet. They must not each give the whole
 // burst away.
 func TestStartOfAllHostsGivesOneBurst(t *testing.T) {
