Have young hosts share one holder, and close no connection that is offered

Cause 2: connections of several accounts refused at once each doubled the pause. Cause 3, found by the test of 2: an operation was started on a connection that was closed in the same round to make room for another account, was never sent, and waited until its time limit.

--- a/core/relay/conn.go
+++ b/core/relay/conn.go
@@ -45,6 +45,8 @@
 	session *Session
 	// since is when the state began.
 	since time.Time
+	// offered is set while the group chooses which operation is to have it.
+	offered bool
 	// via is the other host that a connection runs over, empty for one of this host's own.
 	// stream names it there, and once tells that it ends with the next answer.
 	via          fleet.Host
@@ -191,7 +193,7 @@
 	if c.state == connClosed {
 		return
 	}
-	c.inst.turned(r.now(), code)
+	c.inst.turned(r.now(), c.since, code)
 	r.note(Event{
 		Kind: EventInstance, Service: c.Service, Instance: c.Instance, Account: c.Account,
 		Choice: "connection refused", Reason: detail, Code: code,
--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -61,6 +61,21 @@
 // belongs to one account, and each change of account takes 12 ms of the instance's time.
 const directShare = 3
 
+// lingerFor is how long an instance holds on to the connections of a host that has lost
+// power, as the platform's pages tell.
+const lingerFor = 3 * time.Second
+
+// direct reports whether the host uses an instance by its own connections, as there are
+// enough for all hosts.
+//
+// A host that has just started can't have them: if all hosts have lost power, the instance
+// holds on to the connections of before for some seconds, and the few that are left are
+// worth more in one hand: one for an account in place of one for a host, where accounts
+// take turns by connecting anew and a transaction that pauses holds up all others.
+func (i *instance) direct(now time.Time) bool {
+	return i.share() >= directShare && now.Sub(i.g.r.began) > lingerFor
+}
+
 // SetPeers tells which other hosts can be used now, and how many are missing: those that
 // are registered and not heard.
 func (r *Relay) SetPeers(ps []Peer, missing int) {
@@ -78,7 +93,7 @@
 func (r *Relay) holder(i *instance) (Peer, bool) {
 	now := r.now()
 	here := !i.doubtful(now)
-	if len(r.forwarding.peers) == 0 || here && i.share() >= directShare {
+	if len(r.forwarding.peers) == 0 || here && i.direct(now) {
 		return Peer{}, false
 	}
 	best := Peer{Host: r.cfg.Host, DataCentre: r.cfg.DataCentre}
@@ -113,7 +128,7 @@
 	if told && d.instances.Has(i.info.Name) {
 		return false
 	}
-	return i.share() < directShare || told && d.reached.Has(i.info.Name)
+	return !i.direct(now) || told && d.reached.Has(i.info.Name)
 }
 
 // reaches reports whether the instance can be used, by this host's own connections or
@@ -129,7 +144,7 @@
 // alone reports whether this host serves an instance for itself, although others may hold
 // its connections: it has not heard of them yet.
 func (r *Relay) alone(i *instance) bool {
-	return i.share() < directShare && len(r.forwarding.peers) == 0
+	return !i.direct(r.now()) && len(r.forwarding.peers) == 0
 }
 
 func weight(h fleet.Host, i fleet.Instance) uint64 {
--- a/core/relay/forward_test.go
+++ b/core/relay/forward_test.go
@@ -93,3 +93,31 @@
 	w.relay.ForwardAnswered(over, sent[0].Stream, statement.Answer{Digest: "twice", State: statement.TxNone})
 	c.Assert(x.answers, qt.HasLen, 1)
 }
+
+// All hosts have lost power and start again. The instances hold on to the connections of
+// before for 3 s and have room for one from each host: accounts took turns on it, each by a
+// new connection, and one transaction that paused held up all others of the host. Until the
+// old ones are gone one host holds what there is, and the others forward to it.
+func TestYoungHostsShareOneHolder(t *testing.T) {
+	c := qt.New(t)
+	w := newYoungWorld(c).settled()
+	w.relay.SetHosts(2)
+	var sent []relay.Forward
+	var peers []relay.Peer
+	for n := range 9 {
+		name := fleet.Host("near-" + string(rune('a'+n)))
+		peers = append(peers, relay.Peer{Host: name, DataCentre: "obihiro", Send: func(f relay.Forward) {
+			sent = append(sent, f)
+		}})
+	}
+	w.relay.SetPeers(peers, 0)
+	x := w.open("rush", "key-1")
+	x.do(statement.KindRead, "", "item")
+	c.Assert(sent, qt.HasLen, 1)
+	w.pass(3500*time.Millisecond, true)
+	y := w.open("rush", "key-1")
+	y.do(statement.KindRead, "", "item")
+	w.pass(50*time.Millisecond, true)
+	c.Assert(sent, qt.HasLen, 1)
+	c.Assert(y.last().Code, qt.Equals, statement.CodeNone)
+}
--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -77,6 +77,9 @@
 	// crowdPause is the first pause after an instance had no room: some statements' time,
 	// in which another host may give a connection back.
 	crowdPause = 30 * time.Millisecond
+	// crowdPauseMax bounds that pause. A refusal takes 12 ms of a slot, so that one host which
+	// asks again takes a tenth of one; and the room that others leave is soon used.
+	crowdPauseMax = 120 * time.Millisecond
 	// restFor closes a borrowed connection that rests, so that others can have it.
 	restFor = 2 * time.Second
 	// backoffMin and backoffMax bound the pause before the next try to connect to an
@@ -96,11 +99,13 @@
 func (i *instance) cap(now time.Time) int {
 	n := max(leastCap, i.share())
 	switch _, held := i.g.r.holder(i); {
-	case i.share() >= directShare:
+	case i.direct(now):
 	case i.g.r.alone(i) && now.Sub(i.g.r.began) < acquaintance:
 		n = 1
 	case !held:
-		n = max(leastCap, i.total()-i.g.r.hosts, i.total()/holderPart)
+		// What the others have left over from before is closed soon: the pauses between the
+		// tries bound what asking again costs.
+		return max(leastCap, i.total()-i.g.r.hosts, i.total()/holderPart)
 	}
 	if !i.full.IsZero() && now.Sub(i.full) < fullFor {
 		return max(1, min(i.room, n))
@@ -151,13 +156,17 @@
 	i.next = now.Add(min(pause, backoffMax))
 }
 
-// turned takes in that the instance has refused a connection.
-func (i *instance) turned(now time.Time, c statement.Code) {
+// turned takes in that the instance has refused a connection that was begun at some moment.
+func (i *instance) turned(now, begun time.Time, c statement.Code) {
 	switch c {
 	case statement.CodeTooMany:
 		i.heard(now)
+		if !begun.After(i.full) {
+			// It was begun beside another that was refused, and tells nothing new.
+			return
+		}
 		i.full, i.room = now, i.standing()
-		i.next = now.Add(min(crowdPause<<min(i.crowded, 10), backoffMax))
+		i.next = now.Add(min(crowdPause<<min(i.crowded, 10), crowdPauseMax))
 		i.crowded++
 	case statement.CodeMisrouted:
 		// Another instance has the address now: this one has gone, whatever the list says.
@@ -228,11 +237,13 @@
 	return best, least
 }
 
-// resting returns the connection that has rested longest, of whatever account.
+// resting returns the connection that has rested longest, of whatever account, but for those
+// that are offered to an operation: one that was closed to make room for another account
+// would be taken all the same, and what is sent on it is lost.
 func (i *instance) resting() *Conn {
 	var best *Conn
 	for _, c := range i.conns {
-		if c.state == connIdle && (best == nil || c.since.Before(best.since)) {
+		if c.state == connIdle && !c.offered && (best == nil || c.since.Before(best.since)) {
 			best = c
 		}
 	}
@@ -282,10 +293,11 @@
 
 // connect makes a connection for an operation, if there is room.
 func (i *instance) connect(now time.Time, o *operation) *Conn {
-	if now.Before(i.next) {
+	paused := now.Before(i.next)
+	if paused && i.failures > 0 {
 		return nil
 	}
-	if len(i.conns) < i.cap(now) {
+	if !paused && len(i.conns) < i.cap(now) {
 		return i.dial(o.s.account)
 	}
 	c := i.resting()
@@ -304,7 +316,7 @@
 	keep, rest := i.share(), restFor
 	if _, ok := i.g.r.holder(i); ok {
 		keep, rest = 0, strayFor
-	} else if keep < directShare && !i.g.r.alone(i) {
+	} else if !i.direct(now) && !i.g.r.alone(i) {
 		keep = i.cap(now)
 	}
 	for _, c := range slices.Clone(i.conns) {
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -37,9 +37,15 @@
 		found := map[uint64]*Conn{}
 		item, ok := g.queue.Next(now, func(i admit.Item) bool {
 			c := g.place(now, g.waiting[i.Key])
-			found[i.Key] = c
-			return c != nil
+			if c == nil {
+				return false
+			}
+			c.offered, found[i.Key] = true, c
+			return true
 		})
+		for _, c := range found {
+			c.offered = false
+		}
 		if !ok {
 			return
 		}
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -68,8 +68,14 @@
 	closed bool
 }
 
-func newWorld(c *qt.C) *world {
-	w := &world{c: c, now: time.Unix(1000, 0), instances: map[fleet.Instance]*node{}}
+// newWorld returns a relay that has run for some time; newYoungWorld one that has just
+// started.
+func newWorld(c *qt.C) *world { return worldAged(c, time.Minute) }
+
+func newYoungWorld(c *qt.C) *world { return worldAged(c, 0) }
+
+func worldAged(c *qt.C, age time.Duration) *world {
+	w := &world{c: c, now: time.Unix(1000, 0).Add(-age), instances: map[fleet.Instance]*node{}}
 	w.relay = relay.New(relay.Config{
 		Host: "h1", DataCentre: "obihiro",
 		Now: func() time.Time { return w.now },
@@ -95,6 +101,7 @@
 		}
 		w.instances[name] = i
 	}
+	w.now = w.now.Add(age)
 	w.relay.Adopt(w.catalog(1))
 	w.relay.SetHosts(1)
 	w.list()
