Make no connection to an instance whose slots the account already uses

Change: no new connection while the instance's slots are all taken and one of the statements is the account's own; the connection that gives way is one of the account with the most; one read at a time tries a replica that isn't known to cover what it needs.

--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -48,6 +48,8 @@
 	// lags how often in a row that was so.
 	behind time.Time
 	lags   int
+	// trial is the read that finds out whether the log has come as far as it needs.
+	trial *operation
 	// blocked are the hosts that couldn't reach it, with until when they aren't asked again.
 	blocked map[fleet.Host]time.Time
 	// missing is since when it isn't on the list any more.
@@ -184,6 +186,14 @@
 	i.lags++
 }
 
+// mayTry reports whether a read may go to the instance although its log isn't known to cover
+// what the read needs: a while after it last lacked a point, and one read at a time. With
+// the replicas of a group seconds behind, a dozen reads went there together at each try,
+// took their turns, and came back up to half a second later with nothing.
+func (i *instance) mayTry(now time.Time, o *operation) bool {
+	return !now.Before(i.behind) && (i.trial == nil || i.trial == o)
+}
+
 // blockedFor is how long a host that can't reach an instance isn't asked again.
 const blockedFor = 500 * time.Millisecond
 
@@ -294,14 +304,14 @@
 // connect makes a connection for an operation, if there is room.
 func (i *instance) connect(now time.Time, o *operation) *Conn {
 	paused := now.Before(i.next)
-	if paused && i.failures > 0 {
+	if paused && i.failures > 0 || i.saturated(o.s.account) {
 		return nil
 	}
 	if !paused && len(i.conns) < i.cap(now) {
 		return i.dial(o.s.account)
 	}
-	c := i.resting()
-	if c == nil || c.Account == o.s.account {
+	c := i.spare(o.s.account)
+	if c == nil {
 		return nil
 	}
 	if now.Sub(c.since) < swapAfter && now.Sub(o.asked) < 2*swapAfter {
@@ -311,6 +321,42 @@
 	return i.dial(o.s.account)
 }
 
+// saturated reports whether one more connection of an account would bring nothing: all slots
+// of the instance are taken, and one of the statements on them is the account's, whose
+// connection is free once it ends. A connection takes 12 ms of a slot, which is more than
+// most statements; made for each statement that waits, they took a third of a busy primary.
+func (i *instance) saturated(a fleet.Account) bool {
+	running, own := 0, false
+	for _, c := range i.conns {
+		if len(c.owed) > 0 && c.state == connBusy {
+			running++
+			own = own || c.Account == a
+		}
+	}
+	return own && running >= max(i.info.Slots, 1)
+}
+
+// spare returns the resting connection that is to give way to one of account a: of the
+// account with the most connections, and of these the one that has rested longest. The last
+// connection of a small account would be missed at its next statement.
+func (i *instance) spare(a fleet.Account) *Conn {
+	held := map[fleet.Account]int{}
+	for _, c := range i.conns {
+		held[c.Account]++
+	}
+	var best *Conn
+	for _, c := range i.conns {
+		if c.state != connIdle || c.offered || c.Account == a {
+			continue
+		}
+		more := best != nil && held[c.Account] != held[best.Account]
+		if best == nil || more && held[c.Account] > held[best.Account] || !more && c.since.Before(best.since) {
+			best = c
+		}
+	}
+	return best
+}
+
 // sweep closes borrowed connections that rest and those to an instance that has gone.
 func (i *instance) sweep(now time.Time) {
 	keep, rest := i.share(), restFor
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -163,6 +163,9 @@
 	o.g.running[o.key] = o
 	o.conn = c
 	o.tries++
+	if p, ok := o.need().Get(); ok && !c.inst.point.Covers(p) {
+		c.inst.trial = o
+	}
 	c.setState(connBusy)
 	c.op = o
 	if o.s.tx.open {
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -189,6 +189,9 @@
 // tells that nothing is to be learnt from it.
 func (o *operation) leave(now time.Time, took time.Duration) {
 	delete(o.g.running, o.key)
+	if c := o.conn; c != nil && c.inst.trial == o {
+		c.inst.trial = nil
+	}
 	o.g.queue.Finished(now, o.key, took)
 }
 
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -142,7 +142,7 @@
 	}
 	g.readAt = now
 	p, ok := g.needs(o)
-	return ok && (i.point.Covers(p) || !now.Before(i.behind))
+	return ok && (i.point.Covers(p) || i.mayTry(now, o))
 }
 
 func (g *group) cost(now time.Time, i *instance, o *operation) time.Duration {
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -194,6 +194,38 @@
 	c.Assert(y.last().Digest, qt.Equals, "d-a")
 }
 
+// Both replicas of a group are seconds behind, and all reads are left to the primary. Each
+// time that the replicas were tried again, all reads that came before the first answer went
+// there, waited for their turn, and came back late with nothing: one read tells as much.
+func TestReplicaThatLagsIsTriedByOneReadAtATime(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	readers := make([]*caller, 12)
+	read := func() {
+		for n := range readers {
+			readers[n] = w.open("stock", []catalog.Key{"key-1", "key-3"}[n%2])
+			readers[n].do(statement.KindRead, "", "item")
+		}
+	}
+	a, b, d := w.instances["a"], w.instances["b"], w.instances["c"]
+	a.hold = true
+	read()
+	a.hold = false
+	w.pass(100*time.Millisecond, true)
+	writer := w.open("rush", "key-1")
+	writer.do(statement.KindWrite, "", "item data")
+	w.pass(1600*time.Millisecond, true)
+	b.hold, d.hold = true, true
+	read()
+	c.Check(b.lagged <= 1, qt.IsTrue, qt.Commentf("%d reads sent to one replica", b.lagged))
+	c.Check(d.lagged <= 1, qt.IsTrue, qt.Commentf("%d reads sent to the other", d.lagged))
+	b.hold, d.hold = false, false
+	w.pass(100*time.Millisecond, true)
+	for _, x := range readers {
+		c.Check(x.last().Digest, qt.Equals, "d-a")
+	}
+}
+
 // A key is withdrawn while its caller is connected and rests. The session ends at once;
 // one at work ends with its answer, which is not cut.
 func TestWithdrawnKeyEndsItsSessions(t *testing.T) {
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -52,6 +52,8 @@
 	// refuse answers new connections with a code.
 	refuse statement.Code
 	away   bool
+	// lagged counts the statements that needed a point which the log lacks.
+	lagged int
 	// dialled counts the tries to connect.
 	dialled int
 }
@@ -246,6 +248,7 @@
 func (n *node) run(l *link, q statement.Statement) statement.Answer {
 	var a statement.Answer
 	if p, ok := q.After.Get(); ok && !n.point.Covers(p) {
+		n.lagged++
 		return n.answer(l, statement.Answer{Code: statement.CodeLagging})
 	}
 	if l.writes && n.role != fleet.RolePrimary && q.Kind != statement.KindRollback {
