Carry reports over doors in large fleets, and thin operations evenly

Change: core/mesh chooses who is told: all in a small fleet, else the own data centre and two doors in each other one, which pass reports on in bundles. Reports leave out what hasn't changed. Below plenty each host admits the same part of what it is asked for; hosts that aren't heard keep the part of the rate that was asked of them.

--- /dev/null
+++ b/core/mesh/mesh.go
@@ -0,0 +1,119 @@
+// Package mesh decides over which hosts the reports of a fleet travel.
+//
+// In a small fleet each host tells all others. In a large one it tells those of its own data
+// centre, and in each other data centre two hosts, the doors, which pass on what they hear
+// from elsewhere to the hosts beside them, many reports at a time. What crosses data centres
+// then grows with the hosts, not with their square, and a host hears a few datagrams a
+// second from elsewhere, however many hosts there are. The price is one more pause on the
+// way.
+package mesh
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"skylarkdeal/core/fleet"
+)
+
+const (
+	// fullUpTo is how many hosts tell each other directly: that is 80 datagrams a second for
+	// each, as many as a host of a large fleet hears from its own data centre.
+	fullUpTo = 16
+	// doors is how many hosts of a data centre hear from the others, so that the death of one
+	// holds up no report.
+	doors = 2
+)
+
+// Large reports whether a fleet of n hosts uses doors.
+func Large(n int) bool { return n > fullUpTo }
+
+// Pace is how often the hosts of a fleet report, and what follows from it.
+type Pace struct {
+	// Report is the time between two reports of a host, Pass that between two datagrams of
+	// a door.
+	Report, Pass time.Duration
+	// Fresh is how old the last report of a host may be for it to count as heard: three in a
+	// row were lost otherwise.
+	Fresh time.Duration
+}
+
+// The paces of small and of large fleets. What hosts admit to an account without knowing of
+// each other has to fit into half of its burst, a second of its rate as a rule; a large
+// fleet reports half as often, which halves the work of listening on its small hosts.
+var (
+	smallPace = Pace{Report: 200 * time.Millisecond, Fresh: 700 * time.Millisecond}
+	largePace = Pace{Report: 400 * time.Millisecond, Pass: 150 * time.Millisecond, Fresh: 1400 * time.Millisecond}
+)
+
+// PaceOf returns the pace of a fleet of n hosts.
+func PaceOf(n int) Pace {
+	if Large(n) {
+		return largePace
+	}
+	return smallPace
+}
+
+// Member is another host.
+type Member struct {
+	Host       fleet.Host
+	DataCentre fleet.DataCentre
+	// Heard is set while its reports come.
+	Heard bool
+}
+
+// Recipients returns the hosts that a host of a data centre tells of itself.
+func Recipients(own fleet.DataCentre, others []Member) []fleet.Host {
+	large := Large(1 + len(others))
+	var out []fleet.Host
+	far := map[fleet.DataCentre][]Member{}
+	for _, m := range others {
+		if !large || m.DataCentre == own {
+			out = append(out, m.Host)
+			continue
+		}
+		far[m.DataCentre] = append(far[m.DataCentre], m)
+	}
+	for dc, ms := range far {
+		out = append(out, doorsOf(dc, ms)...)
+	}
+	return out
+}
+
+// Beside returns the hosts to which a door passes on what it hears from elsewhere.
+func Beside(own fleet.DataCentre, others []Member) []fleet.Host {
+	var out []fleet.Host
+	for _, m := range others {
+		if m.DataCentre == own {
+			out = append(out, m.Host)
+		}
+	}
+	return out
+}
+
+// doorsOf returns the doors of a data centre, chosen alike by all hosts that hear the same
+// ones: of those that are heard, the first by their hash. If too few are heard the others are
+// tried, as when the fleet starts or a cut has ended.
+func doorsOf(dc fleet.DataCentre, ms []Member) []fleet.Host {
+	rank := func(h fleet.Host) uint64 { return xxhash.Sum64String(string(dc) + "/" + string(h)) }
+	slices.SortFunc(ms, func(a, b Member) int {
+		switch ra, rb := rank(a.Host), rank(b.Host); {
+		case a.Heard != b.Heard && a.Heard:
+			return -1
+		case a.Heard != b.Heard:
+			return 1
+		case ra != rb && ra > rb:
+			return -1
+		case ra != rb:
+			return 1
+		}
+		return strings.Compare(string(a.Host), string(b.Host))
+	})
+	out := make([]fleet.Host, 0, doors)
+	for _, m := range ms[:min(doors, len(ms))] {
+		out = append(out, m.Host)
+	}
+	return out
+}
--- /dev/null
+++ b/core/mesh/mesh_test.go
@@ -0,0 +1,96 @@
+package mesh_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/mesh"
+)
+
+// members returns n hosts, evenly over three data centres, all of which are heard.
+func members(n int) []mesh.Member {
+	out := make([]mesh.Member, n)
+	for i := range out {
+		out[i] = mesh.Member{
+			Host:       fleet.Host(fmt.Sprintf("h%d", i)),
+			DataCentre: fleet.DataCentre(fmt.Sprintf("dc%d", i%3)),
+			Heard:      true,
+		}
+	}
+	return out
+}
+
+// others returns all but one.
+func others(ms []mesh.Member, n int) []mesh.Member {
+	return append(slices.Clone(ms[:n]), ms[n+1:]...)
+}
+
+func ExampleRecipients() {
+	small := []mesh.Member{{Host: "h2", DataCentre: "obihiro"}, {Host: "h3", DataCentre: "sapporo"}}
+	fmt.Println(mesh.Recipients("obihiro", small))
+	// Output: [h2 h3]
+}
+
+// What a host sends to other data centres doesn't grow with the fleet, and yet each report
+// reaches all hosts: directly, or over a door.
+func TestReportsReachAllHosts(t *testing.T) {
+	c := qt.New(t)
+	for _, n := range []int{2, 8, 16, 17, 80, 300} {
+		ms := members(n)
+		for from := range ms {
+			direct := mesh.Recipients(ms[from].DataCentre, others(ms, from))
+			reached := fleet.NewSet(direct...)
+			far := 0
+			for _, h := range direct {
+				at := slices.IndexFunc(ms, func(m mesh.Member) bool { return m.Host == h })
+				if ms[at].DataCentre == ms[from].DataCentre {
+					continue
+				}
+				far++
+				for _, b := range mesh.Beside(ms[at].DataCentre, others(ms, at)) {
+					reached.Add(b)
+				}
+			}
+			reached.Add(ms[from].Host)
+			c.Assert(len(reached), qt.Equals, n, qt.Commentf("%d hosts, from %s", n, ms[from].Host))
+			if mesh.Large(n) {
+				c.Assert(far, qt.Equals, 4)
+			}
+		}
+	}
+}
+
+// A door dies. Once it isn't heard another takes its place, and the other one stays.
+func TestDeadDoorIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	ms := members(60)
+	before := mesh.Recipients("dc0", others(ms, 0))
+	dead := before[len(before)-1]
+	for n := range ms {
+		ms[n].Heard = ms[n].Host != dead
+	}
+	after := mesh.Recipients("dc0", others(ms, 0))
+	c.Assert(after, qt.HasLen, len(before))
+	c.Assert(slices.Contains(after, dead), qt.IsFalse)
+	same := 0
+	for _, h := range after {
+		if slices.Contains(before, h) {
+			same++
+		}
+	}
+	c.Assert(same, qt.Equals, len(before)-1)
+}
+
+// Nobody of another data centre is heard, as after a start or a cut. Two of it are tried.
+func TestUnheardDataCentreIsTried(t *testing.T) {
+	c := qt.New(t)
+	ms := members(60)
+	for n := range ms {
+		ms[n].Heard = ms[n].DataCentre == "dc0"
+	}
+	c.Assert(mesh.Recipients("dc0", others(ms, 0)), qt.HasLen, 19+4)
+}
--- a/core/relay/conn.go
+++ b/core/relay/conn.go
@@ -210,7 +210,7 @@
 	if err != nil {
 		why = err.Error()
 	}
-	if c.state == connDialling || len(c.owed) > 0 {
+	if c.state == connDialling || len(c.owed) > 0 && !c.inst.heardLately(r.now()) {
 		c.inst.failed(r.now(), why)
 	}
 	c.lost(why)
--- a/core/relay/forward_test.go
+++ b/core/relay/forward_test.go
@@ -121,3 +121,42 @@
 	c.Assert(sent, qt.HasLen, 1)
 	c.Assert(y.last().Code, qt.Equals, statement.CodeNone)
 }
+
+// Another host has a transaction begun here on a replica that lacks the point which it needs.
+// The host that asked chooses the next instance; this one tried the same replica five more
+// times in as many round trips, while reads that it could serve waited.
+func TestGuestThatIsTurnedAwayIsToldAtOnce(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	var got []statement.Answer
+	f := relay.Forward{
+		Stream: 1, Service: service, Instance: "b", Account: "hotel", Left: time.Second, Wait: time.Second, Open: true,
+		Statements: []statement.Statement{
+			{ID: "b", Kind: statement.KindBeginRead, After: fleet.Some(fleet.Point{Term: 1, Position: 9})},
+			{ID: "r", Kind: statement.KindRead, Text: "item"},
+		},
+	}
+	w.relay.Forwarded(1, f, func(a statement.Answer) { got = append(got, a) })
+	w.pass(50*time.Millisecond, true)
+	c.Assert(got, qt.HasLen, 1)
+	c.Assert(got[0].Code, qt.Equals, statement.CodeLagging)
+	c.Assert(w.instances["b"].lagged, qt.Equals, 1)
+}
+
+// An instance breaks off one connection in five instead of answering. It is there all the
+// same: the next connection to it is made at once, not after a pause.
+func TestBrokenConnectionToALivelyInstanceIsReplacedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	x, y := w.open("rush", "key-1"), w.open("rush", "key-1")
+	x.do(statement.KindRead, "", "item")
+	a := w.instances["a"]
+	a.hold = true
+	x.do(statement.KindRead, "", "item")
+	dialled := a.dialled
+	w.cut(a)
+	a.hold = false
+	y.do(statement.KindRead, "", "item")
+	c.Assert(a.dialled > dialled, qt.IsTrue)
+	c.Assert(y.last().Code, qt.Equals, statement.CodeNone)
+}
--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -136,6 +136,13 @@
 	i.failures = 0
 }
 
+// heardLately reports whether anything has come from the instance a moment ago: a connection
+// that breaks then tells of itself alone, and the next one is made without a pause. One whose
+// instance has died is followed by a new one that fails.
+func (i *instance) heardLately(now time.Time) bool {
+	return now.Sub(i.lastHeard) < wonderAfter
+}
+
 func (i *instance) worked(now time.Time, took time.Duration) {
 	if i.work == 0 {
 		i.work = took
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -266,6 +266,12 @@
 		well := code == statement.CodeLagging || code == statement.CodeReadOnly || code == statement.CodeBusy
 		c.retireUnless(well && state == statement.TxNone)
 	}
+	if o.s.instance != "" && !o.begun() && code.NotRun() {
+		// Only the host that asks can choose another instance.
+		o.leave(o.g.r.now(), 0)
+		o.refuse(code, "the instance has turned it away", retrySoon)
+		return
+	}
 	o.again(code)
 }
 
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -2,44 +2,49 @@
 // fleet, without a call for each operation: hosts tell each other several times a
 // second what they have admitted and how much is asked for.
 //
-// Each host keeps two buckets of tokens for an account. One is its picture of the whole
-// fleet's: what it admits is taken at once, what others admit when they tell of it. The
-// other is its own share of the rate, by what is asked for on each host. While plenty is
-// left in the first, whoever is asked admits: callers are spread unevenly, and none is
-// to be refused on one host while another has tokens to spare. When little is left, or
-// some host can't be heard, the shares bind, which add up to the whole.
+// Each host keeps a picture of the fleet's bucket of tokens for an account: what it admits is
+// taken at once, what others admit when they tell of it. While plenty is left, whoever is
+// asked admits. When little is left each host admits one in so many of the operations that
+// it is asked for, the same part everywhere, so that all hosts together admit the rate:
+// callers are spread unevenly and, of a small account, thinly, so that a part of the rate for
+// each host would be left unused on most. While some hosts can't be heard, those that hear
+// each other share the part of the rate that was asked of them before.
 package share
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/mesh"
 )
 
 const (
-	// plenty is the part of the burst above which the shares don't bind. The other half
+	// plenty is the part of the burst above which all operations are admitted. The other half
 	// is for what the others have admitted but not told of yet: a quarter of a second of
 	// an account that sends eight times its usual.
 	plenty = 0.5
-	// freshFor is how old the report of a host may be for the picture to count as whole:
-	// three reports in a row were lost otherwise.
-	freshFor = 700 * time.Millisecond
+	// levelOver is the time over which what is left below plenty may be used up, or what was
+	// admitted too much is made up for: some reports.
+	levelOver = time.Second
 	// forgetAfter is when a host that isn't heard, nor on the list, is left out, rememberFor
 	// how long its counts are kept: it may be cut off, and come back with the same ones.
 	forgetAfter = 3 * time.Second
 	rememberFor = time.Minute
-	// floorPart is the demand, as a part of the rate, that each host is taken to have at
-	// least, so that the first callers on a host find some tokens.
-	floorPart = 0.02
+	// floorPart is the demand, as a part of the rate, that all hosts together are taken to have
+	// at least, evenly.
+	floorPart = 0.16
 	// demandOver is the time over which demand is averaged.
 	demandOver = time.Second
-	// leastOwn is the least that a share holds, in operations.
-	leastOwn = 1.5
-	// overdraft is how far, as a part of the burst, the picture of the whole may fall below
-	// nothing before shares that are out of step are stopped.
-	overdraft = 0.05
+	// toldFor is how long after its last operation an account is told of in each report: some
+	// reports, of which the last was heard if the host is heard at all.
+	toldFor = 1500 * time.Millisecond
+	// overdraft is how far, as a part of the burst, the picture of the bucket may fall below
+	// nothing before nothing is admitted any more; it is leastOverdraft operations at least.
+	overdraft      = 0.05
+	leastOverdraft = 1.5
 	// unknownHosts stands for the number of hosts until the list of them is known.
 	unknownHosts = 8
 	// firstPart is the part of the burst that a process begins with: all hosts may start
@@ -72,21 +77,44 @@
 	epoch uint64
 	seq   uint64
 	heard time.Time
-	usage map[fleet.Account]Usage
+	usage map[fleet.Account]told
+}
+
+// told is what a host has told of an account, and when that was heard.
+type told struct {
+	Usage
+	at time.Time
+}
+
+// demand returns what was asked for of an account when the host was last heard. What it
+// hasn't told again has not been asked for since.
+func (h *host) demand(n fleet.Account) float64 {
+	t := h.usage[n]
+	if t.Demand == 0 {
+		return 0
+	}
+	return t.Demand * math.Exp(-h.heard.Sub(t.at).Seconds()/demandOver.Seconds())
 }
 
 type account struct {
 	rate, burst float64
-	// pool is the picture of the fleet's bucket, own the host's share of it.
-	pool, own float64
-	at        time.Time
-	admitted  uint64
-	// demand is the moving average of what is asked for, as of demandAt.
+	// pool is the picture of the fleet's bucket.
+	pool float64
+	at   time.Time
+	// part is which part of the operations is admitted, credit what has come together of it:
+	// one operation is admitted for each whole one.
+	part, credit float64
+	admitted     uint64
+	// demand is the moving average of what is asked for, as of demandAt; changed is when
+	// anything was last asked for or given back.
 	demand   float64
 	demandAt time.Time
-	// kept is the share when all hosts were last heard.
+	changed  time.Time
+	// kept is the part of the rate that was asked of the hosts which can be heard, when all
+	// could.
 	kept float64
-	// spilled is what has come into the full pool since then.
+	// spilled is what has not come into the pool since then, because it was full or is for
+	// the others.
 	spilled float64
 }
 
@@ -119,16 +147,16 @@
 		return
 	}
 	if !known || h.epoch != epoch {
-		h = &host{epoch: epoch, usage: map[fleet.Account]Usage{}}
+		h = &host{epoch: epoch, usage: map[fleet.Account]told{}}
 		f.hosts[from] = h
 	}
 	// What hosts have admitted before this process began is none of its matter.
 	baseline := !known && now.Sub(f.began) < demandOver
-	late := now.Sub(h.heard) > freshFor
+	late := now.Sub(h.heard) > f.fresh()
 	h.seq, h.heard = seq, now
 	for _, u := range us {
 		before, met := h.usage[u.Account]
-		h.usage[u.Account] = u
+		h.usage[u.Account] = told{u, now}
 		a := f.accounts[u.Account]
 		if a == nil || baseline {
 			continue
@@ -167,20 +195,56 @@
 	f.start(now)
 	a := f.account(now, c)
 	a.ask(now)
-	s := f.share(now, a, c.Name)
-	a.refill(now, c, s)
-	pool := a.pool - f.untold(now, a, c.Name)
-	free := pool >= a.burst*plenty && f.whole(now)
-	if !free && a.own < 1 || pool < -max(a.burst*overdraft, leastOwn) {
-		missing := max(1-a.own, leastOwn/2) / (a.rate * s)
-		return min(max(time.Duration(missing*float64(time.Second)), minWait), maxWait), false
+	side := f.side(now, a, c.Name)
+	a.refill(now, side)
+	level := a.pool - f.untold(now, a, c.Name)
+	a.part = f.part(a, c.Name, level, side)
+	if level < -max(a.burst*side*overdraft, leastOverdraft*side) {
+		return a.wait(level, side), false
 	}
+	a.credit += a.part
+	if a.credit < 1 {
+		return a.wait(level, side), false
+	}
+	a.credit--
 	a.pool--
-	a.own = max(a.own-1, -a.ownCap(s))
 	a.admitted++
 	return 0, true
 }
 
+// part returns which part of an account's operations the hosts that hear each other may admit
+// now, for all of them together to admit their side of the rate and, besides, what is left
+// in the bucket.
+func (f *Fleet) part(a *account, n fleet.Account, level, side float64) float64 {
+	if level >= a.burst*side*plenty {
+		return 1
+	}
+	rate := a.rate*side + level/levelOver.Seconds()
+	return min(1, max(rate, 0)/max(f.demand(a, n), 1))
+}
+
+// demand returns what is asked for of an account, a second, on all hosts that are heard. One
+// that was never heard is taken to be asked for as much as this one.
+func (f *Fleet) demand(a *account, n fleet.Account) float64 {
+	sum := a.demand
+	for name := range f.members {
+		if h := f.hosts[name]; h == nil {
+			sum += a.demand
+		} else {
+			sum += h.demand(n)
+		}
+	}
+	return sum
+}
+
+// wait says when a refused caller is to come back: when what was admitted too much is made
+// up for, and by how much more is asked for than may be admitted.
+func (a *account) wait(level, side float64) time.Duration {
+	rate := a.rate * side
+	d := max(-level, 0)/rate + minWait.Seconds()/max(a.part, minWait.Seconds())
+	return min(max(time.Duration(d*float64(time.Second)), minWait), maxWait)
+}
+
 // Return gives back an operation that was admitted and not run: the account would else
 // pay for what it was refused, as when a primary is lost and all its callers try again.
 func (f *Fleet) Return(n fleet.Account) {
@@ -189,15 +253,16 @@
 		return
 	}
 	a.admitted--
+	a.changed = a.at
 	a.pool++
-	a.own++
+	a.credit = min(a.credit+1, 2)
 }
 
 func (f *Fleet) account(now time.Time, c catalog.Account) *account {
 	a := f.accounts[c.Name]
 	if a == nil {
-		a = &account{at: now, demandAt: now, rate: c.Rate, pool: f.firstPool(now, c)}
-		a.own = a.pool * f.share(now, a, c.Name)
+		a = &account{at: now, demandAt: now, part: 1, credit: rand.Float64(), rate: c.Rate, burst: max(c.Burst, 1)}
+		a.pool = f.firstPool(now, c) * f.side(now, a, c.Name)
 		f.accounts[c.Name] = a
 	}
 	a.rate, a.burst = c.Rate, max(c.Burst, 1)
@@ -210,20 +275,20 @@
 	left := c.Rate
 	for name, h := range f.hosts {
 		if f.counts(now, name, h) {
-			left -= h.usage[c.Name].Demand
+			left -= h.demand(c.Name)
 		}
 	}
 	return min(c.Burst, c.Burst*firstPart+max(left, 0)*now.Sub(f.began).Seconds())
 }
 
-// untold guesses what the other hosts have admitted since their last reports: what is
-// asked of them, for as long, but no longer than it takes for the shares to bind. Without
-// it each host gives away, in a sudden flood, what all believe to be left.
+// untold guesses what the other hosts have admitted since their last reports: the same part
+// as this one of what is asked of them. Without it each host gives away, in a sudden flood,
+// what all believe to be left.
 func (f *Fleet) untold(now time.Time, a *account, n fleet.Account) float64 {
 	sum := 0.0
 	for name, h := range f.hosts {
-		if f.members.Has(name) {
-			sum += min(h.usage[n].Demand, a.rate) * min(now.Sub(h.heard), freshFor).Seconds()
+		if silent := now.Sub(h.heard); f.members.Has(name) && silent <= f.fresh() {
+			sum += min(h.demand(n)*a.part, a.rate) * silent.Seconds()
 		}
 	}
 	return sum
@@ -235,28 +300,43 @@
 		return false
 	}
 	for n := range f.members {
-		if h := f.hosts[n]; h == nil || now.Sub(h.heard) > freshFor {
+		if h := f.hosts[n]; h == nil || now.Sub(h.heard) > f.fresh() {
 			return false
 		}
 	}
 	return true
 }
 
-// share returns this host's part of the rate: its part of the demand.
+// side returns the part of the rate that the hosts which are heard may admit: what was asked
+// of them, of all that was asked for.
 //
-// While a host isn't heard no share grows: the other side of a cut sees its own demand
-// grow as well, and the shares of both would add up to twice the rate.
-func (f *Fleet) share(now time.Time, a *account, n fleet.Account) float64 {
+// While a host isn't heard that part doesn't grow: the other side of a cut sees its own
+// demand grow as well, and both would add up to twice the rate.
+func (f *Fleet) side(now time.Time, a *account, n fleet.Account) float64 {
 	if f.members == nil {
 		return 1.0 / unknownHosts
 	}
-	s := f.demanded(now, a, n)
 	if f.whole(now) {
-		a.kept, a.spilled = s, 0
-		return s
+		a.kept, a.spilled = 1, 0
+		return 1
+	}
+	floor := a.rate * floorPart / float64(1+len(f.members))
+	heard, all := a.demand+floor, a.demand+floor
+	for name := range f.members {
+		h := f.hosts[name]
+		if h == nil {
+			all += a.demand + floor
+			continue
+		}
+		d := h.demand(n) + floor
+		all += d
+		if now.Sub(h.heard) <= f.fresh() {
+			heard += d
+		}
 	}
-	if a.kept == 0 {
-		a.kept = 1 / float64(1+len(f.members))
+	s := heard / all
+	if a.kept == 0 || a.kept == 1 {
+		a.kept = s
 	}
 	return min(s, a.kept)
 }
@@ -267,43 +347,20 @@
 	return f.members.Has(n) || now.Sub(h.heard) <= forgetAfter
 }
 
-// demanded returns the part of an account's demand that is asked of this host.
-func (f *Fleet) demanded(now time.Time, a *account, n fleet.Account) float64 {
-	floor := a.rate * floorPart
-	mine := a.demand + floor
-	sum := mine
-	for name, h := range f.hosts {
-		if f.counts(now, name, h) {
-			sum += h.usage[n].Demand + floor
-		}
-	}
-	for name := range f.members {
-		if f.hosts[name] == nil {
-			// A host that was never heard is taken to be asked for as much as this one.
-			sum += mine
-		}
-	}
-	return mine / sum
-}
-
-func (a *account) refill(now time.Time, c catalog.Account, s float64) {
+// refill adds to the picture of the bucket what has come since, for the hosts that are heard.
+func (a *account) refill(now time.Time, side float64) {
 	d := now.Sub(a.at).Seconds()
 	a.at = now
-	a.pool += c.Rate * d
-	a.spilled += max(0, a.pool-a.burst)
-	a.pool = min(a.burst, a.pool)
-	a.own = min(a.ownCap(s), a.own+c.Rate*s*d)
-}
-
-// ownCap is what the host's share of the bucket holds: its part of the half that is not
-// admitted freely, and no less than it takes to admit one operation now and then.
-func (a *account) ownCap(s float64) float64 {
-	return max(a.burst*(1-plenty)*s, leastOwn)
+	a.pool += a.rate * side * d
+	over := max(0, a.pool-a.burst*side)
+	a.pool -= over
+	a.spilled += a.rate*(1-side)*d + over
 }
 
 // ask counts one operation into the demand.
 func (a *account) ask(now time.Time) {
 	a.decay(now)
+	a.changed = now
 	a.demand += 1 / demandOver.Seconds()
 }
 
@@ -314,12 +371,20 @@
 	a.demand *= math.Exp(-d)
 }
 
-// Usage returns what this host has to tell of its accounts.
-func (f *Fleet) Usage(now time.Time) []Usage {
-	out := make([]Usage, 0, len(f.accounts))
+// Usage returns what this host has to tell of its accounts: of those that were asked for
+// lately, or of all. Whoever hears of all now and then misses nothing for long, as counts
+// are running totals.
+func (f *Fleet) Usage(now time.Time, all bool) []Usage {
+	var out []Usage
 	for n, a := range f.accounts {
+		if !all && now.Sub(a.changed) > toldFor {
+			continue
+		}
 		a.decay(now)
 		out = append(out, Usage{Account: n, Admitted: a.admitted, Demand: a.demand})
 	}
 	return out
 }
+
+// fresh is how old the report of a host may be for the picture to count as whole.
+func (f *Fleet) fresh() time.Duration { return mesh.PaceOf(1 + len(f.members)).Fresh }
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -11,6 +11,7 @@
 
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/mesh"
 	"skylarkdeal/core/share"
 )
 
@@ -76,7 +77,7 @@
 				}
 			}
 		}
-		if n%20 == 0 {
+		if n%int(mesh.PaceOf(len(f.hosts)).Report/step) == 0 {
 			f.report()
 		}
 	}
@@ -87,7 +88,7 @@
 	for i, h := range f.hosts {
 		for o := range f.hosts {
 			if o != i && !f.cut(i, o) {
-				f.hosts[o].Heard(f.now, name(i), f.epochs[i], f.seq, h.Usage(f.now))
+				f.hosts[o].Heard(f.now, name(i), f.epochs[i], f.seq, h.Usage(f.now, f.seq%10 == 0))
 			}
 		}
 	}
@@ -332,9 +333,69 @@
 	_, _ = h.Admit(now, hotel)
 	now = now.Add(2 * time.Second)
 	h.Heard(now, "h1", 1, 5, []share.Usage{{Account: "hotel", Admitted: 10, Demand: 10}})
-	before := h.Usage(now)
+	before := h.Usage(now, true)
 	h.Heard(now, "h1", 1, 4, []share.Usage{{Account: "hotel", Admitted: 1e6, Demand: math.MaxFloat32}})
-	c.Assert(h.Usage(now), qt.DeepEquals, before)
+	c.Assert(h.Usage(now, true), qt.DeepEquals, before)
 	_, ok := h.Admit(now, hotel)
 	c.Assert(ok, qt.IsTrue)
 }
+
+// A small account is asked for on eighty hosts, once in twenty seconds on each. Well within
+// its rate nearly none is refused: its rate, dealt out in eighty parts, lay unused on most.
+func TestThinlySpreadAccountIsServed(t *testing.T) {
+	c := qt.New(t)
+	kiosk := catalog.Account{Name: "kiosk", Rate: 5, Burst: 5}
+	f := newFleet(80)
+	usual := make([]float64, 80)
+	for n := range usual {
+		usual[n] = 3.0 / 80
+	}
+	f.run(60*time.Second, kiosk, usual)
+	asked := len(f.admitted) + f.refused
+	c.Assert(f.refused*20 <= asked, qt.IsTrue, qt.Commentf("%d of %d refused", f.refused, asked))
+}
+
+// The same account, a middling and a large one send eight times their usual over eighty
+// hosts. Each gets its rate, and what comes on top while hosts haven't heard of each other
+// stays within what is allowed.
+func TestFloodOverManyHostsGetsItsRate(t *testing.T) {
+	c := qt.New(t)
+	for _, rate := range []float64{5, 20, 40, 100} {
+		a := catalog.Account{Name: "a", Rate: rate, Burst: rate}
+		f := newFleet(80)
+		usual, flood := make([]float64, 80), make([]float64, 80)
+		for n := range usual {
+			usual[n], flood[n] = rate/1.6/80, 8*rate/1.6/80
+		}
+		f.run(20*time.Second, a, usual)
+		f.run(20*time.Second, a, flood)
+		c.Check(f.most(window) <= limit(a), qt.IsTrue, qt.Commentf("rate %g: %d of %d", rate, f.most(window), limit(a)))
+		served := 0
+		for _, t := range f.admitted {
+			if f.now.Sub(t) < 10*time.Second {
+				served++
+			}
+		}
+		c.Check(float64(served) >= 0.9*rate*10, qt.IsTrue, qt.Commentf("rate %g: %d in the last 10 s", rate, served))
+	}
+}
+
+// Fifteen of eighty hosts are cut off while all accounts stay within their rate, then the rest
+// of the fleet floods: both sides serve, and together keep the rate.
+func TestCutOfALargeFleet(t *testing.T) {
+	c := qt.New(t)
+	chain := catalog.Account{Name: "chain", Rate: 60, Burst: 60}
+	f := newFleet(80)
+	usual, flood := make([]float64, 80), make([]float64, 80)
+	for n := range usual {
+		usual[n], flood[n] = 37.0/80, 300.0/80
+	}
+	f.run(20*time.Second, chain, usual)
+	f.cut = func(from, to int) bool { return (from < 15) != (to < 15) }
+	f.refused, f.admitted = 0, nil
+	f.run(10*time.Second, chain, usual)
+	asked := len(f.admitted) + f.refused
+	c.Check(f.refused*8 <= asked, qt.IsTrue, qt.Commentf("%d of %d refused in the cut", f.refused, asked))
+	f.run(10*time.Second, chain, flood)
+	c.Check(f.most(window) <= limit(chain), qt.IsTrue, qt.Commentf("%d of %d", f.most(window), limit(chain)))
+}
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/mesh"
 	"skylarkdeal/core/relay"
 	"skylarkdeal/core/statement"
 	"skylarkdeal/internal/clock"
@@ -14,12 +15,9 @@
 )
 
 const (
-	// linkAlive is how old the last report of a host may be for it to be sent work: three
-	// reports in a row were lost otherwise, or it stands still.
-	linkAlive = 650 * time.Millisecond
-	// missingAfter is from when on a host that isn't heard counts as missing, missingFor
-	// until when: it may have gone for good.
-	missingAfter = time.Second
+	// missingAfter is how long after it stopped to count as heard a host counts as missing,
+	// missingFor until when: it may have gone for good.
+	missingAfter = 300 * time.Millisecond
 	missingFor   = 30 * time.Second
 	// lookEvery spaces the readings of the list of hosts while some are missing.
 	lookEvery = 3 * time.Second
@@ -46,6 +44,7 @@
 // several times a second, so that silence shows.
 func (h *Host) tendLinks() {
 	now := clock.Now()
+	fresh := mesh.PaceOf(h.peers.size()).Fresh
 	var usable []relay.Peer
 	for name, p := range h.peers.known {
 		l := h.links[name]
@@ -53,14 +52,14 @@
 			l = &link{host: name}
 			h.links[name] = l
 		}
-		alive := now.Sub(p.heard) < linkAlive
+		alive := now.Sub(p.heard) < fresh
 		switch {
 		case !alive && l.conn != nil:
 			h.log.Info("dependency lost", zap.String("dependency", "host "+string(name)),
 				zap.Duration("silent", now.Sub(p.heard)))
 			l.conn.Close()
 			h.dropLink(l)
-		case alive && l.conn == nil && now.Sub(l.tried) > linkPause:
+		case alive && l.conn == nil && p.address != "" && now.Sub(l.tried) > linkPause:
 			h.openLink(l, p.address)
 		case alive && l.up && !p.leaving:
 			usable = append(usable, relay.Peer{Host: name, DataCentre: p.dataCentre, Send: l.send})
@@ -68,7 +67,7 @@
 	}
 	missing := 0
 	for name := range h.peers.addresses {
-		if p := h.peers.known[name]; p != nil && now.Sub(p.heard) > missingAfter && now.Sub(p.heard) < missingFor {
+		if p := h.peers.known[name]; p != nil && now.Sub(p.heard) > fresh+missingAfter && now.Sub(p.heard) < missingFor {
 			missing++
 		}
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/mesh"
 	"skylarkdeal/internal/clock"
 	"skylarkdeal/internal/pause"
 	"skylarkdeal/io/gossip"
@@ -17,9 +18,9 @@
 )
 
 const (
-	// reportEvery is how often a host tells the others what it has admitted. What they
-	// admit meanwhile without knowing has to fit into half of an account's burst.
-	reportEvery = 200 * time.Millisecond
+	// wholeEvery is how many reports tell everything; those between leave out what hasn't
+	// changed.
+	wholeEvery = 10
 	// doubtsEvery is how often doubts are looked at: a new one is told at once.
 	doubtsEvery = 50 * time.Millisecond
 	// behindFor is how long a host that hears of a newer catalog waits for its own watch
@@ -33,8 +34,13 @@
 type peers struct {
 	epoch, seq uint64
 	addresses  map[fleet.Host]*net.UDPAddr
+	// centres are the registered hosts' data centres.
+	centres map[fleet.Host]fleet.DataCentre
 	// known are the hosts that were heard.
 	known map[fleet.Host]*peer
+	// passing are the reports that wait to be passed on, since passedAt.
+	passing  []gossip.Report
+	passedAt time.Time
 	// reported is when the last report was sent, doubted how many doubts it had, reached how
 	// many instances that others doubt.
 	reported         time.Time
@@ -53,11 +59,48 @@
 	dataCentre fleet.DataCentre
 	heard      time.Time
 	leaving    bool
+	// epoch and seq are those of its last report, which comes over more than one way; former
+	// is the epoch of its process before.
+	epoch, seq, former uint64
+}
+
+// size is the number of hosts, this one included.
+func (p *peers) size() int { return 1 + len(p.addresses) }
+
+// members returns the other hosts as the mesh wants to know them.
+func (p *peers) members(now time.Time) []mesh.Member {
+	fresh := mesh.PaceOf(p.size()).Fresh
+	out := make([]mesh.Member, 0, len(p.addresses))
+	for n := range p.addresses {
+		m := mesh.Member{Host: n, DataCentre: p.centres[n]}
+		if k := p.known[n]; k != nil {
+			m.Heard = now.Sub(k.heard) < fresh
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+// at returns where hosts are to be told.
+func (p *peers) at(hs []fleet.Host) []*net.UDPAddr {
+	out := make([]*net.UDPAddr, 0, len(hs))
+	for _, h := range hs {
+		out = append(out, p.addresses[h])
+	}
+	return out
+}
+
+// older reports whether r is not newer than what was last heard of its host. Epochs tell
+// processes apart but don't order them: the time of day may have been set back between two.
+func (p *peers) older(r gossip.Report) bool {
+	k := p.known[r.Host]
+	return k != nil && (r.Epoch == k.former || r.Epoch == k.epoch && r.Seq <= k.seq)
 }
 
 // registered takes in the hosts that are registered.
 func (h *Host) registered(hs []registry.Host) {
 	at := make(map[fleet.Host]*net.UDPAddr, len(hs))
+	centres := make(map[fleet.Host]fleet.DataCentre, len(hs))
 	for _, p := range hs {
 		if p.Name == h.settings.Host.Name {
 			continue
@@ -67,9 +110,9 @@
 			h.log.Warn("host without an address", zap.String("host", string(p.Name)), zap.Error(err))
 			continue
 		}
-		at[p.Name] = a
+		at[p.Name], centres[p.Name] = a, p.DataCentre
 	}
-	h.peers.addresses = at
+	h.peers.addresses, h.peers.centres = at, centres
 	h.hostsChanged()
 }
 
@@ -79,56 +122,94 @@
 	h.rates.Members(clock.Now(), slices.Collect(maps.Keys(h.peers.addresses)))
 }
 
-// report tells the others, every reportEvery and at once when there is a new doubt.
+// report tells the others, time and again and at once when there is a new doubt.
 func (h *Host) report() {
 	now := clock.Now()
+	h.pass(now)
 	doubts := h.relay.Doubts()
 	reached := h.relay.Reached()
 	news := len(doubts) > h.peers.doubted || len(reached) > h.peers.reached || h.peers.catalog != h.peers.told
-	if now.Sub(h.peers.reported) < reportEvery && !news {
+	if now.Sub(h.peers.reported) < mesh.PaceOf(h.peers.size()).Report && !news {
 		return
 	}
 	h.peers.reported, h.peers.told = now, h.peers.catalog
 	h.peers.doubted, h.peers.reached = len(doubts), len(reached)
 	h.peers.seq++
+	whole := h.peers.seq%wholeEvery == 1
 	digest, at := h.registry.Listing()
 	r := gossip.Report{
-		Host: h.settings.Host.Name, Address: h.settings.Peer.Address,
-		DataCentre: h.settings.Host.DataCentre, Leaving: h.relay.Draining(), Epoch: h.peers.epoch, Seq: h.peers.seq,
-		Usages: h.rates.Usage(now), Catalog: h.peers.catalog, Record: h.relay.Record(),
+		Host: h.settings.Host.Name, Leaving: h.relay.Draining(), Epoch: h.peers.epoch, Seq: h.peers.seq,
+		Usages: h.rates.Usage(now, whole), Catalog: h.peers.catalog, Record: h.relay.Record(),
 		CatalogAge: now.Sub(h.registry.Confirmed()), Reached: reached,
 		Instances: digest, InstancesAge: now.Sub(at),
 	}
+	if whole {
+		r.Address, r.DataCentre = h.settings.Peer.Address, h.settings.Host.DataCentre
+	}
 	for i, d := range doubts {
 		r.Doubts = append(r.Doubts, gossip.Doubt{Instance: i, Silent: d})
 	}
-	to := make([]*net.UDPAddr, 0, len(h.peers.addresses))
-	for _, a := range h.peers.addresses {
-		to = append(to, a)
+	to := mesh.Recipients(h.settings.Host.DataCentre, h.peers.members(now))
+	h.gossip.Send(r, h.peers.at(to))
+}
+
+// pass passes on what was heard from other data centres to the hosts beside this one.
+func (h *Host) pass(now time.Time) {
+	if len(h.peers.passing) == 0 || now.Sub(h.peers.passedAt) < mesh.PaceOf(h.peers.size()).Pass {
+		return
 	}
-	h.gossip.Send(r, to)
+	to := mesh.Beside(h.settings.Host.DataCentre, h.peers.members(now))
+	h.gossip.Pass(h.peers.passing, h.peers.at(to))
+	h.peers.passing, h.peers.passedAt = nil, now
 }
 
-// heard takes in another host's report.
-func (h *Host) heard(r gossip.Report) {
+// heard takes in other hosts' reports. Those that came directly from another data centre of
+// a large fleet are passed on.
+func (h *Host) heard(rs []gossip.Report, passed bool) {
 	h.loop.Do(func() {
-		h.meet(r)
-		h.peers.known[r.Host] = &peer{
-			address: r.Address, dataCentre: r.DataCentre, heard: clock.Now(), leaving: r.Leaving,
-		}
-		h.rates.Heard(clock.Now(), r.Host, r.Epoch, r.Seq, r.Usages)
-		is := make([]fleet.Instance, 0, len(r.Doubts))
-		for _, d := range r.Doubts {
-			is = append(is, d.Instance)
-		}
-		h.relay.Doubted(r.Host, is, r.Reached)
-		if r.Record > h.relay.Record() {
-			h.registry.Refresh()
+		for _, r := range rs {
+			if r.Host == h.settings.Host.Name || h.peers.older(r) {
+				continue
+			}
+			h.take(r)
+			if far := h.peers.known[r.Host].dataCentre != h.settings.Host.DataCentre; far && !passed && mesh.Large(h.peers.size()) {
+				h.peers.passing = append(h.peers.passing, r)
+			}
 		}
-		h.compareCatalog(r)
 	})
 }
 
+// take takes in another host's report.
+func (h *Host) take(r gossip.Report) {
+	now := clock.Now()
+	h.meet(r)
+	k := h.peers.known[r.Host]
+	if k == nil {
+		k = &peer{dataCentre: h.peers.centres[r.Host]}
+		if a := h.peers.addresses[r.Host]; a != nil {
+			k.address = a.String()
+		}
+		h.peers.known[r.Host] = k
+	}
+	if r.Address != "" {
+		k.address, k.dataCentre = r.Address, r.DataCentre
+	}
+	if k.epoch != r.Epoch {
+		k.former = k.epoch
+	}
+	k.heard, k.leaving, k.epoch, k.seq = now, r.Leaving, r.Epoch, r.Seq
+	h.rates.Heard(now, r.Host, r.Epoch, r.Seq, r.Usages)
+	is := make([]fleet.Instance, 0, len(r.Doubts))
+	for _, d := range r.Doubts {
+		is = append(is, d.Instance)
+	}
+	h.relay.Doubted(r.Host, is, r.Reached)
+	if r.Record > h.relay.Record() {
+		h.registry.Refresh()
+	}
+	h.compareCatalog(r)
+}
+
 // compareCatalog has the catalog read anew if another host has a newer one, which the
 // watch doesn't bring. One that has the same may have read it later; the same goes for
 // the list of instances.
@@ -156,7 +237,7 @@
 
 // meet takes in a host that isn't on the list yet.
 func (h *Host) meet(r gossip.Report) {
-	if h.peers.addresses == nil || h.peers.addresses[r.Host] != nil || r.Host == h.settings.Host.Name {
+	if h.peers.addresses == nil || h.peers.addresses[r.Host] != nil || r.Address == "" {
 		return
 	}
 	a, err := net.ResolveUDPAddr("udp4", r.Address)
@@ -164,7 +245,7 @@
 		h.log.Warn("host without an address", zap.String("host", string(r.Host)), zap.Error(err))
 		return
 	}
-	h.peers.addresses[r.Host] = a
+	h.peers.addresses[r.Host], h.peers.centres[r.Host] = a, r.DataCentre
 	h.hostsChanged()
 }
 
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math"
 	"net"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,7 +27,8 @@
 // Report is what one host tells of itself and of what it sees.
 type Report struct {
 	Host fleet.Host
-	// Address is where the host hears the others.
+	// Address is where the host hears the others. It and DataCentre are empty in most
+	// reports, as they don't change.
 	Address    string
 	DataCentre fleet.DataCentre
 	// Epoch tells the processes of one host apart, Seq orders the reports of one.
@@ -51,8 +53,9 @@
 type Config struct {
 	// Address is where the host hears the others.
 	Address string
-	// Heard takes in another host's report; it is called on a goroutine of its own.
-	Heard  func(r Report)
+	// Heard takes in other hosts' reports: one from its sender, or some that were passed on.
+	// It is called on a goroutine of its own.
+	Heard  func(rs []Report, passed bool)
 	Logger *zap.Logger
 }
 
@@ -63,8 +66,13 @@
 	done chan struct{}
 }
 
-// maxDatagram bounds a report; what is longer could not be sent in one datagram.
-const maxDatagram = 60 << 10
+const (
+	// maxDatagram bounds a datagram; what is longer could not be sent.
+	maxDatagram = 60 << 10
+	// maxPassed bounds the reports of one datagram. One of a busy host takes some 200 bytes,
+	// and long datagrams are lost as a whole.
+	maxPassed = 50
+)
 
 // Start begins to hear.
 func Start(cfg Config) (*Gossip, error) {
@@ -100,18 +108,33 @@
 			// An unreachable host shows as an error of the socket now and then.
 			continue
 		}
-		r, err := decode(b[:n])
+		rs, passed, err := decode(b[:n])
 		if err != nil {
 			g.cfg.Logger.Warn("datagram dropped", zap.Error(err))
 			continue
 		}
-		g.cfg.Heard(r)
+		g.cfg.Heard(rs, passed)
 	}
 }
 
 // Send tells others of r. It doesn't wait: a datagram that finds no room is lost.
 func (g *Gossip) Send(r Report, to []*net.UDPAddr) {
-	b, err := encode(r)
+	g.send(&gossippb.Datagram{Reports: []*gossippb.Report{toMessage(r)}}, to)
+}
+
+// Pass tells others what was heard.
+func (g *Gossip) Pass(rs []Report, to []*net.UDPAddr) {
+	for some := range slices.Chunk(rs, maxPassed) {
+		m := &gossippb.Datagram{Passed: true}
+		for _, r := range some {
+			m.Reports = append(m.Reports, toMessage(r))
+		}
+		g.send(m, to)
+	}
+}
+
+func (g *Gossip) send(m *gossippb.Datagram, to []*net.UDPAddr) {
+	b, err := proto.Marshal(m)
 	if err != nil {
 		g.cfg.Logger.Error("report not sent", zap.Error(err))
 		return
@@ -121,7 +144,7 @@
 	}
 }
 
-func encode(r Report) ([]byte, error) {
+func toMessage(r Report) *gossippb.Report {
 	m := &gossippb.Report{
 		Host: string(r.Host), Epoch: r.Epoch, Seq: r.Seq, Leaving: r.Leaving,
 		Catalog: r.Catalog, Record: r.Record, Address: r.Address,
@@ -141,23 +164,36 @@
 			Instance: string(d.Instance), SilentMs: uint32(d.Silent.Milliseconds()),
 		})
 	}
-	return proto.Marshal(m)
+	return m
 }
 
 func ms(d time.Duration) uint32 {
 	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
 }
 
-var errNameless = errors.New("a report without a host")
+var (
+	errEmpty    = errors.New("a datagram without a report")
+	errNameless = errors.New("a report without a host")
+)
 
-func decode(b []byte) (Report, error) {
-	var m gossippb.Report
+func decode(b []byte) (rs []Report, passed bool, err error) {
+	var m gossippb.Datagram
 	if err := proto.Unmarshal(b, &m); err != nil {
-		return Report{}, err
+		return nil, false, err
+	}
+	if len(m.GetReports()) == 0 {
+		return nil, false, errEmpty
 	}
-	if m.GetHost() == "" {
-		return Report{}, errNameless
+	for _, r := range m.GetReports() {
+		if r.GetHost() == "" {
+			return nil, false, errNameless
+		}
+		rs = append(rs, fromMessage(r))
 	}
+	return rs, m.GetPassed(), nil
+}
+
+func fromMessage(m *gossippb.Report) Report {
 	r := Report{
 		Host: fleet.Host(m.GetHost()), Epoch: m.GetEpoch(), Seq: m.GetSeq(), Leaving: m.GetLeaving(),
 		Catalog: m.GetCatalog(), Record: m.GetRecord(), Address: m.GetAddress(),
@@ -178,5 +214,5 @@
 			Instance: fleet.Instance(d.GetInstance()), Silent: time.Duration(d.GetSilentMs()) * time.Millisecond,
 		})
 	}
-	return r, nil
+	return r
 }
--- a/io/gossip/gossip_test.go
+++ b/io/gossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
@@ -13,7 +14,7 @@
 	"skylarkdeal/io/gossip"
 )
 
-func start(c *qt.C, heard func(r gossip.Report)) (*gossip.Gossip, string) {
+func start(c *qt.C, heard func(rs []gossip.Report, passed bool)) (*gossip.Gossip, string) {
 	l, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	at := l.LocalAddr().String()
@@ -27,8 +28,8 @@
 func TestReportsAreHeard(t *testing.T) {
 	c := qt.New(t)
 	got := make(chan gossip.Report, 8)
-	_, to := start(c, func(r gossip.Report) { got <- r })
-	from, _ := start(c, func(gossip.Report) {})
+	_, to := start(c, func(rs []gossip.Report, _ bool) { got <- rs[0] })
+	from, _ := start(c, func([]gossip.Report, bool) {})
 	want := gossip.Report{
 		Host: "h1", Address: "10.0.0.1:7560", DataCentre: "obihiro", Epoch: 3, Seq: 9, Leaving: true,
 		Usages:  []share.Usage{{Account: "hotel", Admitted: 4, Demand: 2.5}},
@@ -54,3 +55,32 @@
 		c.Fatal("nothing was heard")
 	}
 }
+
+// A door passes on what it has heard. Whoever hears it knows that the reports go no further.
+func TestReportsArePassedOn(t *testing.T) {
+	c := qt.New(t)
+	type datagram struct {
+		hosts  int
+		passed bool
+	}
+	got := make(chan datagram, 8)
+	_, to := start(c, func(rs []gossip.Report, passed bool) { got <- datagram{len(rs), passed} })
+	from, _ := start(c, func([]gossip.Report, bool) {})
+	address, err := net.ResolveUDPAddr("udp4", to)
+	c.Assert(err, qt.IsNil)
+	rs := make([]gossip.Report, 120)
+	for n := range rs {
+		rs[n] = gossip.Report{Host: fleet.Host("h" + strconv.Itoa(n)), Epoch: 1, Seq: 1}
+	}
+	from.Pass(rs, []*net.UDPAddr{address})
+	total := 0
+	for total < len(rs) {
+		select {
+		case d := <-got:
+			c.Assert(d.passed, qt.IsTrue)
+			total += d.hosts
+		case <-time.After(5 * time.Second):
+			c.Fatalf("%d of %d reports were heard", total, len(rs))
+		}
+	}
+}
