Read the store in turns, so that calls don't grow with the fleet

Change: hosts read in the order of their names, those that can't reach the store left out; a newer list told by another host is read at once; the watch waits 28 s.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -67,6 +67,8 @@
 	operator *operator.Server
 	// ready is what the balancer is told; the loop writes it.
 	ready atomic.Bool
+	// rank counts the hosts that go before this one in reading the store for all.
+	rank atomic.Int64
 	// busy is set while anything waits for the next tick.
 	busy atomic.Bool
 
@@ -159,6 +161,7 @@
 		ParseCatalog:   platform.ParseCatalog,
 		ParseInstance:  platform.ParseInstance,
 		Now:            clock.Now,
+		Rank:           func() int { return int(h.rank.Load()) },
 		Post:           func(f func()) { h.loop.Do(f) },
 		Catalog:        h.adopt,
 		Instances:      func(is []catalog.Instance) { h.relay.Listed(is) },
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -19,8 +19,10 @@
 	// missingFor until when: it may have gone for good.
 	missingAfter = 300 * time.Millisecond
 	missingFor   = 30 * time.Second
-	// lookEvery spaces the readings of the list of hosts while some are missing.
+	// lookEvery spaces the readings of the list of hosts while some are missing; each host
+	// that goes before this one adds lookStep.
 	lookEvery = 3 * time.Second
+	lookStep  = 200 * time.Millisecond
 	// linkTimeout bounds a connection to another host, linkPause the time to the next try.
 	linkTimeout = 500 * time.Millisecond
 	linkPause   = 300 * time.Millisecond
@@ -72,7 +74,7 @@
 		}
 	}
 	h.relay.SetPeers(usable, missing)
-	if missing > 0 && now.Sub(h.peers.looked) > lookEvery {
+	if missing > 0 && now.Sub(h.peers.looked) > lookEvery+time.Duration(h.rank.Load())*lookStep {
 		// One that has died is off the list by now, and its share of rates is free again.
 		h.peers.looked = now
 		h.registry.ListHosts()
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -59,6 +59,7 @@
 	dataCentre fleet.DataCentre
 	heard      time.Time
 	leaving    bool
+	storeless  bool
 	// epoch and seq are those of its last report, which comes over more than one way; former
 	// is the epoch of its process before.
 	epoch, seq, former uint64
@@ -81,6 +82,19 @@
 	return out
 }
 
+// rank counts the hosts that go before this one in reading the store for all: those that are
+// heard, reach it, and come before it by name.
+func (p *peers) rank(own fleet.Host, now time.Time) int {
+	fresh := mesh.PaceOf(p.size()).Fresh
+	n := 0
+	for name, k := range p.known {
+		if name < own && !k.leaving && !k.storeless && now.Sub(k.heard) < fresh {
+			n++
+		}
+	}
+	return n
+}
+
 // at returns where hosts are to be told.
 func (p *peers) at(hs []fleet.Host) []*net.UDPAddr {
 	out := make([]*net.UDPAddr, 0, len(hs))
@@ -134,12 +148,14 @@
 	}
 	h.peers.reported, h.peers.told = now, h.peers.catalog
 	h.peers.doubted, h.peers.reached = len(doubts), len(reached)
+	h.rank.Store(int64(h.peers.rank(h.settings.Host.Name, now)))
 	h.peers.seq++
 	whole := h.peers.seq%wholeEvery == 1
 	digest, at := h.registry.Listing()
 	r := gossip.Report{
 		Host: h.settings.Host.Name, Leaving: h.relay.Draining(), Epoch: h.peers.epoch, Seq: h.peers.seq,
-		Usages: h.rates.Usage(now, whole), Catalog: h.peers.catalog, Record: h.relay.Record(),
+		Storeless: !h.registry.Up(),
+		Usages:    h.rates.Usage(now, whole), Catalog: h.peers.catalog, Record: h.relay.Record(),
 		CatalogAge: now.Sub(h.registry.Confirmed()), Reached: reached,
 		Instances: digest, InstancesAge: now.Sub(at),
 	}
@@ -197,7 +213,7 @@
 	if k.epoch != r.Epoch {
 		k.former = k.epoch
 	}
-	k.heard, k.leaving, k.epoch, k.seq = now, r.Leaving, r.Epoch, r.Seq
+	k.heard, k.leaving, k.storeless, k.epoch, k.seq = now, r.Leaving, r.Storeless, r.Epoch, r.Seq
 	h.rates.Heard(now, r.Host, r.Epoch, r.Seq, r.Usages)
 	is := make([]fleet.Instance, 0, len(r.Doubts))
 	for _, d := range r.Doubts {
--- a/io/registry/catalog.go
+++ b/io/registry/catalog.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -72,8 +71,10 @@
 // confirmCatalog reads the catalog when no host has done so for a while. Whoever is first
 // tells the others, so that the calls don't grow with the fleet.
 func (r *Registry) confirmCatalog(ctx context.Context) {
+	// The watch begins with a reading of its own.
+	pause.For(ctx, confirmEvery)
 	for ctx.Err() == nil {
-		due := r.Confirmed().Add(confirmEvery + time.Duration(rand.Int64N(int64(confirmSpread))))
+		due := r.Confirmed().Add(confirmEvery + r.turn())
 		if wait := due.Sub(r.cfg.Now()); wait > 0 {
 			pause.For(ctx, wait)
 			continue
--- a/io/registry/dependency.go
+++ b/io/registry/dependency.go
@@ -49,6 +49,13 @@
 	}
 }
 
+// lost reports whether the dependency is lost.
+func (d *dependency) lost() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.down
+}
+
 func (d *dependency) answered() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/io/registry/lists.go
+++ b/io/registry/lists.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -31,12 +30,17 @@
 	return r.listing.digest, r.listing.confirmed
 }
 
-// ListingConfirmed takes in that a list with the digest was the store's at a moment.
+// ListingConfirmed takes in that a list with the digest was the store's at a moment. One that
+// is newer than this host's has it read anew at once.
 func (r *Registry) ListingConfirmed(digest uint64, at time.Time) {
 	r.listing.mu.Lock()
 	defer r.listing.mu.Unlock()
-	if digest == r.listing.digest && at.After(r.listing.confirmed) {
+	switch {
+	case !at.After(r.listing.confirmed):
+	case digest == r.listing.digest:
 		r.listing.confirmed = at
+	case digest != 0:
+		signal(r.relisting)
 	}
 }
 
@@ -45,14 +49,32 @@
 // would be a call.
 func (r *Registry) listInstances(ctx context.Context) {
 	for ctx.Err() == nil {
-		_, at := r.Listing()
-		due := at.Add(instancesEvery + time.Duration(rand.Int64N(int64(instancesSpread))))
-		if wait := due.Sub(r.cfg.Now()); wait > 0 {
-			pause.For(ctx, wait)
-			continue
-		}
 		if err := r.readInstances(ctx); err != nil {
 			r.up.wait(ctx)
+			continue
+		}
+		r.awaitListing(ctx)
+	}
+}
+
+// awaitListing waits until the list of instances is to be read again.
+func (r *Registry) awaitListing(ctx context.Context) {
+	if r.rank() >= turns {
+		// The instances of a service that starts announce themselves one after the other, and
+		// each has the list read anew by all hosts.
+		pause.For(ctx, turnStep)
+	}
+	pause.For(ctx, listingPause)
+	for ctx.Err() == nil {
+		digest, at := r.Listing()
+		every := instancesEvery
+		if digest == 0 && r.rank() < turns {
+			// The instances are still to come.
+			every = listingPause
+		}
+		wait := at.Add(every + r.turn()).Sub(r.cfg.Now())
+		if wait <= 0 || await(ctx, wait, r.relisting) {
+			return
 		}
 	}
 }
@@ -74,14 +96,12 @@
 		}
 	}
 	r.cfg.Post(func() { r.cfg.Instances(is) })
-	if len(is) == 0 {
-		// They are still to come; no other host can know more.
-		pause.For(ctx, pauseAfterError)
-		return nil
-	}
 	r.listing.mu.Lock()
 	defer r.listing.mu.Unlock()
 	r.listing.digest, r.listing.confirmed = digest.Sum64(), sent
+	if len(is) == 0 {
+		r.listing.digest = 0
+	}
 	return nil
 }
 
@@ -89,7 +109,7 @@
 func (r *Registry) listHosts(ctx context.Context) {
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		r.awaitHosts(ctx, wait)
+		_ = await(ctx, wait, r.rehost)
 		c, cancel := context.WithTimeout(ctx, callTimeout)
 		hs, err := r.hosts(c)
 		cancel()
@@ -99,7 +119,7 @@
 			continue
 		}
 		r.cfg.Post(func() { r.cfg.Hosts(hs) })
-		wait = hostsEvery
+		wait = hostsEvery + time.Duration(r.rank())*hostsStep
 		if len(hs) < 2 {
 			// All hosts start at once, and the others are about to register.
 			wait = 5 * pauseAfterError
@@ -107,17 +127,6 @@
 	}
 }
 
-// awaitHosts waits for some time, less if the hosts are to be listed before.
-func (r *Registry) awaitHosts(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-r.rehost:
-	case <-ctx.Done():
-	}
-}
-
 func (r *Registry) hosts(ctx context.Context) ([]Host, error) {
 	es, _, err := r.cfg.Store.List(ctx, r.hostsPrefix())
 	if err != nil {
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -39,6 +39,8 @@
 	ParseCatalog               func(b []byte) (*catalog.Catalog, error)
 	ParseInstance              func(e Entry) (catalog.Instance, bool)
 	Now                        func() time.Time
+	// Rank tells how many other hosts go before this one in reading for all. It may be nil.
+	Rank func() int
 	// Post has f called where the host takes decisions.
 	Post func(f func())
 
@@ -74,28 +76,29 @@
 	registrationTTL = time.Second
 	// renewEvery renews often enough that one lost answer leaves a proof valid.
 	renewEvery = 300 * time.Millisecond
-	// watchFor is how long a watch waits. The connection below it is to be kept alive, so
-	// that a silent one ends sooner.
-	watchFor = 20 * time.Second
+	// watchFor is how long a watch waits: each is a call, and the store allows 30 s. The
+	// connection below it is to be kept alive, so that a silent one ends sooner.
+	watchFor = 28 * time.Second
 	// instancesEvery is how old the last reading of the list of instances by any host may
-	// get, and instancesSpread by how much hosts wait for another to read it first. A
-	// leaving instance has 7 s, of which a change of primary takes less than two.
-	instancesEvery  = 2 * time.Second
-	instancesSpread = time.Second
+	// get. A leaving instance has 7 s, of which a change of primary takes less than two.
+	instancesEvery = 2 * time.Second
+	// listingPause is the least time between two readings of that list, and how often an
+	// empty one is read.
+	listingPause = 250 * time.Millisecond
 	// hostsEvery bounds how late the share of a dead host is used; new hosts make
-	// themselves known.
+	// themselves known. Each host that goes before adds hostsStep, so that a fleet makes no
+	// more than some calls a second for it.
 	hostsEvery = 15 * time.Second
+	hostsStep  = time.Second
 	// callTimeout bounds one call: a slow store answers within 0.3 s.
 	callTimeout = 1500 * time.Millisecond
 	// pauseAfterError spaces the calls to a store that fails.
 	pauseAfterError = 100 * time.Millisecond
 	// probeEvery is how often a store that is lost is tried, by one duty for all.
 	probeEvery = 250 * time.Millisecond
-	// confirmEvery is how old the last reading of the catalog by any host may get, and
-	// confirmSpread by how much hosts wait for another to read it first. A watch can miss
-	// a change, when the store drops its history; a catalog has to be in force in 3 s.
-	confirmEvery  = time.Second
-	confirmSpread = 600 * time.Millisecond
+	// confirmEvery is how old the last reading of the catalog by any host may get. A watch can
+	// miss a change, when the store drops its history; a catalog has to be in force in 3 s.
+	confirmEvery = 800 * time.Millisecond
 	// maxRenewals bounds the renewals on their way at once.
 	maxRenewals = 6
 )
@@ -117,10 +120,12 @@
 	reload chan struct{}
 	// confirmed is when the catalog in force here was last read, by this host or another.
 	confirmed atomic.Value
-	// listing is the list of instances as it was last read here.
-	listing listing
-	up      dependency
-	wait    sync.WaitGroup
+	// listing is the list of instances as it was last read here; relisting is signalled when
+	// it is to be read anew.
+	listing   listing
+	relisting chan struct{}
+	up        dependency
+	wait      sync.WaitGroup
 }
 
 // New returns a Registry that Run puts to work.
@@ -130,7 +135,8 @@
 	}
 	return &Registry{
 		cfg: cfg, relist: make(chan struct{}, 1), rehost: make(chan struct{}, 1), reload: make(chan struct{}, 1),
-		up: dependency{name: "store", log: cfg.Logger}, orders: ring.New[leader.Order](maxOrders),
+		relisting: make(chan struct{}, 1),
+		up:        dependency{name: "store", log: cfg.Logger}, orders: ring.New[leader.Order](maxOrders),
 	}
 }
 
@@ -164,6 +170,9 @@
 // ListHosts has the registered hosts listed anew.
 func (r *Registry) ListHosts() { signal(r.rehost) }
 
+// Up reports whether the store has answered the last calls.
+func (r *Registry) Up() bool { return !r.up.lost() }
+
 // Reload has the catalog read anew.
 func (r *Registry) Reload() { signal(r.reload) }
 
