--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -70,9 +70,9 @@
 	acquaintance = 800 * time.Millisecond
 	// strayFor is how long a connection rests to an instance that another host holds.
 	strayFor = 200 * time.Millisecond
-	// holderPart is the part of an instance's connections that its holder may have at
-	// least: a half.
-	holderPart = 2
+	// strayPart is the part of an instance's connections that its holder leaves free in a fleet
+	// that has more hosts than half of them: a quarter. Only hosts that start have any there.
+	strayPart = 4
 	// fullFor is how long a host makes do with what it has after an instance had no
 	// room for more.
 	fullFor = 3 * time.Second
@@ -107,7 +107,7 @@
 	case !held:
 		// What the others have left over from before is closed soon: the pauses between the
 		// tries bound what asking again costs.
-		return max(leastCap, i.total()-i.g.r.hosts, i.total()/holderPart)
+		return max(leastCap, i.total()-i.strays())
 	}
 	if !i.full.IsZero() && now.Sub(i.full) < fullFor {
 		return max(1, min(i.room, n))
@@ -115,6 +115,15 @@
 	return n
 }
 
+// strays is how many connections the holder of an instance leaves free: one for each host, as
+// far as that leaves the holder a half.
+func (i *instance) strays() int {
+	if n := i.g.r.hosts; n <= i.total()/2 {
+		return n
+	}
+	return i.total() / strayPart
+}
+
 // defaultConnections stands for the limit of a service that isn't known yet.
 const defaultConnections = 8
 
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -62,6 +62,10 @@
 	connectCost = 15 * time.Millisecond
 	// farCost is a round trip to another data centre, and its bytes.
 	farCost = 3 * time.Millisecond
+	// strangeCost keeps the reads of an account on the same replica where one host holds the
+	// connections of each: on another there may be no connection for the account, and a new
+	// one takes 12 ms of a slot. Beyond it the less busy replica is better.
+	strangeCost = 6 * time.Millisecond
 	// leadCost keeps reads away from the primary, which alone can take writes.
 	leadCost = 8 * time.Millisecond
 	// usualWork stands for an instance that has not worked yet.
@@ -161,5 +165,20 @@
 	if !g.r.reaches(now, i) {
 		cost += backoffMax
 	}
+	if !o.lead && !i.direct(now) && !g.leads(i.info.Name) && !g.usual(i, o.s.account) {
+		cost += strangeCost
+	}
 	return cost
 }
+
+// usual reports whether an instance is the one of the group's replicas that an account's reads
+// go to if all are as good.
+func (g *group) usual(i *instance, a fleet.Account) bool {
+	own := weight(fleet.Host(a), i.info.Name)
+	for _, o := range g.instances {
+		if o != i && o.usable() && !g.leads(o.info.Name) && weight(fleet.Host(a), o.info.Name) > own {
+			return false
+		}
+	}
+	return true
+}
