--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -281,7 +281,8 @@
 		f.run(4*time.Second, hotel, flood)
 		f.cut = func(int, int) bool { return false }
 		f.run(6*time.Second, hotel, flood)
-		c.Check(f.most(window) <= limit(hotel), qt.IsTrue, qt.Commentf("%d cut off: %d of %d", part, f.most(window), limit(hotel)))
+		most := f.most(window)
+		c.Check(most <= limit(hotel), qt.IsTrue, qt.Commentf("%d cut off: %d of %d", part, most, limit(hotel)))
 	}
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -188,7 +188,8 @@
 				continue
 			}
 			h.take(r)
-			if far := h.peers.known[r.Host].dataCentre != h.settings.Host.DataCentre; far && !passed && mesh.Large(h.peers.size()) {
+			far := h.peers.known[r.Host].dataCentre != h.settings.Host.DataCentre
+			if far && !passed && mesh.Large(h.peers.size()) {
 				h.peers.passing = append(h.peers.passing, r)
 			}
 		}
