--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -222,7 +222,10 @@
 }
 
 // join starts a registry before the shelf.
-func join(c *qt.C, s *shelf) (*registry.Registry, *seen) {
+func join(c *qt.C, s *shelf) (*registry.Registry, *seen) { return joinAt(c, s, 0) }
+
+// joinAt starts one before which some others go in reading for all.
+func joinAt(c *qt.C, s *shelf, rank int) (*registry.Registry, *seen) {
 	t := &seen{}
 	r := registry.New(registry.Config{
 		Store: s.store(), Self: registry.Host{Name: "h-x", DataCentre: "obihiro", Address: "127.0.0.1:1"},
@@ -234,6 +237,7 @@
 		},
 		ParseInstance: func(e registry.Entry) (catalog.Instance, bool) { return catalog.Instance{}, len(e.Value) > 0 },
 		Now:           time.Now,
+		Rank:          func() int { return rank },
 		Post:          func(f func()) { t.get(f) },
 		Catalog:       func(d *catalog.Catalog) { t.versions = append(t.versions, d.Version) },
 		Instances:     func(is []catalog.Instance) { t.instances = len(is) },
@@ -324,6 +328,29 @@
 	c.Assert(count(), qt.Equals, before)
 }
 
+// Seventy-seven hosts each waited for a random part of a second for another one to read first,
+// and most had read before its news came around. Now the first reads, the next one while
+// nothing comes from it, and one that is told of a newer list reads at once.
+func TestHostsReadInTurns(t *testing.T) {
+	c := qt.New(t)
+	lists := map[int]int{}
+	for _, rank := range []int{0, 1, 40} {
+		s := newShelf()
+		s.put("catalog", "3")
+		s.put("instances/a", "x")
+		r, t1 := joinAt(c, s, rank)
+		until(c, t1, "an instance", func() bool { return t1.instances == 1 })
+		time.Sleep(4500 * time.Millisecond)
+		s.set(func() { lists[rank] = s.calls["list catalog"] + s.calls["list instances/"] })
+		s.put("instances/b", "x")
+		r.ListingConfirmed(1, time.Now().Add(time.Second))
+		began := time.Now()
+		until(c, t1, "the newer list", func() bool { return t1.instances == 2 })
+		c.Check(time.Since(began) < time.Second, qt.IsTrue)
+	}
+	c.Check(lists[0] > lists[1] && lists[1] > lists[40], qt.IsTrue, qt.Commentf("readings by rank: %v", lists))
+}
+
 // An order is given: first its record, then the end of the other hosts' registrations, and
 // only then the order itself, under a number that the store has never given before.
 func TestOrderEndsRegistrationsFirst(t *testing.T) {
