--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -57,6 +57,15 @@
 	f.epochs[n]++
 }
 
+// even returns the load of each of n hosts when all are asked for alike.
+func even(n int, perHost float64) []float64 {
+	out := make([]float64, n)
+	for i := range out {
+		out[i] = perHost
+	}
+	return out
+}
+
 func name(n int) fleet.Host { return fleet.Host(fmt.Sprintf("h%d", n)) }
 
 // run plays a load for some time: perSecond is what each host is asked for.
@@ -224,10 +233,7 @@
 func TestEndOfACutRefusesNobodyWithinTheRate(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(8)
-	usual := make([]float64, 8)
-	for n := range usual {
-		usual[n] = 5.5
-	}
+	usual := even(8, 5.5)
 	f.run(10*time.Second, hotel, usual)
 	f.cut = func(from, to int) bool { return (from < 2) != (to < 2) }
 	f.run(6*time.Second, hotel, usual)
@@ -242,10 +248,7 @@
 func TestHostThatWasForgottenComesBack(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(8)
-	usual := make([]float64, 8)
-	for n := range usual {
-		usual[n] = 5.5
-	}
+	usual := even(8, 5.5)
 	f.run(10*time.Second, hotel, usual)
 	f.cut = func(from, to int) bool { return (from < 2) != (to < 2) }
 	f.run(4*time.Second, hotel, usual)
@@ -271,10 +274,7 @@
 	c := qt.New(t)
 	for _, part := range []int{1, 2, 4} {
 		f := newFleet(8)
-		usual, flood := make([]float64, 8), make([]float64, 8)
-		for n := range usual {
-			usual[n], flood[n] = 5, 40
-		}
+		usual, flood := even(8, 5), even(8, 40)
 		f.run(10*time.Second, hotel, usual)
 		f.cut = func(from, to int) bool { return (from < part) != (to < part) }
 		f.run(2*time.Second, hotel, usual)
@@ -347,10 +347,7 @@
 	c := qt.New(t)
 	kiosk := catalog.Account{Name: "kiosk", Rate: 5, Burst: 5}
 	f := newFleet(80)
-	usual := make([]float64, 80)
-	for n := range usual {
-		usual[n] = 3.0 / 80
-	}
+	usual := even(80, 3.0/80)
 	f.run(60*time.Second, kiosk, usual)
 	asked := len(f.admitted) + f.refused
 	c.Assert(f.refused*20 <= asked, qt.IsTrue, qt.Commentf("%d of %d refused", f.refused, asked))
@@ -364,10 +361,7 @@
 	for _, rate := range []float64{5, 20, 40, 100} {
 		a := catalog.Account{Name: "a", Rate: rate, Burst: rate}
 		f := newFleet(80)
-		usual, flood := make([]float64, 80), make([]float64, 80)
-		for n := range usual {
-			usual[n], flood[n] = rate/1.6/80, 8*rate/1.6/80
-		}
+		usual, flood := even(80, rate/1.6/80), even(80, 8*rate/1.6/80)
 		f.run(20*time.Second, a, usual)
 		f.run(20*time.Second, a, flood)
 		c.Check(f.most(window) <= limit(a), qt.IsTrue, qt.Commentf("rate %g: %d of %d", rate, f.most(window), limit(a)))
@@ -387,10 +381,7 @@
 	c := qt.New(t)
 	chain := catalog.Account{Name: "chain", Rate: 60, Burst: 60}
 	f := newFleet(80)
-	usual, flood := make([]float64, 80), make([]float64, 80)
-	for n := range usual {
-		usual[n], flood[n] = 37.0/80, 300.0/80
-	}
+	usual, flood := even(80, 37.0/80), even(80, 300.0/80)
 	f.run(20*time.Second, chain, usual)
 	f.cut = func(from, to int) bool { return (from < 15) != (to < 15) }
 	f.refused, f.admitted = 0, nil
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -277,8 +277,8 @@
 // watch doesn't bring. One that has the same may have read it later; the same goes for
 // the list of instances.
 //
-// The age doesn't count the datagram's way, which is short: none is sent twice, and what
-// a cut holds up is lost. A wrong age would only have the catalog read a little later.
+// The age doesn't count the report's way: some ms directly, up to half a second over a door
+// of a large fleet. The catalog is then read that much later than it should.
 func (h *Host) compareCatalog(r gossip.Report) {
 	now := clock.Now()
 	if r.InstancesAge < catalogFresh {
