--- /dev/null
+++ b/core/relay/node_test.go
@@ -0,0 +1,147 @@
+package relay_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/relay"
+	"skylarkdeal/core/statement"
+)
+
+// node is one instance.
+type node struct {
+	name   fleet.Instance
+	role   fleet.Role
+	term   fleet.Term
+	point  fleet.Point
+	conns  []*link
+	ran    []string
+	silent bool
+	// hold keeps answers back until release is called.
+	hold    bool
+	pending []func()
+	// fail answers the next statements that would run with a code.
+	fail []statement.Code
+	// refuse answers new connections with a code.
+	refuse statement.Code
+	away   bool
+	// lagged counts the statements that needed a point which the log lacks.
+	lagged int
+	// dialled counts the tries to connect.
+	dialled int
+}
+
+// link is one connection to a node, as the node sees it.
+type link struct {
+	node  *node
+	conn  *relay.Conn
+	state statement.TxState
+	// writes is set in a transaction that only a primary takes.
+	writes bool
+	values map[string]string
+	names  map[string]statement.Shape
+	closed bool
+}
+
+func (n *node) answer(l *link, a statement.Answer) statement.Answer {
+	a.State = l.state
+	a.Point = fleet.Some(n.point)
+	return a
+}
+
+func (w *world) receive(l *link, q statement.Statement) {
+	n := l.node
+	if n.silent || l.closed {
+		return
+	}
+	a := n.run(l, q)
+	n.pending = append(n.pending, func() {
+		if !l.closed {
+			w.relay.Answered(l.conn, a)
+		}
+	})
+}
+
+// run does what an instance does with a statement.
+func (n *node) run(l *link, q statement.Statement) statement.Answer {
+	var a statement.Answer
+	if p, ok := q.After.Get(); ok && !n.point.Covers(p) {
+		n.lagged++
+		return n.answer(l, statement.Answer{Code: statement.CodeLagging})
+	}
+	if l.writes && n.role != fleet.RolePrimary && q.Kind != statement.KindRollback {
+		l.state = statement.TxFailed
+		return n.answer(l, statement.Answer{Code: statement.CodeReadOnly})
+	}
+	if q.ID != "" && len(n.fail) > 0 && runs(q.Kind) {
+		a.Code, n.fail = n.fail[0], n.fail[1:]
+		if l.state == statement.TxOpen {
+			l.state = statement.TxFailed
+		}
+		return n.answer(l, a)
+	}
+	switch q.Kind {
+	case statement.KindDiscard:
+		clear(l.values)
+		clear(l.names)
+	case statement.KindSet:
+		l.values[q.Name] = q.Value
+	case statement.KindPrepare:
+		l.names[q.Name] = q.Shape
+	case statement.KindBegin, statement.KindBeginRead:
+		if q.Kind == statement.KindBegin && n.role != fleet.RolePrimary {
+			return n.answer(l, statement.Answer{Code: statement.CodeReadOnly})
+		}
+		l.state, l.writes = statement.TxOpen, q.Kind == statement.KindBegin
+		n.ran = append(n.ran, "begin "+string(q.ID))
+	case statement.KindRollback:
+		l.state, l.writes = statement.TxNone, false
+		n.ran = append(n.ran, "rollback")
+	case statement.KindStepDown:
+		if q.Term > n.term {
+			n.role, n.term = fleet.RoleReplica, q.Term
+		}
+		a.Rows = []string{fmt.Sprintf("%s %d %d %d", n.role, n.term, n.point.Term, n.point.Position)}
+	default:
+		return n.work(l, q)
+	}
+	return n.answer(l, a)
+}
+
+func runs(k statement.Kind) bool {
+	switch k {
+	case statement.KindRead, statement.KindWrite, statement.KindExecute, statement.KindCommit:
+		return true
+	default:
+		return false
+	}
+}
+
+func (n *node) work(l *link, q statement.Statement) statement.Answer {
+	writes := q.Kind == statement.KindWrite
+	if q.Kind == statement.KindExecute {
+		s, ok := l.names[q.Name]
+		if !ok {
+			return n.answer(l, statement.Answer{Code: statement.CodeNotPrepared})
+		}
+		writes = s.Writes
+	}
+	if writes && n.role != fleet.RolePrimary {
+		return n.answer(l, statement.Answer{Code: statement.CodeReadOnly})
+	}
+	values := make([]string, 0, len(l.values))
+	for k, v := range l.values {
+		values = append(values, k+"="+v)
+	}
+	slices.Sort(values)
+	n.ran = append(n.ran, strings.TrimSpace(fmt.Sprintf("%s %s %s", q.Kind, q.ID, strings.Join(values, " "))))
+	if q.Kind == statement.KindCommit {
+		l.state, l.writes = statement.TxNone, false
+	}
+	if writes && l.state == statement.TxNone || q.Kind == statement.KindCommit {
+		n.point = fleet.Point{Term: n.term, Position: n.point.Position + 1}
+	}
+	return n.answer(l, statement.Answer{Rows: []string{"row"}, Digest: "d-" + string(n.name)})
+}
--- /dev/null
+++ b/core/relay/query.go
@@ -0,0 +1,170 @@
+package relay
+
+import (
+	"time"
+
+	"skylarkdeal/core/statement"
+)
+
+// done answers a statement that needs no instance.
+func (s *Session) done() {
+	s.link.Answer(statement.Answer{State: s.state()})
+}
+
+// refuse answers that a statement was not run, and when to come back. In a transaction
+// that fails it.
+func (s *Session) refuse(c statement.Code, why string, after time.Duration) {
+	if s.tx.open {
+		s.fail()
+	}
+	s.r.counts.Refused++
+	s.link.Answer(statement.Answer{Code: c, Detail: why, RetryAfter: after, State: s.state()})
+}
+
+// fail marks the open transaction as failed and rolls it back.
+func (s *Session) fail() {
+	s.tx.failed = true
+	s.release()
+}
+
+// Query takes the caller's next statement. Whoever calls it keeps the one after it
+// until this one is answered.
+func (s *Session) Query(q statement.Statement) {
+	if !s.started {
+		s.reject(statement.CodeMalformed, "a statement before the start of the session")
+		return
+	}
+	s.r.counts.Statements++
+	if s.tx.failed && q.Kind != statement.KindCommit && q.Kind != statement.KindRollback {
+		s.link.Answer(statement.Answer{
+			Code: statement.CodeMalformed, Detail: "the transaction has failed", State: statement.TxFailed,
+		})
+		return
+	}
+	switch q.Kind {
+	case statement.KindSet:
+		s.set(q)
+	case statement.KindPrepare:
+		s.prepare(q)
+	case statement.KindDeallocate:
+		delete(s.prepared, q.Name)
+		s.done()
+	case statement.KindBegin, statement.KindBeginRead:
+		s.begin(q)
+	case statement.KindRollback:
+		s.rollback()
+	default:
+		s.run(q)
+	}
+}
+
+func (s *Session) set(q statement.Statement) {
+	v := value{name: q.Name, value: q.Value, id: q.ID}
+	for n := range s.values {
+		if s.values[n].name == q.Name {
+			s.values[n] = v
+			s.done()
+			return
+		}
+	}
+	if len(s.values) >= maxNames {
+		s.refuse(statement.CodeTooMany, "too many values in one session", 0)
+		return
+	}
+	s.values = append(s.values, v)
+	s.done()
+}
+
+func (s *Session) prepare(q statement.Statement) {
+	if _, ok := s.prepared[q.Name]; !ok && len(s.prepared) >= maxNames {
+		s.refuse(statement.CodeTooMany, "too many prepared statements in one session", 0)
+		return
+	}
+	s.prepared[q.Name] = &prepared{shape: q.Shape, name: sharedName(q.Shape), id: q.ID}
+	s.done()
+}
+
+// begin opens a transaction. No instance hears of it before its first statement, which
+// then finds the connection, so that a caller who pauses here holds none.
+func (s *Session) begin(q statement.Statement) {
+	if s.tx.open {
+		s.refuse(statement.CodeMalformed, "a transaction is open already", 0)
+		return
+	}
+	if !s.enter(q.ID) {
+		return
+	}
+	now := s.r.now()
+	s.tx = transaction{
+		open: true, read: q.Kind == statement.KindBeginRead, begin: q.ID, after: q.After, asked: now, rest: now,
+	}
+	s.done()
+}
+
+// enter begins an operation: by the route, the key and the rate that are in force now.
+func (s *Session) enter(id statement.ID) bool {
+	if s.instance != "" {
+		return true
+	}
+	if code, why := s.admitted(); code != statement.CodeNone {
+		s.reject(code, why)
+		return false
+	}
+	a, ok := s.r.catalog.Accounts[s.account]
+	if !ok || s.r.cfg.Admit == nil {
+		return true
+	}
+	wait, ok := s.r.cfg.Admit(a)
+	if ok {
+		return true
+	}
+	s.r.note(Event{
+		Kind: EventRefuse, ID: id, Database: s.database, Service: s.route.Service, Account: s.account,
+		Choice: "refuse", Reason: "the account is over its rate", Code: statement.CodeBusy, Age: wait,
+	})
+	s.refuse(statement.CodeBusy, "the account is over its rate", wait)
+	return false
+}
+
+func (s *Session) rollback() {
+	s.release()
+	s.tx = transaction{}
+	s.done()
+	s.rest()
+}
+
+// run has an instance run a read, a write or a commit.
+func (s *Session) run(q statement.Statement) {
+	var p *prepared
+	if q.Kind == statement.KindExecute {
+		if p = s.prepared[q.Name]; p == nil {
+			s.refuse(statement.CodeNotPrepared, "no such prepared statement: "+q.Name, 0)
+			return
+		}
+	}
+	if q.Kind == statement.KindCommit && !s.commits() {
+		return
+	}
+	if !s.tx.open && !s.enter(q.ID) {
+		return
+	}
+	newOperation(s, q, p).start()
+}
+
+// commits reports whether a commit is to be run, and else answers it.
+func (s *Session) commits() bool {
+	switch {
+	case !s.tx.open:
+		s.refuse(statement.CodeMalformed, "no transaction is open", 0)
+		return false
+	case s.tx.failed:
+		s.tx = transaction{}
+		s.link.Answer(statement.Answer{
+			Code: statement.CodeAborted, Detail: "the transaction had failed and was rolled back",
+			State: statement.TxNone,
+		})
+		s.rest()
+		return false
+	}
+	return true
+}
