Don't tell on what was heard of another host's reading

Hosts told each other how long ago the list (and the catalog) was last known to be the store's, by whomever; the time on the way, up to half a second over a door, was left out at each step, so that the reading stayed young for ever.

Change: a host tells of its own readings only. TestReadingsAreNotToldOn fails without it.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -193,7 +193,7 @@
 		Host: h.settings.Host.Name, Leaving: h.relay.Draining(), Epoch: h.peers.epoch, Seq: h.peers.seq,
 		Storeless: !h.registry.Up(),
 		Usages:    h.rates.Usage(now, whole), Catalog: h.peers.catalog, Record: h.relay.Record(),
-		CatalogAge: now.Sub(h.registry.Confirmed()), Reached: reached,
+		CatalogAge: now.Sub(h.registry.Read()), Reached: reached,
 		Instances: digest, InstancesAge: now.Sub(at),
 	}
 	if whole {
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -43,10 +43,10 @@
 	// Catalog is the version in force, Record the revision of the newest record of a
 	// change of primary that the host knows of.
 	Catalog, Record uint64
-	// CatalogAge is how long ago Catalog was last known to be the newest.
+	// CatalogAge is how long ago the host itself found Catalog to be the newest.
 	CatalogAge time.Duration
-	// Instances tells one list of instances from another, InstancesAge how long ago it was
-	// last known to be the newest.
+	// Instances tells one list of instances from another, InstancesAge how long ago the host
+	// itself read it.
 	Instances    uint64
 	InstancesAge time.Duration
 }
--- a/io/registry/catalog.go
+++ b/io/registry/catalog.go
@@ -37,6 +37,7 @@
 	}
 	r.up.answered()
 	r.takeCatalog(es)
+	latest(&r.read, sent)
 	r.CatalogConfirmed(sent)
 	return at, nil
 }
@@ -62,8 +63,15 @@
 // CatalogConfirmed takes in that the catalog in force here was the store's at a moment.
 func (r *Registry) CatalogConfirmed(at time.Time) { latest(&r.confirmed, at) }
 
-// Confirmed returns when the catalog in force here was last known to be the store's.
-func (r *Registry) Confirmed() time.Time {
+// Read returns when this host last read the catalog. As with the list of instances, what
+// others have told of their readings is not told on.
+func (r *Registry) Read() time.Time {
+	at, _ := r.read.Load().(time.Time)
+	return at
+}
+
+// knownSince returns when the catalog in force here was last known to be the store's.
+func (r *Registry) knownSince() time.Time {
 	at, _ := r.confirmed.Load().(time.Time)
 	return at
 }
@@ -74,7 +82,7 @@
 	// The watch begins with a reading of its own.
 	pause.For(ctx, confirmEvery)
 	for ctx.Err() == nil {
-		due := r.Confirmed().Add(confirmEvery + r.turn())
+		due := r.knownSince().Add(confirmEvery + r.turn())
 		if wait := due.Sub(r.cfg.Now()); wait > 0 {
 			pause.For(ctx, wait)
 			continue
--- a/io/registry/lists.go
+++ b/io/registry/lists.go
@@ -14,17 +14,29 @@
 	"skylarkdeal/internal/pause"
 )
 
-// listing is a reading of the list of instances: what tells it from others, and when it
-// was last known to be the store's, by this host or another.
+// listing is a reading of the list of instances: what tells it from others, when this host
+// read it, and when it was last known to be the store's, by this host or another.
 type listing struct {
-	mu        sync.Mutex
-	digest    uint64
-	confirmed time.Time
+	mu              sync.Mutex
+	digest          uint64
+	read, confirmed time.Time
 }
 
-// Listing returns the digest of the list of instances that is in use here, and when it was
-// last known to be the store's.
+// Listing returns the digest of the list of instances that is in use here, and when this host
+// read it.
+//
+// What other hosts have told of their readings is not told on. The time that a report takes on
+// its way isn't known, and would be left out at each step: a reading told from host to host
+// stayed young for ever, nobody read again, and an instance that was leaving was used until it
+// ended.
 func (r *Registry) Listing() (uint64, time.Time) {
+	r.listing.mu.Lock()
+	defer r.listing.mu.Unlock()
+	return r.listing.digest, r.listing.read
+}
+
+// listed returns the digest of the list in use, and when it was last known to be the store's.
+func (r *Registry) listed() (uint64, time.Time) {
 	r.listing.mu.Lock()
 	defer r.listing.mu.Unlock()
 	return r.listing.digest, r.listing.confirmed
@@ -66,7 +78,7 @@
 	}
 	pause.For(ctx, listingPause)
 	for ctx.Err() == nil {
-		digest, at := r.Listing()
+		digest, at := r.listed()
 		every := instancesEvery
 		if digest == 0 && r.rank() < turns {
 			// The instances are still to come.
@@ -98,7 +110,7 @@
 	r.cfg.Post(func() { r.cfg.Instances(is) })
 	r.listing.mu.Lock()
 	defer r.listing.mu.Unlock()
-	r.listing.digest, r.listing.confirmed = digest.Sum64(), sent
+	r.listing.digest, r.listing.read, r.listing.confirmed = digest.Sum64(), sent, sent
 	if len(is) == 0 {
 		r.listing.digest = 0
 	}
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -118,8 +118,9 @@
 	rehost chan struct{}
 	// reload is signalled when the catalog is to be read anew.
 	reload chan struct{}
-	// confirmed is when the catalog in force here was last read, by this host or another.
-	confirmed atomic.Value
+	// read is when this host last read the catalog, confirmed when it was last read by this
+	// host or another.
+	read, confirmed atomic.Value
 	// listing is the list of instances as it was last read here; relisting is signalled when
 	// it is to be read anew.
 	listing   listing
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -167,6 +167,40 @@
 	c.Check(lists[0] > lists[1] && lists[1] > lists[40], qt.IsTrue, qt.Commentf("readings by rank: %v", lists))
 }
 
+// Eighty hosts told each other on what they had heard of a reading, each leaving out the time
+// on the way. The reading never grew old, nobody read again, and an instance that had left was
+// used on. Two hosts that hear each other half a second late still read.
+func TestReadingsAreNotToldOn(t *testing.T) {
+	c := qt.New(t)
+	s := newShelf()
+	s.put("catalog", "3")
+	s.put("instances/a", "x")
+	r1, t1 := joinAt(c, s, 1)
+	r2, t2 := joinAt(c, s, 2)
+	until(c, t1, "an instance", func() bool { return t1.instances == 1 })
+	until(c, t2, "an instance", func() bool { return t2.instances == 1 })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	const delay = 500 * time.Millisecond
+	for _, pair := range [][2]*registry.Registry{{r1, r2}, {r2, r1}} {
+		go func() {
+			for ctx.Err() == nil {
+				digest, at := pair[0].Listing()
+				read := pair[0].Read()
+				time.Sleep(delay)
+				pair[1].ListingConfirmed(digest, at.Add(delay))
+				pair[1].CatalogConfirmed(read.Add(delay))
+			}
+		}()
+	}
+	time.Sleep(time.Second)
+	s.put("instances/b", "x")
+	began := time.Now()
+	until(c, t1, "the second instance", func() bool { return t1.instances == 2 })
+	until(c, t2, "the second instance", func() bool { return t2.instances == 2 })
+	c.Assert(time.Since(began) < 5*time.Second, qt.IsTrue)
+}
+
 // An order is given: first its record, then the end of the other hosts' registrations, and
 // only then the order itself, under a number that the store has never given before.
 func TestOrderEndsRegistrationsFirst(t *testing.T) {
