Log what lets a replica be read around a change of primary

A read that is served in time left no line, and neither did the taking of a point, so that the logs of a stale read couldn't tell whether it had a point, whose, and how old. No decision changes.

For 3 s after an order becomes known: each read that goes to a replica, with the point it needs and the age of what asked for that; the first point that is taken since the order; each instance's word on its term, with the end of its log and of what it has received. At most 40 lines a second for the reads; nothing at other times.

--- a/core/relay/event.go
+++ b/core/relay/event.go
@@ -43,8 +43,9 @@
 	Reason string
 	Code   statement.Code
 	Term   fleet.Term
-	// Need is the point that a read had to cover, Has where the instance's log stood.
-	Need, Has fleet.Point
+	// Need is the point that a read had to cover, Has where the instance's log stood, Received
+	// the end of what the instance had received, as it said itself.
+	Need, Has, Received fleet.Point
 	// Age is that of what decided.
 	Age time.Duration
 	// Took is the time from the caller's statement to this event.
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -248,6 +248,9 @@
 		q.After = o.after
 	}
 	o.sent, o.sentAt = true, o.g.r.now()
+	if _, ok := o.after.Get(); ok && o.s.instance == "" && o.g.changing(o.sentAt) {
+		o.note(EventPlace, "read a replica", "its log is to cover the point", statement.CodeNone)
+	}
 	o.ran, o.s.tx.ran = true, true
 	if o.s.tx.open {
 		o.s.tx.conn = o.conn
@@ -300,6 +303,9 @@
 	if p, ok := o.after.Get(); ok {
 		e.Need = p
 	}
+	if s, ok := o.g.samples.Oldest(o.age); ok && k == EventPlace {
+		e.Age = o.g.r.now().Sub(s.Asked)
+	}
 	if o.conn != nil {
 		e.Host = o.conn.via
 	}
--- a/core/relay/prove.go
+++ b/core/relay/prove.go
@@ -21,17 +21,42 @@
 	if n, _, ok := g.belief.Primary(); ok && n == c.Instance {
 		g.aliveAt = now
 		if g.r.lease.Certain(now) {
-			g.samples.Add(fresh.Sample{Point: p, Asked: asked})
+			g.sampled(c.Instance, p, asked)
 		}
 	}
 }
 
+// sampled takes in a point of the primary.
+func (g *group) sampled(i fleet.Instance, p fleet.Point, asked time.Time) {
+	g.samples.Add(fresh.Sample{Point: p, Asked: asked})
+	if g.changing(g.r.now()) && g.sampledAt.Before(g.changedAt) {
+		g.r.note(Event{
+			Kind: EventLeader, Service: g.name, Instance: i, Has: p,
+			Choice: "let reads go by its point", Reason: "the first since the order", Age: g.r.now().Sub(asked),
+		})
+	}
+	g.sampledAt = g.r.now()
+}
+
+// changeShown is how long after an order the log tells of each read that a replica gets, and of
+// each instance's term: they are what a stale read is traced by, and too many at other times.
+const changeShown = 3 * time.Second
+
+// changing reports whether an order became known a moment ago.
+func (g *group) changing(now time.Time) bool { return now.Sub(g.changedAt) < changeShown }
+
 // told takes in what an instance, asked at some moment, has said of itself.
 func (g *group) told(c *Conn, asked time.Time, a statement.Answer) {
 	s, ok := g.r.cfg.ParseStatus(a)
 	if !ok {
 		return
 	}
+	if c.inst.term != s.Term && g.changing(g.r.now()) {
+		g.r.note(Event{
+			Kind: EventInstance, Service: g.name, Instance: c.Instance, Term: s.Term, Received: s.Received,
+			Has: c.inst.point, Choice: "in a new term", Reason: "it says that it is a " + string(s.Role),
+		})
+	}
 	c.inst.received, c.inst.leads, c.inst.term = s.Received, s.Role == fleet.RolePrimary, s.Term
 	c.inst.toldAt = g.r.now()
 	if g.belief.Answered(c.Instance, s) {
@@ -39,6 +64,7 @@
 		g.r.note(Event{
 			Kind: EventLeader, Service: g.name, Instance: c.Instance, Term: s.Term,
 			Choice: "use as the primary", Reason: "it says that it leads", Age: g.r.now().Sub(g.changedAt),
+			Has: c.inst.point, Received: s.Received,
 		})
 	}
 	proved, refuted := g.proofs.Evidence(c.Instance, asked, s.Term)
@@ -125,7 +151,7 @@
 		return
 	}
 	if p, ok := o.answer.Point.Get(); ok {
-		g.samples.Add(fresh.Sample{Point: p, Asked: o.sentAt})
+		g.sampled(c.Instance, p, o.sentAt)
 	}
 	g.confirmed(o, *o.answer)
 }
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -26,6 +26,7 @@
 	relay.EventAnswer:   100,
 	relay.EventRefuse:   60,
 	relay.EventRetry:    40,
+	relay.EventPlace:    40,
 	relay.EventSession:  30,
 	relay.EventInstance: 30,
 	relay.EventLeader:   60,
@@ -75,6 +76,9 @@
 	if !n.Has.IsZero() {
 		f = append(f, zap.String("has", n.Has.String()))
 	}
+	if !n.Received.IsZero() {
+		f = append(f, zap.String("received", n.Received.String()))
+	}
 	if n.Age > 0 && n.Age < maxAge {
 		f = append(f, zap.Duration("age", n.Age))
 	}
