--- a/GNUmakefile
+++ b/GNUmakefile
@@ -6,7 +6,7 @@
 	$(GO) build -o skylarkdeal .
 
 test:
-	$(GO) test -race ./...
+	GO=$(GO) script/test
 
 demo: build
 	./skylarkdeal demo
--- /dev/null
+++ b/core/relay/history_test.go
@@ -0,0 +1,172 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/leader"
+	"skylarkdeal/core/statement"
+)
+
+// toSuccessor is the order under which b is to lead after a, in term 2.
+var toSuccessor = leader.Record{Service: service, Term: 2, Primary: "b", Former: "a", Revision: 7}
+
+// acquainted returns a world whose relay has a point of the primary a, and connections to all
+// instances. Of the replicas it prefers c, which is nearer.
+func acquainted(c *qt.C) *world {
+	w := newWorld(c)
+	w.instances["b"].far = true
+	w.list()
+	w.settled()
+	w.open("rush", "key-1").do(statement.KindRead, "", "for the sample")
+	for _, busy := range []fleet.Instance{"a", "c"} {
+		w.instances[busy].hold = true
+		for range 4 {
+			w.open("stock", "key-1").do(statement.KindRead, "", "item")
+			w.pass(20*time.Millisecond, true)
+		}
+	}
+	for _, i := range w.instances {
+		i.hold = false
+		c.Assert(len(i.conns) > 0, qt.IsTrue, qt.Commentf("no connection to %s", i.name))
+	}
+	w.deliver()
+	// What they took while they were held counts no more after this.
+	w.pass(3*time.Second, true)
+	w.open("rush", "key-1").do(statement.KindRead, "", "for the sample")
+	return w
+}
+
+// promote has b lead term 2 with the log that it has.
+func (w *world) promote() *node {
+	b := w.instances["b"]
+	b.role, b.term = fleet.RolePrimary, 2
+	return b
+}
+
+// reads has a new session of a database read once and returns how often each instance has run
+// it by the end of a wait.
+func (w *world) reads(d catalog.Database, wait time.Duration, renewed bool) (map[fleet.Instance]int, *caller) {
+	before := map[fleet.Instance]int{}
+	for n, i := range w.instances {
+		before[n] = len(i.ran)
+	}
+	x := w.open(d, "key-1")
+	x.do(statement.KindRead, "", "item")
+	w.pass(wait, renewed)
+	ran := map[fleet.Instance]int{}
+	for n, i := range w.instances {
+		ran[n] = len(i.ran) - before[n]
+	}
+	return ran, x
+}
+
+// Collectors browse what may be 1.5 s old, and are shown a bottle that left 2 s ago. The primary
+// and its hosts are cut off; they still acknowledge a withdrawal that no replica hears of. When b
+// leads, its log ends where c's does, in the old term, and c has not heard of the change: its
+// log is still that of the old primary, and lacks the withdrawal.
+func TestReplicaIsReadOnceItIsInTheTermOfTheReign(t *testing.T) {
+	c := qt.New(t)
+	w := acquainted(c)
+	w.instances["a"].point.Position = 6
+	w.lose("a")
+	w.relay.Recorded(toSuccessor)
+	w.pass(1900*time.Millisecond, true)
+	w.promote()
+	_, first := w.reads("rush", 100*time.Millisecond, true)
+	c.Assert(first.last().Code, qt.Equals, statement.CodeNone)
+	ran, x := w.reads("stock", 100*time.Millisecond, true)
+	c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+	c.Assert(ran["c"], qt.Equals, 0, qt.Commentf("c has not joined the new reign"))
+	c.Assert(ran["b"], qt.Equals, 1)
+
+	w.instances["c"].term = 2
+	w.pass(200*time.Millisecond, true)
+	ran, _ = w.reads("stock", 100*time.Millisecond, true)
+	c.Assert(ran["c"], qt.Equals, 1, qt.Commentf("c has joined it, and spares the primary the read"))
+}
+
+// The same callers, with replicas that apply late. b says on one connection where its log ends
+// as a replica, and a moment later, on another, that it leads, with all that it had received.
+// The second answer is read first, as connections have no order among each other. The point of
+// the first is below what b leads with, and c, whose log is as short, is taken for fresh.
+func TestPointThatWasGivenBeforeTheReignIsNone(t *testing.T) {
+	c := qt.New(t)
+	w := acquainted(c)
+	w.instances["a"].point.Position = 9
+	w.lose("a")
+	w.pass(1900*time.Millisecond, true)
+	b := w.instances["b"]
+	b.hold = true
+	w.relay.Recorded(toSuccessor)
+	w.pass(80*time.Millisecond, true)
+	c.Assert(b.pending, qt.HasLen, 2, qt.Commentf("an answer, and a second connection"))
+	asReplica, connected := b.pending[0], b.pending[1]
+	b.pending, b.hold = nil, false
+	w.promote().point.Position = 9
+	w.instances["c"].term = 2
+	connected()
+	w.pass(70*time.Millisecond, true)
+	asReplica()
+	ran, x := w.reads("stock", 100*time.Millisecond, true)
+	c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+	c.Assert(ran["c"], qt.Equals, 0, qt.Commentf("its log ends at %v", w.instances["c"].point))
+	c.Assert(ran["b"], qt.Equals, 1)
+}
+
+// A pastry kitchen orders on one host and asks on another, which doesn't see the order. An order
+// of a change has taken effect: the first host has heard it and acknowledges writes of the new
+// primary. The second asks the new one every 50 ms whether it leads, and until then goes on with
+// the former, where the read runs, whatever becomes of its answer.
+func TestReadDoesNotRunOnTheFormerPrimaryUnasked(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	w.relay.Recorded(toSuccessor)
+	w.pass(1050*time.Millisecond, true)
+	w.promote().point = fleet.Point{Term: 2, Position: 6}
+	ran, x := w.reads("rush", 100*time.Millisecond, true)
+	c.Assert(ran["a"], qt.Equals, 0, qt.Commentf("a lacks what b has acknowledged"))
+	c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+	c.Assert(ran["b"], qt.Equals, 1)
+}
+
+// A host has lost the store, and the primary that it knows is replaced. It reaches all
+// instances: one question to each shows that b leads, but it is put after the read has run on a,
+// which lacks what b has acknowledged by then.
+func TestReadDoesNotRunOnAPrimaryThatNothingVouchesFor(t *testing.T) {
+	for _, d := range []catalog.Database{"rush", "stock", "standing"} {
+		t.Run(string(d), func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(c).settled()
+			w.open("rush", "key-1").do(statement.KindRead, "", "for the sample")
+			w.pass(4*time.Second, false)
+			w.promote().point = fleet.Point{Term: 2, Position: 6}
+			w.pass(3*time.Second, false)
+			ran, _ := w.reads(d, 100*time.Millisecond, false)
+			c.Assert(ran["a"], qt.Equals, 0, qt.Commentf("a lacks what b has acknowledged 3 s before"))
+		})
+	}
+}
+
+// The host of the test before, with nothing replaced: callers are served all the same, and the
+// replicas take their part of the reads.
+func TestReadsAreServedWithoutTheStore(t *testing.T) {
+	for _, d := range []catalog.Database{"rush", "stock", "standing"} {
+		t.Run(string(d), func(t *testing.T) {
+			c := qt.New(t)
+			w := acquainted(c)
+			w.pass(4*time.Second, false)
+			ran, x := w.reads(d, 100*time.Millisecond, false)
+			c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+			c.Assert(ran["a"]+ran["b"]+ran["c"], qt.Equals, 1)
+			w.pass(time.Second, false)
+			ran, x = w.reads(d, 100*time.Millisecond, false)
+			c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+			c.Assert(ran["a"] == 0, qt.Equals, d != "rush")
+		})
+	}
+}
--- a/core/relay/node_test.go
+++ b/core/relay/node_test.go
@@ -27,6 +27,8 @@
 	// refuse answers new connections with a code.
 	refuse statement.Code
 	away   bool
+	// far puts it in another data centre than the relay's.
+	far bool
 	// lagged counts the statements that needed a point which the log lacks.
 	lagged int
 	// dialled counts the tries to connect.
