Read a replica only in the history that its point was taken in

What callers saw: a read of at most 1.5 s ran on a replica whose log ended at 1.101, around the moment at which a change of primary took effect; it lacked 1.102, acknowledged 1.5 s before.

Cause, as far as it is known: a promotion writes no entry, so that the new primary's point is of the old term until its first commit. A replica that hasn't heard of the change covers that point by the old primary's history, and lacks what that one acknowledged last. The point was taken for a proof of more than it is.

Change: a sample keeps the term in which its primary led. A point of that term is in no other history; for one of before, the replica has to have said that it is in the term.

Why it holds: a replica in the term has the new primary's history up to where its log ends, which the instance itself compares with the point. TestReplicaIsReadOnceItIsInTheTermOfTheReign failed before.

--- a/core/fresh/fresh.go
+++ b/core/fresh/fresh.go
@@ -13,6 +13,9 @@
 type Sample struct {
 	Point fleet.Point
 	Asked time.Time
+	// Reign is the term in which the primary led that gave it. The point may be of an earlier
+	// one, as a promotion writes no entry.
+	Reign fleet.Term
 }
 
 // Samples are the last samples of one group. The zero Samples is empty.
--- a/core/relay/history_test.go
+++ b/core/relay/history_test.go
@@ -68,7 +68,8 @@
 // Collectors browse what may be 1.5 s old, and are shown a bottle that left 2 s ago. The primary
 // and its hosts are cut off; they still acknowledge a withdrawal that no replica hears of. When b
 // leads, its log ends where c's does, in the old term, and c has not heard of the change: its
-// log is still that of the old primary, and lacks the withdrawal.
+// log is still that of the old primary, and lacks the withdrawal. The cause: a point of the old
+// term covers nothing of the new one. A replica that is asked says which term it is in.
 func TestReplicaIsReadOnceItIsInTheTermOfTheReign(t *testing.T) {
 	c := qt.New(t)
 	w := acquainted(c)
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -7,6 +7,7 @@
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/exchange"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/fresh"
 	"skylarkdeal/core/statement"
 )
 
@@ -164,7 +165,7 @@
 	o.g.running[o.key] = o
 	o.conn = c
 	o.tries++
-	if p, ok := o.need().Get(); ok && !c.inst.point.Covers(p) {
+	if s, ok := o.need(); ok && !c.inst.point.Covers(s.Point) {
 		c.inst.trial = o
 	}
 	c.setState(connBusy)
@@ -186,7 +187,16 @@
 	qs := c.setup(o.s, o.prep)
 	c.applied(o.s, o.prep, qs)
 	if o.s.instance == "" {
-		o.after = o.need()
+		s, ok := o.need()
+		if !ok && !o.unbound() {
+			// Nothing tells any more which point the log has to cover.
+			o.unready(statement.CodeLagging, statement.TxNone)
+			return
+		}
+		o.after = fleet.Option[fleet.Point]{}
+		if ok {
+			o.after = fleet.Some(s.Point)
+		}
 	}
 	if o.opens {
 		qs = append(qs, o.beginning())
@@ -232,13 +242,16 @@
 	return b
 }
 
-// need is the point that the instance's log has to cover, for a read on a replica.
-func (o *operation) need() fleet.Option[fleet.Point] {
-	if o.lead || o.g.leads(o.conn.Instance) {
-		return fleet.Option[fleet.Point]{}
+// unbound reports whether the instance may run the operation wherever its log ends.
+func (o *operation) unbound() bool { return o.lead || o.g.leads(o.conn.Instance) }
+
+// need is the point that the instance's log has to cover, for a read on a replica, and whether
+// there is one.
+func (o *operation) need() (fresh.Sample, bool) {
+	if o.unbound() {
+		return fresh.Sample{}, false
 	}
-	p, _ := o.g.needs(o)
-	return fleet.Some(p)
+	return o.g.needs(o)
 }
 
 // main sends the statement itself, behind ahead.
--- a/core/relay/outlook.go
+++ b/core/relay/outlook.go
@@ -1,6 +1,10 @@
 package relay
 
-import "time"
+import (
+	"time"
+
+	"skylarkdeal/core/fresh"
+)
 
 // able says why the group's primary can't answer now; nothing if it can. An answer that
 // can't be proved is of no use to a caller: a write would be left in doubt, where one that
@@ -40,7 +44,7 @@
 		return "", 0
 	}
 	if !o.lead {
-		if _, ok := g.needs(o); ok && g.readable(now, o) {
+		if s, ok := g.needs(o); ok && g.readable(now, o, s) {
 			return "", 0
 		}
 	}
@@ -71,10 +75,10 @@
 	return true
 }
 
-// readable reports whether any instance but the primary can be reached for a read.
-func (g *group) readable(now time.Time, o *operation) bool {
+// readable reports whether any instance but the primary can be reached for a read that needs s.
+func (g *group) readable(now time.Time, o *operation, s fresh.Sample) bool {
 	for _, i := range g.instances {
-		if i.usable() && !g.leads(i.info.Name) && g.r.reaches(now, i) && !o.avoid.Has(i.info.Name) {
+		if i.usable() && i.joined(s) && !g.leads(i.info.Name) && g.r.reaches(now, i) && !o.avoid.Has(i.info.Name) {
 			return true
 		}
 	}
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -6,20 +6,20 @@
 	"skylarkdeal/core/admit"
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/fresh"
 )
 
-// needs returns the point that a read has to cover on a replica, and whether it is
-// known.
-func (g *group) needs(o *operation) (fleet.Point, bool) {
+// needs returns the point that a read has to cover on a replica, with what it was taken from,
+// and whether it is known.
+func (g *group) needs(o *operation) (fresh.Sample, bool) {
 	s, ok := g.samples.Oldest(o.age)
 	if !ok {
-		return fleet.Point{}, false
+		return fresh.Sample{}, false
 	}
-	p := s.Point
-	if o.route.Consistency == catalog.ConsistencySession && !p.Covers(o.s.written) {
-		p = o.s.written
+	if o.route.Consistency == catalog.ConsistencySession && !s.Point.Covers(o.s.written) {
+		s.Point = o.s.written
 	}
-	return p, true
+	return s, true
 }
 
 // pump starts what can be started.
@@ -145,8 +145,8 @@
 		return false
 	}
 	g.readAt = now
-	p, ok := g.needs(o)
-	return ok && (i.point.Covers(p) || i.mayTry(now, o))
+	s, ok := g.needs(o)
+	return ok && i.joined(s) && (i.point.Covers(s.Point) || i.mayTry(now, o))
 }
 
 func (g *group) cost(now time.Time, i *instance, o *operation) time.Duration {
--- a/core/relay/prove.go
+++ b/core/relay/prove.go
@@ -18,21 +18,23 @@
 	now := g.r.now()
 	c.inst.point = p
 	g.belief.Seen(c.Instance, p.Term)
-	if n, _, ok := g.belief.Primary(); ok && n == c.Instance {
-		g.aliveAt = now
-		if g.r.lease.Certain(now) {
-			g.sampled(c.Instance, p, asked)
-		}
+	n, t, ok := g.belief.Primary()
+	if !ok || n != c.Instance {
+		return
+	}
+	g.aliveAt = now
+	if g.r.lease.Certain(now) {
+		g.sampled(c.Instance, fresh.Sample{Point: p, Asked: asked, Reign: t})
 	}
 }
 
 // sampled takes in a point of the primary.
-func (g *group) sampled(i fleet.Instance, p fleet.Point, asked time.Time) {
-	g.samples.Add(fresh.Sample{Point: p, Asked: asked})
+func (g *group) sampled(i fleet.Instance, s fresh.Sample) {
+	g.samples.Add(s)
 	if g.changing(g.r.now()) && g.sampledAt.Before(g.changedAt) {
 		g.r.note(Event{
-			Kind: EventLeader, Service: g.name, Instance: i, Has: p,
-			Choice: "let reads go by its point", Reason: "the first since the order", Age: g.r.now().Sub(asked),
+			Kind: EventLeader, Service: g.name, Instance: i, Has: s.Point, Term: s.Reign,
+			Choice: "let reads go by its point", Reason: "the first since the order", Age: g.r.now().Sub(s.Asked),
 		})
 	}
 	g.sampledAt = g.r.now()
@@ -51,22 +53,7 @@
 	if !ok {
 		return
 	}
-	if c.inst.term != s.Term && g.changing(g.r.now()) {
-		g.r.note(Event{
-			Kind: EventInstance, Service: g.name, Instance: c.Instance, Term: s.Term, Received: s.Received,
-			Has: c.inst.point, Choice: "in a new term", Reason: "it says that it is a " + string(s.Role),
-		})
-	}
-	c.inst.received, c.inst.leads, c.inst.term = s.Received, s.Role == fleet.RolePrimary, s.Term
-	c.inst.toldAt = g.r.now()
-	if g.belief.Answered(c.Instance, s) {
-		g.aliveAt = g.r.now()
-		g.r.note(Event{
-			Kind: EventLeader, Service: g.name, Instance: c.Instance, Term: s.Term,
-			Choice: "use as the primary", Reason: "it says that it leads", Age: g.r.now().Sub(g.changedAt),
-			Has: c.inst.point, Received: s.Received,
-		})
-	}
+	g.believe(c.inst, s)
 	proved, refuted := g.proofs.Evidence(c.Instance, asked, s.Term)
 	for _, cl := range proved {
 		g.proved(cl)
@@ -76,6 +63,27 @@
 	}
 }
 
+// believe takes in an instance's last word on itself.
+func (g *group) believe(i *instance, s statement.Status) {
+	now := g.r.now()
+	if i.term != s.Term && g.changing(now) {
+		g.r.note(Event{
+			Kind: EventInstance, Service: g.name, Instance: i.info.Name, Term: s.Term, Received: s.Received,
+			Has: i.point, Choice: "in a new term", Reason: "it says that it is a " + string(s.Role),
+		})
+	}
+	i.received, i.leads, i.term = s.Received, s.Role == fleet.RolePrimary, s.Term
+	i.toldAt = now
+	if !g.belief.Answered(i.info.Name, s) {
+		return
+	}
+	g.aliveAt = now
+	g.r.note(Event{
+		Kind: EventLeader, Service: g.name, Instance: i.info.Name, Term: s.Term, Has: i.point, Received: s.Received,
+		Choice: "use as the primary", Reason: "it says that it leads", Age: now.Sub(g.changedAt),
+	})
+}
+
 // judge gives an answer to its caller, or has it wait for the proof that it came from
 // the primary. Reads on replicas were proved by the point they had to cover.
 func (g *group) judge(o *operation, c *Conn, a statement.Answer) {
@@ -151,7 +159,7 @@
 		return
 	}
 	if p, ok := o.answer.Point.Get(); ok {
-		g.sampled(c.Instance, p, o.sentAt)
+		g.sampled(c.Instance, fresh.Sample{Point: p, Asked: o.sentAt, Reign: c.Term})
 	}
 	g.confirmed(o, *o.answer)
 }
