Go by an instance's word in the order of the questions

What callers would see: a read of at most 1.5 s runs on a replica that lacks what the new primary leads with, for up to 1.5 s after a change.

Cause: an answer counted by when it was read. Answers of two connections have no order: one that the new primary gave as a replica, read after its word that it leads, gave a point under the name of its reign, below what it leads with where replicas apply late (seen: 1.133 applied, 1.164 received). The same late word also unsettled a primary that leads.

Change: a point counts if it was asked for after the host had found the primary; a word on an instance's role and term counts unless a later question has been answered already.

Why it holds: what was asked for after the first word that it leads was answered after it began to lead. TestPointThatWasGivenBeforeTheReignIsNone failed before. The tests' world now lets time pass between two answers, so that no two have the same moment.

--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -34,6 +34,8 @@
 	// changedAt is when the last order became known, aliveAt when the primary last
 	// answered.
 	changedAt, aliveAt time.Time
+	// settledAt is when the primary was last settled.
+	settledAt time.Time
 	// sampledAt is when the last point of the primary was taken in.
 	sampledAt time.Time
 	// verifiedAt is when the primary was last asked whether it is one.
--- a/core/relay/history_test.go
+++ b/core/relay/history_test.go
@@ -94,7 +94,9 @@
 // The same callers, with replicas that apply late. b says on one connection where its log ends
 // as a replica, and a moment later, on another, that it leads, with all that it had received.
 // The second answer is read first, as connections have no order among each other. The point of
-// the first is below what b leads with, and c, whose log is as short, is taken for fresh.
+// the first is below what b leads with, and c, whose log is as short, is taken for fresh. The
+// cause: what counts is when an answer is read, not when it was asked for. The log of a late
+// replica ends far before what it has received, and at that when it is promoted.
 func TestPointThatWasGivenBeforeTheReignIsNone(t *testing.T) {
 	c := qt.New(t)
 	w := acquainted(c)
--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -26,6 +26,8 @@
 	leads  bool
 	term   fleet.Term
 	toldAt time.Time
+	// termAt is when it was asked for the term.
+	termAt time.Time
 	// lastHeard is when anything came from it.
 	lastHeard time.Time
 	// failures counts failed connections in a row; the next is tried at next.
--- a/core/relay/prove.go
+++ b/core/relay/prove.go
@@ -23,7 +23,9 @@
 		return
 	}
 	g.aliveAt = now
-	if g.r.lease.Certain(now) {
+	// What it was asked before it said that it leads, it may have answered as a replica: its log
+	// was then shorter than what it has led with. Answers of two connections have no order.
+	if g.r.lease.Certain(now) && !asked.Before(g.settledAt) {
 		g.sampled(c.Instance, fresh.Sample{Point: p, Asked: asked, Reign: t})
 	}
 }
@@ -53,7 +55,11 @@
 	if !ok {
 		return
 	}
-	g.believe(c.inst, s)
+	// A word that was asked for before the last one may come after it, over another connection:
+	// it would make the instance again what it was, and unsettle a primary that leads.
+	if !asked.Before(c.inst.termAt) {
+		g.believe(c.inst, asked, s)
+	}
 	proved, refuted := g.proofs.Evidence(c.Instance, asked, s.Term)
 	for _, cl := range proved {
 		g.proved(cl)
@@ -64,7 +70,7 @@
 }
 
 // believe takes in an instance's last word on itself.
-func (g *group) believe(i *instance, s statement.Status) {
+func (g *group) believe(i *instance, asked time.Time, s statement.Status) {
 	now := g.r.now()
 	if i.term != s.Term && g.changing(now) {
 		g.r.note(Event{
@@ -73,11 +79,11 @@
 		})
 	}
 	i.received, i.leads, i.term = s.Received, s.Role == fleet.RolePrimary, s.Term
-	i.toldAt = now
+	i.toldAt, i.termAt = now, asked
 	if !g.belief.Answered(i.info.Name, s) {
 		return
 	}
-	g.aliveAt = now
+	g.aliveAt, g.settledAt = now, now
 	g.r.note(Event{
 		Kind: EventLeader, Service: g.name, Instance: i.info.Name, Term: s.Term, Has: i.point, Received: s.Received,
 		Choice: "use as the primary", Reason: "it says that it leads", Age: now.Sub(g.changedAt),
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -190,6 +190,8 @@
 	for len(n.pending) > 0 {
 		f := n.pending[0]
 		n.pending = n.pending[1:]
+		// No two answers come at the same moment.
+		w.now = w.now.Add(time.Microsecond)
 		f()
 	}
 }
