Let a read run on a primary only up to where that is known to lead alone

What callers would see: an order on one host that a read on another doesn't show, for 50 ms and more after each change of primary; with the store lost, old data from a replaced primary for as long as a host takes to find out. The answers were withheld or replaced, mostly; the reads had run.

Cause: whether a primary still leads was proved for answers, once they had come. A read was sent to the believed primary, or to the former one of an order, on nothing but the belief, whose age nobody bounded. The lease was looked at when the answer came.

Change: a read goes there if the primary is known to have led alone up to the moment whose commits the read has to show: its begin, or that less the age it accepts. Known by the registration (0.7 s from a renewal; past its end, for what it had covered), or by the others' own word, asked for at or after that moment; for the former primary of an order always by the word of the one that the order names, but for the time in which the order can't have taken effect. What is missing is asked at once, once for all that wait. The point that a replica has to cover is no longer taken for nothing if none is known.

Why it holds: what a read owes is fixed when it begins. If the primary led alone until then, all of it is in its log, and stays there, however late the read runs. TestReadDoesNotRunOnTheFormerPrimaryUnasked and TestReadDoesNotRunOnAPrimaryThatNothingVouchesFor failed before; TestReadsAreServedWithoutTheStore shows that callers are served all the same.

--- a/core/leader/proof.go
+++ b/core/leader/proof.go
@@ -142,6 +142,8 @@
 // has succeeded proves that no order was given before it was sent.
 type Lease struct {
 	sent time.Time
+	// last is sent, also after the registration has ended.
+	last time.Time
 }
 
 // Renewed takes in a renewal that was sent at some moment and has succeeded.
@@ -149,6 +151,19 @@
 	if sent.After(l.sent) {
 		l.sent = sent
 	}
+	if sent.After(l.last) {
+		l.last = sent
+	}
+}
+
+// Until returns the moment up to which no order can have taken effect that wasn't known at the
+// last renewal. It holds on when the registration has ended: what is given after the end takes
+// its time too.
+func (l *Lease) Until() time.Time {
+	if l.last.IsZero() {
+		return time.Time{}
+	}
+	return l.last.Add(LeaseValidity)
 }
 
 // Lost takes in that the registration has ended.
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -36,6 +36,12 @@
 	changedAt, aliveAt time.Time
 	// settledAt is when the primary was last settled.
 	settledAt time.Time
+	// unaffected is until when the last order can't have taken effect, as far as was known when
+	// it became known.
+	unaffected time.Time
+	// doubt is the latest moment up to which an operation needs the primary to have led alone,
+	// that isn't known to have.
+	doubt time.Time
 	// sampledAt is when the last point of the primary was taken in.
 	sampledAt time.Time
 	// verifiedAt is when the primary was last asked whether it is one.
--- a/core/relay/history_test.go
+++ b/core/relay/history_test.go
@@ -124,7 +124,8 @@
 // A pastry kitchen orders on one host and asks on another, which doesn't see the order. An order
 // of a change has taken effect: the first host has heard it and acknowledges writes of the new
 // primary. The second asks the new one every 50 ms whether it leads, and until then goes on with
-// the former, where the read runs, whatever becomes of its answer.
+// the former, where the read runs, whatever becomes of its answer. The cause: that the former leads
+// was proved for answers, after the run, and for no read before it.
 func TestReadDoesNotRunOnTheFormerPrimaryUnasked(t *testing.T) {
 	c := qt.New(t)
 	w := newWorld(c).settled()
@@ -138,8 +139,8 @@
 }
 
 // A host has lost the store, and the primary that it knows is replaced. It reaches all
-// instances: one question to each shows that b leads, but it is put after the read has run on a,
-// which lacks what b has acknowledged by then.
+// instances: one question to each shows that b leads, but it was put after the read had run on a,
+// which lacks what b has acknowledged by then. The cause is that of the test before.
 func TestReadDoesNotRunOnAPrimaryThatNothingVouchesFor(t *testing.T) {
 	for _, d := range []catalog.Database{"rush", "stock", "standing"} {
 		t.Run(string(d), func(t *testing.T) {
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -27,7 +27,7 @@
 	opens bool
 
 	asked, deadline time.Time
-	// age is from when on commits have to be shown, for a read on a replica.
+	// age is the moment before which acknowledged commits have to be shown by a read.
 	age   time.Time
 	tries int
 	avoid fleet.Set[fleet.Instance]
@@ -67,7 +67,8 @@
 		reads, began = s.tx.read, s.tx.asked
 	}
 	o.lead = s.instance != "" || !reads || s.route.Consistency == catalog.ConsistencyPrimary
-	if !o.lead {
+	o.age = began
+	if s.route.Consistency != catalog.ConsistencyPrimary {
 		o.age = began.Add(-s.route.MaxAge)
 	}
 	if p != nil {
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -30,6 +30,7 @@
 	g.pumping = true
 	defer func() { g.pumping = false }()
 	now := g.r.now()
+	defer g.vouch(now)
 	if len(g.inquiries) > 0 {
 		g.answerInquiries(now)
 	}
@@ -139,7 +140,7 @@
 	}
 	leads := g.leads(i.info.Name)
 	if leads && g.primary() == i {
-		return true
+		return g.mayLead(o)
 	}
 	if o.lead || leads || !i.usable() || i.info.Name == g.belief.Named() {
 		return false
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -125,6 +125,7 @@
 		Term: rec.Term,
 	})
 	g.changedAt = r.now()
+	g.unaffected = r.lease.Until()
 	g.pump()
 }
 
