Give no order on a belief that has run out

Found by asking where else a belief acts without its age; each was made to fail in a test.

- An order without an answer was given again for up to 2 s, whatever had been decided meanwhile.
Given after a later order it would be carried out last, and every host's record would name another primary than the platform's: reads and writes would be proved for the wrong one.
It is given again only while its record is the group's last.
- An order without an answer, refused at the next try as the instance no longer runs, counted as refused, and let another order go beside it.
It counts as unknown.
- When a registration ended and the watch of the duty heard nothing, the renewals of the next registration made the former hold on the duty look certain: orders went out under the number of before, beside the next holder's.
The duty now ends with the registration that it stood under.

TestOrderIsNotRepeatedAfterAnother, TestRefusalAfterALostAnswerRefusesNothing and TestDutyEndsWithTheRegistration failed before.

--- a/io/registry/duty.go
+++ b/io/registry/duty.go
@@ -111,7 +111,7 @@
 		}
 	}
 	var fence uint64
-	if holder == r.cfg.Self.Name && e.Lease == Lease(r.lease.Load()) {
+	if l := Lease(r.lease.Load()); l != 0 && holder == r.cfg.Self.Name && e.Lease == l {
 		fence = uint64(e.Created)
 	}
 	if r.fence.Swap(fence) != fence {
@@ -203,7 +203,7 @@
 	if d := leader.LeaseValidity - r.cfg.PromotionDelay; d > 0 && !pause.For(ctx, d) {
 		return ctx.Err()
 	}
-	return r.promote(ctx, o, fence)
+	return r.promote(ctx, o, rec, fence)
 }
 
 func (r *Registry) writeRecord(ctx context.Context, rec leader.Record, based Revision) (Revision, error) {
@@ -276,26 +276,58 @@
 	}
 }
 
+// errSuperseded ends an order that isn't the last of its group any more.
+var errSuperseded = errors.New("another order has been recorded since")
+
 // promote gives the order to the platform, while the hold on the duty is certain.
-func (r *Registry) promote(ctx context.Context, o leader.Order, fence uint64) error {
+//
+// An order without an answer is given again only while its record is the group's last: one that
+// came after a later order would be carried out after it, and put another primary in the place
+// of the one that all hosts know.
+func (r *Registry) promote(ctx context.Context, o leader.Order, rec leader.Record, fence uint64) error {
 	p := Promotion{Service: o.Service, Instance: o.Primary, Holder: r.cfg.Self.Name, Fence: fence}
 	var err error
-	for range orderTries {
+	for n := range orderTries {
+		if n > 0 {
+			if lost := r.lastRecord(ctx, rec); lost != nil {
+				return errors.Join(err, failure.At(lost, "order a change of primary again", "store"))
+			}
+		}
 		if !r.certain() || r.fence.Load() != fence {
 			return errors.Join(err, failure.At(ErrConflict, "order a change of primary", "duty"))
 		}
 		r.planStepDown(ctx, o)
 		c, cancel := context.WithTimeout(ctx, orderTimeout)
-		err = r.cfg.Promote(c, p)
+		last := r.cfg.Promote(c, p)
 		cancel()
-		if err == nil || errors.Is(err, ErrNotRunning) {
-			return err
+		if last == nil || n == 0 && errors.Is(last, ErrNotRunning) {
+			return last
 		}
+		// That the instance isn't running any more refuses no order that it may have had before, so
+		// that the error doesn't stand for ErrNotRunning.
+		err = errors.New("not known to be taken: " + last.Error())
 		pause.For(ctx, pauseAfterError)
 	}
 	return err
 }
 
+// lastRecord reports by an error that rec isn't its group's last record, or isn't known to be.
+func (r *Registry) lastRecord(ctx context.Context, rec leader.Record) error {
+	c, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	key := r.recordsPrefix() + string(rec.Service)
+	es, _, err := r.cfg.Store.List(c, key)
+	if err != nil {
+		return err
+	}
+	for _, e := range es {
+		if e.Key == key && uint64(e.Revision) == rec.Revision {
+			return nil
+		}
+	}
+	return errSuperseded
+}
+
 // certain reports whether the duty can't be another host's yet.
 func (r *Registry) certain() bool {
 	at, ok := r.renewed.Load().(time.Time)
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -194,11 +194,19 @@
 		}
 		r.renew(ctx)
 		if ctx.Err() == nil {
-			r.cfg.Post(r.cfg.Lost)
+			r.leave()
 		}
 	}
 }
 
+// leave takes in that the registration has ended, and the duty with it: what was held under it must
+// not look certain again by the renewals of the next one.
+func (r *Registry) leave() {
+	r.lease.Store(0)
+	r.ownDuty(Entry{})
+	r.cfg.Post(r.cfg.Lost)
+}
+
 // enter registers the host and then reads the records, in this order: whoever writes a
 // record afterwards finds the registration and ends it.
 func (r *Registry) enter(ctx context.Context) error {
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -18,14 +18,16 @@
 
 // seen is what one registry has told.
 type seen struct {
-	mu        sync.Mutex
-	versions  []catalog.Version
-	records   []leader.Record
-	hosts     []registry.Host
-	holds     []bool
-	renewed   int
-	lost      int
-	promoted  []registry.Promotion
+	mu       sync.Mutex
+	versions []catalog.Version
+	records  []leader.Record
+	hosts    []registry.Host
+	holds    []bool
+	renewed  int
+	lost     int
+	promoted []registry.Promotion
+	// answer is what the platform says to an order; nil takes each.
+	answer    func() error
 	ordered   []string
 	steps     []string
 	instances int
@@ -70,6 +72,9 @@
 			t.mu.Lock()
 			defer t.mu.Unlock()
 			t.promoted = append(t.promoted, p)
+			if t.answer != nil {
+				return t.answer()
+			}
 			return nil
 		},
 		PromotionDelay: time.Second,
@@ -256,6 +261,70 @@
 	})
 }
 
+// An order gets no answer, and is given again and again. Meanwhile the host has decided otherwise:
+// the first order would then be carried out last, and put an instance in the place of the primary
+// that all hosts have a record of.
+func TestOrderIsNotRepeatedAfterAnother(t *testing.T) {
+	c := qt.New(t)
+	s := newShelf()
+	r, t1 := join(c, s)
+	until(c, t1, "the duty", func() bool { return len(t1.holds) == 1 })
+	t1.answer = func() error {
+		if len(t1.promoted) == 1 {
+			s.put("our/primaries/orders", `{"service":"orders","term":3,"primary":"c"}`)
+		}
+		return errDown
+	}
+	r.Order(leader.Order{Service: "orders", Primary: "b", Term: 2, Reason: leader.ReasonLost})
+	until(c, t1, "the outcome", func() bool { return len(t1.ordered) == 1 })
+	t1.get(func() {
+		c.Assert(t1.promoted, qt.HasLen, 1)
+		c.Assert(t1.ordered, qt.DeepEquals, []string{"orders false false"})
+	})
+}
+
+// The answer to an order is lost, and the next one says that the instance isn't running. It may
+// have been a moment before: to take this for a refusal would order another beside it.
+func TestRefusalAfterALostAnswerRefusesNothing(t *testing.T) {
+	c := qt.New(t)
+	r, t1 := join(c, newShelf())
+	until(c, t1, "the duty", func() bool { return len(t1.holds) == 1 })
+	t1.answer = func() error {
+		if len(t1.promoted) == 1 {
+			return errDown
+		}
+		return registry.ErrNotRunning
+	}
+	r.Order(leader.Order{Service: "orders", Primary: "b", Term: 2, Reason: leader.ReasonLost})
+	until(c, t1, "the outcome", func() bool { return len(t1.ordered) == 1 })
+	t1.get(func() { c.Assert(t1.ordered, qt.DeepEquals, []string{"orders false false"}) })
+}
+
+// Another host has ended this one's registration, and with it its duty, for an order of its own.
+// The watch of the duty hears nothing, as after a lost connection. The host registers again, and
+// with that its hold looked certain: it gave orders under the number that it had before, beside
+// the other host's.
+func TestDutyEndsWithTheRegistration(t *testing.T) {
+	c := qt.New(t)
+	s := newShelf()
+	r, t1 := join(c, s)
+	until(c, t1, "the duty", func() bool { return len(t1.holds) == 1 })
+	s.set(func() {
+		s.deaf = true
+		for l := range s.leases {
+			s.end(l)
+		}
+	})
+	s.put("our/duty", `"other"`)
+	until(c, t1, "a new registration", func() bool { return t1.lost == 1 && t1.renewed > 1 })
+	r.Order(leader.Order{Service: "orders", Primary: "b", Term: 2, Reason: leader.ReasonLost})
+	until(c, t1, "the outcome", func() bool { return len(t1.ordered) == 1 })
+	t1.get(func() {
+		c.Assert(t1.promoted, qt.HasLen, 0)
+		c.Assert(t1.holds, qt.DeepEquals, []bool{true, false})
+	})
+}
+
 // The store goes away and comes back. Meanwhile one duty tries it for all: a dozen calls a
 // second from each host would keep it down.
 func TestLostStoreIsTriedSparingly(t *testing.T) {
