Register and take back a part's own metrics in one place

The session server and the connection pools each kept a list of their collectors and the same loops over it; metric.Group now does that for both.

--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -1,4 +1,5 @@
-// Package metric registers metrics that several parts of a process share.
+// Package metric registers the metrics of the parts of a process: those that several
+// parts share, and those that leave with their part.
 package metric
 
 import (
@@ -21,3 +22,28 @@
 	}
 	return c
 }
+
+// Group is what one part has registered for itself alone, and takes back when it ends.
+type Group struct {
+	registerer prometheus.Registerer
+	all        []prometheus.Collector
+}
+
+// NewGroup adds all to r, which may be nil.
+func NewGroup(r prometheus.Registerer, all ...prometheus.Collector) Group {
+	g := Group{registerer: r, all: all}
+	if r != nil {
+		r.MustRegister(all...)
+	}
+	return g
+}
+
+// Unregister takes the metrics of g back.
+func (g Group) Unregister() {
+	if g.registerer == nil {
+		return
+	}
+	for _, c := range g.all {
+		g.registerer.Unregister(c)
+	}
+}
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -266,7 +266,7 @@
 		return failure.At(err, "stop", failure.Peer(s.cfg.Address))
 	}
 	<-s.ended
-	s.metrics.unregister()
+	s.metrics.registered.Unregister()
 	return nil
 }
 
--- a/io/caller/state.go
+++ b/io/caller/state.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"skylarkdeal/core/exchange"
+	"skylarkdeal/internal/metric"
 )
 
 // State is what the state dump says of the sessions of a host.
@@ -42,8 +43,7 @@
 }
 
 type metrics struct {
-	registerer prometheus.Registerer
-	all        []prometheus.Collector
+	registered metric.Group
 	ended      *prometheus.CounterVec
 	exchanges  *prometheus.CounterVec
 	seconds    *prometheus.HistogramVec
@@ -53,7 +53,6 @@
 
 func newMetrics(r prometheus.Registerer, sessions func() int) metrics {
 	m := metrics{
-		registerer: r,
 		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "skylarkdeal_caller_sessions_ended_total",
 			Help: "Sessions that the host ended, by SQLSTATE.",
@@ -80,24 +79,10 @@
 		Name: "skylarkdeal_caller_sessions",
 		Help: "Open sessions.",
 	}, func() float64 { return float64(sessions()) })
-	m.all = []prometheus.Collector{m.ended, m.exchanges, m.seconds, m.badKeys, m.stalled, open}
-	if r != nil {
-		for _, c := range m.all {
-			r.MustRegister(c)
-		}
-	}
+	m.registered = metric.NewGroup(r, m.ended, m.exchanges, m.seconds, m.badKeys, m.stalled, open)
 	return m
 }
 
-func (m metrics) unregister() {
-	if m.registerer == nil {
-		return
-	}
-	for _, c := range m.all {
-		m.registerer.Unregister(c)
-	}
-}
-
 func (m metrics) exchange(r exchange.Result, intent exchange.Intent, took time.Duration) {
 	m.exchanges.WithLabelValues(string(r.Outcome), string(intent)).Inc()
 	m.seconds.WithLabelValues(string(intent)).Observe(took.Seconds())
--- a/io/database/metrics.go
+++ b/io/database/metrics.go
@@ -1,10 +1,13 @@
 package database
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"skylarkdeal/internal/metric"
+)
 
 type metrics struct {
-	registerer prometheus.Registerer
-	all        []prometheus.Collector
+	registered metric.Group
 	opened     prometheus.Counter
 	failures   prometheus.Counter
 	broken     prometheus.Counter
@@ -24,31 +27,16 @@
 		}, func() float64 { return float64(f(p.State())) })
 	}
 	m := metrics{
-		registerer: p.cfg.Registerer,
-		opened:     counter("opened_total", "Connections opened."),
-		failures:   counter("open_failures_total", "Connections that could not be opened."),
-		broken:     counter("broken_total", "Connections closed with an answer owed or after an error."),
-		reparsed:   counter("reparsed_total", "Statements prepared for a connection that lacked them."),
+		opened:   counter("opened_total", "Connections opened."),
+		failures: counter("open_failures_total", "Connections that could not be opened."),
+		broken:   counter("broken_total", "Connections closed with an answer owed or after an error."),
+		reparsed: counter("reparsed_total", "Statements prepared for a connection that lacked them."),
 	}
-	m.all = []prometheus.Collector{
+	m.registered = metric.NewGroup(p.cfg.Registerer,
 		m.opened, m.failures, m.broken, m.reparsed,
 		gauge("connections", "Open connections.", func(s State) int { return s.Open }),
 		gauge("connections_idle", "Idle connections.", func(s State) int { return s.Idle }),
 		gauge("connections_limit", "This host's share of the connections.", func(s State) int { return s.Limit }),
-	}
-	if m.registerer != nil {
-		for _, c := range m.all {
-			m.registerer.MustRegister(c)
-		}
-	}
+	)
 	return m
 }
-
-func (m metrics) unregister() {
-	if m.registerer == nil {
-		return
-	}
-	for _, c := range m.all {
-		m.registerer.Unregister(c)
-	}
-}
--- a/io/database/pool.go
+++ b/io/database/pool.go
@@ -243,7 +243,7 @@
 		c.breakUp("pool closed")
 	}
 	p.openers.Wait()
-	p.metrics.unregister()
+	p.metrics.registered.Unregister()
 }
 
 // State is what the state dump says of a pool.
