--- a/internal/load/check/check.go
+++ b/internal/load/check/check.go
@@ -159,16 +159,22 @@
 	return all
 }
 
-// terms looks for acknowledgements by a replaced primary.
-func terms(ops []Op) []Breach {
+// acknowledged returns the writes that a primary has acknowledged, by service and
+// in the order of ops.
+func acknowledged(ops []Op) map[fleet.Service][]Op {
 	acks := map[fleet.Service][]Op{}
 	for _, o := range ops {
 		if !o.Kind.Read() && o.Outcome == OutcomeOK && o.Term > 0 {
 			acks[o.Service] = append(acks[o.Service], o)
 		}
 	}
+	return acks
+}
+
+// terms looks for acknowledgements by a replaced primary.
+func terms(ops []Op) []Breach {
 	var all []Breach
-	for _, a := range acks {
+	for _, a := range acknowledged(ops) {
 		byAnswer := slices.SortedFunc(slices.Values(a), func(a, b Op) int { return cmp.Compare(a.Answered, b.Answered) })
 		n, highest := 0, Op{}
 		for _, o := range a { // in the order in which they were sent
--- a/internal/load/check/measure.go
+++ b/internal/load/check/measure.go
@@ -94,14 +94,8 @@
 }
 
 func gaps(ops []Op) []Gap {
-	acks := map[fleet.Service][]Op{}
-	for _, o := range ops {
-		if !o.Kind.Read() && o.Outcome == OutcomeOK && o.Term > 0 {
-			acks[o.Service] = append(acks[o.Service], o)
-		}
-	}
 	var all []Gap
-	for s, a := range acks {
+	for s, a := range acknowledged(ops) {
 		slices.SortFunc(a, func(a, b Op) int { return cmp.Compare(a.Answered, b.Answered) })
 		for n := 1; n < len(a); n++ {
 			if a[n].Term > a[n-1].Term {
