--- a/standin/ledger/fault.go
+++ b/standin/ledger/fault.go
@@ -66,13 +66,21 @@
 	return f.cut.Has(anyPeer) || slices.ContainsFunc(peers, f.cut.Has)
 }
 
+func (g *Group) instanceLocked(n fleet.Instance) (*instance, error) {
+	i, ok := g.instances[n]
+	if !ok {
+		return nil, fmt.Errorf("ledger: no instance %q", n)
+	}
+	return i, nil
+}
+
 // Set turns a fault of the instance n on.
 func (g *Group) Set(n fleet.Instance, f Fault) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	i, ok := g.instances[n]
-	if !ok {
-		return fmt.Errorf("ledger: no instance %q", n)
+	i, err := g.instanceLocked(n)
+	if err != nil {
+		return err
 	}
 	if err := i.switchLocked(f, true); err != nil {
 		return err
@@ -100,14 +108,14 @@
 func (g *Group) Clear(n fleet.Instance, k FaultKind) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	i, ok := g.instances[n]
-	if !ok {
-		return fmt.Errorf("ledger: no instance %q", n)
+	i, err := g.instanceLocked(n)
+	if err != nil {
+		return err
 	}
 	if g.closed {
 		return nil
 	}
-	err := i.switchLocked(Fault{Kind: k, Delay: g.normal(k)}, false)
+	err = i.switchLocked(Fault{Kind: k, Delay: g.normal(k)}, false)
 	g.wakeLocked()
 	return err
 }
