Take addresses apart in one place

Control connections, pools and the load's sessions each had the same lines for it. In the load's sessions the mark of an operation that found no connection also stood four times, and the pause between attempts was written out.

--- a/internal/load/act.go
+++ b/internal/load/act.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"strconv"
 	"strings"
 
@@ -87,9 +86,8 @@
 // rush is a write of one statement.
 func (s *session) rush(ctx context.Context, o *check.Op) error {
 	s.beginWrite(o)
-	l, err := s.link(ctx, useWrite)
+	l, err := s.linkFor(ctx, o, useWrite)
 	if err != nil {
-		o.Outcome = check.OutcomeUnsent
 		return err
 	}
 	if _, err = s.statement(ctx, o, l, "once $1 $2 $3", o.ID, o.Key, "1"); err == nil {
@@ -106,9 +104,8 @@
 // order is a transaction: a unique entry, and the stock that it takes.
 func (s *session) order(ctx context.Context, o *check.Op) error {
 	s.beginWrite(o)
-	l, err := s.link(ctx, useWrite)
+	l, err := s.linkFor(ctx, o, useWrite)
 	if err != nil {
-		o.Outcome = check.OutcomeUnsent
 		return err
 	}
 	o.Outcome = check.OutcomeFailed // until COMMIT is sent
@@ -152,9 +149,8 @@
 // tick counts up.
 func (s *session) tick(ctx context.Context, o *check.Op) error {
 	o.Kind = check.KindTick
-	l, err := s.link(ctx, useWrite)
+	l, err := s.linkFor(ctx, o, useWrite)
 	if err != nil {
-		o.Outcome = check.OutcomeUnsent
 		return err
 	}
 	_, err = s.statement(ctx, o, l, "once $1 $2 $3", s.nextID(), tickKey+"-"+s.run.name, "1")
@@ -218,9 +214,8 @@
 // aged runs one read at the stated age.
 func (s *session) aged(ctx context.Context, o *check.Op, sql string, args ...any) ([][]string, error) {
 	o.MaxAge = s.run.cfg.Profile.MaxAge
-	l, err := s.link(ctx, useAged)
+	l, err := s.linkFor(ctx, o, useAged)
 	if err != nil {
-		o.Outcome = check.OutcomeUnsent
 		return nil, err
 	}
 	rows, err := s.statement(ctx, o, l, sql, args...)
@@ -299,12 +294,3 @@
 		return "connection"
 	}
 }
-
-func splitAddress(a string) (string, uint16, error) {
-	host, port, err := net.SplitHostPort(a)
-	if err != nil {
-		return "", 0, err
-	}
-	n, err := strconv.ParseUint(port, 10, 16)
-	return host, uint16(n), err
-}
--- a/internal/load/session.go
+++ b/internal/load/session.go
@@ -11,7 +11,9 @@
 
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/ring"
+	"skylarkdeal/internal/address"
 	"skylarkdeal/internal/load/check"
+	"skylarkdeal/internal/pause"
 )
 
 // use is what one of a session's connections is for. A session that writes on
@@ -127,6 +129,15 @@
 	}
 }
 
+// linkFor returns the connection for u, or marks o as not sent.
+func (s *session) linkFor(ctx context.Context, o *check.Op, u use) (*link, error) {
+	l, err := s.link(ctx, u)
+	if err != nil {
+		o.Outcome = check.OutcomeUnsent
+	}
+	return l, err
+}
+
 // link returns the connection for u. It opens one on any host when there is
 // none, after a pause when the last attempt failed.
 func (s *session) link(ctx context.Context, u use) (*link, error) {
@@ -141,7 +152,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if cfg.Host, cfg.Port, err = splitAddress(host); err != nil {
+	if cfg.Host, cfg.Port, err = address.Split(host); err != nil {
 		return nil, err
 	}
 	cfg.Fallbacks = nil
@@ -164,14 +175,10 @@
 	if s.pause == 0 {
 		return nil
 	}
-	t := time.NewTimer(time.Duration(s.rng.Int64N(int64(s.pause))))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
+	if !pause.For(ctx, time.Duration(s.rng.Int64N(int64(s.pause)))) {
 		return ctx.Err()
-	case <-t.C:
-		return nil
 	}
+	return nil
 }
 
 func (s *session) parameters(u use) map[string]string {
--- a/io/control/dial.go
+++ b/io/control/dial.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -13,6 +12,7 @@
 
 	"skylarkdeal/core/failure"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/internal/address"
 )
 
 // DefaultConnectTimeout bounds the opening of a connection.
@@ -120,11 +120,7 @@
 }
 
 func (c Config) parsed() (*pgconn.Config, error) {
-	host, port, err := net.SplitHostPort(c.Address)
-	if err != nil {
-		return nil, err
-	}
-	number, err := strconv.ParseUint(port, 10, 16)
+	host, port, err := address.Split(c.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -132,7 +128,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.Host, p.Port = host, uint16(number)
+	p.Host, p.Port = host, port
 	p.User, p.Password, p.Database = c.User, c.Password, c.Database
 	p.Fallbacks = nil
 	p.RuntimeParams = map[string]string{"application_name": string(c.Host)}
--- a/io/database/open.go
+++ b/io/database/open.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"net"
-	"strconv"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -13,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"skylarkdeal/core/failure"
+	"skylarkdeal/internal/address"
 )
 
 const (
@@ -243,11 +242,7 @@
 }
 
 func (c Config) pgconn() (*pgconn.Config, error) {
-	host, port, err := net.SplitHostPort(c.Address)
-	if err != nil {
-		return nil, err
-	}
-	n, err := strconv.ParseUint(port, 10, 16)
+	host, port, err := address.Split(c.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -255,7 +250,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg.Host, cfg.Port, cfg.Database = host, uint16(n), c.Database
+	cfg.Host, cfg.Port, cfg.Database = host, port, c.Database
 	cfg.User, cfg.Password = c.User, c.Password
 	cfg.TLSConfig, cfg.Fallbacks = nil, nil
 	cfg.RuntimeParams = map[string]string{"application_name": cmp.Or(string(c.Host), "skylarkdeal")}
