Let pause.For do the waits that were written out

Seats, membership, the store's gate, planned faults, the failover experiment and the local fleet each had its timer and select. Where a wait may take more than the end of a context, or reuses its timer for each arrival, it stays.

--- a/internal/experiment/failover.go
+++ b/internal/experiment/failover.go
@@ -13,6 +13,7 @@
 
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/internal/localfleet"
+	"skylarkdeal/internal/pause"
 	"skylarkdeal/standin/ledger"
 	"skylarkdeal/standin/store"
 )
@@ -207,10 +208,8 @@
 	ctx, cancel := context.WithTimeout(ctx, awaitTimeout)
 	defer cancel()
 	for !ok() {
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, time.Millisecond) {
 			return fmt.Errorf("no sign of %s", what)
-		case <-time.After(time.Millisecond):
 		}
 	}
 	return nil
--- a/internal/load/fault.go
+++ b/internal/load/fault.go
@@ -13,6 +13,7 @@
 	"gopkg.in/ini.v1"
 
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/internal/pause"
 	"skylarkdeal/standin/ledger"
 )
 
@@ -80,15 +81,10 @@
 
 // inject carries out the plan.
 func (r *runner) inject(ctx context.Context) []FaultResult {
-	t := time.NewTimer(0)
-	defer t.Stop()
 	results := []FaultResult{}
 	for _, f := range r.cfg.Plan {
-		t.Reset(f.At - r.since())
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, f.At-r.since()) {
 			return results
-		case <-t.C:
 		}
 		x := FaultResult{Name: f.Name, At: r.since(), URL: f.URL}
 		if err := post(ctx, f.URL); err != nil {
--- a/internal/localfleet/localfleet.go
+++ b/internal/localfleet/localfleet.go
@@ -16,6 +16,7 @@
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/settings"
 	"skylarkdeal/internal/edit"
+	"skylarkdeal/internal/pause"
 	"skylarkdeal/internal/serve"
 	"skylarkdeal/io/etcd"
 	"skylarkdeal/standin/ledger"
@@ -216,10 +217,7 @@
 			return nil
 		}
 		last = err
-		select {
-		case <-ctx.Done():
-		case <-time.After(20 * time.Millisecond):
-		}
+		pause.For(ctx, 20*time.Millisecond)
 	}
 	return errors.Join(ctx.Err(), last)
 }
--- a/io/etcd/gate.go
+++ b/io/etcd/gate.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
+	"skylarkdeal/internal/pause"
 )
 
 // gate bounds the calls of one process.
@@ -78,11 +80,7 @@
 		if err != nil || wait == 0 {
 			return err
 		}
-		t := time.NewTimer(wait)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
+		if !pause.For(ctx, wait) {
 			return ctx.Err()
 		}
 	}
--- a/io/grants/seats.go
+++ b/io/grants/seats.go
@@ -11,6 +11,7 @@
 	"skylarkdeal/core/allot"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/roster"
+	"skylarkdeal/internal/pause"
 )
 
 // Entry is one key of the store as it was read.
@@ -75,11 +76,8 @@
 func (r *Runtime) keepSeats(ctx context.Context) {
 	for {
 		r.roundOfSeats(ctx)
-		pause := seatEvery + rand.N(seatEvery/4)
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, seatEvery+rand.N(seatEvery/4)) {
 			return
-		case <-time.After(pause):
 		}
 	}
 }
--- a/io/members/members.go
+++ b/io/members/members.go
@@ -21,6 +21,7 @@
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/journal"
 	"skylarkdeal/core/roster"
+	"skylarkdeal/internal/pause"
 	"skylarkdeal/io/host/hostpb"
 )
 
@@ -142,19 +143,17 @@
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval, b.MaxInterval = d/4, 2*d
 	for {
-		pause := d - d/10 + rand.N(d/5)
+		wait := d - d/10 + rand.N(d/5)
 		c, cancel := context.WithTimeout(ctx, storeTimeout)
 		if err := f(c); err != nil {
-			pause = b.NextBackOff()
+			wait = b.NextBackOff()
 			r.cfg.Logger.Warn("membership call failed", zap.Error(err))
 		} else {
 			b.Reset()
 		}
 		cancel()
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, wait) {
 			return
-		case <-time.After(pause):
 		}
 	}
 }
