--- a/io/holder/dispatch.go
+++ b/io/holder/dispatch.go
@@ -72,6 +72,11 @@
 	return ok && w.read() && w.pin == nil && s.Silent(g.now) > silentRead
 }
 
+// absentPatience is how long an exchange may wait for a primary that no one
+// reaches. A failover is over within it; beyond it nothing speaks for waiting
+// longer, and the caller is told at once when to come back.
+const absentPatience = 3 * time.Second
+
 // refuseAbsent refuses the writes that wait for a primary which can't be reached,
 // or with too few instances to prove anything of, for absentPatience.
 //
