Part large tests by what they are about

Moves only: set-ups of shares and grants into files of their own, the callers' tests of deadlines and of limits out of those of start-up and sessions.

--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -1,9 +1,7 @@
 package share_test
 
 import (
-	"fmt"
 	"math"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -11,116 +9,9 @@
 
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
-	"skylarkdeal/core/mesh"
 	"skylarkdeal/core/share"
 )
 
-// fleetOf is some hosts that report to each other, with the operations that they admitted.
-type fleetOf struct {
-	now      time.Time
-	hosts    []*share.Fleet
-	seq      uint64
-	epochs   map[int]uint64
-	admitted []time.Time
-	refused  int
-	// cut tells whether a report from one host reaches another.
-	cut func(from, to int) bool
-}
-
-func newFleet(n int) *fleetOf {
-	f := &fleetOf{now: time.Unix(1000, 0), epochs: map[int]uint64{}, cut: func(int, int) bool { return false }}
-	for i := range n {
-		h := &share.Fleet{}
-		var others []fleet.Host
-		for o := range n {
-			if o != i {
-				others = append(others, name(o))
-			}
-		}
-		h.Members(f.now, others)
-		f.hosts = append(f.hosts, h)
-	}
-	return f
-}
-
-// restart replaces the process of one host.
-func (f *fleetOf) restart(n int) {
-	h := &share.Fleet{}
-	var others []fleet.Host
-	for o := range f.hosts {
-		if o != n {
-			others = append(others, name(o))
-		}
-	}
-	h.Members(f.now, others)
-	f.hosts[n] = h
-	f.epochs[n]++
-}
-
-// even returns the load of each of n hosts when all are asked for alike.
-func even(n int, perHost float64) []float64 {
-	out := make([]float64, n)
-	for i := range out {
-		out[i] = perHost
-	}
-	return out
-}
-
-func name(n int) fleet.Host { return fleet.Host(fmt.Sprintf("h%d", n)) }
-
-// run plays a load for some time: perSecond is what each host is asked for.
-func (f *fleetOf) run(d time.Duration, a catalog.Account, perSecond []float64) {
-	const step = 10 * time.Millisecond
-	r := rand.New(rand.NewPCG(1, 2))
-	for n := range int(d / step) {
-		f.now = f.now.Add(step)
-		for i, rate := range perSecond {
-			for p := rate * step.Seconds(); p > 0; p-- {
-				if p < 1 && r.Float64() > p {
-					break
-				}
-				if _, ok := f.hosts[i].Admit(f.now, a); ok {
-					f.admitted = append(f.admitted, f.now)
-				} else {
-					f.refused++
-				}
-			}
-		}
-		if n%int(mesh.PaceOf(len(f.hosts)).Report/step) == 0 {
-			f.report()
-		}
-	}
-}
-
-func (f *fleetOf) report() {
-	f.seq++
-	for i, h := range f.hosts {
-		for o := range f.hosts {
-			if o != i && !f.cut(i, o) {
-				f.hosts[o].Heard(f.now, name(i), f.epochs[i], f.seq, h.Usage(f.now, f.seq%10 == 0))
-			}
-		}
-	}
-}
-
-// most returns the most operations that were admitted in any window.
-func (f *fleetOf) most(window time.Duration) int {
-	best, from := 0, 0
-	for n, t := range f.admitted {
-		for t.Sub(f.admitted[from]) >= window {
-			from++
-		}
-		best = max(best, n-from+1)
-	}
-	return best
-}
-
-var hotel = catalog.Account{Name: "hotel", Rate: 70, Burst: 70}
-
-const window = 5 * time.Second
-
-func limit(a catalog.Account) int { return int((a.Rate*window.Seconds()+a.Burst)*1.1) + 20 }
-
 // A hotel chain sends eight times its usual, unevenly over the hosts. It gets its rate,
 // and hardly more.
 func TestFloodGetsItsRate(t *testing.T) {
--- a/io/caller/helpers_test.go
+++ b/io/caller/helpers_test.go
@@ -188,3 +188,10 @@
 		return true
 	}
 }
+
+func must(b []byte, err error) []byte {
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
