--- a/io/caller/bench_test.go
+++ b/io/caller/bench_test.go
@@ -128,7 +128,8 @@
 	buf []byte
 }
 
-func newClient(b *testing.B, url string, simple bool) *client {
+// prepared opens a session that has the statement "s", and returns its bare connection.
+func prepared(b *testing.B, url string) net.Conn {
 	c, err := pgconn.Connect(context.Background(), url)
 	if err != nil {
 		b.Fatal(err)
@@ -143,8 +144,13 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	b.Cleanup(func() { _ = h.Conn.Close() })
-	k := &client{Conn: h.Conn, buf: make([]byte, 4096)}
+	return h.Conn
+}
+
+func newClient(b *testing.B, url string, simple bool) *client {
+	n := prepared(b, url)
+	b.Cleanup(func() { _ = n.Close() })
+	k := &client{Conn: n, buf: make([]byte, 4096)}
 	if simple {
 		k.ask = must((&pgproto3.Query{String: "get butter"}).Encode(nil))
 		return k
@@ -279,24 +285,11 @@
 
 // idle opens a session that has run a prepared statement, and keeps its socket.
 func idle(b *testing.B, f *front) *os.File {
-	c, err := pgconn.Connect(context.Background(), f.url("hotel", keyA, ""))
-	if err != nil {
-		b.Fatal(err)
-	}
-	if _, err := c.Prepare(context.Background(), "s", "get $1", nil); err != nil {
-		b.Fatal(err)
-	}
-	if err := c.SyncConn(context.Background()); err != nil {
-		b.Fatal(err)
-	}
-	h, err := c.Hijack()
-	if err != nil {
-		b.Fatal(err)
-	}
-	file, err := h.Conn.(*net.TCPConn).File()
+	n := prepared(b, f.url("hotel", keyA, ""))
+	file, err := n.(*net.TCPConn).File()
 	if err != nil {
 		b.Fatal(err)
 	}
-	_ = h.Conn.Close()
+	_ = n.Close()
 	return file
 }
--- a/io/caller/deadlines_test.go
+++ b/io/caller/deadlines_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,11 +16,7 @@
 // when its time is up, by the host's clock.
 func TestStartupTimeout(t *testing.T) {
 	c := qt.New(t)
-	var skew atomic.Int64
-	f := start(t, func(cfg *caller.Config) {
-		cfg.Now = func() time.Time { return time.Now().Add(time.Duration(skew.Load())) }
-		cfg.StartupTimeout = time.Hour
-	})
+	f, skew := startSkewed(t, func(cfg *caller.Config) { cfg.StartupTimeout = time.Hour })
 	w, open := rawConn(t, f), wireConn(t, f, "")
 	until(t, "both", func() bool { return f.State().Sessions == 2 })
 	skew.Store(int64(2 * time.Hour))
@@ -33,11 +28,7 @@
 // after a while by the host's clock; a session without a transaction may stay.
 func TestIdleInTransaction(t *testing.T) {
 	c := qt.New(t)
-	var skew atomic.Int64
-	f := start(t, func(cfg *caller.Config) {
-		cfg.Now = func() time.Time { return time.Now().Add(time.Duration(skew.Load())) }
-		cfg.IdleInTransaction = time.Hour
-	})
+	f, skew := startSkewed(t, func(cfg *caller.Config) { cfg.IdleInTransaction = time.Hour })
 	idle, inTx, ended := wireConn(t, f, ""), wireConn(t, f, ""), wireConn(t, f, "")
 	inTx.ask("begin")
 	ended.ask("begin")
@@ -58,10 +49,7 @@
 // A short rest of a message costs little, and its session stays.
 func TestInputWithoutEnd(t *testing.T) {
 	c := qt.New(t)
-	var skew atomic.Int64
-	f := start(t, func(cfg *caller.Config) {
-		cfg.Now = func() time.Time { return time.Now().Add(time.Duration(skew.Load())) }
-	})
+	f, skew := startSkewed(t, func(*caller.Config) {})
 	long := strings.Repeat("x", 100_000)
 	message, batch, short := wireConn(t, f, ""), wireConn(t, f, ""), wireConn(t, f, "")
 	b := must((&pgproto3.Query{String: long}).Encode(nil))
@@ -81,11 +69,7 @@
 // Sync, which ends the transaction, so none comes; the caller is told why.
 func TestFlushThatIsNotAnswered(t *testing.T) {
 	c := qt.New(t)
-	var skew atomic.Int64
-	f := start(t, func(cfg *caller.Config) {
-		cfg.Now = func() time.Time { return time.Now().Add(time.Duration(skew.Load())) }
-		cfg.StartupTimeout = time.Hour
-	})
+	f, skew := startSkewed(t, func(cfg *caller.Config) { cfg.StartupTimeout = time.Hour })
 	w := wireConn(t, f, "")
 	bind := []pgproto3.FrontendMessage{&pgproto3.Parse{Query: "get a"}, &pgproto3.Bind{}, &pgproto3.Execute{}}
 	w.send(append(bind, &pgproto3.Flush{}, &pgproto3.Sync{})...)
--- a/io/caller/helpers_test.go
+++ b/io/caller/helpers_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"skylarkdeal/core/exchange"
 	"skylarkdeal/core/failure"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/io/caller"
 )
 
 // pgError returns the server's error in err, or an empty one.
@@ -37,6 +39,16 @@
 	t.Fatalf("never: %s", what)
 }
 
+// startSkewed starts a front whose clock is ahead by the nanoseconds in skew.
+func startSkewed(t testing.TB, change func(*caller.Config)) (f *front, skew *atomic.Int64) {
+	skew = &atomic.Int64{}
+	f = start(t, func(cfg *caller.Config) {
+		cfg.Now = func() time.Time { return time.Now().Add(time.Duration(skew.Load())) }
+		change(cfg)
+	})
+	return f, skew
+}
+
 // wire is a session over which a test sends single messages.
 type wire struct {
 	t testing.TB
