Let the rings hand out their values in one place

Five duties had the same loop over a ring and their context, and five places the same take of what waits. Each and TryTake now do that. A duty whose context has ended takes nothing more; the select let chance decide between one more value, with an ended context, and the end.

--- a/core/ring/ring.go
+++ b/core/ring/ring.go
@@ -39,6 +39,27 @@
 	}
 }
 
+// TryTake returns the value that waits longest, if one does.
+func (r Ring[T]) TryTake() (v T, ok bool) {
+	select {
+	case v = <-r.c:
+		return v, true
+	default:
+		return v, false
+	}
+}
+
+// Each calls f with each value, one after the other, until ctx ends.
+func (r Ring[T]) Each(ctx context.Context, f func(v T)) {
+	for ctx.Err() == nil {
+		select {
+		case v := <-r.c:
+			f(v)
+		case <-ctx.Done():
+		}
+	}
+}
+
 // Out returns the channel from which the one duty that owns the ring receives.
 func (r Ring[T]) Out() <-chan T {
 	return r.c
--- a/core/ring/ring_test.go
+++ b/core/ring/ring_test.go
@@ -1,6 +1,7 @@
 package ring_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 
@@ -28,3 +29,36 @@
 	c.Assert(r.TryPut(3), qt.IsTrue)
 	c.Assert(r.Len(), qt.Equals, 2)
 }
+
+func TestRingGivesWhatWaits(t *testing.T) {
+	c := qt.New(t)
+	r := ring.New[int](2)
+	_, ok := r.TryTake()
+	c.Assert(ok, qt.IsFalse)
+	r.TryPut(1)
+	r.TryPut(2)
+	v, ok := r.TryTake()
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(v, qt.Equals, 1)
+	c.Assert(r.Len(), qt.Equals, 1)
+}
+
+// A duty takes what waits in order, and nothing more once its context has ended.
+func TestEachEndsWithItsContext(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r := ring.New[int](3)
+	for n := range 3 {
+		r.TryPut(n)
+	}
+	var taken []int
+	r.Each(ctx, func(n int) {
+		taken = append(taken, n)
+		if n == 1 {
+			cancel()
+		}
+	})
+	c.Assert(taken, qt.DeepEquals, []int{0, 1})
+	c.Assert(r.Len(), qt.Equals, 1)
+}
--- a/internal/load/session.go
+++ b/internal/load/session.go
@@ -87,14 +87,7 @@
 // serve does what is due until ctx ends. An operation that has begun is let go
 // to its end.
 func (s *session) serve(ctx context.Context) {
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return
-		case due := <-s.queue.Out():
-			s.do(due)
-		}
-	}
+	s.queue.Each(ctx, s.do)
 }
 
 func (s *session) do(due time.Duration) {
--- a/io/grants/grants.go
+++ b/io/grants/grants.go
@@ -202,12 +202,11 @@
 // refuseArrivals answers what has come to a runtime that no longer serves.
 func (r *Runtime) refuseArrivals() {
 	for {
-		select {
-		case a := <-r.arrivals.Out():
-			a.entry.answer(a.waiter, stopping())
-		default:
+		a, ok := r.arrivals.TryTake()
+		if !ok {
 			return
 		}
+		a.entry.answer(a.waiter, stopping())
 	}
 }
 
--- a/io/grants/send.go
+++ b/io/grants/send.go
@@ -93,17 +93,10 @@
 
 // send is the duty that makes the calls.
 func (r *Runtime) send(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case j := <-r.jobs.Out():
-			r.call(ctx, j)
-			if r.results.Put(ctx, j) != nil {
-				return
-			}
-		}
-	}
+	r.jobs.Each(ctx, func(j job) {
+		r.call(ctx, j)
+		_ = r.results.Put(ctx, j) // fails only once ctx has ended, as this duty then does
+	})
 }
 
 // call fills in the answers of j's asks.
--- a/io/holder/group.go
+++ b/io/holder/group.go
@@ -194,11 +194,10 @@
 
 func (g *groupRun) refuseArrivals() {
 	for {
-		select {
-		case w := <-g.arrivals.Out():
-			w.refuse(g.refusal(failure.CodeShuttingDown, "the host shuts down", 0))
-		default:
+		w, ok := g.arrivals.TryTake()
+		if !ok {
 			return
 		}
+		w.refuse(g.refusal(failure.CodeShuttingDown, "the host shuts down", 0))
 	}
 }
--- a/io/host/stream.go
+++ b/io/host/stream.go
@@ -119,14 +119,12 @@
 		size += len(f.GetExchange().GetPayload())
 	}
 	for len(frames) < batchFrames && size < batchBytes {
-		select {
-		case f := <-o.out.Out():
-			frames = o.launch(frames, f)
-			size += len(f.q.Payload)
-			continue
-		default:
+		f, ok := o.out.TryTake()
+		if !ok {
+			break
 		}
-		break
+		frames = o.launch(frames, f)
+		size += len(f.q.Payload)
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/io/spread/push.go
+++ b/io/spread/push.go
@@ -81,14 +81,7 @@
 
 // push is the duty of one worker.
 func (s *Spread) push(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case j := <-s.pushes.Out():
-			s.pushOne(ctx, j)
-		}
-	}
+	s.pushes.Each(ctx, func(j job) { s.pushOne(ctx, j) })
 }
 
 // pushOne makes a push. A host that doesn't take it must not cut off the hosts
--- a/io/steward/link.go
+++ b/io/steward/link.go
@@ -85,17 +85,10 @@
 }
 
 func (s *Steward) runAsker(ctx context.Context, l *link) {
-	for {
-		select {
-		case <-l.asks.Out():
-		case <-ctx.Done():
-			return
-		}
+	l.asks.Each(ctx, func(struct{}) {
 		a := s.askOnce(ctx, l)
-		if s.events.Put(ctx, event{answer: &a}) != nil {
-			return
-		}
-	}
+		_ = s.events.Put(ctx, event{answer: &a}) // fails only once ctx has ended, as this duty then does
+	})
 }
 
 func (s *Steward) askOnce(ctx context.Context, l *link) answer {
@@ -108,17 +101,10 @@
 }
 
 func (s *Steward) runOrders(ctx context.Context, l *link) {
-	for {
-		select {
-		case o := <-l.orders.Out():
-			d := s.carryOut(ctx, l, o)
-			if s.events.Put(ctx, event{done: &d}) != nil {
-				return
-			}
-		case <-ctx.Done():
-			return
-		}
-	}
+	l.orders.Each(ctx, func(o group.Order) {
+		d := s.carryOut(ctx, l, o)
+		_ = s.events.Put(ctx, event{done: &d}) // as above
+	})
 }
 
 func (s *Steward) carryOut(ctx context.Context, l *link, o group.Order) done {
--- a/io/steward/steward.go
+++ b/io/steward/steward.go
@@ -169,12 +169,11 @@
 
 func (s *Steward) drain() {
 	for range drainLimit {
-		select {
-		case e := <-s.events.Out():
-			s.take(e)
-		default:
+		e, ok := s.events.TryTake()
+		if !ok {
 			return
 		}
+		s.take(e)
 	}
 }
 
--- a/io/steward/wait.go
+++ b/io/steward/wait.go
@@ -187,15 +187,13 @@
 
 func (s *Steward) drainWaiters() {
 	for {
-		select {
-		case e := <-s.events.Out():
-			if e.wait != nil {
-				s.waiting = append(s.waiting, e.wait)
-			}
-			continue
-		default:
+		e, ok := s.events.TryTake()
+		if !ok {
+			break
+		}
+		if e.wait != nil {
+			s.waiting = append(s.waiting, e.wait)
 		}
-		break
 	}
 	for _, w := range s.waiting {
 		w.fail("the host no longer holds the group")
