--- a/internal/load/act.go
+++ b/internal/load/act.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"strconv"
 	"strings"
 
 	"github.com/jackc/pgx/v5"
-	"github.com/jackc/pgx/v5/pgconn"
 
-	"skylarkdeal/core/failure"
 	"skylarkdeal/internal/load/check"
 )
 
@@ -87,9 +83,8 @@
 // rush is a write of one statement.
 func (s *session) rush(ctx context.Context, o *check.Op) error {
 	s.beginWrite(o)
-	l, err := s.link(ctx, useWrite)
+	l, err := s.linkFor(ctx, o, useWrite)
 	if err != nil {
-		o.Outcome = check.OutcomeUnsent
 		return err
 	}
 	if _, err = s.statement(ctx, o, l, "once $1 $2 $3", o.ID, o.Key, "1"); err == nil {
@@ -106,9 +101,8 @@
 // order is a transaction: a unique entry, and the stock that it takes.
 func (s *session) order(ctx context.Context, o *check.Op) error {
 	s.beginWrite(o)
-	l, err := s.link(ctx, useWrite)
+	l, err := s.linkFor(ctx, o, useWrite)
 	if err != nil {
-		o.Outcome = check.OutcomeUnsent
 		return err
 	}
 	o.Outcome = check.OutcomeFailed // until COMMIT is sent
@@ -152,9 +146,8 @@
 // tick counts up.
 func (s *session) tick(ctx context.Context, o *check.Op) error {
 	o.Kind = check.KindTick
-	l, err := s.link(ctx, useWrite)
+	l, err := s.linkFor(ctx, o, useWrite)
 	if err != nil {
-		o.Outcome = check.OutcomeUnsent
 		return err
 	}
 	_, err = s.statement(ctx, o, l, "once $1 $2 $3", s.nextID(), tickKey+"-"+s.run.name, "1")
@@ -218,9 +211,8 @@
 // aged runs one read at the stated age.
 func (s *session) aged(ctx context.Context, o *check.Op, sql string, args ...any) ([][]string, error) {
 	o.MaxAge = s.run.cfg.Profile.MaxAge
-	l, err := s.link(ctx, useAged)
+	l, err := s.linkFor(ctx, o, useAged)
 	if err != nil {
-		o.Outcome = check.OutcomeUnsent
 		return nil, err
 	}
 	rows, err := s.statement(ctx, o, l, sql, args...)
@@ -255,56 +247,3 @@
 	o.Got = strconv.Itoa(len(rows))
 	return err
 }
-
-// outcomeOf tells what an error says of a statement.
-func outcomeOf(err error) check.Outcome {
-	var e *pgconn.PgError
-	switch {
-	case err == nil:
-		return check.OutcomeOK
-	case errors.As(err, &e):
-		return outcomeOfCode(failure.Code(e.Code), e.Message)
-	case pgconn.SafeToRetry(err):
-		return check.OutcomeUnsent
-	default:
-		return check.OutcomeUnknown
-	}
-}
-
-// insufficientResources is the class of the SQLSTATEs that refuse.
-const insufficientResources = "53"
-
-func outcomeOfCode(c failure.Code, message string) check.Outcome {
-	switch {
-	case c == failure.CodeUnknownOutcome:
-		return check.OutcomeUnknown
-	case strings.HasPrefix(string(c), insufficientResources), strings.Contains(message, "not run"):
-		return check.OutcomeNotRun
-	case c == failure.CodeShuttingDown, c == failure.CodeCancelled, c == failure.CodeUnreachable,
-		c == failure.CodeInternal:
-		return check.OutcomeUnknown
-	default:
-		return check.OutcomeFailed
-	}
-}
-
-func codeOf(err error) string {
-	var e *pgconn.PgError
-	switch {
-	case err == nil:
-		return ""
-	case errors.As(err, &e):
-		return e.Code
-	default:
-		return "connection"
-	}
-}
-
-func splitAddress(a string) (string, uint16, error) {
-	host, port, err := net.SplitHostPort(a)
-	if err != nil {
-		return "", 0, err
-	}
-	n, err := strconv.ParseUint(port, 10, 16)
-	return host, uint16(n), err
-}
