--- a/core/leader/belief.go
+++ b/core/leader/belief.go
@@ -78,7 +78,10 @@
 		return true
 	}
 	b.former, b.formerTerm = "", 0
-	if b.settled && b.primary == r.Former {
+	// The store keeps the last record only. Where a term is left out, an order that this host
+	// hasn't heard of has taken effect in between: its primary may have followed this one, whoever
+	// gave the last order thought to lead.
+	if b.settled && b.primary == r.Former && r.Term <= b.term+1 {
 		b.former, b.formerTerm = b.primary, b.term
 	}
 	b.follow(r.Primary)
--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -201,6 +201,18 @@
 	r.Answered(c, a)
 }
 
+// tickForwarding gives up the questions that another host doesn't answer. They take no slot, and
+// that host answers within its own patience whatever it finds; one that stands still would have
+// them pile up, and an answer that comes much later tells of a time long past.
+func (r *Relay) tickForwarding(now time.Time) {
+	for _, c := range r.forwarding.virtual {
+		asks := len(c.owed) > 0 && c.owed[0].kind == statement.KindStepDown
+		if asks && now.Sub(c.owed[0].asked) > inquiryPatience+quietFor {
+			c.lost("no answer to a question over another host")
+		}
+	}
+}
+
 // PeerLost takes in that the link to another host has ended: what it ran for this one has
 // an unknown outcome.
 func (r *Relay) PeerLost(h fleet.Host) {
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -55,7 +55,7 @@
 	surveyed, ordering time.Time
 	// given is when the last order of this host was answered with success.
 	given time.Time
-	// listedAt is when the list of instances was last read.
+	// listedAt is when the reading of the list of instances that is in use was begun.
 	listedAt time.Time
 	// readAt is when a read was last looked for a replica.
 	readAt time.Time
@@ -75,15 +75,17 @@
 const missingFor = 2500 * time.Millisecond
 
 // listed takes in the instances of the group as the list has them.
-func (g *group) listed(is []catalog.Instance) {
+func (g *group) listed(is []catalog.Instance, read time.Time) {
 	now := g.r.now()
-	g.listedAt = now
+	g.listedAt = read
 	g.forget(now)
 	for _, in := range is {
 		i := g.instances[in.Name]
 		if i == nil || i.info.Address != in.Address || i.info.Started != in.Started {
 			if i != nil {
 				g.drop(i, "it has another address now, or has started anew")
+				// What it has said of itself was said before that.
+				g.belief.Deposed(in.Name)
 			}
 			i = &instance{g: g, info: in, lastHeard: now, doubted: now}
 			g.instances[in.Name] = i
--- a/core/relay/outlook.go
+++ b/core/relay/outlook.go
@@ -16,6 +16,8 @@
 		return "the group has no primary now"
 	case !g.r.reaches(now, p):
 		return "the primary can't be reached"
+	case g.superseded():
+		return "another instance says that it leads a later term"
 	case g.r.lease.Certain(now):
 		return ""
 	}
@@ -27,6 +29,21 @@
 	return ""
 }
 
+// superseded reports whether an instance has said that it is in a later term than the primary
+// that is used: what is sent there would be in doubt.
+func (g *group) superseded() bool {
+	_, t, ok := g.belief.Primary()
+	if !ok {
+		return false
+	}
+	for _, i := range g.instances {
+		if i.term > t && !i.gone {
+			return true
+		}
+	}
+	return false
+}
+
 // hopeless says why an operation can't be served in time, and when to come back. Whoever
 // is told at once can come back in time, or to a host that can.
 func (g *group) hopeless(now time.Time, o *operation) (string, time.Duration) {
--- a/core/relay/prove.go
+++ b/core/relay/prove.go
@@ -80,6 +80,10 @@
 	}
 	i.received, i.leads, i.term = s.Received, s.Role == fleet.RolePrimary, s.Term
 	i.toldAt, i.termAt = now, asked
+	if p, t, ok := g.belief.Primary(); ok && i.info.Name != p && s.Term > t {
+		// The record of the order that it follows is still to be read.
+		g.r.cfg.Refresh()
+	}
 	if !g.belief.Answered(i.info.Name, s) {
 		return
 	}
@@ -128,12 +132,13 @@
 
 // others returns the instances besides n that may lead. One that is off the list may
 // still run, and be promoted by a host that finds it on the list again; this host
-// leaves it out only while it reads the list and has not found it there for long.
+// leaves it out only where it has not found it there for long, and as long after it has looked as
+// no order that was given since can have taken effect.
 func (g *group) others(n fleet.Instance) []fleet.Instance {
 	now := g.r.now()
 	var out []fleet.Instance
 	for _, i := range g.instances {
-		left := i.gone && now.Sub(i.missing) > leftAfter && now.Sub(g.listedAt) < listFresh
+		left := i.gone && now.Sub(i.missing) > leftAfter && now.Sub(g.listedAt) < leader.LeaseValidity
 		if i.info.Name != n && !left {
 			out = append(out, i.info.Name)
 		}
@@ -146,8 +151,6 @@
 	// keepGone how long it is remembered.
 	leftAfter = 10 * time.Second
 	keepGone  = 5 * time.Minute
-	// listFresh is how old the list may be for that.
-	listFresh = 4 * time.Second
 )
 
 // confirmed gives a proved answer.
@@ -164,7 +167,7 @@
 	if o == nil || o.over {
 		return
 	}
-	if p, ok := o.answer.Point.Get(); ok {
+	if p, ok := o.answer.Point.Get(); ok && !o.sentAt.Before(g.settledAt) {
 		g.sampled(c.Instance, fresh.Sample{Point: p, Asked: o.sentAt, Reign: c.Term})
 	}
 	g.confirmed(o, *o.answer)
--- a/core/relay/reign.go
+++ b/core/relay/reign.go
@@ -105,14 +105,25 @@
 	return s.Point.Term >= s.Reign || i.term >= s.Reign
 }
 
-// follow asks the replicas whether they have joined the primary's term yet, while reads come.
+// followPart makes the pause between two questions whether a replica has joined grow with the time
+// since the reign began: a quarter of it. Most join within a tenth of a second; of one that
+// is cut off for long each host would ask twenty times a second.
+const followPart = 4
+
+// follow asks the replicas whether they have joined the primary's term yet, while reads come that
+// need to know.
 func (g *group) follow(now time.Time) {
 	p, t, ok := g.belief.Primary()
 	if !ok || now.Sub(g.readAt) > sampleFor {
 		return
 	}
+	age := now.Sub(g.settledAt)
+	if s, ok := g.samples.Newest(); ok && s.Point.Term >= t && age > sampleFor {
+		return
+	}
+	pause := max(settleEvery, age/followPart)
 	for _, i := range g.instances {
-		if i.info.Name != p && i.usable() && i.term < t && now.Sub(i.askedAt) >= settleEvery {
+		if i.info.Name != p && i.usable() && i.term < t && now.Sub(i.askedAt) >= pause {
 			g.question(now, i)
 		}
 	}
--- /dev/null
+++ b/core/relay/reign_test.go
@@ -0,0 +1,232 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/leader"
+	"skylarkdeal/core/statement"
+)
+
+// A host has no registration. A read that it sent to b, a late replica, is answered when b leads
+// already, and the host has heard that over another connection. The answer is proved by the
+// others' word, and its point was taken for one of b's reign: below what b leads with.
+func TestProvedAnswerOfBeforeTheReignGivesNoPoint(t *testing.T) {
+	c := qt.New(t)
+	w := acquainted(c)
+	a, b, other := w.instances["a"], w.instances["b"], w.instances["c"]
+	a.point.Position = 9
+	w.relay.LeaseLost()
+	w.pass(1350*time.Millisecond, false)
+	b.hold, other.hold = true, true
+	for range 3 {
+		w.open("stock", "key-1").do(statement.KindRead, "", "item")
+	}
+	c.Assert(len(b.ran) > 0, qt.IsTrue, qt.Commentf("no read on b"))
+	late := b.pending
+	b.pending, b.hold, other.hold = nil, false, false
+	w.promote().point.Position = 9
+	other.term, a.term, a.role = 2, 2, fleet.RoleReplica
+	w.relay.Recorded(toSuccessor)
+	for _, f := range late[1:] {
+		f()
+	}
+	w.pass(70*time.Millisecond, false)
+	g := w.relay.State().Groups[0]
+	c.Assert(g.Settled && g.Primary == "b", qt.IsTrue)
+	late[0]()
+	w.pass(200*time.Millisecond, false)
+	ran, _ := w.reads("stock", 50*time.Millisecond, false)
+	c.Assert(ran["c"], qt.Equals, 0, qt.Commentf("c ends at %v, b leads with %v", other.point, b.point))
+}
+
+// The late word of a replica is the first that is read after b has said that it leads: no point of
+// the reign is known yet that would go before it.
+func TestLateWordIsNotTheFirstPointOfAReign(t *testing.T) {
+	c := qt.New(t)
+	w := acquainted(c)
+	w.instances["a"].point.Position = 9
+	w.lose("a")
+	w.pass(1900*time.Millisecond, true)
+	b := w.instances["b"]
+	b.hold = true
+	w.relay.Recorded(toSuccessor)
+	w.pass(80*time.Millisecond, true)
+	asReplica, connected := b.pending[0], b.pending[1]
+	b.pending, b.hold = nil, false
+	w.promote().point.Position = 9
+	w.instances["c"].term = 2
+	connected()
+	for range 100 {
+		if w.relay.State().Groups[0].Settled {
+			break
+		}
+		w.pass(10*time.Millisecond, true)
+	}
+	c.Assert(w.relay.State().Groups[0].Settled, qt.IsTrue)
+	asReplica()
+	w.deliver()
+	for range 2 {
+		ran, _ := w.reads("stock", 100*time.Millisecond, true)
+		c.Assert(ran["c"], qt.Equals, 0)
+	}
+}
+
+// While a host had no registration, b was ordered, led, and acknowledged writes; whoever ordered
+// it couldn't reach it, and ordered c with a as the former primary. The host hears of the last
+// order only. a is the former of nobody: it lacks what b has acknowledged, and what it is told
+// itself is lost.
+func TestFormerAcrossAnOrderThatWasMissed(t *testing.T) {
+	for _, k := range []statement.Kind{statement.KindRead, statement.KindWrite} {
+		t.Run(string(k), func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(c).settled()
+			w.relay.LeaseLost()
+			w.pass(1500*time.Millisecond, false)
+			w.promote().point = fleet.Point{Term: 2, Position: 9}
+			w.relay.Recorded(leader.Record{Service: service, Term: 3, Primary: "c", Former: "a", Revision: 9})
+			w.pass(100*time.Millisecond, true)
+			w.open("rush", "key-1").do(k, "", "item")
+			w.pass(100*time.Millisecond, true)
+			c.Assert(w.instances["a"].ran, qt.HasLen, 0)
+		})
+	}
+}
+
+// Two instances have been off the list for long, and the store is lost. They are back for another
+// host, which promotes one. This host still takes the third for the only one that may lead, by a
+// list that is seconds old.
+func TestInstanceOffAnOldListMayLead(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c)
+	w.instances["b"].away, w.instances["c"].away = true, true
+	for _, d := range []time.Duration{4 * time.Second, 9 * time.Second, 0} {
+		w.list()
+		w.pass(d, true)
+	}
+	w.pass(3500*time.Millisecond, false)
+	w.promote().point = fleet.Point{Term: 2, Position: 9}
+	ran, _ := w.reads("rush", 100*time.Millisecond, false)
+	c.Assert(ran["a"], qt.Equals, 0)
+}
+
+// The primary starts anew under its name, and knows nothing of what it led. Its word of before is
+// no word of the one that answers now.
+func TestPrimaryThatStartedAnewIsAskedAgain(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	a := w.instances["a"]
+	w.cut(a)
+	a.role, a.point = fleet.RoleReplica, fleet.Point{}
+	is := []catalog.Instance{}
+	for _, n := range []fleet.Instance{"a", "b", "c"} {
+		is = append(is, catalog.Instance{
+			Name: n, Service: service, Address: "10.0.0.1:" + string(n), DataCentre: "obihiro", Slots: 2,
+			Role: fleet.RoleReplica,
+		})
+	}
+	is[0].Started = 99
+	w.relay.Listed(is, w.now)
+	ran, _ := w.reads("rush", 100*time.Millisecond, true)
+	c.Assert(ran["a"], qt.Equals, 0)
+}
+
+// A host without the store has heard from b itself that it leads. A write that it still sent to a
+// would be in doubt; it is refused at once, not run.
+func TestNothingIsWrittenPastAKnownSuccessor(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	w.pass(4*time.Second, false)
+	w.promote().point = fleet.Point{Term: 2, Position: 6}
+	w.reads("rush", 400*time.Millisecond, false)
+	x := w.open("rush", "key-1")
+	x.do(statement.KindWrite, "", "item data")
+	c.Assert(x.last().Code, qt.Equals, statement.CodeBusy)
+	c.Assert(w.count("write"), qt.Equals, 0)
+	c.Assert(w.refreshed > 0, qt.IsTrue)
+}
+
+// Replicas that are cut off from a new primary don't join its term for long. Each host would ask
+// each of them twenty times a second for as long as reads come.
+func TestReplicaThatDoesNotJoinIsAskedLessAndLess(t *testing.T) {
+	c := qt.New(t)
+	w := acquainted(c)
+	w.relay.Recorded(toSuccessor)
+	w.pass(1100*time.Millisecond, true)
+	w.promote()
+	w.pass(200*time.Millisecond, true)
+	before := w.relay.State().Counts.Asked
+	for range 100 {
+		w.reads("stock", 100*time.Millisecond, true)
+	}
+	asked := w.relay.State().Counts.Asked - before
+	c.Assert(asked > 0 && asked < 50, qt.IsTrue, qt.Commentf("%d questions to two replicas in 10 s", asked))
+}
+
+// An order has just become known, and nobody has heard its instance yet. It can't have taken effect:
+// the former primary goes on, unasked.
+func TestFormerGoesOnWhileTheOrderCantHaveTakenEffect(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	w.instances["b"].silent = true
+	w.cut(w.instances["b"])
+	w.relay.Recorded(toSuccessor)
+	ran, _ := w.reads("rush", 100*time.Millisecond, true)
+	c.Assert(ran["a"], qt.Equals, 1)
+}
+
+// Without a registration an order on its way doesn't free the instances that it doesn't name from
+// being asked: another order may have gone to them.
+func TestOrderVouchesForNoThirdInstance(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	w.pass(4*time.Second, false)
+	w.instances["c"].role, w.instances["c"].term = fleet.RolePrimary, 2
+	w.relay.Recorded(toSuccessor)
+	w.pass(time.Second, false)
+	ran, _ := w.reads("rush", 100*time.Millisecond, false)
+	c.Assert(ran["a"], qt.Equals, 0)
+}
+
+// A word comes after a read's begin that was asked for before it: it tells nothing of what was
+// acknowledged in between.
+func TestWordCountsFromItsQuestionOn(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	w.pass(4*time.Second, false)
+	for range 2 {
+		w.reads("rush", 100*time.Millisecond, false)
+	}
+	a, b := w.instances["a"], w.instances["b"]
+	b.hold = true
+	before := len(a.ran)
+	w.open("rush", "key-1").do(statement.KindRead, "", "first")
+	w.pass(20*time.Millisecond, false)
+	c.Assert(b.pending, qt.Not(qt.HasLen), 0)
+	w.promote().point = fleet.Point{Term: 2, Position: 6}
+	w.pass(20*time.Millisecond, false)
+	w.open("rush", "key-1").do(statement.KindRead, "", "second")
+	b.hold = false
+	w.pass(100*time.Millisecond, false)
+	c.Assert(len(a.ran)-before <= 1, qt.IsTrue, qt.Commentf("%v", a.ran[before:]))
+}
+
+// A transaction begins with a write and reads later, on the instance where it began: what holds
+// for its reads has to hold when it begins.
+func TestTransactionThatWritesFirstBeginsWhereItMayRead(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	w.pass(4*time.Second, false)
+	w.promote().point = fleet.Point{Term: 2, Position: 6}
+	w.pass(time.Second, false)
+	a := w.instances["a"]
+	x := w.open("rush", "key-1")
+	x.do(statement.KindBegin, "", "")
+	x.do(statement.KindWrite, "", "item data")
+	w.pass(100*time.Millisecond, false)
+	c.Assert(a.ran, qt.HasLen, 0)
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -129,8 +129,9 @@
 	g.pump()
 }
 
-// Listed takes in all instances as they announce themselves.
-func (r *Relay) Listed(is []catalog.Instance) {
+// Listed takes in all instances as they announce themselves, by a reading that was begun at some
+// moment.
+func (r *Relay) Listed(is []catalog.Instance, read time.Time) {
 	by := map[fleet.Service][]catalog.Instance{}
 	for _, i := range is {
 		by[i.Service] = append(by[i.Service], i)
@@ -139,7 +140,7 @@
 		r.group(s)
 	}
 	for s, g := range r.groups {
-		g.listed(by[s])
+		g.listed(by[s], read)
 	}
 }
 
@@ -215,6 +216,7 @@
 	for _, g := range r.groups {
 		g.tick(now)
 	}
+	r.tickForwarding(now)
 	r.tickCutOff(now)
 	r.tickSessions(now)
 }
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -267,7 +267,7 @@
 	c := qt.New(t)
 	for missing, want := range []bool{false, true} {
 		w := newWorld(c)
-		w.relay.Listed(append(w.instancesOf("other", "x"), w.instancesOf("third", "y")...))
+		w.relay.Listed(append(w.instancesOf("other", "x"), w.instancesOf("third", "y")...), w.now)
 		w.list()
 		w.settled()
 		rest := w.open("rush", "key-1")
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -115,7 +115,7 @@
 			Slots: 2, Role: n.role, Leaving: slices.Contains(leaving, name),
 		})
 	}
-	w.relay.Listed(is)
+	w.relay.Listed(is, w.now)
 }
 
 // instancesOf makes one instance of another service, which answers as the primary.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -164,7 +164,7 @@
 		Rank:           func() int { return int(h.rank.Load()) },
 		Post:           func(f func()) { h.loop.Do(f) },
 		Catalog:        h.adopt,
-		Instances:      func(is []catalog.Instance) { h.relay.Listed(is) },
+		Instances:      func(is []catalog.Instance, read time.Time) { h.relay.Listed(is, read) },
 		Hosts:          h.registered,
 		Record:         func(r leader.Record) { h.relay.Recorded(r) },
 		Renewed:        func(sent time.Time) { h.relay.LeaseRenewed(sent) },
--- a/io/registry/duty.go
+++ b/io/registry/duty.go
@@ -104,6 +104,8 @@
 // ownDuty notes whether e is this host's hold on the duty. The entry may be that of a
 // former process of this host: only one under the lease of this process counts.
 func (r *Registry) ownDuty(e Entry) {
+	r.owning.Lock()
+	defer r.owning.Unlock()
 	var holder fleet.Host
 	if len(e.Value) > 0 {
 		if err := json.Unmarshal(e.Value, &holder); err != nil {
--- a/io/registry/lists.go
+++ b/io/registry/lists.go
@@ -107,7 +107,7 @@
 			fmt.Fprintf(digest, "%+v\n", i)
 		}
 	}
-	r.cfg.Post(func() { r.cfg.Instances(is) })
+	r.cfg.Post(func() { r.cfg.Instances(is, sent) })
 	r.listing.mu.Lock()
 	defer r.listing.mu.Unlock()
 	r.listing.digest, r.listing.read, r.listing.confirmed = digest.Sum64(), sent, sent
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -44,8 +44,9 @@
 	// Post has f called where the host takes decisions.
 	Post func(f func())
 
-	Catalog   func(c *catalog.Catalog)
-	Instances func(is []catalog.Instance)
+	Catalog func(c *catalog.Catalog)
+	// Instances tells of a reading of the list of instances that was begun at a moment.
+	Instances func(is []catalog.Instance, read time.Time)
 	Hosts     func(hs []Host)
 	Record    func(r leader.Record)
 	// Renewed tells of a renewal, sent at a moment, that has succeeded; Lost that the
@@ -111,6 +112,9 @@
 	relist chan struct{}
 	// renewed is when the latest renewal was sent that has succeeded, as a time.Time.
 	renewed atomic.Value
+	// owning keeps the end of a registration and the news of the duty apart, so that a hold under
+	// one that has ended isn't taken for a present one.
+	owning sync.Mutex
 	// fence is the number under which this host holds the duty, zero when it doesn't.
 	fence  atomic.Uint64
 	orders ring.Ring[leader.Order]
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -58,7 +58,7 @@
 		Rank:          func() int { return rank },
 		Post:          func(f func()) { t.get(f) },
 		Catalog:       func(d *catalog.Catalog) { t.versions = append(t.versions, d.Version) },
-		Instances:     func(is []catalog.Instance) { t.instances = len(is) },
+		Instances:     func(is []catalog.Instance, _ time.Time) { t.instances = len(is) },
 		Hosts:         func(hs []registry.Host) { t.hosts = hs },
 		Record:        func(r leader.Record) { t.records = append(t.records, r) },
 		Renewed:       func(time.Time) { t.renewed++ },
