Play reads and writes against a model of the group, at random

A host with its registration, three instances with logs that replicate, apply late, are promoted, rolled back and rejoined, cuts on either side, a lost store, slow and held-up connections. Checked where a read runs: each commit that it owes is in the log; and that no write of a replaced primary is acknowledged, and none runs twice.

Seeds aren't exactly repeatable, as the relay goes through its instances in no fixed order; -model-trace prints what happened.

--- /dev/null
+++ b/core/relay/model_test.go
@@ -0,0 +1,412 @@
+package relay_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/leader"
+	"skylarkdeal/core/relay"
+	"skylarkdeal/core/statement"
+)
+
+var (
+	modelSeeds = flag.Uint64("model-seeds", 60, "how many seeds of the model of reads are played")
+	modelFirst = flag.Uint64("model-first", 1, "the first seed of the model of reads")
+	modelTrace = flag.Bool("model-trace", false, "print what happened in each seed that fails")
+)
+
+const (
+	// modelLength is how long one seed is played, modelSettle how long all is calm first.
+	modelLength = 15 * time.Second
+	modelSettle = time.Second
+	// renewal and registration are how often the host renews its registration, and how long
+	// that lasts without.
+	renewal      = 300 * time.Millisecond
+	registration = time.Second
+	// promotion is what the platform takes to carry out an order.
+	promotion = time.Second
+)
+
+// leaseState is the host's registration as the store has it.
+type leaseState struct {
+	ended   bool
+	renewed time.Time
+	// entering is set from when the host finds it ended until it has read the records anew.
+	entering bool
+}
+
+// order is one that some other host has given.
+type order struct{ record leader.Record }
+
+// customer is one session of the host under test, which does one operation after the other.
+type customer struct {
+	m        *model
+	n        int
+	database catalog.Database
+	s        *relay.Session
+	// life counts its sessions: what comes of one that was closed is nothing to the next.
+	life  int
+	busy  bool
+	todo  []statement.Kind
+	begun time.Time
+	count int
+	open  bool
+	last  statement.ID
+	kind  statement.Kind
+}
+
+func newModel(seed uint64) *model {
+	m := &model{
+		r: rand.New(rand.NewPCG(seed, 15)), now: time.Unix(2000, 0), began: time.Unix(2000, 0),
+		servers: map[fleet.Instance]*server{}, primary: "a",
+		runs: map[statement.ID]*reading{}, commitOf: map[statement.ID]*commit{},
+	}
+	lags := []time.Duration{0, 10 * time.Millisecond, 400 * time.Millisecond, 2500 * time.Millisecond}
+	for _, n := range []fleet.Instance{"a", "b", "c"} {
+		m.servers[n] = &server{name: n, role: fleet.RoleReplica, term: 1, lag: lags[m.r.IntN(len(lags))]}
+	}
+	m.servers["a"].role = fleet.RolePrimary
+	m.relay = relay.New(relay.Config{
+		Host: "h1", DataCentre: "obihiro", Now: func() time.Time { return m.now }, Dial: m.dial,
+		ParseStatus: parseStatus, Refresh: m.refresh, Order: func(leader.Order) {},
+		Admit: func(catalog.Account) (time.Duration, bool) { return 0, true },
+		Note: func(e relay.Event) {
+			if e.Kind == relay.EventLeader || e.Kind == relay.EventPlace || e.Kind == relay.EventRetry {
+				m.say("host: %s %s %s need %v has %v term %d: %s", e.Choice, e.Instance, e.ID, e.Need, e.Has, e.Term, e.Reason)
+			}
+		},
+	})
+	m.relay.Adopt((&world{}).catalog(1))
+	m.relay.SetHosts(1)
+	m.list()
+	m.relay.LeaseRenewed(m.now)
+	m.lease.renewed = m.now
+	return m
+}
+
+func (m *model) list() {
+	var is []catalog.Instance
+	for _, n := range []fleet.Instance{"a", "b", "c"} {
+		is = append(is, catalog.Instance{
+			Name: n, Service: service, Address: "10.0.0.1:" + string(n), DataCentre: "obihiro", Slots: 2,
+			Role: m.servers[n].role,
+		})
+	}
+	m.relay.Listed(is, m.now)
+}
+
+// every has f done again and again, with a random pause.
+func (m *model) every(least, most int, f func()) {
+	m.after(m.ms(least, most), func() {
+		f()
+		m.every(least, most, f)
+	})
+}
+
+// play runs one seed to its end.
+func (m *model) play() {
+	m.every(10, 10, m.relay.Tick)
+	m.every(2000, 2000, m.list)
+	m.every(300, 300, m.renew)
+	m.every(3, 60, m.otherWrite)
+	for n := range 12 {
+		c := &customer{m: m, n: n + 1}
+		c.database = []catalog.Database{"rush", "stock", "standing"}[n%3]
+		m.every(5, 80, c.begin)
+	}
+	m.after(modelSettle, func() {
+		m.every(500, 3500, m.order)
+		m.every(500, 4000, m.cutOff)
+	})
+	for {
+		at, do, ok := m.agenda.Next(modelLength)
+		if !ok {
+			return
+		}
+		m.now = m.began.Add(at)
+		do()
+	}
+}
+
+// otherWrite has another host write. It is told as long as its primary hasn't been replaced.
+func (m *model) otherWrite() {
+	p := m.primary
+	c := m.write(m.servers[p], 0)
+	m.after(m.ms(1, 15), func() {
+		if m.primary == p && !c.undone {
+			c.acknowledged = m.now
+		}
+	})
+}
+
+// renew renews the host's registration, or enters it anew.
+func (m *model) renew() {
+	sent := m.now
+	m.after(m.ms(0, 30), func() {
+		if m.storeless || m.lease.entering {
+			return
+		}
+		if m.lease.ended || m.now.Sub(m.lease.renewed) > registration {
+			m.lease.entering = true
+			m.after(m.ms(0, 30), func() {
+				m.relay.LeaseLost()
+				m.after(m.ms(5, 250), m.enter)
+			})
+			return
+		}
+		m.lease.renewed = m.now
+		m.after(m.ms(0, 30), func() { m.relay.LeaseRenewed(sent) })
+	})
+}
+
+// enter registers the host, and then reads the records.
+func (m *model) enter() {
+	if m.storeless {
+		m.after(m.ms(100, 250), m.enter)
+		return
+	}
+	m.lease = leaseState{renewed: m.now, entering: true}
+	sent := m.now
+	m.after(m.ms(0, 20), func() {
+		o := m.record
+		m.after(m.ms(0, 20), func() {
+			m.lease.entering = false
+			m.learn(o)
+			m.relay.LeaseRenewed(sent)
+		})
+	})
+}
+
+func (m *model) learn(o *order) {
+	if o != nil {
+		m.relay.Recorded(o.record)
+	}
+}
+
+// refresh has the host read the records.
+func (m *model) refresh() {
+	m.after(m.ms(1, 60), func() {
+		o := m.record
+		if !m.storeless {
+			m.after(m.ms(0, 20), func() { m.learn(o) })
+		}
+	})
+}
+
+// order has another host change the primary: it writes the record, ends the registrations of all
+// others, and tells the platform.
+func (m *model) order() {
+	if m.ordering {
+		return
+	}
+	former := m.servers[m.primary]
+	var best *server
+	for _, n := range []fleet.Instance{"a", "b", "c"} {
+		s := m.servers[n]
+		if s != former && !s.cut && s.term == former.term && (best == nil || len(s.log) > len(best.log)) {
+			best = s
+		}
+	}
+	if best == nil {
+		return
+	}
+	m.ordering = true
+	m.revision++
+	m.record = &order{leader.Record{
+		Service: service, Term: former.term + 1, Primary: best.name, Former: former.name, Revision: m.revision,
+	}}
+	m.say("order: %s after %s", best.name, former.name)
+	m.after(m.ms(1, 40), func() {
+		m.lease.ended = true
+		m.after(m.ms(0, 10)+promotion, func() {
+			m.promote(best, former.term+1)
+			m.ordering = false
+		})
+	})
+	if m.r.IntN(2) == 0 {
+		m.after(m.ms(20, 400), m.refresh)
+	}
+}
+
+// cutOff cuts a server off from the others, with the host on either side of the cut, or the host
+// from the store alone.
+func (m *model) cutOff() {
+	var heal []func()
+	set := func(b *bool) {
+		if !*b {
+			*b = true
+			heal = append(heal, func() { *b = false })
+		}
+	}
+	what := m.r.IntN(4)
+	s := m.servers[[]fleet.Instance{"a", "b", "c"}[m.r.IntN(3)]]
+	if m.r.IntN(2) == 0 {
+		s = m.servers[m.primary]
+	}
+	switch what {
+	case 0:
+		set(&m.storeless)
+	case 1:
+		set(&s.cut)
+		set(&s.off)
+	default:
+		set(&s.cut)
+		set(&m.storeless)
+		for _, o := range m.servers {
+			if o != s {
+				set(&o.off)
+			}
+		}
+	}
+	m.say("cut %d around %s", what, s.name)
+	m.after(m.ms(300, 4000), func() {
+		m.say("cut %d around %s heals", what, s.name)
+		for _, f := range heal {
+			f()
+		}
+	})
+}
+
+// begin starts the customer's next operation.
+func (c *customer) begin() {
+	if c.busy {
+		return
+	}
+	if c.s == nil {
+		c.connect()
+	}
+	c.busy, c.begun = true, c.m.now
+	switch d := c.m.r.IntN(10); {
+	case c.database != "stock" && d < 3:
+		c.todo = []statement.Kind{statement.KindWrite}
+	case d < 5:
+		c.todo = []statement.Kind{
+			statement.KindBeginRead, statement.KindRead, statement.KindRead, statement.KindCommit,
+		}
+	default:
+		c.todo = []statement.Kind{statement.KindRead}
+	}
+	c.step()
+}
+
+func (c *customer) connect() {
+	c.life++
+	life := c.life
+	c.s = c.m.relay.Open(relay.Link{
+		Started: func() {},
+		Answer:  func(a statement.Answer) { c.answered(life, a) },
+		Reject:  func(statement.Code, string) { c.lost() }, Close: c.lost,
+	})
+	c.s.Start(c.database, "key-1")
+}
+
+func (c *customer) lost() { c.s, c.busy, c.open = nil, false, false }
+
+func (c *customer) step() {
+	if len(c.todo) == 0 {
+		c.busy = false
+		return
+	}
+	c.kind, c.todo = c.todo[0], c.todo[1:]
+	c.count++
+	id := statement.ID(fmt.Sprintf("%d-%d", c.n, c.count))
+	c.last = id
+	r := &reading{session: c.n, begun: c.begun}
+	switch c.database {
+	case "stock":
+		r.age = 1500 * time.Millisecond
+	case "standing":
+		r.age, r.own = 2500*time.Millisecond, true
+	}
+	c.m.runs[id] = r
+	ends := c.kind == statement.KindCommit || c.kind == statement.KindRollback
+	c.open = c.kind == statement.KindBeginRead || c.open && !ends
+	c.s.Query(statement.Statement{ID: id, Kind: c.kind, Text: "item"})
+}
+
+func (c *customer) answered(life int, a statement.Answer) {
+	m := c.m
+	if a.Code != statement.CodeNone {
+		c.todo = nil
+		if c.open {
+			c.todo = []statement.Kind{statement.KindRollback}
+		}
+	} else if w := m.commitOf[c.last]; w != nil {
+		w.acknowledged = m.now
+		if w.late {
+			m.fault("a write that a replaced primary made was acknowledged: %s %v", c.last, w.point)
+		}
+	}
+	if a.Code == statement.CodeNone && c.kind == statement.KindRead {
+		m.served++
+	}
+	m.after(m.ms(0, 30), func() {
+		if c.life == life && c.s != nil {
+			c.step()
+		}
+	})
+}
+
+func (m *model) fault(format string, a ...any) {
+	f := fmt.Sprintf(format, a...)
+	m.say("FAULT %s", f)
+	m.faults = append(m.faults, f)
+}
+
+// written takes in that a write of the host under test has run.
+func (m *model) written(id statement.ID, c *commit) {
+	if old := m.commitOf[id]; old != nil {
+		m.fault("write %s ran twice: %v and %v", id, old.point, c.point)
+	}
+	m.say("write %s ran: %v late %v", id, c.point, c.late)
+	m.commitOf[id] = c
+}
+
+// ran checks a read where it runs: the log has to hold every commit that was acknowledged before
+// the read began less the age that it accepts, and every one of its own session.
+func (m *model) ran(s *server, id statement.ID) {
+	r := m.runs[id]
+	for _, c := range m.commits {
+		owed := c.acknowledged.Before(r.begun.Add(-r.age)) || r.own && c.by == r.session && c.acknowledged.Before(r.begun)
+		if c.undone || c.acknowledged.IsZero() || !owed {
+			continue
+		}
+		n := int(c.point.Position)
+		if n > s.applied || s.log[n-1] != c {
+			m.fault("read %s, begun at %.3f with %v, ran on %s at %v, which lacks %v, acknowledged at %.3f",
+				id, r.begun.Sub(m.began).Seconds(), r.age, s.name, s.point(), c.point, c.acknowledged.Sub(m.began).Seconds())
+			return
+		}
+	}
+}
+
+// A caller reads what may be of some age, or its own work, or the newest, on a host whose
+// knowledge of the primary is old: changes of primary, cuts, a lost store, late replicas, slow
+// connections and held-up statements come at random. Whatever answers it gets, no read may run on
+// a log that lacks a commit which it owes, and no write be acknowledged that a primary made after
+// it was replaced. One made before may be lost, as replication is asynchronous.
+func TestNoReadRunsWhereItsLogLacksWhatItOwes(t *testing.T) {
+	served := 0
+	for seed := *modelFirst; seed < *modelFirst+*modelSeeds; seed++ {
+		m := newModel(seed)
+		m.play()
+		served += m.served
+		if len(m.faults) == 0 {
+			continue
+		}
+		t.Errorf("seed %d: %d faults, the first: %s", seed, len(m.faults), m.faults[0])
+		if *modelTrace {
+			t.Log(strings.Join(m.trace, "\n"))
+		}
+	}
+	t.Logf("%d seeds, %d reads served", *modelSeeds, served)
+	if served < int(*modelSeeds)*500 {
+		t.Errorf("only %d reads were served in %d seeds", served, *modelSeeds)
+	}
+}
