Play random faults on real hosts before a stand-in of the prepared machines

A first stand: three hosts as processes, a stand-in of store, groups and orders, a loopback proxy between, and checks from what callers and instances see.

--- /dev/null
+++ b/standin/machines/machines.go
@@ -0,0 +1,425 @@
+// Package machines is a small stand-in of the prepared machines: the platform's store,
+// groups of database instances with asynchronous replication, and the address where changes
+// of primary are ordered. It tells a watcher what its instances see.
+package machines
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// rollbackTime is how long a replica is busy after it has dropped entries.
+	rollbackTime = 100 * time.Millisecond
+	// reachTime is how long a replaced primary goes on once it can reach its successor.
+	reachTime = time.Second
+	// replicateEvery is how finely the replication's delay is kept.
+	replicateEvery = 5 * time.Millisecond
+	// forgetAfter is how long the store lists an instance that says nothing.
+	forgetAfter = 3 * time.Second
+	slotsEach   = 2
+	maxConns    = 32
+	// slotWait is how long a statement waits for a slot before it is refused.
+	slotWait = 100 * time.Millisecond
+)
+
+// Entry is one commit that has written.
+type Entry struct {
+	Service      string
+	Term, Number int
+	// IDs are those of its writes, in order.
+	IDs []string
+	// Conn is the connection that has committed it, At when.
+	Conn Conn
+	At   time.Time
+	// Replaced is set if the instance had been replaced as the primary by then.
+	Replaced bool
+	// RolledBack is set once a promotion has dropped the entry.
+	RolledBack bool
+
+	items []string
+	data  []string
+}
+
+// Conn is one connection to an instance.
+type Conn struct {
+	Number   uint64
+	Remote   string
+	Instance string
+	Account  string
+	InTx     bool
+}
+
+// Run is one read, write or commit that an instance has run.
+type Run struct {
+	Conn Conn
+	ID   string
+	// Text is that of the statement without the name under which it was prepared.
+	Text string
+	// Values are those that the connection has set.
+	Values map[string]string
+	Rows   []string
+	Digest string
+	// Log is what the instance had applied.
+	Log []*Entry
+}
+
+// Plant is a fault that breaks a promise in place of the product.
+type Plant string
+
+// The faults that can be planted.
+const (
+	PlantNone Plant = ""
+	// PlantLag has replicas answer reads after a point that they don't have.
+	PlantLag Plant = "lag"
+	// PlantTwice commits some writes twice.
+	PlantTwice Plant = "twice"
+	// PlantRefused commits some writes and refuses them.
+	PlantRefused Plant = "refused"
+	// PlantMixed answers some statements with rows of another.
+	PlantMixed Plant = "mixed"
+)
+
+// plantEvery is how many statements there are to each that a planted fault concerns.
+const plantEvery = 15
+
+// Machines is the whole platform. The functions are called one at a time and may be nil;
+// they and the planted faults have to be set before Start.
+type Machines struct {
+	Store *Store
+	// Heard is called with each line that an instance reads.
+	Heard func(c Conn, line string)
+	// Ran is called with each statement that has run, Committed with each commit that has
+	// written, Ordered with each order, Told with what happens to instances.
+	Ran       func(r Run)
+	Committed func(e *Entry)
+	Ordered   func(o Order)
+	Told      func(what string)
+	Plant     Plant
+	// KeepFormer has replaced primaries never learn of their successors.
+	KeepFormer bool
+	// Delay is how far replicas are behind, Work what a statement takes.
+	Delay, Work time.Duration
+	// Address returns the address to announce for an instance; by default it is its own.
+	Address func(instance, own string) string
+
+	mu        sync.Mutex
+	groups    map[string]*group
+	instances map[string]*instance
+	conns     uint64
+	planted   int
+	digests   int
+	stop      chan struct{}
+	stopped   sync.WaitGroup
+}
+
+type group struct {
+	name      string
+	term      int
+	leader    *instance
+	instances []*instance
+}
+
+// instance is one instance of a group.
+type instance struct {
+	name, address string
+	group         *group
+	listener      net.Listener
+	conns         map[net.Conn]bool
+	slots         chan struct{}
+
+	primary, replaced, dead, draining bool
+	// split is set while it is cut off from the others of its group.
+	split bool
+	// lag is what it is behind beyond the usual.
+	lag       time.Duration
+	term      int
+	log       []*Entry
+	applied   int
+	busyUntil time.Time
+	lose      int
+	born      int64
+	died      time.Time
+	said      string
+}
+
+// Start brings groups of three instances up. The first of each is its primary.
+func (m *Machines) Start(services ...string) error {
+	m.groups, m.instances, m.stop = map[string]*group{}, map[string]*instance{}, make(chan struct{})
+	if m.Store == nil {
+		m.Store = NewStore()
+	}
+	for _, s := range services {
+		g := &group{name: s, term: 1}
+		m.groups[s] = g
+		for _, n := range []string{"a", "b", "c"} {
+			i := &instance{name: "i-" + s + "-" + n, group: g, term: 1, conns: map[net.Conn]bool{}}
+			g.instances = append(g.instances, i)
+			m.instances[i.name] = i
+			if err := m.listen(i, "127.0.0.1:0"); err != nil {
+				return err
+			}
+		}
+		g.leader = g.instances[0]
+		g.leader.primary = true
+	}
+	m.mu.Lock()
+	m.announce()
+	m.mu.Unlock()
+	m.stopped.Go(m.replicates)
+	return nil
+}
+
+// Close ends all instances.
+func (m *Machines) Close() {
+	close(m.stop)
+	m.stopped.Wait()
+	for n := range m.instances {
+		m.Kill(n)
+	}
+}
+
+func (m *Machines) listen(i *instance, at string) error {
+	l, err := net.Listen("tcp4", at)
+	if err != nil {
+		return err
+	}
+	i.listener, i.address, i.slots = l, l.Addr().String(), make(chan struct{}, slotsEach)
+	i.born = time.Now().UnixMilli()
+	go m.accept(i, l)
+	return nil
+}
+
+func (m *Machines) tell(what string) {
+	if m.Told != nil {
+		m.Told(what)
+	}
+}
+
+// announce writes the entries of the instances that live where they have changed.
+func (m *Machines) announce() {
+	for _, i := range m.instances {
+		if i.dead {
+			if i.said != "" && time.Since(i.died) > forgetAfter {
+				i.said = ""
+				m.Store.Delete("servers/" + i.name)
+			}
+			continue
+		}
+		state, address := "ready", i.address
+		if i.draining {
+			state = "draining"
+		}
+		if m.Address != nil {
+			address = m.Address(i.name, i.address)
+		}
+		said := fmt.Sprintf(
+			`{"Service":%q,"Address":%q,"Zone":"obihiro","Slots":%d,"State":%q,"DbRole":%q,"born":%d}`,
+			i.group.name, address, slotsEach, state, i.role(), i.born)
+		if said != i.said {
+			i.said = said
+			m.Store.Put("servers/"+i.name, said)
+		}
+	}
+}
+
+// replicates carries entries to the replicas.
+func (m *Machines) replicates() {
+	for {
+		select {
+		case <-m.stop:
+			return
+		case <-time.After(replicateEvery):
+		}
+		m.mu.Lock()
+		for _, g := range m.groups {
+			for _, i := range g.instances {
+				m.receive(i)
+			}
+		}
+		m.announce()
+		m.mu.Unlock()
+	}
+}
+
+// receive has a replica take in what the leader has; it is applied half of the delay later.
+func (m *Machines) receive(i *instance) {
+	l := i.group.leader
+	now := time.Now()
+	for i.applied < len(i.log) && now.Sub(i.log[i.applied].At) >= m.Delay+i.lag {
+		i.applied++
+	}
+	if i == l || i.dead || l.dead || i.split || l.split || i.replaced {
+		return
+	}
+	if l.common(i) < len(i.log) {
+		i.follow(l)
+		i.busyUntil = now.Add(rollbackTime)
+	}
+	i.term = l.term
+	for len(i.log) < len(l.log) && now.Sub(l.log[len(i.log)].At) >= m.Delay/2+i.lag {
+		i.log = append(i.log, l.log[len(i.log)])
+	}
+}
+
+// common returns how many first entries two instances share.
+func (i *instance) common(o *instance) int {
+	n := min(len(i.log), len(o.log))
+	for n > 0 && i.log[n-1] != o.log[n-1] {
+		n--
+	}
+	return n
+}
+
+// follow makes i a replica of l.
+func (i *instance) follow(l *instance) {
+	i.log = slices.Clone(i.log[:l.common(i)])
+	i.applied = min(i.applied, len(i.log))
+	i.primary, i.replaced, i.term = false, false, l.term
+}
+
+func (i *instance) role() string {
+	if i.primary {
+		return "primary"
+	}
+	return "replica"
+}
+
+// position is that of the last entry applied.
+func (i *instance) position() string { return i.at(i.applied) }
+
+func (i *instance) at(n int) string {
+	if n == 0 {
+		return "1.0"
+	}
+	return fmt.Sprintf("%d.%d", i.log[n-1].Term, n)
+}
+
+// has reports whether the instance has applied a position.
+func (i *instance) has(position string) bool {
+	var term, n int
+	if _, err := fmt.Sscanf(position, "%d.%d", &term, &n); err != nil {
+		return false
+	}
+	return n == 0 || n <= i.applied && i.log[n-1].Term == term
+}
+
+func (i *instance) value(item string) string {
+	for n := i.applied - 1; n >= 0; n-- {
+		if k := slices.Index(i.log[n].items, item); k >= 0 {
+			return i.log[n].data[k]
+		}
+	}
+	return "none"
+}
+
+// Instances returns the names of a group's instances.
+func (m *Machines) Instances(service string) []string {
+	var out []string
+	for _, i := range m.groups[service].instances {
+		out = append(out, i.name)
+	}
+	return out
+}
+
+// Primary returns the instance that leads a group in the newest term.
+func (m *Machines) Primary(service string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.groups[service].leader.name
+}
+
+// Term returns the newest term of a group.
+func (m *Machines) Term(service string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.groups[service].term
+}
+
+// At returns where an instance listens.
+func (m *Machines) At(instance string) string { return m.instances[instance].address }
+
+// Kill ends an instance with all its connections.
+func (m *Machines) Kill(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	i := m.instances[name]
+	if i.dead {
+		return
+	}
+	i.dead, i.died = true, time.Now()
+	m.tell("killed " + name)
+	_ = i.listener.Close()
+	for c := range i.conns {
+		_ = c.Close()
+	}
+	i.conns = map[net.Conn]bool{}
+}
+
+// Restart brings an instance back with its log, as a replica if it was replaced.
+func (m *Machines) Restart(name string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	i := m.instances[name]
+	if !i.dead {
+		return nil
+	}
+	if err := m.listen(i, i.address); err != nil {
+		return err
+	}
+	i.dead, i.draining = false, false
+	if i.group.leader != i {
+		i.follow(i.group.leader)
+	}
+	m.tell("restarted " + name + " as " + i.role())
+	m.announce()
+	return nil
+}
+
+// SetDraining says that an instance is about to leave.
+func (m *Machines) SetDraining(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.instances[name].draining = true
+	m.tell("draining " + name)
+	m.announce()
+}
+
+// SetSplit cuts an instance off from the others of its group, or ends that.
+func (m *Machines) SetSplit(name string, split bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.instances[name].split = split
+	m.tell(fmt.Sprintf("split %s: %t", name, split))
+}
+
+// SetLag sets how far an instance is behind beyond the usual.
+func (m *Machines) SetLag(name string, by time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.instances[name].lag = by
+	m.tell(fmt.Sprintf("lag of %s: %v", name, by))
+}
+
+// Lose has an instance run its next n statements and end their connections unanswered.
+func (m *Machines) Lose(name string, n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.instances[name].lose = n
+	m.tell("loses answers: " + name)
+}
+
+// due reports whether a planted fault concerns this statement.
+func (m *Machines) due(p Plant) bool {
+	if m.Plant != p {
+		return false
+	}
+	m.planted++
+	return m.planted%plantEvery == 0
+}
+
+func words(s string) []string { return strings.Fields(s) }
--- /dev/null
+++ b/standin/machines/store.go
@@ -0,0 +1,317 @@
+package machines
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// StoreFault is how the store treats the calls of a host.
+type StoreFault string
+
+// The faults of the store.
+const (
+	StoreWell    StoreFault = ""
+	StoreRefuses StoreFault = "refuses"
+	StoreCrowded StoreFault = "crowded"
+	// StoreSilent takes a call and doesn't carry it out.
+	StoreSilent StoreFault = "silent"
+	// StoreLoses carries a call out and ends its connection in place of an answer.
+	StoreLoses StoreFault = "loses"
+	StoreSlow  StoreFault = "slow"
+)
+
+const (
+	// slowBy is what a slow store adds to a call.
+	slowBy = 300 * time.Millisecond
+	// expireEvery is how late the end of a lease may show to a watch.
+	expireEvery = 50 * time.Millisecond
+)
+
+// Item is one key of the store, or its deletion.
+type Item struct {
+	Key                      string
+	Value                    []byte
+	Revision, CreateRevision uint64
+	Lease                    uint64
+	Deleted                  bool `json:",omitempty"`
+}
+
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// Store is the platform's metadata store. It has to be made by NewStore.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	// forgotten is the last revision whose change a watch can't be told any more.
+	forgotten uint64
+	items     map[string]Item
+	history   []Item
+	leases    map[uint64]*lease
+	lastID    uint64
+	changed   chan struct{}
+	faults    map[string]StoreFault
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		revision: 1, items: map[string]Item{}, leases: map[uint64]*lease{}, changed: make(chan struct{}),
+		faults: map[string]StoreFault{},
+	}
+}
+
+// SetFault sets how the store treats the calls of a host.
+func (s *Store) SetFault(host string, f StoreFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults[host] = f
+}
+
+// Forget drops the history that watches are told of.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten, s.history = s.revision, nil
+	s.wake()
+}
+
+// Put writes a key, as the operator and the instances do.
+func (s *Store) Put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set(key, []byte(value), 0)
+}
+
+// Delete removes a key, if it is there.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(key)
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) note(i Item) {
+	s.history = append(s.history, i)
+	s.wake()
+}
+
+func (s *Store) set(key string, value []byte, lease uint64) {
+	s.revision++
+	created := s.items[key].CreateRevision
+	if created == 0 {
+		created = s.revision
+	}
+	i := Item{Key: key, Value: value, Revision: s.revision, CreateRevision: created, Lease: lease}
+	s.items[key] = i
+	s.note(i)
+}
+
+func (s *Store) remove(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.note(Item{Key: key, Revision: s.revision, Deleted: true})
+}
+
+func (s *Store) expire() {
+	now := time.Now()
+	for id, l := range s.leases {
+		if now.After(l.end) {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *Store) endLease(id uint64) {
+	delete(s.leases, id)
+	for k, i := range s.items {
+		if i.Lease == id {
+			s.remove(k)
+		}
+	}
+}
+
+// Handler returns the store as one host reaches it.
+func (s *Store) Handler(host string) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/kv-range", s.list)
+	mux.HandleFunc("GET /-/kv-watch", s.watch)
+	mux.HandleFunc("POST /-/kv-txn", s.commit)
+	mux.HandleFunc("POST /-/kv-lease", s.grant)
+	mux.HandleFunc("POST /-/kv-keep/{id}", s.keep)
+	mux.HandleFunc("DELETE /-/kv-lease-end/{id}", s.end)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		f := s.faults[host]
+		s.mu.Unlock()
+		switch f {
+		case StoreRefuses:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case StoreCrowded:
+			w.WriteHeader(http.StatusTooManyRequests)
+		case StoreSilent:
+			<-r.Context().Done()
+		case StoreLoses:
+			mux.ServeHTTP(discard{http.Header{}}, r)
+			panic(http.ErrAbortHandler)
+		case StoreSlow:
+			time.Sleep(slowBy)
+			mux.ServeHTTP(w, r)
+		default:
+			mux.ServeHTTP(w, r)
+		}
+	})
+}
+
+// discard is where lost answers go.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d discard) WriteHeader(int)             {}
+
+func answer(w http.ResponseWriter, v any) { _ = json.NewEncoder(w).Encode(v) }
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	found := []Item{}
+	for k, i := range s.items {
+		if strings.HasPrefix(k, r.FormValue("Prefix")) {
+			found = append(found, i)
+		}
+	}
+	answer(w, map[string]any{"items": found, "HasMore": false, "CurrentRev": s.revision})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	wait, _ := strconv.Atoi(r.FormValue("WaitMs"))
+	end := time.After(time.Duration(wait) * time.Millisecond)
+	for ended := false; ; {
+		s.mu.Lock()
+		s.expire()
+		forgotten, changed, at := after < s.forgotten, s.changed, s.revision
+		events := []Item{}
+		for _, i := range s.history {
+			if i.Revision > after && strings.HasPrefix(i.Key, r.FormValue("Prefix")) {
+				events = append(events, i)
+			}
+		}
+		s.mu.Unlock()
+		if forgotten {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(events) > 0 || ended {
+			answer(w, map[string]any{"events": events, "CurrentRev": at})
+			return
+		}
+		select {
+		case <-changed:
+		case <-time.After(expireEvery):
+		case <-r.Context().Done():
+			return
+		case <-end:
+			ended = true
+		}
+	}
+}
+
+// change is the body of a transaction.
+type change struct {
+	Precondition []struct {
+		Key      string
+		Revision uint64
+	}
+	SetKeys []struct {
+		Key   string
+		Value []byte
+		Lease uint64
+	}
+	DeleteKeys []string
+}
+
+func (s *Store) commit(w http.ResponseWriter, r *http.Request) {
+	var t change
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for _, p := range t.Precondition {
+		if s.items[p.Key].Revision != p.Revision {
+			w.WriteHeader(http.StatusPreconditionFailed)
+			answer(w, map[string]any{"items": []Item{s.items[p.Key]}})
+			return
+		}
+	}
+	for _, p := range t.SetKeys {
+		if p.Lease != 0 && s.leases[p.Lease] == nil {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+	}
+	for _, p := range t.SetKeys {
+		s.set(p.Key, p.Value, p.Lease)
+	}
+	for _, k := range t.DeleteKeys {
+		s.remove(k)
+	}
+	answer(w, map[string]any{"Revision": s.revision})
+}
+
+func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
+	var b struct{ TtlMs int64 } //nolint:revive // the platform's name
+	if err := json.NewDecoder(r.Body).Decode(&b); err != nil || b.TtlMs <= 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastID++
+	ttl := time.Duration(b.TtlMs) * time.Millisecond
+	s.leases[s.lastID] = &lease{ttl: ttl, end: time.Now().Add(ttl)}
+	answer(w, map[string]any{"Lease": s.lastID, "TtlMs": b.TtlMs})
+}
+
+func (s *Store) keep(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	l := s.leases[id]
+	if l == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	l.end = time.Now().Add(l.ttl)
+	answer(w, map[string]any{"TtlMs": l.ttl.Milliseconds()})
+}
+
+func (s *Store) end(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leases[id] == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	s.endLease(id)
+}
--- /dev/null
+++ b/test/soak/judge_test.go
@@ -0,0 +1,348 @@
+package soak_test
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"skylarkdeal/standin/machines"
+)
+
+// promise names what a violation breaks.
+type promise string
+
+// The promises that are checked.
+const (
+	promiseStale   promise = "STALE"
+	promiseTwice   promise = "TWICE"
+	promiseOne     promise = "ONE"
+	promiseRefused promise = "NOT-RUN"
+	promiseAccount promise = "ACCOUNT"
+	promisePinned  promise = "PINNED"
+	promiseMixed   promise = "MIXED"
+	promiseUnasked promise = "UNASKED"
+	promiseServes  promise = "SERVES"
+)
+
+// maxListed bounds the violations that are printed.
+const maxListed = 20
+
+// statementID is the id that a caller gives to a statement.
+type statementID string
+
+// kind is the consistency of a database.
+type kind string
+
+// The kinds of databases.
+const (
+	kindPrimary kind = "primary"
+	kindBounded kind = "bounded_staleness"
+	kindOwn     kind = "read_own_writes"
+)
+
+// database is one database that callers connect to.
+type database struct {
+	name, service string
+	kind          kind
+	// maxAge is how old a read may be.
+	maxAge time.Duration
+}
+
+// attempt is one operation of a caller: a statement or a transaction.
+type attempt struct {
+	session *session
+	// began is when its first byte was sent.
+	began time.Time
+	// tx is set for a transaction, commits once its commit was sent.
+	tx, commits bool
+	// conn is the connection on which the transaction runs.
+	conn    uint64
+	entry   *machines.Entry
+	refused string
+}
+
+// sent is one statement on its way.
+type sent struct {
+	attempt *attempt
+	text    string
+	runs    []machines.Run
+	commits int
+}
+
+// acknowledged is a commit that its caller was told of.
+type acknowledged struct {
+	at    time.Time
+	by    *session
+	entry *machines.Entry
+}
+
+// judge checks the promises while callers and instances are at work.
+type judge struct {
+	// excused reports whether the way from a connection's host to an instance was disturbed
+	// shortly before a commit.
+	excused func(c machines.Conn) bool
+
+	mu         sync.Mutex
+	log        *os.File
+	keys       []string
+	statements map[statementID]*sent
+	acks       map[string][]acknowledged
+	served     map[string]time.Time
+	counts     map[string]int
+	violations []string
+	broken     map[promise]int
+	fence      uint64
+	holder     string
+}
+
+func newJudge(log *os.File, keys []string) *judge {
+	return &judge{
+		log: log, keys: keys, statements: map[statementID]*sent{}, acks: map[string][]acknowledged{},
+		served: map[string]time.Time{}, counts: map[string]int{}, broken: map[promise]int{},
+		excused: func(machines.Conn) bool { return false },
+	}
+}
+
+func (j *judge) note(format string, args ...any) {
+	fmt.Fprintf(j.log, time.Now().Format("15:04:05.000000 ")+format+"\n", args...)
+}
+
+// tell is note for those who don't hold the judge.
+func (j *judge) tell(what string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.note("%s", what)
+}
+
+func (j *judge) breach(p promise, format string, args ...any) {
+	j.broken[p]++
+	text := time.Now().Format("15:04:05.000000 ") + string(p) + ": " + fmt.Sprintf(format, args...)
+	j.note("%s", text)
+	j.violations = append(j.violations, text)
+}
+
+// begin takes in that a caller starts an operation.
+func (j *judge) begin(s *session, tx bool) *attempt {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return &attempt{session: s, began: time.Now(), tx: tx}
+}
+
+// send takes in that a caller sends a statement.
+func (j *judge) send(a *attempt, id statementID, text string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.statements[id] = &sent{attempt: a, text: text}
+	a.commits = a.commits || text == "COMMIT"
+	j.note("%s sends %s %s", a.session, id, text)
+}
+
+// heard checks what an instance reads: no key, and an account that has sessions.
+func (j *judge) heard(c machines.Conn, line string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, k := range j.keys {
+		if strings.Contains(line, k) {
+			j.breach(promiseAccount, "instance %s was told a key: %s", c.Instance, line)
+		}
+	}
+	if strings.HasPrefix(line, "QUERY - S") {
+		return
+	}
+	j.note("%s conn %d reads %s", c.Instance, c.Number, line)
+}
+
+// ran checks a statement that an instance has run.
+func (j *judge) ran(r machines.Run) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	q := j.statements[statementID(r.ID)]
+	if q == nil {
+		j.breach(promiseUnasked, "%s ran %s %s, which no caller has sent", r.Conn.Instance, r.ID, r.Text)
+		return
+	}
+	s := q.attempt.session
+	j.note("%s conn %d ran %s of %s, log at %s", r.Conn.Instance, r.Conn.Number, r.ID, s, lastOf(r.Log))
+	q.runs = append(q.runs, r)
+	j.counts["runs"]++
+	if r.Text != s.expand(q.text) {
+		j.breach(promiseUnasked, "%s ran %s as %q in place of %q", r.Conn.Instance, r.ID, r.Text, q.text)
+	}
+	if r.Conn.Account != s.account {
+		j.breach(promiseAccount, "%s ran %s of account %s as %s", r.Conn.Instance, r.ID, s.account, r.Conn.Account)
+	}
+	if !maps.Equal(r.Values, s.values) {
+		j.breach(promisePinned, "%s ran %s with values %v in place of %v", r.Conn.Instance, r.ID, r.Values, s.values)
+	}
+	j.pinned(r, q.attempt)
+	if strings.HasPrefix(r.Text, "READ") || strings.HasPrefix(r.Text, "EXECUTE READ") {
+		j.fresh(r, q.attempt)
+	}
+}
+
+// pinned checks that a statement runs on its transaction's connection and on no other's.
+func (j *judge) pinned(r machines.Run, a *attempt) {
+	if a.tx != r.Conn.InTx {
+		j.breach(promisePinned, "%s ran %s, in a transaction: %t, should be: %t",
+			r.Conn.Instance, r.ID, r.Conn.InTx, a.tx)
+	}
+	if !a.tx {
+		return
+	}
+	if a.conn == 0 {
+		a.conn = r.Conn.Number
+	}
+	if a.conn != r.Conn.Number {
+		j.breach(promisePinned, "%s ran %s on connection %d, its transaction is on %d",
+			r.Conn.Instance, r.ID, r.Conn.Number, a.conn)
+	}
+}
+
+// fresh checks that a read's log holds what the read owes.
+func (j *judge) fresh(r machines.Run, a *attempt) {
+	s := a.session
+	j.counts["reads on "+string(s.database.kind)]++
+	var owed *acknowledged
+	for n, k := range j.acks[s.database.service] {
+		old := !k.at.After(a.began.Add(-s.database.maxAge))
+		own := s.database.kind == kindOwn && k.by == s && !k.at.After(a.began)
+		if k.entry.RolledBack || !old && !own {
+			continue
+		}
+		if owed == nil || k.entry.Number > owed.entry.Number {
+			owed = &j.acks[s.database.service][n]
+		}
+	}
+	if owed == nil || owed.entry.Number <= len(r.Log) && r.Log[owed.entry.Number-1] == owed.entry {
+		return
+	}
+	j.breach(promiseStale, "%s (%s) ran %s of %s at %s, began %s, without %d.%d %v acknowledged to %s at %s",
+		r.Conn.Instance, s.database.kind, r.ID, s, lastOf(r.Log), a.began.Format("15:04:05.000000"),
+		owed.entry.Term, owed.entry.Number, owed.entry.IDs, owed.by, owed.at.Format("15:04:05.000000"))
+}
+
+func lastOf(log []*machines.Entry) string {
+	if len(log) == 0 {
+		return "1.0"
+	}
+	return fmt.Sprintf("%d.%d", log[len(log)-1].Term, len(log))
+}
+
+// committed checks a commit that has written.
+func (j *judge) committed(e *machines.Entry) {
+	if e.Replaced && j.excused(e.Conn) {
+		e.Replaced = false
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.counts["commits"]++
+	j.note("%s conn %d commits %d.%d %v, replaced: %t",
+		e.Conn.Instance, e.Conn.Number, e.Term, e.Number, e.IDs, e.Replaced)
+	for _, id := range e.IDs {
+		q := j.statements[statementID(id)]
+		if q == nil {
+			continue // told of when it ran
+		}
+		q.commits++
+		if q.commits > 1 {
+			j.breach(promiseTwice, "%s committed %s of %s %d times", e.Conn.Instance, id, q.attempt.session, q.commits)
+		}
+		a := q.attempt
+		a.entry = e
+		if a.refused != "" {
+			j.breach(promiseRefused, "%s committed %s of %s, refused as %s", e.Conn.Instance, id, a.session, a.refused)
+		}
+		if a.tx && !a.commits {
+			j.breach(promiseUnasked, "%s committed %s of %s, whose commit was never sent", e.Conn.Instance, id, a.session)
+		}
+	}
+}
+
+// ordered checks the fences of orders.
+func (j *judge) ordered(o machines.Order) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.counts["orders"]++
+	j.note("order %+v", o)
+	if o.Fence < j.fence || o.Fence == j.fence && o.Holder != j.holder {
+		j.breach(promiseOne, "order %+v after fence %d of %s", o, j.fence, j.holder)
+	}
+	j.fence, j.holder = max(o.Fence, j.fence), o.Holder
+}
+
+// reply is what a caller was answered.
+type reply struct {
+	rows []string
+	// digest is set after a success, code after an error; both are empty when none came.
+	digest, code string
+	text         string
+	state        string
+}
+
+// answered checks an answer, or that there was none.
+func (j *judge) answered(id statementID, a reply) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	q := j.statements[id]
+	s := q.attempt.session
+	j.note("%s gets %s rows %v digest %s error %s %s state %s", s, id, a.rows, a.digest, a.code, a.text, a.state)
+	j.counts["answer "+a.code]++
+	switch {
+	case promised[a.code]:
+		q.attempt.refused = a.code
+		if q.attempt.entry != nil {
+			j.breach(promiseRefused, "%s was refused %s as %s after its commit %v", s, id, a.code, q.attempt.entry.IDs)
+		}
+	case a.code == "NOSTMT":
+		j.breach(promisePinned, "%s was told that its statement isn't prepared: %s", s, q.text)
+	case a.digest != "" && forwarded(q.text):
+		j.succeeded(id, q, a)
+	}
+}
+
+// promised are the errors that say that nothing of an attempt is kept.
+var promised = map[string]bool{
+	"BUSY": true, "ABORTED": true, "LAGGING": true, "READONLY": true, "MISROUTED": true, "TOOMANY": true,
+}
+
+// forwarded reports whether only an instance can answer a statement.
+func forwarded(text string) bool {
+	switch word, _, _ := strings.Cut(text, " "); word {
+	case "READ", "WRITE", "EXECUTE", "COMMIT":
+		return true
+	}
+	return false
+}
+
+func (j *judge) succeeded(id statementID, q *sent, a reply) {
+	s := q.attempt.session
+	whole := slices.ContainsFunc(q.runs, func(r machines.Run) bool {
+		return r.Digest == a.digest && slices.Equal(r.Rows, a.rows)
+	})
+	if !whole {
+		j.breach(promiseMixed, "%s got rows %v and digest %q for %s %s, which ran as %v",
+			s, a.rows, a.digest, id, q.text, q.runs)
+		return
+	}
+	j.served[s.database.name] = time.Now()
+	e := q.attempt.entry
+	if e == nil || q.attempt.tx && q.text != "COMMIT" {
+		return
+	}
+	j.acks[s.database.service] = append(j.acks[s.database.service], acknowledged{time.Now(), s, e})
+	if e.Replaced {
+		j.breach(promiseOne, "%s was told of %d.%d %v at %s, committed %s after it was replaced",
+			s, e.Term, e.Number, e.IDs, e.Conn.Instance, e.At.Format("15:04:05.000000"))
+	}
+}
+
+// report returns what was broken and what was counted.
+func (j *judge) report() (map[promise]int, []string, map[string]int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return maps.Clone(j.broken), slices.Clone(j.violations[:min(len(j.violations), maxListed)]), maps.Clone(j.counts)
+}
--- /dev/null
+++ b/test/soak/plan_test.go
@@ -0,0 +1,268 @@
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"skylarkdeal/internal/pause"
+	"skylarkdeal/standin/machines"
+)
+
+// faultKind is what an event does.
+type faultKind string
+
+// The kinds of faults.
+const (
+	faultTerm         faultKind = "host-term"
+	faultKill         faultKind = "host-kill"
+	faultPause        faultKind = "host-pause"
+	faultRoll         faultKind = "hosts-in-turn"
+	faultKillAll      faultKind = "hosts-all-killed"
+	faultDelay        faultKind = "link-delay"
+	faultReset        faultKind = "link-reset"
+	faultCutOut       faultKind = "link-cut-out"
+	faultCutBack      faultKind = "link-cut-back"
+	faultSilence      faultKind = "link-silence"
+	faultOff          faultKind = "host-off-all-instances"
+	faultStoreCut     faultKind = "store-cut"
+	faultStoreDown    faultKind = "store-down"
+	faultStoreSilent  faultKind = "store-silent"
+	faultStoreSlow    faultKind = "store-slow"
+	faultStoreLoses   faultKind = "store-loses"
+	faultStoreRefuses faultKind = "store-refuses"
+	faultStoreForgets faultKind = "store-forgets"
+	faultOrdersCut    faultKind = "orders-cut"
+	faultCrash        faultKind = "instance-crash"
+	faultLost         faultKind = "instance-loses-answers"
+	faultRelease      faultKind = "instance-release"
+	faultLag          faultKind = "instance-lag"
+	faultSplit        faultKind = "instance-split"
+	faultCatalog      faultKind = "catalog"
+)
+
+// faultKinds are all kinds, the weightier ones more than once.
+var faultKinds = []faultKind{
+	faultTerm, faultTerm, faultKill, faultKill, faultPause, faultPause, faultPause, faultRoll, faultKillAll,
+	faultDelay, faultDelay, faultReset, faultReset, faultCutOut, faultCutOut, faultCutBack, faultCutBack,
+	faultSilence, faultSilence, faultOff, faultOff, faultStoreCut, faultStoreCut, faultStoreDown,
+	faultStoreSilent, faultStoreSlow, faultStoreLoses, faultStoreRefuses, faultStoreForgets, faultOrdersCut,
+	faultCrash, faultCrash, faultCrash, faultCrash, faultLost, faultLost, faultRelease, faultRelease, faultLag,
+	faultLag, faultSplit, faultSplit, faultCatalog,
+}
+
+// event is one fault, from a moment after the start on.
+type event struct {
+	at, lasts time.Duration
+	kind      faultKind
+	host      int
+	service   string
+	// instance is one of the service's, or its primary at that time if that is negative.
+	instance int
+	n        int
+}
+
+func (e event) String() string {
+	i := "primary"
+	if e.instance >= 0 {
+		i = fmt.Sprint(e.instance)
+	}
+	return fmt.Sprintf("%v for %v: %s h%d %s/%s %d", e.at, e.lasts, e.kind, e.host+1, e.service, i, e.n)
+}
+
+const (
+	// eventEvery is the mean time between two faults, which last up to maxLasts.
+	eventEvery = 700 * time.Millisecond
+	minLasts   = 200 * time.Millisecond
+	maxLasts   = 5 * time.Second
+	// seedStream keeps the plan's luck apart from the callers'.
+	seedStream = 0x50a4
+)
+
+// plan draws the faults of a soak.
+func plan(seed uint64, d time.Duration, hosts int) []event {
+	luck := rand.New(rand.NewPCG(seed, seedStream))
+	var es []event
+	for range int(d / eventEvery) {
+		e := event{
+			at:      time.Duration(luck.Int64N(int64(d))).Round(time.Millisecond),
+			lasts:   (minLasts + time.Duration(luck.Int64N(int64(maxLasts-minLasts)))).Round(time.Millisecond),
+			kind:    faultKinds[luck.IntN(len(faultKinds))],
+			host:    luck.IntN(hosts),
+			service: services[luck.IntN(len(services))], instance: luck.IntN(6) - 3,
+			n: 1 + luck.IntN(100),
+		}
+		es = append(es, e)
+	}
+	slices.SortFunc(es, func(a, b event) int { return int(a.at - b.at) })
+	return es
+}
+
+func planText(es []event) string {
+	var b strings.Builder
+	for _, e := range es {
+		b.WriteString("  " + e.String() + "\n")
+	}
+	return b.String()
+}
+
+// play carries the plan out and returns once all faults have ended.
+func (f *fleet) play(ctx context.Context, es []event) {
+	var all sync.WaitGroup
+	began := time.Now()
+	for _, e := range es {
+		all.Go(func() {
+			if !pause.For(ctx, time.Until(began.Add(e.at))) {
+				return
+			}
+			f.judge.tell("fault " + e.String())
+			f.inflict(ctx, e)
+			f.judge.tell("fault ends: " + e.String())
+		})
+	}
+	all.Wait()
+}
+
+// inflict carries one fault out, from its start to its end.
+func (f *fleet) inflict(ctx context.Context, e event) {
+	h := f.hosts[e.host]
+	instance := f.machines.Primary(e.service)
+	if e.instance >= 0 {
+		instance = f.machines.Instances(e.service)[e.instance]
+	}
+	l := f.link(h.name, instance)
+	m := f.machines
+	rest := func() { pause.For(ctx, e.lasts) }
+	switch e.kind {
+	case faultTerm:
+		f.restart(h, syscall.SIGTERM, rest)
+	case faultKill:
+		f.restart(h, syscall.SIGKILL, rest)
+	case faultPause:
+		h.signal(syscall.SIGSTOP)
+		rest()
+		h.signal(syscall.SIGCONT)
+	case faultRoll:
+		for _, o := range f.hosts {
+			f.restart(o, syscall.SIGTERM, func() {})
+		}
+	case faultKillAll:
+		for _, o := range f.hosts {
+			o.signal(syscall.SIGKILL)
+		}
+		rest()
+		for _, o := range f.hosts {
+			f.restart(o, syscall.SIGKILL, func() {})
+		}
+	case faultDelay:
+		l.setDelay(time.Duration(e.n) * time.Millisecond)
+		rest()
+		l.setDelay(0)
+	case faultReset:
+		for range 1 + e.n%5 {
+			l.reset()
+			pause.For(ctx, e.lasts/5)
+		}
+	case faultCutOut:
+		cut(rest, []*link{l}, wayOut)
+	case faultCutBack:
+		cut(rest, []*link{l}, wayBack)
+	case faultSilence:
+		cut(rest, []*link{l}, wayOut, wayBack)
+	case faultOff:
+		var ls []*link
+		for _, n := range m.Instances(e.service) {
+			ls = append(ls, f.link(h.name, n))
+		}
+		cut(rest, ls, wayOut, wayBack)
+	case faultStoreCut:
+		cut(rest, []*link{h.storeLink}, wayOut, wayBack)
+	case faultOrdersCut:
+		cut(rest, []*link{h.ordersLink}, wayOut)
+	case faultStoreDown:
+		f.storeFault(rest, machines.StoreRefuses, f.hosts...)
+	case faultStoreSilent:
+		f.storeFault(rest, machines.StoreSilent, f.hosts...)
+	case faultStoreSlow:
+		f.storeFault(rest, machines.StoreSlow, f.hosts...)
+	case faultStoreLoses:
+		f.storeFault(rest, machines.StoreLoses, h)
+	case faultStoreRefuses:
+		f.storeFault(rest, machines.StoreCrowded, h)
+	case faultStoreForgets:
+		m.Store.Forget()
+	case faultCrash:
+		f.crash(instance, rest)
+	case faultLost:
+		m.Lose(instance, 1+e.n/10)
+	case faultRelease:
+		m.SetDraining(instance)
+		rest()
+		f.crash(instance, rest)
+	case faultLag:
+		m.SetLag(instance, e.lasts)
+		rest()
+		m.SetLag(instance, 0)
+	case faultSplit:
+		m.SetSplit(instance, true)
+		rest()
+		m.SetSplit(instance, false)
+	case faultCatalog:
+		f.writeCatalog()
+	}
+}
+
+// cut holds ways of links back for a while.
+func cut(rest func(), ls []*link, ws ...way) {
+	for _, l := range ls {
+		for _, w := range ws {
+			l.hold(w, 1)
+		}
+	}
+	rest()
+	for _, l := range ls {
+		for _, w := range ws {
+			l.hold(w, -1)
+		}
+	}
+}
+
+func (f *fleet) storeFault(rest func(), k machines.StoreFault, hs ...*host) {
+	for _, h := range hs {
+		f.machines.Store.SetFault(string(h.name), k)
+	}
+	rest()
+	for _, h := range hs {
+		f.machines.Store.SetFault(string(h.name), machines.StoreWell)
+	}
+}
+
+// crash ends an instance, and brings it back after a while.
+func (f *fleet) crash(instance string, rest func()) {
+	f.machines.Kill(instance)
+	rest()
+	if err := f.machines.Restart(instance); err != nil {
+		f.judge.tell("restart of " + instance + ": " + err.Error())
+	}
+}
+
+// graceAndMore is how long a host may take to end.
+const graceAndMore = 4 * time.Second
+
+// restart ends a host's process and starts it again after a while. One that doesn't end in
+// its grace is killed, as the platform does.
+func (f *fleet) restart(h *host, s syscall.Signal, rest func()) {
+	h.signal(s)
+	if !h.await(graceAndMore) {
+		h.kill()
+	}
+	rest()
+	if err := f.start(h); err != nil {
+		f.judge.tell(fmt.Sprintf("restart of %s: %v", h.name, err))
+	}
+}
