Plant a fault for each check of the soak

A refusal of a single write couldn't be planted at the instance: the host rightly runs it again, and the soak told of TWICE; it is planted at commits. Asking for the owner of a connection took a third of the processor, on a machine with 2,600 sockets; only the line that matters is split now.

--- a/standin/machines/conn.go
+++ b/standin/machines/conn.go
@@ -273,9 +273,6 @@
 	if c.m.due(PlantTwice) {
 		c.append(&Entry{IDs: e.IDs, items: e.items, data: e.data})
 	}
-	if c.m.due(PlantRefused) {
-		return c.refuse("READONLY")
-	}
 	return out
 }
 
@@ -294,6 +291,9 @@
 		c.append(e)
 	}
 	c.state, c.tx = stateIdle, tx{}
+	if e != nil && c.m.due(PlantRefused) {
+		return c.refuse("ABORTED")
+	}
 	return out
 }
 
--- a/standin/machines/machines.go
+++ b/standin/machines/machines.go
@@ -78,14 +78,14 @@
 	PlantLag Plant = "lag"
 	// PlantTwice commits some writes twice.
 	PlantTwice Plant = "twice"
-	// PlantRefused commits some writes and refuses them.
+	// PlantRefused commits some transactions and says that they were aborted.
 	PlantRefused Plant = "refused"
 	// PlantMixed answers some statements with rows of another.
 	PlantMixed Plant = "mixed"
 )
 
 // plantEvery is how many statements there are to each that a planted fault concerns.
-const plantEvery = 15
+const plantEvery = 5
 
 // Machines is the whole platform. The functions are called one at a time and may be nil;
 // they and the planted faults have to be set before Start.
--- a/standin/machines/store.go
+++ b/standin/machines/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -163,6 +164,8 @@
 		case StoreCrowded:
 			w.WriteHeader(http.StatusTooManyRequests)
 		case StoreSilent:
+			// The end of a connection is only seen once the body is read.
+			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 		case StoreLoses:
 			mux.ServeHTTP(discard{http.Header{}}, r)
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -225,16 +226,14 @@
 	if err != nil {
 		return ""
 	}
-	const (
-		localField = 1
-		inodeField = 9
-	)
-	want := fmt.Sprintf("0100007F:%04X", port)
-	for line := range strings.Lines(string(b)) {
-		w := strings.Fields(line)
-		if len(w) > inodeField && w[localField] == want && w[inodeField] != "0" {
-			return w[inodeField]
-		}
+	at := bytes.Index(b, fmt.Appendf(nil, ": 0100007F:%04X ", port))
+	if at < 0 {
+		return ""
+	}
+	const inodeField = 9
+	line, _, _ := bytes.Cut(b[at:], []byte{'\n'})
+	if w := strings.Fields(string(line)); len(w) > inodeField {
+		return w[inodeField]
 	}
 	return ""
 }
@@ -294,6 +293,8 @@
 	if err != nil {
 		return "", err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.proxies[name] = p
 	return p.address(), nil
 }
--- /dev/null
+++ b/test/soak/planted_test.go
@@ -0,0 +1,119 @@
+package soak_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/standin/machines"
+)
+
+// spoilEvery is how many statements there are to each that is recorded wrongly.
+const spoilEvery = 15
+
+// spoilRuns has one in so many runs recorded with a change.
+func spoilRuns(change func(r *machines.Run)) func(m *machines.Machines) {
+	return func(m *machines.Machines) {
+		n, ran := 0, m.Ran
+		m.Ran = func(r machines.Run) {
+			if n++; n%spoilEvery == 0 {
+				change(&r)
+			}
+			ran(r)
+		}
+	}
+}
+
+// usurp has both groups led by another instance without an order, which the hosts can't know
+// of. Their primaries never hear of it.
+func usurp(f *fleet) {
+	for _, s := range services {
+		f.machines.Promote(f.machines.Instances(s)[1])
+	}
+}
+
+// killInstances ends all instances; servedWithin later nothing has been served for so long.
+func killInstances(f *fleet) {
+	for _, s := range services {
+		for _, i := range f.machines.Instances(s) {
+			f.machines.Kill(i)
+		}
+	}
+	time.Sleep(servedWithin + time.Second)
+	f.serves()
+}
+
+const (
+	// plantedWithin is how long a planted fault has to be found, plantedEvery how often the
+	// judge is asked, and plantedAfter how long callers go on then: another check may fail too.
+	plantedWithin = 20 * time.Second
+	plantedEvery  = 50 * time.Millisecond
+	plantedAfter  = 500 * time.Millisecond
+)
+
+// awaitBreach waits until a promise is broken.
+func (f *fleet) awaitBreach(p promise) {
+	for end := time.Now().Add(plantedWithin); time.Now().Before(end); time.Sleep(plantedEvery) {
+		if broken, _, _ := f.judge.report(); broken[p] > 0 {
+			time.Sleep(plantedAfter)
+			return
+		}
+	}
+}
+
+// A check that can't fail shows nothing. Each promise is broken once in place of the product,
+// by what instances do or by what is recorded of them; the soak has to tell of just that.
+func TestPlantedFaultsAreFound(t *testing.T) {
+	for _, p := range []struct {
+		name  string
+		wants promise
+		soak  soak
+	}{
+		{"replicas that answer what they lack", promiseStale, soak{plant: machines.PlantLag}},
+		{"commits that are made twice", promiseTwice, soak{plant: machines.PlantTwice}},
+		{"primaries that go on", promiseOne, soak{
+			spoil: func(m *machines.Machines) { m.KeepFormer = true }, during: usurp,
+		}},
+		{"commits that are refused", promiseRefused, soak{plant: machines.PlantRefused}},
+		{"rows of another statement", promiseMixed, soak{plant: machines.PlantMixed}},
+		{"a wrong account", promiseAccount, soak{spoil: spoilRuns(func(r *machines.Run) { r.Conn.Account = "inn" })}},
+		{"a key told", promiseAccount, soak{spoil: func(m *machines.Machines) {
+			heard := m.Heard
+			m.Heard = func(c machines.Conn, line string) {
+				heard(c, strings.Replace(line, " hotel ", " "+keys["hotel"]+" ", 1))
+			}
+		}}},
+		{"another connection", promisePinned, soak{spoil: spoilRuns(func(r *machines.Run) { r.Conn.Number += 1000 })}},
+		{"a value of another session", promisePinned, soak{
+			spoil: spoilRuns(func(r *machines.Run) { r.Values = map[string]string{"style": "other"} }),
+		}},
+		{"changed text", promiseUnasked, soak{spoil: spoilRuns(func(r *machines.Run) { r.Text += "0" })}},
+		{"nobody served", promiseServes, soak{during: killInstances}},
+	} {
+		t.Run(strings.ReplaceAll(p.name, " ", "-"), func(t *testing.T) {
+			c := qt.New(t)
+			s := p.soak
+			s.seed, s.hosts, s.callers = 1, plantedHosts, plantedCallers
+			during := s.during
+			s.during = func(f *fleet) {
+				time.Sleep(plantedEvery)
+				if during != nil {
+					during(f)
+				}
+				f.awaitBreach(p.wants)
+			}
+			broken, first, _ := s.run(c, keep(c, "planted")).report()
+			c.Check(broken[p.wants] > 0, qt.IsTrue, qt.Commentf("%s not found in %v", p.wants, broken))
+			delete(broken, p.wants)
+			c.Check(broken, qt.HasLen, 0, qt.Commentf("%s", strings.Join(first, "\n")))
+		})
+	}
+}
+
+// A planted fault shows with few hosts and callers.
+const (
+	plantedHosts   = 2
+	plantedCallers = 12
+)
