Have replicas apply late, join late and lag as the primary crashes

Replicas of the stand-in took part in a new term within 5 ms and lagged in receiving, so that the promoted one never had more than it showed. They now receive on time, apply late, and hear of a new primary 300 ms later; two compound faults follow the users' list of disturbances.

--- a/standin/machines/machines.go
+++ b/standin/machines/machines.go
@@ -15,6 +15,8 @@
 const (
 	// rollbackTime is how long a replica is busy after it has dropped entries.
 	rollbackTime = 100 * time.Millisecond
+	// joinTime is how long after a promotion a replica receives from the new primary.
+	joinTime = 300 * time.Millisecond
 	// reachTime is how long a replaced primary goes on once it can reach its successor.
 	reachTime = time.Second
 	// replicateEvery is how finely the replication's delay is kept.
@@ -135,8 +137,10 @@
 	primary, replaced, dead, draining bool
 	// split is set while it is cut off from the others of its group.
 	split bool
-	// lag is what it is behind beyond the usual.
-	lag       time.Duration
+	// lag is how much later than usual it applies what it has received.
+	lag time.Duration
+	// joins is when it next receives from a new primary.
+	joins     time.Time
 	term      int
 	log       []*Entry
 	applied   int
@@ -246,14 +250,15 @@
 	}
 }
 
-// receive has a replica take in what the leader has; it is applied half of the delay later.
+// receive has a replica take in what the leader has, half of the delay after the commit. It
+// is applied after the whole of it.
 func (m *Machines) receive(i *instance) {
 	l := i.group.leader
 	now := time.Now()
 	for i.applied < len(i.log) && now.Sub(i.log[i.applied].At) >= m.Delay+i.lag {
 		i.applied++
 	}
-	if i == l || i.dead || l.dead || i.split || l.split || i.replaced {
+	if i == l || i.dead || l.dead || i.split || l.split || i.replaced || now.Before(i.joins) {
 		return
 	}
 	if l.common(i) < len(i.log) {
@@ -261,7 +266,7 @@
 		i.busyUntil = now.Add(rollbackTime)
 	}
 	i.term = l.term
-	for len(i.log) < len(l.log) && now.Sub(l.log[len(i.log)].At) >= m.Delay/2+i.lag {
+	for len(i.log) < len(l.log) && now.Sub(l.log[len(i.log)].At) >= m.Delay/2 {
 		i.log = append(i.log, l.log[len(i.log)])
 	}
 }
@@ -397,7 +402,7 @@
 	m.tell(fmt.Sprintf("split %s: %t", name, split))
 }
 
-// SetLag sets how far an instance is behind beyond the usual.
+// SetLag sets how much later than usual an instance applies what it has received.
 func (m *Machines) SetLag(name string, by time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/standin/machines/orders.go
+++ b/standin/machines/orders.go
@@ -65,6 +65,7 @@
 	m.tell("promoted " + instance + " at " + i.position())
 	i.replaced, former.replaced = false, true
 	for _, o := range g.instances {
+		o.joins = time.Now().Add(joinTime)
 		for _, e := range o.log[i.common(o):] {
 			e.RolledBack = true
 		}
--- a/test/soak/judge_test.go
+++ b/test/soak/judge_test.go
@@ -290,7 +290,14 @@
 	q := j.statements[id]
 	s := q.attempt.session
 	j.note("%s gets %s rows %v digest %s error %s %s state %s", s, id, a.rows, a.digest, a.code, a.text, a.state)
-	j.counts["answer "+a.code]++
+	outcome := a.code
+	switch {
+	case a.digest != "":
+		outcome = "success"
+	case a.code == "":
+		outcome = "none"
+	}
+	j.counts["answer "+outcome]++
 	switch {
 	case promised[a.code]:
 		q.attempt.refused = a.code
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -43,7 +43,11 @@
 	faultRelease      faultKind = "instance-release"
 	faultLag          faultKind = "instance-lag"
 	faultSplit        faultKind = "instance-split"
-	faultCatalog      faultKind = "catalog"
+	// faultLagCrash has all replicas fall behind, and the primary crash meanwhile.
+	faultLagCrash faultKind = "replicas-lag-and-primary-crashes"
+	// faultSplitCut cuts the primary off from its replicas, and from a host.
+	faultSplitCut faultKind = "primary-cut"
+	faultCatalog  faultKind = "catalog"
 )
 
 // faultKinds are all kinds, the weightier ones more than once.
@@ -53,7 +57,7 @@
 	faultSilence, faultSilence, faultOff, faultOff, faultStoreCut, faultStoreCut, faultStoreDown,
 	faultStoreSilent, faultStoreSlow, faultStoreLoses, faultStoreRefuses, faultStoreForgets, faultOrdersCut,
 	faultCrash, faultCrash, faultCrash, faultCrash, faultLost, faultLost, faultRelease, faultRelease, faultLag,
-	faultLag, faultSplit, faultSplit, faultCatalog,
+	faultLag, faultSplit, faultSplit, faultLagCrash, faultLagCrash, faultSplitCut, faultSplitCut, faultCatalog,
 }
 
 // event is one fault, from a moment after the start on.
@@ -212,6 +216,13 @@
 		m.SetSplit(instance, true)
 		rest()
 		m.SetSplit(instance, false)
+	case faultLagCrash:
+		f.lagAndCrash(ctx, e.service, e.lasts)
+	case faultSplitCut:
+		primary := m.Primary(e.service)
+		m.SetSplit(primary, true)
+		cut(rest, []*link{f.link(h.name, primary)}, wayOut, wayBack)
+		m.SetSplit(primary, false)
 	case faultCatalog:
 		f.writeCatalog()
 	}
@@ -251,6 +262,20 @@
 	}
 }
 
+// lagAndCrash has replicas fall behind for a while, each by another time, and ends the
+// primary halfway.
+func (f *fleet) lagAndCrash(ctx context.Context, service string, d time.Duration) {
+	primary := f.machines.Primary(service)
+	for n, i := range f.machines.Instances(service) {
+		f.machines.SetLag(i, d/time.Duration(n+1))
+	}
+	pause.For(ctx, d/2)
+	f.crash(primary, func() { pause.For(ctx, d) })
+	for _, i := range f.machines.Instances(service) {
+		f.machines.SetLag(i, 0)
+	}
+}
+
 // graceAndMore is how long a host may take to end.
 const graceAndMore = 4 * time.Second
 
