--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -29,6 +29,7 @@
 // session is one connection of a caller.
 type session struct {
 	name     string
+	host     hostName
 	database database
 	account  string
 	conn     net.Conn
@@ -40,7 +41,7 @@
 }
 
 // String names the session in the records.
-func (s *session) String() string { return s.name + "/" + s.database.name }
+func (s *session) String() string { return s.name + "/" + s.database.name + "@" + string(s.host) }
 
 // expand returns the text of a statement without the name under which it was prepared.
 func (s *session) expand(text string) string {
@@ -57,7 +58,7 @@
 	database database
 	account  string
 	key      string
-	hosts    []string
+	hosts    []*host
 	judge    *judge
 	luck     *rand.Rand
 	sessions int
@@ -81,13 +82,14 @@
 
 // connect starts a session with a host drawn at random; it returns nil if that fails.
 func (k *caller) connect() *session {
-	n, err := net.DialTimeout("tcp4", k.hosts[k.luck.IntN(len(k.hosts))], startPatience)
+	h := k.hosts[k.luck.IntN(len(k.hosts))]
+	n, err := net.DialTimeout("tcp4", h.callers, startPatience)
 	if err != nil {
 		return nil
 	}
 	k.sessions++
 	s := &session{
-		name: fmt.Sprintf("%s.%d", k.name, k.sessions), database: k.database, account: k.account,
+		name: fmt.Sprintf("%s.%d", k.name, k.sessions), host: h.name, database: k.database, account: k.account,
 		conn: n, in: bufio.NewScanner(n), values: map[string]string{}, prepared: map[string]string{},
 	}
 	_ = n.SetDeadline(time.Now().Add(startPatience))
--- a/test/soak/planted_test.go
+++ b/test/soak/planted_test.go
@@ -34,15 +34,15 @@
 	}
 }
 
-// killInstances ends all instances; servedWithin later nothing has been served for so long.
+// killInstances ends all instances, so that nothing can be served.
 func killInstances(f *fleet) {
 	for _, s := range services {
 		for _, i := range f.machines.Instances(s) {
 			f.machines.Kill(i)
 		}
 	}
-	time.Sleep(servedWithin + time.Second)
-	f.serves()
+	time.Sleep(plantedAfter)
+	f.serves(time.Second)
 }
 
 const (
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -43,10 +43,10 @@
 const (
 	defaultHosts   = 3
 	defaultCallers = 24
-	// recovery is how long hosts have to serve all databases again after the last fault, and
-	// servedWithin how fresh that service has to be then.
-	recovery     = 12 * time.Second
-	servedWithin = 4 * time.Second
+	// settle is how long callers go on after the last fault, recovery how long hosts have from
+	// then on to serve all databases again.
+	settle   = 3 * time.Second
+	recovery = 12 * time.Second
 	// replicaDelay is how far replicas are behind, work what a statement takes.
 	replicaDelay = 60 * time.Millisecond
 	work         = 2 * time.Millisecond
@@ -92,33 +92,45 @@
 	}
 	f.play(ctx, s.Events)
 	j.tell("all faults have ended")
-	pause.For(ctx, recovery)
-	f.serves()
+	pause.For(ctx, settle)
+	f.serves(recovery)
 	return j
 }
 
 func (f *fleet) newCaller(n int, seed uint64) *caller {
 	d := f.databases[n%len(f.databases)]
 	account := []string{"hotel", "bakery"}[n/len(f.databases)%2]
-	k := &caller{
-		name: fmt.Sprintf("c%d", n), database: d, account: account, key: keys[account], judge: f.judge,
+	return &caller{
+		name: fmt.Sprintf("c%d", n), database: d, account: account, key: keys[account], hosts: f.hosts, judge: f.judge,
 		luck: rand.New(rand.NewPCG(seed, uint64(n))),
 	}
-	for _, h := range f.hosts {
-		k.hosts = append(k.hosts, h.callers)
+}
+
+// serves checks that all databases are served from now on within a time.
+func (f *fleet) serves(within time.Duration) {
+	now := time.Now()
+	for end := now.Add(within); time.Now().Before(end) && len(f.unserved(now)) > 0; {
+		time.Sleep(readyEvery)
+	}
+	ds := f.unserved(now)
+	f.judge.mu.Lock()
+	defer f.judge.mu.Unlock()
+	for _, d := range ds {
+		f.judge.breach(promiseServes, "nothing was served of %s in %v", d, within)
 	}
-	return k
 }
 
-// serves checks that all databases are served again.
-func (f *fleet) serves() {
+// unserved returns the databases of which nothing was served after a moment.
+func (f *fleet) unserved(after time.Time) []string {
 	f.judge.mu.Lock()
 	defer f.judge.mu.Unlock()
+	var out []string
 	for _, d := range f.databases {
-		if since := time.Since(f.judge.served[d.name]); since > servedWithin {
-			f.judge.breach(promiseServes, "nothing was served of %s for %v", d.name, since.Round(time.Millisecond))
+		if !f.judge.served[d.name].After(after) {
+			out = append(out, d.name)
 		}
 	}
+	return out
 }
 
 // keep returns a directory that is removed unless the test fails.
