--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -19,6 +19,7 @@
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/internal/localfleet"
 	"skylarkdeal/standin/ledger"
+	"skylarkdeal/test/launch"
 )
 
 // Secrets of the fleet, none of which may stand in a log or dump.
@@ -94,7 +95,7 @@
 		}
 	}
 	var err error
-	if f.store, err = block.address(); err != nil {
+	if f.store, err = launch.Address(); err != nil {
 		return f, err
 	}
 	if f.storeProcess, err = startProcess(dir, "store", "standin", "store", "--address", f.store); err != nil {
@@ -118,7 +119,7 @@
 	h := &host{name: fmt.Sprintf("%s-%d", d, n+1), centre: d}
 	for _, a := range []*string{&h.caller, &h.peer, &h.operator} {
 		var err error
-		if *a, err = block.address(); err != nil {
+		if *a, err = launch.Address(); err != nil {
 			return nil, err
 		}
 	}
@@ -188,14 +189,14 @@
 	args := []string{"standin", "group", "--service", string(name), "--lag", "5ms", "--work", "1ms",
 		"--user", "skylarkdeal", "--password-file", filepath.Join(f.dir, "password")}
 	for _, n := range []fleet.Instance{"a", "b", "c"} {
-		a, err := block.address()
+		a, err := launch.Address()
 		qt.Assert(t, err, qt.IsNil)
 		g.at[n] = a
 		g.Instances = append(g.Instances, ledger.InstanceConfig{Name: n, Slots: 2, Connections: 16})
 		args = append(args, "--instance", string(n)+"="+a)
 	}
 	var err error
-	g.admin, err = block.address()
+	g.admin, err = launch.Address()
 	qt.Assert(t, err, qt.IsNil)
 	g.process, err = startProcess(f.dir, "group-"+string(name), append(append(args, "--admin", g.admin), flags...)...)
 	qt.Assert(t, err, qt.IsNil)
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -4,15 +4,14 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"skylarkdeal/test/launch"
 )
 
 // program is the binary that TestMain has built.
@@ -46,33 +45,6 @@
 	done chan struct{}
 }
 
-// starter starts all processes. The kernel ends them when the thread that has
-// started them ends, so that a panic or a timeout of the tests leaves none
-// behind; for that the thread has to live as long as the tests.
-var starter = threadStarter{commands: make(chan *exec.Cmd), started: make(chan error)}
-
-type threadStarter struct {
-	once     sync.Once
-	mu       sync.Mutex
-	commands chan *exec.Cmd
-	started  chan error
-}
-
-func (s *threadStarter) start(c *exec.Cmd) error {
-	s.once.Do(func() {
-		go func() {
-			runtime.LockOSThread()
-			for c := range s.commands {
-				s.started <- c.Start()
-			}
-		}()
-	})
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.commands <- c
-	return <-s.started
-}
-
 func startProcess(dir, name string, args ...string) (*process, error) {
 	p := &process{name: name, file: filepath.Join(dir, name+".log"), done: make(chan struct{})}
 	out, err := os.OpenFile(p.file, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -82,8 +54,7 @@
 	defer func() { _ = out.Close() }()
 	p.cmd = exec.Command(program, args...)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := starter.start(p.cmd); err != nil {
+	if err := launch.Start(p.cmd); err != nil {
 		return nil, err
 	}
 	go func() {
@@ -124,50 +95,3 @@
 	}
 	return c.ProcessState.ExitCode(), o.String(), e.String()
 }
-
-// The ports lie below those that the system gives to outgoing connections. Each
-// run of the tests owns one block of them, claimed by listening on its first.
-const (
-	firstPort  = 31000
-	lastPort   = 32700
-	blockPorts = 340
-)
-
-type portBlock struct {
-	mu    sync.Mutex
-	claim net.Listener
-	base  int
-	next  int
-}
-
-var block portBlock
-
-// address returns an address of the run's block on which nobody listens.
-func (b *portBlock) address() (string, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if err := b.claimLocked(); err != nil {
-		return "", err
-	}
-	for range blockPorts {
-		b.next = b.next%(blockPorts-1) + 1
-		a := fmt.Sprintf("127.0.0.1:%d", b.base+b.next)
-		if l, err := net.Listen("tcp", a); err == nil {
-			return a, l.Close()
-		}
-	}
-	return "", errors.New("no free port in the block")
-}
-
-func (b *portBlock) claimLocked() error {
-	if b.claim != nil {
-		return nil
-	}
-	for at := firstPort; at+blockPorts <= lastPort; at += blockPorts {
-		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", at)); err == nil {
-			b.claim, b.base = l, at
-			return nil
-		}
-	}
-	return errors.New("all blocks of ports are taken")
-}
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +16,7 @@
 	"time"
 
 	"skylarkdeal/standin/machines"
+	"skylarkdeal/test/launch"
 )
 
 // hostName is the name of a host.
@@ -270,7 +270,7 @@
 	}
 	for _, a := range []*string{&h.callers, &h.peers, &h.operators, &h.balancer} {
 		var err error
-		if *a, err = ports.address(); err != nil {
+		if *a, err = launch.Address(); err != nil {
 			return nil, err
 		}
 	}
@@ -318,9 +318,7 @@
 	defer func() { _ = out.Close() }()
 	c := exec.Command(f.program, "serve", "--settings", h.settings)
 	c.Stdout, c.Stderr = out, out
-	// A soak that dies leaves no processes behind.
-	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := starter.start(c); err != nil {
+	if err := launch.Start(c); err != nil {
 		return err
 	}
 	done := make(chan struct{})
@@ -393,62 +391,3 @@
 	}
 	return fmt.Errorf("host %s isn't ready after %v", h.name, readyWithin)
 }
-
-// starter starts all processes from one thread that lives as long as the tests: the kernel
-// ends them with the thread that has started them.
-var starter = threadStarter{commands: make(chan *exec.Cmd), started: make(chan error)}
-
-type threadStarter struct {
-	once     sync.Once
-	mu       sync.Mutex
-	commands chan *exec.Cmd
-	started  chan error
-}
-
-func (s *threadStarter) start(c *exec.Cmd) error {
-	s.once.Do(func() {
-		go func() {
-			runtime.LockOSThread()
-			for c := range s.commands {
-				s.started <- c.Start()
-			}
-		}()
-	})
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.commands <- c
-	return <-s.started
-}
-
-// The ports of the hosts lie below those that the system gives to outgoing connections. Each
-// run of the tests owns a block of them, claimed by listening on its first.
-const (
-	firstPort  = 28000
-	lastPort   = 31000
-	blockPorts = 300
-)
-
-// ports gives out the block's ports in turn.
-var ports portBlock
-
-type portBlock struct {
-	mu    sync.Mutex
-	claim net.Listener
-	base  int
-	next  int
-}
-
-func (b *portBlock) address() (string, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for at := firstPort; b.claim == nil && at < lastPort; at += blockPorts {
-		if l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", at)); err == nil {
-			b.claim, b.base = l, at
-		}
-	}
-	if b.claim == nil {
-		return "", fmt.Errorf("all blocks of ports are taken")
-	}
-	b.next = b.next%(blockPorts-1) + 1
-	return fmt.Sprintf("127.0.0.1:%d", b.base+b.next), nil
-}
--- a/test/soak/judge_test.go
+++ b/test/soak/judge_test.go
@@ -63,6 +63,8 @@
 	conn    uint64
 	entry   *machines.Entry
 	refused string
+	// excused is set if its commit may have been held up on its way.
+	excused bool
 }
 
 // sent is one statement on its way.
@@ -242,14 +244,12 @@
 
 // committed checks a commit that has written.
 func (j *judge) committed(e *machines.Entry) {
-	if e.Replaced && j.excused(e.Conn) {
-		e.Replaced = false
-	}
+	excused := e.Replaced && j.excused(e.Conn)
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.counts["commits"]++
-	j.note("%s conn %d commits %d.%d %v, replaced: %t",
-		e.Conn.Instance, e.Conn.Number, e.Term, e.Number, e.IDs, e.Replaced)
+	j.note("%s conn %d commits %d.%d %v, replaced: %t, excused: %t",
+		e.Conn.Instance, e.Conn.Number, e.Term, e.Number, e.IDs, e.Replaced, excused)
 	for _, id := range e.IDs {
 		q := j.statements[statementID(id)]
 		if q == nil {
@@ -260,7 +260,7 @@
 			j.breach(promiseTwice, "%s committed %s of %s %d times", e.Conn.Instance, id, q.attempt.session, q.commits)
 		}
 		a := q.attempt
-		a.entry = e
+		a.entry, a.excused = e, excused
 		if a.refused != "" {
 			j.breach(promiseRefused, "%s committed %s of %s, refused as %s", e.Conn.Instance, id, a.session, a.refused)
 		}
@@ -353,6 +353,10 @@
 		return
 	}
 	j.acks[s.database.service] = append(j.acks[s.database.service], acknowledged{time.Now(), s, e})
+	if e.Replaced && q.attempt.excused {
+		j.counts["excused answers of replaced primaries"]++
+		return
+	}
 	if e.Replaced {
 		j.breach(promiseOne, "%s was told of %d.%d %v at %s, committed %s after it was replaced",
 			s, e.Term, e.Number, e.IDs, e.Conn.Instance, e.At.Format("15:04:05.000000"))
