--- a/test/soak/judge_test.go
+++ b/test/soak/judge_test.go
@@ -84,6 +84,12 @@
 	entry *machines.Entry
 }
 
+// arrival is an order and when it came.
+type arrival struct {
+	order machines.Order
+	at    time.Time
+}
+
 // judge checks the promises while callers and instances are at work.
 type judge struct {
 	// excused reports whether the way from a connection's host to an instance was disturbed
@@ -103,12 +109,15 @@
 	broken     map[promise]int
 	fence      uint64
 	holder     string
+	// orders are the last ones of each group, with when they came.
+	orders map[string]arrival
 }
 
 func newJudge(log *os.File, keys []string) *judge {
 	return &judge{
 		log: log, keys: keys, statements: map[statementID]*sent{}, acks: map[string][]acknowledged{},
 		served: map[string]time.Time{}, counts: map[string]int{}, broken: map[promise]int{},
+		orders:  map[string]arrival{},
 		excused: func(machines.Conn) bool { return false }, hostOf: func(machines.Conn) hostName { return "" },
 	}
 }
@@ -275,6 +284,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.counts["orders"]++
+	j.orders[o.Service] = arrival{o, time.Now()}
 	j.note("order %+v", o)
 	if o.Fence < j.fence || o.Fence == j.fence && o.Holder != j.holder {
 		j.breach(promiseOne, "order %+v after fence %d of %s", o, j.fence, j.holder)
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -47,7 +47,9 @@
 	faultLagCrash faultKind = "replicas-lag-and-primary-crashes"
 	// faultSplitCut cuts the primary off from its replicas, and from a host.
 	faultSplitCut faultKind = "primary-cut"
-	faultCatalog  faultKind = "catalog"
+	// faultHoldOrder holds the answers of an instance back around its promotion.
+	faultHoldOrder faultKind = "answers-held-at-promotion"
+	faultCatalog   faultKind = "catalog"
 )
 
 // faultKinds are all kinds, the weightier ones more than once.
@@ -57,7 +59,8 @@
 	faultSilence, faultSilence, faultOff, faultOff, faultStoreCut, faultStoreCut, faultStoreDown,
 	faultStoreSilent, faultStoreSlow, faultStoreLoses, faultStoreRefuses, faultStoreForgets, faultOrdersCut,
 	faultCrash, faultCrash, faultCrash, faultCrash, faultLost, faultLost, faultRelease, faultRelease, faultLag,
-	faultLag, faultSplit, faultSplit, faultLagCrash, faultLagCrash, faultSplitCut, faultSplitCut, faultCatalog,
+	faultLag, faultSplit, faultSplit, faultLagCrash, faultLagCrash, faultSplitCut, faultSplitCut, faultHoldOrder,
+	faultHoldOrder, faultCatalog,
 }
 
 // event is one fault, from a moment after the start on.
@@ -223,6 +226,8 @@
 		m.SetSplit(primary, true)
 		cut(rest, []*link{f.link(h.name, primary)}, wayOut, wayBack)
 		m.SetSplit(primary, false)
+	case faultHoldOrder:
+		f.holdAtPromotion(ctx, e)
 	case faultCatalog:
 		f.writeCatalog()
 	}
@@ -276,6 +281,35 @@
 	}
 }
 
+const (
+	// orderWithin is how long an event waits for the next order.
+	orderWithin = 5 * time.Second
+	// maxHeld is how long answers are held back at most: hosts give up a connection later.
+	maxHeld = 400 * time.Millisecond
+)
+
+// holdAtPromotion waits for the next order of a group, and holds all answers of its instance
+// back while it becomes the primary. Some were given before, some after.
+func (f *fleet) holdAtPromotion(ctx context.Context, e event) {
+	began := time.Now()
+	var o arrival
+	for !o.at.After(began) {
+		if time.Since(began) > orderWithin || !pause.For(ctx, holdEvery) {
+			return
+		}
+		f.judge.mu.Lock()
+		o = f.judge.orders[e.Service]
+		f.judge.mu.Unlock()
+	}
+	held := min(e.Lasts, maxHeld)
+	pause.For(ctx, time.Until(o.at.Add(machines.PromoteAfter-held/2)))
+	var ls []*link
+	for _, h := range f.hosts {
+		ls = append(ls, f.link(h.name, o.order.Instance))
+	}
+	cut(func() { pause.For(ctx, held) }, ls, wayBack)
+}
+
 // graceAndMore is how long a host may take to end.
 const graceAndMore = 4 * time.Second
 
