Ask the kernel for one socket, not for all; list TestSoak/1

Under load 35 of the machine the list of 3,000 sockets took so long that all hosts gave up their new connections: former-primary-without-store failed with SERVES once under the race detector, for a fault of the soak.

--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -1,7 +1,6 @@
 package soak_test
 
 import (
-	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -122,7 +121,9 @@
 		if err != nil {
 			return f, err
 		}
+		f.mu.Lock()
 		f.hosts = append(f.hosts, h)
+		f.mu.Unlock()
 	}
 	for _, h := range f.hosts {
 		if err := f.start(h); err != nil {
@@ -217,7 +218,10 @@
 	if inode == "" {
 		return ""
 	}
-	for _, h := range f.hosts {
+	f.mu.Lock()
+	hosts := f.hosts
+	f.mu.Unlock()
+	for _, h := range hosts {
 		if h.has("socket:[" + inode + "]") {
 			return h.name
 		}
@@ -225,24 +229,6 @@
 	return ""
 }
 
-// inodeOf returns the inode of the socket that connects two local ports.
-func inodeOf(from, to int) string {
-	b, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return ""
-	}
-	at := bytes.Index(b, fmt.Appendf(nil, ": 0100007F:%04X 0100007F:%04X ", from, to))
-	if at < 0 {
-		return ""
-	}
-	const inodeField = 9
-	line, _, _ := bytes.Cut(b[at:], []byte{'\n'})
-	if w := strings.Fields(string(line)); len(w) > inodeField {
-		return w[inodeField]
-	}
-	return ""
-}
-
 func (h *host) has(file string) bool {
 	h.mu.Lock()
 	c := h.cmd
