--- a/core/relay/history_test.go
+++ b/core/relay/history_test.go
@@ -41,6 +41,26 @@
 	return w
 }
 
+// lateWord returns a world in which a is lost and b, a late replica, has just begun to lead, and
+// what delivers an answer that b gave before.
+func lateWord(c *qt.C) (*world, func()) {
+	w := acquainted(c)
+	w.instances["a"].point.Position = 9
+	w.lose("a")
+	w.pass(1900*time.Millisecond, true)
+	b := w.instances["b"]
+	b.hold = true
+	w.relay.Recorded(toSuccessor)
+	w.pass(80*time.Millisecond, true)
+	c.Assert(b.pending, qt.HasLen, 2, qt.Commentf("an answer, and a second connection"))
+	asReplica, connected := b.pending[0], b.pending[1]
+	b.pending, b.hold = nil, false
+	w.promote().point.Position = 9
+	w.instances["c"].term = 2
+	connected()
+	return w, asReplica
+}
+
 // promote has b lead term 2 with the log that it has.
 func (w *world) promote() *node {
 	b := w.instances["b"]
@@ -99,22 +119,9 @@
 // replica ends far before what it has received, and at that when it is promoted.
 func TestPointThatWasGivenBeforeTheReignIsNone(t *testing.T) {
 	c := qt.New(t)
-	w := acquainted(c)
-	w.instances["a"].point.Position = 9
-	w.lose("a")
-	w.pass(1900*time.Millisecond, true)
-	b := w.instances["b"]
-	b.hold = true
-	w.relay.Recorded(toSuccessor)
-	w.pass(80*time.Millisecond, true)
-	c.Assert(b.pending, qt.HasLen, 2, qt.Commentf("an answer, and a second connection"))
-	asReplica, connected := b.pending[0], b.pending[1]
-	b.pending, b.hold = nil, false
-	w.promote().point.Position = 9
-	w.instances["c"].term = 2
-	connected()
+	w, late := lateWord(c)
 	w.pass(70*time.Millisecond, true)
-	asReplica()
+	late()
 	ran, x := w.reads("stock", 100*time.Millisecond, true)
 	c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
 	c.Assert(ran["c"], qt.Equals, 0, qt.Commentf("its log ends at %v", w.instances["c"].point))
--- a/core/relay/reign_test.go
+++ b/core/relay/reign_test.go
@@ -48,19 +48,7 @@
 // the reign is known yet that would go before it.
 func TestLateWordIsNotTheFirstPointOfAReign(t *testing.T) {
 	c := qt.New(t)
-	w := acquainted(c)
-	w.instances["a"].point.Position = 9
-	w.lose("a")
-	w.pass(1900*time.Millisecond, true)
-	b := w.instances["b"]
-	b.hold = true
-	w.relay.Recorded(toSuccessor)
-	w.pass(80*time.Millisecond, true)
-	asReplica, connected := b.pending[0], b.pending[1]
-	b.pending, b.hold = nil, false
-	w.promote().point.Position = 9
-	w.instances["c"].term = 2
-	connected()
+	w, late := lateWord(c)
 	for range 100 {
 		if w.relay.State().Groups[0].Settled {
 			break
@@ -68,7 +56,7 @@
 		w.pass(10*time.Millisecond, true)
 	}
 	c.Assert(w.relay.State().Groups[0].Settled, qt.IsTrue)
-	asReplica()
+	late()
 	w.deliver()
 	for range 2 {
 		ran, _ := w.reads("stock", 100*time.Millisecond, true)
