Use no connection again that an instance didn't let clear

What callers would see: rows under another session's values.

Change: a connection on which any such statement was turned away, or that lacks what was to be prepared on it, is closed once it is free.

Why it holds: what a connection holds is known only while everything that set it was answered with success. TestConnectionThatWasNotClearedIsNotReused failed before.

--- a/core/relay/conn.go
+++ b/core/relay/conn.go
@@ -37,6 +37,9 @@
 	// values and prepared are what the instance holds for the connection.
 	values   map[string]string
 	prepared map[string]bool
+	// spoilt is set once the instance has turned away what was to give the connection its values:
+	// it holds others than are noted here, such as another session's, and is to be used by no one.
+	spoilt bool
 	// owed are the answers that haven't come, in order.
 	owed []owed
 	// op is the operation that the connection serves, session the one whose
@@ -255,7 +258,7 @@
 	if c.state == connClosed {
 		return
 	}
-	if c.inst.gone || c.via != "" {
+	if c.inst.gone || c.via != "" || c.spoilt {
 		c.retire()
 		return
 	}
--- a/core/relay/node_test.go
+++ b/core/relay/node_test.go
@@ -27,6 +27,8 @@
 	// refuse answers new connections with a code.
 	refuse statement.Code
 	away   bool
+	// busy has it turn away whatever is more than a question.
+	busy bool
 	// far puts it in another data centre than the relay's.
 	far bool
 	// lagged counts the statements that needed a point which the log lacks.
@@ -69,6 +71,9 @@
 // run does what an instance does with a statement.
 func (n *node) run(l *link, q statement.Statement) statement.Answer {
 	var a statement.Answer
+	if n.busy && q.Kind != statement.KindStepDown && q.Kind != statement.KindRollback {
+		return n.answer(l, statement.Answer{Code: statement.CodeBusy})
+	}
 	if p, ok := q.After.Get(); ok && !n.point.Covers(p) {
 		n.lagged++
 		return n.answer(l, statement.Answer{Code: statement.CodeLagging})
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -199,6 +199,7 @@
 			o.after = fleet.Some(s.Point)
 		}
 	}
+	sets := len(qs)
 	if o.opens {
 		qs = append(qs, o.beginning())
 	}
@@ -207,11 +208,16 @@
 		o.main(qs)
 		return
 	}
-	failed := statement.CodeNone
+	failed, answered := statement.CodeNone, 0
 	each := func(a statement.Answer) {
-		if a.Code != statement.CodeNone && failed == statement.CodeNone {
+		answered++
+		if a.Code == statement.CodeNone {
+			return
+		}
+		if failed == statement.CodeNone {
 			failed = a.Code
 		}
+		c.spoilt = c.spoilt || answered <= sets
 	}
 	c.send(qs, each, func(a statement.Answer) {
 		each(a)
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -23,6 +23,8 @@
 		return
 	}
 	o.g.refusedBy(c, a.Code, o)
+	// What was to be prepared ahead of it was turned away.
+	c.spoilt = c.spoilt || a.Code == statement.CodeNotPrepared
 	if o.opens && c.via != "" && a.Code.NotRun() {
 		// The other host has not begun the transaction, or has rolled it back.
 		o.s.tx.conn, c.session = nil, nil
--- a/core/relay/transaction_test.go
+++ b/core/relay/transaction_test.go
@@ -14,6 +14,27 @@
 
 // A transaction has a connection of its own from its first statement to its end: another
 // session of the same account must not run inside it, nor it outside.
+// A caller gets rows under another's values. An instance is busy for a moment, as its log is rolled
+// back to its new primary's, and turns away what was to clear a connection. The connection is at
+// rest again and taken for a cleared one.
+func TestConnectionThatWasNotClearedIsNotReused(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	x := w.open("rush", "key-1")
+	x.do(statement.KindSet, "v0", "x")
+	x.do(statement.KindRead, "", "of-x")
+	a := w.instances["a"]
+	a.busy = true
+	w.open("rush", "key-1").do(statement.KindRead, "", "turned away")
+	a.busy = false
+	before := len(a.ran)
+	for range 2 {
+		w.open("rush", "key-1").do(statement.KindRead, "", "of-z")
+		w.pass(50*time.Millisecond, true)
+	}
+	c.Assert(a.ran[before:], qt.DeepEquals, []string{"read q1", "read q1"})
+}
+
 func TestTransactionKeepsItsConnection(t *testing.T) {
 	c := qt.New(t)
 	w := newWorld(c).settled()
