Wait before an order for what a quick platform lacks to a proof's time

Seen by reading: the new deployment's platform carries an order out in 600 ms. A renewed registration proves for 700 ms that no order has taken effect, and the host that orders waited only where the setting promotion-delay said less than that; the template said 1 s. A host cut from the store just after its renewal could run a read on the former primary, and acknowledge its write, for a tenth of a second after the new one had begun to lead.

Change: promotion-least is the least time and decides the wait (0.5 s in the template, so 200 ms before each order); promotion-delay is the usual one and times the stop of a leaving primary only. Nothing assumes that the two are the same.

Holds because every other registration was ended before the wait began, so that none proves longer than 700 ms from then, and the order takes promotion-least after the wait. TestOrderWaitsWhereThePlatformIsQuick turns red when the wait goes by promotion-delay. Cost: 200 ms more without a primary where one is lost, none where it leaves.

--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -100,8 +100,9 @@
 	Grace time.Duration
 	// RateWindow is the span over which an account's rate and burst are counted.
 	RateWindow time.Duration
-	// PromotionDelay is the least time in which the platform carries out an order.
-	PromotionDelay time.Duration
+	// PromotionLeast is the least time in which the platform carries out an order, whichever it
+	// is, and PromotionDelay the time that it usually takes.
+	PromotionLeast, PromotionDelay time.Duration
 	// Memory is the most that the process may take, in bytes.
 	Memory int
 }
@@ -232,12 +233,13 @@
 	return Upstream{User: s.String("user", DefaultUser), PasswordFile: s.String("password-file", "")}
 }
 
-// The bounds of an adapter's settings. DefaultPromotionDelay takes nothing for granted:
-// hosts are then asked about each answer while a primary changes.
+// The bounds of an adapter's settings. DefaultPromotionLeast takes nothing for granted: an
+// order then waits until nothing proved before it counts any more.
 const (
 	DefaultGrace          = 6 * time.Second
 	DefaultRateWindow     = 5 * time.Second
-	DefaultPromotionDelay = 0 * time.Second
+	DefaultPromotionLeast = 0 * time.Second
+	DefaultPromotionDelay = time.Second
 	DefaultMemory         = 256 << 20
 
 	smallestMemory = 32 << 20
@@ -249,7 +251,8 @@
 	a := Adapter{Kind: AdapterKind(s.OneOf("kind", string(AdapterNone), string(AdapterNone), string(AdapterPlatform)))}
 	a.Grace = s.Duration("grace", DefaultGrace, time.Second, time.Hour)
 	a.RateWindow = s.Duration("rate-window", DefaultRateWindow, time.Second, time.Hour)
-	a.PromotionDelay = s.Duration("promotion-delay", DefaultPromotionDelay, 0, time.Minute)
+	a.PromotionLeast = s.Duration("promotion-least", DefaultPromotionLeast, 0, time.Minute)
+	a.PromotionDelay = s.Duration("promotion-delay", DefaultPromotionDelay, a.PromotionLeast, time.Minute)
 	a.Memory = s.Size("memory", DefaultMemory, smallestMemory, largestMemory)
 	if a.Kind == AdapterPlatform || s.Has("balancer") {
 		a.Balancer = s.Address("balancer")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -173,6 +173,7 @@
 		Ordered:        func(o leader.Order, given, refused bool) { h.relay.Ordered(o, given, refused) },
 		StepDown:       func(o leader.Order) { h.relay.StepDown(o) },
 		Promote:        platform.NewPromotions(s.Adapter.Promotions).Promote,
+		PromotionLeast: s.Adapter.PromotionLeast,
 		PromotionDelay: s.Adapter.PromotionDelay,
 		Logger:         h.log,
 	}
--- a/io/registry/duty.go
+++ b/io/registry/duty.go
@@ -202,7 +202,7 @@
 	if err := r.endOthers(ctx); err != nil {
 		return err
 	}
-	if d := leader.LeaseValidity - r.cfg.PromotionDelay; d > 0 && !pause.For(ctx, d) {
+	if d := leader.LeaseValidity - r.cfg.PromotionLeast; d > 0 && !pause.For(ctx, d) {
 		return ctx.Err()
 	}
 	return r.promote(ctx, o, rec, fence)
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -63,8 +63,9 @@
 
 	// Promote gives an order to the platform. It is called on a goroutine of its own.
 	Promote func(ctx context.Context, p Promotion) error
-	// PromotionDelay is the least time that the platform takes to carry one out.
-	PromotionDelay time.Duration
+	// PromotionLeast is the least time that the platform takes to carry one out, PromotionDelay
+	// what it usually takes.
+	PromotionLeast, PromotionDelay time.Duration
 
 	Logger *zap.Logger
 }
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -18,14 +18,16 @@
 
 // seen is what one registry has told.
 type seen struct {
-	mu       sync.Mutex
-	versions []catalog.Version
-	records  []leader.Record
-	hosts    []registry.Host
-	holds    []bool
-	renewed  int
-	lost     int
-	promoted []registry.Promotion
+	// recordedAt and promotedAt are when the last record and the last order came.
+	recordedAt, promotedAt time.Time
+	mu                     sync.Mutex
+	versions               []catalog.Version
+	records                []leader.Record
+	hosts                  []registry.Host
+	holds                  []bool
+	renewed                int
+	lost                   int
+	promoted               []registry.Promotion
 	// answer is what the platform says to an order; nil takes each.
 	answer    func() error
 	ordered   []string
@@ -44,6 +46,11 @@
 
 // joinAt starts one before which some others go in reading for all.
 func joinAt(c *qt.C, s *shelf, rank int) (*registry.Registry, *seen) {
+	return joinWith(c, s, rank, time.Second)
+}
+
+// joinWith starts one for a platform that carries orders out in some time at least.
+func joinWith(c *qt.C, s *shelf, rank int, least time.Duration) (*registry.Registry, *seen) {
 	t := &seen{}
 	r := registry.New(registry.Config{
 		Store: s.store(), Self: registry.Host{Name: "h-x", DataCentre: "obihiro", Address: "127.0.0.1:1"},
@@ -60,7 +67,7 @@
 		Catalog:       func(d *catalog.Catalog) { t.versions = append(t.versions, d.Version) },
 		Instances:     func(is []catalog.Instance, _ time.Time) { t.instances = len(is) },
 		Hosts:         func(hs []registry.Host) { t.hosts = hs },
-		Record:        func(r leader.Record) { t.records = append(t.records, r) },
+		Record:        func(r leader.Record) { t.records, t.recordedAt = append(t.records, r), time.Now() },
 		Renewed:       func(time.Time) { t.renewed++ },
 		Lost:          func() { t.lost++ },
 		Holds:         func(h bool) { t.holds = append(t.holds, h) },
@@ -71,13 +78,13 @@
 		Promote: func(_ context.Context, p registry.Promotion) error {
 			t.mu.Lock()
 			defer t.mu.Unlock()
-			t.promoted = append(t.promoted, p)
+			t.promoted, t.promotedAt = append(t.promoted, p), time.Now()
 			if t.answer != nil {
 				return t.answer()
 			}
 			return nil
 		},
-		PromotionDelay: time.Second,
+		PromotionLeast: least, PromotionDelay: time.Second,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -233,6 +240,21 @@
 	until(c, t1, "the end of the former primary", func() bool { return len(t1.steps) == 1 })
 }
 
+// Guards against an order that takes effect while another host still holds the former primary
+// proved: the platform is quicker than a renewed registration is valid.
+func TestOrderWaitsWhereThePlatformIsQuick(t *testing.T) {
+	c := qt.New(t)
+	s := newShelf()
+	const least = 500 * time.Millisecond
+	r, t1 := joinWith(c, s, 0, least)
+	until(c, t1, "the duty", func() bool { return len(t1.holds) == 1 })
+	r.Order(leader.Order{Service: "orders", Primary: "b", Former: "a", Term: 2, Reason: leader.ReasonLost})
+	until(c, t1, "the record", func() bool { return len(t1.records) == 1 })
+	until(c, t1, "the order", func() bool { return len(t1.promoted) == 1 })
+	// Registrations are ended after the record, so that the last of them was renewed before that.
+	t1.get(func() { c.Assert(t1.promotedAt.Sub(t1.recordedAt)+least >= leader.LeaseValidity, qt.IsTrue) })
+}
+
 // The answer to the record is lost after it was written. Giving up would leave the group
 // with a record and no order; writing it again would fail on its own condition.
 func TestRecordWhoseAnswerWasLostIsReadBack(t *testing.T) {
