Have reads use the instance beside their caller while that isn't felt

Callers saw nothing of it, the fleet did: nearly every read crossed to another data centre with all its bytes, although three of four data centres have an instance of every group. Cause: another data centre counted for 3 ms, an account's other replicas for 6 ms, and the one that a read usually used was chosen by a hash that knows of no place.

What an instance is worth to an operation is now decided in a package of its own, core/ways, without clocks or sockets.

Two tests of reigns had their world changed, not their checks: connections to all three instances are made while they are near, as reads don't reach the far one any more.

--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -166,22 +166,6 @@
 	return nil
 }
 
-func (g *group) way(now time.Time, i *instance, o *operation) way {
-	w := way{inst: i, cost: g.cost(now, i, o)}
-	if p, ok := g.r.holder(i); ok && o.s.instance == "" {
-		w.peer = p
-		return w
-	}
-	c, steps := i.idle(o.s.account, o.s, o.prep)
-	if c == nil {
-		w.cost += connectCost
-		return w
-	}
-	w.conn = c
-	w.cost += time.Duration(steps) * stepCost
-	return w
-}
-
 // refusedBy takes in what a refusal tells of an instance.
 func (g *group) refusedBy(c *Conn, code statement.Code, o *operation) {
 	switch code {
--- a/core/relay/history_test.go
+++ b/core/relay/history_test.go
@@ -18,12 +18,9 @@
 // acquainted returns a world whose relay has a point of the primary a, and connections to all
 // instances. Of the replicas it prefers c, which is nearer.
 func acquainted(c *qt.C) *world {
-	w := newWorld(c)
-	w.instances["b"].far = true
-	w.list()
-	w.settled()
+	w := newWorld(c).settled()
 	w.open("rush", "key-1").do(statement.KindRead, "", "for the sample")
-	for _, busy := range []fleet.Instance{"a", "c"} {
+	for _, busy := range []fleet.Instance{"a", "b", "c"} {
 		w.instances[busy].hold = true
 		for range 4 {
 			w.open("stock", "key-1").do(statement.KindRead, "", "item")
@@ -37,6 +34,8 @@
 	w.deliver()
 	// What they took while they were held counts no more after this.
 	w.pass(3*time.Second, true)
+	w.instances["b"].far = true
+	w.list()
 	w.open("rush", "key-1").do(statement.KindRead, "", "for the sample")
 	return w
 }
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -7,6 +7,7 @@
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/fresh"
+	"skylarkdeal/core/ways"
 )
 
 // needs returns the point that a read has to cover on a replica, with what it was taken from,
@@ -54,23 +55,7 @@
 	}
 }
 
-// Places are compared by how long they make a caller wait, in time.
 const (
-	// stepCost is what each statement of the proxy's own costs ahead of a caller's:
-	// its time on the way, and the price of a question.
-	stepCost = 2 * time.Millisecond
-	// connectCost is what a new connection takes.
-	connectCost = 15 * time.Millisecond
-	// farCost is a round trip to another data centre, and its bytes.
-	farCost = 3 * time.Millisecond
-	// strangeCost keeps the reads of an account on the same replica where one host holds the
-	// connections of each: on another there may be no connection for the account, and a new
-	// one takes 12 ms of a slot. Beyond it the less busy replica is better.
-	strangeCost = 6 * time.Millisecond
-	// leadCost keeps reads away from the primary, which alone can take writes.
-	leadCost = 8 * time.Millisecond
-	// usualWork stands for an instance that has not worked yet.
-	usualWork = 8 * time.Millisecond
 	// freshWork is how long a measured time counts: an instance that was slow is tried
 	// again after it.
 	freshWork = 2 * time.Second
@@ -150,26 +135,26 @@
 	return ok && i.joined(s) && (i.point.Covers(s.Point) || i.mayTry(now, o))
 }
 
-func (g *group) cost(now time.Time, i *instance, o *operation) time.Duration {
-	work := i.work
-	if work == 0 || now.Sub(i.workAt) > freshWork {
-		work = usualWork
-	}
-	slots := max(i.info.Slots, 1)
-	cost := work * time.Duration(1+i.busy()) / time.Duration(slots)
-	if !i.local() {
-		cost += farCost
-	}
-	if !o.lead && g.leads(i.info.Name) {
-		cost += leadCost
-	}
-	if !g.r.reaches(now, i) {
-		cost += backoffMax
-	}
-	if !o.lead && !i.direct(now) && !g.leads(i.info.Name) && !g.usual(i, o.s.account) {
-		cost += strangeCost
-	}
-	return cost
+// way returns how an operation can reach an instance now.
+func (g *group) way(now time.Time, i *instance, o *operation) way {
+	w := way{inst: i}
+	leads := g.leads(i.info.Name)
+	about := ways.Way{
+		Work: i.work, Ahead: i.busy(), Slots: i.info.Slots, Far: !i.local(), Leads: !o.lead && leads,
+		Strange: !o.lead && !leads && !i.direct(now) && !g.usual(i, o.s.account), Silent: !g.r.reaches(now, i),
+	}
+	if now.Sub(i.workAt) > freshWork {
+		about.Work = 0
+	}
+	p, over := g.r.holder(i)
+	if over && o.s.instance == "" {
+		w.peer = p
+	} else {
+		w.conn, about.Steps = i.idle(o.s.account, o.s, o.prep)
+		about.Connect = w.conn == nil
+	}
+	w.cost = about.Cost(o.route.Target)
+	return w
 }
 
 // usual reports whether an instance is the one of the group's replicas that an account's reads
--- a/core/relay/reign_test.go
+++ b/core/relay/reign_test.go
@@ -23,6 +23,8 @@
 	w.relay.LeaseLost()
 	w.pass(1350*time.Millisecond, false)
 	b.hold, other.hold = true, true
+	b.far = false
+	w.list()
 	for range 3 {
 		w.open("stock", "key-1").do(statement.KindRead, "", "item")
 	}
--- /dev/null
+++ b/core/ways/ways.go
@@ -0,0 +1,77 @@
+// Package ways compares the ways in which an operation can reach an instance: by the time that
+// each makes its caller wait, and by what a caller doesn't feel but the fleet does.
+//
+// It decides for many callers in several data centres before a few instances, each with some
+// slots: one of them may be slow, full, far away, or the only one that can take writes.
+package ways
+
+import "time"
+
+// Way is one way to an instance, by what is known of it.
+type Way struct {
+	// Work is how long the instance's statements have taken lately, with their wait there; zero
+	// if none has ended lately.
+	Work time.Duration
+	// Ahead is how many statements of this host the instance works on, Slots on how many it can
+	// work at a time.
+	Ahead, Slots int
+	// Steps counts the proxy's own statements that have to go first, Connect is set where a
+	// connection has to be made.
+	Steps   int
+	Connect bool
+	// Far is set for an instance in another data centre.
+	Far bool
+	// Leads is set where a read that a replica could run would take the primary's time.
+	Leads bool
+	// Strange is set where the account's reads usually go to another replica.
+	Strange bool
+	// Silent is set for an instance that can't be reached now.
+	Silent bool
+}
+
+const (
+	// stepCost is a round trip with a question ahead of the caller's statement.
+	stepCost = 2 * time.Millisecond
+	// connectCost is what a new connection takes.
+	connectCost = 15 * time.Millisecond
+	// farCost is a round trip to another data centre.
+	farCost = 3 * time.Millisecond
+	// strangeCost is about half of a new connection, which an account may need there.
+	strangeCost = 6 * time.Millisecond
+	// leadCost keeps reads away from the primary, which alone can take writes.
+	leadCost = 8 * time.Millisecond
+	// usualWork stands for an instance that has not worked lately.
+	usualWork = 8 * time.Millisecond
+	// silentCost is above any wait that is worth it.
+	silentCost = 800 * time.Millisecond
+	// nearPart is the part of its target that a caller waits rather than cross to another data
+	// centre: too little to be felt.
+	nearPart = 8
+)
+
+// Cost returns how long a way makes its caller wait, and what the fleet would have its caller wait
+// rather than take it. target is the time in which the caller wants its answer, zero if it is
+// unknown.
+//
+// A way to another data centre costs a part of the target, not just its round trip: every
+// statement that crosses takes its bytes along on links that are dear and that fail, and the
+// caller of a report doesn't feel what the caller of an order does. Beyond that part the
+// quicker instance is better, so a near one that is slow or full sends its reads away.
+func (w Way) Cost(target time.Duration) time.Duration {
+	work := w.Work
+	if work == 0 {
+		work = usualWork
+	}
+	cost := work*time.Duration(1+w.Ahead)/time.Duration(max(w.Slots, 1)) + time.Duration(w.Steps)*stepCost
+	add := func(on bool, d time.Duration) {
+		if on {
+			cost += d
+		}
+	}
+	add(w.Connect, connectCost)
+	add(w.Far, max(farCost, target/nearPart))
+	add(w.Leads, leadCost)
+	add(w.Strange, strangeCost)
+	add(w.Silent, silentCost)
+	return cost
+}
