Leave a data centre that is cut off once all is silent, not an instance at a time

Callers of a data centre without an instance of its own were refused for 2.3 s after it was cut off, and each statement waited for its time on instances elsewhere. Cause (logs): the host waited 0.7 s until each other host counted as not heard, 0.2 to 0.4 s for a new connection to each instance, and 0.3 s more before it told the balancer, 1.4 s in all; the balancer then wants two bad answers, a second apart.

Change: where no host of another data centre has been heard for half of the time after which one counts as gone, and the store has let a renewal go unanswered, what is elsewhere can't be reached: its statements are refused at once, with when to come back, and the host isn't ready. Either silence alone changes nothing.

Holds because one silence has other causes (reports are lost, the store is down) and both together hardly; a host that finds itself wrong is ready again before it is asked twice. TestCutDataCentreIsLeftAtOnce fails without it.

--- a/core/leader/proof.go
+++ b/core/leader/proof.go
@@ -166,6 +166,13 @@
 	return l.last.Add(LeaseValidity)
 }
 
+// QuietAfter is how long after a renewal that has succeeded was sent the store counts as silent: the
+// next one is sent 0.3 s after it, and a store that is well answers in some ms.
+const QuietAfter = 450 * time.Millisecond
+
+// Quiet reports whether the store has let renewals go unanswered. It may be slow.
+func (l *Lease) Quiet(now time.Time) bool { return now.Sub(l.last) > QuietAfter }
+
 // Lost takes in that the registration has ended.
 func (l *Lease) Lost() { l.sent = time.Time{} }
 
--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -55,6 +55,8 @@
 	peers []Peer
 	// missing counts the hosts that ought to be there and aren't heard.
 	missing int
+	// secluded is set while no host of another data centre is heard, although there are some.
+	secluded bool
 	// virtual are the connections over other hosts, guests the sessions run for them.
 	virtual map[uint64]*Conn
 	guests  map[stream]*Session
@@ -87,6 +89,21 @@
 	r.forwarding.peers, r.forwarding.missing = ps, missing
 }
 
+// SetSecluded tells whether no host of another data centre has been heard for a moment, although
+// there are some.
+func (r *Relay) SetSecluded(secluded bool) { r.forwarding.secluded = secluded }
+
+// secluded reports whether the host's data centre, or the host alone, looks cut off from all
+// else: nothing comes from the store nor from any host elsewhere.
+//
+// The load it is made for: the callers of a data centre that is cut off, whose every statement
+// would wait for its time limit on instances elsewhere, one after the other, until each is known
+// to be silent. Either silence alone may have another cause, so both are needed; the process
+// itself must not have stood still.
+func (r *Relay) secluded(now time.Time) bool {
+	return r.forwarding.secluded && r.lease.Quiet(now) && !now.Before(r.awake)
+}
+
 // holder returns the host over which an instance is used, false for this one.
 //
 // Where connections suffice each host uses its own, unless it can't reach the instance
@@ -139,6 +156,9 @@
 // reaches reports whether the instance can be used, by this host's own connections or
 // over another.
 func (r *Relay) reaches(now time.Time, i *instance) bool {
+	if !i.local() && r.secluded(now) {
+		return false
+	}
 	if !i.doubtful(now) {
 		return true
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -185,12 +185,13 @@
 // down for all and one primary dead nobody is better off, and no host is missing.
 func (r *Relay) CutOff() bool {
 	now := r.now()
-	if r.lease.Certain(now) || len(r.groups) == 0 {
+	secluded := r.secluded(now)
+	if r.lease.Certain(now) && !secluded || len(r.groups) == 0 {
 		return false
 	}
 	unable := 0
 	for _, g := range r.groups {
-		if now.Sub(g.ableAt) > cutOffAfter {
+		if now.Sub(g.ableAt) > cutOffAfter || secluded && g.able(now) != "" {
 			unable++
 		}
 	}
--- /dev/null
+++ b/core/relay/secluded_test.go
@@ -0,0 +1,67 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/statement"
+)
+
+// Guards against callers of a data centre that is cut off, whose statements each wait for their time
+// on instances elsewhere, and whom the balancer sends there for another second.
+func TestCutDataCentreIsLeftAtOnce(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c)
+	for _, n := range w.instances {
+		n.far = true
+	}
+	w.list()
+	w.settled()
+	c.Assert(w.relay.Ready(), qt.IsTrue)
+	for _, n := range w.instances {
+		n.hold = true
+	}
+	w.relay.SetSecluded(true)
+	w.pass(500*time.Millisecond, false)
+	c.Assert(w.relay.Ready(), qt.IsFalse)
+	x := w.open("rush", "key-1")
+	x.do(statement.KindRead, "", "item")
+	c.Assert(x.last().Code, qt.Equals, statement.CodeBusy)
+	c.Assert(x.last().RetryAfter > 0, qt.IsTrue)
+}
+
+// Guards against taking one silence for a cut: reports are lost while the store answers, and the
+// store is lost while other hosts are heard.
+func TestOneSilenceIsNoCut(t *testing.T) {
+	c := qt.New(t)
+	for _, secluded := range []bool{true, false} {
+		w := newWorld(c)
+		for _, n := range w.instances {
+			n.far = true
+		}
+		w.list()
+		w.settled()
+		w.relay.SetSecluded(secluded)
+		w.pass(600*time.Millisecond, secluded)
+		c.Assert(w.relay.Ready(), qt.IsTrue)
+		x := w.open("rush", "key-1")
+		x.do(statement.KindRead, "", "item")
+		w.pass(20*time.Millisecond, secluded)
+		c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+	}
+}
+
+// Guards against sending callers away from a data centre that is cut off and has all they need.
+func TestCutDataCentreThatHasThePrimaryServes(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	w.relay.SetSecluded(true)
+	w.pass(600*time.Millisecond, false)
+	c.Assert(w.relay.Ready(), qt.IsTrue)
+	x := w.open("rush", "key-1")
+	x.do(statement.KindRead, "", "item")
+	w.pass(20*time.Millisecond, false)
+	c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+}
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -77,6 +77,7 @@
 		}
 	}
 	h.relay.SetPeers(usable, missing)
+	h.relay.SetSecluded(h.peers.secluded(h.settings.Host.DataCentre, now))
 	if missing > 0 && now.Sub(h.peers.looked) > lookEvery+time.Duration(h.rank.Load())*lookStep {
 		// One that has died is off the list by now, and its share of rates is free again.
 		h.peers.looked = now
