Don't take lost reports for a cut where anything answers from elsewhere

By reading, before it was seen: in a large fleet reports between data centres go over two doors and may be held up, and the store may be down at the same time. Both silences together would have been taken for a cut, and statements refused that instances elsewhere could run. Now an answer of another host over its link counts as a word of it, as it does for whether it can be used, and so does an answer of an instance elsewhere on a connection of this host.

TestAnswerFromElsewhereIsNoCut fails without it; the tests of the cut call the relay as its host does, at each tick.

--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -7,6 +7,7 @@
 
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/leader"
 	"skylarkdeal/core/statement"
 )
 
@@ -90,8 +91,23 @@
 }
 
 // SetSecluded tells whether no host of another data centre has been heard for a moment, although
-// there are some.
-func (r *Relay) SetSecluded(secluded bool) { r.forwarding.secluded = secluded }
+// there are some. An instance there that has answered outweighs that.
+func (r *Relay) SetSecluded(secluded bool) {
+	r.forwarding.secluded = secluded && !r.hearsFar(r.now())
+}
+
+// hearsFar reports whether an instance in another data centre has answered lately on a connection
+// of this host's own.
+func (r *Relay) hearsFar(now time.Time) bool {
+	for _, g := range r.groups {
+		for _, i := range g.instances {
+			if !i.local() && len(i.conns) > 0 && now.Sub(i.lastHeard) < leader.QuietAfter {
+				return true
+			}
+		}
+	}
+	return false
+}
 
 // secluded reports whether the host's data centre, or the host alone, looks cut off from all
 // else: nothing comes from the store nor from any host elsewhere.
--- a/core/relay/secluded_test.go
+++ b/core/relay/secluded_test.go
@@ -9,6 +9,14 @@
 	"skylarkdeal/core/statement"
 )
 
+// seclude lets time go by while no host elsewhere is heard.
+func (w *world) seclude(d time.Duration, renewed bool) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.relay.SetSecluded(true)
+		w.pass(10*time.Millisecond, renewed)
+	}
+}
+
 // Guards against callers of a data centre that is cut off, whose statements each wait for their time
 // on instances elsewhere, and whom the balancer sends there for another second.
 func TestCutDataCentreIsLeftAtOnce(t *testing.T) {
@@ -23,8 +31,7 @@
 	for _, n := range w.instances {
 		n.hold = true
 	}
-	w.relay.SetSecluded(true)
-	w.pass(500*time.Millisecond, false)
+	w.seclude(600*time.Millisecond, false)
 	c.Assert(w.relay.Ready(), qt.IsFalse)
 	x := w.open("rush", "key-1")
 	x.do(statement.KindRead, "", "item")
@@ -43,8 +50,11 @@
 		}
 		w.list()
 		w.settled()
-		w.relay.SetSecluded(secluded)
-		w.pass(600*time.Millisecond, secluded)
+		if secluded {
+			w.seclude(600*time.Millisecond, true)
+		} else {
+			w.pass(600*time.Millisecond, false)
+		}
 		c.Assert(w.relay.Ready(), qt.IsTrue)
 		x := w.open("rush", "key-1")
 		x.do(statement.KindRead, "", "item")
@@ -57,11 +67,27 @@
 func TestCutDataCentreThatHasThePrimaryServes(t *testing.T) {
 	c := qt.New(t)
 	w := newWorld(c).settled()
-	w.relay.SetSecluded(true)
-	w.pass(600*time.Millisecond, false)
+	w.seclude(600*time.Millisecond, false)
 	c.Assert(w.relay.Ready(), qt.IsTrue)
 	x := w.open("rush", "key-1")
 	x.do(statement.KindRead, "", "item")
 	w.pass(20*time.Millisecond, false)
 	c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
 }
+
+// Guards against taking lost reports for a cut while the store is down: an instance elsewhere still
+// answers.
+func TestAnswerFromElsewhereIsNoCut(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c)
+	for _, n := range w.instances {
+		n.far = true
+	}
+	w.list()
+	w.settled()
+	for range 12 {
+		w.open("rush", "key-1").do(statement.KindRead, "", "item")
+		w.seclude(50*time.Millisecond, false)
+	}
+	c.Assert(w.relay.Ready(), qt.IsTrue)
+}
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -77,7 +77,7 @@
 		}
 	}
 	h.relay.SetPeers(usable, missing)
-	h.relay.SetSecluded(h.peers.secluded(h.settings.Host.DataCentre, now))
+	h.relay.SetSecluded(h.secluded(now))
 	if missing > 0 && now.Sub(h.peers.looked) > lookEvery+time.Duration(h.rank.Load())*lookStep {
 		// One that has died is off the list by now, and its share of rates is free again.
 		h.peers.looked = now
@@ -85,6 +85,27 @@
 	}
 }
 
+// secludedPart is the part of the time after which a host counts as not heard any more that all
+// hosts elsewhere have to be silent together.
+const secludedPart = 2
+
+// secluded reports whether no host of another data centre has been heard for a moment, by report or
+// over its link, although some ought to be.
+func (h *Host) secluded(now time.Time) bool {
+	silence := mesh.PaceOf(h.peers.size()).Fresh / secludedPart
+	far := false
+	for name, p := range h.peers.known {
+		if p.dataCentre == h.settings.Host.DataCentre || now.Sub(p.heard) > missingFor {
+			continue
+		}
+		if l := h.links[name]; now.Sub(p.heard) < silence || l != nil && now.Sub(l.heard) < silence {
+			return false
+		}
+		far = true
+	}
+	return far
+}
+
 func (l *link) send(f relay.Forward) {
 	if l.conn == nil {
 		return
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -119,28 +119,6 @@
 	return out
 }
 
-// secludedPart is the part of the time after which a host counts as not heard any more that all
-// hosts elsewhere have to be silent together.
-const secludedPart = 2
-
-// secluded reports whether no host of another data centre has been heard for a moment, although
-// some ought to be.
-func (p *peers) secluded(own fleet.DataCentre, now time.Time) bool {
-	silence := mesh.PaceOf(p.size()).Fresh / secludedPart
-	far := false
-	for n := range p.addresses {
-		k := p.known[n]
-		if k == nil || k.dataCentre == own || now.Sub(k.heard) > missingFor {
-			continue
-		}
-		if now.Sub(k.heard) < silence {
-			return false
-		}
-		far = true
-	}
-	return far
-}
-
 // rank counts the hosts that go before this one in reading the store for all: those that are
 // heard, reach it, and come before it by name.
 func (p *peers) rank(own fleet.Host, now time.Time) int {
