Have a read cost as much on the primary as in another data centre

Change: a read on the primary counts for an eighth of its target as well. Between a primary that is near and replicas that are far the wait decides.

--- a/core/ways/ways.go
+++ b/core/ways/ways.go
@@ -38,14 +38,14 @@
 	farCost = 3 * time.Millisecond
 	// strangeCost is about half of a new connection, which an account may need there.
 	strangeCost = 6 * time.Millisecond
-	// leadCost keeps reads away from the primary, which alone can take writes.
+	// leadCost keeps reads away from the primary, which alone can take writes, at least.
 	leadCost = 8 * time.Millisecond
 	// usualWork stands for an instance that has not worked lately.
 	usualWork = 8 * time.Millisecond
 	// silentCost is above any wait that is worth it.
 	silentCost = 800 * time.Millisecond
 	// nearPart is the part of its target that a caller waits rather than cross to another data
-	// centre: too little to be felt.
+	// centre or take the primary's time: too little to be felt.
 	nearPart = 8
 )
 
@@ -57,6 +57,10 @@
 // statement that crosses takes its bytes along on links that are dear and that fail, and the
 // caller of a report doesn't feel what the caller of an order does. Beyond that part the
 // quicker instance is better, so a near one that is slow or full sends its reads away.
+//
+// A read on the primary costs as much: beside it all reads of its data centre would be its, and
+// the orders of all others stand behind them. Between a primary that is near and replicas that
+// are far the wait decides.
 func (w Way) Cost(target time.Duration) time.Duration {
 	work := w.Work
 	if work == 0 {
@@ -70,7 +74,7 @@
 	}
 	add(w.Connect, connectCost)
 	add(w.Far, max(farCost, target/nearPart))
-	add(w.Leads, leadCost)
+	add(w.Leads, max(leadCost, target/nearPart))
 	add(w.Strange, strangeCost)
 	add(w.Silent, silentCost)
 	return cost
