Remove the replica that an account's reads usually use: it saved no connection

Callers see nothing of it. It cost 6 ms to read on another replica than the one that a hash of account and name chose, so that each instance would have fewer accounts and fewer connections made for them. It upholds no rule.

--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -5,7 +5,6 @@
 
 	"skylarkdeal/core/admit"
 	"skylarkdeal/core/catalog"
-	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/fresh"
 	"skylarkdeal/core/ways"
 )
@@ -141,7 +140,7 @@
 	leads := g.leads(i.info.Name)
 	about := ways.Way{
 		Work: i.work, Ahead: i.busy(), Slots: i.info.Slots, Far: !i.local(), Leads: !o.lead && leads,
-		Strange: !o.lead && !leads && !i.direct(now) && !g.usual(i, o.s.account), Silent: !g.r.reaches(now, i),
+		Silent: !g.r.reaches(now, i),
 	}
 	if now.Sub(i.workAt) > freshWork {
 		about.Work = 0
@@ -156,15 +155,3 @@
 	w.cost = about.Cost(o.route.Target)
 	return w
 }
-
-// usual reports whether an instance is the one of the group's replicas that an account's reads
-// go to if all are as good.
-func (g *group) usual(i *instance, a fleet.Account) bool {
-	own := weight(fleet.Host(a), i.info.Name)
-	for _, o := range g.instances {
-		if o != i && o.usable() && !g.leads(o.info.Name) && weight(fleet.Host(a), o.info.Name) > own {
-			return false
-		}
-	}
-	return true
-}
--- a/core/ways/ways.go
+++ b/core/ways/ways.go
@@ -23,8 +23,6 @@
 	Far bool
 	// Leads is set where a read that a replica could run would take the primary's time.
 	Leads bool
-	// Strange is set where the account's reads usually go to another replica.
-	Strange bool
 	// Silent is set for an instance that can't be reached now.
 	Silent bool
 }
@@ -36,8 +34,6 @@
 	connectCost = 15 * time.Millisecond
 	// farCost is a round trip to another data centre.
 	farCost = 3 * time.Millisecond
-	// strangeCost is about half of a new connection, which an account may need there.
-	strangeCost = 6 * time.Millisecond
 	// leadCost keeps reads away from the primary, which alone can take writes, at least.
 	leadCost = 8 * time.Millisecond
 	// usualWork stands for an instance that has not worked lately.
@@ -75,7 +71,6 @@
 	add(w.Connect, connectCost)
 	add(w.Far, max(farCost, target/nearPart))
 	add(w.Leads, max(leadCost, target/nearPart))
-	add(w.Strange, strangeCost)
 	add(w.Silent, silentCost)
 	return cost
 }
