Leave the duty to others while a host is young

Cause, from the log: the holder of the duty was cut off as well, and the one that took it next had been restarted 70 ms before. It had never met the two primaries, so that they were not lost to it but still to be found, and it gave them the 3 s that this takes at a start; all others had seen within 0.4 s that they were lost.

Change: a host takes the duty only 2.5 s after its start.

Holds because others are older wherever hosts are restarted in turn; where all start at once nobody could have ordered sooner, as each needs 3 s to take a group for one without a primary. TestYoungHostLeavesTheDutyToOthers fails without it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -40,6 +40,9 @@
 	memoryPart = 70
 	// drainedEvery is how often an ending host looks whether its sessions have ended.
 	drainedEvery = 20 * time.Millisecond
+	// youth is how long a host that has started leaves changes of primary to others. It takes that
+	// long anyway to tell a group without a primary from one whose primary it hasn't found.
+	youth = 2500 * time.Millisecond
 	// lastMoment is kept of the grace for ending by itself.
 	lastMoment = 300 * time.Millisecond
 	// maxUnread bounds what waits for a peer that doesn't read.
@@ -173,6 +176,7 @@
 		Ordered:        func(o leader.Order, given, refused bool) { h.relay.Ordered(o, given, refused) },
 		StepDown:       func(o leader.Order) { h.relay.StepDown(o) },
 		Promote:        platform.NewPromotions(s.Adapter.Promotions).Promote,
+		Youth:          youth,
 		PromotionLeast: s.Adapter.PromotionLeast,
 		PromotionDelay: s.Adapter.PromotionDelay,
 		Logger:         h.log,
--- a/io/registry/duty.go
+++ b/io/registry/duty.go
@@ -72,7 +72,13 @@
 	}
 }
 
-// takeDuty reads who has the duty, and takes it if nobody has.
+// takeDuty reads who has the duty, and takes it if nobody has. A host that has just started
+// leaves it to the others for a while.
+//
+// The load it is made for: a data centre that is cut off, with a primary and the holder of the duty,
+// while hosts are restarted in turn. One that has just come back has never met that primary,
+// and takes the group for one whose primary is still to be found, seconds longer than the
+// others know that it is lost.
 func (r *Registry) takeDuty(ctx context.Context, l Lease) (Revision, error) {
 	c, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -85,6 +91,10 @@
 		return at, nil
 	}
 	r.ownDuty(Entry{})
+	if young := r.cfg.Youth - time.Since(r.began); young > 0 {
+		pause.For(ctx, young)
+		return 0, nil
+	}
 	b, err := json.Marshal(r.cfg.Self.Name)
 	if err != nil {
 		return 0, err
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -63,6 +63,8 @@
 
 	// Promote gives an order to the platform. It is called on a goroutine of its own.
 	Promote func(ctx context.Context, p Promotion) error
+	// Youth is how long after its start the host leaves the duty to others.
+	Youth time.Duration
 	// PromotionLeast is the least time that the platform takes to carry one out, PromotionDelay
 	// what it usually takes.
 	PromotionLeast, PromotionDelay time.Duration
@@ -107,7 +109,9 @@
 
 // Registry runs the duties towards the store.
 type Registry struct {
-	cfg   Config
+	cfg Config
+	// began is when the registry was made.
+	began time.Time
 	lease atomic.Uint64
 	// relist is signalled when the records are to be read anew.
 	relist chan struct{}
@@ -140,7 +144,7 @@
 		cfg.Logger = zap.NewNop()
 	}
 	return &Registry{
-		cfg: cfg, relist: make(chan struct{}, 1), rehost: make(chan struct{}, 1), reload: make(chan struct{}, 1),
+		cfg: cfg, began: time.Now(), relist: make(chan struct{}, 1), rehost: make(chan struct{}, 1), reload: make(chan struct{}, 1),
 		relisting: make(chan struct{}, 1),
 		up:        dependency{name: "store", log: cfg.Logger}, orders: ring.New[leader.Order](maxOrders),
 	}
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -51,6 +51,13 @@
 
 // joinWith starts one for a platform that carries orders out in some time at least.
 func joinWith(c *qt.C, s *shelf, rank int, least time.Duration) (*registry.Registry, *seen) {
+	return joinYoung(c, s, rank, least, 0)
+}
+
+// joinYoung starts one that leaves the duty to others for a while.
+func joinYoung(
+	c *qt.C, s *shelf, rank int, least, youth time.Duration,
+) (*registry.Registry, *seen) {
 	t := &seen{}
 	r := registry.New(registry.Config{
 		Store: s.store(), Self: registry.Host{Name: "h-x", DataCentre: "obihiro", Address: "127.0.0.1:1"},
@@ -84,7 +91,7 @@
 			}
 			return nil
 		},
-		PromotionLeast: least, PromotionDelay: time.Second,
+		Youth: youth, PromotionLeast: least, PromotionDelay: time.Second,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -252,6 +259,20 @@
 	until(c, t1, "an instance", func() bool { return t1.instances == 1 })
 }
 
+// Guards against a duty that falls to a host which has just started and has never met the primary
+// that is lost, while others know: they waited 3 s for it to order a successor.
+func TestYoungHostLeavesTheDutyToOthers(t *testing.T) {
+	c := qt.New(t)
+	s := newShelf()
+	const youth = 600 * time.Millisecond
+	began := time.Now()
+	_, t1 := joinYoung(c, s, 0, time.Second, youth)
+	until(c, t1, "renewals", func() bool { return t1.renewed > 1 })
+	t1.get(func() { c.Assert(t1.holds, qt.HasLen, 0) })
+	until(c, t1, "the duty", func() bool { return len(t1.holds) == 1 })
+	c.Assert(time.Since(began) >= youth, qt.IsTrue)
+}
+
 // Guards against an order that takes effect while another host still holds the former primary
 // proved: the platform is quicker than a renewed registration is valid.
 func TestOrderWaitsWhereThePlatformIsQuick(t *testing.T) {
