--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -147,7 +147,7 @@
 		cfg: cfg, began: time.Now(),
 		relist: make(chan struct{}, 1), rehost: make(chan struct{}, 1),
 		reload: make(chan struct{}, 1), relisting: make(chan struct{}, 1),
-		up:        dependency{name: "store", log: cfg.Logger}, orders: ring.New[leader.Order](maxOrders),
+		up: dependency{name: "store", log: cfg.Logger}, orders: ring.New[leader.Order](maxOrders),
 	}
 }
 
