--- a/core/relay/secluded_test.go
+++ b/core/relay/secluded_test.go
@@ -9,6 +9,16 @@
 	"skylarkdeal/core/statement"
 )
 
+// newFarWorld returns a world whose instances are all in another data centre.
+func newFarWorld(c *qt.C) *world {
+	w := newWorld(c)
+	for _, n := range w.instances {
+		n.far = true
+	}
+	w.list()
+	return w.settled()
+}
+
 // seclude lets time go by while no host elsewhere is heard.
 func (w *world) seclude(d time.Duration, renewed bool) {
 	for end := w.now.Add(d); w.now.Before(end); {
@@ -21,12 +31,7 @@
 // on instances elsewhere, and whom the balancer sends there for another second.
 func TestCutDataCentreIsLeftAtOnce(t *testing.T) {
 	c := qt.New(t)
-	w := newWorld(c)
-	for _, n := range w.instances {
-		n.far = true
-	}
-	w.list()
-	w.settled()
+	w := newFarWorld(c)
 	c.Assert(w.relay.Ready(), qt.IsTrue)
 	for _, n := range w.instances {
 		n.hold = true
@@ -44,12 +49,7 @@
 func TestOneSilenceIsNoCut(t *testing.T) {
 	c := qt.New(t)
 	for _, secluded := range []bool{true, false} {
-		w := newWorld(c)
-		for _, n := range w.instances {
-			n.far = true
-		}
-		w.list()
-		w.settled()
+		w := newFarWorld(c)
 		if secluded {
 			w.seclude(600*time.Millisecond, true)
 		} else {
@@ -79,12 +79,7 @@
 // answers.
 func TestAnswerFromElsewhereIsNoCut(t *testing.T) {
 	c := qt.New(t)
-	w := newWorld(c)
-	for _, n := range w.instances {
-		n.far = true
-	}
-	w.list()
-	w.settled()
+	w := newFarWorld(c)
 	for range 12 {
 		w.open("rush", "key-1").do(statement.KindRead, "", "item")
 		w.seclude(50*time.Millisecond, false)
