Decide the pause in the test of a host that confirms by an old proof

Cause: the test, not the product. It paused the host when any status that the steward knows changed, and took for granted that the primary's new entry shows before the write is proved. With acknowledge = primary two of three instances prove it. When the two replicas answered first, and hadn't copied the entry yet, nothing had changed: the write was confirmed by a proof of that moment, as it should be.

Now the test holds back all proofs until the pause is prepared, and lets h0's clock jump by a second at the first look after the proof stands in the table, which is the look in settleWrite.

--- a/io/steward/cluster_test.go
+++ b/io/steward/cluster_test.go
@@ -63,6 +63,18 @@
 	questions map[fleet.Host]int
 	// closed counts the connections that each host has closed.
 	closed map[fleet.Host]int
+	// slept is how far h0's clock is ahead, as after a pause of its process; looks, once it is
+	// set, is called before each look at that clock.
+	slept atomic.Int64
+	looks atomic.Pointer[func()]
+}
+
+// now is h0's clock.
+func (c *cluster) now() time.Time {
+	if f := c.looks.Load(); f != nil {
+		(*f)()
+	}
+	return time.Now().Add(time.Duration(c.slept.Load()))
 }
 
 // newCluster starts a group of three instances in three data centres with a
@@ -111,6 +123,10 @@
 
 func (c *cluster) prepare(m fleet.Member, seed uint64) {
 	j := new(journal.Journal)
+	now := time.Now
+	if m.Host == "h0" {
+		now = c.now
+	}
 	s := steward.New(steward.Config{
 		Service: "orders", Host: m.Host, DataCentre: m.DataCentre, Epoch: seed + 1, Seed: seed,
 		Document: c.document,
@@ -118,6 +134,7 @@
 		Holders:  c.holders,
 		Views:    func(ctx context.Context, o fleet.Member) (*hostpb.ViewResponse, error) { return c.view(ctx, m, o) },
 		Journal:  j,
+		Now:      now,
 	})
 	c.stewards[m.Host], c.journals[m.Host] = s, j
 }
--- a/io/steward/steward_test.go
+++ b/io/steward/steward_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +14,7 @@
 	"skylarkdeal/core/failure"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/group"
+	"skylarkdeal/core/group/grouptest"
 )
 
 // writeUntil writes through h until f accepts an acknowledged point, and
@@ -207,25 +207,36 @@
 	q.Assert(<-out, qt.ErrorMatches, "08007: .*")
 }
 
-// With acknowledge = primary a host learns that the primary is still the
-// primary, is paused, and wakes after a promotion that has lost the write. It
-// must not say then that the write is safe.
+// Guards against a host that is paused between the proof of a write and its confirmation, and
+// confirms it after a promotion that has lost it.
 func TestPausedHostDoesNotConfirmByAnOldProof(t *testing.T) {
 	q := qt.New(t)
 	c := newCluster(t, time.Millisecond)
 	c.ready(t)
 	c.writeUntil(t, "h0", anyPoint)
-	var armed atomic.Bool
-	c.stewards["h0"].OnChange(func() {
-		if armed.Swap(false) {
+	// Nothing is proved until the pause has been prepared.
+	c.set(func() { c.faults["b"], c.faults["c"] = hung, hung })
+	h := c.stewards["h0"]
+	var at fleet.Point
+	_, err := c.call(c.ctx, "h0", "a", func(i *grouptest.Instance) error {
+		var err error
+		at, err = i.Append("slept through")
+		return err
+	})
+	q.Assert(err, qt.IsNil)
+	out := make(chan error, 1)
+	h.Confirm(at, document.AcknowledgePrimary, time.Now().Add(3*time.Second), func(err error) { out <- err })
+	since := time.Now()
+	pause := func() {
+		proved := h.Table().Acknowledge(document.AcknowledgePrimary, at, since) == group.VerdictAcknowledge
+		if proved && c.slept.CompareAndSwap(0, int64(time.Second)) {
 			c.set(func() { c.faults["b"], c.faults["c"] = hung, hung })
-			_ = sleep(c.ctx, time.Second)
 		}
-	})
-	armed.Store(true)
-	_, err := c.write("h0", document.AcknowledgePrimary, "slept through", 1500*time.Millisecond)
-	q.Assert(err, qt.ErrorMatches, "08007: .*")
-	q.Assert(armed.Load(), qt.IsFalse)
+	}
+	c.looks.Store(&pause)
+	c.set(func() { c.faults["b"], c.faults["c"] = healthy, healthy })
+	q.Assert(<-out, qt.ErrorMatches, "08007: .*")
+	q.Assert(c.slept.Load(), qt.Equals, int64(time.Second))
 }
 
 // The primary has all its connections in use and refuses another one to ask for
