--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -13,6 +13,9 @@
 // Host is the name of one entry host of the system, unique in the fleet.
 type Host string
 
+// Capacity is what a host can carry, in processor cores; zero if it isn't known.
+type Capacity float64
+
 // DataCentre is the name of a data centre.
 type DataCentre string
 
--- a/core/inifile/section.go
+++ b/core/inifile/section.go
@@ -107,6 +107,21 @@
 	return n
 }
 
+// Float returns a number from low to high, def if the key isn't stated.
+func (s *Section) Float(key string, def, low, high float64) float64 {
+	v, ok := s.Value(key)
+	if !ok {
+		return def
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	// Written this way round, NaN is refused too.
+	if err != nil || !(n >= low && n <= high) {
+		s.Wrong(key, strconv.Quote(v), fmt.Sprintf("a number from %g to %g", low, high))
+		return def
+	}
+	return n
+}
+
 // Bool returns the true or false at key, or def.
 func (s *Section) Bool(key string, def bool) bool {
 	v, ok := s.Value(key)
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -105,6 +105,8 @@
 	PromotionLeast, PromotionDelay time.Duration
 	// Memory is the most that the process may take, in bytes.
 	Memory int
+	// Capacity is the part of the processor that is the host's; zero if it isn't told.
+	Capacity fleet.Capacity
 }
 
 // Level is the least severe level that is logged.
@@ -242,6 +244,9 @@
 	DefaultPromotionDelay = time.Second
 	DefaultMemory         = 256 << 20
 
+	// mostCapacity is more cores than any host has.
+	mostCapacity = 1 << 10
+
 	smallestMemory = 32 << 20
 	largestMemory  = 1 << 40
 )
@@ -254,6 +259,7 @@
 	a.PromotionLeast = s.Duration("promotion-least", DefaultPromotionLeast, 0, time.Minute)
 	a.PromotionDelay = s.Duration("promotion-delay", DefaultPromotionDelay, a.PromotionLeast, time.Minute)
 	a.Memory = s.Size("memory", DefaultMemory, smallestMemory, largestMemory)
+	a.Capacity = fleet.Capacity(s.Float("capacity", 0, 0, mostCapacity))
 	if a.Kind == AdapterPlatform || s.Has("balancer") {
 		a.Balancer = s.Address("balancer")
 	}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -34,6 +34,7 @@
 	// Epoch tells the processes of one host apart, Seq orders the reports of one.
 	Epoch, Seq uint64
 	Leaving    bool
+	Capacity   fleet.Capacity
 	// Storeless is set while the host can't reach the store.
 	Storeless bool
 	Usages    []share.Usage
@@ -149,8 +150,8 @@
 func toMessage(r Report) *gossippb.Report {
 	m := &gossippb.Report{
 		Host: string(r.Host), Epoch: r.Epoch, Seq: r.Seq, Leaving: r.Leaving,
-		Storeless: r.Storeless,
-		Catalog:   r.Catalog, Record: r.Record, Address: r.Address,
+		Storeless: r.Storeless, Capacity: float32(r.Capacity),
+		Catalog: r.Catalog, Record: r.Record, Address: r.Address,
 		DataCentre:   string(r.DataCentre),
 		CatalogAgeMs: ms(r.CatalogAge), Instances: r.Instances, InstancesAgeMs: ms(r.InstancesAge),
 	}
@@ -199,8 +200,8 @@
 func fromMessage(m *gossippb.Report) Report {
 	r := Report{
 		Host: fleet.Host(m.GetHost()), Epoch: m.GetEpoch(), Seq: m.GetSeq(), Leaving: m.GetLeaving(),
-		Storeless: m.GetStoreless(),
-		Catalog:   m.GetCatalog(), Record: m.GetRecord(), Address: m.GetAddress(),
+		Storeless: m.GetStoreless(), Capacity: fleet.Capacity(m.GetCapacity()),
+		Catalog: m.GetCatalog(), Record: m.GetRecord(), Address: m.GetAddress(),
 		DataCentre: fleet.DataCentre(m.GetDataCentre()),
 		CatalogAge: time.Duration(m.GetCatalogAgeMs()) * time.Millisecond,
 		Instances:  m.GetInstances(), InstancesAge: time.Duration(m.GetInstancesAgeMs()) * time.Millisecond,
