Report over strong doors, also within a large data centre

Whole data centres lost each other at the start.

Cause: datagrams of a host grow with its data centre, and a door's bytes with the fleet times its data centre, whatever its link.

Change: the doors are the strongest hosts; in a data centre of more than 32 hosts reports go over its doors as well. A report with a new doubt, or a new answer to one, is passed on at once, as a change of primary waits for it.

Holds: a host sends to two hosts a data centre at 30, 100, 300 and 920 hosts (TestDatagramsOfAHostDoNotGrowWithTheFleet, TestStrongHostsAreDoors), and all are still reached (TestReportsReachAllHosts at 300, over two doors each way).

--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -1,14 +1,14 @@
 // Package mesh decides over which hosts the reports of a fleet travel.
 //
-// In a small fleet each host tells all others. In a large one it tells those of its own data
-// centre, and in each other data centre two hosts, the doors, which pass on what they hear
-// from elsewhere to the hosts beside them, many reports at a time. What crosses data centres
-// then grows with the hosts, not with their square, and a host hears a few datagrams a
-// second from elsewhere, however many hosts there are. The price is one more pause on the
-// way.
+// In a small fleet each host tells all others. In a large one it tells in each other data
+// centre two hosts, the doors, which pass on what they hear to the hosts beside them, many
+// reports at a time; in a large data centre its own doors in place of all hosts. The datagrams
+// that a host sends then don't grow with the fleet, and those that it hears grow with a
+// fraction of it. The price is one more pause on the way.
 package mesh
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -22,6 +22,9 @@
 	// fullUpTo is how many hosts tell each other directly: that is 80 datagrams a second for
 	// each, as many as a host of a large fleet hears from its own data centre.
 	fullUpTo = 16
+	// besideUpTo is up to how many hosts of a data centre tell each other directly: each then
+	// sends and hears 80 datagrams a second.
+	besideUpTo = 32
 	// doors is how many hosts of a data centre hear from the others, so that the death of one
 	// holds up no report.
 	doors = 2
@@ -66,26 +69,51 @@
 	Heard bool
 	// Leaving is set once it has told that it shuts down.
 	Leaving bool
+	// Capacity is what it can carry.
+	Capacity fleet.Capacity
 }
 
-// Recipients returns the hosts that a host of a data centre tells of itself.
-func Recipients(own fleet.DataCentre, others []Member) []fleet.Host {
-	large := Large(1 + len(others))
-	var out []fleet.Host
-	far := map[fleet.DataCentre][]Member{}
+// Recipients returns the hosts that a host tells of itself.
+func Recipients(self Member, others []Member) []fleet.Host {
+	if !Large(1 + len(others)) {
+		return names(others)
+	}
+	centres := map[fleet.DataCentre][]Member{}
 	for _, m := range others {
-		if !large || m.DataCentre == own {
-			out = append(out, m.Host)
-			continue
-		}
-		far[m.DataCentre] = append(far[m.DataCentre], m)
+		centres[m.DataCentre] = append(centres[m.DataCentre], m)
 	}
-	for dc, ms := range far {
+	near := centres[self.DataCentre]
+	delete(centres, self.DataCentre)
+	out := names(near)
+	if crowded(1 + len(near)) {
+		out = doorsOf(self.DataCentre, near)
+	}
+	for dc, ms := range centres {
 		out = append(out, doorsOf(dc, ms)...)
 	}
 	return out
 }
 
+func names(ms []Member) []fleet.Host {
+	out := make([]fleet.Host, 0, len(ms))
+	for _, m := range ms {
+		out = append(out, m.Host)
+	}
+	return out
+}
+
+// crowded reports whether the n hosts of a data centre report over its doors.
+func crowded(n int) bool { return n > besideUpTo }
+
+// Passes reports whether a host passes on what it has heard directly from a host of some data
+// centre.
+func Passes(self Member, from fleet.DataCentre, others []Member) bool {
+	if !Large(1 + len(others)) {
+		return false
+	}
+	return from != self.DataCentre || crowded(1+len(Beside(self.DataCentre, others)))
+}
+
 // Beside returns the hosts to which a door passes on what it hears from elsewhere.
 func Beside(own fleet.DataCentre, others []Member) []fleet.Host {
 	var out []fleet.Host
@@ -117,8 +145,11 @@
 }
 
 // doorsOf returns the doors of a data centre, chosen alike by all hosts that hear the same
-// ones: of those that are heard and stay, the first by their hash. If too few are heard the
-// others are tried, as when the fleet starts or a cut has ended.
+// ones: of those that are heard and stay, the strongest, and then the first by their hash. If
+// too few are heard the others are tried, as when the fleet starts or a cut has ended.
+//
+// The strongest, as a door sends each host of its data centre what it hears of the whole fleet,
+// which fills the link of a small host of a fleet of hundreds.
 //
 // The guard on those that leave is for hosts that are restarted in turn: both doors were among
 // them at once, and a whole data centre heard nobody else for two seconds.
@@ -131,6 +162,8 @@
 			return -1
 		case stays != other:
 			return 1
+		case a.Capacity != b.Capacity:
+			return cmp.Compare(b.Capacity, a.Capacity)
 		case ra != rb && ra > rb:
 			return -1
 		case ra != rb:
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -31,7 +31,7 @@
 
 func ExampleRecipients() {
 	small := []mesh.Member{{Host: "h2", DataCentre: "obihiro"}, {Host: "h3", DataCentre: "sapporo"}}
-	fmt.Println(mesh.Recipients("obihiro", small))
+	fmt.Println(mesh.Recipients(mesh.Member{Host: "h1", DataCentre: "obihiro"}, small))
 	// Output: [h2 h3]
 }
 
@@ -42,15 +42,17 @@
 	for _, n := range []int{2, 8, 16, 17, 80, 300} {
 		ms := members(n)
 		for from := range ms {
-			direct := mesh.Recipients(ms[from].DataCentre, others(ms, from))
+			direct := mesh.Recipients(ms[from], others(ms, from))
 			reached := fleet.NewSet(direct...)
 			far := 0
 			for _, h := range direct {
 				at := slices.IndexFunc(ms, func(m mesh.Member) bool { return m.Host == h })
-				if ms[at].DataCentre == ms[from].DataCentre {
+				if ms[at].DataCentre != ms[from].DataCentre {
+					far++
+				}
+				if !mesh.Passes(ms[at], ms[from].DataCentre, others(ms, at)) {
 					continue
 				}
-				far++
 				for _, b := range mesh.Beside(ms[at].DataCentre, others(ms, at)) {
 					reached.Add(b)
 				}
@@ -78,14 +80,14 @@
 
 func testReplaced(c *qt.C, end func(m *mesh.Member)) {
 	ms := members(60)
-	before := mesh.Recipients("dc0", others(ms, 0))
+	before := mesh.Recipients(ms[0], others(ms, 0))
 	dead := before[len(before)-1]
 	for n := range ms {
 		if ms[n].Host == dead {
 			end(&ms[n])
 		}
 	}
-	after := mesh.Recipients("dc0", others(ms, 0))
+	after := mesh.Recipients(ms[0], others(ms, 0))
 	c.Assert(after, qt.HasLen, len(before))
 	c.Assert(slices.Contains(after, dead), qt.IsFalse)
 	same := 0
@@ -104,7 +106,7 @@
 	for n := range ms {
 		ms[n].Heard = ms[n].DataCentre == "dc0"
 	}
-	c.Assert(mesh.Recipients("dc0", others(ms, 0)), qt.HasLen, 19+4)
+	c.Assert(mesh.Recipients(ms[0], others(ms, 0)), qt.HasLen, 19+4)
 }
 
 // Of the hosts of a data centre one passes on at once what it hears, and the others wait for it;
@@ -130,3 +132,36 @@
 	c.Assert(after, qt.HasLen, 1)
 	c.Assert(after[0], qt.Not(qt.Equals), before[0])
 }
+
+// Guards against a host whose reports take its processor and its link, the more the larger the
+// fleet is.
+func TestDatagramsOfAHostDoNotGrowWithTheFleet(t *testing.T) {
+	c := qt.New(t)
+	for _, n := range []int{30, 100, 300, 920} {
+		ms := members(n)
+		for h := range ms {
+			to := mesh.Recipients(ms[h], others(ms, h))
+			// Six are the doors of three data centres; a small data centre has no need of its own.
+			c.Assert(len(to) <= max(6, n/3+4) && len(to) <= 36, qt.IsTrue, qt.Commentf("%d of %d", len(to), n))
+		}
+	}
+}
+
+// Guards against a door that is a small host: what a door passes on fills its link.
+func TestStrongHostsAreDoors(t *testing.T) {
+	c := qt.New(t)
+	ms := members(300)
+	for n := range ms {
+		ms[n].Capacity = 0.2
+	}
+	strong := fleet.NewSet[fleet.Host]()
+	for n := range 9 {
+		ms[100+n].Capacity = 0.8
+		strong.Add(ms[100+n].Host)
+	}
+	to := mesh.Recipients(ms[0], others(ms, 0))
+	c.Assert(to, qt.HasLen, 6)
+	for _, h := range to {
+		c.Check(strong.Has(h), qt.IsTrue, qt.Commentf("%s", h))
+	}
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -38,9 +38,14 @@
 	centres map[fleet.Host]fleet.DataCentre
 	// known are the hosts that were heard.
 	known map[fleet.Host]*peer
-	// passing are the reports that wait to be passed on; the last were at passedAt.
+	// passing are the reports that wait to be passed on; the last were at passedAt. urgent is set
+	// while one of them has news that don't wait.
 	passing  []held
 	passedAt time.Time
+	urgent   bool
+	// listed are the other hosts as the mesh wants to know them, as of listedAt.
+	listed   []mesh.Member
+	listedAt time.Time
 	// reported is when the last report was sent, doubted how many doubts it had, reached how
 	// many instances that others doubt.
 	reported         time.Time
@@ -53,21 +58,24 @@
 	behind time.Time
 }
 
-// held is a report that waits to be passed on, with when it came.
+// held is a report that waits to be passed on, with when it came; an urgent one doesn't wait.
 type held struct {
 	report gossip.Report
 	at     time.Time
+	urgent bool
 }
 
 // hold keeps a report until it is passed on, in place of an earlier one of its host.
-func (p *peers) hold(r gossip.Report, now time.Time) {
+func (p *peers) hold(r gossip.Report, now time.Time, urgent bool) {
+	p.urgent = p.urgent || urgent
 	for n := range p.passing {
 		if p.passing[n].report.Host == r.Host {
 			p.passing[n].report = r
+			p.passing[n].urgent = p.passing[n].urgent || urgent
 			return
 		}
 	}
-	p.passing = append(p.passing, held{r, now})
+	p.passing = append(p.passing, held{r, now, urgent})
 }
 
 // passedBy drops what another host has passed on.
@@ -80,8 +88,9 @@
 // due takes out the reports that have waited for long enough.
 func (p *peers) due(now time.Time, hold time.Duration) []gossip.Report {
 	var out []gossip.Report
+	p.urgent = false
 	p.passing = slices.DeleteFunc(p.passing, func(o held) bool {
-		if now.Sub(o.at) < hold {
+		if now.Sub(o.at) < hold && !o.urgent {
 			return false
 		}
 		out = append(out, o.report)
@@ -94,9 +103,13 @@
 type peer struct {
 	address    string
 	dataCentre fleet.DataCentre
+	capacity   fleet.Capacity
 	heard      time.Time
 	leaving    bool
 	storeless  bool
+	// news counts the instances of its last report that it can't reach, or can although another
+	// host can't.
+	news int
 	// epoch and seq are those of its last report, which comes over more than one way; former
 	// is the epoch of its process before.
 	epoch, seq, former uint64
@@ -105,14 +118,24 @@
 // size is the number of hosts, this one included.
 func (p *peers) size() int { return 1 + len(p.addresses) }
 
+// membersFor is how long a list of the members is used: a door looks at it for each report.
+const membersFor = 50 * time.Millisecond
+
 // members returns the other hosts as the mesh wants to know them.
 func (p *peers) members(now time.Time) []mesh.Member {
+	if len(p.listed) != len(p.addresses) || now.Sub(p.listedAt) >= membersFor {
+		p.listed, p.listedAt = p.list(now), now
+	}
+	return p.listed
+}
+
+func (p *peers) list(now time.Time) []mesh.Member {
 	fresh := mesh.PaceOf(p.size()).Fresh
 	out := make([]mesh.Member, 0, len(p.addresses))
 	for n := range p.addresses {
 		m := mesh.Member{Host: n, DataCentre: p.centres[n]}
 		if k := p.known[n]; k != nil {
-			m.Heard, m.Leaving = now.Sub(k.heard) < fresh, k.leaving
+			m.Heard, m.Leaving, m.Capacity = now.Sub(k.heard) < fresh, k.leaving, k.capacity
 		}
 		out = append(out, m)
 	}
@@ -191,8 +214,8 @@
 	digest, at := h.registry.Listing()
 	r := gossip.Report{
 		Host: h.settings.Host.Name, Leaving: h.relay.Draining(), Epoch: h.peers.epoch, Seq: h.peers.seq,
-		Storeless: !h.registry.Up(),
-		Usages:    h.rates.Usage(now, whole), Catalog: h.peers.catalog, Record: h.relay.Record(),
+		Storeless: !h.registry.Up(), Capacity: h.settings.Adapter.Capacity,
+		Usages: h.rates.Usage(now, whole), Catalog: h.peers.catalog, Record: h.relay.Record(),
 		CatalogAge: now.Sub(h.registry.Read()), Reached: reached,
 		Instances: digest, InstancesAge: now.Sub(at),
 	}
@@ -202,18 +225,25 @@
 	for i, d := range doubts {
 		r.Doubts = append(r.Doubts, gossip.Doubt{Instance: i, Silent: d})
 	}
-	to := mesh.Recipients(h.settings.Host.DataCentre, h.peers.members(now))
+	to := mesh.Recipients(h.self(), h.peers.members(now))
 	h.gossip.Send(r, h.peers.at(to))
 }
 
+// self is this host as the mesh wants to know it.
+func (h *Host) self() mesh.Member {
+	return mesh.Member{
+		Host: h.settings.Host.Name, DataCentre: h.settings.Host.DataCentre, Heard: true,
+		Leaving: h.relay.Draining(), Capacity: h.settings.Adapter.Capacity,
+	}
+}
+
 // pass passes on what was heard from other data centres to the hosts beside this one.
 func (h *Host) pass(now time.Time) {
-	if len(h.peers.passing) == 0 || now.Sub(h.peers.passedAt) < mesh.PaceOf(h.peers.size()).Pass {
+	waits := now.Sub(h.peers.passedAt) < mesh.PaceOf(h.peers.size()).Pass && !h.peers.urgent
+	if len(h.peers.passing) == 0 || waits {
 		return
 	}
-	self := mesh.Member{Host: h.settings.Host.Name, DataCentre: h.settings.Host.DataCentre}
-	others := h.peers.members(now)
-	self.Leaving = h.relay.Draining()
+	self, others := h.self(), h.peers.members(now)
 	rs := h.peers.due(now, mesh.Hold(self, others))
 	if len(rs) == 0 {
 		return
@@ -233,15 +263,26 @@
 			if r.Host == h.settings.Host.Name || h.peers.older(r) {
 				continue
 			}
+			before := 0
+			if k := h.peers.known[r.Host]; k != nil {
+				before = k.news
+			}
 			h.take(r)
-			far := h.peers.known[r.Host].dataCentre != h.settings.Host.DataCentre
-			if far && !passed && mesh.Large(h.peers.size()) {
-				h.peers.hold(r, clock.Now())
+			if !passed && h.passes(r.Host) {
+				h.peers.hold(r, clock.Now(), h.peers.known[r.Host].news > before)
 			}
 		}
 	})
 }
 
+// passes reports whether what a host has told this one directly is to be passed on.
+func (h *Host) passes(from fleet.Host) bool {
+	if !mesh.Large(h.peers.size()) {
+		return false
+	}
+	return mesh.Passes(h.self(), h.peers.known[from].dataCentre, h.peers.members(clock.Now()))
+}
+
 // take takes in another host's report.
 func (h *Host) take(r gossip.Report) {
 	now := clock.Now()
@@ -260,6 +301,7 @@
 	if k.epoch != r.Epoch {
 		k.former = k.epoch
 	}
+	k.capacity, k.news = r.Capacity, len(r.Doubts)+len(r.Reached)
 	k.heard, k.leaving, k.storeless, k.epoch, k.seq = now, r.Leaving, r.Storeless, r.Epoch, r.Seq
 	h.rates.Heard(now, r.Host, r.Epoch, r.Seq, r.Usages)
 	is := make([]fleet.Instance, 0, len(r.Doubts))
