Have strong hosts hold connections, and link to holders only

Causes: the holder of an instance was any host by its hash, mostly one of 0.192 of a core; each host opened a link to each other one (86,730 in all) and looked through all hosts for each instance at each tick; a host that was nobody's holder might have two connections of its own to each instance, 590 of 135; whoever heard of a doubt made a connection to see for itself, 295 at once.

Change: the holder is the first by hash of the hosts with at least half of the strongest one's capacity, ranked once for each change of the hosts. In a large fleet links go to holders and one standby for each, and statements wait some round trips for a link that is being made. A host that isn't the holder has one connection, for questions, where two for each would fill the instance. Sixteen hosts look at a doubt.

Holds: fleet_test.go plays 30, 100, 300 and 920 hosts without a network; each of its tests fails with its part of the change taken out.

--- a/core/relay/connections.go
+++ b/core/relay/connections.go
@@ -37,7 +37,10 @@
 	n := max(leastCap, i.share())
 	switch _, held := i.g.r.holder(i); {
 	case i.direct(now):
-	case i.g.r.alone(i) && now.Sub(i.g.r.began) < acquaintance:
+	case i.g.r.alone(i) && (now.Sub(i.g.r.began) < acquaintance || leastCap*i.g.r.hosts > i.total()):
+		n = 1
+	case held && leastCap*i.g.r.hosts > i.total():
+		// For questions only: all hosts together would fill the instance with no statement.
 		n = 1
 	case !held:
 		// What the others have left over from before is closed soon: the pauses between the
@@ -196,6 +199,9 @@
 
 // sweep closes borrowed connections that rest and those to an instance that has gone.
 func (i *instance) sweep(now time.Time) {
+	if len(i.conns) == 0 {
+		return
+	}
 	keep, rest := i.share(), restFor
 	if _, ok := i.g.r.holder(i); ok {
 		keep, rest = 0, strayFor
--- a/core/relay/duty.go
+++ b/core/relay/duty.go
@@ -103,7 +103,7 @@
 }
 
 // Doubted takes in what another host can't reach, and what it can although others can't.
-// Who hears of a doubt looks for itself.
+// Who hears of a doubt and is a witness looks for itself.
 func (r *Relay) Doubted(from fleet.Host, is, reached []fleet.Instance) {
 	now := r.now()
 	if r.duty.doubts == nil {
@@ -118,7 +118,7 @@
 	for _, n := range is {
 		for _, g := range r.groups {
 			i := g.instances[n]
-			if i != nil && !i.gone && now.Sub(i.lastHeard) > wonderAfter && now.Sub(i.askedAt) > wonderAfter {
+			if i != nil && !i.gone && now.Sub(i.lastHeard) > wonderAfter && now.Sub(i.askedAt) > wonderAfter && r.witness(i) {
 				g.probe(now, i)
 			}
 		}
@@ -254,7 +254,7 @@
 		Choice: "step down", Reason: "its successor is about to lead",
 	})
 	a, ok := g.anyAccount()
-	if p, over := r.holder(i); over && ok {
+	if p, over := r.holder(i); over && ok && p.Send != nil {
 		i.over(p, a).stepDown(o.Term, nil)
 		return
 	}
--- /dev/null
+++ b/core/relay/fleet_test.go
@@ -0,0 +1,159 @@
+package relay_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/relay"
+	"skylarkdeal/core/statement"
+)
+
+const (
+	strong fleet.Capacity = 0.8
+	weak   fleet.Capacity = 0.2
+	// strongEach is how many strong hosts each data centre of a large fleet has.
+	strongEach = 3
+)
+
+// fleetSizes are those that a host's cost is compared at.
+var fleetSizes = []int{30, 100, 300, 920}
+
+// fleetOf returns n hosts in five data centres, of which the first three have the instances.
+func fleetOf(n int) []relay.Peer {
+	out := make([]relay.Peer, n)
+	for h := range out {
+		out[h] = relay.Peer{
+			Host:       fleet.Host(fmt.Sprintf("h%d", h)),
+			DataCentre: fleet.DataCentre(fmt.Sprintf("dc%d", h%5)),
+			Capacity:   weak, Send: func(relay.Forward) {},
+		}
+		if h < 5*strongEach {
+			out[h].Capacity = strong
+		}
+	}
+	return out
+}
+
+// join returns the relay of one host of a fleet, before many groups of three instances.
+func join(c *qt.C, hosts []relay.Peer, n, groups int) *world {
+	w := worldOf(c, hosts[n], time.Minute)
+	var is []catalog.Instance
+	for g := range groups {
+		for d := range 3 {
+			is = append(is, catalog.Instance{
+				Name:    fleet.Instance(fmt.Sprintf("i%d-%d", g, d)),
+				Service: fleet.Service(fmt.Sprintf("s%d", g)), DataCentre: fleet.DataCentre(fmt.Sprintf("dc%d", d)),
+				Slots: 2,
+			})
+		}
+	}
+	w.relay.Listed(is, w.now)
+	w.relay.SetHosts(len(hosts))
+	w.relay.SetPeers(append(append([]relay.Peer(nil), hosts[:n]...), hosts[n+1:]...), 0)
+	return w
+}
+
+// holders returns the host over which a host uses each instance.
+func (w *world) holders(self fleet.Host) map[fleet.Instance]fleet.Host {
+	out := map[fleet.Instance]fleet.Host{}
+	for _, g := range w.relay.State().Groups {
+		if g.Service == service {
+			continue
+		}
+		for _, i := range g.Instances {
+			out[i.Instance] = i.Holder
+			if i.Holder == "" {
+				out[i.Instance] = self
+			}
+		}
+	}
+	return out
+}
+
+// Guards against links and holders that grow with the fleet.
+func TestLinksOfAHostDoNotGrowWithTheFleet(t *testing.T) {
+	c := qt.New(t)
+	const groups = 20
+	for _, n := range fleetSizes {
+		hosts := fleetOf(n)
+		var agreed map[fleet.Instance]fleet.Host
+		for h := 0; h < n; h += max(n/20, 1) {
+			w := join(c, hosts, h, groups)
+			got := w.holders(hosts[h].Host)
+			if agreed == nil {
+				agreed = got
+			}
+			c.Assert(got, qt.DeepEquals, agreed)
+			// The world has three more instances, where no host is.
+			c.Assert(len(w.relay.Holders()) <= 3*strongEach+3, qt.IsTrue,
+				qt.Commentf("%d links of %d hosts", len(w.relay.Holders()), n))
+		}
+	}
+}
+
+// Guards against callers who wait for a small host that holds a busy instance: its processor is
+// taken by what the whole fleet sends through it.
+func TestNoHolderIsTakenUpByItsInstances(t *testing.T) {
+	c := qt.New(t)
+	const (
+		groups = 20
+		// A loaded instance runs a statement in 9 ms on each of its two slots, and each takes the
+		// holder half a millisecond.
+		statements     = 2 / 0.009
+		holderWork     = 0.0005
+		mostOfCapacity = 1.5
+	)
+	for _, n := range fleetSizes {
+		hosts := fleetOf(n)
+		of := map[fleet.Host]fleet.Capacity{}
+		for _, h := range hosts {
+			of[h.Host] = h.Capacity
+		}
+		work := map[fleet.Host]float64{}
+		for _, h := range join(c, hosts, 0, groups).holders(hosts[0].Host) {
+			work[h] += statements * holderWork
+		}
+		for h, cores := range work {
+			c.Check(of[h], qt.Equals, strong, qt.Commentf("%s of %d hosts", h, n))
+			c.Check(cores/float64(of[h]) < mostOfCapacity, qt.IsTrue, qt.Commentf("%s: %g cores", h, cores))
+		}
+	}
+}
+
+// Guards against an instance whose connections are used up by hosts that look whether they reach
+// it, as all have heard that one doesn't.
+func TestDoubtIsLookedAtByFewHosts(t *testing.T) {
+	c := qt.New(t)
+	for _, n := range []int{300, 920} {
+		hosts := fleetOf(n)
+		dials := 0
+		for h := 1; h < n; h++ {
+			w := join(c, hosts, h, 0)
+			w.now = w.now.Add(time.Second)
+			w.relay.Doubted(hosts[0].Host, []fleet.Instance{"b"}, nil)
+			dials += w.instances["b"].dialled
+		}
+		c.Check(dials > 0 && dials <= 16, qt.IsTrue, qt.Commentf("%d connections of %d hosts", dials, n))
+	}
+}
+
+// Guards against a start at which no host hears another yet and each takes some connections: all
+// instances were full, and turned away the hosts that were to hold them.
+func TestHostsThatHearNobodyLeaveRoom(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c)
+	w.relay.SetHosts(12)
+	w.settled()
+	w.instances["a"].hold = true
+	for _, k := range []catalog.Key{"key-1", "key-1", "key-3", "key-3"} {
+		w.open("rush", k).do(statement.KindRead, "", "item")
+	}
+	for _, i := range w.relay.State().Groups[0].Instances {
+		c.Check(i.Connections <= 1, qt.IsTrue, qt.Commentf("%s: %d connections", i.Instance, i.Connections))
+	}
+}
--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -1,10 +1,9 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/leader"
@@ -41,7 +40,9 @@
 type Peer struct {
 	Host       fleet.Host
 	DataCentre fleet.DataCentre
-	// Send hands it a request.
+	// Capacity is what it can carry.
+	Capacity fleet.Capacity
+	// Send hands it a request. It is nil while there is no link to it.
 	Send func(f Forward)
 }
 
@@ -54,6 +55,10 @@
 // forwarding is what a relay needs for running statements by and for other hosts.
 type forwarding struct {
 	peers []Peer
+	// candidates are the hosts of each data centre that may hold connections; round counts their
+	// changes.
+	candidates map[fleet.DataCentre]candidates
+	round      uint64
 	// missing counts the hosts that ought to be there and aren't heard.
 	missing int
 	// secluded is set while no host of another data centre is heard, although there are some.
@@ -84,10 +89,16 @@
 	return i.share() >= directShare && now.Sub(i.g.r.began) > lingerFor
 }
 
-// SetPeers tells which other hosts can be used now, and how many are missing: those that
+// SetPeers tells which other hosts are heard now, and how many are missing: those that
 // are registered and not heard.
 func (r *Relay) SetPeers(ps []Peer, missing int) {
-	r.forwarding.peers, r.forwarding.missing = ps, missing
+	f := &r.forwarding
+	f.missing = missing
+	if f.candidates == nil || !slices.EqualFunc(f.peers, ps, samePeer) {
+		f.candidates = candidatesOf(append(slices.Clone(ps), r.self()))
+		f.round++
+	}
+	f.peers = ps
 }
 
 // SetSecluded tells whether no host of another data centre has been heard for a moment, although
@@ -120,55 +131,6 @@
 	return r.forwarding.secluded && r.lease.Quiet(now) && !now.Before(r.awake)
 }
 
-// holder returns the host over which an instance is used, false for this one.
-//
-// Where connections suffice each host uses its own, unless it can't reach the instance
-// and another says that it can. Else one host holds them for all. The hosts of the
-// instance's data centre go before all others, as its statements cross the network once
-// either way; among them the highest hash decides, so that all hosts that see the same
-// peers choose alike. One that sees others chooses another holder: the instance then has
-// two, with fewer connections each, and no harm done.
-func (r *Relay) holder(i *instance) (Peer, bool) {
-	now := r.now()
-	here := !i.doubtful(now)
-	if len(r.forwarding.peers) == 0 || here && i.direct(now) {
-		return Peer{}, false
-	}
-	best := Peer{Host: r.cfg.Host, DataCentre: r.cfg.DataCentre}
-	found := here
-	for _, p := range r.forwarding.peers {
-		if !r.mayReach(now, p.Host, i) {
-			continue
-		}
-		if !found || i.prefers(p, best) {
-			best, found = p, true
-		}
-	}
-	return best, best.Host != r.cfg.Host
-}
-
-// prefers reports whether p is a better holder of the instance than o.
-func (i *instance) prefers(p, o Peer) bool {
-	if near, was := p.DataCentre == i.info.DataCentre, o.DataCentre == i.info.DataCentre; near != was {
-		return near
-	}
-	return weight(p.Host, i.info.Name) > weight(o.Host, i.info.Name)
-}
-
-// mayReach reports whether another host may be able to reach an instance: it hasn't said
-// that it can't. Where each host uses its own connections it has to have said that it can.
-func (r *Relay) mayReach(now time.Time, h fleet.Host, i *instance) bool {
-	if now.Before(i.blocked[h]) {
-		return false
-	}
-	d := r.duty.doubts[h]
-	told := d.told(now)
-	if told && d.instances.Has(i.info.Name) {
-		return false
-	}
-	return !i.direct(now) || told && d.reached.Has(i.info.Name)
-}
-
 // reaches reports whether the instance can be used, by this host's own connections or
 // over another.
 func (r *Relay) reaches(now time.Time, i *instance) bool {
@@ -188,10 +150,6 @@
 	return !i.direct(r.now()) && len(r.forwarding.peers) == 0
 }
 
-func weight(h fleet.Host, i fleet.Instance) uint64 {
-	return xxhash.Sum64String(string(h) + "/" + string(i))
-}
-
 // over returns a connection to the instance over another host. It costs nothing to make:
 // the other host finds the real one.
 func (i *instance) over(p Peer, a fleet.Account) *Conn {
--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -60,6 +60,7 @@
 	moved bool
 	// askedAt is when it was last asked what it is.
 	askedAt time.Time
+	ranking ranking
 }
 
 const (
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -82,7 +82,10 @@
 		if !g.serves(now, i, o) {
 			continue
 		}
-		w := g.way(now, i, o)
+		w, ok := g.way(now, i, o)
+		if !ok {
+			continue
+		}
 		to := &ready
 		if w.conn == nil && w.peer.Host == "" {
 			to = &dial
@@ -134,8 +137,9 @@
 	return ok && i.joined(s) && (i.point.Covers(s.Point) || i.mayTry(now, o))
 }
 
-// way returns how an operation can reach an instance now.
-func (g *group) way(now time.Time, i *instance, o *operation) way {
+// way returns how an operation can reach an instance now, false while the link to its holder
+// is being made.
+func (g *group) way(now time.Time, i *instance, o *operation) (way, bool) {
 	w := way{inst: i}
 	leads := g.leads(i.info.Name)
 	about := ways.Way{
@@ -147,11 +151,14 @@
 	}
 	p, over := g.r.holder(i)
 	if over && o.s.instance == "" {
+		if p.Send == nil {
+			return way{}, false
+		}
 		w.peer = p
 	} else {
 		w.conn, about.Steps = i.idle(o.s.account, o.s, o.prep)
 		about.Connect = w.conn == nil
 	}
 	w.cost = about.Cost(o.route.Target)
-	return w
+	return w, true
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -18,7 +18,9 @@
 type Config struct {
 	Host       fleet.Host
 	DataCentre fleet.DataCentre
-	Now        func() time.Time
+	// Capacity is what the host can carry.
+	Capacity fleet.Capacity
+	Now      func() time.Time
 	// Dial has a connection made; Connected, Turned or Lost tells how it went.
 	Dial func(c *Conn)
 	// Admit takes one operation from an account's rate, or says when to come back.
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -166,7 +166,7 @@
 // new one.
 func (g *group) question(now time.Time, i *instance) {
 	if p, ok := g.r.holder(i); ok {
-		if a, ok := g.anyAccount(); ok && now.Sub(i.askedAt) > askAgain {
+		if a, ok := g.anyAccount(); ok && p.Send != nil && now.Sub(i.askedAt) > askAgain {
 			i.askedAt = now
 			i.over(p, a).ask()
 		}
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -42,9 +42,14 @@
 func newYoungWorld(c *qt.C) *world { return worldAged(c, 0) }
 
 func worldAged(c *qt.C, age time.Duration) *world {
+	return worldOf(c, relay.Peer{Host: "h1", DataCentre: "obihiro"}, age)
+}
+
+// worldOf returns the relay of a host of some age.
+func worldOf(c *qt.C, h relay.Peer, age time.Duration) *world {
 	w := &world{c: c, now: time.Unix(1000, 0).Add(-age), instances: map[fleet.Instance]*node{}}
 	w.relay = relay.New(relay.Config{
-		Host: "h1", DataCentre: "obihiro",
+		Host: h.Host, DataCentre: h.DataCentre, Capacity: h.Capacity,
 		Now: func() time.Time { return w.now },
 		Dial: func(c *relay.Conn) {
 			w.dial(c)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -62,8 +62,9 @@
 	gossip   *gossip.Gossip
 	peers    peers
 	rates    share.Fleet
-	// links are to the hosts that were heard.
-	links map[fleet.Host]*link
+	// links are to the hosts that were heard, looked after at tended.
+	links  map[fleet.Host]*link
+	tended time.Time
 	// accepted counts the links from other hosts.
 	accepted relay.LinkID
 	balancer *operator.Server
@@ -94,6 +95,7 @@
 	h.relay = relay.New(relay.Config{
 		Host:        s.Host.Name,
 		DataCentre:  s.Host.DataCentre,
+		Capacity:    s.Adapter.Capacity,
 		Now:         clock.Now,
 		Dial:        h.dial,
 		ParseStatus: platform.ParseStatus,
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -26,22 +26,31 @@
 	// linkTimeout bounds a connection to another host, linkPause the time to the next try.
 	linkTimeout = 500 * time.Millisecond
 	linkPause   = 300 * time.Millisecond
+	// linkPatience is how long statements wait for a link that is being made, some round trips,
+	// before another host is used.
+	linkPatience = 100 * time.Millisecond
+	// linkRest closes a link that isn't wanted any more: longer than any statement or transaction
+	// may last on it.
+	linkRest = 10 * time.Second
+	// tendEvery spaces the looks at all other hosts: hundreds, in a large fleet.
+	tendEvery = 50 * time.Millisecond
 )
 
 // link is the connection to another host by which this one has statements run there.
 type link struct {
 	host fleet.Host
 	conn *loop.Conn
-	// up is set once it stands, tried when it was last tried.
-	up    bool
-	tried time.Time
-	// heard is when anything last came over it.
-	heard time.Time
-	out   []byte
+	// up is set once it stands, tried when it was last tried; failed is set from a try that came to
+	// nothing until it stands.
+	up, failed bool
+	tried      time.Time
+	// heard is when anything last came over it, used when anything was last sent.
+	heard, used time.Time
+	out         []byte
 }
 
-// tendLinks keeps a link to each host that is heard, and tells the relay which can be
-// used.
+// tendLinks keeps a link to each host that is heard, in a large fleet only to those over which
+// instances are used, and tells the relay which can be used.
 //
 // The guard is against a host that has died or stands still: its link resets nothing, and
 // every statement sent there would wait for its time limit. A host that is alive reports
@@ -49,7 +58,12 @@
 // on their way while the host itself answers; then its answers count.
 func (h *Host) tendLinks() {
 	now := clock.Now()
+	if now.Sub(h.tended) < tendEvery {
+		return
+	}
+	h.tended = now
 	fresh := mesh.PaceOf(h.peers.size()).Fresh
+	wanted := h.wanted()
 	var usable []relay.Peer
 	for name, p := range h.peers.known {
 		l := h.links[name]
@@ -64,10 +78,18 @@
 				zap.Duration("silent", now.Sub(p.heard)))
 			l.conn.Close()
 			h.dropLink(l)
-		case alive && l.conn == nil && p.address != "" && now.Sub(l.tried) > linkPause:
+		case alive && l.conn == nil && p.address != "" && (l.failed || wanted(name)) && now.Sub(l.tried) > linkPause:
 			h.openLink(l, p.address)
-		case alive && l.up && !p.leaving:
-			usable = append(usable, relay.Peer{Host: name, DataCentre: p.dataCentre, Send: l.send})
+		case l.up && !wanted(name) && now.Sub(l.used) > linkRest:
+			l.conn.Close()
+			h.dropLink(l)
+		}
+		if alive && !p.leaving && h.usable(l, now) {
+			peer := relay.Peer{Host: name, DataCentre: p.dataCentre, Capacity: p.capacity}
+			if l.up {
+				peer.Send = l.send
+			}
+			usable = append(usable, peer)
 		}
 	}
 	missing := 0
@@ -85,6 +107,26 @@
 	}
 }
 
+// wanted tells which links are worth keeping.
+func (h *Host) wanted() func(n fleet.Host) bool {
+	if !mesh.Large(h.peers.size()) {
+		return func(fleet.Host) bool { return true }
+	}
+	return h.relay.Holders().Has
+}
+
+// usable reports whether statements may be sent over a link, or may soon.
+func (h *Host) usable(l *link, now time.Time) bool {
+	switch {
+	case l.up || !mesh.Large(h.peers.size()):
+		return l.up
+	case l.failed:
+		return false
+	default:
+		return l.conn == nil || now.Sub(l.tried) < linkPatience
+	}
+}
+
 // secludedPart is the part of the time after which a host counts as not heard any more that all
 // hosts elsewhere have to be silent together.
 const secludedPart = 2
@@ -110,17 +152,20 @@
 	if l.conn == nil {
 		return
 	}
+	l.used = clock.Now()
 	l.out = forward.AppendRequest(l.out[:0], f)
 	l.conn.Write(l.out)
 }
 
 func (h *Host) dropLink(l *link) {
+	l.failed = l.failed || !l.up
 	l.conn, l.up = nil, false
 	h.relay.PeerLost(l.host)
 }
 
 func (h *Host) openLink(l *link, address string) {
 	l.tried = clock.Now()
+	l.used = l.tried
 	c := &loop.Conn{}
 	l.conn = c
 	in := forward.Reader{
@@ -132,7 +177,7 @@
 		},
 	}
 	c.Opened = func() {
-		l.up = true
+		l.up, l.failed = true, false
 		c.Write(forward.AppendHello(nil, h.settings.Host.Name))
 	}
 	c.Data = h.reader("host "+string(l.host), in.Take, func(error) { c.Close() })
