--- /dev/null
+++ b/core/follow/follow_test.go
@@ -0,0 +1,254 @@
+package follow_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/follow"
+	"skylarkdeal/core/leader"
+)
+
+func ExampleCopies() {
+	var c follow.Copies[string]
+	c.Put(follow.PartCatalog, 7, time.Unix(1, 0), "the catalog")
+	has := map[follow.Part]follow.Version{}
+	fmt.Println(c.For(has)[follow.PartCatalog].Body)
+	fmt.Println(c.For(has)[follow.PartCatalog].Whole)
+	// Output:
+	// the catalog
+	// false
+}
+
+// Guards against an older reading, whose answer came late, in place of a newer one.
+func TestOlderReadingChangesNothing(t *testing.T) {
+	c := qt.New(t)
+	var s follow.Copies[string]
+	s.Put(follow.PartInstances, 2, time.Unix(5, 0), "new")
+	s.Put(follow.PartInstances, 1, time.Unix(4, 0), "old")
+	c.Assert(s.For(map[follow.Part]follow.Version{})[follow.PartInstances].Body, qt.Equals, "new")
+}
+
+// Guards against moments that look more recent than they are, by clocks that differ and messages
+// that are long on their way.
+func TestNoMomentIsTranslatedTooLate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		// The true time is this host's clock; the other's is ahead or behind, and drifts.
+		span := func(name string, most time.Duration) time.Duration {
+			return time.Duration(rapid.Int64Range(0, int64(most)).Draw(t, name))
+		}
+		offset := span("offset", time.Hour) - 30*time.Minute
+		drift := rapid.Float64Range(-0.0005, 0.0005).Draw(t, "drift")
+		other := func(at time.Time) time.Time {
+			since := at.Sub(time.Unix(1000, 0))
+			return at.Add(offset + time.Duration(float64(since)*drift))
+		}
+		var c follow.Clock
+		sent := time.Unix(1000, 0)
+		for range rapid.IntRange(1, 4).Draw(t, "echoes") {
+			sent = sent.Add(span("pause", 3*time.Second))
+			c.Echo(sent, other(sent.Add(span("way", 2*time.Second))))
+		}
+		at := sent.Add(span("at", 15*time.Second) - 5*time.Second)
+		got, ok := c.NotBefore(other(at))
+		if ok && got.After(at) {
+			t.Fatalf("%v was taken for %v", at, got)
+		}
+	})
+}
+
+// Guards against a follower that takes a primary's answers for proved after an order has taken
+// effect that it has not heard of: the reader's registration was ended, and the news of it, or of
+// the renewals before it, were long on their way.
+func TestFollowerIsNotCertainOnceAnOrderHasTakenEffect(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		span := func(name string, most time.Duration) time.Duration {
+			return time.Duration(rapid.Int64Range(0, int64(most)).Draw(t, name))
+		}
+		start := time.Unix(1000, 0)
+		offset := span("offset", time.Hour)
+		ended := start.Add(span("ended", 5*time.Second))
+		effect := ended.Add(leader.LeaseValidity)
+		var c follow.Clock
+		var l leader.Lease
+		arrived := start
+		for sent := start; sent.Before(ended.Add(3 * time.Second)); sent = sent.Add(300 * time.Millisecond) {
+			// The store has ended the registration before a renewal reaches it from then on.
+			reached := sent.Add(span("to the store", 50*time.Millisecond))
+			if !reached.Before(ended) {
+				break
+			}
+			// News come in their order, each after some time; the question that they echo was sent
+			// before the reader heard it.
+			arrived = later(arrived, reached).Add(span("on the way", 2*time.Second))
+			heard := reached.Add(-span("heard", 300*time.Millisecond))
+			c.Echo(heard.Add(-span("asked", time.Second)), heard.Add(offset))
+			if at, ok := c.NotBefore(sent.Add(offset)); ok {
+				l.Renewed(at)
+			}
+			if at := later(arrived, effect); l.Certain(at) {
+				t.Fatalf("certain %v after the order took effect", at.Sub(effect))
+			}
+		}
+	})
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// centre is the hosts of one data centre, which hear each other's reports late.
+type centre struct {
+	now   time.Time
+	hosts []*host
+}
+
+type host struct {
+	follow.Candidate
+	since, renewed time.Time
+	dead           bool
+	// told is what the others have heard of it, which becomes so at toldAt.
+	told, next follow.Candidate
+	refused    bool
+}
+
+func newCentre(n int) *centre {
+	s := &centre{now: time.Unix(1000, 0)}
+	for h := range n {
+		o := &host{Candidate: follow.Candidate{Host: fleet.Host(fmt.Sprintf("h%d", h)), Capacity: 0.2}, since: s.now}
+		if h < 3 {
+			o.Capacity = 0.8
+		}
+		// The census of a start has found nobody, for the first of them.
+		o.Reads = h == 0
+		s.hosts = append(s.hosts, o)
+	}
+	return s
+}
+
+// run lets time go by; reports take 0.4 s at most.
+func (s *centre) run(d time.Duration) (most int) {
+	const step = 50 * time.Millisecond
+	for n := range int(d / step) {
+		s.now = s.now.Add(step)
+		if n%8 == 0 {
+			for _, o := range s.hosts {
+				o.told, o.next = o.next, o.Candidate
+			}
+		}
+		serving := false
+		for _, o := range s.hosts {
+			o.Storeless = o.Reads && o.refused
+			serving = serving || o.Reads && !o.refused && !o.dead
+		}
+		for _, o := range s.hosts {
+			if serving {
+				o.renewed = s.now
+			}
+			s.choose(o)
+		}
+		most = max(most, s.readers())
+	}
+	return most
+}
+
+func (s *centre) choose(o *host) {
+	if o.dead {
+		return
+	}
+	var others []follow.Candidate
+	for _, x := range s.hosts {
+		if x != o && !x.dead && x.told.Host != "" {
+			others = append(others, x.told)
+		}
+	}
+	reads := follow.Choose(s.now, follow.Standing{
+		Self: o.Candidate, Others: others, Since: o.since, Renewed: o.renewed,
+	}) == follow.RoleReader
+	if reads != o.Reads {
+		o.Reads, o.since = reads, s.now
+	}
+}
+
+func (s *centre) readers() int {
+	n := 0
+	for _, o := range s.hosts {
+		if o.Reads && !o.dead {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against calls to the store that grow with the fleet: renewals are by far the most of them.
+func TestReadersDoNotGrowWithTheDataCentre(t *testing.T) {
+	c := qt.New(t)
+	for _, n := range []int{6, 20, 60, 184} {
+		s := newCentre(n)
+		c.Check(s.run(10*time.Second) <= 4, qt.IsTrue, qt.Commentf("%d hosts", n))
+		c.Check(s.readers(), qt.Equals, 2, qt.Commentf("%d hosts", n))
+	}
+}
+
+// Guards against a data centre that loses its readers: nothing is proved any more, and no change of
+// the catalog arrives.
+func TestReadersThatDieAreReplaced(t *testing.T) {
+	c := qt.New(t)
+	s := newCentre(60)
+	s.run(10 * time.Second)
+	for _, o := range s.hosts {
+		o.dead = o.Reads
+	}
+	s.run(2 * time.Second)
+	c.Assert(s.readers() > 0, qt.IsTrue)
+	s.run(10 * time.Second)
+	c.Assert(s.readers(), qt.Equals, 2)
+}
+
+// Guards against a store that is down and is tried by every host of the fleet, and one that turns
+// the readers away while it would serve others.
+func TestStoreThatServesNobodyIsTriedByFew(t *testing.T) {
+	c := qt.New(t)
+	s := newCentre(60)
+	s.run(10 * time.Second)
+	for _, o := range s.hosts {
+		o.refused = true
+	}
+	c.Check(s.run(20*time.Second) <= 9, qt.IsTrue)
+	s = newCentre(60)
+	s.run(10 * time.Second)
+	for _, o := range s.hosts {
+		o.refused = o.Reads
+	}
+	s.run(3 * time.Second)
+	served := 0
+	for _, o := range s.hosts {
+		if o.Reads && !o.refused {
+			served++
+		}
+	}
+	c.Check(served > 0, qt.IsTrue)
+}
+
+// Guards against followers that all hang on one reader.
+func TestFollowersAreSpread(t *testing.T) {
+	c := qt.New(t)
+	readers := []follow.Candidate{{Host: "a", Reads: true}, {Host: "b", Reads: true}, {Host: "c"}}
+	got := map[fleet.Host]int{}
+	for n := range 100 {
+		lead, ok := follow.Lead(fleet.Host(fmt.Sprintf("h%d", n)), readers)
+		c.Assert(ok, qt.IsTrue)
+		got[lead]++
+	}
+	c.Assert(got["a"]+got["b"], qt.Equals, 100)
+	c.Assert(got["a"] > 25 && got["b"] > 25, qt.IsTrue)
+	_, ok := follow.Lead("h", []follow.Candidate{{Host: "a", Reads: true, Storeless: true}, {Host: "c"}})
+	c.Assert(ok, qt.IsFalse)
+}
--- a/core/relay/duty.go
+++ b/core/relay/duty.go
@@ -51,6 +51,9 @@
 	surveyLimit = 400 * time.Millisecond
 )
 
+// HoldsDuty reports whether this host is the one that gives orders.
+func (r *Relay) HoldsDuty() bool { return r.duty.holds }
+
 // HoldDuty tells whether this host is the one that gives orders.
 func (r *Relay) HoldDuty(holds bool) {
 	if holds == r.duty.holds {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -63,8 +63,11 @@
 	peers    peers
 	rates    share.Fleet
 	// links are to the hosts that were heard, looked after at tended.
-	links  map[fleet.Host]*link
-	tended time.Time
+	links     map[fleet.Host]*link
+	tended    time.Time
+	following following
+	// began is when the host was started.
+	began time.Time
 	// accepted counts the links from other hosts.
 	accepted relay.LinkID
 	balancer *operator.Server
@@ -88,8 +91,11 @@
 		events: events{log: log, counts: map[relay.EventKind]int{}},
 	}
 	h.newMetrics()
+	h.began = clock.Now()
 	h.links = map[fleet.Host]*link{}
+	h.following.followers = map[relay.LinkID]*follower{}
 	h.peers.known = map[fleet.Host]*peer{}
+	h.peers.met = map[fleet.Host]time.Time{}
 	h.peers.epoch = uint64(clock.Now().UnixNano()) //nolint:gosec // never negative
 	h.registry = registry.New(h.registryConfig())
 	h.relay = relay.New(relay.Config{
@@ -159,6 +165,7 @@
 		Store: platform.NewStore(s.Store.Endpoints[0], h.countCall).Functions(),
 		Self: registry.Host{
 			Name: s.Host.Name, DataCentre: s.Host.DataCentre, Address: s.Peer.Address,
+			Capacity: s.Adapter.Capacity,
 		},
 		Prefix:         s.Store.Prefix[1:],
 		CatalogKey:     platform.CatalogKey,
@@ -168,12 +175,15 @@
 		Now:            clock.Now,
 		Rank:           func() int { return int(h.rank.Load()) },
 		Post:           func(f func()) { h.loop.Do(f) },
+		Census:         true,
+		Copied:         h.copied,
+		Role:           h.setRole,
 		Catalog:        h.adopt,
 		Instances:      func(is []catalog.Instance, read time.Time) { h.relay.Listed(is, read) },
 		Hosts:          h.registered,
 		Record:         func(r leader.Record) { h.relay.Recorded(r) },
-		Renewed:        func(sent time.Time) { h.relay.LeaseRenewed(sent) },
-		Lost:           func() { h.relay.LeaseLost() },
+		Renewed:        h.ownRenewed,
+		Lost:           h.ownLost,
 		Holds:          func(holds bool) { h.relay.HoldDuty(holds) },
 		Ordered:        func(o leader.Order, given, refused bool) { h.relay.Ordered(o, given, refused) },
 		StepDown:       func(o leader.Order) { h.relay.StepDown(o) },
--- /dev/null
+++ b/internal/entry/follow.go
@@ -0,0 +1,272 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/follow"
+	"skylarkdeal/core/leader"
+	"skylarkdeal/core/mesh"
+	"skylarkdeal/core/relay"
+	"skylarkdeal/internal/clock"
+	"skylarkdeal/io/forward"
+	"skylarkdeal/io/registry"
+)
+
+const (
+	// followEvery is how often a follower asks for news; each question brings the clocks
+	// together again.
+	followEvery = time.Second
+	// followFor is how long a reader passes on news after a question.
+	followFor = 3 * followEvery
+)
+
+// following is what a host needs to follow a reader of the store, and to be followed.
+type following struct {
+	role follow.Role
+	// since is when the host took its role, renewed when the last renewal was sent that it
+	// knows of, its own or a reader's.
+	since, renewed time.Time
+	// lead is the reader that it follows, asked when it was last asked for news, heard when news
+	// last came.
+	lead         fleet.Host
+	asked, heard time.Time
+	clock        follow.Clock
+	// registered are the hosts that were registered when the store was last asked, centres their
+	// data centres.
+	registered []registry.Host
+	centres    fleet.Set[fleet.DataCentre]
+
+	copies    follow.Copies[[]registry.Entry]
+	own       time.Time
+	followers map[relay.LinkID]*follower
+}
+
+// follower is a host that follows this one.
+type follower struct {
+	asked, heard time.Time
+	has          map[follow.Part]follow.Version
+	write        func(b []byte)
+}
+
+// reads reports whether this host reads the store.
+func (h *Host) reads() bool { return h.following.role == follow.RoleReader }
+
+// setRole takes in the role that the host begins with, or has chosen.
+func (h *Host) setRole(x follow.Role) {
+	if h.following.role == x {
+		return
+	}
+	h.following.role, h.following.since = x, clock.Now()
+	h.following.lead = ""
+	h.registry.SetRole(x)
+	if x == follow.RoleFollower {
+		clear(h.following.followers)
+	}
+}
+
+// chooseRole looks whether the host is to read the store or to follow one that does.
+func (h *Host) chooseRole(now time.Time) {
+	if h.following.role == "" {
+		return
+	}
+	if !mesh.Large(h.peers.size()) {
+		// A fleet that has just started looks small until its hosts have heard each other.
+		if now.Sub(h.began) > acquaintance {
+			h.setRole(follow.RoleReader)
+		}
+		return
+	}
+	if h.reads() && (h.relay.HoldsDuty() || h.relay.Draining()) {
+		return
+	}
+	self := follow.Candidate{
+		Host: h.settings.Host.Name, Capacity: h.settings.Adapter.Capacity, Reads: h.reads(),
+		Storeless: !h.registry.Up(),
+	}
+	h.setRole(follow.Choose(now, follow.Standing{
+		Self: self, Others: h.candidates(now), Since: h.following.since, Renewed: h.following.renewed,
+	}))
+}
+
+// acquaintance is how long a host that starts waits to hear of the others before it takes its
+// fleet for a small one.
+const acquaintance = 1500 * time.Millisecond
+
+// candidates returns the other hosts of the data centre that are heard and stay.
+func (h *Host) candidates(now time.Time) []follow.Candidate {
+	fresh := mesh.PaceOf(h.peers.size()).Fresh
+	var out []follow.Candidate
+	for n, k := range h.peers.known {
+		if k.dataCentre == h.settings.Host.DataCentre && !k.leaving && now.Sub(k.heard) < fresh {
+			out = append(out, follow.Candidate{Host: n, Capacity: k.capacity, Reads: k.reads, Storeless: k.storeless})
+		}
+	}
+	return out
+}
+
+// followStore keeps the host following a reader from which news come.
+func (h *Host) followStore(now time.Time) {
+	f := &h.following
+	if f.role != follow.RoleFollower {
+		return
+	}
+	if l := h.links[f.lead]; l == nil || l.failed || now.Sub(later(f.heard, f.asked)) > leader.QuietAfter {
+		h.choose(now)
+	}
+	l := h.links[f.lead]
+	if l == nil || !l.up || now.Sub(f.asked) < followEvery {
+		return
+	}
+	f.asked = now
+	l.used = now
+	l.conn.Write(forward.AppendFollow(nil, now))
+}
+
+// choose takes a reader to follow, another one than the last if there is one.
+func (h *Host) choose(now time.Time) {
+	f := &h.following
+	others := h.candidates(now)
+	if len(others) == 0 {
+		others = h.registeredBeside()
+	}
+	rest := slices.DeleteFunc(slices.Clone(others), func(c follow.Candidate) bool { return c.Host == f.lead })
+	lead, ok := follow.Lead(h.settings.Host.Name, rest)
+	if !ok {
+		lead, ok = follow.Lead(h.settings.Host.Name, others)
+	}
+	if !ok {
+		f.lead = ""
+		return
+	}
+	if lead != f.lead {
+		h.log.Debug("follow a reader of the store", zap.String("host", string(lead)))
+		f.clock = follow.Clock{}
+	}
+	// asked bounds the wait for its first news; the question goes out as soon as the link stands.
+	f.lead, f.asked, f.heard = lead, time.Time{}, now
+}
+
+// registeredBeside returns the hosts of the data centre that were registered when this one started.
+func (h *Host) registeredBeside() []follow.Candidate {
+	var out []follow.Candidate
+	for _, r := range h.following.registered {
+		if r.DataCentre == h.settings.Host.DataCentre && r.Name != h.settings.Host.Name {
+			out = append(out, follow.Candidate{Host: r.Name, Capacity: r.Capacity, Reads: true})
+		}
+	}
+	return out
+}
+
+// told takes in news of the reader that the host follows.
+//
+// What a renewal of the reader's proves, it proves to its followers: that no order was given before it
+// was sent of which the records don't tell that come with it. The moment is translated so that
+// it isn't later here than it was there, however long the news took.
+func (h *Host) told(from fleet.Host, n forward.News) {
+	f := &h.following
+	if from != f.lead || f.role != follow.RoleFollower {
+		return
+	}
+	f.heard = clock.Now()
+	f.clock.Echo(n.EchoSent, n.EchoHeard)
+	f.centres = fleet.NewSet(n.Centres...)
+	for p, c := range n.Parts {
+		read, ok := f.clock.NotBefore(c.Read)
+		if !ok && !c.Whole {
+			continue
+		}
+		c.Read = read
+		if p == follow.PartHosts {
+			h.meetAll(h.registry.ParseHosts(c.Body))
+			continue
+		}
+		h.registry.Take(p, c)
+	}
+	if n.Renewed.IsZero() {
+		h.relay.LeaseLost()
+		return
+	}
+	if at, ok := f.clock.NotBefore(n.Renewed); ok {
+		h.renewed(at)
+	}
+}
+
+// renewed takes in that a registration was renewed by a call that was sent at some moment.
+func (h *Host) renewed(at time.Time) {
+	h.following.renewed = later(h.following.renewed, at)
+	h.relay.LeaseRenewed(at)
+}
+
+// ownRenewed takes in a renewal of this host's own registration, and passes it on.
+func (h *Host) ownRenewed(at time.Time) {
+	h.following.own = later(h.following.own, at)
+	h.renewed(at)
+	h.passNews()
+}
+
+// ownLost takes in that this host's own registration has ended.
+func (h *Host) ownLost() {
+	h.following.own = time.Time{}
+	h.relay.LeaseLost()
+	h.passNews()
+}
+
+// copied takes in a part of the store that this host has read, and passes it on.
+func (h *Host) copied(p follow.Part, c follow.Copy[[]registry.Entry]) {
+	h.following.copies.Put(p, c.Version, c.Read, c.Body)
+	h.passNews()
+}
+
+// followed takes in a host's question for news.
+func (h *Host) followed(l relay.LinkID, sent time.Time, write func(b []byte)) {
+	f := h.following.followers[l]
+	if f == nil {
+		f = &follower{has: map[follow.Part]follow.Version{}, write: write}
+		h.following.followers[l] = f
+	}
+	f.asked, f.heard = sent, clock.Now()
+	if h.reads() {
+		h.tell(f)
+	}
+}
+
+// passNews tells all followers, and forgets those that have not asked for long.
+func (h *Host) passNews() {
+	if !h.reads() {
+		return
+	}
+	now := clock.Now()
+	for l, f := range h.following.followers {
+		if now.Sub(f.heard) > followFor {
+			delete(h.following.followers, l)
+			continue
+		}
+		h.tell(f)
+	}
+}
+
+func (h *Host) tell(f *follower) {
+	n := forward.News{
+		EchoSent: f.asked, EchoHeard: f.heard, Renewed: h.following.own, Parts: h.following.copies.For(f.has),
+	}
+	if f.has[follow.PartHosts] == 0 {
+		// The others come by the hosts' own reports.
+		f.has[follow.PartHosts] = 1
+		n.Parts[follow.PartHosts] = follow.Copy[[]registry.Entry]{Version: 1, Whole: true, Body: h.hostEntries()}
+	}
+	for c := range h.following.centres {
+		n.Centres = append(n.Centres, c)
+	}
+	f.write(forward.AppendNews(nil, n))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -62,6 +62,9 @@
 		return
 	}
 	h.tended = now
+	h.chooseRole(now)
+	defer h.followStore(now)
+	h.forget(now)
 	fresh := mesh.PaceOf(h.peers.size()).Fresh
 	wanted := h.wanted()
 	var usable []relay.Peer
@@ -100,7 +103,7 @@
 	}
 	h.relay.SetPeers(usable, missing)
 	h.relay.SetSecluded(h.secluded(now))
-	if missing > 0 && now.Sub(h.peers.looked) > lookEvery+time.Duration(h.rank.Load())*lookStep {
+	if missing > 0 && h.reads() && now.Sub(h.peers.looked) > lookEvery+time.Duration(h.rank.Load())*lookStep {
 		// One that has died is off the list by now, and its share of rates is free again.
 		h.peers.looked = now
 		h.registry.ListHosts()
@@ -112,7 +115,11 @@
 	if !mesh.Large(h.peers.size()) {
 		return func(fleet.Host) bool { return true }
 	}
-	return h.relay.Holders().Has
+	hs := h.relay.Holders()
+	if h.following.lead != "" {
+		hs.Add(h.following.lead)
+	}
+	return hs.Has
 }
 
 // usable reports whether statements may be sent over a link, or may soon.
@@ -175,6 +182,11 @@
 			l.heard = clock.Now()
 			h.relay.ForwardAnswered(l.host, id, a)
 		},
+		Follow: func(time.Time) {},
+		News: func(n forward.News) {
+			l.heard = clock.Now()
+			h.told(l.host, n)
+		},
 	}
 	c.Opened = func() {
 		l.up, l.failed = true, false
@@ -206,8 +218,13 @@
 				c.Write(out)
 			})
 		},
-		Reply: func(uint64, statement.Answer) {},
+		Reply:  func(uint64, statement.Answer) {},
+		Follow: func(sent time.Time) { h.followed(id, sent, c.Write) },
+		News:   func(forward.News) {},
 	}
 	c.Data = h.reader("another host", in.Take, func(error) { c.Close() })
-	c.Closed = func(error) { h.relay.GuestsGone(id) }
+	c.Closed = func(error) {
+		delete(h.following.followers, id)
+		h.relay.GuestsGone(id)
+	}
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"maps"
 	"net"
 	"slices"
@@ -54,6 +55,12 @@
 	catalog, told uint64
 	// looked is when the hosts were last listed because some are missing.
 	looked time.Time
+	// met is when hosts were added to addresses by others' word; whole is the number of hosts
+	// at the last report that told everything.
+	met   map[fleet.Host]time.Time
+	whole int
+	// forgot is when hosts that have gone were last dropped.
+	forgot time.Time
 	// behind is since when other hosts have a newer one.
 	behind time.Time
 }
@@ -107,6 +114,8 @@
 	heard      time.Time
 	leaving    bool
 	storeless  bool
+	// reads is set while the host reads the store.
+	reads bool
 	// news counts the instances of its last report that it can't reach, or can although another
 	// host can't.
 	news int
@@ -148,7 +157,7 @@
 	fresh := mesh.PaceOf(p.size()).Fresh
 	n := 0
 	for name, k := range p.known {
-		if name < own && !k.leaving && !k.storeless && now.Sub(k.heard) < fresh {
+		if name < own && k.reads && !k.leaving && !k.storeless && now.Sub(k.heard) < fresh {
 			n++
 		}
 	}
@@ -171,8 +180,19 @@
 	return k != nil && (r.Epoch == k.former || r.Epoch == k.epoch && r.Seq <= k.seq)
 }
 
-// registered takes in the hosts that are registered.
+// registered takes in the hosts that are registered. In a large fleet those that follow them are
+// not, and stay as long as they are heard.
 func (h *Host) registered(hs []registry.Host) {
+	now := clock.Now()
+	h.following.registered, h.following.centres = hs, fleet.NewSet(h.settings.Host.DataCentre)
+	for _, p := range hs {
+		h.following.centres.Add(p.DataCentre)
+		h.expect(p, now)
+	}
+	if mesh.Large(h.peers.size()) {
+		h.meetAll(hs)
+		return
+	}
 	at := make(map[fleet.Host]*net.UDPAddr, len(hs))
 	centres := make(map[fleet.Host]fleet.DataCentre, len(hs))
 	for _, p := range hs {
@@ -190,8 +210,85 @@
 	h.hostsChanged()
 }
 
+// expect takes a registered host of a data centre of which none is heard for one that is, so that a
+// host which starts finds a reader to follow.
+func (h *Host) expect(p registry.Host, now time.Time) {
+	beside := p.DataCentre == h.settings.Host.DataCentre && p.Name != h.settings.Host.Name
+	if !beside || h.peers.known[p.Name] != nil || h.reads() {
+		return
+	}
+	h.peers.known[p.Name] = &peer{
+		address: p.Address, dataCentre: p.DataCentre, capacity: p.Capacity, heard: now, reads: true,
+	}
+}
+
+// meetAll takes in hosts beside those that are known.
+func (h *Host) meetAll(hs []registry.Host) {
+	before := len(h.peers.addresses)
+	for _, p := range hs {
+		h.meet(gossip.Report{Host: p.Name, Address: p.Address, DataCentre: p.DataCentre})
+	}
+	if len(h.peers.addresses) == before {
+		h.hostsChanged()
+	}
+}
+
+// hostEntries returns the hosts that are known, as they would register.
+func (h *Host) hostEntries() []registry.Entry {
+	out := make([]registry.Entry, 0, len(h.peers.addresses))
+	for n, a := range h.peers.addresses {
+		b, err := json.Marshal(registry.Host{Name: n, DataCentre: h.peers.centres[n], Address: a.String()})
+		if err != nil {
+			h.log.Error("host not told of", zap.String("host", string(n)), zap.Error(err))
+			continue
+		}
+		out = append(out, registry.Entry{Value: b})
+	}
+	return out
+}
+
+const (
+	// unheardFor is how long a host of a large fleet isn't heard, while others of its data centre
+	// are, before it counts as gone.
+	unheardFor = 4 * time.Second
+	// forgetEvery is how often that is looked at.
+	forgetEvery = time.Second
+)
+
+// forget drops the hosts of a large fleet that have gone. A data centre of which nobody is heard is
+// cut off; its hosts stay as long as some of them are registered, as they may admit operations.
+func (h *Host) forget(now time.Time) {
+	if !mesh.Large(h.peers.size()) || now.Sub(h.peers.forgot) < forgetEvery {
+		return
+	}
+	h.peers.forgot = now
+	live := fleet.NewSet[fleet.DataCentre]()
+	for _, k := range h.peers.known {
+		if now.Sub(k.heard) < mesh.PaceOf(h.peers.size()).Fresh {
+			live.Add(k.dataCentre)
+		}
+	}
+	before := len(h.peers.addresses)
+	for n := range h.peers.addresses {
+		k, dc := h.peers.known[n], h.peers.centres[n]
+		heard := h.peers.met[n]
+		if k != nil {
+			heard = k.heard
+		}
+		if now.Sub(heard) > unheardFor && (live.Has(dc) || !h.following.centres.Has(dc)) {
+			delete(h.peers.addresses, n)
+			delete(h.peers.centres, n)
+			delete(h.peers.met, n)
+		}
+	}
+	if len(h.peers.addresses) != before {
+		h.hostsChanged()
+	}
+}
+
 // hostsChanged tells how many hosts there are, and which.
 func (h *Host) hostsChanged() {
+	h.registry.SetSize(h.peers.size())
 	h.relay.SetHosts(1 + len(h.peers.addresses))
 	h.rates.Members(clock.Now(), slices.Collect(maps.Keys(h.peers.addresses)))
 }
@@ -203,18 +300,22 @@
 	doubts := h.relay.Doubts()
 	reached := h.relay.Reached()
 	news := len(doubts) > h.peers.doubted || len(reached) > h.peers.reached || h.peers.catalog != h.peers.told
-	if now.Sub(h.peers.reported) < mesh.PaceOf(h.peers.size()).Report && !news {
+	early := now.Sub(h.peers.reported) < mesh.PaceOf(h.peers.size()).Report && !news
+	if early || len(h.peers.addresses) == 0 {
 		return
 	}
 	h.peers.reported, h.peers.told = now, h.peers.catalog
 	h.peers.doubted, h.peers.reached = len(doubts), len(reached)
 	h.rank.Store(int64(h.peers.rank(h.settings.Host.Name, now)))
 	h.peers.seq++
-	whole := h.peers.seq%wholeEvery == 1
+	whole := h.peers.seq%wholeEvery == 1 || h.peers.whole < h.peers.size()
+	if whole {
+		h.peers.whole = h.peers.size()
+	}
 	digest, at := h.registry.Listing()
 	r := gossip.Report{
 		Host: h.settings.Host.Name, Leaving: h.relay.Draining(), Epoch: h.peers.epoch, Seq: h.peers.seq,
-		Storeless: !h.registry.Up(), Capacity: h.settings.Adapter.Capacity,
+		Reads: h.reads(), Storeless: h.reads() && !h.registry.Up(), Capacity: h.settings.Adapter.Capacity,
 		Usages: h.rates.Usage(now, whole), Catalog: h.peers.catalog, Record: h.relay.Record(),
 		CatalogAge: now.Sub(h.registry.Read()), Reached: reached,
 		Instances: digest, InstancesAge: now.Sub(at),
@@ -302,6 +403,7 @@
 		k.former = k.epoch
 	}
 	k.capacity, k.news = r.Capacity, len(r.Doubts)+len(r.Reached)
+	k.reads = r.Reads
 	k.heard, k.leaving, k.storeless, k.epoch, k.seq = now, r.Leaving, r.Storeless, r.Epoch, r.Seq
 	h.rates.Heard(now, r.Host, r.Epoch, r.Seq, r.Usages)
 	is := make([]fleet.Instance, 0, len(r.Doubts))
@@ -342,7 +444,7 @@
 
 // meet takes in a host that isn't on the list yet.
 func (h *Host) meet(r gossip.Report) {
-	if h.peers.addresses == nil || h.peers.addresses[r.Host] != nil || r.Address == "" {
+	if h.peers.addresses == nil || h.peers.addresses[r.Host] != nil || r.Address == "" || r.Host == h.settings.Host.Name {
 		return
 	}
 	a, err := net.ResolveUDPAddr("udp4", r.Address)
@@ -351,6 +453,7 @@
 		return
 	}
 	h.peers.addresses[r.Host], h.peers.centres[r.Host] = a, r.DataCentre
+	h.peers.met[r.Host] = clock.Now()
 	h.hostsChanged()
 }
 
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -35,6 +35,9 @@
 	// Request and Reply are called with each message.
 	Request func(f relay.Forward)
 	Reply   func(stream uint64, a statement.Answer)
+	// Follow and News are called with what hosts tell each other of the store.
+	Follow func(sent time.Time)
+	News   func(n News)
 }
 
 // Take decodes the first message in b and returns the bytes that it took, zero when it
@@ -61,6 +64,10 @@
 		r.Request(request(k.Request))
 	case *forwardpb.Frame_Reply:
 		r.Reply(k.Reply.GetStream(), answer(k.Reply))
+	case *forwardpb.Frame_Follow:
+		r.Follow(fromMoment(k.Follow.GetSent()))
+	case *forwardpb.Frame_News:
+		r.News(news(k.News))
 	default:
 		return 0, errNoMessage
 	}
--- /dev/null
+++ b/io/forward/news.go
@@ -0,0 +1,85 @@
+package forward
+
+import (
+	"time"
+
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/follow"
+	"skylarkdeal/io/forward/forwardpb"
+	"skylarkdeal/io/registry"
+)
+
+// Parts are parts of the store's content, as hosts pass them on.
+type Parts = map[follow.Part]follow.Copy[[]registry.Entry]
+
+// News is what a host that reads the store passes on. All moments but EchoSent are of its clock.
+type News struct {
+	// EchoSent is when the follower sent its last question, EchoHeard when that was heard.
+	EchoSent, EchoHeard time.Time
+	// Renewed is when the last renewal of the reader's registration was sent that has succeeded,
+	// zero if it has ended since.
+	Renewed time.Time
+	Parts   Parts
+	// Centres are the data centres that have a registered host.
+	Centres []fleet.DataCentre
+}
+
+// AppendFollow writes the question for news, sent at a moment of this host's clock.
+func AppendFollow(b []byte, sent time.Time) []byte {
+	m := &forwardpb.Follow{Sent: toMoment(sent)}
+	return appendFrame(b, &forwardpb.Frame{Kind: &forwardpb.Frame_Follow{Follow: m}})
+}
+
+// AppendNews writes news.
+func AppendNews(b []byte, n News) []byte {
+	m := &forwardpb.News{
+		EchoSent: toMoment(n.EchoSent), EchoHeard: toMoment(n.EchoHeard), Renewed: toMoment(n.Renewed),
+	}
+	for name, c := range n.Parts {
+		p := &forwardpb.Part{Name: string(name), Version: uint64(c.Version), Read: toMoment(c.Read), Whole: c.Whole}
+		for _, e := range c.Body {
+			p.Entries = append(p.Entries, &forwardpb.Entry{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision)})
+		}
+		m.Parts = append(m.Parts, p)
+	}
+	for _, c := range n.Centres {
+		m.Centres = append(m.Centres, string(c))
+	}
+	return appendFrame(b, &forwardpb.Frame{Kind: &forwardpb.Frame_News{News: m}})
+}
+
+func news(m *forwardpb.News) News {
+	n := News{
+		EchoSent: fromMoment(m.GetEchoSent()), EchoHeard: fromMoment(m.GetEchoHeard()),
+		Renewed: fromMoment(m.GetRenewed()), Parts: Parts{},
+	}
+	for _, p := range m.GetParts() {
+		c := follow.Copy[[]registry.Entry]{
+			Version: follow.Version(p.GetVersion()), Read: fromMoment(p.GetRead()), Whole: p.GetWhole(),
+		}
+		for _, e := range p.GetEntries() {
+			c.Body = append(c.Body, registry.Entry{
+				Key: e.GetKey(), Value: e.GetValue(), Revision: registry.Revision(e.GetRevision()),
+			})
+		}
+		n.Parts[follow.Part(p.GetName())] = c
+	}
+	for _, c := range m.GetCentres() {
+		n.Centres = append(n.Centres, fleet.DataCentre(c))
+	}
+	return n
+}
+
+func toMoment(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+func fromMoment(n int64) time.Time {
+	if n == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, n)
+}
--- /dev/null
+++ b/io/forward/news_test.go
@@ -0,0 +1,50 @@
+package forward_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/follow"
+	"skylarkdeal/io/forward"
+	"skylarkdeal/io/registry"
+)
+
+func TestNewsOfTheStoreArriveAsTheyWereSent(t *testing.T) {
+	c := qt.New(t)
+	at := time.Unix(0, 86707276482797)
+	want := forward.News{
+		EchoSent: at, EchoHeard: at.Add(time.Hour), Renewed: at.Add(time.Second),
+		Parts: forward.Parts{
+			follow.PartCatalog: {Version: 7, Read: at, Whole: true, Body: []registry.Entry{
+				{Key: "catalog", Value: []byte{0xff, 0}, Revision: 7},
+			}},
+			follow.PartInstances: {Version: 1 << 63, Read: at},
+		},
+		Centres: []fleet.DataCentre{"obihiro", "sapporo"},
+	}
+	var got []forward.News
+	var asked []time.Time
+	r := forward.Reader{
+		News:   func(n forward.News) { got = append(got, n) },
+		Follow: func(sent time.Time) { asked = append(asked, sent) },
+	}
+	b := forward.AppendFollow(forward.AppendNews(nil, want), at)
+	b = forward.AppendNews(b, forward.News{})
+	for len(b) > 0 {
+		// A frame that isn't complete is waited for.
+		n, err := r.Take(b[:len(b)-1])
+		c.Assert(err, qt.IsNil)
+		if n == 0 {
+			n, err = r.Take(b)
+			c.Assert(err, qt.IsNil)
+		}
+		b = b[n:]
+	}
+	c.Assert(got, qt.HasLen, 2)
+	c.Assert(got[0], qt.DeepEquals, want)
+	c.Assert(got[1].Renewed.IsZero(), qt.IsTrue)
+	c.Assert(asked, qt.DeepEquals, []time.Time{at})
+}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -35,10 +35,10 @@
 	Epoch, Seq uint64
 	Leaving    bool
 	Capacity   fleet.Capacity
-	// Storeless is set while the host can't reach the store.
-	Storeless bool
-	Usages    []share.Usage
-	Doubts    []Doubt
+	// Reads is set while the host reads the store, Storeless while it can't reach it.
+	Reads, Storeless bool
+	Usages           []share.Usage
+	Doubts           []Doubt
 	// Reached are the instances that the host can reach although another can't.
 	Reached []fleet.Instance
 	// Catalog is the version in force, Record the revision of the newest record of a
@@ -150,7 +150,7 @@
 func toMessage(r Report) *gossippb.Report {
 	m := &gossippb.Report{
 		Host: string(r.Host), Epoch: r.Epoch, Seq: r.Seq, Leaving: r.Leaving,
-		Storeless: r.Storeless, Capacity: float32(r.Capacity),
+		Reads: r.Reads, Storeless: r.Storeless, Capacity: float64(r.Capacity),
 		Catalog: r.Catalog, Record: r.Record, Address: r.Address,
 		DataCentre:   string(r.DataCentre),
 		CatalogAgeMs: ms(r.CatalogAge), Instances: r.Instances, InstancesAgeMs: ms(r.InstancesAge),
@@ -200,7 +200,7 @@
 func fromMessage(m *gossippb.Report) Report {
 	r := Report{
 		Host: fleet.Host(m.GetHost()), Epoch: m.GetEpoch(), Seq: m.GetSeq(), Leaving: m.GetLeaving(),
-		Storeless: m.GetStoreless(), Capacity: fleet.Capacity(m.GetCapacity()),
+		Reads: m.GetReads(), Storeless: m.GetStoreless(), Capacity: fleet.Capacity(m.GetCapacity()),
 		Catalog: m.GetCatalog(), Record: m.GetRecord(), Address: m.GetAddress(),
 		DataCentre: fleet.DataCentre(m.GetDataCentre()),
 		CatalogAge: time.Duration(m.GetCatalogAgeMs()) * time.Millisecond,
--- a/io/gossip/gossip_test.go
+++ b/io/gossip/gossip_test.go
@@ -31,7 +31,8 @@
 	_, to := start(c, func(rs []gossip.Report, _ bool) { got <- rs[0] })
 	from, _ := start(c, func([]gossip.Report, bool) {})
 	want := gossip.Report{
-		Host: "h1", Address: "10.0.0.1:7560", DataCentre: "obihiro", Epoch: 3, Seq: 9, Leaving: true, Storeless: true,
+		Host: "h1", Address: "10.0.0.1:7560", DataCentre: "obihiro", Capacity: 0.12,
+		Epoch: 3, Seq: 9, Leaving: true, Reads: true, Storeless: true,
 		Usages:  []share.Usage{{Account: "hotel", Admitted: 4, Demand: 2.5}},
 		Doubts:  []gossip.Doubt{{Instance: "i-1", Silent: 400 * time.Millisecond}},
 		Reached: []fleet.Instance{"i-2"}, Catalog: 7, Record: 8, CatalogAge: time.Second,
--- a/io/registry/catalog.go
+++ b/io/registry/catalog.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"skylarkdeal/core/follow"
 	"skylarkdeal/internal/pause"
 )
 
@@ -36,7 +37,7 @@
 		return 0, err
 	}
 	r.up.answered()
-	r.takeCatalog(es)
+	r.takeCatalog(es, sent)
 	latest(&r.read, sent)
 	r.CatalogConfirmed(sent)
 	return at, nil
@@ -56,7 +57,8 @@
 	if err != nil {
 		return 0, err
 	}
-	r.takeCatalog(es)
+	// A watch tells of the moment at which it answers, which isn't known here.
+	r.takeCatalog(es, r.Read())
 	return max(at, after), nil
 }
 
@@ -93,7 +95,7 @@
 	}
 }
 
-func (r *Registry) takeCatalog(es []Entry) {
+func (r *Registry) takeCatalog(es []Entry, read time.Time) {
 	for _, e := range es {
 		if e.Key != r.cfg.CatalogKey || e.Deleted {
 			continue
@@ -104,5 +106,6 @@
 			continue
 		}
 		r.cfg.Post(func() { r.cfg.Catalog(c) })
+		r.copied(follow.PartCatalog, follow.Version(e.Revision), read, []Entry{e})
 	}
 }
--- a/io/registry/duty.go
+++ b/io/registry/duty.go
@@ -206,6 +206,7 @@
 	}
 	rec.Revision = uint64(rev)
 	r.cfg.Post(func() { r.cfg.Record(rec) })
+	r.copyRecord(rec, rev)
 	if o.Reason == leader.ReasonAffirmed {
 		return nil
 	}
--- /dev/null
+++ b/io/registry/follow_test.go
@@ -0,0 +1,129 @@
+package registry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/follow"
+	"skylarkdeal/io/registry"
+)
+
+// roles is what a registry with a census has told of roles and copies.
+type roles struct {
+	role   follow.Role
+	copies follow.Copies[[]registry.Entry]
+}
+
+// joinLarge starts a registry that finds out its role by itself.
+func joinLarge(c *qt.C, s *shelf) (*registry.Registry, *seen, *roles) {
+	t, x := &seen{}, &roles{}
+	cfg := config(s, t, 0, time.Second, 0)
+	cfg.Census = true
+	cfg.Role = func(r follow.Role) { x.role = r }
+	cfg.Copied = func(p follow.Part, o follow.Copy[[]registry.Entry]) { x.copies.Put(p, o.Version, o.Read, o.Body) }
+	return start(c, cfg), t, x
+}
+
+func (s *shelf) registered(name string) {
+	const host = `{"name":%q,"data-centre":"obihiro","address":"127.0.0.1:2","lease":1}`
+	s.put("our/hosts/"+name+"/1", fmt.Sprintf(host, name))
+}
+
+// called returns how often a call was made.
+func (s *shelf) called(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[name]
+}
+
+// Guards against a start of hundreds of hosts, each of which registers and reads the store for
+// itself.
+func TestHostFollowsWhoeverIsRegistered(t *testing.T) {
+	c := qt.New(t)
+	s := newShelf()
+	s.put("our/hosts0count", "295")
+	s.registered("h-first")
+	_, got, x := joinLarge(c, s)
+	until(c, got, "a role", func() bool { return x.role != "" })
+	c.Assert(x.role, qt.Equals, follow.RoleFollower)
+	time.Sleep(500 * time.Millisecond)
+	c.Assert(s.called("grant")+s.called("renew")+s.called("watch"), qt.Equals, 0)
+	c.Assert(s.called("list our/hosts"), qt.Equals, 1)
+}
+
+// Guards against a small fleet that waits at its start for hosts to follow.
+func TestHostOfASmallFleetReadsAtOnce(t *testing.T) {
+	c := qt.New(t)
+	s := newShelf()
+	s.put("our/hosts0count", "6")
+	s.registered("h-first")
+	began := time.Now()
+	_, got, x := joinLarge(c, s)
+	until(c, got, "a renewal", func() bool { return got.renewed > 0 })
+	c.Assert(x.role, qt.Equals, follow.RoleReader)
+	c.Assert(time.Since(began) < 200*time.Millisecond, qt.IsTrue)
+}
+
+// Guards against a host that is no reader any more and keeps its registration, and with it the
+// duty: its followers would take what it renews for proof.
+func TestFormerReaderEndsItsRegistration(t *testing.T) {
+	c := qt.New(t)
+	s := newShelf()
+	s.put("our/hosts0count", "6")
+	r, got, _ := joinLarge(c, s)
+	until(c, got, "the duty", func() bool { return len(got.holds) > 0 && got.holds[len(got.holds)-1] })
+	r.SetRole(follow.RoleFollower)
+	until(c, got, "the end of it", func() bool { return got.lost > 0 && !got.holds[len(got.holds)-1] })
+	c.Assert(s.called("end"), qt.Equals, 1)
+	renewed := s.called("renew")
+	time.Sleep(700 * time.Millisecond)
+	c.Assert(s.called("renew"), qt.Equals, renewed)
+	r.SetRole(follow.RoleReader)
+	until(c, got, "a registration again", func() bool { return got.holds[len(got.holds)-1] })
+}
+
+// Guards against a renewal that is passed on ahead of the records which it needs.
+func TestRecordsAreCopiedBeforeTheFirstRenewal(t *testing.T) {
+	c := qt.New(t)
+	s := newShelf()
+	s.put("our/hosts0count", "6")
+	s.put("our/primaries/orders", `{"service":"orders","term":2,"primary":"b"}`)
+	got := &seen{}
+	cfg := config(s, got, 0, time.Second, 0)
+	cfg.Census, cfg.Role = true, func(follow.Role) {}
+	copied, early := false, false
+	cfg.Copied = func(p follow.Part, o follow.Copy[[]registry.Entry]) {
+		copied = copied || p == follow.PartRecords && len(o.Body) == 1
+	}
+	cfg.Renewed = func(time.Time) { early = early || !copied; got.renewed++ }
+	start(c, cfg)
+	until(c, got, "renewals", func() bool { return got.renewed > 1 })
+	got.get(func() { c.Check(early, qt.IsFalse) })
+}
+
+// A follower takes in what a reader has copied, and what it can't read changes nothing.
+func TestCopiesAreTakenIn(t *testing.T) {
+	c := qt.New(t)
+	s := newShelf()
+	s.put("our/hosts0count", "295")
+	s.registered("h-first")
+	r, got, x := joinLarge(c, s)
+	until(c, got, "a role", func() bool { return x.role != "" })
+	take := func(p follow.Part, e registry.Entry) {
+		r.Take(p, follow.Copy[[]registry.Entry]{Version: 9, Read: time.Now(), Whole: true, Body: []registry.Entry{e}})
+	}
+	take(follow.PartCatalog, registry.Entry{Key: "catalog", Value: []byte("7"), Revision: 9})
+	take(follow.PartCatalog, registry.Entry{Key: "catalog", Value: []byte("rubbish"), Revision: 10})
+	take(follow.PartInstances, registry.Entry{Key: "instances/a", Value: []byte("a")})
+	record := registry.Entry{Key: "our/primaries/orders", Value: []byte(`{"service":"orders","term":2}`), Revision: 8}
+	take(follow.PartRecords, record)
+	record.Value, record.Revision = []byte("rubbish"), 9
+	take(follow.PartRecords, record)
+	take("another part", registry.Entry{})
+	until(c, got, "the catalog", func() bool { return len(got.versions) == 1 && got.versions[0] == 7 })
+	until(c, got, "the instances", func() bool { return got.instances == 1 })
+	got.get(func() { c.Check(got.records, qt.HasLen, 1) })
+}
--- a/io/registry/lists.go
+++ b/io/registry/lists.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/follow"
 	"skylarkdeal/internal/pause"
 )
 
@@ -109,6 +110,17 @@
 	if err != nil {
 		return err
 	}
+	digest := r.takeInstances(es, sent)
+	r.listing.mu.Lock()
+	defer r.listing.mu.Unlock()
+	r.listing.digest, r.listing.read, r.listing.confirmed = digest, sent, sent
+	r.copied(follow.PartInstances, follow.Version(digest), sent, es)
+	return nil
+}
+
+// takeInstances hands on the instances of a reading and returns what tells it from others; zero
+// if there are none.
+func (r *Registry) takeInstances(es []Entry, sent time.Time) uint64 {
 	is := make([]catalog.Instance, 0, len(es))
 	digest := xxhash.New()
 	for _, e := range es {
@@ -118,18 +130,18 @@
 		}
 	}
 	r.cfg.Post(func() { r.cfg.Instances(is, sent) })
-	r.listing.mu.Lock()
-	defer r.listing.mu.Unlock()
-	r.listing.digest, r.listing.read, r.listing.confirmed = digest.Sum64(), sent, sent
 	if len(is) == 0 {
-		r.listing.digest = 0
+		return 0
 	}
-	return nil
+	return digest.Sum64()
 }
 
 // listHosts reads the registered hosts time and again.
 func (r *Registry) listHosts(ctx context.Context) {
 	wait := time.Duration(0)
+	if r.counted {
+		wait = 5 * pauseAfterError
+	}
 	for ctx.Err() == nil {
 		_ = await(ctx, wait, r.rehost)
 		c, cancel := context.WithTimeout(ctx, callTimeout)
@@ -154,6 +166,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return r.ParseHosts(es), nil
+}
+
+// ParseHosts reads registrations; those that can't be read are left out.
+func (r *Registry) ParseHosts(es []Entry) []Host {
 	out := make([]Host, 0, len(es))
 	for _, e := range es {
 		var h Host
@@ -163,5 +180,5 @@
 		}
 		out = append(out, h)
 	}
-	return out, nil
+	return out
 }
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -12,6 +12,7 @@
 
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/follow"
 	"skylarkdeal/core/leader"
 	"skylarkdeal/core/ring"
 	"skylarkdeal/internal/pause"
@@ -23,6 +24,8 @@
 	DataCentre fleet.DataCentre `json:"data-centre"`
 	// Address is where it hears the other hosts.
 	Address string `json:"address"`
+	// Capacity is what it can carry.
+	Capacity fleet.Capacity `json:"capacity,omitempty"`
 	// Lease is that of its registration.
 	Lease Lease `json:"lease"`
 }
@@ -43,6 +46,13 @@
 	Rank func() int
 	// Post has f called where the host takes decisions.
 	Post func(f func())
+	// Census has the registry find out by itself whether it reads the store at first, or follows
+	// a host that does. Without it, it reads.
+	Census bool
+	// Copied takes in each part of the store as it was read, for the hosts that follow this one.
+	// It may be nil. Role takes in the role that the registry begins with.
+	Copied func(p follow.Part, c follow.Copy[[]Entry])
+	Role   func(x follow.Role)
 
 	Catalog func(c *catalog.Catalog)
 	// Instances tells of a reading of the list of instances that was begun at a moment.
@@ -136,6 +146,17 @@
 	relisting chan struct{}
 	up        dependency
 	wait      sync.WaitGroup
+	// role is the follow.Role that the host has; changed is signalled when it is to be looked at.
+	role    atomic.Value
+	changed chan struct{}
+	// size is the number of hosts in the fleet, zero while it isn't known; told is the one that
+	// stands in the store.
+	size, told atomic.Int64
+	// counted is set once the census has told of the registered hosts.
+	counted bool
+	// records are the entries of the records as they were last read, under kept.
+	kept    sync.Mutex
+	records map[string]Entry
 }
 
 // New returns a Registry that Run puts to work.
@@ -147,6 +168,7 @@
 		cfg: cfg, began: time.Now(),
 		relist: make(chan struct{}, 1), rehost: make(chan struct{}, 1),
 		reload: make(chan struct{}, 1), relisting: make(chan struct{}, 1),
+		changed: make(chan struct{}, 1), records: map[string]Entry{},
 		up: dependency{name: "store", log: cfg.Logger}, orders: ring.New[leader.Order](maxOrders),
 	}
 }
@@ -155,16 +177,48 @@
 
 func (r *Registry) recordsPrefix() string { return r.cfg.Prefix + "primaries/" }
 
-// Run carries out the duties until ctx ends, then ends the registration.
+// Run carries out the duties of the host's role until ctx ends.
 func (r *Registry) Run(ctx context.Context) {
+	if r.cfg.Census {
+		x := r.census(ctx)
+		r.SetRole(x)
+		r.cfg.Post(func() { r.cfg.Role(x) })
+	}
+	for ctx.Err() == nil {
+		if r.Role() == follow.RoleReader {
+			r.runReader(ctx)
+			continue
+		}
+		select {
+		case <-r.changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// runReader carries out a reader's duties until it has another role, then ends the registration.
+func (r *Registry) runReader(ctx context.Context) {
+	running, stop := context.WithCancel(ctx)
+	defer stop()
 	duties := []func(context.Context){
 		r.register, r.watchCatalog, r.confirmCatalog, r.listInstances, r.listHosts, r.readRecords,
-		r.holdDuty, r.giveOrders,
+		r.holdDuty, r.giveOrders, r.keepSize,
 	}
 	for _, duty := range duties {
-		r.wait.Go(func() { duty(ctx) })
+		r.wait.Go(func() { duty(running) })
+	}
+	for running.Err() == nil && r.Role() == follow.RoleReader {
+		select {
+		case <-r.changed:
+		case <-running.Done():
+		}
 	}
+	stop()
 	r.wait.Wait()
+	r.deregister()
+}
+
+func (r *Registry) deregister() {
 	if l := Lease(r.lease.Load()); l != 0 {
 		c, cancel := context.WithTimeout(context.Background(), pauseAfterError)
 		defer cancel()
@@ -172,6 +226,7 @@
 		if err := r.cfg.Store.End(c, l); err != nil {
 			r.cfg.Logger.Debug("registration not ended", zap.Error(err))
 		}
+		r.leave()
 	}
 }
 
@@ -240,7 +295,7 @@
 		return err
 	}
 	sent := r.cfg.Now()
-	records, err := r.records(c)
+	records, err := r.listRecords(c)
 	if err != nil {
 		return err
 	}
@@ -251,8 +306,10 @@
 		for _, rec := range records {
 			r.cfg.Record(rec)
 		}
-		r.cfg.Renewed(sent)
 	})
+	// Whoever follows this host is to have the records before it hears of the renewal.
+	r.copyRecords(sent)
+	r.cfg.Post(func() { r.cfg.Renewed(sent) })
 	return nil
 }
 
@@ -308,11 +365,16 @@
 	}
 }
 
-func (r *Registry) records(ctx context.Context) ([]leader.Record, error) {
+func (r *Registry) listRecords(ctx context.Context) ([]leader.Record, error) {
 	es, _, err := r.cfg.Store.List(ctx, r.recordsPrefix())
 	if err != nil {
 		return nil, err
 	}
+	r.keep(es)
+	return r.parseRecords(es), nil
+}
+
+func (r *Registry) parseRecords(es []Entry) []leader.Record {
 	out := make([]leader.Record, 0, len(es))
 	for _, e := range es {
 		rec, err := parseRecord(e)
@@ -322,7 +384,7 @@
 		}
 		out = append(out, rec)
 	}
-	return out, nil
+	return out
 }
 
 func parseRecord(e Entry) (leader.Record, error) {
@@ -341,7 +403,8 @@
 		case <-r.relist:
 		}
 		c, cancel := context.WithTimeout(ctx, callTimeout)
-		records, err := r.records(c)
+		sent := r.cfg.Now()
+		records, err := r.listRecords(c)
 		cancel()
 		if err != nil {
 			r.up.failed(err)
@@ -353,6 +416,7 @@
 				r.cfg.Record(rec)
 			}
 		})
+		r.copyRecords(sent)
 		pause.For(ctx, pauseAfterError)
 	}
 }
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -59,7 +59,22 @@
 	c *qt.C, s *shelf, rank int, least, youth time.Duration,
 ) (*registry.Registry, *seen) {
 	t := &seen{}
-	r := registry.New(registry.Config{
+	return start(c, config(s, t, rank, least, youth)), t
+}
+
+// start runs a registry until the test ends.
+func start(c *qt.C, cfg registry.Config) *registry.Registry {
+	r := registry.New(cfg)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { r.Run(ctx); close(done) }()
+	c.Cleanup(func() { cancel(); <-done })
+	return r
+}
+
+// config is that of a registry which tells t.
+func config(s *shelf, t *seen, rank int, least, youth time.Duration) registry.Config {
+	return registry.Config{
 		Store: s.store(), Self: registry.Host{Name: "h-x", DataCentre: "obihiro", Address: "127.0.0.1:1"},
 		Prefix: "our/", CatalogKey: "catalog", InstancePrefix: "instances/",
 		ParseCatalog: func(b []byte) (*catalog.Catalog, error) {
@@ -92,12 +107,7 @@
 			return nil
 		},
 		Youth: youth, PromotionLeast: least, PromotionDelay: time.Second,
-	})
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { r.Run(ctx); close(done) }()
-	c.Cleanup(func() { cancel(); <-done })
-	return r, t
+	}
 }
 
 // until waits for something to come true.
