Make no connections while too few hosts of a large fleet are heard

Cause: who hears only the reader that it follows sees two candidates for holding an instance, itself and that one, and half of the time takes itself.

Change: for the first 3 s, while a host of a large fleet hears less than half of the others, it makes no connection and uses the holders that it hears. How many there are stands in the store since the last change; until it does, those that are listed count.

Holds: TestHostThatHearsFewMakesNoConnections fails without it.

--- a/core/relay/connections.go
+++ b/core/relay/connections.go
@@ -34,6 +34,9 @@
 // hosts and 16 connections, all hosts losing power: served in the two worst seconds 0.21
 // in place of 0.01, and no less on quiet days.
 func (i *instance) cap(now time.Time) int {
+	if i.g.r.forwarding.unsure {
+		return 0
+	}
 	n := max(leastCap, i.share())
 	switch _, held := i.g.r.holder(i); {
 	case i.direct(now):
--- a/core/relay/fleet_test.go
+++ b/core/relay/fleet_test.go
@@ -142,6 +142,29 @@
 	}
 }
 
+// Guards against a start at which each host takes itself for the holder of an instance whose holders
+// it doesn't hear yet. Over those that it hears it serves its callers.
+func TestHostThatHearsFewMakesNoConnections(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c)
+	w.relay.SetHosts(300)
+	w.relay.SetUnsure(true)
+	w.settled()
+	for _, n := range w.instances {
+		c.Check(n.dialled, qt.Equals, 0)
+	}
+	sent := 0
+	w.relay.SetPeers([]relay.Peer{{
+		Host: "h2", DataCentre: "obihiro", Capacity: strong, Send: func(relay.Forward) { sent++ },
+	}}, 0)
+	w.pass(100*time.Millisecond, true)
+	c.Check(sent > 0, qt.IsTrue)
+	w.relay.SetPeers(nil, 0)
+	w.relay.SetUnsure(false)
+	w.settled()
+	c.Check(w.instances["a"].dialled > 0, qt.IsTrue)
+}
+
 // Guards against a start at which no host hears another yet and each takes some connections: all
 // instances were full, and turned away the hosts that were to hold them.
 func TestHostsThatHearNobodyLeaveRoom(t *testing.T) {
--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -61,6 +61,8 @@
 	round      uint64
 	// missing counts the hosts that ought to be there and aren't heard.
 	missing int
+	// unsure is set while too few hosts are heard to tell which of them hold connections.
+	unsure bool
 	// secluded is set while no host of another data centre is heard, although there are some.
 	secluded bool
 	// virtual are the connections over other hosts, guests the sessions run for them.
@@ -101,6 +103,14 @@
 	f.peers = ps
 }
 
+// SetUnsure tells whether this host has just started in a large fleet and hears too few of its hosts
+// to tell which of them hold connections. It makes none of its own then, and uses those of the
+// holders that it hears.
+//
+// The load it is made for: hundreds of hosts that start at once. Each took itself for the holder
+// of instances whose holders it didn't hear yet, and together they filled all instances.
+func (r *Relay) SetUnsure(unsure bool) { r.forwarding.unsure = unsure }
+
 // SetSecluded tells whether no host of another data centre has been heard for a moment, although
 // there are some. An instance there that has answered outweighs that.
 func (r *Relay) SetSecluded(secluded bool) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -178,6 +178,7 @@
 		Census:         true,
 		Copied:         h.copied,
 		Role:           h.setRole,
+		Count:          func(n int) { h.following.count = n },
 		Catalog:        h.adopt,
 		Instances:      func(is []catalog.Instance, read time.Time) { h.relay.Listed(is, read) },
 		Hosts:          h.registered,
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -40,6 +40,9 @@
 	registered []registry.Host
 	centres    fleet.Set[fleet.DataCentre]
 
+	// count is how many hosts there were when that was last written to the store.
+	count int
+
 	copies    follow.Copies[[]registry.Entry]
 	own       time.Time
 	followers map[relay.LinkID]*follower
@@ -96,6 +99,19 @@
 // fleet for a small one.
 const acquaintance = 1500 * time.Millisecond
 
+// unsureFor is how long after its start a host of a large fleet makes no connections to instances
+// while it hears less than half of the others.
+const unsureFor = 3 * time.Second
+
+// unsure reports whether the host hears too few others to tell who holds connections.
+func (h *Host) unsure(now time.Time, heard int) bool {
+	f := &h.following
+	if now.Sub(h.began) > unsureFor || f.count > 0 && !mesh.Large(f.count) {
+		return false
+	}
+	return 2*heard < max(f.count, h.peers.size())-1
+}
+
 // candidates returns the other hosts of the data centre that are heard and stay.
 func (h *Host) candidates(now time.Time) []follow.Candidate {
 	fresh := mesh.PaceOf(h.peers.size()).Fresh
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -102,6 +102,7 @@
 		}
 	}
 	h.relay.SetPeers(usable, missing)
+	h.relay.SetUnsure(h.unsure(now, len(usable)))
 	h.relay.SetSecluded(h.secluded(now))
 	if missing > 0 && h.reads() && now.Sub(h.peers.looked) > lookEvery+time.Duration(h.rank.Load())*lookStep {
 		// One that has died is off the list by now, and its share of rates is free again.
--- a/io/registry/follow.go
+++ b/io/registry/follow.go
@@ -159,7 +159,10 @@
 	hs := r.ParseHosts(es)
 	r.counted = true
 	r.told.Store(int64(count))
-	r.cfg.Post(func() { r.cfg.Hosts(hs) })
+	r.cfg.Post(func() {
+		r.cfg.Hosts(hs)
+		r.cfg.Count(count)
+	})
 	return hs, count, nil
 }
 
--- a/io/registry/follow_test.go
+++ b/io/registry/follow_test.go
@@ -14,6 +14,7 @@
 // roles is what a registry with a census has told of roles and copies.
 type roles struct {
 	role   follow.Role
+	count  int
 	copies follow.Copies[[]registry.Entry]
 }
 
@@ -21,7 +22,7 @@
 func joinLarge(c *qt.C, s *shelf) (*registry.Registry, *seen, *roles) {
 	t, x := &seen{}, &roles{}
 	cfg := config(s, t, 0, time.Second, 0)
-	cfg.Census = true
+	cfg.Census, cfg.Count = true, func(n int) { x.count = n }
 	cfg.Role = func(r follow.Role) { x.role = r }
 	cfg.Copied = func(p follow.Part, o follow.Copy[[]registry.Entry]) { x.copies.Put(p, o.Version, o.Read, o.Body) }
 	return start(c, cfg), t, x
@@ -49,6 +50,7 @@
 	_, got, x := joinLarge(c, s)
 	until(c, got, "a role", func() bool { return x.role != "" })
 	c.Assert(x.role, qt.Equals, follow.RoleFollower)
+	c.Assert(x.count, qt.Equals, 295)
 	time.Sleep(500 * time.Millisecond)
 	c.Assert(s.called("grant")+s.called("renew")+s.called("watch"), qt.Equals, 0)
 	c.Assert(s.called("list our/hosts"), qt.Equals, 1)
@@ -93,7 +95,7 @@
 	s.put("our/primaries/orders", `{"service":"orders","term":2,"primary":"b"}`)
 	got := &seen{}
 	cfg := config(s, got, 0, time.Second, 0)
-	cfg.Census, cfg.Role = true, func(follow.Role) {}
+	cfg.Census, cfg.Role, cfg.Count = true, func(follow.Role) {}, func(int) {}
 	copied, early := false, false
 	cfg.Copied = func(p follow.Part, o follow.Copy[[]registry.Entry]) {
 		copied = copied || p == follow.PartRecords && len(o.Body) == 1
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -58,7 +58,10 @@
 	// Instances tells of a reading of the list of instances that was begun at a moment.
 	Instances func(is []catalog.Instance, read time.Time)
 	Hosts     func(hs []Host)
-	Record    func(r leader.Record)
+	// Count tells how many hosts there were when that was last written, zero if it never was. It
+	// goes with Census.
+	Count  func(n int)
+	Record func(r leader.Record)
 	// Renewed tells of a renewal, sent at a moment, that has succeeded; Lost that the
 	// registration has ended.
 	Renewed func(sent time.Time)
