Learn the address of a host that was heard before it was listed

Cause: reports rarely tell the address. A host that was first heard by one that didn't, and listed afterwards, stayed without data centre and address until its next whole report, 8 s later; hosts that knew of other candidates chose other holders.

Change: what is listed fills in what a report left out, and a host's first five reports tell everything.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -22,6 +22,9 @@
 	// wholeEvery is how many reports tell everything; those between leave out what hasn't
 	// changed.
 	wholeEvery = 20
+	// wholeFirst is how many of the first reports tell everything: others may not know the host, and
+	// any may be lost.
+	wholeFirst = 5
 	// doubtsEvery is how often doubts are looked at: a new one is told at once.
 	doubtsEvery = 50 * time.Millisecond
 	// behindFor is how long a host that hears of a newer catalog waits for its own watch
@@ -308,7 +311,7 @@
 	h.peers.doubted, h.peers.reached = len(doubts), len(reached)
 	h.rank.Store(int64(h.peers.rank(h.settings.Host.Name, now)))
 	h.peers.seq++
-	whole := h.peers.seq%wholeEvery == 1 || h.peers.whole < h.peers.size()
+	whole := h.peers.seq%wholeEvery == 1 || h.peers.seq <= wholeFirst || h.peers.whole < h.peers.size()
 	if whole {
 		h.peers.whole = h.peers.size()
 	}
@@ -390,12 +393,13 @@
 	h.meet(r)
 	k := h.peers.known[r.Host]
 	if k == nil {
-		k = &peer{dataCentre: h.peers.centres[r.Host]}
-		if a := h.peers.addresses[r.Host]; a != nil {
-			k.address = a.String()
-		}
+		k = &peer{}
 		h.peers.known[r.Host] = k
 	}
+	if a := h.peers.addresses[r.Host]; k.address == "" && a != nil {
+		// It may have been heard before anybody told of its address.
+		k.address, k.dataCentre = a.String(), h.peers.centres[r.Host]
+	}
 	if r.Address != "" {
 		k.address, k.dataCentre = r.Address, r.DataCentre
 	}
