--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"encoding/json"
 	"maps"
 	"net"
@@ -13,27 +12,10 @@
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/mesh"
 	"skylarkdeal/internal/clock"
-	"skylarkdeal/internal/pause"
 	"skylarkdeal/io/gossip"
 	"skylarkdeal/io/registry"
 )
 
-const (
-	// wholeEvery is how many reports tell everything; those between leave out what hasn't
-	// changed.
-	wholeEvery = 20
-	// wholeFirst is how many of the first reports tell everything: others may not know the host, and
-	// any may be lost.
-	wholeFirst = 5
-	// doubtsEvery is how often doubts are looked at: a new one is told at once.
-	doubtsEvery = 50 * time.Millisecond
-	// behindFor is how long a host that hears of a newer catalog waits for its own watch
-	// to bring it.
-	behindFor = 250 * time.Millisecond
-	// catalogFresh is how old another host's reading of the catalog may be to count.
-	catalogFresh = time.Second
-)
-
 // peers is what the host knows of the others.
 type peers struct {
 	epoch, seq uint64
@@ -68,47 +50,6 @@
 	behind time.Time
 }
 
-// held is a report that waits to be passed on, with when it came; an urgent one doesn't wait.
-type held struct {
-	report gossip.Report
-	at     time.Time
-	urgent bool
-}
-
-// hold keeps a report until it is passed on, in place of an earlier one of its host.
-func (p *peers) hold(r gossip.Report, now time.Time, urgent bool) {
-	p.urgent = p.urgent || urgent
-	for n := range p.passing {
-		if p.passing[n].report.Host == r.Host {
-			p.passing[n].report = r
-			p.passing[n].urgent = p.passing[n].urgent || urgent
-			return
-		}
-	}
-	p.passing = append(p.passing, held{r, now, urgent})
-}
-
-// passedBy drops what another host has passed on.
-func (p *peers) passedBy(r gossip.Report) {
-	p.passing = slices.DeleteFunc(p.passing, func(o held) bool {
-		return o.report.Host == r.Host && o.report.Epoch == r.Epoch && o.report.Seq <= r.Seq
-	})
-}
-
-// due takes out the reports that have waited for long enough.
-func (p *peers) due(now time.Time, hold time.Duration) []gossip.Report {
-	var out []gossip.Report
-	p.urgent = false
-	p.passing = slices.DeleteFunc(p.passing, func(o held) bool {
-		if now.Sub(o.at) < hold && !o.urgent {
-			return false
-		}
-		out = append(out, o.report)
-		return true
-	})
-	return out
-}
-
 // peer is another host as it was last heard.
 type peer struct {
 	address    string
@@ -296,156 +237,6 @@
 	h.rates.Members(clock.Now(), slices.Collect(maps.Keys(h.peers.addresses)))
 }
 
-// report tells the others, time and again and at once when there is a new doubt.
-func (h *Host) report() {
-	now := clock.Now()
-	h.pass(now)
-	doubts := h.relay.Doubts()
-	reached := h.relay.Reached()
-	news := len(doubts) > h.peers.doubted || len(reached) > h.peers.reached || h.peers.catalog != h.peers.told
-	early := now.Sub(h.peers.reported) < mesh.PaceOf(h.peers.size()).Report && !news
-	if early || len(h.peers.addresses) == 0 {
-		return
-	}
-	h.peers.reported, h.peers.told = now, h.peers.catalog
-	h.peers.doubted, h.peers.reached = len(doubts), len(reached)
-	h.rank.Store(int64(h.peers.rank(h.settings.Host.Name, now)))
-	h.peers.seq++
-	whole := h.peers.seq%wholeEvery == 1 || h.peers.seq <= wholeFirst || h.peers.whole < h.peers.size()
-	if whole {
-		h.peers.whole = h.peers.size()
-	}
-	digest, at := h.registry.Listing()
-	r := gossip.Report{
-		Host: h.settings.Host.Name, Leaving: h.relay.Draining(), Epoch: h.peers.epoch, Seq: h.peers.seq,
-		Reads: h.reads(), Storeless: h.reads() && !h.registry.Up(), Capacity: h.settings.Adapter.Capacity,
-		Usages: h.rates.Usage(now, whole), Catalog: h.peers.catalog, Record: h.relay.Record(),
-		CatalogAge: now.Sub(h.registry.Read()), Reached: reached,
-		Instances: digest, InstancesAge: now.Sub(at),
-	}
-	if whole {
-		r.Address, r.DataCentre = h.settings.Peer.Address, h.settings.Host.DataCentre
-	}
-	for i, d := range doubts {
-		r.Doubts = append(r.Doubts, gossip.Doubt{Instance: i, Silent: d})
-	}
-	to := mesh.Recipients(h.self(), h.peers.members(now))
-	h.gossip.Send(r, h.peers.at(to))
-}
-
-// self is this host as the mesh wants to know it.
-func (h *Host) self() mesh.Member {
-	return mesh.Member{
-		Host: h.settings.Host.Name, DataCentre: h.settings.Host.DataCentre, Heard: true,
-		Leaving: h.relay.Draining(), Capacity: h.settings.Adapter.Capacity,
-	}
-}
-
-// pass passes on what was heard from other data centres to the hosts beside this one.
-func (h *Host) pass(now time.Time) {
-	waits := now.Sub(h.peers.passedAt) < mesh.PaceOf(h.peers.size()).Pass && !h.peers.urgent
-	if len(h.peers.passing) == 0 || waits {
-		return
-	}
-	self, others := h.self(), h.peers.members(now)
-	rs := h.peers.due(now, mesh.Hold(self, others))
-	if len(rs) == 0 {
-		return
-	}
-	h.gossip.Pass(rs, h.peers.at(mesh.Beside(self.DataCentre, others)))
-	h.peers.passedAt = now
-}
-
-// heard takes in other hosts' reports. Those that came directly from another data centre of
-// a large fleet are passed on.
-func (h *Host) heard(rs []gossip.Report, passed bool) {
-	h.loop.Do(func() {
-		for _, r := range rs {
-			if passed {
-				h.peers.passedBy(r)
-			}
-			if r.Host == h.settings.Host.Name || h.peers.older(r) {
-				continue
-			}
-			before := 0
-			if k := h.peers.known[r.Host]; k != nil {
-				before = k.news
-			}
-			h.take(r)
-			if !passed && h.passes(r.Host) {
-				h.peers.hold(r, clock.Now(), h.peers.known[r.Host].news > before)
-			}
-		}
-	})
-}
-
-// passes reports whether what a host has told this one directly is to be passed on.
-func (h *Host) passes(from fleet.Host) bool {
-	if !mesh.Large(h.peers.size()) {
-		return false
-	}
-	return mesh.Passes(h.self(), h.peers.known[from].dataCentre, h.peers.members(clock.Now()))
-}
-
-// take takes in another host's report.
-func (h *Host) take(r gossip.Report) {
-	now := clock.Now()
-	h.meet(r)
-	k := h.peers.known[r.Host]
-	if k == nil {
-		k = &peer{}
-		h.peers.known[r.Host] = k
-	}
-	if a := h.peers.addresses[r.Host]; k.address == "" && a != nil {
-		// It may have been heard before anybody told of its address.
-		k.address, k.dataCentre = a.String(), h.peers.centres[r.Host]
-	}
-	if r.Address != "" {
-		k.address, k.dataCentre = r.Address, r.DataCentre
-	}
-	if k.epoch != r.Epoch {
-		k.former = k.epoch
-	}
-	k.capacity, k.news = r.Capacity, len(r.Doubts)+len(r.Reached)
-	k.reads = r.Reads
-	k.heard, k.leaving, k.storeless, k.epoch, k.seq = now, r.Leaving, r.Storeless, r.Epoch, r.Seq
-	h.rates.Heard(now, r.Host, r.Epoch, r.Seq, r.Usages)
-	is := make([]fleet.Instance, 0, len(r.Doubts))
-	for _, d := range r.Doubts {
-		is = append(is, d.Instance)
-	}
-	h.relay.Doubted(r.Host, is, r.Reached)
-	if r.Record > h.relay.Record() {
-		h.registry.Refresh()
-	}
-	h.compareCatalog(r)
-}
-
-// compareCatalog has the catalog read anew if another host has a newer one, which the
-// watch doesn't bring. One that has the same may have read it later; the same goes for
-// the list of instances.
-//
-// The age doesn't count the report's way: some ms directly, up to half a second over a door
-// of a large fleet. The catalog is then read that much later than it should.
-func (h *Host) compareCatalog(r gossip.Report) {
-	now := clock.Now()
-	if r.InstancesAge < catalogFresh {
-		h.registry.ListingConfirmed(r.Instances, now.Add(-r.InstancesAge))
-	}
-	if r.Catalog <= h.peers.catalog {
-		h.peers.behind = time.Time{}
-	}
-	switch {
-	case r.Catalog > h.peers.catalog && h.peers.behind.IsZero():
-		h.peers.behind = now
-	case r.Catalog > h.peers.catalog && now.Sub(h.peers.behind) > behindFor:
-		h.peers.behind = now
-		h.registry.Reload()
-	case r.Catalog == h.peers.catalog && r.CatalogAge < catalogFresh:
-		h.registry.CatalogConfirmed(now.Add(-r.CatalogAge))
-	}
-}
-
 // meet takes in a host that isn't on the list yet.
 func (h *Host) meet(r gossip.Report) {
 	if h.peers.addresses == nil || h.peers.addresses[r.Host] != nil || r.Address == "" || r.Host == h.settings.Host.Name {
@@ -460,8 +251,3 @@
 	h.peers.met[r.Host] = clock.Now()
 	h.hostsChanged()
 }
-
-// gossips tells the others of this host until ctx ends.
-func (h *Host) gossips(ctx context.Context) {
-	pause.Every(ctx, doubtsEvery, func() { h.loop.Do(h.report) })
-}
--- a/io/registry/follow.go
+++ b/io/registry/follow.go
@@ -1,10 +1,7 @@
 package registry
 
 import (
-	"cmp"
 	"context"
-	"encoding/json"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -15,7 +12,6 @@
 
 	"skylarkdeal/core/failure"
 	"skylarkdeal/core/follow"
-	"skylarkdeal/core/leader"
 	"skylarkdeal/core/mesh"
 	"skylarkdeal/internal/pause"
 )
@@ -69,40 +65,6 @@
 	r.cfg.Post(func() { r.cfg.Copied(p, c) })
 }
 
-// keep takes in the entries of records.
-func (r *Registry) keep(es []Entry) {
-	r.kept.Lock()
-	defer r.kept.Unlock()
-	for _, e := range es {
-		if e.Revision > r.records[e.Key].Revision {
-			r.records[e.Key] = e
-		}
-	}
-}
-
-// copyRecord hands on a record that this host has written.
-func (r *Registry) copyRecord(rec leader.Record, rev Revision) {
-	b, err := json.Marshal(rec)
-	if err != nil {
-		r.cfg.Logger.Error("record not handed on", zap.Error(err))
-		return
-	}
-	r.keep([]Entry{{Key: r.recordsPrefix() + string(rec.Service), Value: b, Revision: rev}})
-	r.copyRecords(r.cfg.Now())
-}
-
-func (r *Registry) copyRecords(read time.Time) {
-	r.kept.Lock()
-	es := slices.SortedFunc(maps.Values(r.records), func(a, b Entry) int { return cmp.Compare(a.Key, b.Key) })
-	r.kept.Unlock()
-	// Without a record there is still a version, so that a follower knows that it has all.
-	v := Revision(1)
-	for _, e := range es {
-		v = max(v, e.Revision)
-	}
-	r.copied(follow.PartRecords, follow.Version(v), read, es)
-}
-
 // countKey holds the number of hosts, for hosts that start when no other runs. It sorts behind the
 // registrations, so that one list has both.
 func (r *Registry) countKey() string { return r.cfg.Prefix + "hosts0count" }
--- /dev/null
+++ b/io/registry/records.go
@@ -0,0 +1,106 @@
+package registry
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"skylarkdeal/core/follow"
+	"skylarkdeal/core/leader"
+	"skylarkdeal/internal/pause"
+)
+
+func (r *Registry) listRecords(ctx context.Context) ([]leader.Record, error) {
+	es, _, err := r.cfg.Store.List(ctx, r.recordsPrefix())
+	if err != nil {
+		return nil, err
+	}
+	r.keep(es)
+	return r.parseRecords(es), nil
+}
+
+func (r *Registry) parseRecords(es []Entry) []leader.Record {
+	out := make([]leader.Record, 0, len(es))
+	for _, e := range es {
+		rec, err := parseRecord(e)
+		if err != nil {
+			r.cfg.Logger.Error("unreadable record of a change of primary", zap.String("key", e.Key), zap.Error(err))
+			continue
+		}
+		out = append(out, rec)
+	}
+	return out
+}
+
+func parseRecord(e Entry) (leader.Record, error) {
+	var rec leader.Record
+	err := json.Unmarshal(e.Value, &rec)
+	rec.Revision = uint64(e.Revision)
+	return rec, err
+}
+
+// readRecords reads the records whenever that is asked for.
+func (r *Registry) readRecords(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.relist:
+		}
+		c, cancel := context.WithTimeout(ctx, callTimeout)
+		sent := r.cfg.Now()
+		records, err := r.listRecords(c)
+		cancel()
+		if err != nil {
+			r.up.failed(err)
+			pause.For(ctx, pauseAfterError)
+			continue
+		}
+		r.cfg.Post(func() {
+			for _, rec := range records {
+				r.cfg.Record(rec)
+			}
+		})
+		r.copyRecords(sent)
+		pause.For(ctx, pauseAfterError)
+	}
+}
+
+// keep takes in the entries of records.
+func (r *Registry) keep(es []Entry) {
+	r.kept.Lock()
+	defer r.kept.Unlock()
+	for _, e := range es {
+		if e.Revision > r.records[e.Key].Revision {
+			r.records[e.Key] = e
+		}
+	}
+}
+
+// copyRecord hands on a record that this host has written.
+func (r *Registry) copyRecord(rec leader.Record, rev Revision) {
+	b, err := json.Marshal(rec)
+	if err != nil {
+		r.cfg.Logger.Error("record not handed on", zap.Error(err))
+		return
+	}
+	r.keep([]Entry{{Key: r.recordsPrefix() + string(rec.Service), Value: b, Revision: rev}})
+	r.copyRecords(r.cfg.Now())
+}
+
+func (r *Registry) copyRecords(read time.Time) {
+	r.kept.Lock()
+	es := slices.SortedFunc(maps.Values(r.records), func(a, b Entry) int { return cmp.Compare(a.Key, b.Key) })
+	r.kept.Unlock()
+	// Without a record there is still a version, so that a follower knows that it has all.
+	v := Revision(1)
+	for _, e := range es {
+		v = max(v, e.Revision)
+	}
+	r.copied(follow.PartRecords, follow.Version(v), read, es)
+}
