Rank the hosts that may hold connections once, whatever the links do

Cause: for the instances of the cut data centre no strong host is heard, and all 236 other hosts were ranked anew, by two hashes for each comparison, whenever a link came or went; besides, each report of a doubt had a host look whether it is a witness, through all hosts.

Change: a ranking holds names and stays until the candidates themselves change; behind the hosts of the data centre come the strong ones of the others only; whether the host is a witness stands with the ranking.

--- a/core/relay/fleet_test.go
+++ b/core/relay/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -180,3 +181,18 @@
 		c.Check(i.Connections <= 1, qt.IsTrue, qt.Commentf("%s: %d connections", i.Instance, i.Connections))
 	}
 }
+
+// Guards against a cut of a data centre that takes the processors of all hosts: links come and go,
+// and each time every host looked through all others for each instance of the cut data centre.
+func BenchmarkHoldersWhileADataCentreIsCutOff(b *testing.B) {
+	c := qt.New(b)
+	hosts := fleetOf(300)
+	heard := slices.DeleteFunc(slices.Clone(hosts), func(p relay.Peer) bool { return p.DataCentre == "dc0" })
+	w := join(c, hosts, 1, 20)
+	for n := range b.N {
+		heard[n%len(heard)].Send = nil
+		w.relay.SetPeers(slices.Clone(heard), 60)
+		w.relay.Holders()
+		heard[n%len(heard)].Send = func(relay.Forward) {}
+	}
+}
--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -55,6 +55,8 @@
 // forwarding is what a relay needs for running statements by and for other hosts.
 type forwarding struct {
 	peers []Peer
+	// byHost has the peers by their names.
+	byHost map[fleet.Host]Peer
 	// candidates are the hosts of each data centre that may hold connections; round counts their
 	// changes.
 	candidates map[fleet.DataCentre]candidates
@@ -96,7 +98,18 @@
 func (r *Relay) SetPeers(ps []Peer, missing int) {
 	f := &r.forwarding
 	f.missing = missing
-	if f.candidates == nil || !slices.EqualFunc(f.peers, ps, samePeer) {
+	if f.byHost == nil {
+		f.byHost = map[fleet.Host]Peer{}
+	}
+	same := f.candidates != nil && len(ps) == len(f.byHost)
+	for _, p := range ps {
+		same = same && samePeer(f.byHost[p.Host], p)
+	}
+	clear(f.byHost)
+	for _, p := range ps {
+		f.byHost[p.Host] = p
+	}
+	if !same {
 		f.candidates = candidatesOf(append(slices.Clone(ps), r.self()))
 		f.round++
 	}
--- a/core/relay/holder.go
+++ b/core/relay/holder.go
@@ -41,10 +41,9 @@
 	return out
 }
 
-// samePeer reports whether a and b are the same host with the same standing.
+// samePeer reports whether a and b are the same candidate. Links come and go more often.
 func samePeer(a, b Peer) bool {
-	return a.Host == b.Host && a.DataCentre == b.DataCentre && a.Capacity == b.Capacity &&
-		(a.Send == nil) == (b.Send == nil)
+	return a.Host == b.Host && a.DataCentre == b.DataCentre && a.Capacity == b.Capacity
 }
 
 func (r *Relay) self() Peer {
@@ -56,9 +55,12 @@
 type ranking struct {
 	round  uint64
 	centre fleet.DataCentre
-	// near are the strong hosts of the instance's data centre; all is every host, once that was
-	// asked for.
-	near, all []Peer
+	// near are the strong hosts of the instance's data centre, rest those that come behind them,
+	// once that was asked for.
+	near, rest []fleet.Host
+	// witness is whether this host looks for itself when another one doubts the instance, nil
+	// until that was asked for.
+	witness *bool
 }
 
 // holder returns the host over which an instance is used, false for this one.
@@ -75,22 +77,24 @@
 	if len(r.forwarding.peers) == 0 || here && i.direct(now) {
 		return Peer{}, false
 	}
-	may := func(p Peer) bool {
-		if p.Host == r.cfg.Host {
+	may := func(h fleet.Host) bool {
+		if h == r.cfg.Host {
 			return here
 		}
-		return r.mayReach(now, p.Host, i)
+		return r.mayReach(now, h, i)
 	}
 	i.rank()
-	n := slices.IndexFunc(i.ranking.near, may)
-	if n >= 0 {
-		return i.ranking.near[n], i.ranking.near[n].Host != r.cfg.Host
+	hosts := i.ranking.near
+	n := slices.IndexFunc(hosts, may)
+	if n < 0 {
+		i.rankRest()
+		hosts = i.ranking.rest
+		n = slices.IndexFunc(hosts, may)
 	}
-	i.rankAll()
-	if n = slices.IndexFunc(i.ranking.all, may); n >= 0 {
-		return i.ranking.all[n], i.ranking.all[n].Host != r.cfg.Host
+	if n < 0 || hosts[n] == r.cfg.Host {
+		return Peer{}, false
 	}
-	return Peer{}, false
+	return r.forwarding.byHost[hosts[n]], true
 }
 
 // rank brings the ranking up to date.
@@ -102,27 +106,30 @@
 	i.ranking = ranking{round: f.round, centre: i.info.DataCentre, near: i.ranked(f.candidates[i.info.DataCentre].strong)}
 }
 
-// rankAll ranks all hosts, those of the instance's data centre first.
-func (i *instance) rankAll() {
-	if i.ranking.all != nil {
+// rankRest ranks the other hosts of the instance's data centre, and behind them the strong ones of
+// all others.
+func (i *instance) rankRest() {
+	if i.ranking.rest != nil {
 		return
 	}
 	f := &i.g.r.forwarding
-	out := append(slices.Clone(i.ranking.near), i.ranked(f.candidates[i.info.DataCentre].rest)...)
-	var strong, rest []Peer
+	var far []Peer
 	for dc, c := range f.candidates {
 		if dc != i.info.DataCentre {
-			strong, rest = append(strong, c.strong...), append(rest, c.rest...)
+			far = append(far, c.strong...)
 		}
 	}
-	i.ranking.all = append(append(out, i.ranked(strong)...), i.ranked(rest)...)
+	i.ranking.rest = append(i.ranked(f.candidates[i.info.DataCentre].rest), i.ranked(far)...)
 }
 
-func (i *instance) ranked(ps []Peer) []Peer {
-	out := slices.Clone(ps)
-	slices.SortFunc(out, func(a, b Peer) int {
-		return cmp.Compare(weight(b.Host, i.info.Name), weight(a.Host, i.info.Name))
-	})
+func (i *instance) ranked(ps []Peer) []fleet.Host {
+	of := make(map[fleet.Host]uint64, len(ps))
+	out := make([]fleet.Host, 0, len(ps))
+	for _, p := range ps {
+		of[p.Host] = weight(p.Host, i.info.Name)
+		out = append(out, p.Host)
+	}
+	slices.SortFunc(out, func(a, b fleet.Host) int { return cmp.Compare(of[b], of[a]) })
 	return out
 }
 
@@ -161,8 +168,8 @@
 				out.Add(p.Host)
 			}
 			i.rank()
-			for _, p := range i.ranking.near[:min(1+standbys, len(i.ranking.near))] {
-				out.Add(p.Host)
+			for _, h := range i.ranking.near[:min(1+standbys, len(i.ranking.near))] {
+				out.Add(h)
 			}
 		}
 	}
@@ -178,14 +185,16 @@
 
 // witness reports whether this host is one of those that look for themselves.
 func (r *Relay) witness(i *instance) bool {
-	own, before := weight(r.cfg.Host, i.info.Name), 0
-	for _, p := range r.forwarding.peers {
-		if weight(p.Host, i.info.Name) > own {
-			before++
-		}
-		if before >= witnesses {
-			return false
+	i.rank()
+	if i.ranking.witness == nil {
+		own, before := weight(r.cfg.Host, i.info.Name), 0
+		for _, p := range r.forwarding.peers {
+			if weight(p.Host, i.info.Name) > own {
+				before++
+			}
 		}
+		first := before < witnesses
+		i.ranking.witness = &first
 	}
-	return true
+	return *i.ranking.witness
 }
