Look at what is to be reported with the other looks of the loop

A goroutine woke up 20 times a second to have the loop, which ticks as often, look whether a report is due: 40 of a resting host's wake-ups a second. The loop's own tick does that now.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -121,7 +121,6 @@
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop = stop
 	h.duties.Go(func() { h.registry.Run(ctx) })
-	h.duties.Go(func() { h.gossips(ctx) })
 	log.Info("host started", zap.String("host", string(s.Host.Name)),
 		zap.String("data-centre", string(s.Host.DataCentre)), zap.String("callers", s.Caller.Address))
 	return h, nil
@@ -223,6 +222,7 @@
 	h.busy.Store(h.relay.Waiting())
 	h.tendLinks()
 	h.relay.Tick()
+	h.report()
 	if r := h.relay.Ready(); r != h.ready.Load() {
 		h.ready.Store(r)
 		h.log.Info("readiness", zap.Bool("ready", r))
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -33,7 +33,7 @@
 	// may last on it.
 	linkRest = 10 * time.Second
 	// tendEvery spaces the looks at all other hosts: hundreds, in a large fleet.
-	tendEvery = 50 * time.Millisecond
+	tendEvery = 45 * time.Millisecond
 )
 
 // link is the connection to another host by which this one has statements run there.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -36,6 +36,8 @@
 	// many instances that others doubt.
 	reported         time.Time
 	doubted, reached int
+	// checked is when that was last looked at.
+	checked time.Time
 	// catalog is the version in force here, told the one that the others know of.
 	catalog, told uint64
 	// looked is when the hosts were last listed because some are missing.
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -1,14 +1,12 @@
 package entry
 
 import (
-	"context"
 	"slices"
 	"time"
 
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/mesh"
 	"skylarkdeal/internal/clock"
-	"skylarkdeal/internal/pause"
 	"skylarkdeal/io/gossip"
 )
 
@@ -19,8 +17,9 @@
 	// wholeFirst is how many of the first reports tell everything: others may not know the host, and
 	// any may be lost.
 	wholeFirst = 5
-	// doubtsEvery is how often doubts are looked at: a new one is told at once.
-	doubtsEvery = 50 * time.Millisecond
+	// doubtsEvery is how often doubts are looked at, at most: a new one is told at once. It is a
+	// little less than the pause between two ticks of a host at rest.
+	doubtsEvery = 45 * time.Millisecond
 	// behindFor is how long a host that hears of a newer catalog waits for its own watch
 	// to bring it.
 	behindFor = 250 * time.Millisecond
@@ -31,6 +30,10 @@
 // report tells the others, time and again and at once when there is a new doubt.
 func (h *Host) report() {
 	now := clock.Now()
+	if now.Sub(h.peers.checked) < doubtsEvery {
+		return
+	}
+	h.peers.checked = now
 	h.pass(now)
 	doubts := h.relay.Doubts()
 	reached := h.relay.Reached()
@@ -178,11 +181,6 @@
 	}
 }
 
-// gossips tells the others of this host until ctx ends.
-func (h *Host) gossips(ctx context.Context) {
-	pause.Every(ctx, doubtsEvery, func() { h.loop.Do(h.report) })
-}
-
 // held is a report that waits to be passed on, with when it came; an urgent one doesn't wait.
 type held struct {
 	report gossip.Report
