--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -237,6 +237,19 @@
 	}
 }
 
+// largeFleet is more hosts than read the store each for itself.
+const largeFleet = 18
+
+// Guards against a promise that holds only while each host reads the store for itself: here most
+// follow one that does, and it is killed, stopped and cut off like all others.
+func TestSoakOfAFleetWithFollowers(t *testing.T) {
+	if os.Getenv("SOAK_SEEDS") != "" {
+		t.Skip("part of the short run; SOAK_HOSTS sets the size of others")
+	}
+	s := soak{Seed: 18, Hosts: largeFleet, Callers: defaultCallers, Events: plan(18, shortFaults, largeFleet)}
+	play(qt.New(t), s)
+}
+
 // Each soak that ever failed is kept with its plan and cause. Long ones are played by hand.
 func TestKeptCases(t *testing.T) {
 	files, err := filepath.Glob(filepath.Join("testdata", "*.json"))
