Keep a reader alive that is followed before it has read anything

Cause: hosts that step in while the store serves nobody are readers without any copy. Copies.For returned a nil map then, to which the hosts are added.

Change: it returns a map of its own.

Holds: TestReaderThatHasReadNothingTellsNothing panicked before. The fault shows in no fleet of fewer than 17 hosts; the soak with followers cuts single hosts, not a data centre.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -6,10 +6,7 @@
 // What a fleet asks the store then grows with its data centres, not with its hosts.
 package follow
 
-import (
-	"maps"
-	"time"
-)
+import "time"
 
 // Part names a part of the store's content.
 type Part string
@@ -54,13 +51,13 @@
 
 // For returns the parts for a follower that has some versions, and notes in has what it then has.
 func (c *Copies[T]) For(has map[Part]Version) map[Part]Copy[T] {
-	out := maps.Clone(c.parts)
-	for p, o := range out {
+	out := make(map[Part]Copy[T], len(c.parts))
+	for p, o := range c.parts {
 		if has[p] == o.Version {
 			var none T
 			o.Whole, o.Body = false, none
-			out[p] = o
 		}
+		out[p] = o
 		has[p] = o.Version
 	}
 	return out
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -24,6 +24,19 @@
 	// false
 }
 
+// Guards against a reader that ends as it is followed before it has read anything, as one that steps
+// in while the store is down.
+func TestReaderThatHasReadNothingTellsNothing(t *testing.T) {
+	c := qt.New(t)
+	var s follow.Copies[string]
+	has := map[follow.Part]follow.Version{}
+	parts := s.For(has)
+	c.Assert(parts, qt.HasLen, 0)
+	// Whoever passes them on adds the hosts.
+	parts[follow.PartHosts] = follow.Copy[string]{Whole: true}
+	c.Assert(has, qt.HasLen, 0)
+}
+
 // Guards against an older reading, whose answer came late, in place of a newer one.
 func TestOlderReadingChangesNothing(t *testing.T) {
 	c := qt.New(t)
