Let hosts that only forward rest while one of many groups has no primary

Waiting() had every host of the fleet tick 100 times a second while any group's primary couldn't answer, whether the host had a part in that or not. Now only those do that hold the duty or connections to the group's instances, or have something waiting.

Holds: TestHostThatOnlyForwardsRestsWhileAGroupHasNoPrimary.

--- a/core/relay/fleet_test.go
+++ b/core/relay/fleet_test.go
@@ -196,3 +196,12 @@
 		heard[n%len(heard)].Send = func(relay.Forward) {}
 	}
 }
+
+// Guards against hundreds of hosts that all tick quickly while one group has no primary.
+func TestHostThatOnlyForwardsRestsWhileAGroupHasNoPrimary(t *testing.T) {
+	c := qt.New(t)
+	w := join(c, fleetOf(300), 50, 1)
+	c.Assert(w.relay.Waiting(), qt.IsFalse)
+	w.relay.HoldDuty(true)
+	c.Assert(w.relay.Waiting(), qt.IsTrue)
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -263,13 +263,30 @@
 // Waiting reports whether anything waits that a tick may decide on.
 func (r *Relay) Waiting() bool {
 	for _, g := range r.groups {
-		if len(g.waiting)+len(g.inquiries)+g.proofs.Len() > 0 || g.able(r.now()) != "" {
+		if len(g.waiting)+len(g.inquiries)+g.proofs.Len() > 0 || g.tended() && g.able(r.now()) != "" {
 			return true
 		}
 	}
 	return r.drain.on
 }
 
+// tended reports whether this host has a part in finding out why a group's primary can't answer:
+// the duty, or connections of its own.
+//
+// The load it is made for: hundreds of hosts, nearly all of which use a group over its holders.
+// While one of many groups has no primary, quick ticks of theirs bring nothing.
+func (g *group) tended() bool {
+	if g.r.duty.holds {
+		return true
+	}
+	for _, i := range g.instances {
+		if len(i.conns) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Relay) nextKey() uint64 {
 	r.key++
 	return r.key
