Begin each time of following a reader with a question for everything

Found by reading the whole change, before it was seen: a follower whose reader was silent for 0.45 s followed another one. The first went on to tell it for up to 3 s, over the link that both keep, and took what it sent for known; the follower took nothing of that in. Back at the first reader it had not the records of orders of meanwhile, and took the next renewal for proof: a write could have been acknowledged by a primary that was replaced.

Change: the sessions of a follower are told apart (follow.Session). Each begins with a question for everything, whatever was passed on before, and what echoes a question of before is not taken in, as it was sent before that one was heard.

Holds: TestFollowerThatComesBackAsksForEverything fails with either half taken out (what is on its way, and what counts as known); the soak with followers passes.

--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -110,6 +110,36 @@
 	})
 }
 
+// Guards against a follower that takes a renewal for proof although it lacks a record: it had left the
+// reader for another one, and what the reader passed on meanwhile was not taken in.
+func TestFollowerThatComesBackAsksForEverything(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	at := func(d time.Duration) time.Time { return now.Add(d * time.Millisecond) }
+	var r follow.Copies[string]
+	r.Put(follow.PartRecords, 1, at(0), "no order")
+	has := map[follow.Part]follow.Version{}
+	var s follow.Session
+	s.Begin("r1", at(0))
+	c.Assert(s.Ask(), qt.IsTrue)
+	c.Assert(s.Accepts("r1", at(1)), qt.IsTrue)
+	r.For(has)
+	c.Assert(s.Ask(), qt.IsFalse)
+	s.Begin("r2", at(500))
+	r.Put(follow.PartRecords, 2, at(600), "an order")
+	c.Assert(r.For(has)[follow.PartRecords].Whole, qt.IsTrue)
+	c.Assert(s.Accepts("r1", at(1)), qt.IsFalse)
+	s.Begin("r1", at(900))
+	// What is still on its way says nothing of the record any more.
+	c.Assert(r.For(has)[follow.PartRecords].Whole, qt.IsFalse)
+	c.Assert(s.Accepts("r1", at(1)), qt.IsFalse)
+	if s.Ask() {
+		clear(has)
+	}
+	c.Assert(r.For(has)[follow.PartRecords].Body, qt.Equals, "an order")
+	c.Assert(s.Accepts("r1", at(901)), qt.IsTrue)
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -30,11 +30,10 @@
 	// since is when the host took its role, renewed when the last renewal was sent that it
 	// knows of, its own or a reader's.
 	since, renewed time.Time
-	// lead is the reader that it follows, asked when it was last asked for news, heard when news
-	// last came.
-	lead         fleet.Host
+	// session is that with the reader that it follows, asked when it was last asked for news, heard
+	// when news last came.
+	session      follow.Session
 	asked, heard time.Time
-	clock        follow.Clock
 	// registered are the hosts that were registered when the store was last asked, centres their
 	// data centres.
 	registered []registry.Host
@@ -64,7 +63,7 @@
 		return
 	}
 	h.following.role, h.following.since = x, clock.Now()
-	h.following.lead = ""
+	h.following.session = follow.Session{}
 	h.registry.SetRole(x)
 	if x == follow.RoleFollower {
 		clear(h.following.followers)
@@ -130,16 +129,16 @@
 	if f.role != follow.RoleFollower {
 		return
 	}
-	if l := h.links[f.lead]; l == nil || l.failed || now.Sub(later(f.heard, f.asked)) > leader.QuietAfter {
+	if l := h.links[f.session.Lead]; l == nil || l.failed || now.Sub(later(f.heard, f.asked)) > leader.QuietAfter {
 		h.choose(now)
 	}
-	l := h.links[f.lead]
+	l := h.links[f.session.Lead]
 	if l == nil || !l.up || now.Sub(f.asked) < followEvery {
 		return
 	}
 	f.asked = now
 	l.used = now
-	l.conn.Write(forward.AppendFollow(nil, now))
+	l.conn.Write(forward.AppendFollow(nil, forward.Follow{Sent: now, Whole: f.session.Ask()}))
 }
 
 // choose takes a reader to follow, another one than the last if there is one.
@@ -149,21 +148,21 @@
 	if len(others) == 0 {
 		others = h.registeredBeside()
 	}
-	rest := slices.DeleteFunc(slices.Clone(others), func(c follow.Candidate) bool { return c.Host == f.lead })
+	rest := slices.DeleteFunc(slices.Clone(others), func(c follow.Candidate) bool { return c.Host == f.session.Lead })
 	lead, ok := follow.Lead(h.settings.Host.Name, rest)
 	if !ok {
 		lead, ok = follow.Lead(h.settings.Host.Name, others)
 	}
 	if !ok {
-		f.lead = ""
+		f.session = follow.Session{}
 		return
 	}
-	if lead != f.lead {
+	if lead != f.session.Lead {
 		h.log.Debug("follow a reader of the store", zap.String("host", string(lead)))
-		f.clock = follow.Clock{}
+		f.session.Begin(lead, now)
 	}
-	// asked bounds the wait for its first news; the question goes out as soon as the link stands.
-	f.lead, f.asked, f.heard = lead, time.Time{}, now
+	// The question goes out as soon as the link stands; heard bounds the wait for its answer.
+	f.asked, f.heard = time.Time{}, now
 }
 
 // registeredBeside returns the hosts of the data centre that were registered when this one started.
@@ -184,14 +183,14 @@
 // it isn't later here than it was there, however long the news took.
 func (h *Host) told(from fleet.Host, n forward.News) {
 	f := &h.following
-	if from != f.lead || f.role != follow.RoleFollower {
+	if f.role != follow.RoleFollower || !f.session.Accepts(from, n.EchoSent) {
 		return
 	}
 	f.heard = clock.Now()
-	f.clock.Echo(n.EchoSent, n.EchoHeard)
+	f.session.Clock.Echo(n.EchoSent, n.EchoHeard)
 	f.centres = fleet.NewSet(n.Centres...)
 	for p, c := range n.Parts {
-		read, ok := f.clock.NotBefore(c.Read)
+		read, ok := f.session.Clock.NotBefore(c.Read)
 		if !ok && !c.Whole {
 			continue
 		}
@@ -206,7 +205,7 @@
 		h.relay.LeaseLost()
 		return
 	}
-	if at, ok := f.clock.NotBefore(n.Renewed); ok {
+	if at, ok := f.session.Clock.NotBefore(n.Renewed); ok {
 		h.renewed(at)
 	}
 }
@@ -238,13 +237,16 @@
 }
 
 // followed takes in a host's question for news.
-func (h *Host) followed(l relay.LinkID, sent time.Time, write func(b []byte)) {
+func (h *Host) followed(l relay.LinkID, q forward.Follow, write func(b []byte)) {
 	f := h.following.followers[l]
 	if f == nil {
 		f = &follower{has: map[follow.Part]follow.Version{}, write: write}
 		h.following.followers[l] = f
 	}
-	f.asked, f.heard = sent, clock.Now()
+	if q.Whole {
+		clear(f.has)
+	}
+	f.asked, f.heard = q.Sent, clock.Now()
 	if h.reads() {
 		h.tell(f)
 	}
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -117,8 +117,8 @@
 		return func(fleet.Host) bool { return true }
 	}
 	hs := h.relay.Holders()
-	if h.following.lead != "" {
-		hs.Add(h.following.lead)
+	if lead := h.following.session.Lead; lead != "" {
+		hs.Add(lead)
 	}
 	return hs.Has
 }
@@ -183,7 +183,7 @@
 			l.heard = clock.Now()
 			h.relay.ForwardAnswered(l.host, id, a)
 		},
-		Follow: func(time.Time) {},
+		Follow: func(forward.Follow) {},
 		News: func(n forward.News) {
 			l.heard = clock.Now()
 			h.told(l.host, n)
@@ -220,7 +220,7 @@
 			})
 		},
 		Reply:  func(uint64, statement.Answer) {},
-		Follow: func(sent time.Time) { h.followed(id, sent, c.Write) },
+		Follow: func(f forward.Follow) { h.followed(id, f, c.Write) },
 		News:   func(forward.News) {},
 	}
 	c.Data = h.reader("another host", in.Take, func(error) { c.Close() })
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -36,7 +36,7 @@
 	Request func(f relay.Forward)
 	Reply   func(stream uint64, a statement.Answer)
 	// Follow and News are called with what hosts tell each other of the store.
-	Follow func(sent time.Time)
+	Follow func(f Follow)
 	News   func(n News)
 }
 
@@ -65,7 +65,7 @@
 	case *forwardpb.Frame_Reply:
 		r.Reply(k.Reply.GetStream(), answer(k.Reply))
 	case *forwardpb.Frame_Follow:
-		r.Follow(fromMoment(k.Follow.GetSent()))
+		r.Follow(Follow{Sent: fromMoment(k.Follow.GetSent()), Whole: k.Follow.GetWhole()})
 	case *forwardpb.Frame_News:
 		r.News(news(k.News))
 	default:
--- a/io/forward/news.go
+++ b/io/forward/news.go
@@ -24,9 +24,17 @@
 	Centres []fleet.DataCentre
 }
 
-// AppendFollow writes the question for news, sent at a moment of this host's clock.
-func AppendFollow(b []byte, sent time.Time) []byte {
-	m := &forwardpb.Follow{Sent: toMoment(sent)}
+// Follow is a follower's question for news.
+type Follow struct {
+	// Sent is when it was sent, by the follower's clock.
+	Sent time.Time
+	// Whole asks for everything, whatever was passed on before.
+	Whole bool
+}
+
+// AppendFollow writes the question for news.
+func AppendFollow(b []byte, f Follow) []byte {
+	m := &forwardpb.Follow{Sent: toMoment(f.Sent), Whole: f.Whole}
 	return appendFrame(b, &forwardpb.Frame{Kind: &forwardpb.Frame_Follow{Follow: m}})
 }
 
--- a/io/forward/news_test.go
+++ b/io/forward/news_test.go
@@ -26,12 +26,13 @@
 		Centres: []fleet.DataCentre{"obihiro", "sapporo"},
 	}
 	var got []forward.News
-	var asked []time.Time
+	var asked []forward.Follow
 	r := forward.Reader{
 		News:   func(n forward.News) { got = append(got, n) },
-		Follow: func(sent time.Time) { asked = append(asked, sent) },
+		Follow: func(f forward.Follow) { asked = append(asked, f) },
 	}
-	b := forward.AppendFollow(forward.AppendNews(nil, want), at)
+	question := forward.Follow{Sent: at, Whole: true}
+	b := forward.AppendFollow(forward.AppendNews(nil, want), question)
 	b = forward.AppendNews(b, forward.News{})
 	for len(b) > 0 {
 		// A frame that isn't complete is waited for.
@@ -46,5 +47,5 @@
 	c.Assert(got, qt.HasLen, 2)
 	c.Assert(got[0], qt.DeepEquals, want)
 	c.Assert(got[1].Renewed.IsZero(), qt.IsTrue)
-	c.Assert(asked, qt.DeepEquals, []time.Time{at})
+	c.Assert(asked, qt.DeepEquals, []forward.Follow{question})
 }
