--- a/io/registry/follow.go
+++ b/io/registry/follow.go
@@ -52,7 +52,7 @@
 			}
 		}
 	case follow.PartHosts:
-		// Whoever takes in parts knows the hosts better.
+		// They are no part of what the store tells: see ParseHosts.
 	}
 }
 
@@ -65,9 +65,9 @@
 	r.cfg.Post(func() { r.cfg.Copied(p, c) })
 }
 
-// countKey holds the number of hosts, for hosts that start when no other runs. It sorts behind the
-// registrations, so that one list has both.
-func (r *Registry) countKey() string { return r.cfg.Prefix + "hosts0count" }
+// countKey holds the number of hosts, for hosts that start when no other runs. One list has it and
+// the registrations.
+func (r *Registry) countKey() string { return r.cfg.Prefix + "hosts-count" }
 
 // censusPrefix starts the registrations and countKey.
 func (r *Registry) censusPrefix() string { return r.cfg.Prefix + "hosts" }
--- a/io/registry/follow_test.go
+++ b/io/registry/follow_test.go
@@ -45,7 +45,7 @@
 func TestHostFollowsWhoeverIsRegistered(t *testing.T) {
 	c := qt.New(t)
 	s := newShelf()
-	s.put("our/hosts0count", "295")
+	s.put("our/hosts-count", "295")
 	s.registered("h-first")
 	_, got, x := joinLarge(c, s)
 	until(c, got, "a role", func() bool { return x.role != "" })
@@ -60,7 +60,7 @@
 func TestHostOfASmallFleetReadsAtOnce(t *testing.T) {
 	c := qt.New(t)
 	s := newShelf()
-	s.put("our/hosts0count", "6")
+	s.put("our/hosts-count", "6")
 	s.registered("h-first")
 	began := time.Now()
 	_, got, x := joinLarge(c, s)
@@ -74,7 +74,7 @@
 func TestFormerReaderEndsItsRegistration(t *testing.T) {
 	c := qt.New(t)
 	s := newShelf()
-	s.put("our/hosts0count", "6")
+	s.put("our/hosts-count", "6")
 	r, got, _ := joinLarge(c, s)
 	until(c, got, "the duty", func() bool { return len(got.holds) > 0 && got.holds[len(got.holds)-1] })
 	r.SetRole(follow.RoleFollower)
@@ -91,7 +91,7 @@
 func TestRecordsAreCopiedBeforeTheFirstRenewal(t *testing.T) {
 	c := qt.New(t)
 	s := newShelf()
-	s.put("our/hosts0count", "6")
+	s.put("our/hosts-count", "6")
 	s.put("our/primaries/orders", `{"service":"orders","term":2,"primary":"b"}`)
 	got := &seen{}
 	cfg := config(s, got, 0, time.Second, 0)
@@ -110,7 +110,7 @@
 func TestCopiesAreTakenIn(t *testing.T) {
 	c := qt.New(t)
 	s := newShelf()
-	s.put("our/hosts0count", "295")
+	s.put("our/hosts-count", "295")
 	s.registered("h-first")
 	r, got, x := joinLarge(c, s)
 	until(c, got, "a role", func() bool { return x.role != "" })
