Pass on every record, whichever order it becomes known in

Found by reading the change once more. A reader's copy of the records had the highest revision as its version, and the beginning of a listing as its time. A record that became known after another of a later revision changed neither, or came with an older time, and was never passed on; a follower would have taken the next renewal for proof without it.

Records only come to be more, so a copy is now versioned by the changes to them and timed when it is put together. TestRecordThatIsLearntLateIsPassedOn fails without that.

Besides, as they were: hosts that a reader tells of are counted once, not once for each of them, at a start; a check that stood twice; three comments.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -20,7 +20,7 @@
 type peers struct {
 	epoch, seq uint64
 	addresses  map[fleet.Host]*net.UDPAddr
-	// centres are the registered hosts' data centres.
+	// centres are the data centres of the hosts in addresses.
 	centres map[fleet.Host]fleet.DataCentre
 	// known are the hosts that were heard.
 	known map[fleet.Host]*peer
@@ -170,13 +170,10 @@
 
 // meetAll takes in hosts beside those that are known.
 func (h *Host) meetAll(hs []registry.Host) {
-	before := len(h.peers.addresses)
 	for _, p := range hs {
-		h.meet(gossip.Report{Host: p.Name, Address: p.Address, DataCentre: p.DataCentre})
-	}
-	if len(h.peers.addresses) == before {
-		h.hostsChanged()
+		h.add(p.Name, p.Address, p.DataCentre)
 	}
+	h.hostsChanged()
 }
 
 // hostEntries returns the hosts that are known, as they would register.
@@ -241,15 +238,22 @@
 
 // meet takes in a host that isn't on the list yet.
 func (h *Host) meet(r gossip.Report) {
-	if h.peers.addresses == nil || h.peers.addresses[r.Host] != nil || r.Address == "" || r.Host == h.settings.Host.Name {
-		return
+	if h.add(r.Host, r.Address, r.DataCentre) {
+		h.hostsChanged()
 	}
-	a, err := net.ResolveUDPAddr("udp4", r.Address)
+}
+
+// add adds a host to the list and reports whether it is new there.
+func (h *Host) add(n fleet.Host, address string, dc fleet.DataCentre) bool {
+	if h.peers.addresses == nil || h.peers.addresses[n] != nil || address == "" || n == h.settings.Host.Name {
+		return false
+	}
+	a, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
-		h.log.Warn("host without an address", zap.String("host", string(r.Host)), zap.Error(err))
-		return
+		h.log.Warn("host without an address", zap.String("host", string(n)), zap.Error(err))
+		return false
 	}
-	h.peers.addresses[r.Host], h.peers.centres[r.Host] = a, r.DataCentre
-	h.peers.met[r.Host] = clock.Now()
-	h.hostsChanged()
+	h.peers.addresses[n], h.peers.centres[n] = a, dc
+	h.peers.met[n] = clock.Now()
+	return true
 }
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -76,7 +76,7 @@
 	}
 }
 
-// pass passes on what was heard from other data centres to the hosts beside this one.
+// pass passes on what was heard to the hosts beside this one.
 func (h *Host) pass(now time.Time) {
 	waits := now.Sub(h.peers.passedAt) < mesh.PaceOf(h.peers.size()).Pass && !h.peers.urgent
 	if len(h.peers.passing) == 0 || waits {
@@ -91,8 +91,7 @@
 	h.peers.passedAt = now
 }
 
-// heard takes in other hosts' reports. Those that came directly from another data centre of
-// a large fleet are passed on.
+// heard takes in other hosts' reports. A door passes on those that came to it directly.
 func (h *Host) heard(rs []gossip.Report, passed bool) {
 	h.loop.Do(func() {
 		for _, r := range rs {
@@ -116,9 +115,6 @@
 
 // passes reports whether what a host has told this one directly is to be passed on.
 func (h *Host) passes(from fleet.Host) bool {
-	if !mesh.Large(h.peers.size()) {
-		return false
-	}
 	return mesh.Passes(h.self(), h.peers.known[from].dataCentre, h.peers.members(clock.Now()))
 }
 
--- a/io/registry/follow_test.go
+++ b/io/registry/follow_test.go
@@ -129,3 +129,23 @@
 	until(c, got, "the instances", func() bool { return got.instances == 1 })
 	got.get(func() { c.Check(got.records, qt.HasLen, 1) })
 }
+
+// Guards against a record that a reader learns of after one of a later revision and never passes on:
+// its followers would take the next renewal for proof without it.
+func TestRecordThatIsLearntLateIsPassedOn(t *testing.T) {
+	c := qt.New(t)
+	s := newShelf()
+	s.put("our/hosts-count", "6")
+	s.put("our/primaries/orders", `{"service":"orders","term":2}`)
+	r, got, x := joinLarge(c, s)
+	has := map[follow.Part]follow.Version{}
+	records := func() int { return len(x.copies.For(has)[follow.PartRecords].Body) }
+	until(c, got, "the record", func() bool { return records() == 1 })
+	s.mu.Lock()
+	s.entries["our/primaries/ledger"] = registry.Entry{
+		Key: "our/primaries/ledger", Value: []byte(`{"service":"ledger","term":2}`), Revision: 1,
+	}
+	s.mu.Unlock()
+	r.Refresh()
+	until(c, got, "the other one", func() bool { return records() == 2 })
+}
--- a/io/registry/records.go
+++ b/io/registry/records.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"maps"
 	"slices"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -53,7 +52,6 @@
 		case <-r.relist:
 		}
 		c, cancel := context.WithTimeout(ctx, callTimeout)
-		sent := r.cfg.Now()
 		records, err := r.listRecords(c)
 		cancel()
 		if err != nil {
@@ -66,7 +64,7 @@
 				r.cfg.Record(rec)
 			}
 		})
-		r.copyRecords(sent)
+		r.copyRecords()
 		pause.For(ctx, pauseAfterError)
 	}
 }
@@ -78,6 +76,7 @@
 	for _, e := range es {
 		if e.Revision > r.records[e.Key].Revision {
 			r.records[e.Key] = e
+			r.changes++
 		}
 	}
 }
@@ -90,17 +89,16 @@
 		return
 	}
 	r.keep([]Entry{{Key: r.recordsPrefix() + string(rec.Service), Value: b, Revision: rev}})
-	r.copyRecords(r.cfg.Now())
+	r.copyRecords()
 }
 
-func (r *Registry) copyRecords(read time.Time) {
+// copyRecords hands on all records. They only come to be more, so that the later of two copies has
+// all that the earlier one has, whichever reading it came by.
+func (r *Registry) copyRecords() {
 	r.kept.Lock()
 	es := slices.SortedFunc(maps.Values(r.records), func(a, b Entry) int { return cmp.Compare(a.Key, b.Key) })
+	// A record may become known after another of a later revision, so that revisions tell no versions.
+	v, at := follow.Version(1+r.changes), r.cfg.Now()
 	r.kept.Unlock()
-	// Without a record there is still a version, so that a follower knows that it has all.
-	v := Revision(1)
-	for _, e := range es {
-		v = max(v, e.Revision)
-	}
-	r.copied(follow.PartRecords, follow.Version(v), read, es)
+	r.copied(follow.PartRecords, v, at, es)
 }
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -157,9 +157,11 @@
 	size, told atomic.Int64
 	// counted is set once the census has told of the registered hosts.
 	counted bool
-	// records are the entries of the records as they were last read, under kept.
+	// records are the entries of the records that are known, changes counts what has come to them;
+	// both are under kept.
 	kept    sync.Mutex
 	records map[string]Entry
+	changes uint64
 }
 
 // New returns a Registry that Run puts to work.
@@ -311,7 +313,7 @@
 		}
 	})
 	// Whoever follows this host is to have the records before it hears of the renewal.
-	r.copyRecords(sent)
+	r.copyRecords()
 	r.cfg.Post(func() { r.cfg.Renewed(sent) })
 	return nil
 }
