--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -11,6 +11,9 @@
 // Version orders the versions of the catalog; a later one replaces an earlier one whole.
 type Version uint64
 
+// Revision orders all that the operators have laid down, whichever part of it has changed last.
+type Revision uint64
+
 // Database is the name by which callers reach a service, with the consistency that
 // they get.
 type Database string
@@ -31,7 +34,7 @@
 	ConsistencySession Consistency = "session"
 )
 
-// Route says how the statements to one database are served. It is compared by value.
+// Route says how the statements to one database are served.
 type Route struct {
 	Database    Database
 	Service     fleet.Service
@@ -46,8 +49,16 @@
 	Priority int
 	// Public lets callers in who show no key.
 	Public bool
+	// Homes are the regions that the statements may enter.
+	Homes Homes
 }
 
+// Homes are the regions in which statements may be read and run; none allow all.
+type Homes fleet.Set[fleet.Region]
+
+// Allow reports whether statements may enter a region.
+func (h Homes) Allow(r fleet.Region) bool { return len(h) == 0 || fleet.Set[fleet.Region](h).Has(r) }
+
 // Service is one group of instances.
 type Service struct {
 	Name fleet.Service
@@ -56,6 +67,8 @@
 	// SyncReplicas is how many replicas have received a commit when it is
 	// acknowledged.
 	SyncReplicas int
+	// ColdRate is how many statements a second an instance bears while it is cold; zero sets no limit.
+	ColdRate float64
 }
 
 // Account is one client account.
@@ -65,20 +78,40 @@
 	// Zero sets no limit.
 	Rate, Burst float64
 	Keys        []Key
+	// Homes are the regions that its statements may enter, whatever the route allows besides.
+	Homes Homes
 }
 
 // Catalog is one version of it all. It isn't changed once it is in use.
 type Catalog struct {
-	Version  Version
+	Version Version
+	// Revision is that of the last change of anything here. Version counts the changes of all but
+	// Evacuated.
+	Revision Revision
 	Routes   map[Database]Route
 	Services map[fleet.Service]Service
 	Accounts map[fleet.Account]Account
 	// TxIdle is how long a transaction may rest before the host ends it.
 	TxIdle time.Duration
+	// Evacuated are the data centres whose instances are to be sent nothing.
+	Evacuated fleet.Set[fleet.DataCentre]
 
 	owners map[Key]fleet.Account
 }
 
+// Newer reports whether c replaces o, which may be nil. What was read earlier may come later: a
+// version never gives way to one before it, nor an evacuation to what stood there before.
+func (c *Catalog) Newer(o *Catalog) bool {
+	switch {
+	case o == nil:
+		return true
+	case c.Version != o.Version:
+		return c.Version > o.Version
+	default:
+		return c.Revision > o.Revision
+	}
+}
+
 // Owner returns the account that a key belongs to.
 func (c *Catalog) Owner(k Key) (fleet.Account, bool) {
 	if c.owners == nil {
@@ -112,4 +145,6 @@
 	Role fleet.Role
 	// Started tells two lives of one instance apart.
 	Started int64
+	// Cold is how much longer it is slow after its start, zero once it is warm.
+	Cold time.Duration
 }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -19,6 +19,9 @@
 // DataCentre is the name of a data centre.
 type DataCentre string
 
+// Region is the name of a group of data centres under one law.
+type Region string
+
 // Account is the name of a client account, unique within its service.
 type Account string
 
--- a/core/leader/decide.go
+++ b/core/leader/decide.go
@@ -9,8 +9,11 @@
 // Member is what the host that gives orders knows of one instance of a group.
 type Member struct {
 	Name fleet.Instance
-	// Leaving is set when the instance is to end soon, Gone when it has.
+	// Leaving is set when the instance is to end soon or to be left alone, Gone when it has ended.
 	Leaving, Gone bool
+	// Cold is set while it is slow after its start, Abroad where it may not serve all databases of
+	// the service.
+	Cold, Abroad bool
 	// Reachable is set when it has answered this host's last question.
 	Reachable bool
 	// Leads is set when it has said lately that it is a primary, in Term.
@@ -177,5 +180,11 @@
 	if c := m.Received.Compare(o.Received); c != 0 {
 		return c > 0
 	}
+	if m.Abroad != o.Abroad {
+		return o.Abroad
+	}
+	if m.Cold != o.Cold {
+		return o.Cold
+	}
 	return m.Name < o.Name
 }
--- a/core/relay/conn.go
+++ b/core/relay/conn.go
@@ -165,6 +165,9 @@
 	dialled := c.since
 	c.setState(connIdle)
 	c.inst.heard(r.now())
+	if c.inst.lost {
+		c.inst.lost, c.inst.back = false, r.now()
+	}
 	c.inst.crowded = 0
 	c.g.evidence(c, dialled, a)
 	c.g.pump()
@@ -217,6 +220,7 @@
 		c.inst.failed(r.now(), why)
 	}
 	c.lost(why)
+	c.inst.lost = c.inst.lost || len(c.inst.conns) == 0
 }
 
 // lost closes the connection and settles what ran on it.
@@ -271,9 +275,9 @@
 	if c.state == connClosed {
 		return
 	}
-	if c.via != "" || len(c.owed) > 0 {
+	if c.via != "" || len(c.owed) > 0 || c.inst.closed(c.g.r.now()) {
 		// The other host rolls back when the stream ends, and the instance, which may still
-		// work on a statement, when the connection does.
+		// work on a statement or is to be sent nothing, when the connection does.
 		c.op = nil
 		c.lost("given up in a transaction")
 		return
--- a/core/relay/duty.go
+++ b/core/relay/duty.go
@@ -209,7 +209,8 @@
 	}
 	for _, i := range g.instances {
 		m := leader.Member{
-			Name: i.info.Name, Leaving: i.info.Leaving, Gone: i.gone,
+			Name: i.info.Name, Leaving: i.info.Leaving || i.evacuated(), Gone: i.gone,
+			Cold: i.isCold(now), Abroad: g.abroad(i),
 			Reachable: i.failures == 0 && !i.toldAt.Before(g.surveyed), Received: i.received,
 			Leads: i.leads, Term: i.term, Doubted: now.Sub(i.doubted),
 		}
--- /dev/null
+++ b/core/relay/evacuation_test.go
@@ -0,0 +1,189 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/leader"
+	"skylarkdeal/core/relay"
+	"skylarkdeal/core/statement"
+)
+
+// newSplitWorld returns a world whose primary a and replica b stand in another data centre than the
+// replica c, which is beside the host.
+func newSplitWorld(c *qt.C) *world {
+	w := newWorld(c)
+	w.instances["a"].far, w.instances["b"].far = true, true
+	w.list()
+	w.settled()
+	w.open("rush", "key-1").do(statement.KindRead, "", "for the sample")
+	return w
+}
+
+// sent returns what an instance has run after from.
+func (n *node) sent(from int) []string { return n.ran[from:] }
+
+// forward has another host have a statement run here, and returns the answers.
+func (w *world) forward(i fleet.Instance, q statement.Statement) []statement.Answer {
+	var got []statement.Answer
+	w.relay.Forwarded(1, relay.Forward{
+		Stream: 1, Service: service, Instance: i, Account: "hotel", Left: time.Second, Open: true, Close: true,
+		Statements: []statement.Statement{q},
+	}, func(a statement.Answer) { got = append(got, a) })
+	w.pass(50*time.Millisecond, true)
+	return got
+}
+
+// Guards against reads that still reach the instances of a data centre which operators empty.
+func TestReadsLeaveAnEvacuatedDataCentreAtOnce(t *testing.T) {
+	c := qt.New(t)
+	w := newSplitWorld(c)
+	w.evacuate("sapporo")
+	before := len(w.instances["b"].ran)
+	for range 30 {
+		x := w.open("stock", "key-1")
+		x.do(statement.KindRead, "", "item")
+		w.pass(20*time.Millisecond, true)
+		c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+	}
+	c.Assert(w.instances["b"].sent(before), qt.HasLen, 0)
+}
+
+// Guards against a primary that stays in an evacuated data centre because it is well.
+func TestEvacuatedPrimaryIsReplacedElsewhere(t *testing.T) {
+	c := qt.New(t)
+	w := newSplitWorld(c)
+	w.relay.HoldDuty(true)
+	w.evacuate("sapporo")
+	w.pass(500*time.Millisecond, true)
+	c.Assert(w.orders, qt.HasLen, 1)
+	c.Assert(w.orders[0].Primary, qt.Equals, w.instances["c"].name)
+	c.Assert(w.orders[0].Reason, qt.Equals, leader.ReasonLeaving)
+}
+
+// Guards against orders that end with the evacuation although their primary could go on until its
+// successor leads, and against a primary that goes on for longer than it may.
+func TestEvacuatedPrimaryGoesOnForHalfOfTheTime(t *testing.T) {
+	c := qt.New(t)
+	w := newSplitWorld(c)
+	w.evacuate("sapporo")
+	x := w.open("rush", "key-1")
+	x.do(statement.KindWrite, "", "item data")
+	w.pass(100*time.Millisecond, true)
+	c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+	w.pass(2400*time.Millisecond, true)
+	before := len(w.instances["a"].ran)
+	x.do(statement.KindWrite, "", "item data")
+	c.Assert(x.last().Code, qt.Equals, statement.CodeBusy)
+	c.Assert(x.last().RetryAfter > 0, qt.IsTrue)
+	c.Assert(w.instances["a"].sent(before), qt.HasLen, 0)
+}
+
+// Guards against a transaction that holds on to an instance in an evacuated data centre: neither its
+// next statement nor its commit may reach it, and its caller has to know that nothing is kept.
+func TestTransactionInAnEvacuatedDataCentreIsRolledBack(t *testing.T) {
+	c := qt.New(t)
+	w := newSplitWorld(c)
+	x, y := w.open("rush", "key-1"), w.open("rush", "key-1")
+	for _, o := range []*caller{x, y} {
+		o.do(statement.KindBegin, "", "")
+		o.do(statement.KindWrite, "", "item data")
+	}
+	w.evacuate("sapporo")
+	w.pass(2400*time.Millisecond, true)
+	y.do(statement.KindCommit, "", "")
+	c.Assert(y.last().Code, qt.Equals, statement.CodeNone)
+	before := len(w.instances["a"].ran)
+	w.pass(200*time.Millisecond, true)
+	x.do(statement.KindCommit, "", "")
+	c.Assert(x.last().Code, qt.Equals, statement.CodeAborted)
+	c.Assert(w.instances["a"].sent(before), qt.HasLen, 0)
+}
+
+// Guards against a host that runs for another one what that one, which doesn't know of the
+// evacuation yet, has sent.
+func TestHolderTurnsAwayWhatIsForAnEvacuatedDataCentre(t *testing.T) {
+	c := qt.New(t)
+	w := newSplitWorld(c)
+	w.evacuate("sapporo")
+	got := w.forward("b", statement.Statement{ID: "f1", Kind: statement.KindRead, Text: "item"})
+	c.Assert(got, qt.HasLen, 1)
+	c.Assert(got[0].Code, qt.Equals, statement.CodeBusy)
+	c.Assert(w.count("f1"), qt.Equals, 0)
+}
+
+// Guards against an evacuation that is never over, or is undone by an older catalog.
+func TestEvacuationEndsWhenItIsTakenBack(t *testing.T) {
+	c := qt.New(t)
+	w := newSplitWorld(c)
+	old := w.laid
+	w.evacuate("sapporo")
+	c.Assert(w.relay.Adopt(old), qt.IsFalse)
+	w.pass(3*time.Second, true)
+	x := w.open("rush", "key-1")
+	x.do(statement.KindWrite, "", "item data")
+	c.Assert(x.last().Code, qt.Equals, statement.CodeBusy)
+	w.evacuate()
+	x.do(statement.KindWrite, "", "item data")
+	w.pass(100*time.Millisecond, true)
+	c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+}
+
+// Guards against an evacuation that is put and taken back within a moment and costs a change of
+// primary.
+func TestShortEvacuationChangesNoPrimary(t *testing.T) {
+	c := qt.New(t)
+	w := newSplitWorld(c)
+	w.relay.HoldDuty(true)
+	w.evacuate("sapporo")
+	w.evacuate()
+	w.pass(time.Second, true)
+	c.Assert(w.orders, qt.HasLen, 0)
+}
+
+// Guards against a host that leaves the rotation, or gives orders in circles, when every data centre
+// is evacuated, one of them unknown.
+func TestEvacuationOfAllDataCentresRefusesEverythingTruly(t *testing.T) {
+	c := qt.New(t)
+	w := newSplitWorld(c)
+	w.relay.HoldDuty(true)
+	w.evacuate("obihiro", "sapporo", "nowhere")
+	w.pass(3*time.Second, true)
+	c.Assert(w.orders, qt.HasLen, 0)
+	c.Assert(w.relay.Ready(), qt.IsTrue)
+	before := map[string]int{}
+	for n, i := range w.instances {
+		before[string(n)] = len(i.ran)
+	}
+	for _, d := range []catalog.Database{"rush", "stock", "standing"} {
+		x := w.open(d, "key-1")
+		x.do(statement.KindRead, "", "item")
+		c.Assert(x.last().Code, qt.Equals, statement.CodeBusy)
+	}
+	for n, i := range w.instances {
+		c.Assert(i.sent(before[string(n)]), qt.HasLen, 0)
+	}
+}
+
+// Guards against an evacuation during a change of primary whose successor stands there: the group
+// would go on under it.
+func TestSuccessorInAnEvacuatedDataCentreIsReplacedToo(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c)
+	w.instances["b"].far = true
+	w.list()
+	w.settled()
+	w.relay.HoldDuty(true)
+	w.promote()
+	w.instances["a"].role = fleet.RoleReplica
+	w.relay.Recorded(leader.Record{Service: service, Term: 2, Primary: "b", Former: "a", Revision: 1})
+	w.pass(100*time.Millisecond, true)
+	w.evacuate("sapporo")
+	w.pass(2*time.Second, true)
+	c.Assert(len(w.orders) > 0, qt.IsTrue)
+	c.Assert(w.orders[len(w.orders)-1].Primary, qt.Not(qt.Equals), w.instances["b"].name)
+}
--- a/core/relay/event.go
+++ b/core/relay/event.go
@@ -38,11 +38,13 @@
 	Account  fleet.Account
 	Instance fleet.Instance
 	// Host is the other host over which it ran.
-	Host   fleet.Host
-	Choice string
-	Reason string
-	Code   statement.Code
-	Term   fleet.Term
+	Host fleet.Host
+	// DataCentre is the one that a decision is about.
+	DataCentre fleet.DataCentre
+	Choice     string
+	Reason     string
+	Code       statement.Code
+	Term       fleet.Term
 	// Need is the point that a read had to cover, Has where the instance's log stood, Received
 	// the end of what the instance had received, as it said itself.
 	Need, Has, Received fleet.Point
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -95,6 +95,10 @@
 			g.noteInstance(i, "no new work", "it is leaving")
 		}
 		i.info, i.missing, i.gone = in, time.Time{}, i.moved
+		i.coldUntil = time.Time{}
+		if in.Cold > 0 {
+			i.coldUntil = read.Add(in.Cold)
+		}
 	}
 	for _, i := range g.instances {
 		if slices.ContainsFunc(is, func(in catalog.Instance) bool { return in.Name == i.info.Name }) {
@@ -135,10 +139,11 @@
 	}
 }
 
-// served reports whether any instance can be used.
+// served reports whether any instance is there. An evacuation is no reason to send callers to
+// other hosts, as it holds for all.
 func (g *group) served() bool {
 	for _, i := range g.instances {
-		if i.usable() {
+		if !i.gone && !i.info.Leaving {
 			return true
 		}
 	}
--- a/core/relay/holder.go
+++ b/core/relay/holder.go
@@ -65,6 +65,9 @@
 
 // holder returns the host over which an instance is used, false for this one.
 //
+// One that has just started is used over one host whatever the connections, as only one can keep to
+// the rate that it bears.
+//
 // Where connections suffice each host uses its own, unless it can't reach the instance
 // and another says that it can. Else one host holds them for all. The hosts of the
 // instance's data centre go before all others, as its statements cross the network once
@@ -74,7 +77,7 @@
 func (r *Relay) holder(i *instance) (Peer, bool) {
 	now := r.now()
 	here := !i.doubtful(now)
-	if len(r.forwarding.peers) == 0 || here && i.direct(now) {
+	if len(r.forwarding.peers) == 0 || here && i.direct(now) && !i.isCold(now) {
 		return Peer{}, false
 	}
 	may := func(h fleet.Host) bool {
@@ -148,7 +151,7 @@
 	if told && d.instances.Has(i.info.Name) {
 		return false
 	}
-	return !i.direct(now) || told && d.reached.Has(i.info.Name)
+	return !i.direct(now) || i.isCold(now) || told && d.reached.Has(i.info.Name)
 }
 
 // standbys is how many hosts beside an instance's holder are wanted with it, so that the loss of
--- /dev/null
+++ b/core/relay/homes_test.go
@@ -0,0 +1,111 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/relay"
+	"skylarkdeal/core/statement"
+)
+
+// confine has the reads of one database, or one account, enter some regions only.
+func (w *world) confine(db catalog.Database, a fleet.Account, regions ...fleet.Region) {
+	h := catalog.Homes{}
+	for _, r := range regions {
+		h[r] = struct{}{}
+	}
+	w.revise(func(d *catalog.Catalog) {
+		routes, accounts := map[catalog.Database]catalog.Route{}, map[fleet.Account]catalog.Account{}
+		for n, r := range d.Routes {
+			if n == db {
+				r.Homes = h
+			}
+			routes[n] = r
+		}
+		for n, o := range d.Accounts {
+			if n == a {
+				o.Homes = h
+			}
+			accounts[n] = o
+		}
+		d.Routes, d.Accounts = routes, accounts
+	})
+}
+
+// Guards against data that leaves the regions which its database or its account is allowed.
+func TestStatementsStayInTheirRegions(t *testing.T) {
+	for _, way := range []string{"database", "account"} {
+		c := qt.New(t)
+		w := newSplitWorld(c)
+		if way == "database" {
+			w.confine("stock", "", "honshu")
+		} else {
+			w.confine("", "hotel", "honshu")
+		}
+		before := len(w.instances["c"].ran)
+		for range 20 {
+			x := w.open("stock", "key-1")
+			x.do(statement.KindRead, "", "item")
+			w.pass(20*time.Millisecond, true)
+			c.Assert(x.last().Code, qt.Equals, statement.CodeNone, qt.Commentf("%s", way))
+		}
+		c.Assert(w.instances["c"].sent(before), qt.HasLen, 0, qt.Commentf("%s", way))
+	}
+}
+
+// Guards against a statement that waits for its time limit, or goes abroad, where the regions of its
+// database and its account have no instance in common.
+func TestStatementWithoutARegionIsRefusedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	w := newSplitWorld(c)
+	w.confine("stock", "", "honshu")
+	w.confine("", "hotel", "hokkaido")
+	x := w.open("stock", "key-1")
+	x.do(statement.KindRead, "", "item")
+	c.Assert(x.last().Code, qt.Equals, statement.CodeBusy)
+	c.Assert(x.last().RetryAfter > 0, qt.IsTrue)
+	y := w.open("stock", "key-3")
+	y.do(statement.KindRead, "", "item")
+	w.pass(20*time.Millisecond, true)
+	c.Assert(y.last().Code, qt.Equals, statement.CodeNone)
+}
+
+// Guards against a write that is sent to a primary abroad.
+func TestWriteIsRefusedWhileThePrimaryIsAbroad(t *testing.T) {
+	c := qt.New(t)
+	w := newSplitWorld(c)
+	w.confine("rush", "", "hokkaido")
+	before := len(w.instances["a"].ran)
+	x := w.open("rush", "key-1")
+	x.do(statement.KindWrite, "", "item data")
+	c.Assert(x.last().Code, qt.Equals, statement.CodeBusy)
+	c.Assert(w.instances["a"].sent(before), qt.HasLen, 0)
+}
+
+// Guards against a statement whose text is told to a host abroad, because that one holds the
+// connections.
+func TestStatementIsNotForwardedAbroad(t *testing.T) {
+	c := qt.New(t)
+	w := newSplitWorld(c)
+	w.relay.SetHosts(12)
+	told := 0
+	w.relay.SetPeers([]relay.Peer{{
+		Host: "h2", DataCentre: "sapporo", Send: func(f relay.Forward) {
+			for _, q := range f.Statements {
+				if q.Kind != statement.KindStepDown {
+					told++
+				}
+			}
+		},
+	}}, 0)
+	w.confine("stock", "", "hokkaido")
+	x := w.open("stock", "key-1")
+	x.do(statement.KindRead, "", "item")
+	w.pass(100*time.Millisecond, true)
+	c.Assert(told, qt.Equals, 0)
+	c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+}
--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/cold"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/statement"
 )
@@ -61,6 +62,14 @@
 	// askedAt is when it was last asked what it is.
 	askedAt time.Time
 	ranking ranking
+	// coldUntil is until when it is slow after its start, as it has said; budget is what it was
+	// sent meanwhile.
+	coldUntil time.Time
+	budget    cold.Budget
+	// lost is set while it couldn't be reached, or has closed all connections; back is when one was
+	// made again.
+	back time.Time
+	lost bool
 }
 
 const (
@@ -107,6 +116,7 @@
 		})
 	}
 	i.failures++
+	i.lost = true
 	pause := backoffMin << min(i.failures-1, 10)
 	i.next = now.Add(min(pause, backoffMax))
 }
@@ -164,7 +174,7 @@
 }
 
 // usable reports whether new work may go to the instance.
-func (i *instance) usable() bool { return !i.gone && !i.info.Leaving }
+func (i *instance) usable() bool { return !i.gone && !i.info.Leaving && !i.evacuated() }
 
 // local reports whether it is in this host's data centre.
 func (i *instance) local() bool { return i.info.DataCentre == i.g.r.cfg.DataCentre }
--- a/core/relay/node_test.go
+++ b/core/relay/node_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/relay"
@@ -31,6 +32,8 @@
 	busy bool
 	// far puts it in another data centre than the relay's.
 	far bool
+	// cold is how much longer it says that it is slow.
+	cold time.Duration
 	// lagged counts the statements that needed a point which the log lacks.
 	lagged int
 	// dialled counts the tries to connect.
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -27,6 +27,7 @@
 	opens bool
 
 	asked, deadline time.Time
+	homes           homes
 	// age is the moment before which acknowledged commits have to be shown by a read.
 	age   time.Time
 	tries int
@@ -74,7 +75,13 @@
 	if p != nil {
 		o.q.Name = p.name
 	}
+	o.homes.route = s.route.Homes
+	if s.r.catalog != nil {
+		o.homes.account = s.r.catalog.Accounts[s.account].Homes
+	}
 	if s.instance != "" {
+		// The host that asks has seen to its homes.
+		o.homes = homes{}
 		o.after = q.After
 		if s.tx.open {
 			o.after = s.tx.after
@@ -87,6 +94,11 @@
 func (o *operation) start() {
 	o.s.op, o.s.turned = o, false
 	if c := o.s.tx.conn; o.s.tx.open && c != nil {
+		if why := o.barred(c.inst); why != "" {
+			o.s.fail()
+			o.refuse(statement.CodeAborted, "rolled back: "+why, retrySoon)
+			return
+		}
 		o.conn = c
 		c.op = o
 		o.g.running[o.key] = o
@@ -96,12 +108,26 @@
 	o.wait()
 }
 
+// barred says why the next statement of a transaction may not be sent to the instance that runs it;
+// nothing if it may.
+func (o *operation) barred(i *instance) string {
+	now := o.g.r.now()
+	switch {
+	case i.closed(now):
+		return "its data centre is evacuated"
+	case o.s.tx.conn.via == "" && !i.bearsMore(now):
+		return "its instance has just started and bears no more"
+	default:
+		return ""
+	}
+}
+
 // wait queues the operation.
 func (o *operation) wait() {
 	now := o.g.r.now()
 	if why, after := o.g.hopeless(now, o); why != "" {
 		code := statement.CodeBusy
-		if o.s.instance != "" {
+		if i := o.g.instances[o.s.instance]; o.s.instance != "" && (i == nil || i.open(now)) {
 			code = statement.CodeUnreachable
 		}
 		o.refuse(code, why, after)
@@ -276,7 +302,11 @@
 		o.s.tx.conn = o.conn
 		o.s.tx.writes = o.s.tx.writes || o.writes && q.Kind != statement.KindCommit
 	}
-	o.conn.send(append(ahead, q), nil, o.answered)
+	ahead = append(ahead, q)
+	if o.conn.via == "" {
+		o.conn.inst.spend(o.sentAt, ahead)
+	}
+	o.conn.send(ahead, nil, o.answered)
 }
 
 // unready handles a connection that could not be made ready: nothing was run. One on
--- a/core/relay/outlook.go
+++ b/core/relay/outlook.go
@@ -16,6 +16,8 @@
 		return "the group has no primary now"
 	case !g.r.reaches(now, p):
 		return "the primary can't be reached"
+	case !p.open(now):
+		return "the primary's data centre is evacuated"
 	case g.superseded():
 		return "another instance says that it leads a later term"
 	case g.r.lease.Certain(now):
@@ -48,11 +50,18 @@
 // is told at once can come back in time, or to a host that can.
 func (g *group) hopeless(now time.Time, o *operation) (string, time.Duration) {
 	if n := o.s.instance; n != "" {
-		if i := g.instances[n]; i == nil || i.gone || i.doubtful(now) {
+		i := g.instances[n]
+		switch {
+		case i == nil || i.gone || i.doubtful(now):
 			return "this host can't reach the instance", retrySoon
+		case !i.open(now):
+			return "the instance's data centre is evacuated", retrySoon
 		}
 		return "", 0
 	}
+	if !g.atHome(o) {
+		return "no instance that could run it stands in a region that it may enter", abroadRetry
+	}
 	if g.exhausted(o) {
 		return "every instance that could run it has turned it away", retrySoon
 	}
@@ -112,6 +121,10 @@
 	noticeTime = 400 * time.Millisecond
 )
 
+// abroadRetry is when to come back to a service that has no instance in a region which is allowed: it
+// takes a change by operators, or of the primary.
+const abroadRetry = 2 * time.Second
+
 // untilPrimary guesses when the group will have a primary that can answer.
 func (g *group) untilPrimary(now time.Time) time.Duration {
 	if _, _, settled := g.belief.Primary(); settled {
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -74,7 +74,7 @@
 	if o == nil {
 		return nil
 	}
-	if o.dial != nil && o.dial.state == connIdle && o.dial.inst.usable() && g.serves(now, o.dial.inst, o) {
+	if o.dial != nil && o.dial.state == connIdle && o.dial.inst.bears(now) && g.serves(now, o.dial.inst, o) {
 		return o.dial
 	}
 	var ready, dial way
@@ -119,6 +119,9 @@
 
 // serves reports whether an instance may run an operation now.
 func (g *group) serves(now time.Time, i *instance, o *operation) bool {
+	if !i.open(now) || !g.r.allow(o.homes, i.info.DataCentre) {
+		return false
+	}
 	if o.s.instance != "" {
 		return i.info.Name == o.s.instance && !i.gone
 	}
@@ -144,18 +147,21 @@
 	leads := g.leads(i.info.Name)
 	about := ways.Way{
 		Work: i.work, Ahead: i.busy(), Slots: i.info.Slots, Far: !i.local(), Leads: !o.lead && leads,
-		Silent: !g.r.reaches(now, i),
+		Silent: !g.r.reaches(now, i), Cold: !o.lead && i.isCold(now),
 	}
 	if now.Sub(i.workAt) > freshWork {
 		about.Work = 0
 	}
 	p, over := g.r.holder(i)
-	if over && o.s.instance == "" {
+	if over && o.s.instance == "" && g.r.allow(o.homes, p.DataCentre) {
 		if p.Send == nil {
 			return way{}, false
 		}
 		w.peer = p
 	} else {
+		if !i.bears(now) {
+			return way{}, false
+		}
 		w.conn, about.Steps = i.idle(o.s.account, o.s, o.prep)
 		about.Connect = w.conn == nil
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -9,6 +9,7 @@
 
 	"skylarkdeal/core/admit"
 	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/cold"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/leader"
 	"skylarkdeal/core/statement"
@@ -20,7 +21,14 @@
 	DataCentre fleet.DataCentre
 	// Capacity is what the host can carry.
 	Capacity fleet.Capacity
-	Now      func() time.Time
+	// Regions are those of the data centres.
+	Regions map[fleet.DataCentre]fleet.Region
+	// Evacuate is how long after operators have asked for it nothing may reach the instances of an
+	// evacuated data centre any more; zero stands for 5 s.
+	Evacuate time.Duration
+	// Cold bounds what all hosts together send to an instance that has just started.
+	Cold cold.Bound
+	Now  func() time.Time
 	// Dial has a connection made; Connected, Turned or Lost tells how it went.
 	Dial func(c *Conn)
 	// Admit takes one operation from an account's rate, or says when to come back.
@@ -63,6 +71,12 @@
 	ticked, awake time.Time
 	// cut is since when the host is cut off, zero while it isn't.
 	cut time.Time
+	// evacuated are the data centres that are to be left alone, since when this host knows.
+	evacuated map[fleet.DataCentre]time.Time
+	// members counts the hosts of each data centre, heard or not.
+	members map[fleet.DataCentre]int
+	// confirmed is when the list of instances in use was last known to be the store's.
+	confirmed time.Time
 }
 
 // Counts are running totals, for metrics.
@@ -148,10 +162,11 @@
 
 // Adopt puts a catalog in force. An older one than that in force is ignored.
 func (r *Relay) Adopt(c *catalog.Catalog) bool {
-	if r.catalog != nil && c.Version <= r.catalog.Version {
+	if !c.Newer(r.catalog) {
 		return false
 	}
 	r.catalog = c
+	r.evacuate(c)
 	for _, s := range c.Services {
 		r.group(s.Name).service = s
 	}
@@ -221,6 +236,7 @@
 	}
 	r.tickForwarding(now)
 	r.tickCutOff(now)
+	r.tickEvacuations(now)
 	r.tickSessions(now)
 }
 
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -14,14 +15,16 @@
 	Catalog  catalog.Version `json:"catalog"`
 	Sessions int             `json:"sessions"`
 	// Certain tells that no change of primary can have taken effect unknown to this host.
-	Certain bool         `json:"certain"`
-	Duty    bool         `json:"duty"`
-	CutOff  bool         `json:"cut-off"`
-	Drains  bool         `json:"drains"`
-	Hosts   int          `json:"hosts"`
-	Peers   []fleet.Host `json:"peers"`
-	Counts  Counts       `json:"counts"`
-	Groups  []GroupState `json:"groups"`
+	Certain bool `json:"certain"`
+	Duty    bool `json:"duty"`
+	CutOff  bool `json:"cut-off"`
+	Drains  bool `json:"drains"`
+	Hosts   int  `json:"hosts"`
+	// Evacuated are the data centres whose instances are left alone.
+	Evacuated []fleet.DataCentre `json:"evacuated,omitempty"`
+	Peers     []fleet.Host       `json:"peers"`
+	Counts    Counts             `json:"counts"`
+	Groups    []GroupState       `json:"groups"`
 }
 
 // GroupState is what a relay knows of one service's instances.
@@ -62,6 +65,7 @@
 	if r.catalog != nil {
 		s.Catalog = r.catalog.Version
 	}
+	s.Evacuated = slices.Sorted(maps.Keys(r.evacuated))
 	for _, p := range r.forwarding.peers {
 		s.Peers = append(s.Peers, p.Host)
 	}
--- /dev/null
+++ b/core/relay/warm.go
@@ -0,0 +1,85 @@
+package relay
+
+import (
+	"time"
+
+	"skylarkdeal/core/cold"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/statement"
+)
+
+// announceTime is how long after an instance is back it may take until the store has its word, by
+// which it is told whether it is cold.
+const announceTime = 1500 * time.Millisecond
+
+// isCold reports whether what is sent to the instance is bounded, as it has just started. One that
+// was lost and is back counts as cold until a reading of the list tells.
+func (i *instance) isCold(now time.Time) bool {
+	if i.g.service.ColdRate <= 0 {
+		return false
+	}
+	known := later(i.g.listedAt, i.g.r.confirmed)
+	return now.Before(i.coldUntil) || !i.back.IsZero() && known.Before(i.back.Add(announceTime))
+}
+
+// bears reports whether a new operation may be sent to the instance by this host's own connections.
+func (i *instance) bears(now time.Time) bool {
+	if !i.isCold(now) {
+		return true
+	}
+	_, begin := i.budget.Left(now, i.most())
+	return begin > 0 && i.g.r.maySendCold(i.info.DataCentre)
+}
+
+// bearsMore reports whether the next statement of a transaction that it runs may be sent.
+func (i *instance) bearsMore(now time.Time) bool {
+	if !i.isCold(now) {
+		return true
+	}
+	all, _ := i.budget.Left(now, i.most())
+	return all > 0
+}
+
+func (i *instance) most() int { return i.g.r.cfg.Cold.Most(i.g.service.ColdRate) }
+
+// spend counts what is sent to the instance while it is cold; questions of the host's own take no
+// work.
+func (i *instance) spend(now time.Time, qs []statement.Statement) {
+	if !i.isCold(now) {
+		return
+	}
+	n := 0
+	for _, q := range qs {
+		if q.ID != "" {
+			n++
+		}
+	}
+	i.budget.Spend(now, n)
+}
+
+// maySendCold reports whether this host hears enough others to be the one that sends to the cold
+// instances of a data centre.
+func (r *Relay) maySendCold(dc fleet.DataCentre) bool {
+	known, heard := r.members[dc], 0
+	all := known == 0
+	if all {
+		for _, n := range r.members {
+			known += n
+		}
+	}
+	if all || r.cfg.DataCentre == dc {
+		heard++
+	}
+	for _, p := range r.forwarding.peers {
+		if all || p.DataCentre == dc {
+			heard++
+		}
+	}
+	return known > 0 && cold.MaySend(heard, known)
+}
+
+// ListConfirmed takes in that the list of instances in use here was the store's at a moment.
+func (r *Relay) ListConfirmed(at time.Time) { r.confirmed = later(r.confirmed, at) }
+
+// SetMembers tells how many hosts each data centre has, heard or not, this one included.
+func (r *Relay) SetMembers(by map[fleet.DataCentre]int) { r.members = by }
--- /dev/null
+++ b/core/relay/warm_test.go
@@ -0,0 +1,148 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/relay"
+	"skylarkdeal/core/statement"
+)
+
+// coldRate is what a cold instance bears in these tests, in statements a second: half of it is one
+// host's.
+const coldRate = 20
+
+// chill has the instances of the service bear little while they are cold, and some of them be cold.
+func (w *world) chill(is ...fleet.Instance) {
+	w.revise(func(d *catalog.Catalog) {
+		s := d.Services[service]
+		s.ColdRate = coldRate
+		d.Services = map[fleet.Service]catalog.Service{service: s}
+	})
+	for _, n := range is {
+		w.instances[n].cold = 10 * time.Second
+	}
+	w.relay.SetMembers(map[fleet.DataCentre]int{"obihiro": 1})
+	w.list()
+}
+
+// Guards against callers who return all at once to an instance that has just started.
+func TestColdReplicaIsSpared(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	w.open("rush", "key-1").do(statement.KindRead, "", "for the sample")
+	w.chill("b")
+	for range 100 {
+		x := w.open("stock", "key-1")
+		x.do(statement.KindRead, "", "item")
+		w.pass(10*time.Millisecond, true)
+		c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+	}
+	c.Assert(len(w.instances["b"].ran) <= coldRate/2, qt.IsTrue)
+}
+
+// Guards against a cold primary that gets more than it bears: no other instance can run writes.
+func TestColdPrimaryGetsItsRate(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	w.chill("a")
+	began, ran := w.now, len(w.instances["a"].ran)
+	var callers []*caller
+	for w.now.Sub(began) < 3*time.Second {
+		x := w.open("rush", "key-1")
+		x.do(statement.KindWrite, "", "item data")
+		callers = append(callers, x)
+		w.pass(20*time.Millisecond, true)
+	}
+	served := 0
+	for _, x := range callers {
+		if x.last().Code == statement.CodeNone {
+			served++
+		}
+	}
+	got := len(w.instances["a"].sent(ran))
+	c.Assert(got <= 3*coldRate/2+1, qt.IsTrue, qt.Commentf("%d", got))
+	c.Assert(served > coldRate, qt.IsTrue, qt.Commentf("%d", served))
+}
+
+// Guards against two hosts that both send all that a cold instance bears: one that hears less than
+// half of its data centre sends nothing.
+func TestHostThatHearsFewSparesColdInstances(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	w.chill("a")
+	w.relay.SetMembers(map[fleet.DataCentre]int{"obihiro": 5})
+	ran := len(w.instances["a"].ran)
+	x := w.open("rush", "key-1")
+	x.do(statement.KindWrite, "", "item data")
+	w.pass(time.Second, true)
+	c.Assert(x.last().Code, qt.Equals, statement.CodeBusy)
+	c.Assert(w.instances["a"].sent(ran), qt.HasLen, 0)
+}
+
+// Guards against hosts that each send by their own connections what a cold instance bears of all.
+func TestColdInstanceIsUsedOverOneHost(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	var others []relay.Peer
+	for _, h := range []fleet.Host{"h2", "h3", "h4", "h5", "h6"} {
+		others = append(others, relay.Peer{Host: h, DataCentre: "obihiro", Send: func(relay.Forward) {}})
+	}
+	w.relay.SetPeers(others, 0)
+	direct := 0
+	for _, i := range w.relay.State().Groups[0].Instances {
+		if i.Holder == "" {
+			direct++
+		}
+	}
+	c.Assert(direct, qt.Equals, 3)
+	w.chill("a", "b", "c")
+	over := 0
+	for _, i := range w.relay.State().Groups[0].Instances {
+		if i.Holder != "" {
+			over++
+		}
+	}
+	c.Assert(over > 0, qt.IsTrue)
+}
+
+// Guards against an instance that has restarted under its name and is flooded before the store
+// tells that it is cold.
+func TestInstanceThatIsBackCountsAsColdUntilTheListTells(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	w.chill()
+	w.cut(w.instances["a"])
+	w.pass(200*time.Millisecond, true)
+	ran := len(w.instances["a"].ran)
+	flood := func() {
+		for range 50 {
+			w.open("rush", "key-1").do(statement.KindWrite, "", "item data")
+			w.pass(10*time.Millisecond, true)
+		}
+	}
+	flood()
+	c.Assert(len(w.instances["a"].sent(ran)) <= coldRate/2, qt.IsTrue)
+	w.pass(2*time.Second, true)
+	w.list()
+	ran = len(w.instances["a"].ran)
+	flood()
+	c.Assert(len(w.instances["a"].sent(ran)) >= 45, qt.IsTrue)
+}
+
+// Guards against a promotion of an instance that is slow for seconds where another has all that it
+// has.
+func TestWarmReplicaIsPromoted(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	w.relay.HoldDuty(true)
+	w.chill("b")
+	w.list("a")
+	w.pass(500*time.Millisecond, true)
+	c.Assert(w.orders, qt.HasLen, 1)
+	c.Assert(w.orders[0].Primary, qt.Equals, fleet.Instance("c"))
+}
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -33,6 +33,22 @@
 	// extra are the instances of other services.
 	extra []catalog.Instance
 	over  func(a catalog.Account) (time.Duration, bool)
+	// laid is the catalog that was adopted last.
+	laid *catalog.Catalog
+}
+
+// revise has operators change the catalog otherwise than by a new version.
+func (w *world) revise(change func(d *catalog.Catalog)) {
+	d := *w.laid
+	d.Revision++
+	change(&d)
+	w.laid = &d
+	w.relay.Adopt(&d)
+}
+
+// evacuate has operators evacuate data centres, and no others.
+func (w *world) evacuate(dcs ...fleet.DataCentre) {
+	w.revise(func(d *catalog.Catalog) { d.Evacuated = fleet.NewSet(dcs...) })
 }
 
 // newWorld returns a relay that has run for some time; newYoungWorld one that has just
@@ -50,7 +66,8 @@
 	w := &world{c: c, now: time.Unix(1000, 0).Add(-age), instances: map[fleet.Instance]*node{}}
 	w.relay = relay.New(relay.Config{
 		Host: h.Host, DataCentre: h.DataCentre, Capacity: h.Capacity,
-		Now: func() time.Time { return w.now },
+		Regions: map[fleet.DataCentre]fleet.Region{"obihiro": "hokkaido", "sapporo": "honshu"},
+		Now:     func() time.Time { return w.now },
 		Dial: func(c *relay.Conn) {
 			w.dial(c)
 		},
@@ -74,7 +91,8 @@
 		w.instances[name] = i
 	}
 	w.now = w.now.Add(age)
-	w.relay.Adopt(w.catalog(1))
+	w.laid = w.catalog(1)
+	w.relay.Adopt(w.laid)
 	w.relay.SetHosts(1)
 	w.list()
 	w.renew()
@@ -118,6 +136,7 @@
 		is = append(is, catalog.Instance{
 			Name: name, Service: service, Address: "10.0.0.1:" + string(name), DataCentre: centre,
 			Slots: 2, Role: n.role, Leaving: slices.Contains(leaving, name),
+			Cold: n.cold,
 		})
 	}
 	w.relay.Listed(is, w.now)
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -4,8 +4,10 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
+	"skylarkdeal/core/cold"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/inifile"
 )
@@ -21,6 +23,8 @@
 	Upstream Upstream
 	Adapter  Adapter
 	Log      Log
+	// Regions are those of the data centres.
+	Regions map[fleet.DataCentre]fleet.Region
 }
 
 // Host says who the host is.
@@ -107,6 +111,10 @@
 	Memory int
 	// Capacity is the part of the processor that is the host's; zero if it isn't told.
 	Capacity fleet.Capacity
+	// Evacuate is the time in which an evacuation has to be over.
+	Evacuate time.Duration
+	// Cold is how much more than the rate that a cold instance bears it may be sent.
+	Cold cold.Bound
 }
 
 // Level is the least severe level that is logged.
@@ -156,17 +164,26 @@
 		Upstream: upstream(f.Section("upstream")),
 		Adapter:  adapter(f.Section("adapter")),
 		Log:      log(f.Section("log")),
+		Regions:  regions(f.Section("regions")),
 	}
 	f.Stray()
-	known := []string{"host", "caller", "peer", "operator", "store", "upstream", "adapter", "log"}
+	known := []string{"host", "caller", "peer", "operator", "store", "upstream", "adapter", "log", "regions"}
 	for _, n := range f.Sections() {
 		if !slices.Contains(known, n) {
-			f.Wrong(n, "", "an unknown section", "one of host, caller, peer, operator, store, upstream, adapter, log")
+			f.Wrong(n, "", "an unknown section", "one of "+strings.Join(known, ", "))
 		}
 	}
 	return s, f.Err()
 }
 
+func regions(s *inifile.Section) map[fleet.DataCentre]fleet.Region {
+	out := map[fleet.DataCentre]fleet.Region{}
+	for _, k := range s.Keys() {
+		out[fleet.DataCentre(k)] = fleet.Region(s.Required(k, "the name of its region"))
+	}
+	return out
+}
+
 func host(s *inifile.Section) Host {
 	defer s.Unknown()
 	return Host{
@@ -244,6 +261,13 @@
 	DefaultPromotionDelay = time.Second
 	DefaultMemory         = 256 << 20
 
+	DefaultEvacuate      = 5 * time.Second
+	DefaultColdOvershoot = 1.0
+	DefaultColdSlack     = 0
+
+	mostColdOvershoot = 100
+	mostColdSlack     = 10000
+
 	// mostCapacity is more cores than any host has.
 	mostCapacity = 1 << 10
 
@@ -260,6 +284,11 @@
 	a.PromotionDelay = s.Duration("promotion-delay", DefaultPromotionDelay, a.PromotionLeast, time.Minute)
 	a.Memory = s.Size("memory", DefaultMemory, smallestMemory, largestMemory)
 	a.Capacity = fleet.Capacity(s.Float("capacity", 0, 0, mostCapacity))
+	a.Evacuate = s.Duration("evacuate", DefaultEvacuate, time.Second, time.Hour)
+	a.Cold = cold.Bound{
+		Overshoot: s.Float("cold-overshoot", DefaultColdOvershoot, 0, mostColdOvershoot),
+		Slack:     s.Int("cold-slack", DefaultColdSlack, 0, mostColdSlack),
+	}
 	if a.Kind == AdapterPlatform || s.Has("balancer") {
 		a.Balancer = s.Address("balancer")
 	}
--- a/core/ways/ways.go
+++ b/core/ways/ways.go
@@ -25,6 +25,8 @@
 	Leads bool
 	// Silent is set for an instance that can't be reached now.
 	Silent bool
+	// Cold is set where a read that another instance could run would go to one that has just started.
+	Cold bool
 }
 
 const (
@@ -38,6 +40,9 @@
 	leadCost = 8 * time.Millisecond
 	// usualWork stands for an instance that has not worked lately.
 	usualWork = 8 * time.Millisecond
+	// coldCost is above the wait at an instance that is warm, and below that at one that can't be
+	// reached.
+	coldCost = 400 * time.Millisecond
 	// silentCost is above any wait that is worth it.
 	silentCost = 800 * time.Millisecond
 	// nearPart is the part of its target that a caller waits rather than cross to another data
@@ -71,6 +76,7 @@
 	add(w.Connect, connectCost)
 	add(w.Far, max(farCost, target/nearPart))
 	add(w.Leads, max(leadCost, target/nearPart))
+	add(w.Cold, coldCost)
 	add(w.Silent, silentCost)
 	return cost
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -102,6 +102,9 @@
 		Host:        s.Host.Name,
 		DataCentre:  s.Host.DataCentre,
 		Capacity:    s.Adapter.Capacity,
+		Regions:     s.Regions,
+		Evacuate:    s.Adapter.Evacuate,
+		Cold:        s.Adapter.Cold,
 		Now:         clock.Now,
 		Dial:        h.dial,
 		ParseStatus: platform.ParseStatus,
@@ -167,6 +170,7 @@
 			Capacity: s.Adapter.Capacity,
 		},
 		Prefix:         s.Store.Prefix[1:],
+		CatalogPrefix:  platform.CatalogPrefix,
 		CatalogKey:     platform.CatalogKey,
 		InstancePrefix: platform.InstancePrefix,
 		ParseCatalog:   platform.ParseCatalog,
@@ -197,9 +201,10 @@
 
 func (h *Host) adopt(c *catalog.Catalog) {
 	if h.relay.Adopt(c) {
-		h.peers.catalog = uint64(c.Version)
+		h.peers.catalog = uint64(c.Revision)
 		h.log.Info("catalog in force", zap.Uint64("version", uint64(c.Version)),
-			zap.Int("databases", len(c.Routes)), zap.Int("accounts", len(c.Accounts)))
+			zap.Uint64("revision", uint64(c.Revision)), zap.Int("databases", len(c.Routes)),
+			zap.Int("accounts", len(c.Accounts)), zap.Int("evacuated", len(c.Evacuated)))
 	}
 }
 
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -64,6 +64,7 @@
 	add("account", string(n.Account))
 	add("instance", string(n.Instance))
 	add("over", string(n.Host))
+	add("data-centre", string(n.DataCentre))
 	add("choice", n.Choice)
 	add("reason", n.Reason)
 	add("code", string(n.Code))
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -200,6 +200,9 @@
 			continue
 		}
 		h.registry.Take(p, c)
+		if p == follow.PartInstances {
+			h.relay.ListConfirmed(c.Read)
+		}
 	}
 	if n.Renewed.IsZero() {
 		h.relay.LeaseLost()
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -38,7 +38,8 @@
 	doubted, reached int
 	// checked is when that was last looked at.
 	checked time.Time
-	// catalog is the version in force here, told the one that the others know of.
+	// catalog is the revision of the newest change of the catalog in force here, told the one that
+	// the others know of.
 	catalog, told uint64
 	// looked is when the hosts were last listed because some are missing.
 	looked time.Time
@@ -233,9 +234,19 @@
 func (h *Host) hostsChanged() {
 	h.registry.SetSize(h.peers.size())
 	h.relay.SetHosts(1 + len(h.peers.addresses))
+	h.relay.SetMembers(h.membersBy())
 	h.rates.Members(clock.Now(), slices.Collect(maps.Keys(h.peers.addresses)))
 }
 
+// membersBy counts the hosts of each data centre, this one included.
+func (h *Host) membersBy() map[fleet.DataCentre]int {
+	out := map[fleet.DataCentre]int{h.settings.Host.DataCentre: 1}
+	for _, dc := range h.peers.centres {
+		out[dc]++
+	}
+	return out
+}
+
 // meet takes in a host that isn't on the list yet.
 func (h *Host) meet(r gossip.Report) {
 	if h.add(r.Host, r.Address, r.DataCentre) {
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -152,28 +152,31 @@
 	h.compareCatalog(r)
 }
 
-// compareCatalog has the catalog read anew if another host has a newer one, which the
-// watch doesn't bring. One that has the same may have read it later; the same goes for
-// the list of instances.
+// compareCatalog has the catalog read anew if another host knows of a newer change, which the
+// watch doesn't bring. One that knows of none that is newer may have read it later; the same goes
+// for the list of instances.
 //
 // The age doesn't count the report's way: some ms directly, up to half a second over a door
 // of a large fleet. The catalog is then read that much later than it should.
 func (h *Host) compareCatalog(r gossip.Report) {
 	now := clock.Now()
-	if r.InstancesAge < catalogFresh {
-		h.registry.ListingConfirmed(r.Instances, now.Add(-r.InstancesAge))
+	if at := now.Add(-r.InstancesAge); r.InstancesAge < catalogFresh && h.registry.ListingConfirmed(r.Instances, at) {
+		h.relay.ListConfirmed(at)
 	}
-	if r.Catalog <= h.peers.catalog {
+	if r.Catalog <= uint64(h.registry.CatalogRevision()) {
 		h.peers.behind = time.Time{}
+		if r.Catalog != 0 && r.CatalogAge < catalogFresh {
+			h.registry.CatalogConfirmed(now.Add(-r.CatalogAge))
+		}
+		return
 	}
-	switch {
-	case r.Catalog > h.peers.catalog && h.peers.behind.IsZero():
+	if h.peers.behind.IsZero() {
 		h.peers.behind = now
-	case r.Catalog > h.peers.catalog && now.Sub(h.peers.behind) > behindFor:
+		return
+	}
+	if now.Sub(h.peers.behind) > behindFor {
 		h.peers.behind = now
 		h.registry.Reload()
-	case r.Catalog == h.peers.catalog && r.CatalogAge < catalogFresh:
-		h.registry.CatalogConfirmed(now.Add(-r.CatalogAge))
 	}
 }
 
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -41,8 +41,8 @@
 	Doubts           []Doubt
 	// Reached are the instances that the host can reach although another can't.
 	Reached []fleet.Instance
-	// Catalog is the version in force, Record the revision of the newest record of a
-	// change of primary that the host knows of.
+	// Catalog is the revision of the newest change of the catalog, Record that of the newest record
+	// of a change of primary, that the host knows of.
 	Catalog, Record uint64
 	// CatalogAge is how long ago the host itself found Catalog to be the newest.
 	CatalogAge time.Duration
--- a/io/registry/catalog.go
+++ b/io/registry/catalog.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/follow"
 	"skylarkdeal/internal/pause"
 )
@@ -32,12 +34,13 @@
 	c, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := r.cfg.Now()
-	es, at, err := r.cfg.Store.List(c, r.cfg.CatalogKey)
+	es, at, err := r.cfg.Store.List(c, r.cfg.CatalogPrefix)
 	if err != nil {
 		return 0, err
 	}
 	r.up.answered()
-	r.takeCatalog(es, sent)
+	now, news := r.written.list(es, at)
+	r.handOn(now, news, sent)
 	latest(&r.read, sent)
 	r.CatalogConfirmed(sent)
 	return at, nil
@@ -53,12 +56,13 @@
 		case <-c.Done():
 		}
 	}()
-	es, at, err := r.cfg.Store.Watch(c, r.cfg.CatalogKey, after, watchFor)
+	es, at, err := r.cfg.Store.Watch(c, r.cfg.CatalogPrefix, after, watchFor)
 	if err != nil {
 		return 0, err
 	}
+	now, news := r.written.events(es, max(at, after))
 	// A watch tells of the moment at which it answers, which isn't known here.
-	r.takeCatalog(es, r.Read())
+	r.handOn(now, news, r.Read())
 	return max(at, after), nil
 }
 
@@ -95,17 +99,47 @@
 	}
 }
 
-func (r *Registry) takeCatalog(es []Entry, read time.Time) {
-	for _, e := range es {
-		if e.Key != r.cfg.CatalogKey || e.Deleted {
-			continue
+// CatalogRevision returns the revision of the store up to which all that operators have written is
+// known here.
+func (r *Registry) CatalogRevision() Revision { return r.written.upTo() }
+
+// handOn puts what operators have written in force, if it is news, and passes it on.
+func (r *Registry) handOn(now snapshot, news bool, read time.Time) {
+	if news {
+		r.takeCatalog(now)
+	}
+	if now.changed != 0 {
+		r.copied(follow.PartCatalog, follow.Version(now.changed), read, now.entries)
+	}
+}
+
+// takeCatalog puts what operators have written in force.
+//
+// A configuration that can't be read leaves the last one in force that could, and holds up no
+// evacuation.
+func (r *Registry) takeCatalog(now snapshot) {
+	at := slices.IndexFunc(now.entries, func(e Entry) bool { return e.Key == r.cfg.CatalogKey })
+	if at < 0 {
+		return
+	}
+	c, err := r.cfg.ParseCatalog(now.entries)
+	if err != nil {
+		r.cfg.Logger.Error("catalog refused", zap.Uint64("revision", uint64(now.entries[at].Revision)), zap.Error(err))
+		last, ok := r.readable.Load().(snapshot)
+		if !ok {
+			return
 		}
-		c, err := r.cfg.ParseCatalog(e.Value)
-		if err != nil {
-			r.cfg.Logger.Error("catalog refused", zap.Uint64("revision", uint64(e.Revision)), zap.Error(err))
-			continue
+		now.entries = last.withOthersOf(now, r.cfg.CatalogKey)
+		if slices.EqualFunc(now.entries, last.entries, sameEntry) {
+			return
+		}
+		if c, err = r.cfg.ParseCatalog(now.entries); err != nil {
+			return
 		}
-		r.cfg.Post(func() { r.cfg.Catalog(c) })
-		r.copied(follow.PartCatalog, follow.Version(e.Revision), read, []Entry{e})
 	}
+	r.readable.Store(now)
+	c.Revision = catalog.Revision(now.changed)
+	r.cfg.Post(func() { r.cfg.Catalog(c) })
 }
+
+func sameEntry(a, b Entry) bool { return a.Key == b.Key && a.Revision == b.Revision }
--- a/io/registry/follow.go
+++ b/io/registry/follow.go
@@ -38,7 +38,7 @@
 	switch p {
 	case follow.PartCatalog:
 		if c.Whole {
-			r.takeCatalog(c.Body, c.Read)
+			r.takeCatalog(snapshot{entries: c.Body, changed: Revision(c.Version)})
 		}
 		r.CatalogConfirmed(c.Read)
 	case follow.PartInstances:
--- a/io/registry/lists.go
+++ b/io/registry/lists.go
@@ -43,18 +43,20 @@
 	return r.listing.digest, r.listing.confirmed
 }
 
-// ListingConfirmed takes in that a list with the digest was the store's at a moment. One that
-// is newer than this host's has it read anew at once.
-func (r *Registry) ListingConfirmed(digest uint64, at time.Time) {
+// ListingConfirmed takes in that a list with the digest was the store's at a moment, and reports
+// whether it is the one in use here. One that is newer than this host's has it read anew at once.
+func (r *Registry) ListingConfirmed(digest uint64, at time.Time) bool {
 	r.listing.mu.Lock()
 	defer r.listing.mu.Unlock()
+	same := digest == r.listing.digest
 	switch {
 	case !at.After(r.listing.confirmed):
-	case digest == r.listing.digest:
+	case same:
 		r.listing.confirmed = at
 	case digest != 0:
 		signal(r.relisting)
 	}
+	return same && digest != 0
 }
 
 // acquaintance is how long a host that starts and finds the list empty waits before it reads it
@@ -118,6 +120,10 @@
 	return nil
 }
 
+// coldStep is by how much the time that an instance stays cold has to change to be told to those who
+// follow.
+const coldStep = 2 * time.Second
+
 // takeInstances hands on the instances of a reading and returns what tells it from others; zero
 // if there are none.
 func (r *Registry) takeInstances(es []Entry, sent time.Time) uint64 {
@@ -126,6 +132,8 @@
 	for _, e := range es {
 		if i, ok := r.cfg.ParseInstance(e); ok {
 			is = append(is, i)
+			// How long it stays cold changes with each beat.
+			i.Cold = (i.Cold + coldStep - 1).Truncate(coldStep)
 			fmt.Fprintf(digest, "%+v\n", i)
 		}
 	}
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -37,11 +37,13 @@
 	Self  Host
 	// Prefix starts all keys that the hosts write.
 	Prefix string
-	// CatalogKey and InstancePrefix are where operators and instances write.
-	CatalogKey, InstancePrefix string
-	ParseCatalog               func(b []byte) (*catalog.Catalog, error)
-	ParseInstance              func(e Entry) (catalog.Instance, bool)
-	Now                        func() time.Time
+	// CatalogPrefix and InstancePrefix are where operators and instances write. CatalogKey is that
+	// of the operators' keys without which there is no catalog.
+	CatalogPrefix, CatalogKey, InstancePrefix string
+	// ParseCatalog reads all that stands under CatalogPrefix.
+	ParseCatalog  func(es []Entry) (*catalog.Catalog, error)
+	ParseInstance func(e Entry) (catalog.Instance, bool)
+	Now           func() time.Time
 	// Rank tells how many other hosts go before this one in reading for all. It may be nil.
 	Rank func() int
 	// Post has f called where the host takes decisions.
@@ -140,6 +142,9 @@
 	rehost chan struct{}
 	// reload is signalled when the catalog is to be read anew.
 	reload chan struct{}
+	// written is what the catalog is made of, readable the last snapshot of it that could be read.
+	written  written
+	readable atomic.Value
 	// read is when this host last read the catalog, confirmed when it was last read by this
 	// host or another.
 	read, confirmed atomic.Value
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/leader"
 	"skylarkdeal/io/registry"
 )
@@ -22,6 +24,7 @@
 	recordedAt, promotedAt time.Time
 	mu                     sync.Mutex
 	versions               []catalog.Version
+	whole                  []*catalog.Catalog
 	records                []leader.Record
 	hosts                  []registry.Host
 	holds                  []bool
@@ -72,27 +75,40 @@
 	return r
 }
 
+// parseCatalog reads a version, and the data centres that have keys of their own beside it.
+func parseCatalog(es []registry.Entry) (*catalog.Catalog, error) {
+	d := &catalog.Catalog{Evacuated: fleet.NewSet[fleet.DataCentre]()}
+	for _, e := range es {
+		if dc, ok := strings.CutPrefix(e.Key, "catalog/"); ok {
+			d.Evacuated.Add(fleet.DataCentre(dc))
+			continue
+		}
+		if _, err := fmt.Sscan(string(e.Value), &d.Version); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
 // config is that of a registry which tells t.
 func config(s *shelf, t *seen, rank int, least, youth time.Duration) registry.Config {
 	return registry.Config{
 		Store: s.store(), Self: registry.Host{Name: "h-x", DataCentre: "obihiro", Address: "127.0.0.1:1"},
-		Prefix: "our/", CatalogKey: "catalog", InstancePrefix: "instances/",
-		ParseCatalog: func(b []byte) (*catalog.Catalog, error) {
-			var v uint64
-			_, err := fmt.Sscan(string(b), &v)
-			return &catalog.Catalog{Version: catalog.Version(v)}, err
-		},
+		Prefix: "our/", CatalogPrefix: "catalog", CatalogKey: "catalog", InstancePrefix: "instances/",
+		ParseCatalog:  parseCatalog,
 		ParseInstance: func(e registry.Entry) (catalog.Instance, bool) { return catalog.Instance{}, len(e.Value) > 0 },
 		Now:           time.Now,
 		Rank:          func() int { return rank },
 		Post:          func(f func()) { t.get(f) },
-		Catalog:       func(d *catalog.Catalog) { t.versions = append(t.versions, d.Version) },
-		Instances:     func(is []catalog.Instance, _ time.Time) { t.instances = len(is) },
-		Hosts:         func(hs []registry.Host) { t.hosts = hs },
-		Record:        func(r leader.Record) { t.records, t.recordedAt = append(t.records, r), time.Now() },
-		Renewed:       func(time.Time) { t.renewed++ },
-		Lost:          func() { t.lost++ },
-		Holds:         func(h bool) { t.holds = append(t.holds, h) },
+		Catalog: func(d *catalog.Catalog) {
+			t.versions, t.whole = append(t.versions, d.Version), append(t.whole, d)
+		},
+		Instances: func(is []catalog.Instance, _ time.Time) { t.instances = len(is) },
+		Hosts:     func(hs []registry.Host) { t.hosts = hs },
+		Record:    func(r leader.Record) { t.records, t.recordedAt = append(t.records, r), time.Now() },
+		Renewed:   func(time.Time) { t.renewed++ },
+		Lost:      func() { t.lost++ },
+		Holds:     func(h bool) { t.holds = append(t.holds, h) },
 		Ordered: func(o leader.Order, given, refused bool) {
 			t.ordered = append(t.ordered, fmt.Sprintf("%s %t %t", o.Service, given, refused))
 		},
--- a/io/registry/shelf_test.go
+++ b/io/registry/shelf_test.go
@@ -72,7 +72,7 @@
 	}
 	var out []registry.Entry
 	for k, e := range s.entries {
-		if strings.HasPrefix(k, prefix) {
+		if strings.HasPrefix(k, prefix) && !e.Deleted {
 			out = append(out, e)
 		}
 	}
@@ -187,6 +187,13 @@
 	s.entries[key] = registry.Entry{Key: key, Value: []byte(value), Revision: s.revision, Created: s.revision}
 }
 
+func (s *shelf) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stir()
+	s.entries[key] = registry.Entry{Key: key, Revision: s.revision, Deleted: true}
+}
+
 func (s *shelf) set(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
