Serve reads of an age by what is known of the primary, not by a fresh proof

Cause, by the logs: a read on the primary waited for a proof that it leads now, also where it owes only what was acknowledged 2.5 s ago; a third of the groups have their primary in the cut data centre and no replica there. And while the store is away no point of the primary counted unless an operation's answer happened to be proved by the others, so that replicas had no point that was young enough.

Change: the answer to a read of an age needs no proof if the primary is known to have led alone up to the moment whose commits it owes and its log holds the session's own (relay.shows); such a read isn't refused because the primary can't be proved (relay.recent). A point that the store can't vouch for waits until the other instances have said that they led nothing when it was asked for (relay.affirm). It holds as sole() is a moment that only knowledge moves: what was acknowledged before it was acknowledged by this primary. The log tells the consistency of what it refuses.

--- a/core/relay/event.go
+++ b/core/relay/event.go
@@ -45,6 +45,8 @@
 	Reason     string
 	Code       statement.Code
 	Term       fleet.Term
+	// Consistency is that of the route.
+	Consistency catalog.Consistency
 	// Need is the point that a read had to cover, Has where the instance's log stood, Received
 	// the end of what the instance had received, as it said itself.
 	Need, Has, Received fleet.Point
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -44,6 +44,8 @@
 	doubt time.Time
 	// sampledAt is when the last point of the primary was taken in.
 	sampledAt time.Time
+	// unsure is a point of the primary that waits to be proved, as the store can't prove it.
+	unsure fresh.Sample
 	// verifiedAt is when the primary was last asked whether it is one.
 	verifiedAt time.Time
 	// ableAt is when the primary could last answer.
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -345,7 +345,7 @@
 func (o *operation) note(k EventKind, choice, why string, code statement.Code) {
 	e := Event{
 		Kind: k, ID: o.q.ID, Database: o.route.Database, Service: o.g.name, Account: o.s.account,
-		Choice: choice, Reason: why, Code: code, Took: o.g.r.now().Sub(o.asked),
+		Choice: choice, Reason: why, Code: code, Took: o.g.r.now().Sub(o.asked), Consistency: o.route.Consistency,
 	}
 	if o.conn != nil {
 		e.Instance, e.Has = o.conn.Instance, o.conn.inst.point
--- a/core/relay/outlook.go
+++ b/core/relay/outlook.go
@@ -73,6 +73,9 @@
 		if s, ok := g.needs(o); ok && g.readable(now, o, s) {
 			return "", 0
 		}
+		if g.recent(now, o) {
+			return "", 0
+		}
 	}
 	wait := g.untilPrimary(now)
 	if wait <= worthWaiting && now.Add(wait).Before(o.deadline) {
@@ -111,6 +114,14 @@
 	return false
 }
 
+// recent reports whether the primary can be reached and is known to have led up to the moment whose
+// commits a read has to show.
+func (g *group) recent(now time.Time, o *operation) bool {
+	p := g.primary()
+	return p != nil && g.r.reaches(now, p) && p.open(now) && !o.avoid.Has(p.info.Name) && !g.superseded() &&
+		!g.sole().Before(o.age)
+}
+
 const (
 	// worthWaiting is how long a caller is held for a primary that is to come; beyond it
 	// the caller is told when to come back.
--- a/core/relay/prove.go
+++ b/core/relay/prove.go
@@ -25,8 +25,42 @@
 	g.aliveAt = now
 	// What it was asked before it said that it leads, it may have answered as a replica: its log
 	// was then shorter than what it has led with. Answers of two connections have no order.
-	if g.r.lease.Certain(now) && !asked.Before(g.settledAt) {
-		g.sampled(c.Instance, fresh.Sample{Point: p, Asked: asked, Reign: t})
+	if asked.Before(g.settledAt) {
+		return
+	}
+	s := fresh.Sample{Point: p, Asked: asked, Reign: t}
+	switch {
+	case g.r.lease.Certain(now):
+		g.sampled(c.Instance, s)
+	case g.unsure.Asked.IsZero():
+		g.unsure = s
+	}
+}
+
+// unsureFor is how long a point waits until the primary is known to have led when it was asked for:
+// some round trips.
+const unsureFor = 400 * time.Millisecond
+
+// affirm takes in the point that waits, once the primary is known to have led alone up to the moment
+// at which it was asked for, and has the other instances asked for that.
+//
+// The load it is made for: reads of an age while the store is away. The next cut would leave them
+// without a point that is young enough, although replicas have all that they need.
+func (g *group) affirm(now time.Time) {
+	s := g.unsure
+	if s.Asked.IsZero() {
+		return
+	}
+	p, t, ok := g.belief.Primary()
+	switch {
+	case !ok || t != s.Reign || now.Sub(s.Asked) > unsureFor:
+		g.unsure = fresh.Sample{}
+	case !g.sole().Before(s.Asked):
+		g.unsure = fresh.Sample{}
+		g.sampled(p, s)
+	default:
+		g.doubt = later(g.doubt, s.Asked)
+		g.vouch(now)
 	}
 }
 
@@ -107,6 +141,10 @@
 			return
 		}
 	}
+	if g.shows(o, c, a) {
+		o.finish(a)
+		return
+	}
 	now := g.r.now()
 	v, term, ask := g.belief.Judge(c.Instance, g.r.lease.Certain(now), g.others(c.Instance))
 	switch {
@@ -126,6 +164,20 @@
 	}
 }
 
+// shows reports whether the primary's answer to a read of an age shows all that it has to, whoever
+// leads by now: the instance is known to have led alone up to the moment whose commits it owes,
+// and its log holds the session's own.
+//
+// The load it is made for: a data centre that is cut off with the store away. Its primaries can't be
+// proved to lead any more, yet for as long as callers accept they know all that is owed.
+func (g *group) shows(o *operation, c *Conn, a statement.Answer) bool {
+	if o.lead || g.primary() != c.inst || g.sole().Before(o.age) {
+		return false
+	}
+	p, ok := a.Point.Get()
+	return ok && p.Covers(o.s.written)
+}
+
 // proofPatience bounds the wait for a proof. It is some round trips with a new
 // connection; what is not proved by then depends on an instance that can't be reached.
 const proofPatience = 250 * time.Millisecond
--- /dev/null
+++ b/core/relay/recent_test.go
@@ -0,0 +1,76 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/statement"
+)
+
+// alone cuts the host off, with some instances, from the others and the store, and lets it notice.
+func (w *world) alone(with ...fleet.Instance) {
+	beside := fleet.NewSet(with...)
+	for n, i := range w.instances {
+		if !beside.Has(n) {
+			i.silent = true
+			w.cut(i)
+		}
+	}
+	for range 9 {
+		w.open("rush", "key-1").do(statement.KindRead, "", "item")
+		w.pass(100*time.Millisecond, false)
+	}
+}
+
+// Guards against reads of an age that are refused beside a primary which can't be proved to lead any
+// more, although it is known to have led for all that they have to show.
+func TestReadsOfAnAgeAreServedBesideACutOffPrimary(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	x := w.open("standing", "key-1")
+	x.do(statement.KindWrite, "", "own data")
+	w.alone("a")
+	for _, d := range []catalog.Database{"standing", "stock"} {
+		y := w.open(d, "key-1")
+		y.do(statement.KindRead, "", "item")
+		w.pass(200*time.Millisecond, false)
+		c.Check(y.last().Code, qt.Equals, statement.CodeNone, qt.Commentf("%s", d))
+	}
+	x.do(statement.KindRead, "", "own")
+	w.pass(200*time.Millisecond, false)
+	c.Check(x.last().Code, qt.Equals, statement.CodeNone)
+	// What has to show everything, or is too old by now, is refused at once.
+	y := w.open("rush", "key-1")
+	y.do(statement.KindRead, "", "item")
+	c.Check(y.last().Code, qt.Equals, statement.CodeBusy)
+	w.pass(1600*time.Millisecond, false)
+	z := w.open("stock", "key-1")
+	z.do(statement.KindRead, "", "item")
+	w.pass(200*time.Millisecond, false)
+	c.Check(z.last().Code, qt.Equals, statement.CodeBusy)
+	w.pass(time.Second, false)
+	u := w.open("standing", "key-1")
+	u.do(statement.KindRead, "", "own")
+	c.Check(u.last().Code, qt.Equals, statement.CodeBusy)
+}
+
+// Guards against reads of an age that lack a point which is young enough after a cut, because the
+// store was away before it.
+func TestPointsAreProvedWhileTheStoreIsAway(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).settled()
+	for range 30 {
+		w.open("standing", "key-1").do(statement.KindRead, "", "item")
+		w.pass(100*time.Millisecond, false)
+	}
+	w.alone("b")
+	x := w.open("standing", "key-1")
+	x.do(statement.KindRead, "", "item")
+	w.pass(200*time.Millisecond, false)
+	c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+	c.Assert(x.last().Digest, qt.Equals, "d-b")
+}
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -45,6 +45,7 @@
 	g.answerInquiries(now)
 	g.settle(now)
 	g.sample(now)
+	g.affirm(now)
 	g.follow(now)
 	if len(g.waiting) > 0 {
 		g.pump()
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -60,6 +60,7 @@
 	}
 	add("id", string(n.ID))
 	add("database", string(n.Database))
+	add("consistency", string(n.Consistency))
 	add("service", string(n.Service))
 	add("account", string(n.Account))
 	add("instance", string(n.Instance))
