Notice a data centre that says nothing before each of its hosts counts as lost

Cause: in a large fleet reports come over doors 2.5 times a second, and a host counts as lost after 1.4 s.

Change (core/mesh Silent, Ask): a data centre of three known hosts or more from which nothing has come for 0.5 s, neither a report nor an answer to a sign of life that is asked for over each link after 0.25 s, counts as cut off; a host that was held up itself doesn't judge. Links to it are given up, witnesses look for themselves, and in the cut data centre the host isn't ready. A host without a catalog tries its links again after 60 ms.

Weighed: a pulse for each link, which finds a single dead host too, but takes one that is slow for dead and leaves its writes in doubt; not taken.

--- /dev/null
+++ b/core/mesh/silence_test.go
@@ -0,0 +1,25 @@
+package mesh_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/mesh"
+)
+
+// Guards against a data centre that is cut off and shows only when each of its hosts counts as lost,
+// and against one or two hosts that stand still and are taken for that.
+func TestSilenceOfADataCentre(t *testing.T) {
+	c := qt.New(t)
+	c.Check(mesh.Silent(24, 400*time.Millisecond), qt.IsFalse)
+	c.Check(mesh.Silent(24, 600*time.Millisecond), qt.IsTrue)
+	c.Check(mesh.Silent(2, 600*time.Millisecond), qt.IsFalse)
+	c.Check(mesh.Silent(24, 600*time.Millisecond) && !mesh.Ask(600*time.Millisecond), qt.IsFalse)
+	c.Check(mesh.Ask(200*time.Millisecond), qt.IsFalse)
+	// A host that is asked has time to answer.
+	c.Check(mesh.Ask(300*time.Millisecond) && !mesh.Silent(24, 450*time.Millisecond), qt.IsTrue)
+	// It shows well before the loss of a single host.
+	c.Check(mesh.Silent(24, mesh.PaceOf(73).Fresh/2), qt.IsTrue)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -63,8 +63,10 @@
 	peers    peers
 	rates    share.Fleet
 	// links are to the hosts that were heard, looked after at tended.
-	links     map[fleet.Host]*link
-	tended    time.Time
+	links  map[fleet.Host]*link
+	tended time.Time
+	// woke is when this host last went on after it was held up.
+	woke      time.Time
 	following following
 	// began is when the host was started.
 	began time.Time
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -26,12 +26,19 @@
 	// linkTimeout bounds a connection to another host, linkPause the time to the next try.
 	linkTimeout = 500 * time.Millisecond
 	linkPause   = 300 * time.Millisecond
+	// firstLinkPause is that of a host that has no catalog yet: those it is to follow may start just
+	// now, and it can serve nobody before.
+	firstLinkPause = 60 * time.Millisecond
 	// linkPatience is how long statements wait for a link that is being made, some round trips,
 	// before another host is used.
 	linkPatience = 100 * time.Millisecond
 	// linkRest closes a link that isn't wanted any more: longer than any statement or transaction
 	// may last on it.
 	linkRest = 10 * time.Second
+	// stoodStill is the time between two looks from which on this host itself was held up, wakeTime
+	// how long it then takes to read what has come meanwhile.
+	stoodStill = 200 * time.Millisecond
+	wakeTime   = 200 * time.Millisecond
 	// tendEvery spaces the looks at all other hosts: hundreds, in a large fleet.
 	tendEvery = 45 * time.Millisecond
 )
@@ -44,9 +51,10 @@
 	// nothing until it stands.
 	up, failed bool
 	tried      time.Time
-	// heard is when anything last came over it, used when anything was last sent.
-	heard, used time.Time
-	out         []byte
+	// heard is when anything last came over it, used when anything was last sent, asked when a sign
+	// of life was last asked for.
+	heard, used, asked time.Time
+	out                []byte
 }
 
 // tendLinks keeps a link to each host that is heard, in a large fleet only to those over which
@@ -61,11 +69,15 @@
 	if now.Sub(h.tended) < tendEvery {
 		return
 	}
+	if now.Sub(h.tended) > stoodStill && !h.tended.IsZero() {
+		h.woke = now
+	}
 	h.tended = now
 	h.chooseRole(now)
 	defer h.followStore(now)
 	h.forget(now)
 	fresh := mesh.PaceOf(h.peers.size()).Fresh
+	silent := h.silentCentres(now)
 	wanted := h.wanted()
 	var usable []relay.Peer
 	for name, p := range h.peers.known {
@@ -74,14 +86,14 @@
 			l = &link{host: name}
 			h.links[name] = l
 		}
-		alive := now.Sub(p.heard) < fresh || now.Sub(l.heard) < fresh
+		alive := (now.Sub(p.heard) < fresh || now.Sub(l.heard) < fresh) && !silent.Has(p.dataCentre)
 		switch {
 		case !alive && l.conn != nil:
 			h.log.Info("dependency lost", zap.String("dependency", "host "+string(name)),
 				zap.Duration("silent", now.Sub(p.heard)))
 			l.conn.Close()
 			h.dropLink(l)
-		case alive && l.conn == nil && p.address != "" && (l.failed || wanted(name)) && now.Sub(l.tried) > linkPause:
+		case alive && l.conn == nil && p.address != "" && (l.failed || wanted(name)) && now.Sub(l.tried) > h.linkPause():
 			h.openLink(l, p.address)
 		case l.up && !wanted(name) && now.Sub(l.used) > linkRest:
 			l.conn.Close()
@@ -103,7 +115,7 @@
 	}
 	h.relay.SetPeers(usable, missing)
 	h.relay.SetUnsure(h.unsure(now, len(usable)))
-	h.relay.SetSecluded(h.secluded(now))
+	h.relay.SetSecluded(h.secluded(now, silent))
 	if missing > 0 && h.reads() && now.Sub(h.peers.looked) > lookEvery+time.Duration(h.rank.Load())*lookStep {
 		// One that has died is off the list by now, and its share of rates is free again.
 		h.peers.looked = now
@@ -111,6 +123,13 @@
 	}
 }
 
+func (h *Host) linkPause() time.Duration {
+	if h.peers.catalog == 0 {
+		return firstLinkPause
+	}
+	return linkPause
+}
+
 // wanted tells which links are worth keeping.
 func (h *Host) wanted() func(n fleet.Host) bool {
 	if !mesh.Large(h.peers.size()) {
@@ -136,26 +155,72 @@
 }
 
 // secludedPart is the part of the time after which a host counts as not heard any more that all
-// hosts elsewhere have to be silent together.
+// hosts elsewhere have to be silent together, in data centres of few hosts.
 const secludedPart = 2
 
 // secluded reports whether no host of another data centre has been heard for a moment, by report or
 // over its link, although some ought to be.
-func (h *Host) secluded(now time.Time) bool {
+func (h *Host) secluded(now time.Time, silent fleet.Set[fleet.DataCentre]) bool {
 	silence := mesh.PaceOf(h.peers.size()).Fresh / secludedPart
 	far := false
 	for name, p := range h.peers.known {
 		if p.dataCentre == h.settings.Host.DataCentre || now.Sub(p.heard) > missingFor {
 			continue
 		}
-		if l := h.links[name]; now.Sub(p.heard) < silence || l != nil && now.Sub(l.heard) < silence {
+		far = true
+		if now.Sub(h.heardFrom(name)) < silence && !silent.Has(p.dataCentre) {
 			return false
 		}
-		far = true
 	}
 	return far
 }
 
+// heardFrom returns when anything last came from a host that is known.
+func (h *Host) heardFrom(n fleet.Host) time.Time {
+	heard := h.peers.known[n].heard
+	if l := h.links[n]; l != nil {
+		heard = later(heard, l.heard)
+	}
+	return heard
+}
+
+// silentCentres returns the other data centres of a large fleet that count as cut off, and asks for a
+// sign of life where nothing has come for some time.
+func (h *Host) silentCentres(now time.Time) fleet.Set[fleet.DataCentre] {
+	if !mesh.Large(h.peers.size()) || now.Sub(h.woke) < wakeTime {
+		return nil
+	}
+	last, hosts := map[fleet.DataCentre]time.Time{}, map[fleet.DataCentre]int{}
+	for name, p := range h.peers.known {
+		if p.dataCentre == h.settings.Host.DataCentre || now.Sub(p.heard) > missingFor {
+			continue
+		}
+		hosts[p.dataCentre]++
+		last[p.dataCentre] = later(last[p.dataCentre], h.heardFrom(name))
+	}
+	out := fleet.NewSet[fleet.DataCentre]()
+	for dc, at := range last {
+		if mesh.Ask(now.Sub(at)) {
+			h.askForSigns(now, dc, at)
+		}
+		if mesh.Silent(hosts[dc], now.Sub(at)) {
+			out.Add(dc)
+		}
+	}
+	return out
+}
+
+// askForSigns asks the hosts of a data centre over the links that stand, once since it was last heard.
+func (h *Host) askForSigns(now time.Time, dc fleet.DataCentre, heard time.Time) {
+	for name, l := range h.links {
+		if p := h.peers.known[name]; p == nil || p.dataCentre != dc || !l.up || l.asked.After(heard) {
+			continue
+		}
+		l.asked = now
+		l.conn.Write(forward.AppendPing(nil, false))
+	}
+}
+
 func (l *link) send(f relay.Forward) {
 	if l.conn == nil {
 		return
@@ -188,10 +253,12 @@
 			l.heard = clock.Now()
 			h.told(l.host, n)
 		},
+		Ping: func(bool) { l.heard = clock.Now() },
 	}
 	c.Opened = func() {
 		l.up, l.failed = true, false
 		c.Write(forward.AppendHello(nil, h.settings.Host.Name))
+		h.followStore(clock.Now())
 	}
 	c.Data = h.reader("host "+string(l.host), in.Take, func(error) { c.Close() })
 	c.Closed = func(error) {
@@ -222,6 +289,11 @@
 		Reply:  func(uint64, statement.Answer) {},
 		Follow: func(f forward.Follow) { h.followed(id, f, c.Write) },
 		News:   func(forward.News) {},
+		Ping: func(answer bool) {
+			if !answer {
+				c.Write(forward.AppendPing(nil, true))
+			}
+		},
 	}
 	c.Data = h.reader("another host", in.Take, func(error) { c.Close() })
 	c.Closed = func(error) {
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -38,6 +38,8 @@
 	// Follow and News are called with what hosts tell each other of the store.
 	Follow func(f Follow)
 	News   func(n News)
+	// Ping is called with a question for a sign of life, or with its answer.
+	Ping func(answer bool)
 }
 
 // Take decodes the first message in b and returns the bytes that it took, zero when it
@@ -68,6 +70,8 @@
 		r.Follow(Follow{Sent: fromMoment(k.Follow.GetSent()), Whole: k.Follow.GetWhole()})
 	case *forwardpb.Frame_News:
 		r.News(news(k.News))
+	case *forwardpb.Frame_Ping:
+		r.Ping(k.Ping.GetAnswer())
 	default:
 		return 0, errNoMessage
 	}
@@ -157,3 +161,8 @@
 	}
 	return fleet.Some(fleet.Point{Term: fleet.Term(m.GetTerm()), Position: fleet.Position(m.GetPosition())})
 }
+
+// AppendPing writes a question for a sign of life, or its answer.
+func AppendPing(b []byte, answer bool) []byte {
+	return appendFrame(b, &forwardpb.Frame{Kind: &forwardpb.Frame_Ping{Ping: &forwardpb.Ping{Answer: answer}}})
+}
--- a/io/forward/news_test.go
+++ b/io/forward/news_test.go
@@ -49,3 +49,16 @@
 	c.Assert(got[1].Renewed.IsZero(), qt.IsTrue)
 	c.Assert(asked, qt.DeepEquals, []forward.Follow{question})
 }
+
+func TestSignsOfLife(t *testing.T) {
+	c := qt.New(t)
+	var got []bool
+	r := forward.Reader{Ping: func(answer bool) { got = append(got, answer) }}
+	b := forward.AppendPing(forward.AppendPing(nil, false), true)
+	for len(b) > 0 {
+		n, err := r.Take(b)
+		c.Assert(err, qt.IsNil)
+		b = b[n:]
+	}
+	c.Assert(got, qt.DeepEquals, []bool{false, true})
+}
