Let a service's document evacuate data centres

evacuated = DATA-CENTRE, ... in [service] marks all instances there as leaving, so that PostgreSQL callers get the same as callers on the prepared machines: no new work there, and another primary. A data centre that has no instance is a mistake with its line. TestEvacuatedDataCentre is red without it.

--- a/core/document/document.go
+++ b/core/document/document.go
@@ -50,8 +50,11 @@
 	CutOffAfter time.Duration
 	// DataCentres share out the floors of the accounts' rates.
 	DataCentres []fleet.DataCentre
-	Instances   []Instance
-	Accounts    []Account
+	// Evacuated are the data centres whose instances are to get no new work, whatever each of them
+	// says.
+	Evacuated []fleet.DataCentre
+	Instances []Instance
+	Accounts  []Account
 }
 
 // Instance is one database instance of the service's group.
@@ -64,7 +67,7 @@
 	Slots int
 	// Connections is the most that the instance accepts.
 	Connections int
-	// Leaving is set when the instance is to get no new work.
+	// Leaving is set when the instance is to get no new work, by itself or with its data centre.
 	Leaving bool
 }
 
--- a/core/document/document_test.go
+++ b/core/document/document_test.go
@@ -272,3 +272,21 @@
 	c.Assert(err, qt.ErrorMatches, want)
 	c.Assert(err.Error(), qt.Not(qt.Contains), alone)
 }
+
+// Guards against an evacuation that leaves an instance in use, or names a data centre by mistake.
+func TestEvacuatedDataCentre(t *testing.T) {
+	c := qt.New(t)
+	b, err := os.ReadFile(filepath.Join("..", "..", "docs", "sample", "orders.ini"))
+	c.Assert(err, qt.IsNil)
+	text := strings.Replace(string(b), "[instance \"a\"]", "evacuated = obihiro\n\n[instance \"a\"]", 1)
+	d, err := document.Parse([]byte(text), 3)
+	c.Assert(err, qt.IsNil)
+	for _, i := range d.Instances {
+		c.Check(i.Leaving, qt.Equals, i.DataCentre == "obihiro", qt.Commentf("%s", i.Name))
+	}
+	again, err := document.Parse(d.Format(), 3)
+	c.Assert(err, qt.IsNil)
+	c.Assert(again, qt.DeepEquals, d)
+	_, err = document.Parse([]byte(strings.Replace(text, "evacuated = obihiro", "evacuated = nowhere", 1)), 3)
+	c.Assert(err, qt.ErrorMatches, `(?s).*evacuated: found "nowhere", expected a data centre that has an instance.*`)
+}
--- a/core/document/parse.go
+++ b/core/document/parse.go
@@ -91,20 +91,28 @@
 	d.StatementTimeout = s.Duration("statement-timeout", DefaultStatementTimeout, 10*time.Millisecond, time.Hour)
 	d.CutOff = CutOff(s.OneOf("cut-off", string(CutOffServe), string(CutOffServe), string(CutOffStop)))
 	d.CutOffAfter = s.Duration("cut-off-after", DefaultCutOffAfter, minCutOffAfter, maxCutOffAfter)
-	for _, n := range s.List("data-centres") {
-		c := fleet.DataCentre(n)
-		if !inifile.IsName(n) || slices.Contains(d.DataCentres, c) {
-			s.Wrong("data-centres", strconv.Quote(n), "each data centre once, "+inifile.NameForm)
-			continue
-		}
-		d.DataCentres = append(d.DataCentres, c)
-	}
+	d.DataCentres = dataCentres(s, "data-centres")
+	d.Evacuated = dataCentres(s, "evacuated")
 	if len(d.DataCentres) == 0 {
 		s.Missing("data-centres", "the data centres that share out the accounts' rates")
 	}
 	s.Unknown()
 }
 
+// dataCentres reads a list of data centres.
+func dataCentres(s *inifile.Section, key string) []fleet.DataCentre {
+	var out []fleet.DataCentre
+	for _, n := range s.List(key) {
+		c := fleet.DataCentre(n)
+		if !inifile.IsName(n) || slices.Contains(out, c) {
+			s.Wrong(key, strconv.Quote(n), "each data centre once, "+inifile.NameForm)
+			continue
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
 func instance(s *inifile.Section, name string) Instance {
 	defer s.Unknown()
 	i := Instance{
@@ -183,6 +191,7 @@
 	if n := len(d.Accounts); n > maxAccounts {
 		f.Wrong("", "", fmt.Sprintf("%d accounts", n), fmt.Sprintf("at most %d", maxAccounts))
 	}
+	evacuate(f, d)
 	at := map[string]fleet.Instance{}
 	for _, i := range d.Instances {
 		if first, ok := at[i.Address]; ok && i.Address != "" {
@@ -193,17 +202,29 @@
 	}
 }
 
+// evacuate marks the instances of evacuated data centres as leaving.
+func evacuate(f *inifile.File, d *Document) {
+	for _, dc := range d.Evacuated {
+		in := func(i Instance) bool { return i.DataCentre == dc }
+		if !slices.ContainsFunc(d.Instances, in) {
+			f.Wrong("service", "evacuated", strconv.Quote(string(dc)), "a data centre that has an instance")
+		}
+		for n := range d.Instances {
+			d.Instances[n].Leaving = d.Instances[n].Leaving || in(d.Instances[n])
+		}
+	}
+}
+
 // Format returns d as text that Parse reads back to an equal document.
 func (d *Document) Format() []byte {
 	var b strings.Builder
-	dc := make([]string, len(d.DataCentres))
-	for n, c := range d.DataCentres {
-		dc[n] = string(c)
-	}
 	fmt.Fprintf(&b, "[service]\nname = %s\nacknowledge = %s\nholders = %d\nstatement-timeout = %s\n",
 		d.Service, d.Acknowledge, d.Holders, d.StatementTimeout)
 	fmt.Fprintf(&b, "cut-off = %s\ncut-off-after = %s\ndata-centres = %s\n",
-		d.CutOff, d.CutOffAfter, strings.Join(dc, ", "))
+		d.CutOff, d.CutOffAfter, join(d.DataCentres))
+	if len(d.Evacuated) > 0 {
+		fmt.Fprintf(&b, "evacuated = %s\n", join(d.Evacuated))
+	}
 	for _, i := range d.Instances {
 		fmt.Fprintf(&b, "\n[instance %q]\naddress = %s\ndata-centre = %s\nslots = %d\nconnections = %d\nleaving = %t\n",
 			i.Name, i.Address, i.DataCentre, i.Slots, i.Connections, i.Leaving)
@@ -218,6 +239,14 @@
 	return []byte(b.String())
 }
 
+func join(dcs []fleet.DataCentre) string {
+	out := make([]string, len(dcs))
+	for n, c := range dcs {
+		out[n] = string(c)
+	}
+	return strings.Join(out, ", ")
+}
+
 func number(f float64) string {
 	return strconv.FormatFloat(f, 'f', -1, 64)
 }
