Have hosts that start follow whoever read the store last

Cause, by the logs: a host that found nobody registered beside it waited 0.15 to 0.6 s, the less the stronger it was, and looked again. Where the power was back before the registrations had ended (1 s), each host found the old ones, its own among them, and all followed hosts that followed, until one stepped in after a second.

Change: a host that finds its own registration reads. The holder of the duty keeps the names of the registered hosts beside the number of hosts; who starts and finds itself there reads at once, and the others follow it at once. One list has all three, so no call is added; those of a data centre that has none now, as it is cut off, are kept. If these are gone for good, hosts step in as before. A follower asks as soon as the link stands.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -67,6 +67,9 @@
 	h.registry.SetRole(x)
 	if x == follow.RoleFollower {
 		clear(h.following.followers)
+		// The link to a reader is the first thing that it needs.
+		h.tended = time.Time{}
+		h.hurry()
 	}
 }
 
--- a/io/registry/follow.go
+++ b/io/registry/follow.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -11,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"skylarkdeal/core/failure"
+	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/follow"
 	"skylarkdeal/core/mesh"
 	"skylarkdeal/internal/pause"
@@ -65,11 +68,13 @@
 	r.cfg.Post(func() { r.cfg.Copied(p, c) })
 }
 
-// countKey holds the number of hosts, for hosts that start when no other runs. One list has it and
-// the registrations.
+// countKey holds the number of hosts, and readersKey those that were registered last, for hosts that
+// start when no other runs. One list has both and the registrations.
 func (r *Registry) countKey() string { return r.cfg.Prefix + "hosts-count" }
 
-// censusPrefix starts the registrations and countKey.
+func (r *Registry) readersKey() string { return r.cfg.Prefix + "hosts-readers" }
+
+// censusPrefix starts the registrations, countKey and readersKey.
 func (r *Registry) censusPrefix() string { return r.cfg.Prefix + "hosts" }
 
 // censusSpread spreads the second look of hosts of the same capacity, by about as long as it takes
@@ -81,51 +86,89 @@
 // The load it is made for: hundreds of hosts that start at once, as after a loss of power, each with
 // a dozen calls to a store that it shares with all others. A small fleet, where each reads for
 // itself, must not wait for that; so the number of hosts stands in the store.
+//
+// If all hosts of a data centre were lost, those that read the store before do so again at once, and
+// the others follow them. Should these be gone for good, the others find out by their silence.
 func (r *Registry) census(ctx context.Context) follow.Role {
 	for n := range 2 {
 		if n > 0 {
 			pause.For(ctx, follow.FirstWait(r.cfg.Self.Capacity)+rand.N(censusSpread))
 		}
-		hs, count, err := r.countHosts(ctx)
-		switch {
-		case err != nil:
+		x, err := r.countHosts(ctx)
+		if err != nil {
 			r.up.failed(err)
 			return follow.RoleReader
-		case count > 0 && !mesh.Large(count):
+		}
+		self := func(h Host) bool { return h.Name == r.cfg.Self.Name }
+		beside := func(h Host) bool { return h.DataCentre == r.cfg.Self.DataCentre && !self(h) }
+		switch {
+		case x.count > 0 && !mesh.Large(x.count):
+			return follow.RoleReader
+		case slices.ContainsFunc(x.registered, self):
+			// The registration of the process before hasn't ended yet: those beside it may be as old, and
+			// then all would follow each other.
+			return follow.RoleReader
+		case slices.ContainsFunc(x.registered, beside):
+			r.cfg.Post(func() { r.cfg.Hosts(x.registered) })
+			return follow.RoleFollower
+		case slices.ContainsFunc(x.readers, self):
 			return follow.RoleReader
-		case slices.ContainsFunc(hs, func(h Host) bool {
-			return h.DataCentre == r.cfg.Self.DataCentre && h.Name != r.cfg.Self.Name
-		}):
+		case slices.ContainsFunc(x.readers, beside):
+			r.cfg.Post(func() { r.cfg.Hosts(x.readers) })
 			return follow.RoleFollower
 		}
 	}
 	return follow.RoleReader
 }
 
-func (r *Registry) countHosts(ctx context.Context) ([]Host, int, error) {
+// census is what a host that starts finds in the store.
+type census struct {
+	// registered are the hosts that are registered now, readers those that were last.
+	registered, readers []Host
+	// count is the number of hosts, zero if it isn't known.
+	count int
+}
+
+func (r *Registry) countHosts(ctx context.Context) (census, error) {
 	c, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	es, _, err := r.cfg.Store.List(c, r.censusPrefix())
 	if err != nil {
-		return nil, 0, err
+		return census{}, err
 	}
-	count := 0
+	var x census
 	for _, e := range es {
-		if e.Key == r.countKey() {
-			if count, err = strconv.Atoi(string(e.Value)); err != nil {
+		switch e.Key {
+		case r.countKey():
+			if x.count, err = strconv.Atoi(string(e.Value)); err != nil {
 				r.cfg.Logger.Error("unreadable number of hosts", zap.Error(err))
 			}
+		case r.readersKey():
+			if err := json.Unmarshal(e.Value, &x.readers); err != nil {
+				r.cfg.Logger.Error("unreadable list of readers", zap.Error(err))
+			}
 		}
 	}
 	es = slices.DeleteFunc(es, func(e Entry) bool { return !strings.HasPrefix(e.Key, r.hostsPrefix()) })
-	hs := r.ParseHosts(es)
+	x.registered = r.ParseHosts(es)
 	r.counted = true
-	r.told.Store(int64(count))
+	r.told.Store(int64(x.count))
+	r.readersTold.Store(namesOf(x.readers))
+	r.takeReaders(x.readers)
 	r.cfg.Post(func() {
-		r.cfg.Hosts(hs)
-		r.cfg.Count(count)
+		r.cfg.Hosts(x.registered)
+		r.cfg.Count(x.count)
 	})
-	return hs, count, nil
+	return x, nil
+}
+
+// namesOf returns the names of hosts in order, as one text.
+func namesOf(hs []Host) string {
+	out := fleet.NewSet[fleet.Host]()
+	for _, h := range hs {
+		out.Add(h.Name)
+	}
+	return fmt.Sprint(out.Sorted())
 }
 
 // SetSize tells how many hosts there are.
@@ -139,24 +182,69 @@
 )
 
 // keepSize keeps the number of hosts in the store, as far as it tells a large fleet from a small
-// one. The holder of the duty does so.
+// one, and in a large one which hosts are registered. The holder of the duty does so.
 func (r *Registry) keepSize(ctx context.Context) {
 	if !r.cfg.Census {
 		return
 	}
 	pause.Every(ctx, sizeEvery, func() {
-		n, told := int(r.size.Load()), int(r.told.Load())
-		stands := told > 0 && mesh.Large(told) == mesh.Large(n)
-		if n == 0 || stands || r.fence.Load() == 0 || time.Since(r.began) < sizeAfter {
+		n := int(r.size.Load())
+		if n == 0 || r.fence.Load() == 0 || time.Since(r.began) < sizeAfter {
+			return
+		}
+		puts, done := r.newsForStarts(n)
+		if len(puts) == 0 {
 			return
 		}
 		c, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		put := Put{Key: r.countKey(), Value: []byte(strconv.Itoa(n))}
-		if _, err := r.cfg.Store.Commit(c, Txn{Put: []Put{put}}); err != nil {
+		if _, err := r.cfg.Store.Commit(c, Txn{Put: puts}); err != nil {
 			r.cfg.Logger.Warn("number of hosts not written", zap.Error(failure.At(err, "write the number of hosts", "store")))
 			return
 		}
-		r.told.Store(int64(n))
+		done()
 	})
 }
+
+// takeReaders takes in the hosts that are registered now. Those of a data centre that has none are
+// kept as they were: it may be cut off, and its hosts are to find their readers when they start.
+func (r *Registry) takeReaders(hs []Host) {
+	out := slices.Clone(hs)
+	for _, old := range r.lastReaders() {
+		if !slices.ContainsFunc(hs, func(h Host) bool { return h.DataCentre == old.DataCentre }) {
+			out = append(out, old)
+		}
+	}
+	r.readers.Store(out)
+}
+
+// lastReaders returns the hosts of each data centre that were registered last.
+func (r *Registry) lastReaders() []Host {
+	hs, _ := r.readers.Load().([]Host)
+	return hs
+}
+
+// newsForStarts returns what has to be written for hosts that start, and what to note once it is.
+func (r *Registry) newsForStarts(n int) (puts []Put, done func()) {
+	told := int(r.told.Load())
+	stands := told > 0 && mesh.Large(told) == mesh.Large(n)
+	if !stands {
+		puts = append(puts, Put{Key: r.countKey(), Value: []byte(strconv.Itoa(n))})
+	}
+	names := ""
+	if hs := r.lastReaders(); len(hs) > 0 && mesh.Large(n) {
+		names = namesOf(hs)
+		b, err := json.Marshal(hs)
+		if err != nil {
+			r.cfg.Logger.Error("readers not written", zap.Error(err))
+		} else if r.readersTold.Load() != names {
+			puts = append(puts, Put{Key: r.readersKey(), Value: b})
+		}
+	}
+	return puts, func() {
+		r.told.Store(int64(n))
+		if names != "" {
+			r.readersTold.Store(names)
+		}
+	}
+}
--- a/io/registry/follow_test.go
+++ b/io/registry/follow_test.go
@@ -56,6 +56,61 @@
 	c.Assert(s.called("list our/hosts"), qt.Equals, 1)
 }
 
+// Guards against a loss of all hosts after which each waits for others to register: callers are turned
+// away for that long.
+func TestHostFollowsWhoeverReadLastAtOnce(t *testing.T) {
+	c := qt.New(t)
+	for _, self := range []bool{false, true} {
+		s := newShelf()
+		s.put("our/hosts-count", "295")
+		name, want := "h-first", follow.RoleFollower
+		if self {
+			name, want = "h-x", follow.RoleReader
+		}
+		s.put("our/hosts-readers", fmt.Sprintf(`[{"name":%q,"data-centre":"obihiro","address":"127.0.0.1:2"}]`, name))
+		began := time.Now()
+		_, got, x := joinLarge(c, s)
+		until(c, got, "a role", func() bool { return x.role != "" })
+		c.Check(x.role, qt.Equals, want)
+		c.Check(time.Since(began) < 100*time.Millisecond, qt.IsTrue)
+		c.Check(s.called("list our/hosts"), qt.Equals, 1)
+		if !self {
+			until(c, got, "the reader", func() bool { return len(got.hosts) == 1 && got.hosts[0].Name == "h-first" })
+		}
+	}
+}
+
+// Guards against a start that hangs on a list of readers which can't be read, or has none beside the
+// host.
+func TestUselessListOfReadersIsPassedOver(t *testing.T) {
+	c := qt.New(t)
+	for _, text := range []string{"rubbish", "[]", `[{"name":"h-far","data-centre":"sapporo","address":"127.0.0.1:2"}]`} {
+		s := newShelf()
+		s.put("our/hosts-count", "295")
+		s.put("our/hosts-readers", text)
+		_, got, x := joinLarge(c, s)
+		until(c, got, "a role", func() bool { return x.role != "" })
+		c.Check(x.role, qt.Equals, follow.RoleReader, qt.Commentf("%s", text))
+	}
+}
+
+// Guards against a list of readers that is never written, or time and again.
+func TestHolderOfTheDutyKeepsTheListOfReaders(t *testing.T) {
+	c := qt.New(t)
+	s := newShelf()
+	s.put("our/hosts-count", "295")
+	r, got, _ := joinLarge(c, s)
+	r.SetSize(295)
+	until(c, got, "the duty", func() bool { return len(got.holds) > 0 && got.holds[len(got.holds)-1] })
+	time.Sleep(10500 * time.Millisecond)
+	var told string
+	s.set(func() { told = string(s.entries["our/hosts-readers"].Value) })
+	c.Assert(told, qt.Contains, `"name":"h-x"`)
+	revision := s.entries["our/hosts-readers"].Revision
+	time.Sleep(2500 * time.Millisecond)
+	s.set(func() { c.Check(s.entries["our/hosts-readers"].Revision, qt.Equals, revision) })
+}
+
 // Guards against a small fleet that waits at its start for hosts to follow.
 func TestHostOfASmallFleetReadsAtOnce(t *testing.T) {
 	c := qt.New(t)
@@ -149,3 +204,35 @@
 	r.Refresh()
 	until(c, got, "the other one", func() bool { return records() == 2 })
 }
+
+// Guards against a loss of all hosts that is over before their registrations have ended: each finds
+// others registered beside it, and all follow hosts that follow.
+func TestHostThatWasRegisteredReadsAgain(t *testing.T) {
+	c := qt.New(t)
+	s := newShelf()
+	s.put("our/hosts-count", "295")
+	s.registered("h-first")
+	s.registered("h-x")
+	_, got, x := joinLarge(c, s)
+	until(c, got, "a role", func() bool { return x.role != "" })
+	c.Assert(x.role, qt.Equals, follow.RoleReader)
+}
+
+// Guards against a data centre that was cut off, whose readers are forgotten while it is.
+func TestReadersOfACutOffDataCentreAreKept(t *testing.T) {
+	c := qt.New(t)
+	s := newShelf()
+	s.put("our/hosts-count", "295")
+	s.put("our/hosts-readers", `[{"name":"h-x","data-centre":"obihiro","address":"127.0.0.1:1"},`+
+		`{"name":"h-far","data-centre":"sapporo","address":"127.0.0.1:2"}]`)
+	r, got, x := joinLarge(c, s)
+	r.SetSize(295)
+	until(c, got, "a role", func() bool { return x.role != "" })
+	s.registered("h-new")
+	until(c, got, "the duty", func() bool { return len(got.holds) > 0 && got.holds[len(got.holds)-1] })
+	time.Sleep(10500 * time.Millisecond)
+	var told string
+	s.set(func() { told = string(s.entries["our/hosts-readers"].Value) })
+	c.Check(told, qt.Contains, `"name":"h-far"`)
+	c.Check(told, qt.Contains, `"name":"h-new"`)
+}
--- a/io/registry/lists.go
+++ b/io/registry/lists.go
@@ -160,6 +160,7 @@
 			wait = 0
 			continue
 		}
+		r.takeReaders(hs)
 		r.cfg.Post(func() { r.cfg.Hosts(hs) })
 		wait = hostsEvery + time.Duration(r.rank())*hostsStep
 		if len(hs) < 2 {
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -160,6 +160,9 @@
 	// size is the number of hosts in the fleet, zero while it isn't known; told is the one that
 	// stands in the store.
 	size, told atomic.Int64
+	// readers are the hosts of each data centre that were registered last, readersTold the names of
+	// those that stand in the store for hosts that start.
+	readers, readersTold atomic.Value
 	// counted is set once the census has told of the registered hosts.
 	counted bool
 	// records are the entries of the records that are known, changes counts what has come to them;
