Leave an instance's last connections to its holder while all hosts start

Cause, by the logs: instances keep the connections of dead hosts for 3 s, 54 of 71; of the 17 left each host took one, to see for itself what its holder, which had not read the list of instances yet, "could not reach". The holder found no room for 2 s.

Change: a host in its first 3 s leaves that to the holder (instance.spared), and a holder in its first 0.8 s keeps what others send until it knows the instance (relay.meeting) in place of turning it away.

Tests play 100 hosts of 300 at both ages, and a holder that is asked before it has the list.

--- a/core/relay/crowd_test.go
+++ b/core/relay/crowd_test.go
@@ -7,6 +7,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/relay"
 	"skylarkdeal/core/statement"
 )
 
@@ -57,3 +59,41 @@
 		}
 	}
 }
+
+// Guards against hosts that all start at once and, told that the holder can't reach an instance yet, each
+// make a connection to see for themselves: the instance has no room left for the holder.
+func TestHostsThatHaveJustStartedLeaveConnectionsToTheHolder(t *testing.T) {
+	c := qt.New(t)
+	hosts := fleetOf(300)
+	for _, age := range []time.Duration{500 * time.Millisecond, time.Minute} {
+		dials := 0
+		for h := 1; h < len(hosts); h += 3 {
+			w := worldOf(c, hosts[h], age)
+			w.relay.SetHosts(len(hosts))
+			w.relay.SetPeers(append(append([]relay.Peer(nil), hosts[:h]...), hosts[h+1:]...), 0)
+			w.now = w.now.Add(200 * time.Millisecond)
+			before := w.instances["b"].dialled
+			w.relay.Doubted(hosts[0].Host, []fleet.Instance{"b"}, nil)
+			dials += w.instances["b"].dialled - before
+		}
+		c.Check(dials > 0, qt.Equals, age == time.Minute, qt.Commentf("%d connections at the age of %v", dials, age))
+	}
+}
+
+// Guards against a holder that has just started and turns others away, because it has not read the list
+// of instances yet: they would turn to hosts that hold no connections.
+func TestHolderThatHasJustStartedKeepsWhatOthersSend(t *testing.T) {
+	c := qt.New(t)
+	for _, age := range []time.Duration{100 * time.Millisecond, time.Minute} {
+		w := worldOf(c, relay.Peer{Host: "h1", DataCentre: "obihiro"}, age)
+		var got []statement.Answer
+		w.relay.Forwarded(1, relay.Forward{
+			Stream: 1, Service: "ledger", Instance: "l", Account: "hotel", Left: time.Second, Open: true, Close: true,
+			Statements: []statement.Statement{{ID: "f1", Kind: statement.KindRead, Text: "item"}},
+		}, func(a statement.Answer) { got = append(got, a) })
+		w.relay.Listed(w.instancesOf("ledger", "l"), w.now)
+		w.pass(100*time.Millisecond, true)
+		c.Assert(got, qt.HasLen, 1)
+		c.Check(got[0].Code == statement.CodeNone, qt.Equals, age != time.Minute)
+	}
+}
--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -90,7 +90,7 @@
 // worth more in one hand: one for an account in place of one for a host, where accounts
 // take turns by connecting anew and a transaction that pauses holds up all others.
 func (i *instance) direct(now time.Time) bool {
-	return i.share() >= directShare && now.Sub(i.g.r.began) > lingerFor
+	return i.share() >= directShare && !i.g.r.young(now)
 }
 
 // SetPeers tells which other hosts are heard now, and how many are missing: those that
--- a/core/relay/holder.go
+++ b/core/relay/holder.go
@@ -201,3 +201,17 @@
 	}
 	return *i.ranking.witness
 }
+
+// spared reports whether this host leaves it to others to find out whether the instance can be reached:
+// it has just started, and another one holds the connections.
+//
+// The load it is made for: all hosts that start at once after a loss of power. The instance still has the
+// connections of before, and the few that are left are the holder's: those that all others made to
+// look for themselves kept it from serving anybody for three seconds.
+func (i *instance) spared(now time.Time) bool {
+	_, held := i.g.r.holder(i)
+	return held && i.g.r.young(now)
+}
+
+// young reports whether instances may still have the connections of a process before this one.
+func (r *Relay) young(now time.Time) bool { return now.Sub(r.began) < lingerFor }
--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -168,7 +168,7 @@
 		i.blocked = map[fleet.Host]time.Time{}
 	}
 	i.blocked[h] = now.Add(blockedFor)
-	if now.Sub(i.lastHeard) > wonderAfter {
+	if now.Sub(i.lastHeard) > wonderAfter && !i.spared(now) {
 		i.g.probe(now, i)
 	}
 }
--- a/core/relay/outlook.go
+++ b/core/relay/outlook.go
@@ -52,6 +52,8 @@
 	if n := o.s.instance; n != "" {
 		i := g.instances[n]
 		switch {
+		case i == nil && g.r.meeting(now):
+			return "", 0
 		case i == nil || i.gone || i.doubtful(now):
 			return "this host can't reach the instance", retrySoon
 		case !i.open(now):
@@ -114,6 +116,11 @@
 	return false
 }
 
+// meeting reports whether the host has just started and may not have read which instances there are,
+// although others know. What they send it is worth a moment's wait: told that this host can't reach
+// the instance, they would turn to one another.
+func (r *Relay) meeting(now time.Time) bool { return now.Sub(r.began) < acquaintance }
+
 // recent reports whether the primary can be reached and is known to have led up to the moment whose
 // commits a read has to show.
 func (g *group) recent(now time.Time, o *operation) bool {
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -215,6 +215,10 @@
 func (g *group) inquire(n fleet.Instance, t fleet.Term, reply func(a statement.Answer)) {
 	now := g.r.now()
 	i := g.instances[n]
+	if i == nil && g.r.meeting(now) {
+		reply(statement.Answer{Code: statement.CodeBusy, Detail: "this host has just started", State: statement.TxNone})
+		return
+	}
 	if i == nil || i.gone || i.doubtful(now) {
 		reply(unasked("this host can't reach the instance"))
 		return
