Give up the first links to readers sooner

A host without a catalog gives a link 0.1 s and tries again after 50 ms. linkPatience is called linkWait where statements wait for a link.

--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -26,12 +26,14 @@
 	// linkTimeout bounds a connection to another host, linkPause the time to the next try.
 	linkTimeout = 500 * time.Millisecond
 	linkPause   = 300 * time.Millisecond
-	// firstLinkPause is that of a host that has no catalog yet: those it is to follow may start just
-	// now, and it can serve nobody before.
-	firstLinkPause = 60 * time.Millisecond
-	// linkPatience is how long statements wait for a link that is being made, some round trips,
+	// firstLinkTimeout and firstLinkPause are those of a host that has no catalog yet: those it is to
+	// follow may start just now, and it can serve nobody before. What is sent to one that hasn't
+	// started is lost.
+	firstLinkTimeout = 100 * time.Millisecond
+	firstLinkPause   = 50 * time.Millisecond
+	// linkWait is how long statements wait for a link that is being made, some round trips,
 	// before another host is used.
-	linkPatience = 100 * time.Millisecond
+	linkWait = 100 * time.Millisecond
 	// linkRest closes a link that isn't wanted any more: longer than any statement or transaction
 	// may last on it.
 	linkRest = 10 * time.Second
@@ -78,6 +80,7 @@
 	h.forget(now)
 	fresh := mesh.PaceOf(h.peers.size()).Fresh
 	silent := h.silentCentres(now)
+	_, pause := h.linkPatience()
 	wanted := h.wanted()
 	var usable []relay.Peer
 	for name, p := range h.peers.known {
@@ -93,7 +96,7 @@
 				zap.Duration("silent", now.Sub(p.heard)))
 			l.conn.Close()
 			h.dropLink(l)
-		case alive && l.conn == nil && p.address != "" && (l.failed || wanted(name)) && now.Sub(l.tried) > h.linkPause():
+		case alive && l.conn == nil && p.address != "" && (l.failed || wanted(name)) && now.Sub(l.tried) > pause:
 			h.openLink(l, p.address)
 		case l.up && !wanted(name) && now.Sub(l.used) > linkRest:
 			l.conn.Close()
@@ -123,11 +126,12 @@
 	}
 }
 
-func (h *Host) linkPause() time.Duration {
+// linkPatience returns how long a link may take to stand, and how long after a try the next one is due.
+func (h *Host) linkPatience() (timeout, pause time.Duration) {
 	if h.peers.catalog == 0 {
-		return firstLinkPause
+		return firstLinkTimeout, firstLinkPause
 	}
-	return linkPause
+	return linkTimeout, linkPause
 }
 
 // wanted tells which links are worth keeping.
@@ -150,7 +154,7 @@
 	case l.failed:
 		return false
 	default:
-		return l.conn == nil || now.Sub(l.tried) < linkPatience
+		return l.conn == nil || now.Sub(l.tried) < linkWait
 	}
 }
 
@@ -266,7 +270,8 @@
 			h.dropLink(l)
 		}
 	}
-	h.loop.Dial(c, address, linkTimeout)
+	timeout, _ := h.linkPatience()
+	h.loop.Dial(c, address, timeout)
 }
 
 // acceptPeer takes the link of a host that has statements run here.
