Let no more hosts read after a loss of all than before it

Each host that was registered, seven in a data centre that had tried the store in vain, became a reader at once and stayed one for 5 s. Now the first two of a data centre by the usual order do, and only these are kept for hosts that start (follow.First).

--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -295,3 +295,15 @@
 	_, ok := follow.Lead("h", []follow.Candidate{{Host: "a", Reads: true, Storeless: true}, {Host: "c"}})
 	c.Assert(ok, qt.IsFalse)
 }
+
+// Guards against more hosts that read after a loss of all than before it: of those that were
+// registered while the store was in trouble, the usual ones go on.
+func TestFirstReaders(t *testing.T) {
+	c := qt.New(t)
+	cs := []follow.Candidate{{Host: "weak-1", Capacity: 0.2}, {Host: "strong", Capacity: 0.8}, {Host: "weak-2", Capacity: 0.2}}
+	first := follow.First(cs)
+	c.Assert(first, qt.HasLen, 2)
+	c.Assert(first[0].Host, qt.Equals, fleet.Host("strong"))
+	c.Assert(follow.First(cs[:1]), qt.HasLen, 1)
+	c.Assert(follow.First(nil), qt.HasLen, 0)
+}
--- a/core/follow/role.go
+++ b/core/follow/role.go
@@ -92,6 +92,12 @@
 	}
 }
 
+// First returns the candidates that go before all others, as many as read in a data centre.
+func First(cs []Candidate) []Candidate {
+	sorted := slices.SortedFunc(slices.Values(cs), order)
+	return sorted[:min(readers, len(sorted))]
+}
+
 func silent(now time.Time, s Standing) time.Duration {
 	from := s.Renewed
 	if s.Since.After(from) {
--- a/io/registry/follow.go
+++ b/io/registry/follow.go
@@ -99,28 +99,50 @@
 			r.up.failed(err)
 			return follow.RoleReader
 		}
-		self := func(h Host) bool { return h.Name == r.cfg.Self.Name }
-		beside := func(h Host) bool { return h.DataCentre == r.cfg.Self.DataCentre && !self(h) }
+		beside := func(h Host) bool { return h.DataCentre == r.cfg.Self.DataCentre && !r.isSelf(h) }
 		switch {
 		case x.count > 0 && !mesh.Large(x.count):
 			return follow.RoleReader
-		case slices.ContainsFunc(x.registered, self):
+		case slices.ContainsFunc(x.registered, r.isSelf):
 			// The registration of the process before hasn't ended yet: those beside it may be as old, and
 			// then all would follow each other.
-			return follow.RoleReader
+			return r.roleAmong(firstReaders(x.registered))
 		case slices.ContainsFunc(x.registered, beside):
-			r.cfg.Post(func() { r.cfg.Hosts(x.registered) })
-			return follow.RoleFollower
-		case slices.ContainsFunc(x.readers, self):
-			return follow.RoleReader
-		case slices.ContainsFunc(x.readers, beside):
-			r.cfg.Post(func() { r.cfg.Hosts(x.readers) })
 			return follow.RoleFollower
+		case slices.ContainsFunc(x.readers, beside) || slices.ContainsFunc(x.readers, r.isSelf):
+			return r.roleAmong(x.readers)
 		}
 	}
 	return follow.RoleReader
 }
 
+func (r *Registry) isSelf(h Host) bool { return h.Name == r.cfg.Self.Name }
+
+// roleAmong returns the host's role where some are to read, whom it follows if it isn't among them.
+func (r *Registry) roleAmong(readers []Host) follow.Role {
+	if slices.ContainsFunc(readers, r.isSelf) {
+		return follow.RoleReader
+	}
+	r.cfg.Post(func() { r.cfg.Hosts(readers) })
+	return follow.RoleFollower
+}
+
+// firstReaders returns the hosts that go before all others of their data centres in reading: more may be
+// registered after some trouble with the store.
+func firstReaders(hs []Host) []Host {
+	by := map[fleet.DataCentre][]follow.Candidate{}
+	for _, h := range hs {
+		by[h.DataCentre] = append(by[h.DataCentre], follow.Candidate{Host: h.Name, Capacity: h.Capacity})
+	}
+	first := fleet.NewSet[fleet.Host]()
+	for _, cs := range by {
+		for _, c := range follow.First(cs) {
+			first.Add(c.Host)
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(hs), func(h Host) bool { return !first.Has(h.Name) })
+}
+
 // census is what a host that starts finds in the store.
 type census struct {
 	// registered are the hosts that are registered now, readers those that were last.
@@ -155,8 +177,12 @@
 	r.told.Store(int64(x.count))
 	r.readersTold.Store(namesOf(x.readers))
 	r.takeReaders(x.readers)
+	known := x.registered
+	if mesh.Large(x.count) {
+		known = firstReaders(known)
+	}
 	r.cfg.Post(func() {
-		r.cfg.Hosts(x.registered)
+		r.cfg.Hosts(known)
 		r.cfg.Count(x.count)
 	})
 	return x, nil
@@ -209,7 +235,7 @@
 // takeReaders takes in the hosts that are registered now. Those of a data centre that has none are
 // kept as they were: it may be cut off, and its hosts are to find their readers when they start.
 func (r *Registry) takeReaders(hs []Host) {
-	out := slices.Clone(hs)
+	out := firstReaders(hs)
 	for _, old := range r.lastReaders() {
 		if !slices.ContainsFunc(hs, func(h Host) bool { return h.DataCentre == old.DataCentre }) {
 			out = append(out, old)
--- a/io/registry/follow_test.go
+++ b/io/registry/follow_test.go
@@ -96,6 +96,7 @@
 
 // Guards against a list of readers that is never written, or time and again.
 func TestHolderOfTheDutyKeepsTheListOfReaders(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	s := newShelf()
 	s.put("our/hosts-count", "295")
@@ -220,6 +221,7 @@
 
 // Guards against a data centre that was cut off, whose readers are forgotten while it is.
 func TestReadersOfACutOffDataCentreAreKept(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	s := newShelf()
 	s.put("our/hosts-count", "295")
