Find the readers of the store although they reported before they knew their role

The readers' first reports came before their role and said that they don't read; the next came 0.4 s later, and until then nobody was to be followed. A change of role is reported at once now, and while nobody who reads is heard those that were registered count.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -148,14 +148,15 @@
 func (h *Host) choose(now time.Time) {
 	f := &h.following
 	others := h.candidates(now)
-	if len(others) == 0 {
-		others = h.registeredBeside()
-	}
 	rest := slices.DeleteFunc(slices.Clone(others), func(c follow.Candidate) bool { return c.Host == f.session.Lead })
 	lead, ok := follow.Lead(h.settings.Host.Name, rest)
 	if !ok {
 		lead, ok = follow.Lead(h.settings.Host.Name, others)
 	}
+	if !ok {
+		// Those that are to read may have reported before they knew.
+		lead, ok = follow.Lead(h.settings.Host.Name, h.registeredBeside())
+	}
 	if !ok {
 		f.session = follow.Session{}
 		return
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/follow"
 	"skylarkdeal/core/mesh"
 	"skylarkdeal/internal/clock"
 	"skylarkdeal/io/gossip"
@@ -41,6 +42,8 @@
 	// catalog is the revision of the newest change of the catalog in force here, told the one that
 	// the others know of.
 	catalog, told uint64
+	// toldRole is the role that the others know of.
+	toldRole follow.Role
 	// looked is when the hosts were last listed because some are missing.
 	looked time.Time
 	// met is when hosts were added to addresses by others' word; whole is the number of hosts
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -37,12 +37,13 @@
 	h.pass(now)
 	doubts := h.relay.Doubts()
 	reached := h.relay.Reached()
-	news := len(doubts) > h.peers.doubted || len(reached) > h.peers.reached || h.peers.catalog != h.peers.told
+	news := len(doubts) > h.peers.doubted || len(reached) > h.peers.reached ||
+		h.peers.catalog != h.peers.told || h.peers.toldRole != h.following.role
 	early := now.Sub(h.peers.reported) < mesh.PaceOf(h.peers.size()).Report && !news
 	if early || len(h.peers.addresses) == 0 {
 		return
 	}
-	h.peers.reported, h.peers.told = now, h.peers.catalog
+	h.peers.reported, h.peers.told, h.peers.toldRole = now, h.peers.catalog, h.following.role
 	h.peers.doubted, h.peers.reached = len(doubts), len(reached)
 	h.rank.Store(int64(h.peers.rank(h.settings.Host.Name, now)))
 	h.peers.seq++
