--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -300,7 +300,9 @@
 // registered while the store was in trouble, the usual ones go on.
 func TestFirstReaders(t *testing.T) {
 	c := qt.New(t)
-	cs := []follow.Candidate{{Host: "weak-1", Capacity: 0.2}, {Host: "strong", Capacity: 0.8}, {Host: "weak-2", Capacity: 0.2}}
+	cs := []follow.Candidate{
+		{Host: "weak-1", Capacity: 0.2}, {Host: "strong", Capacity: 0.8}, {Host: "weak-2", Capacity: 0.2},
+	}
 	first := follow.First(cs)
 	c.Assert(first, qt.HasLen, 2)
 	c.Assert(first[0].Host, qt.Equals, fleet.Host("strong"))
--- a/core/relay/duty.go
+++ b/core/relay/duty.go
@@ -121,7 +121,10 @@
 	for _, n := range is {
 		for _, g := range r.groups {
 			i := g.instances[n]
-			if i != nil && !i.gone && now.Sub(i.lastHeard) > wonderAfter && now.Sub(i.askedAt) > wonderAfter && r.witness(i) && !i.spared(now) {
+			if i == nil || i.gone || now.Sub(i.lastHeard) <= wonderAfter || now.Sub(i.askedAt) <= wonderAfter {
+				continue
+			}
+			if r.witness(i) && !i.spared(now) {
 				g.probe(now, i)
 			}
 		}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -279,7 +279,10 @@
 // Waiting reports whether anything waits that a tick may decide on.
 func (r *Relay) Waiting() bool {
 	for _, g := range r.groups {
-		if len(g.waiting)+len(g.inquiries)+g.proofs.Len() > 0 || !g.unsure.Asked.IsZero() || g.tended() && g.able(r.now()) != "" {
+		if len(g.waiting)+len(g.inquiries)+g.proofs.Len() > 0 || !g.unsure.Asked.IsZero() {
+			return true
+		}
+		if g.tended() && g.able(r.now()) != "" {
 			return true
 		}
 	}
--- a/io/registry/written_test.go
+++ b/io/registry/written_test.go
@@ -51,7 +51,7 @@
 	t1.get(func() { c.Check(t1.versions[len(t1.versions)-1], qt.Equals, t1.versions[0]) })
 }
 
-// Guards against catalogs that come again and again although nothing has changed.
+// Guards against a catalog that comes again and again although nothing has changed.
 func TestCatalogIsHandedOnOnce(t *testing.T) {
 	c := qt.New(t)
 	s := newShelf()
