Let a part take over the metrics of its former self

A host that had been paused lost its hold on a group and took it again before the former run had closed its pools: io/holder forget takes a group out of the map first, so that nothing arrives at it, and closes it then. The process ended, and with it the test's host.

A group of metrics takes the place of one like it, and taking back leaves alone what a successor has registered. The test was red by that panic before.

--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -29,21 +29,41 @@
 	all        []prometheus.Collector
 }
 
-// NewGroup adds all to r, which may be nil.
+// NewGroup adds all to r, which may be nil, in place of those of a part like it that hasn't ended yet.
+//
+// The guard is against a process that ends by a duplicate registration: a part may begin anew while the
+// one before it still closes.
 func NewGroup(r prometheus.Registerer, all ...prometheus.Collector) Group {
 	g := Group{registerer: r, all: all}
-	if r != nil {
-		r.MustRegister(all...)
+	if r == nil {
+		return g
+	}
+	for _, c := range all {
+		if old := registered(r, c); old != c {
+			r.Unregister(old)
+			r.MustRegister(c)
+		}
 	}
 	return g
 }
 
-// Unregister takes the metrics of g back.
+// registered adds c to r and returns it, or the collector like it that was there before.
+func registered(r prometheus.Registerer, c prometheus.Collector) prometheus.Collector {
+	var a prometheus.AlreadyRegisteredError
+	if err := r.Register(c); errors.As(err, &a) {
+		return a.ExistingCollector
+	}
+	return c
+}
+
+// Unregister takes the metrics of g back, but for those that a part after it has taken over.
 func (g Group) Unregister() {
 	if g.registerer == nil {
 		return
 	}
 	for _, c := range g.all {
-		g.registerer.Unregister(c)
+		if registered(g.registerer, c) == c {
+			g.registerer.Unregister(c)
+		}
 	}
 }
