Look at the regions of a service's databases once a catalog

The holder of the duty looked through all routes for each instance at each tick, to know which may not serve all databases: a cost that grows with both. Kept by group now, empty where nothing is confined. TestReplicaAtHomeIsPromoted shows the order of candidates.

--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -14,9 +14,11 @@
 
 // group is one service's instances with what waits for them and runs on them.
 type group struct {
-	r         *Relay
-	name      fleet.Service
-	service   catalog.Service
+	r       *Relay
+	name    fleet.Service
+	service catalog.Service
+	// confined are the regions of the service's databases that may not be served everywhere.
+	confined  []catalog.Homes
 	instances map[fleet.Instance]*instance
 	belief    leader.Belief
 	proofs    leader.Proofs
--- a/core/relay/homes.go
+++ b/core/relay/homes.go
@@ -44,13 +44,23 @@
 
 // abroad reports whether an instance stands where some database of the service may not be served.
 func (g *group) abroad(i *instance) bool {
-	if g.r.catalog == nil {
-		return false
-	}
-	for _, route := range g.r.catalog.Routes {
-		if route.Service == g.name && !g.r.allow(homes{route: route.Homes}, i.info.DataCentre) {
+	for _, h := range g.confined {
+		if !g.r.allow(homes{route: h}, i.info.DataCentre) {
 			return true
 		}
 	}
 	return false
 }
+
+// confine takes in which databases of each service may not be served everywhere.
+func (r *Relay) confine(c *catalog.Catalog) {
+	for _, g := range r.groups {
+		g.confined = nil
+	}
+	for _, route := range c.Routes {
+		if len(route.Homes) > 0 {
+			g := r.group(route.Service)
+			g.confined = append(g.confined, route.Homes)
+		}
+	}
+}
--- a/core/relay/homes_test.go
+++ b/core/relay/homes_test.go
@@ -109,3 +109,19 @@
 	c.Assert(told, qt.Equals, 0)
 	c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
 }
+
+// Guards against a promotion that has the writes of a database refused, where another replica has all that
+// the chosen one has.
+func TestReplicaAtHomeIsPromoted(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c)
+	w.instances["b"].far = true
+	w.list()
+	w.settled()
+	w.relay.HoldDuty(true)
+	w.confine("rush", "", "hokkaido")
+	w.list("a")
+	w.pass(500*time.Millisecond, true)
+	c.Assert(w.orders, qt.HasLen, 1)
+	c.Assert(w.orders[0].Primary, qt.Equals, fleet.Instance("c"))
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -167,6 +167,7 @@
 	}
 	r.catalog = c
 	r.evacuate(c)
+	r.confine(c)
 	for _, s := range c.Services {
 		r.group(s.Name).service = s
 	}
