--- a/core/document/document_test.go
+++ b/core/document/document_test.go
@@ -287,6 +287,6 @@
 	again, err := document.Parse(d.Format(), 3)
 	c.Assert(err, qt.IsNil)
 	c.Assert(again, qt.DeepEquals, d)
-	_, err = document.Parse([]byte(strings.Replace(text, "evacuated = obihiro", "evacuated = nowhere", 1)), 3)
+	_, err = document.Parse([]byte(strings.Replace(text, "\nevacuated = obihiro", "\nevacuated = nowhere", 1)), 3)
 	c.Assert(err, qt.ErrorMatches, `(?s).*evacuated: found "nowhere", expected a data centre that has an instance.*`)
 }
