--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -39,7 +39,7 @@
 		return g
 	}
 	for _, c := range all {
-		if old := registered(r, c); old != c {
+		if old := Register(r, c); old != c {
 			r.Unregister(old)
 			r.MustRegister(c)
 		}
@@ -47,22 +47,13 @@
 	return g
 }
 
-// registered adds c to r and returns it, or the collector like it that was there before.
-func registered(r prometheus.Registerer, c prometheus.Collector) prometheus.Collector {
-	var a prometheus.AlreadyRegisteredError
-	if err := r.Register(c); errors.As(err, &a) {
-		return a.ExistingCollector
-	}
-	return c
-}
-
 // Unregister takes the metrics of g back, but for those that a part after it has taken over.
 func (g Group) Unregister() {
 	if g.registerer == nil {
 		return
 	}
 	for _, c := range g.all {
-		if registered(g.registerer, c) == c {
+		if Register(g.registerer, c) == c {
 			g.registerer.Unregister(c)
 		}
 	}
