Look the configuration's entry up in one place

The census asks for hosts of its data centre once, as the host itself is told apart by the case before.

--- a/io/registry/catalog.go
+++ b/io/registry/catalog.go
@@ -118,7 +118,7 @@
 // A configuration that can't be read leaves the last one in force that could, and holds up no
 // evacuation.
 func (r *Registry) takeCatalog(now snapshot) {
-	at := slices.IndexFunc(now.entries, func(e Entry) bool { return e.Key == r.cfg.CatalogKey })
+	at := now.find(r.cfg.CatalogKey)
 	if at < 0 {
 		return
 	}
@@ -129,7 +129,8 @@
 		if !ok {
 			return
 		}
-		now.entries = last.withOthersOf(now, r.cfg.CatalogKey)
+		now.entries = slices.Clone(now.entries)
+		now.entries[at] = last.entries[last.find(r.cfg.CatalogKey)]
 		if slices.EqualFunc(now.entries, last.entries, sameEntry) {
 			return
 		}
--- a/io/registry/census.go
+++ b/io/registry/census.go
@@ -50,7 +50,7 @@
 			r.up.failed(err)
 			return follow.RoleReader
 		}
-		beside := func(h Host) bool { return h.DataCentre == r.cfg.Self.DataCentre && !r.isSelf(h) }
+		here := func(h Host) bool { return h.DataCentre == r.cfg.Self.DataCentre }
 		switch {
 		case x.count > 0 && !mesh.Large(x.count):
 			return follow.RoleReader
@@ -58,9 +58,9 @@
 			// The registration of the process before hasn't ended yet: those beside it may be as old, and
 			// then all would follow each other.
 			return r.roleAmong(firstReaders(x.registered))
-		case slices.ContainsFunc(x.registered, beside):
+		case slices.ContainsFunc(x.registered, here):
 			return follow.RoleFollower
-		case slices.ContainsFunc(x.readers, beside) || slices.ContainsFunc(x.readers, r.isSelf):
+		case slices.ContainsFunc(x.readers, here):
 			return r.roleAmong(x.readers)
 		}
 	}
--- a/io/registry/written.go
+++ b/io/registry/written.go
@@ -25,17 +25,9 @@
 	changed Revision
 }
 
-// withOthersOf returns the entries of now with the one under a key as it is in s.
-func (s snapshot) withOthersOf(now snapshot, key string) []Entry {
-	out := slices.Clone(now.entries)
-	for n := range out {
-		for _, e := range s.entries {
-			if e.Key == key && out[n].Key == key {
-				out[n] = e
-			}
-		}
-	}
-	return out
+// find returns where the entry under a key stands, -1 if there is none.
+func (s snapshot) find(key string) int {
+	return slices.IndexFunc(s.entries, func(e Entry) bool { return e.Key == key })
 }
 
 // list takes in all entries as they stood at a revision, and reports whether there are news. What
