--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -94,7 +94,7 @@
 func (o *operation) start() {
 	o.s.op, o.s.turned = o, false
 	if c := o.s.tx.conn; o.s.tx.open && c != nil {
-		if why := o.barred(c.inst); why != "" {
+		if why := o.barred(c); why != "" {
 			o.s.fail()
 			o.refuse(statement.CodeAborted, "rolled back: "+why, retrySoon)
 			return
@@ -108,14 +108,14 @@
 	o.wait()
 }
 
-// barred says why the next statement of a transaction may not be sent to the instance that runs it;
+// barred says why the next statement of a transaction may not be sent on the connection that runs it;
 // nothing if it may.
-func (o *operation) barred(i *instance) string {
+func (o *operation) barred(c *Conn) string {
 	now := o.g.r.now()
 	switch {
-	case i.closed(now):
+	case c.inst.closed(now):
 		return "its data centre is evacuated"
-	case o.s.tx.conn.via == "" && !i.bearsMore(now):
+	case c.via == "" && !c.inst.bearsMore(now):
 		return "its instance has just started and bears no more"
 	default:
 		return ""
