Log by which proof a read ran on the primary near a change of it

What callers would see: nothing. After a stale read near a change of primary, the log told for a replica's read which position it needed, and left no line for a read on the primary: whether the registration, the others' statuses or the promotion's delay had ruled out another one, and who was asked.

Change: solePrimaryUntil is the time of a proof that names its source and the instances asked.

Why it works: the proof that is logged is the one that primaryMayRun decides by, taken at the sending. What is known up to a time stays known, so the line can only show more than the decision had.

--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -292,9 +292,7 @@
 		q.After = o.requiredPosition
 	}
 	o.sent, o.sentAt = true, o.g.r.now()
-	if _, ok := o.requiredPosition.Get(); ok && o.s.boundInstance == "" && o.g.promotionRecent(o.sentAt) {
-		o.logEvent(EventPlace, "read a replica", "its log has to cover the required position", statement.CodeNone)
-	}
+	o.logReadPlace()
 	o.everSent, o.s.tx.mayHaveRun = true, true
 	if o.s.tx.open {
 		o.s.tx.conn = o.conn
@@ -307,6 +305,22 @@
 	o.conn.send(ahead, nil, o.handleAnswer)
 }
 
+// logReadPlace logs where a read is sent and what lets it run there, while promotionRecent. A transaction
+// that writes first may read later, where it began.
+func (o *operation) logReadPlace() {
+	if o.writes && !o.beginsTx || o.s.boundInstance != "" || !o.g.promotionRecent(o.sentAt) {
+		return
+	}
+	if _, ok := o.requiredPosition.Get(); ok {
+		o.logEvent(EventPlace, "read a replica", "its log has to cover the required position", statement.CodeNone)
+		return
+	}
+	if !o.txBegun() {
+		proof := o.g.solePrimaryProof()
+		o.logEvent(EventPlace, "read the primary", "no other one by "+proof.String(), statement.CodeNone)
+	}
+}
+
 // setupFailed handles a connection that couldn't be set up; the statement was not run. A connection on
 // which the transaction had begun is left to the transaction.
 func (o *operation) setupFailed(code statement.Code, state statement.TxState) {
@@ -347,10 +361,11 @@
 	if o.conn != nil {
 		e.Instance, e.InstancePosition = o.conn.Instance, o.conn.inst.position
 	}
-	if p, ok := o.requiredPosition.Get(); ok {
+	p, onReplica := o.requiredPosition.Get()
+	if onReplica {
 		e.RequiredPosition = p
 	}
-	if s, ok := o.g.samples.Oldest(o.asOf); ok && k == EventPlace {
+	if s, ok := o.g.samples.Oldest(o.asOf); ok && onReplica && k == EventPlace {
 		e.Age = o.g.r.now().Sub(s.AskedAt)
 	}
 	if o.conn != nil {
--- a/core/relay/sole_primary.go
+++ b/core/relay/sole_primary.go
@@ -7,21 +7,59 @@
 	"skylarkdeal/core/staleness"
 )
 
+// proofSource is what rules out another primary.
+type proofSource string
+
+const (
+	proofLease    proofSource = "the registration"
+	proofStatuses proofSource = "statuses that show no later term"
+	proofPending  proofSource = "the promotion can't have taken effect yet"
+)
+
+// soleProof is the time up to which the instance that is used as the primary is known to be the only one,
+// and how that is known.
+type soleProof struct {
+	until  time.Time
+	source proofSource
+	// asked are the instances whose statuses were needed.
+	asked []fleet.Instance
+}
+
+// orLater returns the proof that reaches further.
+func (p soleProof) orLater(o soleProof) soleProof {
+	if o.until.After(p.until) {
+		return o
+	}
+	return p
+}
+
+// String describes the proof for the log.
+func (p soleProof) String() string {
+	s := string(p.source)
+	for _, n := range p.asked {
+		s += " " + string(n)
+	}
+	return s
+}
+
 // solePrimaryUntil returns the time up to which the instance that is used as the primary is known to be
 // the only one. Another instance can have acknowledged commits only after it. It may be in the future.
+func (g *group) solePrimaryUntil() time.Time { return g.solePrimaryProof().until }
+
+// solePrimaryProof returns that time with its proof.
 //
 // It is the later of two times. The first is the end of the lease: until then no promotion can take
 // effect that was unknown when the registration was renewed. The second is the earliest time at which
 // the other instances were asked for statuses that show no later term. While a promotion is in progress,
 // the designated primary has to be asked even if the lease is valid, for times after promotionNotBefore.
-func (g *group) solePrimaryUntil() time.Time {
-	known := g.r.lease.Until()
+func (g *group) solePrimaryProof() soleProof {
+	known := soleProof{until: g.r.lease.Until(), source: proofLease}
 	if p, t, ok := g.primaryState.Primary(); ok {
-		return later(known, g.noLaterTermAt(g.possiblePrimaries(p), t))
+		return known.orLater(g.statusProof(g.possiblePrimaries(p), t))
 	}
 	f, t, ok := g.primaryState.FormerPrimary()
 	if !ok {
-		return time.Time{}
+		return soleProof{}
 	}
 	designated := g.primaryState.DesignatedPrimary()
 	others := make([]fleet.Instance, 0, len(g.instances))
@@ -30,12 +68,17 @@
 			others = append(others, n)
 		}
 	}
-	known = later(known, g.noLaterTermAt(others, t))
-	asked := g.noLaterTermAt([]fleet.Instance{designated}, t)
-	if asked.Before(known) {
-		known = asked
+	known = known.orLater(g.statusProof(others, t))
+	known.asked = append(known.asked, designated)
+	if asked := g.noLaterTermAt([]fleet.Instance{designated}, t); asked.Before(known.until) {
+		known.until = asked
 	}
-	return later(known, g.promotionNotBefore)
+	return known.orLater(soleProof{until: g.promotionNotBefore, source: proofPending})
+}
+
+// statusProof returns the proof that the statuses of the other instances give.
+func (g *group) statusProof(others []fleet.Instance, t fleet.Term) soleProof {
+	return soleProof{until: g.noLaterTermAt(others, t), source: proofStatuses, asked: others}
 }
 
 // noLaterTermAt returns the time at which all of the instances were in no later term than t, by their own
