Add failing tests of reads beside unlisted and restarted instances

What callers would see: reads that lack acknowledged commits, and a write that is acknowledged and lost.

Cause, by reading: the proof by the others' statuses takes the list for complete from the first reading on; and a status holds for an instance's name, not for the process that gave it.

Change: tests only; the worlds of the tests can begin with an incomplete list.

--- a/core/relay/node_test.go
+++ b/core/relay/node_test.go
@@ -35,6 +35,8 @@
 	otherDataCentre bool
 	// cold is for how much longer it reports itself as slow.
 	cold time.Duration
+	// started is the time of its start that the list gives.
+	started int64
 	// lagged counts the statements that required a log position which the log doesn't cover.
 	lagged int
 	// dialled counts the connection attempts.
--- a/core/relay/sole_primary_test.go
+++ b/core/relay/sole_primary_test.go
@@ -222,3 +222,88 @@
 	w.advance(100*time.Millisecond, false)
 	c.Assert(a.executed, qt.HasLen, 0)
 }
+
+// Guards against a stale read by a host that has never heard of the new primary. The registration of b
+// had lapsed when the host read its list, so that it knows only a and c. It loses the store, b is listed
+// again and promoted, and c is cut off from b. All others that the host knows, c alone, report no later
+// term.
+func TestInstanceThatWasUnlistedAtTheStartMayBePrimary(t *testing.T) {
+	for _, n := range []struct {
+		name     string
+		unlisted []fleet.Instance
+	}{
+		{"one", []fleet.Instance{"b"}}, {"all others", []fleet.Instance{"b", "c"}},
+	} {
+		t.Run(n.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorldWithout(c, n.unlisted...)
+			w.advance(time.Second, true)
+			w.advance(3*time.Second, false)
+			w.promote().position = fleet.LogPosition{Term: 2, Index: 9}
+			w.advance(3*time.Second, false)
+			for _, d := range []catalog.Database{"rush", "stock", "standing"} {
+				ran, _ := w.readOnce(d, 100*time.Millisecond, false)
+				c.Check(ran["a"], qt.Equals, 0, qt.Commentf("%s: a lacks what b has acknowledged", d))
+			}
+		})
+	}
+}
+
+// The same host sends a write to a. Guards against an acknowledgement that the successor's history lacks.
+func TestWriteIsNotAcknowledgedBesideAnInstanceThatWasUnlisted(t *testing.T) {
+	c := qt.New(t)
+	w := newWorldWithout(c, "b", "c")
+	w.advance(time.Second, true)
+	w.advance(3*time.Second, false)
+	w.promote()
+	x := w.open("rush", "key-1")
+	x.do(statement.KindWrite, "", "item data")
+	w.advance(400*time.Millisecond, false)
+	c.Assert(x.last().Code, qt.Not(qt.Equals), statement.CodeNone)
+}
+
+// The primary dies with its connections and starts again under its id, empty and as a replica. Guards
+// against reads on it by its status from before, until the list tells of the new start.
+func TestReadDoesNotRunOnARestartedPrimaryBeforeItsStatus(t *testing.T) {
+	for _, k := range []statement.Kind{statement.KindRead, statement.KindBeginRead, statement.KindExecute} {
+		t.Run(string(k), func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(c).withConfirmedPrimary()
+			a := w.instances["a"]
+			x := w.open("rush", "key-1")
+			x.do(statement.KindPrepare, "p", "read")
+			w.breakConns(a)
+			a.role, a.position, a.executed = fleet.RoleReplica, fleet.LogPosition{}, nil
+			if k == statement.KindBeginRead {
+				x.do(k, "", "")
+				x.do(statement.KindRead, "", "item")
+			} else {
+				x.do(k, "p", "item")
+			}
+			w.advance(100*time.Millisecond, true)
+			c.Assert(a.executed, qt.HasLen, 0)
+		})
+	}
+}
+
+// Guards against a status of the former process that is read after the list has told of the new start:
+// it would confirm the new process, which is empty.
+func TestLateStatusOfAFormerProcessConfirmsNothing(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).withConfirmedPrimary()
+	a := w.instances["a"]
+	a.hold, a.term = true, 2
+	w.relay.AddRecord(leader.Record{Service: service, Term: 2, Primary: "a", Former: "c", Revision: 3})
+	w.advance(20*time.Millisecond, true)
+	late := a.pending
+	c.Assert(late, qt.Not(qt.HasLen), 0)
+	a.pending, a.hold, a.executed = nil, false, nil
+	a.role, a.position = fleet.RoleReplica, fleet.LogPosition{}
+	a.started = 99
+	w.list()
+	for _, f := range late {
+		f()
+	}
+	w.readOnce("rush", 100*time.Millisecond, true)
+	c.Assert(a.executed, qt.HasLen, 0)
+}
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -63,8 +63,14 @@
 	return worldOf(c, relay.Peer{Host: "h1", DataCentre: "obihiro"}, age)
 }
 
+// newWorldWithout returns a world whose relay has started a minute ago and has just read its first list,
+// which lacks some instances.
+func newWorldWithout(c *qt.C, unlisted ...fleet.Instance) *world {
+	return worldOf(c, relay.Peer{Host: "h1", DataCentre: "obihiro"}, time.Minute, unlisted...)
+}
+
 // worldOf returns the world of host h, whose relay started the time age ago.
-func worldOf(c *qt.C, h relay.Peer, age time.Duration) *world {
+func worldOf(c *qt.C, h relay.Peer, age time.Duration, unlisted ...fleet.Instance) *world {
 	w := &world{c: c, now: time.Unix(1000, 0).Add(-age), instances: map[fleet.Instance]*node{}}
 	w.relay = relay.New(relay.Config{
 		Host: h.Host, DataCentre: h.DataCentre, Capacity: h.Capacity,
@@ -90,6 +96,7 @@
 		if n == 0 {
 			i.role = fleet.RolePrimary
 		}
+		i.unlisted = slices.Contains(unlisted, name)
 		w.instances[name] = i
 	}
 	w.now = w.now.Add(age)
@@ -138,7 +145,7 @@
 		is = append(is, catalog.Instance{
 			Name: name, Service: service, Address: "10.0.0.1:" + string(name), DataCentre: centre,
 			Slots: 2, Role: n.role, Leaving: slices.Contains(leaving, name),
-			Cold: n.cold,
+			Cold: n.cold, Started: n.started,
 		})
 	}
 	w.relay.SetInstances(is, w.now)
