Trust the others' statuses only once the list has been followed for long

What callers would see: reads of any consistency on a primary that was replaced, which lack what its successor has acknowledged, and writes acknowledged there with nobody asked. A host read its first list while the successor's registration had lapsed, and then lost the store.

Cause: the proof by statuses, and the verification of answers, ask all others that the host has ever seen on the list. Nothing told whether these are all, and with none of them the proof held for ever.

Change: the list has to have been followed for ignoreUnlistedAfter, by readings of this host or of others, of which a pause counts for 3 s at most. Until then statuses prove nothing: without a registration a primary counts as unavailable, so that writes are refused at once and not in doubt. Tests whose relay has been running for a minute have read the list all the while; the test of the rotation lists its services for 12 s before it loses them, as it is about hosts that know their instances.

Why it works: an instance is left out of the question only if it was off all readings for longer than the time after which a known one is left out as well. Once known, it is asked also when it is unlisted.

--- a/core/relay/availability.go
+++ b/core/relay/availability.go
@@ -22,6 +22,8 @@
 		return "another instance says that it leads a later term"
 	case g.r.lease.RecordsCurrent(now):
 		return ""
+	case !g.knowsAllInstances():
+		return "the store can't be asked whether the primary still leads, and the list of instances may lack some"
 	}
 	for _, n := range g.possiblePrimaries(p.info.Name) {
 		if i := g.instances[n]; i != nil && !g.r.canReach(now, i) {
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -62,6 +62,8 @@
 	promotionAcceptedAt time.Time
 	// listReadAt is when the read of the current list of instances began.
 	listReadAt time.Time
+	// lists is for how long the list has been followed, from the first instance on.
+	lists listHistory
 	// replicaReadAt is when a replica was last sought for a read.
 	replicaReadAt time.Time
 }
@@ -83,6 +85,9 @@
 func (g *group) setInstances(listed []catalog.Instance, readAt time.Time) {
 	now := g.r.now()
 	g.listReadAt = readAt
+	if len(listed) > 0 || len(g.instances) > 0 {
+		g.lists.add(readAt)
+	}
 	g.forgetRemoved(now)
 	for _, in := range listed {
 		i := g.instances[in.Name]
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -272,7 +272,7 @@
 	for missing, want := range []bool{false, true} {
 		w := newWorld(c)
 		w.relay.SetInstances(append(w.instancesOf("other", "x"), w.instancesOf("third", "y")...), w.now)
-		w.list()
+		w.listFor(12 * time.Second)
 		w.withConfirmedPrimary()
 		idle := w.open("rush", "key-1")
 		w.instances["a"].silent = true
--- a/core/relay/sole_primary.go
+++ b/core/relay/sole_primary.go
@@ -76,8 +76,12 @@
 	return known.orLater(soleProof{until: g.promotionNotBefore, source: proofPending})
 }
 
-// statusProof returns the proof that the statuses of the other instances give.
+// statusProof returns the proof that the statuses of the other instances give, none if there may be
+// instances that this host has never heard of.
 func (g *group) statusProof(others []fleet.Instance, t fleet.Term) soleProof {
+	if !g.knowsAllInstances() {
+		return soleProof{}
+	}
 	return soleProof{until: g.noLaterTermAt(others, t), source: proofStatuses, asked: others}
 }
 
@@ -127,7 +131,7 @@
 	after := g.solePrimaryWanted
 	g.solePrimaryWanted = time.Time{}
 	p := g.primary()
-	if after.IsZero() || p == nil {
+	if after.IsZero() || p == nil || !g.knowsAllInstances() {
 		return
 	}
 	for _, n := range g.possiblePrimaries(p.info.Name) {
--- a/core/relay/sole_primary_test.go
+++ b/core/relay/sole_primary_test.go
@@ -307,3 +307,23 @@
 	w.readOnce("rush", 100*time.Millisecond, true)
 	c.Assert(a.executed, qt.HasLen, 0)
 }
+
+// Guards against a host that never trusts the others' statuses, so that it refuses all that comes while
+// the store is lost: the list has been followed for long, by readings of this host or of others.
+func TestStatusesCountOnceTheListWasFollowed(t *testing.T) {
+	for name, read := range map[string]func(w *world){
+		"own readings":          func(w *world) { w.listFor(12 * time.Second) },
+		"others' readings":      func(w *world) { w.confirmListFor(12 * time.Second) },
+		"one, and a long pause": func(w *world) { w.advance(12*time.Second, true); w.list() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorldWithout(c, "b")
+			read(w)
+			w.advance(4*time.Second, false)
+			ran, x := w.readOnce("rush", 100*time.Millisecond, false)
+			c.Assert(ran["a"] == 1, qt.Equals, name != "one, and a long pause")
+			c.Assert(x.last().Code == statement.CodeNone, qt.Equals, ran["a"] == 1)
+		})
+	}
+}
--- a/core/relay/verify.go
+++ b/core/relay/verify.go
@@ -151,8 +151,12 @@
 		return
 	}
 	now := g.r.now()
-	v, term, ask := g.primaryState.VerifyAnswer(c.Instance, g.r.lease.RecordsCurrent(now), g.possiblePrimaries(c.Instance))
+	current := g.r.lease.RecordsCurrent(now)
+	v, term, ask := g.primaryState.VerifyAnswer(c.Instance, current, g.possiblePrimaries(c.Instance))
 	switch {
+	case v == leader.VerdictAsk && !current && !g.knowsAllInstances():
+		o.unverifiedAnswer = &a
+		g.finishUnverified(o, "not all instances are known that may lead")
 	case v == leader.VerdictVerified || v == leader.VerdictAsk && len(ask) == 0:
 		g.finishVerified(o, a)
 	case v == leader.VerdictRefuted:
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -103,11 +103,22 @@
 	w.catalogInUse = w.catalog(1)
 	w.relay.SetCatalog(w.catalogInUse)
 	w.relay.SetHostCount(1)
-	w.list()
+	w.listSinceStart(age, unlisted)
 	w.renew()
 	return w
 }
 
+// listSinceStart passes lists to the relay since its start the time age ago, or the first one only now if
+// it lacks instances.
+func (w *world) listSinceStart(age time.Duration, unlisted []fleet.Instance) {
+	now := w.now
+	for w.now = now.Add(-age); len(unlisted) == 0 && w.now.Before(now); w.now = w.now.Add(2 * time.Second) {
+		w.list()
+	}
+	w.now = now
+	w.list()
+}
+
 func (w *world) catalog(v catalog.Version) *catalog.Catalog {
 	r := catalog.Route{Service: service, Timeout: 800 * time.Millisecond, Target: 200 * time.Millisecond}
 	route := func(d catalog.Database, k catalog.Consistency, age time.Duration) catalog.Route {
@@ -151,6 +162,14 @@
 	w.relay.SetInstances(is, w.now)
 }
 
+// listFor passes the list of instances to the relay every 2 s, with the registration renewed.
+func (w *world) listFor(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.list()
+		w.advance(2*time.Second, true)
+	}
+}
+
 // instancesOf adds one instance of another service, which answers as the primary, and returns the
 // instances of all other services.
 func (w *world) instancesOf(s fleet.Service, name fleet.Instance) []catalog.Instance {
@@ -318,3 +337,11 @@
 	x := w.open("rush", "key-1")
 	x.do(statement.KindWrite, "", "item data")
 }
+
+// confirmListFor has another host confirm the list every 2 s, with the registration renewed.
+func (w *world) confirmListFor(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.relay.InstancesConfirmed(w.now)
+		w.advance(2*time.Second, true)
+	}
+}
