Add a failing test of the log position of a restarted primary

What callers would see: a read with an age limit on a replica that lags without bound.

Cause, by reading: an answer counts as the primary's by the instance's name. A primary that has started anew answers from an empty log, with the opening of a connection and with the very status that tells that it doesn't lead, as the position is taken before the status.

--- a/core/relay/sole_primary_test.go
+++ b/core/relay/sole_primary_test.go
@@ -327,3 +327,27 @@
 		})
 	}
 }
+
+// The primary starts anew under its id, empty and as a replica. Guards against a log position of the new
+// process that is taken for the primary's: replicas that lag far behind would cover it. It comes with the
+// opening of a connection, with a refused write, or with the status that tells that it doesn't lead.
+func TestRestartedPrimaryGivesNoLogPosition(t *testing.T) {
+	for _, k := range []statement.Kind{statement.KindStatus, statement.KindWrite} {
+		t.Run(string(k), func(t *testing.T) {
+			c := qt.New(t)
+			w := newConnectedWorld(c)
+			a := w.instances["a"]
+			w.breakConns(a)
+			a.role, a.position = fleet.RoleReplica, fleet.LogPosition{}
+			for _, n := range []fleet.Instance{"b", "c"} {
+				w.instances[n].position.Index = 1
+			}
+			w.advance(2*time.Second, true)
+			if k == statement.KindWrite {
+				w.open("rush", "key-1").do(k, "", "item data")
+			}
+			ran, _ := w.readOnce("stock", 400*time.Millisecond, true)
+			c.Assert(ran["b"]+ran["c"], qt.Equals, 0, qt.Commentf("they lack what a had acknowledged"))
+		})
+	}
+}
