Read the primary only on connections that its status covers

What callers would see: reads on a primary that has started anew under its id, empty, which lack all that it had acknowledged, until the list tells of the new start up to seconds later.

Cause: that an instance leads was believed by its name. Its connections break and are made again at once, to another process, which the status from before says nothing of. A status of the former process that was read after the list had told of the new one confirmed the new one as well.

Change: a read that is sent without a log position runs on a connection only if the instance has said that it leads, by a status asked for after the connection was opened. Otherwise the status is asked for on that connection first. The holder of the connections does this for the reads of other hosts, which can't know of them, and refuses those as the instance would if it doesn't lead. A status on a connection to an instance that the list has replaced is ignored. An operation no longer waits for a connection to an instance that has turned out not to be one that may run it.

Why it works: a process that answers a question which was sent after a connection was opened is the one at its end, or that connection is dead. Plain transactions and writes need no such status, as the instance itself refuses them on a replica. It costs a round trip, without a slot, before the first read on each new connection to a primary.

--- a/core/relay/conn.go
+++ b/core/relay/conn.go
@@ -46,6 +46,9 @@
 	// op is the operation that runs on the connection, session the one whose transaction it runs.
 	op      *operation
 	session *Session
+	// openedAt is when the instance accepted the connection, confirmAskedAt when a status was last
+	// requested on it for an operation that relies on one.
+	openedAt, confirmAskedAt time.Time
 	// stateSince is when the current state began.
 	stateSince time.Time
 	// reserved is set while dispatch considers the connection for an operation.
@@ -167,6 +170,7 @@
 	}
 	dialled := c.stateSince
 	c.setState(connIdle)
+	c.openedAt = r.now()
 	c.inst.heard(r.now())
 	if c.inst.disconnected {
 		c.inst.disconnected, c.inst.reconnectedAt = false, r.now()
--- a/core/relay/connections.go
+++ b/core/relay/connections.go
@@ -100,16 +100,22 @@
 	i.conns = slices.DeleteFunc(i.conns, func(o *Conn) bool { return o == c })
 }
 
-// idleConn returns the idle connection of an account that needs the fewest setup statements to serve s,
-// and their number.
-func (i *instance) idleConn(a fleet.Account, s *Session, p *prepared) (*Conn, int) {
+// idleConn returns the idle connection that an operation can use with the fewest setup statements, and
+// their number. A connection that isn't covered by a status comes last if the operation relies on that.
+func (i *instance) idleConn(o *operation) (*Conn, int) {
 	var best *Conn
 	least := 0
+	relies := o.reliesOnStatus(i)
 	for _, c := range i.conns {
-		if c.state != connIdle || c.Account != a {
+		if c.state != connIdle || c.Account != o.s.account {
 			continue
 		}
-		if n := len(c.setupStatements(s, p)); best == nil || n < least {
+		n := len(c.setupStatements(o.s, o.prepared))
+		better := best == nil || n < least
+		if relies && best != nil && c.coveredByStatus() != best.coveredByStatus() {
+			better = c.coveredByStatus()
+		}
+		if better {
 			best, least = c, n
 		}
 	}
--- a/core/relay/forward_test.go
+++ b/core/relay/forward_test.go
@@ -184,3 +184,33 @@
 		c.Check(a.Code, qt.Equals, statement.CodeBusy)
 	}
 }
+
+// A holder's connections break as the instance starts anew, empty and as a replica. Guards against running
+// another host's read of the primary on the new process: the asking host can't know of the connections.
+func TestHolderRunsAPrimarysReadOnlyOnAProcessThatLeads(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).withConfirmedPrimary()
+	var got []statement.Answer
+	read := func(stream uint64) {
+		got = nil
+		w.relay.HandleForward(1, relay.Forward{
+			Stream: stream, Service: service, Instance: "a", Account: "hotel",
+			Timeout: time.Second, QueueWait: time.Second, Open: true, Close: true,
+			Statements: []statement.Statement{{ID: "r", Kind: statement.KindRead, Text: "item"}},
+		}, func(a statement.Answer) { got = append(got, a) })
+		w.advance(50*time.Millisecond, true)
+		c.Assert(got, qt.HasLen, 1)
+	}
+	read(1)
+	c.Assert(got[0].Code, qt.Equals, statement.CodeNone)
+	a := w.instances["a"]
+	w.breakConns(a)
+	a.role, a.position, a.executed = fleet.RoleReplica, fleet.LogPosition{}, nil
+	read(2)
+	c.Assert(got[0].Code, qt.Equals, statement.CodeReadOnly)
+	c.Assert(a.executed, qt.HasLen, 0)
+
+	a.role = fleet.RolePrimary
+	read(3)
+	c.Assert(got[0].Code, qt.Equals, statement.CodeNone, qt.Commentf("it is asked again for each read"))
+}
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -74,8 +74,12 @@
 	if o == nil {
 		return nil
 	}
+	if o.dialling != nil && o.dialling.state == connIdle && !g.canRun(now, o.dialling.inst, o) {
+		// The instance has turned out not to be one that may run it.
+		o.dialling = nil
+	}
 	if o.dialling != nil && o.dialling.state == connIdle && o.dialling.inst.canStart(now) &&
-		g.canRun(now, o.dialling.inst, o) {
+		g.readyFor(now, o.dialling, o) {
 		return o.dialling
 	}
 	var ready, dial path
@@ -141,8 +145,18 @@
 	return ok && i.sharesHistory(s) && (i.position.Covers(s.Position) || i.mayTrialRead(now, o))
 }
 
+// readyFor reports whether an operation may be sent on a connection now. If it relies on the instance's
+// status, and that doesn't cover the connection, readyFor requests it.
+func (g *group) readyFor(now time.Time, c *Conn, o *operation) bool {
+	if !o.reliesOnStatus(c.inst) || c.coveredByStatus() {
+		return true
+	}
+	g.confirmProcess(now, c, o)
+	return false
+}
+
 // pathTo returns the path of an operation to an instance, or false if there is none now: the link to
-// its holder is being made, or the instance has just started and bears no more.
+// its holder is being made, the instance has just started and bears no more, or its status is awaited.
 func (g *group) pathTo(now time.Time, i *instance, o *operation) (path, bool) {
 	w := path{inst: i}
 	leads := g.isPrimary(i.info.Name)
@@ -163,8 +177,11 @@
 		if !i.canStart(now) {
 			return path{}, false
 		}
-		w.conn, est.SetupStatements = i.idleConn(o.s.account, o.s, o.prepared)
+		w.conn, est.SetupStatements = i.idleConn(o)
 		est.Connect = w.conn == nil
+		if w.conn != nil && !g.readyFor(now, w.conn, o) {
+			return path{}, false
+		}
 	}
 	w.cost = est.Cost(o.route.Target)
 	return w, true
--- a/core/relay/verify.go
+++ b/core/relay/verify.go
@@ -90,7 +90,8 @@
 // handleStatus handles the status of an instance, requested at askedAt.
 func (g *group) handleStatus(c *Conn, askedAt time.Time, a statement.Answer) {
 	s, ok := g.r.cfg.ParseStatus(a)
-	if !ok {
+	if !ok || g.instances[c.Instance] != c.inst {
+		// The connection is to an earlier process or address of the instance.
 		return
 	}
 	// A status that was requested before the last one may arrive after it, over another connection. It
@@ -118,6 +119,9 @@
 	}
 	i.received, i.leads, i.term = s.Received, s.Role == fleet.RolePrimary, s.Term
 	i.statusAt, i.termAskedAt = now, askedAt
+	if !i.leads {
+		g.refuseReadsOnReplica(i)
+	}
 	if p, t, ok := g.primaryState.Primary(); ok && i.info.Name != p && s.Term > t {
 		// The record of the promotion to this term has yet to be read.
 		g.r.cfg.RefreshRecords()
