Take log positions only from the process that leads

What callers would see: a read with an age limit, or of a session, on a replica that lags without bound, after a primary has started anew under its id, empty.

Cause: an answer counted as the primary's by the instance's name. The new process tells its empty log's end when a connection opens, with a refused write, and with the status that tells that it doesn't lead, whose position was taken before its content.

Change: a position becomes a sample only if it came on a connection that the primary's status covers; over another host only with an answer that isn't an error. A status is handled before its position.

Why it works: as for reads on the primary, the process at the end of a connection is known to lead by a status asked for after the opening. A holder runs reads without a position only on such a connection, and an instance runs writes and plain transactions only as the primary.

--- a/core/relay/conn.go
+++ b/core/relay/conn.go
@@ -194,6 +194,11 @@
 	if c.via == "" {
 		c.inst.heard(r.now())
 	}
+	if o.kind == statement.KindStepDown && o.done != nil {
+		// The status tells whether the position is the primary's.
+		o.done(a)
+		o.done = nil
+	}
 	c.g.addPosition(c, o.sentAt, a)
 	if o.done != nil {
 		o.done(a)
--- a/core/relay/process.go
+++ b/core/relay/process.go
@@ -30,6 +30,16 @@
 	return c.inst.leads && !c.inst.termAskedAt.Before(c.openedAt)
 }
 
+// answersAsPrimary reports whether an answer of the instance that is used as the primary came from the
+// process that leads. Over another host only an answer without an error shows that: its holder runs reads
+// only on such a process, and the instance runs writes only as one.
+func (c *Conn) answersAsPrimary(a statement.Answer) bool {
+	if c.via != "" {
+		return a.Code == statement.CodeNone
+	}
+	return c.coveredByStatus()
+}
+
 // confirmProcess requests the status of a connection's instance for an operation that relies on it, unless
 // the instance has answered since the operation began.
 func (g *group) confirmProcess(now time.Time, c *Conn, o *operation) {
--- a/core/relay/verify.go
+++ b/core/relay/verify.go
@@ -26,7 +26,7 @@
 	g.primaryHeardAt = now
 	// A request that was sent before the primary was confirmed may have been answered while it was still a
 	// replica, whose log was shorter than at its promotion. Answers on two connections have no order.
-	if askedAt.Before(g.primaryConfirmedAt) {
+	if askedAt.Before(g.primaryConfirmedAt) || !c.answersAsPrimary(a) {
 		return
 	}
 	s := staleness.Sample{Position: p, AskedAt: askedAt, PrimaryTerm: t}
