Play coordinators in turn, restarts, lapses, holders and followers in the model of reads

What callers would see: reads that lack acknowledged commits, and lost writes.

The model now plays: a coordinator that dies before its promotion request or sends it late, and another one after it; servers that start anew under their id, empty, with connections that break at once or only when used; registrations that lapse, for up to 9 s; a host that starts meanwhile; a holder with a link that breaks; renewals by the news of two readers in turn, late and translated; evacuations and cold servers; prepared reads and plain transactions. Positions that are verified late were played already.

Cause of what it finds: a status of a term below the primary's counted as a proof that the instance hadn't led. One that has led, and started anew, reports no term at all.

--- a/core/relay/model_group_test.go
+++ b/core/relay/model_group_test.go
@@ -6,7 +6,9 @@
 	"slices"
 	"time"
 
+	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/leader"
 	"skylarkdeal/core/relay"
 	"skylarkdeal/core/statement"
 	"skylarkdeal/internal/eventqueue"
@@ -35,6 +37,10 @@
 	// cutFromInstances is set while it is cut off from the other instances, cutFromHost while it is
 	// cut off from the host.
 	cutFromInstances, cutFromHost bool
+	// started counts its starts. It is unlisted while its registration has lapsed, and cold after a start.
+	started  int64
+	unlisted bool
+	cold     time.Time
 }
 
 // model is a group of instances, the platform that promotes them, and the network to one host.
@@ -44,24 +50,35 @@
 	began time.Time
 	queue eventqueue.Queue
 	relay *relay.Relay
-	// servers is keyed by name; primary is the server that the platform has promoted last.
+	// servers is keyed by name; primary is the server that the platform has promoted last, in term.
 	servers map[fleet.Instance]*server
 	primary fleet.Instance
+	term    fleet.Term
+	// holder is another host, over which the host under test may use instances; link is the current
+	// connection to it.
+	holder *relay.Relay
+	link   *modelLink
+	// catalog is the one in use.
+	catalog *catalog.Catalog
+	// sessions are the callers.
+	sessions []*modelSession
+	// store is how the host under test learns of the store.
+	store   storeView
 	commits []*commit
 	conns   []*modelConn
 	// revision counts the records; promoting is set from the writing of a record until its promotion
 	// has taken effect.
-	revision  uint64
-	promoting bool
-	record    *promotionRequest
-	// cutFromStore is set while the host is cut off from the store.
-	cutFromStore bool
-	lease        leaseState
-	operations   map[statement.ID]*modelOperation
-	commitByID   map[statement.ID]*commit
-	faults       []string
-	served       int
-	trace        []string
+	revision   uint64
+	recordTerm fleet.Term
+	promoting  bool
+	record     *leader.Record
+	// hostCount is how many hosts share the connections. With one, there is no holder.
+	hostCount  int
+	operations map[statement.ID]*modelOperation
+	commitByID map[statement.ID]*commit
+	faults     []string
+	served     int
+	trace      []string
 }
 
 // modelOperation is one statement of the host under test. What a read has to show is fixed when it starts.
@@ -75,8 +92,13 @@
 // modelConn is one connection of the host to a server. Both ends receive in the order of sending.
 type modelConn struct {
 	m      *model
+	relay  *relay.Relay
 	server *server
 	conn   *relay.Conn
+	// started is the start of the server that it reaches. plain is set in a transaction that only a
+	// primary runs, written once that has written.
+	started        int64
+	plain, written bool
 	// arrivesAt is when the last statement sent reaches the server, repliesAt when the last reply
 	// reaches the host.
 	arrivesAt, repliesAt time.Time
@@ -115,9 +137,9 @@
 	s.log = append(s.log, c)
 	s.applied = len(s.log)
 	m.commits = append(m.commits, c)
-	for _, o := range m.servers {
-		if o != s {
-			m.replicate(s, o)
+	for _, n := range modelServers {
+		if n != s.name {
+			m.replicate(s, m.servers[n])
 		}
 	}
 	return c
@@ -128,9 +150,9 @@
 	if from.cutFromInstances || to.cutFromInstances || to.role == fleet.RolePrimary || to.term != from.term {
 		return
 	}
-	log := slices.Clone(from.log)
+	log, started := slices.Clone(from.log), from.started
 	m.after(m.randomMillis(0, 3), func() {
-		if from.cutFromInstances || to.cutFromInstances || to.term != from.term ||
+		if from.cutFromInstances || to.cutFromInstances || to.term != from.term || from.started != started ||
 			to.role == fleet.RolePrimary || len(log) <= len(to.log) {
 			return
 		}
@@ -147,13 +169,13 @@
 // promote makes a server the primary of a later term, with the log that it has received.
 func (m *model) promote(s *server, t fleet.Term) {
 	s.role, s.term, s.applied = fleet.RolePrimary, t, len(s.log)
-	m.primary = s.name
+	m.primary, m.term = s.name, t
 	for _, c := range m.commits {
 		c.rolledBack = c.rolledBack || !slices.Contains(s.log, c)
 	}
 	m.tracef("%s is the primary of term %d from %v", s.name, t, s.position())
-	for _, o := range m.servers {
-		m.followLater(s, o)
+	for _, n := range modelServers {
+		m.followLater(s, m.servers[n])
 	}
 }
 
@@ -189,11 +211,13 @@
 	m.replicate(primary, s)
 }
 
-// dial opens a connection of the host.
-func (m *model) dial(c *relay.Conn) {
+// dial opens a connection of a host.
+func (m *model) dial(r *relay.Relay, c *relay.Conn) {
 	w := &modelConn{
-		m: m, server: m.servers[c.Instance], conn: c, arrivesAt: m.now, repliesAt: m.now, state: statement.TxNone,
+		m: m, relay: r, server: m.servers[c.Instance], conn: c, arrivesAt: m.now, repliesAt: m.now,
+		state: statement.TxNone,
 	}
+	w.started = w.server.started
 	w.delay = m.randomMillis(0, 2)
 	if m.r.IntN(5) == 0 {
 		w.delay = m.randomMillis(5, 60)
@@ -206,7 +230,7 @@
 	}
 	c.Close = func() { w.closed = true }
 	w.send(statement.KindDiscard, func() {
-		w.reply(statement.Answer{}, func(a statement.Answer) { m.relay.ConnOpened(c, a) })
+		w.reply(statement.Answer{}, func(a statement.Answer) { r.ConnOpened(c, a) })
 	})
 }
 
@@ -214,7 +238,7 @@
 // a network partition it waits until the partition heals, however long that takes.
 func (w *modelConn) send(k statement.Kind, f func()) {
 	work := time.Duration(0)
-	if k == statement.KindRead || k == statement.KindWrite {
+	if k == statement.KindRead || k == statement.KindWrite || k == statement.KindExecute {
 		work = w.m.randomMillis(1, 40)
 	}
 	w.arrivesAt = later(w.arrivesAt, w.m.now.Add(w.delay)).Add(work)
@@ -222,22 +246,39 @@
 }
 
 func (w *modelConn) deliver(f func()) {
-	if !w.server.cutFromHost {
+	w.arrive(func() {
+		if w.started != w.server.started {
+			w.reset()
+			return
+		}
 		f()
-		return
+	})
+}
+
+// arrive runs f once the partition has healed, unless the host has closed the connection.
+func (w *modelConn) arrive(f func()) {
+	switch {
+	case w.closed:
+	case w.server.cutFromHost:
+		w.m.after(w.m.randomMillis(20, 200), func() { w.arrive(f) })
+	default:
+		f()
+	}
+}
+
+// reset ends the connection, as the server knows nothing of it.
+func (w *modelConn) reset() {
+	if !w.closed {
+		w.closed = true
+		w.relay.ConnClosed(w.conn, errReset)
 	}
-	w.m.after(w.m.randomMillis(20, 200), func() { w.deliver(f) })
 }
 
 func (w *modelConn) reply(a statement.Answer, receive func(a statement.Answer)) {
 	a.State, a.Position = w.state, fleet.Some(w.server.position())
 	w.repliesAt = later(w.repliesAt, w.m.now.Add(w.delay))
 	w.m.at(w.repliesAt, func() {
-		w.deliver(func() {
-			if !w.closed {
-				receive(a)
-			}
-		})
+		w.arrive(func() { receive(a) })
 	})
 }
 
@@ -251,9 +292,14 @@
 // handle runs a statement on the server and sends the answer.
 func (w *modelConn) handle(q statement.Statement) {
 	answer := func(a statement.Answer) {
-		w.reply(a, func(a statement.Answer) { w.m.relay.HandleAnswer(w.conn, a) })
+		w.reply(a, func(a statement.Answer) { w.relay.HandleAnswer(w.conn, a) })
 	}
 	s := w.server
+	if w.plain && s.role != fleet.RolePrimary && q.Kind != statement.KindRollback {
+		w.plain, w.state = false, statement.TxFailed
+		answer(statement.Answer{Code: statement.CodeReadOnly})
+		return
+	}
 	if q.ID != "" {
 		w.m.tracef("%s gets %s %s after %v at %v", s.name, q.Kind, q.ID, q.After, s.position())
 	}
@@ -275,15 +321,28 @@
 			answer(statement.Answer{Code: statement.CodeReadOnly})
 			return
 		}
-		w.m.recordWrite(q.ID, w.m.write(s, w.m.operations[q.ID].session))
+		w.written = w.plain
+		if !w.plain {
+			w.m.recordWrite(q.ID, w.m.write(s, w.m.operations[q.ID].session))
+		}
 		answer(statement.Answer{Digest: "d"})
 	case statement.KindBeginRead:
 		w.state = statement.TxOpen
 		answer(statement.Answer{})
+	case statement.KindBegin:
+		if s.role != fleet.RolePrimary {
+			answer(statement.Answer{Code: statement.CodeReadOnly})
+			return
+		}
+		w.state, w.plain = statement.TxOpen, true
+		answer(statement.Answer{})
 	case statement.KindCommit, statement.KindRollback:
-		w.state = statement.TxNone
+		if w.written && q.Kind == statement.KindCommit {
+			w.m.recordWrite(q.ID, w.m.write(s, w.m.operations[q.ID].session))
+		}
+		w.state, w.plain, w.written = statement.TxNone, false, false
 		answer(statement.Answer{Digest: "d"})
-	case statement.KindRead:
+	case statement.KindRead, statement.KindExecute:
 		w.m.checkRead(s, q.ID)
 		answer(statement.Answer{Rows: []string{"row"}, Digest: "d"})
 	default:
--- a/core/relay/model_test.go
+++ b/core/relay/model_test.go
@@ -10,7 +10,6 @@
 
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
-	"skylarkdeal/core/leader"
 	"skylarkdeal/core/relay"
 	"skylarkdeal/core/statement"
 )
@@ -24,7 +23,7 @@
 const (
 	// modelDuration is the time that one seed simulates, modelWarmUp the part at its start that is
 	// without faults.
-	modelDuration = 15 * time.Second
+	modelDuration = 20 * time.Second
 	modelWarmUp   = time.Second
 	// renewalInterval is the interval at which the host renews its registration, registrationLifetime
 	// how long a registration lasts without a renewal.
@@ -34,18 +33,6 @@
 	promotionDelay = time.Second
 )
 
-// leaseState is the state of the host's registration in the store.
-type leaseState struct {
-	ended   bool
-	renewed time.Time
-	// registering is set from when the host finds its registration ended until it has registered
-	// again and read the records.
-	registering bool
-}
-
-// promotionRequest is a promotion that another host has requested, with the record that it wrote.
-type promotionRequest struct{ record leader.Record }
-
 // modelSession is a caller with one session at a time on the host under test. It runs one operation
 // after the other.
 type modelSession struct {
@@ -71,40 +58,18 @@
 		operations: map[statement.ID]*modelOperation{}, commitByID: map[statement.ID]*commit{},
 	}
 	lags := []time.Duration{0, 10 * time.Millisecond, 400 * time.Millisecond, 2500 * time.Millisecond}
-	for _, n := range []fleet.Instance{"a", "b", "c"} {
+	for _, n := range modelServers {
 		m.servers[n] = &server{name: n, role: fleet.RoleReplica, term: 1, lag: lags[m.r.IntN(len(lags))]}
 	}
-	m.servers["a"].role = fleet.RolePrimary
-	m.relay = relay.New(relay.Config{
-		Host: "h1", DataCentre: "obihiro", Now: func() time.Time { return m.now }, Dial: m.dial,
-		ParseStatus: parseStatus, RefreshRecords: m.readRecords, RequestPromotion: func(leader.PromotionRequest) {},
-		Admit: func(catalog.Account) (time.Duration, bool) { return 0, true },
-		LogEvent: func(e relay.Event) {
-			if e.Kind == relay.EventLeader || e.Kind == relay.EventPlace || e.Kind == relay.EventRetry {
-				m.tracef("host: %s %s %s need %v has %v term %d: %s", e.Choice, e.Instance, e.ID, e.RequiredPosition,
-					e.InstancePosition, e.Term, e.Reason)
-			}
-		},
-	})
-	m.relay.SetCatalog((&world{}).catalog(1))
-	m.relay.SetHostCount(1)
-	m.listInstances()
-	m.relay.LeaseRenewed(m.now)
-	m.lease.renewed = m.now
+	m.servers["a"].role, m.term = fleet.RolePrimary, 1
+	m.catalog = (&world{}).catalog(1)
+	m.catalog.Services[service] = catalog.Service{Name: service, Connections: 16, ColdRate: 100}
+	m.hostCount = []int{1, 8}[m.r.IntN(2)]
+	m.startHost()
+	m.startStoreView()
 	return m
 }
 
-func (m *model) listInstances() {
-	var is []catalog.Instance
-	for _, n := range []fleet.Instance{"a", "b", "c"} {
-		is = append(is, catalog.Instance{
-			Name: n, Service: service, Address: "10.0.0.1:" + string(n), DataCentre: "obihiro", Slots: 2,
-			Role: m.servers[n].role,
-		})
-	}
-	m.relay.SetInstances(is, m.now)
-}
-
 // every runs f repeatedly, at random intervals from least to most milliseconds.
 func (m *model) every(least, most int, f func()) {
 	m.after(m.randomMillis(least, most), func() {
@@ -115,18 +80,22 @@
 
 // run simulates one seed to its end.
 func (m *model) run() {
-	m.every(10, 10, m.relay.Tick)
-	m.every(2000, 2000, m.listInstances)
-	m.every(300, 300, m.renew)
+	m.every(10, 10, func() {
+		m.relay.Tick()
+		m.holder.Tick()
+	})
+	m.every(1800, 2200, m.listInstances)
 	m.every(3, 60, m.otherWrite)
 	for n := range 12 {
 		c := &modelSession{m: m, n: n + 1}
+		m.sessions = append(m.sessions, c)
 		c.database = []catalog.Database{"rush", "stock", "standing"}[n%3]
 		m.every(5, 80, c.begin)
 	}
 	m.after(modelWarmUp, func() {
 		m.every(500, 3500, m.requestPromotion)
 		m.every(500, 4000, m.partition)
+		m.playFaults()
 	})
 	for {
 		at, do, ok := m.queue.Next(modelDuration)
@@ -142,103 +111,18 @@
 // by then.
 func (m *model) otherWrite() {
 	p := m.primary
+	if m.servers[p].role != fleet.RolePrimary {
+		return
+	}
+	started := m.servers[p].started
 	c := m.write(m.servers[p], 0)
 	m.after(m.randomMillis(1, 15), func() {
-		if m.primary == p && !c.rolledBack {
+		if m.primary == p && !c.rolledBack && m.servers[p].started == started {
 			c.acknowledged = m.now
 		}
 	})
 }
 
-// renew renews the host's registration, or registers the host again if that has ended.
-func (m *model) renew() {
-	sent := m.now
-	m.after(m.randomMillis(0, 30), func() {
-		if m.cutFromStore || m.lease.registering {
-			return
-		}
-		if m.lease.ended || m.now.Sub(m.lease.renewed) > registrationLifetime {
-			m.lease.registering = true
-			m.after(m.randomMillis(0, 30), func() {
-				m.relay.LeaseLost()
-				m.after(m.randomMillis(5, 250), m.register)
-			})
-			return
-		}
-		m.lease.renewed = m.now
-		m.after(m.randomMillis(0, 30), func() { m.relay.LeaseRenewed(sent) })
-	})
-}
-
-// register registers the host and then makes it read the records.
-func (m *model) register() {
-	if m.cutFromStore {
-		m.after(m.randomMillis(100, 250), m.register)
-		return
-	}
-	m.lease = leaseState{renewed: m.now, registering: true}
-	sent := m.now
-	m.after(m.randomMillis(0, 20), func() {
-		o := m.record
-		m.after(m.randomMillis(0, 20), func() {
-			m.lease.registering = false
-			m.addRecord(o)
-			m.relay.LeaseRenewed(sent)
-		})
-	})
-}
-
-func (m *model) addRecord(o *promotionRequest) {
-	if o != nil {
-		m.relay.AddRecord(o.record)
-	}
-}
-
-// readRecords makes the host read the records, unless it is cut off from the store.
-func (m *model) readRecords() {
-	m.after(m.randomMillis(1, 60), func() {
-		o := m.record
-		if !m.cutFromStore {
-			m.after(m.randomMillis(0, 20), func() { m.addRecord(o) })
-		}
-	})
-}
-
-// requestPromotion makes another host change the primary: it writes the record, ends the
-// registrations of all other hosts, and sends the request to the platform.
-func (m *model) requestPromotion() {
-	if m.promoting {
-		return
-	}
-	former := m.servers[m.primary]
-	var best *server
-	for _, n := range []fleet.Instance{"a", "b", "c"} {
-		s := m.servers[n]
-		if s != former && !s.cutFromInstances && s.term == former.term && (best == nil || len(s.log) > len(best.log)) {
-			best = s
-		}
-	}
-	if best == nil {
-		return
-	}
-	m.promoting = true
-	m.revision++
-	m.record = &promotionRequest{leader.Record{
-		Service: service, Term: former.term + 1, Primary: best.name, Former: former.name, Revision: m.revision,
-	}}
-	m.tracef("promotion request: %s after %s", best.name, former.name)
-	m.after(m.randomMillis(1, 40), func() {
-		m.lease.ended = true
-		m.after(m.randomMillis(0, 10)+promotionDelay, func() {
-			m.promote(best, former.term+1)
-			m.promoting = false
-		})
-	})
-	if m.r.IntN(2) == 0 {
-		m.after(m.randomMillis(20, 400), m.readRecords)
-	}
-}
-
 // partition cuts a server off from the others, with the host on either side of the partition, or
 // cuts only the host off from the store.
 func (m *model) partition() {
@@ -250,22 +134,22 @@
 		}
 	}
 	kind := m.r.IntN(4)
-	s := m.servers[[]fleet.Instance{"a", "b", "c"}[m.r.IntN(3)]]
+	s := m.servers[modelServers[m.r.IntN(3)]]
 	if m.r.IntN(2) == 0 {
 		s = m.servers[m.primary]
 	}
 	switch kind {
 	case 0:
-		set(&m.cutFromStore)
+		set(&m.store.cutOff)
 	case 1:
 		set(&s.cutFromInstances)
 		set(&s.cutFromHost)
 	default:
 		set(&s.cutFromInstances)
-		set(&m.cutFromStore)
-		for _, o := range m.servers {
-			if o != s {
-				set(&o.cutFromHost)
+		set(&m.store.cutOff)
+		for _, n := range modelServers {
+			if n != s.name {
+				set(&m.servers[n].cutFromHost)
 			}
 		}
 	}
@@ -294,6 +178,12 @@
 		c.remaining = []statement.Kind{
 			statement.KindBeginRead, statement.KindRead, statement.KindRead, statement.KindCommit,
 		}
+	case d < 6:
+		c.remaining = []statement.Kind{statement.KindPrepare, statement.KindExecute}
+	case c.database != "stock" && d < 7:
+		c.remaining = []statement.Kind{
+			statement.KindBegin, statement.KindRead, statement.KindWrite, statement.KindRead, statement.KindCommit,
+		}
 	default:
 		c.remaining = []statement.Kind{statement.KindRead}
 	}
@@ -305,13 +195,21 @@
 	generation := c.generation
 	c.s = c.m.relay.OpenSession(relay.CallerConn{
 		Accept: func() {},
-		Answer: func(a statement.Answer) { c.answered(generation, a) },
-		Reject: func(statement.Code, string) { c.lost() }, Close: c.lost,
+		Answer: func(a statement.Answer) {
+			if c.generation == generation {
+				c.answered(generation, a)
+			}
+		},
+		Reject: func(statement.Code, string) { c.lost(generation) }, Close: func() { c.lost(generation) },
 	})
 	c.s.Start(c.database, "key-1")
 }
 
-func (c *modelSession) lost() { c.s, c.busy, c.open = nil, false, false }
+func (c *modelSession) lost(generation int) {
+	if c.generation == generation {
+		c.s, c.busy, c.open = nil, false, false
+	}
+}
 
 func (c *modelSession) step() {
 	if len(c.remaining) == 0 {
@@ -331,8 +229,12 @@
 	}
 	c.m.operations[id] = r
 	ends := c.kind == statement.KindCommit || c.kind == statement.KindRollback
-	c.open = c.kind == statement.KindBeginRead || c.open && !ends
-	c.s.Query(statement.Statement{ID: id, Kind: c.kind, Text: "item"})
+	c.open = c.kind == statement.KindBeginRead || c.kind == statement.KindBegin || c.open && !ends
+	q := statement.Statement{ID: id, Kind: c.kind, Text: "item"}
+	if c.kind == statement.KindPrepare || c.kind == statement.KindExecute {
+		q.Name, q.Definition = "p", statement.Definition{Text: "item"}
+	}
+	c.s.Query(q)
 }
 
 func (c *modelSession) answered(generation int, a statement.Answer) {
@@ -348,7 +250,7 @@
 			m.faultf("a write that a replaced primary made was acknowledged: %s %v", c.lastID, w.position)
 		}
 	}
-	if a.Code == statement.CodeNone && c.kind == statement.KindRead {
+	if a.Code == statement.CodeNone && (c.kind == statement.KindRead || c.kind == statement.KindExecute) {
 		m.served++
 	}
 	m.after(m.randomMillis(0, 30), func() {
--- a/core/relay/sole_primary_test.go
+++ b/core/relay/sole_primary_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -351,3 +352,46 @@
 		})
 	}
 }
+
+// The successor of a leads, acknowledges writes, and starts anew under its id, before a host without a
+// registration hears of any of it. Guards against its report, from which all that is gone, as a proof that
+// a still led: as the instance that the record names, and as one of the others.
+func TestRestartedSuccessorProvesNothing(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		for _, k := range []statement.Kind{statement.KindRead, statement.KindWrite} {
+			t.Run(fmt.Sprintf("%s, record known %v", k, known), func(t *testing.T) {
+				c := qt.New(t)
+				w := newWorld(c).withConfirmedPrimary()
+				w.advance(4*time.Second, false)
+				b := w.promote()
+				w.breakConns(b)
+				b.role, b.term, b.position = fleet.RoleReplica, 0, fleet.LogPosition{}
+				if known {
+					w.relay.AddRecord(promotionOfB)
+				}
+				w.advance(time.Second, known)
+				x := w.open("rush", "key-1")
+				x.do(k, "", "item data")
+				w.advance(400*time.Millisecond, known)
+				c.Check(w.count(string(statement.KindRead)), qt.Equals, 0, qt.Commentf("a lacks what b has acknowledged"))
+				c.Check(x.last().Code, qt.Not(qt.Equals), statement.CodeNone)
+			})
+		}
+	}
+}
+
+// A replica joins a new term a moment after the primary has answered. Guards against a verification that
+// asks it only once, before that, and leaves a write in doubt.
+func TestReplicaThatHasNotJoinedTheTermIsAskedAgain(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).withConfirmedPrimary()
+	w.advance(4*time.Second, false)
+	w.instances["c"].term = 0
+	x := w.open("rush", "key-1")
+	x.do(statement.KindWrite, "", "item data")
+	w.advance(100*time.Millisecond, false)
+	c.Assert(x.answers, qt.HasLen, 0)
+	w.instances["c"].term = 1
+	w.advance(100*time.Millisecond, false)
+	c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+}
