--- a/core/relay/verify.go
+++ b/core/relay/verify.go
@@ -26,7 +26,7 @@
 	g.primaryHeardAt = now
 	// A request that was sent before the primary was confirmed may have been answered while it was still a
 	// replica, whose log was shorter than at its promotion. Answers on two connections have no order.
-	if askedAt.Before(g.primaryConfirmedAt) {
+	if askedAt.Before(g.primaryConfirmedAt) || !c.answersAsPrimary(a) {
 		return
 	}
 	s := staleness.Sample{Position: p, AskedAt: askedAt, PrimaryTerm: t}
@@ -90,7 +90,8 @@
 // handleStatus handles the status of an instance, requested at askedAt.
 func (g *group) handleStatus(c *Conn, askedAt time.Time, a statement.Answer) {
 	s, ok := g.r.cfg.ParseStatus(a)
-	if !ok {
+	if !ok || g.instances[c.Instance] != c.inst {
+		// The connection is to an earlier process or address of the instance.
 		return
 	}
 	// A status that was requested before the last one may arrive after it, over another connection. It
@@ -118,6 +119,9 @@
 	}
 	i.received, i.leads, i.term = s.Received, s.Role == fleet.RolePrimary, s.Term
 	i.statusAt, i.termAskedAt = now, askedAt
+	if !i.leads {
+		g.refuseReadsOnReplica(i)
+	}
 	if p, t, ok := g.primaryState.Primary(); ok && i.info.Name != p && s.Term > t {
 		// The record of the promotion to this term has yet to be read.
 		g.r.cfg.RefreshRecords()
@@ -151,8 +155,12 @@
 		return
 	}
 	now := g.r.now()
-	v, term, ask := g.primaryState.VerifyAnswer(c.Instance, g.r.lease.RecordsCurrent(now), g.possiblePrimaries(c.Instance))
+	current := g.r.lease.RecordsCurrent(now)
+	v, term, ask := g.primaryState.VerifyAnswer(c.Instance, current, g.possiblePrimaries(c.Instance))
 	switch {
+	case v == leader.VerdictAsk && !current && !g.knowsAllInstances():
+		o.unverifiedAnswer = &a
+		g.finishUnverified(o, "not all instances are known that may lead")
 	case v == leader.VerdictVerified || v == leader.VerdictAsk && len(ask) == 0:
 		g.finishVerified(o, a)
 	case v == leader.VerdictRefuted:
