Add failing tests of copies that go back to an older state

Callers would see a withdrawn key that works on, or an instance that is leaving and gets new work. Two copies of the same part are compared by when their readings began in one place and by a version in another, and in some places not at all: a reader passes on an older catalog than it has in force, a change between two pages of a list is taken for known, and followers take any list of instances that comes later.

The store of the tests gets lists of two pages and can hold its responses back.

--- a/core/relay/fleet_test.go
+++ b/core/relay/fleet_test.go
@@ -209,3 +209,33 @@
 	w.relay.SetCoordinator(true)
 	c.Assert(w.relay.HasWaiting(), qt.IsTrue)
 }
+
+// Guards against a list of instances that was read earlier than the one in use and arrives later, as
+// from another reader: an instance that is leaving would get new work again, and one that has
+// registered since would count as unlisted.
+func TestOlderListOfInstancesIsIgnored(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c)
+	earlier, older := w.now, slices.Clone(w.instancesOf("ledger", "l"))
+	w.advance(10*time.Millisecond, true)
+	w.instancesOf("ledger", "l-2")
+	w.extra[0].Leaving = true
+	w.list()
+	state := func() (out []relay.InstanceState) {
+		for _, g := range w.relay.State().Groups {
+			if g.Service == "ledger" {
+				out = g.Instances
+			}
+		}
+		return out
+	}
+	want := state()
+	c.Assert(want, qt.HasLen, 2)
+	w.relay.SetInstances(older, earlier)
+	c.Check(state(), qt.DeepEquals, want)
+	w.advance(3*time.Second, true)
+	w.relay.SetInstances(older, earlier)
+	for _, i := range state() {
+		c.Check(i.Removed, qt.IsFalse)
+	}
+}
--- a/io/registry/mem_store_test.go
+++ b/io/registry/mem_store_test.go
@@ -19,12 +19,20 @@
 	leases    map[registry.LeaseID]time.Time
 	lastLease registry.LeaseID
 	calls     map[string]int
-	changed   chan struct{}
+	// watches counts the watches by prefix.
+	watches map[string]int
+	changed chan struct{}
 	// down makes all calls fail; missChanges keeps all changes from watches.
 	down, missChanges bool
 	// loseCommitAnswers is the number of next commits that are carried out and answered with an
 	// error.
 	loseCommitAnswers int
+	// afterList and afterWatch are called with each response before it is returned, to hold it back.
+	// betweenPages is called once, between the first page of a list that has keys of both, those before
+	// secondPage and those from it, and the second page. They are called without the lock.
+	afterList                func(prefix string)
+	afterWatch, betweenPages func()
+	secondPage               string
 }
 
 var errDown = errors.New("no answer")
@@ -32,7 +40,7 @@
 func newMemStore() *memStore {
 	return &memStore{
 		revision: 10, entries: map[string]registry.Entry{}, leases: map[registry.LeaseID]time.Time{},
-		calls: map[string]int{}, changed: make(chan struct{}),
+		calls: map[string]int{}, watches: map[string]int{}, changed: make(chan struct{}),
 	}
 }
 
@@ -66,6 +74,35 @@
 }
 
 func (s *memStore) list(_ context.Context, prefix string) ([]registry.Entry, registry.Revision, error) {
+	out, at, err := s.page(prefix, func(key string) bool { return s.secondPage == "" || key < s.secondPage })
+	if err != nil {
+		return nil, 0, err
+	}
+	if strings.HasPrefix(s.secondPage, prefix) {
+		s.mu.Lock()
+		between := s.betweenPages
+		s.betweenPages = nil
+		s.mu.Unlock()
+		if between != nil {
+			between()
+		}
+		rest, _, err := s.page(prefix, func(key string) bool { return key >= s.secondPage })
+		if err != nil {
+			return nil, 0, err
+		}
+		out = append(out, rest...)
+	}
+	s.mu.Lock()
+	after := s.afterList
+	s.mu.Unlock()
+	if after != nil {
+		after(prefix)
+	}
+	return out, at, nil
+}
+
+// page returns the entries under a prefix whose keys are on one page, and the store's revision.
+func (s *memStore) page(prefix string, has func(key string) bool) ([]registry.Entry, registry.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.countCall("list " + prefix); err != nil {
@@ -73,7 +110,7 @@
 	}
 	var out []registry.Entry
 	for k, e := range s.entries {
-		if strings.HasPrefix(k, prefix) && !e.Deleted {
+		if strings.HasPrefix(k, prefix) && has(k) && !e.Deleted {
 			out = append(out, e)
 		}
 	}
@@ -82,9 +119,10 @@
 }
 
 func (s *memStore) watch(
-	ctx context.Context, prefix string, after registry.Revision, wait time.Duration,
+	ctx context.Context, prefix string, from registry.Revision, wait time.Duration,
 ) ([]registry.Entry, registry.Revision, error) {
 	end := time.After(wait)
+	s.locked(func() { s.watches[prefix]++ })
 	for {
 		s.mu.Lock()
 		if err := s.countCall("watch"); err != nil {
@@ -93,13 +131,16 @@
 		}
 		var out []registry.Entry
 		for k, e := range s.entries {
-			if strings.HasPrefix(k, prefix) && e.Revision > after && !s.missChanges {
+			if strings.HasPrefix(k, prefix) && e.Revision > from && !s.missChanges {
 				out = append(out, e)
 			}
 		}
-		changed, at := s.changed, s.revision
+		changed, at, after := s.changed, s.revision, s.afterWatch
 		s.mu.Unlock()
 		if len(out) > 0 {
+			if after != nil {
+				after()
+			}
 			return out, at, nil
 		}
 		select {
