Take a list of several pages as complete only to its first page

Callers would see a withdrawn key that works on, for as long as other hosts report that they have read the catalog.

A list counts up to the revision of its first page, the watch goes on from there, and each entry goes by its own revision. A removed entry is remembered until a list that was begun after the removal became known, so that a list on its way doesn't bring it back, and an older removal doesn't remove a later re-creation.

--- a/io/registry/catalog.go
+++ b/io/registry/catalog.go
@@ -39,7 +39,7 @@
 		return 0, err
 	}
 	r.storeHealth.recordSuccess()
-	current, changed := r.operatorEntries.applyList(es, at)
+	current, changed := r.operatorEntries.applyList(es, at, sent, r.cfg.Now())
 	r.updateCatalog(current, changed, sent)
 	storeLatest(&r.lastCatalogRead, sent)
 	r.CatalogConfirmed(sent)
@@ -60,7 +60,7 @@
 	if err != nil {
 		return 0, err
 	}
-	current, changed := r.operatorEntries.applyEvents(es, max(at, after))
+	current, changed := r.operatorEntries.applyEvents(es, max(at, after), r.cfg.Now())
 	// The changes are as of the time when the store responded, which isn't known here. The time of
 	// the last list stands for it.
 	r.updateCatalog(current, changed, r.CatalogReadAt())
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -150,7 +150,7 @@
 	catalogRefresh chan struct{}
 	// operatorEntries are the entries from which the catalog is parsed, lastValid the last snapshot
 	// of them that could be parsed.
-	operatorEntries operatorEntries
+	operatorEntries part
 	lastValid       atomic.Value
 	// lastCatalogRead is when this host last read the catalog, lastCatalogConfirm when this host or
 	// another last read it and it was the one in force here.
