Order copies by the store's revision, and pass on what is known by then

Callers would see a withdrawn key that works on: a reader that had a catalog in force passed on an older one, and its followers kept it. The copies of a reader were ordered by when their readings began. A change from the watch has no such time, that of the last list stood for it; a list that was begun later and was evaluated before the change took its place.

All copies now carry the revision of the store up to which they lack no change (CompleteTo), which is the same on all hosts, and only that orders them; the time tells how old a copy may be. What this host reads of the catalog and what other hosts pass on goes into the same state, under one lock, so that an older copy of another reader changes nothing, and a follower knows the revision of its catalog. A reader passes on that state as it is at the moment of passing on, not a reading that was captured before.

The wire's Part gets complete_to; a copy of an earlier build has none and counts as complete to its version. The check of PartCache that an earlier reading is ignored is replaced by one with random revisions, versions and times, as the order is another one.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -20,13 +20,22 @@
 	PartHosts     Part = "hosts"
 )
 
-// Version identifies a part's content. Zero means no content.
+// Version identifies a part's content at one reader. Zero means no content. It only saves bytes: of two
+// versions neither is the newer one.
 type Version uint64
 
-// PartCopy is a reader's copy of one part.
+// Revision is a version of the store's whole content. It grows with every change and is the same on all
+// hosts, so that it orders all copies of a part.
+type Revision uint64
+
+// PartCopy is a copy of one part.
 type PartCopy[T any] struct {
 	Version Version
-	// ReadAt is when the reader began to read the part.
+	// CompleteTo is the revision up to which the copy lacks no change. Of two copies the one that is
+	// complete to a higher revision is the newer one. Zero means that it isn't known.
+	CompleteTo Revision
+	// ReadAt is a time as of which the copy lacks no change. It tells how old the copy may be, and
+	// orders no copies.
 	ReadAt time.Time
 	// HasBody is set where Body is given. Body is left out for a follower that already has the
 	// version.
@@ -34,21 +43,27 @@
 	Body    T
 }
 
-// PartCache holds a reader's copies of the parts. The zero PartCache is empty.
+// PartCache holds a host's copies of the parts. The zero PartCache is empty.
 type PartCache[T any] struct {
 	parts map[Part]PartCopy[T]
 }
 
-// Put stores a part that was read at read. A copy whose reading began before that of the stored one
-// is ignored.
-func (c *PartCache[T]) Put(p Part, v Version, read time.Time, body T) {
+// Put stores a copy with its body. A copy that is complete to a lower revision than the stored one only
+// confirms that one: what the store held when the older copy was read, the newer one lacks nothing of.
+func (c *PartCache[T]) Put(p Part, o PartCopy[T]) {
 	if c.parts == nil {
 		c.parts = map[Part]PartCopy[T]{}
 	}
-	if old, ok := c.parts[p]; ok && read.Before(old.ReadAt) {
-		return
+	old := c.parts[p]
+	read := o.ReadAt
+	if old.ReadAt.After(read) {
+		read = old.ReadAt
+	}
+	if o.CompleteTo < old.CompleteTo {
+		o = old
 	}
-	c.parts[p] = PartCopy[T]{Version: v, ReadAt: read, HasBody: true, Body: body}
+	o.ReadAt, o.HasBody = read, true
+	c.parts[p] = o
 }
 
 // UpdatesFor returns all parts for a follower that has the versions in has, without the bodies that
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -15,7 +15,7 @@
 
 func ExamplePartCache() {
 	var c follow.PartCache[string]
-	c.Put(follow.PartCatalog, 7, time.Unix(1, 0), "the catalog")
+	c.Put(follow.PartCatalog, follow.PartCopy[string]{Version: 7, CompleteTo: 9, Body: "the catalog"})
 	has := map[follow.Part]follow.Version{}
 	fmt.Println(c.UpdatesFor(has)[follow.PartCatalog].Body)
 	fmt.Println(c.UpdatesFor(has)[follow.PartCatalog].HasBody)
@@ -37,13 +37,30 @@
 	c.Assert(has, qt.HasLen, 0)
 }
 
-// Guards against an older copy that arrives late and replaces a newer one.
-func TestOlderReadIsIgnored(t *testing.T) {
+// Guards against an older copy that arrives late, or was begun later and holds less, and replaces a
+// newer one. It may confirm the newer one.
+func TestOlderCopyIsIgnored(t *testing.T) {
 	c := qt.New(t)
-	var cache follow.PartCache[string]
-	cache.Put(follow.PartInstances, 2, time.Unix(5, 0), "new")
-	cache.Put(follow.PartInstances, 1, time.Unix(4, 0), "old")
-	c.Assert(cache.UpdatesFor(map[follow.Part]follow.Version{})[follow.PartInstances].Body, qt.Equals, "new")
+	rapid.Check(t, func(t *rapid.T) {
+		var cache follow.PartCache[follow.Revision]
+		newest, read := follow.Revision(0), time.Time{}
+		for range rapid.IntRange(1, 8).Draw(t, "copies") {
+			o := follow.PartCopy[follow.Revision]{
+				// The version tells nothing about the order.
+				Version:    follow.Version(rapid.Uint64Range(1, 9).Draw(t, "version")),
+				CompleteTo: follow.Revision(rapid.Uint64Range(1, 9).Draw(t, "revision")),
+				ReadAt:     time.Unix(rapid.Int64Range(1, 9).Draw(t, "read"), 0),
+			}
+			o.Body = o.CompleteTo
+			newest, read = max(newest, o.CompleteTo), later(read, o.ReadAt)
+			cache.Put(follow.PartInstances, o)
+			got := cache.UpdatesFor(map[follow.Part]follow.Version{})[follow.PartInstances]
+			c.Assert(got.CompleteTo, qt.Equals, newest)
+			c.Assert(got.Body, qt.Equals, newest)
+			c.Assert(got.ReadAt.Equal(read), qt.IsTrue)
+			c.Assert(got.HasBody, qt.IsTrue)
+		}
+	})
 }
 
 // Guards against translated times that seem more recent than they are, with clocks that differ and
@@ -118,7 +135,7 @@
 	now := time.Unix(1000, 0)
 	at := func(d time.Duration) time.Time { return now.Add(d * time.Millisecond) }
 	var reader follow.PartCache[string]
-	reader.Put(follow.PartRecords, 1, at(0), "no promotion request")
+	reader.Put(follow.PartRecords, follow.PartCopy[string]{Version: 1, Body: "no promotion request"})
 	has := map[follow.Part]follow.Version{}
 	var sub follow.Subscription
 	sub.Begin("r1", at(0))
@@ -127,7 +144,7 @@
 	reader.UpdatesFor(has)
 	c.Assert(sub.RequestFull(), qt.IsFalse)
 	sub.Begin("r2", at(500))
-	reader.Put(follow.PartRecords, 2, at(600), "a promotion request")
+	reader.Put(follow.PartRecords, follow.PartCopy[string]{Version: 2, Body: "a promotion request"})
 	c.Assert(reader.UpdatesFor(has)[follow.PartRecords].HasBody, qt.IsTrue)
 	c.Assert(sub.Accepts("r1", at(1)), qt.IsFalse)
 	sub.Begin("r1", at(900))
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -239,7 +239,7 @@
 
 // copied takes in a part of the store that this host has read, and passes it on.
 func (h *Host) copied(p follow.Part, c follow.PartCopy[[]registry.Entry]) {
-	h.following.copies.Put(p, c.Version, c.ReadAt, c.Body)
+	h.following.copies.Put(p, c)
 	h.passNews()
 }
 
--- a/io/forward/store_update.go
+++ b/io/forward/store_update.go
@@ -47,7 +47,10 @@
 		EchoSent: toUnixNano(n.RequestSentAt), EchoHeard: toUnixNano(n.RequestReceivedAt), Renewed: toUnixNano(n.Renewed),
 	}
 	for name, c := range n.Parts {
-		p := &forwardpb.Part{Name: string(name), Version: uint64(c.Version), Read: toUnixNano(c.ReadAt), Whole: c.HasBody}
+		p := &forwardpb.Part{
+			Name: string(name), Version: uint64(c.Version), CompleteTo: uint64(c.CompleteTo),
+			Read: toUnixNano(c.ReadAt), Whole: c.HasBody,
+		}
 		for _, e := range c.Body {
 			p.Entries = append(p.Entries, &forwardpb.Entry{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision)})
 		}
@@ -66,7 +69,8 @@
 	}
 	for _, p := range m.GetParts() {
 		c := follow.PartCopy[[]registry.Entry]{
-			Version: follow.Version(p.GetVersion()), ReadAt: fromUnixNano(p.GetRead()), HasBody: p.GetWhole(),
+			Version: follow.Version(p.GetVersion()), CompleteTo: follow.Revision(p.GetCompleteTo()),
+			ReadAt: fromUnixNano(p.GetRead()), HasBody: p.GetWhole(),
 		}
 		for _, e := range p.GetEntries() {
 			c.Body = append(c.Body, registry.Entry{
--- a/io/forward/store_update_test.go
+++ b/io/forward/store_update_test.go
@@ -18,7 +18,7 @@
 	want := forward.StoreUpdate{
 		RequestSentAt: at, RequestReceivedAt: at.Add(time.Hour), Renewed: at.Add(time.Second),
 		Parts: forward.Parts{
-			follow.PartCatalog: {Version: 7, ReadAt: at, HasBody: true, Body: []registry.Entry{
+			follow.PartCatalog: {Version: 7, CompleteTo: 9, ReadAt: at, HasBody: true, Body: []registry.Entry{
 				{Key: "catalog", Value: []byte{0xff, 0}, Revision: 7},
 			}},
 			follow.PartInstances: {Version: 1 << 63, ReadAt: at},
--- a/io/registry/catalog.go
+++ b/io/registry/catalog.go
@@ -39,9 +39,7 @@
 		return 0, err
 	}
 	r.storeHealth.recordSuccess()
-	current, changed := r.operatorEntries.applyList(es, at, sent, r.cfg.Now())
-	r.updateCatalog(current, changed, sent)
-	storeLatest(&r.lastCatalogRead, sent)
+	r.updateCatalog(r.operatorEntries.applyList(es, at, sent, r.cfg.Now()))
 	r.CatalogConfirmed(sent)
 	return at, nil
 }
@@ -60,10 +58,9 @@
 	if err != nil {
 		return 0, err
 	}
-	current, changed := r.operatorEntries.applyEvents(es, max(at, after), r.cfg.Now())
-	// The changes are as of the time when the store responded, which isn't known here. The time of
-	// the last list stands for it.
-	r.updateCatalog(current, changed, r.CatalogReadAt())
+	// As of when the response is complete isn't known here, so that the time of the last list goes on to
+	// stand for it.
+	r.updateCatalog(r.operatorEntries.applyEvents(es, max(at, after), r.cfg.Now()))
 	return max(at, after), nil
 }
 
@@ -74,7 +71,15 @@
 // CatalogReadAt returns when this host itself last read the catalog. Readings reported by other
 // hosts are not included, for the reason given at InstancesDigest.
 func (r *Registry) CatalogReadAt() time.Time {
-	at, _ := r.lastCatalogRead.Load().(time.Time)
+	_, at := r.operatorEntries.times()
+	return at
+}
+
+// CatalogAsOf returns the latest time as of which the catalog known here is known to be the store's, by
+// a reading of this host or by a copy that another host passed on. Reports of other hosts don't count:
+// their delay isn't known.
+func (r *Registry) CatalogAsOf() time.Time {
+	at, _ := r.operatorEntries.times()
 	return at
 }
 
@@ -103,18 +108,21 @@
 }
 
 // CatalogRevision returns the revision of the store up to which this host knows all entries written
-// by operators.
+// by operators, by its own readings or by copies that other hosts passed on.
 func (r *Registry) CatalogRevision() Revision { return r.operatorEntries.completeRevision() }
 
-// updateCatalog applies the operators' entries if they have changed, and passes them on to
-// followers.
-func (r *Registry) updateCatalog(current snapshot, changed bool, read time.Time) {
+// updateCatalog passes the operators' entries on to followers, and applies them if they have changed.
+func (r *Registry) updateCatalog(current snapshot, changed bool) {
+	r.passOnCatalog()
 	if changed {
 		r.applyCatalog(current)
 	}
-	if current.lastChange != 0 {
-		r.passOn(follow.PartCatalog, follow.Version(current.lastChange), read, current.entries)
-	}
+}
+
+// passOnCatalog passes on the operators' entries that this host knows at the moment of passing on. A
+// reading that was captured earlier may be older by then than what is in force here.
+func (r *Registry) passOnCatalog() {
+	r.passOn(follow.PartCatalog, r.operatorEntries.copy)
 }
 
 // applyCatalog parses the operators' entries and puts the resulting catalog in force.
--- a/io/registry/copies_test.go
+++ b/io/registry/copies_test.go
@@ -66,7 +66,7 @@
 	got, roles := &callbackLog{}, &roleLog{}
 	cfg := config(s, got, 0, time.Second, 0)
 	cfg.PartRead = func(p follow.Part, o follow.PartCopy[[]registry.Entry]) {
-		roles.copies.Put(p, o.Version, o.ReadAt, o.Body)
+		roles.copies.Put(p, o)
 	}
 	return cfg, got, roles
 }
--- a/io/registry/follow.go
+++ b/io/registry/follow.go
@@ -1,8 +1,6 @@
 package registry
 
 import (
-	"time"
-
 	"go.uber.org/zap"
 
 	"skylarkdeal/core/follow"
@@ -29,9 +27,11 @@
 func (r *Registry) ApplyPart(p follow.Part, c follow.PartCopy[[]Entry]) {
 	switch p {
 	case follow.PartCatalog:
-		if c.HasBody {
-			r.applyCatalog(snapshot{entries: c.Body, lastChange: Revision(c.Version)})
+		if c.CompleteTo == 0 {
+			// A host of an earlier build doesn't tell it. Its copy has its last change, at least.
+			c.CompleteTo = Revision(c.Version)
 		}
+		r.updateCatalog(r.operatorEntries.applyCopy(c, r.cfg.Now()))
 		r.CatalogConfirmed(c.ReadAt)
 	case follow.PartInstances:
 		if c.HasBody {
@@ -48,11 +48,15 @@
 	}
 }
 
-// passOn passes a part of the store on to the hosts that follow this one.
-func (r *Registry) passOn(p follow.Part, v follow.Version, read time.Time, es []Entry) {
+// passOn passes a part of the store on to the hosts that follow this one. The copy is made at the moment
+// of passing on.
+func (r *Registry) passOn(p follow.Part, makeCopy func() follow.PartCopy[[]Entry]) {
 	if r.cfg.PartRead == nil || r.Role() != follow.RoleReader {
 		return
 	}
-	c := follow.PartCopy[[]Entry]{Version: v, ReadAt: read, HasBody: true, Body: es}
-	r.cfg.Post(func() { r.cfg.PartRead(p, c) })
+	r.cfg.Post(func() {
+		if c := makeCopy(); c.Version != 0 || c.CompleteTo != 0 {
+			r.cfg.PartRead(p, c)
+		}
+	})
 }
--- a/io/registry/follow_test.go
+++ b/io/registry/follow_test.go
@@ -27,7 +27,7 @@
 	cfg.ElectReaders, cfg.HostCount = true, func(n int) { roles.count = n }
 	cfg.Role = func(r follow.Role) { roles.role = r }
 	cfg.PartRead = func(p follow.Part, o follow.PartCopy[[]registry.Entry]) {
-		roles.copies.Put(p, o.Version, o.ReadAt, o.Body)
+		roles.copies.Put(p, o)
 	}
 	return start(c, cfg), got, roles
 }
--- a/io/registry/lists.go
+++ b/io/registry/lists.go
@@ -110,7 +110,7 @@
 	c, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := r.cfg.Now()
-	es, _, err := r.cfg.Store.List(c, r.cfg.InstancePrefix)
+	es, at, err := r.cfg.Store.List(c, r.cfg.InstancePrefix)
 	if err != nil {
 		return err
 	}
@@ -118,7 +118,11 @@
 	r.instanceList.mu.Lock()
 	defer r.instanceList.mu.Unlock()
 	r.instanceList.digest, r.instanceList.readAt, r.instanceList.confirmedAt = digest, sent, sent
-	r.passOn(follow.PartInstances, follow.Version(digest), sent, es)
+	r.passOn(follow.PartInstances, func() follow.PartCopy[[]Entry] {
+		return follow.PartCopy[[]Entry]{
+			Version: follow.Version(digest), CompleteTo: at, ReadAt: sent, HasBody: true, Body: es,
+		}
+	})
 	return nil
 }
 
--- a/io/registry/part.go
+++ b/io/registry/part.go
@@ -6,9 +6,13 @@
 	"strings"
 	"sync"
 	"time"
+
+	"skylarkdeal/core/follow"
 )
 
-// part is what this host knows of one part of the store. The zero part is empty.
+// part is what this host knows of one part of the store: its entries, up to which revision no change is
+// missing, and as of when. The zero part is empty. What this host reads goes into it, and what other
+// hosts pass on, in any order: a reading or a copy that is complete to a lower revision changes nothing.
 //
 // Responses of the store may arrive out of order, and the pages of a list are no snapshot: it is
 // complete only to the revision of its first page, and later pages may be newer. Each entry therefore
@@ -21,6 +25,13 @@
 	removed map[string]removal
 	// completeTo is the revision up to which no change is missing, lastChange that of the last change.
 	completeTo, lastChange Revision
+	// asOf is the latest time as of which no change is missing, by a reading of this host or a copy of
+	// another. readAt is when this host last began to read the part.
+	asOf, readAt time.Time
+	// ordered are the entries in the order of their keys, nil after a change.
+	ordered []Entry
+	// passed is the last copy that another host has passed on with its body.
+	passed follow.PartCopy[[]Entry]
 }
 
 // removal is the removal of an entry: an entry of this revision or an earlier one doesn't come back.
@@ -41,14 +52,45 @@
 	return slices.IndexFunc(s.entries, func(e Entry) bool { return e.Key == key })
 }
 
-// applyList applies a list that was begun at read and is complete to a revision, and reports whether
-// anything has changed. Entries up to that revision that aren't in the list have been removed. now is
-// the current time.
+// applyList applies a list that this host began to read at read and that is complete to a revision, and
+// reports whether anything has changed. now is the current time.
 func (p *part) applyList(es []Entry, at Revision, read, now time.Time) (snapshot, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.readAt = later(p.readAt, read)
+	changed := p.merge(es, at, read, now)
+	return p.snapshot(), changed
+}
+
+// applyCopy applies a copy that another host has passed on, and reports whether anything has changed. A
+// copy without its body is the last one that had a body, and complete to a higher revision.
+func (p *part) applyCopy(c follow.PartCopy[[]Entry], now time.Time) (snapshot, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changed := false
+	switch {
+	case c.HasBody:
+		p.passed = c
+		changed = p.merge(c.Body, c.CompleteTo, c.ReadAt, now)
+	case c.CompleteTo <= p.completeTo:
+		p.asOf = later(p.asOf, c.ReadAt)
+	case p.passed.HasBody && p.passed.Version == c.Version:
+		changed = p.merge(p.passed.Body, c.CompleteTo, c.ReadAt, now)
+	}
+	if changed {
+		p.lastChange = max(p.lastChange, Revision(c.Version))
+	}
+	return p.snapshot(), changed
+}
+
+// merge applies all entries as of a revision and a time, and reports whether anything has changed.
+// Entries up to that revision that aren't among them have been removed.
+func (p *part) merge(es []Entry, at Revision, read, now time.Time) bool {
+	// What the store held at that time, this host's entries lack nothing of if they are complete to a
+	// higher revision.
+	p.asOf = later(p.asOf, read)
 	if at < p.completeTo {
-		return p.snapshot(), false
+		return false
 	}
 	newest := Revision(0)
 	listed := make(map[string]struct{}, len(es))
@@ -69,7 +111,7 @@
 	maps.DeleteFunc(p.removed, func(_ string, r removal) bool { return r.noticedAt.Before(read) })
 	p.completeTo = at
 	p.changedBy(newest)
-	return p.snapshot(), newest != 0
+	return newest != 0
 }
 
 // applyEvents applies changes, and records that there are no others up to a revision. It reports
@@ -127,13 +169,24 @@
 func (p *part) changedBy(newest Revision) {
 	if newest != 0 {
 		p.lastChange = max(newest, p.lastChange+1)
+		p.ordered = nil
 	}
 }
 
 func (p *part) snapshot() snapshot {
-	return snapshot{
-		entries:    slices.SortedFunc(maps.Values(p.entries), func(a, b Entry) int { return strings.Compare(a.Key, b.Key) }),
-		lastChange: p.lastChange,
+	if p.ordered == nil {
+		p.ordered = slices.SortedFunc(maps.Values(p.entries), func(a, b Entry) int { return strings.Compare(a.Key, b.Key) })
+	}
+	return snapshot{entries: p.ordered, lastChange: p.lastChange}
+}
+
+// copy returns what this host knows, to pass it on.
+func (p *part) copy() follow.PartCopy[[]Entry] {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return follow.PartCopy[[]Entry]{
+		Version: follow.Version(p.lastChange), CompleteTo: p.completeTo, ReadAt: p.asOf,
+		HasBody: true, Body: p.snapshot().entries,
 	}
 }
 
@@ -143,3 +196,18 @@
 	defer p.mu.Unlock()
 	return p.completeTo
 }
+
+// times returns the latest time as of which no change is missing, and when this host last began to read
+// the part.
+func (p *part) times() (asOf, readAt time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.asOf, p.readAt
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/io/registry/records.go
+++ b/io/registry/records.go
@@ -95,11 +95,16 @@
 // passOnRecords passes on all records. Records are only added or replaced by newer ones, so that of
 // two copies the later one has all that the earlier one has, whichever readings they come from.
 func (r *Registry) passOnRecords() {
+	r.passOn(follow.PartRecords, r.copyRecords)
+}
+
+func (r *Registry) copyRecords() follow.PartCopy[[]Entry] {
 	r.recordsMu.Lock()
-	es := slices.SortedFunc(maps.Values(r.records), func(a, b Entry) int { return cmp.Compare(a.Key, b.Key) })
-	// A record may become known after another one with a later revision, so the version counts
-	// changes instead of being the highest revision.
-	v, at := follow.Version(1+r.recordChanges), r.cfg.Now()
-	r.recordsMu.Unlock()
-	r.passOn(follow.PartRecords, v, at, es)
+	defer r.recordsMu.Unlock()
+	return follow.PartCopy[[]Entry]{
+		// A record may become known after another one with a later revision, so the version counts
+		// changes instead of being the highest revision.
+		Version: follow.Version(1 + r.recordChanges), ReadAt: r.cfg.Now(), HasBody: true,
+		Body: slices.SortedFunc(maps.Values(r.records), func(a, b Entry) int { return cmp.Compare(a.Key, b.Key) }),
+	}
 }
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -152,9 +152,9 @@
 	// of them that could be parsed.
 	operatorEntries part
 	lastValid       atomic.Value
-	// lastCatalogRead is when this host last read the catalog, lastCatalogConfirm when this host or
-	// another last read it and it was the one in force here.
-	lastCatalogRead, lastCatalogConfirm atomic.Value
+	// lastCatalogConfirm is when this host or another last read the catalog and it was the one in force
+	// here.
+	lastCatalogConfirm atomic.Value
 	// instanceList describes the list of instances in use; instancesRefresh is signalled when it is
 	// to be read again.
 	instanceList     instanceList
--- a/io/registry/store.go
+++ b/io/registry/store.go
@@ -8,10 +8,12 @@
 	"errors"
 	"strconv"
 	"time"
+
+	"skylarkdeal/core/follow"
 )
 
 // Revision is a version of the whole store. It grows with every change.
-type Revision uint64
+type Revision = follow.Revision
 
 // LeaseID identifies a lease of the store.
 type LeaseID uint64
