Forget that a host was leaving when the store lists its new process

A host that restarted could stay "leaving" at other hosts for good: they gave it no duty, took it for no witness, and kept its shards, while it waited for them and said for 5 s that it wasn't ready.

Cause: Roster.Merge drops the marks of a former process when a record of a later epoch comes from a peer. MergeStore replaced the record by one of a later epoch and kept the marks. Whether the store's list or a digest comes first is chance: the watcher of a data centre reads the list every 2 s, a digest comes about once a second. After the list, the peer's record has the epoch that is known already, so nothing drops the marks any more.

Both ways now go through one function that drops them at a new epoch.

The test failed before: h2 had Leaving: true after MergeStore with its new registration, and still after Merge of its next heartbeat.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -82,17 +82,24 @@
 		}
 		entry = r.entry(rec.Member.Host)
 		changed = changed || entry.record.Epoch != rec.Epoch || entry.record.Member != rec.Member
-		lease := entry.record.Lease
-		if entry.record.Epoch != rec.Epoch {
-			lease, entry.leavingByRecord, entry.leavingByPlatform = 0, false, false
-		}
-		entry.leavingByRecord = entry.leavingByRecord || rec.Member.Leaving
-		entry.record, entry.heartbeatAt = rec, now
-		entry.record.Lease = lease
+		entry.replace(rec)
+		entry.heartbeatAt = now
 	}
 	return changed
 }
 
+// replace takes in a newer record. What marked the former process of the host as leaving says nothing
+// about the present one.
+func (e *hostEntry) replace(rec Record) {
+	lease := e.record.Lease
+	if e.record.Epoch != rec.Epoch {
+		lease, e.leavingByRecord, e.leavingByPlatform = 0, false, false
+	}
+	e.leavingByRecord = e.leavingByRecord || rec.Member.Leaving
+	e.record = rec
+	e.record.Lease = lease
+}
+
 // MergeStore replaces the list read from the store. A record in it proves that a host is live only
 // while its lease is valid, so it doesn't count as a heartbeat.
 func (r *Roster) MergeStore(now time.Time, records []Record) {
@@ -105,7 +112,7 @@
 			continue
 		}
 		if rec.newerThan(entry.record) {
-			entry.record = rec
+			entry.replace(rec)
 		}
 		entry.record.Lease = rec.Lease
 		entry.storedAt = now
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -158,6 +158,36 @@
 	c.Assert(r.Members(epoch), qt.DeepEquals, []fleet.Member{member(1), member(2)})
 }
 
+// Guards against a host that restarts and gets no duty: others read its new registration in the store before
+// they hear of its new process from a peer, and the marks of its former process stay for good.
+func TestRestartedHostIsNoLongerLeavingOnceTheStoreListsIt(t *testing.T) {
+	c := qt.New(t)
+	left := member(2)
+	left.Leaving = true
+	for name, mark := range map[string]func(r *roster.Roster){
+		"by its own record": func(r *roster.Roster) {
+			r.Merge(epoch, []roster.Record{{Member: left, Epoch: 1, Heartbeat: 2}})
+		},
+		"by its record in the store": func(r *roster.Roster) {
+			r.MergeStore(epoch, []roster.Record{record(1, 1, 1), {Member: left, Epoch: 1, Heartbeat: 2}})
+		},
+		"by the platform": func(r *roster.Roster) {
+			r.MergePlatform([]roster.PlatformMember{{Member: left}})
+		},
+	} {
+		r := roster.Roster{Self: "h1"}
+		r.Merge(epoch, []roster.Record{record(1, 1, 1), record(2, 1, 1)})
+		mark(&r)
+		c.Assert(r.Members(epoch), qt.DeepEquals, []fleet.Member{member(1), left}, qt.Commentf("%s", name))
+		restarted := record(2, 2, 1)
+		restarted.Lease = 22
+		r.MergeStore(epoch, []roster.Record{record(1, 1, 1), restarted})
+		c.Check(r.Members(epoch), qt.DeepEquals, []fleet.Member{member(1), member(2)}, qt.Commentf("%s", name))
+		r.Merge(epoch, []roster.Record{record(2, 2, 2)})
+		c.Check(r.Members(epoch), qt.DeepEquals, []fleet.Member{member(1), member(2)}, qt.Commentf("%s", name))
+	}
+}
+
 // A host is suspended for longer than its lease and wakes. It must see that the lease has ended
 // before it acts, counted from when the last renewal was sent.
 func TestLeaseEndsByTheHostsOwnClock(t *testing.T) {
