Move a shard only to a host that is about to swap its record

Callers within their rate were refused as over it (53400): for a second or two while the shards of a data centre moved to a host that had just started, and for a whole outage of the store that began in between, or soon after a start. With two data centres it takes a move in both at once, as after the start of a fleet or when hosts of both restart one after the other.

Cause: an owner released a shard by itself once the roster had assigned it to another host for 3 s. It granted no more from then on, and only then wrote the release. Nobody owned the shard until the other host's next look, every 2 s. If the store was down, the release couldn't be written, the other host couldn't take the shard, and nobody owned it until the store came back. Besides, an owner named no new witness for shards that were about to move, so that a host that had started alone lost them with its lease if the store went down.

The next owner now asks the former one, after it has read the record and when it has nothing left to do but the swap. The former owner grants until then, and answers with the tokens that are left; both would use these in a swap of the same revision, so they are used once. An owner that leaves hands over at once, while it finishes its requests. A shard that is held is kept up, with a lease and a witness, whoever the roster assigns it to.

--- a/io/grants/claims.go
+++ b/io/grants/claims.go
@@ -56,6 +56,8 @@
 	validLeases map[quota.OwnershipRecord]bool
 	// withdraw holds the shards whose consent is to be withdrawn, by witness.
 	withdraw map[quota.Process][]roster.Shard
+	// moves holds the shards to ask other hosts for, by owner.
+	moves map[fleet.Host][]roster.Shard
 }
 
 // updateRecord claims and releases shards with one read and one swap, and reports
@@ -84,6 +86,9 @@
 	for w, shards := range c.withdraw {
 		r.withdraw(ctx, w, shards, c)
 	}
+	for owner, shards := range c.moves {
+		r.requestMoves(ctx, owner, shards, c)
+	}
 	if !c.dirty {
 		return c.pending, nil
 	}
@@ -103,6 +108,7 @@
 	c := &recordUpdate{
 		table: ownershipTable{}, lease: lease, acquired: map[roster.Shard][]remainingTokens{},
 		validLeases: map[quota.OwnershipRecord]bool{}, withdraw: map[quota.Process][]roster.Shard{},
+		moves: map[fleet.Host][]roster.Shard{},
 	}
 	list, err := r.cfg.Store.List(ctx, r.seatsKey())
 	if err != nil {
@@ -129,6 +135,9 @@
 			delete(r.released, h)
 			continue
 		}
+		if !r.leaving && r.clock.monotonic().Before(g.writeAfter) {
+			continue
+		}
 		if now.Tenure != g.tenure {
 			g.left = nil
 		}
@@ -148,6 +157,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.seat(h)
+	if s.ownership.Held() && !s.notPreferredSince.IsZero() && read.Owner != r.process() {
+		r.handleLost(h, s)
+		return nil
+	}
 	switch s.claim.Next(r.clock.monotonic(), r.process(), c.lease, read.OwnershipRecord, valid) {
 	case quota.StepAdopt:
 		if !r.witnessUsable(read.Witness) {
@@ -162,6 +175,7 @@
 		c.pending = true
 	case quota.StepIdle:
 		r.handleLost(h, s)
+		c.moves[read.Owner.Host] = append(c.moves[read.Owner.Host], h)
 	case quota.StepWait:
 		c.pending = true
 	}
--- a/io/grants/helpers_test.go
+++ b/io/grants/helpers_test.go
@@ -83,6 +83,8 @@
 	cut     sync.Map
 	// until returns when a host's lease expires; if nil, leases never expire.
 	until func(fleet.Host) time.Time
+	// beforeRead, if set, is called before a host reads the store.
+	beforeRead atomic.Pointer[func(fleet.Host)]
 }
 
 const service fleet.Service = "orders"
@@ -118,7 +120,13 @@
 			return b.hosts[to.Host].HandleGrant(ctx, q), nil
 		},
 		Store: grants.Store{
-			List: b.store.list, Swap: b.store.swap, LeaseExists: b.store.standing,
+			List: func(ctx context.Context, prefix string) ([]grants.Entry, error) {
+				if f := b.beforeRead.Load(); f != nil {
+					(*f)(m.Host)
+				}
+				return b.store.list(ctx, prefix)
+			},
+			Swap: b.store.swap, LeaseExists: b.store.standing,
 			Lease: func() (uint64, time.Time) {
 				if b.until != nil {
 					return epoch, b.until(m.Host)
--- a/io/grants/homes.go
+++ b/io/grants/homes.go
@@ -12,7 +12,7 @@
 	"skylarkdeal/io/host/hostpb"
 )
 
-// HandleGrant answers the requests of another host, as a home and as a witness.
+// HandleGrant answers the requests of another host, as a home, as a witness and as an owner of shards.
 func (r *Runtime) HandleGrant(_ context.Context, q *hostpb.GrantRequest) *hostpb.GrantResponse {
 	out := &hostpb.GrantResponse{Hello: r.hello()}
 	from := fleet.Host(q.GetHello().GetHost())
@@ -24,6 +24,9 @@
 	for _, s := range q.GetSeats() {
 		out.Seats = append(out.Seats, r.handleWitnessRequest(s))
 	}
+	for _, m := range q.GetMoves() {
+		out.Moves = append(out.Moves, r.handleMove(from, m))
+	}
 	return out
 }
 
--- a/io/grants/seats.go
+++ b/io/grants/seats.go
@@ -51,8 +51,8 @@
 type shardState struct {
 	ownership quota.Ownership
 	claim     quota.Claim
-	// notPreferredSince is when this host, the owner, first saw the roster assign the
-	// shard to another host.
+	// notPreferredSince is when this host first saw the roster assign the shard to
+	// another host; zero while it is assigned to this one.
 	notPreferredSince time.Time
 }
 
@@ -68,9 +68,6 @@
 	// consentLeadTime is how long before its lease ends an owner asks for consent:
 	// two checks of ownership and a failed call in between.
 	consentLeadTime = 1500 * time.Millisecond
-	// releaseDelay is how long the roster has to assign a shard to another host before
-	// the owner releases it, so that a short change of the roster moves no shard.
-	releaseDelay = 3 * time.Second
 )
 
 // maintainOwnership acquires, keeps and releases the ownership of shards until ctx ends.
@@ -94,8 +91,8 @@
 		w, ok := roster.DutyHolder(here, roster.Home(r.cfg.DataCentre, h))
 		mine := ok && w.Host == r.cfg.Host && !w.Leaving
 		renewed := r.syncLease(h)
-		r.releaseIfNotPreferred(h, mine)
-		if mine && !renewed && !r.isLeaving() {
+		r.notePreferred(h, mine)
+		if (mine || r.holds(h)) && !renewed && !r.isLeaving() {
 			claims = append(claims, h)
 		}
 	}
@@ -175,6 +172,12 @@
 	return quota.Process{Host: r.cfg.Host, Epoch: r.cfg.Epoch}
 }
 
+func (r *Runtime) holds(h roster.Shard) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.seat(h).ownership.Held()
+}
+
 func (r *Runtime) isLeaving() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -215,19 +218,15 @@
 	return m.DataCentre == r.cfg.DataCentre || best.DataCentre != r.cfg.DataCentre
 }
 
-// releaseIfNotPreferred releases a shard that the roster has assigned to another host for releaseDelay.
-func (r *Runtime) releaseIfNotPreferred(h roster.Shard, preferred bool) {
+// notePreferred notes since when the roster has assigned a shard to another host.
+func (r *Runtime) notePreferred(h roster.Shard, preferred bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.seat(h)
-	now := r.clock.monotonic()
 	if preferred {
 		s.notPreferredSince = time.Time{}
 	} else if s.notPreferredSince.IsZero() {
-		s.notPreferredSince = now
-	}
-	if !preferred && s.ownership.Held() && now.Sub(s.notPreferredSince) >= releaseDelay {
-		r.release(h)
+		s.notPreferredSince = r.clock.monotonic()
 	}
 }
 
@@ -235,6 +234,9 @@
 type releasedShard struct {
 	tenure uint64
 	left   []remainingTokens
+	// writeAfter gives the host that has asked for the shard the time to swap the record
+	// itself; zero when none has.
+	writeAfter time.Time
 }
 
 // release stops granting. The next update of the record writes the release to the
@@ -246,7 +248,7 @@
 		return
 	}
 	rec := s.ownership.Record()
-	r.released[h] = releasedShard{rec.Tenure, r.leftovers(h)}
+	r.released[h] = releasedShard{tenure: rec.Tenure, left: r.leftovers(h)}
 	s.claim.SwapSent(rec)
 	s.notPreferredSince = time.Time{}
 	r.handleLost(h, s)
