Let the test of a paused host go by the monitor's own moment

TestPausedHostDoesNotConfirmByAnOldProof failed now and then beside other work: the write was confirmed, and the pause hadn't taken place. The monitor is right there: the proof was of the write's own time, and the test was mistaken twice.

- It took the moment from which a status counts as a proof after the call of Confirm, the monitor in the call.
A request for a status that was sent in between, and arrived once the instances answered again, proved the write to the monitor and not to the test, which then didn't pause the host.
- It moved the clock ahead before it made the instances silent.
A request sent in between was sent after the pause and answered: a fresh proof.

The clock now stands still during the call, so that both go by one moment, and the instances are silent before the clock moves. All checks are as before.

--- a/io/groupmonitor/cluster_test.go
+++ b/io/groupmonitor/cluster_test.go
@@ -65,7 +65,9 @@
 	closed map[fleet.Host]int
 	// clockAhead is how far h0's clock is ahead, as after a pause of its process.
 	// beforeClockRead, once it is set, is called before each reading of that clock.
+	// While clockStopped is set, each reading of that clock is that time.
 	clockAhead      atomic.Int64
+	clockStopped    atomic.Pointer[time.Time]
 	beforeClockRead atomic.Pointer[func()]
 }
 
@@ -74,6 +76,9 @@
 	if f := c.beforeClockRead.Load(); f != nil {
 		(*f)()
 	}
+	if t := c.clockStopped.Load(); t != nil {
+		return *t
+	}
 	return time.Now().Add(time.Duration(c.clockAhead.Load()))
 }
 
--- a/io/groupmonitor/groupmonitor_test.go
+++ b/io/groupmonitor/groupmonitor_test.go
@@ -228,12 +228,17 @@
 	})
 	q.Assert(err, qt.IsNil)
 	out := make(chan error, 1)
-	h.Confirm(at, document.AcknowledgePrimary, time.Now().Add(3*time.Second), func(err error) { out <- err })
+	// The monitor and the pause go by the same moment: a request for a status may be on its way by now.
 	since := time.Now()
+	c.clockStopped.Store(&since)
+	h.Confirm(at, document.AcknowledgePrimary, since.Add(3*time.Second), func(err error) { out <- err })
+	c.clockStopped.Store(nil)
 	pause := func() {
 		proved := h.Snapshot().Acknowledge(document.AcknowledgePrimary, at, since) == group.VerdictAcknowledge
-		if proved && c.clockAhead.CompareAndSwap(0, int64(time.Second)) {
+		if proved && c.clockAhead.Load() == 0 {
+			// No request that is sent after the pause may be answered.
 			c.set(func() { c.faults["b"], c.faults["c"] = hung, hung })
+			c.clockAhead.Store(int64(time.Second))
 		}
 	}
 	c.beforeClockRead.Store(&pause)
