Count a status as proof only if it is of the primary's term

What callers would see: reads on a former primary that lack what its successor has acknowledged, and writes acknowledged there and lost, once the successor has started anew under its id.

Cause: a term below the primary's counted as "no later term". A process that knows of nothing reports such a term, also if its predecessor under the same id has led: the instance that the record names, or, without a registration, any other.

Change: noLaterTermAt and PendingAnswers take a status only in the very term. An instance that hasn't joined it yet is asked again, for a waiting read as for a pending answer, at the interval of such requests. In the model, what a host had on its way from the store before it started anew no longer reaches it.

Why it works: replicas are in the primary's term some 100 ms after a promotion, so that hardly any proof is lost. An instance that has started anew is in that term only once it has joined a primary of it.

--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -294,3 +294,17 @@
 		}
 	})
 }
+
+// Guards against a proof by an instance that has led and started anew since: it reports an earlier term
+// than the answer's, as it knows of none, and counts only once it has joined that term.
+func TestEarlierTermVerifiesNothing(t *testing.T) {
+	c := qt.New(t)
+	var p leader.PendingAnswers
+	p.Add(leader.PendingAnswer{
+		Key: 1, Term: 2, ReceivedAt: start, Deadline: start.Add(time.Second),
+	}, []fleet.Instance{"b"})
+	verified, refuted := p.AddStatus("b", start, 1)
+	c.Assert(len(verified)+len(refuted), qt.Equals, 0)
+	verified, _ = p.AddStatus("b", start.Add(time.Millisecond), 2)
+	c.Assert(verified, qt.HasLen, 1)
+}
--- a/core/leader/verify.go
+++ b/core/leader/verify.go
@@ -14,8 +14,8 @@
 const (
 	// VerdictVerified lets the answer go to its caller.
 	VerdictVerified Verdict = "proved"
-	// VerdictAsk holds the answer back until other instances have reported that they are in no
-	// later term.
+	// VerdictAsk holds the answer back until other instances have reported that they are in the same
+	// term.
 	VerdictAsk Verdict = "ask"
 	// VerdictRefuted means that another primary may have taken over already.
 	VerdictRefuted Verdict = "refuted"
@@ -70,7 +70,7 @@
 	pending []PendingAnswer
 }
 
-// Add stores the answer until every instance in others has reported its status in response to a
+// Add stores the answer until every instance in others has reported the answer's term in response to a
 // request that was sent no earlier than answer.ReceivedAt.
 func (p *PendingAnswers) Add(answer PendingAnswer, others []fleet.Instance) {
 	answer.missing = slices.Clone(others)
@@ -78,7 +78,8 @@
 }
 
 // AddStatus adds the status of instance i, which was asked for at askedAt and gives term as its
-// term. It returns the answers that are now verified and those that are refuted.
+// term. It returns the answers that are now verified and those that are refuted. An earlier term does
+// neither: an instance that has led a later one, and has started anew since, knows of none.
 func (p *PendingAnswers) AddStatus(
 	i fleet.Instance, askedAt time.Time, term fleet.Term,
 ) (verified, refuted []PendingAnswer) {
@@ -86,7 +87,7 @@
 	for _, a := range p.pending {
 		n := slices.Index(a.missing, i)
 		switch {
-		case n < 0 || askedAt.Before(a.ReceivedAt):
+		case n < 0 || askedAt.Before(a.ReceivedAt) || term < a.Term:
 			kept = append(kept, a)
 		case term > a.Term:
 			refuted = append(refuted, a)
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -182,6 +182,15 @@
 	return nil
 }
 
+// primaryTerm returns the term of the instance that primary returns.
+func (g *group) primaryTerm() fleet.Term {
+	if _, t, ok := g.primaryState.Primary(); ok {
+		return t
+	}
+	_, t, _ := g.primaryState.FormerPrimary()
+	return t
+}
+
 // handleRefusal updates the state of an instance after it refused an operation.
 func (g *group) handleRefusal(c *Conn, code statement.Code, o *operation) {
 	switch code {
--- a/core/relay/model_store_test.go
+++ b/core/relay/model_store_test.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"skylarkdeal/core/leader"
-	"skylarkdeal/core/relay"
 )
 
 // leaseState is the state of a registration in the store.
@@ -68,7 +67,7 @@
 	}
 	r := v.readers[0]
 	r.lease, r.own, r.known = leaseState{ended: true, registering: true}, time.Time{}, nil
-	v.m.after(v.m.randomMillis(0, 100), r.register)
+	v.after(v.m.randomMillis(0, 100), r.register)
 }
 
 // follow makes the host follow another reader, whose news count from its answer to a request on.
@@ -77,12 +76,12 @@
 	v.m.at(v.followedSince, v.readers[n].tell)
 }
 
-// post delivers something to the host under test, unless that has started anew since.
-func (v *storeView) post(f func(r *relay.Relay)) {
+// after runs f after a time, unless the host under test has started anew and reads the store itself.
+func (v *storeView) after(d time.Duration, f func()) {
 	r := v.m.relay
-	v.m.after(v.m.randomMillis(0, 30), func() {
-		if v.m.relay == r {
-			f(r)
+	v.m.after(d, func() {
+		if v.follows || v.m.relay == r {
+			f()
 		}
 	})
 }
@@ -90,20 +89,20 @@
 // renew renews the registration, or registers again if that has ended.
 func (r *storeReader) renew() {
 	m, sent := r.v.m, r.v.m.now
-	m.after(m.randomMillis(0, 30), func() {
+	r.v.after(m.randomMillis(0, 30), func() {
 		if r.v.cutOff || r.lease.registering {
 			return
 		}
 		if r.lease.ended || m.now.Sub(r.lease.renewed) > registrationLifetime {
 			r.lease.registering = true
-			m.after(m.randomMillis(0, 30), func() {
+			r.v.after(m.randomMillis(0, 30), func() {
 				r.lost()
-				m.after(m.randomMillis(5, 250), r.register)
+				r.v.after(m.randomMillis(5, 250), r.register)
 			})
 			return
 		}
 		r.lease.renewed = m.now
-		m.after(m.randomMillis(0, 30), func() { r.renewed(sent) })
+		r.v.after(m.randomMillis(0, 30), func() { r.renewed(sent) })
 	})
 }
 
@@ -111,14 +110,14 @@
 func (r *storeReader) register() {
 	m := r.v.m
 	if r.v.cutOff {
-		m.after(m.randomMillis(100, 250), r.register)
+		r.v.after(m.randomMillis(100, 250), r.register)
 		return
 	}
 	r.lease = leaseState{renewed: m.now, registering: true}
 	sent := m.now
-	m.after(m.randomMillis(0, 20), func() {
+	r.v.after(m.randomMillis(0, 20), func() {
 		o := m.record
-		m.after(m.randomMillis(0, 20), func() {
+		r.v.after(m.randomMillis(0, 20), func() {
 			r.lease.registering = false
 			r.read(o)
 			r.renewed(sent)
@@ -184,10 +183,10 @@
 	if v.follows {
 		return
 	}
-	m.after(m.randomMillis(1, 60), func() {
+	v.after(m.randomMillis(1, 60), func() {
 		o := m.record
 		if !v.cutOff {
-			v.post(func(*relay.Relay) { v.readers[0].read(o) })
+			v.after(m.randomMillis(0, 30), func() { v.readers[0].read(o) })
 		}
 	})
 }
--- a/core/relay/sole_primary.go
+++ b/core/relay/sole_primary.go
@@ -85,13 +85,16 @@
 	return soleProof{until: g.noLaterTermAt(others, t), source: proofStatuses, asked: others}
 }
 
-// noLaterTermAt returns the time at which all of the instances were in no later term than t, by their own
-// statuses; now if there are none, zero if one is in a later term or hasn't been asked.
+// noLaterTermAt returns the time at which all of the instances were in term t, by their own statuses; now if
+// there are none, zero if one is in another term or hasn't been asked.
+//
+// An earlier term proves nothing: an instance that has led a later one, and has started anew since, knows of
+// none until it has joined that of the primary which it reaches.
 func (g *group) noLaterTermAt(instances []fleet.Instance, t fleet.Term) time.Time {
 	at := g.r.now()
 	for _, n := range instances {
 		i := g.instances[n]
-		if i == nil || i.term > t || i.termAskedAt.IsZero() {
+		if i == nil || i.term != t || i.termAskedAt.IsZero() {
 			return time.Time{}
 		}
 		if i.termAskedAt.Before(at) {
@@ -134,9 +137,10 @@
 	if after.IsZero() || p == nil || !g.knowsAllInstances() {
 		return
 	}
+	t := g.primaryTerm()
 	for _, n := range g.possiblePrimaries(p.info.Name) {
 		i := g.instances[n]
-		if i == nil || !i.termAskedAt.Before(after) ||
+		if i == nil || i.term >= t && !i.termAskedAt.Before(after) ||
 			!i.askedAt.Before(after) && now.Sub(i.askedAt) < primaryRequestInterval {
 			continue
 		}
--- a/core/relay/sole_primary_test.go
+++ b/core/relay/sole_primary_test.go
@@ -380,18 +380,22 @@
 	}
 }
 
-// A replica joins a new term a moment after the primary has answered. Guards against a verification that
-// asks it only once, before that, and leaves a write in doubt.
+// A replica joins a new term a moment after the primary has answered. Guards against asking it only once,
+// before that, which leaves a write in doubt and a read waiting.
 func TestReplicaThatHasNotJoinedTheTermIsAskedAgain(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld(c).withConfirmedPrimary()
-	w.advance(4*time.Second, false)
-	w.instances["c"].term = 0
-	x := w.open("rush", "key-1")
-	x.do(statement.KindWrite, "", "item data")
-	w.advance(100*time.Millisecond, false)
-	c.Assert(x.answers, qt.HasLen, 0)
-	w.instances["c"].term = 1
-	w.advance(100*time.Millisecond, false)
-	c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+	for _, k := range []statement.Kind{statement.KindRead, statement.KindWrite} {
+		t.Run(string(k), func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(c).withConfirmedPrimary()
+			w.advance(4*time.Second, false)
+			w.instances["c"].term = 0
+			x := w.open("rush", "key-1")
+			x.do(k, "", "item data")
+			w.advance(100*time.Millisecond, false)
+			c.Assert(x.answers, qt.HasLen, 0)
+			w.instances["c"].term = 1
+			w.advance(80*time.Millisecond, false)
+			c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+		})
+	}
 }
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -161,7 +161,7 @@
 func (g *group) requestAwaited(now time.Time) {
 	for n, after := range g.pendingAnswers.Awaited() {
 		i := g.instances[n]
-		if i == nil || !i.askedAt.Before(after) {
+		if i == nil || !i.askedAt.Before(after) && now.Sub(i.askedAt) < primaryRequestInterval {
 			continue
 		}
 		g.requestStatus(now, i)
