Parse the catalogs in the order of their changes

Callers would see an evacuation that isn't applied: a list and the watch each had a new catalog parsed, the older one took longer, and came into force last on the registry's side and became the last valid configuration. The relay ignored it by its version, and with it the evacuation that came beside a configuration that can't be parsed.

Each change is queued where it is applied and parsed in that order, one at a time, so that none is skipped and none overtakes another. Reading the state and passing it on wait for no parsing, and a change is passed on before it comes into force.

--- a/io/registry/catalog.go
+++ b/io/registry/catalog.go
@@ -39,7 +39,8 @@
 		return 0, err
 	}
 	r.storeHealth.recordSuccess()
-	r.updateCatalog(r.operatorEntries.applyList(es, at, sent, r.cfg.Now()))
+	r.operatorEntries.applyList(es, at, sent, r.cfg.Now())
+	r.catalogUpdated()
 	r.CatalogConfirmed(sent)
 	return at, nil
 }
@@ -60,8 +61,10 @@
 	}
 	// As of when the response is complete isn't known here, so that the time of the last list goes on to
 	// stand for it.
-	r.updateCatalog(r.operatorEntries.applyEvents(es, max(at, after), r.cfg.Now()))
-	return max(at, after), nil
+	at = max(at, after)
+	r.operatorEntries.applyEvents(es, at, r.cfg.Now())
+	r.catalogUpdated()
+	return at, nil
 }
 
 // CatalogConfirmed records that the catalog in force on this host was the store's at the given
@@ -111,14 +114,29 @@
 // by operators, by its own readings or by copies that other hosts passed on.
 func (r *Registry) CatalogRevision() Revision { return r.operatorEntries.completeRevision() }
 
-// updateCatalog passes the operators' entries on to followers, and applies them if they have changed.
-func (r *Registry) updateCatalog(current snapshot, changed bool) {
+// catalogUpdated passes the operators' entries on to followers, and puts their changes in force.
+//
+// The changes are parsed one at a time, in the order in which they were applied. Otherwise a catalog that
+// takes long to parse would come into force after a newer one, or a valid configuration would be skipped
+// for an older one because the next one can't be parsed.
+func (r *Registry) catalogUpdated() {
 	r.passOnCatalog()
-	if changed {
+	r.catalogMu.Lock()
+	defer r.catalogMu.Unlock()
+	for _, current := range r.takeUnparsed() {
 		r.applyCatalog(current)
 	}
 }
 
+// takeUnparsed returns the operators' entries after each change that wasn't parsed yet.
+func (r *Registry) takeUnparsed() []snapshot {
+	r.operatorEntries.mu.Lock()
+	defer r.operatorEntries.mu.Unlock()
+	out := r.unparsed
+	r.unparsed = nil
+	return out
+}
+
 // passOnCatalog passes on the operators' entries that this host knows at the moment of passing on. A
 // reading that was captured earlier may be older by then than what is in force here.
 func (r *Registry) passOnCatalog() {
@@ -128,7 +146,7 @@
 // applyCatalog parses the operators' entries and puts the resulting catalog in force.
 //
 // If the configuration can't be parsed, the last valid one stays in force, and the other entries
-// are applied with it: an invalid configuration must not delay an evacuation.
+// are applied with it: an invalid configuration must not delay an evacuation. catalogMu is held.
 func (r *Registry) applyCatalog(current snapshot) {
 	at := current.index(r.cfg.CatalogKey)
 	if at < 0 {
@@ -137,8 +155,8 @@
 	c, err := r.cfg.ParseCatalog(current.entries)
 	if err != nil {
 		r.cfg.Logger.Error("catalog refused", zap.Uint64("revision", uint64(current.entries[at].Revision)), zap.Error(err))
-		last, ok := r.lastValid.Load().(snapshot)
-		if !ok {
+		last := r.lastValid
+		if last.entries == nil {
 			return
 		}
 		current.entries = slices.Clone(current.entries)
@@ -150,8 +168,10 @@
 			return
 		}
 	}
-	r.lastValid.Store(current)
+	r.lastValid = current
 	c.Revision = catalog.Revision(current.lastChange)
+	// The change may be one that another task has applied and not passed on yet.
+	r.passOnCatalog()
 	r.cfg.Post(func() { r.cfg.Catalog(c) })
 }
 
--- a/io/registry/follow.go
+++ b/io/registry/follow.go
@@ -31,7 +31,8 @@
 			// A host of an earlier build doesn't tell it. Its copy has its last change, at least.
 			c.CompleteTo = Revision(c.Version)
 		}
-		r.updateCatalog(r.operatorEntries.applyCopy(c, r.cfg.Now()))
+		r.operatorEntries.applyCopy(c, r.cfg.Now())
+		r.catalogUpdated()
 		r.CatalogConfirmed(c.ReadAt)
 	case follow.PartInstances:
 		if c.HasBody {
--- a/io/registry/part.go
+++ b/io/registry/part.go
@@ -28,6 +28,8 @@
 	// asOf is the latest time as of which no change is missing, by a reading of this host or a copy of
 	// another. readAt is when this host last began to read the part.
 	asOf, readAt time.Time
+	// noteChange is called after each change, in the order of the changes, with the lock held. It may be nil.
+	noteChange func(current snapshot)
 	// ordered are the entries in the order of their keys, nil after a change.
 	ordered []Entry
 	// passed is the last copy that another host has passed on with its body.
@@ -52,45 +54,43 @@
 	return slices.IndexFunc(s.entries, func(e Entry) bool { return e.Key == key })
 }
 
-// applyList applies a list that this host began to read at read and that is complete to a revision, and
-// reports whether anything has changed. now is the current time.
-func (p *part) applyList(es []Entry, at Revision, read, now time.Time) (snapshot, bool) {
+// applyList applies a list that this host began to read at read and that is complete to a revision. now
+// is the current time.
+func (p *part) applyList(es []Entry, at Revision, read, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.readAt = later(p.readAt, read)
-	changed := p.merge(es, at, read, now)
-	return p.snapshot(), changed
+	p.changedBy(p.merge(es, at, read, now))
 }
 
-// applyCopy applies a copy that another host has passed on, and reports whether anything has changed. A
-// copy without its body is the last one that had a body, and complete to a higher revision.
-func (p *part) applyCopy(c follow.PartCopy[[]Entry], now time.Time) (snapshot, bool) {
+// applyCopy applies a copy that another host has passed on. A copy without its body is the last one that
+// had a body, and complete to a higher revision.
+func (p *part) applyCopy(c follow.PartCopy[[]Entry], now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	changed := false
+	newest := Revision(0)
 	switch {
 	case c.HasBody:
 		p.passed = c
-		changed = p.merge(c.Body, c.CompleteTo, c.ReadAt, now)
+		newest = p.merge(c.Body, c.CompleteTo, c.ReadAt, now)
 	case c.CompleteTo <= p.completeTo:
 		p.asOf = later(p.asOf, c.ReadAt)
 	case p.passed.HasBody && p.passed.Version == c.Version:
-		changed = p.merge(p.passed.Body, c.CompleteTo, c.ReadAt, now)
+		newest = p.merge(p.passed.Body, c.CompleteTo, c.ReadAt, now)
 	}
-	if changed {
-		p.lastChange = max(p.lastChange, Revision(c.Version))
+	if newest != 0 {
+		p.changedBy(max(newest, Revision(c.Version)))
 	}
-	return p.snapshot(), changed
 }
 
-// merge applies all entries as of a revision and a time, and reports whether anything has changed.
-// Entries up to that revision that aren't among them have been removed.
-func (p *part) merge(es []Entry, at Revision, read, now time.Time) bool {
+// merge applies all entries as of a revision and a time, and returns the newest revision of a change,
+// zero if nothing has changed. Entries up to that revision that aren't among them have been removed.
+func (p *part) merge(es []Entry, at Revision, read, now time.Time) Revision {
 	// What the store held at that time, this host's entries lack nothing of if they are complete to a
 	// higher revision.
 	p.asOf = later(p.asOf, read)
 	if at < p.completeTo {
-		return false
+		return 0
 	}
 	newest := Revision(0)
 	listed := make(map[string]struct{}, len(es))
@@ -110,13 +110,11 @@
 	}
 	maps.DeleteFunc(p.removed, func(_ string, r removal) bool { return r.noticedAt.Before(read) })
 	p.completeTo = at
-	p.changedBy(newest)
-	return newest != 0
+	return newest
 }
 
-// applyEvents applies changes, and records that there are no others up to a revision. It reports
-// whether any of them is new.
-func (p *part) applyEvents(es []Entry, at Revision, now time.Time) (snapshot, bool) {
+// applyEvents applies changes, and records that there are no others up to a revision.
+func (p *part) applyEvents(es []Entry, at Revision, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	newest := Revision(0)
@@ -138,7 +136,6 @@
 	}
 	p.completeTo = max(p.completeTo, at)
 	p.changedBy(newest)
-	return p.snapshot(), newest != 0
 }
 
 // put stores an entry unless a newer state of its key is known, and reports whether it did.
@@ -167,9 +164,13 @@
 // changedBy advances lastChange after a change whose newest revision is given, zero for no change. Each
 // change has another lastChange, also one that becomes known after a later one.
 func (p *part) changedBy(newest Revision) {
-	if newest != 0 {
-		p.lastChange = max(newest, p.lastChange+1)
-		p.ordered = nil
+	if newest == 0 {
+		return
+	}
+	p.lastChange = max(newest, p.lastChange+1)
+	p.ordered = nil
+	if p.noteChange != nil {
+		p.noteChange(p.snapshot())
 	}
 }
 
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -148,10 +148,14 @@
 	hostsRefresh chan struct{}
 	// catalogRefresh is signalled when the catalog is to be read again.
 	catalogRefresh chan struct{}
-	// operatorEntries are the entries from which the catalog is parsed, lastValid the last snapshot
-	// of them that could be parsed.
+	// operatorEntries are the entries from which the catalog is parsed, unparsed those after each
+	// change that wasn't parsed yet, guarded by the lock of operatorEntries.
 	operatorEntries part
-	lastValid       atomic.Value
+	unparsed        []snapshot
+	// lastValid is the last snapshot that could be parsed. catalogMu guards it, and the order in which
+	// snapshots are parsed.
+	catalogMu sync.Mutex
+	lastValid snapshot
 	// lastCatalogConfirm is when this host or another last read the catalog and it was the one in force
 	// here.
 	lastCatalogConfirm atomic.Value
@@ -184,7 +188,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
-	return &Registry{
+	r := &Registry{
 		cfg: cfg, createdAt: time.Now(),
 		recordsRefresh: make(chan struct{}, 1), hostsRefresh: make(chan struct{}, 1),
 		catalogRefresh: make(chan struct{}, 1), instancesRefresh: make(chan struct{}, 1),
@@ -192,6 +196,8 @@
 		storeHealth:       dependency{name: "store", log: cfg.Logger},
 		promotionRequests: ring.New[leader.PromotionRequest](maxQueuedPromotions),
 	}
+	r.operatorEntries.noteChange = func(current snapshot) { r.unparsed = append(r.unparsed, current) }
+	return r
 }
 
 func (r *Registry) hostsPrefix() string { return r.cfg.Prefix + "hosts/" }
