Don't take a watch that this host ends for a lost store

Callers would see followers without a fresh proof: a request to read the catalog ended the watch, the error of the ended watch counted as a failed call, and the reader reported until its next successful call that it can't reach the store. Its followers left it, and the reading itself waited for the back-off.

The watch now ends without an error when the reading was requested, and a request that comes just as the watch returns isn't lost any more.

--- a/io/registry/catalog.go
+++ b/io/registry/catalog.go
@@ -45,25 +45,39 @@
 	return at, nil
 }
 
+// waitForCatalog watches the catalog after a revision and returns the revision after which to go on, zero
+// if the catalog is to be listed again.
 func (r *Registry) waitForCatalog(ctx context.Context, after Revision) (Revision, error) {
 	c, cancel := context.WithTimeout(ctx, watchDuration+callTimeout)
 	defer cancel()
+	reload := make(chan bool, 1)
 	go func() {
 		select {
 		case <-r.catalogRefresh:
 			cancel()
+			reload <- true
 		case <-c.Done():
+			reload <- false
 		}
 	}()
 	es, at, err := r.cfg.Store.Watch(c, r.cfg.CatalogPrefix, after, watchDuration)
+	cancel()
+	requested := <-reload
 	if err != nil {
+		if requested {
+			// The watch was ended here, the store didn't fail.
+			return 0, nil
+		}
 		return 0, err
 	}
+	at = max(at, after)
 	// As of when the response is complete isn't known here, so that the time of the last list goes on to
 	// stand for it.
-	at = max(at, after)
 	r.operatorEntries.applyEvents(es, at, r.cfg.Now())
 	r.catalogUpdated()
+	if requested {
+		return 0, nil
+	}
 	return at, nil
 }
 
