Let a follower read the catalog when it is asked to

Callers would see a withdrawn key that works on at a follower that knows of a newer catalog: it asked for the catalog to be read, and nothing ran on a follower that would read it. The only way to a newer one was its reader.

A follower now lists the catalog once for a request, at most every 2 s, into the same state as the copies of its reader. It neither registers nor watches, and a failure there doesn't count as a loss of the store.

--- a/io/registry/catalog.go
+++ b/io/registry/catalog.go
@@ -81,6 +81,32 @@
 	return at, nil
 }
 
+// ReloadCatalog requests that the catalog is read again, by a reader or a follower. It doesn't wait for
+// that.
+func (r *Registry) ReloadCatalog() { signal(r.catalogRefresh) }
+
+// followerReadInterval is the least time between two readings of the catalog by a follower: hundreds of
+// hosts may learn of a newer catalog at once, and the store is shared by all.
+const followerReadInterval = 2 * time.Second
+
+// readOnRequest reads the catalog whenever ReloadCatalog is called. A follower does so that knows of a
+// newer catalog, which no reader passes on.
+func (r *Registry) readOnRequest(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.catalogRefresh:
+		}
+		// What a reader can't reach, a follower may, and the other way round: a failure here tells
+		// nothing of the store.
+		if _, err := r.readCatalog(ctx); err != nil && ctx.Err() == nil {
+			r.cfg.Logger.Warn("catalog not read", zap.Error(err))
+		}
+		sleep.For(ctx, followerReadInterval)
+	}
+}
+
 // CatalogConfirmed records that the catalog in force on this host was the store's at the given
 // time. Other hosts' reports of their readings call it too.
 func (r *Registry) CatalogConfirmed(at time.Time) { storeLatest(&r.lastCatalogConfirm, at) }
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -212,29 +212,31 @@
 		r.cfg.Post(func() { r.cfg.Role(role) })
 	}
 	for ctx.Err() == nil {
-		if r.Role() == follow.RoleReader {
-			r.runReader(ctx)
+		if role := r.Role(); role != follow.RoleReader {
+			r.runTasks(ctx, role, r.readOnRequest)
 			continue
 		}
-		select {
-		case <-r.roleChanged:
-		case <-ctx.Done():
-		}
+		r.runReader(ctx)
 	}
 }
 
 // runReader runs a reader's tasks until the host has another role, then ends the registration.
 func (r *Registry) runReader(ctx context.Context) {
-	running, stop := context.WithCancel(ctx)
-	defer stop()
-	tasks := []func(context.Context){
+	r.runTasks(ctx, follow.RoleReader,
 		r.register, r.watchCatalog, r.confirmCatalog, r.pollInstances, r.pollHosts, r.readRecords,
 		r.maintainCoordinator, r.runPromotions, r.maintainHostCount,
-	}
+	)
+	r.deregister()
+}
+
+// runTasks runs the tasks of a role until the host has another role or ctx ends.
+func (r *Registry) runTasks(ctx context.Context, role follow.Role, tasks ...func(context.Context)) {
+	running, stop := context.WithCancel(ctx)
+	defer stop()
 	for _, task := range tasks {
 		r.tasks.Go(func() { task(running) })
 	}
-	for running.Err() == nil && r.Role() == follow.RoleReader {
+	for running.Err() == nil && r.Role() == role {
 		select {
 		case <-r.roleChanged:
 		case <-running.Done():
@@ -242,7 +244,6 @@
 	}
 	stop()
 	r.tasks.Wait()
-	r.deregister()
 }
 
 func (r *Registry) deregister() {
@@ -266,9 +267,6 @@
 // StoreReachable reports whether the store has answered since a call last failed.
 func (r *Registry) StoreReachable() bool { return !r.storeHealth.isLost() }
 
-// ReloadCatalog ends the current watch and requests that the catalog is read again. It doesn't wait for that.
-func (r *Registry) ReloadCatalog() { signal(r.catalogRefresh) }
-
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
