--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -148,10 +148,14 @@
 	hostsRefresh chan struct{}
 	// catalogRefresh is signalled when the catalog is to be read again.
 	catalogRefresh chan struct{}
-	// operatorEntries are the entries from which the catalog is parsed, lastValid the last snapshot
-	// of them that could be parsed.
+	// operatorEntries are the entries from which the catalog is parsed, unparsed those after each
+	// change that wasn't parsed yet, guarded by the lock of operatorEntries.
 	operatorEntries part
-	lastValid       atomic.Value
+	unparsed        []snapshot
+	// lastValid is the last snapshot that could be parsed. catalogMu guards it, and the order in which
+	// snapshots are parsed.
+	catalogMu sync.Mutex
+	lastValid snapshot
 	// lastCatalogConfirm is when this host or another last read the catalog and it was the one in force
 	// here.
 	lastCatalogConfirm atomic.Value
@@ -184,7 +188,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
-	return &Registry{
+	r := &Registry{
 		cfg: cfg, createdAt: time.Now(),
 		recordsRefresh: make(chan struct{}, 1), hostsRefresh: make(chan struct{}, 1),
 		catalogRefresh: make(chan struct{}, 1), instancesRefresh: make(chan struct{}, 1),
@@ -192,6 +196,8 @@
 		storeHealth:       dependency{name: "store", log: cfg.Logger},
 		promotionRequests: ring.New[leader.PromotionRequest](maxQueuedPromotions),
 	}
+	r.operatorEntries.noteChange = func(current snapshot) { r.unparsed = append(r.unparsed, current) }
+	return r
 }
 
 func (r *Registry) hostsPrefix() string { return r.cfg.Prefix + "hosts/" }
@@ -206,29 +212,31 @@
 		r.cfg.Post(func() { r.cfg.Role(role) })
 	}
 	for ctx.Err() == nil {
-		if r.Role() == follow.RoleReader {
-			r.runReader(ctx)
+		if role := r.Role(); role != follow.RoleReader {
+			r.runTasks(ctx, role, r.readOnRequest)
 			continue
 		}
-		select {
-		case <-r.roleChanged:
-		case <-ctx.Done():
-		}
+		r.runReader(ctx)
 	}
 }
 
 // runReader runs a reader's tasks until the host has another role, then ends the registration.
 func (r *Registry) runReader(ctx context.Context) {
-	running, stop := context.WithCancel(ctx)
-	defer stop()
-	tasks := []func(context.Context){
+	r.runTasks(ctx, follow.RoleReader,
 		r.register, r.watchCatalog, r.confirmCatalog, r.pollInstances, r.pollHosts, r.readRecords,
 		r.maintainCoordinator, r.runPromotions, r.maintainHostCount,
-	}
+	)
+	r.deregister()
+}
+
+// runTasks runs the tasks of a role until the host has another role or ctx ends.
+func (r *Registry) runTasks(ctx context.Context, role follow.Role, tasks ...func(context.Context)) {
+	running, stop := context.WithCancel(ctx)
+	defer stop()
 	for _, task := range tasks {
 		r.tasks.Go(func() { task(running) })
 	}
-	for running.Err() == nil && r.Role() == follow.RoleReader {
+	for running.Err() == nil && r.Role() == role {
 		select {
 		case <-r.roleChanged:
 		case <-running.Done():
@@ -236,7 +244,6 @@
 	}
 	stop()
 	r.tasks.Wait()
-	r.deregister()
 }
 
 func (r *Registry) deregister() {
@@ -260,9 +267,6 @@
 // StoreReachable reports whether the store has answered since a call last failed.
 func (r *Registry) StoreReachable() bool { return !r.storeHealth.isLost() }
 
-// ReloadCatalog ends the current watch and requests that the catalog is read again. It doesn't wait for that.
-func (r *Registry) ReloadCatalog() { signal(r.catalogRefresh) }
-
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
