--- a/io/grants/claims.go
+++ b/io/grants/claims.go
@@ -224,7 +224,7 @@
 func (r *Runtime) handleAcquired(h roster.Shard, rec quota.OwnershipRecord, lease uint64, left []remainingTokens) {
 	l, until := r.cfg.Store.Lease()
 	s := r.seat(h)
-	s.claim, s.notPreferredSince = quota.Claim{}, time.Time{}
+	s.claim = quota.Claim{}
 	kept := s.ownership.Acquired(rec)
 	if l == lease {
 		s.ownership.LeaseRenewed(lease, until)
