Keep the session open in the test of an entry host's death

Nothing referred to the session with the open transaction any more, so that the garbage collector could close its connection, and the entry host rolled it back, rightly. In a run in which that happened between the check and the kill, the test would have passed without testing the death.

The test now closes the session at its end. Its checks are as before.

Shown: with two calls of runtime.GC before the check it failed 3 of 3 times, and passes 5 of 5 with the change.

--- a/test/death_test.go
+++ b/test/death_test.go
@@ -82,7 +82,9 @@
 	f := startFleet(t, 4)
 	g := f.addHeldGroup(t, "entry-dies", 1)
 	holder, entry := g.holderAndEntry(t)
-	openWithdrawal(t, g, entry, "bottle")
+	// The session is closed after the death only: one that nobody refers to is closed by the garbage collector.
+	c := openWithdrawal(t, g, entry, "bottle")
+	defer closeSession(c)
 	qt.Assert(t, g.heldBy(t, holder).Pins, qt.Equals, 1)
 	w := g.write(f.others(entry), 3)
 	w.more(t, 20)
