Look again soon for the shards of a host that leaves

In a rolling restart nobody owned the shards of the leaving host for up to 2 s: the next owner had looked before they were released, and looked again only after 2 s, which is meant for shards whose owner stays. It now looks again in its next round (0.5 s), as for a claim that is under way.

A test guards the tokens that move, also when the answer that carries them is lost.

--- a/io/grants/helpers_test.go
+++ b/io/grants/helpers_test.go
@@ -83,6 +83,8 @@
 	cut     sync.Map
 	// until returns when a host's lease expires; if nil, leases never expire.
 	until func(fleet.Host) time.Time
+	// losesAnswers has calls carried out, and their answers lost.
+	losesAnswers atomic.Bool
 	// beforeRead, if set, is called before a host reads the store.
 	beforeRead atomic.Pointer[func(fleet.Host)]
 }
@@ -117,7 +119,11 @@
 				<-ctx.Done()
 				return nil, ctx.Err()
 			}
-			return b.hosts[to.Host].HandleGrant(ctx, q), nil
+			a := b.hosts[to.Host].HandleGrant(ctx, q)
+			if b.losesAnswers.Load() {
+				return nil, errDown
+			}
+			return a, nil
 		},
 		Store: grants.Store{
 			List: func(ctx context.Context, prefix string) ([]grants.Entry, error) {
--- a/io/grants/moves.go
+++ b/io/grants/moves.go
@@ -41,6 +41,8 @@
 	if !ok {
 		return
 	}
+	// A host that leaves gives its shards up soon, if not now.
+	c.pending = c.pending || m.Leaving
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
 	a, err := r.cfg.Call(ctx, m, q)
--- a/io/grants/moves_test.go
+++ b/io/grants/moves_test.go
@@ -127,3 +127,31 @@
 	b.hosts["o1"].Leave(context.Background())
 	eventually(t, "they stay", func() bool { return b.owned("o2") == allShards })
 }
+
+// Guards against tokens that are spent by both owners of a shard that moves: they are with the
+// answer that says so, and with the release that the former owner writes if that answer is lost.
+func TestTokensThatMoveAreSpentOnce(t *testing.T) {
+	const burst = 30
+	for _, lost := range []bool{false, true} {
+		c := qt.New(t)
+		b := newBench(twoHosts, document.Account{Name: "hotel", Rate: 0.01, Burst: burst})
+		b.runFirst(t)
+		before, _ := b.admit("o1", 10)
+		c.Assert(before, qt.Equals, 10)
+		b.losesAnswers.Store(lost)
+		b.setMembers(twoHosts)
+		eventually(t, "the shards have moved", func() bool {
+			return b.owned("o2") > 0 && b.owned("o1")+b.owned("o2") == allShards
+		})
+		b.losesAnswers.Store(false)
+		after := 0
+		eventually(t, "the new owner grants what was left", func() bool {
+			for _, m := range twoHosts {
+				n, _ := b.admit(m.Host, burst)
+				after += n
+			}
+			return after >= burst/3
+		})
+		c.Assert(before+after <= burst, qt.IsTrue, qt.Commentf("%d of %d, answers lost: %t", before+after, burst, lost))
+	}
+}
