--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -308,3 +308,29 @@
 	verified, _ = p.AddStatus("b", start.Add(time.Millisecond), 2)
 	c.Assert(verified, qt.HasLen, 1)
 }
+
+// Guards against reads and writes that go on at an instance which has itself shown that it doesn't lead:
+// the primary, or the former one while a promotion is in progress.
+func TestInstanceThatShowsThatItDoesNotLeadIsNoPrimary(t *testing.T) {
+	for name, show := range map[string]func(p *leader.PrimaryState){
+		"refusal":  func(p *leader.PrimaryState) { p.AddRefusal("a") },
+		"status":   func(p *leader.PrimaryState) { p.AddStatus("a", statement.Status{Role: fleet.RoleReplica, Term: 1}) },
+		"log term": func(p *leader.PrimaryState) { p.AddLogTerm("a", 2) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			p := confirmedPrimary()
+			show(p)
+			_, _, confirmed := p.Primary()
+			c.Check(confirmed, qt.IsFalse)
+
+			p = confirmedPrimary()
+			p.AddRecord(leader.Record{Primary: "b", Former: "a", Term: 2, Revision: 7})
+			_, _, former := p.FormerPrimary()
+			c.Assert(former, qt.IsTrue)
+			show(p)
+			_, _, former = p.FormerPrimary()
+			c.Check(former, qt.IsFalse)
+		})
+	}
+}
--- a/core/relay/sole_primary_test.go
+++ b/core/relay/sole_primary_test.go
@@ -123,6 +123,7 @@
 	}
 	is[0].Started = 99
 	w.relay.SetInstances(is, w.now)
+	c.Assert(w.relay.State().Groups[0].PrimaryKnown, qt.IsFalse)
 	ran, _ := w.readOnce("rush", 100*time.Millisecond, true)
 	c.Assert(ran["a"], qt.Equals, 0)
 }
@@ -302,9 +303,11 @@
 	a.role, a.position = fleet.RoleReplica, fleet.LogPosition{}
 	a.started = 99
 	w.list()
+	c.Assert(w.relay.State().Groups[0].PrimaryKnown, qt.IsFalse, qt.Commentf("the list tells of a new process"))
 	for _, f := range late {
 		f()
 	}
+	c.Assert(w.relay.State().Groups[0].PrimaryKnown, qt.IsFalse)
 	w.readOnce("rush", 100*time.Millisecond, true)
 	c.Assert(a.executed, qt.HasLen, 0)
 }
--- a/core/staleness/staleness_test.go
+++ b/core/staleness/staleness_test.go
@@ -59,3 +59,15 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(last.Position.Index, qt.Equals, fleet.LogIndex(499))
 }
+
+// Guards against an answer that arrives late and takes the place of a newer sample.
+func TestSampleThatWasAskedForEarlierIsIgnored(t *testing.T) {
+	c := qt.New(t)
+	var s staleness.Samples
+	at := time.Unix(1000, 0)
+	s.Add(staleness.Sample{AskedAt: at, Position: fleet.LogPosition{Term: 1, Index: 5}})
+	s.Add(staleness.Sample{AskedAt: at.Add(-time.Millisecond), Position: fleet.LogPosition{Term: 1, Index: 4}})
+	n, ok := s.Newest()
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(n.Position, qt.Equals, fleet.LogPosition{Term: 1, Index: 5})
+}
