--- a/core/relay/guard_test.go
+++ b/core/relay/guard_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -87,3 +88,100 @@
 
 // holderOfAll is a host so strong that it holds the connections of all instances.
 const holderOfAll fleet.Host = "h9"
+
+// A status is asked of b, and then a read is sent to it on another connection. The read runs first, while b
+// is a lagging replica; the status is answered once b leads, and read before the read's answer. Guards
+// against taking the read's log position for one of b's term, as it was asked for later than the status that
+// confirms b: at once, by the registration, or once the other instances have verified the answer.
+func TestPositionAskedForBeforeTheConfirmationArrivedIsIgnored(t *testing.T) {
+	for _, renewed := range []bool{true, false} {
+		t.Run(fmt.Sprintf("renewed %v", renewed), func(t *testing.T) {
+			c := qt.New(t)
+			w := newConnectedWorld(c)
+			a, b, other := w.instances["a"], w.instances["b"], w.instances["c"]
+			b.otherDataCentre = false
+			w.list("c")
+			w.readOnReplicaB()
+			w.advance(1100*time.Millisecond, false)
+			if !renewed {
+				// The registration no longer covers what the read owes, and the others' statuses are needed.
+				w.advance(1300*time.Millisecond, false)
+				w.open("stock", "key-1").do(statement.KindRead, "", "item")
+				// A log position from now no longer counts for the last read.
+				w.advance(500*time.Millisecond, false)
+			}
+			b.holdRequests = true
+			w.open("rush", "key-1").do(statement.KindRead, "", "item")
+			c.Assert(b.inbox, qt.HasLen, 1, qt.Commentf("the status"))
+			a.busy = true
+			for range 2 {
+				w.open("stock", "key-1").do(statement.KindRead, "", "item")
+			}
+			c.Assert(len(b.inbox) > 1, qt.IsTrue, qt.Commentf("no read on b"))
+			b.hold, b.holdRequests = true, false
+			b.inbox[1]()
+			late := b.pending
+			c.Assert(late, qt.HasLen, 1)
+			b.pending, b.hold, a.busy = nil, false, false
+			w.list()
+			w.promote().position.Index = 9
+			a.role, a.term, other.term = fleet.RoleReplica, 2, 2
+			w.relay.AddRecord(promotionOfB)
+			b.inbox[0]()
+			w.deliver()
+			c.Assert(w.relay.State().Groups[0].PrimaryKnown, qt.IsTrue)
+			if renewed {
+				w.renew()
+			}
+			late[0]()
+			// What a showed before the cut no longer counts after this time.
+			w.advance(1200*time.Millisecond, renewed)
+			ran, _ := w.readOnce("stock", 20*time.Millisecond, renewed)
+			c.Assert(ran["a"]+ran["c"], qt.Equals, 0, qt.Commentf("they end at %v, b leads with %v", other.position, b.position))
+		})
+	}
+}
+
+// A host without a registration asks a for its log position, not knowing that b leads and has acknowledged
+// writes. It hears of b, and has a registration again, while that position waits to be verified. Guards
+// against verifying it by what is known of b.
+func TestPositionOfTheFormerPrimaryIsNotVerifiedForItsSuccessor(t *testing.T) {
+	c := qt.New(t)
+	w := newConnectedWorld(c)
+	b, other := w.instances["b"], w.instances["c"]
+	w.advance(4*time.Second, false)
+	b.hold, other.hold = true, true
+	w.promote().position = fleet.LogPosition{Term: 2, Index: 9}
+	other.term = 2
+	x := w.open("stock", "key-1")
+	x.do(statement.KindRead, "", "item")
+	w.advance(60*time.Millisecond, false)
+	x.s.Disconnected()
+	w.relay.AddRecord(promotionOfB)
+	w.renew()
+	b.hold, other.hold, b.busy = false, false, true
+	a := w.instances["a"]
+	executed := len(a.executed) + len(other.executed)
+	w.deliver()
+	c.Assert(w.relay.State().Groups[0].Primary, qt.Equals, fleet.Instance("b"))
+	w.advance(20*time.Millisecond, true)
+	for range 3 {
+		w.readOnce("stock", 50*time.Millisecond, true)
+	}
+	c.Assert(w.relay.State().Groups[0].PrimaryKnown, qt.IsTrue)
+	c.Assert(len(a.executed)+len(other.executed), qt.Equals, executed)
+}
+
+// readOnReplicaB has two reads run on b at a time, so that there are two connections to it.
+func (w *world) readOnReplicaB() {
+	a, b := w.instances["a"], w.instances["b"]
+	a.busy, b.hold = true, true
+	for range 10 {
+		w.open("stock", "key-1").do(statement.KindRead, "", "item")
+		w.advance(20*time.Millisecond, true)
+	}
+	a.busy, b.hold = false, false
+	w.deliver()
+	w.c.Assert(len(b.conns) > 1, qt.IsTrue)
+	w.open("rush", "key-1").do(statement.KindRead, "", "for the sample")
+}
--- a/core/relay/node_test.go
+++ b/core/relay/node_test.go
@@ -23,6 +23,9 @@
 	// hold keeps answers in pending until it is unset and they are delivered.
 	hold    bool
 	pending []func()
+	// holdRequests keeps statements in inbox, which a test runs in an order of its own.
+	holdRequests bool
+	inbox        []func()
 	// fail holds the codes that the next statements fail with, one each, instead of running.
 	fail []statement.Code
 	// refuse is the code that new connections are refused with, empty to accept them.
@@ -66,6 +69,10 @@
 	if n.silent || l.closed {
 		return
 	}
+	if n.holdRequests {
+		n.inbox = append(n.inbox, func() { w.receive(l, q) })
+		return
+	}
 	a := n.run(l, q)
 	n.pending = append(n.pending, func() {
 		if !l.closed {
