Order lists of instances by the store's revision, in both roles

Callers would see new work on an instance that is leaving, and none on one that has registered: a follower that took up another reader put the list of that reader in place of a newer one, and so did a reader that became a follower. Nothing compared the two.

The list now goes into the same kind of state as the catalog: what this host reads and what readers pass on, each entry by its revision and the whole by the revision to which it is complete. An older list changes nothing, and confirms the newer one as of its time. The instances are reported as they are known at the moment of reporting, with a time that never moves back. A copy of an earlier build, which tells no revision, goes by its time as before. ApplyPart tells whether a copy confirms what is in use, and only then the relay takes the list for confirmed.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -203,8 +203,7 @@
 			h.meetAll(h.registry.ParseHosts(c.Body))
 			continue
 		}
-		h.registry.ApplyPart(p, c)
-		if p == follow.PartInstances {
+		if h.registry.ApplyPart(p, c) && p == follow.PartInstances {
 			h.relay.InstancesConfirmed(c.ReadAt)
 		}
 	}
--- a/io/registry/copies_test.go
+++ b/io/registry/copies_test.go
@@ -228,18 +228,27 @@
 }
 
 // Guards against a follower that takes up another reader, and with it an older list of instances: an
-// instance that has registered isn't listed any more, one that is leaving isn't leaving.
+// instance that has registered isn't listed any more, one that is leaving isn't leaving. The revisions
+// tell which one is older; the times do where a reader of an earlier build gives no revision.
 func TestOlderListOfAnotherReaderIsIgnored(t *testing.T) {
-	c := qt.New(t)
-	r, got, counts := startFollowing(c)
-	now := time.Now()
-	r.ApplyPart(follow.PartInstances, follow.PartCopy[[]registry.Entry]{
-		Version: 22, ReadAt: now, HasBody: true, Body: instanceEntries("a", "b"),
-	})
-	r.ApplyPart(follow.PartInstances, follow.PartCopy[[]registry.Entry]{
-		Version: 11, ReadAt: now.Add(-time.Second), HasBody: true, Body: instanceEntries("a"),
-	})
-	got.locked(func() { c.Check((*counts)[len(*counts)-1], qt.Equals, 2, qt.Commentf("listed: %v", *counts)) })
+	for _, older := range []follow.PartCopy[[]registry.Entry]{
+		{ReadAt: time.Now().Add(-time.Second)},
+		{CompleteTo: 10, ReadAt: time.Now().Add(time.Second)},
+	} {
+		c := qt.New(t)
+		r, got, counts := startFollowing(c)
+		newer := follow.PartCopy[[]registry.Entry]{
+			Version: 22, ReadAt: time.Now(), HasBody: true, Body: instanceEntries("a", "b"),
+		}
+		if older.CompleteTo != 0 {
+			newer.CompleteTo = 20
+		}
+		c.Check(r.ApplyPart(follow.PartInstances, newer), qt.IsTrue)
+		older.Version, older.HasBody, older.Body = 11, true, instanceEntries("a")
+		// A list that is complete to a lower revision and was begun later confirms the newer one.
+		c.Check(r.ApplyPart(follow.PartInstances, older), qt.Equals, older.CompleteTo != 0)
+		got.locked(func() { c.Check((*counts)[len(*counts)-1], qt.Equals, 2, qt.Commentf("listed: %v", *counts)) })
+	}
 }
 
 // Guards against a follower that takes up another reader, and with it an older catalog.
--- a/io/registry/follow.go
+++ b/io/registry/follow.go
@@ -23,21 +23,15 @@
 }
 
 // ApplyPart applies a part of the store that another host has read. The ReadAt of c is a time of
-// this host's clock that isn't later than that reading.
-func (r *Registry) ApplyPart(p follow.Part, c follow.PartCopy[[]Entry]) {
+// this host's clock that isn't later than that reading. A copy that is complete to a lower revision than
+// what is known here changes nothing. ApplyPart reports whether what is known here lacks no change as of
+// ReadAt.
+func (r *Registry) ApplyPart(p follow.Part, c follow.PartCopy[[]Entry]) bool {
 	switch p {
 	case follow.PartCatalog:
-		if c.CompleteTo == 0 {
-			// A host of an earlier build doesn't tell it. Its copy has its last change, at least.
-			c.CompleteTo = Revision(c.Version)
-		}
-		r.operatorEntries.applyCopy(c, r.cfg.Now())
-		r.catalogUpdated()
-		r.CatalogConfirmed(c.ReadAt)
+		return r.applyCatalogCopy(c)
 	case follow.PartInstances:
-		if c.HasBody {
-			r.applyInstances(c.Body, c.ReadAt)
-		}
+		return r.applyInstancesCopy(c)
 	case follow.PartRecords:
 		if c.HasBody {
 			for _, rec := range r.parseRecords(c.Body) {
@@ -47,6 +41,38 @@
 	case follow.PartHosts:
 		// Hosts are not applied here: the caller parses them by ParseHosts.
 	}
+	return false
+}
+
+func (r *Registry) applyCatalogCopy(c follow.PartCopy[[]Entry]) bool {
+	// The version of a catalog is the revision of its last change.
+	changedAt := Revision(c.Version)
+	if c.CompleteTo == 0 {
+		// A host of an earlier build doesn't tell it.
+		c.CompleteTo = changedAt
+	}
+	if c.CompleteTo == 0 {
+		return false
+	}
+	current := r.operatorEntries.applyCopy(c, changedAt, r.cfg.Now())
+	r.catalogUpdated()
+	if current {
+		r.CatalogConfirmed(c.ReadAt)
+	}
+	return current
+}
+
+func (r *Registry) applyInstancesCopy(c follow.PartCopy[[]Entry]) (current bool) {
+	before, _ := r.InstancesDigest()
+	if c.CompleteTo == 0 {
+		current = r.instanceList.applyUnordered(c, r.cfg.Now())
+	} else {
+		current = r.instanceList.applyCopy(c, c.CompleteTo, r.cfg.Now())
+	}
+	if after, _ := r.InstancesDigest(); after != before || c.HasBody && current {
+		r.reportInstances()
+	}
+	return current
 }
 
 // passOn passes a part of the store on to the hosts that follow this one. The copy is made at the moment
--- a/io/registry/lists.go
+++ b/io/registry/lists.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,12 +14,14 @@
 	"skylarkdeal/internal/sleep"
 )
 
-// instanceList describes the last reading of the list of instances: its digest, when this host read
-// it, and when it was last known to be the store's, by a reading of this host or of another.
+// instanceList is the list of instances. Its version is the digest of the instances, zero if there are
+// none.
 type instanceList struct {
-	mu                  sync.Mutex
-	digest              uint64
-	readAt, confirmedAt time.Time
+	part
+	// instances are those of the part's entries. confirmedAt is when the list was last known to be the
+	// store's, by a reading of this host or of another. Both are guarded by the part's lock.
+	instances   []catalog.Instance
+	confirmedAt time.Time
 }
 
 // InstancesDigest returns the digest of the list of instances in use on this host, and when this
@@ -32,7 +33,7 @@
 func (r *Registry) InstancesDigest() (uint64, time.Time) {
 	r.instanceList.mu.Lock()
 	defer r.instanceList.mu.Unlock()
-	return r.instanceList.digest, r.instanceList.readAt
+	return uint64(r.instanceList.version), r.instanceList.readAt
 }
 
 // instancesConfirmed returns the digest of the list in use, and when it was last known to be the
@@ -40,7 +41,7 @@
 func (r *Registry) instancesConfirmed() (uint64, time.Time) {
 	r.instanceList.mu.Lock()
 	defer r.instanceList.mu.Unlock()
-	return r.instanceList.digest, r.instanceList.confirmedAt
+	return uint64(r.instanceList.version), r.instanceList.confirmedAt
 }
 
 // InstancesConfirmed records that a list with the digest was the store's at the given time, and
@@ -49,7 +50,7 @@
 func (r *Registry) InstancesConfirmed(digest uint64, at time.Time) bool {
 	r.instanceList.mu.Lock()
 	defer r.instanceList.mu.Unlock()
-	same := digest == r.instanceList.digest
+	same := digest == uint64(r.instanceList.version)
 	switch {
 	case !at.After(r.instanceList.confirmedAt):
 	case same:
@@ -114,28 +115,41 @@
 	if err != nil {
 		return err
 	}
-	digest := r.applyInstances(es, sent)
-	r.instanceList.mu.Lock()
-	defer r.instanceList.mu.Unlock()
-	r.instanceList.digest, r.instanceList.readAt, r.instanceList.confirmedAt = digest, sent, sent
-	r.passOn(follow.PartInstances, func() follow.PartCopy[[]Entry] {
-		return follow.PartCopy[[]Entry]{
-			Version: follow.Version(digest), CompleteTo: at, ReadAt: sent, HasBody: true, Body: es,
-		}
-	})
+	r.instanceList.applyList(es, at, sent, r.cfg.Now())
+	r.instanceList.confirm(sent)
+	r.passOn(follow.PartInstances, r.instanceList.copy)
+	r.reportInstances()
 	return nil
 }
 
+// confirm records that the list was the store's at the given time.
+func (l *instanceList) confirm(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.confirmedAt = later(l.confirmedAt, at)
+}
+
+// reportInstances reports the instances that are known at the moment of reporting, and as of when: a list
+// that was captured earlier may be older by then than one that was reported.
+func (r *Registry) reportInstances() {
+	r.cfg.Post(func() { r.cfg.Instances(r.instanceList.current()) })
+}
+
+func (l *instanceList) current() ([]catalog.Instance, time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.instances, l.asOf
+}
+
 // coldGranularity is the precision to which the time that an instance stays cold counts for the
 // digest. A smaller change isn't passed on to followers.
 const coldGranularity = 2 * time.Second
 
-// applyInstances reports the instances of a reading and returns their digest, zero if there are
-// none.
-func (r *Registry) applyInstances(es []Entry, sent time.Time) uint64 {
-	is := make([]catalog.Instance, 0, len(es))
+// parseInstances sets the instances and their digest after a change of the entries. The lock is held.
+func (r *Registry) parseInstances(current snapshot) {
+	is := make([]catalog.Instance, 0, len(current.entries))
 	digest := xxhash.New()
-	for _, e := range es {
+	for _, e := range current.entries {
 		if i, ok := r.cfg.ParseInstance(e); ok {
 			is = append(is, i)
 			// The time that an instance stays cold changes with each heartbeat.
@@ -143,11 +157,10 @@
 			fmt.Fprintf(digest, "%+v\n", i)
 		}
 	}
-	r.cfg.Post(func() { r.cfg.Instances(is, sent) })
-	if len(is) == 0 {
-		return 0
+	r.instanceList.instances, r.instanceList.version = is, 0
+	if len(is) > 0 {
+		r.instanceList.version = follow.Version(digest.Sum64())
 	}
-	return digest.Sum64()
 }
 
 // pollHosts lists the registered hosts repeatedly, and at once when ListHosts is called.
--- a/io/registry/part.go
+++ b/io/registry/part.go
@@ -28,6 +28,8 @@
 	// asOf is the latest time as of which no change is missing, by a reading of this host or a copy of
 	// another. readAt is when this host last began to read the part.
 	asOf, readAt time.Time
+	// version identifies the entries. It is lastChange unless noteChange sets another one.
+	version follow.Version
 	// noteChange is called after each change, in the order of the changes, with the lock held. It may be nil.
 	noteChange func(current snapshot)
 	// ordered are the entries in the order of their keys, nil after a change.
@@ -60,44 +62,68 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.readAt = later(p.readAt, read)
-	p.changedBy(p.merge(es, at, read, now))
+	if newest, changed := p.merge(es, at, read, now); changed {
+		p.changedBy(newest)
+	}
+}
+
+// applyCopy applies a copy that another host has passed on, and reports whether this host lacks no change
+// as of the time of the copy. changedAt is the revision of the change that the copy brings, if any. A copy
+// without its body is the last one that had a body, and complete to a higher revision.
+func (p *part) applyCopy(c follow.PartCopy[[]Entry], changedAt Revision, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.applyLocked(c, changedAt, now)
 }
 
-// applyCopy applies a copy that another host has passed on. A copy without its body is the last one that
-// had a body, and complete to a higher revision.
-func (p *part) applyCopy(c follow.PartCopy[[]Entry], now time.Time) {
+// applyUnordered applies a copy of a host of an earlier build, which doesn't tell to which revision it is
+// complete. Such a copy goes by its time.
+func (p *part) applyUnordered(c follow.PartCopy[[]Entry], now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	newest := Revision(0)
+	if c.ReadAt.Before(p.asOf) || !c.HasBody && !p.wasPassed(c.Version) {
+		return false
+	}
+	c.CompleteTo = p.completeTo
+	for _, e := range c.Body {
+		c.CompleteTo = max(c.CompleteTo, e.Revision)
+	}
+	return p.applyLocked(c, c.CompleteTo, now)
+}
+
+func (p *part) applyLocked(c follow.PartCopy[[]Entry], changedAt Revision, now time.Time) bool {
 	switch {
 	case c.HasBody:
 		p.passed = c
-		newest = p.merge(c.Body, c.CompleteTo, c.ReadAt, now)
 	case c.CompleteTo <= p.completeTo:
 		p.asOf = later(p.asOf, c.ReadAt)
-	case p.passed.HasBody && p.passed.Version == c.Version:
-		newest = p.merge(p.passed.Body, c.CompleteTo, c.ReadAt, now)
+		return true
+	case !p.wasPassed(c.Version):
+		return false
 	}
-	if newest != 0 {
-		p.changedBy(max(newest, Revision(c.Version)))
+	if _, changed := p.merge(p.passed.Body, c.CompleteTo, c.ReadAt, now); changed {
+		p.changedBy(changedAt)
 	}
+	return true
 }
 
-// merge applies all entries as of a revision and a time, and returns the newest revision of a change,
-// zero if nothing has changed. Entries up to that revision that aren't among them have been removed.
-func (p *part) merge(es []Entry, at Revision, read, now time.Time) Revision {
+// wasPassed reports whether the last body that another host has passed on is of the version.
+func (p *part) wasPassed(v follow.Version) bool { return p.passed.HasBody && p.passed.Version == v }
+
+// merge applies all entries as of a revision and a time. It returns whether anything has changed, and the
+// newest revision of a change. Entries up to the given revision that aren't among es have been removed.
+func (p *part) merge(es []Entry, at Revision, read, now time.Time) (newest Revision, changed bool) {
 	// What the store held at that time, this host's entries lack nothing of if they are complete to a
 	// higher revision.
 	p.asOf = later(p.asOf, read)
 	if at < p.completeTo {
-		return 0
+		return 0, false
 	}
-	newest := Revision(0)
 	listed := make(map[string]struct{}, len(es))
 	for _, e := range es {
 		listed[e.Key] = struct{}{}
 		if p.put(e) {
-			newest = max(newest, e.Revision)
+			newest, changed = max(newest, e.Revision), true
 		}
 	}
 	for key, e := range p.entries {
@@ -105,37 +131,43 @@
 			// The revision of the removal isn't known, but the entry isn't one of a later revision
 			// than that of the list.
 			p.remove(key, at, now)
-			newest = max(newest, at)
+			newest, changed = max(newest, at), true
 		}
 	}
 	maps.DeleteFunc(p.removed, func(_ string, r removal) bool { return r.noticedAt.Before(read) })
 	p.completeTo = at
-	return newest
+	return newest, changed
 }
 
 // applyEvents applies changes, and records that there are no others up to a revision.
 func (p *part) applyEvents(es []Entry, at Revision, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	newest := Revision(0)
+	newest, changed := Revision(0), false
 	for _, e := range es {
 		at = max(at, e.Revision)
-		known, ok := p.entries[e.Key]
-		switch {
-		case e.Revision <= p.completeTo:
-		case !e.Deleted:
-			if p.put(e) {
-				newest = max(newest, e.Revision)
-			}
-		case !ok || known.Revision < e.Revision:
-			p.remove(e.Key, e.Revision, now)
-			if ok {
-				newest = max(newest, e.Revision)
-			}
+		if e.Revision > p.completeTo && p.applyEvent(e, now) {
+			newest, changed = max(newest, e.Revision), true
 		}
 	}
 	p.completeTo = max(p.completeTo, at)
-	p.changedBy(newest)
+	if changed {
+		p.changedBy(newest)
+	}
+}
+
+// applyEvent applies one change and reports whether it changed anything.
+func (p *part) applyEvent(e Entry, now time.Time) bool {
+	if !e.Deleted {
+		return p.put(e)
+	}
+	known, ok := p.entries[e.Key]
+	if ok && known.Revision > e.Revision {
+		// The key was written again since.
+		return false
+	}
+	p.remove(e.Key, e.Revision, now)
+	return ok
 }
 
 // put stores an entry unless a newer state of its key is known, and reports whether it did.
@@ -161,14 +193,11 @@
 	p.removed[key] = removal{at, now}
 }
 
-// changedBy advances lastChange after a change whose newest revision is given, zero for no change. Each
-// change has another lastChange, also one that becomes known after a later one.
+// changedBy advances lastChange after a change whose newest revision is given. Each change has another
+// lastChange, also one that becomes known after a later one.
 func (p *part) changedBy(newest Revision) {
-	if newest == 0 {
-		return
-	}
 	p.lastChange = max(newest, p.lastChange+1)
-	p.ordered = nil
+	p.version, p.ordered = follow.Version(p.lastChange), nil
 	if p.noteChange != nil {
 		p.noteChange(p.snapshot())
 	}
@@ -186,7 +215,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return follow.PartCopy[[]Entry]{
-		Version: follow.Version(p.lastChange), CompleteTo: p.completeTo, ReadAt: p.asOf,
+		Version: p.version, CompleteTo: p.completeTo, ReadAt: p.asOf,
 		HasBody: true, Body: p.snapshot().entries,
 	}
 }
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -58,8 +58,8 @@
 	Role     func(role follow.Role)
 
 	Catalog func(c *catalog.Catalog)
-	// Instances is called with each reading of the list of instances. The reading was begun at
-	// read.
+	// Instances is called with the list of instances after each reading of it, and after each change that
+	// another host passes on. The list lacks no change as of read, which never moves back.
 	Instances func(is []catalog.Instance, read time.Time)
 	Hosts     func(hs []Host)
 	// HostCount is called at the start with the number of hosts that was last written to the store,
@@ -159,8 +159,8 @@
 	// lastCatalogConfirm is when this host or another last read the catalog and it was the one in force
 	// here.
 	lastCatalogConfirm atomic.Value
-	// instanceList describes the list of instances in use; instancesRefresh is signalled when it is
-	// to be read again.
+	// instanceList is the list of instances in use; instancesRefresh is signalled when it is to be read
+	// again.
 	instanceList     instanceList
 	instancesRefresh chan struct{}
 	storeHealth      dependency
@@ -197,6 +197,7 @@
 		promotionRequests: ring.New[leader.PromotionRequest](maxQueuedPromotions),
 	}
 	r.operatorEntries.noteChange = func(current snapshot) { r.unparsed = append(r.unparsed, current) }
+	r.instanceList.noteChange = r.parseInstances
 	return r
 }
 
