Pass on what a host learnt as a follower once it reads again

Callers would see a withdrawn key that works on, at the followers of a host that was a reader, followed another one and reads again: until its first list it passed on what it had read before it followed. Its copies were only replaced while it was a reader. The same held for instances and records.

Each part is now kept up to date for passing on in both roles, from one state, and records that a follower learns go into the records that it passes on later. Records carry the revision and the time of their last list.

--- a/io/registry/follow.go
+++ b/io/registry/follow.go
@@ -34,9 +34,11 @@
 		return r.applyInstancesCopy(c)
 	case follow.PartRecords:
 		if c.HasBody {
+			r.cacheRecords(c.Body, c.CompleteTo, c.ReadAt)
 			for _, rec := range r.parseRecords(c.Body) {
 				r.cfg.Record(rec)
 			}
+			r.passOnRecords()
 		}
 	case follow.PartHosts:
 		// Hosts are not applied here: the caller parses them by ParseHosts.
@@ -72,13 +74,15 @@
 	if after, _ := r.InstancesDigest(); after != before || c.HasBody && current {
 		r.reportInstances()
 	}
+	r.passOn(follow.PartInstances, r.instanceList.copy)
 	return current
 }
 
-// passOn passes a part of the store on to the hosts that follow this one. The copy is made at the moment
-// of passing on.
+// passOn has a part of the store passed on to the hosts that follow this one, as it is known at that
+// moment. A follower does so too, for those that it passes it on to once it is a reader: before its first
+// list it has nothing newer than what its own reader passed on.
 func (r *Registry) passOn(p follow.Part, makeCopy func() follow.PartCopy[[]Entry]) {
-	if r.cfg.PartRead == nil || r.Role() != follow.RoleReader {
+	if r.cfg.PartRead == nil {
 		return
 	}
 	r.cfg.Post(func() {
--- a/io/registry/records.go
+++ b/io/registry/records.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -15,11 +16,12 @@
 )
 
 func (r *Registry) listRecords(ctx context.Context) ([]leader.Record, error) {
-	es, _, err := r.cfg.Store.List(ctx, r.recordsPrefix())
+	sent := r.cfg.Now()
+	es, at, err := r.cfg.Store.List(ctx, r.recordsPrefix())
 	if err != nil {
 		return nil, err
 	}
-	r.cacheRecords(es)
+	r.cacheRecords(es, at, sent)
 	return r.parseRecords(es), nil
 }
 
@@ -69,10 +71,12 @@
 	}
 }
 
-// cacheRecords stores the entries that are newer than the known ones.
-func (r *Registry) cacheRecords(es []Entry) {
+// cacheRecords stores the entries that are newer than the known ones. They lack no change up to a
+// revision and as of a time, zero if that isn't known.
+func (r *Registry) cacheRecords(es []Entry, at Revision, read time.Time) {
 	r.recordsMu.Lock()
 	defer r.recordsMu.Unlock()
+	r.recordsCompleteTo, r.recordsAsOf = max(r.recordsCompleteTo, at), later(r.recordsAsOf, read)
 	for _, e := range es {
 		if e.Revision > r.records[e.Key].Revision {
 			r.records[e.Key] = e
@@ -88,7 +92,8 @@
 		r.cfg.Logger.Error("record not handed on", zap.Error(err))
 		return
 	}
-	r.cacheRecords([]Entry{{Key: r.recordsPrefix() + string(rec.Service), Value: b, Revision: rev}})
+	e := Entry{Key: r.recordsPrefix() + string(rec.Service), Value: b, Revision: rev}
+	r.cacheRecords([]Entry{e}, 0, time.Time{})
 	r.passOnRecords()
 }
 
@@ -104,7 +109,8 @@
 	return follow.PartCopy[[]Entry]{
 		// A record may become known after another one with a later revision, so the version counts
 		// changes instead of being the highest revision.
-		Version: follow.Version(1 + r.recordChanges), ReadAt: r.cfg.Now(), HasBody: true,
-		Body: slices.SortedFunc(maps.Values(r.records), func(a, b Entry) int { return cmp.Compare(a.Key, b.Key) }),
+		Version: follow.Version(1 + r.recordChanges), CompleteTo: r.recordsCompleteTo, ReadAt: r.recordsAsOf,
+		HasBody: true,
+		Body:    slices.SortedFunc(maps.Values(r.records), func(a, b Entry) int { return cmp.Compare(a.Key, b.Key) }),
 	}
 }
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -52,8 +52,9 @@
 	// ElectReaders makes Run choose whether the host first reads the store or follows a host that
 	// does. If it is false, the host reads.
 	ElectReaders bool
-	// PartRead is called with each part of the store that was read, to pass it on to followers. It
-	// may be nil. Role is called with the role that Run chooses at the start.
+	// PartRead is called with each part of the store as this host knows it, after a reading or a copy
+	// of another host, to pass it on to followers while the host is a reader. It may be nil. Role is
+	// called with the role that Run chooses at the start.
 	PartRead func(p follow.Part, c follow.PartCopy[[]Entry])
 	Role     func(role follow.Role)
 
@@ -176,11 +177,14 @@
 	latestReaders, storedReaderNames atomic.Value
 	// hostsListed is set once initialRole has reported the registered hosts.
 	hostsListed bool
-	// records are the known entries of the records by key, recordChanges counts their changes. Both
-	// are guarded by recordsMu.
-	recordsMu     sync.Mutex
-	records       map[string]Entry
-	recordChanges uint64
+	// records are the known entries of the records by key, which lack no change up to
+	// recordsCompleteTo and as of recordsAsOf; recordChanges counts their changes. All are guarded by
+	// recordsMu.
+	recordsMu         sync.Mutex
+	records           map[string]Entry
+	recordChanges     uint64
+	recordsCompleteTo Revision
+	recordsAsOf       time.Time
 }
 
 // New returns a Registry that makes no calls before Run.
