Ignore a list of instances that is older than the one in use

Callers would see new work on an instance that is leaving: the relay took any list that came, whatever its time. The registry reports lists in their order now; this guards the one place that acts by them against a list that is out of order, as a loop with many waiting calls may make two of them.

--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -60,7 +60,7 @@
 	positionsAskedAt, nextPromotionAt time.Time
 	// promotionAcceptedAt is when the last promotion request of this host was accepted.
 	promotionAcceptedAt time.Time
-	// listReadAt is when the read of the current list of instances began.
+	// listReadAt is a time as of which the current list of instances lacks no change.
 	listReadAt time.Time
 	// replicaReadAt is when a replica was last sought for a read.
 	replicaReadAt time.Time
@@ -79,8 +79,12 @@
 // store drops instances that couldn't reach it for a while, and they return within 2 s.
 const removeAfter = 2500 * time.Millisecond
 
-// setInstances updates the instances of the group from a list whose read began at readAt.
+// setInstances updates the instances of the group from a list that lacks no change as of readAt. Lists come
+// in the order of these times; one that is out of order is older than the one in use and is ignored.
 func (g *group) setInstances(listed []catalog.Instance, readAt time.Time) {
+	if readAt.Before(g.listReadAt) {
+		return
+	}
 	now := g.r.now()
 	g.listReadAt = readAt
 	g.forgetRemoved(now)
