Log and show which catalog a host has, from whom, and how old it is

Nobody can tell from a host's log why it acted by an old catalog: a follower doesn't say from whom a copy came and how old it was, a reader doesn't say what it passes on, and no metric has the catalog's age. The hypotheses of docs/incidents/withdrawn-key-on-an-old-catalog.md can't be told apart.

Log "catalog received" and "catalog passed on" with revision and age when they change, "catalog behind" with the host whose report names a newer revision, and "catalog no longer behind" with how long that was so, 20 lines a second at most.

No decision changes.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,6 +68,8 @@
 	// woke is when this host last went on after it was held up.
 	woke      time.Time
 	following following
+	// catalogStatus is what is logged and shown of the catalog's way to this host.
+	catalogStatus catalogStatus
 	// began is when the host was started.
 	began time.Time
 	// accepted counts the links from other hosts.
@@ -153,8 +155,11 @@
 	if err == nil {
 		h.operator, err = operator.Start(operator.Config{
 			Address: h.settings.Operator.Address, Gatherer: h.metrics, Ready: h.readiness,
-			Sections: []operator.Section{{Name: "relay", Read: func() any { return h.snapshot() }}},
-			Pprof:    h.settings.Operator.Pprof, Logger: h.log,
+			Sections: []operator.Section{
+				{Name: "relay", Read: func() any { return h.snapshot() }},
+				{Name: "catalog", Read: func() any { return onLoop(h, h.catalogState) }},
+			},
+			Pprof: h.settings.Operator.Pprof, Logger: h.log,
 		})
 	}
 	if err != nil {
@@ -232,6 +237,7 @@
 	h.tendLinks()
 	h.relay.Tick()
 	h.report()
+	h.checkCatalogBehind(clock.Now())
 	if r := h.relay.Ready(); r != h.ready.Load() {
 		h.ready.Store(r)
 		h.log.Info("readiness", zap.Bool("ready", r))
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -30,6 +30,7 @@
 	relay.EventSession:  30,
 	relay.EventInstance: 30,
 	relay.EventLeader:   60,
+	eventCatalog:        20,
 }
 
 // admit counts a line and reports whether it is to be written.
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -203,6 +203,9 @@
 			h.meetAll(h.registry.ParseHosts(c.Body))
 			continue
 		}
+		if p == follow.PartCatalog {
+			h.catalogReceived(from, c)
+		}
 		h.registry.ApplyPart(p, c)
 		if p == follow.PartInstances {
 			h.relay.InstancesConfirmed(c.ReadAt)
@@ -279,6 +282,7 @@
 		RequestSentAt: f.asked, RequestReceivedAt: f.heard, Renewed: h.following.own,
 		Parts: h.following.copies.UpdatesFor(f.has),
 	}
+	h.catalogForwarded(n.Parts[follow.PartCatalog])
 	if f.has[follow.PartHosts] == 0 {
 		// The others come by the hosts' own reports.
 		f.has[follow.PartHosts] = 1
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -40,6 +40,7 @@
 		}
 		return 0
 	}))
+	h.registerCatalogMetrics()
 	h.metrics.MustRegister(collector{read: h.snapshot})
 }
 
@@ -101,14 +102,18 @@
 }
 
 // snapshot reads the relay on its loop.
-func (h *Host) snapshot() relay.State {
-	got := make(chan relay.State, 1)
-	h.loop.Post(func() { got <- h.relay.State() })
+func (h *Host) snapshot() relay.State { return onLoop(h, h.relay.State) }
+
+// onLoop returns what f returns on the host's loop, the zero value if that is busy or has ended.
+func onLoop[T any](h *Host, f func() T) T {
+	got := make(chan T, 1)
+	h.loop.Post(func() { got <- f() })
 	select {
-	case s := <-got:
-		return s
+	case v := <-got:
+		return v
 	case <-time.After(snapshotTimeout):
-		return relay.State{}
+		var zero T
+		return zero
 	}
 }
 
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -165,6 +165,7 @@
 	if at := now.Add(-r.InstancesAge); r.InstancesAge < catalogFresh && h.registry.InstancesConfirmed(r.Instances, at) {
 		h.relay.InstancesConfirmed(at)
 	}
+	h.catalogReported(r, now)
 	if r.CatalogRevision <= uint64(h.registry.CatalogRevision()) {
 		h.peers.behind = time.Time{}
 		if r.CatalogRevision != 0 && r.CatalogAge < catalogFresh {
--- a/io/registry/catalog.go
+++ b/io/registry/catalog.go
@@ -78,6 +78,10 @@
 	return at
 }
 
+// CatalogAsOf returns when the catalog known on this host was last known to be the store's, by a
+// reading of this host or of another.
+func (r *Registry) CatalogAsOf() time.Time { return r.catalogConfirmedAt() }
+
 // catalogConfirmedAt returns when the catalog in force on this host was last known to be the
 // store's, by a reading of this host or of another.
 func (r *Registry) catalogConfirmedAt() time.Time {
