--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -150,11 +150,11 @@
 	catalogRefresh chan struct{}
 	// operatorEntries are the entries from which the catalog is parsed, lastValid the last snapshot
 	// of them that could be parsed.
-	operatorEntries operatorEntries
+	operatorEntries part
 	lastValid       atomic.Value
-	// lastCatalogRead is when this host last read the catalog, lastCatalogConfirm when this host or
-	// another last read it and it was the one in force here.
-	lastCatalogRead, lastCatalogConfirm atomic.Value
+	// lastCatalogConfirm is when this host or another last read the catalog and it was the one in force
+	// here.
+	lastCatalogConfirm atomic.Value
 	// instanceList describes the list of instances in use; instancesRefresh is signalled when it is
 	// to be read again.
 	instanceList     instanceList
