Simulate the extremes of delay and loss, and hosts that start without reports

Delays are now the shortest or the longest, half of the reports are lost, two in a row at most, some hosts have no links to others, and reports before a host's start are dropped.

--- a/core/follow/catalog_monitor_test.go
+++ b/core/follow/catalog_monitor_test.go
@@ -182,10 +182,12 @@
 	name                   fleet.Host
 	reader, storeReachable bool
 	inTouch                bool
-	follows                *simulated
-	nextRead               time.Time
-	readAt                 time.Time
-	change                 follow.Revision
+	// linked is set if it has links to hosts that it doesn't follow.
+	linked   bool
+	follows  *simulated
+	nextRead time.Time
+	readAt   time.Time
+	change   follow.Revision
 	// starts is the step at which the host starts.
 	starts int
 	// reported is the newest change that it has reported, lost counts the reports in a row that each
@@ -207,11 +209,13 @@
 	revision follow.Revision
 	hosts    []*simulated
 	messages []message
+	steps    int
 }
 
 func (s *fleetSimulation) post(least, most time.Duration, do func()) {
-	late := rapid.Int64Range(int64(least), int64(most)).Draw(s.t, "late")
-	s.messages = append(s.messages, message{s.now.Add(time.Duration(late)), do})
+	// The extremes are what matters.
+	late := rapid.SampledFrom([]time.Duration{least, most}).Draw(s.t, "late")
+	s.messages = append(s.messages, message{s.now.Add(late), do})
 }
 
 func (s *fleetSimulation) learn(h *simulated, change, completeTo follow.Revision, asOf time.Time) {
@@ -251,7 +255,7 @@
 		if o == h {
 			continue
 		}
-		if h.lost[o] < mostLost && rapid.IntRange(0, 9).Draw(s.t, "lost") <= 3 {
+		if h.lost[o] < mostLost && rapid.Bool().Draw(s.t, "lost") {
 			h.lost[o]++
 			continue
 		}
@@ -262,7 +266,9 @@
 				// The time on its way doesn't count.
 				r.ReadAt = s.now.Add(-age)
 			}
-			o.AddReport(s.now, o.known.CompleteTo, r)
+			if s.steps >= o.starts {
+				o.AddReport(s.now, o.known.CompleteTo, r)
+			}
 		})
 	}
 }
@@ -291,7 +297,7 @@
 		}
 	case follow.CatalogAskHost:
 		for _, o := range s.hosts {
-			if o.name == d.Host {
+			if o.name == d.Host && h.linked {
 				s.copyTo(o, h)
 			}
 		}
@@ -303,7 +309,7 @@
 
 // step lets simulatedStep pass, and returns each host's decision.
 func (s *fleetSimulation) step(n int) []follow.CatalogDecision {
-	s.now = s.now.Add(simulatedStep)
+	s.now, s.steps = s.now.Add(simulatedStep), n
 	var left []message
 	for _, m := range s.messages {
 		if m.at.After(s.now) {
@@ -350,9 +356,10 @@
 			h.inTouch = n == 0 || h.reader && rapid.Bool().Draw(t, "in touch")
 			h.storeReachable = h.inTouch || rapid.Bool().Draw(t, "store reachable")
 			if !h.reader && rapid.Bool().Draw(t, "starts late") {
-				h.starts = rapid.IntRange(0, 140).Draw(t, "starts")
+				h.starts = rapid.IntRange(0, 200).Draw(t, "starts")
 				h.known.CompleteTo, h.known.AsOf = 0, time.Time{}
 			}
+			h.linked = rapid.Bool().Draw(t, "linked")
 			s.hosts = append(s.hosts, h)
 			h.follows = s.hosts[rapid.IntRange(0, readers-1).Draw(t, "follows")%len(s.hosts)]
 		}
