Refuse operations while the host's catalog is outdated

A host that knows its catalog to be old had no way to say so: it went on to admit sessions and operations by it, with keys that had been withdrawn.

SetCatalogOutdated makes the relay refuse new operations and sessions as busy (not run, come back in 200 ms) and the host not ready; idle sessions end once the balancer has noticed, as on a host that is cut off, so that callers come to one that is up to date. Open transactions go on to their end.

Nothing calls it yet.

--- a/core/relay/query.go
+++ b/core/relay/query.go
@@ -106,6 +106,15 @@
 	if s.boundInstance != "" {
 		return true
 	}
+	if s.r.catalogOutdated != "" {
+		s.lastRefused = true
+		s.r.logEvent(Event{
+			Kind: EventRefuse, ID: id, Database: s.database, Service: s.route.Service, Account: s.account,
+			Choice: "refuse", Reason: outdatedDetail, Code: statement.CodeBusy,
+		})
+		s.refuse(statement.CodeBusy, outdatedDetail, outdatedRetryAfter)
+		return false
+	}
 	if code, reason := s.authorise(); code != statement.CodeNone {
 		s.reject(code, reason)
 		return false
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -11,6 +11,7 @@
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/cold"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/follow"
 	"skylarkdeal/core/leader"
 	"skylarkdeal/core/statement"
 )
@@ -70,12 +71,14 @@
 	// lastTick is when Tick last ran. After a pause of the process, timeouts aren't enforced until
 	// pauseGraceUntil.
 	lastTick, pauseGraceUntil time.Time
-	// cutOffSince is since when the host is cut off, zero while it isn't.
+	// cutOffSince is since when the host is cut off or its catalog outdated, zero while neither is so.
 	cutOffSince time.Time
 	// evacuated maps each evacuated data centre to when this host learnt of the evacuation.
 	evacuated map[fleet.DataCentre]time.Time
 	// dataCentreSizes counts the hosts of each data centre, heard or not.
 	dataCentreSizes map[fleet.DataCentre]int
+	// catalogOutdated is why the host must not act by its catalog, empty if it may.
+	catalogOutdated follow.OutdatedReason
 	// instancesConfirmedAt is when the list of instances in use was last known to match the store.
 	instancesConfirmedAt time.Time
 }
@@ -180,10 +183,15 @@
 	return true
 }
 
-// Ready reports whether the host can serve: it has a catalog, knows an instance of each service, is not
-// shutting down and not cut off.
+// SetCatalogOutdated sets why the host must not act by its catalog, empty if it may. While it must not, it
+// starts no sessions and no operations, as a key may have been withdrawn or a database moved since.
+// Transactions that are open go on.
+func (r *Relay) SetCatalogOutdated(why follow.OutdatedReason) { r.catalogOutdated = why }
+
+// Ready reports whether the host can serve: it has a catalog that isn't outdated, knows an instance of each
+// service, is not shutting down and not cut off.
 func (r *Relay) Ready() bool {
-	if r.catalog == nil || r.drain.started || r.CutOff() {
+	if r.catalog == nil || r.catalogOutdated != "" || r.drain.started || r.CutOff() {
 		return false
 	}
 	for _, s := range r.catalog.Services {
@@ -243,20 +251,23 @@
 	r.tickSessions(now)
 }
 
-// tickCutOff closes the idle sessions of a host that is cut off, once the balancer sends new sessions
-// elsewhere. Sessions that are opened later stay as long as they are served: the balancer has no other
-// host for them, for example because all hosts count themselves as cut off.
+// tickCutOff closes the idle sessions of a host that is cut off or whose catalog is outdated, once the
+// balancer sends new sessions elsewhere. Sessions that are opened later stay as long as they are served:
+// the balancer has no other host for them, for example because all hosts count themselves as cut off.
 func (r *Relay) tickCutOff(now time.Time) {
-	if !r.CutOff() {
+	var why string
+	switch {
+	case r.catalogOutdated != "" && r.catalog != nil:
+		why = outdatedDetail
+	case r.CutOff():
+		why = "neither the store nor the primaries can be reached, and other hosts may reach them"
+	default:
 		r.cutOffSince = time.Time{}
 		return
 	}
 	if r.cutOffSince.IsZero() {
 		r.cutOffSince = now
-		r.logEvent(Event{
-			Kind: EventSession, Choice: "not ready",
-			Reason: "neither the store nor the primaries can be reached, and other hosts may reach them",
-		})
+		r.logEvent(Event{Kind: EventSession, Choice: "not ready", Reason: why})
 	}
 	if now.Sub(r.cutOffSince) < balancerReactionTime {
 		return
--- a/core/relay/session.go
+++ b/core/relay/session.go
@@ -111,6 +111,10 @@
 		return
 	}
 	s.database, s.key = d, k
+	if s.r.catalogOutdated != "" {
+		s.reject(statement.CodeBusy, outdatedDetail)
+		return
+	}
 	if code, reason := s.authorise(); code != statement.CodeNone {
 		s.reject(code, reason)
 		return
@@ -119,6 +123,13 @@
 	s.caller.Accept()
 }
 
+// outdatedDetail tells callers why a host refuses them, outdatedRetryAfter when to come back: a host that
+// hears of a newer catalog usually has it by then.
+const (
+	outdatedDetail     = "this host's catalog may be outdated; come back to another"
+	outdatedRetryAfter = 200 * time.Millisecond
+)
+
 // authorise looks up the caller's route and account in the current catalog. While a transaction is open
 // both stay as they are. It returns the code and the reason of a rejection, or CodeNone.
 func (s *Session) authorise() (statement.Code, string) {
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -8,6 +8,7 @@
 
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/follow"
 )
 
 // State is a snapshot of a Relay, for the state dump.
@@ -19,8 +20,10 @@
 	// Coordinator is set if this host is the failover coordinator.
 	Coordinator bool `json:"duty"`
 	CutOff      bool `json:"cut-off"`
-	Draining    bool `json:"drains"`
-	Hosts       int  `json:"hosts"`
+	// CatalogOutdated is why the host must not act by its catalog, empty if it may.
+	CatalogOutdated follow.OutdatedReason `json:"catalog-outdated,omitempty"`
+	Draining        bool                  `json:"drains"`
+	Hosts           int                   `json:"hosts"`
 	// Evacuated are the data centres whose instances get no new operations.
 	Evacuated []fleet.DataCentre `json:"evacuated,omitempty"`
 	Peers     []fleet.Host       `json:"peers"`
@@ -61,7 +64,8 @@
 	now := r.now()
 	s := State{
 		Sessions: len(r.sessions), RecordsCurrent: r.lease.RecordsCurrent(now), Coordinator: r.duty.active,
-		CutOff: r.CutOff(), Draining: r.drain.started, Hosts: r.hostCount, Counts: r.counters,
+		CutOff: r.CutOff(), CatalogOutdated: r.catalogOutdated, Draining: r.drain.started,
+		Hosts: r.hostCount, Counts: r.counters,
 	}
 	if r.catalog != nil {
 		s.Catalog = r.catalog.Version
