Don't act by a catalog that is known to be old

Callers saw a withdrawn key served for longer than 5 s after the store had acknowledged the edit. A follower never corrected an old catalog by other hosts' reports; a host of a small fleet whose calls hung went on by the old one without limit; a report of another old host ended "behind" before its 250 ms were over; a host that had just started took the first catalog that came, however old.

The host now asks CatalogMonitor at each tick, and does what it says: asks its reader for all parts, follows another one, reads the store, or asks a reader that named the newer revision for its copy over the link, in small fleets too. While the catalog is outdated the relay refuses. Each step is logged; a gauge skylarkdeal_catalog_outdated, and the state dump has the reason.

--- a/core/follow/catalog_monitor.go
+++ b/core/follow/catalog_monitor.go
@@ -187,7 +187,7 @@
 	switch {
 	case !d.BehindSince.IsZero() && now.Sub(d.BehindSince) > maxBehind:
 		d.Outdated = OutdatedBehind
-	case k.CompleteTo != 0 && !m.verified:
+	case !m.verified:
 		d.Outdated = OutdatedAgeUnknown
 	}
 	d.Action = m.action(now, k, d)
--- a/internal/entry/catalog.go
+++ b/internal/entry/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -12,7 +13,7 @@
 	"skylarkdeal/core/follow"
 	"skylarkdeal/core/relay"
 	"skylarkdeal/internal/clock"
-	"skylarkdeal/io/gossip"
+	"skylarkdeal/io/forward"
 	"skylarkdeal/io/registry"
 )
 
@@ -23,11 +24,18 @@
 	// receivedFrom is the host from which a copy of the catalog last came, at receivedAt.
 	receivedFrom fleet.Host
 	receivedAt   time.Time
-	// behind is since when another host's report has named a newer revision, newer the newest one
-	// named, newerAt a host that named it.
-	behind  time.Time
+	// newer is the newest revision that another host's report named while it was missing here, newerAt the
+	// host that named it.
 	newer   registry.Revision
 	newerAt fleet.Host
+	// decision is the monitor's last.
+	decision follow.CatalogDecision
+	// asked is the host that was last asked for its copy, askedAt when.
+	asked   fleet.Host
+	askedAt time.Time
+	// asOf is the decision's, in ns, and outdated whether the host refuses; both for the metrics.
+	asOf     atomic.Int64
+	outdated atomic.Bool
 }
 
 // eventCatalog is the kind of the log lines about the catalog's way.
@@ -69,32 +77,101 @@
 		ageField(clock.Now(), c.ReadAt), zap.Uint64("in-force", h.peers.catalog))
 }
 
-// catalogReported logs when another host's report first names a revision that isn't known here.
-func (h *Host) catalogReported(r gossip.Report, now time.Time) {
+// checkCatalog finds out whether the catalog may be old, and does what follows from it.
+func (h *Host) checkCatalog(now time.Time) {
 	s := &h.catalogStatus
-	named := registry.Revision(r.CatalogRevision)
-	known := h.knownCatalog()
-	if named <= known || named <= s.newer {
-		return
+	d := h.catalogMonitor.Decide(now, follow.CatalogKnown{
+		CompleteTo: h.knownCatalog(), AsOf: h.registry.CatalogAsOf(), IsReader: h.reads(), Hosts: h.peers.size(),
+	})
+	h.relay.SetCatalogOutdated(d.Outdated)
+	h.logDecision(now, s.decision, d)
+	s.decision = d
+	s.asOf.Store(0)
+	if !d.AsOf.IsZero() {
+		s.asOf.Store(d.AsOf.UnixNano())
+	}
+	s.outdated.Store(d.Outdated != "")
+	h.updateCatalog(now, d)
+}
+
+// updateCatalog does what the monitor has decided.
+func (h *Host) updateCatalog(now time.Time, d follow.CatalogDecision) {
+	f := &h.following
+	switch d.Action {
+	case follow.CatalogRequestAll:
+		if f.session.Reader != "" {
+			f.session.Begin(f.session.Reader, now)
+			f.asked = time.Time{}
+			h.followStore(now)
+		}
+	case follow.CatalogSwitchReader:
+		h.choose(now)
+		h.followStore(now)
+	case follow.CatalogReadStore:
+		h.registry.ReloadCatalog()
+	case follow.CatalogAskHost:
+		h.askForCopy(now, d.Host)
+	case follow.CatalogKeep:
 	}
-	s.newer, s.newerAt = named, r.Host
-	if !s.behind.IsZero() {
+}
+
+// askForCopy asks a reader for all parts, of which only the catalog is used.
+func (h *Host) askForCopy(now time.Time, n fleet.Host) {
+	l := h.links[n]
+	if l == nil || !l.up {
 		return
 	}
-	s.behind = now
-	h.logCatalog("catalog behind", zap.String("host", string(r.Host)), zap.Uint64("revision", uint64(named)),
-		zap.Uint64("known", uint64(known)), zap.Bool("reader", h.reads()), ageField(now, h.registry.CatalogAsOf()))
+	h.catalogStatus.asked, h.catalogStatus.askedAt = n, now
+	l.used = now
+	l.conn.Write(forward.AppendFollow(nil, forward.Follow{Sent: now, Full: true}))
 }
 
-// checkCatalogBehind logs when what is known here has reached what other hosts have named.
-func (h *Host) checkCatalogBehind(now time.Time) {
+// takeCopy takes in the catalog of the host that was asked for its copy, and reports whether n answers
+// that question.
+func (h *Host) takeCopy(from fleet.Host, n forward.StoreUpdate) bool {
 	s := &h.catalogStatus
-	if s.behind.IsZero() || h.knownCatalog() < s.newer {
+	if from != s.asked || n.RequestSentAt.Before(s.askedAt) {
+		return false
+	}
+	s.asked = ""
+	c, ok := n.Parts[follow.PartCatalog]
+	if !ok || !c.HasBody {
+		return true
+	}
+	var m follow.ClockMapping
+	m.Observe(n.RequestSentAt, n.RequestReceivedAt)
+	c.ReadAt, _ = m.NotBefore(c.ReadAt)
+	h.catalogReceived(from, c)
+	h.registry.ApplyPart(follow.PartCatalog, c)
+	return true
+}
+
+// logDecision logs what has changed since the last decision.
+func (h *Host) logDecision(now time.Time, before, d follow.CatalogDecision) {
+	s := &h.catalogStatus
+	known := h.knownCatalog()
+	if known == 0 {
 		return
 	}
-	h.logCatalog("catalog no longer behind", zap.Uint64("revision", uint64(s.newer)),
-		zap.Duration("took", now.Sub(s.behind)))
-	s.behind = time.Time{}
+	age := ageField(now, d.AsOf)
+	switch {
+	case before.BehindSince.IsZero() && !d.BehindSince.IsZero():
+		h.logCatalog("catalog behind", zap.String("host", string(s.newerAt)), zap.Uint64("revision", uint64(d.Missing)),
+			zap.Uint64("known", uint64(known)), zap.Bool("reader", h.reads()), age)
+	case !before.BehindSince.IsZero() && d.BehindSince.IsZero():
+		h.logCatalog("catalog no longer behind", zap.Uint64("revision", uint64(before.Missing)),
+			zap.Duration("took", now.Sub(before.BehindSince)))
+	}
+	if d.Unconfirmed != before.Unconfirmed {
+		h.logCatalog("catalog confirmed by others", zap.Bool("confirmed", !d.Unconfirmed), age)
+	}
+	if d.Outdated != before.Outdated {
+		h.logCatalog("catalog outdated", zap.Bool("outdated", d.Outdated != ""),
+			zap.String("reason", string(d.Outdated)), zap.Uint64("known", uint64(known)), age)
+	}
+	if d.Action != follow.CatalogKeep {
+		h.logCatalog("catalog update", zap.String("choice", string(d.Action)), zap.String("host", string(d.Host)))
+	}
 }
 
 // ageField is the age of a reading of the store; one without a known time has none.
@@ -107,11 +184,11 @@
 
 // catalogAge is the time since the catalog in force was last known to be the store's.
 func (h *Host) catalogAge() float64 {
-	at := h.registry.CatalogAsOf()
-	if at.IsZero() {
+	at := h.catalogStatus.asOf.Load()
+	if at == 0 {
 		return math.Inf(1)
 	}
-	return clock.Now().Sub(at).Seconds()
+	return clock.Now().Sub(time.Unix(0, at)).Seconds()
 }
 
 func (h *Host) registerCatalogMetrics() {
@@ -122,6 +199,14 @@
 	h.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "skylarkdeal_catalog_revision", Help: "The store's revision up to which the host knows the catalog.",
 	}, func() float64 { return float64(h.registry.CatalogRevision()) }))
+	h.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "skylarkdeal_catalog_outdated", Help: "1 while the host refuses operations because its catalog may be old.",
+	}, func() float64 {
+		if h.catalogStatus.outdated.Load() {
+			return 1
+		}
+		return 0
+	}))
 }
 
 // CatalogState is a snapshot of the catalog's way to this host, for the state dump.
@@ -145,17 +230,22 @@
 	Behind  string            `json:"behind,omitempty"`
 	Newer   registry.Revision `json:"newer,omitempty"`
 	NewerAt fleet.Host        `json:"newer-at,omitempty"`
+	// Outdated is why the host refuses operations, Unconfirmed set while nobody is known to have read the
+	// store lately.
+	Outdated    follow.OutdatedReason `json:"outdated,omitempty"`
+	Unconfirmed bool                  `json:"unconfirmed,omitempty"`
 }
 
 func (h *Host) catalogState() CatalogState {
 	now, s := clock.Now(), &h.catalogStatus
 	out := CatalogState{
 		InForce: catalog.Revision(h.peers.catalog), Known: h.knownCatalog(),
-		Age: ageText(now, h.registry.CatalogAsOf()), Reader: h.reads(), Follows: h.following.session.Reader,
+		Age: ageText(now, s.decision.AsOf), Reader: h.reads(), Follows: h.following.session.Reader,
 		ReceivedFrom: s.receivedFrom, ReceivedAgo: ageText(now, s.receivedAt), Forwarded: s.forwarded,
 	}
-	if !s.behind.IsZero() {
-		out.Behind, out.Newer, out.NewerAt = ageText(now, s.behind), s.newer, s.newerAt
+	out.Outdated, out.Unconfirmed = s.decision.Outdated, s.decision.Unconfirmed
+	if at := s.decision.BehindSince; !at.IsZero() {
+		out.Behind, out.Newer, out.NewerAt = ageText(now, at), s.decision.Missing, s.newerAt
 	}
 	return out
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/follow"
 	"skylarkdeal/core/leader"
 	"skylarkdeal/core/ratelimit"
 	"skylarkdeal/core/relay"
@@ -69,7 +71,8 @@
 	woke      time.Time
 	following following
 	// catalogStatus is what is logged and shown of the catalog's way to this host.
-	catalogStatus catalogStatus
+	catalogStatus  catalogStatus
+	catalogMonitor follow.CatalogMonitor
 	// began is when the host was started.
 	began time.Time
 	// accepted counts the links from other hosts.
@@ -122,6 +125,8 @@
 		ObserveLatency:   h.observe,
 		LogEvent:         h.events.note,
 	})
+	h.relay.SetCatalogOutdated(follow.OutdatedAgeUnknown)
+	h.catalogMonitor.Jitter = rand.Float64
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
@@ -215,6 +220,7 @@
 			zap.Uint64("revision", uint64(c.Revision)), zap.Int("databases", len(c.Routes)),
 			zap.Int("accounts", len(c.Accounts)), zap.Int("evacuated", len(c.Evacuated)))
 	}
+	h.checkCatalog(clock.Now())
 }
 
 // every returns the time to the next tick. It is called on another goroutine.
@@ -235,16 +241,17 @@
 func (h *Host) tick() {
 	h.busy.Store(h.relay.HasWaiting())
 	h.tendLinks()
+	h.checkCatalog(clock.Now())
 	h.relay.Tick()
 	h.report()
-	h.checkCatalogBehind(clock.Now())
 	if r := h.relay.Ready(); r != h.ready.Load() {
 		h.ready.Store(r)
 		h.log.Info("readiness", zap.Bool("ready", r))
 	}
 }
 
-var errNotReady = errors.New("not ready: the host knows no catalog or no instances yet, or shuts down")
+var errNotReady = errors.New("not ready: the host knows no catalog or no instances yet, its catalog may be outdated, " +
+	"or it shuts down")
 
 func (h *Host) readiness() error {
 	if h.ready.Load() {
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -187,6 +187,9 @@
 // it isn't later here than it was there, however long the news took.
 func (h *Host) told(from fleet.Host, n forward.StoreUpdate) {
 	f := &h.following
+	if h.takeCopy(from, n) && from != f.session.Reader {
+		return
+	}
 	if f.role != follow.RoleFollower || !f.session.Accepts(from, n.RequestSentAt) {
 		return
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -52,8 +52,6 @@
 	whole int
 	// forgot is when hosts that have gone were last dropped.
 	forgot time.Time
-	// behind is since when other hosts have a newer one.
-	behind time.Time
 }
 
 // peer is another host as it was last heard.
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -5,9 +5,11 @@
 	"time"
 
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/follow"
 	"skylarkdeal/core/mesh"
 	"skylarkdeal/internal/clock"
 	"skylarkdeal/io/gossip"
+	"skylarkdeal/io/registry"
 )
 
 const (
@@ -20,9 +22,6 @@
 	// doubtsEvery is how often doubts are looked at, at most: a new one is told at once. It is a
 	// little less than the pause between two ticks of a host at rest.
 	doubtsEvery = 45 * time.Millisecond
-	// behindFor is how long a host that hears of a newer catalog waits for its own watch
-	// to bring it.
-	behindFor = 250 * time.Millisecond
 	// catalogFresh is how old another host's reading of the catalog may be to count.
 	catalogFresh = time.Second
 )
@@ -154,33 +153,26 @@
 	h.compareCatalog(r)
 }
 
-// compareCatalog has the catalog read anew if another host knows of a newer change, which the
-// watch doesn't bring. One that knows of none that is newer may have read it later; the same goes
-// for the list of instances.
+// compareCatalog takes in what another host's report tells of the catalog and of the list of instances.
 //
-// The age doesn't count the report's way: some ms directly, up to half a second over a door
-// of a large fleet. The catalog is then read that much later than it should.
+// The ages don't count the report's way: some ms directly, up to half a second over a door of a large
+// fleet. What they confirm then looks that much younger than it is.
 func (h *Host) compareCatalog(r gossip.Report) {
 	now := clock.Now()
 	if at := now.Add(-r.InstancesAge); r.InstancesAge < catalogFresh && h.registry.InstancesConfirmed(r.Instances, at) {
 		h.relay.InstancesConfirmed(at)
 	}
-	h.catalogReported(r, now)
-	if r.CatalogRevision <= uint64(h.registry.CatalogRevision()) {
-		h.peers.behind = time.Time{}
-		if r.CatalogRevision != 0 && r.CatalogAge < catalogFresh {
-			h.registry.CatalogConfirmed(now.Add(-r.CatalogAge))
-		}
-		return
+	known, named := h.knownCatalog(), registry.Revision(r.CatalogRevision)
+	at := now.Add(-r.CatalogAge)
+	if named <= known && named != 0 && r.CatalogAge < catalogFresh {
+		h.registry.CatalogConfirmed(at)
 	}
-	if h.peers.behind.IsZero() {
-		h.peers.behind = now
-		return
-	}
-	if now.Sub(h.peers.behind) > behindFor {
-		h.peers.behind = now
-		h.registry.ReloadCatalog()
+	if named > known && named > h.catalogStatus.newer {
+		h.catalogStatus.newer, h.catalogStatus.newerAt = named, r.Host
 	}
+	h.catalogMonitor.AddReport(now, known, follow.CatalogReport{
+		Host: r.Host, IsReader: r.IsReader, Revision: named, ReadAt: at,
+	})
 }
 
 // held is a report that waits to be passed on, with when it came; an urgent one doesn't wait.
