Count the time by which a report was held up to the ages in it

The ages in a report count to when it was sent. One that was held up on its way, by a crowded network or a receiver that stood still, made a reading of before an edit look fresh: it confirmed an old catalog, or list of instances, as of a moment after the edit.

Reports carry the sender's clock. For each other process the least difference between receiving and sending, which grows by the drift of two clocks, stands for a report that wasn't held up; what a report takes beyond that counts to its ages. The usual way, and a first report, still count as no time. A report of an earlier build doesn't tell, and its ages count as before.

TestExtraDelayOfAReport passes with clocks that are apart and drift.

--- a/core/follow/catalog_monitor_test.go
+++ b/core/follow/catalog_monitor_test.go
@@ -383,6 +383,33 @@
 	})
 }
 
+// Guards against a report that was held up and confirms an old catalog as if it were new, however far apart
+// the clocks are and drift.
+func TestExtraDelayOfAReport(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var e follow.ExtraDelay
+		ahead := time.Duration(rapid.Int64Range(-1e15, 1e15).Draw(t, "ahead"))
+		drift := rapid.Float64Range(-1e-4, 1e-4).Draw(t, "drift")
+		theirs := func(at time.Time) time.Time {
+			passed := at.Sub(atMillis(0))
+			return at.Add(ahead + time.Duration(drift*float64(passed)))
+		}
+		const usual, slack = 5 * time.Millisecond, 10 * time.Millisecond
+		now := atMillis(0)
+		for range 50 {
+			now = now.Add(400 * time.Millisecond)
+			if extra := e.Observe(theirs(now), now.Add(usual)); extra > slack {
+				t.Fatalf("%s extra for a usual report", extra)
+			}
+		}
+		heldUp := time.Duration(rapid.Int64Range(0, int64(10*time.Second)).Draw(t, "held up"))
+		extra := e.Observe(theirs(now), now.Add(usual+heldUp))
+		if (extra - heldUp).Abs() > slack+heldUp/100 {
+			t.Fatalf("%s extra for a report that was held up for %s", extra, heldUp)
+		}
+	})
+}
+
 // atMillis returns a time of the hosts' clock.
 func atMillis(ms int64) time.Time {
 	return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond)
--- a/core/follow/clock.go
+++ b/core/follow/clock.go
@@ -43,3 +43,31 @@
 	}
 	return c.sent.Add(sinceEcho - sinceEcho.Abs()/maxDriftDivisor), true
 }
+
+// ExtraDelay estimates how much longer than usual the messages of one other host take. The zero
+// ExtraDelay has seen none.
+//
+// Guards against a report that was held up on its way: the ages in it don't count that time, so that what
+// they tell of looks more recent than it is. The clocks of two hosts have nothing in common, but the
+// difference between receiving and sending is least for the fastest message, and each other one took
+// longer by as much as its difference is larger.
+type ExtraDelay struct {
+	seen  bool
+	least time.Duration
+	at    time.Time
+}
+
+// Observe adds a message that was sent at sent, by the other host's clock, and received at received, by
+// this host's clock. It returns by how much longer it took than the fastest so far.
+func (e *ExtraDelay) Observe(sent, received time.Time) time.Duration {
+	d := received.Sub(sent)
+	if e.seen {
+		// The clocks may have drifted apart since.
+		e.least += max(received.Sub(e.at), 0) / maxDriftDivisor
+	}
+	if !e.seen || d < e.least {
+		e.least = d
+	}
+	e.seen, e.at = true, received
+	return d - e.least
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -70,6 +70,9 @@
 	// epoch and seq are those of its last report, which comes over more than one way; former
 	// is the epoch of its process before.
 	epoch, seq, former uint64
+	// delay estimates by how much its reports are held up, extra is that of its last one.
+	delay follow.ExtraDelay
+	extra time.Duration
 }
 
 // size is the number of hosts, this one included.
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -57,7 +57,7 @@
 		Capacity: h.settings.Adapter.Capacity,
 		Usages:   h.rates.Usage(now, whole), CatalogRevision: h.peers.catalog, RecordRevision: h.relay.RecordRevision(),
 		CatalogAge: now.Sub(h.registry.CatalogReadAt()), Reachable: reached,
-		Instances: digest, InstancesAge: now.Sub(at),
+		Instances: digest, InstancesAge: now.Sub(at), Sent: now,
 	}
 	if whole {
 		r.Address, r.DataCentre = h.settings.Peer.Address, h.settings.Host.DataCentre
@@ -137,7 +137,13 @@
 	}
 	if k.epoch != r.Epoch {
 		k.former = k.epoch
+		k.delay = follow.ExtraDelay{}
 	}
+	k.extra = 0
+	if !r.Sent.IsZero() {
+		k.extra = k.delay.Observe(r.Sent, now)
+	}
+	r.CatalogAge, r.InstancesAge = r.CatalogAge+k.extra, r.InstancesAge+k.extra
 	k.capacity, k.news = r.Capacity, len(r.Unreachable)+len(r.Reachable)
 	k.reads = r.IsReader
 	k.heard, k.leaving, k.storeless, k.epoch, k.seq = now, r.Leaving, r.StoreUnreachable, r.Epoch, r.Seq
@@ -155,8 +161,8 @@
 
 // compareCatalog takes in what another host's report tells of the catalog and of the list of instances.
 //
-// The ages don't count the report's way: some ms directly, up to half a second over a door of a large
-// fleet. What they confirm then looks that much younger than it is.
+// The ages count by how much longer than usual the report took, but not the usual time: some ms directly,
+// up to half a second over a door of a large fleet. What they confirm looks that much younger than it is.
 func (h *Host) compareCatalog(r gossip.Report) {
 	now := clock.Now()
 	if at := now.Add(-r.InstancesAge); r.InstancesAge < catalogFresh && h.registry.InstancesConfirmed(r.Instances, at) {
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -51,6 +51,8 @@
 	// itself read the list.
 	Instances    uint64
 	InstancesAge time.Duration
+	// Sent is when the host sent the report, by its own clock; zero if it doesn't tell.
+	Sent time.Time
 }
 
 // Config configures a Gossip.
@@ -158,6 +160,9 @@
 		DataCentre:   string(r.DataCentre),
 		CatalogAgeMs: toMillis(r.CatalogAge), Instances: r.Instances, InstancesAgeMs: toMillis(r.InstancesAge),
 	}
+	if !r.Sent.IsZero() {
+		m.SentNs = r.Sent.UnixNano()
+	}
 	for _, u := range r.Usages {
 		m.Usages = append(m.Usages, &gossippb.Usage{
 			Account: string(u.Account), Admitted: u.Admitted, Demand: float32(u.Demand),
@@ -209,6 +214,9 @@
 		CatalogAge: time.Duration(m.GetCatalogAgeMs()) * time.Millisecond,
 		Instances:  m.GetInstances(), InstancesAge: time.Duration(m.GetInstancesAgeMs()) * time.Millisecond,
 	}
+	if at := m.GetSentNs(); at != 0 {
+		r.Sent = time.Unix(0, at)
+	}
 	for _, u := range m.GetUsages() {
 		r.Usages = append(r.Usages, ratelimit.Usage{
 			Account: fleet.Account(u.GetAccount()), Admitted: u.GetAdmitted(), Demand: float64(u.GetDemand()),
