--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -209,8 +209,7 @@
 		if p == follow.PartCatalog {
 			h.catalogReceived(from, c)
 		}
-		h.registry.ApplyPart(p, c)
-		if p == follow.PartInstances {
+		if h.registry.ApplyPart(p, c) && p == follow.PartInstances {
 			h.relay.InstancesConfirmed(c.ReadAt)
 		}
 	}
--- a/io/registry/catalog.go
+++ b/io/registry/catalog.go
@@ -45,28 +45,68 @@
 	return at, nil
 }
 
+// waitForCatalog watches the catalog after a revision and returns the revision after which to go on, zero
+// if the catalog is to be listed again.
 func (r *Registry) waitForCatalog(ctx context.Context, after Revision) (Revision, error) {
 	c, cancel := context.WithTimeout(ctx, watchDuration+callTimeout)
 	defer cancel()
+	reload := make(chan bool, 1)
 	go func() {
 		select {
 		case <-r.catalogRefresh:
 			cancel()
+			reload <- true
 		case <-c.Done():
+			reload <- false
 		}
 	}()
 	es, at, err := r.cfg.Store.Watch(c, r.cfg.CatalogPrefix, after, watchDuration)
+	cancel()
+	requested := <-reload
 	if err != nil {
+		if requested {
+			// The watch was ended here, the store didn't fail.
+			return 0, nil
+		}
 		return 0, err
 	}
+	at = max(at, after)
 	// As of when the response is complete isn't known here, so that the time of the last list goes on to
 	// stand for it.
-	at = max(at, after)
 	r.operatorEntries.applyEvents(es, at, r.cfg.Now())
 	r.catalogUpdated()
+	if requested {
+		return 0, nil
+	}
 	return at, nil
 }
 
+// ReloadCatalog requests that the catalog is read again, by a reader or a follower. It doesn't wait for
+// that.
+func (r *Registry) ReloadCatalog() { signal(r.catalogRefresh) }
+
+// followerReadInterval is the least time between two readings of the catalog by a follower: hundreds of
+// hosts may learn of a newer catalog at once, and the store is shared by all.
+const followerReadInterval = 2 * time.Second
+
+// readOnRequest reads the catalog whenever ReloadCatalog is called. A follower does so that knows of a
+// newer catalog, which no reader passes on.
+func (r *Registry) readOnRequest(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.catalogRefresh:
+		}
+		// What a reader can't reach, a follower may, and the other way round: a failure here tells
+		// nothing of the store.
+		if _, err := r.readCatalog(ctx); err != nil && ctx.Err() == nil {
+			r.cfg.Logger.Warn("catalog not read", zap.Error(err))
+		}
+		sleep.For(ctx, followerReadInterval)
+	}
+}
+
 // CatalogConfirmed records that the catalog in force on this host was the store's at the given
 // time. Other hosts' reports of their readings call it too.
 func (r *Registry) CatalogConfirmed(at time.Time) { storeLatest(&r.lastCatalogConfirm, at) }
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -52,14 +52,15 @@
 	// ElectReaders makes Run choose whether the host first reads the store or follows a host that
 	// does. If it is false, the host reads.
 	ElectReaders bool
-	// PartRead is called with each part of the store that was read, to pass it on to followers. It
-	// may be nil. Role is called with the role that Run chooses at the start.
+	// PartRead is called with each part of the store as this host knows it, after a reading or a copy
+	// of another host, to pass it on to followers while the host is a reader. It may be nil. Role is
+	// called with the role that Run chooses at the start.
 	PartRead func(p follow.Part, c follow.PartCopy[[]Entry])
 	Role     func(role follow.Role)
 
 	Catalog func(c *catalog.Catalog)
-	// Instances is called with each reading of the list of instances. The reading was begun at
-	// read.
+	// Instances is called with the list of instances after each reading of it, and after each change that
+	// another host passes on. The list lacks no change as of read, which never moves back.
 	Instances func(is []catalog.Instance, read time.Time)
 	Hosts     func(hs []Host)
 	// HostCount is called at the start with the number of hosts that was last written to the store,
@@ -159,8 +160,8 @@
 	// lastCatalogConfirm is when this host or another last read the catalog and it was the one in force
 	// here.
 	lastCatalogConfirm atomic.Value
-	// instanceList describes the list of instances in use; instancesRefresh is signalled when it is
-	// to be read again.
+	// instanceList is the list of instances in use; instancesRefresh is signalled when it is to be read
+	// again.
 	instanceList     instanceList
 	instancesRefresh chan struct{}
 	storeHealth      dependency
@@ -176,11 +177,14 @@
 	latestReaders, storedReaderNames atomic.Value
 	// hostsListed is set once initialRole has reported the registered hosts.
 	hostsListed bool
-	// records are the known entries of the records by key, recordChanges counts their changes. Both
-	// are guarded by recordsMu.
-	recordsMu     sync.Mutex
-	records       map[string]Entry
-	recordChanges uint64
+	// records are the known entries of the records by key, which lack no change up to
+	// recordsCompleteTo and as of recordsAsOf; recordChanges counts their changes. All are guarded by
+	// recordsMu.
+	recordsMu         sync.Mutex
+	records           map[string]Entry
+	recordChanges     uint64
+	recordsCompleteTo Revision
+	recordsAsOf       time.Time
 }
 
 // New returns a Registry that makes no calls before Run.
@@ -197,6 +201,7 @@
 		promotionRequests: ring.New[leader.PromotionRequest](maxQueuedPromotions),
 	}
 	r.operatorEntries.noteChange = func(current snapshot) { r.unparsed = append(r.unparsed, current) }
+	r.instanceList.noteChange = r.parseInstances
 	return r
 }
 
@@ -212,29 +217,31 @@
 		r.cfg.Post(func() { r.cfg.Role(role) })
 	}
 	for ctx.Err() == nil {
-		if r.Role() == follow.RoleReader {
-			r.runReader(ctx)
+		if role := r.Role(); role != follow.RoleReader {
+			r.runTasks(ctx, role, r.readOnRequest)
 			continue
 		}
-		select {
-		case <-r.roleChanged:
-		case <-ctx.Done():
-		}
+		r.runReader(ctx)
 	}
 }
 
 // runReader runs a reader's tasks until the host has another role, then ends the registration.
 func (r *Registry) runReader(ctx context.Context) {
-	running, stop := context.WithCancel(ctx)
-	defer stop()
-	tasks := []func(context.Context){
+	r.runTasks(ctx, follow.RoleReader,
 		r.register, r.watchCatalog, r.confirmCatalog, r.pollInstances, r.pollHosts, r.readRecords,
 		r.maintainCoordinator, r.runPromotions, r.maintainHostCount,
-	}
+	)
+	r.deregister()
+}
+
+// runTasks runs the tasks of a role until the host has another role or ctx ends.
+func (r *Registry) runTasks(ctx context.Context, role follow.Role, tasks ...func(context.Context)) {
+	running, stop := context.WithCancel(ctx)
+	defer stop()
 	for _, task := range tasks {
 		r.tasks.Go(func() { task(running) })
 	}
-	for running.Err() == nil && r.Role() == follow.RoleReader {
+	for running.Err() == nil && r.Role() == role {
 		select {
 		case <-r.roleChanged:
 		case <-running.Done():
@@ -242,7 +249,6 @@
 	}
 	stop()
 	r.tasks.Wait()
-	r.deregister()
 }
 
 func (r *Registry) deregister() {
@@ -266,9 +272,6 @@
 // StoreReachable reports whether the store has answered since a call last failed.
 func (r *Registry) StoreReachable() bool { return !r.storeHealth.isLost() }
 
-// ReloadCatalog ends the current watch and requests that the catalog is read again. It doesn't wait for that.
-func (r *Registry) ReloadCatalog() { signal(r.catalogRefresh) }
-
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
