Have the soak's store treat a quarter to three quarters of the hosts badly

With a third, a data centre nearly always keeps a host that reads the store and is served. Where most are left alone, those that step in are refused in turn, and followers wait for each of them.

--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -52,7 +52,7 @@
 	faultCatalog   faultKind = "catalog"
 	// faultCatalogSeries has versions of the catalog follow each other in quick succession.
 	faultCatalogSeries faultKind = "catalog-series"
-	// faultStoreSome has the store treat a third of the hosts badly, faultStoreReaders all hosts
+	// faultStoreSome has the store treat a part of the hosts badly, faultStoreReaders all hosts
 	// that call it. The number says in which way.
 	faultStoreSome    faultKind = "store-some"
 	faultStoreReaders faultKind = "store-readers"
@@ -190,7 +190,7 @@
 	case faultStoreSome:
 		var hs []*host
 		luck := rand.New(rand.NewPCG(uint64(e.N), uint64(e.Host)))
-		for _, n := range luck.Perm(len(f.hosts))[:max(1, len(f.hosts)/oneIn)] {
+		for _, n := range luck.Perm(len(f.hosts))[:len(f.hosts)*(minPercent+e.N/2)/100] {
 			hs = append(hs, f.hosts[n])
 		}
 		return hs
@@ -202,8 +202,9 @@
 const (
 	// callsWithin is how often hosts call the store that read it.
 	callsWithin = time.Second
-	// oneIn is how many hosts there are to each that the store treats badly.
-	oneIn = 3
+	// minPercent is how many hosts the store treats badly at least, up to three quarters with what
+	// is drawn.
+	minPercent = 25
 )
 
 // inflict carries one fault out, from its start to its end.
