--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -52,8 +52,8 @@
 	faultCatalog   faultKind = "catalog"
 	// faultCatalogSeries has versions of the catalog follow each other in quick succession.
 	faultCatalogSeries faultKind = "catalog-series"
-	// faultStoreSome has the store treat a part of the hosts badly, faultStoreReaders all hosts
-	// that call it. The number says in which way.
+	// faultStoreSome has the store treat a part of the hosts badly, faultStoreReaders those that call
+	// it first and those that step in for them. The number says in which way.
 	faultStoreSome    faultKind = "store-some"
 	faultStoreReaders faultKind = "store-readers"
 )
@@ -182,11 +182,6 @@
 		return []*host{f.hosts[e.Host]}
 	case faultRoll, faultKillAll, faultStoreDown, faultStoreSilent, faultStoreSlow, faultStoreForgets:
 		return f.hosts
-	case faultStoreReaders:
-		since := time.Now().Add(-callsWithin)
-		return slices.DeleteFunc(slices.Clone(f.hosts), func(h *host) bool {
-			return !f.machines.Store.CalledSince(string(h.name), since)
-		})
 	case faultStoreSome:
 		var hs []*host
 		luck := rand.New(rand.NewPCG(uint64(e.N), uint64(e.Host)))
@@ -199,13 +194,9 @@
 	}
 }
 
-const (
-	// callsWithin is how often hosts call the store that read it.
-	callsWithin = time.Second
-	// minPercent is how many hosts the store treats badly at least, up to three quarters with what
-	// is drawn.
-	minPercent = 25
-)
+// minPercent is how many hosts the store treats badly at least, up to three quarters with what is
+// drawn.
+const minPercent = 25
 
 // inflict carries one fault out, from its start to its end.
 func (f *fleet) inflict(ctx context.Context, e event, concerned []*host) {
@@ -304,9 +295,36 @@
 		f.operator.write(change{gives: true, withdraws: true})
 	case faultCatalogSeries:
 		f.writeSeries(ctx, e)
-	case faultStoreSome, faultStoreReaders:
-		f.storeFault(rest, aimedStoreFaults[e.N%len(aimedStoreFaults)], concerned...)
+	case faultStoreSome:
+		f.storeFault(rest, e.aimed(), concerned...)
+	case faultStoreReaders:
+		f.storeFaultForCallers(ctx, e)
+	}
+}
+
+// aimed returns how the store treats single hosts.
+func (e event) aimed() machines.StoreFault { return aimedStoreFaults[e.N%len(aimedStoreFaults)] }
+
+// storeFaultForCallers has the store treat each host badly from its first call on, up to two thirds
+// of them.
+func (f *fleet) storeFaultForCallers(ctx context.Context, e event) {
+	var bad []*host
+	began := time.Now()
+	for time.Since(began) < e.Lasts && sleep.For(ctx, readyEvery) {
+		for _, h := range f.hosts {
+			if slices.Contains(bad, h) || len(bad) >= len(f.hosts)*2/3 || !f.machines.Store.CalledSince(string(h.name), began) {
+				continue
+			}
+			bad = append(bad, h)
+			h.trouble(1)
+			f.machines.Store.SetFault(string(h.name), e.aimed())
+		}
+	}
+	for _, h := range bad {
+		f.machines.Store.SetFault(string(h.name), machines.StoreWell)
+		h.trouble(-1)
 	}
+	f.judge.tell(fmt.Sprintf("the store has treated %d hosts badly", len(bad)))
 }
 
 // maxSeries is how many versions of the catalog follow each other at most.
