--- a/core/relay/sole_primary_test.go
+++ b/core/relay/sole_primary_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -222,3 +223,179 @@
 	w.advance(100*time.Millisecond, false)
 	c.Assert(a.executed, qt.HasLen, 0)
 }
+
+// Guards against a stale read by a host that has never heard of the new primary. The registration of b
+// had lapsed when the host read its list, so that it knows only a and c. It loses the store, b is listed
+// again and promoted, and c is cut off from b. All others that the host knows, c alone, report no later
+// term.
+func TestInstanceThatWasUnlistedAtTheStartMayBePrimary(t *testing.T) {
+	for _, n := range []struct {
+		name     string
+		unlisted []fleet.Instance
+	}{
+		{"one", []fleet.Instance{"b"}}, {"all others", []fleet.Instance{"b", "c"}},
+	} {
+		t.Run(n.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorldWithout(c, n.unlisted...)
+			w.advance(time.Second, true)
+			w.advance(3*time.Second, false)
+			w.promote().position = fleet.LogPosition{Term: 2, Index: 9}
+			w.advance(3*time.Second, false)
+			for _, d := range []catalog.Database{"rush", "stock", "standing"} {
+				ran, _ := w.readOnce(d, 100*time.Millisecond, false)
+				c.Check(ran["a"], qt.Equals, 0, qt.Commentf("%s: a lacks what b has acknowledged", d))
+			}
+		})
+	}
+}
+
+// The same host sends a write to a. Guards against an acknowledgement that the successor's history lacks.
+func TestWriteIsNotAcknowledgedBesideAnInstanceThatWasUnlisted(t *testing.T) {
+	c := qt.New(t)
+	w := newWorldWithout(c, "b", "c")
+	w.advance(time.Second, true)
+	w.advance(3*time.Second, false)
+	w.promote()
+	x := w.open("rush", "key-1")
+	x.do(statement.KindWrite, "", "item data")
+	w.advance(400*time.Millisecond, false)
+	c.Assert(x.last().Code, qt.Not(qt.Equals), statement.CodeNone)
+}
+
+// The primary dies with its connections and starts again under its id, empty and as a replica. Guards
+// against reads on it by its status from before, until the list tells of the new start.
+func TestReadDoesNotRunOnARestartedPrimaryBeforeItsStatus(t *testing.T) {
+	for _, k := range []statement.Kind{statement.KindRead, statement.KindBeginRead, statement.KindExecute} {
+		t.Run(string(k), func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(c).withConfirmedPrimary()
+			a := w.instances["a"]
+			x := w.open("rush", "key-1")
+			x.do(statement.KindPrepare, "p", "read")
+			w.breakConns(a)
+			a.role, a.position, a.executed = fleet.RoleReplica, fleet.LogPosition{}, nil
+			if k == statement.KindBeginRead {
+				x.do(k, "", "")
+				x.do(statement.KindRead, "", "item")
+			} else {
+				x.do(k, "p", "item")
+			}
+			w.advance(100*time.Millisecond, true)
+			c.Assert(a.executed, qt.HasLen, 0)
+		})
+	}
+}
+
+// Guards against a status of the former process that is read after the list has told of the new start:
+// it would confirm the new process, which is empty.
+func TestLateStatusOfAFormerProcessConfirmsNothing(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).withConfirmedPrimary()
+	a := w.instances["a"]
+	a.hold, a.term = true, 2
+	w.relay.AddRecord(leader.Record{Service: service, Term: 2, Primary: "a", Former: "c", Revision: 3})
+	w.advance(20*time.Millisecond, true)
+	late := a.pending
+	c.Assert(late, qt.Not(qt.HasLen), 0)
+	a.pending, a.hold, a.executed = nil, false, nil
+	a.role, a.position = fleet.RoleReplica, fleet.LogPosition{}
+	a.started = 99
+	w.list()
+	for _, f := range late {
+		f()
+	}
+	w.readOnce("rush", 100*time.Millisecond, true)
+	c.Assert(a.executed, qt.HasLen, 0)
+}
+
+// Guards against a host that never trusts the others' statuses, so that it refuses all that comes while
+// the store is lost: the list has been followed for long, by readings of this host or of others.
+func TestStatusesCountOnceTheListWasFollowed(t *testing.T) {
+	for name, read := range map[string]func(w *world){
+		"own readings":          func(w *world) { w.listFor(12 * time.Second) },
+		"others' readings":      func(w *world) { w.confirmListFor(12 * time.Second) },
+		"one, and a long pause": func(w *world) { w.advance(12*time.Second, true); w.list() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorldWithout(c, "b")
+			read(w)
+			w.advance(4*time.Second, false)
+			ran, x := w.readOnce("rush", 100*time.Millisecond, false)
+			c.Assert(ran["a"] == 1, qt.Equals, name != "one, and a long pause")
+			c.Assert(x.last().Code == statement.CodeNone, qt.Equals, ran["a"] == 1)
+		})
+	}
+}
+
+// The primary starts anew under its id, empty and as a replica. Guards against a log position of the new
+// process that is taken for the primary's: replicas that lag far behind would cover it. It comes with the
+// opening of a connection, with a refused write, or with the status that tells that it doesn't lead.
+func TestRestartedPrimaryGivesNoLogPosition(t *testing.T) {
+	for _, k := range []statement.Kind{statement.KindStatus, statement.KindWrite} {
+		t.Run(string(k), func(t *testing.T) {
+			c := qt.New(t)
+			w := newConnectedWorld(c)
+			a := w.instances["a"]
+			w.breakConns(a)
+			a.role, a.position = fleet.RoleReplica, fleet.LogPosition{}
+			for _, n := range []fleet.Instance{"b", "c"} {
+				w.instances[n].position.Index = 1
+			}
+			w.advance(2*time.Second, true)
+			if k == statement.KindWrite {
+				w.open("rush", "key-1").do(k, "", "item data")
+			}
+			ran, _ := w.readOnce("stock", 400*time.Millisecond, true)
+			c.Assert(ran["b"]+ran["c"], qt.Equals, 0, qt.Commentf("they lack what a had acknowledged"))
+		})
+	}
+}
+
+// The successor of a leads, acknowledges writes, and starts anew under its id, before a host without a
+// registration hears of any of it. Guards against its report, from which all that is gone, as a proof that
+// a still led: as the instance that the record names, and as one of the others.
+func TestRestartedSuccessorProvesNothing(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		for _, k := range []statement.Kind{statement.KindRead, statement.KindWrite} {
+			t.Run(fmt.Sprintf("%s, record known %v", k, known), func(t *testing.T) {
+				c := qt.New(t)
+				w := newWorld(c).withConfirmedPrimary()
+				w.advance(4*time.Second, false)
+				b := w.promote()
+				w.breakConns(b)
+				b.role, b.term, b.position = fleet.RoleReplica, 0, fleet.LogPosition{}
+				if known {
+					w.relay.AddRecord(promotionOfB)
+				}
+				w.advance(time.Second, known)
+				x := w.open("rush", "key-1")
+				x.do(k, "", "item data")
+				w.advance(400*time.Millisecond, known)
+				c.Check(w.count(string(statement.KindRead)), qt.Equals, 0, qt.Commentf("a lacks what b has acknowledged"))
+				c.Check(x.last().Code, qt.Not(qt.Equals), statement.CodeNone)
+			})
+		}
+	}
+}
+
+// A replica joins a new term a moment after the primary has answered. Guards against asking it only once,
+// before that, which leaves a write in doubt and a read waiting.
+func TestReplicaThatHasNotJoinedTheTermIsAskedAgain(t *testing.T) {
+	for _, k := range []statement.Kind{statement.KindRead, statement.KindWrite} {
+		t.Run(string(k), func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(c).withConfirmedPrimary()
+			w.advance(4*time.Second, false)
+			w.instances["c"].term = 0
+			x := w.open("rush", "key-1")
+			x.do(k, "", "item data")
+			w.advance(100*time.Millisecond, false)
+			c.Assert(x.answers, qt.HasLen, 0)
+			w.instances["c"].term = 1
+			w.advance(80*time.Millisecond, false)
+			c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+		})
+	}
+}
