Keep hosts that have just started in the rotation during an outage of the store

Callers would find no host in the rotation of a fleet that started shortly before the store went down: a host that hasn't followed the list of instances for long can't use the others' statuses, and each host took that for being on the worse side of a cut, closed its sessions and wasn't ready.

Evidence: the case of one reading, which TestHostOnTheWorseSideOfACutLeavesTheRotation had before the list's history counted, failed: cut off with no host missing. It is back beside the case of a host that runs for longer.

Change: while no host is missing, a group whose list is young doesn't count. All hosts that have just started have that in common, so none of them is better off. What such a host can't verify it still refuses.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -219,6 +219,10 @@
 	}
 	unable := 0
 	for _, g := range r.groups {
+		if r.forwarding.missingHosts == 0 && !secluded && !g.knowsAllInstances() {
+			// All hosts that have just started are no better off.
+			continue
+		}
 		if now.Sub(g.primaryAvailableAt) > cutOffAfter || secluded && g.unavailableReason(now) != "" {
 			unable++
 		}
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -268,11 +268,16 @@
 // others are better off, callers are sent back to them. Guards against closing these sessions
 // again and again, so that no caller is served.
 func TestHostOnTheWorseSideOfACutLeavesTheRotation(t *testing.T) {
+	t.Run("started", func(t *testing.T) { testWorseSideOfACut(t, func(w *world) { w.list() }) })
+	t.Run("running", func(t *testing.T) { testWorseSideOfACut(t, func(w *world) { w.listFor(12 * time.Second) }) })
+}
+
+func testWorseSideOfACut(t *testing.T, list func(w *world)) {
 	c := qt.New(t)
 	for missing, want := range []bool{false, true} {
 		w := newWorld(c)
 		w.relay.SetInstances(append(w.instancesOf("other", "x"), w.instancesOf("third", "y")...), w.now)
-		w.listFor(12 * time.Second)
+		list(w)
 		w.withConfirmedPrimary()
 		idle := w.open("rush", "key-1")
 		w.instances["a"].silent = true
