Report no revision of the catalog beyond the store's

Callers would be refused by hosts that lack nothing. A list in which an entry is missing doesn't tell the revision of the removal, and a page that is newer than the first one can make the guess higher than the store's revision. Others take a reported revision for one that they have to reach, and count as behind until the store has got there.

Change: what is reported is at most what the host is complete to. That is no less than any change which others can miss.

--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -55,7 +55,7 @@
 		Host: h.settings.Host.Name, Leaving: h.relay.Draining(), Epoch: h.peers.epoch, Seq: h.peers.seq,
 		IsReader: h.reads(), StoreUnreachable: h.reads() && !h.registry.StoreReachable(),
 		Capacity: h.settings.Adapter.Capacity,
-		Usages:   h.rates.Usage(now, whole), CatalogRevision: h.peers.catalog, RecordRevision: h.relay.RecordRevision(),
+		Usages:   h.rates.Usage(now, whole), CatalogRevision: h.reportedCatalog(), RecordRevision: h.relay.RecordRevision(),
 		CatalogAge: now.Sub(h.registry.CatalogReadAt()), Reachable: reached,
 		Instances: digest, InstancesAge: now.Sub(at), Sent: now,
 	}
@@ -69,6 +69,15 @@
 	h.gossip.Send(r, h.peers.at(to))
 }
 
+// reportedCatalog is the revision of the newest change of the catalog in force. It is no higher than what
+// another host that lacks no change can know: the revision of a removal is a guess.
+func (h *Host) reportedCatalog() uint64 {
+	if known := uint64(h.registry.CatalogRevision()); known != 0 {
+		return min(h.peers.catalog, known)
+	}
+	return h.peers.catalog
+}
+
 // self is this host as the mesh wants to know it.
 func (h *Host) self() mesh.Peer {
 	return mesh.Peer{
