Keep a link to the host that is to be asked for its catalog

Callers would be refused for longer than they need: a host of a large fleet that is behind asks the reader which named the newer revision for its copy, but links stand only to holders and to the reader that is followed, and nothing opened one to that host. It was logged as done all the same.

Change: the host to ask is known for as long as the catalog is behind, and the link to it is wanted for as long.

--- a/core/follow/catalog_monitor.go
+++ b/core/follow/catalog_monitor.go
@@ -105,7 +105,7 @@
 // CatalogDecision is what a host is to do, and what it knows.
 type CatalogDecision struct {
 	Action CatalogAction
-	// Host is the host to ask.
+	// Host is a reader that named the newest missing revision, the one to ask; empty if none did.
 	Host fleet.Host
 	// Outdated is why the host must not act by its catalog, empty if it may.
 	Outdated OutdatedReason
@@ -191,9 +191,7 @@
 		d.Outdated = OutdatedAgeUnknown
 	}
 	d.Action = m.action(now, k, d)
-	if d.Action == CatalogAskHost {
-		d.Host = m.source
-	}
+	d.Host = m.source
 	return d
 }
 
--- a/internal/entry/catalog.go
+++ b/internal/entry/catalog.go
@@ -96,14 +96,9 @@
 
 // updateCatalog does what the monitor has decided.
 func (h *Host) updateCatalog(now time.Time, d follow.CatalogDecision) {
-	f := &h.following
 	switch d.Action {
 	case follow.CatalogRequestAll:
-		if f.session.Reader != "" {
-			f.session.Begin(f.session.Reader, now)
-			f.asked = time.Time{}
-			h.followStore(now)
-		}
+		h.requestAll(now)
 	case follow.CatalogSwitchReader:
 		h.choose(now)
 		h.followStore(now)
@@ -115,6 +110,17 @@
 	}
 }
 
+// requestAll asks the reader that is followed for all parts.
+func (h *Host) requestAll(now time.Time) {
+	f := &h.following
+	if f.session.Reader == "" {
+		return
+	}
+	f.session.Begin(f.session.Reader, now)
+	f.asked = time.Time{}
+	h.followStore(now)
+}
+
 // askForCopy asks a reader for all parts, of which only the catalog is used.
 func (h *Host) askForCopy(now time.Time, n fleet.Host) {
 	l := h.links[n]
@@ -143,6 +149,8 @@
 	c.ReadAt, _ = m.NotBefore(c.ReadAt)
 	h.catalogReceived(from, c)
 	h.registry.ApplyPart(follow.PartCatalog, c)
+	// The reader leaves out the body of a copy that this host had before, and has replaced just now.
+	h.requestAll(clock.Now())
 	return true
 }
 
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -143,6 +143,9 @@
 	if lead := h.following.session.Reader; lead != "" {
 		hs.Add(lead)
 	}
+	if n := h.catalogStatus.decision.Host; n != "" {
+		hs.Add(n)
+	}
 	return hs.Has
 }
 
