Have a follower read the store once its catalog is 2 s old

A host to which nobody confirms its catalog, and whom nobody tells of a newer one, began to read the store at 3.5 s, and was spread over seconds after that: with an edit just after the last confirmation it acted by the old catalog for more than 5 s.

Change: it begins at 2 s. The spread stays, 50 ms for each host of the fleet, so that an outage of the store is no stampede: at 73 hosts the last of them reads at 5.7 s, at 295 hosts at 16.8 s, which remains open for hosts that hear no report at all.

--- a/core/follow/catalog_monitor.go
+++ b/core/follow/catalog_monitor.go
@@ -41,6 +41,8 @@
 	// firstReadAfter is how long a follower that has just started waits for others to confirm its first
 	// catalog.
 	firstReadAfter = 500 * time.Millisecond
+	// confirmAfter is how old a follower's catalog may be that nobody confirms before it reads the store.
+	confirmAfter = 2 * time.Second
 	// minReadPause is the pause after the first of several readings; it doubles with each.
 	minReadPause = 500 * time.Millisecond
 	maxReadPause = 4 * time.Second
@@ -232,15 +234,15 @@
 		return m.actionBehind(now, k, d.BehindSince)
 	}
 	m.requestAll, m.switchReader, m.askHost, m.readStore = retry{}, retry{}, retry{}, retry{}
-	if k.IsReader || !d.Unconfirmed {
+	if k.IsReader || k.CompleteTo == 0 || now.Sub(d.AsOf) <= confirmAfter {
 		// A reader reads the store time and again in any case.
 		m.confirm = retry{}
 		return CatalogKeep
 	}
 	spread, pause := m.storePause(k)
-	from := later(d.AsOf.Add(maxCatalogAge), m.verifyFrom)
+	from := later(d.AsOf.Add(confirmAfter), m.verifyFrom.Add(firstReadAfter))
 	// Nothing is known to be missing, so that no pause needs to be short.
-	if m.confirm.due(now, from.Add(firstReadAfter), spread, pauses{pause, pause}, m.jitter) {
+	if m.confirm.due(now, from, spread, pauses{pause, pause}, m.jitter) {
 		return CatalogReadStore
 	}
 	return CatalogKeep
