Let followers follow a reader elsewhere when all at hand pass on nothing

Callers with a withdrawn key were served on hosts in touch for more than 5 s after the acknowledgement: the store had left both readers of their data centre unanswered, and those that stepped in for them too. The followers went on with readers that answered their requests, whatever these knew, and with the list of instances and the records of promotion requests from before as well.

Change: a reader counts as working while new renewals come from it; an answer without one doesn't count. One that was left isn't taken again for 3 s if there is another. If no renewal is known that still proves anything, or the catalog is behind, a reader of another data centre is taken.

Why it works: the store is one, so that any reader that it serves has all that the followers need: catalog, instances, records, and renewals, which prove the same whichever reader's they are. A follower depends on the readers beside it no more than on any others.

TestFollowerLeavesReadersThatPassOnNothing has the choice.

--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -303,19 +303,51 @@
 // Guards against followers that all follow one reader.
 func TestFollowersAreSpread(t *testing.T) {
 	c := qt.New(t)
+	at := time.Unix(1000, 0)
 	readers := []follow.Candidate{{Host: "a", IsReader: true}, {Host: "b", IsReader: true}, {Host: "c"}}
 	got := map[fleet.Host]int{}
 	for n := range 100 {
-		reader, ok := follow.ChooseReader(fleet.Host(fmt.Sprintf("h%d", n)), readers)
+		reader, ok := follow.ChooseReader(at, fleet.Host(fmt.Sprintf("h%d", n)), readers, nil)
 		c.Assert(ok, qt.IsTrue)
 		got[reader]++
 	}
 	c.Assert(got["a"]+got["b"], qt.Equals, 100)
 	c.Assert(got["a"] > 25 && got["b"] > 25, qt.IsTrue)
-	_, ok := follow.ChooseReader("h", []follow.Candidate{{Host: "a", IsReader: true, StoreUnreachable: true}, {Host: "c"}})
+	unreachable := []follow.Candidate{{Host: "a", IsReader: true, StoreUnreachable: true}, {Host: "c"}}
+	_, ok := follow.ChooseReader(at, "h", unreachable, nil)
 	c.Assert(ok, qt.IsFalse)
 }
 
+// Guards against followers that go on with readers which the store leaves unanswered, while readers of
+// another data centre are served.
+func TestFollowerLeavesReadersThatPassOnNothing(t *testing.T) {
+	c := qt.New(t)
+	at := time.Unix(1000, 0)
+	type list []follow.Candidate
+	left := func(n fleet.Host, ago time.Duration) follow.Candidate {
+		return follow.Candidate{Host: n, IsReader: true, LeftAt: at.Add(-ago)}
+	}
+	unreachable := func(n fleet.Host) follow.Candidate {
+		return follow.Candidate{Host: n, IsReader: true, StoreUnreachable: true}
+	}
+	for name, x := range map[string]struct {
+		local, elsewhere list
+		want             fleet.Host
+	}{
+		"one left":              {list{left("a", 0), left("b", time.Hour)}, list{left("x", time.Hour)}, "b"},
+		"all local left":        {list{left("a", time.Second), left("b", 0)}, list{left("x", time.Hour)}, "x"},
+		"local left long ago":   {list{left("a", time.Minute)}, list{left("x", time.Hour)}, "a"},
+		"all left":              {list{left("a", 0)}, list{left("x", 0)}, "a"},
+		"none local":            {nil, list{left("x", 0)}, "x"},
+		"local can't reach it":  {list{unreachable("a")}, list{left("x", 0)}, "x"},
+		"elsewhere can't reach": {list{left("a", 0)}, list{unreachable("x")}, "a"},
+	} {
+		got, ok := follow.ChooseReader(at, "h", x.local, x.elsewhere)
+		c.Check(ok, qt.IsTrue, qt.Commentf("%s", name))
+		c.Check(got, qt.Equals, x.want, qt.Commentf("%s", name))
+	}
+}
+
 // Guards against more readers after a loss of all hosts than before it: of the hosts that
 // registered while the store was unavailable, only the strongest stay readers.
 func TestStrongestCandidates(t *testing.T) {
--- a/core/follow/role.go
+++ b/core/follow/role.go
@@ -37,6 +37,9 @@
 	// minReaderTime is how long a host stays a reader at least, so that two hosts whose reports
 	// reach each other late don't take turns.
 	minReaderTime = 5 * time.Second
+	// returnAfter is how long a host prefers other readers to one that it has left. By then that one has
+	// reported if it can't reach the store.
+	returnAfter = 3 * time.Second
 )
 
 // Candidate is a host of a data centre that may be a reader.
@@ -46,6 +49,8 @@
 	// IsReader is set while the host is a reader, StoreUnreachable while it is one that can't reach
 	// the store.
 	IsReader, StoreUnreachable bool
+	// LeftAt is when this host last left it because it passed on nothing new.
+	LeftAt time.Time
 }
 
 // RoleInput is what a host knows about the readers of its data centre.
@@ -125,16 +130,23 @@
 
 // ChooseReader returns the reader that a host is to follow, and false if there is none. It chooses
 // among the readers that reach the store, by a hash of both hosts, so that the followers of a data
-// centre are spread over its readers.
-func ChooseReader(self fleet.Host, others []Candidate) (fleet.Host, bool) {
-	working := slices.DeleteFunc(slices.Clone(others), func(o Candidate) bool { return !o.IsReader || o.StoreUnreachable })
-	if len(working) == 0 {
-		return "", false
+// centre are spread over its readers. One elsewhere is chosen if all that are local were left lately.
+//
+// Guards against a data centre whose readers the store leaves unanswered one after the other: its
+// other hosts would get nothing new until one of them has become a reader that is served.
+func ChooseReader(now time.Time, self fleet.Host, local, elsewhere []Candidate) (fleet.Host, bool) {
+	left := func(c Candidate) bool { return now.Sub(c.LeftAt) < returnAfter }
+	for _, cs := range [][]Candidate{
+		slices.DeleteFunc(slices.Clone(local), left), slices.DeleteFunc(slices.Clone(elsewhere), left), local, elsewhere,
+	} {
+		working := slices.DeleteFunc(slices.Clone(cs), func(o Candidate) bool { return !o.IsReader || o.StoreUnreachable })
+		if len(working) > 0 {
+			return slices.MaxFunc(working, func(a, b Candidate) int {
+				return cmp.Compare(hashWeight(self, a.Host), hashWeight(self, b.Host))
+			}).Host, true
+		}
 	}
-	best := slices.MaxFunc(working, func(a, b Candidate) int {
-		return cmp.Compare(hashWeight(self, a.Host), hashWeight(self, b.Host))
-	})
-	return best.Host, true
+	return "", false
 }
 
 func hashWeight(follower, reader fleet.Host) uint64 {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -101,6 +101,7 @@
 	h.began = clock.Now()
 	h.links = map[fleet.Host]*link{}
 	h.following.followers = map[relay.PeerLinkID]*follower{}
+	h.following.left = map[fleet.Host]time.Time{}
 	h.peers.known = map[fleet.Host]*peer{}
 	h.peers.met = map[fleet.Host]time.Time{}
 	h.peers.epoch = uint64(clock.Now().UnixNano()) //nolint:gosec // never negative
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,9 +30,13 @@
 	// knows of, its own or a reader's.
 	since, renewed time.Time
 	// session is that with the reader that it follows, asked when it was last asked for news, heard
-	// when news last came.
+	// when a new renewal last came, or the session began.
 	session      follow.Subscription
 	asked, heard time.Time
+	// passedRenewal is the last renewal that the reader passed on, by its clock.
+	passedRenewal time.Time
+	// left is when readers were last left because nothing new came from them.
+	left map[fleet.Host]time.Time
 	// registered are the hosts that were registered when the store was last asked, centres their
 	// data centres.
 	registered []registry.Host
@@ -116,11 +119,18 @@
 
 // candidates returns the other hosts of the data centre that are heard and stay.
 func (h *Host) candidates(now time.Time) []follow.Candidate {
+	return h.candidatesWhere(now, func(dc fleet.DataCentre) bool { return dc == h.settings.Host.DataCentre })
+}
+
+// candidatesWhere returns the other hosts of some data centres that are heard and stay.
+func (h *Host) candidatesWhere(now time.Time, in func(dc fleet.DataCentre) bool) []follow.Candidate {
 	fresh := mesh.IntervalsFor(h.peers.size()).HeardWithin
 	var out []follow.Candidate
 	for n, k := range h.peers.known {
-		if k.dataCentre == h.settings.Host.DataCentre && !k.leaving && now.Sub(k.heard) < fresh {
-			out = append(out, follow.Candidate{Host: n, Capacity: k.capacity, IsReader: k.reads, StoreUnreachable: k.storeless})
+		if in(k.dataCentre) && !k.leaving && now.Sub(k.heard) < fresh {
+			out = append(out, follow.Candidate{
+				Host: n, Capacity: k.capacity, IsReader: k.reads, StoreUnreachable: k.storeless, LeftAt: h.following.left[n],
+			})
 		}
 	}
 	return out
@@ -132,7 +142,7 @@
 	if f.role != follow.RoleFollower {
 		return
 	}
-	if l := h.links[f.session.Reader]; l == nil || l.failed || now.Sub(later(f.heard, f.asked)) > leader.StoreSilentAfter {
+	if l := h.links[f.session.Reader]; l == nil || l.failed || now.Sub(f.heard) > leader.StoreSilentAfter {
 		h.choose(now)
 	}
 	l := h.links[f.session.Reader]
@@ -144,18 +154,21 @@
 	l.conn.Write(forward.AppendFollow(nil, forward.Follow{Sent: now, Full: f.session.RequestFull()}))
 }
 
-// choose takes a reader to follow, another one than the last if there is one.
+// choose takes a reader to follow, another one than the last if there is one. One elsewhere may be
+// taken too while no renewal is known that still proves anything, or the catalog is behind.
 func (h *Host) choose(now time.Time) {
 	f := &h.following
-	others := h.candidates(now)
-	rest := slices.DeleteFunc(slices.Clone(others), func(c follow.Candidate) bool { return c.Host == f.session.Reader })
-	lead, ok := follow.ChooseReader(h.settings.Host.Name, rest)
-	if !ok {
-		lead, ok = follow.ChooseReader(h.settings.Host.Name, others)
+	if f.session.Reader != "" {
+		f.left[f.session.Reader] = now
 	}
+	var elsewhere []follow.Candidate
+	if now.Sub(f.renewed) > leader.LeaseValidity || !h.catalogStatus.decision.BehindSince.IsZero() {
+		elsewhere = h.candidatesWhere(now, func(dc fleet.DataCentre) bool { return dc != h.settings.Host.DataCentre })
+	}
+	lead, ok := follow.ChooseReader(now, h.settings.Host.Name, h.candidates(now), elsewhere)
 	if !ok {
 		// Those that are to read may have reported before they knew.
-		lead, ok = follow.ChooseReader(h.settings.Host.Name, h.registeredBeside())
+		lead, ok = follow.ChooseReader(now, h.settings.Host.Name, h.registeredBeside(), nil)
 	}
 	if !ok {
 		f.session = follow.Subscription{}
@@ -193,7 +206,10 @@
 	if f.role != follow.RoleFollower || !f.session.Accepts(from, n.RequestSentAt) {
 		return
 	}
-	f.heard = clock.Now()
+	if !n.Renewed.Equal(f.passedRenewal) {
+		// A reader that answers and passes on no new renewal may have lost the store.
+		f.heard, f.passedRenewal = clock.Now(), n.Renewed
+	}
 	f.session.Clock.Observe(n.RequestSentAt, n.RequestReceivedAt)
 	f.centres = fleet.NewSet(n.Centres...)
 	for p, c := range n.Parts {
