Pass an empty list of instances on to a new follower

Callers would see tries at instances that have all been removed: a host that takes up a reader whose list is empty kept the list of its former reader. The digest of an empty list is zero, and a reader took zero for a version that any new follower has, so that the body was never sent.

The new test failed before and passes; the zero version now counts only if it was passed on. Parsing takes its slot as a channel, since it may take long, so that the model can hold it up in its own time.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -20,8 +20,8 @@
 	PartHosts     Part = "hosts"
 )
 
-// Version identifies a part's content at one reader. Zero means no content. It only saves bytes: of two
-// versions neither is the newer one.
+// Version identifies a part's content at one reader. It only saves bytes: of two versions neither is the
+// newer one.
 type Version uint64
 
 // Revision is a version of the store's whole content. It grows with every change and is the same on all
@@ -71,7 +71,8 @@
 func (c *PartCache[T]) UpdatesFor(has map[Part]Version) map[Part]PartCopy[T] {
 	out := make(map[Part]PartCopy[T], len(c.parts))
 	for p, part := range c.parts {
-		if has[p] == part.Version {
+		// An empty part may have version zero.
+		if v, ok := has[p]; ok && v == part.Version {
 			var zero T
 			part.HasBody, part.Body = false, zero
 		}
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -329,3 +329,14 @@
 	c.Assert(follow.StrongestCandidates(cs[:1]), qt.HasLen, 1)
 	c.Assert(follow.StrongestCandidates(nil), qt.HasLen, 0)
 }
+
+// Guards against a follower that keeps the instances of its former reader after all have been removed: an
+// empty list has no digest, and its version, zero, looked like one that the follower has.
+func TestEmptyPartIsPassedOn(t *testing.T) {
+	c := qt.New(t)
+	var cache follow.PartCache[string]
+	cache.Put(follow.PartInstances, follow.PartCopy[string]{CompleteTo: 7})
+	has := map[follow.Part]follow.Version{}
+	c.Check(cache.UpdatesFor(has)[follow.PartInstances].HasBody, qt.IsTrue)
+	c.Check(cache.UpdatesFor(has)[follow.PartInstances].HasBody, qt.IsFalse)
+}
--- a/io/registry/catalog.go
+++ b/io/registry/catalog.go
@@ -161,8 +161,8 @@
 // for an older one because the next one can't be parsed.
 func (r *Registry) catalogUpdated() {
 	r.passOnCatalog()
-	r.catalogMu.Lock()
-	defer r.catalogMu.Unlock()
+	r.parsing <- struct{}{}
+	defer func() { <-r.parsing }()
 	for _, current := range r.takeUnparsed() {
 		r.applyCatalog(current)
 	}
@@ -186,7 +186,7 @@
 // applyCatalog parses the operators' entries and puts the resulting catalog in force.
 //
 // If the configuration can't be parsed, the last valid one stays in force, and the other entries
-// are applied with it: an invalid configuration must not delay an evacuation. catalogMu is held.
+// are applied with it: an invalid configuration must not delay an evacuation. The slot of parsing is held.
 func (r *Registry) applyCatalog(current snapshot) {
 	at := current.index(r.cfg.CatalogKey)
 	if at < 0 {
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -153,9 +153,9 @@
 	// change that wasn't parsed yet, guarded by the lock of operatorEntries.
 	operatorEntries part
 	unparsed        []snapshot
-	// lastValid is the last snapshot that could be parsed. catalogMu guards it, and the order in which
-	// snapshots are parsed.
-	catalogMu sync.Mutex
+	// parsing has one slot, taken while snapshots are parsed. It is a channel since parsing may take
+	// long. It guards lastValid, the last snapshot that could be parsed.
+	parsing   chan struct{}
 	lastValid snapshot
 	// lastCatalogConfirm is when this host or another last read the catalog and it was the one in force
 	// here.
@@ -196,7 +196,7 @@
 		cfg: cfg, createdAt: time.Now(),
 		recordsRefresh: make(chan struct{}, 1), hostsRefresh: make(chan struct{}, 1),
 		catalogRefresh: make(chan struct{}, 1), instancesRefresh: make(chan struct{}, 1),
-		roleChanged: make(chan struct{}, 1), records: map[string]Entry{},
+		roleChanged: make(chan struct{}, 1), parsing: make(chan struct{}, 1), records: map[string]Entry{},
 		storeHealth:       dependency{name: "store", log: cfg.Logger},
 		promotionRequests: ring.New[leader.PromotionRequest](maxQueuedPromotions),
 	}
