--- a/core/follow/catalog_monitor.go
+++ b/core/follow/catalog_monitor.go
@@ -115,8 +115,8 @@
 	Missing     Revision
 	// AsOf is the latest time as of which the catalog is known to be the store's.
 	AsOf time.Time
-	// Unconfirmed is set if that is too long ago although nothing is known to be missing: nobody is known
-	// to have read the store lately.
+	// Unconfirmed is set if that is too long ago and the host acts by its catalog all the same: nothing is
+	// known to be missing, and nobody is known to have read the store lately.
 	Unconfirmed bool
 }
 
@@ -183,14 +183,15 @@
 		d.BehindSince, d.Missing = m.pending[0].since, m.pending[n-1].revision
 	}
 	m.verify(now, d.AsOf, k)
-	d.Unconfirmed = d.BehindSince.IsZero() && k.CompleteTo != 0 && now.Sub(d.AsOf) > maxCatalogAge
+	old := d.BehindSince.IsZero() && k.CompleteTo != 0 && now.Sub(d.AsOf) > maxCatalogAge
+	d.Unconfirmed = old && m.verified
 	switch {
 	case !d.BehindSince.IsZero() && now.Sub(d.BehindSince) > maxBehind:
 		d.Outdated = OutdatedBehind
 	case !m.verified:
 		d.Outdated = OutdatedAgeUnknown
 	}
-	d.Action = m.action(now, k, d)
+	d.Action = m.action(now, k, d, old)
 	if d.Action == CatalogAskHost {
 		d.Host = m.source
 	}
@@ -228,13 +229,14 @@
 	m.verified = now.Sub(asOf) <= maxCatalogAge || now.Sub(lastReading) > noReadingsFor
 }
 
-func (m *CatalogMonitor) action(now time.Time, k CatalogKnown, d CatalogDecision) CatalogAction {
+// action returns what the host is to do. old is set if its catalog was last confirmed too long ago.
+func (m *CatalogMonitor) action(now time.Time, k CatalogKnown, d CatalogDecision, old bool) CatalogAction {
 	if !d.BehindSince.IsZero() {
 		m.confirm = retry{}
 		return m.actionBehind(now, k, d.BehindSince)
 	}
 	m.requestAll, m.switchReader, m.askHost, m.readStore = retry{}, retry{}, retry{}, retry{}
-	if k.IsReader || !d.Unconfirmed {
+	if k.IsReader || !old {
 		// A reader reads the store time and again in any case.
 		m.confirm = retry{}
 		return CatalogKeep
--- a/core/relay/session.go
+++ b/core/relay/session.go
@@ -111,7 +111,7 @@
 		return
 	}
 	s.database, s.key = d, k
-	if s.r.catalogOutdated != "" {
+	if s.r.catalog != nil && s.r.catalogOutdated != "" {
 		s.reject(statement.CodeBusy, outdatedDetail)
 		return
 	}
