--- a/core/follow/catalog_monitor.go
+++ b/core/follow/catalog_monitor.go
@@ -117,8 +117,8 @@
 	Missing     Revision
 	// AsOf is the latest time as of which the catalog is known to be the store's.
 	AsOf time.Time
-	// Unconfirmed is set if that is too long ago although nothing is known to be missing: nobody is known
-	// to have read the store lately.
+	// Unconfirmed is set if that is too long ago and the host acts by its catalog all the same: nothing is
+	// known to be missing, and nobody is known to have read the store lately.
 	Unconfirmed bool
 }
 
@@ -185,7 +185,7 @@
 		d.BehindSince, d.Missing = m.pending[0].since, m.pending[n-1].revision
 	}
 	m.verify(now, d.AsOf, k)
-	d.Unconfirmed = d.BehindSince.IsZero() && k.CompleteTo != 0 && now.Sub(d.AsOf) > maxCatalogAge
+	d.Unconfirmed = m.verified && d.BehindSince.IsZero() && now.Sub(d.AsOf) > maxCatalogAge
 	switch {
 	case !d.BehindSince.IsZero() && now.Sub(d.BehindSince) > maxBehind:
 		d.Outdated = OutdatedBehind
