Let a host look for its shards only once it is registered

A host that started took its shards some 2 s later than it could, and its accounts were refused meanwhile where no other host could grant.

Cause: the first look at the record of the owners comes at once, before the host's registration in the store has been answered. It can claim nothing without a lease, and went to wait for 2 s, as if another host owned the shards. A host without a lease now doesn't look, and claims in the next round after its registration.

The new test failed before: the host looked once before it was registered.

--- a/io/grants/moves_test.go
+++ b/io/grants/moves_test.go
@@ -155,3 +155,29 @@
 		c.Assert(before+after <= burst, qt.IsTrue, qt.Commentf("%d of %d, answers lost: %t", before+after, burst, lost))
 	}
 }
+
+// Guards against a host that takes no shards for seconds after its start: it looks before it is
+// registered, and then waits as if another host owned them.
+func TestHostLooksForShardsOnlyOnceItIsRegistered(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(twoHosts[:1], hotel)
+	var registered atomic.Bool
+	var early atomic.Int64
+	b.until = func(fleet.Host) time.Time {
+		if !registered.Load() {
+			return time.Time{}
+		}
+		return time.Now().Add(time.Minute)
+	}
+	check := func(fleet.Host) {
+		if !registered.Load() {
+			early.Add(1)
+		}
+	}
+	b.beforeRead.Store(&check)
+	b.run(t)
+	time.Sleep(time.Second) // two checks
+	c.Assert(early.Load(), qt.Equals, int64(0))
+	registered.Store(true)
+	eventually(t, "the host owns all shards", func() bool { return b.owned("o1") == allShards })
+}
--- a/io/grants/seats.go
+++ b/io/grants/seats.go
@@ -110,12 +110,17 @@
 
 // updateRecordIfDue updates the ownership record if there is something to change. If
 // its claims have to wait because another host still owns the shards, the host
-// checks the record only every idleCheckInterval.
+// checks the record only every idleCheckInterval. Without a lease it can't claim any,
+// and doesn't look: a host that starts would look before it is registered, and not
+// again for that long.
 func (r *Runtime) updateRecordIfDue(ctx context.Context, claims []roster.Shard) {
 	r.mu.Lock()
 	giving := len(r.released) > 0
 	r.mu.Unlock()
 	now := r.clock.monotonic()
+	if _, until := r.cfg.Store.Lease(); !r.clock.suspendAware().Before(until) {
+		claims = nil
+	}
 	if !giving && (len(claims) == 0 || now.Before(r.nextCheck)) {
 		return
 	}
