Measure the silence of other hosts anew after a pause of this one

A host that was paused, or starved of its processor, for longer than the 6 s for which others may be silent took them all for gone when it woke. Until it heard from one of them it asked nobody for tokens, and its accounts were refused as over their rates unless it was their home itself; it also took itself for a holder of every group.

A roster that wasn't used for 2 s, twice the interval of its ticks, now moves the heartbeats that it has heard by the time of its pause. A host that is dead is found out as late after the pause as it would have been without one. The store's list counts as before.

The new test failed before: after a minute's pause h1 was the only member.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -69,11 +69,34 @@
 	Self fleet.Host
 
 	hosts map[fleet.Host]*hostEntry
+	// usedAt is when the Roster was last used.
+	usedAt time.Time
+}
+
+// pausedAfter is how long a Roster isn't used before this host counts as paused: twice the interval at
+// which a host raises its own heartbeat.
+const pausedAfter = 2 * time.Second
+
+// notePause measures the silence of the others anew after a pause of this host, which can't have heard
+// them. Without it a host that wakes takes all others for gone, and asks none of them any more.
+func (r *Roster) notePause(now time.Time) {
+	d := now.Sub(r.usedAt)
+	if !r.usedAt.IsZero() && d > pausedAfter {
+		for _, entry := range r.hosts {
+			if !entry.heartbeatAt.IsZero() {
+				entry.heartbeatAt = entry.heartbeatAt.Add(d)
+			}
+		}
+	}
+	if d > 0 {
+		r.usedAt = now
+	}
 }
 
 // Merge adds records from peers, and reports whether any of them showed a new process or a changed
 // member.
 func (r *Roster) Merge(now time.Time, records []Record) bool {
+	r.notePause(now)
 	changed := false
 	for _, rec := range records {
 		entry := r.hosts[rec.Member.Host]
@@ -103,6 +126,7 @@
 // MergeStore replaces the list read from the store. A record in it proves that a host is live only
 // while its lease is valid, so it doesn't count as a heartbeat.
 func (r *Roster) MergeStore(now time.Time, records []Record) {
+	r.notePause(now)
 	for _, entry := range r.hosts {
 		entry.storedAt = time.Time{}
 	}
@@ -147,6 +171,7 @@
 // silent for longer than a heartbeat takes to reach all hosts, and that the store doesn't list, is
 // not among them, whether it died or is cut off: as far as this host can tell, it has no duty.
 func (r *Roster) Members(now time.Time) []fleet.Member {
+	r.notePause(now)
 	limit := r.silenceLimit()
 	var out []fleet.Member
 	for h, entry := range r.hosts {
@@ -175,6 +200,7 @@
 // Silent returns the known hosts that are not members, sorted by name. They are the peers to try
 // when no member can be reached.
 func (r *Roster) Silent(now time.Time) []fleet.Member {
+	r.notePause(now)
 	var out []fleet.Member
 	for h, entry := range r.hosts {
 		if h != r.Self && !entry.live(now, r.silenceLimit()) {
@@ -188,6 +214,7 @@
 // Forget drops the hosts that are not live and whose heartbeat last rose longer than forgetAfter
 // ago.
 func (r *Roster) Forget(now time.Time) {
+	r.notePause(now)
 	for h, entry := range r.hosts {
 		if h != r.Self && now.Sub(entry.heartbeatAt) > forgetAfter && !entry.live(now, r.silenceLimit()) &&
 			!entry.heartbeatAt.IsZero() {
@@ -199,6 +226,7 @@
 // Records returns the records of this host and of all live hosts, sorted by name, for the digests
 // that this host sends.
 func (r *Roster) Records(now time.Time) []Record {
+	r.notePause(now)
 	var out []Record
 	for h, entry := range r.hosts {
 		if h == r.Self || entry.live(now, r.silenceLimit()) {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -188,6 +188,35 @@
 	}
 }
 
+// Guards against a host that is paused for longer than others may be silent, and on waking takes them all
+// for gone: it has no peer to hear from, nor one to get its accounts' tokens from.
+func TestPauseOfThisHostIsNoSilenceOfTheOthers(t *testing.T) {
+	c := qt.New(t)
+	r := roster.Roster{Self: "h1"}
+	now := epoch
+	beat := uint64(0)
+	// tick is what a host does every second; h2 and h3 are heard, and h3 dies.
+	tick := func(heard ...int) {
+		beat++
+		now = now.Add(time.Second)
+		records := []roster.Record{record(1, 1, beat)}
+		for _, n := range heard {
+			records = append(records, record(n, 1, beat))
+		}
+		r.Merge(now, records)
+	}
+	for range 10 {
+		tick(2, 3)
+	}
+	tick(2)
+	now = now.Add(time.Minute)
+	c.Assert(r.Members(now), qt.DeepEquals, []fleet.Member{member(1), member(2), member(3)})
+	for range 10 {
+		tick(2)
+	}
+	c.Assert(r.Members(now), qt.DeepEquals, []fleet.Member{member(1), member(2)}, qt.Commentf("h3 has died"))
+}
+
 // A host is suspended for longer than its lease and wakes. It must see that the lease has ended
 // before it acts, counted from when the last renewal was sent.
 func TestLeaseEndsByTheHostsOwnClock(t *testing.T) {
