--- a/standin/machines/store.go
+++ b/standin/machines/store.go
@@ -36,6 +36,16 @@
 	StoreDeaf StoreFault = "deaf"
 )
 
+// endsWatches reports whether watches that wait are cut.
+func (f StoreFault) endsWatches() bool {
+	switch f {
+	case StoreRefuses, StoreCrowded, StoreSilent, StoreResets:
+		return true
+	default:
+		return false
+	}
+}
+
 const (
 	// slowBy is what a slow store adds to a call.
 	slowBy = 300 * time.Millisecond
@@ -77,23 +87,52 @@
 	lastID    uint64
 	changed   chan struct{}
 	faults    map[string]StoreFault
-	// called is when each host last called.
-	called map[string]time.Time
+	turned    turned
+}
+
+// turned is whom the store turns away of those that call it.
+type turned struct {
+	fault StoreFault
+	most  int
+	hosts []string
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{
 		revision: 1, items: map[string]Item{}, leases: map[uint64]*lease{}, changed: make(chan struct{}),
-		faults: map[string]StoreFault{}, called: map[string]time.Time{},
+		faults: map[string]StoreFault{},
 	}
 }
 
-// CalledSince reports whether a host has called the store after a moment.
-func (s *Store) CalledSince(host string, t time.Time) bool {
+// TurnAway sets how the store treats each host from its next call on, up to a number of them. Calls
+// that wait end like new ones.
+func (s *Store) TurnAway(f StoreFault, most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turned = turned{fault: f, most: most}
+}
+
+// ServeAll ends TurnAway.
+func (s *Store) ServeAll() { s.TurnAway(StoreWell, 0) }
+
+// TurnedAway returns the hosts that TurnAway concerns so far.
+func (s *Store) TurnedAway() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.called[host].After(t)
+	return slices.Clone(s.turned.hosts)
+}
+
+// faultOf returns how a call of a host is treated. It has to be called with the store's lock held.
+func (s *Store) faultOf(host string) StoreFault {
+	t := &s.turned
+	if len(t.hosts) < t.most && !slices.Contains(t.hosts, host) {
+		t.hosts = append(t.hosts, host)
+	}
+	if slices.Contains(t.hosts, host) {
+		return t.fault
+	}
+	return s.faults[host]
 }
 
 // SetFault sets how the store treats the calls of a host.
@@ -177,15 +216,14 @@
 func (s *Store) Handler(host string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/kv-range", s.list)
-	mux.HandleFunc("GET /-/kv-watch", s.watch)
+	mux.HandleFunc("GET /-/kv-watch", func(w http.ResponseWriter, r *http.Request) { s.watch(w, r, host) })
 	mux.HandleFunc("POST /-/kv-txn", s.commit)
 	mux.HandleFunc("POST /-/kv-lease", s.grant)
 	mux.HandleFunc("POST /-/kv-keep/{id}", s.keep)
 	mux.HandleFunc("DELETE /-/kv-lease-end/{id}", s.end)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		f := s.faults[host]
-		s.called[host] = time.Now()
+		f := s.faultOf(host)
 		s.mu.Unlock()
 		switch f {
 		case StoreRefuses:
@@ -261,14 +299,14 @@
 	return found, false, s.revision
 }
 
-func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, host string) {
 	after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
 	wait, _ := strconv.Atoi(r.FormValue("WaitMs"))
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for ended := false; ; {
 		s.mu.Lock()
 		s.expire()
-		forgotten, changed, at := after < s.forgotten, s.changed, s.revision
+		forgotten, changed, at, fault := after < s.forgotten, s.changed, s.revision, s.faultOf(host)
 		events := []Item{}
 		for _, i := range s.history {
 			if i.Revision > after && strings.HasPrefix(i.Key, r.FormValue("Prefix")) {
@@ -276,6 +314,10 @@
 			}
 		}
 		s.mu.Unlock()
+		if fault.endsWatches() {
+			// A call that is neither answered nor refused can be cut.
+			panic(http.ErrAbortHandler)
+		}
 		if forgotten {
 			w.WriteHeader(http.StatusGone)
 			return
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -298,33 +298,39 @@
 	case faultStoreSome:
 		f.storeFault(rest, e.aimed(), concerned...)
 	case faultStoreReaders:
-		f.storeFaultForCallers(ctx, e)
+		f.turnCallersAway(ctx, e)
 	}
 }
 
 // aimed returns how the store treats single hosts.
 func (e event) aimed() machines.StoreFault { return aimedStoreFaults[e.N%len(aimedStoreFaults)] }
 
-// storeFaultForCallers has the store treat each host badly from its first call on, up to two thirds
-// of them.
-func (f *fleet) storeFaultForCallers(ctx context.Context, e event) {
-	var bad []*host
-	began := time.Now()
+// turnCallersAway has the store treat each host badly from its next call on, up to five of six.
+func (f *fleet) turnCallersAway(ctx context.Context, e event) {
+	began, store := time.Now(), f.machines.Store
+	troubled := map[string]bool{}
+	store.TurnAway(e.aimed(), len(f.hosts)*5/6)
 	for time.Since(began) < e.Lasts && sleep.For(ctx, readyEvery) {
-		for _, h := range f.hosts {
-			if slices.Contains(bad, h) || len(bad) >= len(f.hosts)*2/3 || !f.machines.Store.CalledSince(string(h.name), began) {
-				continue
-			}
-			bad = append(bad, h)
-			h.trouble(1)
-			f.machines.Store.SetFault(string(h.name), e.aimed())
+		f.troubleTurned(store.TurnedAway(), troubled)
+	}
+	f.troubleTurned(store.TurnedAway(), troubled)
+	store.ServeAll()
+	for _, h := range f.hosts {
+		if troubled[string(h.name)] {
+			h.trouble(-1)
 		}
 	}
-	for _, h := range bad {
-		f.machines.Store.SetFault(string(h.name), machines.StoreWell)
-		h.trouble(-1)
+	f.judge.tell(fmt.Sprintf("the store has turned %d hosts away", len(troubled)))
+}
+
+// troubleTurned takes in which hosts are turned away.
+func (f *fleet) troubleTurned(names []string, troubled map[string]bool) {
+	for _, h := range f.hosts {
+		if n := string(h.name); slices.Contains(names, n) && !troubled[n] {
+			troubled[n] = true
+			h.trouble(1)
+		}
 	}
-	f.judge.tell(fmt.Sprintf("the store has treated %d hosts badly", len(bad)))
 }
 
 // maxSeries is how many versions of the catalog follow each other at most.
--- a/test/soak/prober_test.go
+++ b/test/soak/prober_test.go
@@ -43,6 +43,8 @@
 	judge    *judge
 	luck     *rand.Rand
 	kept     map[string]*session
+	// last is the grant that last worked. It is asked for again after it has left the recent ones.
+	last     grant
 	sessions int
 	queries  int
 }
@@ -59,19 +61,34 @@
 	for sleep.For(ctx, probeEvery) {
 		gs := p.operator.all()
 		gs = gs[max(0, len(gs)-recentGrants):]
-		if len(gs) > 0 {
-			p.probe(gs[p.luck.IntN(len(gs))])
+		n := p.luck.IntN(recentGrants + 1)
+		if n >= len(gs) {
+			p.probeLast()
+			continue
 		}
+		p.probe(gs[n])
 	}
 	for _, s := range p.kept {
 		_ = s.conn.Close()
 	}
 }
 
+// probeLast probes the grant that last worked, as it is now.
+func (p *prober) probeLast() {
+	for _, g := range p.operator.all() {
+		if g.name == p.last.name {
+			p.probe(g)
+		}
+	}
+}
+
 // probe uses a grant once and has the judge look at what came of it.
 func (p *prober) probe(g grant) {
 	began, sent := p.host.condition(), time.Now()
 	got := p.use(g)
+	if got == outcomeAdmitted {
+		p.last = g
+	}
 	ended := p.host.condition()
 	if began.boot != ended.boot {
 		return
