--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/follow"
 	"skylarkdeal/core/leader"
 	"skylarkdeal/core/ratelimit"
 	"skylarkdeal/core/relay"
@@ -68,6 +70,9 @@
 	// woke is when this host last went on after it was held up.
 	woke      time.Time
 	following following
+	// catalogStatus is what is logged and shown of the catalog's way to this host.
+	catalogStatus  catalogStatus
+	catalogMonitor follow.CatalogMonitor
 	// began is when the host was started.
 	began time.Time
 	// accepted counts the links from other hosts.
@@ -120,6 +125,8 @@
 		ObserveLatency:   h.observe,
 		LogEvent:         h.events.note,
 	})
+	h.relay.SetCatalogOutdated(follow.OutdatedAgeUnknown)
+	h.catalogMonitor.Jitter = rand.Float64
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
@@ -153,8 +160,11 @@
 	if err == nil {
 		h.operator, err = operator.Start(operator.Config{
 			Address: h.settings.Operator.Address, Gatherer: h.metrics, Ready: h.readiness,
-			Sections: []operator.Section{{Name: "relay", Read: func() any { return h.snapshot() }}},
-			Pprof:    h.settings.Operator.Pprof, Logger: h.log,
+			Sections: []operator.Section{
+				{Name: "relay", Read: func() any { return h.snapshot() }},
+				{Name: "catalog", Read: func() any { return onLoop(h, h.catalogState) }},
+			},
+			Pprof: h.settings.Operator.Pprof, Logger: h.log,
 		})
 	}
 	if err != nil {
@@ -210,6 +220,7 @@
 			zap.Uint64("revision", uint64(c.Revision)), zap.Int("databases", len(c.Routes)),
 			zap.Int("accounts", len(c.Accounts)), zap.Int("evacuated", len(c.Evacuated)))
 	}
+	h.checkCatalog(clock.Now())
 }
 
 // every returns the time to the next tick. It is called on another goroutine.
@@ -230,6 +241,7 @@
 func (h *Host) tick() {
 	h.busy.Store(h.relay.HasWaiting())
 	h.tendLinks()
+	h.checkCatalog(clock.Now())
 	h.relay.Tick()
 	h.report()
 	if r := h.relay.Ready(); r != h.ready.Load() {
@@ -238,7 +250,8 @@
 	}
 }
 
-var errNotReady = errors.New("not ready: the host knows no catalog or no instances yet, or shuts down")
+var errNotReady = errors.New("not ready: the host knows no catalog or no instances yet, its catalog may be outdated, " +
+	"or it shuts down")
 
 func (h *Host) readiness() error {
 	if h.ready.Load() {
