--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -187,6 +187,9 @@
 // it isn't later here than it was there, however long the news took.
 func (h *Host) told(from fleet.Host, n forward.StoreUpdate) {
 	f := &h.following
+	if h.takeCopy(from, n) && from != f.session.Reader {
+		return
+	}
 	if f.role != follow.RoleFollower || !f.session.Accepts(from, n.RequestSentAt) {
 		return
 	}
@@ -203,8 +206,10 @@
 			h.meetAll(h.registry.ParseHosts(c.Body))
 			continue
 		}
-		h.registry.ApplyPart(p, c)
-		if p == follow.PartInstances {
+		if p == follow.PartCatalog {
+			h.catalogReceived(from, c)
+		}
+		if h.registry.ApplyPart(p, c) && p == follow.PartInstances {
 			h.relay.InstancesConfirmed(c.ReadAt)
 		}
 	}
@@ -279,6 +284,7 @@
 		RequestSentAt: f.asked, RequestReceivedAt: f.heard, Renewed: h.following.own,
 		Parts: h.following.copies.UpdatesFor(f.has),
 	}
+	h.catalogForwarded(n.Parts[follow.PartCatalog])
 	if f.has[follow.PartHosts] == 0 {
 		// The others come by the hosts' own reports.
 		f.has[follow.PartHosts] = 1
