Add a failing test of a successor that a host has never heard of

What callers would see: reads that lack what is acknowledged, and writes acknowledged at a replaced primary, on a host that has lost the store for long, beside a primary whose successor registered after the host's last reading of the list, or was off it for so long that it was forgotten.

Cause: without a registration a host asks all instances that it knows, and nothing bounds the age of the list that tells which these are.

Not fixed: a bound on that age would have hosts refuse everything for the rest of each outage of the store that lasts longer, in which nobody can be promoted either. A host can't tell an outage for all from one for itself alone; reports of hosts that have read a newer list could, and carry only a digest.

--- a/core/relay/sole_primary_test.go
+++ b/core/relay/sole_primary_test.go
@@ -402,3 +402,45 @@
 		})
 	}
 }
+
+// Guards against reads and writes on a replaced primary whose successor isn't among those that are asked: it
+// registered after this host's last reading of the list, or was off the list for so long that it was forgotten.
+func TestInstanceThatRegistersAfterTheLastReadingMayBePrimary(t *testing.T) {
+	for name, setUp := range map[string]func(c *qt.C) *world{
+		"new, another one known": func(c *qt.C) *world {
+			w := newWorldWithout(c, "b")
+			w.listFor(30 * time.Second)
+			return w
+		},
+		"new, no other known": func(c *qt.C) *world {
+			w := newWorldWithout(c, "b", "c")
+			w.listFor(30 * time.Second)
+			return w
+		},
+		"forgotten": func(c *qt.C) *world {
+			w := newWorld(c).withConfirmedPrimary()
+			b := w.instances["b"]
+			b.unlisted, b.silent = true, true
+			w.breakConns(b)
+			w.listFor(6 * time.Minute)
+			b.silent = false
+			return w
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := setUp(c)
+			w.advance(time.Minute, false)
+			w.promote().position = fleet.LogPosition{Term: 2, Index: 9}
+			w.advance(3*time.Second, false)
+			for _, d := range []catalog.Database{"rush", "stock", "standing"} {
+				ran, _ := w.readOnce(d, 100*time.Millisecond, false)
+				c.Check(ran["a"]+ran["c"], qt.Equals, 0, qt.Commentf("%s: they lack what b has acknowledged", d))
+			}
+			x := w.open("rush", "key-1")
+			x.do(statement.KindWrite, "", "item data")
+			w.advance(400*time.Millisecond, false)
+			c.Check(x.last().Code, qt.Not(qt.Equals), statement.CodeNone)
+		})
+	}
+}
