Let operations wait for the next registration on a host that has just started

What callers would see: for 10 s after a host's start, each promotion of any group refused its writes and reads of primaries for some tenths of a second, or left writes in doubt.

Cause: before each promotion every registration ends. Until the list has been followed for long, nothing else verifies an answer, so that the primary counted as unavailable for longer than callers wait.

Evidence: TestShortLossOfTheRegistrationAfterAStartRefusesNothing failed for reads and writes without it.

Change: while the store has been heard lately, such operations wait. They aren't sent before their answers can be verified, which also keeps a write that was on its way to the primary from being in doubt.

Why it works: a host registers again within some tenths of a second, as soon as it finds its registration ended. What is at an instance at that moment is still retried, or in doubt.

--- a/core/relay/availability.go
+++ b/core/relay/availability.go
@@ -22,7 +22,7 @@
 		return "another instance says that it leads a later term"
 	case g.r.lease.RecordsCurrent(now):
 		return ""
-	case !g.knowsAllInstances():
+	case !g.mayVerify(now):
 		return "the store can't be asked whether the primary still leads, and the list of instances may lack some"
 	}
 	for _, n := range g.possiblePrimaries(p.info.Name) {
@@ -149,6 +149,10 @@
 
 // estimatePrimaryWait estimates how long it takes until the group has an available primary.
 func (g *group) estimatePrimaryWait(now time.Time) time.Duration {
+	if !g.mayVerify(now) && g.primary() != nil && g.r.canReach(now, g.primary()) && !g.r.lease.StoreSilent(now) {
+		// The registration has just ended, as that of each host does before a promotion.
+		return shortRetryAfter
+	}
 	if _, _, confirmed := g.primaryState.Primary(); confirmed {
 		return failureDetectionTime + promotionDuration
 	}
--- a/core/relay/guard_test.go
+++ b/core/relay/guard_test.go
@@ -185,3 +185,23 @@
 	w.c.Assert(len(b.conns) > 1, qt.IsTrue)
 	w.open("rush", "key-1").do(statement.KindRead, "", "for the sample")
 }
+
+// A host has just started, and its registration ends for a moment, as that of each host does before a
+// promotion. Guards against writes and reads that are refused, or in doubt, instead of waiting for the next
+// registration.
+func TestShortLossOfTheRegistrationAfterAStartRefusesNothing(t *testing.T) {
+	for _, k := range []statement.Kind{statement.KindRead, statement.KindWrite} {
+		t.Run(string(k), func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorldWithout(c, "c")
+			w.advance(200*time.Millisecond, true)
+			w.relay.LeaseLost()
+			x := w.open("rush", "key-1")
+			x.do(k, "", "item data")
+			w.advance(100*time.Millisecond, false)
+			c.Assert(w.count(string(statement.KindWrite)), qt.Equals, 0)
+			w.advance(50*time.Millisecond, true)
+			c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+		})
+	}
+}
--- a/core/relay/list.go
+++ b/core/relay/list.go
@@ -24,6 +24,12 @@
 	h.lastAt = at
 }
 
+// mayVerify reports whether the answers of a primary can be verified, by the registration or by what all
+// other instances report.
+func (g *group) mayVerify(now time.Time) bool {
+	return g.r.lease.RecordsCurrent(now) || g.knowsAllInstances()
+}
+
 // knowsAllInstances reports whether the list has been followed for so long that no instance can have been
 // missing from all readings.
 //
--- a/core/relay/sole_primary.go
+++ b/core/relay/sole_primary.go
@@ -114,13 +114,16 @@
 
 // primaryMayRun reports whether the primary may run an operation: whether it is known to have been the
 // only primary up to the time as of which the operation's reads have to show all commits. A write needs
-// only the verification of its answer.
+// only the verification of its answer, which has to be possible.
 //
 // Guards against a read that runs on a primary which was replaced, and lacks commits that its successor
 // has acknowledged: its answer could be withheld afterwards, but it has run. The required time is fixed
 // when the operation begins, so that a read which is delayed after this check, in a queue or on the
 // network, still shows all that it has to.
 func (g *group) primaryMayRun(o *operation) bool {
+	if o.needsPrimary && !g.mayVerify(g.r.now()) {
+		return false
+	}
 	if o.writes && !o.beginsTx || !g.solePrimaryUntil().Before(o.asOf) {
 		return true
 	}
