Play copies that are late and overtake each other against the registry

Three more tests hold what the model can't see: a removed entry that a late copy of the same revision would bring back, an earlier removal of an entry that was written again, and a copy without its body.

--- a/io/registry/copies_test.go
+++ b/io/registry/copies_test.go
@@ -370,3 +370,101 @@
 	})
 	c.Check(r.CatalogRevision(), qt.Equals, registry.Revision(9))
 }
+
+func catalogCopy(at registry.Revision, es ...registry.Entry) follow.PartCopy[[]registry.Entry] {
+	return follow.PartCopy[[]registry.Entry]{
+		Version: follow.Version(at), CompleteTo: at, ReadAt: time.Now(), HasBody: true, Body: es,
+	}
+}
+
+// Guards against an evacuation that has ended and begins again for a moment: a list of several pages that
+// was read before its end arrives after one that was read later, both complete to the same revision.
+func TestRemovedEntryDoesNotComeBack(t *testing.T) {
+	c := qt.New(t)
+	r, got, _ := startFollowing(c)
+	config := registry.Entry{Key: "catalog", Value: []byte("3"), Revision: 10}
+	evacuation := registry.Entry{Key: "catalog/obihiro", Value: []byte("{}"), Revision: 15}
+	r.ApplyPart(follow.PartCatalog, catalogCopy(20, config, evacuation))
+	late := catalogCopy(22, config, evacuation)
+	r.ApplyPart(follow.PartCatalog, catalogCopy(22, config))
+	r.ApplyPart(follow.PartCatalog, late)
+	got.locked(func() {
+		last, n := got.evacuated()
+		c.Check(last, qt.HasLen, 0)
+		c.Check(n, qt.Equals, 2)
+	})
+	evacuation.Revision = 23
+	r.ApplyPart(follow.PartCatalog, catalogCopy(24, config, evacuation))
+	got.locked(func() {
+		last, _ := got.evacuated()
+		c.Check(last, qt.DeepEquals, []string{"obihiro"})
+	})
+}
+
+// Guards against an evacuation that is lifted by an earlier end of it: the second page of a list has it as
+// it was written again, and the watch from the first page's revision brings the end before that.
+func TestEarlierRemovalLeavesALaterEntry(t *testing.T) {
+	c := qt.New(t)
+	s, watches := newMemStore(), make(chan []registry.Entry)
+	s.put("catalog", "3")
+	s.secondPage = "catalog/"
+	s.betweenPages = func() {
+		s.put("catalog/obihiro", "{}")
+		s.remove("catalog/obihiro")
+		s.put("catalog/obihiro", "{}")
+	}
+	got := &callbackLog{}
+	cfg := config(s, got, 0, time.Second, 0)
+	cfg.Store.Watch = func(
+		ctx context.Context, prefix string, after registry.Revision, wait time.Duration,
+	) ([]registry.Entry, registry.Revision, error) {
+		if prefix != "catalog" {
+			return s.watch(ctx, prefix, after, wait)
+		}
+		select {
+		case es := <-watches:
+			return es, es[0].Revision, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+	start(c, cfg)
+	until(c, got, "the evacuation", func() bool { last, _ := got.evacuated(); return len(last) == 1 })
+	var end registry.Entry
+	s.locked(func() {
+		end = registry.Entry{Key: "catalog/obihiro", Revision: s.entries["catalog/obihiro"].Revision - 1, Deleted: true}
+	})
+	watches <- []registry.Entry{end}
+	time.Sleep(settle)
+	got.locked(func() {
+		last, n := got.evacuated()
+		c.Check(last, qt.HasLen, 1)
+		c.Check(n, qt.Equals, 1)
+	})
+}
+
+// Guards against a follower that takes its catalog for recent by a copy without a body, of a version that
+// it never got.
+func TestCopyWithoutItsBodyConfirmsNoOtherOne(t *testing.T) {
+	c := qt.New(t)
+	r, _, _ := startFollowing(c)
+	first := catalogCopy(20, registry.Entry{Key: "catalog", Value: []byte("3"), Revision: 10})
+	c.Assert(r.ApplyPart(follow.PartCatalog, first), qt.IsTrue)
+	asOf := r.CatalogAsOf()
+	c.Check(asOf.Equal(first.ReadAt), qt.IsTrue)
+	next := follow.PartCopy[[]registry.Entry]{Version: 30, CompleteTo: 30, ReadAt: asOf.Add(time.Second)}
+	c.Check(r.ApplyPart(follow.PartCatalog, next), qt.IsFalse)
+	c.Check(r.CatalogRevision(), qt.Equals, registry.Revision(20))
+	c.Check(r.CatalogAsOf().Equal(asOf), qt.IsTrue)
+	// The version that it has, complete to a higher revision, moves both.
+	next.Version = first.Version
+	c.Check(r.ApplyPart(follow.PartCatalog, next), qt.IsTrue)
+	c.Check(r.CatalogRevision(), qt.Equals, registry.Revision(30))
+	c.Check(r.CatalogAsOf().Equal(next.ReadAt), qt.IsTrue)
+	// An older copy confirms it: what the store held then, the newer one lacks nothing of.
+	older := catalogCopy(25)
+	older.ReadAt = next.ReadAt.Add(time.Second)
+	c.Check(r.ApplyPart(follow.PartCatalog, older), qt.IsTrue)
+	c.Check(r.CatalogAsOf().Equal(older.ReadAt), qt.IsTrue)
+	c.Check(r.CatalogRevision(), qt.Equals, registry.Revision(30))
+}
