Name what internal/entry does in ordinary terms

Names and comments there were hard to follow (tell, told, hurry, copied, whole, met, looked, unsure, acquaintance, youth, secluded, held, woke). They are now sendUpdate, handleUpdate, requestTick, handlePart, complete, addedAt, listedMissingAt, peersIncomplete, discoveryTime, coordinatorDelay, isolated, queuedReport, resumedAt and the like, as in core/follow and core/mesh.

Names and comments only, and one expression that has a variable now; log lines and metrics are as before.

--- a/internal/entry/catalog.go
+++ b/internal/entry/catalog.go
@@ -105,7 +105,7 @@
 			h.followStore(now)
 		}
 	case follow.CatalogSwitchReader:
-		h.choose(now)
+		h.chooseReader(now)
 		h.followStore(now)
 	case follow.CatalogReadStore:
 		h.registry.ReloadCatalog()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,11 +42,11 @@
 	memoryPart = 70
 	// drainedEvery is how often an ending host looks whether its sessions have ended.
 	drainedEvery = 20 * time.Millisecond
-	// youth is how long a host that has started leaves changes of primary to others. It takes that
+	// coordinatorDelay is how long a host that has started leaves changes of primary to others. It takes that
 	// long anyway to tell a group without a primary from one whose primary it hasn't found.
-	youth = 2500 * time.Millisecond
-	// lastMoment is kept of the grace for ending by itself.
-	lastMoment = 300 * time.Millisecond
+	coordinatorDelay = 2500 * time.Millisecond
+	// shutdownMargin is kept of the grace for ending by itself.
+	shutdownMargin = 300 * time.Millisecond
 	// maxUnread bounds what waits for a peer that doesn't read.
 	maxUnread = 4 << 20
 )
@@ -67,8 +67,8 @@
 	// links are to the hosts that were heard, looked after at tended.
 	links  map[fleet.Host]*link
 	tended time.Time
-	// woke is when this host last went on after it was held up.
-	woke      time.Time
+	// resumedAt is when this host last went on after it was held up.
+	resumedAt time.Time
 	following following
 	// catalogStatus is what is logged and shown of the catalog's way to this host.
 	catalogStatus  catalogStatus
@@ -102,7 +102,7 @@
 	h.links = map[fleet.Host]*link{}
 	h.following.followers = map[relay.PeerLinkID]*follower{}
 	h.peers.known = map[fleet.Host]*peer{}
-	h.peers.met = map[fleet.Host]time.Time{}
+	h.peers.addedAt = map[fleet.Host]time.Time{}
 	h.peers.epoch = uint64(clock.Now().UnixNano()) //nolint:gosec // never negative
 	h.registry = registry.New(h.registryConfig())
 	h.relay = relay.New(relay.Config{
@@ -121,7 +121,7 @@
 		},
 		Refund:           func(n fleet.Account) { h.rates.Refund(n) },
 		RequestPromotion: h.registry.RequestPromotion,
-		RequestTick:      h.hurry,
+		RequestTick:      h.requestTick,
 		ObserveLatency:   h.observe,
 		LogEvent:         h.events.note,
 	})
@@ -140,7 +140,7 @@
 
 func (h *Host) listen() error {
 	l, err := loop.Start(loop.Config{
-		Address: h.settings.Caller.Address, Accept: h.accept, Tick: h.tick, TickInterval: h.every,
+		Address: h.settings.Caller.Address, Accept: h.accept, Tick: h.tick, TickInterval: h.tickInterval,
 		PeerAddress: h.settings.Peer.Address, AcceptPeer: h.acceptPeer,
 		MaxUnread: maxUnread, Logger: h.log,
 	})
@@ -149,7 +149,7 @@
 	}
 	h.loop = l
 	h.gossip, err = gossip.Start(gossip.Config{
-		Address: h.settings.Peer.Address, Received: h.heard, Logger: h.log,
+		Address: h.settings.Peer.Address, Received: h.handleReports, Logger: h.log,
 	})
 	if err != nil {
 		return errors.Join(err, l.Stop())
@@ -191,7 +191,7 @@
 		Rank:                func() int { return int(h.rank.Load()) },
 		Post:                func(f func()) { h.loop.Post(f) },
 		ElectReaders:        true,
-		PartRead:            h.copied,
+		PartRead:            h.handlePart,
 		Role:                h.setRole,
 		HostCount:           func(n int) { h.following.count = n },
 		Catalog:             h.adopt,
@@ -206,7 +206,7 @@
 		},
 		StepDown:           func(o leader.PromotionRequest) { h.relay.RequestStepDown(o) },
 		Promote:            platform.NewPromotions(s.Adapter.PromotionsAddress).Promote,
-		CoordinatorDelay:   youth,
+		CoordinatorDelay:   coordinatorDelay,
 		MinPromotionTime:   s.Adapter.MinPromotionTime,
 		UsualPromotionTime: s.Adapter.UsualPromotionTime,
 		Logger:             h.log,
@@ -223,16 +223,16 @@
 	h.checkCatalog(clock.Now())
 }
 
-// every returns the time to the next tick. It is called on another goroutine.
-func (h *Host) every() time.Duration {
+// tickInterval returns the time to the next tick. It is called on another goroutine.
+func (h *Host) tickInterval() time.Duration {
 	if h.busy.Load() {
 		return tickBusy
 	}
 	return tickIdle
 }
 
-// hurry shortens the time to the next tick, if it is long.
-func (h *Host) hurry() {
+// requestTick shortens the time to the next tick, if it is long.
+func (h *Host) requestTick() {
 	if !h.busy.Swap(true) {
 		h.loop.RequestTick()
 	}
@@ -266,7 +266,7 @@
 // Shutdown ends the host without cutting a statement: sessions end as they come to
 // rest, within the grace.
 func (h *Host) Shutdown() error {
-	grace := h.settings.Adapter.ShutdownTimeout - lastMoment
+	grace := h.settings.Adapter.ShutdownTimeout - shutdownMargin
 	h.log.Info("host shuts down", zap.Duration("grace", grace))
 	h.loop.Post(func() { h.relay.Drain(h.settings.Adapter.ShutdownTimeout) })
 	ctx, drained := context.WithTimeout(context.Background(), grace)
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -17,10 +17,10 @@
 )
 
 const (
-	// followEvery is how often a follower asks for news; each question brings the clocks
-	// together again.
+	// followEvery is the interval at which a follower requests updates; each request also renews the
+	// translation of the reader's clock.
 	followEvery = time.Second
-	// followFor is how long a reader passes on news after a question.
+	// followFor is how long a reader sends updates after a request.
 	followFor = 3 * followEvery
 )
 
@@ -57,7 +57,7 @@
 // reads reports whether this host reads the store.
 func (h *Host) reads() bool { return h.following.role == follow.RoleReader }
 
-// setRole takes in the role that the host begins with, or has chosen.
+// setRole sets the role that the host begins with, or has chosen.
 func (h *Host) setRole(x follow.Role) {
 	if h.following.role == x {
 		return
@@ -69,18 +69,18 @@
 		clear(h.following.followers)
 		// The link to a reader is the first thing that it needs.
 		h.tended = time.Time{}
-		h.hurry()
+		h.requestTick()
 	}
 }
 
-// chooseRole looks whether the host is to read the store or to follow one that does.
+// chooseRole chooses whether the host reads the store or follows a host that does.
 func (h *Host) chooseRole(now time.Time) {
 	if h.following.role == "" {
 		return
 	}
 	if !mesh.UsesRelays(h.peers.size()) {
 		// A fleet that has just started looks small until its hosts have heard each other.
-		if now.Sub(h.began) > acquaintance {
+		if now.Sub(h.began) > discoveryTime {
 			h.setRole(follow.RoleReader)
 		}
 		return
@@ -97,18 +97,18 @@
 	}))
 }
 
-// acquaintance is how long a host that starts waits to hear of the others before it takes its
+// discoveryTime is how long a host that starts waits to hear of the others before it takes its
 // fleet for a small one.
-const acquaintance = 1500 * time.Millisecond
+const discoveryTime = 1500 * time.Millisecond
 
-// unsureFor is how long after its start a host of a large fleet makes no connections to instances
+// peersIncompleteFor is how long after its start a host of a large fleet makes no connections to instances
 // while it hears less than half of the others.
-const unsureFor = 3 * time.Second
+const peersIncompleteFor = 3 * time.Second
 
-// unsure reports whether the host hears too few others to tell who holds connections.
-func (h *Host) unsure(now time.Time, heard int) bool {
+// peersIncomplete reports whether the host hears too few others to tell who holds connections.
+func (h *Host) peersIncomplete(now time.Time, heard int) bool {
 	f := &h.following
-	if now.Sub(h.began) > unsureFor || f.count > 0 && !mesh.UsesRelays(f.count) {
+	if now.Sub(h.began) > peersIncompleteFor || f.count > 0 && !mesh.UsesRelays(f.count) {
 		return false
 	}
 	return 2*heard < max(f.count, h.peers.size())-1
@@ -133,7 +133,7 @@
 		return
 	}
 	if l := h.links[f.session.Reader]; l == nil || l.failed || now.Sub(later(f.heard, f.asked)) > leader.StoreSilentAfter {
-		h.choose(now)
+		h.chooseReader(now)
 	}
 	l := h.links[f.session.Reader]
 	if l == nil || !l.up || now.Sub(f.asked) < followEvery {
@@ -144,8 +144,8 @@
 	l.conn.Write(forward.AppendFollow(nil, forward.Follow{Sent: now, Full: f.session.RequestFull()}))
 }
 
-// choose takes a reader to follow, another one than the last if there is one.
-func (h *Host) choose(now time.Time) {
+// chooseReader takes a reader to follow, another one than the last if there is one.
+func (h *Host) chooseReader(now time.Time) {
 	f := &h.following
 	others := h.candidates(now)
 	rest := slices.DeleteFunc(slices.Clone(others), func(c follow.Candidate) bool { return c.Host == f.session.Reader })
@@ -155,7 +155,7 @@
 	}
 	if !ok {
 		// Those that are to read may have reported before they knew.
-		lead, ok = follow.ChooseReader(h.settings.Host.Name, h.registeredBeside())
+		lead, ok = follow.ChooseReader(h.settings.Host.Name, h.registeredInDataCentre())
 	}
 	if !ok {
 		f.session = follow.Subscription{}
@@ -169,8 +169,8 @@
 	f.asked, f.heard = time.Time{}, now
 }
 
-// registeredBeside returns the hosts of the data centre that were registered when this one started.
-func (h *Host) registeredBeside() []follow.Candidate {
+// registeredInDataCentre returns the hosts of the data centre that were registered when this one started.
+func (h *Host) registeredInDataCentre() []follow.Candidate {
 	var out []follow.Candidate
 	for _, r := range h.following.registered {
 		if r.DataCentre == h.settings.Host.DataCentre && r.Name != h.settings.Host.Name {
@@ -180,12 +180,12 @@
 	return out
 }
 
-// told takes in news of the reader that the host follows.
+// handleUpdate handles an update of the reader that the host follows.
 //
-// What a renewal of the reader's proves, it proves to its followers: that no order was given before it
-// was sent of which the records don't tell that come with it. The moment is translated so that
-// it isn't later here than it was there, however long the news took.
-func (h *Host) told(from fleet.Host, n forward.StoreUpdate) {
+// A renewal of the reader's registration proves to its followers too that no promotion was requested before
+// it was sent that isn't among the records that come with it. Its time is translated so that it isn't later
+// here than it was there, however long the update took.
+func (h *Host) handleUpdate(from fleet.Host, n forward.StoreUpdate) {
 	f := &h.following
 	if h.takeCopy(from, n) && from != f.session.Reader {
 		return
@@ -203,7 +203,7 @@
 		}
 		c.ReadAt = read
 		if p == follow.PartHosts {
-			h.meetAll(h.registry.ParseHosts(c.Body))
+			h.addHosts(h.registry.ParseHosts(c.Body))
 			continue
 		}
 		if p == follow.PartCatalog {
@@ -222,34 +222,34 @@
 	}
 }
 
-// renewed takes in that a registration was renewed by a call that was sent at some moment.
+// renewed records that a registration was renewed by a call that was sent at the given time.
 func (h *Host) renewed(at time.Time) {
 	h.following.renewed = later(h.following.renewed, at)
 	h.relay.LeaseRenewed(at)
 }
 
-// ownRenewed takes in a renewal of this host's own registration, and passes it on.
+// ownRenewed records a renewal of this host's own registration, and passes it on.
 func (h *Host) ownRenewed(at time.Time) {
 	h.following.own = later(h.following.own, at)
 	h.renewed(at)
-	h.passNews()
+	h.sendUpdates()
 }
 
-// ownLost takes in that this host's own registration has ended.
+// ownLost records that this host's own registration has ended.
 func (h *Host) ownLost() {
 	h.following.own = time.Time{}
 	h.relay.LeaseLost()
-	h.passNews()
+	h.sendUpdates()
 }
 
-// copied takes in a part of the store that this host has read, and passes it on.
-func (h *Host) copied(p follow.Part, c follow.PartCopy[[]registry.Entry]) {
+// handlePart stores a part of the store that this host has read, and passes it on.
+func (h *Host) handlePart(p follow.Part, c follow.PartCopy[[]registry.Entry]) {
 	h.following.copies.Put(p, c)
-	h.passNews()
+	h.sendUpdates()
 }
 
-// followed takes in a host's question for news.
-func (h *Host) followed(l relay.PeerLinkID, q forward.Follow, write func(b []byte)) {
+// handleFollow handles a host's request for updates.
+func (h *Host) handleFollow(l relay.PeerLinkID, q forward.Follow, write func(b []byte)) {
 	f := h.following.followers[l]
 	if f == nil {
 		f = &follower{has: map[follow.Part]follow.Version{}, write: write}
@@ -260,12 +260,12 @@
 	}
 	f.asked, f.heard = q.Sent, clock.Now()
 	if h.reads() {
-		h.tell(f)
+		h.sendUpdate(f)
 	}
 }
 
-// passNews tells all followers, and forgets those that have not asked for long.
-func (h *Host) passNews() {
+// sendUpdates sends an update to all followers, and drops those that have sent no request lately.
+func (h *Host) sendUpdates() {
 	if !h.reads() {
 		return
 	}
@@ -275,11 +275,11 @@
 			delete(h.following.followers, l)
 			continue
 		}
-		h.tell(f)
+		h.sendUpdate(f)
 	}
 }
 
-func (h *Host) tell(f *follower) {
+func (h *Host) sendUpdate(f *follower) {
 	n := forward.StoreUpdate{
 		RequestSentAt: f.asked, RequestReceivedAt: f.heard, Renewed: h.following.own,
 		Parts: h.following.copies.UpdatesFor(f.has),
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -19,10 +19,10 @@
 	// missingFor until when: it may have gone for good.
 	missingAfter = 300 * time.Millisecond
 	missingFor   = 30 * time.Second
-	// lookEvery spaces the readings of the list of hosts while some are missing; each host
-	// that goes before this one adds lookStep.
-	lookEvery = 3 * time.Second
-	lookStep  = 200 * time.Millisecond
+	// listHostsEvery spaces the readings of the list of hosts while some are missing; each host
+	// that goes before this one adds listHostsStep.
+	listHostsEvery = 3 * time.Second
+	listHostsStep  = 200 * time.Millisecond
 	// linkTimeout bounds a connection to another host, linkPause the time to the next try.
 	linkTimeout = 500 * time.Millisecond
 	linkPause   = 300 * time.Millisecond
@@ -34,14 +34,14 @@
 	// linkWait is how long statements wait for a link that is being made, some round trips,
 	// before another host is used.
 	linkWait = 100 * time.Millisecond
-	// linkRest closes a link that isn't wanted any more: longer than any statement or transaction
+	// idleLinkTimeout closes a link that isn't wanted any more: longer than any statement or transaction
 	// may last on it.
-	linkRest = 10 * time.Second
-	// stoodStill is the time between two looks from which on this host itself was held up, wakeTime
-	// how long it then takes to read what has come meanwhile.
-	stoodStill = 200 * time.Millisecond
-	wakeTime   = 200 * time.Millisecond
-	// tendEvery spaces the looks at all other hosts: hundreds, in a large fleet.
+	idleLinkTimeout = 10 * time.Second
+	// pauseThreshold is the time between two calls of tendLinks above which this process counts as paused,
+	// pauseGrace how long it then takes to read what has arrived meanwhile.
+	pauseThreshold = 200 * time.Millisecond
+	pauseGrace     = 200 * time.Millisecond
+	// tendEvery is the least time between two passes over all other hosts: hundreds, in a large fleet.
 	tendEvery = 45 * time.Millisecond
 )
 
@@ -63,7 +63,7 @@
 // instances are used, and tells the relay which can be used.
 //
 // The guard is against a host that has died or stands still: its link resets nothing, and
-// every statement sent there would wait for its time limit. A host that is alive reports
+// tickInterval statement sent there would wait for its time limit. A host that is alive reports
 // several times a second, so that silence shows. In a large fleet its reports may be held up
 // on their way while the host itself answers; then its answers count.
 func (h *Host) tendLinks() {
@@ -71,16 +71,16 @@
 	if now.Sub(h.tended) < tendEvery {
 		return
 	}
-	if now.Sub(h.tended) > stoodStill && !h.tended.IsZero() {
-		h.woke = now
+	if now.Sub(h.tended) > pauseThreshold && !h.tended.IsZero() {
+		h.resumedAt = now
 	}
 	h.tended = now
 	h.chooseRole(now)
 	defer h.followStore(now)
 	h.forget(now)
 	fresh := mesh.IntervalsFor(h.peers.size()).HeardWithin
-	silent := h.silentCentres(now)
-	_, pause := h.linkPatience()
+	silent := h.silentDataCentres(now)
+	_, retryPause := h.linkPatience()
 	wanted := h.wanted()
 	var usable []relay.Peer
 	for name, p := range h.peers.known {
@@ -96,9 +96,9 @@
 				zap.Duration("silent", now.Sub(p.heard)))
 			l.conn.Close()
 			h.dropLink(l)
-		case alive && l.conn == nil && p.address != "" && (l.failed || wanted(name)) && now.Sub(l.tried) > pause:
+		case alive && l.conn == nil && p.address != "" && (l.failed || wanted(name)) && now.Sub(l.tried) > retryPause:
 			h.openLink(l, p.address)
-		case l.up && !wanted(name) && now.Sub(l.used) > linkRest:
+		case l.up && !wanted(name) && now.Sub(l.used) > idleLinkTimeout:
 			l.conn.Close()
 			h.dropLink(l)
 		}
@@ -117,11 +117,12 @@
 		}
 	}
 	h.relay.SetPeers(usable, missing)
-	h.relay.SetPeersIncomplete(h.unsure(now, len(usable)))
-	h.relay.SetIsolated(h.secluded(now, silent))
-	if missing > 0 && h.reads() && now.Sub(h.peers.looked) > lookEvery+time.Duration(h.rank.Load())*lookStep {
+	h.relay.SetPeersIncomplete(h.peersIncomplete(now, len(usable)))
+	h.relay.SetIsolated(h.isolated(now, silent))
+	pause := listHostsEvery + time.Duration(h.rank.Load())*listHostsStep
+	if missing > 0 && h.reads() && now.Sub(h.peers.listedMissingAt) > pause {
 		// One that has died is off the list by now, and its share of rates is free again.
-		h.peers.looked = now
+		h.peers.listedMissingAt = now
 		h.registry.ListHosts()
 	}
 }
@@ -158,14 +159,14 @@
 	}
 }
 
-// secludedPart is the part of the time after which a host counts as not heard any more that all
+// isolationDivisor is the part of the time after which a host counts as not heard any more that all
 // hosts elsewhere have to be silent together, in data centres of few hosts.
-const secludedPart = 2
+const isolationDivisor = 2
 
-// secluded reports whether no host of another data centre has been heard for a moment, by report or
+// isolated reports whether no host of another data centre has been heard for a moment, by report or
 // over its link, although some ought to be.
-func (h *Host) secluded(now time.Time, silent fleet.Set[fleet.DataCentre]) bool {
-	silence := mesh.IntervalsFor(h.peers.size()).HeardWithin / secludedPart
+func (h *Host) isolated(now time.Time, silent fleet.Set[fleet.DataCentre]) bool {
+	silence := mesh.IntervalsFor(h.peers.size()).HeardWithin / isolationDivisor
 	far := false
 	for name, p := range h.peers.known {
 		if p.dataCentre == h.settings.Host.DataCentre || now.Sub(p.heard) > missingFor {
@@ -188,10 +189,10 @@
 	return heard
 }
 
-// silentCentres returns the other data centres of a large fleet that count as cut off, and asks for a
+// silentDataCentres returns the other data centres of a large fleet that count as cut off, and asks for a
 // sign of life where nothing has come for some time.
-func (h *Host) silentCentres(now time.Time) fleet.Set[fleet.DataCentre] {
-	if !mesh.UsesRelays(h.peers.size()) || now.Sub(h.woke) < wakeTime {
+func (h *Host) silentDataCentres(now time.Time) fleet.Set[fleet.DataCentre] {
+	if !mesh.UsesRelays(h.peers.size()) || now.Sub(h.resumedAt) < pauseGrace {
 		return nil
 	}
 	last, hosts := map[fleet.DataCentre]time.Time{}, map[fleet.DataCentre]int{}
@@ -205,7 +206,7 @@
 	out := fleet.NewSet[fleet.DataCentre]()
 	for dc, at := range last {
 		if mesh.NeedsProbe(now.Sub(at)) {
-			h.askForSigns(now, dc, at)
+			h.sendPings(now, dc, at)
 		}
 		if mesh.DataCentreSilent(hosts[dc], now.Sub(at)) {
 			out.Add(dc)
@@ -214,8 +215,8 @@
 	return out
 }
 
-// askForSigns asks the hosts of a data centre over the links that stand, once since it was last heard.
-func (h *Host) askForSigns(now time.Time, dc fleet.DataCentre, heard time.Time) {
+// sendPings asks the hosts of a data centre over the links that stand, once since it was last heard.
+func (h *Host) sendPings(now time.Time, dc fleet.DataCentre, heard time.Time) {
 	for name, l := range h.links {
 		if p := h.peers.known[name]; p == nil || p.dataCentre != dc || !l.up || l.asked.After(heard) {
 			continue
@@ -255,7 +256,7 @@
 		Follow: func(forward.Follow) {},
 		StoreUpdate: func(n forward.StoreUpdate) {
 			l.heard = clock.Now()
-			h.told(l.host, n)
+			h.handleUpdate(l.host, n)
 		},
 		Ping: func(bool) { l.heard = clock.Now() },
 	}
@@ -292,7 +293,7 @@
 			})
 		},
 		Reply:       func(uint64, statement.Answer) {},
-		Follow:      func(f forward.Follow) { h.followed(id, f, c.Write) },
+		Follow:      func(f forward.Follow) { h.handleFollow(id, f, c.Write) },
 		StoreUpdate: func(forward.StoreUpdate) {},
 		Ping: func(answer bool) {
 			if !answer {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -25,31 +25,31 @@
 	centres map[fleet.Host]fleet.DataCentre
 	// known are the hosts that were heard.
 	known map[fleet.Host]*peer
-	// passing are the reports that wait to be passed on; the last were at passedAt. urgent is set
-	// while one of them has news that don't wait.
-	passing  []held
-	passedAt time.Time
-	urgent   bool
+	// forwardQueue are the reports that wait to be forwarded; the last were at forwardedAt. urgent is set
+	// while one of them must not wait.
+	forwardQueue []queuedReport
+	forwardedAt  time.Time
+	urgent       bool
 	// listed are the other hosts as the mesh wants to know them, as of listedAt.
 	listed   []mesh.Peer
 	listedAt time.Time
-	// reported is when the last report was sent, doubted how many doubts it had, reached how
-	// many instances that others doubt.
-	reported         time.Time
-	doubted, reached int
-	// checked is when that was last looked at.
+	// reported is when the last report was sent, reportedUnreachable and reportedReachable how many
+	// instances it named as such.
+	reported                               time.Time
+	reportedUnreachable, reportedReachable int
+	// checked is when it was last checked whether a report is due.
 	checked time.Time
-	// catalog is the revision of the newest change of the catalog in force here, told the one that
-	// the others know of.
-	catalog, told uint64
-	// toldRole is the role that the others know of.
-	toldRole follow.Role
-	// looked is when the hosts were last listed because some are missing.
-	looked time.Time
-	// met is when hosts were added to addresses by others' word; whole is the number of hosts
-	// at the last report that told everything.
-	met   map[fleet.Host]time.Time
-	whole int
+	// catalog is the revision of the newest change of the catalog in force here,
+	// reportedCatalog the one in the last report.
+	catalog, reportedCatalog uint64
+	// reportedRole is the role in the last report.
+	reportedRole follow.Role
+	// listedMissingAt is when the hosts were last listed because some are missing.
+	listedMissingAt time.Time
+	// addedAt is when hosts were added to addresses because others named them, completeFor the number
+	// of hosts at the last complete report.
+	addedAt     map[fleet.Host]time.Time
+	completeFor int
 	// forgot is when hosts that have gone were last dropped.
 	forgot time.Time
 }
@@ -115,7 +115,7 @@
 	return n
 }
 
-// at returns where hosts are to be told.
+// at returns the addresses of hosts.
 func (p *peers) at(hs []fleet.Host) []*net.UDPAddr {
 	out := make([]*net.UDPAddr, 0, len(hs))
 	for _, h := range hs {
@@ -141,7 +141,7 @@
 		h.expect(p, now)
 	}
 	if mesh.UsesRelays(h.peers.size()) {
-		h.meetAll(hs)
+		h.addHosts(hs)
 		return
 	}
 	at := make(map[fleet.Host]*net.UDPAddr, len(hs))
@@ -173,8 +173,8 @@
 	}
 }
 
-// meetAll takes in hosts beside those that are known.
-func (h *Host) meetAll(hs []registry.Host) {
+// addHosts takes in hosts beside those that are known.
+func (h *Host) addHosts(hs []registry.Host) {
 	for _, p := range hs {
 		h.add(p.Name, p.Address, p.DataCentre)
 	}
@@ -199,7 +199,7 @@
 	// unheardFor is how long a host of a large fleet isn't heard, while others of its data centre
 	// are, before it counts as gone.
 	unheardFor = 4 * time.Second
-	// forgetEvery is how often that is looked at.
+	// forgetEvery is how often that is checked.
 	forgetEvery = time.Second
 )
 
@@ -219,14 +219,14 @@
 	before := len(h.peers.addresses)
 	for n := range h.peers.addresses {
 		k, dc := h.peers.known[n], h.peers.centres[n]
-		heard := h.peers.met[n]
+		heard := h.peers.addedAt[n]
 		if k != nil {
 			heard = k.heard
 		}
 		if now.Sub(heard) > unheardFor && (live.Has(dc) || !h.following.centres.Has(dc)) {
 			delete(h.peers.addresses, n)
 			delete(h.peers.centres, n)
-			delete(h.peers.met, n)
+			delete(h.peers.addedAt, n)
 		}
 	}
 	if len(h.peers.addresses) != before {
@@ -234,7 +234,7 @@
 	}
 }
 
-// hostsChanged tells how many hosts there are, and which.
+// hostsChanged passes the number of hosts and their names to the parts that use them.
 func (h *Host) hostsChanged() {
 	h.registry.SetHostCount(h.peers.size())
 	h.relay.SetHostCount(1 + len(h.peers.addresses))
@@ -251,8 +251,8 @@
 	return out
 }
 
-// meet takes in a host that isn't on the list yet.
-func (h *Host) meet(r gossip.Report) {
+// addReported takes in a host that isn't on the list yet.
+func (h *Host) addReported(r gossip.Report) {
 	if h.add(r.Host, r.Address, r.DataCentre) {
 		h.hostsChanged()
 	}
@@ -269,6 +269,6 @@
 		return false
 	}
 	h.peers.addresses[n], h.peers.centres[n] = a, dc
-	h.peers.met[n] = clock.Now()
+	h.peers.addedAt[n] = clock.Now()
 	return true
 }
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -13,56 +13,59 @@
 )
 
 const (
-	// wholeEvery is how many reports tell everything; those between leave out what hasn't
-	// changed.
-	wholeEvery = 20
-	// wholeFirst is how many of the first reports tell everything: others may not know the host, and
-	// any may be lost.
-	wholeFirst = 5
-	// doubtsEvery is how often doubts are looked at, at most: a new one is told at once. It is a
-	// little less than the pause between two ticks of a host at rest.
-	doubtsEvery = 45 * time.Millisecond
+	// completeReportEvery is the interval, in reports, between two complete ones; those between leave out
+	// what hasn't changed.
+	completeReportEvery = 20
+	// completeFirstReports is how many of the first reports are complete: others may not know the host,
+	// and any may be lost.
+	completeFirstReports = 5
+	// checkEvery is the least time between two checks whether a report is due: an instance that has
+	// become unreachable is reported at once. It is a little less than the pause between two ticks of an
+	// idle host.
+	checkEvery = 45 * time.Millisecond
 	// catalogFresh is how old another host's reading of the catalog may be to count.
 	catalogFresh = time.Second
 )
 
-// report tells the others, time and again and at once when there is a new doubt.
+// report sends a report to other hosts at intervals, and at once when an instance has become unreachable,
+// or the catalog or the role has changed.
 func (h *Host) report() {
 	now := clock.Now()
-	if now.Sub(h.peers.checked) < doubtsEvery {
+	if now.Sub(h.peers.checked) < checkEvery {
 		return
 	}
 	h.peers.checked = now
-	h.pass(now)
-	doubts := h.relay.Unreachable()
-	reached := h.relay.Reachable()
-	news := len(doubts) > h.peers.doubted || len(reached) > h.peers.reached ||
-		h.peers.catalog != h.peers.told || h.peers.toldRole != h.following.role
+	h.forwardReports(now)
+	unreachable := h.relay.Unreachable()
+	reachable := h.relay.Reachable()
+	news := len(unreachable) > h.peers.reportedUnreachable || len(reachable) > h.peers.reportedReachable ||
+		h.peers.catalog != h.peers.reportedCatalog || h.peers.reportedRole != h.following.role
 	early := now.Sub(h.peers.reported) < mesh.IntervalsFor(h.peers.size()).Report && !news
 	if early || len(h.peers.addresses) == 0 {
 		return
 	}
-	h.peers.reported, h.peers.told, h.peers.toldRole = now, h.peers.catalog, h.following.role
-	h.peers.doubted, h.peers.reached = len(doubts), len(reached)
+	h.peers.reported, h.peers.reportedCatalog, h.peers.reportedRole = now, h.peers.catalog, h.following.role
+	h.peers.reportedUnreachable, h.peers.reportedReachable = len(unreachable), len(reachable)
 	h.rank.Store(int64(h.peers.rank(h.settings.Host.Name, now)))
 	h.peers.seq++
-	whole := h.peers.seq%wholeEvery == 1 || h.peers.seq <= wholeFirst || h.peers.whole < h.peers.size()
-	if whole {
-		h.peers.whole = h.peers.size()
+	complete := h.peers.seq%completeReportEvery == 1 || h.peers.seq <= completeFirstReports ||
+		h.peers.completeFor < h.peers.size()
+	if complete {
+		h.peers.completeFor = h.peers.size()
 	}
 	digest, at := h.registry.InstancesDigest()
 	r := gossip.Report{
 		Host: h.settings.Host.Name, Leaving: h.relay.Draining(), Epoch: h.peers.epoch, Seq: h.peers.seq,
 		IsReader: h.reads(), StoreUnreachable: h.reads() && !h.registry.StoreReachable(),
 		Capacity: h.settings.Adapter.Capacity,
-		Usages:   h.rates.Usage(now, whole), CatalogRevision: h.peers.catalog, RecordRevision: h.relay.RecordRevision(),
-		CatalogAge: now.Sub(h.registry.CatalogReadAt()), Reachable: reached,
+		Usages:   h.rates.Usage(now, complete), CatalogRevision: h.peers.catalog, RecordRevision: h.relay.RecordRevision(),
+		CatalogAge: now.Sub(h.registry.CatalogReadAt()), Reachable: reachable,
 		Instances: digest, InstancesAge: now.Sub(at), Sent: now,
 	}
-	if whole {
+	if complete {
 		r.Address, r.DataCentre = h.settings.Peer.Address, h.settings.Host.DataCentre
 	}
-	for i, d := range doubts {
+	for i, d := range unreachable {
 		r.Unreachable = append(r.Unreachable, gossip.UnreachableInstance{Instance: i, Silent: d})
 	}
 	to := mesh.Recipients(h.self(), h.peers.members(now))
@@ -77,10 +80,10 @@
 	}
 }
 
-// pass passes on what was heard to the hosts beside this one.
-func (h *Host) pass(now time.Time) {
-	waits := now.Sub(h.peers.passedAt) < mesh.IntervalsFor(h.peers.size()).Forward && !h.peers.urgent
-	if len(h.peers.passing) == 0 || waits {
+// forwardReports forwards the reports that are due to the hosts of the data centre.
+func (h *Host) forwardReports(now time.Time) {
+	waits := now.Sub(h.peers.forwardedAt) < mesh.IntervalsFor(h.peers.size()).Forward && !h.peers.urgent
+	if len(h.peers.forwardQueue) == 0 || waits {
 		return
 	}
 	self, others := h.self(), h.peers.members(now)
@@ -89,15 +92,15 @@
 		return
 	}
 	h.gossip.Forward(rs, h.peers.at(mesh.LocalRecipients(self.DataCentre, others)))
-	h.peers.passedAt = now
+	h.peers.forwardedAt = now
 }
 
-// heard takes in other hosts' reports. A door passes on those that came to it directly.
-func (h *Host) heard(rs []gossip.Report, passed bool) {
+// handleReports handles other hosts' reports. A gossip relay forwards those that came to it directly.
+func (h *Host) handleReports(rs []gossip.Report, forwarded bool) {
 	h.loop.Post(func() {
 		for _, r := range rs {
-			if passed {
-				h.peers.passedBy(r)
+			if forwarded {
+				h.peers.dropForwarded(r)
 			}
 			if r.Host == h.settings.Host.Name || h.peers.older(r) {
 				continue
@@ -106,30 +109,30 @@
 			if k := h.peers.known[r.Host]; k != nil {
 				before = k.news
 			}
-			h.take(r)
-			if !passed && h.passes(r.Host) {
-				h.peers.hold(r, clock.Now(), h.peers.known[r.Host].news > before)
+			h.handleReport(r)
+			if !forwarded && h.forwardsFrom(r.Host) {
+				h.peers.queue(r, clock.Now(), h.peers.known[r.Host].news > before)
 			}
 		}
 	})
 }
 
-// passes reports whether what a host has told this one directly is to be passed on.
-func (h *Host) passes(from fleet.Host) bool {
+// forwardsFrom reports whether the reports that come directly from a host are to be forwarded.
+func (h *Host) forwardsFrom(from fleet.Host) bool {
 	return mesh.ForwardsFrom(h.self(), h.peers.known[from].dataCentre, h.peers.members(clock.Now()))
 }
 
-// take takes in another host's report.
-func (h *Host) take(r gossip.Report) {
+// handleReport handles another host's report.
+func (h *Host) handleReport(r gossip.Report) {
 	now := clock.Now()
-	h.meet(r)
+	h.addReported(r)
 	k := h.peers.known[r.Host]
 	if k == nil {
 		k = &peer{}
 		h.peers.known[r.Host] = k
 	}
 	if a := h.peers.addresses[r.Host]; k.address == "" && a != nil {
-		// It may have been heard before anybody told of its address.
+		// Its reports may have arrived before one with its address.
 		k.address, k.dataCentre = a.String(), h.peers.centres[r.Host]
 	}
 	if r.Address != "" {
@@ -159,7 +162,7 @@
 	h.compareCatalog(r)
 }
 
-// compareCatalog takes in what another host's report tells of the catalog and of the list of instances.
+// compareCatalog handles what another host's report tells of the catalog and of the list of instances.
 //
 // The ages count by how much longer than usual the report took, but not the usual time: some ms directly,
 // up to half a second over a door of a large fleet. What they confirm looks that much younger than it is.
@@ -181,29 +184,29 @@
 	})
 }
 
-// held is a report that waits to be passed on, with when it came; an urgent one doesn't wait.
-type held struct {
+// queuedReport is a report that waits to be forwarded, with when it came; an urgent one doesn't wait.
+type queuedReport struct {
 	report gossip.Report
 	at     time.Time
 	urgent bool
 }
 
-// hold keeps a report until it is passed on, in place of an earlier one of its host.
-func (p *peers) hold(r gossip.Report, now time.Time, urgent bool) {
+// queue keeps a report until it is forwarded, in place of an earlier one of its host.
+func (p *peers) queue(r gossip.Report, now time.Time, urgent bool) {
 	p.urgent = p.urgent || urgent
-	for n := range p.passing {
-		if p.passing[n].report.Host == r.Host {
-			p.passing[n].report = r
-			p.passing[n].urgent = p.passing[n].urgent || urgent
+	for n := range p.forwardQueue {
+		if p.forwardQueue[n].report.Host == r.Host {
+			p.forwardQueue[n].report = r
+			p.forwardQueue[n].urgent = p.forwardQueue[n].urgent || urgent
 			return
 		}
 	}
-	p.passing = append(p.passing, held{r, now, urgent})
+	p.forwardQueue = append(p.forwardQueue, queuedReport{r, now, urgent})
 }
 
-// passedBy drops what another host has passed on.
-func (p *peers) passedBy(r gossip.Report) {
-	p.passing = slices.DeleteFunc(p.passing, func(o held) bool {
+// dropForwarded drops what another host has passed on.
+func (p *peers) dropForwarded(r gossip.Report) {
+	p.forwardQueue = slices.DeleteFunc(p.forwardQueue, func(o queuedReport) bool {
 		return o.report.Host == r.Host && o.report.Epoch == r.Epoch && o.report.Seq <= r.Seq
 	})
 }
@@ -212,7 +215,7 @@
 func (p *peers) due(now time.Time, hold time.Duration) []gossip.Report {
 	var out []gossip.Report
 	p.urgent = false
-	p.passing = slices.DeleteFunc(p.passing, func(o held) bool {
+	p.forwardQueue = slices.DeleteFunc(p.forwardQueue, func(o queuedReport) bool {
 		if now.Sub(o.at) < hold && !o.urgent {
 			return false
 		}
