--- a/internal/entry/catalog.go
+++ b/internal/entry/catalog.go
@@ -100,7 +100,7 @@
 	case follow.CatalogRequestAll:
 		h.requestAll(now)
 	case follow.CatalogSwitchReader:
-		h.choose(now)
+		h.chooseReader(now)
 		h.followStore(now)
 	case follow.CatalogReadStore:
 		h.registry.ReloadCatalog()
