Promote no instance in an earlier term while a later one may answer

Callers would see reads that lacked acknowledged commits, for a long span and in retrospect: a primary that was cut off went on and acknowledged commits for the hosts beside it, a replica was promoted without them, the former primary came back as a replica with its log, and a later promotion chose it. What its successor had acknowledged was gone, and what had been rolled back was there again, so that each read in between had run on a log without it.

Cause: a candidate counted by the end of its log alone. Position 1.52 of a former primary that hasn't joined term 2 reaches farther than 1.47 of a replica that has, as a promotion writes no entry; and a candidate that didn't answer within 30 ms wasn't waited for, whoever was left.

Change: the term that an instance reports comes before its position. One that is in an earlier term than the last known primary is only promoted once every instance that may be in that term has answered or gone.

TestInstanceInAnEarlierTermIsNotPreferred failed before: it got the former primary. What it costs: a group waits without a primary while an instance that may know more is listed and silent.

--- a/core/leader/decide.go
+++ b/core/leader/decide.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"slices"
 	"time"
 
 	"skylarkdeal/core/fleet"
@@ -17,7 +18,8 @@
 	Cold, OutsideRegion bool
 	// Reachable is set when the instance has answered this host's last status request.
 	Reachable bool
-	// IsPrimary is set when the instance has recently reported that it is a primary, in Term.
+	// IsPrimary is set when the instance has recently reported that it is a primary. Term is the term that it
+	// reported.
 	IsPrimary bool
 	Term      fleet.Term
 	// UnreachableFrom is the number of hosts that can't reach the instance, this host included.
@@ -145,13 +147,14 @@
 	return i.UnreachableFrom > 0 && i.UnreachableFrom >= i.ReachableFrom && i.UnreachableFor > suspicionTimeout
 }
 
-// promotionCandidate returns the instance to be promoted: the one whose log reaches farthest, as
-// the entries that it lacks are lost.
+// promotionCandidate returns the instance to be promoted: of those in the latest term the one whose log
+// reaches farthest, as the entries that it lacks are lost.
 //
 // An instance that is a primary in an earlier term than a confirmed one has been replaced without
 // having noticed. Its log has diverged, and promoting it would undo what its successor has
-// acknowledged. If no primary was confirmed, an instance that is a primary is chosen last: the
-// promotion of another may be late and still take effect.
+// acknowledged. So may that of a replica in an earlier term, as one that led and has returned. If no
+// primary was confirmed, an instance that is a primary is chosen last: the promotion of another may be
+// late and still take effect.
 func (p *PrimaryState) promotionCandidate(status GroupStatus) (InstanceInfo, bool) {
 	var best InstanceInfo
 	for _, inst := range status.Instances {
@@ -164,7 +167,19 @@
 			best = inst
 		}
 	}
-	return best, best.Name != ""
+	return best, best.Name != "" && !p.betterMayReturn(status, best)
+}
+
+// betterMayReturn reports whether the candidate is in an earlier term than the last known primary was, and an
+// instance that may be in that term can't be asked now: it may just be slow, and is waited for until it has
+// gone.
+func (p *PrimaryState) betterMayReturn(status GroupStatus, best InstanceInfo) bool {
+	if best.Term >= p.term {
+		return false
+	}
+	return slices.ContainsFunc(status.Instances, func(i InstanceInfo) bool {
+		return i.Name != p.primary && i.Name != best.Name && !i.Gone && !i.Reachable
+	})
 }
 
 // ConfirmingRequest returns the request that records instance i as the primary in term, which it is
@@ -187,6 +202,9 @@
 	if i.IsPrimary != other.IsPrimary {
 		return other.IsPrimary
 	}
+	if i.Term != other.Term {
+		return i.Term > other.Term
+	}
 	if c := i.Received.Compare(other.Received); c != 0 {
 		return c > 0
 	}
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -226,6 +226,33 @@
 	c.Assert(ok, qt.IsFalse)
 }
 
+// Guards against the promotion of an instance that led in an earlier term and has returned as a replica: its
+// log reaches farther than those that joined the term after it, and has lost what was acknowledged since.
+func TestInstanceInAnEarlierTermIsNotPreferred(t *testing.T) {
+	c := qt.New(t)
+	p := confirmedPrimary()
+	p.AddRecord(leader.Record{Primary: "b", Former: "a", Term: 2, Revision: 7})
+	p.AddStatus("b", statement.Status{Role: fleet.RolePrimary, Term: 2})
+	decide := func(change func(m map[fleet.Instance]*leader.InstanceInfo)) fleet.Instance {
+		req, _ := p.Decide(leader.GroupStatus{Now: start, Since: start, Instances: infos(
+			func(m map[fleet.Instance]*leader.InstanceInfo) {
+				m["a"].IsPrimary, m["a"].Term, m["a"].Received = false, 1, fleet.LogPosition{Term: 1, Index: 52}
+				m["b"].Gone = true
+				m["c"].Term, m["c"].Received = 2, fleet.LogPosition{Term: 1, Index: 47}
+				change(m)
+			})})
+		return req.Primary
+	}
+	c.Check(decide(func(map[fleet.Instance]*leader.InstanceInfo) {}), qt.Equals, fleet.Instance("c"))
+	// c may be in term 2 and be slow to answer.
+	c.Check(decide(func(m map[fleet.Instance]*leader.InstanceInfo) { m["c"].Reachable = false }), qt.Equals, fleet.Instance(""))
+	c.Check(decide(func(m map[fleet.Instance]*leader.InstanceInfo) {
+		m["c"].Reachable, m["c"].Gone = false, true
+	}), qt.Equals, fleet.Instance("a"))
+	// No instance has joined the term.
+	c.Check(decide(func(m map[fleet.Instance]*leader.InstanceInfo) { m["c"].Term = 1 }), qt.Equals, fleet.Instance("a"))
+}
+
 // The instance to be promoted dies before the promotion takes effect. The next promotion is
 // requested only once the first can't take effect any more: two at once make two primaries.
 func TestNextPromotionWaitsForThePendingOne(t *testing.T) {
