--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -245,7 +245,9 @@
 	}
 	c.Check(decide(func(map[fleet.Instance]*leader.InstanceInfo) {}), qt.Equals, fleet.Instance("c"))
 	// c may be in term 2 and be slow to answer.
-	c.Check(decide(func(m map[fleet.Instance]*leader.InstanceInfo) { m["c"].Reachable = false }), qt.Equals, fleet.Instance(""))
+	c.Check(decide(func(m map[fleet.Instance]*leader.InstanceInfo) {
+		m["c"].Reachable = false
+	}), qt.Equals, fleet.Instance(""))
 	c.Check(decide(func(m map[fleet.Instance]*leader.InstanceInfo) {
 		m["c"].Reachable, m["c"].Gone = false, true
 	}), qt.Equals, fleet.Instance("a"))
