Have followers return to the readers of their data centre

Change: while its reader is elsewhere, a follower takes one of its own data centre as soon as one works that it hasn't left for 3 s. By then a reader that the store leaves unanswered has reported that it can't reach it.

TestFollowerLeavesReadersThatPassOnNothing has the return.

--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -346,6 +346,12 @@
 		c.Check(ok, qt.IsTrue, qt.Commentf("%s", name))
 		c.Check(got, qt.Equals, x.want, qt.Commentf("%s", name))
 	}
+	// It returns once one of them works again.
+	_, ok := follow.ChooseLocalReader(at, "h", list{left("a", time.Second), unreachable("b")})
+	c.Check(ok, qt.IsFalse)
+	got, ok := follow.ChooseLocalReader(at, "h", list{left("a", time.Minute), unreachable("b")})
+	c.Check(ok, qt.IsTrue)
+	c.Check(got, qt.Equals, fleet.Host("a"))
 }
 
 // Guards against more readers after a loss of all hosts than before it: of the hosts that
--- a/core/follow/role.go
+++ b/core/follow/role.go
@@ -135,20 +135,35 @@
 // Guards against a data centre whose readers the store leaves unanswered one after the other: its
 // other hosts would get nothing new until one of them has become a reader that is served.
 func ChooseReader(now time.Time, self fleet.Host, local, elsewhere []Candidate) (fleet.Host, bool) {
-	left := func(c Candidate) bool { return now.Sub(c.LeftAt) < returnAfter }
-	for _, cs := range [][]Candidate{
-		slices.DeleteFunc(slices.Clone(local), left), slices.DeleteFunc(slices.Clone(elsewhere), left), local, elsewhere,
-	} {
-		working := slices.DeleteFunc(slices.Clone(cs), func(o Candidate) bool { return !o.IsReader || o.StoreUnreachable })
-		if len(working) > 0 {
-			return slices.MaxFunc(working, func(a, b Candidate) int {
-				return cmp.Compare(hashWeight(self, a.Host), hashWeight(self, b.Host))
-			}).Host, true
+	for _, cs := range [][]Candidate{notLeftLately(now, local), notLeftLately(now, elsewhere), local, elsewhere} {
+		if reader, ok := chooseWorking(self, cs); ok {
+			return reader, true
 		}
 	}
 	return "", false
 }
 
+// ChooseLocalReader returns the reader of its own data centre to which a host that follows one elsewhere
+// is to return, and false if there is none.
+func ChooseLocalReader(now time.Time, self fleet.Host, local []Candidate) (fleet.Host, bool) {
+	return chooseWorking(self, notLeftLately(now, local))
+}
+
+func notLeftLately(now time.Time, cs []Candidate) []Candidate {
+	return slices.DeleteFunc(slices.Clone(cs), func(c Candidate) bool { return now.Sub(c.LeftAt) < returnAfter })
+}
+
+func chooseWorking(self fleet.Host, cs []Candidate) (fleet.Host, bool) {
+	working := slices.DeleteFunc(slices.Clone(cs), func(o Candidate) bool { return !o.IsReader || o.StoreUnreachable })
+	if len(working) == 0 {
+		return "", false
+	}
+	best := slices.MaxFunc(working, func(a, b Candidate) int {
+		return cmp.Compare(hashWeight(self, a.Host), hashWeight(self, b.Host))
+	})
+	return best.Host, true
+}
+
 func hashWeight(follower, reader fleet.Host) uint64 {
 	return xxhash.Sum64String(string(follower) + "/" + string(reader))
 }
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -29,7 +29,7 @@
 	// since is when the host took its role, renewed when the last renewal was sent that it
 	// knows of, its own or a reader's.
 	since, renewed time.Time
-	// session is that with the reader that it follows, asked when it was last asked for news, heard
+	// session is that with the reader that it follows, asked when it was last asked for updates, heard
 	// when a new renewal last came, or the session began.
 	session      follow.Subscription
 	asked, heard time.Time
@@ -136,7 +136,7 @@
 	return out
 }
 
-// followStore keeps the host following a reader from which news come.
+// followStore keeps the host following a reader that passes on renewals, of its own data centre if one does.
 func (h *Host) followStore(now time.Time) {
 	f := &h.following
 	if f.role != follow.RoleFollower {
@@ -144,6 +144,10 @@
 	}
 	if l := h.links[f.session.Reader]; l == nil || l.failed || now.Sub(f.heard) > leader.StoreSilentAfter {
 		h.chooseReader(now)
+	} else if p := h.peers.known[f.session.Reader]; p != nil && p.dataCentre != h.settings.Host.DataCentre {
+		if reader, ok := follow.ChooseLocalReader(now, h.settings.Host.Name, h.candidates(now)); ok {
+			h.follow(now, reader)
+		}
 	}
 	l := h.links[f.session.Reader]
 	if l == nil || !l.up || now.Sub(f.asked) < followEvery {
@@ -165,20 +169,26 @@
 	if now.Sub(f.renewed) > leader.LeaseValidity || !h.catalogStatus.decision.BehindSince.IsZero() {
 		elsewhere = h.candidatesWhere(now, func(dc fleet.DataCentre) bool { return dc != h.settings.Host.DataCentre })
 	}
-	lead, ok := follow.ChooseReader(now, h.settings.Host.Name, h.candidates(now), elsewhere)
+	reader, ok := follow.ChooseReader(now, h.settings.Host.Name, h.candidates(now), elsewhere)
 	if !ok {
 		// Those that are to read may have reported before they knew.
-		lead, ok = follow.ChooseReader(now, h.settings.Host.Name, h.registeredInDataCentre(), nil)
+		reader, ok = follow.ChooseReader(now, h.settings.Host.Name, h.registeredInDataCentre(), nil)
 	}
 	if !ok {
 		f.session = follow.Subscription{}
 		return
 	}
-	if lead != f.session.Reader {
-		h.log.Debug("follow a reader of the store", zap.String("host", string(lead)))
-		f.session.Begin(lead, now)
+	h.follow(now, reader)
+}
+
+// follow follows a reader from now on.
+func (h *Host) follow(now time.Time, reader fleet.Host) {
+	f := &h.following
+	if reader != f.session.Reader {
+		h.log.Debug("follow a reader of the store", zap.String("host", string(reader)))
+		f.session.Begin(reader, now)
 	}
-	// The question goes out as soon as the link stands; heard bounds the wait for its answer.
+	// The request is sent as soon as the link stands; heard bounds the wait for its answer.
 	f.asked, f.heard = time.Time{}, now
 }
 
