Call the proof by statuses what it is: of the same term

An earlier term proves nothing since statuses count only in the very term; the name and the log text still said that no later one was enough.

--- a/core/relay/proof_log_test.go
+++ b/core/relay/proof_log_test.go
@@ -36,7 +36,7 @@
 	w.advance(2*time.Second, false)
 	w.open("rush", "key-1").do(statement.KindRead, "", "item")
 	w.advance(100*time.Millisecond, false)
-	c.Assert(w.placeReasons(), qt.DeepEquals, []string{"no other one by statuses that show no later term c b"})
+	c.Assert(w.placeReasons(), qt.DeepEquals, []string{"no other one by statuses of the same term c b"})
 
 	w.events = nil
 	for n, i := range w.instances {
--- a/core/relay/sole_primary.go
+++ b/core/relay/sole_primary.go
@@ -12,7 +12,7 @@
 
 const (
 	proofLease    proofSource = "the registration"
-	proofStatuses proofSource = "statuses that show no later term"
+	proofStatuses proofSource = "statuses of the same term"
 	proofPending  proofSource = "the promotion can't have taken effect yet"
 )
 
@@ -50,7 +50,7 @@
 //
 // It is the later of two times. The first is the end of the lease: until then no promotion can take
 // effect that was unknown when the registration was renewed. The second is the earliest time at which
-// the other instances were asked for statuses that show no later term. While a promotion is in progress,
+// the other instances were asked for statuses of the same term. While a promotion is in progress,
 // the designated primary has to be asked even if the lease is valid, for times after promotionNotBefore.
 func (g *group) solePrimaryProof() soleProof {
 	known := soleProof{until: g.r.lease.Until(), source: proofLease}
@@ -70,7 +70,7 @@
 	}
 	known = known.orLater(g.statusProof(others, t))
 	known.asked = append(known.asked, designated)
-	if asked := g.noLaterTermAt([]fleet.Instance{designated}, t); asked.Before(known.until) {
+	if asked := g.allInTermAt([]fleet.Instance{designated}, t); asked.Before(known.until) {
 		known.until = asked
 	}
 	return known.orLater(soleProof{until: g.promotionNotBefore, source: proofPending})
@@ -82,15 +82,15 @@
 	if !g.knowsAllInstances() {
 		return soleProof{}
 	}
-	return soleProof{until: g.noLaterTermAt(others, t), source: proofStatuses, asked: others}
+	return soleProof{until: g.allInTermAt(others, t), source: proofStatuses, asked: others}
 }
 
-// noLaterTermAt returns the time at which all of the instances were in term t, by their own statuses; now if
+// allInTermAt returns the time at which all of the instances were in term t, by their own statuses; now if
 // there are none, zero if one is in another term or hasn't been asked.
 //
 // An earlier term proves nothing: an instance that has led a later one, and has started anew since, knows of
 // none until it has joined that of the primary which it reaches.
-func (g *group) noLaterTermAt(instances []fleet.Instance, t fleet.Term) time.Time {
+func (g *group) allInTermAt(instances []fleet.Instance, t fleet.Term) time.Time {
 	at := g.r.now()
 	for _, n := range instances {
 		i := g.instances[n]
