Don't lock up while exchanges start on a host that shuts down

Callers would see statements without an answer: a host that shuts down, or whose state is read, could stop for good, with all that other hosts forwarded to it.

Cause: Server.busy and Server.State hold the server's lock and take that of each inbound stream; admit holds the stream's and asked under the server's whether the host is draining.

The dump of its goroutines shows Drain, busy, waiting for the stream's lock, and start, admit, isDraining, waiting for the server's.

Change: whether the host drains is an atomic value. Drain still sets it before it looks for what is in progress, and admit reads it under the stream's lock, so that an exchange which is let in is seen.

Whether this was behind TestRollingRestartFailsNoRequest isn't shown.

--- a/io/host/inbound.go
+++ b/io/host/inbound.go
@@ -152,7 +152,7 @@
 		return &failure.Refusal{Code: failure.CodeUnreachable,
 			Message: "the transaction was rolled back when its host's stream ended; not run",
 			Step:    stepForward, Peer: peerName(i.server.Self.Host)}
-	case r.pin == 0 && i.server.isDraining():
+	case r.pin == 0 && i.server.draining.Load():
 		return &failure.Refusal{Code: failure.CodeShuttingDown, Message: "holder is shutting down; not run",
 			Step: stepForward, Peer: peerName(i.server.Self.Host)}
 	}
--- a/io/host/server.go
+++ b/io/host/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -40,10 +41,11 @@
 	Now func() time.Time
 	Log *zap.Logger
 
-	mu       sync.Mutex
-	http     *http.Server
-	inbound  map[*inbound]struct{}
-	draining bool
+	mu      sync.Mutex
+	http    *http.Server
+	inbound map[*inbound]struct{}
+	// draining is read under the lock of an inbound stream, which is taken while mu is held.
+	draining atomic.Bool
 	closed   bool
 }
 
@@ -80,9 +82,7 @@
 // Drain refuses new exchanges, but for those of open transactions, and returns
 // when none is in progress or ctx ends.
 func (s *Server) Drain(ctx context.Context) error {
-	s.mu.Lock()
-	s.draining = true
-	s.mu.Unlock()
+	s.draining.Store(true)
 	t := time.NewTicker(drainPoll)
 	defer t.Stop()
 	for s.busy() {
@@ -135,12 +135,6 @@
 	return false
 }
 
-func (s *Server) isDraining() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.draining
-}
-
 func (s *Server) enter(i *inbound) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/host/stream_test.go
+++ b/io/host/stream_test.go
@@ -202,3 +202,31 @@
 	open.reply.Done(exchange.Result{Outcome: exchange.OutcomeDone})
 	c.Check(await(c, "other result", other.result).Outcome, qt.Equals, exchange.OutcomeDone)
 }
+
+// Guards against a host that locks up while it shuts down, or while its state is read, as exchanges start: no
+// statement that other hosts forward to it is answered any more.
+func TestExchangesStartWhileTheServerLooksAtItsStreams(t *testing.T) {
+	c := qt.New(t)
+	r, runs, _, _ := recorder()
+	h := serve(t, &host.Server{Runner: r})
+	to := dial(t, h, &host.Peers{}).Runner("holder")
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				h.State()
+			}
+		}
+	}()
+	for n := range uint64(2000) {
+		x := run(to, &exchange.Request{ID: id(n + 1)})
+		await(c, "exchange", runs).reply.Done(exchange.Result{Outcome: exchange.OutcomeDone})
+		await(c, "result", x.result)
+	}
+	close(stop)
+	<-stopped
+}
