--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -59,7 +59,7 @@
 		IsReader: h.reads(), StoreUnreachable: h.reads() && !h.registry.StoreReachable(),
 		Capacity: h.settings.Adapter.Capacity,
 		Usages:   h.rates.Usage(now, complete), Reachable: reachable,
-		CatalogRevision: h.reportedCatalog(), CatalogAge: now.Sub(h.registry.CatalogReadAt()),
+		CatalogRevision: h.catalogToReport(), CatalogAge: now.Sub(h.registry.CatalogReadAt()),
 		RecordRevision: h.relay.RecordRevision(),
 		Instances:      digest, InstancesAge: now.Sub(at), Sent: now,
 	}
@@ -73,9 +73,9 @@
 	h.gossip.Send(r, h.peers.at(to))
 }
 
-// reportedCatalog is the revision of the newest change of the catalog in force. It is no higher than what
+// catalogToReport returns the revision of the newest change of the catalog in force. It is no higher than what
 // another host that lacks no change can know: the revision of a removal is a guess.
-func (h *Host) reportedCatalog() uint64 {
+func (h *Host) catalogToReport() uint64 {
 	if known := uint64(h.registry.CatalogRevision()); known != 0 {
 		return min(h.peers.catalog, known)
 	}
