--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -63,7 +63,7 @@
 // instances are used, and tells the relay which can be used.
 //
 // The guard is against a host that has died or stands still: its link resets nothing, and
-// tickInterval statement sent there would wait for its time limit. A host that is alive reports
+// every statement sent there would wait for its time limit. A host that is alive reports
 // several times a second, so that silence shows. In a large fleet its reports may be held up
 // on their way while the host itself answers; then its answers count.
 func (h *Host) tendLinks() {
