Refuse what statuses can't prove once the list may lack an instance

What callers would see: a host without the store for a minute answers reads without commits that were acknowledged elsewhere, and acknowledges writes that the group's history lacks.

Cause: without its registration a host proves that a primary leads by asking all other instances, by its last list, however old. An instance that registered since, or was forgotten, isn't asked.

Change: a list counts as complete for 10 s after its last reading. It goes on counting while another host that reads the store names the same instances (a digest of its own in the reports, as the one there was changes with roles too), or while hosts of all data centres are heard and none knows of a newer promotion. Else what only a primary can answer is refused at once, as not run.

Why it works: only hosts request promotions, each records its request before, and the platform takes 1 s to carry one out. So reports of the last 0.7 s without a newer record rule out an unknown successor, and an outage of the store that all hosts share goes on being served, however long it lasts.

--- a/core/relay/cold.go
+++ b/core/relay/cold.go
@@ -83,11 +83,7 @@
 // InstancesConfirmed records that the list of instances in use matched the store at the given time.
 func (r *Relay) InstancesConfirmed(at time.Time) {
 	r.instancesConfirmedAt = later(r.instancesConfirmedAt, at)
-	for _, g := range r.groups {
-		if len(g.instances) > 0 {
-			g.lists.add(at)
-		}
-	}
+	r.MembersConfirmed(at)
 }
 
 // SetDataCentreSizes sets how many hosts each data centre has, heard or not, this one included.
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -81,6 +81,9 @@
 	catalogOutdated follow.OutdatedReason
 	// instancesConfirmedAt is when the list of instances in use was last known to match the store.
 	instancesConfirmedAt time.Time
+	// noNewerPromotionAt is when hosts of all data centres were last heard to know of no promotion that this
+	// host doesn't know.
+	noNewerPromotionAt time.Time
 }
 
 // Counters are totals since the start of the process, for metrics and the state dump.
@@ -219,7 +222,7 @@
 	}
 	unable := 0
 	for _, g := range r.groups {
-		if r.forwarding.missingHosts == 0 && !secluded && !g.knowsAllInstances() {
+		if r.forwarding.missingHosts == 0 && !secluded && !g.hasFollowedList() {
 			// All hosts that have just started are no better off.
 			continue
 		}
--- a/core/relay/sole_primary.go
+++ b/core/relay/sole_primary.go
@@ -79,7 +79,7 @@
 // statusProof returns the proof that the statuses of the other instances give, none if there may be
 // instances that this host has never heard of.
 func (g *group) statusProof(others []fleet.Instance, t fleet.Term) soleProof {
-	if !g.knowsAllInstances() {
+	if !g.knowsAllInstances(g.r.now()) {
 		return soleProof{}
 	}
 	return soleProof{until: g.allInTermAt(others, t), source: proofStatuses, asked: others}
@@ -137,7 +137,7 @@
 	after := g.solePrimaryWanted
 	g.solePrimaryWanted = time.Time{}
 	p := g.primary()
-	if after.IsZero() || p == nil || !g.knowsAllInstances() {
+	if after.IsZero() || p == nil || !g.knowsAllInstances(now) {
 		return
 	}
 	t := g.primaryTerm()
--- a/core/relay/sole_primary_test.go
+++ b/core/relay/sole_primary_test.go
@@ -444,3 +444,30 @@
 		})
 	}
 }
+
+// Guards against a host that refuses all that comes in a long outage of the store: the other hosts are heard,
+// and none knows of a promotion, or they name the same instances.
+func TestStatusesCountInALongOutageOfTheStore(t *testing.T) {
+	for name, n := range map[string]struct {
+		report func(w *world)
+		served bool
+	}{
+		"no newer promotion":  {func(w *world) { w.relay.NoNewerPromotion(w.now) }, true},
+		"the same instances":  {func(w *world) { w.relay.MembersConfirmed(w.now) }, true},
+		"reports from before": {func(w *world) { w.relay.NoNewerPromotion(w.now.Add(-time.Second)) }, false},
+		"nobody is heard":     {func(*world) {}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(c).withConfirmedPrimary()
+			w.advance(10*time.Minute, false)
+			n.report(w)
+			ran, _ := w.readOnce("rush", 100*time.Millisecond, false)
+			c.Check(ran["a"] == 1, qt.Equals, n.served)
+			x := w.open("rush", "key-1")
+			x.do(statement.KindWrite, "", "item data")
+			w.advance(100*time.Millisecond, false)
+			c.Check(x.last().Code == statement.CodeNone, qt.Equals, n.served)
+		})
+	}
+}
--- a/core/relay/verify.go
+++ b/core/relay/verify.go
@@ -158,7 +158,7 @@
 	current := g.r.lease.RecordsCurrent(now)
 	v, term, ask := g.primaryState.VerifyAnswer(c.Instance, current, g.possiblePrimaries(c.Instance))
 	switch {
-	case v == leader.VerdictAsk && !current && !g.knowsAllInstances():
+	case v == leader.VerdictAsk && !current && !g.knowsAllInstances(now):
 		o.unverifiedAnswer = &a
 		g.finishUnverified(o, "not all instances are known that may lead")
 	case v == leader.VerdictVerified || v == leader.VerdictAsk && len(ask) == 0:
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
 
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/leader"
 	"skylarkdeal/core/mesh"
 	"skylarkdeal/core/relay"
 	"skylarkdeal/core/statement"
@@ -119,6 +121,9 @@
 	h.relay.SetPeers(usable, missing)
 	h.relay.SetPeersIncomplete(h.peersIncomplete(now, len(usable)))
 	h.relay.SetIsolated(h.isolated(now, silent))
+	if at, ok := h.noNewerPromotionAt(now); ok {
+		h.relay.NoNewerPromotion(at)
+	}
 	pause := listHostsEvery + time.Duration(h.rank.Load())*listHostsStep
 	if missing > 0 && h.reads() && now.Sub(h.peers.listedMissingAt) > pause {
 		// One that has died is off the list by now, and its share of rates is free again.
@@ -183,6 +188,23 @@
 	return far
 }
 
+// noNewerPromotionAt returns as of when no host is known to have requested a promotion that this one doesn't
+// know.
+func (h *Host) noNewerPromotionAt(now time.Time) (time.Time, bool) {
+	if h.peers.addresses == nil {
+		return time.Time{}, false
+	}
+	var heard []leader.HostReport
+	for _, p := range h.peers.known {
+		if now.Sub(p.heard) <= missingFor {
+			heard = append(heard, leader.HostReport{
+				DataCentre: p.dataCentre, SentAt: p.heard.Add(-p.extra), RecordRevision: p.record,
+			})
+		}
+	}
+	return leader.NoNewerPromotionAt(now, h.relay.RecordRevision(), maps.Values(h.peers.centres), heard)
+}
+
 // heardFrom returns when anything last came from a host that is known.
 func (h *Host) heardFrom(n fleet.Host) time.Time {
 	heard := h.peers.known[n].heard
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -64,6 +64,8 @@
 	storeless  bool
 	// reads is set while the host reads the store.
 	reads bool
+	// record is the revision of the newest promotion record that the host knew at its last report.
+	record uint64
 	// news counts the instances of its last report that it can't reach, or can although another
 	// host can't.
 	news int
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -62,6 +62,7 @@
 		CatalogRevision: h.catalogToReport(), CatalogAge: now.Sub(h.registry.CatalogReadAt()),
 		RecordRevision: h.relay.RecordRevision(),
 		Instances:      digest, InstancesAge: now.Sub(at), Sent: now,
+		Members: h.registry.MembersDigest(),
 	}
 	if complete {
 		r.Address, r.DataCentre = h.settings.Peer.Address, h.settings.Host.DataCentre
@@ -158,7 +159,7 @@
 	}
 	r.CatalogAge, r.InstancesAge = r.CatalogAge+k.extra, r.InstancesAge+k.extra
 	k.capacity, k.news = r.Capacity, len(r.Unreachable)+len(r.Reachable)
-	k.reads = r.IsReader
+	k.reads, k.record = r.IsReader, r.RecordRevision
 	k.heard, k.leaving, k.storeless, k.epoch, k.seq = now, r.Leaving, r.StoreUnreachable, r.Epoch, r.Seq
 	h.rates.AddReport(now, r.Host, r.Epoch, r.Seq, r.Usages)
 	is := make([]fleet.Instance, 0, len(r.Unreachable))
@@ -181,6 +182,9 @@
 	if at := now.Add(-r.InstancesAge); r.InstancesAge < catalogFresh && h.registry.InstancesConfirmed(r.Instances, at) {
 		h.relay.InstancesConfirmed(at)
 	}
+	if r.Members != 0 && r.Members == h.registry.MembersDigest() {
+		h.relay.MembersConfirmed(now.Add(-r.InstancesAge))
+	}
 	known, named := h.knownCatalog(), registry.Revision(r.CatalogRevision)
 	at := now.Add(-r.CatalogAge)
 	if named <= known && named != 0 && r.CatalogAge < catalogFresh {
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -51,6 +51,8 @@
 	// itself read the list.
 	Instances    uint64
 	InstancesAge time.Duration
+	// Members is the digest of which instances that list names, zero if the host doesn't tell.
+	Members uint64
 	// Sent is when the host sent the report, by its own clock; zero if it doesn't tell.
 	Sent time.Time
 }
@@ -159,6 +161,7 @@
 		Catalog: r.CatalogRevision, Record: r.RecordRevision, Address: r.Address,
 		DataCentre:   string(r.DataCentre),
 		CatalogAgeMs: toMillis(r.CatalogAge), Instances: r.Instances, InstancesAgeMs: toMillis(r.InstancesAge),
+		Members: r.Members,
 	}
 	if !r.Sent.IsZero() {
 		m.SentNs = r.Sent.UnixNano()
@@ -213,6 +216,7 @@
 		DataCentre: fleet.DataCentre(m.GetDataCentre()),
 		CatalogAge: time.Duration(m.GetCatalogAgeMs()) * time.Millisecond,
 		Instances:  m.GetInstances(), InstancesAge: time.Duration(m.GetInstancesAgeMs()) * time.Millisecond,
+		Members: m.GetMembers(),
 	}
 	if at := m.GetSentNs(); at != 0 {
 		r.Sent = time.Unix(0, at)
--- a/io/gossip/gossip_test.go
+++ b/io/gossip/gossip_test.go
@@ -36,7 +36,7 @@
 		Usages:      []ratelimit.Usage{{Account: "hotel", Admitted: 4, Demand: 2.5}},
 		Unreachable: []gossip.UnreachableInstance{{Instance: "i-1", Silent: 400 * time.Millisecond}},
 		Reachable:   []fleet.Instance{"i-2"}, CatalogRevision: 7, RecordRevision: 8, CatalogAge: time.Second,
-		Instances: 1 << 63, InstancesAge: 2 * time.Second, Sent: time.Unix(0, 12345),
+		Instances: 1 << 63, InstancesAge: 2 * time.Second, Members: 1<<63 + 1, Sent: time.Unix(0, 12345),
 	}
 	address, err := net.ResolveUDPAddr("udp4", to)
 	c.Assert(err, qt.IsNil)
--- a/io/registry/lists.go
+++ b/io/registry/lists.go
@@ -22,6 +22,16 @@
 	// store's, by a reading of this host or of another. Both are guarded by the part's lock.
 	instances   []catalog.Instance
 	confirmedAt time.Time
+	// members is the digest of which instances these are, zero if there are none.
+	members uint64
+}
+
+// MembersDigest returns the digest of which instances the list in use on this host names: their names,
+// addresses and starts, not their roles or states. It is zero if there are none.
+func (r *Registry) MembersDigest() uint64 {
+	r.instanceList.mu.Lock()
+	defer r.instanceList.mu.Unlock()
+	return r.instanceList.members
 }
 
 // InstancesDigest returns the digest of the list of instances in use on this host, and when this
@@ -148,18 +158,19 @@
 // parseInstances sets the instances and their digest after a change of the entries. The lock is held.
 func (r *Registry) parseInstances(current snapshot) {
 	is := make([]catalog.Instance, 0, len(current.entries))
-	digest := xxhash.New()
+	digest, members := xxhash.New(), xxhash.New()
 	for _, e := range current.entries {
 		if i, ok := r.cfg.ParseInstance(e); ok {
 			is = append(is, i)
 			// The time that an instance stays cold changes with each heartbeat.
 			i.Cold = (i.Cold + coldGranularity - 1).Truncate(coldGranularity)
 			fmt.Fprintf(digest, "%+v\n", i)
+			fmt.Fprintln(members, i.Name, i.Service, i.Address, i.Started)
 		}
 	}
-	r.instanceList.instances, r.instanceList.version = is, 0
+	r.instanceList.instances, r.instanceList.version, r.instanceList.members = is, 0, 0
 	if len(is) > 0 {
-		r.instanceList.version = follow.Version(digest.Sum64())
+		r.instanceList.version, r.instanceList.members = follow.Version(digest.Sum64()), members.Sum64()
 	}
 }
 
