--- a/core/follow/catalog_monitor.go
+++ b/core/follow/catalog_monitor.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/times"
 )
 
 const (
@@ -155,10 +156,10 @@
 
 // AddReport takes in another host's report. completeTo is that of the catalog known here.
 func (m *CatalogMonitor) AddReport(now time.Time, completeTo Revision, r CatalogReport) {
-	m.newestReading = later(m.newestReading, r.ReadAt)
+	m.newestReading = times.Later(m.newestReading, r.ReadAt)
 	if r.Revision <= completeTo {
 		if r.Revision != 0 {
-			m.confirmedAt = later(m.confirmedAt, r.ReadAt)
+			m.confirmedAt = times.Later(m.confirmedAt, r.ReadAt)
 		}
 		return
 	}
@@ -180,7 +181,7 @@
 // Decide returns what the host is to do now. It is to be called several times a second.
 func (m *CatalogMonitor) Decide(now time.Time, k CatalogKnown) CatalogDecision {
 	m.dropReached(k.CompleteTo)
-	d := CatalogDecision{AsOf: later(k.AsOf, m.confirmedAt)}
+	d := CatalogDecision{AsOf: times.Later(k.AsOf, m.confirmedAt)}
 	if n := len(m.pending); n > 0 {
 		d.BehindSince, d.Missing = m.pending[0].since, m.pending[n-1].revision
 	}
@@ -224,7 +225,7 @@
 	if m.verified {
 		return
 	}
-	lastReading := later(later(m.newestReading, asOf), m.verifyFrom)
+	lastReading := times.Later(times.Later(m.newestReading, asOf), m.verifyFrom)
 	m.verified = now.Sub(asOf) <= maxCatalogAge || now.Sub(lastReading) > noReadingsFor
 }
 
@@ -240,7 +241,7 @@
 		return CatalogKeep
 	}
 	spread, pause := m.storePause(k)
-	from := later(d.AsOf.Add(confirmAfter), m.verifyFrom.Add(firstReadAfter))
+	from := times.Later(d.AsOf.Add(confirmAfter), m.verifyFrom.Add(firstReadAfter))
 	// Nothing is known to be missing, so that no pause needs to be short.
 	if m.confirm.due(now, from, spread, pauses{pause, pause}, m.jitter) {
 		return CatalogReadStore
@@ -304,10 +305,3 @@
 	r.pause = min(2*r.pause, p.longest)
 	return true
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -11,6 +11,7 @@
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/follow"
 	"skylarkdeal/core/leader"
+	"skylarkdeal/core/times"
 )
 
 func ExamplePartCache() {
@@ -52,7 +53,7 @@
 				ReadAt:     time.Unix(rapid.Int64Range(1, 9).Draw(t, "read"), 0),
 			}
 			o.Body = o.CompleteTo
-			newest, read = max(newest, o.CompleteTo), later(read, o.ReadAt)
+			newest, read = max(newest, o.CompleteTo), times.Later(read, o.ReadAt)
 			cache.Put(follow.PartInstances, o)
 			got := cache.UpdatesFor(map[follow.Part]follow.Version{})[follow.PartInstances]
 			c.Assert(got.CompleteTo, qt.Equals, newest)
@@ -114,13 +115,13 @@
 			}
 			// Updates arrive in order, each after some delay. The request that an update echoes was
 			// sent before the reader received it.
-			arrived = later(arrived, reached).Add(span("on the way", 2*time.Second))
+			arrived = times.Later(arrived, reached).Add(span("on the way", 2*time.Second))
 			heard := reached.Add(-span("heard", 300*time.Millisecond))
 			c.Observe(heard.Add(-span("asked", time.Second)), heard.Add(offset))
 			if at, ok := c.NotBefore(sent.Add(offset)); ok {
 				l.Renewed(at)
 			}
-			if at := later(arrived, tookEffect); l.RecordsCurrent(at) {
+			if at := times.Later(arrived, tookEffect); l.RecordsCurrent(at) {
 				t.Fatalf("records trusted %v after the promotion took effect", at.Sub(tookEffect))
 			}
 		}
@@ -158,13 +159,6 @@
 	c.Assert(sub.Accepts("r1", at(901)), qt.IsTrue)
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // dataCentre is a simulated data centre whose hosts receive each other's reports late.
 type dataCentre struct {
 	now   time.Time
--- a/core/relay/cold.go
+++ b/core/relay/cold.go
@@ -6,6 +6,7 @@
 	"skylarkdeal/core/cold"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/statement"
+	"skylarkdeal/core/times"
 )
 
 // announceDelay is how long after an instance is back it may take until the store has its announcement,
@@ -18,7 +19,7 @@
 	if i.g.service.ColdRate <= 0 {
 		return false
 	}
-	known := later(i.g.listReadAt, i.g.r.instancesConfirmedAt)
+	known := times.Later(i.g.listReadAt, i.g.r.instancesConfirmedAt)
 	return now.Before(i.coldUntil) || !i.reconnectedAt.IsZero() && known.Before(i.reconnectedAt.Add(announceDelay))
 }
 
@@ -82,7 +83,7 @@
 
 // InstancesConfirmed records that the list of instances in use matched the store at the given time.
 func (r *Relay) InstancesConfirmed(at time.Time) {
-	r.instancesConfirmedAt = later(r.instancesConfirmedAt, at)
+	r.instancesConfirmedAt = times.Later(r.instancesConfirmedAt, at)
 	r.MembersConfirmed(at)
 }
 
--- a/core/relay/list.go
+++ b/core/relay/list.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"skylarkdeal/core/leader"
+	"skylarkdeal/core/times"
 )
 
 // listHistory is for how long the list of a group's instances has been followed. The zero listHistory has
@@ -73,5 +74,5 @@
 // promotion that this host doesn't. Only a host requests promotions, so that this holds until one can have
 // taken effect.
 func (r *Relay) NoNewerPromotion(at time.Time) {
-	r.noNewerPromotionAt = later(r.noNewerPromotionAt, at)
+	r.noNewerPromotionAt = times.Later(r.noNewerPromotionAt, at)
 }
--- a/core/relay/model_fault_test.go
+++ b/core/relay/model_fault_test.go
@@ -9,6 +9,7 @@
 	"skylarkdeal/core/leader"
 	"skylarkdeal/core/relay"
 	"skylarkdeal/core/statement"
+	"skylarkdeal/core/times"
 )
 
 const (
@@ -115,7 +116,7 @@
 	m.link = &modelLink{id: m.link.id + 1, toHolderAt: m.now, toHostAt: m.now}
 	l, host := m.link, m.relay
 	m.relay.SetPeers([]relay.Peer{{Host: "h2", DataCentre: "obihiro", Send: func(f relay.Forward) {
-		l.toHolderAt = later(l.toHolderAt, m.now.Add(m.randomMillis(0, 20)))
+		l.toHolderAt = times.Later(l.toHolderAt, m.now.Add(m.randomMillis(0, 20)))
 		m.at(l.toHolderAt, func() {
 			if !l.down {
 				m.holder.HandleForward(l.id, f, func(a statement.Answer) { m.answerForward(l, host, f.Stream, a) })
@@ -125,7 +126,7 @@
 }
 
 func (m *model) answerForward(l *modelLink, host *relay.Relay, stream uint64, a statement.Answer) {
-	l.toHostAt = later(l.toHostAt, m.now.Add(m.randomMillis(0, 20)))
+	l.toHostAt = times.Later(l.toHostAt, m.now.Add(m.randomMillis(0, 20)))
 	m.at(l.toHostAt, func() {
 		if !l.down {
 			host.HandleForwardAnswer("h2", stream, a)
--- a/core/relay/model_group_test.go
+++ b/core/relay/model_group_test.go
@@ -11,6 +11,7 @@
 	"skylarkdeal/core/leader"
 	"skylarkdeal/core/relay"
 	"skylarkdeal/core/statement"
+	"skylarkdeal/core/times"
 	"skylarkdeal/internal/eventqueue"
 )
 
@@ -241,7 +242,7 @@
 	if k == statement.KindRead || k == statement.KindWrite || k == statement.KindExecute {
 		work = w.m.randomMillis(1, 40)
 	}
-	w.arrivesAt = later(w.arrivesAt, w.m.now.Add(w.delay)).Add(work)
+	w.arrivesAt = times.Later(w.arrivesAt, w.m.now.Add(w.delay)).Add(work)
 	w.m.at(w.arrivesAt, func() { w.deliver(f) })
 }
 
@@ -276,19 +277,12 @@
 
 func (w *modelConn) reply(a statement.Answer, receive func(a statement.Answer)) {
 	a.State, a.Position = w.state, fleet.Some(w.server.position())
-	w.repliesAt = later(w.repliesAt, w.m.now.Add(w.delay))
+	w.repliesAt = times.Later(w.repliesAt, w.m.now.Add(w.delay))
 	w.m.at(w.repliesAt, func() {
 		w.arrive(func() { receive(a) })
 	})
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // handle runs a statement on the server and sends the answer.
 func (w *modelConn) handle(q statement.Statement) {
 	answer := func(a statement.Answer) {
--- a/core/relay/model_store_test.go
+++ b/core/relay/model_store_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"skylarkdeal/core/leader"
+	"skylarkdeal/core/times"
 )
 
 // leaseState is the state of a registration in the store.
@@ -139,7 +140,7 @@
 }
 
 func (r *storeReader) renewed(sent time.Time) {
-	r.own = later(r.own, sent)
+	r.own = times.Later(r.own, sent)
 	if !r.v.follows {
 		r.v.m.relay.LeaseRenewed(sent)
 		return
@@ -161,7 +162,7 @@
 func (r *storeReader) tell() {
 	v, m := r.v, r.v.m
 	host, told, known, own := m.relay, m.now, r.known, r.own
-	r.newsAt = later(r.newsAt, m.now.Add(m.randomMillis(0, 100)))
+	r.newsAt = times.Later(r.newsAt, m.now.Add(m.randomMillis(0, 100)))
 	m.at(r.newsAt, func() {
 		if m.relay != host || v.followed != r.n || told.Before(v.followedSince) {
 			return
--- a/core/relay/process.go
+++ b/core/relay/process.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"skylarkdeal/core/statement"
+	"skylarkdeal/core/times"
 )
 
 // reliesOnStatus reports whether nothing but the instance's status tells that the operation may run there:
@@ -47,7 +48,7 @@
 	if c.reserved || now.Sub(c.confirmAskedAt) < statusRequestInterval {
 		return
 	}
-	if i.termAskedAt.Before(later(c.openedAt, o.startedAt)) {
+	if i.termAskedAt.Before(times.Later(c.openedAt, o.startedAt)) {
 		i.askedAt, c.confirmAskedAt = now, now
 		c.requestStatus()
 	}
--- a/core/relay/sole_primary.go
+++ b/core/relay/sole_primary.go
@@ -5,6 +5,7 @@
 
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/staleness"
+	"skylarkdeal/core/times"
 )
 
 // proofSource is what rules out another primary.
@@ -104,14 +105,6 @@
 	return at
 }
 
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // primaryMayRun reports whether the primary may run an operation: whether it is known to have been the
 // only primary up to the time as of which the operation's reads have to show all commits. A write needs
 // only the verification of its answer, which has to be possible.
@@ -127,7 +120,7 @@
 	if o.writes && !o.beginsTx || !g.solePrimaryUntil().Before(o.asOf) {
 		return true
 	}
-	g.solePrimaryWanted = later(g.solePrimaryWanted, o.asOf)
+	g.solePrimaryWanted = times.Later(g.solePrimaryWanted, o.asOf)
 	return false
 }
 
--- a/core/relay/verify.go
+++ b/core/relay/verify.go
@@ -7,6 +7,7 @@
 	"skylarkdeal/core/leader"
 	"skylarkdeal/core/staleness"
 	"skylarkdeal/core/statement"
+	"skylarkdeal/core/times"
 )
 
 // addPosition handles the log position that comes with an answer of an instance. If the instance is the
@@ -60,7 +61,7 @@
 		g.unverifiedSample = staleness.Sample{}
 		g.addSample(p, s)
 	default:
-		g.solePrimaryWanted = later(g.solePrimaryWanted, s.AskedAt)
+		g.solePrimaryWanted = times.Later(g.solePrimaryWanted, s.AskedAt)
 		g.requestOtherTerms(now)
 	}
 }
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -10,6 +10,7 @@
 	"skylarkdeal/core/leader"
 	"skylarkdeal/core/mesh"
 	"skylarkdeal/core/relay"
+	"skylarkdeal/core/times"
 	"skylarkdeal/internal/clock"
 	"skylarkdeal/io/forward"
 	"skylarkdeal/io/registry"
@@ -250,13 +251,13 @@
 
 // renewed records that a registration was renewed by a call that was sent at the given time.
 func (h *Host) renewed(at time.Time) {
-	h.following.renewed = later(h.following.renewed, at)
+	h.following.renewed = times.Later(h.following.renewed, at)
 	h.relay.LeaseRenewed(at)
 }
 
 // ownRenewed records a renewal of this host's own registration, and passes it on.
 func (h *Host) ownRenewed(at time.Time) {
-	h.following.own = later(h.following.own, at)
+	h.following.own = times.Later(h.following.own, at)
 	h.renewed(at)
 	h.sendUpdates()
 }
@@ -321,10 +322,3 @@
 	}
 	f.write(forward.AppendStoreUpdate(nil, n))
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -11,6 +11,7 @@
 	"skylarkdeal/core/mesh"
 	"skylarkdeal/core/relay"
 	"skylarkdeal/core/statement"
+	"skylarkdeal/core/times"
 	"skylarkdeal/internal/clock"
 	"skylarkdeal/io/forward"
 	"skylarkdeal/io/loop"
@@ -209,7 +210,7 @@
 func (h *Host) heardFrom(n fleet.Host) time.Time {
 	heard := h.peers.known[n].heard
 	if l := h.links[n]; l != nil {
-		heard = later(heard, l.heard)
+		heard = times.Later(heard, l.heard)
 	}
 	return heard
 }
@@ -226,7 +227,7 @@
 			continue
 		}
 		hosts[p.dataCentre]++
-		last[p.dataCentre] = later(last[p.dataCentre], h.heardFrom(name))
+		last[p.dataCentre] = times.Later(last[p.dataCentre], h.heardFrom(name))
 	}
 	out := fleet.NewSet[fleet.DataCentre]()
 	for dc, at := range last {
--- a/io/groupmonitor/wait.go
+++ b/io/groupmonitor/wait.go
@@ -7,6 +7,7 @@
 	"skylarkdeal/core/failure"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/group"
+	"skylarkdeal/core/times"
 )
 
 // waiter is a request that waits until the statuses of the instances prove what
@@ -130,7 +131,7 @@
 	since := w.since
 	if w.rule == document.AcknowledgePrimary {
 		// now may be long past, since the process can be paused at any point.
-		since = later(since, s.cfg.Now().Add(-maxConfirmAge))
+		since = times.Later(since, s.cfg.Now().Add(-maxConfirmAge))
 	}
 	switch t.Acknowledge(w.rule, w.position, since) {
 	case group.VerdictAcknowledge:
@@ -144,13 +145,6 @@
 	return true
 }
 
-func later(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return b
-	}
-	return a
-}
-
 // The interval after which the instances are polled again for a request that
 // their statuses didn't satisfy: an eighth of its wait so far. A replica that
 // lags by two seconds is thus polled a few dozen times, and polling adds at
--- a/io/registry/lists.go
+++ b/io/registry/lists.go
@@ -11,6 +11,7 @@
 
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/follow"
+	"skylarkdeal/core/times"
 	"skylarkdeal/internal/sleep"
 )
 
@@ -136,7 +137,7 @@
 func (l *instanceList) confirm(at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.confirmedAt = later(l.confirmedAt, at)
+	l.confirmedAt = times.Later(l.confirmedAt, at)
 }
 
 // reportInstances reports the instances that are known at the moment of reporting, and as of when: a list
--- a/io/registry/part.go
+++ b/io/registry/part.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"skylarkdeal/core/follow"
+	"skylarkdeal/core/times"
 )
 
 // part is what this host knows of one part of the store: its entries, up to which revision no change is
@@ -61,7 +62,7 @@
 func (p *part) applyList(es []Entry, at Revision, read, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.readAt = later(p.readAt, read)
+	p.readAt = times.Later(p.readAt, read)
 	if newest, changed := p.merge(es, at, read, now); changed {
 		p.changedBy(newest)
 	}
@@ -96,7 +97,7 @@
 	case c.HasBody:
 		p.passed = c
 	case c.CompleteTo <= p.completeTo:
-		p.asOf = later(p.asOf, c.ReadAt)
+		p.asOf = times.Later(p.asOf, c.ReadAt)
 		return true
 	case !p.wasPassed(c.Version):
 		return false
@@ -115,7 +116,7 @@
 func (p *part) merge(es []Entry, at Revision, read, now time.Time) (newest Revision, changed bool) {
 	// What the store held at that time, this host's entries lack nothing of if they are complete to a
 	// higher revision.
-	p.asOf = later(p.asOf, read)
+	p.asOf = times.Later(p.asOf, read)
 	if at < p.completeTo {
 		return 0, false
 	}
@@ -234,10 +235,3 @@
 	defer p.mu.Unlock()
 	return p.asOf, p.readAt
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/io/registry/records.go
+++ b/io/registry/records.go
@@ -12,6 +12,7 @@
 
 	"skylarkdeal/core/follow"
 	"skylarkdeal/core/leader"
+	"skylarkdeal/core/times"
 	"skylarkdeal/internal/sleep"
 )
 
@@ -76,7 +77,7 @@
 func (r *Registry) cacheRecords(es []Entry, at Revision, read time.Time) {
 	r.recordsMu.Lock()
 	defer r.recordsMu.Unlock()
-	r.recordsCompleteTo, r.recordsAsOf = max(r.recordsCompleteTo, at), later(r.recordsAsOf, read)
+	r.recordsCompleteTo, r.recordsAsOf = max(r.recordsCompleteTo, at), times.Later(r.recordsAsOf, read)
 	for _, e := range es {
 		if e.Revision > r.records[e.Key].Revision {
 			r.records[e.Key] = e
