Read the store in time on a host to which a data centre is silent

What callers would see: a withdrawn key goes on working on a host of a large fleet for longer than the 5 s within which a change has to be in force: 5.7 s at 73 hosts, 17 s at 295 at worst.

Cause: a host that nobody confirms its catalog to reads the store itself, but waits for its turn among all hosts, 50 ms for each. That is right while all are heard, as whoever reaches the store tells the rest. It was done as well where nobody may be able to tell.

Evidence: TestHostThatHearsNobodyReadsTheStoreInTime with the delays as they were fails for 2 to 920 hosts: between two readings up to 4 s at 2 hosts (with a call that takes as long as it may, 5.5 s), 16.75 s at 295, 46 s at 920.

Change: a host to which some data centre is silent reads within 3 s of the last confirmation and again within 2 s, whatever the size of the fleet. mesh.AllHeardAt, which the check of the list of instances uses too, tells which hosts are heard.

Why it works: 2 s until it is due, 1 s of spread and 1.5 s for the longest call are below 5 s. In an outage of the store that all share, all data centres are heard, and the calls stay 20 a second for all hosts; TestOutageOfTheStoreIsNoStampede is unchanged.

--- a/core/follow/catalog_monitor.go
+++ b/core/follow/catalog_monitor.go
@@ -18,11 +18,12 @@
 	// noReadingsFor is how long nobody must be known to have read the store before a host takes it to be
 	// down for all. Then nobody can change the catalog either.
 	noReadingsFor = 3 * time.Second
-	// pausedFor is the time between two decisions from which on the process counts as paused: what it
-	// knew before may be old.
-	pausedFor = 2 * time.Second
 )
 
+// PausedFor is the time between two decisions from which on the process counts as paused: what it knew before
+// may be old.
+const PausedFor = 2 * time.Second
+
 // The delays from when a host falls behind to what it does about it. Each step leaves the one before
 // time for a round trip; all come before maxBehind.
 const (
@@ -50,6 +51,11 @@
 	// readPausePerHost bounds the readings of all hosts together while none of them reaches the store,
 	// to 20 a second.
 	readPausePerHost = 50 * time.Millisecond
+	// silentReadSpread and silentReadPause are the spread and the pause of a host that doesn't hear all data
+	// centres, whatever the size of the fleet: nobody may be able to tell it of a change, and a change has
+	// to be in force within 5 s, a call to the store included.
+	silentReadSpread = time.Second
+	silentReadPause  = 2 * time.Second
 )
 
 // maxPending bounds the revisions that are known to be missing.
@@ -103,6 +109,9 @@
 	IsReader bool
 	// Hosts is the number of hosts of the fleet.
 	Hosts int
+	// HasSilentHosts is set while no host of some data centre is heard, so that a change may be known to
+	// hosts whose reports don't arrive.
+	HasSilentHosts bool
 }
 
 // CatalogDecision is what a host is to do, and what it knows.
@@ -214,7 +223,7 @@
 // Guards against a host that takes the first catalog it is given, or goes on with the one that it had
 // before a pause, whatever was changed meanwhile.
 func (m *CatalogMonitor) verify(now, asOf time.Time, k CatalogKnown) {
-	if m.lastDecide.IsZero() || now.Sub(m.lastDecide) > pausedFor {
+	if m.lastDecide.IsZero() || now.Sub(m.lastDecide) > PausedFor {
 		m.verified, m.verifyFrom = false, now
 	}
 	m.lastDecide = now
@@ -271,7 +280,13 @@
 
 // storePause returns the time over which the first readings of all hosts are spread while none of them
 // reaches the store, and the longest pause between two readings of one host.
+//
+// Designed for an outage of the store in a fleet of hundreds of hosts: while all of them are heard, the first
+// one that reaches the store again tells the others, and few need to try.
 func (m *CatalogMonitor) storePause(k CatalogKnown) (spread, longest time.Duration) {
+	if k.HasSilentHosts {
+		return silentReadSpread, silentReadPause
+	}
 	all := time.Duration(k.Hosts) * readPausePerHost
 	return max(all, repeatAfter), max(all, maxReadPause)
 }
--- a/core/follow/catalog_monitor_test.go
+++ b/core/follow/catalog_monitor_test.go
@@ -175,6 +175,31 @@
 	}
 }
 
+// Guards against a host of a large fleet that no report with an edit reaches, as a data centre is silent: it
+// acts by its old catalog until its turn to read the store, which came later the larger the fleet is.
+func TestHostThatHearsNobodyReadsTheStoreInTime(t *testing.T) {
+	const inForceWithin, longestCall = 5 * time.Second, 1500 * time.Millisecond
+	for _, hosts := range []int{2, 30, 73, 295, 920} {
+		for _, jitter := range []float64{0, 0.5, 1} {
+			t.Run(fmt.Sprintf("%d hosts, jitter %v", hosts, jitter), func(t *testing.T) {
+				c := qt.New(t)
+				m := newMonitored(5, atMillis(0))
+				m.known.Hosts, m.known.HasSilentHosts = hosts, true
+				m.Jitter = func() float64 { return jitter }
+				lastRead := m.now
+				for m.now.Before(atMillis(60000)) {
+					if m.Decide(m.now, m.known).Action == follow.CatalogReadStore {
+						c.Assert(m.now.Sub(lastRead)+longestCall <= inForceWithin, qt.IsTrue, qt.Commentf("%s", m.now.Sub(lastRead)))
+						lastRead = m.now
+					}
+					m.now = m.now.Add(50 * time.Millisecond)
+				}
+				c.Assert(m.now.Sub(lastRead) <= inForceWithin, qt.IsTrue)
+			})
+		}
+	}
+}
+
 // simulated is a host of a simulated fleet. A reader in touch reads the store time and again; one with a
 // dead watch doesn't. Its own list calls reach the store if storeReachable is set.
 type simulated struct {
--- a/internal/entry/catalog.go
+++ b/internal/entry/catalog.go
@@ -82,6 +82,7 @@
 	s := &h.catalogStatus
 	d := h.catalogMonitor.Decide(now, follow.CatalogKnown{
 		CompleteTo: h.knownCatalog(), AsOf: h.registry.CatalogAsOf(), IsReader: h.reads(), Hosts: h.peers.size(),
+		HasSilentHosts: h.peers.hasSilentHosts(now),
 	})
 	h.relay.SetCatalogOutdated(d.Outdated)
 	h.logDecision(now, s.decision, d)
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"skylarkdeal/core/fleet"
-	"skylarkdeal/core/leader"
 	"skylarkdeal/core/mesh"
 	"skylarkdeal/core/relay"
 	"skylarkdeal/core/statement"
@@ -122,9 +121,8 @@
 	h.relay.SetPeers(usable, missing)
 	h.relay.SetPeersIncomplete(h.peersIncomplete(now, len(usable)))
 	h.relay.SetIsolated(h.isolated(now, silent))
-	if at, ok := h.noNewerPromotionAt(now); ok {
-		h.relay.NoNewerPromotion(at)
-	}
+	h.peers.findAllHeardAt(now)
+	h.relay.NoNewerPromotion(h.noNewerPromotionAt(now))
 	pause := listHostsEvery + time.Duration(h.rank.Load())*listHostsStep
 	if missing > 0 && h.reads() && now.Sub(h.peers.listedMissingAt) > pause {
 		// One that has died is off the list by now, and its share of rates is free again.
@@ -190,20 +188,36 @@
 }
 
 // noNewerPromotionAt returns as of when no host is known to have requested a promotion that this one doesn't
-// know.
-func (h *Host) noNewerPromotionAt(now time.Time) (time.Time, bool) {
-	if h.peers.addresses == nil {
-		return time.Time{}, false
-	}
-	var heard []leader.HostReport
+// know, zero if one has.
+func (h *Host) noNewerPromotionAt(now time.Time) time.Time {
+	known := h.relay.RecordRevision()
 	for _, p := range h.peers.known {
-		if now.Sub(p.heard) <= missingFor {
-			heard = append(heard, leader.HostReport{
-				DataCentre: p.dataCentre, SentAt: p.heard.Add(-p.extra), RecordRevision: p.record,
-			})
+		if now.Sub(p.heard) <= missingFor && p.record > known {
+			return time.Time{}
 		}
 	}
-	return leader.NoNewerPromotionAt(now, h.relay.RecordRevision(), maps.Values(h.peers.centres), heard)
+	return h.peers.allHeardAt
+}
+
+// findAllHeardAt finds out when hosts of all data centres had last been heard.
+func (p *peers) findAllHeardAt(now time.Time) {
+	if p.addresses == nil {
+		return
+	}
+	p.allHeardAt = mesh.AllHeardAt(now, maps.Values(p.centres), func(yield func(mesh.LastReport) bool) {
+		for _, k := range p.known {
+			r := mesh.LastReport{DataCentre: k.dataCentre, SentAt: k.heard.Add(-k.extra)}
+			if now.Sub(k.heard) <= missingFor && !yield(r) {
+				return
+			}
+		}
+	})
+}
+
+// hasSilentHosts reports whether some data centre isn't heard, so that changes may be known there that
+// nobody tells this host of.
+func (p *peers) hasSilentHosts(now time.Time) bool {
+	return p.addresses != nil && now.Sub(p.allHeardAt) > mesh.IntervalsFor(p.size()).HeardWithin
 }
 
 // heardFrom returns when anything last came from a host that is known.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -44,6 +44,8 @@
 	catalog, reportedCatalog uint64
 	// reportedRole is the role in the last report.
 	reportedRole follow.Role
+	// allHeardAt is when hosts of all data centres had last been heard, zero while the hosts aren't known.
+	allHeardAt time.Time
 	// listedMissingAt is when the hosts were last listed because some are missing.
 	listedMissingAt time.Time
 	// addedAt is when hosts were added to addresses because others named them, completeFor the number
