Start nothing after a pause before the catalog's age is known

What callers would see: a host that was stopped and continued takes sessions and operations that waited in its sockets with keys which were withdrawn meanwhile, until its next tick.

Cause: only the tick compares the time with that of the last one; what waits in the sockets comes before it.

Evidence: TestPausedHostStartsNothingBeforeItsFirstTick fails without the change: all three operations are sent, and a session is accepted.

Change: sessions and operations compare the time with the last tick themselves, by the same limit of 2 s.

Why it works: the clock counts a pause, and the first tick has the catalog's monitor judge its age before the relay's tick ends this state.

--- a/core/relay/outdated_test.go
+++ b/core/relay/outdated_test.go
@@ -48,3 +48,22 @@
 	x.do(statement.KindBegin, "", "")
 	c.Assert(x.last().Code, qt.Equals, statement.CodeBusy)
 }
+
+// Guards against a host that is continued after a pause and takes sessions and operations that wait in its
+// sockets by a catalog from before it.
+func TestPausedHostStartsNothingBeforeItsFirstTick(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).withConfirmedPrimary()
+	x := w.open("rush", "key-1")
+	w.now = w.now.Add(3 * time.Second)
+	for _, k := range []statement.Kind{statement.KindRead, statement.KindWrite, statement.KindBegin} {
+		x.do(k, "", "item")
+		c.Check(x.last().Code, qt.Equals, statement.CodeBusy)
+	}
+	c.Assert(w.count("item"), qt.Equals, 0)
+	c.Assert(w.open("rush", "key-1").code, qt.Equals, statement.CodeBusy)
+	w.advance(100*time.Millisecond, true)
+	x.do(statement.KindRead, "", "item")
+	w.advance(50*time.Millisecond, true)
+	c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+}
--- a/core/relay/query.go
+++ b/core/relay/query.go
@@ -106,7 +106,7 @@
 	if s.boundInstance != "" {
 		return true
 	}
-	if s.r.catalogOutdated != "" {
+	if s.r.outdated() != "" {
 		s.lastRefused = true
 		s.r.logEvent(Event{
 			Kind: EventRefuse, ID: id, Database: s.database, Service: s.route.Service, Account: s.account,
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -191,6 +191,17 @@
 // Transactions that are open go on.
 func (r *Relay) SetCatalogOutdated(why follow.OutdatedReason) { r.catalogOutdated = why }
 
+// outdated returns why the host must not act by its catalog now, empty if it may.
+//
+// Guards against a host that is continued after a pause and handles what waits in its sockets before the
+// tick at which it finds that its catalog may be old.
+func (r *Relay) outdated() follow.OutdatedReason {
+	if !r.lastTick.IsZero() && r.now().Sub(r.lastTick) > follow.PausedFor {
+		return follow.OutdatedAgeUnknown
+	}
+	return r.catalogOutdated
+}
+
 // Ready reports whether the host can serve: it has a catalog that isn't outdated, knows an instance of each
 // service, is not shutting down and not cut off.
 func (r *Relay) Ready() bool {
--- a/core/relay/session.go
+++ b/core/relay/session.go
@@ -111,7 +111,7 @@
 		return
 	}
 	s.database, s.key = d, k
-	if s.r.catalog != nil && s.r.catalogOutdated != "" {
+	if s.r.catalog != nil && s.r.outdated() != "" {
 		s.reject(statement.CodeBusy, outdatedDetail)
 		return
 	}
