Let nothing wait at a holder that gets no connections

What callers saw: in TestRollingRestartFailsNoRequest, once, a write waited at obihiro-1 until its caller gave up after 4 s, though connections had come free.

Cause: the primary had refused the host's connections several times, so that it was to be asked again after 5.6 s, with no connection open meanwhile. The pauses grow so that a refused host makes do with what it has; one without any can't. Its dispatcher knew this and kept the write, while the entry host would have asked another holder at a refusal.

Evidence: the log line of that run (open=0, retry-after=5.6s).

Change: a pool without any connection asks after 250 ms at most; instances that refuse this host are no choice for reads; what only they could run is refused as not run after 300 ms, with when they are asked again.

Why it works: an entry host takes this refusal on to the next holder, as with every reason that is the holder's own.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -28,6 +28,8 @@
 	Slots int
 	// Latency is averaged over the callers' statements.
 	Latency LatencyAverage
+	// Unconnected is set while this holder has no connection to the instance, as that refuses them.
+	Unconnected bool
 }
 
 // Free returns how many more statements may start.
@@ -116,6 +118,8 @@
 		return Choice{Action: ActionWait, Instance: snapshot.Primary, Reason: "no majority of the instances responds"}
 	case s.Instance.Leaving && snapshot.CanHandOver(now):
 		return Choice{Action: ActionWait, Instance: snapshot.Primary, Reason: "the primary is leaving"}
+	case load.Unconnected:
+		return Choice{Action: ActionWait, Instance: snapshot.Primary, Reason: "the primary refuses connections"}
 	case !hasSlot(load, request.Long, loads.Waiting):
 		return Choice{Action: ActionWait, Instance: snapshot.Primary, Reason: "the primary's slots are taken"}
 	}
@@ -173,6 +177,9 @@
 	}
 	o := candidate{instance: n, role: fleet.RoleReplica}
 	load := loads.Instances[n]
+	if load.Unconnected {
+		return candidate{}, false
+	}
 	latency := max(load.Latency.Read(now), minLatency)
 	if n == snapshot.Primary {
 		if !primarySatisfies(now, request, snapshot, s) {
--- a/io/database/open.go
+++ b/io/database/open.go
@@ -27,6 +27,9 @@
 	// its surplus for there to be room.
 	refusedFirst = 250 * time.Millisecond
 	refusedMost  = 5 * time.Second
+	// emptyMost is the longest pause of a pool that has no connection to make do with: what waits for one
+	// would wait until its deadline although there has been room for seconds.
+	emptyMost = 250 * time.Millisecond
 	// checkIdle is how often idle connections are looked at, so that closed ones
 	// are replaced before they are needed.
 	checkIdle = 250 * time.Millisecond
@@ -42,6 +45,9 @@
 	// shrunk is set while the instance refuses connections: the pool makes do
 	// with what it has until at.
 	shrunk bool
+	// emptySince is since when the instance has refused connections while the pool has none, zero while
+	// that isn't so.
+	emptySince time.Time
 }
 
 func (r *retry) init() {
@@ -56,9 +62,12 @@
 	return b
 }
 
-// next returns how long to wait after a failure.
-func (r *retry) next() time.Duration {
-	if r.shrunk {
+// next returns how long to wait after a failure. empty is set if the pool has no connection.
+func (r *retry) next(empty bool) time.Duration {
+	switch {
+	case r.shrunk && empty:
+		return min(r.refused.NextBackOff(), emptyMost)
+	case r.shrunk:
 		return r.refused.NextBackOff()
 	}
 	return r.backoff.NextBackOff()
@@ -68,7 +77,7 @@
 func (r *retry) succeeded() {
 	r.backoff.Reset()
 	r.refused.Reset()
-	r.at, r.trouble, r.shrunk = time.Time{}, "", false
+	r.at, r.trouble, r.shrunk, r.emptySince = time.Time{}, "", false, time.Time{}
 }
 
 // allowed is how many connections there may be at now; p.mu is held.
@@ -191,9 +200,16 @@
 	p.retry.trouble = err.Error()
 	p.retry.shrunk = isRefused(err)
 	now := p.cfg.Now()
+	empty := p.open == 0
 	if !now.Before(p.retry.at) {
 		// The tries of one round fail together, and are one failure.
-		p.retry.at = now.Add(p.retry.next())
+		p.retry.at = now.Add(p.retry.next(empty))
+	}
+	switch {
+	case !empty || !p.retry.shrunk:
+		p.retry.emptySince = time.Time{}
+	case p.retry.emptySince.IsZero():
+		p.retry.emptySince = now
 	}
 	p.cfg.Logger.Warn("connection not opened", zap.Error(err), zap.Duration("retry-after", p.retry.at.Sub(now)),
 		zap.Int("open", p.open), zap.Int("limit", p.limit))
--- a/io/database/pool.go
+++ b/io/database/pool.go
@@ -145,6 +145,14 @@
 	return len(p.idle)
 }
 
+// Refused reports since when the pool has had no connection because the instance refuses them, and when it
+// asks again; ok is false if it has one, or if there was no refusal.
+func (p *Pool) Refused() (since, retryAt time.Time, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.retry.emptySince, p.retry.at, p.open == 0 && !p.retry.emptySince.IsZero()
+}
+
 // TryTake returns an idle connection, or false when there is none now. It never
 // waits. The connection is the caller's until Put.
 //
--- a/io/database/pool_test.go
+++ b/io/database/pool_test.go
@@ -75,6 +75,37 @@
 	c.Assert(p.State().RetryAt.Sub(at) < 400*time.Millisecond, qt.IsTrue, qt.Commentf("%v", p.State().RetryAt.Sub(at)))
 }
 
+// Guards against a host that gets no connection for seconds although there is room: the instance refused it
+// several times before, and each pause was longer than the last.
+func TestPoolWithoutConnectionsAsksSoon(t *testing.T) {
+	c := qt.New(t)
+	i := newInstance(t, 0)
+	var clock atomic.Int64
+	now := func() time.Time { return time.Unix(1000, clock.Load()) }
+	p := newPool(t, i, func(g *database.Config) { g.Limit, g.Now = 1, now })
+	var began time.Time
+	for n := range 10 {
+		until(t, "a refusal", func() bool { return i.count(func() int { return i.refused }) > n && p.State().Opening == 0 })
+		since, at, ok := p.Refused()
+		c.Assert(ok, qt.IsTrue)
+		if n == 0 {
+			began = since
+		}
+		c.Assert(since.Equal(began), qt.IsTrue)
+		c.Assert(at.Sub(now()) <= 500*time.Millisecond, qt.IsTrue, qt.Commentf("%v after %d refusals", at.Sub(now()), n+1))
+		clock.Add(int64(at.Sub(now())))
+	}
+	i.mu.Lock()
+	i.limit = 1
+	i.mu.Unlock()
+	until(t, "a connection", func() bool {
+		clock.Add(int64(time.Millisecond))
+		return p.State().Open == 1
+	})
+	_, _, ok := p.Refused()
+	c.Assert(ok, qt.IsFalse)
+}
+
 // stalled is a connection whose first write returns late, as on a host that is out of
 // processor time: the instance's answer is there before.
 type stalled struct {
--- a/io/holder/dispatch.go
+++ b/io/holder/dispatch.go
@@ -24,6 +24,7 @@
 	}
 	t := g.monitor.Snapshot()
 	g.refuseAbsent(t)
+	g.refuseUnconnected(t)
 	for {
 		l := g.loads()
 		i, ok := g.queue.Next(g.now, func(i admit.Item) bool { return g.fits(i, t, l) })
@@ -104,6 +105,55 @@
 	}
 }
 
+// connectPatience is how long an exchange may wait while the instances that could run it refuse this host's
+// connections: one more try, in which another host may have given up its surplus.
+const connectPatience = 300 * time.Millisecond
+
+// refuseUnconnected refuses what waits for instances to which this host has no connection, as they refuse
+// them. Its entry host asks another holder.
+//
+// Guards against an exchange that waits for its deadline here while other holders have idle connections: the
+// hosts' shares of an instance come from rosters that differ while hosts are replaced.
+func (g *groupRun) refuseUnconnected(t group.Snapshot) {
+	longest, retry, all := g.unconnected()
+	since, ok := longest[t.Primary]
+	primary := ok && g.now.Sub(since) > connectPatience
+	if !primary && !all {
+		return
+	}
+	for _, w := range g.works {
+		if w.pin != nil || !all && w.read() && !w.need.Latest() {
+			continue
+		}
+		if g.queue.Remove(w.key) {
+			g.drop(w, g.refusal(failure.CodeNotReady, "the instances accept no more connections of this host",
+				max(retry.Sub(g.now), minRetryAfter)))
+		}
+	}
+}
+
+// minRetryAfter keeps a refused caller from coming back at once.
+const minRetryAfter = 10 * time.Millisecond
+
+// unconnected returns the instances that refuse this host's connections, each with since when, and when the
+// first of them is asked again; all tells whether these are all instances, for longer than connectPatience.
+func (g *groupRun) unconnected() (since map[fleet.Instance]time.Time, retry time.Time, all bool) {
+	since, all = map[fleet.Instance]time.Time{}, len(g.pools) > 0
+	for n, p := range g.pools {
+		from, at, ok := p.Refused()
+		if !ok {
+			all = false
+			continue
+		}
+		since[n] = from
+		all = all && g.now.Sub(from) > connectPatience
+		if retry.IsZero() || at.Before(retry) {
+			retry = at
+		}
+	}
+	return since, retry, all
+}
+
 // longPatience is how long work that was long before leaves the last slot to
 // short work. Two long exchanges that wait for each other's leave would else both
 // wait for their deadlines, and an account whose statements were long once, in a
@@ -138,8 +188,11 @@
 
 func (g *groupRun) loads() place.Loads {
 	l := place.Loads{Instances: make(map[fleet.Instance]place.Load, len(g.pools)), Waiting: g.queue.Len()}
-	for n := range g.pools {
-		l.Instances[n] = place.Load{Busy: g.busy[n], Slots: g.slots[n], Latency: g.meters[n]}
+	for n, p := range g.pools {
+		_, _, refused := p.Refused()
+		l.Instances[n] = place.Load{
+			Busy: g.busy[n], Slots: g.slots[n], Latency: g.meters[n], Unconnected: refused,
+		}
 	}
 	return l
 }
--- a/io/holder/holder_test.go
+++ b/io/holder/holder_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"skylarkdeal/core/document"
@@ -240,6 +241,46 @@
 	b.eventually("the group's end", func() bool { return len(b.holder.State()) == 0 })
 }
 
+// Guards against an order that waits for its deadline at a holder to which the primary gives no connection:
+// its entry host could ask another holder. Once there is room, the holder serves again within a second.
+func TestHolderWithoutConnectionsRefusesAtOnce(t *testing.T) {
+	b := newBench(t)
+	full := *b.doc
+	without := full
+	without.Instances = slices.Clone(full.Instances)
+	without.Instances[0].Connections = 1
+	change := func(v document.Version, d document.Document) {
+		d.Version = v
+		b.doc = &d
+		b.holder.DocumentChanged(b.doc)
+	}
+	change(2, without)
+	var taken []*pgconn.PgConn
+	b.eventually("an instance without room", func() bool {
+		for {
+			x, err := pgconn.Connect(context.Background(), "postgres://x@"+b.group.Address("a")+"/orders?sslmode=disable")
+			if err != nil {
+				return len(taken) >= 19
+			}
+			taken = append(taken, x)
+		}
+	})
+	change(3, full)
+	r := b.start(b.request("once w1 bin 1"))
+	began := time.Now()
+	x := b.soon(r)
+	b.c.Assert(x.Outcome, qt.Equals, exchange.OutcomeNotRun)
+	b.c.Assert(x.Refusal.Code, qt.Equals, failure.CodeNotReady)
+	b.c.Assert(x.Refusal.RetryAfter > 0 && x.Refusal.RetryAfter < time.Second, qt.IsTrue)
+	b.c.Assert(time.Since(began) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+	for _, t := range taken {
+		b.c.Assert(t.Close(context.Background()), qt.IsNil)
+	}
+	began = time.Now()
+	b.eventually("an order", func() bool { return b.run(b.request("once w2 bin 1")).Outcome == exchange.OutcomeDone })
+	b.c.Assert(time.Since(began) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+}
+
 // Somebody guesses the number of another account's transaction, or a confused entry
 // host sends two of its statements at a time. Neither may reach its connection.
 func TestTransactionServesItsAccountOneAtATime(t *testing.T) {
