Tell a host that lacks processor time from one that is stuck

Each host before PostgreSQL callers has a watch now: a goroutine that runs late by a second logs for how long all threads waited for a processor meanwhile and how long the garbage collector stopped the program; a duty that doesn't answer for a second while the watch runs in time is logged with all goroutines. On the prepared machines, where each wake-up is charged, the event loop logs the pauses that it notices anyway. The state dump tells when the oldest open transaction of a group began.

--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -75,6 +75,7 @@
 	}
 	if now.Sub(h.tended) > pauseThreshold && !h.tended.IsZero() {
 		h.resumedAt = now
+		h.log.Warn("process stood still", zap.Duration("for", now.Sub(h.tended)))
 	}
 	h.tended = now
 	h.chooseRole(now)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -15,6 +15,7 @@
 	"skylarkdeal/core/failure"
 	"skylarkdeal/core/journal"
 	"skylarkdeal/core/settings"
+	"skylarkdeal/internal/stall"
 	"skylarkdeal/io/caller"
 	"skylarkdeal/io/docsync"
 	"skylarkdeal/io/etcd"
@@ -119,6 +120,35 @@
 	h.duty(func() { _ = h.grants.Run(work) })
 	h.duty(func() { _ = h.members.Run(control) })
 	h.duty(func() { h.spread.Run(control) })
+	h.duty(func() { h.watch().Run(control) })
+}
+
+// answerTimeout bounds how long the dispatchers of the groups are waited for; one of a group that ends
+// meanwhile never answers.
+const answerTimeout = 30 * time.Second
+
+// watch returns the watch over this host's duties.
+func (h *Host) watch() stall.Watch {
+	ask := func(f func()) func(func()) {
+		return func(answer func()) {
+			go func() {
+				f()
+				answer()
+			}()
+		}
+	}
+	return stall.Watch{
+		Logger: h.log, Registerer: h.registry,
+		Duties: map[string]func(func()){
+			"dispatchers": ask(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+				defer cancel()
+				h.holder.Await(ctx)
+			}),
+			"grants":  ask(func() { h.grants.Leaving() }),
+			"members": ask(func() { h.members.Members() }),
+		},
+	}
 }
 
 func (h *Host) duty(f func()) {
--- a/io/grants/seats.go
+++ b/io/grants/seats.go
@@ -92,12 +92,12 @@
 		mine := ok && w.Host == r.cfg.Host && !w.Leaving
 		renewed := r.syncLease(h)
 		r.notePreferred(h, mine)
-		if (mine || r.holds(h)) && !renewed && !r.isLeaving() {
+		if (mine || r.holds(h)) && !renewed && !r.Leaving() {
 			claims = append(claims, h)
 		}
 	}
 	r.updateRecordIfDue(ctx, claims)
-	r.claiming.Store(len(claims) > 0 && !r.isLeaving())
+	r.claiming.Store(len(claims) > 0 && !r.Leaving())
 	r.askConsent(ctx)
 }
 
@@ -183,7 +183,8 @@
 	return r.seat(h).ownership.Held()
 }
 
-func (r *Runtime) isLeaving() bool {
+// Leaving reports whether the host gives its shards up.
+func (r *Runtime) Leaving() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.leaving
--- a/io/holder/group.go
+++ b/io/holder/group.go
@@ -55,8 +55,9 @@
 	wake chan struct{}
 	// end closes the group.
 	end context.CancelFunc
-	// dump asks for the state.
+	// dump asks for the state, ping for a sign of life.
 	dump chan chan GroupState
+	ping chan struct{}
 
 	queue admit.Queue
 	works map[uint64]*work
@@ -93,6 +94,7 @@
 		cancels:   ring.New[exchange.ID](cancelRing),
 		wake:      make(chan struct{}, 1),
 		dump:      make(chan chan GroupState),
+		ping:      make(chan struct{}),
 		works:     map[uint64]*work{},
 		byID:      map[exchange.ID]*work{},
 		pools:     map[fleet.Instance]*database.Pool{},
@@ -148,6 +150,7 @@
 		g.cancelled(id)
 	case c := <-g.dump:
 		c <- g.state()
+	case <-g.ping:
 	case <-g.wake:
 		g.now = g.h.c.Now()
 		g.lookAgain()
--- a/io/holder/pins.go
+++ b/io/holder/pins.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"skylarkdeal/core/exchange"
 	"skylarkdeal/core/fleet"
@@ -22,6 +23,8 @@
 	busy bool
 	// dropped is set when the transaction was released while busy.
 	dropped bool
+	// opened is when the transaction began.
+	opened time.Time
 }
 
 // pins are the open transactions of one group on this holder.
@@ -92,3 +95,16 @@
 	defer p.mu.Unlock()
 	return len(p.byID)
 }
+
+// oldest returns when the first of the open transactions began, zero if there is none.
+func (p *pins) oldest() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var at time.Time
+	for _, n := range p.byID {
+		if at.IsZero() || n.opened.Before(at) {
+			at = n.opened
+		}
+	}
+	return at
+}
--- a/io/holder/serve.go
+++ b/io/holder/serve.go
@@ -62,6 +62,7 @@
 			term:     w.term,
 			account:  w.q.Account,
 			busy:     true,
+			opened:   g.h.c.Now(),
 		}
 		g.pins.add(n)
 	}
--- a/io/holder/state.go
+++ b/io/holder/state.go
@@ -19,16 +19,19 @@
 type GroupState struct {
 	Service fleet.Service `json:"service"`
 	// Holds is set while this host holds connections to the group.
-	Holds    bool                   `json:"holds"`
-	Holders  []fleet.Member         `json:"holders"`
-	Group    groupmonitor.State     `json:"group"`
-	Queue    admit.State            `json:"queue"`
-	UnderWay int                    `json:"under-way"`
-	Pins     int                    `json:"pins"`
-	Slots    map[fleet.Instance]int `json:"slots"`
-	Busy     map[fleet.Instance]int `json:"busy"`
-	Pools    []database.State       `json:"pools"`
-	Retries  float64                `json:"retries-left"`
+	Holds    bool               `json:"holds"`
+	Holders  []fleet.Member     `json:"holders"`
+	Group    groupmonitor.State `json:"group"`
+	Queue    admit.State        `json:"queue"`
+	UnderWay int                `json:"under-way"`
+	Pins     int                `json:"pins"`
+	// OldestPin is when the first of the open transactions began.
+	OldestPin time.Time `json:"oldest-pin,omitzero"`
+
+	Slots   map[fleet.Instance]int `json:"slots"`
+	Busy    map[fleet.Instance]int `json:"busy"`
+	Pools   []database.State       `json:"pools"`
+	Retries float64                `json:"retries-left"`
 }
 
 // stateTimeout bounds the wait for a dispatcher, which is never busy for long.
@@ -50,6 +53,20 @@
 	return out
 }
 
+// Await returns once the dispatchers of all groups have answered, or when ctx ends.
+func (h *Holder) Await(ctx context.Context) {
+	h.mu.RLock()
+	groups := slices.Collect(maps.Values(h.groups))
+	h.mu.RUnlock()
+	for _, g := range groups {
+		select {
+		case g.ping <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (g *groupRun) ask(ctx context.Context) (GroupState, bool) {
 	c := make(chan GroupState, 1)
 	select {
@@ -62,16 +79,17 @@
 
 func (g *groupRun) state() GroupState {
 	s := GroupState{
-		Service:  g.service,
-		Holds:    g.holds,
-		Holders:  g.holders(),
-		Group:    g.monitor.State(),
-		Queue:    g.queue.State(),
-		UnderWay: len(g.works),
-		Pins:     g.pins.len(),
-		Slots:    map[fleet.Instance]int{},
-		Busy:     map[fleet.Instance]int{},
-		Retries:  g.budget.Left(),
+		Service:   g.service,
+		Holds:     g.holds,
+		Holders:   g.holders(),
+		Group:     g.monitor.State(),
+		Queue:     g.queue.State(),
+		UnderWay:  len(g.works),
+		Pins:      g.pins.len(),
+		OldestPin: g.pins.oldest(),
+		Slots:     map[fleet.Instance]int{},
+		Busy:      map[fleet.Instance]int{},
+		Retries:   g.budget.Left(),
 	}
 	for n, p := range g.pools {
 		s.Slots[n] = g.slots[n]
