Notice the store's return in time in a small fleet

What callers would see: an account without grants, or a host that starts without shards, for up to 15 s after the store has returned from an outage, and the time to claim them on top: the bound of 18 s that the tests of whole fleets have is over then.

Cause: while calls fail, a host makes one try for each back-off interval, up to 10 s with half of it to either side. That is made for 920 hosts, 92 tries a second together; two or four hosts waited as long.

Change: the longest interval grows with the fleet, from 1 s to 10 s at 920 hosts, as the rate of calls does.

Why it works: all hosts together still make 92 tries a second at most. TestCallsAreHeldBackWhileDown, without a number of hosts, is unchanged.

--- a/io/etcd/etcd_test.go
+++ b/io/etcd/etcd_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -235,3 +236,43 @@
 	c.Assert(err, qt.ErrorIs, context.DeadlineExceeded)
 	c.Assert(server.Calls()[store.KindRange], qt.Equals, 13)
 }
+
+// Guards against hosts of a small fleet that learn of the store's return up to 15 s late, and can't claim the
+// shards of a host that has gone meanwhile; and against tries that grow with the fleet.
+func TestReturnOfTheStoreIsNoticedInTime(t *testing.T) {
+	const pollEvery = 100 * time.Millisecond
+	for _, x := range []struct {
+		hosts  int
+		latest time.Duration
+		tries  int
+	}{
+		{4, 1600 * time.Millisecond, 130},
+		{920, 15100 * time.Millisecond, 12},
+	} {
+		t.Run(fmt.Sprintf("%d hosts", x.hosts), func(t *testing.T) {
+			c := qt.New(t)
+			k := newClock()
+			server := start(c, store.Config{})
+			s := dial(c, etcd.Config{
+				Endpoints: []string{server.Addr()}, Now: k.now, Hosts: func() int { return x.hosts },
+				Jitter: rand.New(rand.NewPCG(1, 2)).Float64, //nolint:gosec // the same numbers in each run
+			})
+			server.Set(func(f *store.Faults) { f.Down = true })
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			for range 2 * time.Minute / pollEvery {
+				_, _ = s.Get(ctx, "/k")
+				k.move(pollEvery)
+			}
+			tries := server.Calls()[store.KindRange]
+			server.Set(func(f *store.Faults) { f.Down = false })
+			late := time.Duration(0)
+			for ; s.State().Down && late < time.Minute; late += pollEvery {
+				_, _ = s.Get(ctx, "/k")
+				k.move(pollEvery)
+			}
+			c.Assert(late <= x.latest, qt.IsTrue, qt.Commentf("%v", late))
+			c.Assert(tries >= x.tries/2 && tries <= 2*x.tries, qt.IsTrue, qt.Commentf("%d tries", tries))
+		})
+	}
+}
--- a/io/etcd/gate.go
+++ b/io/etcd/gate.go
@@ -39,11 +39,14 @@
 }
 
 // The back-off of a failing store. The longest interval bounds both how late a
-// host learns of the store's return and the tries of the fleet: 920 hosts at
-// one in 10 s are 92 calls a second.
+// host learns of the store's return and the tries of the fleet. It grows with the
+// fleet, so that all hosts together make 92 tries a second at most: 920 hosts one
+// in 10 s each.
 const (
 	firstInterval   = 200 * time.Millisecond
 	longestInterval = 10 * time.Second
+	leastLongest    = time.Second
+	intervalPerHost = longestInterval / 920
 	intervalGrowth  = 2
 	intervalJitter  = 0.5
 )
@@ -115,10 +118,18 @@
 	return max(LeastRate, FleetRate/float64(max(1, g.hosts())))
 }
 
+// longest returns the longest interval.
+func (g *gate) longest() time.Duration {
+	if g.hosts == nil {
+		return longestInterval
+	}
+	return min(max(leastLongest, time.Duration(g.hosts())*intervalPerHost), longestInterval)
+}
+
 // interval returns the next interval, spread evenly over half of it to either
 // side.
 func (g *gate) interval() time.Duration {
-	d := g.backoff.NextBackOff()
+	d := min(g.backoff.NextBackOff(), g.longest())
 	return time.Duration(float64(d) * (1 - intervalJitter + 2*intervalJitter*g.jitter()))
 }
 
