Name the links' check plainly and drop what nothing reads

internal/entry: tendLinks, tended, tendEvery and a local lead; core/relay: a local secluded. primaryHeardAt and AlwaysLog were set and read nowhere. No behaviour changes.

--- a/core/relay/event.go
+++ b/core/relay/event.go
@@ -55,9 +55,6 @@
 	Age time.Duration
 	// Took is the time from the caller's statement to this event.
 	Took time.Duration
-	// AlwaysLog is set for an event that explains a failed or late statement. A log that leaves out
-	// events must keep it.
-	AlwaysLog bool
 }
 
 // logEvent passes an event to Config.LogEvent, if that is set.
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -33,9 +33,8 @@
 	peerRequests []peerStatusRequest
 	// dispatching prevents recursive dispatch.
 	dispatching bool
-	// promotionKnownAt is when the last promotion record became known, primaryHeardAt when the primary
-	// last responded.
-	promotionKnownAt, primaryHeardAt time.Time
+	// promotionKnownAt is when the last promotion record became known.
+	promotionKnownAt time.Time
 	// primaryConfirmedAt is when the primary was last confirmed.
 	primaryConfirmedAt time.Time
 	// promotionNotBefore is the earliest time at which the last promotion can have taken effect, as far
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -371,6 +371,5 @@
 	if o.conn != nil {
 		e.Host = o.conn.via
 	}
-	e.AlwaysLog = code != statement.CodeNone || e.Took > o.route.Target
 	o.g.r.logEvent(e)
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -227,17 +227,17 @@
 // one primary dead, no host is better off and none is missing.
 func (r *Relay) CutOff() bool {
 	now := r.now()
-	secluded := r.isolated(now)
-	if r.lease.RecordsCurrent(now) && !secluded || len(r.groups) == 0 {
+	isolated := r.isolated(now)
+	if r.lease.RecordsCurrent(now) && !isolated || len(r.groups) == 0 {
 		return false
 	}
 	unable := 0
 	for _, g := range r.groups {
-		if r.forwarding.missingHosts == 0 && !secluded && !g.hasFollowedList() {
+		if r.forwarding.missingHosts == 0 && !isolated && !g.hasFollowedList() {
 			// All hosts that have just started are no better off.
 			continue
 		}
-		if now.Sub(g.primaryAvailableAt) > cutOffAfter || secluded && g.unavailableReason(now) != "" {
+		if now.Sub(g.primaryAvailableAt) > cutOffAfter || isolated && g.unavailableReason(now) != "" {
 			unable++
 		}
 	}
--- a/core/relay/verify.go
+++ b/core/relay/verify.go
@@ -24,7 +24,6 @@
 	if !ok || n != c.Instance {
 		return
 	}
-	g.primaryHeardAt = now
 	// A request that was sent before the primary was confirmed may have been answered while it was still a
 	// replica, whose log was shorter than at its promotion. Answers on two connections have no order.
 	if askedAt.Before(g.primaryConfirmedAt) || !c.answersAsPrimary(a) {
@@ -130,7 +129,7 @@
 	if !g.primaryState.AddStatus(i.info.Name, s) {
 		return
 	}
-	g.primaryHeardAt, g.primaryConfirmedAt = now, now
+	g.primaryConfirmedAt = now
 	g.r.logEvent(Event{
 		Kind: EventLeader, Service: g.name, Instance: i.info.Name, Term: s.Term,
 		InstancePosition: i.position, Received: s.Received,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -64,9 +64,9 @@
 	gossip   *gossip.Gossip
 	peers    peers
 	rates    ratelimit.Limiter
-	// links are to the hosts that were heard, looked after at tended.
-	links  map[fleet.Host]*link
-	tended time.Time
+	// links are the connections to the hosts that were heard, last checked at linksCheckedAt.
+	links          map[fleet.Host]*link
+	linksCheckedAt time.Time
 	// resumedAt is when this host last went on after it was held up.
 	resumedAt time.Time
 	following following
@@ -241,7 +241,7 @@
 
 func (h *Host) tick() {
 	h.busy.Store(h.relay.HasWaiting())
-	h.tendLinks()
+	h.maintainLinks()
 	h.checkCatalog(clock.Now())
 	h.relay.Tick()
 	h.report()
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -72,7 +72,7 @@
 	if x == follow.RoleFollower {
 		clear(h.following.followers)
 		// The link to a reader is the first thing that it needs.
-		h.tended = time.Time{}
+		h.linksCheckedAt = time.Time{}
 		h.requestTick()
 	}
 }
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -39,12 +39,12 @@
 	// idleLinkTimeout closes a link that isn't wanted any more: longer than any statement or transaction
 	// may last on it.
 	idleLinkTimeout = 10 * time.Second
-	// pauseThreshold is the time between two calls of tendLinks above which this process counts as paused,
+	// pauseThreshold is the time between two calls of maintainLinks above which this process counts as paused,
 	// pauseGrace how long it then takes to read what has arrived meanwhile.
 	pauseThreshold = 200 * time.Millisecond
 	pauseGrace     = 200 * time.Millisecond
-	// tendEvery is the least time between two passes over all other hosts: hundreds, in a large fleet.
-	tendEvery = 45 * time.Millisecond
+	// linkCheckInterval is the least time between two passes over all other hosts: hundreds, in a large fleet.
+	linkCheckInterval = 45 * time.Millisecond
 )
 
 // link is the connection to another host by which this one has statements run there.
@@ -61,23 +61,23 @@
 	out                []byte
 }
 
-// tendLinks keeps a link to each host that is heard, in a large fleet only to those over which
+// maintainLinks keeps a link to each host that is heard, in a large fleet only to those over which
 // instances are used, and tells the relay which can be used.
 //
 // The guard is against a host that has died or stands still: its link resets nothing, and
 // every statement sent there would wait for its time limit. A host that is alive reports
 // several times a second, so that silence shows. In a large fleet its reports may be held up
 // on their way while the host itself answers; then its answers count.
-func (h *Host) tendLinks() {
+func (h *Host) maintainLinks() {
 	now := clock.Now()
-	if now.Sub(h.tended) < tendEvery {
+	if now.Sub(h.linksCheckedAt) < linkCheckInterval {
 		return
 	}
-	if now.Sub(h.tended) > pauseThreshold && !h.tended.IsZero() {
+	if now.Sub(h.linksCheckedAt) > pauseThreshold && !h.linksCheckedAt.IsZero() {
 		h.resumedAt = now
-		h.log.Warn("process stood still", zap.Duration("for", now.Sub(h.tended)))
+		h.log.Warn("process stood still", zap.Duration("for", now.Sub(h.linksCheckedAt)))
 	}
-	h.tended = now
+	h.linksCheckedAt = now
 	h.chooseRole(now)
 	defer h.followStore(now)
 	h.forget(now)
@@ -146,8 +146,8 @@
 		return func(fleet.Host) bool { return true }
 	}
 	hs := h.relay.Holders()
-	if lead := h.following.session.Reader; lead != "" {
-		hs.Add(lead)
+	if reader := h.following.session.Reader; reader != "" {
+		hs.Add(reader)
 	}
 	if n := h.catalogStatus.decision.Host; n != "" {
 		hs.Add(n)
