Say which home failed an account that has no grants

Once no data centre grants an account anything, its host logs which host it asked in each, what came back, whether its own lease is valid and whether it still claims shards; and after how long grants came again. At most five lines a second.

--- a/io/grants/entries.go
+++ b/io/grants/entries.go
@@ -30,9 +30,12 @@
 	waiting           atomic.Int64
 	admitted, refused atomic.Uint64
 
-	// waiters and checked belong to the serving goroutine.
-	waiters []waiter
-	checked time.Time
+	// The fields below belong to the serving goroutine. failed is why the last request to each data centre
+	// brought no grant, ungrantedSince since when that is so for all of them, zero while one grants.
+	waiters        []waiter
+	checked        time.Time
+	failed         map[fleet.DataCentre]string
+	ungrantedSince time.Time
 }
 
 // waiter is an exchange that waits for n tokens.
--- a/io/grants/grants.go
+++ b/io/grants/grants.go
@@ -86,8 +86,9 @@
 	updateMu sync.Mutex
 	// nextCheck belongs to the goroutine that maintains the ownership of shards.
 	nextCheck time.Time
-	// out belongs to the serving goroutine.
-	out outbox
+	// out and ungranted belong to the serving goroutine.
+	out       outbox
+	ungranted logLimit
 
 	// mu guards the fields below. It is held for map look-ups and sums only.
 	mu    sync.Mutex
--- a/io/grants/helpers_test.go
+++ b/io/grants/helpers_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"skylarkdeal/core/document"
 	"skylarkdeal/core/failure"
@@ -85,6 +87,9 @@
 	until func(fleet.Host) time.Time
 	// losesAnswers has calls carried out, and their answers lost.
 	losesAnswers atomic.Bool
+	// logs are the lines of all hosts.
+	logs *observer.ObservedLogs
+	log  *zap.Logger
 	// beforeRead, if set, is called before a host reads the store.
 	beforeRead atomic.Pointer[func(fleet.Host)]
 }
@@ -93,6 +98,8 @@
 
 func newBench(hosts []fleet.Member, a document.Account) *bench {
 	b := &bench{hosts: map[fleet.Host]*grants.Runtime{}}
+	core, logs := observer.New(zap.InfoLevel)
+	b.log, b.logs = zap.New(core), logs
 	b.setMembers(hosts)
 	b.store.keys, b.store.leases = map[string]grants.Entry{}, map[fleet.Host]uint64{}
 	b.doc = &document.Document{Service: service, Version: 1, Accounts: []document.Account{a}}
@@ -112,7 +119,7 @@
 
 func (b *bench) newHost(m fleet.Member, epoch uint64) *grants.Runtime {
 	return grants.New(grants.Config{
-		Host: m.Host, DataCentre: m.DataCentre, Epoch: epoch,
+		Host: m.Host, DataCentre: m.DataCentre, Epoch: epoch, Logger: b.log,
 		Members: func() []fleet.Member { return *b.members.Load() },
 		Call: func(ctx context.Context, to fleet.Member, q *hostpb.GrantRequest) (*hostpb.GrantResponse, error) {
 			if _, cut := b.cut.Load(to.Host); cut {
--- a/io/grants/send.go
+++ b/io/grants/send.go
@@ -45,6 +45,7 @@
 	a := tokenRequest{entry: e, request: w, sent: now}
 	to, ok := r.target(w.DataCentre, e.shard)
 	if !ok {
+		r.noteFailure(now, e, w.DataCentre, "no host is a member")
 		e.spender.Failed(now, w.DataCentre)
 		return
 	}
@@ -147,10 +148,16 @@
 func (r *Runtime) handleAnswer(now time.Time, a tokenRequest, from fleet.Host) {
 	n := ownershipID(a.request.DataCentre, a.entry.shard)
 	if a.home.here && !a.failed {
+		r.noteGrant(now, a.entry, a.request.DataCentre)
 		r.out.setHome(n, from)
 		a.entry.spender.Granted(now, a.sent, a.request.DataCentre, a.request.Ask, a.grant)
 		return
 	}
+	why := "host " + string(from) + " isn't the home, it names \"" + string(a.home.hint) + "\""
+	if a.failed {
+		why = "host " + string(from) + " doesn't answer"
+	}
+	r.noteFailure(now, a.entry, a.request.DataCentre, why)
 	r.out.nextHome(n, a.home.hint, from)
 	a.entry.spender.Failed(now, a.request.DataCentre)
 }
