Count a report of a large fleet as old as relays may keep it

Found in a review of the fix for successors that aren't on the list: a report counted as sent when it came, less what it took longer than the fastest one of its host. In a large fleet the fastest one is kept by a relay for 0.15 to 0.35 s too, so that "no newer promotion" was taken for up to 1.05 s, and a promotion takes effect 1 s after its request. Such reports now count as 0.35 s older. No test showed it; the bound follows from the delays in core/mesh.

--- a/core/mesh/heard.go
+++ b/core/mesh/heard.go
@@ -7,12 +7,21 @@
 	"skylarkdeal/core/fleet"
 )
 
-// LastReport is when another host sent its last report that arrived, by this host's clock.
+// LastReport is when another host sent its last report that arrived, at the latest and by this host's clock.
 type LastReport struct {
 	DataCentre fleet.DataCentre
 	SentAt     time.Time
 }
 
+// UsualDelay returns how long a report takes at most in a fleet of n hosts if it isn't held up: relays keep it
+// for a while.
+func UsualDelay(n int) time.Duration {
+	if UsesRelays(n) {
+		return secondRelayDelay
+	}
+	return 0
+}
+
 // AllHeardAt returns the latest time by which hosts of all data centres, those of centres and of the reports,
 // had been heard: now if there are no other hosts, zero if a data centre was never heard.
 //
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -205,9 +205,10 @@
 	if p.addresses == nil {
 		return
 	}
+	delay := mesh.UsualDelay(p.size())
 	p.allHeardAt = mesh.AllHeardAt(now, maps.Values(p.centres), func(yield func(mesh.LastReport) bool) {
 		for _, k := range p.known {
-			r := mesh.LastReport{DataCentre: k.dataCentre, SentAt: k.heard.Add(-k.extra)}
+			r := mesh.LastReport{DataCentre: k.dataCentre, SentAt: k.heard.Add(-k.extra - delay)}
 			if now.Sub(k.heard) <= missingFor && !yield(r) {
 				return
 			}
