Don't report a group that closes as a dispatcher that is stuck

Found on reading the watch over a host's duties: a group that closed between the question and its answer would have been logged as a dispatcher without an answer, with all goroutines. The dispatcher's look for instances that refuse connections makes no map while none does.

--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -123,8 +123,7 @@
 	h.duty(func() { h.watch().Run(control) })
 }
 
-// answerTimeout bounds how long the dispatchers of the groups are waited for; one of a group that ends
-// meanwhile never answers.
+// answerTimeout bounds how long the dispatchers of the groups are waited for.
 const answerTimeout = 30 * time.Second
 
 // watch returns the watch over this host's duties.
--- a/io/holder/dispatch.go
+++ b/io/holder/dispatch.go
@@ -115,8 +115,8 @@
 // Guards against an exchange that waits for its deadline here while other holders have idle connections: the
 // hosts' shares of an instance come from rosters that differ while hosts are replaced.
 func (g *groupRun) refuseUnconnected(t group.Snapshot) {
-	longest, retry, all := g.unconnected()
-	since, ok := longest[t.Primary]
+	refused, retry, all := g.unconnected()
+	since, ok := refused[t.Primary]
 	primary := ok && g.now.Sub(since) > connectPatience
 	if !primary && !all {
 		return
@@ -138,13 +138,16 @@
 // unconnected returns the instances that refuse this host's connections, each with since when, and when the
 // first of them is asked again; all tells whether these are all instances, for longer than connectPatience.
 func (g *groupRun) unconnected() (since map[fleet.Instance]time.Time, retry time.Time, all bool) {
-	since, all = map[fleet.Instance]time.Time{}, len(g.pools) > 0
+	all = len(g.pools) > 0
 	for n, p := range g.pools {
 		from, at, ok := p.Refused()
 		if !ok {
 			all = false
 			continue
 		}
+		if since == nil {
+			since = map[fleet.Instance]time.Time{}
+		}
 		since[n] = from
 		all = all && g.now.Sub(from) > connectPatience
 		if retry.IsZero() || at.Before(retry) {
--- a/io/holder/group.go
+++ b/io/holder/group.go
@@ -53,8 +53,9 @@
 	// wake tells that something has changed: the table, a connection, the
 	// document or the members.
 	wake chan struct{}
-	// end closes the group.
-	end context.CancelFunc
+	// end closes the group, closed is closed once it takes nothing more.
+	end    context.CancelFunc
+	closed chan struct{}
 	// dump asks for the state, ping for a sign of life.
 	dump chan chan GroupState
 	ping chan struct{}
@@ -95,6 +96,7 @@
 		wake:      make(chan struct{}, 1),
 		dump:      make(chan chan GroupState),
 		ping:      make(chan struct{}),
+		closed:    make(chan struct{}),
 		works:     map[uint64]*work{},
 		byID:      map[exchange.ID]*work{},
 		pools:     map[fleet.Instance]*database.Pool{},
@@ -167,6 +169,7 @@
 // transactions.
 func (g *groupRun) close() {
 	g.closing = true
+	close(g.closed)
 	g.h.forget(g)
 	for _, w := range g.works {
 		if g.queue.Remove(w.key) {
--- a/io/holder/state.go
+++ b/io/holder/state.go
@@ -61,6 +61,7 @@
 	for _, g := range groups {
 		select {
 		case g.ping <- struct{}{}:
+		case <-g.closed:
 		case <-ctx.Done():
 			return
 		}
