--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -17,9 +17,10 @@
 )
 
 const (
-	// interval is how often the watch looks, late from when on it or a duty counts as standing still.
+	// interval is how often the watch wakes up and asks the duties.
 	interval = 250 * time.Millisecond
-	late     = time.Second
+	// late is the delay from which on the process counts as standing still, or a duty as stuck.
+	late = time.Second
 	// maxStacks bounds what is logged of the goroutines, in bytes.
 	maxStacks = 256 << 10
 )
