Look for refused connections without a map

The dispatcher made a map of the instances that refuse connections to look one of them up. No behaviour changes; the package's tests pass with the race detector.

--- a/io/holder/dispatch.go
+++ b/io/holder/dispatch.go
@@ -115,9 +115,7 @@
 // Guards against an exchange that waits for its deadline here while other holders have idle connections: the
 // hosts' shares of an instance come from rosters that differ while hosts are replaced.
 func (g *groupRun) refuseUnconnected(t group.Snapshot) {
-	refused, retry, all := g.unconnected()
-	since, ok := refused[t.Primary]
-	primary := ok && g.now.Sub(since) > connectPatience
+	primary, all, retry := g.unconnected(t.Primary)
 	if !primary && !all {
 		return
 	}
@@ -135,26 +133,20 @@
 // minRetryAfter keeps a refused caller from coming back at once.
 const minRetryAfter = 10 * time.Millisecond
 
-// unconnected returns the instances that refuse this host's connections, each with since when, and when the
-// first of them is asked again; all tells whether these are all instances, for longer than connectPatience.
-func (g *groupRun) unconnected() (since map[fleet.Instance]time.Time, retry time.Time, all bool) {
+// unconnected reports whether the instance n, and whether all instances, have refused this host's connections
+// for longer than connectPatience. retry is when the first one that refuses them is asked again.
+func (g *groupRun) unconnected(n fleet.Instance) (one, all bool, retry time.Time) {
 	all = len(g.pools) > 0
-	for n, p := range g.pools {
-		from, at, ok := p.Refused()
-		if !ok {
-			all = false
-			continue
-		}
-		if since == nil {
-			since = map[fleet.Instance]time.Time{}
-		}
-		since[n] = from
-		all = all && g.now.Sub(from) > connectPatience
-		if retry.IsZero() || at.Before(retry) {
+	for name, p := range g.pools {
+		since, at, ok := p.Refused()
+		long := ok && g.now.Sub(since) > connectPatience
+		one = one || long && name == n
+		all = all && long
+		if ok && (retry.IsZero() || at.Before(retry)) {
 			retry = at
 		}
 	}
-	return since, retry, all
+	return one, all, retry
 }
 
 // longPatience is how long work that was long before leaves the last slot to
