Name the parts of overload control and the fields between them

Callers of urgent routes pay first under load: no decision reads a route's priority, holders tell nothing of their queues, and an instance that fails part of what it is asked is tried again by each host.

--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -51,6 +51,8 @@
 	Weight   float64
 	Deadline time.Time
 	Intent   exchange.Intent
+	// Priority is the item's class: more urgent classes start first.
+	Priority fleet.Priority
 	// TextHash is a hash of the statement's text; zero if unknown.
 	TextHash uint64
 	// Pinned is set for an exchange of an open transaction.
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -45,8 +45,10 @@
 	Timeout time.Duration
 	// Target is the response time that the caller wants.
 	Target time.Duration
-	// Priority orders routes by urgency; 0 is the most urgent.
-	Priority int
+	// Priority orders routes by urgency.
+	Priority fleet.Priority
+	// MaxAttempts is how often one statement may have run on an instance, zero for no limit.
+	MaxAttempts int
 	// Public admits callers without a key.
 	Public bool
 	// AllowedRegions are the regions in which the statements may be read and run.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -32,6 +32,19 @@
 // Instance is the name of a database instance, unique within its group.
 type Instance string
 
+// Priority is how urgent an operation is: 0 is the most urgent, MaxPriority the least.
+type Priority int
+
+const (
+	// DefaultPriority applies where no priority is set.
+	DefaultPriority Priority = 1
+	// MaxPriority is the least urgent priority.
+	MaxPriority Priority = 9
+)
+
+// Valid reports whether p is within the range of priorities.
+func (p Priority) Valid() bool { return p >= 0 && p <= MaxPriority }
+
 // Term numbers the primaries of a group: each promotion increases it.
 type Term uint64
 
--- a/core/pathcost/pathcost.go
+++ b/core/pathcost/pathcost.go
@@ -12,6 +12,8 @@
 	// Latency is the average time of the instance's recent statements, including their wait at the
 	// instance; zero if none has ended recently.
 	Latency time.Duration
+	// Queued is the expected wait at the holder before the statement is sent to the instance.
+	Queued time.Duration
 	// Running is how many statements of this host the instance runs, Slots how many it can run at a
 	// time.
 	Running, Slots int
@@ -67,7 +69,7 @@
 	if latency == 0 {
 		latency = defaultLatency
 	}
-	cost := latency*time.Duration(1+p.Running)/time.Duration(max(p.Slots, 1)) +
+	cost := p.Queued + latency*time.Duration(1+p.Running)/time.Duration(max(p.Slots, 1)) +
 		time.Duration(p.SetupStatements)*setupStatementCost
 	addIf := func(on bool, d time.Duration) {
 		if on {
--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -21,6 +21,8 @@
 	// Timeout is how long the last statement may take, QueueWait how long it may wait in the queue: as long as
 	// Timeout if it is zero.
 	Timeout, QueueWait time.Duration
+	// Priority is that of the statement's route.
+	Priority fleet.Priority
 	// Open opens the stream. Nothing else does: a statement of a transaction must not run outside of it
 	// when the stream has ended.
 	Open bool
