Leave the connections of a small fleet to holders while accounts outnumber them

Each of 8 hosts had three connections to an instance and eight accounts took turns on them, so that 10,883 connections were opened for 17,411 requests, 12 ms of a slot each.

A host now uses its own connections only if its even share has one for each account; else the holder has them all.

The new test opens 160 connections without the change and at most 8 with it.

--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -77,23 +77,35 @@
 
 // minDirectShare is the least number of connections per host, if those to an instance are shared
 // evenly, with which each host uses its own. With fewer, callers would wait too long for a connection,
-// so one host, the holder, has all connections to the instance and runs the statements of all hosts. A
-// connection belongs to one account, and each change of account takes 12 ms of the instance's time.
+// so one host, the holder, has all connections to the instance and runs the statements of all hosts.
 const minDirectShare = 3
 
+// directShare returns the least number of connections per host with which each host uses its own: one
+// for each client account at least.
+//
+// Designed for an account that sends many times its usual load through all hosts of a small fleet. A
+// connection belongs to one account, and each change of account takes 12 ms of a slot. With fewer
+// connections than accounts on each host, changes took more of the slots than statements did.
+func (r *Relay) directShare() int {
+	if r.catalog == nil {
+		return minDirectShare
+	}
+	return max(minDirectShare, len(r.catalog.Accounts))
+}
+
 // deadHostConnTimeout is how long an instance keeps the connections of a host that has lost power,
 // according to the platform's documentation.
 const deadHostConnTimeout = 3 * time.Second
 
 // direct reports whether the host uses an instance over its own connections, since there are enough for
-// all hosts.
+// all hosts and accounts.
 //
 // A host that has recently started doesn't. If all hosts have lost power, the instance keeps their
 // former connections for some seconds. The few that are left are of more use to a single holder: it
 // needs one for an account instead of one for a host. With one for a host, accounts take turns by
 // reconnecting, and a transaction that pauses holds up all others.
 func (i *instance) direct(now time.Time) bool {
-	return i.connShare() >= minDirectShare && !i.g.r.recentlyStarted(now)
+	return i.connShare() >= i.g.r.directShare() && !i.g.r.recentlyStarted(now)
 }
 
 // SetPeers sets the other hosts that are heard now, and how many are missing: registered but not heard.
--- a/core/relay/forward_test.go
+++ b/core/relay/forward_test.go
@@ -1,11 +1,13 @@
 package relay_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/relay"
 	"skylarkdeal/core/statement"
@@ -94,6 +96,35 @@
 	c.Assert(x.answers, qt.HasLen, 1)
 }
 
+// Guards against accounts that take turns on the few connections of each host in a small fleet: eight
+// accounts had three connections, and new connections took more of the instance's slots than
+// statements did. One host holds the connections of all accounts instead.
+func TestAccountsOfASmallFleetDoNotTakeTurnsOnConnections(t *testing.T) {
+	c := qt.New(t)
+	const hosts, accounts, rounds = 8, 8, 20
+	w := newWorld(c).withConfirmedPrimary()
+	w.revise(func(d *catalog.Catalog) {
+		d.Services = map[fleet.Service]catalog.Service{service: {Name: service, Connections: 32}}
+		d.Accounts = map[fleet.Account]catalog.Account{}
+		for n := range accounts {
+			name := fmt.Sprintf("account-%d", n)
+			d.Accounts[fleet.Account(name)] = catalog.Account{Name: fleet.Account(name), Keys: []catalog.Key{catalog.Key(name)}}
+		}
+	})
+	w.relay.SetHostCount(hosts)
+	w.relay.SetPeers([]relay.Peer{{Host: "far", DataCentre: "sapporo", Send: func(relay.Forward) {}}}, 0)
+	before := w.instances["a"].dialled
+	for range rounds {
+		for n := range accounts {
+			x := w.open("rush", catalog.Key(fmt.Sprintf("account-%d", n)))
+			x.do(statement.KindRead, "", "item")
+			w.advance(10*time.Millisecond, true)
+			c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+		}
+	}
+	c.Assert(w.instances["a"].dialled-before <= accounts, qt.IsTrue, qt.Commentf("%d connections", w.instances["a"].dialled-before))
+}
+
 // Guards against slow transactions after all hosts have lost power and restarted. The instances
 // keep the old connections for 3 s and have room for one more from each host. Accounts took turns
 // on it, each with a new connection, and one paused transaction blocked all others of the host.
