Admit an account's urgent operations first when it is over its rate

An account over its rate had its payments refused as often as its reports, although the rate would have done for all of its payments: the limiter takes operations as they come. It now divides what it admits of an account among the priorities of the operations: the more urgent first, a tenth of what they would get for each of the others. What all hosts together admit is bounded as before, and an account whose routes have one priority is served as before.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -45,6 +45,9 @@
 // Valid reports whether p is within the range of priorities.
 func (p Priority) Valid() bool { return p >= 0 && p <= MaxPriority }
 
+// Clamp returns the nearest priority within the range.
+func (p Priority) Clamp() Priority { return min(max(p, 0), MaxPriority) }
+
 // Term numbers the primaries of a group: each promotion increases it.
 type Term uint64
 
--- a/core/ratelimit/account.go
+++ b/core/ratelimit/account.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"skylarkdeal/core/fleet"
 )
 
 // account is the state of one account on one host.
@@ -11,10 +13,11 @@
 	// tokens is the local estimate of the shared bucket.
 	tokens     float64
 	refilledAt time.Time
-	// admittedFraction is the fraction of the operations that is admitted. It is added to credit
-	// for each operation, and one operation is admitted for each whole credit.
-	admittedFraction, credit float64
-	admitted                 uint64
+	// admittedFraction is the fraction of the operations that is admitted, of the priority that was
+	// last requested.
+	admittedFraction float64
+	classes          classes
+	admitted         uint64
 	// demand is the moving average of the operations requested a second, as of demandUpdatedAt;
 	// changedAt is when an operation was last requested or refunded.
 	demand          float64
@@ -64,16 +67,18 @@
 	a.discarded += a.rate*(1-reachable)*d + overflow
 }
 
-// countRequest adds one operation to the demand.
-func (a *account) countRequest(now time.Time) {
+// countRequest adds one operation of priority p to the demand.
+func (a *account) countRequest(now time.Time, p fleet.Priority) {
 	a.decayDemand(now)
 	a.changedAt = now
 	a.demand += 1 / demandWindow.Seconds()
+	a.classes.requests[p]++
 }
 
 // decayDemand lowers the demand for the time that has passed.
 func (a *account) decayDemand(now time.Time) {
-	d := now.Sub(a.demandUpdatedAt).Seconds() / demandWindow.Seconds()
+	d := now.Sub(a.demandUpdatedAt)
 	a.demandUpdatedAt = now
-	a.demand *= math.Exp(-d)
+	a.demand *= math.Exp(-d.Seconds() / demandWindow.Seconds())
+	a.classes.decay(d)
 }
--- a/core/ratelimit/fleet_test.go
+++ b/core/ratelimit/fleet_test.go
@@ -19,6 +19,10 @@
 	epochs   map[int]uint64
 	admitted []time.Time
 	refused  int
+	// mix is the part of each priority in the operations; without it all have the default priority.
+	mix []float64
+	// requestedBy and admittedBy count the operations by priority.
+	requestedBy, admittedBy [fleet.MaxPriority + 1]int
 	// partitioned tells whether reports from one host to another are lost.
 	partitioned func(from, to int) bool
 }
@@ -76,7 +80,10 @@
 				if p < 1 && r.Float64() > p {
 					break
 				}
-				if _, ok := f.hosts[i].Admit(f.now, a); ok {
+				pr := f.priority(r)
+				f.requestedBy[pr]++
+				if _, ok := f.hosts[i].Admit(f.now, a, pr); ok {
+					f.admittedBy[pr]++
 					f.admitted = append(f.admitted, f.now)
 				} else {
 					f.refused++
@@ -89,6 +96,25 @@
 	}
 }
 
+// priority draws the priority of an operation from the mix.
+func (f *testFleet) priority(r *rand.Rand) fleet.Priority {
+	if len(f.mix) == 0 {
+		return fleet.DefaultPriority
+	}
+	x := r.Float64()
+	for p, part := range f.mix {
+		if x -= part; x < 0 {
+			return fleet.Priority(p)
+		}
+	}
+	return fleet.Priority(len(f.mix) - 1)
+}
+
+// admittedPart returns which part of the operations of a priority was admitted.
+func (f *testFleet) admittedPart(p fleet.Priority) float64 {
+	return float64(f.admittedBy[p]) / float64(f.requestedBy[p])
+}
+
 func (f *testFleet) report() {
 	f.seq++
 	for i, h := range f.hosts {
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -12,7 +12,6 @@
 package ratelimit
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"skylarkdeal/core/catalog"
@@ -82,27 +81,27 @@
 	}
 }
 
-// Admit takes one operation from an account's rate and reports whether there was one. If not, it
-// returns after which time the caller should retry. An account with no rate isn't limited.
-func (f *Limiter) Admit(now time.Time, c catalog.Account) (time.Duration, bool) {
+// Admit takes one operation of priority p from an account's rate and reports whether there was one. If
+// not, it returns after which time the caller should retry. An account with no rate isn't limited.
+func (f *Limiter) Admit(now time.Time, c catalog.Account, p fleet.Priority) (time.Duration, bool) {
 	if c.Rate <= 0 {
 		return 0, true
 	}
 	f.initialise(now)
 	a := f.account(now, c)
-	a.countRequest(now)
+	p = p.Clamp()
+	a.countRequest(now, p)
 	reachable := f.reachableFraction(now, a, c.Name)
 	a.refill(now, reachable)
 	level := a.tokens - f.unreported(now, a, c.Name)
-	a.admittedFraction = f.admittedFraction(a, c.Name, level, reachable)
-	if level < -max(a.burst*reachable*maxOverdraft, minOverdraft*reachable) {
+	a.admittedFraction = a.classes.fraction(p, f.admittedFraction(a, c.Name, level, reachable))
+	overdraft := max(a.burst*reachable*maxOverdraft, minOverdraft*reachable)
+	if level < -overdraft*a.classes.overdraftFactor(p, a.admittedFraction) {
 		return a.retryAfter(level, reachable), false
 	}
-	a.credit += a.admittedFraction
-	if a.credit < 1 {
+	if !a.classes.take(p, a.admittedFraction) {
 		return a.retryAfter(level, reachable), false
 	}
-	a.credit--
 	a.tokens--
 	a.admitted++
 	return 0, true
@@ -133,9 +132,9 @@
 	return sum
 }
 
-// Refund returns an operation that was admitted and not run. Otherwise the account would be charged
+// Refund returns an operation of priority p that was admitted and not run. Otherwise the account would be charged
 // for operations that were refused, for example when a primary is lost and all its callers retry.
-func (f *Limiter) Refund(n fleet.Account) {
+func (f *Limiter) Refund(n fleet.Account, p fleet.Priority) {
 	a := f.accounts[n]
 	if a == nil || a.admitted == 0 {
 		return
@@ -143,14 +142,14 @@
 	a.admitted--
 	a.changedAt = a.refilledAt
 	a.tokens++
-	a.credit = min(a.credit+1, 2)
+	a.classes.giveBack(p.Clamp())
 }
 
 func (f *Limiter) account(now time.Time, c catalog.Account) *account {
 	a := f.accounts[c.Name]
 	if a == nil {
 		a = &account{
-			refilledAt: now, demandUpdatedAt: now, admittedFraction: 1, credit: rand.Float64(),
+			refilledAt: now, demandUpdatedAt: now, admittedFraction: 1, classes: newClasses(),
 			rate: c.Rate, burst: max(c.Burst, 1),
 		}
 		a.tokens = f.initialTokens(now, c) * f.reachableFraction(now, a, c.Name)
--- a/core/ratelimit/ratelimit_test.go
+++ b/core/ratelimit/ratelimit_test.go
@@ -188,7 +188,7 @@
 	for range 6 {
 		var h ratelimit.Limiter
 		for range 200 {
-			if _, ok := h.Admit(time.Unix(1000, 0), hotel); ok {
+			if _, ok := h.Admit(time.Unix(1000, 0), hotel, fleet.DefaultPriority); ok {
 				total++
 			}
 		}
@@ -204,9 +204,9 @@
 	f := newFleet(1)
 	f.run(time.Second, hotel, []float64{0})
 	for range 500 {
-		_, ok := f.hosts[0].Admit(f.now, hotel)
+		_, ok := f.hosts[0].Admit(f.now, hotel, fleet.DefaultPriority)
 		c.Assert(ok, qt.IsTrue)
-		f.hosts[0].Refund(hotel.Name)
+		f.hosts[0].Refund(hotel.Name, fleet.DefaultPriority)
 	}
 }
 
@@ -216,7 +216,7 @@
 	small := catalog.Account{Name: "kiosk", Rate: 2, Burst: 1}
 	var wait time.Duration
 	for ok := true; ok; {
-		wait, ok = f.hosts[0].Admit(f.now, small)
+		wait, ok = f.hosts[0].Admit(f.now, small, fleet.DefaultPriority)
 	}
 	c.Assert(wait > 0 && wait <= time.Second, qt.IsTrue, qt.Commentf("%s", wait))
 }
@@ -226,13 +226,13 @@
 	f := newFleet(2)
 	now := f.now
 	h := f.hosts[0]
-	_, _ = h.Admit(now, hotel)
+	_, _ = h.Admit(now, hotel, fleet.DefaultPriority)
 	now = now.Add(2 * time.Second)
 	h.AddReport(now, "h1", 1, 5, []ratelimit.Usage{{Account: "hotel", Admitted: 10, Demand: 10}})
 	before := h.Usage(now, true)
 	h.AddReport(now, "h1", 1, 4, []ratelimit.Usage{{Account: "hotel", Admitted: 1e6, Demand: math.MaxFloat32}})
 	c.Assert(h.Usage(now, true), qt.DeepEquals, before)
-	_, ok := h.Admit(now, hotel)
+	_, ok := h.Admit(now, hotel, fleet.DefaultPriority)
 	c.Assert(ok, qt.IsTrue)
 }
 
--- a/core/relay/model_fault_test.go
+++ b/core/relay/model_fault_test.go
@@ -63,7 +63,7 @@
 		Host: h, DataCentre: "obihiro", Now: func() time.Time { return m.now },
 		Dial:        func(c *relay.Conn) { m.dial(r, c) },
 		ParseStatus: parseStatus, RefreshRecords: m.readRecords, RequestPromotion: func(leader.PromotionRequest) {},
-		Admit:    func(catalog.Account) (time.Duration, bool) { return 0, true },
+		Admit:    func(catalog.Account, fleet.Priority) (time.Duration, bool) { return 0, true },
 		LogEvent: logEvent, Cold: cold.Limit{Overshoot: 2, Slack: 5},
 	})
 	r.SetCatalog(m.catalog)
--- a/core/relay/query.go
+++ b/core/relay/query.go
@@ -123,7 +123,7 @@
 	if !ok || s.r.cfg.Admit == nil {
 		return true
 	}
-	wait, ok := s.r.cfg.Admit(a)
+	wait, ok := s.r.cfg.Admit(a, s.route.Priority)
 	if ok {
 		return true
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -32,11 +32,11 @@
 	Now  func() time.Time
 	// Dial starts a connection. ConnOpened, ConnectRefused or ConnClosed reports the result.
 	Dial func(c *Conn)
-	// Admit takes one operation from the account's rate limit. If none is left, ok is false and wait
-	// tells when to retry.
-	Admit func(a catalog.Account) (wait time.Duration, ok bool)
+	// Admit takes one operation of a priority from the account's rate limit. If none is left, ok is false
+	// and wait tells when to retry.
+	Admit func(a catalog.Account, p fleet.Priority) (wait time.Duration, ok bool)
 	// Refund returns an operation that no instance has run to the account's rate limit.
-	Refund func(a fleet.Account)
+	Refund func(a fleet.Account, p fleet.Priority)
 	// ParseStatus parses the answer to a status request.
 	ParseStatus func(a statement.Answer) (statement.Status, bool)
 	// RefreshRecords requests that the records of promotion requests are read again.
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -79,13 +79,13 @@
 		Dial: func(c *relay.Conn) {
 			w.dial(c)
 		},
-		Admit: func(a catalog.Account) (time.Duration, bool) {
+		Admit: func(a catalog.Account, _ fleet.Priority) (time.Duration, bool) {
 			if w.admit != nil {
 				return w.admit(a)
 			}
 			return 0, true
 		},
-		Refund:           func(fleet.Account) { w.returned++ },
+		Refund:           func(fleet.Account, fleet.Priority) { w.returned++ },
 		ParseStatus:      parseStatus,
 		RefreshRecords:   func() { w.refreshed++ },
 		RequestPromotion: func(o leader.PromotionRequest) { w.promotionRequests = append(w.promotionRequests, o) },
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -117,10 +117,10 @@
 		Dial:              h.dial,
 		ParseStatus:       platform.ParseStatus,
 		RefreshRecords:    h.registry.RefreshRecords,
-		Admit: func(a catalog.Account) (time.Duration, bool) {
-			return h.rates.Admit(clock.Now(), a)
+		Admit: func(a catalog.Account, p fleet.Priority) (time.Duration, bool) {
+			return h.rates.Admit(clock.Now(), a, p)
 		},
-		Refund:           func(n fleet.Account) { h.rates.Refund(n) },
+		Refund:           func(n fleet.Account, p fleet.Priority) { h.rates.Refund(n, p) },
 		RequestPromotion: h.registry.RequestPromotion,
 		RequestTick:      h.requestTick,
 		ObserveLatency:   h.observe,
