Evict the connection of the account that is wanted least

Callers of 84 accounts with 42 connections waited for connections that were closed and opened again: the idle connection of the account with the most of them was closed, however often that account is wanted, and with even demand each statement closed the connection that the next one needed.

core/connpool keeps the demand of each account for each instance, weighted by urgency. The connection of the account with the least demand for each of its connections is closed. An account's only connection stays while all slots are busy, unless the other account is wanted twice as much or this one is overdue. While a slot is idle, it may be closed: without that, accounts without connections got none in time although the instance had room.

--- a/core/relay/conn.go
+++ b/core/relay/conn.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"skylarkdeal/core/connpool"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/statement"
 )
@@ -53,6 +54,8 @@
 	stateSince time.Time
 	// reserved is set while dispatch considers the connection for an operation.
 	reserved bool
+	// demand is the record of the account among the instance's connections, nil for one over another host.
+	demand *connpool.Account
 	// via is the other host that the connection runs over, empty for a connection of this host's own.
 	// streamID names the stream there. streamOpened is set once the stream was opened, closesAfterReply
 	// if it ends with the next answer.
--- a/core/relay/connections.go
+++ b/core/relay/connections.go
@@ -97,6 +97,9 @@
 }
 
 func (i *instance) remove(c *Conn) {
+	if c.demand != nil {
+		c.demand.Closed()
+	}
 	i.conns = slices.DeleteFunc(i.conns, func(o *Conn) bool { return o == c })
 }
 
@@ -142,6 +145,7 @@
 		g: i.g, inst: i, values: map[string]string{}, prepared: map[string]bool{},
 	}
 	c.setState(connDialling)
+	c.demand = i.pool.Opened(a)
 	i.conns = append(i.conns, c)
 	i.g.r.counters.Connects++
 	i.g.r.cfg.Dial(c)
@@ -155,6 +159,7 @@
 
 // connect starts a connection for an operation, if there is room.
 func (i *instance) connect(now time.Time, o *operation) *Conn {
+	i.wantConn(now, o)
 	paused := now.Before(i.nextDial)
 	if paused && i.failures > 0 || i.saturated(o.s.account) {
 		return nil
@@ -162,14 +167,14 @@
 	if !paused && len(i.conns) < i.maxConns(now) {
 		return i.dial(o.s.account)
 	}
-	c := i.evictable(o.s.account)
+	c := i.evictable(now, o.s.account)
 	if c == nil {
 		return nil
 	}
 	if now.Sub(c.stateSince) < accountSwitchDelay && now.Sub(o.startedAt) < 2*accountSwitchDelay {
 		return nil
 	}
-	c.retire()
+	i.evict(c)
 	return i.dial(o.s.account)
 }
 
@@ -188,27 +193,6 @@
 	return own && running >= max(i.info.Slots, 1)
 }
 
-// evictable returns the idle connection to close in favour of account a: of the account with the most
-// connections, the one that has been idle longest. The last connection of a small account would be
-// missing at its next statement.
-func (i *instance) evictable(a fleet.Account) *Conn {
-	counts := map[fleet.Account]int{}
-	for _, c := range i.conns {
-		counts[c.Account]++
-	}
-	var best *Conn
-	for _, c := range i.conns {
-		if c.state != connIdle || c.reserved || c.Account == a {
-			continue
-		}
-		more := best != nil && counts[c.Account] != counts[best.Account]
-		if best == nil || more && counts[c.Account] > counts[best.Account] || !more && c.stateSince.Before(best.stateSince) {
-			best = c
-		}
-	}
-	return best
-}
-
 // closeIdleConns closes connections that have been idle for too long beyond the host's share, and idle
 // connections to an instance that was removed.
 func (i *instance) closeIdleConns(now time.Time) {
--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -5,6 +5,7 @@
 
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/cold"
+	"skylarkdeal/core/connpool"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/statement"
 )
@@ -15,6 +16,10 @@
 	info catalog.Instance
 	// conns are this host's open connections to it, with those being dialled.
 	conns []*Conn
+	// pool is the demand of the accounts for them, waitingSeenAt when the waiting operations were last
+	// recorded in it.
+	pool          connpool.Pool
+	waitingSeenAt time.Time
 	// forwardedCount is the number of connections over other hosts.
 	forwardedCount int
 	// position is the last known log position.
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -33,6 +33,8 @@
 	attempts int
 	excluded fleet.Set[fleet.Instance]
 
+	// wantedAt is the instance at which the operation last counted as one that wants a connection.
+	wantedAt *instance
 	// conn runs the operation. dialling is a connection that is being made for it.
 	conn, dialling *Conn
 	// sent is set once the statement itself was sent to the instance, at sentAt.
@@ -196,6 +198,7 @@
 	}
 	c.setState(connBusy)
 	c.op = o
+	c.inst.wantConn(o.g.r.now(), o)
 	if o.s.tx.open {
 		c.session = o.s
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -88,12 +88,14 @@
 
 // Counters are totals since the start of the process, for metrics and the state dump.
 type Counters struct {
-	Statements     uint64 `json:"statements"`
-	Answered       uint64 `json:"answered"`
-	Refused        uint64 `json:"refused"`
-	Retried        uint64 `json:"retried"`
-	InDoubt        uint64 `json:"in-doubt"`
-	Connects       uint64 `json:"connects"`
+	Statements uint64 `json:"statements"`
+	Answered   uint64 `json:"answered"`
+	Refused    uint64 `json:"refused"`
+	Retried    uint64 `json:"retried"`
+	InDoubt    uint64 `json:"in-doubt"`
+	Connects   uint64 `json:"connects"`
+	// Evictions are idle connections that were closed in favour of another account.
+	Evictions      uint64 `json:"evictions"`
 	OwnStatements  uint64 `json:"own-statements"`
 	StatusRequests uint64 `json:"asked"`
 }
