Roll back an idle transaction whose connection others wait for

Callers were refused at their target while callers who had begun a transaction, written and stayed idle held all connections to the primary: only the operator's limit of 3 s ended them, and a holder ended none for other hosts.

While an operation finds no connection to an instance and none that may be closed, the host that holds the connections rolls back one idle transaction at a time: the longest idle of the account with the most, after 500 ms, or down to 100 ms if the account has half of the connections. It does so for its own callers and for those of other hosts. At half of the connections an account begins no more transactions there while others wait, and a waiting operation of it doesn't keep its idle connections. The next statement is answered as aborted, also after the operator's limit: before, a statement other than a commit was answered as malformed. A transaction with a statement in progress, such as a commit that was sent, stays.

--- a/core/relay/connections.go
+++ b/core/relay/connections.go
@@ -169,6 +169,7 @@
 	}
 	c := i.evictable(now, o.s.account)
 	if c == nil {
+		i.starvedAt = now
 		return nil
 	}
 	if now.Sub(c.stateSince) < accountSwitchDelay && now.Sub(o.startedAt) < 2*accountSwitchDelay {
--- a/core/relay/eviction.go
+++ b/core/relay/eviction.go
@@ -46,7 +46,7 @@
 	i.waitingSeenAt = now
 	leads := i.g.isPrimary(i.info.Name)
 	for _, o := range i.g.waiting {
-		if o.mayWaitFor(i, leads) {
+		if o.mayWaitFor(i, leads) && i.mayBeginTx(now, o) {
 			i.pool.Account(o.s.account).SetWaiting(now)
 		}
 	}
--- a/core/relay/eviction_test.go
+++ b/core/relay/eviction_test.go
@@ -55,3 +55,29 @@
 	c.Assert(w.connsOf("a", "museum"), qt.Equals, 0)
 	c.Assert(w.relay.State().Counts.Evictions > 0, qt.IsTrue)
 }
+
+// Guards against a connection that is closed in favour of another account the moment it is free, while the next
+// operation of its own account waits for it and has to open it again.
+func TestFreedConnectionGoesToItsAccountsOperation(t *testing.T) {
+	c := qt.New(t)
+	// The queue asks the accounts in any order.
+	for range 60 {
+		w := newWorld(c).withFewConnections(2)
+		w.beginIdle(1, "key-museum")
+		x, y, z := w.open("rush", "key-hotel"), w.open("rush", "key-hotel"), w.open("rush", "key-florist")
+		x.do(statement.KindRead, "", "first")
+		w.advance(50*time.Millisecond, true)
+		a := w.instances["a"]
+		a.hold = true
+		x.do(statement.KindRead, "", "second")
+		y.do(statement.KindRead, "", "third")
+		z.do(statement.KindRead, "", "theirs")
+		w.advance(20*time.Millisecond, true)
+		before := a.dialled
+		a.hold = false
+		w.advance(50*time.Millisecond, true)
+		c.Assert(y.last().Code, qt.Equals, statement.CodeNone)
+		c.Assert(z.last().Code, qt.Equals, statement.CodeNone)
+		c.Assert(a.dialled-before, qt.Equals, 1)
+	}
+}
--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -20,6 +20,8 @@
 	// recorded in it.
 	pool          connpool.Pool
 	waitingSeenAt time.Time
+	// starvedAt is when an operation last found no connection and none that could be closed for it.
+	starvedAt time.Time
 	// forwardedCount is the number of connections over other hosts.
 	forwardedCount int
 	// position is the last known log position.
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -124,7 +124,7 @@
 
 // canRun reports whether an instance may run an operation now.
 func (g *group) canRun(now time.Time, i *instance, o *operation) bool {
-	if !i.acceptsNew(now) || !g.r.allowsRegion(o.regions, i.info.DataCentre) {
+	if !i.acceptsNew(now) || !i.mayBeginTx(now, o) || !g.r.allowsRegion(o.regions, i.info.DataCentre) {
 		return false
 	}
 	if o.s.boundInstance != "" {
--- a/core/relay/query.go
+++ b/core/relay/query.go
@@ -34,9 +34,13 @@
 	}
 	s.r.counters.Statements++
 	if s.tx.failed && q.Kind != statement.KindCommit && q.Kind != statement.KindRollback {
-		s.caller.Answer(statement.Answer{
+		a := statement.Answer{
 			Code: statement.CodeMalformed, Detail: "the transaction has failed", State: statement.TxFailed,
-		})
+		}
+		if s.tx.rolledBack {
+			a.Code, a.Detail, a.RetryAfter = statement.CodeAborted, "rolled back: its caller was idle", shortRetryAfter
+		}
+		s.caller.Answer(a)
 		return
 	}
 	switch q.Kind {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -95,7 +95,9 @@
 	InDoubt    uint64 `json:"in-doubt"`
 	Connects   uint64 `json:"connects"`
 	// Evictions are idle connections that were closed in favour of another account.
-	Evictions      uint64 `json:"evictions"`
+	Evictions uint64 `json:"evictions"`
+	// IdleRollbacks are transactions that were rolled back while operations waited for their connections.
+	IdleRollbacks  uint64 `json:"idle-rollbacks"`
 	OwnStatements  uint64 `json:"own-statements"`
 	StatusRequests uint64 `json:"asked"`
 }
@@ -269,6 +271,7 @@
 	r.tickCutOff(now)
 	r.tickEvacuations(now)
 	r.tickSessions(now)
+	r.tickIdleTransactions(now)
 }
 
 // tickCutOff closes the idle sessions of a host that is cut off or whose catalog is outdated, once the
--- a/core/relay/session.go
+++ b/core/relay/session.go
@@ -84,6 +84,8 @@
 	begunAt, idleSince time.Time
 	// conn is the connection that runs it, from its first statement on.
 	conn *Conn
+	// rolledBack is set once it was rolled back since its caller was idle.
+	rolledBack bool
 	// mayHaveRun is set once an instance may have run any of its statements.
 	mayHaveRun bool
 	// mayHaveWritten is set once a write of it may have been run.
@@ -254,11 +256,7 @@
 	}
 	for s := range r.sessions {
 		if s.tx.conn != nil && s.op == nil && now.Sub(s.tx.idleSince) > r.catalog.TxIdle {
-			r.logEvent(Event{
-				Kind: EventSession, Database: s.database, Account: s.account, Service: s.route.Service,
-				Choice: "end the transaction", Reason: "it was idle for too long", Age: now.Sub(s.tx.idleSince),
-			})
-			s.failTransaction()
+			s.endIdle(now, "it was idle for too long")
 		}
 	}
 }
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -55,8 +55,10 @@
 	Suspected   bool              `json:"doubtful"`
 	Holder      fleet.Host        `json:"holder,omitempty"`
 	Connections int               `json:"connections"`
-	AvgLatency  time.Duration     `json:"work"`
-	SilentFor   time.Duration     `json:"silent"`
+	// IdleTransactions is how many of the connections have an open transaction and no statement in progress.
+	IdleTransactions int           `json:"idle-transactions"`
+	AvgLatency       time.Duration `json:"work"`
+	SilentFor        time.Duration `json:"silent"`
 }
 
 // State returns a snapshot of the relay, with peers, groups and instances in the order of their names.
@@ -97,7 +99,7 @@
 		s.Instances = append(s.Instances, InstanceState{
 			Instance: i.info.Name, Position: i.position, Leaving: i.info.Leaving, Removed: i.removed,
 			Suspected: i.suspected(now), Holder: p.Host, Connections: len(i.conns), AvgLatency: i.avgLatency,
-			SilentFor: now.Sub(i.lastHeard),
+			SilentFor: now.Sub(i.lastHeard), IdleTransactions: i.idleTxs(),
 		})
 	}
 	slices.SortFunc(s.Instances, func(a, b InstanceState) int { return cmp.Compare(a.Instance, b.Instance) })
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -68,6 +68,8 @@
 		func(c relay.Counters) uint64 { return c.Connects }},
 	{counter("evictions", "Idle connections closed in favour of another account."),
 		func(c relay.Counters) uint64 { return c.Evictions }},
+	{counter("idle_rollbacks", "Idle transactions rolled back while operations waited for their connections."),
+		func(c relay.Counters) uint64 { return c.IdleRollbacks }},
 	{counter("own_statements", "Statements of the proxy's own."),
 		func(c relay.Counters) uint64 { return c.OwnStatements }},
 	{counter("questions", "Questions to instances what they are."),
