--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -88,12 +88,16 @@
 
 // Counters are totals since the start of the process, for metrics and the state dump.
 type Counters struct {
-	Statements     uint64 `json:"statements"`
-	Answered       uint64 `json:"answered"`
-	Refused        uint64 `json:"refused"`
-	Retried        uint64 `json:"retried"`
-	InDoubt        uint64 `json:"in-doubt"`
-	Connects       uint64 `json:"connects"`
+	Statements uint64 `json:"statements"`
+	Answered   uint64 `json:"answered"`
+	Refused    uint64 `json:"refused"`
+	Retried    uint64 `json:"retried"`
+	InDoubt    uint64 `json:"in-doubt"`
+	Connects   uint64 `json:"connects"`
+	// Evictions are idle connections that were closed in favour of another account.
+	Evictions uint64 `json:"evictions"`
+	// IdleRollbacks are transactions that were rolled back while operations waited for their connections.
+	IdleRollbacks  uint64 `json:"idle-rollbacks"`
 	OwnStatements  uint64 `json:"own-statements"`
 	StatusRequests uint64 `json:"asked"`
 }
@@ -267,6 +271,7 @@
 	r.tickCutOff(now)
 	r.tickEvacuations(now)
 	r.tickSessions(now)
+	r.tickIdleTransactions(now)
 }
 
 // tickCutOff closes the idle sessions of a host that is cut off or whose catalog is outdated, once the
