Limit adaptively how many statements a host has at an instance

On small deployments urgent statements were late although they are few: eight hosts with three connections each sent up to 24 statements to two slots, where they waited in their order of arrival. core/limiter compares responses with what their kind usually takes and adjusts by AIMD how many statements a host has at an instance; the rest waits in the host's queue. The next statement of an open transaction isn't held back. The setting overload turns it on.

--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -6,6 +6,7 @@
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/cold"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/limiter"
 	"skylarkdeal/core/statement"
 )
 
@@ -71,6 +72,10 @@
 	// is opened; reconnectedAt is when that was.
 	reconnectedAt time.Time
 	disconnected  bool
+	// limiter bounds the statements on this host's own connections; limitLoggedAt is when a change of it
+	// was last logged.
+	limiter       limiter.Limiter
+	limitLoggedAt time.Time
 }
 
 const (
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -14,6 +14,9 @@
 	}
 	now := o.g.r.now()
 	took := now.Sub(o.sentAt)
+	if c.via == "" {
+		c.inst.adjustLimit(now, o, a.Code, took)
+	}
 	o.releaseSlot(now, took)
 	c.op = nil
 	if a.Code == statement.CodeNone {
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -79,10 +79,10 @@
 		o.dialling = nil
 	}
 	if o.dialling != nil && o.dialling.state == connIdle && o.dialling.inst.canStart(now) &&
-		g.readyFor(now, o.dialling, o) {
+		!o.dialling.inst.limited(now, o.dialling.inst.ownRunning()) && g.readyFor(now, o.dialling, o) {
 		return o.dialling
 	}
-	var ready, dial path
+	var ready, dial, limited path
 	for _, i := range g.instances {
 		if !g.canRun(now, i, o) {
 			continue
@@ -92,13 +92,19 @@
 			continue
 		}
 		best := &ready
-		if w.conn == nil && w.peer.Host == "" {
+		switch {
+		case w.limited:
+			best = &limited
+		case w.conn == nil && w.peer.Host == "":
 			best = &dial
 		}
 		if best.inst == nil || w.cost < best.cost {
 			*best = w
 		}
 	}
+	if limited.cheaperThan(ready) && limited.cheaperThan(dial) {
+		return nil
+	}
 	if dial.inst != nil && (ready.inst == nil || dial.cost < ready.cost) {
 		if o.dialling == nil || o.dialling.state == connClosed {
 			o.dialling = dial.inst.connect(now, o)
@@ -120,6 +126,12 @@
 	conn *Conn
 	peer Peer
 	cost time.Duration
+	// limited is set while the instance has as many statements as its concurrency limit allows.
+	limited bool
+}
+
+func (w path) cheaperThan(other path) bool {
+	return w.inst != nil && (other.inst == nil || w.cost < other.cost)
 }
 
 // canRun reports whether an instance may run an operation now.
@@ -177,6 +189,11 @@
 		if !i.canStart(now) {
 			return path{}, false
 		}
+		if w.limited = i.limited(now, est.Running-i.forwardedCount); w.limited {
+			est.Queued = g.limitWait(i)
+			w.cost = est.Cost(o.route.Target)
+			return w, true
+		}
 		w.conn, est.SetupStatements = i.idleConn(o)
 		est.Connect = w.conn == nil
 		if w.conn != nil && !g.readyFor(now, w.conn, o) {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -29,7 +29,9 @@
 	EvacuationTimeout time.Duration
 	// Cold bounds what all hosts together send to an instance that has just started.
 	Cold cold.Limit
-	Now  func() time.Time
+	// ConcurrencyLimit bounds adaptively how many statements the host has at an instance at a time.
+	ConcurrencyLimit bool
+	Now              func() time.Time
 	// Dial starts a connection. ConnOpened, ConnectRefused or ConnClosed reports the result.
 	Dial func(c *Conn)
 	// Admit takes one operation from the account's rate limit. If none is left, ok is false and wait
@@ -96,6 +98,7 @@
 	Connects       uint64 `json:"connects"`
 	OwnStatements  uint64 `json:"own-statements"`
 	StatusRequests uint64 `json:"asked"`
+	LimitDecreases uint64 `json:"limit-decreases"`
 }
 
 // New returns a Relay without a catalog. It rejects all sessions until SetCatalog is called.
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -57,6 +57,8 @@
 	Connections int               `json:"connections"`
 	AvgLatency  time.Duration     `json:"work"`
 	SilentFor   time.Duration     `json:"silent"`
+	// Limit is how many statements of the host's own connections it may have at a time, zero for no limit.
+	Limit int `json:"limit,omitempty"`
 }
 
 // State returns a snapshot of the relay, with peers, groups and instances in the order of their names.
@@ -97,7 +99,7 @@
 		s.Instances = append(s.Instances, InstanceState{
 			Instance: i.info.Name, Position: i.position, Leaving: i.info.Leaving, Removed: i.removed,
 			Suspected: i.suspected(now), Holder: p.Host, Connections: len(i.conns), AvgLatency: i.avgLatency,
-			SilentFor: now.Sub(i.lastHeard),
+			SilentFor: now.Sub(i.lastHeard), Limit: i.stateLimit(now),
 		})
 	}
 	slices.SortFunc(s.Instances, func(a, b InstanceState) int { return cmp.Compare(a.Instance, b.Instance) })
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -113,6 +113,7 @@
 		Regions:           s.Regions,
 		EvacuationTimeout: s.Adapter.EvacuationTimeout,
 		Cold:              s.Adapter.ColdLimit,
+		ConcurrencyLimit:  s.Adapter.Overload,
 		Now:               clock.Now,
 		Dial:              h.dial,
 		ParseStatus:       platform.ParseStatus,
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -70,6 +70,8 @@
 		func(c relay.Counters) uint64 { return c.OwnStatements }},
 	{counter("questions", "Questions to instances what they are."),
 		func(c relay.Counters) uint64 { return c.StatusRequests }},
+	{counter("limit_decreases", "Decreases of the concurrency limit toward an instance."),
+		func(c relay.Counters) uint64 { return c.LimitDecreases }},
 }
 
 func counter(name, help string) *prometheus.Desc {
