Spread the retry times of refused callers

Callers that were refused at the same moment got the same retry time, returned together and were refused again. core/pacing reserves the expected capacity of a group one refusal after the other, at the rate at which the group completes work and at most 2 s ahead, and adds a jitter of up to a quarter to the time of a failure. All refusals of the relay that gave a constant time use it. The log line of a refusal shows the retry time. It is on with the setting overload.

--- a/core/relay/event.go
+++ b/core/relay/event.go
@@ -51,6 +51,8 @@
 	// position of the instance to be promoted. InstancePosition is the last known position of the instance's log,
 	// Received the end of what the instance had received, by its own status.
 	RequiredPosition, InstancePosition, Received fleet.LogPosition
+	// RetryAfter is the retry time of a refusal.
+	RetryAfter time.Duration
 	// Age is how old the input of the decision was.
 	Age time.Duration
 	// Took is the time from the caller's statement to this event.
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -8,6 +8,7 @@
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/leader"
+	"skylarkdeal/core/pacing"
 	"skylarkdeal/core/staleness"
 	"skylarkdeal/core/statement"
 )
@@ -27,6 +28,8 @@
 	queue   admit.Queue
 	waiting map[uint64]*operation
 	running map[uint64]*operation
+	// pacer chooses the retry times of refusals for lack of capacity.
+	pacer pacing.Pacer
 	// pendingVerification holds the operations whose answers are pending verification.
 	pendingVerification map[uint64]*operation
 	// peerRequests are status requests of other hosts that wait for a connection.
@@ -69,7 +72,7 @@
 
 func newGroup(r *Relay, s fleet.Service) *group {
 	return &group{
-		r: r, name: s, instances: map[fleet.Instance]*instance{},
+		r: r, name: s, pacer: newPacer(r.cfg.Host), instances: map[fleet.Instance]*instance{},
 		queue:   admit.Queue{Limits: queueLimits},
 		waiting: map[uint64]*operation{}, running: map[uint64]*operation{},
 		pendingVerification: map[uint64]*operation{}, unconfirmedSince: r.now(),
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -32,6 +32,8 @@
 	asOf     time.Time
 	attempts int
 	excluded fleet.Set[fleet.Instance]
+	// turnedAwayFor is the longest retry time of the answers that have turned it away for lack of capacity.
+	turnedAwayFor time.Duration
 
 	// conn runs the operation. dialling is a connection that is being made for it.
 	conn, dialling *Conn
@@ -96,7 +98,7 @@
 	if c := o.s.tx.conn; o.s.tx.open && c != nil {
 		if reason := o.blockedReason(c); reason != "" {
 			o.s.failTransaction()
-			o.refuse(statement.CodeAborted, "rolled back: "+reason, shortRetryAfter)
+			o.refuse(statement.CodeAborted, "rolled back: "+reason, o.g.r.shortRetry())
 			return
 		}
 		o.conn = c
@@ -130,7 +132,7 @@
 		if i := o.g.instances[o.s.boundInstance]; o.s.boundInstance != "" && (i == nil || i.acceptsNew(now)) {
 			code = statement.CodeUnreachable
 		}
-		o.refuse(code, reason, retryAfter)
+		o.refuse(code, reason, o.retryTime(retryAfter))
 		return
 	}
 	o.sent, o.conn, o.dialling = false, nil, nil
@@ -139,7 +141,7 @@
 		Intent: o.intent(),
 	})
 	if v.Refusal != nil {
-		o.refuse(statement.CodeBusy, v.Refusal.Message, v.Refusal.RetryAfter)
+		o.refuse(statement.CodeBusy, v.Refusal.Message, o.g.retryAfterOverload(now, v.Refusal.RetryAfter))
 		return
 	}
 	o.g.waiting[o.key] = o
@@ -335,7 +337,7 @@
 	if o.s.boundInstance != "" && !o.txBegun() && code.NotRun() {
 		// Only the requesting host can choose another instance.
 		o.releaseSlot(o.g.r.now(), 0)
-		o.refuse(code, "the instance has turned it away", shortRetryAfter)
+		o.refuse(code, "the instance has turned it away", o.g.r.shortRetry())
 		return
 	}
 	o.retry(code)
@@ -354,6 +356,10 @@
 }
 
 func (o *operation) logEvent(k EventKind, choice, reason string, code statement.Code) {
+	o.g.r.logEvent(o.event(k, choice, reason, code))
+}
+
+func (o *operation) event(k EventKind, choice, reason string, code statement.Code) Event {
 	e := Event{
 		Kind: k, ID: o.q.ID, Database: o.route.Database, Service: o.g.name, Account: o.s.account,
 		Choice: choice, Reason: reason, Code: code, Took: o.g.r.now().Sub(o.startedAt), Consistency: o.route.Consistency,
@@ -371,5 +377,5 @@
 	if o.conn != nil {
 		e.Host = o.conn.via
 	}
-	o.g.r.logEvent(e)
+	return e
 }
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -22,10 +22,12 @@
 	if a.Code == statement.CodeNone {
 		c.inst.addLatency(now, took)
 		c.inst.lagCount = 0
+		o.g.pacer.Completed(now)
 		o.handleSuccess(a)
 		return
 	}
 	o.g.handleRefusal(c, a.Code, o)
+	o.noteTurnedAway(a)
 	// The instance refused the prepare that was sent ahead of the statement.
 	c.dirty = c.dirty || a.Code == statement.CodeNotPrepared
 	if o.beginsTx && c.via != "" && a.Code.NotRun() {
@@ -92,7 +94,7 @@
 	if o.txBegun() {
 		o.failTransaction(statement.Answer{
 			Code: statement.CodeAborted, Detail: "rolled back: its connection could not be made ready",
-			RetryAfter: shortRetryAfter,
+			RetryAfter: o.g.r.shortRetry(),
 		})
 		return
 	}
@@ -105,7 +107,7 @@
 		o.excluded.Add(o.conn.Instance)
 	}
 	if o.attempts >= maxAttempts || !now.Before(o.deadline) {
-		o.refuse(code, "no instance could run it", shortRetryAfter)
+		o.refuse(code, "no instance could run it", o.retryTime(shortRetryAfter))
 		return
 	}
 	o.g.r.counters.Retried++
@@ -134,7 +136,7 @@
 	case o.s.tx.open && (!commit || !o.s.tx.mayHaveWritten):
 		o.s.tx.failed = true
 		o.answerCaller(statement.Answer{
-			Code: statement.CodeAborted, Detail: "rolled back: " + reason, RetryAfter: shortRetryAfter,
+			Code: statement.CodeAborted, Detail: "rolled back: " + reason, RetryAfter: o.g.r.shortRetry(),
 		})
 	case commit || o.writes:
 		o.answerInDoubt(reason)
@@ -181,7 +183,7 @@
 	}
 	o.g.r.counters.Refused++
 	o.s.lastRefused = true
-	o.logEvent(EventRefuse, "refuse", reason, code)
+	o.logRefusal(reason, code, retryAfter)
 	o.answerCaller(statement.Answer{Code: code, Detail: reason, RetryAfter: retryAfter})
 }
 
--- /dev/null
+++ b/core/relay/pacing.go
@@ -0,0 +1,58 @@
+package relay
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/pacing"
+	"skylarkdeal/core/statement"
+)
+
+// newPacer returns a pacer whose jitters differ from those of other hosts.
+func newPacer(h fleet.Host) pacing.Pacer {
+	return pacing.Pacer{Offset: float64(xxhash.Sum64String(string(h))) / math.MaxUint64}
+}
+
+// retryAfterFailure returns the retry time of a refusal for a failure that is expected to last for left.
+func (r *Relay) retryAfterFailure(left time.Duration) time.Duration {
+	if !r.cfg.PacedRetries {
+		return left
+	}
+	return r.pacer.Failure(left)
+}
+
+// shortRetry returns the retry time of a refusal for a short failure.
+func (r *Relay) shortRetry() time.Duration { return r.retryAfterFailure(shortRetryAfter) }
+
+// retryAfterOverload returns the retry time of a refusal for lack of capacity.
+func (g *group) retryAfterOverload(now time.Time, wait time.Duration) time.Duration {
+	if !g.r.cfg.PacedRetries {
+		return wait
+	}
+	return g.pacer.Capacity(now, wait)
+}
+
+// noteTurnedAway keeps the retry time of an answer that the operation was turned away with.
+func (o *operation) noteTurnedAway(a statement.Answer) {
+	if a.Code == statement.CodeBusy {
+		o.turnedAwayFor = max(o.turnedAwayFor, a.RetryAfter)
+	}
+}
+
+// retryTime returns the retry time of a refusal for a failure that is expected to last for left. Of an
+// operation that was turned away for lack of capacity, the holder or the instance has told the time.
+func (o *operation) retryTime(left time.Duration) time.Duration {
+	if o.turnedAwayFor > 0 && o.g.r.cfg.PacedRetries {
+		left = min(o.turnedAwayFor, pacing.MaxRetryAfter)
+	}
+	return o.g.r.retryAfterFailure(left)
+}
+
+func (o *operation) logRefusal(reason string, code statement.Code, retryAfter time.Duration) {
+	e := o.event(EventRefuse, "refuse", reason, code)
+	e.RetryAfter = retryAfter
+	o.g.r.logEvent(e)
+}
--- a/core/relay/process.go
+++ b/core/relay/process.go
@@ -61,7 +61,7 @@
 		if o.s.boundInstance == i.info.Name && o.reliesOnStatus(i) && !o.startedAt.After(i.termAskedAt) &&
 			g.queue.Remove(o.key) {
 			delete(g.waiting, o.key)
-			o.refuse(statement.CodeReadOnly, "the instance reports that it isn't the primary", shortRetryAfter)
+			o.refuse(statement.CodeReadOnly, "the instance reports that it isn't the primary", g.r.shortRetry())
 		}
 	}
 }
--- a/core/relay/query.go
+++ b/core/relay/query.go
@@ -112,7 +112,7 @@
 			Kind: EventRefuse, ID: id, Database: s.database, Service: s.route.Service, Account: s.account,
 			Choice: "refuse", Reason: outdatedDetail, Code: statement.CodeBusy,
 		})
-		s.refuse(statement.CodeBusy, outdatedDetail, outdatedRetryAfter)
+		s.refuse(statement.CodeBusy, outdatedDetail, s.r.retryAfterFailure(outdatedRetryAfter))
 		return false
 	}
 	if code, reason := s.authorise(); code != statement.CodeNone {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -13,6 +13,7 @@
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/follow"
 	"skylarkdeal/core/leader"
+	"skylarkdeal/core/pacing"
 	"skylarkdeal/core/statement"
 )
 
@@ -31,7 +32,9 @@
 	Cold cold.Limit
 	// ConcurrencyLimit bounds adaptively how many statements the host has at an instance at a time.
 	ConcurrencyLimit bool
-	Now              func() time.Time
+	// PacedRetries spreads the retry times of refused callers.
+	PacedRetries bool
+	Now          func() time.Time
 	// Dial starts a connection. ConnOpened, ConnectRefused or ConnClosed reports the result.
 	Dial func(c *Conn)
 	// Admit takes one operation from the account's rate limit. If none is left, ok is false and wait
@@ -68,8 +71,10 @@
 	lastKey     uint64
 	counters    Counters
 	drain       drainState
-	duty        coordination
-	forwarding  forwarding
+	// pacer chooses the retry times of refusals for failures.
+	pacer      pacing.Pacer
+	duty       coordination
+	forwarding forwarding
 	// lastTick is when Tick last ran. After a pause of the process, timeouts aren't enforced until
 	// pauseGraceUntil.
 	lastTick, pauseGraceUntil time.Time
@@ -106,6 +111,7 @@
 	return &Relay{
 		startedAt: cfg.Now(),
 		cfg:       cfg,
+		pacer:     newPacer(cfg.Host),
 		sessions:  map[*Session]struct{}{},
 		groups:    map[fleet.Service]*group{},
 		hostCount: defaultHostCount,
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -59,7 +59,7 @@
 		o := g.waiting[x.Item.Key]
 		delete(g.waiting, x.Item.Key)
 		if o != nil {
-			o.refuse(statement.CodeBusy, x.Refusal.Message, x.Refusal.RetryAfter)
+			o.refuse(statement.CodeBusy, x.Refusal.Message, g.retryAfterOverload(now, x.Refusal.RetryAfter))
 		}
 	}
 	if g.unavailableReason(now) == "" {
@@ -69,7 +69,7 @@
 	for _, o := range g.waitingInOrder() {
 		if reason, retryAfter := g.refusalReason(now, o); reason != "" && g.queue.Remove(o.key) {
 			delete(g.waiting, o.key)
-			o.refuse(statement.CodeBusy, reason, retryAfter)
+			o.refuse(statement.CodeBusy, reason, o.retryTime(retryAfter))
 		}
 	}
 }
--- a/core/relay/verify.go
+++ b/core/relay/verify.go
@@ -260,7 +260,7 @@
 	case o.s.tx.open:
 		o.s.failTransaction()
 		o.answerCaller(statement.Answer{
-			Code: statement.CodeAborted, Detail: "rolled back: " + reason, RetryAfter: shortRetryAfter,
+			Code: statement.CodeAborted, Detail: "rolled back: " + reason, RetryAfter: o.g.r.shortRetry(),
 		})
 	default:
 		o.retry(statement.CodeBusy)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -114,6 +114,7 @@
 		EvacuationTimeout: s.Adapter.EvacuationTimeout,
 		Cold:              s.Adapter.ColdLimit,
 		ConcurrencyLimit:  s.Adapter.Overload,
+		PacedRetries:      s.Adapter.Overload,
 		Now:               clock.Now,
 		Dial:              h.dial,
 		ParseStatus:       platform.ParseStatus,
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -85,6 +85,9 @@
 	if n.Age > 0 && n.Age < maxAge {
 		f = append(f, zap.Duration("age", n.Age))
 	}
+	if n.RetryAfter != 0 {
+		f = append(f, zap.Duration("retry-after", n.RetryAfter))
+	}
 	if n.Took != 0 {
 		f = append(f, zap.Duration("took", n.Took))
 	}
