Refuse at the entry host what a holder can't start in time

Operations that a holder couldn't serve crossed a link and waited there, only to be refused after their time was over. Holders now report the expected wait by priority with each answer (Reply.load). Entry hosts keep the reports for 200 ms, refuse before the hop what can't start in time, forward one in eight of these as a probe, and count the wait in the cost of a path. The report is left out while nothing waits.

--- a/core/pathcost/pathcost_test.go
+++ b/core/pathcost/pathcost_test.go
@@ -145,3 +145,14 @@
 	replica.Latency, replica.Running = 100*time.Millisecond, 3
 	c.Assert(primary.Cost(target) < replica.Cost(target), qt.IsTrue)
 }
+
+// Guards against reads that go to the nearest holder although its queue is much longer than that of another.
+func TestWaitAtTheHolderCounts(t *testing.T) {
+	c := qt.New(t)
+	const target = 200 * time.Millisecond
+	near := pathcost.Path{Slots: 2, Queued: 60 * time.Millisecond}
+	far := pathcost.Path{Slots: 2, Remote: true}
+	c.Check(far.Cost(target) < near.Cost(target), qt.IsTrue)
+	near.Queued = 10 * time.Millisecond
+	c.Check(near.Cost(target) < far.Cost(target), qt.IsTrue)
+}
--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"skylarkdeal/core/backpressure"
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/leader"
@@ -69,6 +70,8 @@
 	peersIncomplete bool
 	// isolated is set while no host of another data centre is heard, although there are some.
 	isolated bool
+	// loads are the loads that holders have reported.
+	loads backpressure.Reports
 	// forwardedConns are the connections over other hosts, inboundSessions the sessions that run for
 	// them.
 	forwardedConns  map[uint64]*Conn
@@ -235,6 +238,7 @@
 // PeerLost handles the end of the link to another host. The outcome of what that host ran for this one
 // is unknown.
 func (r *Relay) PeerLost(h fleet.Host) {
+	r.forwarding.loads.Lost(h)
 	for _, c := range r.forwarding.forwardedConns {
 		if c.via == h {
 			c.handleClose("the host that held the connection can't be reached")
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"skylarkdeal/core/admit"
+	"skylarkdeal/core/backpressure"
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/leader"
@@ -30,6 +31,9 @@
 	running map[uint64]*operation
 	// pacer chooses the retry times of refusals for lack of capacity.
 	pacer pacing.Pacer
+	// load is the load of the queue as of loadAt.
+	load   backpressure.Load
+	loadAt time.Time
 	// pendingVerification holds the operations whose answers are pending verification.
 	pendingVerification map[uint64]*operation
 	// peerRequests are status requests of other hosts that wait for a connection.
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -135,6 +135,9 @@
 		o.refuse(code, reason, o.retryTime(retryAfter))
 		return
 	}
+	if o.g.refusedBeforeHop(now, o) {
+		return
+	}
 	o.sent, o.conn, o.dialling = false, nil, nil
 	v := o.g.queue.Enqueue(now, admit.Item{
 		Key: o.key, Account: o.s.account, Weight: o.queueWeight(), Deadline: o.waitDeadline(),
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -185,6 +185,7 @@
 			return path{}, false
 		}
 		w.peer = p
+		est.Queued = g.holderWait(now, p.Host, o.route.Priority)
 	} else {
 		if !i.canStart(now) {
 			return path{}, false
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -32,6 +32,8 @@
 	Cold cold.Limit
 	// ConcurrencyLimit bounds adaptively how many statements the host has at an instance at a time.
 	ConcurrencyLimit bool
+	// Backpressure reports the load of this host's queues to other hosts, and uses what they report.
+	Backpressure bool
 	// PacedRetries spreads the retry times of refused callers.
 	PacedRetries bool
 	Now          func() time.Time
@@ -104,6 +106,8 @@
 	OwnStatements  uint64 `json:"own-statements"`
 	StatusRequests uint64 `json:"asked"`
 	LimitDecreases uint64 `json:"limit-decreases"`
+	// RefusedBeforeHop counts the refusals because of a load that a holder had reported.
+	RefusedBeforeHop uint64 `json:"refused-before-hop"`
 }
 
 // New returns a Relay without a catalog. It rejects all sessions until SetCatalog is called.
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -58,7 +58,9 @@
 	Holder      fleet.Host        `json:"holder,omitempty"`
 	Connections int               `json:"connections"`
 	AvgLatency  time.Duration     `json:"work"`
-	SilentFor   time.Duration     `json:"silent"`
+	// HolderWait is the expected wait at the holder for the default priority, as it has reported.
+	HolderWait time.Duration `json:"holder-wait,omitempty"`
+	SilentFor  time.Duration `json:"silent"`
 	// Limit is how many statements of the host's own connections it may have at a time, zero for no limit.
 	Limit int `json:"limit,omitempty"`
 }
@@ -102,6 +104,7 @@
 			Instance: i.info.Name, Position: i.position, Leaving: i.info.Leaving, Removed: i.removed,
 			Suspected: i.suspected(now), Holder: p.Host, Connections: len(i.conns), AvgLatency: i.avgLatency,
 			SilentFor: now.Sub(i.lastHeard), Limit: i.stateLimit(now),
+			HolderWait: g.holderWait(now, p.Host, fleet.DefaultPriority),
 		})
 	}
 	slices.SortFunc(s.Instances, func(a, b InstanceState) int { return cmp.Compare(a.Instance, b.Instance) })
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -291,6 +291,7 @@
 	in := forward.Reader{
 		Hello:   func(fleet.Host) {},
 		Request: func(relay.Forward) {},
+		Load:    func(id uint64, millis []uint32) { h.relay.HandleForwardLoad(l.host, id, millis) },
 		Reply: func(id uint64, a statement.Answer) {
 			l.heard = clock.Now()
 			h.relay.HandleForwardAnswer(l.host, id, a)
@@ -330,10 +331,11 @@
 				return
 			}
 			h.relay.HandleForward(id, f, func(a statement.Answer) {
-				out = forward.AppendReply(out[:0], f.Stream, a)
+				out = forward.AppendReply(out[:0], f.Stream, a, h.relay.Load(f.Service))
 				c.Write(out)
 			})
 		},
+		Load:        func(uint64, []uint32) {},
 		Reply:       func(uint64, statement.Answer) {},
 		Follow:      func(f forward.Follow) { h.handleFollow(id, f, c.Write) },
 		StoreUpdate: func(forward.StoreUpdate) {},
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"skylarkdeal/core/backpressure"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/relay"
 	"skylarkdeal/core/statement"
@@ -33,8 +34,10 @@
 type Reader struct {
 	// Hello is called with the name of the host that opened the link.
 	Hello func(h fleet.Host)
-	// Request and Reply are called with each request and each answer.
+	// Request and Reply are called with each request and each answer. Before Reply, Load is called with the
+	// expected waits at the sender's queue by priority, in milliseconds.
 	Request func(f relay.Forward)
+	Load    func(stream uint64, millis []uint32)
 	Reply   func(stream uint64, a statement.Answer)
 	// Follow is called with a follower's request for updates of the store, StoreUpdate with a
 	// reader's update.
@@ -67,6 +70,7 @@
 	case *forwardpb.Frame_Request:
 		r.Request(decodeRequest(k.Request))
 	case *forwardpb.Frame_Reply:
+		r.Load(k.Reply.GetStream(), k.Reply.GetLoad().GetWaitMs())
 		r.Reply(k.Reply.GetStream(), decodeAnswer(k.Reply))
 	case *forwardpb.Frame_Follow:
 		r.Follow(Follow{Sent: fromUnixNano(k.Follow.GetSent()), Full: k.Follow.GetWhole()})
@@ -133,12 +137,16 @@
 	return f
 }
 
-// AppendReply appends the answer to the last statement of a request.
-func AppendReply(b []byte, stream uint64, a statement.Answer) []byte {
+// AppendReply appends the answer to the last statement of a request, with the load of the service's queue
+// unless that is zero.
+func AppendReply(b []byte, stream uint64, a statement.Answer, l backpressure.Load) []byte {
 	m := &forwardpb.Reply{
 		Stream: stream, Rows: a.Rows, Digest: a.Digest, Code: string(a.Code), Detail: a.Detail,
 		RetryAfterMs: uint32(a.RetryAfter.Milliseconds()), State: string(a.State), Point: encodePosition(a.Position),
 	}
+	if !l.IsZero() {
+		m.Load = &forwardpb.Load{WaitMs: l.AppendMillis(nil)}
+	}
 	return appendFrame(b, &forwardpb.Frame{Kind: &forwardpb.Frame_Reply{Reply: m}})
 }
 
--- a/io/forward/forward_test.go
+++ b/io/forward/forward_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"skylarkdeal/core/backpressure"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/relay"
 	"skylarkdeal/core/statement"
@@ -21,6 +22,7 @@
 	requests []relay.Forward
 	streams  []uint64
 	answers  []statement.Answer
+	loads    [][]uint32
 }
 
 func reader() (*forward.Reader, *received) {
@@ -28,6 +30,7 @@
 	return &forward.Reader{
 		Hello:   func(h fleet.Host) { g.hosts = append(g.hosts, h) },
 		Request: func(f relay.Forward) { g.requests = append(g.requests, f) },
+		Load:    func(_ uint64, millis []uint32) { g.loads = append(g.loads, millis) },
 		Reply: func(s uint64, a statement.Answer) {
 			g.streams, g.answers = append(g.streams, s), append(g.answers, a)
 		},
@@ -58,7 +61,9 @@
 	}
 	b := forward.AppendHello(nil, "h1")
 	b = forward.AppendRequest(b, request())
-	b = forward.AppendReply(b, 7, a)
+	load := backpressure.NewLoad(func(p fleet.Priority) time.Duration { return time.Duration(p) * time.Second })
+	b = forward.AppendReply(b, 7, a, load)
+	b = forward.AppendReply(b, 7, a, backpressure.Load{})
 	rapid.Check(t, func(t *rapid.T) {
 		// The messages are the same, however the bytes are split.
 		in, g := reader()
@@ -77,12 +82,17 @@
 				waiting = waiting[used:]
 			}
 		}
-		if len(g.hosts) != 1 || len(g.requests) != 1 || len(g.answers) != 1 {
+		if len(g.hosts) != 1 || len(g.requests) != 1 || len(g.answers) != 2 {
 			t.Fatalf("%+v", g)
 		}
 		c.Assert(g.requests[0], qt.CmpEquals(cmp.AllowUnexported(fleet.Option[fleet.LogPosition]{})), request())
 		c.Assert(g.answers[0], qt.CmpEquals(cmp.AllowUnexported(fleet.Option[fleet.LogPosition]{})), a)
 		c.Assert(g.streams[0], qt.Equals, uint64(7))
+		c.Assert(g.loads, qt.HasLen, 2)
+		got, err := backpressure.ParseMillis(g.loads[0])
+		c.Assert(err, qt.IsNil)
+		c.Assert(got, qt.Equals, load)
+		c.Assert(g.loads[1], qt.HasLen, 0)
 	})
 }
 
