Bound the retries of reads that may have run

An instance that failed its requests was sent each read up to three times by each host, which added to the load of a group that failed because of it. The budget moves from core/place to core/retrybudget, as io/holder and the relay share it. MaxAttempts of a route, which was decoded and not used, bounds how often one statement may have run.

--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -10,6 +10,7 @@
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/leader"
 	"skylarkdeal/core/pacing"
+	"skylarkdeal/core/retrybudget"
 	"skylarkdeal/core/staleness"
 	"skylarkdeal/core/statement"
 )
@@ -31,6 +32,8 @@
 	running map[uint64]*operation
 	// pacer chooses the retry times of refusals for lack of capacity.
 	pacer pacing.Pacer
+	// retryBudget bounds the retries of reads that may have run.
+	retryBudget retrybudget.Budget
 	// load is the load of the queue as of loadAt.
 	load   backpressure.Load
 	loadAt time.Time
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -31,6 +31,8 @@
 	// A read has to show all commits that were acknowledged before asOf.
 	asOf     time.Time
 	attempts int
+	// runs is how often the statement may have run on an instance.
+	runs     int
 	excluded fleet.Set[fleet.Instance]
 	// turnedAwayFor is the longest retry time of the answers that have turned it away for lack of capacity.
 	turnedAwayFor time.Duration
@@ -298,6 +300,7 @@
 	}
 	o.sent, o.sentAt = true, o.g.r.now()
 	o.logReadPlace()
+	o.earnRetry()
 	o.everSent, o.s.tx.mayHaveRun = true, true
 	if o.s.tx.open {
 		o.s.tx.conn = o.conn
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -110,6 +110,10 @@
 		o.refuse(code, "no instance could run it", o.retryTime(shortRetryAfter))
 		return
 	}
+	if reason := o.noRetryReason(code); reason != "" {
+		o.refuse(code, reason, o.retryTime(shortRetryAfter))
+		return
+	}
 	o.g.r.counters.Retried++
 	o.logEvent(EventRetry, "retry the statement", "it was not run", code)
 	o.enqueue()
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -34,6 +34,8 @@
 	ConcurrencyLimit bool
 	// Backpressure reports the load of this host's queues to other hosts, and uses what they report.
 	Backpressure bool
+	// RetryBudget bounds the share of the load that is retries of reads that may have run.
+	RetryBudget bool
 	// PacedRetries spreads the retry times of refused callers.
 	PacedRetries bool
 	Now          func() time.Time
@@ -106,6 +108,8 @@
 	OwnStatements  uint64 `json:"own-statements"`
 	StatusRequests uint64 `json:"asked"`
 	LimitDecreases uint64 `json:"limit-decreases"`
+	// RetriesDenied counts the reads that weren't retried because the retry budget was used up.
+	RetriesDenied uint64 `json:"retries-denied"`
 	// RefusedBeforeHop counts the refusals because of a load that a holder had reported.
 	RefusedBeforeHop uint64 `json:"refused-before-hop"`
 }
--- /dev/null
+++ b/core/relay/retries.go
@@ -0,0 +1,29 @@
+package relay
+
+import "skylarkdeal/core/statement"
+
+// noRetryReason returns why an operation that has failed with code isn't to be retried, empty if it is. Only a failure
+// after which the statement may have run counts; writes aren't retried then in any case.
+//
+// Guards against retries that multiply the load of a group that fails because of it.
+func (o *operation) noRetryReason(code statement.Code) string {
+	if !o.sent || code != statement.CodeFailed && code != statement.CodeTimeout {
+		return ""
+	}
+	o.runs++
+	if n := o.route.MaxAttempts; n > 0 && o.runs >= n {
+		return "it may have run as often as its route allows"
+	}
+	if o.g.r.cfg.RetryBudget && !o.g.retryBudget.Take() {
+		o.g.r.counters.RetriesDenied++
+		return "the retry budget of the service is used up"
+	}
+	return ""
+}
+
+// earnRetry adds to the retry budget for a read that is sent for the first time.
+func (o *operation) earnRetry() {
+	if !o.everSent && !o.writes {
+		o.g.retryBudget.Earn()
+	}
+}
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -42,6 +42,8 @@
 	Waiting             int    `json:"waiting"`
 	Running             int    `json:"running"`
 	PendingVerification int    `json:"unproven"`
+	// RetriesLeft is what is left of the retry budget.
+	RetriesLeft float64 `json:"retries-left"`
 	// Reserved is for how long refused callers have been given the group's capacity.
 	Reserved  time.Duration   `json:"reserved,omitempty"`
 	SampleAge time.Duration   `json:"sample-age"`
@@ -93,6 +95,7 @@
 	s := GroupState{
 		Service: g.name, UnavailableReason: g.unavailableReason(now), Waiting: len(g.waiting), Running: len(g.running),
 		PendingVerification: g.pendingAnswers.Len(), Reserved: g.pacer.Reserved(now),
+		RetriesLeft: g.retryBudget.Left(),
 	}
 	s.Primary, s.Term, s.PrimaryKnown = g.primaryState.Primary()
 	if n, ok := g.samples.Newest(); ok {
--- a/core/place/budget.go
+++ b/core/retrybudget/retrybudget.go
@@ -1,14 +1,14 @@
-package place
+// Package retrybudget bounds the share of the load that is retries.
+package retrybudget
 
-// RetryBudget limits how often declared reads are retried. The zero RetryBudget is
-// full.
+// Budget limits how often the reads of a group are retried. The zero Budget is full.
 //
 // Designed for a group that fails many reads because it is overloaded or its
 // primary changes: unlimited retries would multiply the load that caused the
 // failures. A retry costs one token and a read earns retryTokensPerRead, so
 // retries add at most a tenth to the reads. maxRetryTokens covers the few reads
 // that were in progress when an instance failed.
-type RetryBudget struct {
+type Budget struct {
 	spent float64
 }
 
@@ -18,12 +18,12 @@
 )
 
 // Earn adds the tokens for a read that is sent for the first time.
-func (b *RetryBudget) Earn() {
+func (b *Budget) Earn() {
 	b.spent = max(0, b.spent-retryTokensPerRead)
 }
 
 // Take reports whether a read may be retried, and takes the token for the retry.
-func (b *RetryBudget) Take() bool {
+func (b *Budget) Take() bool {
 	if b.spent+1 > maxRetryTokens {
 		return false
 	}
@@ -32,6 +32,6 @@
 }
 
 // Left returns how many tokens are left, one for each retry.
-func (b *RetryBudget) Left() float64 {
+func (b *Budget) Left() float64 {
 	return maxRetryTokens - b.spent
 }
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -114,7 +114,8 @@
 	EvacuationTimeout time.Duration
 	// ColdLimit limits how far the fleet may exceed the rate that a cold instance can carry.
 	ColdLimit cold.Limit
-	// Overload turns on the control of overload between hosts: the concurrency limits and the load reports.
+	// Overload turns on the control of overload between hosts: concurrency limits, load reports, spread
+	// retry times and retry budgets.
 	Overload bool
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -115,6 +115,7 @@
 		Cold:              s.Adapter.ColdLimit,
 		ConcurrencyLimit:  s.Adapter.Overload,
 		PacedRetries:      s.Adapter.Overload,
+		RetryBudget:       s.Adapter.Overload,
 		Backpressure:      s.Adapter.Overload,
 		Now:               clock.Now,
 		Dial:              h.dial,
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -72,6 +72,8 @@
 		func(c relay.Counters) uint64 { return c.StatusRequests }},
 	{counter("limit_decreases", "Decreases of the concurrency limit toward an instance."),
 		func(c relay.Counters) uint64 { return c.LimitDecreases }},
+	{counter("retries_denied", "Reads that weren't retried because the retry budget was used up."),
+		func(c relay.Counters) uint64 { return c.RetriesDenied }},
 	{counter("refused_before_hop", "Statements refused because of the load that a holder reports."),
 		func(c relay.Counters) uint64 { return c.RefusedBeforeHop }},
 }
--- a/io/holder/group.go
+++ b/io/holder/group.go
@@ -13,6 +13,7 @@
 	"skylarkdeal/core/failure"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/place"
+	"skylarkdeal/core/retrybudget"
 	"skylarkdeal/core/ring"
 	"skylarkdeal/io/database"
 	"skylarkdeal/io/groupmonitor"
@@ -72,7 +73,7 @@
 	ranked *ranking
 	busy   map[fleet.Instance]int
 	meters map[fleet.Instance]place.LatencyAverage
-	budget place.RetryBudget
+	budget retrybudget.Budget
 	holds  bool
 	slots  map[fleet.Instance]int
 	key    uint64
