Don't let reads wait for a limited instance that hangs

A read waits in the host's queue while the cheapest instance is at its concurrency limit. An instance that hung there had a short average latency, so that reads waited for it although another could run them. The age of its oldest statement now counts in the wait. Two tests check that a statement causes no allocation in core/limiter and core/backpressure.

--- a/core/backpressure/backpressure_test.go
+++ b/core/backpressure/backpressure_test.go
@@ -77,3 +77,16 @@
 	r.Add(epoch, other, backpressure.Load{})
 	c.Check(r.Empty(), qt.IsTrue)
 }
+
+// Guards against garbage for each statement, on hosts with a fifth of a core.
+func TestReportsAllocateNothing(t *testing.T) {
+	c := qt.New(t)
+	var r backpressure.Reports
+	r.Add(epoch, orders, loadOf(time.Second))
+	l := loadOf(time.Second)
+	c.Assert(testing.AllocsPerRun(1000, func() {
+		r.Add(epoch, orders, l)
+		r.Overdue(epoch, orders, 1, epoch)
+		r.Probe(orders)
+	}), qt.Equals, 0.0)
+}
--- a/core/limiter/limiter_test.go
+++ b/core/limiter/limiter_test.go
@@ -66,3 +66,14 @@
 	}
 	c.Assert(l.Limit(b), qt.Equals, 8)
 }
+
+// Guards against garbage for each statement, on hosts with a fifth of a core.
+func TestLimiterAllocatesNothing(t *testing.T) {
+	c := qt.New(t)
+	l, b, now := &limiter.Limiter{}, limiter.Bounds{Min: 1, Max: 8}, epoch
+	c.Assert(testing.AllocsPerRun(1000, func() {
+		now = now.Add(time.Millisecond)
+		l.Allows(3, b)
+		l.Answered(now, limiter.Kind{Priority: 1}, 9*time.Millisecond, 3, b)
+	}), qt.Equals, 0.0)
+}
--- a/core/relay/limit.go
+++ b/core/relay/limit.go
@@ -32,9 +32,11 @@
 // ownRunning returns how many statements of this host's own connections the instance runs.
 func (i *instance) ownRunning() int { return i.busyConns() - i.forwardedCount }
 
-// limitWait returns how long a new operation waits in this host's queue for the limited instance.
-func (g *group) limitWait(i *instance) time.Duration {
-	return i.avgLatency * time.Duration(g.queue.Len()) / time.Duration(max(i.ownRunning(), 1))
+// limitWait returns how long a new operation waits in this host's queue for the limited instance. Its statements
+// take at least as long as the oldest one has taken already: an instance that hangs has a short average.
+func (g *group) limitWait(now time.Time, i *instance) time.Duration {
+	latency := max(i.avgLatency, i.oldestStatementAge(now))
+	return latency * time.Duration(max(g.queue.Len(), 1)) / time.Duration(max(i.ownRunning(), 1))
 }
 
 // adjustLimit adjusts the instance's concurrency limit by a response to o, while o still counts as running.
--- a/core/relay/limit_test.go
+++ b/core/relay/limit_test.go
@@ -89,3 +89,29 @@
 	c.Check(x.last().Code, qt.Equals, statement.CodeNone)
 	c.Check(z.last().Code, qt.Equals, statement.CodeNone)
 }
+
+// A replica stops answering while it has as many statements as the limit allows. Guards against reads that wait
+// for it, since its past latency is short, although another instance could run them.
+func TestReadsDontWaitForALimitedInstanceThatHangs(t *testing.T) {
+	c := qt.New(t)
+	w := newLimitedWorld(c, true)
+	for _, n := range []fleet.Instance{"a", "c"} {
+		w.instances[n].hold = true
+	}
+	x, y := w.open("stock", "key-1"), w.open("stock", "key-1")
+	x.do(statement.KindRead, "", "item")
+	w.advance(50*time.Millisecond, true)
+	for _, n := range []fleet.Instance{"a", "c"} {
+		w.instances[n].hold = false
+	}
+	w.advance(50*time.Millisecond, true)
+	c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+	x.do(statement.KindRead, "", "item")
+	c.Assert(w.instances["b"].executed, qt.HasLen, 2)
+	w.instances["b"].hold = true
+	x.do(statement.KindRead, "", "item")
+	y.do(statement.KindRead, "", "item")
+	w.advance(90*time.Millisecond, true)
+	c.Assert(y.answers, qt.HasLen, 1)
+	c.Assert(y.last().Code, qt.Equals, statement.CodeNone)
+}
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -191,7 +191,7 @@
 			return path{}, false
 		}
 		if w.limited = i.limited(now, est.Running-i.forwardedCount); w.limited {
-			est.Queued = g.limitWait(i)
+			est.Queued = g.limitWait(now, i)
 			w.cost = est.Cost(o.route.Target)
 			return w, true
 		}
