Count a forwarded read in the retry budget only where it is retried

A read that was forwarded added to the retry budget of the entry host and to that of the holder, which doesn't retry it, so that the holder's own reads could be retried more often than a tenth. Only reads outside of transactions that this host would retry add to its budget now.

--- a/core/relay/retries.go
+++ b/core/relay/retries.go
@@ -21,9 +21,10 @@
 	return ""
 }
 
-// earnRetry adds to the retry budget for a read that is sent for the first time.
+// earnRetry adds to the retry budget for a read that is sent for the first time and that this host would retry.
+// Another host's read adds to the budget there.
 func (o *operation) earnRetry() {
-	if !o.everSent && !o.writes {
+	if !o.everSent && !o.writes && !o.s.tx.open && o.s.boundInstance == "" {
 		o.g.retryBudget.Earn()
 	}
 }
--- a/core/relay/retries_test.go
+++ b/core/relay/retries_test.go
@@ -80,3 +80,24 @@
 		c.Check(answered(), qt.Equals, x.sent, qt.Commentf("%d attempts, %v", x.max, x.codes))
 	}
 }
+
+// Guards against a budget to which the reads of other hosts add, at the holder as well as where they are retried.
+func TestForwardedReadsAddNothingToTheHoldersBudget(t *testing.T) {
+	c := qt.New(t)
+	w, _ := failing(c, true, statement.CodeFailed)
+	for range 100 {
+		w.open("stock", "key-1").do(statement.KindRead, "", "item")
+		w.advance(10*time.Millisecond, true)
+	}
+	left := w.relay.State().Groups[0].RetriesLeft
+	c.Assert(left < 1, qt.IsTrue, qt.Commentf("%v", left))
+	for n := range 50 {
+		w.relay.HandleForward(1, relay.Forward{
+			Stream: uint64(n), Service: service, Instance: "a", Account: "hotel", //nolint:gosec // small
+			Timeout: time.Second, QueueWait: time.Second, Open: true, Close: true,
+			Statements: []statement.Statement{{ID: "r", Kind: statement.KindRead, Text: "item"}},
+		}, func(statement.Answer) {})
+		w.advance(10*time.Millisecond, true)
+	}
+	c.Assert(w.relay.State().Groups[0].RetriesLeft, qt.Equals, left)
+}
