--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -7,6 +7,7 @@
 	"skylarkdeal/core/cold"
 	"skylarkdeal/core/connpool"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/limiter"
 	"skylarkdeal/core/statement"
 )
 
@@ -78,6 +79,10 @@
 	// is opened; reconnectedAt is when that was.
 	reconnectedAt time.Time
 	disconnected  bool
+	// limiter bounds the statements on this host's own connections; limitLoggedAt is when a change of it
+	// was last logged.
+	limiter       limiter.Limiter
+	limitLoggedAt time.Time
 }
 
 const (
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -31,7 +31,11 @@
 	// A read has to show all commits that were acknowledged before asOf.
 	asOf     time.Time
 	attempts int
+	// runs is how often the statement may have run on an instance.
+	runs     int
 	excluded fleet.Set[fleet.Instance]
+	// turnedAwayFor is the longest retry time of the answers that have turned it away for lack of capacity.
+	turnedAwayFor time.Duration
 
 	// wantedAt is the instance at which the operation last counted as one that wants a connection.
 	wantedAt *instance
@@ -98,7 +102,7 @@
 	if c := o.s.tx.conn; o.s.tx.open && c != nil {
 		if reason := o.blockedReason(c); reason != "" {
 			o.s.failTransaction()
-			o.refuse(statement.CodeAborted, "rolled back: "+reason, shortRetryAfter)
+			o.refuse(statement.CodeAborted, "rolled back: "+reason, o.g.r.shortRetry())
 			return
 		}
 		o.conn = c
@@ -132,7 +136,10 @@
 		if i := o.g.instances[o.s.boundInstance]; o.s.boundInstance != "" && (i == nil || i.acceptsNew(now)) {
 			code = statement.CodeUnreachable
 		}
-		o.refuse(code, reason, retryAfter)
+		o.refuse(code, reason, o.retryTime(retryAfter))
+		return
+	}
+	if o.g.refusedBeforeHop(now, o) {
 		return
 	}
 	o.sent, o.conn, o.dialling = false, nil, nil
@@ -141,7 +148,7 @@
 		Intent: o.intent(),
 	})
 	if v.Refusal != nil {
-		o.refuse(statement.CodeBusy, v.Refusal.Message, v.Refusal.RetryAfter)
+		o.refuse(statement.CodeBusy, v.Refusal.Message, o.g.retryAfterOverload(now, v.Refusal.RetryAfter))
 		return
 	}
 	o.g.waiting[o.key] = o
@@ -296,6 +303,7 @@
 	}
 	o.sent, o.sentAt = true, o.g.r.now()
 	o.logReadPlace()
+	o.earnRetry()
 	o.everSent, o.s.tx.mayHaveRun = true, true
 	if o.s.tx.open {
 		o.s.tx.conn = o.conn
@@ -338,7 +346,7 @@
 	if o.s.boundInstance != "" && !o.txBegun() && code.NotRun() {
 		// Only the requesting host can choose another instance.
 		o.releaseSlot(o.g.r.now(), 0)
-		o.refuse(code, "the instance has turned it away", shortRetryAfter)
+		o.refuse(code, "the instance has turned it away", o.g.r.shortRetry())
 		return
 	}
 	o.retry(code)
@@ -357,6 +365,10 @@
 }
 
 func (o *operation) logEvent(k EventKind, choice, reason string, code statement.Code) {
+	o.g.r.logEvent(o.event(k, choice, reason, code))
+}
+
+func (o *operation) event(k EventKind, choice, reason string, code statement.Code) Event {
 	e := Event{
 		Kind: k, ID: o.q.ID, Database: o.route.Database, Service: o.g.name, Account: o.s.account,
 		Choice: choice, Reason: reason, Code: code, Took: o.g.r.now().Sub(o.startedAt), Consistency: o.route.Consistency,
@@ -374,5 +386,5 @@
 	if o.conn != nil {
 		e.Host = o.conn.via
 	}
-	o.g.r.logEvent(e)
+	return e
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -13,6 +13,7 @@
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/follow"
 	"skylarkdeal/core/leader"
+	"skylarkdeal/core/pacing"
 	"skylarkdeal/core/statement"
 )
 
@@ -29,7 +30,15 @@
 	EvacuationTimeout time.Duration
 	// Cold bounds what all hosts together send to an instance that has just started.
 	Cold cold.Limit
-	Now  func() time.Time
+	// ConcurrencyLimit bounds adaptively how many statements the host has at an instance at a time.
+	ConcurrencyLimit bool
+	// Backpressure reports the load of this host's queues to other hosts, and uses what they report.
+	Backpressure bool
+	// RetryBudget bounds the share of the load that is retries of reads that may have run.
+	RetryBudget bool
+	// PacedRetries spreads the retry times of refused callers.
+	PacedRetries bool
+	Now          func() time.Time
 	// Dial starts a connection. ConnOpened, ConnectRefused or ConnClosed reports the result.
 	Dial func(c *Conn)
 	// Admit takes one operation of a priority from the account's rate limit. If none is left, ok is false
@@ -66,8 +75,10 @@
 	lastKey     uint64
 	counters    Counters
 	drain       drainState
-	duty        coordination
-	forwarding  forwarding
+	// pacer chooses the retry times of refusals for failures.
+	pacer      pacing.Pacer
+	duty       coordination
+	forwarding forwarding
 	// lastTick is when Tick last ran. After a pause of the process, timeouts aren't enforced until
 	// pauseGraceUntil.
 	lastTick, pauseGraceUntil time.Time
@@ -100,6 +111,11 @@
 	IdleRollbacks  uint64 `json:"idle-rollbacks"`
 	OwnStatements  uint64 `json:"own-statements"`
 	StatusRequests uint64 `json:"asked"`
+	LimitDecreases uint64 `json:"limit-decreases"`
+	// RetriesDenied counts the reads that weren't retried because the retry budget was used up.
+	RetriesDenied uint64 `json:"retries-denied"`
+	// RefusedBeforeHop counts the refusals because of a load that a holder had reported.
+	RefusedBeforeHop uint64 `json:"refused-before-hop"`
 }
 
 // New returns a Relay without a catalog. It rejects all sessions until SetCatalog is called.
@@ -107,6 +123,7 @@
 	return &Relay{
 		startedAt: cfg.Now(),
 		cfg:       cfg,
+		pacer:     newPacer(cfg.Host),
 		sessions:  map[*Session]struct{}{},
 		groups:    map[fleet.Service]*group{},
 		hostCount: defaultHostCount,
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -38,12 +38,16 @@
 	Term         fleet.Term     `json:"term"`
 	PrimaryKnown bool           `json:"settled"`
 	// UnavailableReason is why the primary can't serve, empty if it can.
-	UnavailableReason   string          `json:"unable,omitempty"`
-	Waiting             int             `json:"waiting"`
-	Running             int             `json:"running"`
-	PendingVerification int             `json:"unproven"`
-	SampleAge           time.Duration   `json:"sample-age"`
-	Instances           []InstanceState `json:"instances"`
+	UnavailableReason   string `json:"unable,omitempty"`
+	Waiting             int    `json:"waiting"`
+	Running             int    `json:"running"`
+	PendingVerification int    `json:"unproven"`
+	// RetriesLeft is what is left of the retry budget.
+	RetriesLeft float64 `json:"retries-left"`
+	// Reserved is for how long refused callers have been given the group's capacity.
+	Reserved  time.Duration   `json:"reserved,omitempty"`
+	SampleAge time.Duration   `json:"sample-age"`
+	Instances []InstanceState `json:"instances"`
 }
 
 // InstanceState is a snapshot of one instance. Holder is empty if this host uses its own connections.
@@ -58,7 +62,11 @@
 	// IdleTransactions is how many of the connections have an open transaction and no statement in progress.
 	IdleTransactions int           `json:"idle-transactions"`
 	AvgLatency       time.Duration `json:"work"`
-	SilentFor        time.Duration `json:"silent"`
+	// HolderWait is the expected wait at the holder for the default priority, as it has reported.
+	HolderWait time.Duration `json:"holder-wait,omitempty"`
+	SilentFor  time.Duration `json:"silent"`
+	// Limit is how many statements of the host's own connections it may have at a time, zero for no limit.
+	Limit int `json:"limit,omitempty"`
 }
 
 // State returns a snapshot of the relay, with peers, groups and instances in the order of their names.
@@ -88,7 +96,8 @@
 func (g *group) state(now time.Time) GroupState {
 	s := GroupState{
 		Service: g.name, UnavailableReason: g.unavailableReason(now), Waiting: len(g.waiting), Running: len(g.running),
-		PendingVerification: g.pendingAnswers.Len(),
+		PendingVerification: g.pendingAnswers.Len(), Reserved: g.pacer.Reserved(now),
+		RetriesLeft: g.retryBudget.Left(),
 	}
 	s.Primary, s.Term, s.PrimaryKnown = g.primaryState.Primary()
 	if n, ok := g.samples.Newest(); ok {
@@ -99,7 +108,8 @@
 		s.Instances = append(s.Instances, InstanceState{
 			Instance: i.info.Name, Position: i.position, Leaving: i.info.Leaving, Removed: i.removed,
 			Suspected: i.suspected(now), Holder: p.Host, Connections: len(i.conns), AvgLatency: i.avgLatency,
-			SilentFor: now.Sub(i.lastHeard), IdleTransactions: i.idleTxs(),
+			SilentFor: now.Sub(i.lastHeard), IdleTransactions: i.idleTxs(), Limit: i.stateLimit(now),
+			HolderWait: g.holderWait(now, p.Host, fleet.DefaultPriority),
 		})
 	}
 	slices.SortFunc(s.Instances, func(a, b InstanceState) int { return cmp.Compare(a.Instance, b.Instance) })
