Start the most urgent class first, with a guaranteed share for the others

No decision read a route's priority: the queue ordered by the account's fair share alone, so the route with the shortest target was refused first, and a full queue of reports refused payments. An operation of an account with nothing waiting was expected not to wait, whatever the other accounts had waiting.

The queue has classes now. Within an account's lane the earliest deadline goes first. In a full queue an urgent item displaces the newest of the least urgent class, which is answered as not run (EnqueueResult.Displaced).

Priorities come from the route, from Request.priority and Exchange.priority, and for PostgreSQL callers from the account's section of the document. The state dump shows what waits and what was refused by priority, the metric skylarkdeal_refused_by_priority_total the refusals.

Measured: go test -race of core/admit, core/relay, core/document, io/holder, io/host and io/forward passes.

--- a/core/admit/history.go
+++ b/core/admit/history.go
@@ -10,10 +10,15 @@
 // times.
 type statementKind struct {
 	account  fleet.Account
+	priority fleet.Priority
 	lane     int
 	textHash uint64
 }
 
+func kindOf(i Item) statementKind {
+	return statementKind{i.Account, i.Priority, laneOf(i.Intent), i.TextHash}
+}
+
 // slotTimes estimates how long exchanges hold a slot, from those that finished.
 type slotTimes struct {
 	kinds   map[statementKind]time.Duration
@@ -53,7 +58,7 @@
 	} else {
 		h.baseline[l] += (took - h.baseline[l]) / baselineRiseDivisor
 	}
-	k := statementKind{i.Account, laneOf(i.Intent), i.TextHash}
+	k := kindOf(i)
 	h.kinds[k] = movingAverage(h.kinds[k], took)
 }
 
@@ -66,7 +71,7 @@
 
 // estimate returns the expected slot time of i.
 func (h *slotTimes) estimate(i Item) time.Duration {
-	if d, ok := h.kinds[statementKind{i.Account, laneOf(i.Intent), i.TextHash}]; ok {
+	if d, ok := h.kinds[kindOf(i)]; ok {
 		return d
 	}
 	if h.average > 0 {
@@ -78,6 +83,6 @@
 // isLong reports whether i is expected to hold its slot for much longer than
 // others. Work of an unknown kind counts as short until it has finished once.
 func (h *slotTimes) isLong(i Item, after time.Duration) bool {
-	d, ok := h.kinds[statementKind{i.Account, laneOf(i.Intent), i.TextHash}]
+	d, ok := h.kinds[kindOf(i)]
 	return ok && d >= after && d >= longFactor*h.baseline[laneOf(i.Intent)]
 }
--- a/core/admit/next.go
+++ b/core/admit/next.go
@@ -12,24 +12,76 @@
 // item at once. It must not reserve them.
 //
 // Exchanges of open transactions go first: each holds a connection, and the end
-// of its transaction frees the connection for others. Then the account with the
-// lowest start tag goes whose first write or first read fits, so that a slow or
-// full instance holds up only what must run there.
+// of its transaction frees the connection for others. Then the most urgent class
+// goes of which an item fits, unless a less urgent one has earned its guaranteed
+// share. Within the class it is the account with the lowest start tag whose first
+// write or first read fits, so that a slow or full instance holds up only what
+// must run there.
 func (q *Queue) Next(now time.Time, fits func(Item) bool) (Item, bool) {
 	if i, ok := q.nextPinned(now, fits); ok {
 		return i, true
 	}
-	a, l := q.nextAccount(now, fits)
-	if a == nil {
-		return Item{}, false
+	for _, c := range q.classes {
+		if c == nil || c.waiting == 0 {
+			continue
+		}
+		s := q.nextInClass(now, c, fits)
+		if s.account == nil {
+			continue
+		}
+		if o := q.nextOutOfTurn(now, s, fits); o.account != nil {
+			return q.startNext(now, o, true), true
+		}
+		return q.startNext(now, s, false), true
+	}
+	return Item{}, false
+}
+
+// startable is an item that may start: the one at an index of an account's lane.
+type startable struct {
+	account  *account
+	lane, at int
+}
+
+// nextOutOfTurn returns an item of a less urgent class that starts before s, from
+// the credit that its class has in the lane.
+func (q *Queue) nextOutOfTurn(now time.Time, s startable, fits func(Item) bool) startable {
+	for _, c := range q.classes[s.account.class.priority+1:] {
+		if c == nil || c.backlog[s.lane] == 0 || c.credit[s.lane] <= 0 {
+			continue
+		}
+		o := q.nextInClass(now, c, func(i Item) bool {
+			return laneOf(i.Intent) == s.lane && c.affords(i, q.slotTimes.estimate(i)) && fits(i)
+		})
+		if o.account != nil {
+			return o
+		}
 	}
-	w := a.lanes[l][0]
-	a.lanes[l] = a.lanes[l][1:]
-	a.backlog[l] -= w.expected
-	q.virtualTime = max(q.virtualTime, a.startTag)
-	a.startTag += w.expected.Seconds() / a.weight
-	q.lastStart[l] = now
-	return q.start(a, w), true
+	return startable{}
+}
+
+// startNext starts an item. Less urgent classes that wait in its lane earn credit
+// by it.
+func (q *Queue) startNext(now time.Time, s startable, outOfTurn bool) Item {
+	c := s.account.class
+	w := c.start(s)
+	if outOfTurn {
+		c.credit[s.lane] -= w.expected
+	}
+	c.started[s.lane].add(now, w.expected)
+	for _, other := range q.classes[c.priority+1:] {
+		if other != nil {
+			other.earn(s.lane, w.expected)
+		}
+	}
+	q.lastStart[s.lane] = now
+	i := q.start(s.account, w)
+	if outOfTurn {
+		r := q.running[w.Key]
+		r.outOfTurn = true
+		q.running[w.Key] = r
+	}
+	return i
 }
 
 func (q *Queue) nextPinned(now time.Time, fits func(Item) bool) (Item, bool) {
@@ -38,28 +90,29 @@
 			continue
 		}
 		q.pinned = slices.Delete(q.pinned, n, n+1)
-		a := q.account(w.Item)
-		a.startTag = max(a.startTag, q.virtualTime) + w.expected.Seconds()/a.weight
+		q.pinnedBacklog[laneOf(w.Intent)] -= w.expected
+		c := q.class(w.Priority)
+		a := c.account(w.Item)
+		a.startTag = max(a.startTag, c.virtualTime) + w.expected.Seconds()/a.weight
 		return q.start(a, w), true
 	}
 	return Item{}, false
 }
 
-// nextAccount returns the account with the lowest start tag that has an item
-// which may start, and the lane of that item. Of two lanes, the one whose first
-// item has waited longer goes first.
-func (q *Queue) nextAccount(now time.Time, fits func(Item) bool) (*account, int) {
-	var best *account
-	var lane int
-	for _, a := range q.accounts {
-		if best != nil && !lessByTag(a, best) {
+// nextInClass returns the item of the account with the lowest start tag that has
+// one which may start. Of two lanes, the one whose first item has waited longer
+// goes first.
+func (q *Queue) nextInClass(now time.Time, c *class, fits func(Item) bool) startable {
+	var best startable
+	for _, a := range c.busy {
+		if best.account != nil && !lessByTag(a, best.account) {
 			continue
 		}
-		if l, ok := q.startableLane(now, a, fits); ok {
-			best, lane = a, l
+		if s := q.startableOf(now, a, fits); s.account != nil {
+			best = s
 		}
 	}
-	return best, lane
+	return best
 }
 
 // lessByTag orders accounts by start tag, and those with equal tags by name, so
@@ -71,28 +124,27 @@
 	return a.name < b.name
 }
 
-func (q *Queue) startableLane(now time.Time, a *account, fits func(Item) bool) (int, bool) {
+// startableOf returns the first item of a lane of a that may start, if any.
+func (q *Queue) startableOf(now time.Time, a *account, fits func(Item) bool) startable {
 	lanes := [2]int{laneWrite, laneRead}
 	if w, r := a.lanes[laneWrite], a.lanes[laneRead]; len(w) > 0 && len(r) > 0 && r[0].enqueuedAt.Before(w[0].enqueuedAt) {
 		lanes = [2]int{laneRead, laneWrite}
 	}
 	for _, l := range lanes {
-		if len(a.lanes[l]) == 0 {
-			continue
-		}
-		w := &a.lanes[l][0]
-		if expired(now, w.Item) {
+		n := a.firstInTime(now, l)
+		if n < 0 {
 			continue
 		}
+		w := &a.lanes[l][n]
 		w.Long = q.slotTimes.isLong(w.Item, q.limits().LongAfter)
 		if w.Long && !q.mayStartLong(w.Intent) {
 			continue
 		}
 		if fits(w.Item) {
-			return l, true
+			return startable{a, l, n}
 		}
 	}
-	return 0, false
+	return startable{}
 }
 
 // mayStartLong reports whether one more long item leaves a slot for short work.
@@ -119,6 +171,9 @@
 	if w.Long {
 		q.countLong(w.Item, 1)
 	}
+	if q.running == nil {
+		q.running = map[uint64]runningItem{}
+	}
 	q.running[w.Key] = runningItem{account: a, item: w.Item, expected: w.expected}
 	return w.Item
 }
@@ -145,13 +200,16 @@
 	q.runningInLane[laneOf(s.item.Intent)]--
 	q.runningTime[laneOf(s.item.Intent)] -= s.expected
 	s.account.startTag += (took - s.expected).Seconds() / s.account.weight
+	if s.outOfTurn {
+		s.account.class.credit[laneOf(s.item.Intent)] -= took - s.expected
+	}
 	if s.item.Long {
 		q.countLong(s.item, -1)
 	}
 	if took > 0 {
 		q.slotTimes.add(s.item, took)
 	}
-	q.dropIdle(s.account)
+	s.account.class.dropIdle(s.account)
 }
 
 // Remove removes a waiting item whose caller has disconnected or cancels. It
@@ -167,9 +225,9 @@
 // that comes too late.
 func (q *Queue) Expire(now time.Time) []Expired {
 	expired := q.remove(func(w waitingItem) bool { return missesDeadline(now, w.required, w.Deadline) })
-	q.refused += len(expired)
 	out := make([]Expired, len(expired))
 	for n, w := range expired {
+		q.refused[w.Priority]++
 		l := laneOf(w.Intent)
 		after := q.backlog[l] / time.Duration(q.slots(l))
 		out[n] = Expired{Item: w.Item, Refusal: refusal("the deadline can't be met", after)}
@@ -187,15 +245,23 @@
 func (q *Queue) remove(match func(waitingItem) bool) []waitingItem {
 	var removed []waitingItem
 	q.pinned, removed = extract(q.pinned, match, removed)
-	for _, a := range q.accounts {
-		before := len(removed)
-		for l := range a.lanes {
-			a.lanes[l], removed = extract(a.lanes[l], match, removed)
+	for _, w := range removed {
+		q.pinnedBacklog[laneOf(w.Intent)] -= w.expected
+	}
+	for _, c := range q.classes {
+		if c == nil {
+			continue
 		}
-		for _, w := range removed[before:] {
-			a.backlog[laneOf(w.Intent)] -= w.expected
+		for _, a := range c.accounts {
+			before := len(removed)
+			for l := range a.lanes {
+				a.lanes[l], removed = extract(a.lanes[l], match, removed)
+			}
+			if len(removed) > before {
+				c.removed(a, removed[before:])
+			}
+			c.dropIdle(a)
 		}
-		q.dropIdle(a)
 	}
 	for _, w := range removed {
 		q.backlog[laneOf(w.Intent)] -= w.expected
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -2,8 +2,14 @@
 // exchanges wait, which start next and which are refused. A Queue is owned by
 // one goroutine and reads no clock.
 //
-// The order is start-time fair queueing over the client accounts: an account's
-// share of slot time follows its weight, whatever number of exchanges it sends.
+// The most urgent class goes first, and each less urgent one that waits is
+// guaranteed a small share of the slot time. Designed for more work than the
+// instances can do, of routes with different targets: without classes the route
+// with the shortest target is refused first, whatever its urgency.
+//
+// Within a class the order is start-time fair queueing over the client accounts:
+// an account's share of slot time follows its weight, whatever number of
+// exchanges it sends. Of one account's exchanges the earliest deadline goes first.
 package admit
 
 import (
@@ -66,74 +72,34 @@
 // waits.
 type EnqueueResult struct {
 	Refusal *failure.Refusal
+	// Displaced are the waiting items that had to leave for the new one. Their
+	// callers are to be answered that they have not been run.
+	Displaced []Expired
 }
 
 // Expired is an item that was removed from the queue because it can't be
-// finished in time. It has not been run.
+// finished in time, or because a more urgent one took its place. It has not been
+// run.
 type Expired struct {
 	Item    Item
 	Refusal *failure.Refusal
 }
 
-// waitingItem is an item in the queue, with its expected slot time.
-type waitingItem struct {
-	Item
-	enqueuedAt time.Time
-	expected   time.Duration
-	// required is the part of expected that is held against the deadline.
-	required time.Duration
-}
-
-// runningItem is an item that has a slot.
-type runningItem struct {
-	account  *account
-	item     Item
-	expected time.Duration
-}
-
-// account is the state of one client account.
-type account struct {
-	name   fleet.Account
-	weight float64
-	// lanes holds the waiting items by intent, so that a write that waits for
-	// the primary doesn't hold up the reads behind it.
-	lanes [2][]waitingItem
-	// startTag is the virtual time at which the account's next item starts.
-	startTag float64
-	// backlog is the expected slot time of the waiting items, by lane.
-	backlog [2]time.Duration
-	running int
-}
-
-const (
-	laneWrite = iota
-	laneRead
-)
-
-func laneOf(i exchange.Intent) int {
-	if i == exchange.IntentRead {
-		return laneRead
-	}
-	return laneWrite
-}
-
-func (a *account) len() int {
-	return len(a.lanes[laneWrite]) + len(a.lanes[laneRead])
-}
-
 // Queue holds the exchanges that wait for a slot of one group. The zero Queue
 // works with the default limits. It is not safe for concurrent use.
 type Queue struct {
 	Limits Limits
 
-	accounts  map[fleet.Account]*account
+	// classes holds the state of each priority that was ever used.
+	classes   [fleet.MaxPriority + 1]*class
 	pinned    []waitingItem
 	running   map[uint64]runningItem
 	slotTimes slotTimes
-	// virtualTime is the greatest start tag of the items started so far.
-	virtualTime float64
-	waiting     int
-	backlog     [2]time.Duration
+	seq       uint64
+	waiting   int
+	// backlog is the expected slot time of all waiting items by lane,
+	// pinnedBacklog the part of it that belongs to open transactions.
+	backlog, pinnedBacklog [2]time.Duration
 	// lastStart is when an item of a lane last started, or was added to an
 	// empty lane.
 	lastStart [2]time.Time
@@ -143,7 +109,7 @@
 	runningTime   [2]time.Duration
 	// long counts the running long items, longWrites the writes among them.
 	long, longWrites int
-	refused          int
+	refused          [fleet.MaxPriority + 1]int
 }
 
 // Enqueue adds i to the queue or refuses it.
@@ -153,48 +119,58 @@
 // item leaves no state behind, so the caller may retry after the time in the
 // refusal. An account with nothing waiting is accepted beyond the total, so
 // that many floods at once don't lock out an account that keeps within its
-// share. An exchange of an open transaction is always accepted: it holds a
-// connection that others wait for, and a caller has only one of them at a time.
+// share. In a full queue an item takes the place of a less urgent one. An
+// exchange of an open transaction is always accepted: it holds a connection that
+// others wait for, and a caller has only one of them at a time.
 func (q *Queue) Enqueue(now time.Time, i Item) EnqueueResult {
-	w := waitingItem{Item: i, enqueuedAt: now, expected: q.slotTimes.estimate(i)}
+	i.Priority = clampPriority(i.Priority)
+	q.seq++
+	w := waitingItem{Item: i, enqueuedAt: now, seq: q.seq, expected: q.slotTimes.estimate(i)}
 	w.required = requiredTime(now, w)
+	l := laneOf(i.Intent)
 	if i.Pinned {
 		q.pinned = append(q.pinned, w)
 		q.waiting++
-		q.backlog[laneOf(i.Intent)] += w.expected
+		q.backlog[l] += w.expected
+		q.pinnedBacklog[l] += w.expected
 		return EnqueueResult{}
 	}
-	a := q.account(i)
-	if r := q.checkLimits(now, a, w); r != nil {
-		q.refused++
-		q.dropIdle(a)
-		return EnqueueResult{Refusal: r}
+	c := q.class(i.Priority)
+	a := c.account(i)
+	if r := q.checkDeadline(now, a, w); r != nil {
+		return q.refuse(a, r)
+	}
+	displaced, r := q.makeRoom(now, a, i.Priority)
+	if r != nil {
+		return q.refuse(a, r)
 	}
 	if a.len() == 0 {
-		a.startTag = max(a.startTag, q.virtualTime)
+		a.startTag = max(a.startTag, c.virtualTime)
 	}
-	l := laneOf(i.Intent)
 	if q.backlog[l] == 0 {
 		q.lastStart[l] = now
 	}
-	a.lanes[l] = append(a.lanes[l], w)
-	a.backlog[l] += w.expected
+	c.add(a, w)
 	q.backlog[l] += w.expected
 	q.waiting++
-	return EnqueueResult{}
+	return EnqueueResult{Displaced: displaced}
 }
 
-// checkLimits returns why w can't wait, or nil.
-func (q *Queue) checkLimits(now time.Time, a *account, w waitingItem) *failure.Refusal {
-	wait := max(q.expectedWait(a, laneOf(w.Intent)), q.stalledFor(now, laneOf(w.Intent)))
-	switch {
-	case a.len() >= q.limits().PerAccount:
-		return refusal("the account's queue is full", wait)
-	case q.waiting >= q.limits().Total && a.len() > 0:
-		return refusal("the queue of the service is full", wait)
-	case q.waiting >= q.limits().Total+q.limits().PerAccount:
-		return refusal("the queue of the service is full", wait)
-	case missesDeadline(now, wait+wait/waitMarginDivisor+2*w.required, w.Deadline):
+func (q *Queue) refuse(a *account, r *failure.Refusal) EnqueueResult {
+	q.refused[a.class.priority]++
+	a.class.dropIdle(a)
+	return EnqueueResult{Refusal: r}
+}
+
+// clampPriority counts a priority out of range as the nearest one in range.
+func clampPriority(p fleet.Priority) fleet.Priority {
+	return min(max(p, 0), fleet.MaxPriority)
+}
+
+// checkDeadline returns why w can't be finished in time, or nil.
+func (q *Queue) checkDeadline(now time.Time, a *account, w waitingItem) *failure.Refusal {
+	wait := q.wait(now, a, laneOf(w.Intent))
+	if missesDeadline(now, wait+wait/waitMarginDivisor+2*w.required, w.Deadline) {
 		return refusal("the deadline can't be met", wait+2*w.required-w.Deadline.Sub(now))
 	}
 	return nil
@@ -218,32 +194,12 @@
 	}
 }
 
-// account returns the state of i's account, with its present weight.
-func (q *Queue) account(i Item) *account {
-	if q.accounts == nil {
-		q.accounts = map[fleet.Account]*account{}
-		q.running = map[uint64]runningItem{}
-	}
-	a := q.accounts[i.Account]
-	if a == nil {
-		a = &account{name: i.Account, startTag: q.virtualTime}
-		q.accounts[i.Account] = a
-	}
-	a.weight = i.Weight
-	if a.weight <= 0 {
-		a.weight = 1
-	}
-	return a
-}
-
-// dropIdle drops an account that has nothing waiting or running and whose start
-// tag isn't ahead, so that the map doesn't grow with every account ever seen.
-// An account whose tag is ahead stays, so that it is still charged for the slot
-// time that it has used.
-func (q *Queue) dropIdle(a *account) {
-	if a.len() == 0 && a.running == 0 && a.startTag <= q.virtualTime {
-		delete(q.accounts, a.name)
+// class returns the state of the class of p, which is within range.
+func (q *Queue) class(p fleet.Priority) *class {
+	if q.classes[p] == nil {
+		q.classes[p] = &class{priority: p, accounts: map[fleet.Account]*account{}}
 	}
+	return q.classes[p]
 }
 
 // limits returns the limits with the defaults filled in.
--- a/core/document/document.go
+++ b/core/document/document.go
@@ -84,7 +84,9 @@
 	// MaxSessions limits the account's open sessions on one host. Zero means that
 	// only the host's own limit applies.
 	MaxSessions int
-	Keys        []Key
+	// Priority is how urgent the account's requests are.
+	Priority fleet.Priority
+	Keys     []Key
 }
 
 // Key is the name and verifier of one of an account's keys. The key itself is not
--- a/core/document/document_test.go
+++ b/core/document/document_test.go
@@ -43,6 +43,25 @@
 	c.Assert(a.Keys, qt.HasLen, 2)
 }
 
+// A document states priorities, the most urgent one too, or leaves them out. Guards against an account
+// that becomes the most urgent since its section says nothing.
+func TestPriorityOfAnAccount(t *testing.T) {
+	c := qt.New(t)
+	for text, want := range map[string]fleet.Priority{
+		"priority = 0": 0, "priority = 9": fleet.MaxPriority, "": fleet.DefaultPriority,
+	} {
+		d, err := document.Parse([]byte(strings.Replace(sampleDocument(c), "priority = 1", text, 1)), 1)
+		c.Assert(err, qt.IsNil)
+		a, _ := d.Account("hotel")
+		c.Check(a.Priority, qt.Equals, want)
+		again, err := document.Parse(d.Format(), 1)
+		c.Assert(err, qt.IsNil)
+		c.Check(again, qt.DeepEquals, d)
+		b, _ := d.Account("bakery")
+		c.Check(b.Priority, qt.Equals, fleet.DefaultPriority)
+	}
+}
+
 func TestMistakesCarryTheirPlace(t *testing.T) {
 	c := qt.New(t)
 	text := sampleDocument(c)
@@ -60,6 +79,9 @@
 		{"rate = 200/s", "rate = NaN/s", `found "NaN/s", expected a rate above 0`},
 		{"rate = 200/s", "rates = 200/s", `rates: found an unknown key, expected one of rate,`},
 		{"burst = 400", "burst = 0", `burst: found "0", expected a whole number from 1`},
+		{"priority = 1", "priority = 10", `[account "hotel"] priority: found "10", expected a whole number from 0 to 9`},
+		{"priority = 1", "priority = -1", `priority: found "-1", expected a whole number from 0 to 9`},
+		{"priority = 1", "priority = high", `priority: found "high", expected a whole number from 0 to 9`},
 		{`[account "bakery"]`, `[account bakery]`, `[account bakery] found an unknown section, expected one of service`},
 		{`[account "bakery"]`, `[account "Bakery"]`, `found an unknown section`},
 		{`[account "bakery"]`, `[account "hotel"]`, `[account "hotel"] found it a second time, expected it once, at line`},
--- a/core/document/parse.go
+++ b/core/document/parse.go
@@ -141,6 +141,7 @@
 
 func parseAccount(s *inifile.Section, name string) Account {
 	a := Account{Name: fleet.Account(name), Rate: parseRate(s), MaxSessions: s.Int("max-sessions", 0, 0, maxSessions)}
+	a.Priority = fleet.Priority(s.Int("priority", int(fleet.DefaultPriority), 0, int(fleet.MaxPriority)))
 	a.Burst = float64(s.Int("burst", int(max(1, min(a.Rate, maxBurst))), 1, maxBurst))
 	for _, k := range s.Keys() {
 		n, ok := strings.CutPrefix(k, keyPrefix)
@@ -235,6 +236,10 @@
 	for _, a := range d.Accounts {
 		fmt.Fprintf(&b, "\n[account %q]\nrate = %s/s\nburst = %s\nmax-sessions = %d\n",
 			a.Name, formatNumber(a.Rate), formatNumber(a.Burst), a.MaxSessions)
+		if a.Priority != fleet.DefaultPriority {
+			// A host of an earlier build rejects the key.
+			fmt.Fprintf(&b, "priority = %d\n", a.Priority)
+		}
 		for _, k := range a.Keys {
 			fmt.Fprintf(&b, "%s%s = %s\n", keyPrefix, k.Name, k.Verifier)
 		}
--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -63,6 +63,8 @@
 	// stated none.
 	MaxAge   time.Duration
 	Deadline time.Time
+	// Priority orders the waiting exchanges of a holder.
+	Priority fleet.Priority
 	// Pin is the open transaction on Holder that this exchange belongs to.
 	Pin    Pin
 	Holder fleet.Host
--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -73,6 +73,8 @@
 	// them.
 	forwardedConns  map[uint64]*Conn
 	inboundSessions map[streamKey]*Session
+	// priorityLoggedAt is when a forwarded priority out of range was last logged.
+	priorityLoggedAt time.Time
 }
 
 // minDirectShare is the least number of connections per host, if those to an instance are shared
@@ -195,6 +197,7 @@
 		if c.op != nil {
 			now := i.g.r.now()
 			f.Timeout, f.QueueWait = c.op.deadline.Sub(now), max(c.op.waitDeadline().Sub(now), minForwardWait)
+			f.Priority = clampPriority(c.op.route.Priority)
 			f.Close = !c.op.s.tx.open
 			c.closesAfterReply = f.Close
 		}
@@ -290,6 +293,7 @@
 		reply(a)
 	}
 	s.route.Timeout, s.route.Target = f.Timeout, f.QueueWait/maxWaitTargets
+	s.route.Priority = r.forwardedPriority(f)
 	for n, q := range f.Statements {
 		last = n == len(f.Statements)-1
 		s.Query(q)
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -136,10 +136,11 @@
 	o.sent, o.conn, o.dialling = false, nil, nil
 	v := o.g.queue.Enqueue(now, admit.Item{
 		Key: o.key, Account: o.s.account, Weight: o.queueWeight(), Deadline: o.waitDeadline(),
-		Intent: o.intent(),
+		Intent: o.intent(), Priority: o.route.Priority,
 	})
+	o.g.refuseRemoved(v.Displaced)
 	if v.Refusal != nil {
-		o.refuse(statement.CodeBusy, v.Refusal.Message, v.Refusal.RetryAfter)
+		o.refuseBusy(v.Refusal)
 		return
 	}
 	o.g.waiting[o.key] = o
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -177,6 +177,7 @@
 		code = statement.CodeBusy
 	}
 	o.g.r.counters.Refused++
+	o.g.r.counters.RefusedByPriority[clampPriority(o.route.Priority)]++
 	o.s.lastRefused = true
 	o.logEvent(EventRefuse, "refuse", reason, code)
 	o.answerCaller(statement.Answer{Code: code, Detail: reason, RetryAfter: retryAfter})
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -88,14 +88,16 @@
 
 // Counters are totals since the start of the process, for metrics and the state dump.
 type Counters struct {
-	Statements     uint64 `json:"statements"`
-	Answered       uint64 `json:"answered"`
-	Refused        uint64 `json:"refused"`
-	Retried        uint64 `json:"retried"`
-	InDoubt        uint64 `json:"in-doubt"`
-	Connects       uint64 `json:"connects"`
-	OwnStatements  uint64 `json:"own-statements"`
-	StatusRequests uint64 `json:"asked"`
+	Statements uint64 `json:"statements"`
+	Answered   uint64 `json:"answered"`
+	Refused    uint64 `json:"refused"`
+	// RefusedByPriority counts the refused operations apart from those that are refused with their session.
+	RefusedByPriority RefusedByPriority `json:"refused-by-priority"`
+	Retried           uint64            `json:"retried"`
+	InDoubt           uint64            `json:"in-doubt"`
+	Connects          uint64            `json:"connects"`
+	OwnStatements     uint64            `json:"own-statements"`
+	StatusRequests    uint64            `json:"asked"`
 }
 
 // New returns a Relay without a catalog. It rejects all sessions until SetCatalog is called.
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -38,12 +38,14 @@
 	Term         fleet.Term     `json:"term"`
 	PrimaryKnown bool           `json:"settled"`
 	// UnavailableReason is why the primary can't serve, empty if it can.
-	UnavailableReason   string          `json:"unable,omitempty"`
-	Waiting             int             `json:"waiting"`
-	Running             int             `json:"running"`
-	PendingVerification int             `json:"unproven"`
-	SampleAge           time.Duration   `json:"sample-age"`
-	Instances           []InstanceState `json:"instances"`
+	UnavailableReason string `json:"unable,omitempty"`
+	Waiting           int    `json:"waiting"`
+	// WaitingByPriority are those of the waiting operations that no transaction's connection waits for.
+	WaitingByPriority   map[fleet.Priority]int `json:"waiting-by-priority,omitempty"`
+	Running             int                    `json:"running"`
+	PendingVerification int                    `json:"unproven"`
+	SampleAge           time.Duration          `json:"sample-age"`
+	Instances           []InstanceState        `json:"instances"`
 }
 
 // InstanceState is a snapshot of one instance. Holder is empty if this host uses its own connections.
@@ -86,7 +88,7 @@
 func (g *group) state(now time.Time) GroupState {
 	s := GroupState{
 		Service: g.name, UnavailableReason: g.unavailableReason(now), Waiting: len(g.waiting), Running: len(g.running),
-		PendingVerification: g.pendingAnswers.Len(),
+		PendingVerification: g.pendingAnswers.Len(), WaitingByPriority: g.queue.WaitingByPriority(),
 	}
 	s.Primary, s.Term, s.PrimaryKnown = g.primaryState.Primary()
 	if n, ok := g.samples.Newest(); ok {
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -55,13 +55,7 @@
 
 // expireWaiting refuses waiting operations that can no longer be served in time.
 func (g *group) expireWaiting(now time.Time) {
-	for _, x := range g.queue.Expire(now) {
-		o := g.waiting[x.Item.Key]
-		delete(g.waiting, x.Item.Key)
-		if o != nil {
-			o.refuse(statement.CodeBusy, x.Refusal.Message, x.Refusal.RetryAfter)
-		}
-	}
+	g.refuseRemoved(g.queue.Expire(now))
 	if g.unavailableReason(now) == "" {
 		g.primaryAvailableAt = now
 		return
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -51,6 +52,9 @@
 
 var sessionsDesc = prometheus.NewDesc("skylarkdeal_sessions", "Open sessions.", nil, nil)
 
+var refusedByPriorityDesc = prometheus.NewDesc("skylarkdeal_refused_by_priority_total",
+	"Statements refused, not run, by the priority of their route.", []string{"priority"}, nil)
+
 // counters are the relay's running totals.
 var counters = []struct {
 	desc *prometheus.Desc
@@ -79,6 +83,7 @@
 // Describe is called once, when the collector is registered.
 func (c collector) Describe(out chan<- *prometheus.Desc) {
 	out <- sessionsDesc
+	out <- refusedByPriorityDesc
 	for _, m := range counters {
 		out <- m.desc
 	}
@@ -88,6 +93,11 @@
 func (c collector) Collect(out chan<- prometheus.Metric) {
 	s := c.read()
 	out <- prometheus.MustNewConstMetric(sessionsDesc, prometheus.GaugeValue, float64(s.Sessions))
+	for p, n := range s.Counts.RefusedByPriority {
+		if n > 0 {
+			out <- prometheus.MustNewConstMetric(refusedByPriorityDesc, prometheus.CounterValue, float64(n), strconv.Itoa(p))
+		}
+	}
 	for _, m := range counters {
 		out <- prometheus.MustNewConstMetric(m.desc, prometheus.CounterValue, float64(m.read(s.Counts)))
 	}
--- a/internal/load/profile.go
+++ b/internal/load/profile.go
@@ -217,7 +217,8 @@
 			return nil, err
 		}
 		d.Accounts = append(d.Accounts, document.Account{Name: a.Name, Rate: a.Rate, Burst: a.Burst,
-			Keys: []document.Key{{Name: "load", Verifier: v}}})
+			Priority: fleet.DefaultPriority,
+			Keys:     []document.Key{{Name: "load", Verifier: v}}})
 	}
 	return d, nil
 }
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -50,8 +50,14 @@
 func (x *session) start(b *batch, flushed bool) {
 	s := x.srv
 	timeout := DefaultStatementTimeout
-	if d, ok := s.cfg.Documents(x.service); ok && d.StatementTimeout > 0 {
-		timeout = d.StatementTimeout
+	priority := fleet.DefaultPriority
+	if d, ok := s.cfg.Documents(x.service); ok {
+		if d.StatementTimeout > 0 {
+			timeout = d.StatementTimeout
+		}
+		if a, ok := d.Account(x.account); ok {
+			priority = a.Priority
+		}
 	}
 	if t := x.settings.timeout; t > 0 && t < timeout {
 		timeout = t
@@ -61,8 +67,8 @@
 		ID:      exchange.ID{Host: s.cfg.Host, Epoch: s.cfg.Epoch, Seq: s.seq.Add(1)},
 		Service: x.service, Account: x.account, Session: exchange.SessionID(x.id),
 		Intent: x.intent(b), MaxAge: x.settings.maxAge,
-		Deadline: r.began.Add(timeout),
-		Pin:      x.tx.pin, Holder: x.tx.holder,
+		Deadline: r.began.Add(timeout), Priority: priority,
+		Pin: x.tx.pin, Holder: x.tx.holder,
 		Statements: b.statements, Payload: b.payload,
 	}
 	if !x.token.IsZero() {
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -104,7 +104,7 @@
 	m := &forwardpb.Request{
 		Stream: f.Stream, Service: string(f.Service), Instance: string(f.Instance), Account: string(f.Account),
 		LeftMs: uint32(max(f.Timeout, 0).Milliseconds()), WaitMs: uint32(max(f.QueueWait, 0).Milliseconds()),
-		Close: f.Close, Open: f.Open,
+		Close: f.Close, Open: f.Open, Priority: proto.Uint32(uint32(max(f.Priority, 0))),
 	}
 	for _, q := range f.Statements {
 		m.Statements = append(m.Statements, &forwardpb.Statement{
@@ -121,7 +121,11 @@
 		Stream: m.GetStream(), Service: fleet.Service(m.GetService()), Instance: fleet.Instance(m.GetInstance()),
 		Account: fleet.Account(m.GetAccount()), Timeout: time.Duration(m.GetLeftMs()) * time.Millisecond,
 		QueueWait: time.Duration(m.GetWaitMs()) * time.Millisecond,
-		Open:      m.GetOpen(), Close: m.GetClose(),
+		Open:      m.GetOpen(), Close: m.GetClose(), Priority: fleet.DefaultPriority,
+	}
+	if m.Priority != nil {
+		// The relay checks the range, and logs what is out of it.
+		f.Priority = fleet.Priority(m.GetPriority())
 	}
 	for _, q := range m.GetStatements() {
 		f.Statements = append(f.Statements, statement.Statement{
--- a/io/forward/forward_test.go
+++ b/io/forward/forward_test.go
@@ -7,12 +7,14 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/relay"
 	"skylarkdeal/core/statement"
 	"skylarkdeal/io/forward"
+	"skylarkdeal/io/forward/forwardpb"
 )
 
 // received holds what a reader has decoded.
@@ -36,7 +38,7 @@
 
 func request() relay.Forward {
 	return relay.Forward{
-		Stream: 7, Service: "orders", Instance: "i-1", Account: "hotel", Open: true, Close: true,
+		Stream: 7, Service: "orders", Instance: "i-1", Account: "hotel", Open: true, Close: true, Priority: 3,
 		Timeout: 800 * time.Millisecond, QueueWait: 200 * time.Millisecond,
 		Statements: []statement.Statement{
 			{ID: "a", Kind: statement.KindSet, Name: "v0", Value: "x y"},
@@ -86,6 +88,25 @@
 	})
 }
 
+// Guards against a priority that is lost or made up on the way: the most urgent is zero, and a request
+// without one is of an earlier build. The relay checks the range.
+func TestPriorityOfARequest(t *testing.T) {
+	c := qt.New(t)
+	in, g := reader()
+	for n, p := range []fleet.Priority{0, 9, 77} {
+		f := request()
+		f.Priority = p
+		_, err := in.Decode(forward.AppendRequest(nil, f))
+		c.Assert(err, qt.IsNil)
+		c.Check(g.requests[n].Priority, qt.Equals, p)
+	}
+	earlier, err := proto.Marshal(&forwardpb.Frame{Kind: &forwardpb.Frame_Request{Request: &forwardpb.Request{Stream: 1}}})
+	c.Assert(err, qt.IsNil)
+	_, err = in.Decode(append(binary.BigEndian.AppendUint32(nil, uint32(len(earlier))), earlier...))
+	c.Assert(err, qt.IsNil)
+	c.Check(g.requests[3].Priority, qt.Equals, fleet.DefaultPriority)
+}
+
 // A peer sends a length that no frame has. The host must not buffer until all of it has arrived.
 func TestLongFrameIsRefused(t *testing.T) {
 	c := qt.New(t)
--- a/io/holder/dispatch.go
+++ b/io/holder/dispatch.go
@@ -17,11 +17,7 @@
 	if g.queue.Len() == 0 {
 		return
 	}
-	for _, r := range g.queue.Expire(g.now) {
-		if w := g.works[r.Item.Key]; w != nil {
-			g.drop(w, r.Refusal)
-		}
-	}
+	g.dropRemoved(g.queue.Expire(g.now))
 	t := g.monitor.Snapshot()
 	g.refuseAbsent(t)
 	g.refuseUnconnected(t)
--- a/io/holder/exchanges.go
+++ b/io/holder/exchanges.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
+	"skylarkdeal/core/admit"
 	"skylarkdeal/core/exchange"
 	"skylarkdeal/core/failure"
 	"skylarkdeal/core/fleet"
@@ -27,6 +30,7 @@
 			return
 		}
 	}
+	g.checkPriority(w)
 	g.key++
 	w.key = g.key
 	g.works[w.key] = w
@@ -38,6 +42,24 @@
 	g.enqueue(w)
 }
 
+// priorityLogInterval bounds the log of priorities that are out of range: a host of another build may send
+// one with each exchange.
+const priorityLogInterval = time.Second
+
+// checkPriority counts a priority out of range as the least urgent.
+func (g *groupRun) checkPriority(w *work) {
+	if w.q.Priority.Valid() {
+		return
+	}
+	if g.now.Sub(g.priorityLogged) >= priorityLogInterval {
+		g.priorityLogged = g.now
+		g.h.c.Logger.Warn("an exchange's priority is out of range and counts as the least urgent",
+			zap.String("service", string(g.service)), zap.String("host", string(w.q.ID.Host)),
+			zap.Int("priority", int(w.q.Priority)), zap.Int("greatest", int(fleet.MaxPriority)))
+	}
+	w.q.Priority = fleet.MaxPriority
+}
+
 // enqueue queues w, after a proof if its read needs one.
 func (g *groupRun) enqueue(w *work) {
 	if g.closing {
@@ -56,11 +78,22 @@
 	}
 	w.queued = g.now
 	v := g.queue.Enqueue(g.now, w.item(g.weight(w.q.Account)))
+	g.dropRemoved(v.Displaced)
 	if v.Refusal != nil {
 		g.drop(w, v.Refusal)
 	}
 }
 
+// dropRemoved refuses the exchanges that the queue has removed: they can't be finished in time, or more
+// urgent ones took their places.
+func (g *groupRun) dropRemoved(removed []admit.Expired) {
+	for _, r := range removed {
+		if w := g.works[r.Item.Key]; w != nil {
+			g.drop(w, r.Refusal)
+		}
+	}
+}
+
 func (g *groupRun) weight(a fleet.Account) float64 {
 	c, _ := g.document.Load().Account(a)
 	return max(c.Rate, 1)
--- a/io/holder/group.go
+++ b/io/holder/group.go
@@ -82,6 +82,8 @@
 	now    time.Time
 	// looked is when the attempts under way were last looked at.
 	looked time.Time
+	// priorityLogged is when a priority out of range was last logged.
+	priorityLogged time.Time
 	// closing is set once no exchange may start any more.
 	closing bool
 }
--- a/io/holder/work.go
+++ b/io/holder/work.go
@@ -60,6 +60,7 @@
 		Weight:   weight,
 		Deadline: w.q.Deadline,
 		Intent:   w.q.Intent,
+		Priority: w.q.Priority,
 		Pinned:   w.pin != nil,
 	}
 }
--- a/io/host/convert.go
+++ b/io/host/convert.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"skylarkdeal/core/exchange"
 	"skylarkdeal/core/failure"
 	"skylarkdeal/core/fleet"
@@ -28,6 +30,7 @@
 		Session: uint64(q.Session), Intent: string(q.Intent),
 		MaxAgeUs: uint64(max(0, q.MaxAge.Microseconds())),
 		Pin:      uint64(q.Pin), Payload: q.Payload,
+		Priority: proto.Uint32(uint32(max(q.Priority, 0))),
 	}
 	if !q.Deadline.IsZero() {
 		x.TimeoutUs = uint64(max(1, q.Deadline.Sub(now).Microseconds()))
@@ -48,6 +51,7 @@
 		Session: exchange.SessionID(x.GetSession()), Intent: exchange.Intent(x.GetIntent()),
 		MaxAge: time.Duration(x.GetMaxAgeUs()) * time.Microsecond,
 		Pin:    exchange.Pin(x.GetPin()), Payload: x.GetPayload(),
+		Priority: toPriority(x),
 	}
 	if t := x.GetTimeoutUs(); t > 0 {
 		q.Deadline = now.Add(time.Duration(t) * time.Microsecond)
@@ -65,6 +69,15 @@
 	return q
 }
 
+// toPriority reads the priority of an exchange: the default one from an earlier build. The holder checks the
+// range.
+func toPriority(x *hostpb.Exchange) fleet.Priority {
+	if x.Priority == nil {
+		return fleet.DefaultPriority
+	}
+	return fleet.Priority(x.GetPriority())
+}
+
 func fromResult(r exchange.Result, seq uint64) *hostpb.Done {
 	d := &hostpb.Done{
 		Seq: seq, Outcome: string(r.Outcome), Status: uint32(r.Status), Point: fromPoint(r.Position),
--- a/io/host/host_test.go
+++ b/io/host/host_test.go
@@ -102,7 +102,7 @@
 		p := dial(t, h, &host.Peers{Self: host.Self{Version: v}, Secret: "s"})
 		q := &exchange.Request{
 			ID: id(1), Service: "orders", Account: "hotel", Session: 9, Intent: exchange.IntentRead,
-			After: fleet.Some(fleet.LogPosition{Term: 2, Index: 5}), MaxAge: 5 * time.Second,
+			After: fleet.Some(fleet.LogPosition{Term: 2, Index: 5}), MaxAge: 5 * time.Second, Priority: 4,
 			Statements: []exchange.Statement{{Name: "s1", SQL: "get $1", Types: []uint32{25}}},
 			Payload:    []byte("payload"),
 		}
--- a/io/host/version_test.go
+++ b/io/host/version_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"skylarkdeal/core/exchange"
+	"skylarkdeal/core/fleet"
 	"skylarkdeal/io/host"
 	"skylarkdeal/io/host/hostpb"
 	"skylarkdeal/io/host/hostpb/hostpbconnect"
@@ -48,7 +49,9 @@
 	c.Assert(s.Send(unknown), qt.IsNil)
 	c.Assert(s.Send(&hostpb.ForwardRequest{Kind: &hostpb.ForwardRequest_Exchange{
 		Exchange: &hostpb.Exchange{Seq: 1, Service: "orders"}}}), qt.IsNil)
-	await(c, "exchange", runs).reply.Done(exchange.Result{Outcome: exchange.OutcomeDone})
+	got := await(c, "exchange", runs)
+	c.Check(got.q.Priority, qt.Equals, fleet.DefaultPriority, qt.Commentf("an earlier build states none"))
+	got.reply.Done(exchange.Result{Outcome: exchange.OutcomeDone})
 	m, err = s.Receive()
 	c.Assert(err, qt.IsNil)
 	c.Check(m.GetDone().GetOutcome(), qt.Equals, string(exchange.OutcomeDone))
