Refuse what can't be served when it comes, by class

Under 1.5 to 2 times the load that the slots can do, less urgent operations found out only by waiting that they couldn't be served: the expected wait took the waiting items for all that goes ahead, while accounts below their share and more urgent classes send more meanwhile. An account that had used more than its share was expected to wait no longer than the present backlog lasts. Reports, in turn, were refused although their guaranteed share had time for them.

The expected wait of an item now follows its start tag, up to the backlog over the time that its class leaves idle, and is never longer than by the guaranteed share. Behind more urgent classes the margin on deadlines is the wait itself.

--- a/core/admit/class.go
+++ b/core/admit/class.go
@@ -7,10 +7,13 @@
 	"skylarkdeal/core/fleet"
 )
 
-// guaranteedShareDivisor is the part of the slot time that a class is guaranteed
+// guaranteedShare is the part of the slot time that a class is guaranteed
 // while it waits: a tenth. Without it an overload of urgent work would stop all
 // other work, and a larger share would be taken from the urgent work.
-const guaranteedShareDivisor = 10
+const (
+	guaranteedShare        = 1.0 / guaranteedShareDivisor
+	guaranteedShareDivisor = 10
+)
 
 // maxCredit bounds how much slot time a class may start out of turn at once. A
 // class whose items couldn't start for a while, as in a failover, would else hold
@@ -25,6 +28,8 @@
 type class struct {
 	priority fleet.Priority
 	accounts map[fleet.Account]*account
+	// weights is the sum of the accounts' weights.
+	weights float64
 	// busy are the accounts that have waiting items, in no order.
 	busy []*account
 	// virtualTime is the greatest start tag of the items started so far.
@@ -46,10 +51,12 @@
 		a = &account{class: c, name: i.Account, startTag: c.virtualTime}
 		c.accounts[i.Account] = a
 	}
-	a.weight = i.Weight
-	if a.weight <= 0 {
-		a.weight = 1
+	w := i.Weight
+	if w <= 0 {
+		w = 1
 	}
+	c.weights += w - a.weight
+	a.weight = w
 	return a
 }
 
@@ -60,6 +67,11 @@
 func (c *class) dropIdle(a *account) {
 	if a.len() == 0 && a.running == 0 && a.startTag <= c.virtualTime {
 		delete(c.accounts, a.name)
+		c.weights -= a.weight
+	}
+	if len(c.accounts) == 0 {
+		// Sums of fractions leave a remainder.
+		c.weights = 0
 	}
 }
 
--- a/core/admit/next.go
+++ b/core/admit/next.go
@@ -103,9 +103,19 @@
 // one which may start. Of two lanes, the one whose first item has waited longer
 // goes first.
 func (q *Queue) nextInClass(now time.Time, c *class, fits func(Item) bool) startable {
-	var best startable
+	// Mostly the first account can start, and no other has to be looked at.
+	first := c.busy[0]
+	for _, a := range c.busy[1:] {
+		if lessByTag(a, first) {
+			first = a
+		}
+	}
+	best := q.startableOf(now, first, fits)
+	if best.account != nil {
+		return best
+	}
 	for _, a := range c.busy {
-		if best.account != nil && !lessByTag(a, best.account) {
+		if a == first || best.account != nil && !lessByTag(a, best.account) {
 			continue
 		}
 		if s := q.startableOf(now, a, fits); s.account != nil {
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -170,7 +170,7 @@
 // checkDeadline returns why w can't be finished in time, or nil.
 func (q *Queue) checkDeadline(now time.Time, a *account, w waitingItem) *failure.Refusal {
 	wait := q.wait(now, a, laneOf(w.Intent))
-	if missesDeadline(now, wait+wait/waitMarginDivisor+2*w.required, w.Deadline) {
+	if missesDeadline(now, wait+q.waitMargin(now, w, wait)+2*w.required, w.Deadline) {
 		return refusal("the deadline can't be met", wait+2*w.required-w.Deadline.Sub(now))
 	}
 	return nil
--- a/core/admit/wait.go
+++ b/core/admit/wait.go
@@ -27,6 +27,18 @@
 // the answers come too late, after slots were used for them.
 const waitMarginDivisor = 4
 
+// waitMargin returns what is added to the expected wait of w. Behind more urgent
+// classes it is the wait itself: what they will send until w starts varies too,
+// and an item for which the wait was too short finds out only by waiting.
+func (q *Queue) waitMargin(now time.Time, w waitingItem, wait time.Duration) time.Duration {
+	for _, c := range q.classes[:w.Priority] {
+		if c != nil && c.started[laneOf(w.Intent)].value(now) > 0 {
+			return wait
+		}
+	}
+	return wait / waitMarginDivisor
+}
+
 // ExpectedWait returns how long a new item of priority p is expected to wait
 // until it starts, if its account has nothing waiting: in the lane where that
 // takes longer.
@@ -43,54 +55,81 @@
 	return max(q.expectedWait(now, a.class.priority, a, l), q.stalledFor(now, l))
 }
 
-// expectedWait returns the slot time that is ahead of a new item of class p, as
-// the time until it has been run: that of more urgent classes and of its own. a
-// is nil for an account with nothing waiting.
+// expectedWait returns how long a new item of class p is expected to wait in a
+// lane: until the slot time of more urgent classes and what goes before it in its
+// own has been run, or until its class gets to it by its guaranteed share. a is
+// nil for an account with nothing waiting.
 func (q *Queue) expectedWait(now time.Time, p fleet.Priority, a *account, l int) time.Duration {
-	slots := time.Duration(q.slots(l))
-	ahead := q.timeToFreeSlot(l)
-	urgent := 0.0
-	for _, c := range q.classes[:p] {
-		if c != nil {
-			ahead += c.backlog[l] / slots
-			urgent += c.started[l].value(now)
+	slots := float64(q.slots(l))
+	urgent, left := q.leftBy(now, p, l)
+	wait := float64(urgent)
+	if c := q.classes[p]; c != nil {
+		own := float64(min(c.ahead(a, l), q.longestAhead(now, c, l, left)))
+		wait += own
+		if urgent > 0 {
+			// The same slot time in terms of the whole lane, to compare both ways.
+			byShare := (own + float64(max(q.slotTimes.average-c.credit[l], 0))) / guaranteedShare * left
+			wait = min(wait, byShare)
 		}
 	}
-	if c := q.classes[p]; c != nil {
-		ahead += min(c.ahead(a, l), c.backlog[l]+q.pinnedBacklog[l]) / slots
+	return time.Duration(wait/slots/left) + q.timeToFreeSlot(l)
+}
+
+// leftBy returns the slot time that waits in more urgent classes than p, and the
+// share of the lane's slots that other classes leave to p: the more urgent ones
+// are expected to start as much as lately, the less urgent ones that wait their
+// guaranteed share.
+func (q *Queue) leftBy(now time.Time, p fleet.Priority, l int) (urgent time.Duration, left float64) {
+	left = 1
+	for _, c := range q.classes {
+		switch {
+		case c == nil || c.priority == p:
+		case c.priority < p:
+			urgent += c.backlog[l]
+			left -= q.startedShare(now, c, l)
+		case c.backlog[l] > 0:
+			left -= guaranteedShare
+		}
 	}
-	return time.Duration(float64(ahead) / shareLeft(urgent, int(slots)))
+	return urgent, max(left, guaranteedShare)
 }
 
-// shareLeft returns the share of the slots that more urgent classes leave, of
-// which urgent seconds of slot time were started in shareWindow: it is expected
-// to stay so while an item waits. A class has at least its guaranteed share.
-func shareLeft(urgent float64, slots int) float64 {
-	return max(1-urgent/shareWindow.Seconds()/float64(slots), 1.0/guaranteedShareDivisor)
+// startedShare returns the share of a lane's slots that a class lately used.
+func (q *Queue) startedShare(now time.Time, c *class, l int) float64 {
+	return c.started[l].value(now) / shareWindow.Seconds() / float64(q.slots(l))
 }
 
-// ahead returns the slot time of the class that goes before a new item of a: the
-// account's own backlog at its fair share, and at least the items whose start
-// tags are lower.
+// longestAhead bounds the slot time that goes before a new item of c: the waiting
+// items, and those that come meanwhile and may go before it. The busier the class
+// keeps what is left to it, the more of these there are.
+func (q *Queue) longestAhead(now time.Time, c *class, l int, left float64) time.Duration {
+	idle := max(1-q.startedShare(now, c, l)/left, guaranteedShare)
+	return time.Duration(float64(c.backlog[l]+q.pinnedBacklog[l]) / idle)
+}
+
+// ahead returns the slot time of the class that goes before a new item of a: as
+// much as the class starts until its virtual time reaches the item's start tag,
+// and at least the waiting items whose start tags are lower.
 func (c *class) ahead(a *account, l int) time.Duration {
-	tag, own, weight := c.virtualTime, time.Duration(0), 1.0
+	tag, own := c.virtualTime, time.Duration(0)
 	if a != nil {
-		tag, own, weight = max(a.startTag, tag), a.backlog[l], a.weight
-		tag += (a.backlog[laneWrite] + a.backlog[laneRead]).Seconds() / weight
+		own = a.backlog[l]
+		tag = max(a.startTag, tag) + (a.backlog[laneWrite]+a.backlog[laneRead]).Seconds()/a.weight
 	}
-	weights, lower := weight, own
+	lower := own
 	for _, other := range c.busy {
 		if other == a || len(other.lanes[l]) == 0 {
 			continue
 		}
-		weights += other.weight
-		if d := time.Duration((tag - other.startTag) * other.weight * float64(time.Second)); d >= 0 {
+		if d := seconds((tag - other.startTag) * other.weight); d >= 0 {
 			lower += min(other.backlog[l], d+other.lanes[l][0].expected)
 		}
 	}
-	return max(time.Duration(float64(own)*weights/weight), lower)
+	return max(seconds((tag-c.virtualTime)*c.weights), lower)
 }
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // stalledFor returns for how long no item of a lane has started while some
 // waited. When nothing can start, as in a failover or without an available
 // connection, slot times tell nothing about the wait. The best estimate then is
