--- a/core/backpressure/backpressure.go
+++ b/core/backpressure/backpressure.go
@@ -45,7 +45,7 @@
 
 // Wait returns the expected wait of an operation of priority p.
 func (l Load) Wait(p fleet.Priority) time.Duration {
-	return l.waits[min(max(p, 0), fleet.MaxPriority)]
+	return l.waits[p.Clamp()]
 }
 
 // AppendMillis appends the waits in milliseconds. Classes after the last one have its wait; none are appended
--- a/core/connpool/connpool.go
+++ b/core/connpool/connpool.go
@@ -68,7 +68,7 @@
 func (p *Pool) Want(now time.Time, a fleet.Account, pr fleet.Priority) {
 	p.rescale(now)
 	r := p.Account(a)
-	urgency := math.Ldexp(1, -int(min(max(pr, 0), fleet.MaxPriority)))
+	urgency := math.Ldexp(1, -int(pr.Clamp()))
 	r.demand += urgency * p.scale(now)
 	if !r.lastAt.IsZero() {
 		gap := now.Sub(r.lastAt)
--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -27,7 +27,7 @@
 const kinds = 2 * (int(fleet.MaxPriority) + 1)
 
 func (k Kind) index() int {
-	n := 2 * int(min(max(k.Priority, 0), fleet.MaxPriority))
+	n := 2 * int(k.Priority.Clamp())
 	if k.Primary {
 		n++
 	}
--- a/core/relay/load.go
+++ b/core/relay/load.go
@@ -11,11 +11,6 @@
 // loadMaxAge is how long a computed load is sent to other hosts before it is computed anew.
 const loadMaxAge = 5 * time.Millisecond
 
-// queueWait returns the expected wait of a new operation of another host in the group's queue.
-func (g *group) queueWait(now time.Time, _ fleet.Priority) time.Duration {
-	return g.queue.ForwardedWait(now)
-}
-
 // Load returns the load of the queue of a service, for the answers to other hosts.
 func (r *Relay) Load(n fleet.Service) backpressure.Load {
 	g := r.groups[n]
@@ -25,7 +20,7 @@
 	now := r.now()
 	if now.Sub(g.loadAt) > loadMaxAge {
 		g.loadAt = now
-		g.load = backpressure.NewLoad(func(p fleet.Priority) time.Duration { return g.queueWait(now, p) })
+		g.load = backpressure.NewLoad(func(p fleet.Priority) time.Duration { return g.queue.ExpectedWait(now, p) })
 	}
 	return g.load
 }
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -186,6 +186,7 @@
 		code = statement.CodeBusy
 	}
 	o.g.r.counters.Refused++
+	o.g.r.counters.RefusedByPriority[o.route.Priority.Clamp()]++
 	o.s.lastRefused = true
 	o.logRefusal(reason, code, retryAfter)
 	o.answerCaller(statement.Answer{Code: code, Detail: reason, RetryAfter: retryAfter})
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -102,9 +102,11 @@
 	Statements uint64 `json:"statements"`
 	Answered   uint64 `json:"answered"`
 	Refused    uint64 `json:"refused"`
-	Retried    uint64 `json:"retried"`
-	InDoubt    uint64 `json:"in-doubt"`
-	Connects   uint64 `json:"connects"`
+	// RefusedByPriority counts the refused operations apart from those that are refused with their session.
+	RefusedByPriority RefusedByPriority `json:"refused-by-priority"`
+	Retried           uint64            `json:"retried"`
+	InDoubt           uint64            `json:"in-doubt"`
+	Connects          uint64            `json:"connects"`
 	// Evictions are idle connections that were closed in favour of another account.
 	Evictions uint64 `json:"evictions"`
 	// IdleRollbacks are transactions that were rolled back while operations waited for their connections.
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -38,10 +38,12 @@
 	Term         fleet.Term     `json:"term"`
 	PrimaryKnown bool           `json:"settled"`
 	// UnavailableReason is why the primary can't serve, empty if it can.
-	UnavailableReason   string `json:"unable,omitempty"`
-	Waiting             int    `json:"waiting"`
-	Running             int    `json:"running"`
-	PendingVerification int    `json:"unproven"`
+	UnavailableReason string `json:"unable,omitempty"`
+	Waiting           int    `json:"waiting"`
+	// WaitingByPriority are those of the waiting operations that no transaction's connection waits for.
+	WaitingByPriority   map[fleet.Priority]int `json:"waiting-by-priority,omitempty"`
+	Running             int                    `json:"running"`
+	PendingVerification int                    `json:"unproven"`
 	// RetriesLeft is what is left of the retry budget.
 	RetriesLeft float64 `json:"retries-left"`
 	// Reserved is for how long refused callers have been given the group's capacity.
@@ -97,7 +99,7 @@
 	s := GroupState{
 		Service: g.name, UnavailableReason: g.unavailableReason(now), Waiting: len(g.waiting), Running: len(g.running),
 		PendingVerification: g.pendingAnswers.Len(), Reserved: g.pacer.Reserved(now),
-		RetriesLeft: g.retryBudget.Left(),
+		RetriesLeft: g.retryBudget.Left(), WaitingByPriority: g.queue.WaitingByPriority(),
 	}
 	s.Primary, s.Term, s.PrimaryKnown = g.primaryState.Primary()
 	if n, ok := g.samples.Newest(); ok {
