Place operations away from instances that fail, and run owed reads again

Callers saw a failing replica tried for each read, and reads that a silent instance or holder owed answered at their deadline of up to 4 s: nothing recorded how statements ended, and a read was run again only after an answer or a lost connection.

Over another host only answers of the instance itself count, not refusals of that host's queue. An ejected instance is used if no other one can run the operation, or for a probe. core/relay/response.go runs a read again on another path after the response timeout, within the retry budget; writes and transactions never. Config.DetectOutliers enables both.

--- a/core/outlier/evaluate.go
+++ b/core/outlier/evaluate.go
@@ -53,7 +53,6 @@
 // The reasons for a return without three successful probes.
 const (
 	reasonUnprobed Reason = "no operation could probe it"
-	reasonUnusable Reason = "it is no longer usable"
 	reasonWorse    Reason = "another instance is worse, and the group can spare no more"
 	reasonReports  Reason = "by the reports of other hosts"
 )
@@ -82,7 +81,7 @@
 			m.Instance.end(now)
 			out = append(out, Decision{n, ChoiceReturn, r})
 		}
-		if m.Instance.ejected {
+		if m.Instance.ejected && m.Usable {
 			ejected++
 		}
 	}
@@ -108,8 +107,6 @@
 	switch i := m.Instance; {
 	case !i.ejected:
 		return ""
-	case !m.Usable:
-		return reasonUnusable
 	case !i.probing && now.Sub(i.probeAt) > unprobedFor:
 		return reasonUnprobed
 	default:
@@ -211,7 +208,7 @@
 func replaceable(ms []Member, q qualified) int {
 	best := -1
 	for n, m := range ms {
-		if m.Instance.ejected && m.Instance.rate+replaceMargin < q.rate &&
+		if m.Usable && m.Instance.ejected && m.Instance.rate+replaceMargin < q.rate &&
 			(best < 0 || m.Instance.rate < ms[best].Instance.rate) {
 			best = n
 		}
@@ -227,7 +224,9 @@
 	for n, m := range ms {
 		if m.Instance.ejected {
 			m.Instance.avoided = true
-			limit--
+			if m.Usable {
+				limit--
+			}
 			continue
 		}
 		if m.Usable && now.Before(m.Instance.adoptedUntil) {
--- a/core/outlier/reports.go
+++ b/core/outlier/reports.go
@@ -54,6 +54,12 @@
 	r.byHost[from] = report{dc, at, es}
 }
 
+// Has reports whether a host has reported ejections.
+func (r *Reports) Has(from fleet.Host) bool {
+	_, ok := r.byHost[from]
+	return ok
+}
+
 // Expire drops the reports that no longer count, and reports whether there are any left.
 func (r *Reports) Expire(now time.Time) bool {
 	for h, p := range r.byHost {
--- a/core/relay/conn.go
+++ b/core/relay/conn.go
@@ -232,6 +232,7 @@
 	if c.state == connDialling || len(c.pending) > 0 && !c.inst.heardRecently(r.now()) {
 		c.inst.addFailure(r.now(), reason)
 	}
+	c.recordReset()
 	c.handleClose(reason)
 	c.inst.disconnected = c.inst.disconnected || len(c.inst.conns) == 0
 }
--- a/core/relay/event.go
+++ b/core/relay/event.go
@@ -27,6 +27,8 @@
 	EventInstance EventKind = "instance"
 	// EventLeader is a change in what the host knows of a primary, or a step of a failover.
 	EventLeader EventKind = "leader"
+	// EventOutlier is a decision on an instance that responds but fails.
+	EventOutlier EventKind = "outlier"
 )
 
 // Event is one decision and its inputs, for the log. Fields that don't apply are zero.
@@ -53,6 +55,8 @@
 	RequiredPosition, InstancePosition, Received fleet.LogPosition
 	// Age is how old the input of the decision was.
 	Age time.Duration
+	// FailureRate is the share of failures for which an instance is ejected.
+	FailureRate float64
 	// Took is the time from the caller's statement to this event.
 	Took time.Duration
 }
--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -73,6 +73,8 @@
 	// them.
 	forwardedConns  map[uint64]*Conn
 	inboundSessions map[streamKey]*Session
+	// answeredAt is when each other host last answered.
+	answeredAt map[fleet.Host]time.Time
 }
 
 // minDirectShare is the least number of connections per host, if those to an instance are shared
@@ -214,6 +216,7 @@
 // HandleForwardAnswer handles another host's answer on a stream.
 func (r *Relay) HandleForwardAnswer(from fleet.Host, id uint64, a statement.Answer) {
 	c := r.forwarding.forwardedConns[id]
+	r.forwarding.answeredAt[from] = r.now()
 	if c == nil || c.via != from {
 		return
 	}
@@ -235,6 +238,7 @@
 // PeerLost handles the end of the link to another host. The outcome of what that host ran for this one
 // is unknown.
 func (r *Relay) PeerLost(h fleet.Host) {
+	delete(r.forwarding.answeredAt, h)
 	for _, c := range r.forwarding.forwardedConns {
 		if c.via == h {
 			c.handleClose("the host that held the connection can't be reached")
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -8,6 +8,7 @@
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/leader"
+	"skylarkdeal/core/place"
 	"skylarkdeal/core/staleness"
 	"skylarkdeal/core/statement"
 )
@@ -65,6 +66,9 @@
 	lists listHistory
 	// replicaReadAt is when a replica was last sought for a read.
 	replicaReadAt time.Time
+	outliers      outliers
+	// responseRetries limits the reads that are run again because no response came.
+	responseRetries place.RetryBudget
 }
 
 func newGroup(r *Relay, s fleet.Service) *group {
@@ -100,7 +104,11 @@
 				// Its last status precedes the change.
 				g.primaryState.AddRefusal(in.Name)
 			}
-			i = &instance{g: g, info: in, lastHeard: now, suspectedSince: now}
+			next := &instance{g: g, info: in, lastHeard: now, suspectedSince: now}
+			if i != nil {
+				next.outlier = i.outlier.Restarted()
+			}
+			i = next
 			g.instances[in.Name] = i
 			g.logInstance(i, "use", "it is listed")
 		}
--- a/core/relay/history_test.go
+++ b/core/relay/history_test.go
@@ -17,8 +17,12 @@
 
 // newConnectedWorld returns a world whose relay has a log position of the primary a and connections
 // to all instances. It prefers replica c to b, because c is nearer.
-func newConnectedWorld(c *qt.C) *world {
-	w := newWorld(c).withConfirmedPrimary()
+func newConnectedWorld(c *qt.C) *world { return newWorld(c).connected() }
+
+// connected makes the connections of newConnectedWorld.
+func (w *world) connected() *world {
+	c := w.c
+	w.withConfirmedPrimary()
 	w.open("rush", "key-1").do(statement.KindRead, "", "for the sample")
 	for _, busy := range []fleet.Instance{"a", "b", "c"} {
 		w.instances[busy].hold = true
--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -6,6 +6,7 @@
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/cold"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/outlier"
 	"skylarkdeal/core/statement"
 )
 
@@ -71,6 +72,8 @@
 	// is opened; reconnectedAt is when that was.
 	reconnectedAt time.Time
 	disconnected  bool
+	// outlier has the outcomes of its statements, and whether it is ejected because it fails.
+	outlier outlier.Instance
 }
 
 const (
@@ -168,15 +171,20 @@
 // blockHost records that another host can't reach the instance, and probes whether this host can.
 func (i *instance) blockHost(h fleet.Host) {
 	now := i.g.r.now()
-	if i.blockedHosts == nil {
-		i.blockedHosts = map[fleet.Host]time.Time{}
-	}
-	i.blockedHosts[h] = now.Add(blockedHostFor)
+	i.setBlocked(h, now.Add(blockedHostFor))
 	if now.Sub(i.lastHeard) > probeAfter && !i.leavesProbeToHolder(now) {
 		i.g.probe(now, i)
 	}
 }
 
+// setBlocked sets until when nothing for the instance is forwarded to a host.
+func (i *instance) setBlocked(h fleet.Host, until time.Time) {
+	if i.blockedHosts == nil {
+		i.blockedHosts = map[fleet.Host]time.Time{}
+	}
+	i.blockedHosts[h] = until
+}
+
 // usable reports whether new operations may go to the instance.
 func (i *instance) usable() bool { return !i.removed && !i.info.Leaving && !i.evacuated() }
 
--- a/core/relay/model_fault_test.go
+++ b/core/relay/model_fault_test.go
@@ -60,7 +60,8 @@
 func (m *model) newRelay(h fleet.Host, logEvent func(relay.Event)) *relay.Relay {
 	var r *relay.Relay
 	r = relay.New(relay.Config{
-		Host: h, DataCentre: "obihiro", Now: func() time.Time { return m.now },
+		DetectOutliers: true,
+		Host:           h, DataCentre: "obihiro", Now: func() time.Time { return m.now },
 		Dial:        func(c *relay.Conn) { m.dial(r, c) },
 		ParseStatus: parseStatus, RefreshRecords: m.readRecords, RequestPromotion: func(leader.PromotionRequest) {},
 		Admit:    func(catalog.Account) (time.Duration, bool) { return 0, true },
--- a/core/relay/node_test.go
+++ b/core/relay/node_test.go
@@ -42,6 +42,8 @@
 	started int64
 	// lagged counts the statements that required a log position which the log doesn't cover.
 	lagged int
+	// gotReads counts the reads that it has got, failed or not.
+	gotReads int
 	// dialled counts the connection attempts.
 	dialled int
 }
@@ -84,6 +86,9 @@
 // run handles a statement as an instance does, and returns the answer.
 func (n *node) run(l *link, q statement.Statement) statement.Answer {
 	var a statement.Answer
+	if q.Kind == statement.KindRead {
+		n.gotReads++
+	}
 	if n.busy && q.Kind != statement.KindStepDown && q.Kind != statement.KindRollback {
 		return n.answer(l, statement.Answer{Code: statement.CodeBusy})
 	}
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -9,6 +9,7 @@
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/staleness"
 	"skylarkdeal/core/statement"
+	"skylarkdeal/core/times"
 )
 
 // operation is one statement of a session, from its arrival to its answer.
@@ -44,6 +45,14 @@
 	requiredPosition fleet.Option[fleet.LogPosition]
 	// unverifiedAnswer is the answer whose verification is pending.
 	unverifiedAnswer *statement.Answer
+	// runningAtSent is how many statements this host had at the instance then, on its own connections.
+	runningAtSent int
+	// overdue is set once the expected time of its response has passed, runAgainAt when a former attempt was
+	// abandoned for that.
+	overdue    bool
+	runAgainAt time.Time
+	// probe is set while it is a probe of an ejected instance.
+	probe bool
 	// finished is set once the caller has its answer.
 	finished bool
 }
@@ -163,7 +172,7 @@
 	if o.route.Target <= 0 {
 		return o.deadline
 	}
-	until := o.startedAt.Add(maxWaitTargets * o.route.Target)
+	until := times.Later(o.startedAt, o.runAgainAt).Add(maxWaitTargets * o.route.Target)
 	if until.Before(o.deadline) {
 		return until
 	}
@@ -191,6 +200,7 @@
 	o.g.running[o.key] = o
 	o.conn = c
 	o.attempts++
+	o.beginProbe()
 	if s, ok := o.replicaRequirement(); ok && !c.inst.position.Covers(s.Position) {
 		c.inst.trialRead = o
 	}
@@ -292,6 +302,11 @@
 		q.After = o.requiredPosition
 	}
 	o.sent, o.sentAt = true, o.g.r.now()
+	o.overdue = false
+	if !o.everSent && !o.writes {
+		o.g.responseRetries.Earn()
+	}
+	o.runningAtSent = o.conn.inst.busyConns() - o.conn.inst.forwardedCount
 	o.logReadPlace()
 	o.everSent, o.s.tx.mayHaveRun = true, true
 	if o.s.tx.open {
@@ -325,6 +340,7 @@
 // which the transaction had begun is left to the transaction.
 func (o *operation) setupFailed(code statement.Code, state statement.TxState) {
 	c := o.conn
+	o.recordAnswer(o.g.r.now(), 0, statement.Answer{Code: code})
 	o.g.handleRefusal(c, code, o)
 	c.op = nil
 	if !o.txBegun() {
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -14,6 +14,7 @@
 	}
 	now := o.g.r.now()
 	took := now.Sub(o.sentAt)
+	o.recordAnswer(now, took, a)
 	o.releaseSlot(now, took)
 	c.op = nil
 	if a.Code == statement.CodeNone {
@@ -197,6 +198,7 @@
 	if c := o.conn; c != nil && c.inst.trialRead == o {
 		c.inst.trialRead = nil
 	}
+	o.abortProbe()
 	o.g.queue.Finished(now, o.key, latency)
 }
 
--- /dev/null
+++ b/core/relay/outlier_test.go
@@ -0,0 +1,236 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/outlier"
+	"skylarkdeal/core/relay"
+	"skylarkdeal/core/statement"
+)
+
+// newOutlierWorld returns a connected world that detects outliers if detect is set, and prefers replica c.
+func newOutlierWorld(c *qt.C, detect bool) *world {
+	enable := func(f *relay.Config) { f.DetectOutliers = detect }
+	return worldWith(c, relay.Peer{Host: "h1", DataCentre: "obihiro"}, time.Minute, enable).connected()
+}
+
+// readFor runs a read of one of two accounts every 10 ms, of which c fails two in five, and returns how many
+// c has got.
+func (w *world) readFor(d time.Duration) int {
+	n, before := 0, w.instances["c"].gotReads
+	for end := w.now.Add(d); w.now.Before(end); n++ {
+		w.instances["c"].fail = nil
+		if n%5 < 2 {
+			w.instances["c"].fail = []statement.Code{statement.CodeFailed}
+		}
+		x := w.open("stock", []catalog.Key{"key-1", "key-3"}[n%2])
+		x.do(statement.KindRead, "", "item")
+		w.advance(10*time.Millisecond, true)
+		w.c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+	}
+	w.instances["c"].fail = nil
+	return w.instances["c"].gotReads - before
+}
+
+// A replica fails two of five reads for five seconds. It is to get no more than probes, and the reads again
+// once it has recovered.
+func TestFailingReplicaGetsOnlyProbesUnderLoad(t *testing.T) {
+	c := qt.New(t)
+	w := newOutlierWorld(c, true)
+	w.readFor(time.Second)
+	got := w.readFor(4 * time.Second)
+	off := newOutlierWorld(c, false)
+	off.readFor(time.Second)
+	without := off.readFor(4 * time.Second)
+	t.Logf("the failing replica got %d of 400 reads, %d without detection", got, without)
+	c.Check(without > 200, qt.IsTrue)
+	c.Check(got < 20, qt.IsTrue)
+	for range 1000 {
+		w.open("stock", "key-1").do(statement.KindRead, "", "item")
+		w.advance(10*time.Millisecond, true)
+	}
+	c.Check(w.relay.Ejections(), qt.HasLen, 0)
+	before := w.instances["c"].gotReads
+	w.open("stock", "key-1").do(statement.KindRead, "", "item")
+	c.Check(w.instances["c"].gotReads, qt.Equals, before+1)
+}
+
+// Guards against an ejected instance that is the only one which could run an operation and gets nothing.
+func TestEjectedInstanceIsUsedIfNoOtherCanRunTheOperation(t *testing.T) {
+	c := qt.New(t)
+	w := newOutlierWorld(c, true)
+	w.readFor(300 * time.Millisecond)
+	c.Assert(w.relay.Ejections(), qt.HasLen, 1)
+	w.makeUnreachable("a")
+	w.makeUnreachable("b")
+	w.advance(time.Second, true)
+	x := w.open("stock", "key-1")
+	x.do(statement.KindRead, "", "item")
+	w.advance(50*time.Millisecond, true)
+	c.Check(x.last().Digest, qt.Equals, "d-c")
+}
+
+// Guards against a host that acts on the word of one other host elsewhere, or on an outdated one, and one
+// that goes on after the reports have ended.
+func TestReportedEjectionIsFollowed(t *testing.T) {
+	c := qt.New(t)
+	w := newOutlierWorld(c, true)
+	report := func(h fleet.Host, dc fleet.DataCentre) bool {
+		w.relay.AddEjections(h, dc, w.now, []outlier.Ejection{{Instance: "c", RatePercent: 40}})
+		w.advance(60*time.Millisecond, true)
+		before := w.instances["c"].gotReads
+		w.open("stock", "key-1").do(statement.KindRead, "", "item")
+		return w.instances["c"].gotReads == before
+	}
+	c.Check(report("h2", "sapporo"), qt.IsFalse)
+	c.Check(report("h3", "otaru"), qt.IsTrue)
+	w.advance(1100*time.Millisecond, true)
+	c.Check(report("h3", "otaru"), qt.IsFalse)
+	c.Check(report("h4", "obihiro"), qt.IsTrue)
+	c.Check(w.relay.Ejections(), qt.HasLen, 0)
+	w.relay.AddEjections("h4", "obihiro", w.now, nil)
+	w.relay.AddEjections("h3", "otaru", w.now, nil)
+	w.advance(60*time.Millisecond, true)
+	before := w.instances["c"].gotReads
+	w.open("stock", "key-1").do(statement.KindRead, "", "item")
+	c.Check(w.instances["c"].gotReads, qt.Equals, before+1)
+}
+
+// An instance hangs on one read, while its other connections respond. Guards against a read that waits for
+// its caller's deadline although another instance could run it, and against a late answer that reaches
+// the caller.
+func TestReadWithoutAResponseIsRunElsewhere(t *testing.T) {
+	c := qt.New(t)
+	w := newOutlierWorld(c, true)
+	r := w.instances["c"]
+	r.holdRequests = true
+	x := w.open("stock", "key-1")
+	x.do(statement.KindRead, "", "item")
+	c.Assert(r.inbox, qt.HasLen, 1)
+	hung := r.inbox[0]
+	r.holdRequests, r.inbox = false, nil
+	w.advance(250*time.Millisecond, true)
+	c.Assert(x.answers, qt.HasLen, 1)
+	c.Check(x.last().Code, qt.Equals, statement.CodeNone)
+	c.Check(x.last().Digest, qt.Not(qt.Equals), "d-c")
+	hung()
+	w.advance(100*time.Millisecond, true)
+	c.Check(x.answers, qt.HasLen, 1)
+	c.Check(w.relay.State().Counts.AbandonedReads, qt.Equals, uint64(1))
+}
+
+// Guards against a second run of a write, or of a statement in a transaction, that gets no response.
+func TestWritesAndTransactionsAreNotRunAgain(t *testing.T) {
+	c := qt.New(t)
+	for _, begin := range []bool{false, true} {
+		w := newOutlierWorld(c, true)
+		x := w.open("rush", "key-1")
+		if begin {
+			x = w.open("stock", "key-1")
+			x.do(statement.KindBeginRead, "", "")
+			x.do(statement.KindRead, "", "item")
+		}
+		for _, i := range w.instances {
+			i.holdRequests = true
+		}
+		kind := statement.KindWrite
+		if begin {
+			kind = statement.KindRead
+		}
+		answers := len(x.answers)
+		x.do(kind, "", "item data")
+		w.advance(300*time.Millisecond, true)
+		c.Check(w.relay.State().Counts.AbandonedReads, qt.Equals, uint64(0))
+		c.Check(x.answers, qt.HasLen, answers)
+	}
+}
+
+// The host that holds the connections falls silent. Guards against a read that it owes and that waits for
+// its caller's deadline, and against its late answer, which must reach nobody.
+func TestReadOwedByASilentHolderIsRunElsewhere(t *testing.T) {
+	c := qt.New(t)
+	w := newOutlierWorld(c, true)
+	w.relay.SetHostCount(12)
+	var sent []relay.Forward
+	var peers []relay.Peer
+	hosts := map[uint64]fleet.Host{}
+	for _, h := range []fleet.Host{"h2", "h3", "h4"} {
+		peers = append(peers, relay.Peer{Host: h, DataCentre: "obihiro", Send: func(f relay.Forward) {
+			if len(f.Statements) > 0 && f.Statements[0].Kind == statement.KindRead {
+				sent = append(sent, f)
+				hosts[f.Stream] = h
+			}
+		}})
+	}
+	w.relay.SetPeers(peers, 0)
+	x := w.open("rush", "key-1")
+	x.do(statement.KindRead, "", "item")
+	c.Assert(sent, qt.HasLen, 1)
+	w.advance(260*time.Millisecond, true)
+	first := sent[0]
+	c.Assert(len(sent) == 2 || len(x.answers) == 1, qt.IsTrue)
+	if len(sent) == 2 {
+		c.Check(hosts[sent[1].Stream], qt.Not(qt.Equals), hosts[first.Stream])
+		w.relay.HandleForwardAnswer(hosts[sent[1].Stream], sent[1].Stream, statement.Answer{Digest: "d-second"})
+		w.advance(50*time.Millisecond, true)
+	}
+	c.Assert(x.answers, qt.HasLen, 1)
+	c.Check(x.last().Code, qt.Equals, statement.CodeNone)
+	w.relay.HandleForwardAnswer(hosts[first.Stream], first.Stream, statement.Answer{Digest: "d-late"})
+	c.Check(x.answers, qt.HasLen, 1)
+	c.Check(x.last().Digest, qt.Not(qt.Equals), "d-late")
+}
+
+// The queue of the holder of an instance is full. Guards against its refusals counting as those of the
+// instance, which would eject the primary and promote another one under overload.
+func TestRefusalsOfAHolderDoNotEjectTheInstance(t *testing.T) {
+	c := qt.New(t)
+	for _, ofInstance := range []bool{false, true} {
+		w := newOutlierWorld(c, true)
+		w.relay.SetHostCount(12)
+		w.relay.SetPeers([]relay.Peer{{Host: "h2", DataCentre: "obihiro", Capacity: 9, Send: func(f relay.Forward) {
+			if len(f.Statements) == 0 || f.Statements[0].Kind == statement.KindStepDown {
+				return
+			}
+			a := statement.Answer{Code: statement.CodeFailed, State: statement.TxNone}
+			if ofInstance {
+				a.Position = fleet.Some(w.instances["a"].position)
+			}
+			w.instances["a"].pending = append(w.instances["a"].pending, func() {
+				w.relay.HandleForwardAnswer("h2", f.Stream, a)
+			})
+		}}}, 0)
+		for n := range 20 {
+			w.open("rush", []catalog.Key{"key-1", "key-3"}[n%2]).do(statement.KindWrite, "", "item data")
+			w.advance(10*time.Millisecond, true)
+		}
+		c.Check(len(w.relay.Ejections()) > 0, qt.Equals, ofInstance)
+	}
+}
+
+// Guards against the ejection of an instance whose connections break because the link to it is cut, and
+// against one that resets connections and stays in use.
+func TestOnlyResetsOfAReachableInstanceCount(t *testing.T) {
+	c := qt.New(t)
+	for _, cut := range []bool{false, true} {
+		w := newOutlierWorld(c, true)
+		r := w.instances["c"]
+		for n := range 10 {
+			r.holdRequests = true
+			w.open("stock", []catalog.Key{"key-1", "key-3"}[n%2]).do(statement.KindRead, "", "item")
+			if cut {
+				w.now = w.now.Add(150 * time.Millisecond)
+				w.renew()
+			}
+			r.inbox, r.holdRequests = nil, false
+			w.breakConns(r)
+			w.advance(20*time.Millisecond, true)
+		}
+		c.Check(len(w.relay.Ejections()) > 0, qt.Equals, !cut, qt.Commentf("cut: %v", cut))
+	}
+}
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -74,7 +74,7 @@
 	if o == nil {
 		return nil
 	}
-	if o.dialling != nil && o.dialling.state == connIdle && !g.canRun(now, o.dialling.inst, o) {
+	if o.dialling != nil && o.dialling.state == connIdle && !g.mayTake(now, o.dialling.inst, o) {
 		// The instance has turned out not to be one that may run it.
 		o.dialling = nil
 	}
@@ -84,7 +84,7 @@
 	}
 	var ready, dial path
 	for _, i := range g.instances {
-		if !g.canRun(now, i, o) {
+		if !g.mayTake(now, i, o) {
 			continue
 		}
 		w, ok := g.pathTo(now, i, o)
@@ -184,5 +184,8 @@
 		}
 	}
 	w.cost = est.Cost(o.route.Target)
+	if o.probes(now, i) {
+		w.cost = 0
+	}
 	return w, true
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -13,6 +13,7 @@
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/follow"
 	"skylarkdeal/core/leader"
+	"skylarkdeal/core/outlier"
 	"skylarkdeal/core/statement"
 )
 
@@ -47,6 +48,9 @@
 	ObserveLatency func(k catalog.Consistency, code statement.Code, took time.Duration)
 	// RequestTick requests the next tick soon, since something now waits for it. It may be nil.
 	RequestTick func()
+	// DetectOutliers enables the ejection of instances that respond but fail, and the response timeouts of
+	// reads.
+	DetectOutliers bool
 	// LogEvent receives each decision that is worth logging. It may be nil.
 	LogEvent func(e Event)
 }
@@ -84,6 +88,8 @@
 	// noNewerPromotionAt is when hosts of all data centres were last heard to know of no promotion that this
 	// host doesn't know.
 	noNewerPromotionAt time.Time
+	// ejections are the instances that other hosts eject.
+	ejections outlier.Reports
 }
 
 // Counters are totals since the start of the process, for metrics and the state dump.
@@ -96,6 +102,13 @@
 	Connects       uint64 `json:"connects"`
 	OwnStatements  uint64 `json:"own-statements"`
 	StatusRequests uint64 `json:"asked"`
+	// OutlierEjections, OutlierProbes, OutlierReturns and OutlierAdoptions count decisions on instances that
+	// fail; AbandonedReads the reads that were run again as no response had come.
+	OutlierEjections uint64 `json:"outlier-ejections"`
+	OutlierProbes    uint64 `json:"outlier-probes"`
+	OutlierReturns   uint64 `json:"outlier-returns"`
+	OutlierAdoptions uint64 `json:"outlier-adoptions"`
+	AbandonedReads   uint64 `json:"abandoned-reads"`
 }
 
 // New returns a Relay without a catalog. It rejects all sessions until SetCatalog is called.
@@ -108,6 +121,7 @@
 		hostCount: defaultHostCount,
 		forwarding: forwarding{
 			forwardedConns: map[uint64]*Conn{}, inboundSessions: map[streamKey]*Session{},
+			answeredAt: map[fleet.Host]time.Time{},
 		},
 	}
 }
@@ -149,6 +163,7 @@
 		Term: rec.Term,
 	})
 	g.promotionKnownAt = r.now()
+	g.restartOutliers()
 	g.promotionNotBefore = r.lease.Until()
 	g.dispatch()
 }
--- /dev/null
+++ b/core/relay/response.go
@@ -0,0 +1,112 @@
+package relay
+
+import (
+	"time"
+
+	"skylarkdeal/core/outlier"
+	"skylarkdeal/core/statement"
+)
+
+const (
+	// responseFactor is how many times an instance's usual latency a response may take.
+	responseFactor = 4
+	// minResponseTimeout is longer than most statements, so that a target of a few ms abandons none.
+	minResponseTimeout = 50 * time.Millisecond
+)
+
+// responseTimeout returns after how long without a response the operation counts as timed out, zero if that
+// can't be told.
+func (o *operation) responseTimeout() time.Duration {
+	i := o.conn.inst
+	target := max(o.route.Target, o.g.smallestTarget(i))
+	if target == 0 {
+		return 0
+	}
+	return max(target, responseFactor*i.avgLatency, minResponseTimeout)
+}
+
+// checkResponse handles an operation that has got no response in the expected time: it records that, and
+// runs a read again on another path.
+//
+// Designed for a host or an instance that stops to answer. A read that it owes would be answered at its
+// caller's deadline, although another instance could have run it meanwhile.
+func (o *operation) checkResponse(now time.Time) {
+	c := o.conn
+	if !o.g.r.cfg.DetectOutliers || c == nil || c.op != o || !o.sent {
+		return
+	}
+	timeout := o.responseTimeout()
+	if timeout == 0 || now.Sub(o.sentAt) < timeout {
+		return
+	}
+	if !o.overdue {
+		o.overdue = true
+		if o.respondedSince(c) {
+			o.recordOutcome(now, outlier.Outcome{Kind: outlier.TimedOut, Took: timeout})
+		}
+	}
+	if o.mayRunAgain(now) {
+		o.runAgain(now)
+	}
+}
+
+// respondedSince reports whether the instance, or the host that the operation was forwarded to, has answered
+// anything since the operation was sent. Otherwise the link to it may be cut, which is no fault of the
+// instance.
+func (o *operation) respondedSince(c *Conn) bool {
+	if c.via != "" {
+		return o.g.r.forwarding.answeredAt[c.via].After(o.sentAt)
+	}
+	return c.inst.lastHeard.After(o.sentAt)
+}
+
+// mayRunAgain reports whether the operation is a read outside of a transaction that another path can run
+// within the time left.
+func (o *operation) mayRunAgain(now time.Time) bool {
+	if o.writes || o.s.tx.open || o.s.boundInstance != "" || o.attempts >= maxAttempts || !now.Before(o.deadline) {
+		return false
+	}
+	i := o.conn.inst
+	return o.g.runsElsewhere(now, i, o) || o.reachedWithoutHolder(now, i)
+}
+
+// reachedWithoutHolder reports whether the host that the operation was forwarded to is silent, and another
+// one, or this host, can run it on the same instance.
+func (o *operation) reachedWithoutHolder(now time.Time, i *instance) bool {
+	via := o.conn.via
+	if via == "" || o.respondedSince(o.conn) {
+		return false
+	}
+	until, blocked := i.blockedHosts[via]
+	i.setBlocked(via, now.Add(blockedHostFor))
+	p, held := o.g.r.holder(i)
+	if blocked {
+		i.blockedHosts[via] = until
+	} else {
+		delete(i.blockedHosts, via)
+	}
+	if held {
+		return p.Send != nil
+	}
+	return !i.suspected(now)
+}
+
+// runAgain abandons the attempt that has got no response and queues the read again, if the retry budget has
+// room. The connection of the attempt is closed, so that a late response reaches nobody.
+func (o *operation) runAgain(now time.Time) {
+	if !o.g.responseRetries.Take() {
+		return
+	}
+	c, code := o.conn, statement.CodeTimeout
+	if c.via != "" && !o.respondedSince(c) {
+		// Another host can run the read on the same instance.
+		c.inst.setBlocked(c.via, now.Add(blockedHostFor))
+		code = statement.CodeUnreachable
+	}
+	o.g.r.counters.AbandonedReads++
+	o.logEvent(EventRetry, "run the read on another path", "no response in the expected time", statement.CodeTimeout)
+	c.op = nil
+	c.handleClose("no response in the expected time")
+	o.runAgainAt = now
+	o.retry(code)
+}
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -57,6 +57,11 @@
 	Connections int               `json:"connections"`
 	AvgLatency  time.Duration     `json:"work"`
 	SilentFor   time.Duration     `json:"silent"`
+	// Ejected is set while this host has ejected the instance, Avoided while it sends it nothing that
+	// another one can run, by its own decision or those of other hosts.
+	Ejected     bool    `json:"ejected,omitempty"`
+	Avoided     bool    `json:"avoided,omitempty"`
+	FailureRate float64 `json:"failure-rate,omitempty"`
 }
 
 // State returns a snapshot of the relay, with peers, groups and instances in the order of their names.
@@ -97,7 +102,8 @@
 		s.Instances = append(s.Instances, InstanceState{
 			Instance: i.info.Name, Position: i.position, Leaving: i.info.Leaving, Removed: i.removed,
 			Suspected: i.suspected(now), Holder: p.Host, Connections: len(i.conns), AvgLatency: i.avgLatency,
-			SilentFor: now.Sub(i.lastHeard),
+			SilentFor: now.Sub(i.lastHeard), Ejected: i.outlier.Ejected(), Avoided: i.outlier.Avoided(),
+			FailureRate: i.outlier.Rate(),
 		})
 	}
 	slices.SortFunc(s.Instances, func(a, b InstanceState) int { return cmp.Compare(a.Instance, b.Instance) })
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -38,6 +38,7 @@
 		g.closeOverdue(now)
 		g.probeSilent(now)
 	}
+	g.evaluateOutliers(now)
 	g.decidePromotion(now)
 	for _, i := range g.instances {
 		i.closeIdleConns(now)
@@ -102,6 +103,7 @@
 		}
 	}
 	for _, o := range g.running {
+		o.checkResponse(now)
 		if o.sent && now.After(o.deadline) {
 			o.timeOut()
 		}
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -71,8 +71,15 @@
 
 // worldOf returns the world of host h, whose relay started the time age ago.
 func worldOf(c *qt.C, h relay.Peer, age time.Duration, unlisted ...fleet.Instance) *world {
+	return worldWith(c, h, age, func(*relay.Config) {}, unlisted...)
+}
+
+// worldWith returns the world of host h with a changed configuration.
+func worldWith(
+	c *qt.C, h relay.Peer, age time.Duration, change func(f *relay.Config), unlisted ...fleet.Instance,
+) *world {
 	w := &world{c: c, now: time.Unix(1000, 0).Add(-age), instances: map[fleet.Instance]*node{}}
-	w.relay = relay.New(relay.Config{
+	f := relay.Config{
 		Host: h.Host, DataCentre: h.DataCentre, Capacity: h.Capacity,
 		Regions: map[fleet.DataCentre]fleet.Region{"obihiro": "hokkaido", "sapporo": "honshu"},
 		Now:     func() time.Time { return w.now },
@@ -90,7 +97,9 @@
 		RefreshRecords:   func() { w.refreshed++ },
 		RequestPromotion: func(o leader.PromotionRequest) { w.promotionRequests = append(w.promotionRequests, o) },
 		LogEvent:         func(e relay.Event) { w.events = append(w.events, e) },
-	})
+	}
+	change(&f)
+	w.relay = relay.New(f)
 	for n, name := range []fleet.Instance{"a", "b", "c"} {
 		i := &node{name: name, role: fleet.RoleReplica, term: 1, position: fleet.LogPosition{Term: 1, Index: 5}}
 		if n == 0 {
