Tell other hosts of ejections, and enable them by a setting

A host that sees few of an instance's statements didn't learn from the others that it fails, and went on to send it operations.

Report.ejected carries a host's own ejections; nothing is sent while there are none, and a change is reported at once.

Measured: go test -race passes on io/gossip, core/settings and internal/entry.

--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -114,6 +114,8 @@
 	EvacuationTimeout time.Duration
 	// ColdLimit limits how far the fleet may exceed the rate that a cold instance can carry.
 	ColdLimit cold.Limit
+	// OutlierDetection enables the ejection of instances that respond but fail.
+	OutlierDetection bool
 }
 
 // Level is the severity of a log line.
@@ -291,6 +293,7 @@
 		Overshoot: s.Float("cold-overshoot", DefaultColdOvershoot, 0, maxColdOvershoot),
 		Slack:     s.Int("cold-slack", DefaultColdSlack, 0, maxColdSlack),
 	}
+	a.OutlierDetection = s.Bool("outlier-detection", false)
 	if a.Kind == AdapterPlatform || s.Has("balancer") {
 		a.BalancerAddress = s.Address("balancer")
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -113,6 +113,7 @@
 		Regions:           s.Regions,
 		EvacuationTimeout: s.Adapter.EvacuationTimeout,
 		Cold:              s.Adapter.ColdLimit,
+		DetectOutliers:    s.Adapter.OutlierDetection,
 		Now:               clock.Now,
 		Dial:              h.dial,
 		ParseStatus:       platform.ParseStatus,
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -30,6 +30,7 @@
 	relay.EventSession:  30,
 	relay.EventInstance: 30,
 	relay.EventLeader:   60,
+	relay.EventOutlier:  40,
 	eventCatalog:        20,
 }
 
@@ -85,6 +86,9 @@
 	if n.Age > 0 && n.Age < maxAge {
 		f = append(f, zap.Duration("age", n.Age))
 	}
+	if n.FailureRate > 0 {
+		f = append(f, zap.Float64("failure-rate", n.FailureRate))
+	}
 	if n.Took != 0 {
 		f = append(f, zap.Duration("took", n.Took))
 	}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -70,6 +70,16 @@
 		func(c relay.Counters) uint64 { return c.OwnStatements }},
 	{counter("questions", "Questions to instances what they are."),
 		func(c relay.Counters) uint64 { return c.StatusRequests }},
+	{counter("outlier_ejections", "Ejections of instances that respond but fail."),
+		func(c relay.Counters) uint64 { return c.OutlierEjections }},
+	{counter("outlier_probes", "Statements sent to ejected instances to probe them."),
+		func(c relay.Counters) uint64 { return c.OutlierProbes }},
+	{counter("outlier_returns", "Ends of ejections."),
+		func(c relay.Counters) uint64 { return c.OutlierReturns }},
+	{counter("outlier_adoptions", "Ejections adopted from reports of other hosts."),
+		func(c relay.Counters) uint64 { return c.OutlierAdoptions }},
+	{counter("abandoned_reads", "Reads run again as no response came in the expected time."),
+		func(c relay.Counters) uint64 { return c.AbandonedReads }},
 }
 
 func counter(name, help string) *prometheus.Desc {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -37,6 +37,8 @@
 	// instances it named as such.
 	reported                               time.Time
 	reportedUnreachable, reportedReachable int
+	// reportedEjections counts the changes of ejections up to the last report.
+	reportedEjections uint64
 	// checked is when it was last checked whether a report is due.
 	checked time.Time
 	// catalog is the revision of the newest change of the catalog in force here,
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -27,8 +27,8 @@
 	catalogFresh = time.Second
 )
 
-// report sends a report to other hosts at intervals, and at once when an instance has become unreachable,
-// or the catalog or the role has changed.
+// report sends a report to other hosts at intervals, and at once when an instance has become unreachable or
+// its ejection has changed, or the catalog or the role has changed.
 func (h *Host) report() {
 	now := clock.Now()
 	if now.Sub(h.peers.checked) < checkEvery {
@@ -39,13 +39,15 @@
 	unreachable := h.relay.Unreachable()
 	reachable := h.relay.Reachable()
 	news := len(unreachable) > h.peers.reportedUnreachable || len(reachable) > h.peers.reportedReachable ||
-		h.peers.catalog != h.peers.reportedCatalog || h.peers.reportedRole != h.following.role
+		h.peers.reportedEjections != h.relay.EjectionChanges() || h.peers.catalog != h.peers.reportedCatalog ||
+		h.peers.reportedRole != h.following.role
 	early := now.Sub(h.peers.reported) < mesh.IntervalsFor(h.peers.size()).Report && !news
 	if early || len(h.peers.addresses) == 0 {
 		return
 	}
 	h.peers.reported, h.peers.reportedCatalog, h.peers.reportedRole = now, h.peers.catalog, h.following.role
 	h.peers.reportedUnreachable, h.peers.reportedReachable = len(unreachable), len(reachable)
+	h.peers.reportedEjections = h.relay.EjectionChanges()
 	h.rank.Store(int64(h.peers.rank(h.settings.Host.Name, now)))
 	h.peers.seq++
 	complete := h.peers.seq%completeReportEvery == 1 || h.peers.seq <= completeFirstReports ||
@@ -62,7 +64,7 @@
 		CatalogRevision: h.catalogToReport(), CatalogAge: now.Sub(h.registry.CatalogReadAt()),
 		RecordRevision: h.relay.RecordRevision(),
 		Instances:      digest, InstancesAge: now.Sub(at), Sent: now,
-		Members: h.registry.MembersDigest(),
+		Members: h.registry.MembersDigest(), Ejected: h.relay.Ejections(),
 	}
 	if complete {
 		r.Address, r.DataCentre = h.settings.Peer.Address, h.settings.Host.DataCentre
@@ -158,7 +160,7 @@
 		k.extra = k.delay.Observe(r.Sent, now)
 	}
 	r.CatalogAge, r.InstancesAge = r.CatalogAge+k.extra, r.InstancesAge+k.extra
-	k.capacity, k.news = r.Capacity, len(r.Unreachable)+len(r.Reachable)
+	k.capacity, k.news = r.Capacity, len(r.Unreachable)+len(r.Reachable)+len(r.Ejected)
 	k.reads, k.record = r.IsReader, r.RecordRevision
 	k.heard, k.leaving, k.storeless, k.epoch, k.seq = now, r.Leaving, r.StoreUnreachable, r.Epoch, r.Seq
 	h.rates.AddReport(now, r.Host, r.Epoch, r.Seq, r.Usages)
@@ -167,6 +169,7 @@
 		is = append(is, d.Instance)
 	}
 	h.relay.AddReachability(r.Host, is, r.Reachable)
+	h.relay.AddEjections(r.Host, k.dataCentre, now.Add(-k.extra), r.Ejected)
 	if r.RecordRevision > h.relay.RecordRevision() {
 		h.registry.RefreshRecords()
 	}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -14,6 +14,7 @@
 
 	"skylarkdeal/core/failure"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/outlier"
 	"skylarkdeal/core/ratelimit"
 	"skylarkdeal/io/gossip/gossippb"
 )
@@ -53,6 +54,10 @@
 	InstancesAge time.Duration
 	// Members is the digest of which instances that list names, zero if the host doesn't tell.
 	Members uint64
+	// Ejected are the instances that get no work from the host because they fail. IgnoredEjections counts
+	// those of a received report that are out of range or too many.
+	Ejected          []outlier.Ejection
+	IgnoredEjections int
 	// Sent is when the host sent the report, by its own clock; zero if it doesn't tell.
 	Sent time.Time
 }
@@ -122,6 +127,12 @@
 			g.cfg.Logger.Warn("datagram dropped", zap.Error(err))
 			continue
 		}
+		for _, r := range rs {
+			if r.IgnoredEjections > 0 {
+				g.cfg.Logger.Warn("ejections ignored: out of range, or too many in a report",
+					zap.String("host", string(r.Host)), zap.Int("count", r.IgnoredEjections))
+			}
+		}
 		g.cfg.Received(rs, forwarded)
 	}
 }
@@ -161,7 +172,7 @@
 		Catalog: r.CatalogRevision, Record: r.RecordRevision, Address: r.Address,
 		DataCentre:   string(r.DataCentre),
 		CatalogAgeMs: toMillis(r.CatalogAge), Instances: r.Instances, InstancesAgeMs: toMillis(r.InstancesAge),
-		Members: r.Members,
+		Members: r.Members, Ejected: toEjections(r.Ejected),
 	}
 	if !r.Sent.IsZero() {
 		m.SentNs = r.Sent.UnixNano()
@@ -218,6 +229,7 @@
 		Instances:  m.GetInstances(), InstancesAge: time.Duration(m.GetInstancesAgeMs()) * time.Millisecond,
 		Members: m.GetMembers(),
 	}
+	r.Ejected, r.IgnoredEjections = fromEjections(m.GetEjected())
 	if at := m.GetSentNs(); at != 0 {
 		r.Sent = time.Unix(0, at)
 	}
--- a/io/gossip/gossip_test.go
+++ b/io/gossip/gossip_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/outlier"
 	"skylarkdeal/core/ratelimit"
 	"skylarkdeal/io/gossip"
 )
@@ -37,6 +38,7 @@
 		Unreachable: []gossip.UnreachableInstance{{Instance: "i-1", Silent: 400 * time.Millisecond}},
 		Reachable:   []fleet.Instance{"i-2"}, CatalogRevision: 7, RecordRevision: 8, CatalogAge: time.Second,
 		Instances: 1 << 63, InstancesAge: 2 * time.Second, Members: 1<<63 + 1, Sent: time.Unix(0, 12345),
+		Ejected: []outlier.Ejection{{Instance: "i-3", Left: 4 * time.Second, RatePercent: 40, Primary: true}},
 	}
 	address, err := net.ResolveUDPAddr("udp4", to)
 	c.Assert(err, qt.IsNil)
@@ -86,3 +88,28 @@
 		}
 	}
 }
+
+// Guards against ejections out of range, or too many, that are followed or end the report.
+func TestEjectionsOutOfRangeAreIgnored(t *testing.T) {
+	c := qt.New(t)
+	got := make(chan gossip.Report, 1)
+	_, to := start(c, func(rs []gossip.Report, _ bool) { got <- rs[0] })
+	from, _ := start(c, func([]gossip.Report, bool) {})
+	address, err := net.ResolveUDPAddr("udp4", to)
+	c.Assert(err, qt.IsNil)
+	r := gossip.Report{Host: "h1", Epoch: 1, Seq: 1, Ejected: []outlier.Ejection{
+		{Instance: ""}, {Instance: "late", Left: 5 * time.Second}, {Instance: "often", RatePercent: 101},
+	}}
+	for n := range 66 {
+		r.Ejected = append(r.Ejected, outlier.Ejection{Instance: fleet.Instance("i" + strconv.Itoa(n))})
+	}
+	from.Send(r, []*net.UDPAddr{address})
+	select {
+	case r := <-got:
+		c.Check(r.Ejected, qt.HasLen, 64)
+		c.Check(r.IgnoredEjections, qt.Equals, 5)
+		c.Check(r.Ejected[0].Instance, qt.Equals, fleet.Instance("i0"))
+	case <-time.After(5 * time.Second):
+		c.Fatal("nothing was heard")
+	}
+}
