Replace a primary that two hosts eject

A primary that failed a part of its statements stayed the primary as long as its health check passed.

--- a/core/leader/decide.go
+++ b/core/leader/decide.go
@@ -27,6 +27,11 @@
 	// can't reach it. UnreachableFor is how long at least one host has been unable to reach it.
 	UnreachableFrom, ReachableFrom int
 	UnreachableFor                 time.Duration
+	// EjectedFrom is the number of hosts that eject it because it responds but fails.
+	EjectedFrom int
+	// Behind is set unless its log is known to cover what the primary had some time ago. It matters only
+	// where the primary that is replaced still responds.
+	Behind bool
 	// Received is the end of the instance's log according to its last status report.
 	Received fleet.LogPosition
 }
@@ -38,6 +43,9 @@
 	// Since is the later of two times: when the last record became known, if there is one, and from
 	// when on the group has had no confirmed primary.
 	Since time.Time
+	// EjectionsNeeded is how many hosts have to eject the primary for it to be replaced, zero while it must
+	// not be replaced for that.
+	EjectionsNeeded int
 }
 
 // Reason is the reason for replacing a primary.
@@ -49,6 +57,7 @@
 	ReasonGone        Reason = "the primary has gone"
 	ReasonUnreachable Reason = "too few hosts can reach the primary"
 	ReasonNoPrimary   Reason = "no instance leads"
+	ReasonEjected     Reason = "the primary responds but fails"
 	// ReasonAlreadyPrimary changes only the record: no request is sent to the platform.
 	ReasonAlreadyPrimary Reason = "the instance led already"
 )
@@ -99,7 +108,7 @@
 	if !p.confirmed && p.former != "" {
 		req.Former = p.former
 	}
-	best, ok := p.promotionCandidate(status)
+	best, ok := p.promotionCandidate(status, reason)
 	if !ok {
 		return PromotionRequest{}, false
 	}
@@ -135,6 +144,8 @@
 			return ReasonLeaving, true
 		case inst.isUnreachable():
 			return ReasonUnreachable, true
+		case status.EjectionsNeeded > 0 && inst.EjectedFrom >= status.EjectionsNeeded:
+			return ReasonEjected, true
 		}
 		return "", false
 	}
@@ -155,12 +166,16 @@
 // acknowledged. So may that of a replica in an earlier term, as one that led and has returned. If no
 // primary was confirmed, an instance that is a primary is chosen last: the promotion of another may be
 // late and still take effect.
-func (p *PrimaryState) promotionCandidate(status GroupStatus) (InstanceInfo, bool) {
+//
+// In place of a primary that responds, only an instance is promoted that doesn't fail itself and has nearly
+// all of its log: the primary goes on until then, and what its successor lacks would be lost.
+func (p *PrimaryState) promotionCandidate(status GroupStatus, reason Reason) (InstanceInfo, bool) {
 	var best InstanceInfo
 	for _, inst := range status.Instances {
 		replaced := inst.IsPrimary && inst.Term < p.term
 		if inst.Gone || inst.Leaving || !inst.Reachable || inst.isUnreachable() || replaced ||
-			p.confirmed && inst.Name == p.primary {
+			p.confirmed && inst.Name == p.primary ||
+			reason == ReasonEjected && (inst.EjectedFrom > 0 || inst.Behind || inst.Term < p.term) {
 			continue
 		}
 		if best.Name == "" || inst.preferredTo(best) {
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -174,6 +174,18 @@
 		{"half of the hosts can't reach the primary", func(m map[fleet.Instance]*leader.InstanceInfo) {
 			m["a"].UnreachableFrom, m["a"].ReachableFrom, m["a"].UnreachableFor = 3, 3, time.Second
 		}, leader.ReasonUnreachable, "b"},
+		{"two hosts eject the primary", func(m map[fleet.Instance]*leader.InstanceInfo) {
+			m["a"].EjectedFrom = 2
+		}, leader.ReasonEjected, "b"},
+		{"one host ejects the primary", func(m map[fleet.Instance]*leader.InstanceInfo) {
+			m["a"].EjectedFrom = 1
+		}, "", ""},
+		{"a replica that is ejected must not replace an ejected primary", func(m map[fleet.Instance]*leader.InstanceInfo) {
+			m["a"].EjectedFrom, m["b"].EjectedFrom = 2, 1
+		}, leader.ReasonEjected, "c"},
+		{"the replicas lack what the ejected primary has", func(m map[fleet.Instance]*leader.InstanceInfo) {
+			m["a"].EjectedFrom, m["b"].Behind, m["c"].Behind = 2, true, true
+		}, "", ""},
 		{"the coordinator can't reach the primary, no host can", func(m map[fleet.Instance]*leader.InstanceInfo) {
 			m["a"].UnreachableFrom, m["a"].UnreachableFor = 1, time.Second
 		}, leader.ReasonUnreachable, "b"},
@@ -200,7 +212,9 @@
 		}, "", ""},
 	} {
 		p := confirmedPrimary()
-		req, ok := p.Decide(leader.GroupStatus{Now: start, Since: start, Instances: infos(t.change)})
+		req, ok := p.Decide(leader.GroupStatus{
+			Now: start, Since: start, Instances: infos(t.change), EjectionsNeeded: 2,
+		})
 		c.Check(ok, qt.Equals, t.primary != "", qt.Commentf("%s", t.name))
 		c.Check(req.Primary, qt.Equals, t.primary, qt.Commentf("%s", t.name))
 		if ok {
--- a/core/relay/coordination.go
+++ b/core/relay/coordination.go
@@ -177,6 +177,7 @@
 	}
 	if g.positionsAskedAt.IsZero() || now.Sub(g.positionsAskedAt) > positionRequestRetry {
 		g.positionsAskedAt = now
+		g.noteCatchUp(now)
 	}
 	for _, i := range g.instances {
 		if i.usable() && i.statusAt.Before(g.positionsAskedAt) && now.Sub(i.askedAt) >= statusRequestInterval {
@@ -198,6 +199,9 @@
 func (g *group) requestPromotion(now time.Time, o leader.PromotionRequest) {
 	g.promotionAcceptedAt = time.Time{}
 	g.nextPromotionAt = now.Add(promotionRequestPause)
+	if o.Reason == leader.ReasonEjected {
+		g.outliers.promotedAt = now
+	}
 	o.Service = g.name
 	g.r.logEvent(Event{
 		Kind: EventLeader, Service: g.name, Instance: o.Primary, Term: o.Term,
@@ -212,7 +216,7 @@
 
 // groupStatus returns the input of a decision on a promotion. It also updates suspectedSince of each instance.
 func (g *group) groupStatus(now time.Time) leader.GroupStatus {
-	s := leader.GroupStatus{Now: now, Since: g.unconfirmedSince}
+	s := leader.GroupStatus{Now: now, Since: g.unconfirmedSince, EjectionsNeeded: g.ejectionsNeeded(now)}
 	if g.primaryState.Record().Revision != 0 && g.promotionKnownAt.After(s.Since) {
 		s.Since = g.promotionKnownAt
 	}
@@ -222,6 +226,7 @@
 			Cold: i.isCold(now), OutsideRegion: g.outsideRegion(i),
 			Reachable: i.failures == 0 && !i.statusAt.Before(g.positionsAskedAt), Received: i.received,
 			IsPrimary: i.leads, Term: i.term, UnreachableFor: now.Sub(i.suspectedSince),
+			EjectedFrom: g.ejectedFrom(now, i), Behind: g.behind(i),
 		}
 		switch {
 		case i.suspected(now):
