--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -78,6 +78,8 @@
 	inboundSessions map[streamKey]*Session
 	// priorityLoggedAt is when a forwarded priority out of range was last logged.
 	priorityLoggedAt time.Time
+	// answeredAt is when each other host last answered.
+	answeredAt map[fleet.Host]time.Time
 }
 
 // minDirectShare is the least number of connections per host, if those to an instance are shared
@@ -232,6 +234,7 @@
 // HandleForwardAnswer handles another host's answer on a stream.
 func (r *Relay) HandleForwardAnswer(from fleet.Host, id uint64, a statement.Answer) {
 	c := r.forwarding.forwardedConns[id]
+	r.forwarding.answeredAt[from] = r.now()
 	if c == nil || c.via != from {
 		return
 	}
@@ -254,6 +257,7 @@
 // is unknown.
 func (r *Relay) PeerLost(h fleet.Host) {
 	r.forwarding.loads.Lost(h)
+	delete(r.forwarding.answeredAt, h)
 	for _, c := range r.forwarding.forwardedConns {
 		if c.via == h {
 			c.handleClose("the host that held the connection can't be reached")
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -75,6 +75,7 @@
 	lists listHistory
 	// replicaReadAt is when a replica was last sought for a read.
 	replicaReadAt time.Time
+	outliers      outliers
 }
 
 func newGroup(r *Relay, s fleet.Service) *group {
@@ -110,7 +111,11 @@
 				// Its last status precedes the change.
 				g.primaryState.AddRefusal(in.Name)
 			}
-			i = &instance{g: g, info: in, lastHeard: now, suspectedSince: now}
+			next := &instance{g: g, info: in, lastHeard: now, suspectedSince: now}
+			if i != nil {
+				next.outlier = i.outlier.Restarted()
+			}
+			i = next
 			g.instances[in.Name] = i
 			g.logInstance(i, "use", "it is listed")
 		}
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -17,6 +17,7 @@
 	if c.via == "" {
 		c.inst.adjustLimit(now, o, a.Code, took)
 	}
+	o.recordAnswer(now, took, a)
 	o.releaseSlot(now, took)
 	c.op = nil
 	if a.Code == statement.CodeNone {
@@ -207,6 +208,7 @@
 	if c := o.conn; c != nil && c.inst.trialRead == o {
 		c.inst.trialRead = nil
 	}
+	o.abortProbe()
 	o.g.queue.Finished(now, o.key, latency)
 }
 
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -69,6 +69,11 @@
 	SilentFor  time.Duration `json:"silent"`
 	// Limit is how many statements of the host's own connections it may have at a time, zero for no limit.
 	Limit int `json:"limit,omitempty"`
+	// Ejected is set while this host has ejected the instance, Avoided while it sends it nothing that
+	// another one can run, by its own decision or those of other hosts.
+	Ejected     bool    `json:"ejected,omitempty"`
+	Avoided     bool    `json:"avoided,omitempty"`
+	FailureRate float64 `json:"failure-rate,omitempty"`
 }
 
 // State returns a snapshot of the relay, with peers, groups and instances in the order of their names.
@@ -112,6 +117,8 @@
 			Suspected: i.suspected(now), Holder: p.Host, Connections: len(i.conns), AvgLatency: i.avgLatency,
 			SilentFor: now.Sub(i.lastHeard), IdleTransactions: i.idleTxs(), Limit: i.stateLimit(now),
 			HolderWait: g.holderWait(now, p.Host, fleet.DefaultPriority),
+			Ejected:    i.outlier.Ejected(), Avoided: i.outlier.Avoided(),
+			FailureRate: i.outlier.Rate(),
 		})
 	}
 	slices.SortFunc(s.Instances, func(a, b InstanceState) int { return cmp.Compare(a.Instance, b.Instance) })
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -117,6 +117,8 @@
 	// Overload turns on the control of overload between hosts: concurrency limits, load reports, spread
 	// retry times and retry budgets.
 	Overload bool
+	// OutlierDetection enables the ejection of instances that respond but fail.
+	OutlierDetection bool
 }
 
 // Level is the severity of a log line.
@@ -295,6 +297,7 @@
 		Slack:     s.Int("cold-slack", DefaultColdSlack, 0, maxColdSlack),
 	}
 	a.Overload = s.Bool("overload", false)
+	a.OutlierDetection = s.Bool("outlier-detection", false)
 	if a.Kind == AdapterPlatform || s.Has("balancer") {
 		a.BalancerAddress = s.Address("balancer")
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -117,6 +117,7 @@
 		PacedRetries:      s.Adapter.Overload,
 		RetryBudget:       s.Adapter.Overload,
 		Backpressure:      s.Adapter.Overload,
+		DetectOutliers:    s.Adapter.OutlierDetection,
 		Now:               clock.Now,
 		Dial:              h.dial,
 		ParseStatus:       platform.ParseStatus,
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -30,6 +30,7 @@
 	relay.EventSession:  30,
 	relay.EventInstance: 30,
 	relay.EventLeader:   60,
+	relay.EventOutlier:  40,
 	eventCatalog:        20,
 }
 
@@ -88,6 +89,9 @@
 	if n.RetryAfter != 0 {
 		f = append(f, zap.Duration("retry-after", n.RetryAfter))
 	}
+	if n.FailureRate > 0 {
+		f = append(f, zap.Float64("failure-rate", n.FailureRate))
+	}
 	if n.Took != 0 {
 		f = append(f, zap.Duration("took", n.Took))
 	}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -84,6 +84,16 @@
 		func(c relay.Counters) uint64 { return c.RetriesDenied }},
 	{counter("refused_before_hop", "Statements refused because of the load that a holder reports."),
 		func(c relay.Counters) uint64 { return c.RefusedBeforeHop }},
+	{counter("outlier_ejections", "Ejections of instances that respond but fail."),
+		func(c relay.Counters) uint64 { return c.OutlierEjections }},
+	{counter("outlier_probes", "Statements sent to ejected instances to probe them."),
+		func(c relay.Counters) uint64 { return c.OutlierProbes }},
+	{counter("outlier_returns", "Ends of ejections."),
+		func(c relay.Counters) uint64 { return c.OutlierReturns }},
+	{counter("outlier_adoptions", "Ejections adopted from reports of other hosts."),
+		func(c relay.Counters) uint64 { return c.OutlierAdoptions }},
+	{counter("abandoned_reads", "Reads run again as no response came in the expected time."),
+		func(c relay.Counters) uint64 { return c.AbandonedReads }},
 }
 
 func counter(name, help string) *prometheus.Desc {
