Let stand-in instances fail a part of their statements

An instance of the stand-in was well or gone, so that no soak showed callers before one that fails, sheds, hangs or is slow while its health check passes. FaultStatements has it do so to a share of its statements, of all hosts or of those of one data centre, until the fault is ended; what it announces and its answers to STATUS stay good. A statement that hangs takes no slot and runs at the end, so that late effects and answers show. The faults stand in a file of their own, with those that were there.

--- a/standin/machines/conn.go
+++ b/standin/machines/conn.go
@@ -102,6 +102,9 @@
 		return "ERR TOOMANY\r\n", false
 	}
 	c.info.Account = f[2]
+	if c.m.DataCentreOf != nil {
+		c.info.DataCentre = c.m.DataCentreOf(c.info)
+	}
 	if c.m.Heard != nil {
 		c.m.Heard(c.info, line)
 	}
@@ -121,10 +124,17 @@
 	if f[0] == "AFTER" {
 		after, f = f[1], f[2:]
 	}
+	work := c.m.Work
+	if takesSlot(f[0]) && f[0] != "STATUS" {
+		var refused string
+		if work, refused = c.suffer(id); refused != "" {
+			return c.fail(refused), true
+		}
+	}
 	if takesSlot(f[0]) {
 		select {
 		case c.i.slots <- struct{}{}:
-			time.Sleep(c.m.Work)
+			time.Sleep(work)
 			defer func() { <-c.i.slots }()
 		case <-time.After(slotWait):
 			return c.fail("BUSY"), true
--- a/standin/machines/machines.go
+++ b/standin/machines/machines.go
@@ -55,7 +55,9 @@
 	Remote   string
 	Instance string
 	Account  string
-	InTx     bool
+	// DataCentre is that of the host behind it, empty where DataCentreOf isn't set.
+	DataCentre string
+	InTx       bool
 }
 
 // Run is one read, write or commit that an instance has run.
@@ -112,6 +114,8 @@
 	DataCentres []string
 	// Address returns the address to announce for an instance; by default it is its own.
 	Address func(instance, own string) string
+	// DataCentreOf returns the data centre of the host behind a connection.
+	DataCentreOf func(c Conn) string
 
 	mu        sync.Mutex
 	groups    map[string]*group
@@ -151,9 +155,11 @@
 	applied   int
 	busyUntil time.Time
 	lose      int
-	born      int64
-	died      time.Time
-	said      string
+	// faults are those of its statements, the oldest first.
+	faults []*activeFault
+	born   int64
+	died   time.Time
+	said   string
 }
 
 // Start brings groups of three instances up. The first of each is its primary.
@@ -360,71 +366,6 @@
 // At returns where an instance listens.
 func (m *Machines) At(instance string) string { return m.instances[instance].address }
 
-// Kill ends an instance with all its connections.
-func (m *Machines) Kill(name string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	i := m.instances[name]
-	if i.dead {
-		return
-	}
-	i.dead, i.died = true, time.Now()
-	m.tell("killed " + name)
-	for c := range i.conns {
-		_ = c.Close()
-	}
-	i.conns = map[net.Conn]bool{}
-}
-
-// Restart brings an instance back with its log, as a replica if it was replaced.
-func (m *Machines) Restart(name string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	i := m.instances[name]
-	if !i.dead {
-		return
-	}
-	i.dead, i.draining, i.born = false, false, time.Now().UnixMilli()
-	if i.group.leader != i {
-		i.follow(i.group.leader)
-	}
-	m.tell("restarted " + name + " as " + i.role())
-	m.announce()
-}
-
-// SetDraining says that an instance is about to leave.
-func (m *Machines) SetDraining(name string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.instances[name].draining = true
-	m.tell("draining " + name)
-	m.announce()
-}
-
-// SetSplit cuts an instance off from the others of its group, or ends that.
-func (m *Machines) SetSplit(name string, split bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.instances[name].split = split
-	m.tell(fmt.Sprintf("split %s: %t", name, split))
-}
-
-// SetLag sets how much later than usual an instance applies what it has received.
-func (m *Machines) SetLag(name string, by time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.instances[name].lag = by
-	m.tell(fmt.Sprintf("lag of %s: %v", name, by))
-}
-
-// Lose has an instance run its next n statements and end their connections unanswered.
-func (m *Machines) Lose(name string, n int) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.instances[name].lose = n
-	m.tell("loses answers: " + name)
-}
-
 // due reports whether a planted fault concerns this statement.
 func (m *Machines) due(p Plant) bool {
 	if m.Plant != p {
