Let the soak play heavy load and judge it by route

Soaks had faults of hosts, links, instances and the store, and nothing that makes instances short of slots: a fleet that refuses its most urgent callers first, refuses late, or sends reads to an instance that fails them passed. Routes have priorities now. Seeds draw bursts of one route, an account over its rate, callers that rest in transactions, and instances that fail, shed, hang or are slow while their health check passes, for all hosts or one data centre; these take the places of kinds that stood twice or more in the list, so that all other draws of a seed stay as they were. Kept plans are as they were. SOAK_PLAN=load draws only the new ones.

Three promises are judged, where no other fault or its effects of 3 s disturb the group, and the start of the hosts counts as such a fault: PRIORITY (in windows of 2 s the most urgent route isn't served by more than 0.1 less than the least urgent one), PROMPT (nine of ten refusals for lack of capacity come within 50 ms) and READS (bounded reads are served while an instance is healthy). Planted cases that take seconds to show run side by side, which makes up for the time of the new ones.

--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -61,6 +61,8 @@
 	hosts    []*host
 	judge    *judge
 	luck     *rand.Rand
+	// rests is set if the caller rests in its transactions.
+	rests    bool
 	sessions int
 	queries  int
 }
@@ -129,6 +131,9 @@
 
 // operate carries out one operation; it reports false if the session can't go on.
 func (k *caller) operate(s *session) bool {
+	if k.rests {
+		return k.rest(s)
+	}
 	writes := s.database.kind != kindBounded
 	switch d := k.luck.IntN(10); {
 	case d < 2:
@@ -197,6 +202,9 @@
 	if _, err := fmt.Fprintf(s.conn, "QUERY %s %s\r\n", id, text); err == nil {
 		r = s.reply()
 	}
+	if k.judge.mishears != nil {
+		k.judge.mishears(s, text, &r)
+	}
 	k.judge.answered(id, r)
 	if r.code != "" {
 		return promised[r.code] && !a.tx && r.state == "I"
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,7 +26,7 @@
 	name                                       hostName
 	callers, peers, operators, balancer, store string
 	orders                                     string
-	settings, output                           string
+	settings, output, dataCentre               string
 	storeLink, ordersLink                      *link
 
 	mu   sync.Mutex
@@ -61,9 +62,11 @@
 	owners map[string]hostName
 	// operator writes the catalog.
 	operator operator
+	// extras counts the callers beside the usual ones.
+	extras atomic.Int64
 }
 
-var keys = map[string]string{"hotel": "key-of-hotel", "bakery": "key-of-bakery"}
+var keys = map[string]string{"hotel": "key-of-hotel", "bakery": "key-of-bakery", kiosk: "key-of-kiosk"}
 
 // dataCentres are those of a fleet, which lies in the first ones.
 var dataCentres = []string{"obihiro", "sapporo", "asahikawa"}
@@ -75,9 +78,11 @@
 	var out []database
 	for _, s := range services {
 		out = append(out,
-			database{name: s + "-rush", service: s, kind: kindPrimary},
-			database{name: s + "-view", service: s, kind: kindBounded, maxAge: 1500 * time.Millisecond},
-			database{name: s + "-own", service: s, kind: kindOwn, maxAge: 2500 * time.Millisecond})
+			database{name: urgentOf(s), service: s, kind: kindPrimary},
+			database{
+				name: patientOf(s), service: s, kind: kindBounded, maxAge: 1500 * time.Millisecond, priority: patientPriority,
+			},
+			database{name: ownOf(s), service: s, kind: kindOwn, maxAge: 2500 * time.Millisecond, priority: 1})
 	}
 	return out
 }
@@ -92,8 +97,8 @@
 		links: map[hostName]map[string]*link{}, owners: map[string]hostName{}, databases: databases(),
 	}
 	m.Heard, m.Ran, m.Committed, m.Ordered, m.Told = j.heard, j.ran, j.committed, j.ordered, j.tell
-	m.Address = f.front
-	j.excused, j.hostOf = f.excused, f.hostOf
+	m.Address, m.DataCentreOf = f.front, f.dataCentreBehind
+	j.excused, j.hostOf, j.instances = f.excused, f.hostOf, m.Instances
 	if spoil != nil {
 		spoil(m)
 	}
@@ -181,6 +186,18 @@
 	return f.owners[c.Remote]
 }
 
+// dataCentreBehind returns the data centre of the host behind a connection that an instance sees.
+func (f *fleet) dataCentreBehind(c machines.Conn) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range f.hosts {
+		if h.name == f.owners[c.Remote] {
+			return h.dataCentre
+		}
+	}
+	return ""
+}
+
 // excused reports whether the host behind a connection stood still or its link to the
 // instance was disturbed shortly before: a statement may then have been held up on its way.
 func (f *fleet) excused(c machines.Conn) bool {
@@ -246,7 +263,7 @@
 
 func (f *fleet) newHost(name hostName, dataCentre string) (*host, error) {
 	h := &host{
-		name: name, settings: filepath.Join(f.dir, string(name)+".ini"),
+		name: name, dataCentre: dataCentre, settings: filepath.Join(f.dir, string(name)+".ini"),
 		output: filepath.Join(f.dir, string(name)+".log"), storeLink: &link{}, ordersLink: &link{},
 	}
 	for _, a := range []*string{&h.callers, &h.peers, &h.operators, &h.balancer} {
--- a/test/soak/judge_test.go
+++ b/test/soak/judge_test.go
@@ -12,30 +12,6 @@
 	"skylarkdeal/standin/machines"
 )
 
-// promise names what a violation breaks.
-type promise string
-
-// The promises that are checked.
-const (
-	promiseStale   promise = "STALE"
-	promiseTwice   promise = "TWICE"
-	promiseOne     promise = "ONE"
-	promiseRefused promise = "NOT-RUN"
-	promiseAccount promise = "ACCOUNT"
-	promisePinned  promise = "PINNED"
-	promiseMixed   promise = "MIXED"
-	promiseUnasked promise = "UNASKED"
-	promiseServes  promise = "SERVES"
-	// promiseWithdrawn and promiseGiven are that a change is in force in time, promiseBack that no
-	// host returns to an older catalog.
-	promiseWithdrawn promise = "WITHDRAWN"
-	promiseGiven     promise = "GIVEN"
-	promiseBack      promise = "BACK"
-)
-
-// maxListed bounds the violations that are printed.
-const maxListed = 20
-
 // statementID is the id that a caller gives to a statement.
 type statementID string
 
@@ -55,6 +31,8 @@
 	kind          kind
 	// maxAge is how old a read may be.
 	maxAge time.Duration
+	// priority is that of the route, zero the most urgent.
+	priority int
 }
 
 // attempt is one operation of a caller: a statement or a transaction.
@@ -64,6 +42,8 @@
 	began time.Time
 	// tx is set for a transaction, commits once its commit was sent.
 	tx, commits bool
+	// rests is set if its caller may rest for so long that it is rolled back.
+	rests bool
 	// conn is the connection on which the transaction runs.
 	conn    uint64
 	entry   *machines.Entry
@@ -76,6 +56,7 @@
 type sent struct {
 	attempt *attempt
 	text    string
+	at      time.Time
 	runs    []machines.Run
 	commits int
 	// stale are the digests of its runs on logs that lack what it owes.
@@ -102,6 +83,10 @@
 	excused func(c machines.Conn) bool
 	// hostOf returns the host behind a connection.
 	hostOf func(c machines.Conn) hostName
+	// instances returns those of a group.
+	instances func(service string) []string
+	// mishears changes what a caller is answered, to show that a check finds it. It may be nil.
+	mishears func(s *session, text string, r *reply)
 
 	mu         sync.Mutex
 	log        *os.File
@@ -118,6 +103,7 @@
 	orders map[string]arrival
 	// seen are the newest versions known to be in force in each run of a host.
 	seen map[bootID]catalogVersion
+	load loadWatch
 }
 
 func newJudge(log *os.File, keys []string) *judge {
@@ -126,6 +112,7 @@
 		served: map[string]time.Time{}, counts: map[string]int{}, broken: map[promise]int{},
 		orders: map[string]arrival{}, seen: map[bootID]catalogVersion{},
 		excused: func(machines.Conn) bool { return false }, hostOf: func(machines.Conn) hostName { return "" },
+		instances: func(string) []string { return nil }, load: loadWatch{disturbances: map[string]*disturbance{}},
 	}
 }
 
@@ -158,7 +145,7 @@
 func (j *judge) send(a *attempt, id statementID, text string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.statements[id] = &sent{attempt: a, text: text}
+	j.statements[id] = &sent{attempt: a, text: text, at: time.Now()}
 	a.commits = a.commits || text == "COMMIT"
 	j.note("%s sends %s %s", a.session, id, text)
 }
@@ -327,6 +314,7 @@
 		j.counts["stale answers shown"]++
 		j.note("%s is shown a stale answer", s)
 	}
+	j.watch(q, a)
 	switch {
 	case promised[a.code]:
 		q.attempt.refused = a.code
@@ -340,20 +328,6 @@
 	}
 }
 
-// promised are the errors that say that nothing of an attempt is kept.
-var promised = map[string]bool{
-	"BUSY": true, "ABORTED": true, "LAGGING": true, "READONLY": true, "MISROUTED": true, "TOOMANY": true,
-}
-
-// forwarded reports whether only an instance can answer a statement.
-func forwarded(text string) bool {
-	switch word, _, _ := strings.Cut(text, " "); word {
-	case "READ", "WRITE", "EXECUTE", "COMMIT":
-		return true
-	}
-	return false
-}
-
 func (j *judge) succeeded(id statementID, q *sent, a reply) {
 	s := q.attempt.session
 	whole := slices.ContainsFunc(q.runs, func(r machines.Run) bool {
@@ -384,5 +358,11 @@
 func (j *judge) report() (map[promise]int, []string, map[string]int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return maps.Clone(j.broken), slices.Clone(j.violations[:min(len(j.violations), maxListed)]), maps.Clone(j.counts)
+	broken, counts := maps.Clone(j.broken), maps.Clone(j.counts)
+	violations := slices.Clone(j.violations[:min(len(j.violations), maxListed)])
+	if text := j.load.late(); text != "" {
+		broken[promisePrompt]++
+		violations = append(violations, string(promisePrompt)+": "+text)
+	}
+	return broken, violations, counts
 }
--- a/test/soak/operator_test.go
+++ b/test/soak/operator_test.go
@@ -50,6 +50,7 @@
 	catalogRoute struct {
 		Host, Kind, Service                        string
 		TimeoutMs, TargetLatencyMs, MaxStalenessMs int64
+		Priority                                   int
 	}
 	catalogService struct {
 		Name     string
@@ -126,6 +127,7 @@
 	c := catalogText{Version: v, Tenants: []catalogTenant{
 		{Name: "hotel", ApiKeys: []string{keys["hotel"]}, RatePerS: 5000, Burst: 5000},
 		{Name: "bakery", ApiKeys: []string{keys["bakery"]}, RatePerS: 5000, Burst: 5000},
+		{Name: kiosk, ApiKeys: []string{keys[kiosk]}, RatePerS: kioskRate, Burst: kioskRate},
 	}}
 	c.Limits.TxIdleMs = 3000
 	for _, s := range services {
@@ -134,7 +136,7 @@
 	for _, d := range o.databases {
 		c.Routes = append(c.Routes, catalogRoute{
 			Host: d.name, Kind: string(d.kind), TimeoutMs: 1500 + int64(v), TargetLatencyMs: 200, Service: d.service,
-			MaxStalenessMs: d.maxAge.Milliseconds(),
+			MaxStalenessMs: d.maxAge.Milliseconds(), Priority: d.priority,
 		})
 	}
 	for _, g := range gs {
@@ -144,7 +146,7 @@
 		}
 		c.Routes = append(c.Routes, catalogRoute{
 			Host: g.database, Kind: string(kindBounded), TimeoutMs: 1500, TargetLatencyMs: 200, Service: services[0],
-			MaxStalenessMs: probedAge.Milliseconds(),
+			MaxStalenessMs: probedAge.Milliseconds(), Priority: patientPriority,
 		})
 	}
 	b, err := json.Marshal(c)
--- a/test/soak/planted_test.go
+++ b/test/soak/planted_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,6 +31,7 @@
 // usurp has both groups led by another instance without an order, which the hosts can't know
 // of. Their primaries never hear of it.
 func usurp(f *fleet) {
+	f.judge.disturb(services...)
 	for _, s := range services {
 		f.machines.Promote(f.machines.Instances(s)[1])
 	}
@@ -37,6 +39,7 @@
 
 // killInstances ends all instances, so that nothing can be served.
 func killInstances(f *fleet) {
+	f.judge.disturb(services...)
 	for _, s := range services {
 		for _, i := range f.machines.Instances(s) {
 			f.machines.Kill(i)
@@ -67,6 +70,25 @@
 	f.operator.write(change{gives: true, withdraws: true})
 }
 
+// readsEndAs has one in so many single reads by routes of a priority end otherwise than they did.
+func readsEndAs(r reply, every int64, priority int, after time.Duration) func(*session, string, *reply) {
+	var n atomic.Int64
+	return func(s *session, text string, was *reply) {
+		single := strings.HasPrefix(text, "READ") && was.state == "I"
+		if !single || s.database.priority != priority || n.Add(1)%every != 0 {
+			return
+		}
+		time.Sleep(after)
+		*was = r
+	}
+}
+
+// timeOut ends reads that aren't served, and no refusals.
+var timeOut = reply{code: "TIMEOUT", state: "I"}
+
+// refused is a refusal for lack of capacity.
+var refused = reply{code: "BUSY", text: "not run: the deadline can't be met", state: "I"}
+
 // plantedUses is how often a withdrawn key has to be refused for all hosts to know of it.
 const plantedUses = 10
 
@@ -97,6 +119,11 @@
 	}
 }
 
+// slowToShow are the promises of which a breach takes seconds to show. Their cases run side by side.
+var slowToShow = []promise{
+	promiseWithdrawn, promiseBack, promiseGiven, promiseServes, promisePriority, promisePrompt, promiseReads,
+}
+
 // A check that can't fail shows nothing. Each promise is broken once in place of the product,
 // by what instances do or by what is recorded of them; the soak has to tell of just that.
 func TestPlantedFaultsAreFound(t *testing.T) {
@@ -128,8 +155,14 @@
 		{"a withdrawn key kept", promiseWithdrawn, soak{during: keepKey}},
 		{"a withdrawn key given back", promiseBack, soak{during: returnKey}},
 		{"a given key withheld", promiseGiven, soak{during: withholdKey}},
+		{"urgent callers not served", promisePriority, soak{mishears: readsEndAs(timeOut, 1, 0, 0)}},
+		{"late refusals", promisePrompt, soak{mishears: readsEndAs(refused, 3, patientPriority, 2*promptWithin)}},
+		{"healthy instances unused", promiseReads, soak{mishears: readsEndAs(timeOut, 1, patientPriority, 0)}},
 	} {
 		t.Run(strings.ReplaceAll(p.name, " ", "-"), func(t *testing.T) {
+			if slices.Contains(slowToShow, p.wants) {
+				t.Parallel()
+			}
 			c := qt.New(t)
 			s := p.soak
 			s.Seed, s.Hosts, s.Callers = 1, plantedHosts, plantedCallers
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -68,6 +68,8 @@
 	plant machines.Plant
 	// spoil has the records tampered with, to show that a check finds it.
 	spoil func(m *machines.Machines)
+	// mishears changes what callers are answered, to the same end.
+	mishears func(s *session, text string, r *reply)
 	// during is called once the callers are at work, in place of the plan.
 	during func(f *fleet)
 }
@@ -77,7 +79,8 @@
 	log, err := os.Create(filepath.Join(dir, "record.log"))
 	c.Assert(err, qt.IsNil)
 	defer func() { _ = log.Close() }()
-	j := newJudge(log, []string{keys["hotel"], keys["bakery"]})
+	j := newJudge(log, []string{keys["hotel"], keys["bakery"], keys[kiosk]})
+	j.mishears = s.mishears
 	m := &machines.Machines{
 		Store: machines.NewStore(), Plant: s.plant, Delay: replicaDelay, Work: work, DataCentres: dataCentres[:s.DataCentres],
 	}
@@ -85,6 +88,7 @@
 	f, err := startFleet(dir, program, s.Hosts, m, j, s.spoil)
 	defer f.close()
 	c.Assert(err, qt.IsNil)
+	j.disturb(everything)() // a host that has just started has no connections yet
 	ctx, stop := context.WithCancel(context.Background())
 	var working sync.WaitGroup
 	for n := range s.Callers {
@@ -242,6 +246,11 @@
 	return n
 }
 
+// plans are the ways to draw faults by what SOAK_PLAN says.
+var plans = map[string]func(seed uint64, d time.Duration, hosts int) []event{
+	"": plan, "catalog": planOfCatalog, "load": planOfLoad,
+}
+
 // Hosts are ended, stopped and cut off in series and at the same time, while instances crash
 // and the store fails. Callers may be refused, but see no broken promise.
 func TestSoak(t *testing.T) {
@@ -253,11 +262,7 @@
 				DataCentres: number(c, "SOAK_DATA_CENTRES", 0),
 			}
 			d := time.Duration(number(c, "SOAK_SECONDS", int(shortFaults/time.Second))) * time.Second
-			draw := plan
-			if os.Getenv("SOAK_PLAN") == "catalog" {
-				draw = planOfCatalog
-			}
-			s.Events = draw(seed, d, s.Hosts)
+			s.Events = plans[os.Getenv("SOAK_PLAN")](seed, d, s.Hosts)
 			play(c, s)
 		})
 	}
