--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -296,7 +296,7 @@
 		Overshoot: s.Float("cold-overshoot", DefaultColdOvershoot, 0, maxColdOvershoot),
 		Slack:     s.Int("cold-slack", DefaultColdSlack, 0, maxColdSlack),
 	}
-	a.Overload = s.Bool("overload", false)
+	a.Overload = s.Bool("overload-control", false)
 	a.OutlierDetection = s.Bool("outlier-detection", false)
 	if a.Kind == AdapterPlatform || s.Has("balancer") {
 		a.BalancerAddress = s.Address("balancer")
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -281,8 +281,8 @@
 	}
 	text := fmt.Sprintf("[host]\nname = %s\ndata-centre = %s\n[caller]\naddress = %s\n[peer]\naddress = %s\n"+
 		"[operator]\naddress = %s\n[store]\nendpoints = %s\n[adapter]\nkind = platform\nbalancer = %s\npromotions = %s\n"+
-		"promotion-delay = 1s\ngrace = 3s\n", name, dataCentre, h.callers, h.peers, h.operators, h.store, h.balancer,
-		h.orders)
+		"promotion-delay = 1s\ngrace = 3s\noverload-control = true\noutlier-detection = true\n",
+		name, dataCentre, h.callers, h.peers, h.operators, h.store, h.balancer, h.orders)
 	return h, os.WriteFile(h.settings, []byte(text), 0o600)
 }
 
