Base the expected wait on the slots that the instances have

Callers of instances with more than two slots were refused although these could run their operations in time: the relay's queue assumed two slots for writes and six for a group. It now counts those of the listed instances.

--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -139,10 +139,25 @@
 			g.removeInstance(i, "it is no longer listed")
 		}
 	}
+	g.setQueueSlots()
 	g.primaryState.SetInstances(listed)
 	g.dispatch()
 }
 
+// setQueueSlots bases the queue's expected waits on the slots of the instances. Writes and the operations of
+// other hosts run on one of them.
+func (g *group) setQueueSlots() {
+	l := queueLimits
+	for _, i := range g.instances {
+		if i.removed {
+			continue
+		}
+		l.Slots += i.info.Slots
+		l.WriteSlots = max(l.WriteSlots, i.info.Slots)
+	}
+	g.queue.Limits = l
+}
+
 // logInstance logs a decision on an instance.
 func (g *group) logInstance(i *instance, choice, reason string) {
 	g.r.logEvent(Event{
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -382,9 +382,9 @@
 	return r.lastKey
 }
 
-// queueLimits bound the operations of one group that wait on this host.
+// queueLimits bound the operations of one group that wait on this host. Its slots are those of the instances.
 //
 // Designed for many callers at once: an operation that waits longer than its caller does is run for
 // nothing. The two slots of an instance run about 200 statements of 9 ms a second, so 64 operations of
 // one account and 256 in total are about as many as end within a second on the instances of a group.
-var queueLimits = admit.Limits{PerAccount: 64, Total: 256, Slots: 6, WriteSlots: 2, LongAfter: time.Hour}
+var queueLimits = admit.Limits{PerAccount: 64, Total: 256, LongAfter: time.Hour}
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -27,9 +27,11 @@
 	instances map[fleet.Instance]*node
 	// promotionRequests are the promotions that the relay has requested.
 	promotionRequests []leader.PromotionRequest
-	events            []relay.Event
-	refreshed         int
-	returned          int
+	// slots is how many slots each instance has, two if it is less.
+	slots     int
+	events    []relay.Event
+	refreshed int
+	returned  int
 	// extra are the instances of other services.
 	extra []catalog.Instance
 	// admit replaces the admission by rate if it is set.
@@ -164,7 +166,7 @@
 		}
 		is = append(is, catalog.Instance{
 			Name: name, Service: service, Address: "10.0.0.1:" + string(name), DataCentre: centre,
-			Slots: 2, Role: n.role, Leaving: slices.Contains(leaving, name),
+			Slots: max(w.slots, 2), Role: n.role, Leaving: slices.Contains(leaving, name),
 			Cold: n.cold, Started: n.started,
 		})
 	}
