Keep a part of the burst for an account's urgent operations

An account with three routes got more than its rate and burst when it began to send six times its usual on 84 hosts: 3,925 operations in 5 s where 3,775 were allowed. Urgent operations were admitted through the swings of the bucket's level by a larger overdraft, on top of what the hosts had admitted before they heard of each other.

The overdraft is the same for all priorities again. The others stop at two fifths of the burst, so that the urgent ones have that for the swings.

Test: three priorities together never get more than one priority does, on 8 and 80 hosts at 2.5 to 8 times the rate; of the most urgent 0.95 and more are still admitted.

--- a/core/ratelimit/classes.go
+++ b/core/ratelimit/classes.go
@@ -18,9 +18,9 @@
 // minRequests is the count below which a priority counts as not requested.
 const minRequests = 0.1
 
-// urgentOverdraft is the factor of the overdraft for a priority that fits the rate: with it the overdraft
-// is half of the burst, as fullAdmissionLevel allows for what others have admitted but not reported.
-const urgentOverdraft = 10
+// urgentReserve is the part of the burst that is kept for the most urgent operations: about as much as other
+// hosts of a large fleet admit between two of their reports.
+const urgentReserve = 0.4
 
 // classes divides what is admitted of one account among the priorities of its operations: the more
 // urgent ones come first, and each of the others keeps minClassShare of what it would get without
@@ -73,30 +73,33 @@
 	return min(1, (left-reserved)/c.requests[p])
 }
 
-// overdraftFactor returns by which factor the overdraft differs for operations of priority p, of which
-// the given fraction is admitted.
+// reserve returns which part of the burst is kept for the most urgent operations: none if all that are
+// requested have the same priority.
 //
-// The bucket that all hosts share is known only by their reports, and its level swings between them. A
-// priority of which all operations fit the rate is admitted through such a swing, and the less urgent
-// ones make up for it. Without them nothing would, and the factor is 1.
-func (c *classes) overdraftFactor(p fleet.Priority, fraction float64) float64 {
-	if fraction >= 1 && c.requested(p+1, fleet.MaxPriority) {
-		return urgentOverdraft
+// The bucket that all hosts share is known only by their reports, and its level swings between them. Operations
+// of a priority that fits the rate are admitted through such a swing. Without the reserve they would go beyond
+// the burst, as what the others have admitted until then can't be taken back.
+func (c *classes) reserve() float64 {
+	requested := 0
+	for _, n := range c.requests {
+		if n >= minRequests {
+			requested++
+		}
 	}
-	if c.requested(0, p-1) {
+	if requested < 2 {
 		return 0
 	}
-	return 1
+	return urgentReserve
 }
 
-// requested reports whether any operations of the priorities from first to last are requested.
-func (c *classes) requested(first, last fleet.Priority) bool {
-	for p := first; p <= last; p++ {
-		if c.requests[p] >= minRequests {
-			return true
+// mostUrgent reports whether no operations more urgent than p are requested.
+func (c *classes) mostUrgent(p fleet.Priority) bool {
+	for q := range p {
+		if c.requests[q] >= minRequests {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // take adds the admitted fraction to the credit of a priority, and takes one operation if there is one.
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -95,8 +95,11 @@
 	a.refill(now, reachable)
 	level := a.tokens - f.unreported(now, a, c.Name)
 	a.admittedFraction = a.classes.fraction(p, f.admittedFraction(a, c.Name, level, reachable))
-	overdraft := max(a.burst*reachable*maxOverdraft, minOverdraft*reachable)
-	if level < -overdraft*a.classes.overdraftFactor(p, a.admittedFraction) {
+	if a.admittedFraction < 1 || !a.classes.mostUrgent(p) {
+		level -= a.classes.reserve() * a.burst * reachable
+		a.admittedFraction = a.classes.fraction(p, f.admittedFraction(a, c.Name, level, reachable))
+	}
+	if level < -max(a.burst*reachable*maxOverdraft, minOverdraft*reachable) {
 		return a.retryAfter(level, reachable), false
 	}
 	if !a.classes.take(p, a.admittedFraction) {
