Charge a read that is run elsewhere to the retry budget once

runAgain took a token and then called retry, whose noRetryReason took another one for the same retry. The second charge could also refuse a read whose attempt had already been abandoned, and the log said that it had not been run.

runAgain now queues the read by requeue, the part of retry behind the checks. An abandoned attempt over a silent host counts as a run of the statement too.

Tests: TestReadRunElsewhereIsChargedToTheRetryBudgetOnce fails without the change (8 tokens left instead of 9). go test ./core/relay passes.

--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -103,10 +103,6 @@
 		o.answerCaller(statement.Answer{Code: code, Detail: "the connection to the instance was lost"})
 		return
 	}
-	retryHere := code == statement.CodeReadOnly || code == statement.CodeNotPrepared || code == statement.CodeUnreachable
-	if o.conn != nil && o.s.boundInstance == "" && !retryHere {
-		o.excluded.Add(o.conn.Instance)
-	}
 	if o.attempts >= maxAttempts || !now.Before(o.deadline) {
 		o.refuse(code, "no instance could run it", o.retryTime(shortRetryAfter))
 		return
@@ -115,8 +111,18 @@
 		o.refuse(code, reason, o.retryTime(shortRetryAfter))
 		return
 	}
-	o.g.r.counters.Retried++
 	o.logEvent(EventRetry, "retry the statement", "it was not run", code)
+	o.requeue(code)
+}
+
+// requeue queues an operation again that has failed with code, for another instance unless the same one may run
+// it next time.
+func (o *operation) requeue(code statement.Code) {
+	retryHere := code == statement.CodeReadOnly || code == statement.CodeNotPrepared || code == statement.CodeUnreachable
+	if o.conn != nil && o.s.boundInstance == "" && !retryHere {
+		o.excluded.Add(o.conn.Instance)
+	}
+	o.g.r.counters.Retried++
 	o.enqueue()
 }
 
--- a/core/relay/outlier_test.go
+++ b/core/relay/outlier_test.go
@@ -111,13 +111,7 @@
 func TestReadWithoutAResponseIsRunElsewhere(t *testing.T) {
 	c := qt.New(t)
 	w := newOutlierWorld(c, true)
-	r := w.instances["c"]
-	r.holdRequests = true
-	x := w.open("stock", "key-1")
-	x.do(statement.KindRead, "", "item")
-	c.Assert(r.inbox, qt.HasLen, 1)
-	hung := r.inbox[0]
-	r.holdRequests, r.inbox = false, nil
+	x, hung := w.hangOneRead()
 	w.advance(250*time.Millisecond, true)
 	c.Assert(x.answers, qt.HasLen, 1)
 	c.Check(x.last().Code, qt.Equals, statement.CodeNone)
@@ -128,6 +122,34 @@
 	c.Check(w.relay.State().Counts.AbandonedReads, qt.Equals, uint64(1))
 }
 
+// hangOneRead returns a caller whose read hangs on instance c, which responds on its other connections, and a
+// function that runs the read there.
+func (w *world) hangOneRead() (x *caller, late func()) {
+	r := w.instances["c"]
+	r.holdRequests = true
+	x = w.open("stock", "key-1")
+	x.do(statement.KindRead, "", "item")
+	w.c.Assert(r.inbox, qt.HasLen, 1)
+	late = r.inbox[0]
+	r.holdRequests, r.inbox = false, nil
+	return x, late
+}
+
+// Guards against a read without a response that is charged to the retry budget twice: when it is abandoned and
+// when it is queued again. The second charge could also refuse a read that was abandoned already.
+func TestReadRunElsewhereIsChargedToTheRetryBudgetOnce(t *testing.T) {
+	c := qt.New(t)
+	w := configuredWorld(c, relay.Peer{Host: "h1", DataCentre: "obihiro"}, time.Minute, func(f *relay.Config) {
+		f.DetectOutliers, f.RetryBudget = true, true
+	}).connected()
+	before := w.relay.State().Groups[0].RetriesLeft
+	x, _ := w.hangOneRead()
+	w.advance(250*time.Millisecond, true)
+	c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+	c.Assert(w.relay.State().Counts.AbandonedReads, qt.Equals, uint64(1))
+	c.Assert(w.relay.State().Groups[0].RetriesLeft, qt.Equals, before-1)
+}
+
 // Guards against a second run of a write, or of a statement in a transaction, that gets no response.
 func TestWritesAndTransactionsAreNotRunAgain(t *testing.T) {
 	c := qt.New(t)
--- a/core/relay/response.go
+++ b/core/relay/response.go
@@ -108,5 +108,7 @@
 	c.op = nil
 	c.handleClose("no response in the expected time")
 	o.runAgainAt = now
-	o.retry(code)
+	o.releaseSlot(now, 0)
+	o.runs++
+	o.requeue(code)
 }
--- a/core/relay/retries.go
+++ b/core/relay/retries.go
@@ -10,17 +10,23 @@
 	if !o.sent || code != statement.CodeFailed && code != statement.CodeTimeout {
 		return ""
 	}
-	o.runs++
-	if n := o.route.MaxAttempts; n > 0 && o.runs >= n {
+	if o.isLastRun() {
 		return "it may have run as often as its route allows"
 	}
 	if o.g.r.cfg.RetryBudget && !o.g.retryBudget.Take() {
 		o.g.r.counters.RetriesDenied++
 		return "the retry budget of the service is used up"
 	}
+	o.runs++
 	return ""
 }
 
+// isLastRun reports whether the route doesn't allow the statement to run once more after the present attempt.
+func (o *operation) isLastRun() bool {
+	n := o.route.MaxAttempts
+	return n > 0 && o.runs+1 >= n
+}
+
 // earnRetry adds to the retry budget for a read that is sent for the first time and that this host would retry.
 // Another host's read adds to the budget there.
 func (o *operation) earnRetry() {
