Don't abandon a read that its route doesn't allow to run again

An attempt without a response was abandoned whatever the route's limit of attempts.

Tests: TestReadThatMayNotRunAgainKeepsItsAttempt fails without the change. go test ./core/relay passes.

--- a/core/relay/outlier_test.go
+++ b/core/relay/outlier_test.go
@@ -150,6 +150,26 @@
 	c.Assert(w.relay.State().Groups[0].RetriesLeft, qt.Equals, before-1)
 }
 
+// The route allows one run of each statement. Guards against a read that is abandoned and then refused, although
+// its answer is on the way.
+func TestReadThatMayNotRunAgainKeepsItsAttempt(t *testing.T) {
+	c := qt.New(t)
+	w := newOutlierWorld(c, true)
+	w.revise(func(d *catalog.Catalog) {
+		d.Version++
+		r := d.Routes["stock"]
+		r.MaxAttempts = 1
+		d.Routes["stock"] = r
+	})
+	x, late := w.hangOneRead()
+	w.advance(250*time.Millisecond, true)
+	c.Assert(x.answers, qt.HasLen, 0)
+	late()
+	w.advance(50*time.Millisecond, true)
+	c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+	c.Assert(x.last().Digest, qt.Equals, "d-c")
+}
+
 // Guards against a second run of a write, or of a statement in a transaction, that gets no response.
 func TestWritesAndTransactionsAreNotRunAgain(t *testing.T) {
 	c := qt.New(t)
--- a/core/relay/response.go
+++ b/core/relay/response.go
@@ -61,9 +61,12 @@
 }
 
 // mayRunAgain reports whether the operation is a read outside of a transaction that another path can run
-// within the time left.
+// within the time left, and that its route allows to run once more.
 func (o *operation) mayRunAgain(now time.Time) bool {
-	if o.writes || o.s.tx.open || o.s.boundInstance != "" || o.attempts >= maxAttempts || !now.Before(o.deadline) {
+	if o.writes || o.s.tx.open || o.s.boundInstance != "" {
+		return false
+	}
+	if o.attempts >= maxAttempts || o.isLastRun() || !now.Before(o.deadline) {
 		return false
 	}
 	i := o.conn.inst
