Open a connection over a holder only for the operation that starts

chooseConn registered a connection over another host for each operation that could start. With classes of priority the queue looks for the paths of two operations and starts one; the connection of the other was never used nor closed, and counted as a running statement until the link ended.

The function, now choosePath, returns the path, and dispatch opens the connection for the operation that the queue has chosen.

--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -35,22 +35,32 @@
 		g.sendPeerRequests(now)
 	}
 	for len(g.waiting) > 0 {
-		found := map[uint64]*Conn{}
+		// The queue may look for the paths of several operations and starts one of them.
+		found := map[uint64]path{}
 		item, ok := g.queue.Next(now, func(i admit.Item) bool {
-			c := g.chooseConn(now, g.waiting[i.Key])
-			if c == nil {
+			w, ok := g.choosePath(now, g.waiting[i.Key])
+			if !ok {
 				return false
 			}
-			c.reserved, found[i.Key] = true, c
+			if w.conn != nil {
+				w.conn.reserved = true
+			}
+			found[i.Key] = w
 			return true
 		})
-		for _, c := range found {
-			c.reserved = false
+		for _, w := range found {
+			if w.conn != nil {
+				w.conn.reserved = false
+			}
 		}
 		if !ok {
 			return
 		}
-		g.waiting[item.Key].runOn(found[item.Key])
+		o, w := g.waiting[item.Key], found[item.Key]
+		if w.conn == nil {
+			w.conn = w.inst.connVia(w.peer, o.s.account)
+		}
+		o.runOn(w.conn)
 	}
 }
 
@@ -64,15 +74,15 @@
 	lagBackoffMax = time.Second
 )
 
-// chooseConn returns the connection on which an operation is to run now, or nil. It starts a new
-// connection if that costs less than the connections that there are.
+// choosePath returns the path by which an operation is to run now, over an idle connection or another host, or
+// false if it has to wait. It starts a new connection if that costs less than the paths that there are.
 //
 // Designed for few slots on each instance, one of which is slow or far behind, and accounts that each
 // need connections of their own. Callers would wait for a slow instance while others are idle, so the
 // expected wait decides.
-func (g *group) chooseConn(now time.Time, o *operation) *Conn {
+func (g *group) choosePath(now time.Time, o *operation) (path, bool) {
 	if o == nil {
-		return nil
+		return path{}, false
 	}
 	if o.dialling != nil && o.dialling.state == connIdle && !g.mayTake(now, o.dialling.inst, o) {
 		// The instance has turned out not to be one that may run it.
@@ -80,7 +90,7 @@
 	}
 	if o.dialling != nil && o.dialling.state == connIdle && o.dialling.inst.canStart(now) &&
 		!o.dialling.inst.limited(now, o.dialling.inst.ownRunning()) && g.readyFor(now, o.dialling, o) {
-		return o.dialling
+		return path{inst: o.dialling.inst, conn: o.dialling}, true
 	}
 	var ready, dial, limited path
 	for _, i := range g.instances {
@@ -103,20 +113,17 @@
 		}
 	}
 	if limited.cheaperThan(ready) && limited.cheaperThan(dial) {
-		return nil
+		return path{}, false
 	}
 	if dial.inst != nil && (ready.inst == nil || dial.cost < ready.cost) {
 		if o.dialling == nil || o.dialling.state == connClosed {
 			o.dialling = dial.inst.connect(now, o)
 		}
 		if o.dialling != nil {
-			return nil
+			return path{}, false
 		}
 	}
-	if ready.inst == nil || ready.conn != nil {
-		return ready.conn
-	}
-	return ready.inst.connVia(ready.peer, o.s.account)
+	return ready, ready.inst != nil
 }
 
 // path is one way to reach an instance: an idle connection, another host, or a connection that is still
--- a/core/relay/priority_test.go
+++ b/core/relay/priority_test.go
@@ -99,6 +99,42 @@
 	c.Assert(sent[1].Priority, qt.Equals, fleet.Priority(0))
 }
 
+// Operations of two priorities wait for the link to the holder, and less urgent ones get their share of the
+// starts. Guards against a connection over the holder for an operation that another one goes before: nothing
+// runs on it or closes it, and it counts as a running statement for as long as the link lasts.
+func TestOnlyStartedOperationsOpenConnectionsOverAHolder(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).withConfirmedPrimary()
+	w.setPriorities(2)
+	w.relay.SetHostCount(12)
+	opened, unopened := map[uint64]bool{}, 0
+	setPeers := func(send func(f relay.Forward)) {
+		var peers []relay.Peer
+		for n := range 9 {
+			peers = append(peers, relay.Peer{Host: fleet.Host(rune('b' + n)), DataCentre: "obihiro", Send: send})
+		}
+		w.relay.SetPeers(peers, 0)
+	}
+	setPeers(nil)
+	for range 30 {
+		w.open("urgent", "key-1").do(statement.KindWrite, "", "item data")
+		w.open("rush", "key-1").do(statement.KindWrite, "", "item data")
+	}
+	c.Assert(w.relay.State().Groups[0].WaitingByPriority, qt.DeepEquals, map[fleet.Priority]int{0: 30, 2: 30})
+	setPeers(func(f relay.Forward) {
+		opened[f.Stream] = opened[f.Stream] || f.Open
+		if !opened[f.Stream] {
+			unopened++
+		}
+	})
+	w.advance(10*time.Millisecond, true)
+	c.Assert(opened, qt.HasLen, 60)
+	for n := range 9 {
+		w.relay.PeerLost(fleet.Host(rune('b' + n)))
+	}
+	c.Assert(unopened, qt.Equals, 0)
+}
+
 // A holder has other hosts' operations of several priorities waiting. Guards against a priority that the
 // holder receives and doesn't use.
 func TestHolderQueuesByForwardedPriority(t *testing.T) {
