Don't wait for a dialled connection whose instance has reached its limit

An operation for which a connection was dialled made no other one while that was open. Where the instance reached its concurrency limit meanwhile and hung, the operation waited until it was refused, although another instance could run it. It now gives up its claim to that connection, which stays in the pool, and chooses anew.

Tests: TestReadDoesntWaitForTheConnectionThatItDialledToALimitedInstance fails without the change. go test ./core/relay passes.

--- a/core/relay/limit_test.go
+++ b/core/relay/limit_test.go
@@ -90,24 +90,29 @@
 	c.Check(z.last().Code, qt.Equals, statement.CodeNone)
 }
 
-// A replica stops answering while it has as many statements as the limit allows. Guards against reads that wait
-// for it, since its past latency is short, although another instance could run them.
-func TestReadsDontWaitForALimitedInstanceThatHangs(t *testing.T) {
-	c := qt.New(t)
-	w := newLimitedWorld(c, true)
-	for _, n := range []fleet.Instance{"a", "c"} {
-		w.instances[n].hold = true
+// useReplicaB has a caller read at replica b, so that it is the instance known to be quick, and returns the caller.
+func (w *world) useReplicaB() *caller {
+	hold := func(on bool) {
+		w.instances["a"].hold, w.instances["c"].hold = on, on
 	}
-	x, y := w.open("stock", "key-1"), w.open("stock", "key-1")
+	hold(true)
+	x := w.open("stock", "key-1")
 	x.do(statement.KindRead, "", "item")
 	w.advance(50*time.Millisecond, true)
-	for _, n := range []fleet.Instance{"a", "c"} {
-		w.instances[n].hold = false
-	}
+	hold(false)
 	w.advance(50*time.Millisecond, true)
-	c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+	w.c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
 	x.do(statement.KindRead, "", "item")
-	c.Assert(w.instances["b"].executed, qt.HasLen, 2)
+	w.c.Assert(w.instances["b"].executed, qt.HasLen, 2)
+	return x
+}
+
+// A replica stops answering while it has as many statements as the limit allows. Guards against reads that wait
+// for it, since its past latency is short, although another instance could run them.
+func TestReadsDontWaitForALimitedInstanceThatHangs(t *testing.T) {
+	c := qt.New(t)
+	w := newLimitedWorld(c, true)
+	x, y := w.useReplicaB(), w.open("stock", "key-1")
 	w.instances["b"].hold = true
 	x.do(statement.KindRead, "", "item")
 	y.do(statement.KindRead, "", "item")
@@ -115,3 +120,22 @@
 	c.Assert(y.answers, qt.HasLen, 1)
 	c.Assert(y.last().Code, qt.Equals, statement.CodeNone)
 }
+
+// A read has dialled a connection to a replica, which then reaches its limit and hangs. Guards against a read that
+// waits for that connection until it is refused, although another instance could run it.
+func TestReadDoesntWaitForTheConnectionThatItDialledToALimitedInstance(t *testing.T) {
+	c := qt.New(t)
+	w := newLimitedWorld(c, true)
+	x, y := w.useReplicaB(), w.open("stock", "key-3")
+	b := w.instances["b"]
+	b.hold, b.holdRequests = true, true
+	dialled := b.dialled
+	y.do(statement.KindRead, "", "item")
+	c.Assert(b.dialled, qt.Equals, dialled+1)
+	x.do(statement.KindRead, "", "item")
+	c.Assert(b.inbox, qt.HasLen, 1)
+	b.hold = false
+	w.advance(150*time.Millisecond, true)
+	c.Assert(y.answers, qt.HasLen, 1)
+	c.Assert(y.last().Code, qt.Equals, statement.CodeNone)
+}
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -84,12 +84,14 @@
 	if o == nil {
 		return path{}, false
 	}
-	if o.dialling != nil && o.dialling.state == connIdle && !g.mayTake(now, o.dialling.inst, o) {
-		// The instance has turned out not to be one that may run it.
+	if c := o.dialling; c != nil && c.state == connIdle &&
+		(!g.mayTake(now, c.inst, o) || c.inst.limited(now, c.inst.ownRunning())) {
+		// The instance has turned out not to be one that may run it, or has reached its limit meanwhile. It may
+		// then hang, so that the operation doesn't wait for this connection.
 		o.dialling = nil
 	}
 	if o.dialling != nil && o.dialling.state == connIdle && o.dialling.inst.canStart(now) &&
-		!o.dialling.inst.limited(now, o.dialling.inst.ownRunning()) && g.readyFor(now, o.dialling, o) {
+		g.readyFor(now, o.dialling, o) {
 		return path{inst: o.dialling.inst, conn: o.dialling}, true
 	}
 	var ready, dial, limited path
