Don't refuse by the load of a holder that an operation may not use

A statement whose route excludes the region of a holder uses this host's own connections. refusedBeforeHop took it for forwarded and refused it by the holder's load. It now asks forwardsTo, the condition that pathTo had.

Tests: TestLoadOfAHolderInAForbiddenRegionRefusesNothing fails without the change. go test ./core/relay passes.

--- a/core/relay/load.go
+++ b/core/relay/load.go
@@ -72,13 +72,13 @@
 			}
 			continue
 		}
-		p, held := g.r.holder(i)
-		over := backpressure.Queue{Holder: p.Host, Service: g.name}
-		if !held || !g.r.forwarding.loads.Overdue(now, over, o.route.Priority, o.waitDeadline()) {
+		p, over := g.forwardsTo(i, o)
+		at := backpressure.Queue{Holder: p.Host, Service: g.name}
+		if !over || !g.r.forwarding.loads.Overdue(now, at, o.route.Priority, o.waitDeadline()) {
 			return false
 		}
-		if w := g.r.forwarding.loads.Wait(now, over, o.route.Priority); least < 0 || w < least {
-			q, least = over, w
+		if w := g.r.forwarding.loads.Wait(now, at, o.route.Priority); least < 0 || w < least {
+			q, least = at, w
 		}
 	}
 	if least < 0 || g.r.forwarding.loads.Probe(q) {
--- a/core/relay/load_test.go
+++ b/core/relay/load_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"skylarkdeal/core/backpressure"
+	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/relay"
 	"skylarkdeal/core/statement"
@@ -22,16 +23,21 @@
 func newLoadWorld(c *qt.C, on bool) *loadWorld {
 	w := &loadWorld{world: configuredWorld(c, relay.Peer{Host: "h1", DataCentre: "obihiro"}, time.Minute,
 		func(cfg *relay.Config) { cfg.Backpressure = on }).withConfirmedPrimary()}
-	w.relay.SetHostCount(12)
+	w.usePeers(12, "obihiro")
+	return w
+}
+
+// usePeers sets the number of hosts, nine of which are heard in a data centre.
+func (w *loadWorld) usePeers(hosts int, dc fleet.DataCentre) {
+	w.relay.SetHostCount(hosts)
 	var peers []relay.Peer
 	for n := range 9 {
 		name := fleet.Host("near-" + string(rune('a'+n)))
-		peers = append(peers, relay.Peer{Host: name, DataCentre: "obihiro", Send: func(f relay.Forward) {
+		peers = append(peers, relay.Peer{Host: name, DataCentre: dc, Send: func(f relay.Forward) {
 			w.sent, w.holder = append(w.sent, f), name
 		}})
 	}
 	w.relay.SetPeers(peers, 0)
-	return w
 }
 
 // reported has the holder of the primary answer one statement and report a wait for all priorities.
@@ -75,6 +81,33 @@
 	}
 }
 
+// The holder of the primary is in a region that a route's statements may not enter, so that they use this host's
+// own connections. Guards against refusing them by the load of that holder.
+func TestLoadOfAHolderInAForbiddenRegionRefusesNothing(t *testing.T) {
+	c := qt.New(t)
+	w := &loadWorld{world: configuredWorld(c, relay.Peer{Host: "h1", DataCentre: "otaru"}, time.Minute,
+		func(cfg *relay.Config) {
+			cfg.Backpressure = true
+			cfg.Regions = map[fleet.DataCentre]fleet.Region{"obihiro": "hokkaido", "otaru": "hokkaido", "sapporo": "honshu"}
+		}).withConfirmedPrimary()}
+	w.revise(func(d *catalog.Catalog) {
+		d.Version++
+		r := d.Routes["rush"]
+		r.Database, r.AllowedRegions = "local", catalog.AllowedRegions{"hokkaido": {}}
+		d.Routes["local"] = r
+	})
+	w.usePeers(12, "sapporo")
+	w.reported(5000)
+	_, refused := w.ask(8)
+	c.Assert(refused, qt.Equals, 7)
+	w.sent = nil
+	x := w.open("local", "key-1")
+	x.do(statement.KindWrite, "", "item data")
+	w.advance(50*time.Millisecond, true)
+	c.Assert(x.last().Code, qt.Equals, statement.CodeNone)
+	c.Assert(w.sent, qt.HasLen, 0)
+}
+
 // Guards against refusals by a report that is outdated, replaced, or that of a holder whose link has ended.
 func TestReportsThatNoLongerHoldRefuseNothing(t *testing.T) {
 	c := qt.New(t)
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -166,6 +166,13 @@
 	return ok && i.sharesHistory(s) && (i.position.Covers(s.Position) || i.mayTrialRead(now, o))
 }
 
+// forwardsTo returns the holder over which an operation reaches an instance, or false if it has to use this host's
+// own connections.
+func (g *group) forwardsTo(i *instance, o *operation) (Peer, bool) {
+	p, held := g.r.holder(i)
+	return p, held && o.s.boundInstance == "" && g.r.allowsRegion(o.regions, p.DataCentre)
+}
+
 // readyFor reports whether an operation may be sent on a connection now. If it relies on the instance's
 // status, and that doesn't cover the connection, readyFor requests it.
 func (g *group) readyFor(now time.Time, c *Conn, o *operation) bool {
@@ -188,8 +195,7 @@
 	if now.Sub(i.avgLatencyAt) > latencyMaxAge {
 		est.Latency = 0
 	}
-	p, held := g.r.holder(i)
-	if held && o.s.boundInstance == "" && g.r.allowsRegion(o.regions, p.DataCentre) {
+	if p, over := g.forwardsTo(i, o); over {
 		if p.Send == nil {
 			return path{}, false
 		}
