--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -45,14 +45,14 @@
 	// sent is set once the statement itself was sent to the instance, at sentAt.
 	sent   bool
 	sentAt time.Time
+	// runningAtSent is how many statements this host had at the instance then, on its own connections.
+	runningAtSent int
 	// everSent is set once it was sent to any instance.
 	everSent bool
 	// requiredPosition is the log position that the read was sent with.
 	requiredPosition fleet.Option[fleet.LogPosition]
 	// unverifiedAnswer is the answer whose verification is pending.
 	unverifiedAnswer *statement.Answer
-	// runningAtSent is how many statements this host had at the instance then, on its own connections.
-	runningAtSent int
 	// overdue is set once the expected time of its response has passed, runAgainAt when a former attempt was
 	// abandoned for that.
 	overdue    bool
@@ -314,7 +314,7 @@
 	}
 	o.sent, o.sentAt = true, o.g.r.now()
 	o.overdue = false
-	o.runningAtSent = o.conn.inst.busyConns() - o.conn.inst.forwardedCount
+	o.runningAtSent = o.conn.inst.ownRunning()
 	o.logReadPlace()
 	o.earnRetry()
 	o.everSent, o.s.tx.mayHaveRun = true, true
@@ -329,22 +329,6 @@
 	o.conn.send(ahead, nil, o.handleAnswer)
 }
 
-// logReadPlace logs where a read is sent and what lets it run there, while promotionRecent. A transaction
-// that writes first may read later, where it began.
-func (o *operation) logReadPlace() {
-	if o.writes && !o.beginsTx || o.s.boundInstance != "" || !o.g.promotionRecent(o.sentAt) {
-		return
-	}
-	if _, ok := o.requiredPosition.Get(); ok {
-		o.logEvent(EventPlace, "read a replica", "its log has to cover the required position", statement.CodeNone)
-		return
-	}
-	if !o.txBegun() {
-		proof := o.g.solePrimaryProof()
-		o.logEvent(EventPlace, "read the primary", "no other one by "+proof.String(), statement.CodeNone)
-	}
-}
-
 // setupFailed handles a connection that couldn't be set up; the statement was not run. A connection on
 // which the transaction had begun is left to the transaction.
 func (o *operation) setupFailed(code statement.Code, state statement.TxState) {
@@ -377,28 +361,3 @@
 	}
 	c.retire()
 }
-
-func (o *operation) logEvent(k EventKind, choice, reason string, code statement.Code) {
-	o.g.r.logEvent(o.event(k, choice, reason, code))
-}
-
-func (o *operation) event(k EventKind, choice, reason string, code statement.Code) Event {
-	e := Event{
-		Kind: k, ID: o.q.ID, Database: o.route.Database, Service: o.g.name, Account: o.s.account,
-		Choice: choice, Reason: reason, Code: code, Took: o.g.r.now().Sub(o.startedAt), Consistency: o.route.Consistency,
-	}
-	if o.conn != nil {
-		e.Instance, e.InstancePosition = o.conn.Instance, o.conn.inst.position
-	}
-	p, onReplica := o.requiredPosition.Get()
-	if onReplica {
-		e.RequiredPosition = p
-	}
-	if s, ok := o.g.samples.Oldest(o.asOf); ok && onReplica && k == EventPlace {
-		e.Age = o.g.r.now().Sub(s.AskedAt)
-	}
-	if o.conn != nil {
-		e.Host = o.conn.via
-	}
-	return e
-}
--- a/core/relay/pacing.go
+++ b/core/relay/pacing.go
@@ -50,9 +50,3 @@
 	}
 	return o.g.r.retryAfterFailure(left)
 }
-
-func (o *operation) logRefusal(reason string, code statement.Code, retryAfter time.Duration) {
-	e := o.event(EventRefuse, "refuse", reason, code)
-	e.RetryAfter = retryAfter
-	o.g.r.logEvent(e)
-}
