--- a/core/relay/limit.go
+++ b/core/relay/limit.go
@@ -22,11 +22,11 @@
 }
 
 // limited reports whether the instance has as many of this host's statements as the concurrency limit
-// allows. running is how many there are on its own connections.
+// allows.
 //
 // Guards against statements that wait in the instance, where no host can order them by urgency.
-func (i *instance) limited(now time.Time, running int) bool {
-	return i.g.r.cfg.ConcurrencyLimit && !i.limiter.Allows(running, i.limitBounds(now))
+func (i *instance) limited(now time.Time) bool {
+	return i.g.r.cfg.ConcurrencyLimit && !i.limiter.Allows(i.ownRunning(), i.limitBounds(now))
 }
 
 // ownRunning returns how many statements of this host's own connections the instance runs.
@@ -56,14 +56,15 @@
 	default:
 	}
 	if changed {
-		i.noteLimit(now, before, i.limiter.Limit(b))
+		i.logLimit(now, before, i.limiter.Limit(b))
 	}
 }
 
 // limitLogInterval is the least time between two log lines on the limit of one instance.
 const limitLogInterval = time.Second
 
-func (i *instance) noteLimit(now time.Time, before, after int) {
+// logLimit counts and logs a change of the limit.
+func (i *instance) logLimit(now time.Time, before, after int) {
 	reason := "statements don't wait in the instance"
 	if after < before {
 		i.g.r.counters.LimitDecreases++
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -85,7 +85,7 @@
 		return path{}, false
 	}
 	if c := o.dialling; c != nil && c.state == connIdle &&
-		(!g.mayTake(now, c.inst, o) || c.inst.limited(now, c.inst.ownRunning())) {
+		(!g.mayTake(now, c.inst, o) || c.inst.limited(now)) {
 		// The instance has turned out not to be one that may run it, or has reached its limit meanwhile. It may
 		// then hang, so that the operation doesn't wait for this connection.
 		o.dialling = nil
@@ -205,7 +205,7 @@
 		if !i.canStart(now) {
 			return path{}, false
 		}
-		if w.limited = i.limited(now, est.Running-i.forwardedCount); w.limited {
+		if w.limited = i.limited(now); w.limited {
 			est.Queued = g.limitWait(now, i)
 			w.cost = est.Cost(o.route.Target)
 			return w, true
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -120,7 +120,7 @@
 		if i.failures > 0 && !i.removed && !now.Before(i.nextDial) {
 			g.probe(now, i)
 		}
-		if i.busyConns() == i.forwardedCount {
+		if i.ownRunning() == 0 {
 			continue
 		}
 		quiet := now.Sub(i.lastHeard)
