Correct comments on waits before an instance and on silent hosts

pathcost.Path.Queued is also the wait for this host's own limit, and two comments of the relay didn't say what they meant. The error of a load report is compared by errors.Is, which needs no exception for the linter.

Tests: go test ./core/relay ./core/pathcost passes; golangci-lint is clean.

--- a/core/pathcost/pathcost.go
+++ b/core/pathcost/pathcost.go
@@ -12,7 +12,8 @@
 	// Latency is the average time of the instance's recent statements, including their wait at the
 	// instance; zero if none has ended recently.
 	Latency time.Duration
-	// Queued is the expected wait at the holder before the statement is sent to the instance.
+	// Queued is the expected wait before the statement is sent to the instance: in the holder's queue, or in this
+	// host's while the instance has as many of its statements as allowed.
 	Queued time.Duration
 	// Running is how many statements of this host the instance runs, Slots how many it can run at a
 	// time.
--- a/core/relay/load.go
+++ b/core/relay/load.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"time"
 
 	"skylarkdeal/core/backpressure"
@@ -38,7 +39,7 @@
 			Kind: EventInstance, Service: c.Service, Host: from, Choice: "ignore a load report", Reason: err.Error(),
 		})
 	}
-	if err == nil || err == backpressure.ErrTooMany { //nolint:errorlint // it isn't wrapped
+	if err == nil || errors.Is(err, backpressure.ErrTooMany) {
 		r.forwarding.loads.Add(r.now(), backpressure.Queue{Holder: from, Service: c.Service}, l)
 	}
 }
@@ -55,8 +56,8 @@
 // one that is about to have it.
 const transientLags = 3
 
-// refusedBeforeHop refuses an operation that all its paths lead over holders where it can't start in time,
-// and reports whether it did. One in some is forwarded all the same.
+// refusedBeforeHop refuses an operation whose paths all lead over holders at which it can't start in time, and
+// reports whether it did. A few are forwarded all the same, as Reports.Probe decides.
 //
 // Guards against operations that cross a link and wait at a holder, only to be refused there.
 func (g *group) refusedBeforeHop(now time.Time, o *operation) bool {
--- a/core/relay/response.go
+++ b/core/relay/response.go
@@ -28,8 +28,8 @@
 // checkResponse handles an operation that has got no response in the expected time: it records that, and
 // runs a read again on another path.
 //
-// Designed for a host or an instance that stops to answer. A read that it owes would be answered at its
-// caller's deadline, although another instance could have run it meanwhile.
+// Designed for a host or an instance that stops answering. The caller of a pending read would be refused at its
+// deadline, although another instance could have run the read meanwhile.
 func (o *operation) checkResponse(now time.Time) {
 	c := o.conn
 	if !o.g.r.cfg.DetectOutliers || c == nil || c.op != o || !o.sent {
