Use plain names in the load checks of the soak and the stand-in's faults

"patient", "calm", "everything", "suffer" and a constant named by its value said what the code does only to who wrote it. Nothing else changes; the stand-in's two log lines on faults have other words, which no check reads.

--- a/standin/machines/conn.go
+++ b/standin/machines/conn.go
@@ -127,7 +127,7 @@
 	work := c.m.Work
 	if takesSlot(f[0]) && f[0] != "STATUS" {
 		var refused string
-		if work, refused = c.suffer(id); refused != "" {
+		if work, refused = c.applyFaults(id); refused != "" {
 			return c.fail(refused), true
 		}
 	}
--- a/standin/machines/fault.go
+++ b/standin/machines/fault.go
@@ -98,9 +98,10 @@
 	Factor int
 }
 
+// activeFault is a fault that hasn't ended.
 type activeFault struct {
 	StatementFault
-	// credit grows by the percentage with each statement; a hundred is one that is concerned.
+	// credit grows by the percentage with each statement; each time it reaches 100 the fault concerns one.
 	credit int
 	ended  chan struct{}
 }
@@ -113,13 +114,13 @@
 	defer m.mu.Unlock()
 	i, a := m.instances[name], &activeFault{StatementFault: f, ended: make(chan struct{})}
 	i.faults = append(i.faults, a)
-	m.tell(fmt.Sprintf("statements of %s: %+v", name, f))
+	m.tell(fmt.Sprintf("fault of the statements of %s: %+v", name, f))
 	return func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		i.faults = slices.DeleteFunc(i.faults, func(o *activeFault) bool { return o == a })
 		close(a.ended)
-		m.tell(fmt.Sprintf("statements of %s are well again: %+v", name, f))
+		m.tell(fmt.Sprintf("fault of the statements of %s has ended: %+v", name, f))
 	}
 }
 
@@ -136,11 +137,11 @@
 	return true
 }
 
-// suffer applies the faults that concern a statement. It returns what the statement takes in its slot, or
+// applyFaults applies the faults that concern a statement. It returns what the statement takes in its slot, or
 // the code with which it is refused.
-func (c *conn) suffer(id string) (work time.Duration, refused string) {
+func (c *conn) applyFaults(id string) (work time.Duration, refused string) {
 	work = c.m.Work
-	for _, a := range c.sufferedFaults() {
+	for _, a := range c.matchingFaults() {
 		c.m.mu.Lock()
 		c.m.tell(fmt.Sprintf("%s conn %d, %s: %s", c.i.name, c.info.Number, id, a.Kind))
 		c.m.mu.Unlock()
@@ -161,7 +162,8 @@
 	return work, ""
 }
 
-func (c *conn) sufferedFaults() []*activeFault {
+// matchingFaults returns the faults of the instance that concern the next statement, and counts the statement.
+func (c *conn) matchingFaults() []*activeFault {
 	c.m.mu.Lock()
 	defer c.m.mu.Unlock()
 	var out []*activeFault
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -78,9 +78,10 @@
 	var out []database
 	for _, s := range services {
 		out = append(out,
-			database{name: urgentOf(s), service: s, kind: kindPrimary},
+			database{name: mostUrgentOf(s), service: s, kind: kindPrimary},
 			database{
-				name: patientOf(s), service: s, kind: kindBounded, maxAge: 1500 * time.Millisecond, priority: patientPriority,
+				name: leastUrgentOf(s), service: s, kind: kindBounded, maxAge: 1500 * time.Millisecond,
+				priority: leastUrgentPriority,
 			},
 			database{name: ownOf(s), service: s, kind: kindOwn, maxAge: 2500 * time.Millisecond, priority: 1})
 	}
--- a/test/soak/judge_test.go
+++ b/test/soak/judge_test.go
@@ -360,7 +360,7 @@
 	defer j.mu.Unlock()
 	broken, counts := maps.Clone(j.broken), maps.Clone(j.counts)
 	violations := slices.Clone(j.violations[:min(len(j.violations), maxListed)])
-	if text := j.load.late(); text != "" {
+	if text := j.load.lateRefusalReport(); text != "" {
 		broken[promisePrompt]++
 		violations = append(violations, string(promisePrompt)+": "+text)
 	}
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -29,19 +29,22 @@
 	burstWork = 4
 	// burstLag has the replicas too far behind for any route, so that the primary serves all.
 	burstLag = 3 * time.Second
-	// leastPercent is how much of its statements a faulty instance treats badly at least.
+	// leastPercent is the least share of its statements that a faulty instance fails, sheds, hangs on or slows.
 	leastPercent = 40
-	slowWork     = 8
-	hundred      = 100
-	// patientPriority is that of the least urgent routes.
-	patientPriority = 2
+	// slowWork is how many times the usual a slow statement takes.
+	slowWork = 8
+	// maxDraw is the greatest N of an event; percent is the whole of a share in percent.
+	maxDraw = 100
+	percent = 100
+	// leastUrgentPriority is that of the least urgent routes.
+	leastUrgentPriority = 2
 )
 
-// urgentOf and patientOf return the databases of a group with the most and the least urgent route, ownOf
+// mostUrgentOf and leastUrgentOf return the databases of a group with the most and the least urgent route, ownOf
 // the one between.
-func urgentOf(service string) string  { return service + "-rush" }
-func patientOf(service string) string { return service + "-view" }
-func ownOf(service string) string     { return service + "-own" }
+func mostUrgentOf(service string) string  { return service + "-rush" }
+func leastUrgentOf(service string) string { return service + "-view" }
+func ownOf(service string) string         { return service + "-own" }
 
 var statementFaults = map[faultKind]machines.StatementFaultKind{
 	faultFails: machines.StatementFails, faultSheds: machines.StatementShed, faultHangs: machines.StatementHangs,
@@ -51,7 +54,7 @@
 // statementFault returns what the event has an instance do to all hosts or to those of a data centre.
 func (e event) statementFault(dataCentre string) machines.StatementFault {
 	f := machines.StatementFault{
-		Kind: statementFaults[e.Kind], Percent: leastPercent + (hundred-leastPercent)*e.N/hundred, Factor: slowWork,
+		Kind: statementFaults[e.Kind], Percent: leastPercent + (percent-leastPercent)*e.N/maxDraw, Factor: slowWork,
 	}
 	if e.N%2 == 0 {
 		f.DataCentre = dataCentre
@@ -72,7 +75,7 @@
 		faultLag, faultSplit, faultLagCrash, faultSplitCut, faultHoldOrder:
 		return []string{e.Service}
 	default:
-		return []string{everything}
+		return []string{allServices}
 	}
 }
 
@@ -105,7 +108,7 @@
 // burst has many callers of a route that isn't the most urgent of its group, while the group's statements
 // take long and the primary serves all.
 func (f *fleet) burst(ctx context.Context, e event) {
-	name := patientOf(e.Service)
+	name := leastUrgentOf(e.Service)
 	if e.N%2 == 0 {
 		name = ownOf(e.Service)
 	}
@@ -113,10 +116,10 @@
 		f.machines.SetLag(i, burstLag)
 		defer f.machines.SetLag(i, 0)
 		defer f.machines.FaultStatements(i, machines.StatementFault{
-			Kind: machines.StatementSlow, Percent: hundred, Factor: burstWork,
+			Kind: machines.StatementSlow, Percent: percent, Factor: burstWork,
 		})()
 	}
-	f.withCallers(ctx, e, burstMin+burstMore*e.N/hundred, "bakery", func(int) database { return f.named(name) })
+	f.withCallers(ctx, e, burstMin+burstMore*e.N/maxDraw, "bakery", func(int) database { return f.named(name) })
 }
 
 // exceedRate has an account ask for more than its rate.
--- a/test/soak/operator_test.go
+++ b/test/soak/operator_test.go
@@ -146,7 +146,7 @@
 		}
 		c.Routes = append(c.Routes, catalogRoute{
 			Host: g.database, Kind: string(kindBounded), TimeoutMs: 1500, TargetLatencyMs: 200, Service: services[0],
-			MaxStalenessMs: probedAge.Milliseconds(), Priority: patientPriority,
+			MaxStalenessMs: probedAge.Milliseconds(), Priority: leastUrgentPriority,
 		})
 	}
 	b, err := json.Marshal(c)
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -156,7 +156,7 @@
 			Kind:    kinds[luck.IntN(len(kinds))],
 			Host:    luck.IntN(hosts),
 			Service: services[luck.IntN(len(services))], Instance: luck.IntN(6) - 3,
-			N: 1 + luck.IntN(100),
+			N: 1 + luck.IntN(maxDraw),
 		}
 		es = append(es, e)
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -88,7 +88,7 @@
 	f, err := startFleet(dir, program, s.Hosts, m, j, s.spoil)
 	defer f.close()
 	c.Assert(err, qt.IsNil)
-	j.disturb(everything)() // a host that has just started has no connections yet
+	j.disturb(allServices)() // a host that has just started has no connections yet
 	ctx, stop := context.WithCancel(context.Background())
 	var working sync.WaitGroup
 	for n := range s.Callers {
--- a/test/soak/watch_test.go
+++ b/test/soak/watch_test.go
@@ -28,15 +28,16 @@
 // overRate is in the refusals of an account that is over its rate, which say nothing of the load.
 const overRate = "over its rate"
 
-// everything names the disturbances of all groups.
-const everything = ""
+// allServices names the disturbances that concern all groups.
+const allServices = ""
 
 // loadOf names what asks for more of a group than it can do.
 func loadOf(service string) string { return service + " load" }
 
-// disturbance is what has kept a group or an instance from its work.
+// disturbance is the faults that keep a group or an instance from its work.
 type disturbance struct {
-	now int
+	// active counts those that haven't ended.
+	active int
 	// until is when the last one ended.
 	until time.Time
 }
@@ -64,18 +65,18 @@
 	refusals, lateRefusals int
 }
 
-// calm reports whether there was none of the disturbances from a moment on, nor effects of earlier ones.
-func (w *loadWatch) calm(since time.Time, names ...string) bool {
+// undisturbed reports whether there was none of the disturbances from a moment on, nor effects of earlier ones.
+func (w *loadWatch) undisturbed(since time.Time, names ...string) bool {
 	for _, n := range names {
 		d := w.disturbances[n]
-		if d != nil && (d.now > 0 || d.until.Add(quietFor).After(since)) {
+		if d != nil && (d.active > 0 || d.until.Add(quietFor).After(since)) {
 			return false
 		}
 	}
 	return true
 }
 
-// disturb takes in that something is disturbed until the returned function is called.
+// disturb records a disturbance that lasts until the returned function is called.
 func (j *judge) disturb(names ...string) (ends func()) {
 	add := func(n int) {
 		j.mu.Lock()
@@ -86,7 +87,7 @@
 				d = &disturbance{}
 				j.load.disturbances[name] = d
 			}
-			d.now += n
+			d.active += n
 			d.until = time.Now()
 		}
 	}
@@ -94,7 +95,7 @@
 	return func() { add(-1) }
 }
 
-// watch takes in the answer to a statement.
+// watch records the answer to a statement.
 func (j *judge) watch(q *sent, a reply) {
 	j.closeSlices()
 	unrelated := a.code == "NOAUTH" || a.code == "NODB" || strings.Contains(a.text, overRate)
@@ -109,7 +110,8 @@
 		s.served++
 	}
 	now.shares[d.name] = s
-	if a.code != "BUSY" || !w.calm(q.at, d.service, everything) || !w.calm(q.at, j.instances(d.service)...) {
+	disturbable := append([]string{d.service, allServices}, j.instances(d.service)...)
+	if a.code != "BUSY" || !w.undisturbed(q.at, disturbable...) {
 		return
 	}
 	w.refusals++
@@ -119,8 +121,8 @@
 	}
 }
 
-// late tells of refusals that came late, empty if few did.
-func (w *loadWatch) late() string {
+// lateRefusalReport tells how many refusals came late, empty if few did.
+func (w *loadWatch) lateRefusalReport() string {
 	if w.refusals < minAsked || float64(w.lateRefusals) <= latePerPrompt*float64(w.refusals) {
 		return ""
 	}
@@ -148,8 +150,8 @@
 	}
 }
 
-// in returns what was served of a database in the window.
-func (w *loadWatch) in(database string) share {
+// shareOf returns what was served of a database in the window.
+func (w *loadWatch) shareOf(database string) share {
 	var out share
 	for _, s := range w.slices {
 		out.asked += s.shares[database].asked
@@ -162,34 +164,34 @@
 func (j *judge) judgeWindow(service string) {
 	w := &j.load
 	from := w.slices[0].began
-	if !w.calm(from, service, everything) {
+	if !w.undisturbed(from, service, allServices) {
 		return
 	}
 	var healthy []string
 	is := j.instances(service)
 	for _, i := range is {
-		if w.calm(from, i) {
+		if w.undisturbed(from, i) {
 			healthy = append(healthy, i)
 		}
 	}
-	urgent, patient := w.in(urgentOf(service)), w.in(patientOf(service))
-	if patient.asked < minAsked {
+	mostUrgent, leastUrgent := w.shareOf(mostUrgentOf(service)), w.shareOf(leastUrgentOf(service))
+	if leastUrgent.asked < minAsked {
 		return
 	}
-	j.note("window of %s from %s: urgent %v, patient %v, healthy %v, load: %t", service,
-		from.Format("15:04:05.000000"), urgent, patient, healthy, !w.calm(from, loadOf(service)))
-	if len(healthy) == len(is) && urgent.asked >= minAsked {
+	j.note("window of %s from %s: most urgent %v, least urgent %v, healthy %v, load: %t", service,
+		from.Format("15:04:05.000000"), mostUrgent, leastUrgent, healthy, !w.undisturbed(from, loadOf(service)))
+	if len(healthy) == len(is) && mostUrgent.asked >= minAsked {
 		j.counts["windows of priority"]++
-		if patient.part()-urgent.part() > maxPriorityGap {
+		if leastUrgent.part()-mostUrgent.part() > maxPriorityGap {
 			j.breach(promisePriority, "from %s on, %s was served of %s, and %s of %s",
-				from.Format("15:04:05.000000"), urgent, urgentOf(service), patient, patientOf(service))
+				from.Format("15:04:05.000000"), mostUrgent, mostUrgentOf(service), leastUrgent, leastUrgentOf(service))
 		}
 	}
-	if len(healthy) > 0 && w.calm(from, loadOf(service)) {
+	if len(healthy) > 0 && w.undisturbed(from, loadOf(service)) {
 		j.counts["windows of reads"]++
-		if patient.part() < minReads {
+		if leastUrgent.part() < minReads {
 			j.breach(promiseReads, "from %s on, %s was served of %s, with %v healthy",
-				from.Format("15:04:05.000000"), patient, patientOf(service), healthy)
+				from.Format("15:04:05.000000"), leastUrgent, leastUrgentOf(service), healthy)
 		}
 	}
 }
