Name the other data centre in Reports.Of for what it is

The variable first held the data centre of the previous report, not of the first, and the comment left open whether the two data centres may include the own one.

Tests: go test ./core/outlier passes; golangci-lint is clean.

--- a/core/outlier/reports.go
+++ b/core/outlier/reports.go
@@ -71,19 +71,19 @@
 }
 
 // Of returns until when reports eject an instance, and the highest rate of failures among them, false if
-// they don't: a host follows one host of its own data centre, or hosts of two data centres. A single link
-// between two data centres that loses responses then ejects nothing in a third.
+// they don't. One host of the own data centre is enough, or hosts of two other ones: a single link between two
+// data centres that loses responses then ejects nothing in a third.
 func (r *Reports) Of(now time.Time, own fleet.DataCentre, n fleet.Instance) (until time.Time, rate float64, ok bool) {
-	var first fleet.DataCentre
+	var other fleet.DataCentre
 	for _, p := range r.byHost {
 		e, reported := p.of(now, n)
 		if !reported {
 			continue
 		}
-		if p.centre == own || first != "" && p.centre != first {
+		if p.centre == own || other != "" && p.centre != other {
 			ok = true
 		}
-		first = p.centre
+		other = p.centre
 		if end := p.at.Add(ReportValidity); end.After(until) {
 			until = end
 		}
