Decide the response timeout in the package of outliers

It depends on a target and a latency only. The relay passes both.

Tests: TestResponseTimeoutLeavesTimeForUsualStatements is new. go test ./core/outlier ./core/relay passes; golangci-lint is clean.

--- a/core/outlier/outlier_test.go
+++ b/core/outlier/outlier_test.go
@@ -303,3 +303,17 @@
 	record()
 	c.Assert(testing.AllocsPerRun(1000, record), qt.Equals, 0.0)
 }
+
+// Guards against abandoning statements that take their usual time: with a target of a few ms, on an instance that
+// is slow, or on a route without a target.
+func TestResponseTimeoutLeavesTimeForUsualStatements(t *testing.T) {
+	c := qt.New(t)
+	for _, x := range []struct{ target, latency, timeout time.Duration }{
+		{0, time.Second, 0},
+		{5 * time.Millisecond, time.Millisecond, 50 * time.Millisecond},
+		{200 * time.Millisecond, time.Millisecond, 200 * time.Millisecond},
+		{200 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond},
+	} {
+		c.Check(outlier.ResponseTimeout(x.target, x.latency), qt.Equals, x.timeout)
+	}
+}
--- a/core/relay/response.go
+++ b/core/relay/response.go
@@ -7,24 +7,6 @@
 	"skylarkdeal/core/statement"
 )
 
-const (
-	// responseFactor is how many times an instance's usual latency a response may take.
-	responseFactor = 4
-	// minResponseTimeout is longer than most statements, so that a target of a few ms abandons none.
-	minResponseTimeout = 50 * time.Millisecond
-)
-
-// responseTimeout returns after how long without a response the operation counts as timed out, zero if that
-// can't be told.
-func (o *operation) responseTimeout() time.Duration {
-	i := o.conn.inst
-	target := max(o.route.Target, o.g.smallestTarget(i))
-	if target == 0 {
-		return 0
-	}
-	return max(target, responseFactor*i.avgLatency, minResponseTimeout)
-}
-
 // checkResponse handles an operation that has got no response in the expected time: it records that, and
 // runs a read again on another path.
 //
@@ -35,7 +17,7 @@
 	if !o.g.r.cfg.DetectOutliers || c == nil || c.op != o || !o.sent {
 		return
 	}
-	timeout := o.responseTimeout()
+	timeout := outlier.ResponseTimeout(max(o.route.Target, o.g.smallestTarget(c.inst)), c.inst.avgLatency)
 	if timeout == 0 || now.Sub(o.sentAt) < timeout {
 		return
 	}
