Tell in one place which reads may be repeated

Three conditions stood for the same: the reads that earn a retry, may be a probe and may be run again without a response.

Tests: go test ./core/relay passes; golangci-lint is clean.

--- a/core/relay/outlier.go
+++ b/core/relay/outlier.go
@@ -127,15 +127,10 @@
 	o.probe = false
 }
 
-// mayBeSentAsProbe reports whether the operation may be sent to an ejected instance although another one
-// can run it: a read that is safe to repeat.
-func (o *operation) mayBeSentAsProbe() bool {
-	return !o.writes && !o.s.tx.open && o.s.boundInstance == ""
-}
-
-// probes reports whether the operation, if it is sent to the instance now, is a probe that is due.
+// probes reports whether the operation, if it is sent to the instance now, is a probe that is due. It is sent there
+// although another instance can run it, so that only a repeatable one is.
 func (o *operation) probes(now time.Time, i *instance) bool {
-	if !i.outlier.MayProbe(now) || !o.mayBeSentAsProbe() {
+	if !i.outlier.MayProbe(now) || !o.isRepeatable() {
 		return false
 	}
 	dialling := func(c *Conn) bool { return c.state == connDialling && c != o.dialling }
--- a/core/relay/response.go
+++ b/core/relay/response.go
@@ -42,13 +42,10 @@
 	return c.inst.lastHeard.After(o.sentAt)
 }
 
-// mayRunAgain reports whether the operation is a read outside of a transaction that another path can run
-// within the time left, and that its route allows to run once more.
+// mayRunAgain reports whether another path can run the operation within the time left, and the operation and its
+// route allow that.
 func (o *operation) mayRunAgain(now time.Time) bool {
-	if o.writes || o.s.tx.open || o.s.boundInstance != "" {
-		return false
-	}
-	if o.attempts >= maxAttempts || o.isLastRun() || !now.Before(o.deadline) {
+	if !o.isRepeatable() || o.attempts >= maxAttempts || o.isLastRun() || !now.Before(o.deadline) {
 		return false
 	}
 	i := o.conn.inst
--- a/core/relay/retries.go
+++ b/core/relay/retries.go
@@ -27,10 +27,16 @@
 	return n > 0 && o.runs+1 >= n
 }
 
+// isRepeatable reports whether this host may run the operation again after it may have run: it is a read outside of
+// a transaction, and not another host's, which repeats it itself.
+func (o *operation) isRepeatable() bool {
+	return !o.writes && !o.s.tx.open && o.s.boundInstance == ""
+}
+
 // earnRetry adds to the retry budget for a read that is sent for the first time and that this host would retry.
 // Another host's read adds to the budget there.
 func (o *operation) earnRetry() {
-	if !o.everSent && !o.writes && !o.s.tx.open && o.s.boundInstance == "" {
+	if !o.everSent && o.isRepeatable() {
 		o.g.retryBudget.Earn()
 	}
 }
