Look for a holder without changing which hosts are blocked

reachedWithoutHolder marked the host as unable to reach the instance, asked for the holder and took the mark back. holderExcept takes the host instead.

Tests: go test ./core/relay passes; golangci-lint is clean.

--- a/core/relay/holder.go
+++ b/core/relay/holder.go
@@ -77,7 +77,10 @@
 // them the strong ones come first, then the highest rendezvous hash decides, so that all hosts with the
 // same peers choose the same holder. A host with other peers chooses another holder. The instance then
 // has two holders with fewer connections each, which does no harm.
-func (r *Relay) holder(i *instance) (Peer, bool) {
+func (r *Relay) holder(i *instance) (Peer, bool) { return r.holderExcept(i, "") }
+
+// holderExcept returns the holder as if host x couldn't reach the instance; x is empty for none.
+func (r *Relay) holderExcept(i *instance, x fleet.Host) (Peer, bool) {
 	now := r.now()
 	reachable := !i.suspected(now)
 	if len(r.forwarding.peers) == 0 || reachable && i.direct(now) && !i.isCold(now) {
@@ -87,7 +90,7 @@
 		if h == r.cfg.Host {
 			return reachable
 		}
-		return r.peerMayReach(now, h, i)
+		return h != x && r.peerMayReach(now, h, i)
 	}
 	i.rank()
 	hosts := i.ranking.preferred
--- a/core/relay/response.go
+++ b/core/relay/response.go
@@ -59,14 +59,7 @@
 	if via == "" || o.respondedSince(o.conn) {
 		return false
 	}
-	until, blocked := i.blockedHosts[via]
-	i.setBlocked(via, now.Add(blockedHostFor))
-	p, held := o.g.r.holder(i)
-	if blocked {
-		i.blockedHosts[via] = until
-	} else {
-		delete(i.blockedHosts, via)
-	}
+	p, held := o.g.r.holderExcept(i, via)
 	if held {
 		return p.Send != nil
 	}
