--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -56,17 +56,17 @@
 }
 
 const (
-	// windowTime and windowResponses are the least length of a window. Shorter ones follow the variance
-	// of single statements.
+	// windowTime and windowResponses are the least length of a window. Shorter ones follow the variance of
+	// single statements.
 	windowTime      = 50 * time.Millisecond
 	windowResponses = 16
 	// maxRatio bounds what one response adds to a window, so that one outlier doesn't decide.
 	maxRatio = 10
-	// congestedRatio is the ratio above which statements wait in the instance: there are twice as many as
-	// slots.
+	// congestedRatio is the ratio above which too many statements wait in the instance: at 2 there are twice as
+	// many as slots.
 	congestedRatio = 2
-	// decrease is the factor of a limit that is too high, increase the step of one that isn't and was
-	// reached.
+	// decrease is the factor by which a limit is lowered that is too high, increase the number of statements by
+	// which one is raised that isn't and was reached.
 	decrease = 0.75
 	increase = 0.5
 	// shedInterval is the least time between two decreases for BUSY, so that the refusals of one burst
@@ -87,6 +87,12 @@
 // Allows reports whether one more statement may be sent while running are at the instance.
 func (l *Limiter) Allows(running int, b Bounds) bool { return running < l.Limit(b) }
 
+// Wait returns how long a new statement waits while the limit is reached: until as many have ended as wait, of
+// which running are at the instance at a time and take latency each.
+func Wait(latency time.Duration, waiting, running int) time.Duration {
+	return latency * time.Duration(max(waiting, 1)) / time.Duration(max(running, 1))
+}
+
 // Answered records a response after took, while running statements were at the instance, this one
 // included. It reports whether the limit has changed.
 func (l *Limiter) Answered(now time.Time, k Kind, took time.Duration, running int, b Bounds) bool {
--- a/core/limiter/limiter_test.go
+++ b/core/limiter/limiter_test.go
@@ -77,3 +77,12 @@
 		l.Answered(now, limiter.Kind{Priority: 1}, 9*time.Millisecond, 3, b)
 	}), qt.Equals, 0.0)
 }
+
+// Guards against a wait of zero, or a division by zero, for the first statement that waits.
+func TestWaitGrowsWithTheQueueAndFallsWithTheSlots(t *testing.T) {
+	c := qt.New(t)
+	const latency = 10 * time.Millisecond
+	c.Check(limiter.Wait(latency, 0, 0), qt.Equals, latency)
+	c.Check(limiter.Wait(latency, 6, 1), qt.Equals, 6*latency)
+	c.Check(limiter.Wait(latency, 6, 2), qt.Equals, 3*latency)
+}
--- a/core/relay/limit.go
+++ b/core/relay/limit.go
@@ -35,8 +35,7 @@
 // limitWait returns how long a new operation waits in this host's queue for the limited instance. Its statements
 // take at least as long as the oldest one has taken already: an instance that hangs has a short average.
 func (g *group) limitWait(now time.Time, i *instance) time.Duration {
-	latency := max(i.avgLatency, i.oldestStatementAge(now))
-	return latency * time.Duration(max(g.queue.Len(), 1)) / time.Duration(max(i.ownRunning(), 1))
+	return limiter.Wait(max(i.avgLatency, i.oldestStatementAge(now)), g.queue.Len(), i.ownRunning())
 }
 
 // adjustLimit adjusts the instance's concurrency limit by a response to o, while o still counts as running.
