Name the requester of a connection, and say when an only one is closed

The comment on mayEvict took the idle time of a connection for a fall of the account's demand.

Tests: go test ./core/connpool passes; golangci-lint is clean.

--- a/core/connpool/connpool.go
+++ b/core/connpool/connpool.go
@@ -131,19 +131,19 @@
 // Eviction is the choice of the idle connection that is closed in favour of an account. All idle
 // connections are offered to it, one after the other.
 type Eviction struct {
-	now    time.Time
-	wanter *Account
-	// spare is set while the instance has an idle slot.
-	spare bool
-	best  int
-	owner *Account
-	since time.Time
+	now       time.Time
+	requester *Account
+	// idleSlot is set while the instance has an idle slot.
+	idleSlot bool
+	best     int
+	owner    *Account
+	since    time.Time
 }
 
-// Evict begins the choice of a connection to close in favour of account a. spare tells whether the
+// Evict begins the choice of a connection to close in favour of account a. idleSlot tells whether the
 // instance has an idle slot.
-func (p *Pool) Evict(now time.Time, a fleet.Account, spare bool) Eviction {
-	return Eviction{now: now, wanter: p.Account(a), spare: spare}
+func (p *Pool) Evict(now time.Time, a fleet.Account, idleSlot bool) Eviction {
+	return Eviction{now: now, requester: p.Account(a), idleSlot: idleSlot}
 }
 
 // Offer considers the idle connection with index n, which account a has and which has been idle since the
@@ -159,17 +159,17 @@
 
 // mayEvict reports whether a connection may be closed in favour of the account that wants one.
 //
-// The only connection of an account stays, unless that account is wanted much less, or less than it used to
-// be. With even demand for more accounts than there are connections, each statement would otherwise take a
-// connection from an account that needs it next, and the slots would do nothing but open connections. An idle
-// slot has the time for a new connection, and requests would be refused for nothing.
+// The only connection of an account stays, unless that account has much less demand, or the connection has been
+// idle for longer than the account's usual gap. With even demand for more accounts than there are connections, each
+// statement would otherwise take a connection from an account that needs it next, and the slots would do nothing but
+// open connections. An idle slot has the time for a new connection, and requests would be refused for nothing.
 //
 // A connection that an operation of its own account waits for would be opened again at once.
 func (e *Eviction) mayEvict(a *Account, since time.Time) bool {
-	if a == e.wanter || a.waitingAt.Equal(e.now) {
+	if a == e.requester || a.waitingAt.Equal(e.now) {
 		return false
 	}
-	return a.conns > 1 || e.spare || e.wanter.demand >= evictFactor*a.demand || e.now.Sub(since) > a.gap
+	return a.conns > 1 || e.idleSlot || e.requester.demand >= evictFactor*a.demand || e.now.Sub(since) > a.gap
 }
 
 // before reports whether a connection is to be closed rather than the best one so far: that of the account
--- a/core/connpool/connpool_test.go
+++ b/core/connpool/connpool_test.go
@@ -23,8 +23,10 @@
 
 // choose offers one connection of each account, all idle for as long, and returns the owner of the one to
 // close.
-func choose(p *connpool.Pool, wanter fleet.Account, spare bool, idle time.Duration, as ...fleet.Account) fleet.Account {
-	e := p.Evict(t0, wanter, spare)
+func choose(
+	p *connpool.Pool, requester fleet.Account, idleSlot bool, idle time.Duration, as ...fleet.Account,
+) fleet.Account {
+	e := p.Evict(t0, requester, idleSlot)
 	for n, a := range as {
 		e.Offer(n, p.Account(a), t0.Add(-idle))
 	}
@@ -123,8 +125,8 @@
 		as[n] = fleet.Account(fmt.Sprint(n))
 		p.Opened(as[n])
 	}
-	p.Account("wanter")
-	c.Assert(testing.AllocsPerRun(100, func() { choose(&p, "wanter", false, time.Second, as...) }), qt.Equals, 0.0)
+	p.Account("requester")
+	c.Assert(testing.AllocsPerRun(100, func() { choose(&p, "requester", false, time.Second, as...) }), qt.Equals, 0.0)
 }
 
 // A choice is always one of the offered connections, never one of the account that wants it or that is waited
@@ -152,7 +154,7 @@
 				p.Account(a).SetWaiting(t0)
 			}
 		}
-		got := choose(&p, "a", rapid.Bool().Draw(t, "spare"), 0, conns...)
+		got := choose(&p, "a", rapid.Bool().Draw(t, "idleSlot"), 0, conns...)
 		if got == "a" || waits[got] {
 			t.Fatalf("evicted a connection of %q", got)
 		}
