--- a/core/limiter/baseline.go
+++ b/core/limiter/baseline.go
@@ -23,29 +23,29 @@
 )
 
 // add adds a response and returns how many times the baseline it took.
-func (e *baseline) add(now time.Time, took time.Duration) float64 {
+func (b *baseline) add(now time.Time, took time.Duration) float64 {
 	took = max(took, time.Microsecond)
-	e.sum += took
-	e.count++
-	if e.count >= baselineResponses {
-		e.update(now, e.sum/time.Duration(e.count))
-		e.sum, e.count = 0, 0
+	b.sum += took
+	b.count++
+	if b.count >= baselineResponses {
+		b.update(now, b.sum/time.Duration(b.count))
+		b.sum, b.count = 0, 0
 	}
-	if e.value == 0 {
+	if b.value == 0 {
 		return 1
 	}
-	return took.Seconds() / e.value.Seconds()
+	return took.Seconds() / b.value.Seconds()
 }
 
-func (e *baseline) update(now time.Time, average time.Duration) {
+func (b *baseline) update(now time.Time, average time.Duration) {
 	switch {
-	case e.value == 0:
-		e.value = average
-	case average < e.value:
-		e.value -= (e.value - average) / baselineFallDivisor
+	case b.value == 0:
+		b.value = average
+	case average < b.value:
+		b.value -= (b.value - average) / baselineFallDivisor
 	default:
-		part := min(now.Sub(e.updated), baselineRise).Seconds() / baselineRise.Seconds()
-		e.value = min(average, e.value+time.Duration(part*float64(e.value)))
+		part := min(now.Sub(b.updated), baselineRise).Seconds() / baselineRise.Seconds()
+		b.value = min(average, b.value+time.Duration(part*float64(b.value)))
 	}
-	e.updated = now
+	b.updated = now
 }
