--- a/core/relay/coordination.go
+++ b/core/relay/coordination.go
@@ -177,7 +177,7 @@
 	}
 	if g.positionsAskedAt.IsZero() || now.Sub(g.positionsAskedAt) > positionRequestRetry {
 		g.positionsAskedAt = now
-		g.noteCatchUp(now)
+		g.recordCatchUpPosition(now)
 	}
 	for _, i := range g.instances {
 		if i.usable() && i.statusAt.Before(g.positionsAskedAt) && now.Sub(i.askedAt) >= statusRequestInterval {
--- a/core/relay/ejected_primary.go
+++ b/core/relay/ejected_primary.go
@@ -41,18 +41,18 @@
 	return n
 }
 
-// noteCatchUp notes the primary's log position before the replicas are asked for theirs. It must be recent:
-// a replica that lags by seconds covers an old one.
-func (g *group) noteCatchUp(now time.Time) {
-	g.outliers.catchUp = fleet.Option[fleet.LogPosition]{}
+// recordCatchUpPosition records the primary's log position before the replicas are asked for theirs. It must be
+// recent: a replica that lags by seconds covers an old one.
+func (g *group) recordCatchUpPosition(now time.Time) {
+	g.outliers.catchUpPosition = fleet.Option[fleet.LogPosition]{}
 	if p := g.primary(); p != nil && now.Sub(p.statusAt) <= positionRequestRetry+positionRequestWait {
-		g.outliers.catchUp = fleet.Some(p.received)
+		g.outliers.catchUpPosition = fleet.Some(p.received)
 	}
 }
 
 // behind reports whether an instance isn't known to have received what the primary had when the instances
 // were asked for their log positions.
 func (g *group) behind(i *instance) bool {
-	p, ok := g.outliers.catchUp.Get()
+	p, ok := g.outliers.catchUpPosition.Get()
 	return !ok || !i.received.Covers(p)
 }
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -35,8 +35,8 @@
 	// runs is how often the statement may have run on an instance.
 	runs     int
 	excluded fleet.Set[fleet.Instance]
-	// turnedAwayFor is the longest retry time of the answers that have turned it away for lack of capacity.
-	turnedAwayFor time.Duration
+	// busyRetryAfter is the longest retry time of the answers that refused it for lack of capacity.
+	busyRetryAfter time.Duration
 
 	// wantedAt is the instance at which the operation last counted as one that wants a connection.
 	wantedAt *instance
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -28,7 +28,7 @@
 		return
 	}
 	o.g.handleRefusal(c, a.Code, o)
-	o.noteTurnedAway(a)
+	o.recordBusy(a)
 	// The instance refused the prepare that was sent ahead of the statement.
 	c.dirty = c.dirty || a.Code == statement.CodeNotPrepared
 	if o.beginsTx && c.via != "" && a.Code.NotRun() {
--- a/core/relay/outlier.go
+++ b/core/relay/outlier.go
@@ -23,8 +23,8 @@
 	targetsOf *catalog.Catalog
 	// promotedAt is when this host last requested a promotion because hosts eject the primary.
 	promotedAt time.Time
-	// catchUp is the log position that the successor of an ejected primary has to cover.
-	catchUp fleet.Option[fleet.LogPosition]
+	// catchUpPosition is the log position that the successor of an ejected primary has to cover.
+	catchUpPosition fleet.Option[fleet.LogPosition]
 }
 
 // smallestTargets are the smallest targets of a group's routes, zero if there are none: of all, and of those
--- a/core/relay/pacing.go
+++ b/core/relay/pacing.go
@@ -35,18 +35,18 @@
 	return g.pacer.Capacity(now, wait)
 }
 
-// noteTurnedAway keeps the retry time of an answer that the operation was turned away with.
-func (o *operation) noteTurnedAway(a statement.Answer) {
+// recordBusy keeps the retry time of an answer that refuses the operation for lack of capacity.
+func (o *operation) recordBusy(a statement.Answer) {
 	if a.Code == statement.CodeBusy {
-		o.turnedAwayFor = max(o.turnedAwayFor, a.RetryAfter)
+		o.busyRetryAfter = max(o.busyRetryAfter, a.RetryAfter)
 	}
 }
 
-// retryTime returns the retry time of a refusal for a failure that is expected to last for left. Of an
-// operation that was turned away for lack of capacity, the holder or the instance has told the time.
+// retryTime returns the retry time of a refusal for a failure that is expected to last for left. For an
+// operation that was refused for lack of capacity it is the time that the holder or the instance has given.
 func (o *operation) retryTime(left time.Duration) time.Duration {
-	if o.turnedAwayFor > 0 && o.g.r.cfg.PacedRetries {
-		left = min(o.turnedAwayFor, pacing.MaxRetryAfter)
+	if o.busyRetryAfter > 0 && o.g.r.cfg.PacedRetries {
+		left = min(o.busyRetryAfter, pacing.MaxRetryAfter)
 	}
 	return o.g.r.retryAfterFailure(left)
 }
