Split the choice of a path

choosePath used a dialled connection, compared the paths by kind and decided. The first two are functions of their own now. Behaviour is the same.

--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -84,17 +84,46 @@
 	if o == nil {
 		return path{}, false
 	}
-	if c := o.dialling; c != nil && c.state == connIdle &&
-		(!g.mayTake(now, c.inst, o) || c.inst.limited(now)) {
+	if c := g.dialledFor(now, o); c != nil {
+		return path{inst: c.inst, conn: c}, true
+	}
+	ready, dial, limited := g.cheapestPaths(now, o)
+	if limited.cheaperThan(ready) && limited.cheaperThan(dial) {
+		return path{}, false
+	}
+	if dial.cheaperThan(ready) {
+		if o.dialling == nil || o.dialling.state == connClosed {
+			o.dialling = dial.inst.connect(now, o)
+		}
+		if o.dialling != nil {
+			return path{}, false
+		}
+	}
+	return ready, ready.inst != nil
+}
+
+// dialledFor returns the connection that was dialled for an operation if the operation can run on it now.
+func (g *group) dialledFor(now time.Time, o *operation) *Conn {
+	c := o.dialling
+	if c == nil || c.state != connIdle {
+		return nil
+	}
+	if !g.mayTake(now, c.inst, o) || c.inst.limited(now) {
 		// The instance has turned out not to be one that may run it, or has reached its limit meanwhile. It may
 		// then hang, so that the operation doesn't wait for this connection.
 		o.dialling = nil
+		return nil
 	}
-	if o.dialling != nil && o.dialling.state == connIdle && o.dialling.inst.canStart(now) &&
-		g.readyFor(now, o.dialling, o) {
-		return path{inst: o.dialling.inst, conn: o.dialling}, true
+	if !c.inst.canStart(now) || !g.readyFor(now, c, o) {
+		return nil
 	}
-	var ready, dial, limited path
+	return c
+}
+
+// cheapestPaths returns the cheapest path of an operation of each kind: one that is ready, one for which a
+// connection has to be made, and one to an instance that has reached its concurrency limit. Those that there are
+// none of have no instance.
+func (g *group) cheapestPaths(now time.Time, o *operation) (ready, dial, limited path) {
 	for _, i := range g.instances {
 		if !g.mayTake(now, i, o) {
 			continue
@@ -110,22 +139,11 @@
 		case w.conn == nil && w.peer.Host == "":
 			best = &dial
 		}
-		if best.inst == nil || w.cost < best.cost {
+		if w.cheaperThan(*best) {
 			*best = w
 		}
 	}
-	if limited.cheaperThan(ready) && limited.cheaperThan(dial) {
-		return path{}, false
-	}
-	if dial.inst != nil && (ready.inst == nil || dial.cost < ready.cost) {
-		if o.dialling == nil || o.dialling.state == connClosed {
-			o.dialling = dial.inst.connect(now, o)
-		}
-		if o.dialling != nil {
-			return path{}, false
-		}
-	}
-	return ready, ready.inst != nil
+	return ready, dial, limited
 }
 
 // path is one way to reach an instance: an idle connection, another host, or a connection that is still
@@ -139,6 +157,7 @@
 	limited bool
 }
 
+// cheaperThan reports whether there is the path, and the other one is missing or costs more.
 func (w path) cheaperThan(other path) bool {
 	return w.inst != nil && (other.inst == nil || w.cost < other.cost)
 }
