--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -35,22 +35,32 @@
 		g.sendPeerRequests(now)
 	}
 	for len(g.waiting) > 0 {
-		found := map[uint64]*Conn{}
+		// The queue may look for the paths of several operations and starts one of them.
+		found := map[uint64]path{}
 		item, ok := g.queue.Next(now, func(i admit.Item) bool {
-			c := g.chooseConn(now, g.waiting[i.Key])
-			if c == nil {
+			w, ok := g.choosePath(now, g.waiting[i.Key])
+			if !ok {
 				return false
 			}
-			c.reserved, found[i.Key] = true, c
+			if w.conn != nil {
+				w.conn.reserved = true
+			}
+			found[i.Key] = w
 			return true
 		})
-		for _, c := range found {
-			c.reserved = false
+		for _, w := range found {
+			if w.conn != nil {
+				w.conn.reserved = false
+			}
 		}
 		if !ok {
 			return
 		}
-		g.waiting[item.Key].runOn(found[item.Key])
+		o, w := g.waiting[item.Key], found[item.Key]
+		if w.conn == nil {
+			w.conn = w.inst.connVia(w.peer, o.s.account)
+		}
+		o.runOn(w.conn)
 	}
 }
 
@@ -64,25 +74,56 @@
 	lagBackoffMax = time.Second
 )
 
-// chooseConn returns the connection on which an operation is to run now, or nil. It starts a new
-// connection if that costs less than the connections that there are.
+// choosePath returns the path by which an operation is to run now, over an idle connection or another host, or
+// false if it has to wait. It starts a new connection if that costs less than the paths that there are.
 //
 // Designed for few slots on each instance, one of which is slow or far behind, and accounts that each
 // need connections of their own. Callers would wait for a slow instance while others are idle, so the
 // expected wait decides.
-func (g *group) chooseConn(now time.Time, o *operation) *Conn {
+func (g *group) choosePath(now time.Time, o *operation) (path, bool) {
 	if o == nil {
+		return path{}, false
+	}
+	if c := g.dialledFor(now, o); c != nil {
+		return path{inst: c.inst, conn: c}, true
+	}
+	ready, dial, limited := g.cheapestPaths(now, o)
+	if limited.cheaperThan(ready) && limited.cheaperThan(dial) {
+		return path{}, false
+	}
+	if dial.cheaperThan(ready) {
+		if o.dialling == nil || o.dialling.state == connClosed {
+			o.dialling = dial.inst.connect(now, o)
+		}
+		if o.dialling != nil {
+			return path{}, false
+		}
+	}
+	return ready, ready.inst != nil
+}
+
+// dialledFor returns the connection that was dialled for an operation if the operation can run on it now.
+func (g *group) dialledFor(now time.Time, o *operation) *Conn {
+	c := o.dialling
+	if c == nil || c.state != connIdle {
 		return nil
 	}
-	if o.dialling != nil && o.dialling.state == connIdle && !g.mayTake(now, o.dialling.inst, o) {
-		// The instance has turned out not to be one that may run it.
+	if !g.mayTake(now, c.inst, o) || c.inst.limited(now) {
+		// The instance has turned out not to be one that may run it, or has reached its limit meanwhile. It may
+		// then hang, so that the operation doesn't wait for this connection.
 		o.dialling = nil
+		return nil
 	}
-	if o.dialling != nil && o.dialling.state == connIdle && o.dialling.inst.canStart(now) &&
-		!o.dialling.inst.limited(now, o.dialling.inst.ownRunning()) && g.readyFor(now, o.dialling, o) {
-		return o.dialling
+	if !c.inst.canStart(now) || !g.readyFor(now, c, o) {
+		return nil
 	}
-	var ready, dial, limited path
+	return c
+}
+
+// cheapestPaths returns the cheapest path of an operation of each kind: one that is ready, one for which a
+// connection has to be made, and one to an instance that has reached its concurrency limit. Those that there are
+// none of have no instance.
+func (g *group) cheapestPaths(now time.Time, o *operation) (ready, dial, limited path) {
 	for _, i := range g.instances {
 		if !g.mayTake(now, i, o) {
 			continue
@@ -98,25 +139,11 @@
 		case w.conn == nil && w.peer.Host == "":
 			best = &dial
 		}
-		if best.inst == nil || w.cost < best.cost {
+		if w.cheaperThan(*best) {
 			*best = w
 		}
 	}
-	if limited.cheaperThan(ready) && limited.cheaperThan(dial) {
-		return nil
-	}
-	if dial.inst != nil && (ready.inst == nil || dial.cost < ready.cost) {
-		if o.dialling == nil || o.dialling.state == connClosed {
-			o.dialling = dial.inst.connect(now, o)
-		}
-		if o.dialling != nil {
-			return nil
-		}
-	}
-	if ready.inst == nil || ready.conn != nil {
-		return ready.conn
-	}
-	return ready.inst.connVia(ready.peer, o.s.account)
+	return ready, dial, limited
 }
 
 // path is one way to reach an instance: an idle connection, another host, or a connection that is still
@@ -130,6 +157,7 @@
 	limited bool
 }
 
+// cheaperThan reports whether there is the path, and the other one is missing or costs more.
 func (w path) cheaperThan(other path) bool {
 	return w.inst != nil && (other.inst == nil || w.cost < other.cost)
 }
@@ -157,6 +185,13 @@
 	return ok && i.sharesHistory(s) && (i.position.Covers(s.Position) || i.mayTrialRead(now, o))
 }
 
+// forwardsTo returns the holder over which an operation reaches an instance, or false if it has to use this host's
+// own connections.
+func (g *group) forwardsTo(i *instance, o *operation) (Peer, bool) {
+	p, held := g.r.holder(i)
+	return p, held && o.s.boundInstance == "" && g.r.allowsRegion(o.regions, p.DataCentre)
+}
+
 // readyFor reports whether an operation may be sent on a connection now. If it relies on the instance's
 // status, and that doesn't cover the connection, readyFor requests it.
 func (g *group) readyFor(now time.Time, c *Conn, o *operation) bool {
@@ -179,8 +214,7 @@
 	if now.Sub(i.avgLatencyAt) > latencyMaxAge {
 		est.Latency = 0
 	}
-	p, held := g.r.holder(i)
-	if held && o.s.boundInstance == "" && g.r.allowsRegion(o.regions, p.DataCentre) {
+	if p, over := g.forwardsTo(i, o); over {
 		if p.Send == nil {
 			return path{}, false
 		}
@@ -190,7 +224,7 @@
 		if !i.canStart(now) {
 			return path{}, false
 		}
-		if w.limited = i.limited(now, est.Running-i.forwardedCount); w.limited {
+		if w.limited = i.limited(now); w.limited {
 			est.Queued = g.limitWait(now, i)
 			w.cost = est.Cost(o.route.Target)
 			return w, true
--- a/core/relay/response.go
+++ b/core/relay/response.go
@@ -7,35 +7,17 @@
 	"skylarkdeal/core/statement"
 )
 
-const (
-	// responseFactor is how many times an instance's usual latency a response may take.
-	responseFactor = 4
-	// minResponseTimeout is longer than most statements, so that a target of a few ms abandons none.
-	minResponseTimeout = 50 * time.Millisecond
-)
-
-// responseTimeout returns after how long without a response the operation counts as timed out, zero if that
-// can't be told.
-func (o *operation) responseTimeout() time.Duration {
-	i := o.conn.inst
-	target := max(o.route.Target, o.g.smallestTarget(i))
-	if target == 0 {
-		return 0
-	}
-	return max(target, responseFactor*i.avgLatency, minResponseTimeout)
-}
-
 // checkResponse handles an operation that has got no response in the expected time: it records that, and
 // runs a read again on another path.
 //
-// Designed for a host or an instance that stops to answer. A read that it owes would be answered at its
-// caller's deadline, although another instance could have run it meanwhile.
+// Designed for a host or an instance that stops answering. The caller of a pending read would be refused at its
+// deadline, although another instance could have run the read meanwhile.
 func (o *operation) checkResponse(now time.Time) {
 	c := o.conn
 	if !o.g.r.cfg.DetectOutliers || c == nil || c.op != o || !o.sent {
 		return
 	}
-	timeout := o.responseTimeout()
+	timeout := outlier.ResponseTimeout(max(o.route.Target, o.g.smallestTarget(c.inst)), c.inst.avgLatency)
 	if timeout == 0 || now.Sub(o.sentAt) < timeout {
 		return
 	}
@@ -60,10 +42,10 @@
 	return c.inst.lastHeard.After(o.sentAt)
 }
 
-// mayRunAgain reports whether the operation is a read outside of a transaction that another path can run
-// within the time left.
+// mayRunAgain reports whether another path can run the operation within the time left, and the operation and its
+// route allow that.
 func (o *operation) mayRunAgain(now time.Time) bool {
-	if o.writes || o.s.tx.open || o.s.boundInstance != "" || o.attempts >= maxAttempts || !now.Before(o.deadline) {
+	if !o.isRepeatable() || o.attempts >= maxAttempts || o.isLastRun() || !now.Before(o.deadline) {
 		return false
 	}
 	i := o.conn.inst
@@ -77,14 +59,7 @@
 	if via == "" || o.respondedSince(o.conn) {
 		return false
 	}
-	until, blocked := i.blockedHosts[via]
-	i.setBlocked(via, now.Add(blockedHostFor))
-	p, held := o.g.r.holder(i)
-	if blocked {
-		i.blockedHosts[via] = until
-	} else {
-		delete(i.blockedHosts, via)
-	}
+	p, held := o.g.r.holderExcept(i, via)
 	if held {
 		return p.Send != nil
 	}
@@ -108,5 +83,7 @@
 	c.op = nil
 	c.handleClose("no response in the expected time")
 	o.runAgainAt = now
-	o.retry(code)
+	o.releaseSlot(now, 0)
+	o.runs++
+	o.requeue(code)
 }
