Split the evaluation of outliers

Listing the instances with what other hosts report of them is a function of its own now. Behaviour is the same.

Tests: go test ./core/relay passes; golangci-lint is clean.

--- a/core/relay/outlier.go
+++ b/core/relay/outlier.go
@@ -16,8 +16,9 @@
 	// changed is set if there may be something to decide, evaluatedAt when it was last decided.
 	changed     bool
 	evaluatedAt time.Time
-	members     []outlier.Member
-	instances   []*instance
+	// members are the instances of the last evaluation, in the same order. Both are kept to reuse the memory.
+	members   []outlier.Member
+	instances []*instance
 	// targets are those of the catalog that targetsOf names.
 	targets   smallestTargets
 	targetsOf *catalog.Catalog
@@ -170,21 +171,7 @@
 		return
 	}
 	s.evaluatedAt, s.changed = now, r.ejections.Expire(now)
-	s.instances, s.members = s.instances[:0], s.members[:0]
-	for _, i := range g.instances {
-		s.instances = append(s.instances, i)
-	}
-	slices.SortFunc(s.instances, func(a, b *instance) int { return cmp.Compare(a.info.Name, b.info.Name) })
-	for _, i := range s.instances {
-		until, rate, ok := r.ejections.Of(now, r.cfg.DataCentre, i.info.Name)
-		if !ok {
-			until, rate = time.Time{}, 0
-		}
-		i.outlier.Adopt(until, rate)
-		s.members = append(s.members, outlier.Member{
-			Instance: &i.outlier, Usable: i.usable(), Target: g.smallestTarget(i),
-		})
-	}
+	g.listOutlierMembers(now)
 	for _, d := range outlier.Evaluate(now, s.members) {
 		switch d.Choice {
 		case outlier.ChoiceEject:
@@ -202,6 +189,27 @@
 	}
 }
 
+// listOutlierMembers lists the instances of the group for an evaluation, in the order of their names, and passes on
+// what other hosts report of them.
+func (g *group) listOutlierMembers(now time.Time) {
+	s, r := &g.outliers, g.r
+	s.instances, s.members = s.instances[:0], s.members[:0]
+	for _, i := range g.instances {
+		s.instances = append(s.instances, i)
+	}
+	slices.SortFunc(s.instances, func(a, b *instance) int { return cmp.Compare(a.info.Name, b.info.Name) })
+	for _, i := range s.instances {
+		until, rate, ok := r.ejections.Of(now, r.cfg.DataCentre, i.info.Name)
+		if !ok {
+			until, rate = time.Time{}, 0
+		}
+		i.outlier.Adopt(until, rate)
+		s.members = append(s.members, outlier.Member{
+			Instance: &i.outlier, Usable: i.usable(), Target: g.smallestTarget(i),
+		})
+	}
+}
+
 // smallestTarget returns the smallest target of the routes that an instance serves.
 func (g *group) smallestTarget(i *instance) time.Duration {
 	s := &g.outliers
