Correct what a usable member is, and return zeros for no ejection

A member in an evacuated data centre isn't usable; one that is unreachable is, which the comment denied. Reports.Of returned values beside false that its caller had to clear.

--- a/core/outlier/evaluate.go
+++ b/core/outlier/evaluate.go
@@ -26,7 +26,7 @@
 // Member is one instance of a group that is evaluated.
 type Member struct {
 	Instance *Instance
-	// Usable is set unless the instance is leaving, removed or unreachable.
+	// Usable is set unless the instance is leaving, removed or in an evacuated data centre.
 	Usable bool
 	// Target is the smallest target of the routes that the instance serves, zero if it isn't known.
 	Target time.Duration
--- a/core/outlier/reports.go
+++ b/core/outlier/reports.go
@@ -70,8 +70,8 @@
 	return len(r.byHost) > 0
 }
 
-// Of returns until when reports eject an instance, and the highest rate of failures among them, false if
-// they don't. One host of the own data centre is enough, or hosts of two other ones: a single link between two
+// Of returns until when reports eject an instance, and the highest rate of failures among them, zeros and false
+// if they don't. One host of the own data centre is enough, or hosts of two other ones: a single link between two
 // data centres that loses responses then ejects nothing in a third.
 func (r *Reports) Of(now time.Time, own fleet.DataCentre, n fleet.Instance) (until time.Time, rate float64, ok bool) {
 	var other fleet.DataCentre
@@ -89,7 +89,10 @@
 		}
 		rate = max(rate, float64(e.RatePercent)/100)
 	}
-	return until, rate, ok
+	if !ok {
+		return time.Time{}, 0, false
+	}
+	return until, rate, true
 }
 
 // Hosts returns how many hosts eject an instance as the primary of its group.
@@ -115,5 +118,6 @@
 	return Ejection{}, false
 }
 
-// Adopt sets until when reports of other hosts eject the instance, in place of earlier ones.
+// Adopt sets until when reports of other hosts eject the instance, in place of earlier ones. The zero time is for
+// no ejection.
 func (i *Instance) Adopt(until time.Time, rate float64) { i.adoptedUntil, i.adoptedRate = until, rate }
--- a/core/relay/outlier.go
+++ b/core/relay/outlier.go
@@ -199,10 +199,7 @@
 	}
 	slices.SortFunc(s.instances, func(a, b *instance) int { return cmp.Compare(a.info.Name, b.info.Name) })
 	for _, i := range s.instances {
-		until, rate, ok := r.ejections.Of(now, r.cfg.DataCentre, i.info.Name)
-		if !ok {
-			until, rate = time.Time{}, 0
-		}
+		until, rate, _ := r.ejections.Of(now, r.cfg.DataCentre, i.info.Name)
 		i.outlier.Adopt(until, rate)
 		s.members = append(s.members, outlier.Member{
 			Instance: &i.outlier, Usable: i.usable(), Target: g.smallestTarget(i),
