Don't wait for a dialled connection that another operation has taken

An operation for which a connection was dialled made no other one while that was open, also where a more urgent transaction had taken it. It waited until it was refused, although an idle connection could have been closed for it, and didn't count as one that waits for a connection, so that no idle transaction was rolled back for it.

Tests: TestOperationWhoseConnectionWasTakenDialsAnother fails without the change. go test ./core/relay passes; golangci-lint is clean. How many more connections are made under load wasn't measured.

--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -105,6 +105,11 @@
 // dialledFor returns the connection that was dialled for an operation if the operation can run on it now.
 func (g *group) dialledFor(now time.Time, o *operation) *Conn {
 	c := o.dialling
+	if c != nil && (c.op != nil || c.session != nil) {
+		// Another operation has taken it, and may keep it for a transaction.
+		o.dialling = nil
+		return nil
+	}
 	if c == nil || c.state != connIdle {
 		return nil
 	}
--- a/core/relay/priority_test.go
+++ b/core/relay/priority_test.go
@@ -76,6 +76,38 @@
 	c.Assert(w.count("write"), qt.Equals, answered+1)
 }
 
+// An urgent transaction takes the connection that was dialled for a less urgent operation. Guards against an
+// operation that waits for that connection until it is refused, although another one is free to be closed for it.
+func TestOperationWhoseConnectionWasTakenDialsAnother(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).withConfirmedPrimary()
+	w.setPriorities(2)
+	w.revise(func(d *catalog.Catalog) {
+		d.Version++
+		d.Services = map[fleet.Service]catalog.Service{service: {Name: service, Connections: 3}}
+	})
+	// Connections beyond the limit are closed.
+	w.listFor(4 * time.Second)
+	x, y, urgent := w.open("rush", "key-3"), w.open("rush", "key-1"), w.open("urgent", "key-1")
+	x.do(statement.KindBegin, "", "")
+	x.do(statement.KindWrite, "", "item data")
+	w.advance(30*time.Millisecond, true)
+	a := w.instances["a"]
+	a.hold = true
+	y.do(statement.KindWrite, "", "item data")
+	w.advance(20*time.Millisecond, true)
+	urgent.do(statement.KindBegin, "", "")
+	urgent.do(statement.KindWrite, "", "item data")
+	a.hold = false
+	w.advance(20*time.Millisecond, true)
+	c.Assert(urgent.answers, qt.HasLen, 2)
+	c.Assert(y.answers, qt.HasLen, 0)
+	x.do(statement.KindCommit, "", "")
+	w.advance(50*time.Millisecond, true)
+	c.Assert(y.answers, qt.HasLen, 1)
+	c.Assert(y.last().Code, qt.Equals, statement.CodeNone)
+}
+
 // Statements go over a holder. Guards against an order that ends at the entry host: the holder gets the
 // priority of the route.
 func TestForwardedStatementHasThePriorityOfItsRoute(t *testing.T) {
