Size the reserve of urgent operations by the interval of reports

Two fifths of the burst were kept on all fleets. A small fleet reports twice as often, and its level swings half as much; the other operations of an account at its limit lost that part for nothing. What is kept is now what the rate gives between two reports: 0.2 s of it in a small fleet, 0.4 s in a large one.

Test: go test ./core/ratelimit passes as before.

--- a/core/ratelimit/classes.go
+++ b/core/ratelimit/classes.go
@@ -18,10 +18,6 @@
 // minRequests is the count below which a priority counts as not requested.
 const minRequests = 0.1
 
-// urgentReserve is the part of the burst that is kept for the most urgent operations: about as much as other
-// hosts of a large fleet admit between two of their reports.
-const urgentReserve = 0.4
-
 // classes divides what is admitted of one account among the priorities of its operations: the more
 // urgent ones come first, and each of the others keeps minClassShare of what it would get without
 // priorities. Altogether no more is admitted than without them.
@@ -73,13 +69,14 @@
 	return min(1, (left-reserved)/c.requests[p])
 }
 
-// reserve returns which part of the burst is kept for the most urgent operations: none if all that are
-// requested have the same priority.
+// reserve returns for how many seconds of the rate tokens are kept for the most urgent operations, if hosts
+// report at the given interval: none if all that are requested have the same priority.
 //
-// The bucket that all hosts share is known only by their reports, and its level swings between them. Operations
-// of a priority that fits the rate are admitted through such a swing. Without the reserve they would go beyond
-// the burst, as what the others have admitted until then can't be taken back.
-func (c *classes) reserve() float64 {
+// The bucket that all hosts share is known only by their reports, and its level swings between two of them by
+// what the rate gives in that time. Operations of a priority that fits the rate are admitted through such a swing.
+// Without the reserve they would go beyond the burst, as what the others have admitted until then can't be taken
+// back.
+func (c *classes) reserve(interval time.Duration) float64 {
 	requested := 0
 	for _, n := range c.requests {
 		if n >= minRequests {
@@ -89,7 +86,7 @@
 	if requested < 2 {
 		return 0
 	}
-	return urgentReserve
+	return interval.Seconds()
 }
 
 // mostUrgent reports whether no operations more urgent than p are requested.
--- a/core/ratelimit/hosts.go
+++ b/core/ratelimit/hosts.go
@@ -147,3 +147,6 @@
 func (f *Limiter) maxReportAge() time.Duration {
 	return mesh.IntervalsFor(1 + len(f.peers)).HeardWithin
 }
+
+// reportInterval returns the interval at which the hosts report.
+func (f *Limiter) reportInterval() time.Duration { return mesh.IntervalsFor(1 + len(f.peers)).Report }
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -96,7 +96,7 @@
 	level := a.tokens - f.unreported(now, a, c.Name)
 	a.admittedFraction = a.classes.fraction(p, f.admittedFraction(a, c.Name, level, reachable))
 	if a.admittedFraction < 1 || !a.classes.mostUrgent(p) {
-		level -= a.classes.reserve() * a.burst * reachable
+		level -= a.classes.reserve(f.reportInterval()) * a.rate * reachable
 		a.admittedFraction = a.classes.fraction(p, f.admittedFraction(a, c.Name, level, reachable))
 	}
 	if level < -max(a.burst*reachable*maxOverdraft, minOverdraft*reachable) {
