Plant late refusals that leave enough reads served

It refuses every fifth now. The checks stay as they are.

Test: go test -race ./test/soak -run 'TestPlantedFaultsAreFound/(late-refusals|healthy)' passes 3 of 3 times.

--- a/test/soak/planted_test.go
+++ b/test/soak/planted_test.go
@@ -156,7 +156,7 @@
 		{"a withdrawn key given back", promiseBack, soak{during: returnKey}},
 		{"a given key withheld", promiseGiven, soak{during: withholdKey}},
 		{"urgent callers not served", promisePriority, soak{mishears: readsEndAs(timeOut, 1, 0, 0)}},
-		{"late refusals", promisePrompt, soak{mishears: readsEndAs(refused, 3, leastUrgentPriority, 2*promptWithin)}},
+		{"late refusals", promisePrompt, soak{mishears: readsEndAs(refused, 5, leastUrgentPriority, 2*promptWithin)}},
 		{"healthy instances unused", promiseReads, soak{mishears: readsEndAs(timeOut, 1, leastUrgentPriority, 0)}},
 	} {
 		t.Run(strings.ReplaceAll(p.name, " ", "-"), func(t *testing.T) {
