Base the expected wait on what the concurrency limit lets run

Each of three hosts counted on all slots of an instance, although the limit lets it run a part of them. The queue now counts what the limit allows this host.

--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -139,21 +139,24 @@
 			g.removeInstance(i, "it is no longer listed")
 		}
 	}
-	g.setQueueSlots()
+	g.setQueueSlots(now)
 	g.primaryState.SetInstances(listed)
 	g.dispatch()
 }
 
-// setQueueSlots bases the queue's expected waits on the slots of the instances. Writes and the operations of
-// other hosts run on one of them.
-func (g *group) setQueueSlots() {
+// setQueueSlots bases the queue's expected waits on how many statements of this host the instances run at a time.
+// Writes and the operations of other hosts run on one of them.
+func (g *group) setQueueSlots(now time.Time) {
 	l := queueLimits
 	for _, i := range g.instances {
 		if i.removed {
 			continue
 		}
-		l.Slots += i.info.Slots
-		l.WriteSlots = max(l.WriteSlots, i.info.Slots)
+		n := i.runsAtATime(now)
+		l.Slots += n
+		if l.WriteSlots == 0 || g.isPrimary(i.info.Name) {
+			l.WriteSlots = n
+		}
 	}
 	g.queue.Limits = l
 }
--- a/core/relay/limit.go
+++ b/core/relay/limit.go
@@ -21,6 +21,15 @@
 	return b
 }
 
+// runsAtATime returns how many statements of this host the instance runs at a time: what the concurrency limit
+// allows, else its slots. Several hosts that use their own connections share the slots, and none gets all of them.
+func (i *instance) runsAtATime(now time.Time) int {
+	if _, held := i.g.r.holder(i); held || !i.g.r.cfg.ConcurrencyLimit {
+		return i.info.Slots
+	}
+	return i.limiter.Limit(i.limitBounds(now))
+}
+
 // limited reports whether the instance has as many of this host's statements as the concurrency limit
 // allows.
 //
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -30,6 +30,9 @@
 	if _, _, ok := g.primaryState.Primary(); ok {
 		g.unconfirmedSince = now
 	}
+	if len(g.waiting) > 0 {
+		g.setQueueSlots(now)
+	}
 	g.expireWaiting(now)
 	for _, c := range g.pendingAnswers.Expire(now) {
 		g.answerUnverified(c, "no proof in time that the primary has not been replaced")
