--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -145,7 +145,8 @@
 }
 
 // setQueueSlots bases the queue's expected waits on how many statements of this host the instances run at a time.
-// Writes and the operations of other hosts run on one of them.
+// Writes and the operations of other hosts run on one of them, reads on the primary and on the replicas that
+// don't lag.
 func (g *group) setQueueSlots(now time.Time) {
 	l := queueLimits
 	for _, i := range g.instances {
@@ -153,7 +154,9 @@
 			continue
 		}
 		n := i.runsAtATime(now)
-		l.Slots += n
+		if g.isPrimary(i.info.Name) || i.lagCount < transientLags {
+			l.Slots += n
+		}
 		if l.WriteSlots == 0 || g.isPrimary(i.info.Name) {
 			l.WriteSlots = n
 		}
--- a/core/relay/queue_slots_test.go
+++ b/core/relay/queue_slots_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/statement"
 )
 
@@ -54,3 +55,46 @@
 	limited, unlimited := newLimitedWorld(c, true).refusedAtOnce(), newLimitedWorld(c, false).refusedAtOnce()
 	c.Assert(limited > unlimited+4, qt.IsTrue, qt.Commentf("%d and %d", limited, unlimited))
 }
+
+// Guards against reads that are taken in and refused when their time is over, since the expected wait counts the
+// slots of replicas that lag.
+func TestExpectedWaitCountsNoLaggingReplicas(t *testing.T) {
+	c := qt.New(t)
+	refused := func(lag bool) int {
+		w := newLimitedWorld(c, true)
+		for _, n := range []fleet.Instance{"b", "c"} {
+			if lag {
+				w.instances[n].position.Index = 1
+			}
+		}
+		for range 100 {
+			w.open("standing", "key-1").do(statement.KindRead, "", "item")
+			w.advance(20*time.Millisecond, true)
+		}
+		hold := func(on bool) {
+			for _, n := range w.instances {
+				n.hold = on
+			}
+		}
+		hold(true)
+		for range 3 {
+			w.open("standing", "key-1").do(statement.KindRead, "", "item")
+			w.advance(50*time.Millisecond, true)
+			hold(false)
+			w.deliver()
+			hold(true)
+		}
+		n := 0
+		for range 24 {
+			x := w.open("standing", "key-1")
+			x.do(statement.KindRead, "", "item")
+			w.relay.Tick()
+			if len(x.answers) > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	lagging, current := refused(true), refused(false)
+	c.Assert(lagging > current+4, qt.IsTrue, qt.Commentf("%d and %d", lagging, current))
+}
