Wait for a crashed primary while only an earlier term answers

A primary of term 1 had crashed with commits that nobody else had, and returned under another name. When the primary of term 3 crashed for 3 s, that instance was the only one that answered, and was promoted: the commits of term 1 came back and those of terms 2 and 3 were lost. Only other instances that may be in the latest term were waited for, not the primary itself.

A crashed primary that is still listed is now waited for if the candidate is in an earlier term; one that is leaving or evacuated isn't.

Test: the new test promotes the instance of the earlier term without the change.

--- a/core/leader/decide.go
+++ b/core/leader/decide.go
@@ -187,13 +187,16 @@
 
 // betterMayReturn reports whether the candidate is in an earlier term than the last known primary was, and an
 // instance that may be in that term can't be asked now: it may just be slow, and is waited for until it has
-// gone.
+// gone. So may that primary itself, which returns with its log if it has only crashed.
 func (p *PrimaryState) betterMayReturn(status GroupStatus, best InstanceInfo) bool {
 	if best.Term >= p.term {
 		return false
 	}
 	return slices.ContainsFunc(status.Instances, func(i InstanceInfo) bool {
-		return i.Name != p.primary && i.Name != best.Name && !i.Gone && !i.Reachable
+		if i.Name == p.primary && (i.Leaving || !i.isUnreachable()) {
+			return false
+		}
+		return i.Name != best.Name && !i.Gone && !i.Reachable
 	})
 }
 
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -269,6 +269,28 @@
 	c.Check(decide(func(m map[fleet.Instance]*leader.InstanceInfo) { m["c"].Term = 1 }), qt.Equals, fleet.Instance("a"))
 }
 
+// The primary crashes while the only instance that answers is in an earlier term: it crashed as the primary of
+// that term and has returned with commits that were rolled back since. Guards against its promotion, which brings
+// them back and undoes what the later terms have acknowledged, although the primary is about to return.
+func TestCrashedPrimaryIsWaitedForWhileOnlyAnEarlierTermAnswers(t *testing.T) {
+	c := qt.New(t)
+	p := confirmedPrimary()
+	p.AddRecord(leader.Record{Primary: "b", Former: "a", Term: 2, Revision: 7})
+	p.AddStatus("b", statement.Status{Role: fleet.RolePrimary, Term: 2})
+	decide := func(bGone bool) fleet.Instance {
+		req, _ := p.Decide(leader.GroupStatus{Now: start, Since: start, Instances: infos(
+			func(m map[fleet.Instance]*leader.InstanceInfo) {
+				m["a"].IsPrimary, m["a"].Term, m["a"].Received = false, 1, fleet.LogPosition{Term: 1, Index: 75}
+				m["b"].Term, m["b"].Reachable, m["b"].Gone = 2, false, bGone
+				m["b"].UnreachableFrom, m["b"].ReachableFrom, m["b"].UnreachableFor = 6, 0, time.Minute
+				m["c"].Gone = true
+			})})
+		return req.Primary
+	}
+	c.Check(decide(false), qt.Equals, fleet.Instance(""))
+	c.Check(decide(true), qt.Equals, fleet.Instance("a"))
+}
+
 // The instance to be promoted dies before the promotion takes effect. The next promotion is
 // requested only once the first can't take effect any more: two at once make two primaries.
 func TestNextPromotionWaitsForThePendingOne(t *testing.T) {
