Admit by the hosts that have a demand for the account

Cause: demand, unreported usage and the reachable fraction were summed over all hosts, although an account has callers on few of them.

Change: the limiter keeps which hosts have reported a demand for an account, and how many hosts are missing until the oldest report may be too old. The sums are the same.

TestAdmissionReadsOnlyHostsWithADemand counts what is read: 12 an admission at 100 and at 1,000 hosts; before it there was no such count, and each admission read all hosts.

--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -71,12 +71,21 @@
 	hosts     map[fleet.Host]*host
 	peers     fleet.Set[fleet.Host]
 	startedAt time.Time
+	// demanding are the hosts that have reported a demand for an account.
+	demanding map[fleet.Account]map[*host]struct{}
+	heard     heardPeers
+	// demandsRead counts the reports of other hosts that decisions have read.
+	demandsRead uint64
 }
 
+// DemandsRead returns how many reports of other hosts the decisions have read so far.
+func (f *Limiter) DemandsRead() uint64 { return f.demandsRead }
+
 func (f *Limiter) initialise(now time.Time) {
 	if f.accounts == nil {
 		f.accounts = map[fleet.Account]*account{}
 		f.hosts = map[fleet.Host]*host{}
+		f.demanding = map[fleet.Account]map[*host]struct{}{}
 		f.startedAt = now
 	}
 }
@@ -124,12 +133,10 @@
 // demand returns how many operations of an account are requested a second on all hosts, as last
 // reported. A host that has never reported is assumed to have the demand of this one.
 func (f *Limiter) demand(a *account, n fleet.Account) float64 {
-	sum := a.demand
-	for name := range f.peers {
-		if h := f.hosts[name]; h == nil {
-			sum += a.demand
-		} else {
-			sum += h.demand(n)
+	sum := a.demand * float64(1+f.heard.never)
+	for h, d := range f.demands(n) {
+		if h.listed {
+			sum += d
 		}
 	}
 	return sum
@@ -167,9 +174,9 @@
 // process started.
 func (f *Limiter) initialTokens(now time.Time, c catalog.Account) float64 {
 	left := c.Rate
-	for name, h := range f.hosts {
-		if f.counted(now, name, h) {
-			left -= h.demand(c.Name)
+	for h, d := range f.demands(c.Name) {
+		if f.counted(now, h) {
+			left -= d
 		}
 	}
 	return min(c.Burst, c.Burst*initialFraction+max(left, 0)*now.Sub(f.startedAt).Seconds())
--- a/core/ratelimit/ratelimit_test.go
+++ b/core/ratelimit/ratelimit_test.go
@@ -1,6 +1,7 @@
 package ratelimit_test
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -289,3 +290,58 @@
 	c.Check(f.maxAdmitted(window) <= maxAllowed(chain), qt.IsTrue,
 		qt.Commentf("%d of %d", f.maxAdmitted(window), maxAllowed(chain)))
 }
+
+// Guards against an admission that reads the reports of all hosts, although few of them have callers of the account:
+// at hundreds of hosts it took longer than the statement.
+func TestAdmissionReadsOnlyHostsWithADemand(t *testing.T) {
+	c := qt.New(t)
+	account := catalog.Account{Name: "hotel", Rate: 100, Burst: 100}
+	for _, n := range []int{100, 1000} {
+		var l ratelimit.Limiter
+		now := time.Unix(1000, 0)
+		hosts := make([]fleet.Host, n)
+		for h := range hosts {
+			hosts[h] = hostName(h)
+		}
+		l.SetPeers(now, hosts)
+		for h := range hosts {
+			var usages []ratelimit.Usage
+			if h < 3 {
+				usages = []ratelimit.Usage{{Account: "hotel", Admitted: 5, Demand: 2}}
+			}
+			l.AddReport(now, hosts[h], 1, 1, usages)
+		}
+		before := l.DemandsRead()
+		for range 10 {
+			now = now.Add(10 * time.Millisecond)
+			_, ok := l.Admit(now, account, fleet.DefaultPriority)
+			c.Assert(ok, qt.IsTrue)
+		}
+		read := l.DemandsRead() - before
+		c.Check(read <= 10*4*3, qt.IsTrue, qt.Commentf("%d reports read of %d hosts", read, n))
+	}
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	for _, n := range []int{100, 300, 1000, 2000} {
+		b.Run(fmt.Sprintf("hosts-%d", n), func(b *testing.B) {
+			var l ratelimit.Limiter
+			now := time.Unix(1000, 0)
+			hosts := make([]fleet.Host, n)
+			for h := range hosts {
+				hosts[h] = hostName(h)
+			}
+			l.SetPeers(now, hosts)
+			for h := range hosts {
+				var usages []ratelimit.Usage
+				if h%100 == 0 {
+					usages = []ratelimit.Usage{{Account: "hotel", Admitted: 5, Demand: 2}}
+				}
+				l.AddReport(now, hosts[h], 1, 1, usages)
+			}
+			for b.Loop() {
+				l.Admit(now, catalog.Account{Name: "hotel", Rate: 1e9, Burst: 1e9}, fleet.DefaultPriority)
+			}
+		})
+	}
+}
