--- a/core/mesh/heard_test.go
+++ b/core/mesh/heard_test.go
@@ -37,3 +37,25 @@
 		})
 	}
 }
+
+// Guards against the silence of a data centre that goes unnoticed as its hosts were heard before, and against a
+// sign of life that counts as a report, which tells what is known there.
+func TestCentresKeepTheLastReportOfAny(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	var m mesh.Centres
+	m.Heard("a", now.Add(-2*time.Second), now.Add(-3*time.Second))
+	m.Heard("a", now.Add(-time.Second), time.Time{})
+	m.Heard("b", now, now)
+	allHeardAt := func(recent, delay time.Duration, centres ...fleet.DataCentre) time.Time {
+		return m.AllHeardAt(now, slices.Values(centres), recent, delay)
+	}
+	c.Check(allHeardAt(time.Minute, 0, "a", "b"), qt.Equals, now.Add(-3*time.Second))
+	c.Check(allHeardAt(time.Minute, 0, "a", "c").IsZero(), qt.IsTrue)
+	c.Check(allHeardAt(500*time.Millisecond, time.Second, "b"), qt.Equals, now.Add(-time.Second))
+	for dc, l := range m.All() {
+		if dc == "a" {
+			c.Check(l.At, qt.Equals, now.Add(-time.Second))
+		}
+	}
+}
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -12,7 +12,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -118,7 +117,21 @@
 	if !UsesRelays(1 + len(others)) {
 		return false
 	}
-	return from != self.DataCentre || usesLocalRelays(1+len(LocalRecipients(self.DataCentre, others)))
+	return from != self.DataCentre || usesLocalRelays(1+countLocal(self.DataCentre, others))
+}
+
+// countLocal counts the hosts of data centre dc, up to the number from which on they use relays.
+func countLocal(dc fleet.DataCentre, others []Peer) int {
+	n := 0
+	for _, peer := range others {
+		if peer.DataCentre == dc {
+			n++
+		}
+		if usesLocalRelays(n) {
+			break
+		}
+	}
+	return n
 }
 
 // LocalRecipients returns the hosts to which a relay of data centre dc forwards reports.
@@ -163,26 +176,37 @@
 // Leaving hosts are avoided because of rolling restarts: when both relays were restarted at the same
 // time, a whole data centre heard no host of another one for two seconds.
 func relaysOf(dc fleet.DataCentre, peers []Peer) []fleet.Host {
-	rank := func(h fleet.Host) uint64 { return xxhash.Sum64String(string(dc) + "/" + string(h)) }
-	slices.SortFunc(peers, func(a, b Peer) int {
-		aAvailable, bAvailable := a.Heard && !a.Leaving, b.Heard && !b.Leaving
-		switch ra, rb := rank(a.Host), rank(b.Host); {
-		case aAvailable != bAvailable && aAvailable:
-			return -1
-		case aAvailable != bAvailable:
-			return 1
-		case a.Capacity != b.Capacity:
-			return cmp.Compare(b.Capacity, a.Capacity)
-		case ra != rb && ra > rb:
-			return -1
-		case ra != rb:
-			return 1
+	first := make([]Peer, 0, relaysPerDataCentre+1)
+	for _, peer := range peers {
+		n := len(first)
+		for n > 0 && compareRelays(dc, peer, first[n-1]) < 0 {
+			n--
+		}
+		if n < relaysPerDataCentre {
+			first = slices.Insert(first, n, peer)
+			first = first[:min(relaysPerDataCentre, len(first))]
 		}
-		return strings.Compare(string(a.Host), string(b.Host))
-	})
-	out := make([]fleet.Host, 0, relaysPerDataCentre)
-	for _, peer := range peers[:min(relaysPerDataCentre, len(peers))] {
-		out = append(out, peer.Host)
 	}
-	return out
+	return hostNames(first)
+}
+
+// compareRelays orders two hosts of a data centre: it is negative if a is preferred as a gossip relay.
+func compareRelays(dc fleet.DataCentre, a, b Peer) int {
+	aAvailable, bAvailable := a.Heard && !a.Leaving, b.Heard && !b.Leaving
+	switch {
+	case aAvailable != bAvailable && aAvailable:
+		return -1
+	case aAvailable != bAvailable:
+		return 1
+	case a.Capacity != b.Capacity:
+		return cmp.Compare(b.Capacity, a.Capacity)
+	}
+	if c := cmp.Compare(relayRank(dc, b.Host), relayRank(dc, a.Host)); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Host, b.Host)
+}
+
+func relayRank(dc fleet.DataCentre, h fleet.Host) uint64 {
+	return xxhash.Sum64String(string(dc) + "/" + string(h))
 }
--- a/core/outlier/reports.go
+++ b/core/outlier/reports.go
@@ -54,6 +54,9 @@
 	r.byHost[from] = report{dc, at, es}
 }
 
+// From returns the ejections in a host's last report.
+func (r *Reports) From(h fleet.Host) []Ejection { return r.byHost[h].ejections }
+
 // Has reports whether a host has reported ejections.
 func (r *Reports) Has(from fleet.Host) bool {
 	_, ok := r.byHost[from]
--- a/core/relay/cold.go
+++ b/core/relay/cold.go
@@ -19,7 +19,7 @@
 	if i.g.service.ColdRate <= 0 {
 		return false
 	}
-	known := times.Later(i.g.listReadAt, i.g.r.instancesConfirmedAt)
+	known := times.Later(i.g.r.listReadAt, i.g.r.instancesConfirmedAt)
 	return now.Before(i.coldUntil) || !i.reconnectedAt.IsZero() && known.Before(i.reconnectedAt.Add(announceDelay))
 }
 
--- a/core/relay/conn.go
+++ b/core/relay/conn.go
@@ -180,6 +180,7 @@
 	}
 	c.inst.connLimitRefusals = 0
 	c.g.addPosition(c, dialled, a)
+	c.g.askNewConn(c)
 	c.g.dispatch()
 }
 
--- a/core/relay/connections.go
+++ b/core/relay/connections.go
@@ -145,6 +145,7 @@
 		g: i.g, inst: i, values: map[string]string{}, prepared: map[string]bool{},
 	}
 	c.setState(connDialling)
+	i.g.wake()
 	c.demand = i.pool.Opened(a)
 	i.conns = append(i.conns, c)
 	i.g.r.counters.Connects++
--- a/core/relay/coordination.go
+++ b/core/relay/coordination.go
@@ -5,6 +5,7 @@
 
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/leader"
+	"skylarkdeal/core/reachability"
 	"skylarkdeal/core/statement"
 )
 
@@ -13,27 +14,7 @@
 	// active is set while this host is the failover coordinator.
 	active bool
 	// reports holds the last reachability report of each other host.
-	reports map[fleet.Host]reachabilityReport
-}
-
-// reachabilityReport is the last report of another host.
-type reachabilityReport struct {
-	// receivedAt is when the report was received, continuousSince when the first one was received
-	// after the last gap. Reports that follow a gap may be outdated.
-	receivedAt, continuousSince time.Time
-	// unreachable are the instances that the host can't reach, reachable those that it can although
-	// another host can't.
-	unreachable, reachable fleet.Set[fleet.Instance]
-}
-
-// recent reports whether the report was received less than reportValidity ago.
-func (d reachabilityReport) recent(now time.Time) bool { return now.Sub(d.receivedAt) < reportValidity }
-
-// trusted reports whether the report counts in a decision on a promotion. A host that was cut off
-// reconnects to the instances only after its reports arrive again, and its suspicions would replace
-// a primary that all other hosts reach.
-func (d reachabilityReport) trusted(now time.Time) bool {
-	return d.recent(now) && now.Sub(d.continuousSince) >= reportValidity
+	reports reachability.Reports
 }
 
 const (
@@ -43,8 +24,6 @@
 	// reachableFor is how old the last response of an instance may be for this host to report that
 	// it reaches the instance.
 	reachableFor = 400 * time.Millisecond
-	// reportValidity is how long a reachability report counts.
-	reportValidity = time.Second
 	// positionRequestWait is how long the replicas get to report their log positions before a promotion
 	// is requested: some round trips across data centres.
 	positionRequestWait = 30 * time.Millisecond
@@ -60,6 +39,10 @@
 	if active == r.duty.active {
 		return
 	}
+	if active {
+		// Before the role begins, so that what other hosts have suspected for long stays so.
+		r.wakeAll()
+	}
 	r.duty.active = active
 	choice := "stop coordinating failovers"
 	if active {
@@ -72,7 +55,7 @@
 func (r *Relay) Unreachable() map[fleet.Instance]time.Duration {
 	now := r.now()
 	out := map[fleet.Instance]time.Duration{}
-	for _, g := range r.groups {
+	for g := range r.active {
 		for _, i := range g.instances {
 			if i.suspected(now) && !i.removed {
 				out[i.info.Name] = now.Sub(i.lastHeard)
@@ -87,60 +70,37 @@
 func (r *Relay) Reachable() []fleet.Instance {
 	now := r.now()
 	var out []fleet.Instance
-	for _, g := range r.groups {
-		for _, i := range g.instances {
-			if now.Sub(i.lastHeard) < reachableFor && r.suspectedByOther(now, i.info.Name) {
-				out = append(out, i.info.Name)
-			}
+	for n := range r.duty.reports.Suspected(now) {
+		if i := r.instances[n]; i != nil && now.Sub(i.lastHeard) < reachableFor {
+			out = append(out, n)
 		}
 	}
 	return out
 }
 
-func (r *Relay) suspectedByOther(now time.Time, n fleet.Instance) bool {
-	for _, d := range r.duty.reports {
-		if d.recent(now) && d.unreachable.Has(n) {
-			return true
-		}
-	}
-	return false
-}
-
 // AddReachability handles a report of another host: the instances that it can't reach, and those that
 // it can although others can't. If this host is one of those that check a suspicion, it probes the
 // unreachable ones itself.
 func (r *Relay) AddReachability(from fleet.Host, unreachable, reachable []fleet.Instance) {
 	now := r.now()
-	if r.duty.reports == nil {
-		r.duty.reports = map[fleet.Host]reachabilityReport{}
-	}
-	d := r.duty.reports[from]
-	if !d.recent(now) {
-		d.continuousSince = now
-	}
-	d.receivedAt, d.unreachable, d.reachable = now, setOf(unreachable), setOf(reachable)
-	r.duty.reports[from] = d
+	r.duty.reports.Add(now, from, unreachable, reachable)
 	for _, n := range unreachable {
-		for _, g := range r.groups {
-			i := g.instances[n]
-			if i == nil || i.removed || now.Sub(i.lastHeard) <= probeAfter || now.Sub(i.askedAt) <= probeAfter {
-				continue
-			}
-			if r.isProber(i) && !i.leavesProbeToHolder(now) {
-				g.probe(now, i)
-			}
+		i := r.instances[n]
+		if i == nil || i.removed {
+			continue
+		}
+		if r.duty.active {
+			i.g.wake()
+		}
+		if now.Sub(i.lastHeard) <= probeAfter || now.Sub(i.askedAt) <= probeAfter {
+			continue
+		}
+		if r.isProber(i) && !i.leavesProbeToHolder(now) {
+			i.g.probe(now, i)
 		}
 	}
 }
 
-// setOf returns a set, nil if it is empty: most of the hundreds of reports a second list no instance.
-func setOf(instances []fleet.Instance) fleet.Set[fleet.Instance] {
-	if len(instances) == 0 {
-		return nil
-	}
-	return fleet.NewSet(instances...)
-}
-
 // suspected reports whether connections to the instance have failed and it has been silent for more
 // than suspectAfter.
 func (i *instance) suspected(now time.Time) bool {
@@ -148,13 +108,7 @@
 }
 
 // RecordRevision returns the revision of the newest promotion record that the host knows, 0 if none.
-func (r *Relay) RecordRevision() uint64 {
-	var last uint64
-	for _, g := range r.groups {
-		last = max(last, g.primaryState.Record().Revision)
-	}
-	return last
-}
+func (r *Relay) RecordRevision() uint64 { return r.recordRevision }
 
 // decidePromotion requests a promotion if the group needs one and this host is the coordinator.
 //
@@ -171,6 +125,7 @@
 			return
 		}
 	}
+	g.r.counters.PromotionChecks++
 	if !g.primaryState.NeedsPromotion(g.groupStatus(now)) {
 		g.positionsAskedAt = time.Time{}
 		return
@@ -234,13 +189,8 @@
 		case now.Sub(i.lastHeard) < reachableFor:
 			m.ReachableFrom++
 		}
-		for _, d := range g.r.duty.reports {
-			if d.trusted(now) && d.unreachable.Has(i.info.Name) {
-				m.UnreachableFrom++
-			} else if d.trusted(now) && d.reachable.Has(i.info.Name) {
-				m.ReachableFrom++
-			}
-		}
+		unreachable, reachable := g.r.duty.reports.Count(now, i.info.Name)
+		m.UnreachableFrom, m.ReachableFrom = m.UnreachableFrom+unreachable, m.ReachableFrom+reachable
 		if m.UnreachableFrom == 0 {
 			i.suspectedSince = now
 			m.UnreachableFor = 0
@@ -254,6 +204,7 @@
 // instance isn't running. Neither is set if the outcome is another failure.
 func (r *Relay) PromotionFinished(o leader.PromotionRequest, accepted, refused bool) {
 	g := r.group(o.Service)
+	g.wake()
 	if accepted {
 		g.promotionAcceptedAt = r.now()
 	}
--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -137,6 +137,30 @@
 	f.peers = ps
 }
 
+// SetPeerLink sets the link to a peer that now stands, and starts what waits for it.
+func (r *Relay) SetPeerLink(h fleet.Host, send func(f Forward)) {
+	p, ok := r.forwarding.peersByHost[h]
+	if !ok || p.Send != nil {
+		return
+	}
+	p.Send = send
+	r.forwarding.peersByHost[h] = p
+	now := r.now()
+	for g := range r.active {
+		if g.confirmsPrimary(now) {
+			g.checkDesignatedPrimary(now)
+		}
+		g.dispatch()
+	}
+}
+
+// requestLink requests a link to a peer that has none.
+func (r *Relay) requestLink(p Peer) {
+	if p.Send == nil && r.cfg.RequestLink != nil {
+		r.cfg.RequestLink(p.Host)
+	}
+}
+
 // SetPeersIncomplete sets whether this host has recently started in a large fleet and hears too few
 // hosts to tell which of them hold connections. While it is set, the host makes no connections of its
 // own and uses those of the holders that it hears.
@@ -154,7 +178,7 @@
 // hearsRemoteInstance reports whether an instance in another data centre has answered lately on one of
 // this host's own connections.
 func (r *Relay) hearsRemoteInstance(now time.Time) bool {
-	for _, g := range r.groups {
+	for g := range r.active {
 		for _, i := range g.instances {
 			if !i.local() && len(i.conns) > 0 && now.Sub(i.lastHeard) < leader.StoreSilentAfter {
 				return true
@@ -226,6 +250,7 @@
 		}
 	}
 	c.setState(connIdle)
+	i.g.wake()
 	i.g.r.forwarding.forwardedConns[c.streamID] = c
 	i.forwardedCount++
 	return c
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -69,10 +69,14 @@
 	positionsAskedAt, nextPromotionAt time.Time
 	// promotionAcceptedAt is when the last promotion request of this host was accepted.
 	promotionAcceptedAt time.Time
-	// listReadAt is a time as of which the current list of instances lacks no change.
-	listReadAt time.Time
-	// lists is for how long the list has been followed, from the first instance on.
-	lists listHistory
+	// active is set while the group is ticked, usedAt is when an operation or a session last used it.
+	active bool
+	usedAt time.Time
+	// lastList is the group's part of the last list of instances. listed is set once it had one, followedBefore is
+	// for how long the list had been followed then.
+	lastList       []catalog.Instance
+	listed         bool
+	followedBefore time.Duration
 	// replicaReadAt is when a replica was last sought for a read.
 	replicaReadAt time.Time
 	outliers      outliers
@@ -91,16 +95,19 @@
 // store drops instances that couldn't reach it for a while, and they return within 2 s.
 const removeAfter = 2500 * time.Millisecond
 
-// setInstances updates the instances of the group from a list that lacks no change as of readAt. Lists come
-// in the order of these times; one that is out of order is older than the one in use and is ignored.
+// setInstances updates the instances of the group from a list that lacks no change as of readAt.
 func (g *group) setInstances(listed []catalog.Instance, readAt time.Time) {
-	if readAt.Before(g.listReadAt) {
+	if g.isUnchanged(listed) {
 		return
 	}
 	now := g.r.now()
-	g.listReadAt = readAt
-	if len(listed) > 0 || len(g.instances) > 0 {
-		g.lists.add(readAt)
+	g.lastList = listed
+	if !g.listed && len(listed) > 0 {
+		g.listed, g.followedBefore = true, g.r.lists.followed
+	}
+	g.r.servedStale = true
+	if g.r.duty.active {
+		g.wake()
 	}
 	g.forgetRemoved(now)
 	for _, in := range listed {
@@ -117,6 +124,7 @@
 			}
 			i = next
 			g.instances[in.Name] = i
+			g.r.instances[in.Name] = i
 			g.logInstance(i, "use", "it is listed")
 		}
 		if in.Leaving && !i.info.Leaving {
@@ -144,6 +152,13 @@
 	g.dispatch()
 }
 
+// isUnchanged reports whether a list changes nothing: it is the last one, which lacks no instance of the group and
+// has none that is cold for some time from its reading.
+func (g *group) isUnchanged(listed []catalog.Instance) bool {
+	return len(listed) == len(g.instances) && slices.Equal(listed, g.lastList) &&
+		!slices.ContainsFunc(listed, func(i catalog.Instance) bool { return i.Cold > 0 })
+}
+
 // setQueueSlots bases the queue's expected waits on how many statements of this host the instances run at a time.
 // Writes and the operations of other hosts run on one of them, reads on the primary and on the replicas that
 // don't lag.
@@ -177,6 +192,7 @@
 		return
 	}
 	i.removed = true
+	g.r.servedStale = true
 	g.logInstance(i, "stop using", reason)
 }
 
@@ -185,6 +201,9 @@
 	for n, i := range g.instances {
 		if i.removed && len(i.conns) == 0 && !i.unlistedSince.IsZero() && now.Sub(i.unlistedSince) > keepRemoved {
 			delete(g.instances, n)
+			if g.r.instances[n] == i {
+				delete(g.r.instances, n)
+			}
 		}
 	}
 }
@@ -258,14 +277,5 @@
 	for _, o := range g.waiting {
 		return o.s.account, true
 	}
-	if g.r.catalog == nil {
-		return "", false
-	}
-	var first fleet.Account
-	for a := range g.r.catalog.Accounts {
-		if first == "" || a < first {
-			first = a
-		}
-	}
-	return first, first != ""
+	return g.r.ownAccount, g.r.ownAccount != ""
 }
--- a/core/relay/holder.go
+++ b/core/relay/holder.go
@@ -156,12 +156,10 @@
 	if now.Before(i.blockedHosts[h]) {
 		return false
 	}
-	d := r.duty.reports[h]
-	current := d.recent(now)
-	if current && d.unreachable.Has(i.info.Name) {
+	if r.duty.reports.Unreachable(now, h, i.info.Name) {
 		return false
 	}
-	return !i.direct(now) || i.isCold(now) || current && d.reachable.Has(i.info.Name)
+	return !i.direct(now) || i.isCold(now) || r.duty.reports.Reachable(now, h, i.info.Name)
 }
 
 // standbyHolders is how many hosts besides an instance's holder are linked to in advance, so that the
@@ -171,8 +169,12 @@
 // Holders returns the hosts over which this host uses instances, or would if their holders were lost:
 // links to them are to be kept.
 func (r *Relay) Holders() fleet.Set[fleet.Host] {
+	now := r.now()
 	out := fleet.NewSet[fleet.Host]()
-	for _, g := range r.groups {
+	for g := range r.active {
+		if !g.confirmsPrimary(now) {
+			continue
+		}
 		for _, i := range g.instances {
 			if i.removed {
 				continue
--- a/core/relay/idle_tx.go
+++ b/core/relay/idle_tx.go
@@ -73,7 +73,7 @@
 	if now.Before(r.pauseGraceUntil) {
 		return
 	}
-	for _, g := range r.groups {
+	for g := range r.active {
 		if len(g.waiting) == 0 {
 			continue
 		}
--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -155,6 +155,7 @@
 	case statement.CodeMisrouted:
 		// Another instance has the address now: this one is removed, even if it is still listed.
 		i.addressReused, i.removed = true, true
+		i.g.r.servedStale = true
 		i.nextDial = now.Add(dialBackoffMax)
 	default:
 		i.addFailure(now, "connection refused: "+string(c))
--- a/core/relay/list.go
+++ b/core/relay/list.go
@@ -7,8 +7,7 @@
 	"skylarkdeal/core/times"
 )
 
-// listHistory is for how long the list of a group's instances has been followed. The zero listHistory has
-// no reading.
+// listHistory is for how long the list of instances has been followed. The zero listHistory has no reading.
 type listHistory struct {
 	lastAt   time.Time
 	followed time.Duration
@@ -48,7 +47,7 @@
 	if !g.hasFollowedList() {
 		return false
 	}
-	return now.Sub(g.lists.lastAt) <= listValidity || now.Sub(g.r.noNewerPromotionAt) <= leader.LeaseValidity
+	return now.Sub(g.r.lists.lastAt) <= listValidity || now.Sub(g.r.noNewerPromotionAt) <= leader.LeaseValidity
 }
 
 // hasFollowedList reports whether the list has been followed for so long that no instance can have been
@@ -58,17 +57,13 @@
 // was cut off for a while, and then loses the store itself. It would take the instances that it knows for
 // all there are, and what they report for a proof that nobody else leads. A host that knows an instance
 // keeps asking it when it is unlisted.
-func (g *group) hasFollowedList() bool { return g.lists.followed >= ignoreUnlistedAfter }
+func (g *group) hasFollowedList() bool {
+	return g.listed && g.r.lists.followed-g.followedBefore >= ignoreUnlistedAfter
+}
 
 // MembersConfirmed records that the list in use named the same instances as the store's at the given time,
 // whatever else the two tell of them.
-func (r *Relay) MembersConfirmed(at time.Time) {
-	for _, g := range r.groups {
-		if len(g.instances) > 0 {
-			g.lists.add(at)
-		}
-	}
-}
+func (r *Relay) MembersConfirmed(at time.Time) { r.lists.add(at) }
 
 // NoNewerPromotion records that hosts of all data centres were heard at the given time, and none knew of a
 // promotion that this host doesn't. Only a host requests promotions, so that this holds until one can have
--- a/core/relay/operation.go
+++ b/core/relay/operation.go
@@ -108,6 +108,7 @@
 // start sends the operation on the connection of its transaction, or queues it.
 func (o *operation) start() {
 	o.s.op, o.s.lastRefused = o, false
+	o.g.use()
 	if c := o.s.tx.conn; o.s.tx.open && c != nil {
 		if reason := o.blockedReason(c); reason != "" {
 			o.s.failTransaction()
--- a/core/relay/outlier.go
+++ b/core/relay/outlier.go
@@ -248,9 +248,20 @@
 	if !r.cfg.DetectOutliers || len(es) == 0 && !r.ejections.Has(from) {
 		return
 	}
+	for _, e := range r.ejections.From(from) {
+		r.reconsiderOutlier(e.Instance)
+	}
+	for _, e := range es {
+		r.reconsiderOutlier(e.Instance)
+	}
 	r.ejections.Add(from, dc, at, es)
-	for _, g := range r.groups {
-		g.outliers.changed = true
+}
+
+// reconsiderOutlier has the group of an instance evaluated.
+func (r *Relay) reconsiderOutlier(n fleet.Instance) {
+	if i := r.instances[n]; i != nil {
+		i.g.outliers.changed = true
+		i.g.wake()
 	}
 }
 
@@ -258,7 +269,7 @@
 func (r *Relay) Ejections() []outlier.Ejection {
 	now := r.now()
 	var out []outlier.Ejection
-	for _, g := range r.groups {
+	for g := range r.active {
 		for _, i := range g.instances {
 			if i.outlier.Ejected() && !i.removed && len(out) < outlier.MaxEjections {
 				out = append(out, outlier.Ejection{
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -221,6 +221,7 @@
 	}
 	if p, over := g.forwardsTo(i, o); over {
 		if p.Send == nil {
+			g.r.requestLink(p)
 			return path{}, false
 		}
 		w.peer = p
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -55,6 +55,8 @@
 	RequestPromotion func(o leader.PromotionRequest)
 	// ObserveLatency receives how long a statement took and the code that it ended with. It may be nil.
 	ObserveLatency func(k catalog.Consistency, code statement.Code, took time.Duration)
+	// RequestLink requests a link to another host, which something waits for. It may be nil.
+	RequestLink func(h fleet.Host)
 	// RequestTick requests the next tick soon, since something now waits for it. It may be nil.
 	RequestTick func()
 	// DetectOutliers enables the ejection of instances that respond but fail, and the response timeouts of
@@ -70,7 +72,11 @@
 	catalog  *catalog.Catalog
 	sessions map[*Session]struct{}
 	groups   map[fleet.Service]*group
-	lease    leader.Lease
+	// active are the groups that are ticked.
+	active map[*group]struct{}
+	// instances has the instances of all groups by name.
+	instances map[fleet.Instance]*instance
+	lease     leader.Lease
 	// startedAt is when the Relay was created.
 	startedAt time.Time
 	// hostCount is the highest number of hosts reported lately, hostCountAt when it was reported.
@@ -92,6 +98,16 @@
 	evacuated map[fleet.DataCentre]time.Time
 	// dataCentreSizes counts the hosts of each data centre, heard or not.
 	dataCentreSizes map[fleet.DataCentre]int
+	// lists is for how long the list of instances has been followed; listReadAt is a time as of which the
+	// list in use lacks no change.
+	lists      listHistory
+	listReadAt time.Time
+	// recordRevision is the revision of the newest promotion record.
+	recordRevision uint64
+	// ownAccount is the account for the host's own connections.
+	ownAccount fleet.Account
+	// served is whether each service of the catalog has an instance, unless servedStale is set.
+	served, servedStale bool
 	// catalogOutdated is why the host must not act by its catalog, empty if it may.
 	catalogOutdated follow.OutdatedReason
 	// instancesConfirmedAt is when the list of instances in use was last known to match the store.
@@ -120,6 +136,10 @@
 	OwnStatements  uint64 `json:"own-statements"`
 	StatusRequests uint64 `json:"asked"`
 	LimitDecreases uint64 `json:"limit-decreases"`
+	// GroupTicks counts the ticks of groups, PromotionChecks how often it was checked whether a group needs
+	// another primary.
+	GroupTicks      uint64 `json:"group-ticks"`
+	PromotionChecks uint64 `json:"promotion-checks"`
 	// RetriesDenied counts the reads that weren't retried because the retry budget was used up.
 	RetriesDenied uint64 `json:"retries-denied"`
 	// RefusedBeforeHop counts the refusals because of a load that a holder had reported.
@@ -141,6 +161,8 @@
 		pacer:     newPacer(cfg.Host),
 		sessions:  map[*Session]struct{}{},
 		groups:    map[fleet.Service]*group{},
+		active:    map[*group]struct{}{},
+		instances: map[fleet.Instance]*instance{},
 		hostCount: defaultHostCount,
 		forwarding: forwarding{
 			forwardedConns: map[uint64]*Conn{}, inboundSessions: map[streamKey]*Session{},
@@ -180,6 +202,7 @@
 	if !g.primaryState.AddRecord(rec) {
 		return
 	}
+	r.recordRevision = max(r.recordRevision, rec.Revision)
 	r.logEvent(Event{
 		Kind: EventLeader, Service: g.name, Instance: rec.Primary,
 		Choice: "follow the promotion request", Reason: "host " + string(rec.By) + " has requested a promotion",
@@ -188,12 +211,21 @@
 	g.promotionKnownAt = r.now()
 	g.restartOutliers()
 	g.promotionNotBefore = r.lease.Until()
+	if r.duty.active {
+		g.wake()
+	}
 	g.dispatch()
 }
 
 // SetInstances sets the registered instances of all services, from a reading of the list that was begun
-// at the given time.
+// at the given time. Lists come in the order of these times; one that is out of order is older than the one in
+// use and is ignored.
 func (r *Relay) SetInstances(is []catalog.Instance, readAt time.Time) {
+	if readAt.Before(r.listReadAt) {
+		return
+	}
+	r.listReadAt = readAt
+	r.lists.add(readAt)
 	byService := map[fleet.Service][]catalog.Instance{}
 	for _, i := range is {
 		byService[i.Service] = append(byService[i.Service], i)
@@ -215,15 +247,31 @@
 	r.catalog = c
 	r.setEvacuated(c)
 	r.setRegions(c)
+	r.ownAccount, r.servedStale = firstAccount(c), true
 	for _, s := range c.Services {
 		r.group(s.Name).service = s
 	}
 	for s := range r.sessions {
 		s.revalidate()
 	}
+	if r.duty.active {
+		// Operators may have evacuated the data centres of primaries.
+		r.wakeAll()
+	}
 	return true
 }
 
+// firstAccount returns the first account of a catalog by name, empty if there is none.
+func firstAccount(c *catalog.Catalog) fleet.Account {
+	var first fleet.Account
+	for a := range c.Accounts {
+		if first == "" || a < first {
+			first = a
+		}
+	}
+	return first
+}
+
 // SetCatalogOutdated sets why the host must not act by its catalog, empty if it may. While it must not, it
 // starts no sessions and no operations, as a key may have been withdrawn or a database moved since.
 // Transactions that are open go on.
@@ -246,12 +294,22 @@
 	if r.catalog == nil || r.catalogOutdated != "" || r.drain.started || r.CutOff() {
 		return false
 	}
+	return r.servesAll()
+}
+
+// servesAll reports whether an instance of each service is known.
+func (r *Relay) servesAll() bool {
+	if !r.servedStale {
+		return r.served
+	}
+	r.served, r.servedStale = true, false
 	for _, s := range r.catalog.Services {
 		if !r.group(s.Name).hasInstances() {
-			return false
+			r.served = false
+			break
 		}
 	}
-	return true
+	return r.served
 }
 
 // cutOffAfter is how long a host can't answer for half of its services, nor reach the store, before it
@@ -260,7 +318,8 @@
 
 // CutOff reports whether other hosts may serve callers better than this one: it reaches neither the
 // store nor the primaries of half of its services, or of any service if hosts are missing, since those
-// may be on the better side of a network partition. The balancer then sends new sessions to other
+// may be on the better side of a network partition. Only of services that it uses does it know whether it reaches
+// their primaries. The balancer then sends new sessions to other
 // hosts, and to other data centres if all hosts here are cut off. With the store down for all hosts and
 // one primary dead, no host is better off and none is missing.
 func (r *Relay) CutOff() bool {
@@ -269,8 +328,12 @@
 	if r.lease.RecordsCurrent(now) && !isolated || len(r.groups) == 0 {
 		return false
 	}
-	unable := 0
-	for _, g := range r.groups {
+	unable, used := 0, 0
+	for g := range r.active {
+		if !g.isUsed(now) {
+			continue
+		}
+		used++
 		if r.forwarding.missingHosts == 0 && !isolated && !g.hasFollowedList() {
 			// All hosts that have just started are no better off.
 			continue
@@ -279,6 +342,9 @@
 			unable++
 		}
 	}
+	if isolated {
+		return 2*unable >= used
+	}
 	return 2*unable >= len(r.groups) || unable > 0 && r.forwarding.missingHosts > 0
 }
 
@@ -298,7 +364,8 @@
 		r.pauseGraceUntil = now.Add(min(gap, pauseThreshold))
 	}
 	r.lastTick = now
-	for _, g := range r.groups {
+	for g := range r.active {
+		r.counters.GroupTicks++
 		g.tick(now)
 	}
 	r.tickForwarding(now)
@@ -349,11 +416,12 @@
 
 // HasWaiting reports whether anything waits for a decision that a tick may make.
 func (r *Relay) HasWaiting() bool {
-	for _, g := range r.groups {
+	now := r.now()
+	for g := range r.active {
 		if len(g.waiting)+len(g.peerRequests)+g.pendingAnswers.Len() > 0 || !g.unverifiedSample.AskedAt.IsZero() {
 			return true
 		}
-		if g.checksPrimary() && g.unavailableReason(r.now()) != "" {
+		if g.confirmsPrimary(now) && g.checksPrimary() && g.unavailableReason(now) != "" {
 			return true
 		}
 	}
--- a/core/relay/session.go
+++ b/core/relay/session.go
@@ -122,6 +122,7 @@
 		return
 	}
 	s.started = true
+	s.r.group(s.route.Service).use()
 	s.caller.Accept()
 }
 
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -24,6 +24,8 @@
 	CatalogOutdated follow.OutdatedReason `json:"catalog-outdated,omitempty"`
 	Draining        bool                  `json:"drains"`
 	Hosts           int                   `json:"hosts"`
+	// ActiveGroups counts the groups that are ticked.
+	ActiveGroups int `json:"active-groups"`
 	// Evacuated are the data centres whose instances get no new operations.
 	Evacuated []fleet.DataCentre `json:"evacuated,omitempty"`
 	Peers     []fleet.Host       `json:"peers"`
@@ -37,6 +39,9 @@
 	Primary      fleet.Instance `json:"primary"`
 	Term         fleet.Term     `json:"term"`
 	PrimaryKnown bool           `json:"settled"`
+	// Used is set if an operation or a session has used the group lately. The primary of any other group isn't
+	// known here, except to the failover coordinator.
+	Used bool `json:"used"`
 	// UnavailableReason is why the primary can't serve, empty if it can.
 	UnavailableReason string `json:"unable,omitempty"`
 	Waiting           int    `json:"waiting"`
@@ -82,7 +87,7 @@
 	s := State{
 		Sessions: len(r.sessions), RecordsCurrent: r.lease.RecordsCurrent(now), Coordinator: r.duty.active,
 		CutOff: r.CutOff(), CatalogOutdated: r.catalogOutdated, Draining: r.drain.started,
-		Hosts: r.hostCount, Counts: r.counters,
+		Hosts: r.hostCount, ActiveGroups: len(r.active), Counts: r.counters,
 	}
 	if r.catalog != nil {
 		s.Catalog = r.catalog.Version
@@ -104,7 +109,7 @@
 	s := GroupState{
 		Service: g.name, UnavailableReason: g.unavailableReason(now), Waiting: len(g.waiting), Running: len(g.running),
 		PendingVerification: g.pendingAnswers.Len(), Reserved: g.pacer.Reserved(now),
-		RetriesLeft: g.retryBudget.Left(), WaitingByPriority: g.queue.WaitingByPriority(),
+		Used: g.isUsed(now), RetriesLeft: g.retryBudget.Left(), WaitingByPriority: g.queue.WaitingByPriority(),
 	}
 	s.Primary, s.Term, s.PrimaryKnown = g.primaryState.Primary()
 	if n, ok := g.samples.Newest(); ok {
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -27,7 +27,7 @@
 
 // tick runs everything in the group that depends on the time.
 func (g *group) tick(now time.Time) {
-	if _, _, ok := g.primaryState.Primary(); ok {
+	if _, _, ok := g.primaryState.Primary(); ok || !g.confirmsPrimary(now) {
 		g.unconfirmedSince = now
 	}
 	if len(g.waiting) > 0 {
@@ -55,6 +55,10 @@
 	if len(g.waiting) > 0 {
 		g.dispatch()
 	}
+	if !g.needsTick(now) {
+		g.active = false
+		delete(g.r.active, g)
+	}
 }
 
 // expireWaiting refuses waiting operations that can no longer be served in time.
@@ -170,6 +174,7 @@
 // requestStatus requests an instance's status over its holder, an idle connection or a new one.
 func (g *group) requestStatus(now time.Time, i *instance) {
 	if p, ok := g.r.holder(i); ok {
+		g.r.requestLink(p)
 		if a, ok := g.anyAccount(); ok && p.Send != nil && now.Sub(i.askedAt) > statusRequestInterval {
 			i.askedAt = now
 			i.connVia(p, a).requestStatus()
@@ -228,6 +233,7 @@
 		reply(unreachableAnswer("this host can't reach the instance"))
 		return
 	}
+	g.wake()
 	g.peerRequests = append(g.peerRequests, peerStatusRequest{
 		i: i, term: t, until: now.Add(peerRequestTimeout), reply: reply,
 	})
@@ -256,19 +262,38 @@
 	})
 }
 
-// checkDesignatedPrimary requests the status of the designated primary until it is confirmed.
+// checkDesignatedPrimary requests the status of the designated primary until it is confirmed, on a host that is to
+// know it.
 func (g *group) checkDesignatedPrimary(now time.Time) {
-	if _, _, ok := g.primaryState.Primary(); ok || now.Sub(g.primaryAskedAt) < primaryRequestInterval {
+	if _, _, ok := g.primaryState.Primary(); ok || !g.confirmsPrimary(now) ||
+		now.Sub(g.primaryAskedAt) < primaryRequestInterval {
 		return
 	}
 	i := g.instances[g.primaryState.DesignatedPrimary()]
 	if i == nil {
 		return
 	}
+	if p, held := g.r.holder(i); held && p.Send == nil {
+		// It is asked as soon as the link stands.
+		g.r.requestLink(p)
+		return
+	}
 	g.primaryAskedAt = now
 	g.requestStatus(now, i)
 }
 
+// askNewConn requests the status of the designated primary on a connection that was just made, if this host is to
+// know the primary: it may have been made for that.
+func (g *group) askNewConn(c *Conn) {
+	now := g.r.now()
+	_, _, confirmed := g.primaryState.Primary()
+	if confirmed || !g.confirmsPrimary(now) || c.Instance != g.primaryState.DesignatedPrimary() {
+		return
+	}
+	g.primaryAskedAt, c.inst.askedAt = now, now
+	c.requestStatus()
+}
+
 // refreshSample requests the primary's status, whose answer carries its log position, while there are reads
 // and the newest sample is older than sampleMaxAge.
 func (g *group) refreshSample(now time.Time) {
--- a/core/relay/verify.go
+++ b/core/relay/verify.go
@@ -204,7 +204,7 @@
 	var out []fleet.Instance
 	for _, i := range g.instances {
 		ignored := i.removed && now.Sub(i.unlistedSince) > ignoreUnlistedAfter &&
-			now.Sub(g.listReadAt) < leader.LeaseValidity
+			now.Sub(g.r.listReadAt) < leader.LeaseValidity
 		if i.info.Name != n && !ignored {
 			out = append(out, i.info.Name)
 		}
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -218,8 +218,12 @@
 	}
 }
 
-// withConfirmedPrimary runs until the relay has confirmed the primary.
+// withConfirmedPrimary has a session use the group, and runs until the relay has confirmed the primary.
 func (w *world) withConfirmedPrimary() *world {
+	for _, a := range w.catalogInUse.Accounts {
+		w.open("rush", a.Keys[0]).s.Disconnected()
+		break
+	}
 	w.advance(100*time.Millisecond, true)
 	return w
 }
--- a/internal/entry/catalog.go
+++ b/internal/entry/catalog.go
@@ -124,7 +124,7 @@
 
 // askForCopy asks a reader for all parts, of which only the catalog is used.
 func (h *Host) askForCopy(now time.Time, n fleet.Host) {
-	l := h.links[n]
+	l := h.links.byHost[n]
 	if l == nil || !l.up {
 		return
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -65,7 +65,7 @@
 	peers    peers
 	rates    ratelimit.Limiter
 	// links are the connections to the hosts that were heard, last checked at linksCheckedAt.
-	links          map[fleet.Host]*link
+	links          links
 	linksCheckedAt time.Time
 	// resumedAt is when this host last went on after it was held up.
 	resumedAt time.Time
@@ -99,7 +99,7 @@
 	}
 	h.newMetrics()
 	h.began = clock.Now()
-	h.links = map[fleet.Host]*link{}
+	h.links.byHost = map[fleet.Host]*link{}
 	h.following.followers = map[relay.PeerLinkID]*follower{}
 	h.following.left = map[fleet.Host]time.Time{}
 	h.peers.known = map[fleet.Host]*peer{}
@@ -128,6 +128,7 @@
 		Refund:           func(n fleet.Account, p fleet.Priority) { h.rates.Refund(n, p) },
 		RequestPromotion: h.registry.RequestPromotion,
 		RequestTick:      h.requestTick,
+		RequestLink:      h.requestLink,
 		ObserveLatency:   h.observe,
 		LogEvent:         h.events.note,
 	})
@@ -246,6 +247,7 @@
 
 func (h *Host) tick() {
 	h.busy.Store(h.relay.HasWaiting())
+	h.applyHosts()
 	h.maintainLinks()
 	h.checkCatalog(clock.Now())
 	h.relay.Tick()
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -143,14 +143,14 @@
 	if f.role != follow.RoleFollower {
 		return
 	}
-	if l := h.links[f.session.Reader]; l == nil || l.failed || now.Sub(f.heard) > leader.StoreSilentAfter {
+	if l := h.links.byHost[f.session.Reader]; l == nil || l.failed || now.Sub(f.heard) > leader.StoreSilentAfter {
 		h.chooseReader(now)
 	} else if p := h.peers.known[f.session.Reader]; p != nil && p.dataCentre != h.settings.Host.DataCentre {
 		if reader, ok := follow.ChooseLocalReader(now, h.settings.Host.Name, h.candidates(now)); ok {
 			h.follow(now, reader)
 		}
 	}
-	l := h.links[f.session.Reader]
+	l := h.links.byHost[f.session.Reader]
 	if l == nil || !l.up || now.Sub(f.asked) < followEvery {
 		return
 	}
@@ -191,6 +191,7 @@
 	}
 	// The request is sent as soon as the link stands; heard bounds the wait for its answer.
 	f.asked, f.heard = time.Time{}, now
+	h.requestLink(reader)
 }
 
 // registeredInDataCentre returns the hosts of the data centre that were registered when this one started.
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -81,55 +81,133 @@
 	h.chooseRole(now)
 	defer h.followStore(now)
 	h.forget(now)
-	fresh := mesh.IntervalsFor(h.peers.size()).HeardWithin
 	silent := h.silentDataCentres(now)
-	_, retryPause := h.linkPatience()
-	wanted := h.wanted()
-	var usable []relay.Peer
+	if wanted := h.wantedHosts(); h.linksDue(now, silent, wanted) {
+		h.links.silent, h.links.wanted = silent, wanted
+		h.checkLinks(now)
+	}
+	h.relay.SetPeersIncomplete(h.peersIncomplete(now, h.links.usable))
+	h.relay.SetIsolated(h.isolated(now, silent))
+	h.peers.findAllHeardAt(now, h.settings.Host.DataCentre)
+	h.relay.NoNewerPromotion(h.noNewerPromotionAt(now))
+	pause := listHostsEvery + time.Duration(h.rank.Load())*listHostsStep
+	if h.links.missing > 0 && h.reads() && now.Sub(h.peers.listedMissingAt) > pause {
+		// One that has died is off the list by now, and its share of rates is free again.
+		h.peers.listedMissingAt = now
+		h.registry.ListHosts()
+	}
+}
+
+// links are the connections to the other hosts, and what the last pass over all of them has found.
+type links struct {
+	byHost map[fleet.Host]*link
+	// silent are the data centres that count as cut off, wanted the hosts to which links are kept.
+	silent fleet.Set[fleet.DataCentre]
+	wanted fleet.Set[fleet.Host]
+	// usable counts the hosts over which statements may be sent, missing those that have stopped to report.
+	usable, missing int
+	// dueAt is when the next pass is due: something that the last one has found depends on the time until then.
+	dueAt time.Time
+}
+
+// linksDue reports whether a pass over all hosts is due. In a small fleet it always is.
+//
+// Designed for a fleet of hundreds of hosts, where nothing changes between most checks: a pass over all hosts at
+// each of them took more of a small host's processor than its callers.
+func (h *Host) linksDue(now time.Time, silent fleet.Set[fleet.DataCentre], wanted fleet.Set[fleet.Host]) bool {
+	return !mesh.UsesRelays(h.peers.size()) || !now.Before(h.links.dueAt) ||
+		!maps.Equal(silent, h.links.silent) || !maps.Equal(wanted, h.links.wanted)
+}
+
+// linksChanged has the next check pass over all hosts.
+func (h *Host) linksChanged() { h.links.dueAt = time.Time{} }
+
+// due has the next pass be no later than at a time, if that is still to come.
+func (l *links) due(now, at time.Time) {
+	if at.After(now) && at.Before(l.dueAt) {
+		l.dueAt = at
+	}
+}
+
+// maxLinkPause is the longest time between two passes over all hosts.
+const maxLinkPause = time.Second
+
+// checkLinks opens and closes the links that are to be, and tells the relay which hosts can be used.
+func (h *Host) checkLinks(now time.Time) {
+	h.links.dueAt = now.Add(maxLinkPause)
+	usable := make([]relay.Peer, 0, len(h.peers.known))
 	for name, p := range h.peers.known {
-		l := h.links[name]
+		l := h.links.byHost[name]
 		if l == nil {
 			l = &link{host: name}
-			h.links[name] = l
+			h.links.byHost[name] = l
 		}
-		alive := (now.Sub(p.heard) < fresh || now.Sub(l.heard) < fresh) && !silent.Has(p.dataCentre)
-		switch {
-		case !alive && l.conn != nil:
-			h.log.Info("dependency lost", zap.String("dependency", "host "+string(name)),
-				zap.Duration("silent", now.Sub(p.heard)))
-			l.conn.Close()
-			h.dropLink(l)
-		case alive && l.conn == nil && p.address != "" && (l.failed || wanted(name)) && now.Sub(l.tried) > retryPause:
-			h.openLink(l, p.address)
-		case l.up && !wanted(name) && now.Sub(l.used) > idleLinkTimeout:
-			l.conn.Close()
-			h.dropLink(l)
+		alive := h.checkLink(now, l, p)
+		if !alive || p.leaving || !h.usable(l, now) {
+			continue
 		}
-		if alive && !p.leaving && h.usable(l, now) {
-			peer := relay.Peer{Host: name, DataCentre: p.dataCentre, Capacity: p.capacity}
-			if l.up {
-				peer.Send = l.send
-			}
-			usable = append(usable, peer)
+		peer := relay.Peer{Host: name, DataCentre: p.dataCentre, Capacity: p.capacity}
+		if l.up {
+			peer.Send = l.send
 		}
+		usable = append(usable, peer)
+	}
+	h.links.usable, h.links.missing = len(usable), h.countMissing(now)
+	h.relay.SetPeers(usable, h.links.missing)
+}
+
+// checkLink opens or closes the link to a host, and reports whether the host is alive.
+func (h *Host) checkLink(now time.Time, l *link, p *peer) (alive bool) {
+	_, retryPause := h.linkPatience()
+	heard := times.Later(p.heard, l.heard)
+	expires := heard.Add(mesh.IntervalsFor(h.peers.size()).HeardWithin)
+	alive = now.Before(expires) && !h.links.silent.Has(p.dataCentre)
+	wanted := h.wantsLink(l.host)
+	switch {
+	case !alive && l.conn != nil:
+		h.log.Info("dependency lost", zap.String("dependency", "host "+string(l.host)),
+			zap.Duration("silent", now.Sub(p.heard)))
+		l.conn.Close()
+		h.dropLink(l)
+	case alive && l.conn == nil && p.address != "" && (l.failed || wanted) && now.Sub(l.tried) > retryPause:
+		h.openLink(l, p.address)
+	case l.up && !wanted && now.Sub(l.used) > idleLinkTimeout:
+		l.conn.Close()
+		h.dropLink(l)
 	}
-	missing := 0
+	h.links.due(now, expires)
+	if !l.up {
+		h.links.due(now, l.tried.Add(linkWait))
+		h.links.due(now, l.tried.Add(retryPause))
+	}
+	return alive
+}
+
+// countMissing counts the hosts that have stopped to report and may return.
+func (h *Host) countMissing(now time.Time) int {
+	missing, after := 0, mesh.IntervalsFor(h.peers.size()).HeardWithin+missingAfter
 	for name := range h.peers.addresses {
-		if p := h.peers.known[name]; p != nil && now.Sub(p.heard) > fresh+missingAfter && now.Sub(p.heard) < missingFor {
+		p := h.peers.known[name]
+		if p == nil {
+			continue
+		}
+		if silence := now.Sub(p.heard); silence > after && silence < missingFor {
 			missing++
 		}
+		h.links.due(now, p.heard.Add(after))
+		h.links.due(now, p.heard.Add(missingFor))
 	}
-	h.relay.SetPeers(usable, missing)
-	h.relay.SetPeersIncomplete(h.peersIncomplete(now, len(usable)))
-	h.relay.SetIsolated(h.isolated(now, silent))
-	h.peers.findAllHeardAt(now)
-	h.relay.NoNewerPromotion(h.noNewerPromotionAt(now))
-	pause := listHostsEvery + time.Duration(h.rank.Load())*listHostsStep
-	if missing > 0 && h.reads() && now.Sub(h.peers.listedMissingAt) > pause {
-		// One that has died is off the list by now, and its share of rates is free again.
-		h.peers.listedMissingAt = now
-		h.registry.ListHosts()
+	return missing
+}
+
+// requestLink opens a link that something waits for, ahead of the next pass over all hosts.
+func (h *Host) requestLink(n fleet.Host) {
+	p, l := h.peers.known[n], h.links.byHost[n]
+	_, pause := h.linkPatience()
+	if p == nil || p.address == "" || l == nil || l.conn != nil || clock.Now().Sub(l.tried) <= pause {
+		return
 	}
+	h.openLink(l, p.address)
 }
 
 // linkPatience returns how long a link may take to stand, and how long after a try the next one is due.
@@ -140,10 +218,10 @@
 	return linkTimeout, linkPause
 }
 
-// wanted tells which links are worth keeping.
-func (h *Host) wanted() func(n fleet.Host) bool {
+// wantedHosts returns the hosts to which links are worth keeping, nil for all.
+func (h *Host) wantedHosts() fleet.Set[fleet.Host] {
 	if !mesh.UsesRelays(h.peers.size()) {
-		return func(fleet.Host) bool { return true }
+		return nil
 	}
 	hs := h.relay.Holders()
 	if reader := h.following.session.Reader; reader != "" {
@@ -152,9 +230,12 @@
 	if n := h.catalogStatus.decision.Host; n != "" {
 		hs.Add(n)
 	}
-	return hs.Has
+	return hs
 }
 
+// wantsLink reports whether a link to a host is worth keeping.
+func (h *Host) wantsLink(n fleet.Host) bool { return h.links.wanted == nil || h.links.wanted.Has(n) }
+
 // usable reports whether statements may be sent over a link, or may soon.
 func (h *Host) usable(l *link, now time.Time) bool {
 	switch {
@@ -176,12 +257,12 @@
 func (h *Host) isolated(now time.Time, silent fleet.Set[fleet.DataCentre]) bool {
 	silence := mesh.IntervalsFor(h.peers.size()).HeardWithin / isolationDivisor
 	far := false
-	for name, p := range h.peers.known {
-		if p.dataCentre == h.settings.Host.DataCentre || now.Sub(p.heard) > missingFor {
+	for dc, last := range h.peers.heardFrom.All() {
+		if dc == h.settings.Host.DataCentre || now.Sub(last.At) > missingFor {
 			continue
 		}
 		far = true
-		if now.Sub(h.heardFrom(name)) < silence && !silent.Has(p.dataCentre) {
+		if now.Sub(last.At) < silence && !silent.Has(dc) {
 			return false
 		}
 	}
@@ -191,29 +272,26 @@
 // noNewerPromotionAt returns as of when no host is known to have requested a promotion that this one doesn't
 // know, zero if one has.
 func (h *Host) noNewerPromotionAt(now time.Time) time.Time {
-	known := h.relay.RecordRevision()
-	for _, p := range h.peers.known {
-		if now.Sub(p.heard) <= missingFor && p.record > known {
-			return time.Time{}
-		}
+	p := &h.peers
+	if p.newestRecord > h.relay.RecordRevision() && now.Sub(p.newestRecordAt) <= missingFor {
+		return time.Time{}
 	}
-	return h.peers.allHeardAt
+	return p.allHeardAt
 }
 
 // findAllHeardAt finds out when hosts of all data centres had last been heard.
-func (p *peers) findAllHeardAt(now time.Time) {
+func (p *peers) findAllHeardAt(now time.Time, own fleet.DataCentre) {
 	if p.addresses == nil {
 		return
 	}
-	delay := mesh.UsualDelay(p.size())
-	p.allHeardAt = mesh.AllHeardAt(now, maps.Values(p.centres), func(yield func(mesh.LastReport) bool) {
-		for _, k := range p.known {
-			r := mesh.LastReport{DataCentre: k.dataCentre, SentAt: k.heard.Add(-k.extra - delay)}
-			if now.Sub(k.heard) <= missingFor && !yield(r) {
+	withOthers := func(yield func(fleet.DataCentre) bool) {
+		for dc, n := range p.sizes {
+			if (dc != own || n > 1) && !yield(dc) {
 				return
 			}
 		}
-	})
+	}
+	p.allHeardAt = p.heardFrom.AllHeardAt(now, withOthers, missingFor, mesh.UsualDelay(p.size()))
 }
 
 // hasSilentHosts reports whether some data centre isn't heard, so that changes may be known there that
@@ -222,35 +300,22 @@
 	return p.addresses != nil && now.Sub(p.allHeardAt) > mesh.IntervalsFor(p.size()).HeardWithin
 }
 
-// heardFrom returns when anything last came from a host that is known.
-func (h *Host) heardFrom(n fleet.Host) time.Time {
-	heard := h.peers.known[n].heard
-	if l := h.links[n]; l != nil {
-		heard = times.Later(heard, l.heard)
-	}
-	return heard
-}
-
 // silentDataCentres returns the other data centres of a large fleet that count as cut off, and asks for a
 // sign of life where nothing has come for some time.
 func (h *Host) silentDataCentres(now time.Time) fleet.Set[fleet.DataCentre] {
 	if !mesh.UsesRelays(h.peers.size()) || now.Sub(h.resumedAt) < pauseGrace {
 		return nil
 	}
-	last, hosts := map[fleet.DataCentre]time.Time{}, map[fleet.DataCentre]int{}
-	for name, p := range h.peers.known {
-		if p.dataCentre == h.settings.Host.DataCentre || now.Sub(p.heard) > missingFor {
+	out := fleet.NewSet[fleet.DataCentre]()
+	for dc, last := range h.peers.heardFrom.All() {
+		silence := now.Sub(last.At)
+		if dc == h.settings.Host.DataCentre || silence > missingFor {
 			continue
 		}
-		hosts[p.dataCentre]++
-		last[p.dataCentre] = times.Later(last[p.dataCentre], h.heardFrom(name))
-	}
-	out := fleet.NewSet[fleet.DataCentre]()
-	for dc, at := range last {
-		if mesh.NeedsProbe(now.Sub(at)) {
-			h.sendPings(now, dc, at)
+		if mesh.NeedsProbe(silence) {
+			h.sendPings(now, dc, last.At)
 		}
-		if mesh.DataCentreSilent(hosts[dc], now.Sub(at)) {
+		if mesh.DataCentreSilent(h.peers.sizes[dc], silence) {
 			out.Add(dc)
 		}
 	}
@@ -259,7 +324,7 @@
 
 // sendPings asks the hosts of a data centre over the links that stand, once since it was last heard.
 func (h *Host) sendPings(now time.Time, dc fleet.DataCentre, heard time.Time) {
-	for name, l := range h.links {
+	for name, l := range h.links.byHost {
 		if p := h.peers.known[name]; p == nil || p.dataCentre != dc || !l.up || l.asked.After(heard) {
 			continue
 		}
@@ -280,6 +345,7 @@
 func (h *Host) dropLink(l *link) {
 	l.failed = l.failed || !l.up
 	l.conn, l.up = nil, false
+	h.linksChanged()
 	h.relay.PeerLost(l.host)
 }
 
@@ -293,19 +359,21 @@
 		Request: func(relay.Forward) {},
 		Load:    func(id uint64, millis []uint32) { h.relay.HandleForwardLoad(l.host, id, millis) },
 		Reply: func(id uint64, a statement.Answer) {
-			l.heard = clock.Now()
+			h.heardOver(l)
 			h.relay.HandleForwardAnswer(l.host, id, a)
 		},
 		Follow: func(forward.Follow) {},
 		StoreUpdate: func(n forward.StoreUpdate) {
-			l.heard = clock.Now()
+			h.heardOver(l)
 			h.handleUpdate(l.host, n)
 		},
-		Ping: func(bool) { l.heard = clock.Now() },
+		Ping: func(bool) { h.heardOver(l) },
 	}
 	c.Opened = func() {
 		l.up, l.failed = true, false
+		h.linksChanged()
 		c.Write(forward.AppendHello(nil, h.settings.Host.Name))
+		h.relay.SetPeerLink(l.host, l.send)
 		h.followStore(clock.Now())
 	}
 	c.Data = h.reader("host "+string(l.host), in.Decode, func(error) { c.Close() })
@@ -318,6 +386,14 @@
 	h.loop.Dial(c, address, timeout)
 }
 
+// heardOver records that something came over a link.
+func (h *Host) heardOver(l *link) {
+	l.heard = clock.Now()
+	if p := h.peers.known[l.host]; p != nil {
+		h.peers.heardFrom.Heard(p.dataCentre, l.heard, time.Time{})
+	}
+}
+
 // acceptPeer takes the link of a host that has statements run here.
 func (h *Host) acceptPeer(c *loop.Conn) {
 	var from fleet.Host
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -23,11 +23,20 @@
 	addresses  map[fleet.Host]*net.UDPAddr
 	// centres are the data centres of the hosts in addresses.
 	centres map[fleet.Host]fleet.DataCentre
-	// known are the hosts that were heard.
-	known map[fleet.Host]*peer
-	// forwardQueue are the reports that wait to be forwarded; the last were at forwardedAt. urgent is set
-	// while one of them must not wait.
-	forwardQueue []queuedReport
+	// sizes counts the hosts of each data centre in centres, this host included.
+	sizes map[fleet.DataCentre]int
+	// known are the hosts that were heard, heardFrom is when each data centre was.
+	known     map[fleet.Host]*peer
+	heardFrom mesh.Centres
+	// newestRecord is the revision of the newest promotion record that a report has named, newestRecordAt when one
+	// named a record that was missing here.
+	newestRecord   uint64
+	newestRecordAt time.Time
+	// added is set if hosts were added to addresses of which the other parts don't know yet.
+	added bool
+	// forwardQueue are the reports that wait to be forwarded, by host; the last were at forwardedAt. urgent is
+	// set while one of them must not wait.
+	forwardQueue map[fleet.Host]queuedReport
 	forwardedAt  time.Time
 	urgent       bool
 	// listed are the other hosts as the mesh wants to know them, as of listedAt.
@@ -68,8 +77,6 @@
 	storeless  bool
 	// reads is set while the host reads the store.
 	reads bool
-	// record is the revision of the newest promotion record that the host knew at its last report.
-	record uint64
 	// news counts the instances of its last report that it can't reach, or can although another
 	// host can't.
 	news int
@@ -148,6 +155,7 @@
 	}
 	if mesh.UsesRelays(h.peers.size()) {
 		h.addHosts(hs)
+		h.hostsChanged()
 		return
 	}
 	at := make(map[fleet.Host]*net.UDPAddr, len(hs))
@@ -184,7 +192,6 @@
 	for _, p := range hs {
 		h.add(p.Name, p.Address, p.DataCentre)
 	}
-	h.hostsChanged()
 }
 
 // hostEntries returns the hosts that are known, as they would register.
@@ -240,11 +247,22 @@
 	}
 }
 
+// applyHosts passes the hosts that were added since the last tick to the parts that use them: when a fleet starts,
+// hundreds are added within a second.
+func (h *Host) applyHosts() {
+	if h.peers.added {
+		h.hostsChanged()
+	}
+}
+
 // hostsChanged passes the number of hosts and their names to the parts that use them.
 func (h *Host) hostsChanged() {
+	h.peers.added = false
+	h.peers.sizes = h.membersBy()
+	h.linksChanged()
 	h.registry.SetHostCount(h.peers.size())
 	h.relay.SetHostCount(1 + len(h.peers.addresses))
-	h.relay.SetDataCentreSizes(h.membersBy())
+	h.relay.SetDataCentreSizes(h.peers.sizes)
 	h.rates.SetPeers(clock.Now(), slices.Collect(maps.Keys(h.peers.addresses)))
 }
 
@@ -257,24 +275,17 @@
 	return out
 }
 
-// addReported takes in a host that isn't on the list yet.
-func (h *Host) addReported(r gossip.Report) {
-	if h.add(r.Host, r.Address, r.DataCentre) {
-		h.hostsChanged()
-	}
-}
-
-// add adds a host to the list and reports whether it is new there.
-func (h *Host) add(n fleet.Host, address string, dc fleet.DataCentre) bool {
+// add adds a host to the list if it isn't there yet. The other parts learn of it at the next tick.
+func (h *Host) add(n fleet.Host, address string, dc fleet.DataCentre) {
 	if h.peers.addresses == nil || h.peers.addresses[n] != nil || address == "" || n == h.settings.Host.Name {
-		return false
+		return
 	}
 	a, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		h.log.Warn("host without an address", zap.String("host", string(n)), zap.Error(err))
-		return false
+		return
 	}
 	h.peers.addresses[n], h.peers.centres[n] = a, dc
 	h.peers.addedAt[n] = clock.Now()
-	return true
+	h.peers.added = true
 }
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"slices"
 	"time"
 
 	"skylarkdeal/core/fleet"
@@ -138,12 +137,13 @@
 // handleReport handles another host's report.
 func (h *Host) handleReport(r gossip.Report) {
 	now := clock.Now()
-	h.addReported(r)
+	h.add(r.Host, r.Address, r.DataCentre)
 	k := h.peers.known[r.Host]
 	if k == nil {
 		k = &peer{}
 		h.peers.known[r.Host] = k
 	}
+	before := *k
 	if a := h.peers.addresses[r.Host]; k.address == "" && a != nil {
 		// Its reports may have arrived before one with its address.
 		k.address, k.dataCentre = a.String(), h.peers.centres[r.Host]
@@ -161,8 +161,12 @@
 	}
 	r.CatalogAge, r.InstancesAge = r.CatalogAge+k.extra, r.InstancesAge+k.extra
 	k.capacity, k.news = r.Capacity, len(r.Unreachable)+len(r.Reachable)+len(r.Ejected)
-	k.reads, k.record = r.IsReader, r.RecordRevision
+	k.reads = r.IsReader
 	k.heard, k.leaving, k.storeless, k.epoch, k.seq = now, r.Leaving, r.StoreUnreachable, r.Epoch, r.Seq
+	h.peers.heardFrom.Heard(k.dataCentre, now, now.Add(-k.extra))
+	if now.Sub(before.heard) > mesh.IntervalsFor(h.peers.size()).HeardWithin || !k.sameLink(&before) {
+		h.linksChanged()
+	}
 	h.rates.AddReport(now, r.Host, r.Epoch, r.Seq, r.Usages)
 	is := make([]fleet.Instance, 0, len(r.Unreachable))
 	for _, d := range r.Unreachable {
@@ -171,11 +175,18 @@
 	h.relay.AddReachability(r.Host, is, r.Reachable)
 	h.relay.AddEjections(r.Host, k.dataCentre, now.Add(-k.extra), r.Ejected)
 	if r.RecordRevision > h.relay.RecordRevision() {
+		h.peers.newestRecord, h.peers.newestRecordAt = max(h.peers.newestRecord, r.RecordRevision), now
 		h.registry.RefreshRecords()
 	}
 	h.compareCatalog(r)
 }
 
+// sameLink reports whether nothing has changed that a link to the host depends on.
+func (k *peer) sameLink(before *peer) bool {
+	return k.address == before.address && k.dataCentre == before.dataCentre && k.capacity == before.capacity &&
+		k.leaving == before.leaving && k.epoch == before.epoch
+}
+
 // compareCatalog handles what another host's report tells of the catalog and of the list of instances.
 //
 // The ages count by how much longer than usual the report took, but not the usual time: some ms directly,
@@ -211,33 +222,31 @@
 // queue keeps a report until it is forwarded, in place of an earlier one of its host.
 func (p *peers) queue(r gossip.Report, now time.Time, urgent bool) {
 	p.urgent = p.urgent || urgent
-	for n := range p.forwardQueue {
-		if p.forwardQueue[n].report.Host == r.Host {
-			p.forwardQueue[n].report = r
-			p.forwardQueue[n].urgent = p.forwardQueue[n].urgent || urgent
-			return
-		}
+	if earlier, ok := p.forwardQueue[r.Host]; ok {
+		now, urgent = earlier.at, urgent || earlier.urgent
+	}
+	if p.forwardQueue == nil {
+		p.forwardQueue = map[fleet.Host]queuedReport{}
 	}
-	p.forwardQueue = append(p.forwardQueue, queuedReport{r, now, urgent})
+	p.forwardQueue[r.Host] = queuedReport{r, now, urgent}
 }
 
 // dropForwarded drops what another host has passed on.
 func (p *peers) dropForwarded(r gossip.Report) {
-	p.forwardQueue = slices.DeleteFunc(p.forwardQueue, func(o queuedReport) bool {
-		return o.report.Host == r.Host && o.report.Epoch == r.Epoch && o.report.Seq <= r.Seq
-	})
+	if o, ok := p.forwardQueue[r.Host]; ok && o.report.Epoch == r.Epoch && o.report.Seq <= r.Seq {
+		delete(p.forwardQueue, r.Host)
+	}
 }
 
 // due takes out the reports that have waited for long enough.
 func (p *peers) due(now time.Time, hold time.Duration) []gossip.Report {
 	var out []gossip.Report
 	p.urgent = false
-	p.forwardQueue = slices.DeleteFunc(p.forwardQueue, func(o queuedReport) bool {
-		if now.Sub(o.at) < hold && !o.urgent {
-			return false
+	for n, o := range p.forwardQueue {
+		if now.Sub(o.at) >= hold || o.urgent {
+			out = append(out, o.report)
+			delete(p.forwardQueue, n)
 		}
-		out = append(out, o.report)
-		return true
-	})
+	}
 	return out
 }
