Pass on changes of the store's parts, compressed, and wait for what is arriving

What callers saw: none came. While 984 hosts started, hosts with links of 20 Mbit/s were behind for seconds: "catalog update" by request-all, switch-reader, ask-host and read-store, one after the other, with copies of 2 s of age.

Cause: each change of a part sent all of it to each of some 90 followers of a reader: 0.7 MB of instances, a megabyte of catalog. One copy takes a small host's link for the better part of a second, with the renewals behind it. After 0.25 to 0.75 s without them the follower asked for another copy, of another reader or of the store, which delayed all of them.

Large bodies are compressed, once for all followers. A follower takes changes only from the version that it has, else it asks for all parts and lets the renewal not count. While an update is arriving it asks for no other copy, and readings of the store by followers spread with the size of the fleet. Instances are parsed when they change. A follower of an earlier build gets copies as before.

--- a/core/follow/catalog_monitor.go
+++ b/core/follow/catalog_monitor.go
@@ -34,6 +34,9 @@
 	// all hosts of a data centre may be behind at once.
 	readStoreAfter  = 750 * time.Millisecond
 	readStoreSpread = 500 * time.Millisecond
+	// readStoreSpreadPerHost spreads these readings further in a large fleet, whose catalog is large too: hundreds
+	// of copies at once take seconds of the store's link, on which the readers wait for theirs.
+	readStoreSpreadPerHost = 5 * time.Millisecond
 	// repeatAfter is the pause before a step that involves other hosts is repeated.
 	repeatAfter = time.Second
 )
@@ -109,6 +112,8 @@
 	IsReader bool
 	// Hosts is the number of hosts of the fleet.
 	Hosts int
+	// Receiving is set while an update of the reader that is followed is arriving.
+	Receiving bool
 	// HasSilentHosts is set while no host of some data centre is heard, so that a change may be known to
 	// hosts whose reports don't arrive.
 	HasSilentHosts bool
@@ -261,11 +266,14 @@
 func (m *CatalogMonitor) actionBehind(now time.Time, k CatalogKnown, since time.Time) CatalogAction {
 	_, longest := m.storePause(k)
 	repeat := pauses{repeatAfter, repeatAfter}
-	readAfter, spread := readStoreAfter, readStoreSpread
+	readAfter, spread := readStoreAfter, max(readStoreSpread, time.Duration(k.Hosts)*readStoreSpreadPerHost)
 	if k.IsReader {
 		readAfter, spread = requestAllAfter, 0
 	}
 	switch {
+	case k.Receiving:
+		// Another copy would only delay the one that is on its way over a slow link.
+		return CatalogKeep
 	case !k.IsReader && m.requestAll.due(now, since.Add(requestAllAfter), 0, repeat, m.jitter):
 		return CatalogRequestAll
 	case !k.IsReader && m.switchReader.due(now, since.Add(switchReaderAfter), 0, repeat, m.jitter):
--- a/core/follow/catalog_monitor_test.go
+++ b/core/follow/catalog_monitor_test.go
@@ -439,3 +439,39 @@
 func atMillis(ms int64) time.Time {
 	return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond)
 }
+
+// Guards against a follower with a slow link that asks for another copy, of another reader or the store, while the
+// first one is arriving: each of them delays all, and hundreds of hosts ask at the same moment.
+func TestFollowerAwaitsTheCopyThatIsArriving(t *testing.T) {
+	c := qt.New(t)
+	m := newMonitored(5, atMillis(0))
+	newer := follow.CatalogReport{Host: "newer", IsReader: true, Revision: 9}
+	m.known.Receiving = true
+	actions, last := m.pass(1400*time.Millisecond, newer)
+	c.Check(actions, qt.HasLen, 1, qt.Commentf("%v", actions))
+	c.Check(last.Outdated, qt.Equals, follow.OutdatedReason(""))
+	_, last = m.pass(200*time.Millisecond, newer)
+	c.Check(last.Outdated, qt.Equals, follow.OutdatedBehind)
+	m.known.Receiving = false
+	actions, _ = m.pass(2*time.Second, newer)
+	c.Check(actions[follow.CatalogReadStore] > 0, qt.IsTrue)
+}
+
+// Guards against a thousand followers that fall behind together and all read a large catalog from the store within
+// half a second, so that its link is full and the readers wait for theirs.
+func TestFollowersThatFallBehindReadTheStoreBySize(t *testing.T) {
+	c := qt.New(t)
+	for _, hosts := range []int{100, 1000} {
+		r := rand.New(rand.NewPCG(1, 2))
+		reads := 0
+		for range hosts {
+			m := newMonitored(5, atMillis(0))
+			m.known.Hosts, m.Jitter = hosts, r.Float64
+			m.report(follow.CatalogReport{Host: "newer", Revision: 9})
+			if actions, _ := m.pass(time.Second); actions[follow.CatalogReadStore] > 0 {
+				reads++
+			}
+		}
+		c.Check(reads > 0 && reads <= 100, qt.IsTrue, qt.Commentf("%d of %d hosts in the first second", reads, hosts))
+	}
+}
--- a/internal/entry/catalog.go
+++ b/internal/entry/catalog.go
@@ -82,7 +82,7 @@
 	s := &h.catalogStatus
 	d := h.catalogMonitor.Decide(now, follow.CatalogKnown{
 		CompleteTo: h.knownCatalog(), AsOf: h.registry.CatalogAsOf(), IsReader: h.reads(), Hosts: h.peers.size(),
-		HasSilentHosts: h.peers.hasSilentHosts(now),
+		HasSilentHosts: h.peers.hasSilentHosts(now), Receiving: h.receivesUpdate(now),
 	})
 	h.relay.SetCatalogOutdated(d.Outdated)
 	h.logDecision(now, s.decision, d)
@@ -117,7 +117,7 @@
 	if f.session.Reader == "" {
 		return
 	}
-	f.session.Begin(f.session.Reader, now)
+	h.beginSession(f.session.Reader, now)
 	f.asked = time.Time{}
 	h.followStore(now)
 }
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -46,6 +46,11 @@
 	// count is how many hosts there were when that was last written to the store.
 	count int
 
+	// hosts is the copy of the known hosts, made at hostsAt, for followers that begin.
+	hosts   follow.PartCopy[[]registry.Entry]
+	hostsAt time.Time
+	// has are the versions of the parts that the followed reader has last passed on.
+	has       map[follow.Part]follow.Version
 	copies    follow.PartCache[[]registry.Entry]
 	own       time.Time
 	followers map[relay.PeerLinkID]*follower
@@ -55,6 +60,8 @@
 type follower struct {
 	asked, heard time.Time
 	has          map[follow.Part]follow.Version
+	// takesChanges is set if it takes in copies with only the changes.
+	takesChanges bool
 	write        func(b []byte)
 }
 
@@ -69,6 +76,10 @@
 	h.following.role, h.following.since = x, clock.Now()
 	h.following.session = follow.Subscription{}
 	h.registry.SetRole(x)
+	h.following.copies.Diff = nil
+	if x == follow.RoleReader {
+		h.following.copies.Diff = registry.Diff
+	}
 	if x == follow.RoleFollower {
 		clear(h.following.followers)
 		// The link to a reader is the first thing that it needs.
@@ -143,7 +154,8 @@
 	if f.role != follow.RoleFollower {
 		return
 	}
-	if l := h.links.byHost[f.session.Reader]; l == nil || l.failed || now.Sub(f.heard) > leader.StoreSilentAfter {
+	if l := h.links.byHost[f.session.Reader]; l == nil || l.failed ||
+		now.Sub(f.heard) > leader.StoreSilentAfter && !l.receiving(now) {
 		h.chooseReader(now)
 	} else if p := h.peers.known[f.session.Reader]; p != nil && p.dataCentre != h.settings.Host.DataCentre {
 		if reader, ok := follow.ChooseLocalReader(now, h.settings.Host.Name, h.candidates(now)); ok {
@@ -156,7 +168,9 @@
 	}
 	f.asked = now
 	l.used = now
-	l.conn.Write(forward.AppendFollow(nil, forward.Follow{Sent: now, Full: f.session.RequestFull()}))
+	l.conn.Write(forward.AppendFollow(nil, forward.Follow{
+		Sent: now, Full: f.session.RequestFull(), TakesChanges: true,
+	}))
 }
 
 // chooseReader takes a reader to follow, another one than the last if there is one. One elsewhere may be
@@ -187,13 +201,19 @@
 	f := &h.following
 	if reader != f.session.Reader {
 		h.log.Debug("follow a reader of the store", zap.String("host", string(reader)))
-		f.session.Begin(reader, now)
+		h.beginSession(reader, now)
 	}
 	// The request is sent as soon as the link stands; heard bounds the wait for its answer.
 	f.asked, f.heard = time.Time{}, now
 	h.requestLink(reader)
 }
 
+// beginSession begins a session with a reader, in which all parts are passed on first.
+func (h *Host) beginSession(reader fleet.Host, now time.Time) {
+	h.following.session.Begin(reader, now)
+	h.following.has = map[follow.Part]follow.Version{}
+}
+
 // registeredInDataCentre returns the hosts of the data centre that were registered when this one started.
 func (h *Host) registeredInDataCentre() []follow.Candidate {
 	var out []follow.Candidate
@@ -230,6 +250,9 @@
 			continue
 		}
 		c.ReadAt = read
+		if c, ok = h.expand(p, c); !ok {
+			return
+		}
 		if p == follow.PartHosts {
 			h.addHosts(h.registry.ParseHosts(c.Body))
 			continue
@@ -250,6 +273,27 @@
 	}
 }
 
+// expand returns the whole copy that changes of a part stand for. If they are from a version that this host doesn't
+// have, it asks for all parts and returns false: a renewal that comes with them must not count, as it would seem to
+// confirm records that are missing.
+func (h *Host) expand(p follow.Part, c follow.PartCopy[[]registry.Entry]) (follow.PartCopy[[]registry.Entry], bool) {
+	f := &h.following
+	whole, ok := c, !c.ChangesOnly || f.has[p] == c.Base
+	if ok {
+		whole, ok = h.registry.Expand(p, c)
+	}
+	if !ok {
+		h.log.Warn("changes of another version ignored", zap.String("part", string(p)),
+			zap.Uint64("base", uint64(c.Base)), zap.Uint64("known", uint64(f.has[p])))
+		h.requestAll(clock.Now())
+		return c, false
+	}
+	if c.HasBody {
+		f.has[p] = c.Version
+	}
+	return whole, true
+}
+
 // renewed records that a registration was renewed by a call that was sent at the given time.
 func (h *Host) renewed(at time.Time) {
 	h.following.renewed = times.Later(h.following.renewed, at)
@@ -286,7 +330,7 @@
 	if q.Full {
 		clear(f.has)
 	}
-	f.asked, f.heard = q.Sent, clock.Now()
+	f.asked, f.heard, f.takesChanges = q.Sent, clock.Now(), q.TakesChanges
 	if h.reads() {
 		h.sendUpdate(f)
 	}
@@ -309,14 +353,18 @@
 
 func (h *Host) sendUpdate(f *follower) {
 	n := forward.StoreUpdate{
-		RequestSentAt: f.asked, RequestReceivedAt: f.heard, Renewed: h.following.own,
-		Parts: h.following.copies.UpdatesFor(f.has),
+		RequestSentAt: f.asked, RequestReceivedAt: f.heard, Renewed: h.following.own, Compressed: f.takesChanges,
+	}
+	if f.takesChanges {
+		n.Parts = h.following.copies.ChangesFor(f.has)
+	} else {
+		n.Parts = h.following.copies.UpdatesFor(f.has)
 	}
 	h.catalogForwarded(n.Parts[follow.PartCatalog])
 	if f.has[follow.PartHosts] == 0 {
 		// The others come by the hosts' own reports.
 		f.has[follow.PartHosts] = 1
-		n.Parts[follow.PartHosts] = follow.PartCopy[[]registry.Entry]{Version: 1, HasBody: true, Body: h.hostEntries()}
+		n.Parts[follow.PartHosts] = h.hostsCopy()
 	}
 	for c := range h.following.centres {
 		n.Centres = append(n.Centres, c)
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -59,6 +59,37 @@
 	// of life was last asked for.
 	heard, used, asked time.Time
 	out                []byte
+	// partialSince is since when a frame is arriving, zero if none is, partialAt when some of it last came.
+	partialSince, partialAt time.Time
+}
+
+const (
+	// transferPause is how long nothing of a frame may come for it to be arriving still, maxTransfer how long it may
+	// take in all.
+	transferPause = 300 * time.Millisecond
+	maxTransfer   = 3 * time.Second
+)
+
+// receiving reports whether a frame is arriving over the link.
+func (l *link) receiving(now time.Time) bool {
+	return l != nil && !l.partialSince.IsZero() && now.Sub(l.partialAt) < transferPause &&
+		now.Sub(l.partialSince) < maxTransfer
+}
+
+// noteFrame records whether a frame is complete: n of the received bytes have been used.
+func (l *link) noteFrame(now time.Time, n int) {
+	l.partialAt = now
+	switch {
+	case n > 0:
+		l.partialSince = time.Time{}
+	case l.partialSince.IsZero():
+		l.partialSince = now
+	}
+}
+
+// receivesUpdate reports whether an update of the reader that is followed is arriving.
+func (h *Host) receivesUpdate(now time.Time) bool {
+	return h.links.byHost[h.following.session.Reader].receiving(now)
 }
 
 // maintainLinks keeps a link to each host that is heard, in a large fleet only to those over which
@@ -344,7 +375,7 @@
 
 func (h *Host) dropLink(l *link) {
 	l.failed = l.failed || !l.up
-	l.conn, l.up = nil, false
+	l.conn, l.up, l.partialSince = nil, false, time.Time{}
 	h.linksChanged()
 	h.relay.PeerLost(l.host)
 }
@@ -376,7 +407,13 @@
 		h.relay.SetPeerLink(l.host, l.send)
 		h.followStore(clock.Now())
 	}
-	c.Data = h.reader("host "+string(l.host), in.Decode, func(error) { c.Close() })
+	decode := h.reader("host "+string(l.host), in.Decode, func(error) { c.Close() })
+	c.Data = func(b []byte) int {
+		n := decode(b)
+		l.noteFrame(clock.Now(), n)
+		h.heardOver(l)
+		return n
+	}
 	c.Closed = func(error) {
 		if l.conn == c {
 			h.dropLink(l)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -194,6 +194,22 @@
 	}
 }
 
+// hostsCopyMaxAge is how long a copy of the known hosts is passed on to new followers, hundreds of which may begin at
+// once. They hear of hosts that come later by their reports.
+const hostsCopyMaxAge = time.Second
+
+// hostsCopy returns the hosts that are known, for a new follower.
+func (h *Host) hostsCopy() follow.PartCopy[[]registry.Entry] {
+	f := &h.following
+	if now := clock.Now(); now.Sub(f.hostsAt) > hostsCopyMaxAge {
+		f.hostsAt = now
+		f.hosts = follow.PartCopy[[]registry.Entry]{
+			Version: 1, HasBody: true, Body: h.hostEntries(), Encoded: &follow.Encoded{},
+		}
+	}
+	return f.hosts
+}
+
 // hostEntries returns the hosts that are known, as they would register.
 func (h *Host) hostEntries() []registry.Entry {
 	out := make([]registry.Entry, 0, len(h.peers.addresses))
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -73,9 +73,16 @@
 		r.Load(k.Reply.GetStream(), k.Reply.GetLoad().GetWaitMs())
 		r.Reply(k.Reply.GetStream(), decodeAnswer(k.Reply))
 	case *forwardpb.Frame_Follow:
-		r.Follow(Follow{Sent: fromUnixNano(k.Follow.GetSent()), Full: k.Follow.GetWhole()})
+		r.Follow(Follow{
+			Sent: fromUnixNano(k.Follow.GetSent()), Full: k.Follow.GetWhole(),
+			TakesChanges: k.Follow.GetTakesChanges(),
+		})
 	case *forwardpb.Frame_News:
-		r.StoreUpdate(decodeStoreUpdate(k.News))
+		u, err := decodeStoreUpdate(k.News)
+		if err != nil {
+			return 0, err
+		}
+		r.StoreUpdate(u)
 	case *forwardpb.Frame_Ping:
 		r.Ping(k.Ping.GetAnswer())
 	default:
--- a/io/forward/store_update_test.go
+++ b/io/forward/store_update_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -50,6 +51,61 @@
 	c.Assert(asked, qt.DeepEquals, []forward.Follow{question})
 }
 
+// storeUpdateOf returns an update with a list of n instances.
+func storeUpdateOf(n int, compressed bool) forward.StoreUpdate {
+	var es []registry.Entry
+	for i := range n {
+		es = append(es, registry.Entry{
+			Key:      fmt.Sprintf("servers/i-%06d", i),
+			Value:    fmt.Appendf(nil, `{"Service":"s%d","Address":"10.0.%d.%d:8465","State":"ready"}`, i/3, i/250, i%250),
+			Revision: registry.Revision(i + 1),
+		})
+	}
+	es = append(es, registry.Entry{Key: "servers/j", Revision: registry.Revision(n + 1), Deleted: true})
+	return forward.StoreUpdate{Compressed: compressed, Parts: forward.Parts{follow.PartInstances: {
+		Version: 9, HasBody: true, ChangesOnly: true, Base: 8, Body: es, Encoded: &follow.Encoded{},
+	}}}
+}
+
+// Guards against a large update that takes a second of a small host's link, with the renewals behind it, and against
+// a compressed one that tells something else.
+func TestLargeUpdatesAreCompressed(t *testing.T) {
+	c := qt.New(t)
+	for _, n := range []int{1, 300, 3000} {
+		plain, packed := storeUpdateOf(n, false), storeUpdateOf(n, true)
+		long, short := forward.AppendStoreUpdate(nil, plain), forward.AppendStoreUpdate(nil, packed)
+		if n > 1 {
+			c.Check(len(short) < len(long)/4, qt.IsTrue, qt.Commentf("%d of %d bytes", len(short), len(long)))
+		}
+		// The second follower gets the same bytes.
+		c.Check(forward.AppendStoreUpdate(nil, packed), qt.DeepEquals, short)
+		var got []forward.StoreUpdate
+		r := forward.Reader{StoreUpdate: func(n forward.StoreUpdate) { got = append(got, n) }}
+		for _, b := range [][]byte{long, short} {
+			used, err := r.Decode(b)
+			c.Assert(err, qt.IsNil)
+			c.Assert(used, qt.Equals, len(b))
+		}
+		want := plain.Parts[follow.PartInstances].Body
+		for _, u := range got {
+			c.Check(u.Parts[follow.PartInstances].Body, qt.DeepEquals, want)
+			c.Check(u.Parts[follow.PartInstances].Base, qt.Equals, follow.Version(8))
+		}
+	}
+}
+
+// Guards against an update of broken or endless compressed bytes that takes a host's memory: the link ends.
+func TestBrokenCompressedUpdateEndsTheLink(t *testing.T) {
+	c := qt.New(t)
+	u := storeUpdateOf(300, true)
+	part := u.Parts[follow.PartInstances]
+	part.Encoded.Bytes = []byte("no gzip")
+	u.Parts[follow.PartInstances] = part
+	r := forward.Reader{StoreUpdate: func(forward.StoreUpdate) { t.Error("an update that can't be read") }}
+	_, err := r.Decode(forward.AppendStoreUpdate(nil, u))
+	c.Check(err, qt.IsNotNil)
+}
+
 func TestPings(t *testing.T) {
 	c := qt.New(t)
 	var got []bool
--- a/io/registry/follow.go
+++ b/io/registry/follow.go
@@ -26,6 +26,8 @@
 // this host's clock that isn't later than that reading. A copy that is complete to a lower revision than
 // what is known here changes nothing. ApplyPart reports whether what is known here lacks no change as of
 // ReadAt.
+//
+// A copy with only the changes has to be expanded before.
 func (r *Registry) ApplyPart(p follow.Part, c follow.PartCopy[[]Entry]) bool {
 	switch p {
 	case follow.PartCatalog:
--- a/io/registry/lists.go
+++ b/io/registry/lists.go
@@ -23,8 +23,16 @@
 	// store's, by a reading of this host or of another. Both are guarded by the part's lock.
 	instances   []catalog.Instance
 	confirmedAt time.Time
-	// members is the digest of which instances these are, zero if there are none.
-	members uint64
+	// parsed has the instance of each entry that can be parsed. The digests are the sums of theirs, so that a
+	// change of one instance takes the parsing of one entry. members is the digest of which instances these are.
+	parsed          map[string]parsedInstance
+	digest, members uint64
+}
+
+// parsedInstance is the instance of an entry, with its parts of the digests.
+type parsedInstance struct {
+	instance        catalog.Instance
+	digest, members uint64
 }
 
 // MembersDigest returns the digest of which instances the list in use on this host names: their names,
@@ -156,23 +164,46 @@
 // digest. A smaller change isn't passed on to followers.
 const coldGranularity = 2 * time.Second
 
-// parseInstances sets the instances and their digest after a change of the entries. The lock is held.
-func (r *Registry) parseInstances(current snapshot) {
-	is := make([]catalog.Instance, 0, len(current.entries))
-	digest, members := xxhash.New(), xxhash.New()
+// parseInstance parses an entry that is stored, and returns what identifies its content. The lock is held.
+func (r *Registry) parseInstance(e Entry) (content uint64) {
+	l := &r.instanceList
+	l.dropInstance(e.Key)
+	i, ok := r.cfg.ParseInstance(e)
+	if !ok {
+		return 0
+	}
+	p := parsedInstance{instance: i}
+	// The time that an instance stays cold changes with each heartbeat.
+	i.Cold = (i.Cold + coldGranularity - 1).Truncate(coldGranularity)
+	p.digest = xxhash.Sum64String(fmt.Sprintf("%+v", i))
+	p.members = xxhash.Sum64String(fmt.Sprintln(i.Name, i.Service, i.Address, i.Started))
+	l.parsed[e.Key] = p
+	l.digest, l.members = l.digest+p.digest, l.members+p.members
+	if i.Cold > 0 {
+		return 0
+	}
+	return p.digest
+}
+
+// dropInstance forgets the instance of an entry. The lock is held.
+func (l *instanceList) dropInstance(key string) {
+	if l.parsed == nil {
+		l.parsed = map[string]parsedInstance{}
+	}
+	p := l.parsed[key]
+	l.digest, l.members = l.digest-p.digest, l.members-p.members
+	delete(l.parsed, key)
+}
+
+// listInstances sets the instances and their version after a change of the entries. The lock is held.
+func (l *instanceList) listInstances(current snapshot) {
+	l.instances = make([]catalog.Instance, 0, len(l.parsed))
 	for _, e := range current.entries {
-		if i, ok := r.cfg.ParseInstance(e); ok {
-			is = append(is, i)
-			// The time that an instance stays cold changes with each heartbeat.
-			i.Cold = (i.Cold + coldGranularity - 1).Truncate(coldGranularity)
-			fmt.Fprintf(digest, "%+v\n", i)
-			fmt.Fprintln(members, i.Name, i.Service, i.Address, i.Started)
+		if p, ok := l.parsed[e.Key]; ok {
+			l.instances = append(l.instances, p.instance)
 		}
 	}
-	r.instanceList.instances, r.instanceList.version, r.instanceList.members = is, 0, 0
-	if len(is) > 0 {
-		r.instanceList.version, r.instanceList.members = follow.Version(digest.Sum64()), members.Sum64()
-	}
+	l.version = follow.Version(l.digest)
 }
 
 // pollHosts lists the registered hosts repeatedly, and at once when ListHosts is called.
--- a/io/registry/part.go
+++ b/io/registry/part.go
@@ -31,6 +31,10 @@
 	asOf, readAt time.Time
 	// version identifies the entries. It is lastChange unless noteChange sets another one.
 	version follow.Version
+	// inspect is called with each entry that is stored and returns what identifies its content, noteRemoval with
+	// the key of each one that is removed, both with the lock held. They may be nil.
+	inspect     func(e Entry) (content uint64)
+	noteRemoval func(key string)
 	// noteChange is called after each change, in the order of the changes, with the lock held. It may be nil.
 	noteChange func(current snapshot)
 	// ordered are the entries in the order of their keys, nil after a change.
@@ -182,6 +186,9 @@
 	if p.entries == nil {
 		p.entries = map[string]Entry{}
 	}
+	if p.inspect != nil {
+		e.Content = p.inspect(e)
+	}
 	p.entries[e.Key] = e
 	return true
 }
@@ -191,6 +198,9 @@
 		p.removed = map[string]removal{}
 	}
 	delete(p.entries, key)
+	if p.noteRemoval != nil {
+		p.noteRemoval(key)
+	}
 	p.removed[key] = removal{at, now}
 }
 
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -201,7 +201,8 @@
 		promotionRequests: ring.New[leader.PromotionRequest](maxQueuedPromotions),
 	}
 	r.operatorEntries.noteChange = func(current snapshot) { r.unparsed = append(r.unparsed, current) }
-	r.instanceList.noteChange = r.parseInstances
+	l := &r.instanceList
+	l.inspect, l.noteRemoval, l.noteChange = r.parseInstance, l.dropInstance, l.listInstances
 	return r
 }
 
--- a/io/registry/store.go
+++ b/io/registry/store.go
@@ -30,6 +30,9 @@
 	// Lease is the lease to which the key is attached, zero for none.
 	Lease   LeaseID
 	Deleted bool
+	// Content identifies what the entry tells, for entries that are written again without a change, zero if
+	// each write is a change.
+	Content uint64
 }
 
 // Condition holds if a key was last changed at Revision; zero means that the key doesn't exist.
