Carry out the promotions that wait together

What callers would see: after the loss of a data centre that leads a third of a thousand groups, groups without a primary for minutes, and healthy groups without proofs.

Cause: the queue held 16 requests and dropped the rest, which were made again a second later. Each request listed the registrations and ended those of all other readers, so that all hosts lost their proofs once for each group. Calls beyond the platform's rate were refused and counted as ones that may have been accepted.

Change: all requests that wait are carried out in a round: their records in transactions of sixteen, one revocation that covers them all, then the calls at the platform's rate, groups with most waiting callers first. The proof is the same: who renews after the revocation has read records that were written before it, however late a call is made. Nothing is decided for a group whose request isn't finished, a superseded record isn't acted on, and a refusal for the rate counts as no call.

The setting promotion-rate takes the platform's rate; 0, the default, is no limit.

--- a/core/leader/decide.go
+++ b/core/leader/decide.go
@@ -73,6 +73,10 @@
 	// BaseRevision is the revision of the record that the decision was based on. If the record has
 	// changed, another host has decided in the meantime.
 	BaseRevision uint64
+	// Waiting is how many operations wait for the group on the host that requests the promotion, MissedBy how many
+	// hosts can't reach the former primary. Where the platform takes few promotions at a time, they tell which of
+	// them come first.
+	Waiting, MissedBy int
 }
 
 const (
--- a/core/relay/coordination.go
+++ b/core/relay/coordination.go
@@ -7,6 +7,7 @@
 	"skylarkdeal/core/leader"
 	"skylarkdeal/core/reachability"
 	"skylarkdeal/core/statement"
+	"skylarkdeal/core/times"
 )
 
 // coordination is the state of this host's part in failovers.
@@ -43,6 +44,9 @@
 		// Before the role begins, so that what other hosts have suspected for long stays so.
 		r.wakeAll()
 	}
+	for _, g := range r.groups {
+		g.promotionPendingUntil = time.Time{}
+	}
 	r.duty.active = active
 	choice := "stop coordinating failovers"
 	if active {
@@ -115,7 +119,8 @@
 // The replicas are asked for their log positions first: commits that the promoted replica lacks are
 // lost, and the last known positions may be outdated.
 func (g *group) decidePromotion(now time.Time) {
-	if !g.r.duty.active || !g.r.lease.RecordsCurrent(now) || now.Before(g.nextPromotionAt) {
+	if !g.r.duty.active || !g.r.lease.RecordsCurrent(now) || now.Before(g.promotionPendingUntil) ||
+		now.Before(g.nextPromotionAt) {
 		g.positionsAskedAt = time.Time{}
 		return
 	}
@@ -152,12 +157,12 @@
 
 // requestPromotion passes a promotion request on and defers the next one.
 func (g *group) requestPromotion(now time.Time, o leader.PromotionRequest) {
-	g.promotionAcceptedAt = time.Time{}
-	g.nextPromotionAt = now.Add(promotionRequestPause)
+	g.promotionAcceptedAt, g.promotionPendingUntil = time.Time{}, now.Add(promotionOutcomeTimeout)
 	if o.Reason == leader.ReasonEjected {
 		g.outliers.promotedAt = now
 	}
-	o.Service = g.name
+	o.Service, o.Waiting = g.name, len(g.waiting)
+	o.MissedBy, _ = g.r.duty.reports.Count(now, o.Former)
 	g.r.logEvent(Event{
 		Kind: EventLeader, Service: g.name, Instance: o.Primary, Term: o.Term,
 		Choice: "request a promotion", Reason: string(o.Reason), RequiredPosition: g.instances[o.Primary].received,
@@ -165,15 +170,19 @@
 	g.r.cfg.RequestPromotion(o)
 }
 
-// promotionRequestPause keeps a host from requesting a second promotion before the record of the
-// first one, or its failure, is known.
+// promotionOutcomeTimeout is how long the outcome of a promotion request is waited for: the time in which a
+// platform that takes some dozens a second takes those of hundreds of groups.
+const promotionOutcomeTimeout = 10 * time.Second
+
+// promotionRequestPause is the time between a promotion request that failed and the next one of the group.
 const promotionRequestPause = time.Second
 
 // groupStatus returns the input of a decision on a promotion. It also updates suspectedSince of each instance.
 func (g *group) groupStatus(now time.Time) leader.GroupStatus {
 	s := leader.GroupStatus{Now: now, Since: g.unconfirmedSince, EjectionsNeeded: g.ejectionsNeeded(now)}
-	if g.primaryState.Record().Revision != 0 && g.promotionKnownAt.After(s.Since) {
-		s.Since = g.promotionKnownAt
+	if g.primaryState.Record().Revision != 0 {
+		// The platform may have got the request long after its record was written.
+		s.Since = times.Later(s.Since, times.Later(g.promotionKnownAt, g.promotionAcceptedAt))
 	}
 	for _, i := range g.instances {
 		m := leader.InstanceInfo{
@@ -205,6 +214,8 @@
 func (r *Relay) PromotionFinished(o leader.PromotionRequest, accepted, refused bool) {
 	g := r.group(o.Service)
 	g.wake()
+	g.promotionPendingUntil = time.Time{}
+	g.nextPromotionAt = r.now().Add(promotionRequestPause)
 	if accepted {
 		g.promotionAcceptedAt = r.now()
 	}
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -67,6 +67,9 @@
 	// positionsAskedAt is when the replicas were asked for their log positions, nextPromotionAt the
 	// earliest time of the next promotion request.
 	positionsAskedAt, nextPromotionAt time.Time
+	// promotionPendingUntil is until when the outcome of a promotion request of this host is waited for, zero if
+	// there is none.
+	promotionPendingUntil time.Time
 	// promotionAcceptedAt is when the last promotion request of this host was accepted.
 	promotionAcceptedAt time.Time
 	// active is set while the group is ticked, usedAt is when an operation or a session last used it.
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -106,6 +106,8 @@
 	// MinPromotionTime is the shortest time in which the platform carries out any promotion request,
 	// and UsualPromotionTime the time that it usually takes.
 	MinPromotionTime, UsualPromotionTime time.Duration
+	// PromotionRate is how many promotion requests a second the platform takes, zero for no limit.
+	PromotionRate float64
 	// Memory is the most memory that the process may use, in bytes.
 	Memory int
 	// Capacity is how much of the processor the host may use, in cores; zero if it isn't known.
@@ -275,6 +277,9 @@
 	maxColdOvershoot = 100
 	maxColdSlack     = 10000
 
+	// maxPromotionRate is in requests a second.
+	maxPromotionRate = 10000
+
 	// maxCapacity is in cores, more than any host has.
 	maxCapacity = 1 << 10
 
@@ -289,6 +294,7 @@
 	a.RateWindow = s.Duration("rate-window", DefaultRateWindow, time.Second, time.Hour)
 	a.MinPromotionTime = s.Duration("promotion-least", DefaultMinPromotionTime, 0, time.Minute)
 	a.UsualPromotionTime = s.Duration("promotion-delay", DefaultPromotionDelay, a.MinPromotionTime, time.Minute)
+	a.PromotionRate = s.Float("promotion-rate", 0, 0, maxPromotionRate)
 	a.Memory = s.Size("memory", DefaultMemory, minMemory, maxMemory)
 	a.Capacity = fleet.Capacity(s.Float("capacity", 0, 0, maxCapacity))
 	a.EvacuationTimeout = s.Duration("evacuate", DefaultEvacuate, time.Second, time.Hour)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -216,6 +216,7 @@
 		CoordinatorDelay:   coordinatorDelay,
 		MinPromotionTime:   s.Adapter.MinPromotionTime,
 		UsualPromotionTime: s.Adapter.UsualPromotionTime,
+		PromotionRate:      s.Adapter.PromotionRate,
 		Logger:             h.log,
 	}
 }
--- /dev/null
+++ b/io/registry/promotions.go
@@ -0,0 +1,389 @@
+package registry
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"skylarkdeal/core/failure"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/leader"
+	"skylarkdeal/internal/sleep"
+)
+
+const (
+	// revokeTimeout bounds the revocation of the other hosts' registrations before a promotion.
+	revokeTimeout = time.Second
+	// promotionTimeout bounds one promotion call to the platform, promotionAttempts the calls that
+	// are made until one is answered. Each call names the same instance, so that a repeated one
+	// changes nothing once that instance is the primary.
+	promotionTimeout  = 600 * time.Millisecond
+	promotionAttempts = 3
+	// stepDownLead is how long before a promotion takes effect the former primary steps down. What
+	// it has accepted by then still reaches its successor.
+	stepDownLead = 120 * time.Millisecond
+	// maxConcurrentRevokes bounds the registrations that are revoked at a time.
+	maxConcurrentRevokes = 8
+	// recordsPerTxn is how many records are written at once: the platform's store takes 32 conditions and writes.
+	recordsPerTxn = 16
+)
+
+// promotionQueue has the promotion requests that wait, one for each service at most. The zero promotionQueue is
+// empty.
+type promotionQueue struct {
+	mu      sync.Mutex
+	waiting map[fleet.Service]leader.PromotionRequest
+}
+
+// put adds a request in place of an earlier one of its service.
+func (q *promotionQueue) put(o leader.PromotionRequest) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.waiting == nil {
+		q.waiting = map[fleet.Service]leader.PromotionRequest{}
+	}
+	q.waiting[o.Service] = o
+}
+
+// take removes all requests and returns them in the order in which they are to be carried out: those for which
+// most callers wait first.
+func (q *promotionQueue) take() []leader.PromotionRequest {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	out := make([]leader.PromotionRequest, 0, len(q.waiting))
+	for _, o := range q.waiting {
+		out = append(out, o)
+	}
+	clear(q.waiting)
+	slices.SortFunc(out, func(a, b leader.PromotionRequest) int {
+		return cmp.Or(cmp.Compare(b.Waiting, a.Waiting), cmp.Compare(b.MissedBy, a.MissedBy),
+			cmp.Compare(a.Service, b.Service))
+	})
+	return out
+}
+
+// recordedPromotion is a promotion request whose record is written.
+type recordedPromotion struct {
+	leader.PromotionRequest
+	record leader.Record
+	// began is when it was begun to be carried out.
+	began time.Time
+}
+
+// RequestPromotion queues a promotion request, in place of one of the same service that still waits.
+func (r *Registry) RequestPromotion(o leader.PromotionRequest) {
+	r.promotionRequests.put(o)
+	signal(r.promotionsAdded)
+}
+
+// runPromotions carries out the promotion requests, all that wait together.
+//
+// Designed for the loss of a data centre that leads a third of a thousand groups. A record, a list of the
+// registrations and their end for each group ended the proofs of all other groups hundreds of times.
+func (r *Registry) runPromotions(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.promotionsAdded:
+			r.executePromotions(ctx, r.promotionRequests.take())
+		}
+	}
+}
+
+// executePromotions writes the records, revokes the other hosts' registrations, and only then has the
+// platform promote the instances, no faster than it takes promotions.
+//
+// Guards against a host that relies on an outdated primary. A host whose registration was renewed
+// after the records were written learns at its next renewal that the registration has ended. So no
+// host can assume for longer than a renewal is valid that no promotion was requested: whatever the time
+// between the revocation and a promotion, who has a registration has the records. The platform
+// takes longer than that to carry out a promotion; where it may be quicker, the remaining time is
+// waited here.
+func (r *Registry) executePromotions(ctx context.Context, os []leader.PromotionRequest) {
+	fence := r.fencingToken.Load()
+	if fence == 0 {
+		for _, o := range os {
+			r.promotionFinished(recordedPromotion{PromotionRequest: o, began: time.Now()},
+				failure.At(ErrConflict, "order a change of primary", "duty"))
+		}
+		return
+	}
+	recorded := r.writeRecords(ctx, os)
+	recorded = slices.DeleteFunc(recorded, func(p recordedPromotion) bool {
+		if p.Reason == leader.ReasonAlreadyPrimary {
+			r.promotionFinished(p, nil)
+			return true
+		}
+		return false
+	})
+	if len(recorded) == 0 {
+		return
+	}
+	err := r.revokeOtherHosts(ctx)
+	if d := leader.LeaseValidity - r.cfg.MinPromotionTime; err == nil && d > 0 && !sleep.For(ctx, d) {
+		err = ctx.Err()
+	}
+	for _, p := range recorded {
+		if err != nil {
+			r.promotionFinished(p, err)
+			continue
+		}
+		at := r.reservePromotion(time.Now())
+		// Each on its own goroutine: a call without a response must not delay those for other groups.
+		r.tasks.Go(func() {
+			sleep.For(ctx, time.Until(at))
+			r.promotionFinished(p, r.promote(ctx, p, fence))
+		})
+	}
+}
+
+// reservePromotion returns when the next promotion may be requested from the platform.
+func (r *Registry) reservePromotion(now time.Time) time.Time {
+	at := now
+	if r.nextPromotionAt.After(now) {
+		at = r.nextPromotionAt
+	}
+	if r.cfg.PromotionRate > 0 {
+		r.nextPromotionAt = at.Add(time.Duration(float64(time.Second) / r.cfg.PromotionRate))
+	}
+	return at
+}
+
+// promotionFinished logs and reports the outcome of a promotion request.
+func (r *Registry) promotionFinished(p recordedPromotion, err error) {
+	refused := errors.Is(err, ErrNotRunning)
+	f := []zap.Field{
+		zap.String("service", string(p.Service)), zap.String("instance", string(p.Primary)),
+		zap.Uint64("term", uint64(p.Term)), zap.String("reason", string(p.Reason)),
+		zap.Duration("took", time.Since(p.began)),
+	}
+	if err != nil {
+		r.cfg.Logger.Warn("order not carried out", append(f, zap.Error(err))...)
+	} else {
+		r.cfg.Logger.Info("order given", f...)
+	}
+	r.cfg.Post(func() { r.cfg.PromotionFinished(p.PromotionRequest, err == nil, refused) })
+}
+
+// writeRecords writes the records of requests and returns those that are written. The others are finished.
+func (r *Registry) writeRecords(ctx context.Context, os []leader.PromotionRequest) []recordedPromotion {
+	var out []recordedPromotion
+	for some := range slices.Chunk(os, recordsPerTxn) {
+		ps := make([]recordedPromotion, 0, len(some))
+		for _, o := range some {
+			ps = append(ps, recordedPromotion{PromotionRequest: o, began: time.Now(), record: leader.Record{
+				Service: o.Service, Term: o.Term, Primary: o.Primary, Former: o.Former, By: r.cfg.Self.Name,
+			}})
+		}
+		out = append(out, r.writeTogether(ctx, ps)...)
+	}
+	if len(out) > 0 {
+		r.recordsWritten(out)
+	}
+	return out
+}
+
+// writeTogether writes the records of some requests in one transaction, or one by one if some of them were changed by
+// another host since. It returns those that are written; the others are finished.
+func (r *Registry) writeTogether(ctx context.Context, ps []recordedPromotion) (written []recordedPromotion) {
+	var t Txn
+	for _, p := range ps {
+		b, err := json.Marshal(p.record)
+		if err != nil {
+			r.promotionFinished(p, err)
+			continue
+		}
+		key := r.recordsPrefix() + string(p.Service)
+		t.If = append(t.If, Condition{Key: key, Revision: Revision(p.BaseRevision)})
+		t.Put = append(t.Put, Put{Key: key, Value: b})
+	}
+	c, cancel := context.WithTimeout(ctx, callTimeout)
+	rev, err := r.cfg.Store.Commit(c, t)
+	cancel()
+	if errors.Is(err, ErrConflict) && len(ps) > 1 {
+		for n := range ps {
+			written = append(written, r.writeTogether(ctx, ps[n:n+1])...)
+		}
+		return written
+	}
+	for n, p := range ps {
+		at, failed := rev, err
+		if err != nil && !errors.Is(err, ErrConflict) && !errors.Is(err, ErrNotDone) {
+			// The response was lost. A read tells whether the record was written.
+			at, failed = r.readBack(ctx, t.Put[n].Key, t.Put[n].Value, err)
+		}
+		if failed != nil {
+			r.promotionFinished(p, failed)
+			continue
+		}
+		p.record.Revision = uint64(at)
+		written = append(written, p)
+	}
+	return written
+}
+
+// recordsWritten puts records that this host has written in force, and passes them on.
+func (r *Registry) recordsWritten(ps []recordedPromotion) {
+	es := make([]Entry, 0, len(ps))
+	for _, p := range ps {
+		b, err := json.Marshal(p.record)
+		if err != nil {
+			r.cfg.Logger.Error("record not handed on", zap.Error(err))
+			continue
+		}
+		es = append(es, Entry{Key: r.recordsPrefix() + string(p.Service), Value: b, Revision: Revision(p.record.Revision)})
+	}
+	r.cfg.Post(func() {
+		for _, p := range ps {
+			r.cfg.Record(p.record)
+		}
+	})
+	r.cacheRecords(es, 0, time.Time{})
+	r.passOnRecords()
+}
+
+func (r *Registry) readBack(ctx context.Context, key string, want []byte, writeErr error) (Revision, error) {
+	c, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	es, _, err := r.cfg.Store.List(c, key)
+	if err != nil {
+		return 0, errors.Join(writeErr, err)
+	}
+	for _, e := range es {
+		if e.Key == key && string(e.Value) == string(want) {
+			return e.Revision, nil
+		}
+	}
+	return 0, writeErr
+}
+
+// revokeOtherHosts revokes the registrations of all other hosts.
+func (r *Registry) revokeOtherHosts(ctx context.Context) error {
+	c, cancel := context.WithTimeout(ctx, revokeTimeout)
+	defer cancel()
+	hs, err := r.readHosts(c)
+	if err != nil {
+		return err
+	}
+	slots := make(chan struct{}, maxConcurrentRevokes)
+	errs := make(chan error, len(hs))
+	for _, h := range hs {
+		if h.Name == r.cfg.Self.Name {
+			errs <- nil
+			continue
+		}
+		slots <- struct{}{}
+		go func() {
+			defer func() { <-slots }()
+			errs <- r.revokeHost(c, h)
+		}()
+	}
+	for range hs {
+		err = errors.Join(err, <-errs)
+	}
+	return err
+}
+
+func (r *Registry) revokeHost(ctx context.Context, h Host) error {
+	for {
+		err := r.cfg.Store.Revoke(ctx, h.Lease)
+		if err == nil || ctx.Err() != nil {
+			return failure.At(err, "end a registration", failure.Peer("host "+string(h.Name)))
+		}
+		sleep.For(ctx, pauseAfterError/4)
+	}
+}
+
+// errSuperseded ends a promotion request that is no longer the latest of its group.
+var errSuperseded = errors.New("another promotion request has been recorded since")
+
+// promote has the platform promote the instance, while this host is certain to be the failover
+// coordinator.
+//
+// A call without a response is repeated only while its record is the latest of the group. A call
+// repeated after a later promotion request would be carried out after it, and replace the primary
+// that all hosts have a record of.
+func (r *Registry) promote(ctx context.Context, o recordedPromotion, fence uint64) error {
+	p := Promotion{Service: o.Service, Instance: o.Primary, Holder: r.cfg.Self.Name, Fence: fence}
+	var err error
+	mayBeAccepted := false
+	for n := range promotionAttempts {
+		if n > 0 {
+			if stale := r.checkLatestRecord(ctx, o.record); stale != nil {
+				return errors.Join(err, failure.At(stale, "order a change of primary again", "store"))
+			}
+		}
+		if r.isSuperseded(o.record) {
+			return errors.Join(err, failure.At(errSuperseded, "order a change of primary", "store"))
+		}
+		if !r.coordinatorConfirmed() || r.fencingToken.Load() != fence {
+			return errors.Join(err, failure.At(ErrConflict, "order a change of primary", "duty"))
+		}
+		r.scheduleStepDown(ctx, o.PromotionRequest)
+		c, cancel := context.WithTimeout(ctx, promotionTimeout)
+		last := r.cfg.Promote(c, p)
+		cancel()
+		if last == nil || !mayBeAccepted && errors.Is(last, ErrNotRunning) {
+			return last
+		}
+		// After a call without a response, ErrNotRunning doesn't mean that the promotion was refused: that
+		// call may have been accepted while the instance still ran. The error is therefore not wrapped.
+		mayBeAccepted = mayBeAccepted || !errors.Is(last, ErrNotDone)
+		err = errors.New("promotion not known to be accepted: " + last.Error())
+		sleep.For(ctx, pauseAfterError)
+	}
+	return err
+}
+
+// isSuperseded reports whether a later record of the group is known: a promotion may be requested seconds after its
+// record was written.
+func (r *Registry) isSuperseded(rec leader.Record) bool {
+	r.recordsMu.Lock()
+	defer r.recordsMu.Unlock()
+	return uint64(r.records[r.recordsPrefix()+string(rec.Service)].Revision) > rec.Revision
+}
+
+// checkLatestRecord returns an error if rec isn't the latest record of its group, or if that isn't
+// known.
+func (r *Registry) checkLatestRecord(ctx context.Context, rec leader.Record) error {
+	c, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	key := r.recordsPrefix() + string(rec.Service)
+	es, _, err := r.cfg.Store.List(c, key)
+	if err != nil {
+		return err
+	}
+	for _, e := range es {
+		if e.Key == key && uint64(e.Revision) == rec.Revision {
+			return nil
+		}
+	}
+	return errSuperseded
+}
+
+// coordinatorConfirmed reports whether the last renewal is recent enough that no other host can be
+// the failover coordinator yet.
+func (r *Registry) coordinatorConfirmed() bool {
+	at, ok := r.lastRenewal.Load().(time.Time)
+	return ok && r.cfg.Now().Sub(at) < coordinatorValidity
+}
+
+// scheduleStepDown has a leaving primary, which still serves, step down stepDownLead before the
+// promotion takes effect.
+func (r *Registry) scheduleStepDown(ctx context.Context, o leader.PromotionRequest) {
+	if o.Reason != leader.ReasonLeaving {
+		return
+	}
+	r.tasks.Go(func() {
+		if sleep.For(ctx, r.cfg.UsualPromotionTime-stepDownLead) {
+			r.cfg.Post(func() { r.cfg.StepDown(o) })
+		}
+	})
+}
--- /dev/null
+++ b/io/registry/promotions_test.go
@@ -0,0 +1,107 @@
+package registry_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/leader"
+	"skylarkdeal/io/registry"
+)
+
+// requestPromotions requests promotions of n groups at once. For group n - 1 most operations wait.
+func requestPromotions(r *registry.Registry, n int) {
+	for g := range n {
+		r.RequestPromotion(leader.PromotionRequest{
+			Service: fleet.Service(fmt.Sprintf("s%03d", g)), Primary: "b", Former: "a", Term: 2,
+			Reason: leader.ReasonUnreachable, Waiting: g,
+		})
+	}
+}
+
+// startCoordinator starts the registry of a host that is the failover coordinator.
+func startCoordinator(c *qt.C, s *memStore, configure func(cfg *registry.Config)) (*registry.Registry, *callbackLog) {
+	got := &callbackLog{}
+	cfg := config(s, got, 0, time.Second, 0)
+	configure(&cfg)
+	r := start(c, cfg)
+	until(c, got, "the coordinator role", func() bool { return len(got.coordinator) == 1 })
+	return r, got
+}
+
+// Guards against the loss of a data centre that leads many groups: requests beyond the sixteenth were dropped, and
+// each of the others ended the registrations of all readers, and with them the proofs of all groups.
+func TestPromotionsOfManyGroupsShareARevocation(t *testing.T) {
+	c := qt.New(t)
+	for _, n := range []int{3, 100} {
+		s := newMemStore()
+		r, got := startCoordinator(c, s, func(*registry.Config) {})
+		var before int
+		s.locked(func() { before = s.calls["list our/hosts/"] })
+		requestPromotions(r, n)
+		until(c, got, "the promotions", func() bool { return len(got.finished) == n })
+		got.locked(func() { c.Check(got.promotions, qt.HasLen, n) })
+		// The first request may be carried out before the others are queued.
+		s.locked(func() {
+			lists := s.calls["list our/hosts/"] - before
+			c.Check(lists <= 2, qt.IsTrue, qt.Commentf("%d lists of the registrations for %d groups", lists, n))
+		})
+	}
+}
+
+// Guards against a platform that refuses promotions which come too fast, and against groups with waiting callers
+// that come after others.
+func TestPromotionsArePacedWithMostCallersFirst(t *testing.T) {
+	c := qt.New(t)
+	s := newMemStore()
+	r, got := startCoordinator(c, s, func(cfg *registry.Config) { cfg.PromotionRate = 50 })
+	began := time.Now()
+	requestPromotions(r, 20)
+	until(c, got, "the promotions", func() bool { return len(got.finished) == 20 })
+	c.Check(time.Since(began) >= 19*20*time.Millisecond, qt.IsTrue)
+	var order []fleet.Service
+	got.locked(func() {
+		for _, p := range got.promotions {
+			order = append(order, p.Service)
+		}
+	})
+	// The first request may be carried out before the others are queued.
+	rest := order[1:]
+	c.Check(slices.IsSortedFunc(rest, func(a, b fleet.Service) int {
+		return -slices.Compare([]fleet.Service{a}, []fleet.Service{b})
+	}), qt.IsTrue, qt.Commentf("%v", order))
+}
+
+// Guards against the requests of other groups that fail with one whose record another host has changed.
+func TestChangedRecordFailsOnlyItsOwnPromotion(t *testing.T) {
+	c := qt.New(t)
+	s := newMemStore()
+	r, got := startCoordinator(c, s, func(*registry.Config) {})
+	s.put("our/primaries/s004", `{"service":"s004","term":2,"primary":"c"}`)
+	requestPromotions(r, 10)
+	until(c, got, "the outcomes", func() bool { return len(got.finished) == 10 })
+	got.locked(func() {
+		c.Check(got.promotions, qt.HasLen, 9)
+		c.Check(got.finished, qt.Contains, "s004 false false")
+	})
+}
+
+// Guards against a promotion that the platform has refused for its rate and that then counts as one which may
+// have been accepted: an instance that isn't running would stay the only candidate.
+func TestRefusalForTheRateDoesNotCountAsAccepted(t *testing.T) {
+	c := qt.New(t)
+	r, got := startCoordinator(c, newMemStore(), func(*registry.Config) {})
+	got.promoteResult = func() error {
+		if len(got.promotions) == 1 {
+			return registry.ErrNotDone
+		}
+		return registry.ErrNotRunning
+	}
+	requestPromotions(r, 1)
+	until(c, got, "the outcome", func() bool { return len(got.finished) == 1 })
+	got.locked(func() { c.Check(got.finished, qt.DeepEquals, []string{"s000 false true"}) })
+}
--- a/io/registry/records.go
+++ b/io/registry/records.go
@@ -86,18 +86,6 @@
 	}
 }
 
-// passOnRecord passes on a record that this host has written.
-func (r *Registry) passOnRecord(rec leader.Record, rev Revision) {
-	b, err := json.Marshal(rec)
-	if err != nil {
-		r.cfg.Logger.Error("record not handed on", zap.Error(err))
-		return
-	}
-	e := Entry{Key: r.recordsPrefix() + string(rec.Service), Value: b, Revision: rev}
-	r.cacheRecords([]Entry{e}, 0, time.Time{})
-	r.passOnRecords()
-}
-
 // passOnRecords passes on all records. Records are only added or replaced by newer ones, so that of
 // two copies the later one has all that the earlier one has, whichever readings they come from.
 func (r *Registry) passOnRecords() {
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -14,7 +14,6 @@
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/follow"
 	"skylarkdeal/core/leader"
-	"skylarkdeal/core/ring"
 	"skylarkdeal/internal/sleep"
 )
 
@@ -87,6 +86,8 @@
 	// MinPromotionTime is the least time that the platform takes to carry out a promotion,
 	// UsualPromotionTime the usual time.
 	MinPromotionTime, UsualPromotionTime time.Duration
+	// PromotionRate is how many promotions a second the platform takes, zero for no limit.
+	PromotionRate float64
 
 	Logger *zap.Logger
 }
@@ -144,7 +145,11 @@
 	// fencingToken is this host's token as the failover coordinator, zero while it isn't the
 	// coordinator.
 	fencingToken      atomic.Uint64
-	promotionRequests ring.Ring[leader.PromotionRequest]
+	promotionRequests promotionQueue
+	// promotionsAdded is signalled after a request was queued, nextPromotionAt is when the platform takes the next
+	// one. Only runPromotions uses the latter.
+	promotionsAdded chan struct{}
+	nextPromotionAt time.Time
 	// hostsRefresh is signalled when the hosts are to be listed again.
 	hostsRefresh chan struct{}
 	// catalogRefresh is signalled when the catalog is to be read again.
@@ -197,8 +202,7 @@
 		recordsRefresh: make(chan struct{}, 1), hostsRefresh: make(chan struct{}, 1),
 		catalogRefresh: make(chan struct{}, 1), instancesRefresh: make(chan struct{}, 1),
 		roleChanged: make(chan struct{}, 1), parsing: make(chan struct{}, 1), records: map[string]Entry{},
-		storeHealth:       dependency{name: "store", log: cfg.Logger},
-		promotionRequests: ring.New[leader.PromotionRequest](maxQueuedPromotions),
+		storeHealth: dependency{name: "store", log: cfg.Logger}, promotionsAdded: make(chan struct{}, 1),
 	}
 	r.operatorEntries.noteChange = func(current snapshot) { r.unparsed = append(r.unparsed, current) }
 	l := &r.instanceList
