Pass over all hosts at most every 150 ms, and know at once of a lost link

What callers saw: none came.

Cause: each change of a host, and each change of the set of wanted links, had the next check, 45 ms later, pass over all hosts. In a large fleet something changes in nearly every such interval.

Change: passes in a large fleet are at least 150 ms apart, but for a data centre that falls silent; the role is chosen at the same interval. What needed a pass at once asks for its link itself, and a lost link is known to the relay when it is lost, not at the next pass: until then statements sent over it were lost.

--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -137,14 +137,18 @@
 	f.peers = ps
 }
 
-// SetPeerLink sets the link to a peer that now stands, and starts what waits for it.
+// SetPeerLink sets the link to a peer, nil if there is none any more, ahead of the next list of peers. It starts what
+// waits for the link.
 func (r *Relay) SetPeerLink(h fleet.Host, send func(f Forward)) {
 	p, ok := r.forwarding.peersByHost[h]
-	if !ok || p.Send != nil {
+	if !ok {
 		return
 	}
 	p.Send = send
 	r.forwarding.peersByHost[h] = p
+	if send == nil {
+		return
+	}
 	now := r.now()
 	for g := range r.active {
 		if g.confirmsPrimary(now) {
--- a/internal/entry/catalog.go
+++ b/internal/entry/catalog.go
@@ -126,6 +126,7 @@
 func (h *Host) askForCopy(now time.Time, n fleet.Host) {
 	l := h.links.byHost[n]
 	if l == nil || !l.up {
+		h.requestLink(n)
 		return
 	}
 	h.catalogStatus.asked, h.catalogStatus.askedAt = n, now
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -27,6 +27,8 @@
 // following is what a host needs to follow a reader of the store, and to be followed.
 type following struct {
 	role follow.Role
+	// chosenAt is when the role was last chosen.
+	chosenAt time.Time
 	// since is when the host took its role, renewed when the last renewal was sent that it
 	// knows of, its own or a reader's.
 	since, renewed time.Time
@@ -90,6 +92,7 @@
 
 // chooseRole chooses whether the host reads the store or follows a host that does.
 func (h *Host) chooseRole(now time.Time) {
+	h.following.chosenAt = now
 	if h.following.role == "" {
 		return
 	}
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -109,12 +109,14 @@
 		h.log.Warn("process stood still", zap.Duration("for", now.Sub(h.linksCheckedAt)))
 	}
 	h.linksCheckedAt = now
-	h.chooseRole(now)
 	defer h.followStore(now)
-	h.forget(now)
 	silent := h.silentDataCentres(now)
-	if wanted := h.wantedHosts(); h.linksDue(now, silent, wanted) {
-		h.links.silent, h.links.wanted = silent, wanted
+	if !mesh.UsesRelays(h.peers.size()) || now.Sub(h.following.chosenAt) >= linkPassInterval {
+		h.chooseRole(now)
+	}
+	h.forget(now)
+	if h.linksDue(now, silent) {
+		h.links.silent, h.links.wanted = silent, h.wantedHosts()
 		h.checkLinks(now)
 	}
 	h.relay.SetPeersIncomplete(h.peersIncomplete(now, h.links.usable))
@@ -137,17 +139,25 @@
 	wanted fleet.Set[fleet.Host]
 	// usable counts the hosts over which statements may be sent, missing those that have stopped to report.
 	usable, missing int
-	// dueAt is when the next pass is due: something that the last one has found depends on the time until then.
-	dueAt time.Time
+	// passedAt is when that pass was, dueAt when the next one is due: something that the last one has found may
+	// change then.
+	passedAt, dueAt time.Time
 }
 
+// linkPassInterval is the least time between two passes over all hosts of a large fleet: part of the time in which the
+// loss of a host is noticed.
+const linkPassInterval = 150 * time.Millisecond
+
 // linksDue reports whether a pass over all hosts is due. In a small fleet it always is.
 //
-// Designed for a fleet of hundreds of hosts, where nothing changes between most checks: a pass over all hosts at
-// each of them took more of a small host's processor than its callers.
-func (h *Host) linksDue(now time.Time, silent fleet.Set[fleet.DataCentre], wanted fleet.Set[fleet.Host]) bool {
-	return !mesh.UsesRelays(h.peers.size()) || !now.Before(h.links.dueAt) ||
-		!maps.Equal(silent, h.links.silent) || !maps.Equal(wanted, h.links.wanted)
+// Designed for a fleet of hundreds of hosts, some of which start or stop at any time: a pass over all hosts at each
+// change took more of a small host's processor than its callers. A link that something waits for is opened ahead of
+// the next pass.
+func (h *Host) linksDue(now time.Time, silent fleet.Set[fleet.DataCentre]) bool {
+	if !mesh.UsesRelays(h.peers.size()) || !maps.Equal(silent, h.links.silent) {
+		return true
+	}
+	return now.Sub(h.links.passedAt) >= linkPassInterval && !now.Before(h.links.dueAt)
 }
 
 // linksChanged has the next check pass over all hosts.
@@ -165,7 +175,7 @@
 
 // checkLinks opens and closes the links that are to be, and tells the relay which hosts can be used.
 func (h *Host) checkLinks(now time.Time) {
-	h.links.dueAt = now.Add(maxLinkPause)
+	h.links.passedAt, h.links.dueAt = now, now.Add(maxLinkPause)
 	usable := make([]relay.Peer, 0, len(h.peers.known))
 	for name, p := range h.peers.known {
 		l := h.links.byHost[name]
@@ -377,6 +387,7 @@
 	l.failed = l.failed || !l.up
 	l.conn, l.up, l.partialSince = nil, false, time.Time{}
 	h.linksChanged()
+	h.relay.SetPeerLink(l.host, nil)
 	h.relay.PeerLost(l.host)
 }
 
