--- a/io/registry/promotions.go
+++ b/io/registry/promotions.go
@@ -72,6 +72,8 @@
 type recordedPromotion struct {
 	leader.PromotionRequest
 	record leader.Record
+	// entry is the record as it is stored.
+	entry Entry
 	// began is when it was begun to be carried out.
 	began time.Time
 }
@@ -178,11 +180,20 @@
 	for some := range slices.Chunk(os, recordsPerTxn) {
 		ps := make([]recordedPromotion, 0, len(some))
 		for _, o := range some {
-			ps = append(ps, recordedPromotion{PromotionRequest: o, began: time.Now(), record: leader.Record{
+			p := recordedPromotion{PromotionRequest: o, began: time.Now(), record: leader.Record{
 				Service: o.Service, Term: o.Term, Primary: o.Primary, Former: o.Former, By: r.cfg.Self.Name,
-			}})
+			}}
+			b, err := json.Marshal(p.record)
+			if err != nil {
+				r.promotionFinished(p, err)
+				continue
+			}
+			p.entry = Entry{Key: r.recordsPrefix() + string(o.Service), Value: b}
+			ps = append(ps, p)
+		}
+		if len(ps) > 0 {
+			out = append(out, r.writeTogether(ctx, ps)...)
 		}
-		out = append(out, r.writeTogether(ctx, ps)...)
 	}
 	if len(out) > 0 {
 		r.recordsWritten(out)
@@ -195,14 +206,8 @@
 func (r *Registry) writeTogether(ctx context.Context, ps []recordedPromotion) (written []recordedPromotion) {
 	var t Txn
 	for _, p := range ps {
-		b, err := json.Marshal(p.record)
-		if err != nil {
-			r.promotionFinished(p, err)
-			continue
-		}
-		key := r.recordsPrefix() + string(p.Service)
-		t.If = append(t.If, Condition{Key: key, Revision: Revision(p.BaseRevision)})
-		t.Put = append(t.Put, Put{Key: key, Value: b})
+		t.If = append(t.If, Condition{Key: p.entry.Key, Revision: Revision(p.BaseRevision)})
+		t.Put = append(t.Put, Put{Key: p.entry.Key, Value: p.entry.Value})
 	}
 	c, cancel := context.WithTimeout(ctx, callTimeout)
 	rev, err := r.cfg.Store.Commit(c, t)
@@ -213,17 +218,17 @@
 		}
 		return written
 	}
-	for n, p := range ps {
+	for _, p := range ps {
 		at, failed := rev, err
 		if err != nil && !errors.Is(err, ErrConflict) && !errors.Is(err, ErrNotDone) {
 			// The response was lost. A read tells whether the record was written.
-			at, failed = r.readBack(ctx, t.Put[n].Key, t.Put[n].Value, err)
+			at, failed = r.readBack(ctx, p.entry.Key, p.entry.Value, err)
 		}
 		if failed != nil {
 			r.promotionFinished(p, failed)
 			continue
 		}
-		p.record.Revision = uint64(at)
+		p.record.Revision, p.entry.Revision = uint64(at), at
 		written = append(written, p)
 	}
 	return written
@@ -233,12 +238,7 @@
 func (r *Registry) recordsWritten(ps []recordedPromotion) {
 	es := make([]Entry, 0, len(ps))
 	for _, p := range ps {
-		b, err := json.Marshal(p.record)
-		if err != nil {
-			r.cfg.Logger.Error("record not handed on", zap.Error(err))
-			continue
-		}
-		es = append(es, Entry{Key: r.recordsPrefix() + string(p.Service), Value: b, Revision: Revision(p.record.Revision)})
+		es = append(es, p.entry)
 	}
 	r.cfg.Post(func() {
 		for _, p := range ps {
