--- a/review/scene/case_order.go
+++ b/review/scene/case_order.go
@@ -7,7 +7,7 @@
 
 // slowOrders: a primary is to be replaced while the platform is slow to handle orders.
 var slowOrders = play{
-	services: []string{"orders", "stock", "slots"}, perService: 4, pause: 100 * time.Millisecond,
+	services: []string{"orders", "stock", "slots"}, perService: 8, pause: 100 * time.Millisecond,
 	run: func(s *scene) ([]string, error) {
 		s.w.setBehind("i-orders-b", usualLag)
 		time.Sleep(settleTime)
@@ -32,7 +32,7 @@
 	usualLag = 60 * time.Millisecond
 	// slowFor is how long the platform is slow, slowBy how long an order waits that comes meanwhile.
 	slowFor = 3800 * time.Millisecond
-	slowBy  = 4 * time.Second
+	slowBy  = 3 * time.Second
 	// ordersFor is how long clients go on after the primary is to be replaced.
 	ordersFor = 14 * time.Second
 )
--- a/review/scene/instances.go
+++ b/review/scene/instances.go
@@ -49,6 +49,8 @@
 	behind time.Duration
 	// deaf is set while it receives nothing.
 	deaf bool
+	// ordered is set from an order until the promotion takes effect.
+	ordered bool
 	// replaced is set on a former primary that hasn't met its successor.
 	replaced bool
 	term     int
@@ -339,7 +341,8 @@
 	if i == nil || i.dead || i.group.name != service {
 		return http.StatusConflict
 	}
-	if i.group.leader != i {
+	if i.group.leader != i && !i.ordered {
+		i.ordered = true
 		time.AfterFunc(promoteTime, func() { w.promote(i) })
 	}
 	return http.StatusOK
@@ -350,6 +353,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	g := i.group
+	i.ordered = false
 	if i.dead || g.leader == i {
 		return
 	}
