--- a/review/scene/instances.go
+++ b/review/scene/instances.go
@@ -597,6 +597,7 @@
 		}
 	}
 	c.w.committed = append(c.w.committed, k)
+	c.w.rec.note("run      %s committed on %s as %s", strings.Join(ids, " "), i.name, i.positionAt(len(i.log)))
 	for c.w.receivedBy(e, i) < c.w.sync {
 		if i.dead || !i.primary {
 			return "", false
