Log what a promotion was decided by

An operator who asks why an instance was promoted, although another had more, had only the chosen one and its log position. The line now has the term, the position and the reason against each instance of the group.

--- a/core/leader/decide.go
+++ b/core/leader/decide.go
@@ -1,7 +1,9 @@
 package leader
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"skylarkdeal/core/fleet"
@@ -176,10 +178,7 @@
 func (p *PrimaryState) promotionCandidate(status GroupStatus, reason Reason) (InstanceInfo, bool) {
 	var best InstanceInfo
 	for _, inst := range status.Instances {
-		replaced := inst.IsPrimary && inst.Term < p.term
-		if inst.Gone || inst.Leaving || !inst.Reachable || inst.isUnreachable() || replaced ||
-			p.confirmed && inst.Name == p.primary ||
-			reason == ReasonEjected && (inst.EjectedFrom > 0 || inst.Behind || inst.Term < p.term) {
+		if p.exclusion(inst, reason) != "" {
 			continue
 		}
 		if best.Name == "" || inst.preferredTo(best) {
@@ -189,6 +188,43 @@
 	return best, best.Name != "" && !p.betterMayReturn(status, best)
 }
 
+// exclusion returns why an instance is not to be promoted, "" if it may be.
+func (p *PrimaryState) exclusion(inst InstanceInfo, reason Reason) string {
+	switch {
+	case inst.Gone:
+		return "gone"
+	case inst.Leaving:
+		return "leaving"
+	case inst.isUnreachable():
+		return "unreachable"
+	case !inst.Reachable:
+		return "not heard"
+	case inst.IsPrimary && inst.Term < p.term:
+		return "replaced"
+	case p.confirmed && inst.Name == p.primary:
+		return "the primary"
+	case reason == ReasonEjected && inst.EjectedFrom > 0:
+		return "ejected"
+	case reason == ReasonEjected && (inst.Behind || inst.Term < p.term):
+		return "behind"
+	}
+	return ""
+}
+
+// Considered describes what is known of each instance for a decision, and why it isn't promoted, for the log.
+func (p *PrimaryState) Considered(status GroupStatus, reason Reason) string {
+	out := make([]string, 0, len(status.Instances))
+	for _, inst := range status.Instances {
+		s := fmt.Sprintf("%s %d %s", inst.Name, inst.Term, inst.Received)
+		if e := p.exclusion(inst, reason); e != "" {
+			s += " " + e
+		}
+		out = append(out, s)
+	}
+	slices.Sort(out)
+	return strings.Join(out, ", ")
+}
+
 // betterMayReturn reports whether the candidate is in an earlier term than the last known primary was, and an
 // instance that may be in that term can't be asked now: it may just be slow, and is waited for until it has
 // gone. So may that primary itself, which returns with its log if it has only crashed.
--- a/core/relay/coordination.go
+++ b/core/relay/coordination.go
@@ -166,6 +166,7 @@
 	g.r.logEvent(Event{
 		Kind: EventLeader, Service: g.name, Instance: o.Primary, Term: o.Term,
 		Choice: "request a promotion", Reason: string(o.Reason), RequiredPosition: g.instances[o.Primary].received,
+		Considered: g.primaryState.Considered(g.groupStatus(now), o.Reason),
 	})
 	g.r.cfg.RequestPromotion(o)
 }
--- a/core/relay/event.go
+++ b/core/relay/event.go
@@ -53,6 +53,8 @@
 	// position of the instance to be promoted. InstancePosition is the last known position of the instance's log,
 	// Received the end of what the instance had received, by its own status.
 	RequiredPosition, InstancePosition, Received fleet.LogPosition
+	// Considered describes the instances that a promotion was decided by.
+	Considered string
 	// RetryAfter is the retry time of a refusal.
 	RetryAfter time.Duration
 	// Age is how old the input of the decision was.
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -71,6 +71,7 @@
 	add("choice", n.Choice)
 	add("reason", n.Reason)
 	add("code", string(n.Code))
+	add("considered", n.Considered)
 	if n.Term != 0 {
 		f = append(f, zap.Uint64("term", uint64(n.Term)))
 	}
