Promote only an instance that has all acknowledged writes

Cause: the setting was read and used nowhere. A promotion went to the best of the instances that answered within 30 ms and weren't leaving. With considered= in the log, the draining replica, which had confirmed all, shows as never asked.

Change: core/syncrep decides by the number of synchronous replicas k: the logs of all other replicas but k-1 have to be heard and be covered, and these are held back (PAUSE) so that nothing is acknowledged that the candidate lacks until it leads. Instances that have gone count until the others have the log that the primary had since. A replica that leaves is promoted if only it has the log. With k = 0 nothing changes.

--- a/core/leader/decide.go
+++ b/core/leader/decide.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/syncrep"
 )
 
 // InstanceInfo is what the failover coordinator knows about one instance of a group.
@@ -36,6 +37,9 @@
 	Behind bool
 	// Received is the end of the instance's log according to its last status report.
 	Received fleet.LogPosition
+	// Held is set if it receives nothing from a primary until a promotion, Unholdable if it rejects the request
+	// for that.
+	Held, Unholdable bool
 }
 
 // GroupStatus is the input of a decision about a group's primary.
@@ -45,6 +49,14 @@
 	// Since is the later of two times: when the last record became known, if there is one, and from
 	// when on the group has had no confirmed primary.
 	Since time.Time
+	// SyncReplicas is how many replicas have to receive a commit before it is acknowledged.
+	SyncReplicas int
+	// Departed are former instances whose logs may have acknowledged commits that no listed one has. Name is that
+	// of the former instance; the rest is what its successor with the same log has reported, if there is one.
+	Departed []InstanceInfo
+	// HeldFor is the instance for which others are being held back. It stays the candidate while it may still be
+	// receiving what they have.
+	HeldFor fleet.Instance
 	// EjectionsNeeded is how many hosts have to eject the primary for it to be replaced, zero while it must
 	// not be replaced for that.
 	EjectionsNeeded int
@@ -98,31 +110,44 @@
 	noPrimaryTimeout = 3 * time.Second
 )
 
-// Decide returns the promotion request that a group needs now, if any.
+// Decision is what a group needs for its next primary.
+type Decision struct {
+	// Request is the promotion to be requested, if Ready is set.
+	Request PromotionRequest
+	Ready   bool
+	// Hold are the instances that have to be held back before, at Request.Term.
+	Hold []fleet.Instance
+	// Missing are the instances that stand in the way of all candidates, as their logs may have acknowledged
+	// commits that the candidate lacks.
+	Missing map[fleet.Instance]syncrep.Obstacle
+}
+
+// Decide returns the promotion request that a group needs now, if any, and what it has to wait for.
 //
 // Designed for a primary that has died or is cut off, which nothing announces, and for one that is
 // leaving. Waiting too long leaves the group without writes. A premature promotion holds up callers
 // for a tenth of a second and, if replicas lag, loses the last writes. So at least half of the
 // hosts that have reported must be unable to reach the primary, and all hosts get the time to
 // check: one broken link replaces no primary.
-func (p *PrimaryState) Decide(status GroupStatus) (PromotionRequest, bool) {
+func (p *PrimaryState) Decide(status GroupStatus) Decision {
 	reason, ok := p.promotionReason(status)
 	if !ok {
-		return PromotionRequest{}, false
+		return Decision{}
+	}
+	best, v, ok := p.safeCandidate(status, reason)
+	if !ok {
+		return Decision{Missing: v.Missing}
+	}
+	req := PromotionRequest{
+		Primary: best.Name, Former: p.primary, Reason: reason, Term: p.LastTerm() + 1, BaseRevision: p.record.Revision,
 	}
-	req := PromotionRequest{Former: p.primary, Reason: reason, Term: p.LastTerm() + 1, BaseRevision: p.record.Revision}
 	if !p.confirmed && p.former != "" {
 		req.Former = p.former
 	}
-	best, ok := p.promotionCandidate(status, reason)
-	if !ok {
-		return PromotionRequest{}, false
-	}
-	req.Primary = best.Name
 	for _, inst := range status.Instances {
 		req.Term = max(req.Term, inst.Term+1)
 	}
-	return req, true
+	return Decision{Request: req, Ready: len(v.Hold) == 0, Hold: v.Hold}
 }
 
 // NeedsPromotion reports whether the group needs another primary, even if there is no candidate.
@@ -164,8 +189,39 @@
 	return i.UnreachableFrom > 0 && i.UnreachableFrom >= i.ReachableFrom && i.UnreachableFor > suspicionTimeout
 }
 
-// promotionCandidate returns the instance to be promoted: of those in the latest term the one whose log
-// reaches farthest, as the entries that it lacks are lost.
+// safeCandidate returns the preferred instance that has, or will have once others are held back, all acknowledged
+// commits. If there is none, it returns what stands in the way of the most preferred one.
+//
+// Where replicas are synchronous, an instance that is leaving is promoted rather than to lose acknowledged commits
+// that only its log has. It receives, and confirms, until it ends, and is replaced once another one has its log.
+func (p *PrimaryState) safeCandidate(status GroupStatus, reason Reason) (InstanceInfo, syncrep.Verdict, bool) {
+	candidates := p.candidates(status, reason)
+	if len(candidates) == 0 {
+		return InstanceInfo{}, syncrep.Verdict{}, false
+	}
+	if status.SyncReplicas == 0 {
+		best := candidates[0]
+		return best, syncrep.Verdict{}, !p.betterMayReturn(status, best)
+	}
+	g := p.syncGroup(status)
+	var first syncrep.Verdict
+	for _, c := range candidates {
+		if status.HeldFor != "" && c.Name != status.HeldFor {
+			continue
+		}
+		v := g.Judge(c.Name)
+		if len(v.Missing) == 0 && !p.betterMayReturn(status, c) {
+			return c, v, true
+		}
+		if first.Missing == nil {
+			first = v
+		}
+	}
+	return InstanceInfo{}, first, false
+}
+
+// candidates returns the instances that may be promoted, the preferred one first: of those in the latest term the one
+// whose log reaches farthest, as the entries that it lacks are lost.
 //
 // An instance that is a primary in an earlier term than a confirmed one has been replaced without
 // having noticed. Its log has diverged, and promoting it would undo what its successor has
@@ -175,17 +231,64 @@
 //
 // In place of a primary that responds, only an instance is promoted that doesn't fail itself and has nearly
 // all of its log: the primary goes on until then, and what its successor lacks would be lost.
-func (p *PrimaryState) promotionCandidate(status GroupStatus, reason Reason) (InstanceInfo, bool) {
-	var best InstanceInfo
+func (p *PrimaryState) candidates(status GroupStatus, reason Reason) []InstanceInfo {
+	var out, leaving []InstanceInfo
 	for _, inst := range status.Instances {
-		if p.exclusion(inst, reason) != "" {
-			continue
+		switch p.exclusion(inst, reason) {
+		case "":
+			out = append(out, inst)
+		case exclusionLeaving:
+			inst.Leaving = false
+			if status.SyncReplicas > 0 && reason != ReasonEjected && p.exclusion(inst, reason) == "" {
+				leaving = append(leaving, inst)
+			}
+		}
+	}
+	for _, s := range [][]InstanceInfo{out, leaving} {
+		slices.SortFunc(s, func(a, b InstanceInfo) int {
+			switch {
+			case a.preferredTo(b):
+				return -1
+			case b.preferredTo(a):
+				return 1
+			}
+			return 0
+		})
+	}
+	return append(out, leaving...)
+}
+
+// syncGroup returns the group as the decision on its synchronous replicas needs it.
+func (p *PrimaryState) syncGroup(status GroupStatus) syncrep.Group {
+	g := syncrep.Group{Required: status.SyncReplicas, Term: p.term}
+	for _, inst := range status.Instances {
+		if !inst.Gone {
+			g.Members = append(g.Members, inst.member())
 		}
-		if best.Name == "" || inst.preferredTo(best) {
-			best = inst
+		if inst.Reachable {
+			g.Term = max(g.Term, inst.Term)
 		}
 	}
-	return best, best.Name != "" && !p.betterMayReturn(status, best)
+	for _, inst := range status.Departed {
+		m := inst.member()
+		m.Gone = true
+		g.Members = append(g.Members, m)
+	}
+	if p.primary != "" {
+		g.Primaries = append(g.Primaries, p.primary)
+	}
+	// Until an instance has reported the record's term, the primary before may still lead.
+	if !p.confirmed && g.Term < p.record.Term && p.record.Former != "" && p.record.Former != p.primary {
+		g.Primaries = append(g.Primaries, p.record.Former)
+	}
+	return g
+}
+
+func (i InstanceInfo) member() syncrep.Member {
+	return syncrep.Member{
+		Name: i.Name, Term: i.Term, Received: i.Received, Heard: i.Reachable, Leads: i.IsPrimary,
+		Held: i.Held, Unholdable: i.Unholdable,
+	}
 }
 
 // exclusion returns why an instance is not to be promoted, "" if it may be.
@@ -194,7 +297,7 @@
 	case inst.Gone:
 		return "gone"
 	case inst.Leaving:
-		return "leaving"
+		return exclusionLeaving
 	case inst.isUnreachable():
 		return "unreachable"
 	case !inst.Reachable:
@@ -211,6 +314,9 @@
 	return ""
 }
 
+// exclusionLeaving is the reason why an instance that is leaving isn't promoted.
+const exclusionLeaving = "leaving"
+
 // Considered describes what is known of each instance for a decision, and why it isn't promoted, for the log.
 func (p *PrimaryState) Considered(status GroupStatus, reason Reason) string {
 	out := make([]string, 0, len(status.Instances))
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -35,6 +35,15 @@
 	return []leader.InstanceInfo{*m["a"], *m["b"], *m["c"]}
 }
 
+// decide returns the request that is ready to be sent, if any.
+func decide(p *leader.PrimaryState, s leader.GroupStatus) (leader.PromotionRequest, bool) {
+	d := p.Decide(s)
+	if !d.Ready {
+		return leader.PromotionRequest{}, false
+	}
+	return d.Request, true
+}
+
 func ExamplePrimaryState() {
 	var p leader.PrimaryState
 	p.SetInstances([]catalog.Instance{{Name: "a", Role: fleet.RolePrimary}})
@@ -212,7 +221,7 @@
 		}, "", ""},
 	} {
 		p := confirmedPrimary()
-		req, ok := p.Decide(leader.GroupStatus{
+		req, ok := decide(p, leader.GroupStatus{
 			Now: start, Since: start, Instances: infos(t.change), EjectionsNeeded: 2,
 		})
 		c.Check(ok, qt.Equals, t.primary != "", qt.Commentf("%s", t.name))
@@ -236,7 +245,7 @@
 		m["b"].UnreachableFrom, m["b"].UnreachableFor = 4, time.Second
 		m["b"].Reachable, m["c"].Reachable = false, false
 	})}
-	_, ok := p.Decide(s)
+	_, ok := decide(p, s)
 	c.Assert(ok, qt.IsFalse)
 }
 
@@ -248,7 +257,7 @@
 	p.AddRecord(leader.Record{Primary: "b", Former: "a", Term: 2, Revision: 7})
 	p.AddStatus("b", statement.Status{Role: fleet.RolePrimary, Term: 2})
 	decide := func(change func(m map[fleet.Instance]*leader.InstanceInfo)) fleet.Instance {
-		req, _ := p.Decide(leader.GroupStatus{Now: start, Since: start, Instances: infos(
+		req, _ := decide(p, leader.GroupStatus{Now: start, Since: start, Instances: infos(
 			func(m map[fleet.Instance]*leader.InstanceInfo) {
 				m["a"].IsPrimary, m["a"].Term, m["a"].Received = false, 1, fleet.LogPosition{Term: 1, Index: 52}
 				m["b"].Gone = true
@@ -278,7 +287,7 @@
 	p.AddRecord(leader.Record{Primary: "b", Former: "a", Term: 2, Revision: 7})
 	p.AddStatus("b", statement.Status{Role: fleet.RolePrimary, Term: 2})
 	decide := func(bGone bool) fleet.Instance {
-		req, _ := p.Decide(leader.GroupStatus{Now: start, Since: start, Instances: infos(
+		req, _ := decide(p, leader.GroupStatus{Now: start, Since: start, Instances: infos(
 			func(m map[fleet.Instance]*leader.InstanceInfo) {
 				m["a"].IsPrimary, m["a"].Term, m["a"].Received = false, 1, fleet.LogPosition{Term: 1, Index: 75}
 				m["b"].Term, m["b"].Reachable, m["b"].Gone = 2, false, bGone
@@ -301,10 +310,10 @@
 		m["a"].Gone, m["b"].Reachable = true, false
 	})}
 	s.Now = start.Add(2 * time.Second)
-	_, ok := p.Decide(s)
+	_, ok := decide(p, s)
 	c.Assert(ok, qt.IsFalse)
 	s.Now = start.Add(3 * time.Second)
-	req, ok := p.Decide(s)
+	req, ok := decide(p, s)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(req.Primary, qt.Equals, fleet.Instance("c"))
 	c.Assert(req.Term, qt.Equals, fleet.Term(3))
--- a/core/relay/active.go
+++ b/core/relay/active.go
@@ -42,13 +42,16 @@
 //
 // Designed for hundreds of hosts before a thousand groups. When each host confirmed each primary for itself, the
 // start of all and each promotion cost a status request for each host every 50 ms.
-func (g *group) confirmsPrimary(now time.Time) bool { return g.r.duty.active || g.isUsed(now) }
+func (g *group) confirmsPrimary(now time.Time) bool {
+	return g.r.duty.active || g.isUsed(now) || len(g.departed) > 0
+}
 
 // needsTick reports whether anything in the group depends on the time.
 func (g *group) needsTick(now time.Time) bool {
 	switch {
 	case g.isUsed(now), len(g.waiting)+len(g.running)+len(g.peerRequests)+g.pendingAnswers.Len() > 0,
-		!g.unverifiedSample.AskedAt.IsZero(), g.outliers.changed:
+		!g.unverifiedSample.AskedAt.IsZero(), g.outliers.changed, len(g.departed) > 0, !g.holds.checkAfter.IsZero(),
+		g.hasHeld():
 		return true
 	case g.r.duty.active && g.mayNeedPromotion(now):
 		return true
--- a/core/relay/conn.go
+++ b/core/relay/conn.go
@@ -198,7 +198,7 @@
 	if c.via == "" {
 		c.inst.heard(r.now())
 	}
-	if o.kind == statement.KindStepDown && o.done != nil {
+	if o.kind.IsControl() && o.done != nil {
 		// The status tells whether the position is the primary's.
 		o.done(a)
 		o.done = nil
@@ -312,17 +312,20 @@
 
 // requestStatus asks the instance for its status. It takes no slot: a request to step down below term 1
 // changes nothing and is answered with the status.
-func (c *Conn) requestStatus() { c.stepDown(0, nil) }
+func (c *Conn) requestStatus() { c.control(statement.KindStepDown, 0, nil) }
 
-// stepDown makes a primary of a term below t step down, and handles the status that the instance
-// answers with. reply, which may be nil, receives the answer.
-func (c *Conn) stepDown(t fleet.Term, reply func(a statement.Answer)) {
+// control sends a control statement, and handles the status that the instance answers with. reply, which may be
+// nil, receives the answer.
+func (c *Conn) control(k statement.Kind, t fleet.Term, reply func(a statement.Answer)) {
 	c.g.r.counters.StatusRequests++
 	c.setState(connBusy)
 	asked := c.stateSince
-	q := statement.Statement{Kind: statement.KindStepDown, Term: t}
+	q := statement.Statement{Kind: k, Term: t}
 	c.send([]statement.Statement{q}, nil, func(a statement.Answer) {
 		c.g.handleStatus(c, asked, a)
+		if k == statement.KindPause && (a.Code == statement.CodeMalformed || a.Code == statement.CodeOther) {
+			c.inst.unholdable = true
+		}
 		if a.Code == statement.CodeUnreachable && c.via != "" {
 			c.inst.blockHost(c.via)
 		}
--- a/core/relay/coordination.go
+++ b/core/relay/coordination.go
@@ -45,7 +45,10 @@
 		r.wakeAll()
 	}
 	for _, g := range r.groups {
-		g.promotionPendingUntil = time.Time{}
+		g.promotionPendingUntil, g.holds = time.Time{}, holds{}
+		if active && g.service.SyncReplicas > 0 {
+			g.holds.checkAfter = r.now()
+		}
 	}
 	r.duty.active = active
 	choice := "stop coordinating failovers"
@@ -121,7 +124,7 @@
 func (g *group) decidePromotion(now time.Time) {
 	if !g.r.duty.active || !g.r.lease.RecordsCurrent(now) || now.Before(g.promotionPendingUntil) ||
 		now.Before(g.nextPromotionAt) {
-		g.positionsAskedAt = time.Time{}
+		g.stopDeciding()
 		return
 	}
 	if i := g.instances[g.primaryState.DesignatedPrimary()]; i != nil && i.leads {
@@ -132,7 +135,8 @@
 	}
 	g.r.counters.PromotionChecks++
 	if !g.primaryState.NeedsPromotion(g.groupStatus(now)) {
-		g.positionsAskedAt = time.Time{}
+		g.stopDeciding()
+		g.holds.withheld = ""
 		return
 	}
 	if g.positionsAskedAt.IsZero() || now.Sub(g.positionsAskedAt) > positionRequestRetry {
@@ -140,19 +144,30 @@
 		g.recordCatchUpPosition(now)
 	}
 	for _, i := range g.instances {
-		if i.usable() && i.statusAt.Before(g.positionsAskedAt) && now.Sub(i.askedAt) >= statusRequestInterval {
+		if g.positionNeeded(now, i) {
 			g.requestStatus(now, i)
 		}
 	}
 	if now.Sub(g.positionsAskedAt) < positionRequestWait {
 		return
 	}
-	o, ok := g.primaryState.Decide(g.groupStatus(now))
-	if !ok {
+	d := g.primaryState.Decide(g.groupStatus(now))
+	if !d.Ready {
+		g.awaitSafety(now, d)
 		return
 	}
-	g.positionsAskedAt = time.Time{}
-	g.requestPromotion(now, o)
+	g.stopDeciding()
+	g.requestPromotion(now, d.Request)
+}
+
+// positionNeeded reports whether the position of an instance is to be requested for a decision on a promotion. Where
+// replicas confirm commits, the logs of instances that can't be promoted matter too, and a candidate may still be
+// receiving what another one has.
+func (g *group) positionNeeded(now time.Time, i *instance) bool {
+	if g.service.SyncReplicas > 0 {
+		return !i.removed && now.Sub(times.Later(i.statusAt, i.askedAt)) >= primaryRequestInterval
+	}
+	return i.usable() && i.statusAt.Before(g.positionsAskedAt) && now.Sub(i.askedAt) >= statusRequestInterval
 }
 
 // requestPromotion passes a promotion request on and defers the next one.
@@ -180,7 +195,10 @@
 
 // groupStatus returns the input of a decision on a promotion. It also updates suspectedSince of each instance.
 func (g *group) groupStatus(now time.Time) leader.GroupStatus {
-	s := leader.GroupStatus{Now: now, Since: g.unconfirmedSince, EjectionsNeeded: g.ejectionsNeeded(now)}
+	s := leader.GroupStatus{
+		Now: now, Since: g.unconfirmedSince, EjectionsNeeded: g.ejectionsNeeded(now),
+		SyncReplicas: g.service.SyncReplicas, Departed: g.departedInfos(), HeldFor: g.heldFor(now),
+	}
 	if g.primaryState.Record().Revision != 0 {
 		// The platform may have got the request long after its record was written.
 		s.Since = times.Later(s.Since, times.Later(g.promotionKnownAt, g.promotionAcceptedAt))
@@ -189,7 +207,7 @@
 		m := leader.InstanceInfo{
 			Name: i.info.Name, Leaving: i.info.Leaving || i.evacuated(), Gone: i.removed,
 			Cold: i.isCold(now), OutsideRegion: g.outsideRegion(i),
-			Reachable: i.failures == 0 && !i.statusAt.Before(g.positionsAskedAt), Received: i.received,
+			Reachable: g.answered(i), Received: i.received, Held: i.heldBack(), Unholdable: i.unholdable,
 			IsPrimary: i.leads, Term: i.term, UnreachableFor: now.Sub(i.suspectedSince),
 			EjectedFrom: g.ejectedFrom(now, i), Behind: g.behind(i),
 		}
@@ -244,8 +262,8 @@
 	})
 	a, ok := g.anyAccount()
 	if p, forwarded := r.holder(i); forwarded && ok && p.Send != nil {
-		i.connVia(p, a).stepDown(o.Term, nil)
+		i.connVia(p, a).control(statement.KindStepDown, o.Term, nil)
 		return
 	}
-	g.requestForPeer(o.Former, o.Term, func(statement.Answer) {})
+	g.requestForPeer(o.Former, statement.KindStepDown, o.Term, func(statement.Answer) {})
 }
--- a/core/relay/forward.go
+++ b/core/relay/forward.go
@@ -236,7 +236,7 @@
 		}
 		f.Open = !c.streamOpened
 		c.streamOpened = true
-		if qs[0].Kind == statement.KindStepDown {
+		if qs[0].Kind.IsControl() {
 			c.closesAfterReply = true
 		}
 		if c.op != nil {
@@ -275,7 +275,7 @@
 // answer that comes much later describes an outdated state.
 func (r *Relay) tickForwarding(now time.Time) {
 	for _, c := range r.forwarding.forwardedConns {
-		asks := len(c.pending) > 0 && c.pending[0].kind == statement.KindStepDown
+		asks := len(c.pending) > 0 && c.pending[0].kind.IsControl()
 		if asks && now.Sub(c.pending[0].sentAt) > peerRequestTimeout+statusRequestTimeout {
 			c.handleClose("no answer to a question over another host")
 		}
@@ -309,8 +309,8 @@
 // the operation and chosen the instance, and verifies the answer. This host queues the operation among
 // its own, by account, and finds the connection.
 func (r *Relay) HandleForward(from PeerLinkID, f Forward, reply func(a statement.Answer)) {
-	if len(f.Statements) == 1 && f.Statements[0].Kind == statement.KindStepDown {
-		r.group(f.Service).requestForPeer(f.Instance, f.Statements[0].Term, reply)
+	if len(f.Statements) == 1 && f.Statements[0].Kind.IsControl() {
+		r.group(f.Service).requestForPeer(f.Instance, f.Statements[0].Kind, f.Statements[0].Term, reply)
 		return
 	}
 	k := streamKey{from, f.Stream}
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -83,6 +83,10 @@
 	// replicaReadAt is when a replica was last sought for a read.
 	replicaReadAt time.Time
 	outliers      outliers
+	// holds is the state of holding instances back before a promotion, departed are former instances whose logs may
+	// still matter for one.
+	holds    holds
+	departed []departed
 }
 
 func newGroup(r *Relay, s fleet.Service) *group {
@@ -130,6 +134,9 @@
 			g.r.instances[in.Name] = i
 			g.logInstance(i, "use", "it is listed")
 		}
+		if i.removed && !i.addressReused {
+			g.returned(in.Name)
+		}
 		if in.Leaving && !i.info.Leaving {
 			g.logInstance(i, "no new work", "it is leaving")
 		}
@@ -196,6 +203,7 @@
 	}
 	i.removed = true
 	g.r.servedStale = true
+	g.depart(i)
 	g.logInstance(i, "stop using", reason)
 }
 
--- a/core/relay/instance.go
+++ b/core/relay/instance.go
@@ -69,6 +69,12 @@
 	removed       bool
 	// addressReused is set once another instance has answered at its address.
 	addressReused bool
+	// held is the term up to which it receives nothing from a primary, by its last status; heldSince is since when
+	// it is held back, and holdAskedAt when that was last to begin or to end. unholdable is set if it has rejected
+	// the request.
+	held                   fleet.Term
+	heldSince, holdAskedAt time.Time
+	unholdable             bool
 	// askedAt is when its status was last requested.
 	askedAt time.Time
 	ranking ranking
@@ -154,8 +160,8 @@
 		i.connLimitRefusals++
 	case statement.CodeMisrouted:
 		// Another instance has the address now: this one is removed, even if it is still listed.
-		i.addressReused, i.removed = true, true
-		i.g.r.servedStale = true
+		i.addressReused = true
+		i.g.removeInstance(i, "another instance has its address")
 		i.nextDial = now.Add(dialBackoffMax)
 	default:
 		i.addFailure(now, "connection refused: "+string(c))
--- a/core/relay/node_test.go
+++ b/core/relay/node_test.go
@@ -46,6 +46,9 @@
 	gotReads int
 	// dialled counts the connection attempts.
 	dialled int
+	// held is the term with which it is held back, zero if it isn't; rejectsPause makes it know no such request.
+	held         fleet.Term
+	rejectsPause bool
 }
 
 // link is the node's end of one connection.
@@ -89,7 +92,7 @@
 	if q.Kind == statement.KindRead {
 		n.gotReads++
 	}
-	if n.busy && q.Kind != statement.KindStepDown && q.Kind != statement.KindRollback {
+	if n.busy && !q.Kind.IsControl() && q.Kind != statement.KindRollback {
 		return n.answer(l, statement.Answer{Code: statement.CodeBusy})
 	}
 	if p, ok := q.After.Get(); ok && !n.position.Covers(p) {
@@ -124,17 +127,30 @@
 	case statement.KindRollback:
 		l.state, l.writes = statement.TxNone, false
 		n.executed = append(n.executed, "rollback")
-	case statement.KindStepDown:
-		if q.Term > n.term {
-			n.role, n.term = fleet.RoleReplica, q.Term
-		}
-		a.Rows = []string{fmt.Sprintf("%s %d %d %d", n.role, n.term, n.position.Term, n.position.Index)}
+	case statement.KindStepDown, statement.KindPause, statement.KindResume:
+		return n.control(l, q)
 	default:
 		return n.work(l, q)
 	}
 	return n.answer(l, a)
 }
 
+// control handles a control statement.
+func (n *node) control(l *link, q statement.Statement) statement.Answer {
+	switch {
+	case q.Kind == statement.KindPause && n.rejectsPause:
+		return n.answer(l, statement.Answer{Code: statement.CodeMalformed})
+	case q.Kind == statement.KindPause && n.role == fleet.RoleReplica && q.Term > n.term:
+		n.held = q.Term
+	case q.Kind == statement.KindResume:
+		n.held = 0
+	case q.Kind == statement.KindStepDown && q.Term > n.term:
+		n.role, n.term = fleet.RoleReplica, q.Term
+	}
+	row := fmt.Sprintf("%s %d %d %d %d", n.role, n.term, n.position.Term, n.position.Index, n.held)
+	return n.answer(l, statement.Answer{Rows: []string{row}})
+}
+
 func runs(k statement.Kind) bool {
 	switch k {
 	case statement.KindRead, statement.KindWrite, statement.KindExecute, statement.KindCommit:
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -153,6 +153,13 @@
 	OutlierReturns   uint64 `json:"outlier-returns"`
 	OutlierAdoptions uint64 `json:"outlier-adoptions"`
 	AbandonedReads   uint64 `json:"abandoned-reads"`
+	// PromotionsWithheld counts the promotions that had to wait for the logs of other instances, Holds and
+	// HoldReleases the requests to hold an instance back before a promotion and to end that. DepartedForgotten counts
+	// the former instances that no longer count for a promotion as there are too many.
+	PromotionsWithheld uint64 `json:"promotions-withheld"`
+	Holds              uint64 `json:"holds"`
+	HoldReleases       uint64 `json:"hold-releases"`
+	DepartedForgotten  uint64 `json:"departed-forgotten"`
 }
 
 // New returns a Relay without a catalog. It rejects all sessions until SetCatalog is called.
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -43,6 +43,9 @@
 	}
 	g.evaluateOutliers(now)
 	g.decidePromotion(now)
+	g.checkHolds(now)
+	g.releaseHeld(now)
+	g.settleDeparted(now)
 	for _, i := range g.instances {
 		i.closeIdleConns(now)
 	}
@@ -100,6 +103,9 @@
 				now.Sub(c.pending[0].sentAt) > statusRequestTimeout:
 				i.addFailure(now, "no answer to a statement that takes no slot")
 				c.handleClose("no answer to a question")
+			case c.state == connBusy && len(c.pending) > 0 && c.op == nil && takesSlotAsControl(c.pending[0].kind) &&
+				now.Sub(c.pending[0].sentAt) > holdResponseTimeout:
+				c.handleClose("no answer to a request to hold back")
 			}
 		}
 	}
@@ -153,13 +159,19 @@
 // takesNoSlot reports whether an instance answers a statement without a slot, that is at once.
 func takesNoSlot(k statement.Kind) bool {
 	switch k {
-	case statement.KindRead, statement.KindWrite, statement.KindCommit, statement.KindExecute, statement.KindStatus:
+	case statement.KindRead, statement.KindWrite, statement.KindCommit, statement.KindExecute, statement.KindStatus,
+		statement.KindPause, statement.KindResume:
 		return false
 	default:
 		return true
 	}
 }
 
+// takesSlotAsControl reports whether a control statement may have to wait for a slot.
+func takesSlotAsControl(k statement.Kind) bool {
+	return k == statement.KindPause || k == statement.KindResume
+}
+
 // requestAwaited requests the status of the instances that a pending verification awaits.
 func (g *group) requestAwaited(now time.Time) {
 	for n, after := range g.pendingAnswers.Awaited() {
@@ -212,6 +224,7 @@
 // peerStatusRequest is a status request of another host that waits for a connection.
 type peerStatusRequest struct {
 	i     *instance
+	kind  statement.Kind
 	term  fleet.Term
 	until time.Time
 	reply func(a statement.Answer)
@@ -220,9 +233,8 @@
 // peerRequestTimeout bounds that wait. The requesting host needs the answer within verificationTimeout.
 const peerRequestTimeout = 150 * time.Millisecond
 
-// requestForPeer requests an instance's status for another host, and has the instance step down if it is a
-// primary of a term below t.
-func (g *group) requestForPeer(n fleet.Instance, t fleet.Term, reply func(a statement.Answer)) {
+// requestForPeer sends an instance a control statement with a term for another host.
+func (g *group) requestForPeer(n fleet.Instance, k statement.Kind, t fleet.Term, reply func(a statement.Answer)) {
 	now := g.r.now()
 	i := g.instances[n]
 	if i == nil && g.r.startingUp(now) {
@@ -235,7 +247,7 @@
 	}
 	g.wake()
 	g.peerRequests = append(g.peerRequests, peerStatusRequest{
-		i: i, term: t, until: now.Add(peerRequestTimeout), reply: reply,
+		i: i, kind: k, term: t, until: now.Add(peerRequestTimeout), reply: reply,
 	})
 	g.sendPeerRequests(now)
 	g.r.requestTick()
@@ -250,7 +262,7 @@
 func (g *group) sendPeerRequests(now time.Time) {
 	g.peerRequests = slices.DeleteFunc(g.peerRequests, func(q peerStatusRequest) bool {
 		if c := q.i.longestIdle(); c != nil {
-			c.stepDown(q.term, q.reply)
+			c.control(q.kind, q.term, q.reply)
 			return true
 		}
 		if now.After(q.until) {
--- a/core/relay/verify.go
+++ b/core/relay/verify.go
@@ -119,6 +119,11 @@
 	}
 	i.received, i.leads, i.term = s.Received, s.Role == fleet.RolePrimary, s.Term
 	i.statusAt, i.termAskedAt = now, askedAt
+	if i.held = s.Held; !i.heldBack() {
+		i.heldSince = time.Time{}
+	} else if i.heldSince.IsZero() {
+		i.heldSince = now
+	}
 	if !i.leads {
 		g.refuseReadsOnReplica(i)
 	}
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -271,14 +271,15 @@
 	}
 }
 
-// parseStatus parses the row that node.run returns for a step-down.
+// parseStatus parses the row that an instance returns for a control statement. The term with which it is held back
+// may be missing.
 func parseStatus(a statement.Answer) (statement.Status, bool) {
 	var s statement.Status
 	if len(a.Rows) != 1 {
 		return s, false
 	}
-	_, err := fmt.Sscanf(a.Rows[0], "%s %d %d %d", &s.Role, &s.Term, &s.Received.Term, &s.Received.Index)
-	return s, err == nil
+	n, _ := fmt.Sscanf(a.Rows[0], "%s %d %d %d %d", &s.Role, &s.Term, &s.Received.Term, &s.Received.Index, &s.Held)
+	return s, n >= 4
 }
 
 // caller is one session with the answers that it received.
--- a/core/statement/statement.go
+++ b/core/statement/statement.go
@@ -35,8 +35,15 @@
 	KindStatus Kind = "status"
 	// KindStepDown turns a primary of a term below Term into a replica.
 	KindStepDown Kind = "step-down"
+	// KindPause keeps a replica from receiving anything until KindResume, a promotion or its restart, if Term is
+	// above its own.
+	KindPause  Kind = "pause"
+	KindResume Kind = "resume"
 )
 
+// IsControl reports whether statements of the kind control an instance, and are answered with its status.
+func (k Kind) IsControl() bool { return k == KindStepDown || k == KindPause || k == KindResume }
+
 // Definition is the definition of a prepared statement. Prepared statements with
 // equal definitions are the same.
 type Definition struct {
@@ -60,7 +67,7 @@
 	// After is the log position that the instance's log has to cover to run a read
 	// or to begin a transaction. Otherwise the instance refuses the statement.
 	After fleet.Option[fleet.LogPosition]
-	// Term is set for KindStepDown.
+	// Term is set for KindStepDown and KindPause.
 	Term fleet.Term
 }
 
@@ -132,4 +139,6 @@
 	Term fleet.Term
 	// Received is the end of the instance's log.
 	Received fleet.LogPosition
+	// Held is the term with which a replica was told to receive nothing. It applies while it is above Term.
+	Held fleet.Term
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -109,6 +109,14 @@
 		func(c relay.Counters) uint64 { return c.OutlierAdoptions }},
 	{counter("abandoned_reads", "Reads run again as no response came in the expected time."),
 		func(c relay.Counters) uint64 { return c.AbandonedReads }},
+	{counter("promotions_withheld", "Promotions that had to wait for the logs of other instances."),
+		func(c relay.Counters) uint64 { return c.PromotionsWithheld }},
+	{counter("holds", "Requests to hold an instance back before a promotion."),
+		func(c relay.Counters) uint64 { return c.Holds }},
+	{counter("hold_releases", "Requests to end that an instance is held back."),
+		func(c relay.Counters) uint64 { return c.HoldReleases }},
+	{counter("departed_forgotten", "Former instances that no longer count for promotions, as too many have gone."),
+		func(c relay.Counters) uint64 { return c.DepartedForgotten }},
 }
 
 func counter(name, help string) *prometheus.Desc {
