Log and count the records that the store refuses to write

An operator whose groups had no primary saw "a condition doesn't hold" once a second for each, and neither which record was expected nor which one was known, nor that it was the same refusal each time.

The line now has the expected and the known revision, and how often in a row the store has refused that one; skylarkdeal_record_conflicts_total counts them.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -216,6 +216,7 @@
 		PromotionFinished: func(o leader.PromotionRequest, given, refused bool) {
 			h.relay.PromotionFinished(o, given, refused)
 		},
+		RecordConflict:     h.counted.recordConflicts.Inc,
 		StepDown:           func(o leader.PromotionRequest) { h.relay.RequestStepDown(o) },
 		Promote:            platform.NewPromotions(s.Adapter.PromotionsAddress).Promote,
 		CoordinatorDelay:   coordinatorDelay,
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -20,6 +20,8 @@
 	// admission is how long operations waited for a token of their account's rate, by the decision.
 	admission *prometheus.HistogramVec
 	heldSlots prometheus.Gauge
+	// recordConflicts counts the records of promotions that the store has refused to write.
+	recordConflicts prometheus.Counter
 }
 
 // latencyBuckets are in seconds, around the targets of the users' requests.
@@ -43,7 +45,12 @@
 			Name: "skylarkdeal_held_slots", Help: "Slots of accounts of which this host is the home.",
 		}),
 	}
-	h.metrics.MustRegister(h.counted.latency, h.counted.calls, h.counted.admission, h.counted.heldSlots)
+	h.counted.recordConflicts = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "skylarkdeal_record_conflicts_total",
+		Help: "Records of promotions that the store refused to write, as it had another one than was known.",
+	})
+	h.metrics.MustRegister(h.counted.latency, h.counted.calls, h.counted.admission, h.counted.heldSlots,
+		h.counted.recordConflicts)
 	h.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "skylarkdeal_ready", Help: "1 while the host is ready.",
 	}, func() float64 {
--- a/io/registry/promotions.go
+++ b/io/registry/promotions.go
@@ -166,6 +166,10 @@
 		zap.Uint64("term", uint64(p.Term)), zap.String("reason", string(p.Reason)),
 		zap.Duration("took", time.Since(p.began)),
 	}
+	if errors.Is(err, ErrConflict) {
+		f = append(f, zap.Uint64("expected-revision", p.BaseRevision),
+			zap.Uint64("known-revision", uint64(r.knownRecord(p.Service).Revision)), zap.Int("conflicts", r.countConflict(p)))
+	}
 	if err != nil {
 		r.cfg.Logger.Warn("order not carried out", append(f, zap.Error(err))...)
 	} else {
@@ -345,9 +349,7 @@
 // isSuperseded reports whether a later record of the group is known: a promotion may be requested seconds after its
 // record was written.
 func (r *Registry) isSuperseded(rec leader.Record) bool {
-	r.recordsMu.Lock()
-	defer r.recordsMu.Unlock()
-	return uint64(r.records[r.recordsPrefix()+string(rec.Service)].Revision) > rec.Revision
+	return uint64(r.knownRecord(rec.Service).Revision) > rec.Revision
 }
 
 // checkLatestRecord returns an error if rec isn't the latest record of its group, or if that isn't
--- a/io/registry/records.go
+++ b/io/registry/records.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/follow"
 	"skylarkdeal/core/leader"
 	"skylarkdeal/core/times"
@@ -86,6 +87,36 @@
 	}
 }
 
+// knownRecord returns the latest known entry of a group's record.
+func (r *Registry) knownRecord(s fleet.Service) Entry {
+	r.recordsMu.Lock()
+	defer r.recordsMu.Unlock()
+	return r.records[r.recordsPrefix()+string(s)]
+}
+
+// conflicts counts how often in a row the store has refused to write a group's record on one revision.
+type conflicts struct {
+	revision uint64
+	count    int
+}
+
+// countConflict counts that the store has refused to write a record, and returns how often in a row it has on the
+// same revision. More than a few show that the host doesn't learn of the store's record.
+func (r *Registry) countConflict(p recordedPromotion) int {
+	if r.cfg.RecordConflict != nil {
+		r.cfg.RecordConflict()
+	}
+	r.recordsMu.Lock()
+	defer r.recordsMu.Unlock()
+	c := r.conflicts[p.Service]
+	if c.revision != p.BaseRevision {
+		c = conflicts{revision: p.BaseRevision}
+	}
+	c.count++
+	r.conflicts[p.Service] = c
+	return c.count
+}
+
 // passOnRecords passes on all records. Records are only added or replaced by newer ones, so that of
 // two copies the later one has all that the earlier one has, whichever readings they come from.
 func (r *Registry) passOnRecords() {
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -75,6 +75,9 @@
 	// PromotionFinished is called with the outcome of a promotion request: given if it succeeded,
 	// refused if the instance isn't running.
 	PromotionFinished func(o leader.PromotionRequest, given, refused bool)
+	// RecordConflict is called when the store has refused to write a record, as it isn't the one that the decision was
+	// based on. It may be nil, and isn't called by Post.
+	RecordConflict func()
 	// StepDown is called shortly before the promotion that replaces a leaving primary takes effect.
 	StepDown func(o leader.PromotionRequest)
 
@@ -187,6 +190,7 @@
 	// recordsMu.
 	recordsMu         sync.Mutex
 	records           map[string]Entry
+	conflicts         map[fleet.Service]conflicts
 	recordChanges     uint64
 	recordsCompleteTo Revision
 	recordsAsOf       time.Time
@@ -202,6 +206,7 @@
 		recordsRefresh: make(chan struct{}, 1), hostsRefresh: make(chan struct{}, 1),
 		catalogRefresh: make(chan struct{}, 1), instancesRefresh: make(chan struct{}, 1),
 		roleChanged: make(chan struct{}, 1), parsing: make(chan struct{}, 1), records: map[string]Entry{},
+		conflicts:   map[fleet.Service]conflicts{},
 		storeHealth: dependency{name: "store", log: cfg.Logger}, promotionsAdded: make(chan struct{}, 1),
 	}
 	r.operatorEntries.noteChange = func(current snapshot) { r.unparsed = append(r.unparsed, current) }
