Pass records on in a list of their own

Cause: executePromotions removed the requests that only change a record from the list of written records, in place, while the function that passes these records to the event loop still was to read it. slices.DeleteFunc zeroes what it removes: the loop took in an empty record in place of its own, and each further write was conditioned on the former revision (expected 86, known 111).

Change: the records are copied before they are handed over, and the list is no longer changed. All three places that hand records over share one function. The other lists that are filtered in place or sorted in io/, internal/ and platform/ were read: none is handed to another goroutine.

--- a/io/registry/promotions.go
+++ b/io/registry/promotions.go
@@ -117,14 +117,14 @@
 		}
 		return
 	}
-	recorded := r.writeRecords(ctx, os)
-	recorded = slices.DeleteFunc(recorded, func(p recordedPromotion) bool {
+	var recorded []recordedPromotion
+	for _, p := range r.writeRecords(ctx, os) {
 		if p.Reason == leader.ReasonAlreadyPrimary {
 			r.promotionFinished(p, nil)
-			return true
+			continue
 		}
-		return false
-	})
+		recorded = append(recorded, p)
+	}
 	if len(recorded) == 0 {
 		return
 	}
@@ -241,14 +241,11 @@
 // recordsWritten puts records that this host has written in force, and passes them on.
 func (r *Registry) recordsWritten(ps []recordedPromotion) {
 	es := make([]Entry, 0, len(ps))
+	records := make([]leader.Record, 0, len(ps))
 	for _, p := range ps {
-		es = append(es, p.entry)
+		es, records = append(es, p.entry), append(records, p.record)
 	}
-	r.cfg.Post(func() {
-		for _, p := range ps {
-			r.cfg.Record(p.record)
-		}
-	})
+	r.postRecords(records)
 	r.cacheRecords(es, 0, time.Time{})
 	r.passOnRecords()
 }
--- a/io/registry/promotions_test.go
+++ b/io/registry/promotions_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -124,3 +125,69 @@
 	until(c, got, "the outcome", func() bool { return len(got.finished) == 1 })
 	got.locked(func() { c.Check(got.finished, qt.DeepEquals, []string{"s000 false true"}) })
 }
+
+// eventLoop queues functions until they are run, as a busy event loop does.
+type eventLoop struct {
+	mu    sync.Mutex
+	queue []func()
+}
+
+func (l *eventLoop) post(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queue = append(l.queue, f)
+}
+
+func (l *eventLoop) run() {
+	l.mu.Lock()
+	queue := l.queue
+	l.queue = nil
+	l.mu.Unlock()
+	for _, f := range queue {
+		f()
+	}
+}
+
+// runUntil runs the loop, a batch at a time, until a condition holds.
+func (l *eventLoop) runUntil(c *qt.C, what string, ok func() bool) {
+	c.Helper()
+	for range 600 {
+		l.run()
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Fatalf("never: %s", what)
+}
+
+// Guards against a record that is lost between its writing and the event loop, which takes it in later: requests that
+// change only the record were removed from the list of records that was still to be passed on.
+func TestRecordsReachABusyEventLoop(t *testing.T) {
+	c := qt.New(t)
+	s, got := newMemStore(), &callbackLog{}
+	cfg := config(s, got, 0, time.Second, 0)
+	l := &eventLoop{}
+	cfg.Post = l.post
+	r := start(c, cfg)
+	l.runUntil(c, "the coordinator role", func() bool { return len(got.coordinator) == 1 })
+	for n := range 20 {
+		o := leader.PromotionRequest{
+			Service: fleet.Service(fmt.Sprintf("s%03d", n)), Primary: "b", Former: "a", Term: 2,
+			Reason: leader.ReasonUnreachable, Waiting: n,
+		}
+		if n%3 != 0 {
+			o.Reason = leader.ReasonAlreadyPrimary
+		}
+		r.RequestPromotion(o)
+	}
+	// The loop is busy until the last promotion was requested.
+	until(c, got, "the promotions", func() bool { return len(got.promotions) == 7 })
+	l.runUntil(c, "the outcomes", func() bool { return len(got.finished) == 20 })
+	services := fleet.NewSet[fleet.Service]()
+	for _, rec := range got.records {
+		c.Check(rec.Primary, qt.Equals, fleet.Instance("b"))
+		services.Add(rec.Service)
+	}
+	c.Check(services, qt.HasLen, 20)
+}
--- a/io/registry/records.go
+++ b/io/registry/records.go
@@ -63,16 +63,21 @@
 			sleep.For(ctx, pauseAfterError)
 			continue
 		}
-		r.cfg.Post(func() {
-			for _, rec := range records {
-				r.cfg.Record(rec)
-			}
-		})
+		r.postRecords(records)
 		r.passOnRecords()
 		sleep.For(ctx, pauseAfterError)
 	}
 }
 
+// postRecords passes records on to the host's decisions. The caller must not change the slice any more.
+func (r *Registry) postRecords(records []leader.Record) {
+	r.cfg.Post(func() {
+		for _, rec := range records {
+			r.cfg.Record(rec)
+		}
+	})
+}
+
 // cacheRecords stores the entries that are newer than the known ones. They lack no change up to a
 // revision and as of a time, zero if that isn't known.
 func (r *Registry) cacheRecords(es []Entry, at Revision, read time.Time) {
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -336,11 +336,7 @@
 	r.lease.Store(uint64(l))
 	storeLatest(&r.lastRenewal, sent)
 	r.storeHealth.recordSuccess()
-	r.cfg.Post(func() {
-		for _, rec := range records {
-			r.cfg.Record(rec)
-		}
-	})
+	r.postRecords(records)
 	// Followers have to receive the records before the renewal.
 	r.passOnRecords()
 	r.cfg.Post(func() { r.cfg.RegistrationRenewed(sent) })
