Read the record that refuses a promotion's write

Cause: a refused condition taught nothing. Neither did a lost answer whose write was carried out late, a record that can't be read, or one that is gone; and a reading that failed was forgotten.

Change: after a refusal the group's record is read and put in force before the request is finished, so that the next decision is based on it. A record that can't be read or names another group names no primary and has a revision. Where the store has no record, the write is made on that condition. A failed reading is repeated once the store serves. The loss of the coordinator role has an error of its own and isn't counted as a conflict.

--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -408,3 +408,18 @@
 		})
 	}
 }
+
+// Guards against a group without a primary for good after a record that can't be read: it names none.
+func TestRecordWithoutAPrimaryIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	p := confirmedPrimary()
+	p.AddRecord(leader.Record{Service: "s", Revision: 7})
+	v, _, _ := p.VerifyAnswer("a", true, nil)
+	c.Check(v, qt.Equals, leader.VerdictRefuted)
+	o, ok := decide(p, leader.GroupStatus{
+		Now: start.Add(4 * time.Second), Since: start, Instances: infos(func(map[fleet.Instance]*leader.InstanceInfo) {}),
+	})
+	c.Assert(ok, qt.IsTrue)
+	c.Check(o.BaseRevision, qt.Equals, uint64(7))
+	c.Check(o.Term, qt.Equals, fleet.Term(2))
+}
--- a/io/registry/promotions.go
+++ b/io/registry/promotions.go
@@ -113,7 +113,7 @@
 	if fence == 0 {
 		for _, o := range os {
 			r.promotionFinished(recordedPromotion{PromotionRequest: o, began: time.Now()},
-				failure.At(ErrConflict, "order a change of primary", "duty"))
+				failure.At(errNotCoordinator, "order a change of primary", "duty"))
 		}
 		return
 	}
@@ -224,9 +224,13 @@
 	}
 	for _, p := range ps {
 		at, failed := rev, err
-		if err != nil && !errors.Is(err, ErrConflict) && !errors.Is(err, ErrNotDone) {
+		switch {
+		case err == nil || errors.Is(err, ErrNotDone):
+		case errors.Is(err, ErrConflict):
+			at, failed = r.learnRecord(ctx, p, err)
+		default:
 			// The response was lost. A read tells whether the record was written.
-			at, failed = r.readBack(ctx, p.entry.Key, p.entry.Value, err)
+			at, failed = r.readBack(ctx, p, err)
 		}
 		if failed != nil {
 			r.promotionFinished(p, failed)
@@ -250,19 +254,62 @@
 	r.passOnRecords()
 }
 
-func (r *Registry) readBack(ctx context.Context, key string, want []byte, writeErr error) (Revision, error) {
+// readBack reads whether a record was written, after a write without a response. If another record is there, it is put
+// in force. writeErr is returned if this one isn't known to have been written: it may still be written later.
+func (r *Registry) readBack(ctx context.Context, p recordedPromotion, writeErr error) (Revision, error) {
+	e, ok, err := r.readRecord(ctx, p.Service)
+	if err != nil {
+		return 0, errors.Join(writeErr, err)
+	}
+	if ok && string(e.Value) == string(p.entry.Value) {
+		return e.Revision, nil
+	}
+	return 0, writeErr
+}
+
+// learnRecord reads a group's record after the store has refused to write another one on a revision that it doesn't
+// have, and puts it in force, so that the next decision is based on it. conflict is returned, unless the store has
+// no record at all and takes the write on that condition.
+//
+// Guards against a group that stays without a primary for good: whatever made this host's record another one than the
+// store's, each further write would be refused alike, and no other host has a reason to change the record.
+func (r *Registry) learnRecord(ctx context.Context, p recordedPromotion, conflict error) (Revision, error) {
+	_, ok, err := r.readRecord(ctx, p.Service)
+	if err != nil {
+		// The records are read as soon as the store serves.
+		r.RefreshRecords()
+		return 0, errors.Join(conflict, err)
+	}
+	if ok || p.BaseRevision == 0 {
+		return 0, conflict
+	}
 	c, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	return r.cfg.Store.Commit(c, Txn{
+		If:  []Condition{{Key: p.entry.Key}},
+		Put: []Put{{Key: p.entry.Key, Value: p.entry.Value}},
+	})
+}
+
+// readRecord reads the record of a group and puts it in force. It reports whether there is one.
+func (r *Registry) readRecord(ctx context.Context, s fleet.Service) (Entry, bool, error) {
+	c, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	key := r.recordsPrefix() + string(s)
 	es, _, err := r.cfg.Store.List(c, key)
 	if err != nil {
-		return 0, errors.Join(writeErr, err)
+		return Entry{}, false, err
 	}
 	for _, e := range es {
-		if e.Key == key && string(e.Value) == string(want) {
-			return e.Revision, nil
+		if e.Key != key {
+			continue
 		}
+		r.cacheRecords([]Entry{e}, 0, time.Time{})
+		r.postRecords(r.parseRecords([]Entry{e}))
+		r.passOnRecords()
+		return e, true, nil
 	}
-	return 0, writeErr
+	return Entry{}, false, nil
 }
 
 // revokeOtherHosts revokes the registrations of all other hosts.
@@ -302,6 +349,9 @@
 	}
 }
 
+// errNotCoordinator ends a promotion request of a host that may no longer be the failover coordinator.
+var errNotCoordinator = errors.New("this host isn't the failover coordinator any more")
+
 // errSuperseded ends a promotion request that is no longer the latest of its group.
 var errSuperseded = errors.New("another promotion request has been recorded since")
 
@@ -325,7 +375,7 @@
 			return errors.Join(err, failure.At(errSuperseded, "order a change of primary", "store"))
 		}
 		if !r.coordinatorConfirmed() || r.fencingToken.Load() != fence {
-			return errors.Join(err, failure.At(ErrConflict, "order a change of primary", "duty"))
+			return errors.Join(err, failure.At(errNotCoordinator, "order a change of primary", "duty"))
 		}
 		r.scheduleStepDown(ctx, o.PromotionRequest)
 		c, cancel := context.WithTimeout(ctx, promotionTimeout)
@@ -352,17 +402,12 @@
 // checkLatestRecord returns an error if rec isn't the latest record of its group, or if that isn't
 // known.
 func (r *Registry) checkLatestRecord(ctx context.Context, rec leader.Record) error {
-	c, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	key := r.recordsPrefix() + string(rec.Service)
-	es, _, err := r.cfg.Store.List(c, key)
+	e, ok, err := r.readRecord(ctx, rec.Service)
 	if err != nil {
 		return err
 	}
-	for _, e := range es {
-		if e.Key == key && uint64(e.Revision) == rec.Revision {
-			return nil
-		}
+	if ok && uint64(e.Revision) == rec.Revision {
+		return nil
 	}
 	return errSuperseded
 }
--- a/io/registry/promotions_test.go
+++ b/io/registry/promotions_test.go
@@ -191,3 +191,58 @@
 	}
 	c.Check(services, qt.HasLen, 20)
 }
+
+// Guards against a group without a primary for good: the host's record isn't the store's, each further write is refused
+// on the revision that the host has, and nothing has the record read again.
+func TestRefusedRecordIsLearnt(t *testing.T) {
+	c := qt.New(t)
+	const key = "our/primaries/s000"
+	for _, t := range []struct {
+		name  string
+		cause func(s *memStore)
+	}{
+		{"another host has written one", func(s *memStore) { s.put(key, `{"service":"s000","term":3,"primary":"c"}`) }},
+		{"an own write was carried out late", func(s *memStore) {
+			s.put(key, `{"service":"s000","term":2,"primary":"b","former":"a","by":"h-x"}`)
+		}},
+		{"it can't be read", func(s *memStore) { s.put(key, `{"service":"s0`) }},
+		{"it names another group", func(s *memStore) { s.put(key, `{"service":"s001","term":3,"primary":"c"}`) }},
+		{"there is none any more", func(s *memStore) { s.locked(func() { s.advanceRevision(); delete(s.entries, key) }) }},
+	} {
+		s := newMemStore()
+		s.put(key, `{"service":"s000","term":1,"primary":"a"}`)
+		r, got := startCoordinator(c, s, func(*registry.Config) {})
+		until(c, got, "the record", func() bool { return len(got.records) > 0 })
+		t.cause(s)
+		for n := range 2 {
+			o := leader.PromotionRequest{
+				Service: "s000", Primary: "b", Former: "a", Term: 9, Reason: leader.ReasonUnreachable,
+			}
+			got.locked(func() { o.BaseRevision = got.records[len(got.records)-1].Revision })
+			r.RequestPromotion(o)
+			until(c, got, "the outcome", func() bool { return len(got.finished) == n+1 })
+			if len(got.promotions) > 0 {
+				break
+			}
+		}
+		got.locked(func() {
+			c.Check(got.promotions, qt.HasLen, 1, qt.Commentf("%s", t.name))
+			for _, rec := range got.records {
+				c.Check(rec.Service, qt.Equals, fleet.Service("s000"), qt.Commentf("%s", t.name))
+			}
+		})
+	}
+}
+
+// Guards against an outdated record that stays, as the reading that was requested has failed.
+func TestRecordsAreReadOnceTheStoreIsBack(t *testing.T) {
+	c := qt.New(t)
+	s := newMemStore()
+	r, got := startCoordinator(c, s, func(*registry.Config) {})
+	s.locked(func() { s.down = true })
+	r.RefreshRecords()
+	time.Sleep(200 * time.Millisecond)
+	s.put("our/primaries/s000", `{"service":"s000","term":2,"primary":"b"}`)
+	s.locked(func() { s.down = false })
+	until(c, got, "the record", func() bool { return len(got.records) == 1 })
+}
--- a/io/registry/records.go
+++ b/io/registry/records.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,27 +29,28 @@
 	return r.parseRecords(es), nil
 }
 
+// parseRecords parses records. One that can't be read names no primary: nobody knows which instance it was to promote,
+// so that none may be taken for the primary, and its revision has to be known for another one to replace it.
 func (r *Registry) parseRecords(es []Entry) []leader.Record {
 	out := make([]leader.Record, 0, len(es))
 	for _, e := range es {
-		rec, err := parseRecord(e)
+		s := fleet.Service(strings.TrimPrefix(e.Key, r.recordsPrefix()))
+		var rec leader.Record
+		err := json.Unmarshal(e.Value, &rec)
+		if err == nil && rec.Service != s {
+			err = fmt.Errorf("it names the service %q", rec.Service)
+		}
 		if err != nil {
 			r.cfg.Logger.Error("unreadable record of a change of primary", zap.String("key", e.Key), zap.Error(err))
-			continue
+			rec = leader.Record{Service: s}
 		}
+		rec.Revision = uint64(e.Revision)
 		out = append(out, rec)
 	}
 	return out
 }
 
-func parseRecord(e Entry) (leader.Record, error) {
-	var rec leader.Record
-	err := json.Unmarshal(e.Value, &rec)
-	rec.Revision = uint64(e.Revision)
-	return rec, err
-}
-
-// readRecords reads the records whenever RefreshRecords is called.
+// readRecords reads the records whenever RefreshRecords is called, until a reading succeeds.
 func (r *Registry) readRecords(ctx context.Context) {
 	for {
 		select {
@@ -60,7 +63,8 @@
 		cancel()
 		if err != nil {
 			r.storeHealth.recordFailure(err)
-			sleep.For(ctx, pauseAfterError)
+			r.storeHealth.backOff(ctx)
+			r.RefreshRecords()
 			continue
 		}
 		r.postRecords(records)
