Step a leaving primary down only for an accepted promotion

Change: the step-down is scheduled once the platform has accepted the order, from the time at which that was sent.

TestFormerPrimaryStepsDownOnlyForAnAcceptedPromotion fails before.

--- a/io/registry/promotions.go
+++ b/io/registry/promotions.go
@@ -377,10 +377,13 @@
 		if !r.coordinatorConfirmed() || r.fencingToken.Load() != fence {
 			return errors.Join(err, failure.At(errNotCoordinator, "order a change of primary", "duty"))
 		}
-		r.scheduleStepDown(ctx, o.PromotionRequest)
+		sent := time.Now()
 		c, cancel := context.WithTimeout(ctx, promotionTimeout)
 		last := r.cfg.Promote(c, p)
 		cancel()
+		if last == nil {
+			r.scheduleStepDown(ctx, o.PromotionRequest, sent)
+		}
 		if last == nil || !mayBeAccepted && errors.Is(last, ErrNotRunning) {
 			return last
 		}
@@ -420,13 +423,14 @@
 }
 
 // scheduleStepDown has a leaving primary, which still serves, step down stepDownLead before the
-// promotion takes effect.
-func (r *Registry) scheduleStepDown(ctx context.Context, o leader.PromotionRequest) {
+// promotion takes effect that the platform has accepted in answer to a request sent at the given time. Without an
+// answer it goes on: the promotion may come late, or never.
+func (r *Registry) scheduleStepDown(ctx context.Context, o leader.PromotionRequest, sent time.Time) {
 	if o.Reason != leader.ReasonLeaving {
 		return
 	}
 	r.tasks.Go(func() {
-		if sleep.For(ctx, r.cfg.UsualPromotionTime-stepDownLead) {
+		if sleep.For(ctx, r.cfg.UsualPromotionTime-stepDownLead-time.Since(sent)) {
 			r.cfg.Post(func() { r.cfg.StepDown(o) })
 		}
 	})
--- a/io/registry/promotions_test.go
+++ b/io/registry/promotions_test.go
@@ -246,3 +246,26 @@
 	s.locked(func() { s.down = false })
 	until(c, got, "the record", func() bool { return len(got.records) == 1 })
 }
+
+// Guards against a leaving primary that is stepped down for a promotion which the platform has never accepted: its group
+// would have none until the next one.
+func TestFormerPrimaryStepsDownOnlyForAnAcceptedPromotion(t *testing.T) {
+	c := qt.New(t)
+	for _, accepted := range []bool{false, true} {
+		r, got := startCoordinator(c, newMemStore(), func(cfg *registry.Config) {
+			cfg.UsualPromotionTime = 200 * time.Millisecond
+		})
+		got.promoteResult = func() error {
+			if accepted {
+				return nil
+			}
+			return errDown
+		}
+		r.RequestPromotion(leader.PromotionRequest{
+			Service: "s", Primary: "b", Former: "a", Term: 2, Reason: leader.ReasonLeaving,
+		})
+		until(c, got, "the outcome", func() bool { return len(got.finished) == 1 })
+		time.Sleep(300 * time.Millisecond)
+		got.locked(func() { c.Check(len(got.stepDowns) > 0, qt.Equals, accepted) })
+	}
+}
