Request a pending promotion again for the same instance

Cause: after 2.5 s without effect the next decision named the best instance anew, although the order for the former choice might still come.

Change: while the instance that was requested can be promoted, and hasn't begun the term of its record, it is requested again, in that term. An order that comes late then changes nothing. The former primary goes on as for the first request, and the time before which the promotion can't have taken effect stays that of the first one.

--- a/core/leader/decide.go
+++ b/core/leader/decide.go
@@ -144,6 +144,10 @@
 	if !p.confirmed && p.former != "" {
 		req.Former = p.former
 	}
+	if p.isPending(best) {
+		// The term of the record hasn't begun.
+		req.Term = p.record.Term
+	}
 	for _, inst := range status.Instances {
 		req.Term = max(req.Term, inst.Term+1)
 	}
@@ -199,6 +203,9 @@
 	if len(candidates) == 0 {
 		return InstanceInfo{}, syncrep.Verdict{}, false
 	}
+	if n := slices.IndexFunc(candidates, p.isPending); n >= 0 {
+		candidates = candidates[n : n+1]
+	}
 	if status.SyncReplicas == 0 {
 		best := candidates[0]
 		return best, syncrep.Verdict{}, !p.betterMayReturn(status, best)
@@ -220,6 +227,16 @@
 	return InstanceInfo{}, first, false
 }
 
+// isPending reports whether the promotion of an instance was requested last and hasn't taken effect, as far as its
+// status tells.
+//
+// The platform may carry a request out seconds after it was given up for want of an answer. If another instance led by
+// then, it would be replaced without a record, and go on to acknowledge what is lost. So the same instance is requested
+// again as long as it can be promoted at all.
+func (p *PrimaryState) isPending(inst InstanceInfo) bool {
+	return !p.confirmed && inst.Name == p.record.Primary && inst.Term < p.record.Term
+}
+
 // candidates returns the instances that may be promoted, the preferred one first: of those in the latest term the one
 // whose log reaches farthest, as the entries that it lacks are lost.
 //
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -423,3 +423,28 @@
 	c.Check(o.BaseRevision, qt.Equals, uint64(7))
 	c.Check(o.Term, qt.Equals, fleet.Term(2))
 }
+
+// Guards against a promotion that is carried out late, after another instance was promoted in its place: hosts would go
+// on to acknowledge writes of the one that was recorded last.
+func TestPendingPromotionIsRequestedAgain(t *testing.T) {
+	c := qt.New(t)
+	p := confirmedPrimary()
+	p.AddRecord(leader.Record{Primary: "c", Former: "a", Term: 2, Revision: 7})
+	s := leader.GroupStatus{Now: start.Add(3 * time.Second), Since: start}
+	decided := func(change func(m map[fleet.Instance]*leader.InstanceInfo)) leader.PromotionRequest {
+		s.Instances = infos(change)
+		req, _ := decide(p, s)
+		return req
+	}
+	o := decided(func(m map[fleet.Instance]*leader.InstanceInfo) { m["b"].Received.Index = 9 })
+	c.Check(o.Primary, qt.Equals, fleet.Instance("c"))
+	c.Check(o.Term, qt.Equals, fleet.Term(2), qt.Commentf("no promotion has begun it"))
+	// Its former primary goes on.
+	p.AddRecord(leader.Record{Primary: "c", Former: o.Former, Term: o.Term, Revision: 8})
+	former, _, ok := p.FormerPrimary()
+	c.Check(ok, qt.IsTrue)
+	c.Check(former, qt.Equals, fleet.Instance("a"))
+	// One that can't be promoted any more is given up.
+	o = decided(func(m map[fleet.Instance]*leader.InstanceInfo) { m["c"].Reachable = false })
+	c.Check(o.Primary, qt.Equals, fleet.Instance("b"))
+}
--- a/core/leader/primary.go
+++ b/core/leader/primary.go
@@ -75,8 +75,9 @@
 	if r.Revision <= p.record.Revision {
 		return false
 	}
+	repeated := p.isRepeated(r)
 	p.record = r
-	if p.confirmed && p.primary == r.Primary && p.term >= r.Term {
+	if repeated || p.confirmed && p.primary == r.Primary && p.term >= r.Term {
 		return true
 	}
 	p.former, p.formerTerm = "", 0
@@ -90,6 +91,12 @@
 	return true
 }
 
+// isRepeated reports whether a record requests once more the promotion that is pending, in place of the same former
+// primary. That one goes on as before: it may still lead.
+func (p *PrimaryState) isRepeated(r Record) bool {
+	return !p.confirmed && p.former != "" && r.Primary == p.primary && r.Former == p.former && r.Term <= p.formerTerm+1
+}
+
 // AddStatus adds a status report of an instance. It reports whether the report confirms the
 // primary, or confirms it in another term than before.
 func (p *PrimaryState) AddStatus(i fleet.Instance, s statement.Status) bool {
--- a/core/relay/primary_test.go
+++ b/core/relay/primary_test.go
@@ -206,3 +206,23 @@
 	c.Assert(x.last().Digest, qt.Equals, "d-"+string(o.Primary))
 	c.Assert(w.count("write"), qt.Equals, 2)
 }
+
+// Guards against a group without a primary while a promotion without an outcome is requested again, and against reads on
+// the former primary by the time of the second request, as the first may have taken effect by then.
+func TestFormerPrimaryGoesOnWhileAPromotionIsRequestedAgain(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).withConfirmedPrimary()
+	record := leader.Record{Service: service, Term: 2, Primary: "b", Former: "a", Revision: 7}
+	w.relay.AddRecord(record)
+	w.advance(2*time.Second, true)
+	record.Revision = 8
+	w.relay.AddRecord(record)
+	x, y := w.open("rush", "key-1"), w.open("rush", "key-1")
+	x.do(statement.KindWrite, "", "item data")
+	w.advance(50*time.Millisecond, true)
+	c.Check(x.last().Digest, qt.Equals, "d-a")
+	w.lead("b", 2)
+	y.do(statement.KindRead, "", "item")
+	w.advance(100*time.Millisecond, true)
+	c.Check(y.last().Digest, qt.Equals, "d-b")
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -208,6 +208,7 @@
 // AddRecord adds the record of a promotion request. It ignores one that isn't newer than the last.
 func (r *Relay) AddRecord(rec leader.Record) {
 	g := r.group(rec.Service)
+	former, _, _ := g.primaryState.FormerPrimary()
 	if !g.primaryState.AddRecord(rec) {
 		return
 	}
@@ -219,7 +220,10 @@
 	})
 	g.promotionKnownAt = r.now()
 	g.restartOutliers()
-	g.promotionNotBefore = r.lease.Until()
+	if f, _, ok := g.primaryState.FormerPrimary(); !ok || f != former {
+		// A request that is repeated may have been carried out by the first time.
+		g.promotionNotBefore = r.lease.Until()
+	}
 	if r.duty.active {
 		g.wake()
 	}
