Bound what callers may send ahead of the responses

Change: a paused connection that keeps more than 2 MiB is closed, and one with more than 64 KiB while all together keep 32 MiB. It is logged and counted in skylarkdeal_caller_overflows_total.

TestCallersThatDoNotWaitAreCutOff guards it: without the bound nothing is closed.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -154,7 +154,8 @@
 	l, err := loop.Start(loop.Config{
 		Address: h.settings.Caller.Address, Accept: h.accept, Tick: h.tick, TickInterval: h.tickInterval,
 		PeerAddress: h.settings.Peer.Address, AcceptPeer: h.acceptPeer,
-		MaxUnread: maxUnread, Logger: h.log,
+		MaxUnread: maxUnread, MaxUnprocessed: maxUnprocessed, MaxUnprocessedTotal: maxUnprocessedTotal,
+		Overflowed: h.callerOverflowed, Logger: h.log,
 	})
 	if err != nil {
 		return err
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -22,6 +22,8 @@
 	heldSlots prometheus.Gauge
 	// recordConflicts counts the records of promotions that the store has refused to write.
 	recordConflicts prometheus.Counter
+	// overflows counts the callers that were cut off because they didn't wait for responses.
+	overflows prometheus.Counter
 }
 
 // latencyBuckets are in seconds, around the targets of the users' requests.
@@ -49,8 +51,12 @@
 		Name: "skylarkdeal_record_conflicts_total",
 		Help: "Records of promotions that the store refused to write, as it had another one than was known.",
 	})
+	h.counted.overflows = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "skylarkdeal_caller_overflows_total",
+		Help: "Callers cut off because they sent statements without waiting for the responses.",
+	})
 	h.metrics.MustRegister(h.counted.latency, h.counted.calls, h.counted.admission, h.counted.heldSlots,
-		h.counted.recordConflicts)
+		h.counted.recordConflicts, h.counted.overflows)
 	h.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "skylarkdeal_ready", Help: "1 while the host is ready.",
 	}, func() float64 {
--- a/internal/entry/wires.go
+++ b/internal/entry/wires.go
@@ -28,6 +28,21 @@
 	}
 }
 
+const (
+	// maxUnprocessed bounds what a caller may send ahead of the responses: a statement of the greatest length that is
+	// allowed, and as much again.
+	maxUnprocessed = 2 << 20
+	// maxUnprocessedTotal bounds that for all callers, to a small part of a host's memory.
+	maxUnprocessedTotal = 32 << 20
+)
+
+// callerOverflowed logs and counts a caller that is cut off because it sends without waiting for responses.
+func (h *Host) callerOverflowed(bytes int) {
+	h.counted.overflows.Inc()
+	h.log.Warn("peer cut off", zap.String("peer", "caller"), zap.Int("unprocessed", bytes),
+		zap.String("reason", "it sends statements without waiting for the responses"))
+}
+
 // accept joins a caller's connection and a session of the relay.
 func (h *Host) accept(c *loop.Conn) {
 	var s *relay.Session
--- a/io/loop/conn.go
+++ b/io/loop/conn.go
@@ -26,8 +26,11 @@
 	// aborted is set if Close was called before the connection was established.
 	aborted bool
 	ended   bool
-	// paused keeps received bytes in the buffer until Resume.
-	paused bool
+	// paused keeps received bytes in the buffer until Resume; unprocessed is how many there are.
+	paused      bool
+	unprocessed int
+	// overflowed is set once the connection is being closed because it keeps too many.
+	overflowed bool
 }
 
 // Dial connects to an address within timeout. The callbacks of c have to be set before.
@@ -109,6 +112,7 @@
 
 // deliver calls Data with the received bytes until Data uses no more of them.
 func (c *Conn) deliver() {
+	defer c.boundUnprocessed()
 	for !c.ended && !c.paused {
 		b, err := c.gnetConn.Peek(-1)
 		if err != nil || len(b) == 0 {
@@ -122,6 +126,31 @@
 	}
 }
 
+// boundUnprocessed closes a paused connection that keeps too many received bytes.
+func (c *Conn) boundUnprocessed() {
+	n := 0
+	if !c.ended && c.paused {
+		n = c.gnetConn.InboundBuffered()
+	}
+	c.setUnprocessed(n)
+	cfg := &c.loop.cfg
+	tooMany := cfg.MaxUnprocessed > 0 && n > cfg.MaxUnprocessed ||
+		cfg.MaxUnprocessedTotal > 0 && c.loop.unprocessed > cfg.MaxUnprocessedTotal && n > readBuffer
+	if !tooMany || c.overflowed {
+		return
+	}
+	c.overflowed = true
+	if cfg.Overflowed != nil {
+		cfg.Overflowed(n)
+	}
+	c.Close()
+}
+
+func (c *Conn) setUnprocessed(n int) {
+	c.loop.unprocessed += n - c.unprocessed
+	c.unprocessed = n
+}
+
 // Pause stops the calls of Data until Resume. Received bytes stay in the buffer. It may be called
 // within Data.
 func (c *Conn) Pause() { c.paused = true }
@@ -148,6 +177,7 @@
 		return
 	}
 	c.ended = true
+	c.setUnprocessed(0)
 	if c.Closed != nil {
 		c.Closed(err)
 	}
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -42,7 +42,16 @@
 	// MaxUnread bounds the bytes that are buffered for a peer that doesn't read them. Beyond it the
 	// connection is closed. Zero means no bound.
 	MaxUnread int
-	Logger    *zap.Logger
+	// MaxUnprocessed bounds the received bytes that one paused connection keeps, MaxUnprocessedTotal those of all. A
+	// connection beyond the first, or beyond the second with more than a read's worth of its own, is closed. Zero
+	// means no bound.
+	//
+	// Guards against a caller that sends statements without waiting for the responses: the loop can't leave bytes in
+	// the socket, so that one such caller used up the memory of the host.
+	MaxUnprocessed, MaxUnprocessedTotal int
+	// Overflowed is called with the received bytes of a connection that is closed for them. It may be nil.
+	Overflowed func(bytes int)
+	Logger     *zap.Logger
 }
 
 // Loop is a running event loop. Its methods OnBoot, OnOpen, OnTraffic and OnClose are for gnet
@@ -63,6 +72,8 @@
 	// tickPending is set while a tick waits for the loop, so that a busy loop doesn't get ticks
 	// faster than it handles them.
 	tickPending atomic.Bool
+	// unprocessed is the number of received bytes that all connections keep.
+	unprocessed int
 }
 
 // Start listens, and returns once callers can connect.
--- a/io/loop/loop_test.go
+++ b/io/loop/loop_test.go
@@ -165,3 +165,45 @@
 		}
 	}
 }
+
+// Guards against callers that send without waiting for responses and use up the memory of the host, one by itself or
+// many together, and against the end of one that sends a little ahead.
+func TestCallersThatDoNotWaitAreCutOff(t *testing.T) {
+	c := qt.New(t)
+	for _, t := range []struct {
+		name             string
+		callers, sent    int
+		perConn, atTotal int
+		cutOff           bool
+	}{
+		{"one sends too much", 1, 4 << 20, 1 << 20, 0, true},
+		{"many send too much together", 8, 512 << 10, 1 << 20, 1 << 20, true},
+		{"some send a little ahead", 8, 32 << 10, 1 << 20, 64 << 10, false},
+	} {
+		closed := make(chan error, 2*t.callers)
+		overflowed := make(chan int, 2*t.callers)
+		_, at := start(c, loop.Config{
+			MaxUnprocessed: t.perConn, MaxUnprocessedTotal: t.atTotal,
+			Overflowed: func(n int) { overflowed <- n },
+			Accept: func(k *loop.Conn) {
+				lines(k, func(string) { k.Pause() })
+				k.Closed = func(err error) { closed <- err }
+			},
+		})
+		for range t.callers {
+			x, err := net.Dial("tcp4", at)
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = x.Close() }()
+			_, err = x.Write([]byte("first\n"))
+			c.Assert(err, qt.IsNil)
+			go func() { _, _ = x.Write(make([]byte, t.sent)) }()
+		}
+		select {
+		case <-overflowed:
+			c.Check(t.cutOff, qt.IsTrue, qt.Commentf("%s", t.name))
+			<-closed
+		case <-time.After(300 * time.Millisecond):
+			c.Check(t.cutOff, qt.IsFalse, qt.Commentf("%s", t.name))
+		}
+	}
+}
