Ask ever more seldom while a promotion is withheld

A promotion that waits for the logs of other instances asked each of them 20 times a second for as long as that lasts, and each departure had all hosts confirm the group's primary every 50 ms: hundreds of groups may wait for minutes, and a thousand hosts notice a departure.

Change: the intervals grow with the time since, to a second and without end. The end of a hold is requested every 400 ms. Hosts that don't use the group ask its primary at that interval instead of confirming it.

--- a/core/relay/active.go
+++ b/core/relay/active.go
@@ -42,9 +42,7 @@
 //
 // Designed for hundreds of hosts before a thousand groups. When each host confirmed each primary for itself, the
 // start of all and each promotion cost a status request for each host every 50 ms.
-func (g *group) confirmsPrimary(now time.Time) bool {
-	return g.r.duty.active || g.isUsed(now) || len(g.departed) > 0
-}
+func (g *group) confirmsPrimary(now time.Time) bool { return g.r.duty.active || g.isUsed(now) }
 
 // needsTick reports whether anything in the group depends on the time.
 func (g *group) needsTick(now time.Time) bool {
--- a/core/relay/coordination.go
+++ b/core/relay/coordination.go
@@ -139,7 +139,8 @@
 		g.holds.withheld = ""
 		return
 	}
-	if g.positionsAskedAt.IsZero() || now.Sub(g.positionsAskedAt) > positionRequestRetry {
+	if g.positionsAskedAt.IsZero() ||
+		now.Sub(g.positionsAskedAt) > max(positionRequestRetry, 2*g.holds.statusInterval(now)) {
 		g.positionsAskedAt = now
 		g.recordCatchUpPosition(now)
 	}
@@ -165,7 +166,7 @@
 // receiving what another one has.
 func (g *group) positionNeeded(now time.Time, i *instance) bool {
 	if g.service.SyncReplicas > 0 {
-		return !i.removed && now.Sub(times.Later(i.statusAt, i.askedAt)) >= primaryRequestInterval
+		return !i.removed && now.Sub(times.Later(i.statusAt, i.askedAt)) >= g.holds.statusInterval(now)
 	}
 	return i.usable() && i.statusAt.Before(g.positionsAskedAt) && now.Sub(i.askedAt) >= statusRequestInterval
 }
--- a/core/relay/departed.go
+++ b/core/relay/departed.go
@@ -26,8 +26,10 @@
 }
 
 const (
-	// departedStatusInterval is the interval at which the positions of the other instances are asked for.
+	// departedStatusInterval is the least interval at which the positions of the other instances are asked for. It
+	// grows with the time since the departure, as every host asks.
 	departedStatusInterval = 400 * time.Millisecond
+	departedAgeDivisor     = 4
 	// maxDeparted bounds the departed instances of a group: more than any group replaces while its primary or a
 	// replica can't be reached.
 	maxDeparted = 32
@@ -65,9 +67,13 @@
 		g.departed = nil
 		return
 	}
-	n, t, ok := g.primaryState.Primary()
-	p := g.instances[n]
-	if !ok || p == nil || p.removed {
+	p := g.instances[g.primaryState.DesignatedPrimary()]
+	if p == nil || p.removed {
+		return
+	}
+	_, t, confirmed := g.primaryState.Primary()
+	if !confirmed {
+		g.requestPosition(now, p)
 		return
 	}
 	for n := range g.departed {
@@ -106,15 +112,20 @@
 func (g *group) requestPositions(now time.Time, p *instance) {
 	last := g.departed[len(g.departed)-1]
 	for _, i := range g.instances {
-		if i.removed || now.Sub(i.askedAt) < departedStatusInterval {
-			continue
-		}
-		if i == p && !last.caughtUpAt.IsSet() || i != p && !i.has(last.caughtUpAt, p.term) {
-			g.requestStatus(now, i)
+		if i == p && !last.caughtUpAt.IsSet() || i != p && !i.removed && !i.has(last.caughtUpAt, p.term) {
+			g.requestPosition(now, i)
 		}
 	}
 }
 
+// requestPosition requests the status of one instance, the more seldom the longer ago the last departure was.
+func (g *group) requestPosition(now time.Time, i *instance) {
+	age := now.Sub(g.departed[len(g.departed)-1].at)
+	if now.Sub(i.askedAt) >= max(departedStatusInterval, age/departedAgeDivisor) {
+		g.requestStatus(now, i)
+	}
+}
+
 // departedInfos returns the departed instances for a decision on a promotion. An instance at the address of one, or of
 // its name, whose log reaches as far stands for it: the log of a drained instance goes to the next one at its address,
 // and a crashed instance returns with its log.
--- a/core/relay/hold.go
+++ b/core/relay/hold.go
@@ -42,6 +42,12 @@
 	// abandonedHoldAfter is how long an instance may be held back beside a confirmed primary before a host that
 	// isn't the coordinator ends that: longer than any promotion takes.
 	abandonedHoldAfter = 2 * promotionOutcomeTimeout
+	// holdReleaseInterval is the interval at which the end of a hold is requested until the instance has confirmed it.
+	holdReleaseInterval = 400 * time.Millisecond
+	// withheldStatusInterval is the greatest interval at which the instances are asked while a promotion is withheld.
+	// It is a quarter of the time for which it has been, as there may be hundreds of such groups for minutes.
+	withheldStatusInterval = time.Second
+	withheldAgeDivisor     = 4
 	// withheldLogInterval is the interval at which a promotion that still has to wait is logged.
 	withheldLogInterval = 5 * time.Second
 )
@@ -91,6 +97,15 @@
 	return g.holds.candidate
 }
 
+// statusInterval returns the interval at which the positions of the instances are asked for, for a decision on a
+// promotion.
+func (h *holds) statusInterval(now time.Time) time.Duration {
+	if h.withheld == "" {
+		return primaryRequestInterval
+	}
+	return min(max(primaryRequestInterval, now.Sub(h.withheldSince)/withheldAgeDivisor), withheldStatusInterval)
+}
+
 // logWithheld logs and counts that a promotion has to wait, and for which instances.
 func (g *group) logWithheld(now time.Time, d leader.Decision) {
 	var waiting []string
@@ -122,7 +137,7 @@
 		return
 	}
 	for _, i := range g.instances {
-		if i.removed || !i.heldBack() || now.Sub(i.holdAskedAt) < primaryRequestInterval ||
+		if i.removed || !i.heldBack() || now.Sub(i.holdAskedAt) < holdReleaseInterval ||
 			!g.r.duty.active && now.Sub(i.heldSince) < abandonedHoldAfter {
 			continue
 		}
--- a/core/relay/primary_test.go
+++ b/core/relay/primary_test.go
@@ -207,8 +207,8 @@
 	c.Assert(w.count("write"), qt.Equals, 2)
 }
 
-// Guards against a group without a primary while a promotion without an outcome is requested again, and against reads on
-// the former primary by the time of the second request, as the first may have taken effect by then.
+// Guards against a group without a primary while a promotion without an outcome is requested again, and against
+// reads on the former primary by the time of the second request, as the first may have taken effect by then.
 func TestFormerPrimaryGoesOnWhileAPromotionIsRequestedAgain(t *testing.T) {
 	c := qt.New(t)
 	w := newWorld(c).withConfirmedPrimary()
--- a/io/loop/loop_test.go
+++ b/io/loop/loop_test.go
@@ -180,14 +180,14 @@
 		{"many send too much together", 8, 512 << 10, 1 << 20, 1 << 20, true},
 		{"some send a little ahead", 8, 32 << 10, 1 << 20, 64 << 10, false},
 	} {
-		closed := make(chan error, 2*t.callers)
+		closed := make(chan struct{}, 2*t.callers)
 		overflowed := make(chan int, 2*t.callers)
 		_, at := start(c, loop.Config{
 			MaxUnprocessed: t.perConn, MaxUnprocessedTotal: t.atTotal,
 			Overflowed: func(n int) { overflowed <- n },
 			Accept: func(k *loop.Conn) {
 				lines(k, func(string) { k.Pause() })
-				k.Closed = func(err error) { closed <- err }
+				k.Closed = func(error) { closed <- struct{}{} }
 			},
 		})
 		for range t.callers {
--- a/io/registry/promotions_test.go
+++ b/io/registry/promotions_test.go
@@ -247,8 +247,8 @@
 	until(c, got, "the record", func() bool { return len(got.records) == 1 })
 }
 
-// Guards against a leaving primary that is stepped down for a promotion which the platform has never accepted: its group
-// would have none until the next one.
+// Guards against a leaving primary that is stepped down for a promotion which the platform has never accepted: its
+// group would have none until the next one.
 func TestFormerPrimaryStepsDownOnlyForAnAcceptedPromotion(t *testing.T) {
 	c := qt.New(t)
 	for _, accepted := range []bool{false, true} {
