Log the known revision as it was before the record is read

Since a refused record is read at once, known-revision in the line of the refusal was always the store's, and no longer told whether the host had lost a record that it knew. The line has both now.

--- a/io/registry/promotions.go
+++ b/io/registry/promotions.go
@@ -76,6 +76,8 @@
 	entry Entry
 	// began is when it was begun to be carried out.
 	began time.Time
+	// knownRevision is the revision of the latest record that this host knew of when the store refused the write.
+	knownRevision Revision
 }
 
 // RequestPromotion queues a promotion request, in place of one of the same service that still waits.
@@ -168,7 +170,8 @@
 	}
 	if errors.Is(err, ErrConflict) {
 		f = append(f, zap.Uint64("expected-revision", p.BaseRevision),
-			zap.Uint64("known-revision", uint64(r.knownRecord(p.Service).Revision)), zap.Int("conflicts", r.countConflict(p)))
+			zap.Uint64("known-revision", uint64(p.knownRevision)),
+			zap.Uint64("stored-revision", uint64(r.knownRecord(p.Service).Revision)), zap.Int("conflicts", r.countConflict(p)))
 	}
 	if err != nil {
 		r.cfg.Logger.Warn("order not carried out", append(f, zap.Error(err))...)
@@ -227,6 +230,7 @@
 		switch {
 		case err == nil || errors.Is(err, ErrNotDone):
 		case errors.Is(err, ErrConflict):
+			p.knownRevision = r.knownRecord(p.Service).Revision
 			at, failed = r.learnRecord(ctx, p, err)
 		default:
 			// The response was lost. A read tells whether the record was written.
