Forward text that isn't UTF-8 between hosts

A statement that isn't valid UTF-8 ended the link between two hosts, with all statements of other callers on it: transactions were rolled back and single writes were in doubt. Protocol buffers refuse such text in string fields, and the other host took the empty frame for an error.

Change: what callers and instances send is in bytes fields, which are the same on the wire.

TestTextThatIsNotUTF8IsForwarded fails before.

--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -96,8 +96,8 @@
 	b = append(b, make([]byte, lengthPrefixSize)...)
 	b, err := proto.MarshalOptions{}.MarshalAppend(b, m)
 	if err != nil {
-		// Marshalling fails only for text that isn't UTF-8. The other host then receives an empty
-		// frame and closes the link.
+		// Marshalling fails only for names of the fleet or the catalog that aren't UTF-8: what callers and instances
+		// send goes as bytes. The other host then receives an empty frame and closes the link.
 		b = b[:at+lengthPrefixSize]
 	}
 	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at-lengthPrefixSize))
@@ -119,8 +119,9 @@
 	}
 	for _, q := range f.Statements {
 		m.Statements = append(m.Statements, &forwardpb.Statement{
-			Id: string(q.ID), Kind: string(q.Kind), Name: q.Name, Value: q.Value,
-			Writes: q.Definition.Writes, Shape: q.Definition.Text, Text: q.Text, After: encodePosition(q.After),
+			Id: []byte(q.ID), Kind: string(q.Kind), Name: []byte(q.Name), Value: []byte(q.Value),
+			Writes: q.Definition.Writes, Shape: []byte(q.Definition.Text), Text: []byte(q.Text),
+			After: encodePosition(q.After),
 			Term: uint64(q.Term),
 		})
 	}
@@ -140,8 +141,9 @@
 	}
 	for _, q := range m.GetStatements() {
 		f.Statements = append(f.Statements, statement.Statement{
-			ID: statement.ID(q.GetId()), Kind: statement.Kind(q.GetKind()), Name: q.GetName(), Value: q.GetValue(),
-			Definition: statement.Definition{Writes: q.GetWrites(), Text: q.GetShape()}, Text: q.GetText(),
+			ID: statement.ID(q.GetId()), Kind: statement.Kind(q.GetKind()), Name: string(q.GetName()),
+			Value:      string(q.GetValue()),
+			Definition: statement.Definition{Writes: q.GetWrites(), Text: string(q.GetShape())}, Text: string(q.GetText()),
 			After: decodePosition(q.GetAfter()), Term: fleet.Term(q.GetTerm()),
 		})
 	}
@@ -152,9 +154,12 @@
 // unless that is zero.
 func AppendReply(b []byte, stream uint64, a statement.Answer, l backpressure.Load) []byte {
 	m := &forwardpb.Reply{
-		Stream: stream, Rows: a.Rows, Digest: a.Digest, Code: string(a.Code), Detail: a.Detail,
+		Stream: stream, Digest: []byte(a.Digest), Code: string(a.Code), Detail: []byte(a.Detail),
 		RetryAfterMs: uint32(a.RetryAfter.Milliseconds()), State: string(a.State), Point: encodePosition(a.Position),
 	}
+	for _, r := range a.Rows {
+		m.Rows = append(m.Rows, []byte(r))
+	}
 	if !l.IsZero() {
 		m.Load = &forwardpb.Load{WaitMs: l.AppendMillis(nil)}
 	}
@@ -162,11 +167,15 @@
 }
 
 func decodeAnswer(m *forwardpb.Reply) statement.Answer {
-	return statement.Answer{
-		Rows: m.GetRows(), Digest: m.GetDigest(), Code: statement.Code(m.GetCode()), Detail: m.GetDetail(),
+	a := statement.Answer{
+		Digest: string(m.GetDigest()), Code: statement.Code(m.GetCode()), Detail: string(m.GetDetail()),
 		RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond,
 		State:      statement.TxState(m.GetState()), Position: decodePosition(m.GetPoint()),
 	}
+	for _, r := range m.GetRows() {
+		a.Rows = append(a.Rows, string(r))
+	}
+	return a
 }
 
 func encodePosition(o fleet.Option[fleet.LogPosition]) *forwardpb.Point {
--- a/io/forward/forward_test.go
+++ b/io/forward/forward_test.go
@@ -135,3 +135,29 @@
 		_, _ = in.Decode(b)
 	})
 }
+
+// Guards against a statement or a row that isn't UTF-8 and ends the link between two hosts, with all other statements
+// on it.
+func TestTextThatIsNotUTF8IsForwarded(t *testing.T) {
+	c := qt.New(t)
+	const text = "caf\xe9 \xff"
+	sent := request()
+	sent.Statements = []statement.Statement{{
+		ID: statement.ID(text), Kind: statement.KindPrepare, Name: text, Value: text, Text: text,
+		Definition: statement.Definition{Text: text},
+	}}
+	answer := statement.Answer{Rows: []string{text}, Digest: text, Detail: text}
+	in, g := reader()
+	b := forward.AppendRequest(nil, sent)
+	b = forward.AppendReply(b, 7, answer, backpressure.Load{})
+	for len(b) > 0 {
+		used, err := in.Decode(b)
+		c.Assert(err, qt.IsNil)
+		c.Assert(used > 0, qt.IsTrue)
+		b = b[used:]
+	}
+	c.Assert(g.requests, qt.HasLen, 1)
+	same := qt.CmpEquals(cmp.AllowUnexported(fleet.Option[fleet.LogPosition]{}))
+	c.Check(g.requests[0].Statements, same, sent.Statements)
+	c.Check(g.answers, same, []statement.Answer{answer})
+}
