--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -122,7 +122,7 @@
 			Id: []byte(q.ID), Kind: string(q.Kind), Name: []byte(q.Name), Value: []byte(q.Value),
 			Writes: q.Definition.Writes, Shape: []byte(q.Definition.Text), Text: []byte(q.Text),
 			After: encodePosition(q.After),
-			Term: uint64(q.Term),
+			Term:  uint64(q.Term),
 		})
 	}
 	return appendFrame(b, &forwardpb.Frame{Kind: &forwardpb.Frame_Request{Request: m}})
