Play synchronous replicas in the soak

The stand-in now waits for SyncReplicas receipts, holds a replica back and lets it go; the soak gives the setting to all services with SOAK_SYNC_REPLICAS and checks that no acknowledged commit is rolled back (LOST).

--- a/standin/machines/conn.go
+++ b/standin/machines/conn.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -24,12 +25,16 @@
 
 // conn is one connection to an instance.
 type conn struct {
-	m        *Machines
-	i        *instance
-	net      net.Conn
-	info     Conn
-	state    string
-	tx       tx
+	m     *Machines
+	i     *instance
+	net   net.Conn
+	info  Conn
+	state string
+	tx    tx
+	// unconfirmed is the commit that the statement in progress has made.
+	unconfirmed *Entry
+	// freeSlot ends the use of its slot.
+	freeSlot func()
 	values   map[string]string
 	prepared map[string]string
 }
@@ -135,7 +140,9 @@
 		select {
 		case c.i.slots <- struct{}{}:
 			time.Sleep(work)
-			defer func() { <-c.i.slots }()
+			free := sync.OnceFunc(func() { <-c.i.slots })
+			defer free()
+			c.freeSlot = free
 		case <-time.After(slotWait):
 			return c.fail("BUSY"), true
 		}
@@ -149,6 +156,13 @@
 		c.m.Heard(c.info, line)
 	}
 	out := c.run(id, f, after)
+	if e := c.unconfirmed; e != nil {
+		c.unconfirmed = nil
+		c.freeSlot()
+		if !c.m.awaitReplicas(c.i, e) {
+			return "", false
+		}
+	}
 	if c.i.lose > 0 && takesSlot(f[0]) {
 		c.i.lose--
 		return "", false
@@ -183,7 +197,7 @@
 
 func (c *conn) run(id string, f []string, after string) string {
 	switch f[0] {
-	case "STATUS", "STEPDOWN":
+	case "STATUS", "STEPDOWN", "PAUSE", "RESUME":
 		return c.status(f)
 	case "ROLLBACK":
 		c.state = stateIdle
@@ -223,16 +237,24 @@
 	return done
 }
 
-// status answers STATUS and STEPDOWN.
+// status answers STATUS, and STEPDOWN, PAUSE and RESUME once they have taken effect.
 func (c *conn) status(f []string) string {
 	i := c.i
-	var below int
-	if f[0] == "STEPDOWN" {
-		if _, err := fmt.Sscan(f[1], &below); err != nil {
+	var term int
+	if f[0] == "STEPDOWN" || f[0] == "PAUSE" {
+		if _, err := fmt.Sscan(f[1], &term); err != nil {
 			return c.refuse("MALFORMED")
 		}
 	}
-	if i.primary && i.term < below && !c.m.KeepFormer {
+	switch {
+	case f[0] == "PAUSE" && !i.primary && term > i.term:
+		i.held = term
+		c.m.tell("held back " + i.name)
+	case f[0] == "RESUME":
+		i.held = 0
+		c.m.tell("receives again " + i.name)
+	}
+	if f[0] == "STEPDOWN" && i.primary && i.term < term && !c.m.KeepFormer {
 		c.m.tell("stepped down " + i.name)
 		i.primary = false
 		if i.group.leader != i {
@@ -240,7 +262,8 @@
 		}
 		c.m.announce()
 	}
-	return fmt.Sprintf("ROW %s %d %s 0 0 %d %d\r\n", i.role(), i.term, i.at(len(i.log)), len(i.slots), len(i.conns)) + done
+	return fmt.Sprintf("ROW %s %d %s %d 0 %d %d\r\n", i.role(), i.term, i.at(len(i.log)), i.held, len(i.slots),
+		len(i.conns)) + done
 }
 
 func (c *conn) begin(reads bool) string {
@@ -322,6 +345,7 @@
 	e.Replaced, e.RolledBack = i.replaced, i.replaced
 	i.log = append(i.log, e)
 	i.applied = len(i.log)
+	c.unconfirmed = e
 	if c.m.Committed != nil {
 		c.m.Committed(e)
 	}
--- a/standin/machines/fault.go
+++ b/standin/machines/fault.go
@@ -16,6 +16,7 @@
 		return
 	}
 	i.dead, i.died = true, time.Now()
+	m.received.Broadcast()
 	m.tell("killed " + name)
 	for c := range i.conns {
 		_ = c.Close()
@@ -31,7 +32,7 @@
 	if !i.dead {
 		return
 	}
-	i.dead, i.draining, i.born = false, false, time.Now().UnixMilli()
+	i.dead, i.draining, i.held, i.born = false, false, 0, time.Now().UnixMilli()
 	if i.group.leader != i {
 		i.follow(i.group.leader)
 	}
--- a/standin/machines/machines.go
+++ b/standin/machines/machines.go
@@ -108,6 +108,8 @@
 	Plant     Plant
 	// KeepFormer has replaced primaries never learn of their successors.
 	KeepFormer bool
+	// SyncReplicas is how many replicas have to receive a commit before it is acknowledged.
+	SyncReplicas int
 	// Delay is how far replicas are behind, Work what a statement takes.
 	Delay, Work time.Duration
 	// DataCentres are those in which the instances of a group lie, in turn; by default there is one.
@@ -117,7 +119,9 @@
 	// DataCentreOf returns the data centre of the host behind a connection.
 	DataCentreOf func(c Conn) string
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// received is signalled whenever replicas may have received something.
+	received  *sync.Cond
 	groups    map[string]*group
 	instances map[string]*instance
 	conns     uint64
@@ -144,6 +148,8 @@
 	slots         chan struct{}
 
 	primary, replaced, dead, draining bool
+	// held is the term with which it was told to receive nothing, zero if it wasn't.
+	held int
 	// split is set while it is cut off from the others of its group.
 	split bool
 	// lag is how much later than usual it applies what it has received.
@@ -165,6 +171,7 @@
 // Start brings groups of three instances up. The first of each is its primary.
 func (m *Machines) Start(services ...string) error {
 	m.groups, m.instances, m.stop = map[string]*group{}, map[string]*instance{}, make(chan struct{})
+	m.received = sync.NewCond(&m.mu)
 	if m.Store == nil {
 		m.Store = NewStore()
 	}
@@ -263,6 +270,7 @@
 				m.receive(i)
 			}
 		}
+		m.received.Broadcast()
 		m.announce()
 		m.mu.Unlock()
 	}
@@ -276,7 +284,7 @@
 	for i.applied < len(i.log) && now.Sub(i.log[i.applied].At) >= m.Delay+i.lag {
 		i.applied++
 	}
-	if i == l || i.dead || l.dead || i.split || l.split || i.replaced || now.Before(i.joins) {
+	if i == l || i.dead || l.dead || i.split || l.split || i.replaced || i.held > 0 || now.Before(i.joins) {
 		return
 	}
 	if l.common(i) < len(i.log) {
@@ -289,6 +297,28 @@
 	}
 }
 
+// awaitReplicas waits until as many replicas as are needed have received an entry of i, and reports false if that
+// ends as the primary before. The lock is held, and released while it waits.
+func (m *Machines) awaitReplicas(i *instance, e *Entry) bool {
+	for m.receivedBy(i, e) < m.SyncReplicas {
+		if i.dead || !i.primary {
+			return false
+		}
+		m.received.Wait()
+	}
+	return true
+}
+
+func (m *Machines) receivedBy(primary *instance, e *Entry) int {
+	n := 0
+	for _, i := range primary.group.instances {
+		if i != primary && len(i.log) >= e.Number && i.log[e.Number-1] == e {
+			n++
+		}
+	}
+	return n
+}
+
 // common returns how many first entries two instances share.
 func (i *instance) common(o *instance) int {
 	n := min(len(i.log), len(o.log))
--- a/standin/machines/orders.go
+++ b/standin/machines/orders.go
@@ -61,7 +61,7 @@
 	former := g.leader
 	g.term++
 	g.leader = i
-	i.primary, i.term, i.applied = true, g.term, len(i.log)
+	i.primary, i.term, i.applied, i.held = true, g.term, len(i.log), 0
 	m.tell("promoted " + instance + " at " + i.position())
 	i.replaced, former.replaced = false, true
 	for _, o := range g.instances {
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -107,7 +107,7 @@
 		return f, err
 	}
 	f.closers = append(f.closers, m.Close)
-	f.operator.store, f.operator.databases = m.Store, f.databases
+	f.operator.store, f.operator.databases, f.operator.syncReplicas = m.Store, f.databases, m.SyncReplicas
 	f.operator.write(change{gives: true})
 	for n := range hosts {
 		h, err := f.newHost(hostName(fmt.Sprintf("h%d", n+1)), dataCentreOf(n, m.DataCentres))
--- a/test/soak/judge_test.go
+++ b/test/soak/judge_test.go
@@ -78,6 +78,8 @@
 
 // judge checks the promises while callers and instances are at work.
 type judge struct {
+	// synchronous is set if replicas confirm commits.
+	synchronous bool
 	// excused reports whether the way from a connection's host to an instance was disturbed
 	// shortly before a commit.
 	excused func(c machines.Conn) bool
@@ -354,10 +356,26 @@
 	}
 }
 
+// checkLost checks that no promotion has dropped an acknowledged commit. Those of replaced primaries break another
+// promise.
+func (j *judge) checkLost() {
+	for _, acks := range j.acks {
+		for _, a := range acks {
+			if e := a.entry; e.RolledBack && !e.Replaced {
+				j.breach(promiseLost, "%d.%d %v, acknowledged to %s at %s, was dropped by a promotion",
+					e.Term, e.Number, e.IDs, a.by, a.at.Format("15:04:05.000000"))
+			}
+		}
+	}
+}
+
 // report returns what was broken and what was counted.
 func (j *judge) report() (map[promise]int, []string, map[string]int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if j.synchronous {
+		j.checkLost()
+	}
 	broken, counts := maps.Clone(j.broken), maps.Clone(j.counts)
 	violations := slices.Clone(j.violations[:min(len(j.violations), maxListed)])
 	if text := j.load.lateRefusalReport(); text != "" {
--- a/test/soak/operator_test.go
+++ b/test/soak/operator_test.go
@@ -36,6 +36,8 @@
 type operator struct {
 	store     *machines.Store
 	databases []database
+	// syncReplicas is the number of synchronous replicas of all services.
+	syncReplicas int
 	// misreports changes the grants that are written, but not those of the account. It may be nil.
 	misreports func(gs []grant) []grant
 
@@ -53,8 +55,8 @@
 		Priority                                   int
 	}
 	catalogService struct {
-		Name     string
-		MaxConns int
+		Name                   string
+		MaxConns, SyncReplicas int
 	}
 	catalogTenant struct {
 		Name            string
@@ -131,7 +133,7 @@
 	}}
 	c.Limits.TxIdleMs = 3000
 	for _, s := range services {
-		c.Services = append(c.Services, catalogService{Name: s, MaxConns: 32})
+		c.Services = append(c.Services, catalogService{Name: s, MaxConns: 32, SyncReplicas: o.syncReplicas})
 	}
 	for _, d := range o.databases {
 		c.Routes = append(c.Routes, catalogRoute{
--- a/test/soak/promise_test.go
+++ b/test/soak/promise_test.go
@@ -27,6 +27,8 @@
 	promisePriority promise = "PRIORITY"
 	promisePrompt   promise = "PROMPT"
 	promiseReads    promise = "READS"
+	// promiseLost is that an acknowledged commit is kept where replicas confirm commits.
+	promiseLost promise = "LOST"
 )
 
 // maxListed bounds the violations that are printed.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -61,7 +61,9 @@
 	Hosts, Callers int
 	// DataCentres is in how many the hosts and instances lie, zero stands for one.
 	DataCentres int
-	Events      []event
+	// SyncReplicas is how many replicas confirm a commit.
+	SyncReplicas int `json:",omitempty"`
+	Events       []event
 	// Cause is why a kept case once failed.
 	Cause string
 
@@ -83,7 +85,9 @@
 	j.mishears = s.mishears
 	m := &machines.Machines{
 		Store: machines.NewStore(), Plant: s.plant, Delay: replicaDelay, Work: work, DataCentres: dataCentres[:s.DataCentres],
+		SyncReplicas: s.SyncReplicas,
 	}
+	j.synchronous = s.SyncReplicas > 0
 	m.Store.PageItems = pageItems
 	f, err := startFleet(dir, program, s.Hosts, m, j, s.spoil)
 	defer f.close()
@@ -259,7 +263,7 @@
 			c := qt.New(t)
 			s := soak{
 				Seed: seed, Hosts: number(c, "SOAK_HOSTS", defaultHosts), Callers: number(c, "SOAK_CALLERS", defaultCallers),
-				DataCentres: number(c, "SOAK_DATA_CENTRES", 0),
+				DataCentres: number(c, "SOAK_DATA_CENTRES", 0), SyncReplicas: number(c, "SOAK_SYNC_REPLICAS", 0),
 			}
 			d := time.Duration(number(c, "SOAK_SECONDS", int(shortFaults/time.Second))) * time.Second
 			s.Events = plans[os.Getenv("SOAK_PLAN")](seed, d, s.Hosts)
@@ -281,6 +285,16 @@
 	play(qt.New(t), s)
 }
 
+// Guards against acknowledged commits that a promotion drops although a replica has confirmed them.
+func TestSoakOfSynchronousReplicas(t *testing.T) {
+	if os.Getenv("SOAK_SEEDS") != "" {
+		t.Skip("part of the short run; SOAK_SYNC_REPLICAS plays others")
+	}
+	s := soak{Seed: 51, Hosts: defaultHosts, Callers: defaultCallers, SyncReplicas: 1}
+	s.Events = plan(s.Seed, shortFaults, s.Hosts)
+	play(qt.New(t), s)
+}
+
 // catalogFaults is how long the catalog changes in the run of each build.
 const catalogFaults = 15 * time.Second
 
