--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -291,7 +292,13 @@
 		t.Skip("part of the short run; SOAK_SYNC_REPLICAS plays others")
 	}
 	s := soak{Seed: 51, Hosts: defaultHosts, Callers: defaultCallers, SyncReplicas: 1}
-	s.Events = plan(s.Seed, shortFaults, s.Hosts)
+	// One replica leaves, the other one receives nothing, and the primary crashes meanwhile.
+	s.Events = append(plan(s.Seed, shortFaults, s.Hosts),
+		event{At: time.Second, Lasts: 9 * time.Second, Kind: faultRelease, Service: services[0], Instance: 1},
+		event{At: 2 * time.Second, Lasts: 6 * time.Second, Kind: faultSplit, Service: services[0], Instance: 2},
+		event{At: 4 * time.Second, Lasts: 5 * time.Second, Kind: faultCrash, Service: services[0], Instance: 0},
+	)
+	slices.SortStableFunc(s.Events, func(a, b event) int { return cmp.Compare(a.At, b.At) })
 	play(qt.New(t), s)
 }
 
