--- a/core/leader/decide.go
+++ b/core/leader/decide.go
@@ -117,8 +117,8 @@
 	Ready   bool
 	// Hold are the instances that have to be held back before, at Request.Term.
 	Hold []fleet.Instance
-	// Missing are the instances that stand in the way of all candidates, as their logs may have acknowledged
-	// commits that the candidate lacks.
+	// Missing are the instances that stand in the way of the preferred candidate while there is none that may lead:
+	// their logs may have acknowledged commits that it lacks.
 	Missing map[fleet.Instance]syncrep.Obstacle
 }
 
--- a/core/relay/hold.go
+++ b/core/relay/hold.go
@@ -55,8 +55,8 @@
 // heldBack reports whether the instance is held back, by its last status.
 func (i *instance) heldBack() bool { return i.held > i.term }
 
-// awaitSafety does what a decision needs before its promotion may be requested: it has instances held back, and logs
-// which logs have to be heard of.
+// awaitSafety prepares a promotion that may not be requested yet: it has instances held back, or logs which ones have
+// to report their logs first.
 func (g *group) awaitSafety(now time.Time, d leader.Decision) {
 	if !g.holds.since.IsZero() && now.Sub(g.holds.since) > holdTimeout {
 		g.stopDeciding()
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -103,7 +103,7 @@
 				now.Sub(c.pending[0].sentAt) > statusRequestTimeout:
 				i.addFailure(now, "no answer to a statement that takes no slot")
 				c.handleClose("no answer to a question")
-			case c.state == connBusy && len(c.pending) > 0 && c.op == nil && takesSlotAsControl(c.pending[0].kind) &&
+			case c.state == connBusy && len(c.pending) > 0 && c.op == nil && isHoldRequest(c.pending[0].kind) &&
 				now.Sub(c.pending[0].sentAt) > holdResponseTimeout:
 				c.handleClose("no answer to a request to hold back")
 			}
@@ -167,8 +167,8 @@
 	}
 }
 
-// takesSlotAsControl reports whether a control statement may have to wait for a slot.
-func takesSlotAsControl(k statement.Kind) bool {
+// isHoldRequest reports whether a statement holds an instance back or ends that. It may have to wait for a slot.
+func isHoldRequest(k statement.Kind) bool {
 	return k == statement.KindPause || k == statement.KindResume
 }
 
