Log who wasn't heard for a promotion

considered= in the line of a request showed an instance that hadn't answered as if it had, by its last status: the decision was ended, and with it the time as of which answers count, before the line was written. The request is made first now.

TestPromotionLogsWhoWasNotHeard fails before.

--- a/core/relay/coordination.go
+++ b/core/relay/coordination.go
@@ -157,8 +157,9 @@
 		g.awaitSafety(now, d)
 		return
 	}
-	g.stopDeciding()
+	// The request is logged with what was heard for this decision.
 	g.requestPromotion(now, d.Request)
+	g.stopDeciding()
 }
 
 // positionNeeded reports whether the position of an instance is to be requested for a decision on a promotion. Where
--- a/core/relay/sync_replicas_test.go
+++ b/core/relay/sync_replicas_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/leader"
+	"skylarkdeal/core/relay"
 )
 
 // newSyncWorld returns the world of a failover coordinator whose group has one synchronous replica.
@@ -156,6 +158,20 @@
 	c.Assert(w.promotionRequests, qt.HasLen, 1)
 }
 
+// Guards against a log line that shows an instance which didn't answer in time as heard, by its last status.
+func TestPromotionLogsWhoWasNotHeard(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).withConfirmedPrimary()
+	w.relay.SetCoordinator(true)
+	w.advance(200*time.Millisecond, true)
+	w.instances["c"].silent = true
+	w.makeUnreachable("a")
+	w.advance(2*time.Second, true)
+	c.Assert(w.promotionRequests, qt.HasLen, 1)
+	n := slices.IndexFunc(w.events, func(e relay.Event) bool { return e.Choice == "request a promotion" })
+	c.Check(w.events[n].Considered, qt.Matches, ".*, c .* not heard")
+}
+
 // Guards against a promotion that takes longer than without synchronous replicas when all replicas are well.
 func TestSynchronousReplicasDelayNoPromotion(t *testing.T) {
 	c := qt.New(t)
