Send status requests and holds by one function

requestStatus, probe and the holds each chose between the holder, an idle connection and a new one. They share it now. Verdict.Safe decides in Decide, where it was written out, and maps.Copy replaces a loop.

--- a/core/leader/decide.go
+++ b/core/leader/decide.go
@@ -151,7 +151,7 @@
 	for _, inst := range status.Instances {
 		req.Term = max(req.Term, inst.Term+1)
 	}
-	return Decision{Request: req, Ready: len(v.Hold) == 0, Hold: v.Hold}
+	return Decision{Request: req, Ready: v.Safe(), Hold: v.Hold}
 }
 
 // NeedsPromotion reports whether the group needs another primary, even if there is no candidate.
--- a/core/relay/hold.go
+++ b/core/relay/hold.go
@@ -182,24 +182,3 @@
 	}
 	return false
 }
-
-// control sends an instance a statement that it answers with its status, over its holder or on an idle connection,
-// and reports whether it could. Otherwise a connection is being made.
-func (g *group) control(now time.Time, i *instance, k statement.Kind, t fleet.Term) bool {
-	if p, ok := g.r.holder(i); ok {
-		g.r.requestLink(p)
-		a, ok := g.anyAccount()
-		if !ok || p.Send == nil {
-			return false
-		}
-		i.connVia(p, a).control(k, t, nil)
-		return true
-	}
-	c := i.longestIdle()
-	if c == nil {
-		g.dialForRequest(now, i)
-		return false
-	}
-	c.control(k, t, nil)
-	return true
-}
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -185,26 +185,48 @@
 
 // requestStatus requests an instance's status over its holder, an idle connection or a new one.
 func (g *group) requestStatus(now time.Time, i *instance) {
-	if p, ok := g.r.holder(i); ok {
+	if p, ok := g.r.holder(i); ok && now.Sub(i.askedAt) <= statusRequestInterval {
 		g.r.requestLink(p)
-		if a, ok := g.anyAccount(); ok && p.Send != nil && now.Sub(i.askedAt) > statusRequestInterval {
-			i.askedAt = now
-			i.connVia(p, a).requestStatus()
-		}
 		return
 	}
-	g.probe(now, i)
+	if g.control(now, i, statement.KindStepDown, 0) {
+		i.askedAt = now
+	}
+}
+
+// control sends an instance a statement that it answers with its status, over its holder or on an idle connection,
+// and reports whether it could. Otherwise a connection is being made.
+func (g *group) control(now time.Time, i *instance, k statement.Kind, t fleet.Term) bool {
+	p, ok := g.r.holder(i)
+	if !ok {
+		return g.controlDirectly(now, i, k, t)
+	}
+	g.r.requestLink(p)
+	a, ok := g.anyAccount()
+	if !ok || p.Send == nil {
+		return false
+	}
+	i.connVia(p, a).control(k, t, nil)
+	return true
+}
+
+// controlDirectly is control on a connection of this host's own.
+func (g *group) controlDirectly(now time.Time, i *instance, k statement.Kind, t fleet.Term) bool {
+	c := i.longestIdle()
+	if c == nil {
+		g.dialForRequest(now, i)
+		return false
+	}
+	c.control(k, t, nil)
+	return true
 }
 
 // probe requests an instance's status on a connection of this host's own, even if another host is its
 // holder, to find out whether this host can reach it.
 func (g *group) probe(now time.Time, i *instance) {
-	if c := i.longestIdle(); c != nil {
+	if g.controlDirectly(now, i, statement.KindStepDown, 0) {
 		i.askedAt = now
-		c.requestStatus()
-		return
 	}
-	g.dialForRequest(now, i)
 }
 
 // statusRequestInterval is the least interval of status requests to an instance over another host.
--- a/core/syncrep/syncrep.go
+++ b/core/syncrep/syncrep.go
@@ -10,6 +10,7 @@
 package syncrep
 
 import (
+	"maps"
 	"slices"
 
 	"skylarkdeal/core/fleet"
@@ -123,9 +124,7 @@
 		}
 	}
 	if len(missing) >= g.Required {
-		for n, o := range missing {
-			v.Missing[n] = o
-		}
+		maps.Copy(v.Missing, missing)
 	}
 	if len(missing)+len(hold) >= g.Required {
 		v.Hold = append(v.Hold, hold...)
