Test four guards that no test failed without

Each guard of the new decisions was taken out in turn, 13 in all: for 9 a test failed. The others have one now, which fails without it: the former primary counts when a pending promotion is requested again; a candidate is kept while it catches up; an instance that has started anew with its log stands for itself; the record of a repeated request doesn't extend the time in which the former primary may answer reads.

--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -12,6 +12,7 @@
 	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/leader"
 	"skylarkdeal/core/statement"
+	"skylarkdeal/core/syncrep"
 )
 
 var start = time.Unix(1000, 0)
@@ -448,3 +449,39 @@
 	o = decided(func(m map[fleet.Instance]*leader.InstanceInfo) { m["c"].Reachable = false })
 	c.Check(o.Primary, qt.Equals, fleet.Instance("b"))
 }
+
+// Guards against a pending promotion that is requested again without the logs of the others: the former primary may
+// still have led, and have had commits confirmed by one of them.
+func TestPendingPromotionWaitsForTheOtherLogs(t *testing.T) {
+	c := qt.New(t)
+	p := confirmedPrimary()
+	p.AddRecord(leader.Record{Primary: "c", Former: "a", Term: 2, Revision: 7})
+	d := p.Decide(leader.GroupStatus{
+		Now: start.Add(3 * time.Second), Since: start, SyncReplicas: 1,
+		Instances: infos(func(m map[fleet.Instance]*leader.InstanceInfo) {
+			// A coordinator that has just started has never heard of the former primary.
+			m["a"].IsPrimary, m["a"].Reachable, m["b"].Reachable = false, false, false
+		}),
+	})
+	c.Check(d.Ready, qt.IsFalse)
+	c.Check(d.Missing, qt.DeepEquals, map[fleet.Instance]syncrep.Obstacle{"b": syncrep.ObstacleNotHeard})
+}
+
+// Guards against two candidates that are held back in turn, each for the other, while the first may still be receiving
+// what the other had when it was held back.
+func TestCandidateIsKeptWhileItCatchesUp(t *testing.T) {
+	c := qt.New(t)
+	s := leader.GroupStatus{
+		Now: start, Since: start, SyncReplicas: 1, HeldFor: "c",
+		Instances: infos(func(m map[fleet.Instance]*leader.InstanceInfo) {
+			m["a"].Leaving, m["b"].Held, m["b"].Received.Index = true, true, 6
+		}),
+	}
+	d := confirmedPrimary().Decide(s)
+	c.Check(d.Hold, qt.HasLen, 0)
+	c.Check(d.Missing, qt.DeepEquals, map[fleet.Instance]syncrep.Obstacle{"b": syncrep.ObstacleAhead})
+	s.HeldFor = ""
+	d = confirmedPrimary().Decide(s)
+	c.Check(d.Request.Primary, qt.Equals, fleet.Instance("b"))
+	c.Check(d.Hold, qt.DeepEquals, []fleet.Instance{"c"})
+}
--- a/core/relay/primary_test.go
+++ b/core/relay/primary_test.go
@@ -226,3 +226,20 @@
 	w.advance(100*time.Millisecond, true)
 	c.Check(y.last().Digest, qt.Equals, "d-b")
 }
+
+// Guards against a read on the former primary after a promotion has taken effect: the record of a request that is
+// repeated doesn't show that the first one hasn't.
+func TestRepeatedRequestProvesNothingForTheFormerPrimary(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).withConfirmedPrimary()
+	record := leader.Record{Service: service, Term: 2, Primary: "b", Former: "a", Revision: 7}
+	w.relay.AddRecord(record)
+	w.advance(2*time.Second, true)
+	w.lead("b", 2)
+	w.instances["b"].hold = true
+	record.Revision = 8
+	w.relay.AddRecord(record)
+	w.open("rush", "key-1").do(statement.KindRead, "", "item")
+	w.advance(100*time.Millisecond, true)
+	c.Check(w.instances["a"].gotReads, qt.Equals, 0)
+}
--- a/core/relay/sync_replicas_test.go
+++ b/core/relay/sync_replicas_test.go
@@ -202,3 +202,16 @@
 	c.Assert(w.promotionRequests, qt.HasLen, 1)
 	c.Check(w.promotionRequests[0].Primary, qt.Equals, fleet.Instance("c"))
 }
+
+// Guards against a group that waits for good for a replica which has started anew and has its log.
+func TestRestartedReplicaStandsForItself(t *testing.T) {
+	c := qt.New(t)
+	w := newSyncWorld(c)
+	w.receivedUpTo(99, 99, 5)
+	w.makeUnreachable("a")
+	w.instances["b"].started = 7
+	w.list()
+	w.advance(2*time.Second, true)
+	c.Assert(w.promotionRequests, qt.HasLen, 1)
+	c.Check(w.promotionRequests[0].Primary, qt.Equals, fleet.Instance("b"))
+}
