--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x target/skylarkdeal ] && [ -x target/scene2 ] || exit 2
-TROUBLE="${TROUBLE:-1}" exec target/scene2 restarted-hosts "$here/record.txt"
+TROUBLE="${TROUBLE:-1}" exec target/scene2 waiting-at-shutdown "$here/record.txt"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 8: the platform's store, a group of instances and callers are in one program.
+# Builds the stand-ins of the cases 4 and 6 to 8: the platform's store, a group of instances and callers are in one program.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target
--- a/review/scene2/group.go
+++ b/review/scene2/group.go
@@ -54,6 +54,8 @@
 	instances []*instance
 	stop      chan struct{}
 	digests   int
+	// reads, if set, are the logs on which reads ran.
+	reads map[string][]*entry
 	// answer, if set, are the rows of each read.
 	answer string
 	// promoted is called with the lock held when a promotion takes effect.
@@ -214,13 +216,14 @@
 	g.received.Broadcast()
 }
 
-// awaitSilence waits until two instances have not written a heartbeat for most of the interval between two.
-func (g *group) awaitSilence(ids ...string) {
+// awaitHeartbeat waits until the last heartbeats of some instances are as old as a part of the interval.
+func (g *group) awaitHeartbeat(from, to time.Duration, ids ...string) {
 	for {
 		g.mu.Lock()
 		ok := true
 		for _, id := range ids {
-			ok = ok && time.Since(g.find(id).said) > heartbeat-100*time.Millisecond
+			age := time.Since(g.find(id).said)
+			ok = ok && age >= from && age <= to
 		}
 		g.mu.Unlock()
 		if ok {
@@ -507,6 +510,9 @@
 			return s.refuse("READONLY"), nil
 		}
 		i.g.rec.add("%s runs %s READ %s at %s", i.id, id, f[1], i.position())
+		if i.g.reads != nil {
+			i.g.reads[id] = i.log[:len(i.log):len(i.log)]
+		}
 		if i.g.answer != "" {
 			return i.g.answer + s.digest(), nil
 		}
--- a/review/scene2/sync.go
+++ b/review/scene2/sync.go
@@ -33,12 +33,14 @@
 	next int
 	// acknowledged are the ids of the writes that were answered with success.
 	acknowledged []string
-	stop         chan struct{}
-	done         sync.WaitGroup
+	// times are when their answers came.
+	times map[string]time.Time
+	stop  chan struct{}
+	done  sync.WaitGroup
 }
 
 func startWriters(f *fleet, n int) *writers {
-	w := &writers{rec: f.rec, stop: make(chan struct{})}
+	w := &writers{rec: f.rec, times: map[string]time.Time{}, stop: make(chan struct{})}
 	for k := range n {
 		w.done.Go(func() { w.run(f.hosts[k%len(f.hosts)]) })
 	}
@@ -88,6 +90,7 @@
 		default:
 			w.mu.Lock()
 			w.acknowledged = append(w.acknowledged, id)
+			w.times[id] = time.Now()
 			w.mu.Unlock()
 			w.rec.add("answered %s: DONE %s", id, a.digest)
 		}
@@ -200,7 +203,8 @@
 	}
 	s.g.setDeaf("i-s1-c", true)
 	time.Sleep(2 * time.Second)
-	s.g.awaitSilence("i-s1-a", "i-s1-b")
+	// Their entries then expire soon.
+	s.g.awaitHeartbeat(heartbeat-100*time.Millisecond, heartbeat, "i-s1-a", "i-s1-b")
 	crashed := time.Now()
 	s.g.crash("i-s1-a")
 	s.g.crash("i-s1-b")
