Log and count statements that are left without an answer

Callers' operations that were dropped at a shutdown could not be told from idle sessions that end: the log line of an ended session named no statement, and nothing counted them. The line now has the id and the age of the statement that is left without an answer, and skylarkdeal_statements_cut_total counts them.

--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -242,7 +242,7 @@
 	if a.Code != statement.CodeNone || took > o.route.Target && o.route.Target > 0 {
 		o.logEvent(EventAnswer, "answer", a.Detail, a.Code)
 	}
-	s.caller.Answer(a)
+	s.answer(a)
 	s.closeIfIdle()
 }
 
--- a/core/relay/query.go
+++ b/core/relay/query.go
@@ -3,12 +3,13 @@
 import (
 	"time"
 
+	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/statement"
 )
 
 // acknowledge answers a statement that needs no instance.
 func (s *Session) acknowledge() {
-	s.caller.Answer(statement.Answer{State: s.state()})
+	s.answer(statement.Answer{State: s.state()})
 }
 
 // refuse answers that a statement was not run, and when to retry. An open transaction fails.
@@ -17,7 +18,7 @@
 		s.failTransaction()
 	}
 	s.r.counters.Refused++
-	s.caller.Answer(statement.Answer{Code: c, Detail: reason, RetryAfter: retryAfter, State: s.state()})
+	s.answer(statement.Answer{Code: c, Detail: reason, RetryAfter: retryAfter, State: s.state()})
 }
 
 // failTransaction marks the open transaction as failed and rolls it back.
@@ -28,6 +29,7 @@
 
 // Query handles the caller's next statement. It must not be called again before this one is answered.
 func (s *Session) Query(q statement.Statement) {
+	s.unanswered, s.arrivedAt = fleet.Some(q.ID), s.r.now()
 	if !s.started {
 		s.reject(statement.CodeMalformed, "a statement before the start of the session")
 		return
@@ -40,7 +42,7 @@
 		if s.tx.rolledBack {
 			a.Code, a.Detail, a.RetryAfter = statement.CodeAborted, "rolled back: its caller was idle", shortRetryAfter
 		}
-		s.caller.Answer(a)
+		s.answer(a)
 		return
 	}
 	switch q.Kind {
@@ -141,7 +143,7 @@
 		return false
 	case s.tx.failed:
 		s.tx = transaction{}
-		s.caller.Answer(statement.Answer{
+		s.answer(statement.Answer{
 			Code: statement.CodeAborted, Detail: "the transaction had failed and was rolled back",
 			State: statement.TxNone,
 		})
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -160,6 +160,8 @@
 	Holds              uint64 `json:"holds"`
 	HoldReleases       uint64 `json:"hold-releases"`
 	DepartedForgotten  uint64 `json:"departed-forgotten"`
+	// StatementsCut counts the statements without an answer whose sessions this host has ended.
+	StatementsCut uint64 `json:"statements-cut"`
 }
 
 // New returns a Relay without a catalog. It rejects all sessions until SetCatalog is called.
--- a/core/relay/session.go
+++ b/core/relay/session.go
@@ -47,6 +47,9 @@
 	op *operation
 	// admitting is set while an operation waits for its admission.
 	admitting bool
+	// unanswered is the statement that has arrived, at arrivedAt, and has no answer yet.
+	unanswered fleet.Option[statement.ID]
+	arrivedAt  time.Time
 	// lastCommit is the log position of the session's last commit, which its reads have to cover.
 	lastCommit fleet.LogPosition
 	// pendingRejection, if set, ends the session as soon as it is idle.
@@ -190,14 +193,29 @@
 	if s.disconnected {
 		return
 	}
-	s.r.logEvent(Event{
-		Kind: EventSession, Database: s.database, Account: s.account,
-		Choice: "reject", Reason: reason, Code: c,
-	})
+	s.logEnd("reject", reason, c)
 	s.caller.Reject(c, reason)
 	s.Disconnected()
 }
 
+// logEnd logs that the session is ended by this host, with the statement that is left without an answer, if any.
+func (s *Session) logEnd(choice, reason string, c statement.Code) {
+	e := Event{
+		Kind: EventSession, Database: s.database, Account: s.account, Choice: choice, Reason: reason, Code: c,
+	}
+	if id, ok := s.unanswered.Get(); ok {
+		s.r.counters.StatementsCut++
+		e.ID, e.Took = id, s.r.now().Sub(s.arrivedAt)
+	}
+	s.r.logEvent(e)
+}
+
+// answer answers the statement in progress.
+func (s *Session) answer(a statement.Answer) {
+	s.unanswered = fleet.Option[statement.ID]{}
+	s.caller.Answer(a)
+}
+
 // closeConn closes the connection of a caller that has nothing in progress.
 func (s *Session) closeConn() {
 	s.caller.Close()
@@ -231,6 +249,7 @@
 // HandleMalformed answers a message that isn't valid in the protocol. One without an id, or before the
 // start of the session, ends the session.
 func (s *Session) HandleMalformed(id statement.ID) {
+	s.unanswered, s.arrivedAt = fleet.Some(id), s.r.now()
 	if !s.started || id == "" {
 		s.reject(statement.CodeMalformed, "not a message of the protocol")
 		return
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -130,6 +130,8 @@
 		func(c relay.Counters) uint64 { return c.HoldReleases }},
 	{counter("departed_forgotten", "Former instances that no longer count for promotions, as too many have gone."),
 		func(c relay.Counters) uint64 { return c.DepartedForgotten }},
+	{counter("statements_cut", "Statements without an answer whose sessions this host has ended."),
+		func(c relay.Counters) uint64 { return c.StatementsCut }},
 }
 
 func counter(name, help string) *prometheus.Desc {
