Run what waits for its admission when the host shuts down

Cause: mayStart took any pending rejection for a reason not to run an operation that had its token. It gave the token back, which admitted the next one that waited, so that all were dropped in one tick, and ended the session without an answer. Behind it authorise would have refused them too, as it turned away statements like new sessions.

Change: a shutdown is no reason to turn away what was read; only the start of a session is refused. A statement that can't be run, because its key was withdrawn, is answered wholly (ERR and READY) before its session ends. A session is busy from a statement's arrival to its answer, by one field. A key that is withdrawn during a shutdown ends a transaction as at any other time; the pending end by the shutdown hid it.

Why it works: the only ways out of a session are endIfIdle and closeConn, and both come after the answer. TestKeyWithdrawnDuringTheAdmission expected the error as the session's last message; it expects the whole answer with the same code now, and the end of the session as before.

--- a/core/relay/admission.go
+++ b/core/relay/admission.go
@@ -29,10 +29,8 @@
 		start()
 		return
 	}
-	s.admitting = true
 	late := false
 	s.r.cfg.Admit(a, s.route.Priority, patience(s.route), func(retryAfter time.Duration, admitted bool) {
-		s.admitting = false
 		if admitted && !s.mayStart(id, late) {
 			s.refund(a.Name)
 			return
@@ -47,15 +45,16 @@
 }
 
 // mayStart reports whether an operation that was admitted may be run. If the decision was late, the caller may have
-// gone and the catalog changed; the statement is then answered.
+// gone and the catalog changed; the statement is then answered. A shutdown that has begun meanwhile changes nothing: the
+// statement was read, and its token is there.
 func (s *Session) mayStart(id statement.ID, late bool) bool {
 	switch {
 	case !late:
 		return true
 	case s.disconnected:
 		return false
-	case s.pendingRejection != nil:
-		s.closeIfIdle()
+	case s.mustEnd():
+		s.reject(s.pendingRejection.code, s.pendingRejection.detail)
 		return false
 	default:
 		return s.permitted(id)
@@ -72,11 +71,7 @@
 func (s *Session) permitted(id statement.ID) bool {
 	if s.r.outdated() != "" {
 		s.lastRefused = true
-		s.r.logEvent(Event{
-			Kind: EventRefuse, ID: id, Database: s.database, Service: s.route.Service, Account: s.account,
-			Choice: "refuse", Reason: outdatedDetail, Code: statement.CodeBusy,
-		})
-		s.refuse(statement.CodeBusy, outdatedDetail, s.r.retryAfterFailure(outdatedRetryAfter))
+		s.refuseLogged(id, statement.CodeBusy, outdatedDetail, s.r.retryAfterFailure(outdatedRetryAfter))
 		return false
 	}
 	if code, reason := s.authorise(); code != statement.CodeNone {
@@ -90,11 +85,6 @@
 	if s.disconnected {
 		return
 	}
-	const reason = "the account is over its rate"
-	s.r.logEvent(Event{
-		Kind: EventRefuse, ID: id, Database: s.database, Service: s.route.Service, Account: s.account,
-		Choice: "refuse", Reason: reason, Code: statement.CodeBusy, RetryAfter: retryAfter,
-	})
-	s.refuse(statement.CodeBusy, reason, retryAfter)
-	s.closeIfIdle()
+	s.refuseLogged(id, statement.CodeBusy, "the account is over its rate", retryAfter)
+	s.endIfIdle()
 }
--- a/core/relay/admission_test.go
+++ b/core/relay/admission_test.go
@@ -6,8 +6,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"skylarkdeal/core/catalog"
-	"skylarkdeal/core/fleet"
 	"skylarkdeal/core/statement"
 )
 
@@ -64,14 +62,13 @@
 	c := qt.New(t)
 	w, u, decide := waitingWorld(c)
 	u.do(statement.KindWrite, "", "item data")
-	withdrawn := w.catalog(w.catalogInUse.Version + 1)
-	withdrawn.Accounts = map[fleet.Account]catalog.Account{}
-	w.relay.SetCatalog(withdrawn)
+	w.withdrawKeys()
 	c.Check(u.closed, qt.IsFalse)
 	decide(0, true)
 	c.Check(w.count("q1"), qt.Equals, 0)
+	c.Check(u.answers, qt.HasLen, 1)
+	c.Check(u.last().Code, qt.Equals, statement.CodeNoAccount)
 	c.Check(u.closed, qt.IsTrue)
-	c.Check(u.code, qt.Equals, statement.CodeNoAccount)
 	c.Check(w.returned, qt.Equals, 1)
 }
 
--- a/core/relay/drain.go
+++ b/core/relay/drain.go
@@ -46,20 +46,26 @@
 	}
 	r.drain.closingSessions = true
 	for s := range r.sessions {
-		r.drainSession(s, age)
+		r.drainSession(now, s)
 	}
 }
 
-func (r *Relay) drainSession(s *Session, age time.Duration) {
-	if s.Busy() {
-		s.pendingRejection = &rejection{statement.CodeBusy, "the host shuts down"}
-		return
-	}
+// pastHalf reports whether half of the grace has passed.
+func (d *drainState) pastHalf(now time.Time) bool { return now.Sub(d.startedAt) >= d.grace/2 }
+
+// shutdownDetail tells callers why their session ends.
+const shutdownDetail = "the host shuts down"
+
+func (r *Relay) drainSession(now time.Time, s *Session) {
 	switch {
+	case s.Busy():
+		if s.pendingRejection == nil {
+			s.endWhenIdle(rejection{code: statement.CodeBusy, detail: shutdownDetail, shutdown: true})
+		}
 	case !s.tx.open:
 		s.closeConn()
-	case age >= r.drain.grace/2:
+	case r.drain.pastHalf(now):
 		s.tx.failed = true
-		s.reject(statement.CodeAborted, "the host shuts down; the transaction was rolled back")
+		s.reject(statement.CodeAborted, shutdownDetail+"; the transaction was rolled back")
 	}
 }
--- /dev/null
+++ b/core/relay/drain_test.go
@@ -0,0 +1,120 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"skylarkdeal/core/catalog"
+	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/statement"
+)
+
+const (
+	// grace is that of the shutdowns in the tests.
+	grace = 6 * time.Second
+)
+
+// drainTo begins a shutdown and lets d pass.
+func (w *world) drainTo(d time.Duration) {
+	w.relay.Drain(grace)
+	w.advance(d, true)
+}
+
+// withdrawKeys adopts a catalog without accounts.
+func (w *world) withdrawKeys() {
+	d := w.catalog(w.catalogInUse.Version + 1)
+	d.Accounts = map[fleet.Account]catalog.Account{}
+	w.relay.SetCatalog(d)
+}
+
+// Guards against a shutdown that drops an operation which waits for its admission while sessions are being closed.
+func TestShutdownRunsWhatWaitsForItsAdmission(t *testing.T) {
+	c := qt.New(t)
+	for _, k := range []statement.Kind{statement.KindRead, statement.KindWrite} {
+		w, u, decide := waitingWorld(c)
+		w.drainTo(1900 * time.Millisecond)
+		id := u.do(k, "", "item data")
+		w.advance(400*time.Millisecond, true)
+		c.Check(u.closed, qt.IsFalse)
+		decide(0, true)
+		c.Check(w.count(string(id)), qt.Equals, 1)
+		c.Check(u.answers, qt.HasLen, 1)
+		c.Check(u.last().Code, qt.Equals, statement.CodeNone)
+		c.Check(w.returned, qt.Equals, 0)
+		c.Check(u.closed, qt.IsTrue)
+		c.Check(w.relay.Drained(), qt.IsTrue)
+	}
+}
+
+// Guards against a shutdown that ends a session without a whole answer to an operation over its account's rate.
+func TestShutdownAnswersWhatIsNotAdmitted(t *testing.T) {
+	c := qt.New(t)
+	w, u, decide := waitingWorld(c)
+	w.drainTo(1900 * time.Millisecond)
+	u.do(statement.KindWrite, "", "item data")
+	w.advance(400*time.Millisecond, true)
+	decide(70*time.Millisecond, false)
+	c.Check(u.last().Code, qt.Equals, statement.CodeBusy)
+	c.Check(u.last().RetryAfter, qt.Equals, 70*time.Millisecond)
+	c.Check(u.closed, qt.IsTrue)
+}
+
+// Guards against a transaction whose beginning waits for its admission and that a shutdown drops, or lets go on for
+// longer than half of the grace.
+func TestShutdownLetsAnAdmittedTransactionEnd(t *testing.T) {
+	c := qt.New(t)
+	for _, commits := range []bool{true, false} {
+		w, u, decide := waitingWorld(c)
+		w.drainTo(1900 * time.Millisecond)
+		u.do(statement.KindBegin, "", "")
+		w.advance(400*time.Millisecond, true)
+		decide(0, true)
+		c.Check(u.last().State, qt.Equals, statement.TxOpen)
+		u.do(statement.KindWrite, "", "item data")
+		if commits {
+			u.do(statement.KindCommit, "", "")
+			c.Check(u.last().Code, qt.Equals, statement.CodeNone)
+			c.Check(u.closed, qt.IsTrue)
+			continue
+		}
+		w.advance(time.Second, true)
+		c.Check(u.code, qt.Equals, statement.CodeAborted)
+		c.Check(u.closed, qt.IsTrue)
+	}
+}
+
+// Guards against a key that is withdrawn during a shutdown and goes on to be used by what waits for its admission.
+func TestKeyWithdrawnDuringAShutdown(t *testing.T) {
+	c := qt.New(t)
+	w, u, decide := waitingWorld(c)
+	w.drainTo(1900 * time.Millisecond)
+	u.do(statement.KindWrite, "", "item data")
+	w.advance(400*time.Millisecond, true)
+	w.withdrawKeys()
+	decide(0, true)
+	c.Check(w.count("q1"), qt.Equals, 0)
+	c.Check(u.answers, qt.HasLen, 1)
+	c.Check(u.last().Code, qt.Equals, statement.CodeNoAccount)
+	c.Check(u.closed, qt.IsTrue)
+}
+
+// Guards against a key that is withdrawn during a shutdown and goes on to be used in an open transaction.
+func TestKeyOfATransactionWithdrawnDuringAShutdown(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).withConfirmedPrimary()
+	u := w.open("rush", "key-1")
+	u.do(statement.KindBegin, "", "")
+	u.do(statement.KindWrite, "", "item data")
+	w.instances["a"].hold = true
+	w.drainTo(2100 * time.Millisecond)
+	u.do(statement.KindWrite, "", "item data")
+	w.advance(200*time.Millisecond, true)
+	w.withdrawKeys()
+	w.instances["a"].hold = false
+	w.deliver()
+	c.Check(u.answers, qt.HasLen, 3)
+	c.Check(u.closed, qt.IsTrue)
+	c.Check(u.code, qt.Equals, statement.CodeNoAccount)
+}
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -243,7 +243,7 @@
 		o.logEvent(EventAnswer, "answer", a.Detail, a.Code)
 	}
 	s.answer(a)
-	s.closeIfIdle()
+	s.endIfIdle()
 }
 
 // abandon ends the operation of a caller that has disconnected.
--- a/core/relay/query.go
+++ b/core/relay/query.go
@@ -29,11 +29,11 @@
 
 // Query handles the caller's next statement. It must not be called again before this one is answered.
 func (s *Session) Query(q statement.Statement) {
-	s.unanswered, s.arrivedAt = fleet.Some(q.ID), s.r.now()
 	if !s.started {
 		s.reject(statement.CodeMalformed, "a statement before the start of the session")
 		return
 	}
+	s.unanswered, s.arrivedAt = fleet.Some(q.ID), s.r.now()
 	s.r.counters.Statements++
 	if s.tx.failed && q.Kind != statement.KindCommit && q.Kind != statement.KindRollback {
 		a := statement.Answer{
@@ -62,6 +62,15 @@
 	}
 }
 
+// refuseLogged refuses a statement that needs no operation, and logs that.
+func (s *Session) refuseLogged(id statement.ID, c statement.Code, reason string, retryAfter time.Duration) {
+	s.r.logEvent(Event{
+		Kind: EventRefuse, ID: id, Database: s.database, Service: s.route.Service, Account: s.account,
+		Choice: "refuse", Reason: reason, Code: c, RetryAfter: retryAfter,
+	})
+	s.refuse(c, reason, retryAfter)
+}
+
 func (s *Session) set(q statement.Statement) {
 	v := value{name: q.Name, value: q.Value, id: q.ID}
 	for n := range s.values {
@@ -112,7 +121,7 @@
 	s.releaseConn()
 	s.tx = transaction{}
 	s.acknowledge()
-	s.closeIfIdle()
+	s.endIfIdle()
 }
 
 // run runs a read, a write or a commit on an instance.
@@ -147,7 +156,7 @@
 			Code: statement.CodeAborted, Detail: "the transaction had failed and was rolled back",
 			State: statement.TxNone,
 		})
-		s.closeIfIdle()
+		s.endIfIdle()
 		return false
 	}
 	return true
--- a/core/relay/session.go
+++ b/core/relay/session.go
@@ -45,8 +45,6 @@
 	tx       transaction
 	// op is the statement in progress.
 	op *operation
-	// admitting is set while an operation waits for its admission.
-	admitting bool
 	// unanswered is the statement that has arrived, at arrivedAt, and has no answer yet.
 	unanswered fleet.Option[statement.ID]
 	arrivedAt  time.Time
@@ -60,6 +58,11 @@
 type rejection struct {
 	code   statement.Code
 	detail string
+	// shutdown is set if the session ends because the host shuts down. What was read is still run, and an open
+	// transaction may go on for a while.
+	shutdown bool
+	// told is set once a statement was answered with the error: no further message follows.
+	told bool
 }
 
 // value is a session value that the caller has set.
@@ -109,7 +112,7 @@
 }
 
 // Busy reports whether a statement of the session is in progress.
-func (s *Session) Busy() bool { return s.op != nil || s.admitting }
+func (s *Session) Busy() bool { return s.unanswered.IsSet() }
 
 // Start accepts or rejects the caller by the database and the key that it has named.
 func (s *Session) Start(d catalog.Database, k catalog.Key) {
@@ -122,6 +125,10 @@
 		s.reject(statement.CodeBusy, outdatedDetail)
 		return
 	}
+	if s.r.drain.closingSessions {
+		s.reject(statement.CodeBusy, noSessionsDetail)
+		return
+	}
 	if code, reason := s.authorise(); code != statement.CodeNone {
 		s.reject(code, reason)
 		return
@@ -131,6 +138,9 @@
 	s.caller.Accept()
 }
 
+// noSessionsDetail tells callers of a host that has no catalog yet, or shuts down, why it turns them away.
+const noSessionsDetail = "this host takes no sessions now; come back to another"
+
 // outdatedDetail tells callers why a host refuses them, outdatedRetryAfter when to come back: a host that
 // hears of a newer catalog usually has it by then.
 const (
@@ -142,8 +152,8 @@
 // both stay as they are. It returns the code and the reason of a rejection, or CodeNone.
 func (s *Session) authorise() (statement.Code, string) {
 	c := s.r.catalog
-	if c == nil || s.r.drain.closingSessions {
-		return statement.CodeBusy, "this host takes no sessions now; come back to another"
+	if c == nil {
+		return statement.CodeBusy, noSessionsDetail
 	}
 	route, ok := c.Routes[s.database]
 	if !ok {
@@ -163,7 +173,7 @@
 // revalidate checks an open session after a change of the catalog. A withdrawn key ends the session
 // once it is idle; a changed route takes effect with the next operation.
 func (s *Session) revalidate() {
-	if !s.started || s.pendingRejection != nil {
+	if !s.started || s.mustEnd() {
 		return
 	}
 	c := s.r.catalog
@@ -173,29 +183,52 @@
 	if s.account == "" && s.route.Public {
 		return
 	}
-	s.pendingRejection = &rejection{statement.CodeNoAccount, "the key was withdrawn"}
-	s.closeIfIdle()
+	s.endWhenIdle(rejection{code: statement.CodeNoAccount, detail: "the key was withdrawn"})
 }
 
-// closeIfIdle ends a session that has a pending rejection, unless a statement is in progress. A
-// shutdown waits for an open transaction too.
-func (s *Session) closeIfIdle() {
-	if s.pendingRejection == nil || s.Busy() || s.disconnected {
+// mustEnd reports whether the session is to end, and nothing more to be run in it.
+func (s *Session) mustEnd() bool { return s.pendingRejection != nil && !s.pendingRejection.shutdown }
+
+// reject ends the session with an error. A statement in progress, which must not have been sent, is answered with it.
+func (s *Session) reject(c statement.Code, reason string) {
+	if s.disconnected {
 		return
 	}
-	if s.tx.open && s.pendingRejection.code == statement.CodeBusy {
-		return
+	j := rejection{code: c, detail: reason, told: s.started && s.Busy()}
+	if j.told {
+		s.answer(statement.Answer{Code: c, Detail: reason, State: s.state()})
 	}
-	s.reject(s.pendingRejection.code, s.pendingRejection.detail)
+	s.endWhenIdle(j)
 }
 
-func (s *Session) reject(c statement.Code, reason string) {
-	if s.disconnected {
+// endWhenIdle ends the session with a rejection once it is idle. An earlier rejection stays, unless it was for a
+// shutdown.
+func (s *Session) endWhenIdle(j rejection) {
+	if s.mustEnd() {
+		old := s.pendingRejection
+		old.told = old.told || j.told
+		j = *old
+	}
+	s.pendingRejection = &j
+	s.endIfIdle()
+}
+
+// endIfIdle ends a session that is to end, once it is idle. It is called whenever the session may have become
+// idle. A shutdown waits for an open transaction too.
+func (s *Session) endIfIdle() {
+	j := s.pendingRejection
+	if j == nil || s.disconnected || s.started && s.Busy() {
 		return
 	}
-	s.logEnd("reject", reason, c)
-	s.caller.Reject(c, reason)
-	s.Disconnected()
+	switch {
+	case j.shutdown && s.tx.open:
+	case j.told:
+		s.closeConn()
+	default:
+		s.logEnd("reject", j.detail, j.code)
+		s.caller.Reject(j.code, j.detail)
+		s.Disconnected()
+	}
 }
 
 // logEnd logs that the session is ended by this host, with the statement that is left without an answer, if any.
@@ -216,7 +249,7 @@
 	s.caller.Answer(a)
 }
 
-// closeConn closes the connection of a caller that has nothing in progress.
+// closeConn closes the connection of a caller without a message.
 func (s *Session) closeConn() {
 	s.caller.Close()
 	s.Disconnected()
@@ -249,11 +282,11 @@
 // HandleMalformed answers a message that isn't valid in the protocol. One without an id, or before the
 // start of the session, ends the session.
 func (s *Session) HandleMalformed(id statement.ID) {
-	s.unanswered, s.arrivedAt = fleet.Some(id), s.r.now()
 	if !s.started || id == "" {
 		s.reject(statement.CodeMalformed, "not a message of the protocol")
 		return
 	}
+	s.unanswered, s.arrivedAt = fleet.Some(id), s.r.now()
 	s.refuse(statement.CodeMalformed, "not a statement of the protocol", 0)
 }
 
