End a session once its answers are written

Change: one predicate, Session.settled, says whether nothing that was read is unanswered and nothing that was answered is unwritten. Every way by which a host ends a session asks it, and a session that is to end is looked at again each tick. A caller that doesn't read is cut off after 5 s, at a shutdown at the end of the grace; skylarkdeal_answers_cut_total and a log line tell. A shutdown also waits up to 500 ms for what it has answered to other hosts.

Measured: TestSessionEndsOnceItsAnswersAreWritten fails before (all four ends).

--- a/core/relay/admission.go
+++ b/core/relay/admission.go
@@ -86,5 +86,5 @@
 		return
 	}
 	s.refuseLogged(id, statement.CodeBusy, "the account is over its rate", retryAfter)
-	s.endIfIdle()
+	s.EndIfSettled()
 }
--- a/core/relay/drain.go
+++ b/core/relay/drain.go
@@ -58,9 +58,9 @@
 
 func (r *Relay) drainSession(now time.Time, s *Session) {
 	switch {
-	case s.Busy():
+	case !s.settled():
 		if s.pendingRejection == nil {
-			s.endWhenIdle(rejection{code: statement.CodeBusy, detail: shutdownDetail, shutdown: true})
+			s.endWhenSettled(rejection{code: statement.CodeBusy, detail: shutdownDetail, shutdown: true})
 		}
 	case !s.tx.open:
 		s.closeConn()
--- a/core/relay/drain_test.go
+++ b/core/relay/drain_test.go
@@ -8,12 +8,15 @@
 
 	"skylarkdeal/core/catalog"
 	"skylarkdeal/core/fleet"
+	"skylarkdeal/core/follow"
 	"skylarkdeal/core/statement"
 )
 
 const (
-	// grace is that of the shutdowns in the tests.
-	grace = 6 * time.Second
+	// grace is that of the shutdowns in the tests. pastReaction is a time after their begin at which sessions are being
+	// closed, before half of the grace has passed.
+	grace        = 6 * time.Second
+	pastReaction = 2300 * time.Millisecond
 )
 
 // drainTo begins a shutdown and lets d pass.
@@ -118,3 +121,48 @@
 	c.Check(u.closed, qt.IsTrue)
 	c.Check(u.code, qt.Equals, statement.CodeNoAccount)
 }
+
+// Guards against an answer that is cut off because its caller reads it slowly while the session ends: by a shutdown, a
+// withdrawn key, a host that may be outdated, or at the caller's own request.
+func TestSessionEndsOnceItsAnswersAreWritten(t *testing.T) {
+	c := qt.New(t)
+	for _, end := range []func(w *world, u *caller){
+		func(w *world, _ *caller) { w.drainTo(pastReaction) },
+		func(w *world, _ *caller) {
+			w.withdrawKeys()
+		},
+		func(w *world, _ *caller) {
+			w.relay.SetCatalogOutdated(follow.OutdatedBehind)
+			w.advance(pastReaction, true)
+		},
+		func(_ *world, u *caller) { u.s.Bye() },
+	} {
+		w := newWorld(c).withConfirmedPrimary()
+		u := w.open("rush", "key-1")
+		u.do(statement.KindRead, "", "item")
+		c.Assert(u.last().Code, qt.Equals, statement.CodeNone)
+		u.unsettled = true
+		end(w, u)
+		w.advance(600*time.Millisecond, true)
+		c.Check(u.closed, qt.IsFalse)
+		c.Check(w.relay.Drained(), qt.IsFalse)
+		u.unsettled = false
+		w.advance(50*time.Millisecond, true)
+		c.Check(u.closed, qt.IsTrue)
+		c.Check(w.relay.State().Counts.AnswersCut, qt.Equals, uint64(0))
+	}
+}
+
+// Guards against a session that never ends because its caller doesn't read.
+func TestCallerThatDoesNotReadIsCutOff(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).withConfirmedPrimary()
+	u := w.open("rush", "key-1")
+	u.unsettled = true
+	w.withdrawKeys()
+	w.advance(4*time.Second, true)
+	c.Check(u.closed, qt.IsFalse)
+	w.advance(2*time.Second, true)
+	c.Check(u.closed, qt.IsTrue)
+	c.Check(w.relay.State().Counts.AnswersCut, qt.Equals, uint64(1))
+}
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -164,19 +164,20 @@
 
 // timeOut closes the connection of a statement that has reached its deadline at the instance, and answers.
 func (o *operation) timeOut() {
+	const reason = "the statement has reached its time limit"
 	c := o.conn
 	c.op = nil
-	o.logEvent(EventAnswer, "time out", "the statement has reached its time limit", statement.CodeTimeout)
-	c.handleClose("a statement reached its time limit")
+	o.logEvent(EventAnswer, "time out", reason, statement.CodeTimeout)
+	c.handleClose(reason)
 	if o.s.tx.conn == c {
 		o.s.tx.conn = nil
 	}
 	if o.sent && !o.writes && !o.s.tx.open {
 		o.releaseSlot(o.g.r.now(), 0)
-		o.answerCaller(statement.Answer{Code: statement.CodeTimeout, Detail: "the statement has reached its time limit"})
+		o.answerCaller(statement.Answer{Code: statement.CodeTimeout, Detail: reason})
 		return
 	}
-	o.connLost("the statement has reached its time limit")
+	o.connLost(reason)
 }
 
 // refuse answers that nothing was run, and refunds the admission if no instance was sent any of it.
@@ -243,7 +244,7 @@
 		o.logEvent(EventAnswer, "answer", a.Detail, a.Code)
 	}
 	s.answer(a)
-	s.endIfIdle()
+	s.EndIfSettled()
 }
 
 // abandon ends the operation of a caller that has disconnected.
--- a/core/relay/query.go
+++ b/core/relay/query.go
@@ -121,7 +121,7 @@
 	s.releaseConn()
 	s.tx = transaction{}
 	s.acknowledge()
-	s.endIfIdle()
+	s.EndIfSettled()
 }
 
 // run runs a read, a write or a commit on an instance.
@@ -156,7 +156,7 @@
 			Code: statement.CodeAborted, Detail: "the transaction had failed and was rolled back",
 			State: statement.TxNone,
 		})
-		s.endIfIdle()
+		s.EndIfSettled()
 		return false
 	}
 	return true
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -73,7 +73,9 @@
 	cfg      Config
 	catalog  *catalog.Catalog
 	sessions map[*Session]struct{}
-	groups   map[fleet.Service]*group
+	// ending are the sessions that are to end once they are settled.
+	ending map[*Session]struct{}
+	groups map[fleet.Service]*group
 	// active are the groups that are ticked.
 	active map[*group]struct{}
 	// instances has the instances of all groups by name.
@@ -162,6 +164,8 @@
 	DepartedForgotten  uint64 `json:"departed-forgotten"`
 	// StatementsCut counts the statements without an answer whose sessions this host has ended.
 	StatementsCut uint64 `json:"statements-cut"`
+	// AnswersCut counts the callers whose connection this host has closed before their answers were written.
+	AnswersCut uint64 `json:"answers-cut"`
 }
 
 // New returns a Relay without a catalog. It rejects all sessions until SetCatalog is called.
@@ -171,6 +175,7 @@
 		cfg:       cfg,
 		pacer:     newPacer(cfg.Host),
 		sessions:  map[*Session]struct{}{},
+		ending:    map[*Session]struct{}{},
 		groups:    map[fleet.Service]*group{},
 		active:    map[*group]struct{}{},
 		instances: map[fleet.Instance]*instance{},
@@ -412,7 +417,7 @@
 		return
 	}
 	for s := range r.sessions {
-		if s.started && !s.Busy() && !s.tx.open &&
+		if s.started && s.settled() && !s.tx.open &&
 			(s.lastRefused || s.openedAt.Before(r.cutOffSince.Add(balancerReactionTime))) {
 			s.closeConn()
 		}
--- a/core/relay/session.go
+++ b/core/relay/session.go
@@ -18,6 +18,8 @@
 	Reject func(c statement.Code, detail string)
 	// Close closes the connection without a message.
 	Close func()
+	// Settled reports whether all answers have been written. It may be nil for a connection that is always settled.
+	Settled func() bool
 }
 
 // Session is the state of one caller's connection.
@@ -50,7 +52,7 @@
 	arrivedAt  time.Time
 	// lastCommit is the log position of the session's last commit, which its reads have to cover.
 	lastCommit fleet.LogPosition
-	// pendingRejection, if set, ends the session as soon as it is idle.
+	// pendingRejection, if set, ends the session as soon as it is settled.
 	pendingRejection *rejection
 }
 
@@ -58,6 +60,8 @@
 type rejection struct {
 	code   statement.Code
 	detail string
+	// since is when it was decided.
+	since time.Time
 	// shutdown is set if the session ends because the host shuts down. What was read is still run, and an open
 	// transaction may go on for a while.
 	shutdown bool
@@ -114,6 +118,15 @@
 // Busy reports whether a statement of the session is in progress.
 func (s *Session) Busy() bool { return s.unanswered.IsSet() }
 
+// settled reports whether everything that was read from the caller is answered, and every answer is written. This host
+// ends a session only then.
+//
+// Guards against callers that lose the answer of a statement which this host has read: one that still waits for its
+// admission, and an answer that is longer than what the network takes at once.
+func (s *Session) settled() bool {
+	return !s.Busy() && (s.caller.Settled == nil || s.caller.Settled())
+}
+
 // Start accepts or rejects the caller by the database and the key that it has named.
 func (s *Session) Start(d catalog.Database, k catalog.Key) {
 	if s.started {
@@ -183,7 +196,7 @@
 	if s.account == "" && s.route.Public {
 		return
 	}
-	s.endWhenIdle(rejection{code: statement.CodeNoAccount, detail: "the key was withdrawn"})
+	s.endWhenSettled(rejection{code: statement.CodeNoAccount, detail: "the key was withdrawn"})
 }
 
 // mustEnd reports whether the session is to end, and nothing more to be run in it.
@@ -198,26 +211,28 @@
 	if j.told {
 		s.answer(statement.Answer{Code: c, Detail: reason, State: s.state()})
 	}
-	s.endWhenIdle(j)
+	s.endWhenSettled(j)
 }
 
-// endWhenIdle ends the session with a rejection once it is idle. An earlier rejection stays, unless it was for a
+// endWhenSettled ends the session with a rejection once it is settled. An earlier rejection stays, unless it was for a
 // shutdown.
-func (s *Session) endWhenIdle(j rejection) {
+func (s *Session) endWhenSettled(j rejection) {
+	j.since = s.r.now()
 	if s.mustEnd() {
 		old := s.pendingRejection
 		old.told = old.told || j.told
 		j = *old
 	}
 	s.pendingRejection = &j
-	s.endIfIdle()
+	s.r.ending[s] = struct{}{}
+	s.EndIfSettled()
 }
 
-// endIfIdle ends a session that is to end, once it is idle. It is called whenever the session may have become
-// idle. A shutdown waits for an open transaction too.
-func (s *Session) endIfIdle() {
+// EndIfSettled ends a session that is to end, once it is settled. It is called whenever the session may have become
+// settled. A shutdown waits for an open transaction too.
+func (s *Session) EndIfSettled() {
 	j := s.pendingRejection
-	if j == nil || s.disconnected || s.started && s.Busy() {
+	if j == nil || s.disconnected || s.started && !s.settled() {
 		return
 	}
 	switch {
@@ -231,6 +246,28 @@
 	}
 }
 
+// unsettledTimeout is how long the end of a session waits for a caller that doesn't read its answers. A shutdown waits
+// until the end of its grace.
+const unsettledTimeout = 5 * time.Second
+
+// tickEnding ends the sessions that have become settled, and those whose callers don't read.
+func (r *Relay) tickEnding(now time.Time) {
+	for s := range r.ending {
+		s.EndIfSettled()
+		j := s.pendingRejection
+		if !s.disconnected && !s.Busy() && !j.shutdown && now.Sub(j.since) > unsettledTimeout {
+			s.cut(j.detail)
+		}
+	}
+}
+
+// cut closes the connection of a caller with answers that can't be written.
+func (s *Session) cut(reason string) {
+	s.r.counters.AnswersCut++
+	s.logEnd("cut", reason+"; the caller has not read all answers", statement.CodeNone)
+	s.closeConn()
+}
+
 // logEnd logs that the session is ended by this host, with the statement that is left without an answer, if any.
 func (s *Session) logEnd(choice, reason string, c statement.Code) {
 	e := Event{
@@ -249,6 +286,9 @@
 	s.caller.Answer(a)
 }
 
+// Bye ends the session at its caller's request.
+func (s *Session) Bye() { s.endWhenSettled(rejection{told: true}) }
+
 // closeConn closes the connection of a caller without a message.
 func (s *Session) closeConn() {
 	s.caller.Close()
@@ -263,6 +303,7 @@
 	}
 	s.disconnected = true
 	delete(s.r.sessions, s)
+	delete(s.r.ending, s)
 	if s.op != nil {
 		s.op.abandon()
 		s.op = nil
@@ -305,6 +346,7 @@
 // tickSessions ends transactions that were idle for too long, and sessions of a host that is shutting
 // down.
 func (r *Relay) tickSessions(now time.Time) {
+	r.tickEnding(now)
 	r.tickDrain(now)
 	if r.catalog == nil || r.catalog.TxIdle <= 0 {
 		return
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -291,15 +291,18 @@
 	closed  bool
 	code    statement.Code
 	n       int
+	// unsettled is set while answers are unwritten, or received statements haven't been handed on.
+	unsettled bool
 }
 
 func (w *world) open(d catalog.Database, k catalog.Key) *caller {
 	c := &caller{w: w}
 	c.s = w.relay.OpenSession(relay.CallerConn{
-		Accept: func() { c.started = true },
-		Answer: func(a statement.Answer) { c.answers = append(c.answers, a) },
-		Reject: func(code statement.Code, _ string) { c.code, c.closed = code, true },
-		Close:  func() { c.closed = true },
+		Accept:  func() { c.started = true },
+		Answer:  func(a statement.Answer) { c.answers = append(c.answers, a) },
+		Reject:  func(code statement.Code, _ string) { c.code, c.closed = code, true },
+		Close:   func() { c.closed = true },
+		Settled: func() bool { return !c.unsettled },
 	})
 	c.s.Start(d, k)
 	return c
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,6 +45,9 @@
 	// coordinatorDelay is how long a host that has started leaves changes of primary to others. It takes that
 	// long anyway to tell a group without a primary from one whose primary it hasn't found.
 	coordinatorDelay = 2500 * time.Millisecond
+	// sendTimeout is how long an ending host without sessions waits for what it has answered to other hosts to be sent:
+	// a few round trips on a slow link.
+	sendTimeout = 500 * time.Millisecond
 	// shutdownMargin is kept of the grace for ending by itself.
 	shutdownMargin = 300 * time.Millisecond
 	// maxUnread bounds what waits for a peer that doesn't read.
@@ -89,6 +92,8 @@
 	rank atomic.Int64
 	// busy is set while anything waits for the next tick.
 	busy atomic.Bool
+	// drainedAt is since when a shutdown has no sessions left, zero if it has some.
+	drainedAt time.Time
 
 	stop   context.CancelFunc
 	duties sync.WaitGroup
@@ -283,8 +288,8 @@
 // Ended is closed once the host no longer takes callers.
 func (h *Host) Ended() <-chan struct{} { return h.loop.Ended() }
 
-// Shutdown ends the host without cutting a statement: sessions end as they come to
-// rest, within the grace.
+// Shutdown ends the host without cutting a statement: sessions end once everything that was read is answered, and every
+// answer sent, within the grace.
 func (h *Host) Shutdown() error {
 	grace := h.settings.Adapter.ShutdownTimeout - shutdownMargin
 	h.log.Info("host shuts down", zap.Duration("grace", grace))
@@ -293,7 +298,7 @@
 	defer drained()
 	sleep.Every(ctx, drainedEvery, func() {
 		h.loop.Post(func() {
-			if h.relay.Drained() {
+			if h.drained(clock.Now()) {
 				drained()
 			}
 		})
@@ -301,6 +306,19 @@
 	return h.Close()
 }
 
+// drained reports whether the shutdown has nothing left to wait for: all sessions have ended, and what this host has
+// answered to other hosts is sent, for which it waits for sendTimeout only, as their links may be dead.
+func (h *Host) drained(now time.Time) bool {
+	if !h.relay.Drained() {
+		h.drainedAt = time.Time{}
+		return false
+	}
+	if h.drainedAt.IsZero() {
+		h.drainedAt = now
+	}
+	return h.loop.UnsentBytes() == 0 || now.Sub(h.drainedAt) > sendTimeout
+}
+
 // Close ends the host at once.
 func (h *Host) Close() error {
 	h.stop()
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -132,6 +132,8 @@
 		func(c relay.Counters) uint64 { return c.DepartedForgotten }},
 	{counter("statements_cut", "Statements without an answer whose sessions this host has ended."),
 		func(c relay.Counters) uint64 { return c.StatementsCut }},
+	{counter("answers_cut", "Callers whose connection this host has closed before their answers were written."),
+		func(c relay.Counters) uint64 { return c.AnswersCut }},
 }
 
 func counter(name, help string) *prometheus.Desc {
--- a/internal/entry/wires.go
+++ b/internal/entry/wires.go
@@ -61,7 +61,8 @@
 			write(platform.AppendRejected(out, code, detail))
 			c.Close()
 		},
-		Close: c.Close,
+		Close:   c.Close,
+		Settled: c.Settled,
 	})
 	in := platform.Caller{
 		Start: s.Start,
@@ -72,7 +73,7 @@
 			}
 		},
 		Unreadable: s.HandleMalformed,
-		Bye:        c.Close,
+		Bye:        s.Bye,
 	}
 	c.Data = h.reader("caller", in.Take, func(error) { c.Close() })
 	c.Closed = func(error) { s.Disconnected() }
--- a/io/loop/conn.go
+++ b/io/loop/conn.go
@@ -23,8 +23,8 @@
 
 	loop     *Loop
 	gnetConn gnet.Conn
-	// aborted is set if Close was called before the connection was established.
-	aborted bool
+	// closing is set once Close was called.
+	closing bool
 	ended   bool
 	// paused keeps received bytes in the buffer until Resume; unprocessed is how many there are.
 	paused      bool
@@ -77,7 +77,7 @@
 func (l *Loop) OnOpen(g gnet.Conn) ([]byte, gnet.Action) {
 	if c, ok := g.Context().(*Conn); ok {
 		c.gnetConn = g
-		if c.aborted {
+		if c.closing {
 			return nil, gnet.Close
 		}
 		if c.Opened != nil {
@@ -164,6 +164,9 @@
 	c.loop.Post(c.deliver)
 }
 
+// Settled reports whether all that was written has been sent.
+func (c *Conn) Settled() bool { return c.ended || c.gnetConn.OutboundBuffered() == 0 }
+
 // OnClose is called by gnet when a connection has ended.
 func (l *Loop) OnClose(g gnet.Conn, err error) gnet.Action {
 	if c, ok := g.Context().(*Conn); ok {
@@ -178,6 +181,7 @@
 	}
 	c.ended = true
 	c.setUnprocessed(0)
+	delete(c.loop.unsent, c)
 	if c.Closed != nil {
 		c.Closed(err)
 	}
@@ -186,22 +190,23 @@
 // Write sends b, which the caller may reuse. Bytes that the peer doesn't read yet are buffered, and
 // beyond MaxUnread the connection is closed.
 func (c *Conn) Write(b []byte) {
-	if c.ended || c.gnetConn == nil {
+	if c.ended || c.closing || c.gnetConn == nil {
 		return
 	}
 	_, _ = c.gnetConn.Write(b)
+	if c.gnetConn.OutboundBuffered() > 0 {
+		c.loop.unsent[c] = struct{}{}
+	}
 	if c.loop.cfg.MaxUnread > 0 && c.gnetConn.OutboundBuffered() > c.loop.cfg.MaxUnread {
 		c.Close()
 	}
 }
 
-// Close ends the connection. Closed is still called, unless it was before.
+// Close ends the connection, and drops what couldn't be sent yet. Closed is still called, unless it was before.
 func (c *Conn) Close() {
-	if c.gnetConn == nil {
-		c.aborted = true
-		return
-	}
-	if !c.ended {
+	closing := c.closing
+	c.closing = true
+	if c.gnetConn != nil && !c.ended && !closing {
 		// OnClose reports the end: closing directly within a callback of gnet would free the
 		// connection while the callback still uses it.
 		_ = c.gnetConn.CloseWithCallback(nil)
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -74,6 +74,21 @@
 	tickPending atomic.Bool
 	// unprocessed is the number of received bytes that all connections keep.
 	unprocessed int
+	// unsent are the connections on which something was written that couldn't be sent at once.
+	unsent map[*Conn]struct{}
+}
+
+// UnsentBytes returns how many bytes wait to be sent on all connections.
+func (l *Loop) UnsentBytes() int {
+	n := 0
+	for c := range l.unsent {
+		if c.ended || c.gnetConn.OutboundBuffered() == 0 {
+			delete(l.unsent, c)
+			continue
+		}
+		n += c.gnetConn.OutboundBuffered()
+	}
+	return n
 }
 
 // Start listens, and returns once callers can connect.
@@ -83,7 +98,7 @@
 	}
 	l := &Loop{
 		cfg: cfg, listening: make(chan struct{}), ended: make(chan struct{}), eventLoopFound: make(chan struct{}),
-		tickRequested: make(chan struct{}, 1),
+		tickRequested: make(chan struct{}, 1), unsent: map[*Conn]struct{}{},
 	}
 	go l.run()
 	select {
