Answer statements that were sent ahead before a session ends

A caller that sends its next statement before the answer to the last one has come got no answer to it when its host shut down, and the connection ended more than 200 ms after it was received.

Cause: a session counted as settled while received bytes waited in the event loop for the statement in progress.

Change: loop.Conn.Settled also tells whether all complete messages were handed on, and Handled is called when they are, so that a session ends at once. In a session that is to end, what comes is refused as a whole answer; at a shutdown it is run until half of the grace has passed. After Close nothing is handed on, and an ended session takes no statement.

--- a/core/relay/drain_test.go
+++ b/core/relay/drain_test.go
@@ -166,3 +166,45 @@
 	c.Check(u.closed, qt.IsTrue)
 	c.Check(w.relay.State().Counts.AnswersCut, qt.Equals, uint64(1))
 }
+
+// Guards against a statement that its caller has sent ahead and that a shutdown leaves without an answer.
+func TestShutdownAnswersStatementsSentAhead(t *testing.T) {
+	c := qt.New(t)
+	w, u, decide := waitingWorld(c)
+	w.drainTo(1900 * time.Millisecond)
+	u.do(statement.KindWrite, "", "item data")
+	w.advance(400*time.Millisecond, true)
+	u.unsettled = true
+	decide(0, true)
+	c.Check(u.closed, qt.IsFalse)
+	ahead := u.do(statement.KindWrite, "", "item data")
+	decide(0, true)
+	c.Check(w.count(string(ahead)), qt.Equals, 1)
+	c.Check(u.answers, qt.HasLen, 2)
+	w.advance(time.Second, true)
+	late := u.do(statement.KindWrite, "", "item data")
+	c.Check(w.count(string(late)), qt.Equals, 0)
+	c.Check(u.last().Code, qt.Equals, statement.CodeBusy)
+	c.Check(u.last().RetryAfter > 0, qt.IsTrue)
+	u.unsettled = false
+	u.s.EndIfSettled()
+	c.Check(u.closed, qt.IsTrue)
+	c.Check(u.code, qt.Equals, statement.CodeNone)
+}
+
+// Guards against a statement that runs after its key was withdrawn, or without an answer, because its caller had sent
+// it ahead of the end of the session.
+func TestStatementAfterTheEndIsNotRun(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).withConfirmedPrimary()
+	withdrawn, gone := w.open("rush", "key-1"), w.open("rush", "key-1")
+	withdrawn.unsettled = true
+	w.withdrawKeys()
+	withdrawn.do(statement.KindWrite, "", "item data")
+	c.Check(withdrawn.last().Code, qt.Equals, statement.CodeNoAccount)
+	gone.s.Disconnected()
+	gone.do(statement.KindWrite, "", "item data")
+	gone.s.HandleMalformed("q2")
+	c.Check(gone.answers, qt.HasLen, 0)
+	c.Check(w.count("q1"), qt.Equals, 0)
+}
--- a/core/relay/query.go
+++ b/core/relay/query.go
@@ -29,12 +29,18 @@
 
 // Query handles the caller's next statement. It must not be called again before this one is answered.
 func (s *Session) Query(q statement.Statement) {
+	if s.disconnected {
+		return
+	}
 	if !s.started {
 		s.reject(statement.CodeMalformed, "a statement before the start of the session")
 		return
 	}
 	s.unanswered, s.arrivedAt = fleet.Some(q.ID), s.r.now()
 	s.r.counters.Statements++
+	if s.endsBefore(q.ID) {
+		return
+	}
 	if s.tx.failed && q.Kind != statement.KindCommit && q.Kind != statement.KindRollback {
 		a := statement.Answer{
 			Code: statement.CodeMalformed, Detail: "the transaction has failed", State: statement.TxFailed,
@@ -62,6 +68,18 @@
 	}
 }
 
+// endsBefore reports whether the session is to end before a statement that has arrived, and answers the statement. A
+// caller that had sent it ahead, or that reads slowly, thus learns that it was not run.
+func (s *Session) endsBefore(id statement.ID) bool {
+	j := s.pendingRejection
+	if j == nil || j.shutdown && (s.tx.open || !s.r.drain.pastHalf(s.r.now())) {
+		return false
+	}
+	j.told = true
+	s.refuseLogged(id, j.code, j.detail, s.r.shortRetry())
+	return true
+}
+
 // refuseLogged refuses a statement that needs no operation, and logs that.
 func (s *Session) refuseLogged(id statement.ID, c statement.Code, reason string, retryAfter time.Duration) {
 	s.r.logEvent(Event{
--- a/core/relay/session.go
+++ b/core/relay/session.go
@@ -18,7 +18,8 @@
 	Reject func(c statement.Code, detail string)
 	// Close closes the connection without a message.
 	Close func()
-	// Settled reports whether all answers have been written. It may be nil for a connection that is always settled.
+	// Settled reports whether all complete messages that were received have been handed on, and all answers written.
+	// It may be nil for a connection that is always settled.
 	Settled func() bool
 }
 
@@ -122,7 +123,7 @@
 // ends a session only then.
 //
 // Guards against callers that lose the answer of a statement which this host has read: one that still waits for its
-// admission, and an answer that is longer than what the network takes at once.
+// admission, one that was sent ahead, and an answer that is longer than what the network takes at once.
 func (s *Session) settled() bool {
 	return !s.Busy() && (s.caller.Settled == nil || s.caller.Settled())
 }
@@ -323,6 +324,9 @@
 // HandleMalformed answers a message that isn't valid in the protocol. One without an id, or before the
 // start of the session, ends the session.
 func (s *Session) HandleMalformed(id statement.ID) {
+	if s.disconnected {
+		return
+	}
 	if !s.started || id == "" {
 		s.reject(statement.CodeMalformed, "not a message of the protocol")
 		return
--- a/internal/entry/wires.go
+++ b/internal/entry/wires.go
@@ -76,6 +76,7 @@
 		Bye:        s.Bye,
 	}
 	c.Data = h.reader("caller", in.Take, func(error) { c.Close() })
+	c.Handled = s.EndIfSettled
 	c.Closed = func(error) { s.Disconnected() }
 }
 
--- a/io/loop/conn.go
+++ b/io/loop/conn.go
@@ -18,17 +18,22 @@
 	Opened func()
 	// Data is called with all bytes received and not yet used, and returns how many it has used.
 	Data func(b []byte) int
+	// Handled is called once all complete messages received so far have been handled and the connection isn't paused. It
+	// may close the connection.
+	Handled func()
 	// Closed is called once, when the connection has ended or couldn't be established.
 	Closed func(err error)
 
 	loop     *Loop
 	gnetConn gnet.Conn
-	// closing is set once Close was called.
+	// closing is set once Close was called: nothing more is delivered.
 	closing bool
 	ended   bool
 	// paused keeps received bytes in the buffer until Resume; unprocessed is how many there are.
 	paused      bool
 	unprocessed int
+	// delivering is set while Data is being called, resuming from Resume until it is called again.
+	delivering, resuming bool
 	// overflowed is set once the connection is being closed because it keeps too many.
 	overflowed bool
 }
@@ -110,10 +115,20 @@
 	return gnet.None
 }
 
-// deliver calls Data with the received bytes until Data uses no more of them.
+// deliver hands the received bytes on, as far as they are complete messages.
 func (c *Conn) deliver() {
-	defer c.boundUnprocessed()
-	for !c.ended && !c.paused {
+	c.delivering = true
+	c.callData()
+	c.delivering = false
+	c.boundUnprocessed()
+	if c.Handled != nil && !c.paused && !c.closing && !c.ended {
+		c.Handled()
+	}
+}
+
+// callData calls Data with the received bytes until Data uses no more of them.
+func (c *Conn) callData() {
+	for !c.ended && !c.paused && !c.closing {
 		b, err := c.gnetConn.Peek(-1)
 		if err != nil || len(b) == 0 {
 			return
@@ -160,12 +175,18 @@
 	if !c.paused {
 		return
 	}
-	c.paused = false
-	c.loop.Post(c.deliver)
+	c.paused, c.resuming = false, true
+	c.loop.Post(func() {
+		c.resuming = false
+		c.deliver()
+	})
 }
 
-// Settled reports whether all that was written has been sent.
-func (c *Conn) Settled() bool { return c.ended || c.gnetConn.OutboundBuffered() == 0 }
+// Settled reports whether all complete messages received so far have been handled, and all that was written has been
+// sent.
+func (c *Conn) Settled() bool {
+	return c.ended || !c.paused && !c.resuming && !c.delivering && c.gnetConn.OutboundBuffered() == 0
+}
 
 // OnClose is called by gnet when a connection has ended.
 func (l *Loop) OnClose(g gnet.Conn, err error) gnet.Action {
@@ -202,7 +223,8 @@
 	}
 }
 
-// Close ends the connection, and drops what couldn't be sent yet. Closed is still called, unless it was before.
+// Close ends the connection, and drops what couldn't be sent yet. Nothing more is delivered. Closed is still called,
+// unless it was before.
 func (c *Conn) Close() {
 	closing := c.closing
 	c.closing = true
--- a/io/loop/settle_test.go
+++ b/io/loop/settle_test.go
@@ -56,3 +56,59 @@
 	c.Check(unsent, qt.Equals, 0)
 	c.Check(<-received, qt.Equals, int64(size))
 }
+
+// Guards against a connection that counts as settled while messages that were received haven't been handed on, or that
+// never does because half of a message is there.
+func TestConnectionSettlesOnceAllIsHandled(t *testing.T) {
+	c := qt.New(t)
+	handled := make(chan []string, 8)
+	var got []string
+	loops := make(chan *loop.Loop, 1)
+	l, at := start(c, loop.Config{Accept: func(k *loop.Conn) {
+		lines(k, func(line string) {
+			got = append(got, line)
+			c.Check(k.Settled(), qt.IsFalse)
+			k.Pause()
+			time.AfterFunc(5*time.Millisecond, func() {
+				l := <-loops
+				loops <- l
+				l.Post(func() {
+					c.Check(k.Settled(), qt.IsFalse)
+					k.Resume()
+					c.Check(k.Settled(), qt.IsFalse)
+				})
+			})
+		})
+		k.Handled = func() {
+			c.Check(k.Settled(), qt.IsTrue)
+			handled <- got
+		}
+	}})
+	loops <- l
+	x, err := net.Dial("tcp4", at)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = x.Close() }()
+	_, err = io.WriteString(x, "one\ntwo\nthr")
+	c.Assert(err, qt.IsNil)
+	c.Check(<-handled, qt.DeepEquals, []string{"one", "two"})
+}
+
+// Guards against a statement that runs although its caller had ended the session before it.
+func TestNothingIsDeliveredAfterClose(t *testing.T) {
+	c := qt.New(t)
+	ended := make(chan []string)
+	var got []string
+	_, at := start(c, loop.Config{Accept: func(k *loop.Conn) {
+		lines(k, func(line string) {
+			got = append(got, line)
+			k.Closed = func(error) { ended <- got }
+			k.Close()
+		})
+	}})
+	x, err := net.Dial("tcp4", at)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = x.Close() }()
+	_, err = io.WriteString(x, "bye\nquery\n")
+	c.Assert(err, qt.IsNil)
+	c.Check(<-ended, qt.DeepEquals, []string{"bye"})
+}
