Answer everything at the end of a shutdown's grace

What was still in progress at the end of the grace, 300 ms before the platform kills the process, was cut with its connection: callers couldn't tell a statement that had never been sent, and that is safe to repeat at another host, from one that may have run.

Change: Relay.EndDrain refuses what waits for its admission or its turn, true and with when to come back, then answers what was sent with what is known of it: a read as timed out, a write or a commit of writes as in doubt, a transaction as rolled back. What a caller hasn't read by then is counted and logged.

Measured: the six cases of TestEndOfTheGraceAnswersEverything fail before.

--- a/core/relay/drain.go
+++ b/core/relay/drain.go
@@ -69,3 +69,48 @@
 		s.reject(statement.CodeAborted, shutdownDetail+"; the transaction was rolled back")
 	}
 }
+
+// EndDrain ends what the shutdown's grace was too short for: statements are answered with what is known of them, and
+// callers that haven't read their answers are cut off.
+func (r *Relay) EndDrain() {
+	// What waits is refused before anything that runs makes room for it.
+	for _, s := range r.unfinishedSessions() {
+		s.refuseUnsent(shutdownDetail)
+	}
+	for _, s := range r.unfinishedSessions() {
+		s.op.stop(shutdownDetail)
+	}
+	for s := range r.sessions {
+		if s.settled() {
+			s.closeConn()
+			continue
+		}
+		s.cut(shutdownDetail)
+	}
+}
+
+// unfinishedSessions returns the sessions with a statement in progress, those of other hosts included.
+func (r *Relay) unfinishedSessions() []*Session {
+	var out []*Session
+	for s := range r.sessions {
+		if s.Busy() {
+			out = append(out, s)
+		}
+	}
+	for _, s := range r.forwarding.inboundSessions {
+		if s.Busy() {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// refuseUnsent refuses the statement in progress if it waits for its admission or its turn.
+func (s *Session) refuseUnsent(reason string) {
+	switch {
+	case s.op == nil:
+		s.refuse(statement.CodeBusy, reason, s.r.shortRetry())
+	case s.op.isWaiting():
+		s.op.stop(reason)
+	}
+}
--- a/core/relay/drain_test.go
+++ b/core/relay/drain_test.go
@@ -208,3 +208,51 @@
 	c.Check(gone.answers, qt.HasLen, 0)
 	c.Check(w.count("q1"), qt.Equals, 0)
 }
+
+// Guards against statements that the end of a shutdown's grace leaves without an answer, or with one that isn't true.
+func TestEndOfTheGraceAnswersEverything(t *testing.T) {
+	c := qt.New(t)
+	begin := func(u *caller) {
+		u.do(statement.KindBegin, "", "")
+		u.do(statement.KindWrite, "", "item data")
+	}
+	for _, x := range []struct {
+		name    string
+		prepare func(u *caller)
+		hold    bool
+		kind    statement.Kind
+		code    statement.Code
+	}{
+		{"sent read", func(*caller) {}, true, statement.KindRead, statement.CodeTimeout},
+		{"sent write", func(*caller) {}, true, statement.KindWrite, statement.CodeInDoubt},
+		{"statement of a transaction", begin, true, statement.KindRead, statement.CodeAborted},
+		{"commit of writes", begin, true, statement.KindCommit, statement.CodeInDoubt},
+		{"waits for its admission", func(u *caller) {
+			u.w.admitLater = func(func(time.Duration, bool)) {}
+		}, false, statement.KindWrite, statement.CodeBusy},
+		{"waits for the primary", func(u *caller) {
+			u.w.breakConns(u.w.instances["a"])
+			u.w.instances["a"].silent = true
+		}, false, statement.KindWrite, statement.CodeBusy},
+	} {
+		c.Run(x.name, func(c *qt.C) {
+			w := newWorld(c).withConfirmedPrimary()
+			u := w.open("rush", "key-1")
+			u.do(statement.KindRead, "", "item")
+			x.prepare(u)
+			w.instances["a"].hold = x.hold
+			before := len(u.answers)
+			w.relay.Drain(grace)
+			id := u.do(x.kind, "", "item data")
+			c.Assert(u.answers, qt.HasLen, before)
+			w.relay.EndDrain()
+			w.deliver()
+			c.Check(u.answers, qt.HasLen, before+1)
+			c.Check(u.last().Code, qt.Equals, x.code)
+			c.Check(u.closed, qt.IsTrue)
+			c.Check(x.code == statement.CodeBusy && w.count(string(id)) > 0, qt.IsFalse)
+			c.Check(w.relay.State().Counts.StatementsCut, qt.Equals, uint64(0))
+			c.Check(w.relay.State().Sessions, qt.Equals, 0)
+		})
+	}
+}
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -162,9 +162,8 @@
 	o.answerCaller(statement.Answer{Code: statement.CodeInDoubt, Detail: "sent, but not known to be kept: " + reason})
 }
 
-// timeOut closes the connection of a statement that has reached its deadline at the instance, and answers.
-func (o *operation) timeOut() {
-	const reason = "the statement has reached its time limit"
+// timeOut closes the connection of a statement for which there is no time left at the instance, and answers.
+func (o *operation) timeOut(reason string) {
 	c := o.conn
 	c.op = nil
 	o.logEvent(EventAnswer, "time out", reason, statement.CodeTimeout)
@@ -180,6 +179,25 @@
 	o.connLost(reason)
 }
 
+// isWaiting reports whether the operation waits in the group's queue.
+func (o *operation) isWaiting() bool { return o.g.waiting[o.key] == o }
+
+// stop answers an operation for which there is no time left, with what is known of it.
+func (o *operation) stop(reason string) {
+	o.deadline = o.g.r.now()
+	switch {
+	case o.isWaiting():
+		o.g.queue.Remove(o.key)
+		delete(o.g.waiting, o.key)
+		o.refuse(statement.CodeBusy, reason, o.g.r.shortRetry())
+	case o.unverifiedAnswer != nil:
+		delete(o.g.pendingVerification, o.key)
+		o.g.finishUnverified(o, reason)
+	default:
+		o.timeOut(reason)
+	}
+}
+
 // refuse answers that nothing was run, and refunds the admission if no instance was sent any of it.
 func (o *operation) refuse(code statement.Code, reason string, retryAfter time.Duration) {
 	if !o.everSent && (!o.s.tx.open || !o.s.tx.mayHaveRun) && o.g.r.cfg.Refund != nil && o.s.boundInstance == "" {
--- a/core/relay/tick.go
+++ b/core/relay/tick.go
@@ -112,7 +112,7 @@
 	for _, o := range g.running {
 		o.checkResponse(now)
 		if o.sent && now.After(o.deadline) {
-			o.timeOut()
+			o.timeOut("the statement has reached its time limit")
 		}
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -303,6 +303,7 @@
 			}
 		})
 	})
+	h.endDrain()
 	return h.Close()
 }
 
@@ -319,6 +320,23 @@
 	return h.loop.UnsentBytes() == 0 || now.Sub(h.drainedAt) > sendTimeout
 }
 
+// endDrain answers what the grace was too short for, and logs what can't be sent.
+func (h *Host) endDrain() {
+	done := make(chan struct{})
+	h.loop.Post(func() {
+		defer close(done)
+		sessions := h.relay.State().Sessions
+		if sessions > 0 {
+			h.log.Warn("grace is over", zap.Int("sessions", sessions), zap.Int("unsent", h.loop.UnsentBytes()))
+		}
+		h.relay.EndDrain()
+	})
+	select {
+	case <-done:
+	case <-time.After(shutdownMargin):
+	}
+}
+
 // Close ends the host at once.
 func (h *Host) Close() error {
 	h.stop()
