Let PostgreSQL callers read the end of a long answer at a shutdown

A PostgreSQL caller on a slow link lost the end of a long answer when its session ended: a second after the end of the session the connection was closed, whatever was still to be sent.

Here a session ends once nothing is owed, and lingers for a second so that a close doesn't reset the connection; the second held for what was unsent, too.

Change: an ended session stays for up to 30 s while bytes wait to be sent.

Measured: TestDrainLetsASlowCallerReadItsAnswer fails before (unexpected EOF), in which a caller begins to read its 16 MiB 2 s after the host was told to shut down.

--- a/io/caller/deadlines.go
+++ b/io/caller/deadlines.go
@@ -27,6 +27,8 @@
 	// caller to close. A close with unread bytes resets the connection, and the
 	// caller would lose the message that says why.
 	lingerFor = time.Second
+	// maxLinger is how long it waits for a caller that hasn't read all of its answer, as on a slow link.
+	maxLinger = 30 * time.Second
 )
 
 var (
@@ -88,6 +90,8 @@
 		d.idle = now.Add(x.srv.cfg.IdleInTransaction)
 	}
 	switch {
+	case past(d.linger) && x.conn.OutboundBuffered() > 0 && now.Sub(x.endedAt) < maxLinger:
+		d.linger = now.Add(lingerFor)
 	case past(d.linger):
 		_ = x.loop.Close(x.conn)
 		return
--- a/io/caller/drain_test.go
+++ b/io/caller/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -10,6 +11,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"skylarkdeal/core/exchange"
+	"skylarkdeal/core/fleet"
 	"skylarkdeal/io/caller"
 )
 
@@ -67,3 +70,40 @@
 	c.Assert(f.fake.count(), qt.Equals, 0)
 	_ = w.Close()
 }
+
+// Guards against an answer that a shutdown cuts off because its caller, on a slow link, still reads it.
+func TestDrainLetsASlowCallerReadItsAnswer(t *testing.T) {
+	c := qt.New(t)
+	const rows, size = 64, 256 << 10
+	f := start(t, func(cfg *caller.Config) { cfg.MaxUnread = 2 * rows * size })
+	sent := make(chan struct{})
+	f.fake.answerBy(func(_ *exchange.Request, r exchange.Reply) bool {
+		go func() {
+			row := must((&pgproto3.DataRow{Values: [][]byte{make([]byte, size)}}).Encode(nil))
+			for range rows {
+				_ = r.Send(row)
+			}
+			r.Done(exchange.Result{Outcome: exchange.OutcomeDone, Position: fleet.LogPosition{Term: 9, Index: 9}})
+			close(sent)
+		}()
+		return true
+	})
+	w := wireConn(t, f, "")
+	_ = w.Conn.(*net.TCPConn).SetReadBuffer(64 << 10)
+	w.send(&pgproto3.Query{String: "get a"})
+	go func() { _ = f.Drain(limit(t)) }()
+	<-sent
+	time.Sleep(2 * time.Second)
+	got, done := 0, false
+	for !done {
+		m, err := w.Receive()
+		c.Assert(err, qt.IsNil)
+		switch m.(type) {
+		case *pgproto3.DataRow:
+			got++
+		case *pgproto3.ErrorResponse:
+			done = true
+		}
+	}
+	c.Check(got, qt.Equals, rows)
+}
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"syscall"
+	"time"
 
 	"github.com/panjf2000/gnet/v2"
 	"go.uber.org/zap"
@@ -64,6 +65,8 @@
 	// run is the exchange in progress; no other begins before its answer has
 	// been written.
 	run *run
+	// endedAt is when end was called.
+	endedAt time.Time
 	// ending, when set, ends the session at the next moment that allows it.
 	ending *ending
 }
@@ -170,7 +173,8 @@
 	}
 	x.phase = phaseLinger
 	_, _ = x.conn.Discard(-1)
-	x.deadlines = deadlines{linger: x.srv.cfg.Now().Add(lingerFor)}
+	x.endedAt = x.srv.cfg.Now()
+	x.deadlines = deadlines{linger: x.endedAt.Add(lingerFor)}
 	x.arm()
 	if x.conn.OutboundBuffered() == 0 {
 		_ = syscall.Shutdown(x.conn.Fd(), syscall.SHUT_WR)
