Take no instance from an entry that names none to use, and say so

Operators of systems like ours reported an odd entry among those of the instances, left by another writer. Here no process ended by one, and none stopped following the list: the parse bounds the depth, and each entry is parsed by itself. But entries got through that name no instance to use: with port 0 or an address of no single instance, with a number that fits its type but nothing else (4 billion slots, a time of start in the year 292 million, a remaining time that becomes another number on arm64 than on x86-64), with names that have blanks or line ends. Where a replica confirms commits, one such entry kept a group without a primary for good, as its log was waited for.

Entries that name no instance are counted (skylarkdeal_unusable_entries) and logged with the reason, 20 lines a minute at most; their values are neither kept nor passed on, as a few of 1 MiB are more than a link may have unsent.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -65,6 +65,10 @@
 		}
 		return 0
 	}))
+	h.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "skylarkdeal_unusable_entries",
+		Help: "Entries in the place of the instances that name none to use, as those of another writer.",
+	}, func() float64 { return float64(h.registry.UnusableEntries()) }))
 	h.registerCatalogMetrics()
 	h.metrics.MustRegister(collector{read: h.snapshot})
 }
--- a/io/registry/changes_test.go
+++ b/io/registry/changes_test.go
@@ -31,8 +31,8 @@
 // newParser returns a registry whose instances are named by the values of their entries.
 func newParser() *registry.Registry {
 	cfg := config(newMemStore(), &callbackLog{}, 0, 0, 0)
-	cfg.ParseInstance = func(e registry.Entry) (catalog.Instance, bool) {
-		return catalog.Instance{Name: fleet.Instance(e.Value)}, len(e.Value) > 0
+	cfg.ParseInstance = func(e registry.Entry) (catalog.Instance, error) {
+		return catalog.Instance{Name: fleet.Instance(e.Value)}, errEmpty(e)
 	}
 	return registry.New(cfg)
 }
@@ -105,10 +105,10 @@
 	for _, n := range []int{300, 3000} {
 		s := newMemStore()
 		cfg := config(s, &callbackLog{}, 0, 0, 0)
-		cfg.ParseInstance = func(e registry.Entry) (catalog.Instance, bool) {
+		cfg.ParseInstance = func(e registry.Entry) (catalog.Instance, error) {
 			var name, state string
 			_, err := fmt.Sscan(string(e.Value), &name, &state)
-			return catalog.Instance{Name: fleet.Instance(name), Leaving: state == "leaving"}, err == nil
+			return catalog.Instance{Name: fleet.Instance(name), Leaving: state == "leaving"}, err
 		}
 		got := &callbackLog{}
 		cfg.Post = func(f func()) { got.locked(f) }
--- a/io/registry/lists.go
+++ b/io/registry/lists.go
@@ -27,6 +27,8 @@
 	// change of one instance takes the parsing of one entry. members is the digest of which instances these are.
 	parsed          map[string]parsedInstance
 	digest, members uint64
+	// unusable are the entries that name no instance.
+	unusable unusableEntries
 }
 
 // parsedInstance is the instance of an entry, with its parts of the digests.
@@ -164,13 +166,18 @@
 // digest. A smaller change isn't passed on to followers.
 const coldGranularity = 2 * time.Second
 
-// parseInstance parses an entry that is stored, and returns what identifies its content. The lock is held.
-func (r *Registry) parseInstance(e Entry) (content uint64) {
+// inspectInstance parses an entry that is to be stored. The lock is held.
+//
+// An entry that names no instance keeps its place in the list, but not its value: a few long ones of another writer
+// would fill the links over which the list is passed on.
+func (r *Registry) inspectInstance(e Entry) Entry {
 	l := &r.instanceList
 	l.dropInstance(e.Key)
-	i, ok := r.cfg.ParseInstance(e)
-	if !ok {
-		return 0
+	i, err := r.cfg.ParseInstance(e)
+	if err != nil {
+		l.unusable.add(r.cfg.Now(), r.cfg.Logger, e.Key, err)
+		e.Value, e.Content = nil, noInstance
+		return e
 	}
 	p := parsedInstance{instance: i}
 	// The time that an instance stays cold changes with each heartbeat.
@@ -179,10 +186,11 @@
 	p.members = xxhash.Sum64String(fmt.Sprintln(i.Name, i.Service, i.Address, i.Started))
 	l.parsed[e.Key] = p
 	l.digest, l.members = l.digest+p.digest, l.members+p.members
+	e.Content = p.digest
 	if i.Cold > 0 {
-		return 0
+		e.Content = 0
 	}
-	return p.digest
+	return e
 }
 
 // dropInstance forgets the instance of an entry. The lock is held.
@@ -190,6 +198,7 @@
 	if l.parsed == nil {
 		l.parsed = map[string]parsedInstance{}
 	}
+	delete(l.unusable.reasons, key)
 	p := l.parsed[key]
 	l.digest, l.members = l.digest-p.digest, l.members-p.members
 	delete(l.parsed, key)
--- a/io/registry/model_host_test.go
+++ b/io/registry/model_host_test.go
@@ -51,8 +51,8 @@
 		m.delay(100 * time.Millisecond)
 		return describe(es)
 	}
-	cfg.ParseInstance = func(e registry.Entry) (catalog.Instance, bool) {
-		return catalog.Instance{Address: e.Key, Slots: int(e.Revision)}, true
+	cfg.ParseInstance = func(e registry.Entry) (catalog.Instance, error) {
+		return catalog.Instance{Address: e.Key, Slots: int(e.Revision)}, nil
 	}
 	cfg.Catalog, cfg.Instances = h.adopt, h.setInstances
 	cfg.Hosts = func([]registry.Host) {}
--- a/io/registry/part.go
+++ b/io/registry/part.go
@@ -31,9 +31,10 @@
 	asOf, readAt time.Time
 	// version identifies the entries. It is lastChange unless noteChange sets another one.
 	version follow.Version
-	// inspect is called with each entry that is stored and returns what identifies its content, noteRemoval with
-	// the key of each one that is removed, both with the lock held. They may be nil.
-	inspect     func(e Entry) (content uint64)
+	// inspect is called with each entry that is to be stored and returns it as it is stored and passed on, with what
+	// identifies its content; noteRemoval is called with the key of each one that is removed. Both are called with the
+	// lock held. They may be nil.
+	inspect     func(e Entry) Entry
 	noteRemoval func(key string)
 	// noteChange is called after each change, in the order of the changes, with the lock held. It may be nil.
 	noteChange func(current snapshot)
@@ -187,7 +188,7 @@
 		p.entries = map[string]Entry{}
 	}
 	if p.inspect != nil {
-		e.Content = p.inspect(e)
+		e = p.inspect(e)
 	}
 	p.entries[e.Key] = e
 	return true
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -40,8 +40,9 @@
 	// operators' key without which there is no catalog.
 	CatalogPrefix, CatalogKey, InstancePrefix string
 	// ParseCatalog parses all entries under CatalogPrefix.
-	ParseCatalog  func(es []Entry) (*catalog.Catalog, error)
-	ParseInstance func(e Entry) (catalog.Instance, bool)
+	ParseCatalog func(es []Entry) (*catalog.Catalog, error)
+	// ParseInstance parses an entry under InstancePrefix. One that names no instance to use is an error.
+	ParseInstance func(e Entry) (catalog.Instance, error)
 	Now           func() time.Time
 	// Rank returns this host's position in the order in which hosts read the store for the fleet; 0
 	// is the first. It may be nil, which counts as 0.
@@ -211,7 +212,7 @@
 	}
 	r.operatorEntries.noteChange = func(current snapshot) { r.unparsed = append(r.unparsed, current) }
 	l := &r.instanceList
-	l.inspect, l.noteRemoval, l.noteChange = r.parseInstance, l.dropInstance, l.listInstances
+	l.inspect, l.noteRemoval, l.noteChange = r.inspectInstance, l.dropInstance, l.listInstances
 	return r
 }
 
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -103,7 +104,7 @@
 		Store: s.store(), Self: registry.Host{Name: "h-x", DataCentre: "obihiro", Address: "127.0.0.1:1"},
 		Prefix: "our/", CatalogPrefix: "catalog", CatalogKey: "catalog", InstancePrefix: "instances/",
 		ParseCatalog:  parseCatalog,
-		ParseInstance: func(e registry.Entry) (catalog.Instance, bool) { return catalog.Instance{}, len(e.Value) > 0 },
+		ParseInstance: func(e registry.Entry) (catalog.Instance, error) { return catalog.Instance{}, errEmpty(e) },
 		Now:           time.Now,
 		Rank:          func() int { return rank },
 		Post:          func(f func()) { got.locked(f) },
@@ -448,3 +449,11 @@
 	s.put("catalog", "4")
 	until(c, got, "the next catalog", func() bool { return slices.Contains(got.versions, 4) })
 }
+
+// errEmpty returns an error for an entry without a value.
+func errEmpty(e registry.Entry) error {
+	if len(e.Value) == 0 {
+		return errors.New("an empty entry")
+	}
+	return nil
+}
