Leave services alone that the catalog doesn't have

An entry among those of the instances may name any service. Each had a group of its own: the coordinator dialled its instance, and where two entries named it, ordered promotions for it.

Cause: the list of instances added groups.

Change: groups are added for what the catalog, a caller or a record names; a group that is added later takes the instances of the last list. The tests' other services are in the catalog now, as they are in operation.

Measured: TestUnknownServiceIsLeftAlone fails before, with two promotion requests and a connection. TestInstancesListedBeforeTheirServiceAreUsed guards the way back.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -106,6 +106,8 @@
 	// list in use lacks no change.
 	lists      listHistory
 	listReadAt time.Time
+	// listed are the instances of the last list.
+	listed map[fleet.Service][]catalog.Instance
 	// recordRevision is the revision of the newest promotion record.
 	recordRevision uint64
 	// ownAccount is the account for the host's own connections.
@@ -246,15 +248,12 @@
 	}
 	r.listReadAt = readAt
 	r.lists.add(readAt)
-	byService := map[fleet.Service][]catalog.Instance{}
+	r.listed = map[fleet.Service][]catalog.Instance{}
 	for _, i := range is {
-		byService[i.Service] = append(byService[i.Service], i)
-	}
-	for s := range byService {
-		r.group(s)
+		r.listed[i.Service] = append(r.listed[i.Service], i)
 	}
 	for s, g := range r.groups {
-		g.setInstances(byService[s], readAt)
+		g.setInstances(r.listed[s], readAt)
 	}
 }
 
@@ -368,11 +367,16 @@
 	return 2*unable >= len(r.groups) || unable > 0 && r.forwarding.missingHosts > 0
 }
 
+// group returns the group of a service, and adds it if it is missing. The list of instances adds none: an entry of another
+// writer may name any service, which would then be given connections and promotions.
 func (r *Relay) group(s fleet.Service) *group {
 	g := r.groups[s]
 	if g == nil {
 		g = newGroup(r, s)
 		r.groups[s] = g
+		if is := r.listed[s]; len(is) > 0 {
+			g.setInstances(is, r.listReadAt)
+		}
 	}
 	return g
 }
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -187,9 +187,18 @@
 	}
 }
 
+// addService adds a service to the catalog.
+func (w *world) addService(s fleet.Service) {
+	w.revise(func(d *catalog.Catalog) {
+		d.Services = maps.Clone(d.Services)
+		d.Services[s] = catalog.Service{Name: s}
+	})
+}
+
 // instancesOf adds one instance of another service, which answers as the primary, and returns the
 // instances of all other services.
 func (w *world) instancesOf(s fleet.Service, name fleet.Instance) []catalog.Instance {
+	w.addService(s)
 	w.instances[name] = &node{name: name, role: fleet.RolePrimary, term: 1, position: fleet.LogPosition{Term: 1, Index: 5}}
 	w.extra = append(w.extra, catalog.Instance{
 		Name: name, Service: s, Address: "10.0.0.1:" + string(name), DataCentre: "obihiro", Slots: 2,
