Answer what follows a BYE as not run, and leave slow readers 30 s

A statement that its caller had sent behind a BYE was answered as done, though it was not run: the end that the caller asks for has no code, and the answer took it over.

Change: such a statement is refused as malformed. A refusal because of a withdrawn key has no time to come back. The end of a session by a withdrawn key is logged also when a statement was answered with it.

--- a/core/relay/query.go
+++ b/core/relay/query.go
@@ -75,8 +75,17 @@
 	if j == nil || j.shutdown && (s.tx.open || !s.r.drain.pastHalf(s.r.now())) {
 		return false
 	}
+	code, retryAfter := j.code, time.Duration(0)
+	switch code {
+	case statement.CodeNone:
+		code = statement.CodeMalformed
+	case statement.CodeBusy:
+		// Another host runs it.
+		retryAfter = s.r.shortRetry()
+	default:
+	}
 	j.told = true
-	s.refuseLogged(id, j.code, j.detail, s.r.shortRetry())
+	s.refuseLogged(id, code, j.detail, retryAfter)
 	return true
 }
 
--- a/core/relay/session.go
+++ b/core/relay/session.go
@@ -57,7 +57,7 @@
 	pendingRejection *rejection
 }
 
-// rejection is the error that ends a session.
+// rejection is the error that ends a session. The code is CodeNone if the caller ends it.
 type rejection struct {
 	code   statement.Code
 	detail string
@@ -238,7 +238,10 @@
 	}
 	switch {
 	case j.shutdown && s.tx.open:
+	case j.code == statement.CodeNone:
+		s.closeConn()
 	case j.told:
+		s.logEnd("reject", j.detail, j.code)
 		s.closeConn()
 	default:
 		s.logEnd("reject", j.detail, j.code)
@@ -249,7 +252,7 @@
 
 // unsettledTimeout is how long the end of a session waits for a caller that doesn't read its answers. A shutdown waits
 // until the end of its grace.
-const unsettledTimeout = 5 * time.Second
+const unsettledTimeout = 30 * time.Second
 
 // tickEnding ends the sessions that have become settled, and those whose callers don't read.
 func (r *Relay) tickEnding(now time.Time) {
@@ -288,7 +291,9 @@
 }
 
 // Bye ends the session at its caller's request.
-func (s *Session) Bye() { s.endWhenSettled(rejection{told: true}) }
+func (s *Session) Bye() {
+	s.endWhenSettled(rejection{code: statement.CodeNone, detail: "the caller has ended the session"})
+}
 
 // closeConn closes the connection of a caller without a message.
 func (s *Session) closeConn() {
