--- a/core/relay/admission.go
+++ b/core/relay/admission.go
@@ -45,8 +45,8 @@
 }
 
 // mayStart reports whether an operation that was admitted may be run. If the decision was late, the caller may have
-// gone and the catalog changed; the statement is then answered. A shutdown that has begun meanwhile changes nothing: the
-// statement was read, and its token is there.
+// gone and the catalog changed; the statement is then answered. A shutdown that has begun meanwhile changes nothing:
+// the statement was read, and its token is there.
 func (s *Session) mayStart(id statement.ID, late bool) bool {
 	switch {
 	case !late:
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -367,8 +367,8 @@
 	return 2*unable >= len(r.groups) || unable > 0 && r.forwarding.missingHosts > 0
 }
 
-// group returns the group of a service, and adds it if it is missing. The list of instances adds none: an entry of another
-// writer may name any service, which would then be given connections and promotions.
+// group returns the group of a service, and adds it if it is missing. The list of instances adds none: an entry of
+// another writer may name any service, which would then be given connections and promotions.
 func (r *Relay) group(s fleet.Service) *group {
 	g := r.groups[s]
 	if g == nil {
