Wait for a successor that the coordinator has never met

Cause: candidates were judged by the term of the last primary that the host itself had confirmed, zero after a start, and not by the record of the last promotion, nor by the terms that instances report.

Change: the term of the record counts as begun unless its instance was heard in an earlier one, and the latest term that was reported is kept. Instances that can't be asked and may be in it are waited for until they are off the list; the log says for whom, and since when. Among candidates the term goes before the role. The host that requested the promotion goes on as before where a replica of the term before answers.

--- a/core/leader/decide.go
+++ b/core/leader/decide.go
@@ -54,6 +54,9 @@
 	// Departed are former instances whose logs may have acknowledged commits that no listed one has. Name is that
 	// of the former instance; the rest is what its successor with the same log has reported, if there is one.
 	Departed []InstanceInfo
+	// OwnRequest is set if this process itself has requested the promotion of the last record, and has asked the instances
+	// since then.
+	OwnRequest bool
 	// HeldFor is the instance for which others are being held back. It stays the candidate while it may still be
 	// receiving what they have.
 	HeldFor fleet.Instance
@@ -118,7 +121,7 @@
 	// Hold are the instances that have to be held back before, at Request.Term.
 	Hold []fleet.Instance
 	// Missing are the instances that stand in the way of the preferred candidate while there is none that may lead:
-	// their logs may have acknowledged commits that it lacks.
+	// their logs may have acknowledged commits that it lacks, or they may be in a later term.
 	Missing map[fleet.Instance]syncrep.Obstacle
 }
 
@@ -208,7 +211,8 @@
 	}
 	if status.SyncReplicas == 0 {
 		best := candidates[0]
-		return best, syncrep.Verdict{}, !p.betterMayReturn(status, best)
+		awaited := p.mayReturnInLaterTerm(status, best)
+		return best, syncrep.Verdict{Missing: awaited}, len(awaited) == 0
 	}
 	g := p.syncGroup(status)
 	var first syncrep.Verdict
@@ -217,7 +221,10 @@
 			continue
 		}
 		v := g.Judge(c.Name)
-		if len(v.Missing) == 0 && !p.betterMayReturn(status, c) {
+		if len(v.Missing) == 0 {
+			v.Missing = p.mayReturnInLaterTerm(status, c)
+		}
+		if len(v.Missing) == 0 {
 			return c, v, true
 		}
 		if first.Missing == nil {
@@ -240,11 +247,11 @@
 // candidates returns the instances that may be promoted, the preferred one first: of those in the latest term the one
 // whose log reaches farthest, as the entries that it lacks are lost.
 //
-// An instance that is a primary in an earlier term than a confirmed one has been replaced without
+// An instance that is a primary in an earlier term than another one has reported has been replaced without
 // having noticed. Its log has diverged, and promoting it would undo what its successor has
 // acknowledged. So may that of a replica in an earlier term, as one that led and has returned. If no
-// primary was confirmed, an instance that is a primary is chosen last: the promotion of another may be
-// late and still take effect.
+// primary was confirmed, an instance that is a primary is chosen last of those in its term: the promotion of another
+// may be late and still take effect.
 //
 // In place of a primary that responds, only an instance is promoted that doesn't fail itself and has nearly
 // all of its log: the primary goes on until then, and what its successor lacks would be lost.
@@ -319,7 +326,7 @@
 		return "unreachable"
 	case !inst.Reachable:
 		return "not heard"
-	case inst.IsPrimary && inst.Term < p.term:
+	case inst.IsPrimary && inst.Term < p.begunTerm():
 		return "replaced"
 	case p.confirmed && inst.Name == p.primary:
 		return "the primary"
@@ -348,19 +355,45 @@
 	return strings.Join(out, ", ")
 }
 
-// betterMayReturn reports whether the candidate is in an earlier term than the last known primary was, and an
-// instance that may be in that term can't be asked now: it may just be slow, and is waited for until it has
-// gone. So may that primary itself, which returns with its log if it has only crashed.
-func (p *PrimaryState) betterMayReturn(status GroupStatus, best InstanceInfo) bool {
-	if best.Term >= p.term {
-		return false
+// obstacleLaterTerm is why a candidate waits for an instance that may be in a later term than its own.
+const obstacleLaterTerm syncrep.Obstacle = "not heard, and may be in a later term"
+
+// mayReturnInLaterTerm returns the instances that can't be asked now and may be in a later term than the candidate:
+// they may just be slow, and are waited for until they have gone. So may the last known primary itself, which returns
+// with its log if it has only crashed.
+func (p *PrimaryState) mayReturnInLaterTerm(status GroupStatus, best InstanceInfo) map[fleet.Instance]syncrep.Obstacle {
+	recorded := p.recordMayHaveBegun(status, best)
+	if best.Term >= p.begunTerm() && !recorded {
+		return nil
 	}
-	return slices.ContainsFunc(status.Instances, func(i InstanceInfo) bool {
-		if i.Name == p.primary && (i.Leaving || !i.isUnreachable()) {
-			return false
+	awaited := map[fleet.Instance]syncrep.Obstacle{}
+	for _, i := range status.Instances {
+		dismissed := !recorded && i.Name == p.primary && (i.Leaving || !i.isUnreachable())
+		if i.Name != best.Name && !i.Gone && !i.Reachable && !dismissed {
+			awaited[i.Name] = obstacleLaterTerm
 		}
-		return i.Name != best.Name && !i.Gone && !i.Reachable
-	})
+	}
+	return awaited
+}
+
+// recordMayHaveBegun reports whether the promotion of the last record may have taken effect without the candidate, as
+// far as this host can tell.
+//
+// Guards against a coordinator that hasn't itself met the last primary, as it has just started or was cut off, and goes
+// by the terms that it has confirmed: it would have the former primary promoted again, with what was rolled back since,
+// and without what its successor has acknowledged. The host that has requested the promotion, and has asked the
+// instances since, waits for nobody if one of the term before is there that wasn't the primary: the successor has died
+// before it led.
+func (p *PrimaryState) recordMayHaveBegun(status GroupStatus, best InstanceInfo) bool {
+	met := p.begunTerm() >= p.record.Term
+	diedBefore := status.OwnRequest && best.Name != p.record.Former && best.Term+1 >= p.record.Term
+	if p.record.Primary == "" || met || best.Term >= p.record.Term || diedBefore {
+		return false
+	}
+	notYet := func(i InstanceInfo) bool {
+		return i.Name == p.record.Primary && i.Reachable && !i.Gone && i.Term < p.record.Term
+	}
+	return !slices.ContainsFunc(status.Instances, notYet)
 }
 
 // ConfirmingRequest returns the request that records instance i as the primary in term, which it is
@@ -380,12 +413,12 @@
 }
 
 func (i InstanceInfo) preferredTo(other InstanceInfo) bool {
-	if i.IsPrimary != other.IsPrimary {
-		return other.IsPrimary
-	}
 	if i.Term != other.Term {
 		return i.Term > other.Term
 	}
+	if i.IsPrimary != other.IsPrimary {
+		return other.IsPrimary
+	}
 	if c := i.Received.Compare(other.Received); c != 0 {
 		return c > 0
 	}
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -307,9 +307,9 @@
 	c := qt.New(t)
 	p := confirmedPrimary()
 	p.AddRecord(leader.Record{Primary: "b", Former: "a", Term: 2, Revision: 7})
-	s := leader.GroupStatus{Since: start, Instances: infos(func(m map[fleet.Instance]*leader.InstanceInfo) {
-		m["a"].Gone, m["b"].Reachable = true, false
-	})}
+	s := leader.GroupStatus{Since: start, OwnRequest: true, Instances: infos(
+		func(m map[fleet.Instance]*leader.InstanceInfo) { m["a"].Gone, m["b"].Reachable = true, false },
+	)}
 	s.Now = start.Add(2 * time.Second)
 	_, ok := decide(p, s)
 	c.Assert(ok, qt.IsFalse)
@@ -431,7 +431,7 @@
 	c := qt.New(t)
 	p := confirmedPrimary()
 	p.AddRecord(leader.Record{Primary: "c", Former: "a", Term: 2, Revision: 7})
-	s := leader.GroupStatus{Now: start.Add(3 * time.Second), Since: start}
+	s := leader.GroupStatus{Now: start.Add(3 * time.Second), Since: start, OwnRequest: true}
 	decided := func(change func(m map[fleet.Instance]*leader.InstanceInfo)) leader.PromotionRequest {
 		s.Instances = infos(change)
 		req, _ := decide(p, s)
@@ -485,3 +485,51 @@
 	c.Check(d.Request.Primary, qt.Equals, fleet.Instance("b"))
 	c.Check(d.Hold, qt.DeepEquals, []fleet.Instance{"c"})
 }
+
+// Guards against a coordinator that has a former primary promoted again because it has never itself met the successor:
+// it has just started, is back from a cut, or has taken over from the host that had requested the promotion.
+func TestSuccessorThatWasNeverMetIsWaitedFor(t *testing.T) {
+	c := qt.New(t)
+	type world = map[fleet.Instance]*leader.InstanceInfo
+	onlyA := func(m world) { m["b"].Reachable, m["c"].Reachable = false, false }
+	for _, x := range []struct {
+		name   string
+		change func(m world)
+		own    bool
+		want   fleet.Instance
+	}{
+		{"only the former primary answers", onlyA, false, ""},
+		{"the requesting host hears only the former primary", onlyA, true, ""},
+		{"the successor is listed", func(m world) { m["b"].Reachable, m["c"].Gone = false, true }, false, ""},
+		{"the successor is leaving", func(m world) { m["b"].Reachable, m["b"].Leaving = false, true }, false, ""},
+		{"a replica of its term is listed", func(m world) { m["b"].Gone, m["c"].Reachable = true, false }, false, ""},
+		{"a replica of the earlier term answers", func(m world) { m["b"].Reachable = false }, false, ""},
+		{"and the successor died before it led", func(m world) { m["b"].Reachable, m["a"].Gone = false, true }, true, "c"},
+		{"a replica of its term answers", func(m world) { m["b"].Reachable, m["c"].Term = false, 2 }, false, "c"},
+		{"the promotion hasn't taken effect", func(world) {}, false, "b"},
+		{"nobody of its term is left", func(m world) { m["b"].Gone, m["c"].Gone = true, true }, false, "a"},
+	} {
+		for _, met := range []bool{false, true} {
+			p := &leader.PrimaryState{}
+			if met {
+				p = confirmedPrimary()
+			}
+			p.AddRecord(leader.Record{Primary: "b", Former: "a", Term: 2, Revision: 7})
+			for k := range 2 {
+				d := p.Decide(leader.GroupStatus{
+					Now: start.Add(time.Minute), Since: start, OwnRequest: x.own, SyncReplicas: k,
+					Instances: infos(func(m world) {
+						m["a"].IsPrimary, m["a"].Received = false, fleet.LogPosition{Term: 1, Index: 75}
+						x.change(m)
+					}),
+				})
+				if x.want == "" {
+					c.Check(d.Ready, qt.IsFalse, qt.Commentf("%s, %d", x.name, k))
+					c.Check(len(d.Missing) > 0, qt.IsTrue, qt.Commentf("%s, %d", x.name, k))
+				} else if k == 0 {
+					c.Check(d.Request.Primary, qt.Equals, x.want, qt.Commentf("%s, met %v", x.name, met))
+				}
+			}
+		}
+	}
+}
--- a/core/leader/primary.go
+++ b/core/leader/primary.go
@@ -41,6 +41,8 @@
 	term    fleet.Term
 	// confirmed is set while the designated primary has itself reported that it is the primary.
 	confirmed bool
+	// heardTerm is the latest term that an instance has reported.
+	heardTerm fleet.Term
 	// former is the primary before the last record and formerTerm its term. former is empty once
 	// that instance can't be the primary any more.
 	former     fleet.Instance
@@ -100,6 +102,7 @@
 // AddStatus adds a status report of an instance. It reports whether the report confirms the
 // primary, or confirms it in another term than before.
 func (p *PrimaryState) AddStatus(i fleet.Instance, s statement.Status) bool {
+	p.heardTerm = max(p.heardTerm, s.Term)
 	if i == p.former && s.Role != fleet.RolePrimary {
 		p.former = ""
 	}
@@ -154,6 +157,9 @@
 // Record returns the last record. Its Revision is zero if there is none.
 func (p *PrimaryState) Record() Record { return p.record }
 
+// begunTerm returns the latest term that this host knows to have begun.
+func (p *PrimaryState) begunTerm() fleet.Term { return max(p.term, p.heardTerm) }
+
 // LastTerm returns the highest known term.
 func (p *PrimaryState) LastTerm() fleet.Term {
 	return max(p.term, p.record.Term, p.formerTerm)
--- a/core/relay/coordination.go
+++ b/core/relay/coordination.go
@@ -45,7 +45,7 @@
 		r.wakeAll()
 	}
 	for _, g := range r.groups {
-		g.promotionPendingUntil, g.holds = time.Time{}, holds{}
+		g.promotionPendingUntil, g.holds, g.ownRequest = time.Time{}, holds{}, leader.PromotionRequest{}
 		if active && g.service.SyncReplicas > 0 {
 			g.holds.checkAfter = r.now()
 		}
@@ -185,9 +185,17 @@
 		Choice: "request a promotion", Reason: string(o.Reason), RequiredPosition: g.instances[o.Primary].received,
 		Considered: g.primaryState.Considered(g.groupStatus(now), o.Reason),
 	})
+	g.ownRequest = o
 	g.r.cfg.RequestPromotion(o)
 }
 
+// requestedLast reports whether this host has requested the promotion of the last record, as the coordinator that it
+// still is.
+func (g *group) requestedLast() bool {
+	last := g.primaryState.Record()
+	return last.By == g.r.cfg.Host && last.Primary == g.ownRequest.Primary && last.Term == g.ownRequest.Term
+}
+
 // promotionOutcomeTimeout is how long the outcome of a promotion request is waited for: the time in which a
 // platform that takes some dozens a second takes those of hundreds of groups.
 const promotionOutcomeTimeout = 10 * time.Second
@@ -200,6 +208,7 @@
 	s := leader.GroupStatus{
 		Now: now, Since: g.unconfirmedSince, EjectionsNeeded: g.ejectionsNeeded(now),
 		SyncReplicas: g.service.SyncReplicas, Departed: g.departedInfos(), HeldFor: g.heldFor(now),
+		OwnRequest: g.requestedLast(),
 	}
 	if g.primaryState.Record().Revision != 0 {
 		// The platform may have got the request long after its record was written.
--- a/core/relay/group.go
+++ b/core/relay/group.go
@@ -70,6 +70,8 @@
 	// promotionPendingUntil is until when the outcome of a promotion request of this host is waited for, zero if
 	// there is none.
 	promotionPendingUntil time.Time
+	// ownRequest is the last promotion that this host has requested since it is the coordinator, zero if there is none.
+	ownRequest leader.PromotionRequest
 	// promotionAcceptedAt is when the last promotion request of this host was accepted.
 	promotionAcceptedAt time.Time
 	// active is set while the group is ticked, usedAt is when an operation or a session last used it.
--- a/core/relay/hold.go
+++ b/core/relay/hold.go
@@ -124,7 +124,7 @@
 	h.withheld, h.withheldLoggedAt = what, now
 	g.r.logEvent(Event{
 		Kind: EventLeader, Service: g.name, Choice: "withhold the promotion",
-		Reason:     "their logs may have acknowledged commits that no candidate has: " + what,
+		Reason:     "they may have acknowledged commits that no candidate has: " + what,
 		Considered: g.primaryState.Considered(g.groupStatus(now), ""), Age: now.Sub(h.withheldSince),
 	})
 }
