Answer each statement once at the end of the grace

Stopping one statement may end others that were on the list of the unfinished: the second pass would have met a session without an operation, and ended the process by a panic; the first would have answered one twice.

--- a/core/relay/drain.go
+++ b/core/relay/drain.go
@@ -78,7 +78,9 @@
 		s.refuseUnsent(shutdownDetail)
 	}
 	for _, s := range r.unfinishedSessions() {
-		s.op.stop(shutdownDetail)
+		if s.op != nil {
+			s.op.stop(shutdownDetail)
+		}
 	}
 	for s := range r.sessions {
 		if s.settled() {
@@ -108,6 +110,8 @@
 // refuseUnsent refuses the statement in progress if it waits for its admission or its turn.
 func (s *Session) refuseUnsent(reason string) {
 	switch {
+	case !s.Busy():
+		// An earlier one's end has answered it.
 	case s.op == nil:
 		s.refuse(statement.CodeBusy, reason, s.r.shortRetry())
 	case s.op.isWaiting():
--- a/core/relay/drain_test.go
+++ b/core/relay/drain_test.go
@@ -212,6 +212,35 @@
 	c.Check(w.count("q1"), qt.Equals, 0)
 }
 
+// Guards against a panic, or a second answer, at the end of the grace with many statements in progress: the end of one
+// makes room for others, and ends them too.
+func TestEndOfTheGraceAnswersEachOnce(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c).withConfirmedPrimary()
+	var callers []*caller
+	for n := range 24 {
+		u := w.open("rush", "key-1")
+		callers = append(callers, u)
+		if n%3 == 0 {
+			u.do(statement.KindBegin, "", "")
+		}
+	}
+	w.instances["a"].hold = true
+	w.relay.Drain(grace)
+	before := map[*caller]int{}
+	for _, u := range callers {
+		before[u] = len(u.answers)
+		u.do(statement.KindWrite, "", "item data")
+	}
+	w.relay.EndDrain()
+	w.instances["a"].hold = false
+	w.deliver()
+	for _, u := range callers {
+		c.Check(u.answers, qt.HasLen, before[u]+1)
+		c.Check(u.closed, qt.IsTrue)
+	}
+}
+
 // Guards against statements that the end of a shutdown's grace leaves without an answer, or with one that isn't true.
 func TestEndOfTheGraceAnswersEverything(t *testing.T) {
 	c := qt.New(t)
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -193,7 +193,7 @@
 	case o.unverifiedAnswer != nil:
 		delete(o.g.pendingVerification, o.key)
 		o.g.finishUnverified(o, reason)
-	default:
+	case o.conn != nil && o.conn.op == o:
 		o.timeOut(reason)
 	}
 }
